Set up the workspace, core data classes, ports and test runner

Cause: the packages need agreed messages and ports before work on them can be split. Conclusion: fairshare, control, daemon and cli can be built against the ports.

--- /dev/null
+++ b/packages/almondfield-cli/src/almondfield_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The almondfield operator command line."""
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated control state of the almondfield router fleet."""
--- /dev/null
+++ b/packages/almondfield-core/src/almondfield_core/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes, ports and codecs that all almondfield packages share."""
--- /dev/null
+++ b/packages/almondfield-core/src/almondfield_core/clock/__init__.py
@@ -0,0 +1,5 @@
+"""The clock of the runtime; tests pause and advance it."""
+
+from almondfield_core.clock.core import WallClock, now
+
+__all__ = ["WallClock", "now"]
--- /dev/null
+++ b/packages/almondfield-core/src/almondfield_core/settings/__init__.py
@@ -0,0 +1,17 @@
+"""Settings of one daemon."""
+
+from almondfield_core.settings.core import (
+    DaemonSettings,
+    HostSettings,
+    LimitSettings,
+    SecuritySettings,
+    TimingSettings,
+)
+
+__all__ = [
+    "DaemonSettings",
+    "HostSettings",
+    "LimitSettings",
+    "SecuritySettings",
+    "TimingSettings",
+]
--- /dev/null
+++ b/packages/almondfield-core/src/almondfield_core/settings/core.py
@@ -0,0 +1,113 @@
+"""Settings of one daemon as typed items, each with a description and a unit."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+__all__ = [
+    "DaemonSettings",
+    "HostSettings",
+    "LimitSettings",
+    "SecuritySettings",
+    "TimingSettings",
+    "item",
+]
+
+
+def item(description: str, unit: str = "", **kwargs: Any) -> Any:
+    """Return a data class field that carries its description and unit.
+
+    :param description: one sentence for the settings reference.
+    :param unit: unit of the value; empty for values without one.
+    :param kwargs: passed on to :func:`dataclasses.field`.
+    """
+    return field(metadata={"description": description, "unit": unit}, **kwargs)
+
+
+@dataclass(frozen=True)
+class HostSettings:
+    """One entry host of the deployment."""
+
+    name: str = item("Name of the host, unique in the deployment.")
+    data_centre: str = item("Data centre that the host stands in.")
+    address: str = item("IP address that the host listens on.")
+    region: str = item("Region of the data centre.", default="local")
+    caller_port: int = item("Port for callers.", default=8080)
+    operator_port: int = item("Port for operators and metrics.", default=8081)
+    peer_port: int = item("Port for the other hosts.", default=8082)
+    voter: bool = item("Whether the host votes in the control group.", default=False)
+
+
+@dataclass(frozen=True)
+class SecuritySettings:
+    """Files that hold the secrets."""
+
+    operator_token_file: str = item("File with the operators' token.")
+    backend_token_file: str = item("File with the backend servers' token.")
+    fleet_secret_file: str = item("File with the secret that all hosts share.")
+
+
+@dataclass(frozen=True)
+class TimingSettings:
+    """Intervals of the protocols between hosts."""
+
+    heartbeat_s: float = item("Time between two heartbeats.", "s", default=0.3)
+    silence_s: float = item("Silence after which a peer is cut off.", "s", default=1.0)
+    election_s: float = item("Shortest election timeout.", "s", default=0.6)
+    freshness_lease_s: float = item("Lifetime of a freshness lease.", "s", default=3.0)
+    pool_lease_s: float = item("Lifetime of a pool lease.", "s", default=1.0)
+    drift_margin: float = item(
+        "Largest relative drift between two hosts' clocks.", default=0.01
+    )
+    grant_lifetime_s: float = item("Lifetime of a grant of slots.", "s", default=1.0)
+    server_silence_s: float = item(
+        "Silence after which a backend server gets no new work.", "s", default=3.0
+    )
+    address_lifetime_s: float = item(
+        "Time that callers may keep an answer to GET /addresses.", "s", default=5.0
+    )
+
+
+@dataclass(frozen=True)
+class LimitSettings:
+    """Bounds on what a daemon holds."""
+
+    max_body_bytes: int = item(
+        "Largest body of a request.", "bytes", default=8 * 1024 * 1024
+    )
+    max_header_bytes: int = item(
+        "Largest header section of a request.", "bytes", default=32 * 1024
+    )
+    max_announcement_bytes: int = item(
+        "Largest announcement of a backend server.", "bytes", default=64 * 1024
+    )
+    max_tables_bytes: int = item(
+        "Largest pair of tables.", "bytes", default=16 * 1024 * 1024
+    )
+    max_queued_requests: int = item(
+        "Requests that may wait in one daemon.", default=20_000
+    )
+    max_queued_bytes: int = item(
+        "Bodies that may wait in one daemon.", "bytes", default=64 * 1024 * 1024
+    )
+    retry_budget_share: float = item(
+        "Retries per request sent, at most, over time.", default=0.1
+    )
+
+
+@dataclass(frozen=True)
+class DaemonSettings:
+    """All settings of one daemon."""
+
+    host: str = item("Name of this host; one of ``hosts``.")
+    hosts: tuple[HostSettings, ...] = item("Entry hosts of the deployment.")
+    security: SecuritySettings = item("Files that hold the secrets.")
+    data_folder: str = item(
+        "Folder for durable state; needed on voters, else empty.", default=""
+    )
+    timing: TimingSettings = item(
+        "Intervals of the protocols.", default=TimingSettings()
+    )
+    limits: LimitSettings = item(
+        "Bounds on what a daemon holds.", default=LimitSettings()
+    )
+    log_file: str = item("File for the log; empty for standard error.", default="")
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The almondfield router daemon."""
--- /dev/null
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/__init__.py
@@ -0,0 +1,1 @@
+"""Fair sharing of pool slots between teams across the fleet."""
--- /dev/null
+++ b/tools/almondfield_testing/core.py
@@ -0,0 +1,210 @@
+"""One paused event loop per scenario, and links between hosts in memory.
+
+A feature's ``environment.py`` re-exports :func:`before_scenario` and
+:func:`after_scenario`; steps call :func:`run`.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import looptime
+from almondfield_core.ports import LinkFailure
+from almondfield_core.wire import decode_message, encode_message, kind_of
+from result import Err, Ok, Result
+
+__all__ = [
+    "InMemoryNetwork",
+    "InMemoryPeers",
+    "after_scenario",
+    "before_scenario",
+    "run",
+]
+
+
+def before_scenario(context: Any, scenario: Any) -> None:
+    """Give the scenario a paused event loop as ``context.loop``."""
+    context.loop = looptime.new_event_loop(start=0.0)
+    asyncio.set_event_loop(context.loop)
+
+
+def after_scenario(context: Any, scenario: Any) -> None:
+    """Cancel what still runs in the scenario's loop, and close the loop."""
+    tasks = asyncio.all_tasks(context.loop)
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        context.loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    context.loop.close()
+    asyncio.set_event_loop(None)
+
+
+def run(context: Any, awaitable: Awaitable[Any]) -> Any:
+    """Return the result of an awaitable in the scenario's paused loop.
+
+    :param context: the behave context.
+    :param awaitable: what to wait for; time jumps to the next timer.
+    """
+
+    async def main() -> Any:
+        return await awaitable
+
+    with looptime.enabled():
+        return context.loop.run_until_complete(main())
+
+
+class InMemoryNetwork:
+    """Links between hosts that drop, delay, repeat, reorder and fall silent.
+
+    :param seed: seed of every random choice.
+    :param delay_s: one-way delay in seconds, as (least, most).
+    :param loss: share of messages that are dropped.
+    :param repeat: share of messages that arrive twice.
+    """
+
+    def __init__(
+        self,
+        seed: int = 1,
+        delay_s: tuple[float, float] = (0.001, 0.002),
+        loss: float = 0.0,
+        repeat: float = 0.0,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.delay_s = delay_s
+        self.loss = loss
+        self.repeat = repeat
+        self.peers_by_host: dict[str, InMemoryPeers] = {}
+        self.cut_links: set[tuple[str, str]] = set()
+        self.bytes_by_kind: dict[str, int] = {}
+        self.count_by_kind: dict[str, int] = {}
+
+    def peers(self, host: str) -> "InMemoryPeers":
+        """Return the port of a host; a second call is a restart of the host.
+
+        :param host: name of the host.
+        """
+        peers = InMemoryPeers(self, host)
+        self.peers_by_host[host] = peers
+        return peers
+
+    def cut(self, source: str, target: str) -> None:
+        """Silence the path from one host to another, in that direction only."""
+        self.cut_links.add((source, target))
+
+    def isolate(self, host: str) -> None:
+        """Silence every path to and from a host."""
+        for other in self.peers_by_host:
+            if other != host:
+                self.cut(host, other)
+                self.cut(other, host)
+
+    def heal(self) -> None:
+        """Let every path work again."""
+        self.cut_links.clear()
+
+    def stop(self, host: str) -> None:
+        """Take a host off the network for good, as a crash does."""
+        self.peers_by_host.pop(host, None)
+
+    def deliver(self, source: str, target: str, kind: str, body: bytes, tag: Any):
+        """Carry one message, or lose it."""
+        self.bytes_by_kind[kind] = self.bytes_by_kind.get(kind, 0) + len(body)
+        self.count_by_kind[kind] = self.count_by_kind.get(kind, 0) + 1
+        if source != target and (source, target) in self.cut_links:
+            return
+        if source != target and self.random.random() < self.loss:
+            return
+        copies = 2 if self.random.random() < self.repeat else 1
+        for _ in range(copies):
+            delay_s = 0.0 if source == target else self.random.uniform(*self.delay_s)
+            asyncio.get_running_loop().call_later(
+                delay_s, self._arrive, source, target, kind, body, tag
+            )
+
+    def _arrive(self, source, target, kind, body, tag):
+        peers = self.peers_by_host.get(target)
+        if peers is None or (source, target) in self.cut_links:
+            return
+        peers.receive(source, kind, body, tag)
+
+
+class InMemoryPeers:
+    """The ``Peers`` port over an :class:`InMemoryNetwork`.
+
+    :param network: the network.
+    :param host: name of this host.
+    """
+
+    def __init__(self, network: InMemoryNetwork, host: str) -> None:
+        self._network = network
+        self._host = host
+        self._handler_by_kind: dict[str, Callable[[str, Any], Awaitable[Any]]] = {}
+        self._reply_by_tag: dict[int, asyncio.Future[Any]] = {}
+        self._next_tag = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def host(self) -> str:
+        """Return the name of this host."""
+        return self._host
+
+    def send(self, to: str, message: object) -> None:
+        """Queue a one-way message."""
+        self._post(to, message, ("one-way", 0))
+
+    async def ask(
+        self, to: str, message: object, timeout_s: float
+    ) -> Result[Any, LinkFailure]:
+        """Return the reply of a peer."""
+        self._next_tag += 1
+        tag = self._next_tag
+        reply = asyncio.get_running_loop().create_future()
+        self._reply_by_tag[tag] = reply
+        self._post(to, message, ("ask", tag))
+        try:
+            async with asyncio.timeout(timeout_s):
+                return Ok(await reply)
+        except TimeoutError:
+            return Err(LinkFailure(to, f"no reply within {timeout_s} s"))
+        finally:
+            del self._reply_by_tag[tag]
+
+    def listen(
+        self, message_type: type, handler: Callable[[str, Any], Awaitable[Any]]
+    ) -> None:
+        """Register the handler of a message type."""
+        self._handler_by_kind[kind_of(message_type)] = handler
+
+    def is_reachable(self, host: str) -> bool:
+        """Return whether both directions of the path work."""
+        cut = self._network.cut_links
+        known = host in self._network.peers_by_host
+        return known and (self._host, host) not in cut and (host, self._host) not in cut
+
+    def receive(self, source: str, kind: str, body: bytes, tag: Any) -> None:
+        """Take one message from the network."""
+        message = decode_message(kind, body).unwrap()
+        match tag:
+            case ("reply", number):
+                reply = self._reply_by_tag.get(number)
+                if reply is not None and not reply.done():
+                    reply.set_result(message)
+            case _:
+                task = asyncio.ensure_future(self._handle(source, kind, message, tag))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _handle(self, source, kind, message, tag):
+        handler = self._handler_by_kind.get(kind)
+        if handler is None:
+            return
+        answer = await handler(source, message)
+        if answer is not None and tag[0] == "ask":
+            self._post(source, answer, ("reply", tag[1]))
+
+    def _post(self, to: str, message: object, tag: Any) -> None:
+        if self._network.peers_by_host.get(self._host) is not self:
+            return
+        kind = kind_of(type(message))
+        self._network.deliver(self._host, to, kind, encode_message(message), tag)
