--- a/packages/almondfield-core/src/almondfield_core/ports/core.py
+++ b/packages/almondfield-core/src/almondfield_core/ports/core.py
@@ -97,6 +97,12 @@
     def freshness_left_s(self) -> float:
         """Return the seconds for which the tables count as current; 0 if stale."""
 
+    def pool_lease_left_s(self, pool: str) -> float:
+        """Return the seconds for which this host may schedule a pool; 0 if not its own.
+
+        :param pool: name of the pool.
+        """
+
     async def wait_change(self, revision: int) -> Tables:
         """Return the tables once their revision is beyond the given one.
 
--- a/packages/almondfield-core/src/almondfield_core/settings/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/__init__.py
@@ -5,6 +5,7 @@
     HostSettings,
     LimitSettings,
     SecuritySettings,
+    SharingPolicy,
     TimingSettings,
 )
 
@@ -13,5 +14,6 @@
     "HostSettings",
     "LimitSettings",
     "SecuritySettings",
+    "SharingPolicy",
     "TimingSettings",
 ]
--- a/packages/almondfield-core/src/almondfield_core/settings/core.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/core.py
@@ -1,6 +1,7 @@
 """Settings of one daemon as typed items, each with a description and a unit."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Any
 
 __all__ = [
@@ -8,6 +9,7 @@
     "HostSettings",
     "LimitSettings",
     "SecuritySettings",
+    "SharingPolicy",
     "TimingSettings",
     "item",
 ]
@@ -94,6 +96,14 @@
     )
 
 
+class SharingPolicy(StrEnum):
+    """How slots are shared; all but the first are baselines for measurements."""
+
+    FAIR_SHARE = "fair-share"
+    FIRST_COME = "first-come"
+    PER_ROUTER = "per-router"
+
+
 @dataclass(frozen=True)
 class DaemonSettings:
     """All settings of one daemon."""
@@ -110,4 +120,7 @@
     limits: LimitSettings = item(
         "Bounds on what a daemon holds.", default=LimitSettings()
     )
+    sharing_policy: SharingPolicy = item(
+        "How slots are shared between teams.", default=SharingPolicy.FAIR_SHARE
+    )
     log_file: str = item("File for the log; empty for standard error.", default="")
