Carry known team counters in demand reports of a new epoch

A new scheduler cannot rebuild counters from service totals alone: totals include service from times when other teams were idle, which must earn no credit. The router therefore passes on the counters that the earlier scheduler gave. The field is empty outside the first reports of an epoch. Core message change; has a default, so no caller changes.

--- a/packages/almondfield-core/src/almondfield_core/messages/sharing.py
+++ b/packages/almondfield-core/src/almondfield_core/messages/sharing.py
@@ -126,6 +126,8 @@
         running requests have used so far.
     :ivar failures_by_server: calls that failed since the incarnation began.
     :ivar finished: requests finished since the incarnation began.
+    :ivar counter_by_team: counters that an earlier scheduler gave, with what the
+        router charged since; only in the first reports of an epoch.
     """
 
     pool: str
@@ -139,6 +141,7 @@
     service_by_team: dict[str, float] = field(default_factory=dict)
     failures_by_server: dict[str, int] = field(default_factory=dict)
     finished: int = 0
+    counter_by_team: dict[str, float] = field(default_factory=dict)
 
 
 @wire_message("slot-grant")
