Tie a grant's lifetime to the report that it answers

A lifetime counted from receipt lets a delayed grant outlive what its scheduler reckons, so a new scheduler had to wait out an unknown delay. Counted from the sending of the answered report it cannot. Core message change: two fields with defaults.

--- a/packages/almondfield-core/src/almondfield_core/messages/sharing.py
+++ b/packages/almondfield-core/src/almondfield_core/messages/sharing.py
@@ -155,12 +155,17 @@
     :ivar pool: name of the pool.
     :ivar epoch: epoch of the scheduler's pool lease.
     :ivar number: number of the grant, growing within (epoch, router).
-    :ivar lifetime_s: seconds after receipt during which it may start requests.
+    :ivar lifetime_s: seconds during which it may start requests, counted from when
+        the router sent the report that the grant answers, so that no delay on the
+        way makes a grant last longer than its scheduler reckons.
     :ivar backlogged: whether work waits that the pool's slots cannot take.
     :ivar servers: slots by server.
     :ivar counter_by_team: weighted service of the teams that wait at the router,
         relative to the lowest backlogged team, in slot-seconds per weight.
     :ivar report_window_s: seconds between two reports from now on.
+    :ivar incarnation: incarnation of the router that the grant answers.
+    :ivar report_number: number of the report that the grant answers; 0 where it
+        answers none, and then it has no slots.
     """
 
     pool: str
@@ -171,3 +176,5 @@
     servers: tuple[ServerSlots, ...] = ()
     counter_by_team: dict[str, float] = field(default_factory=dict)
     report_window_s: float = 0.1
+    incarnation: int = 0
+    report_number: int = 0
