Share slots of announced servers between routers, thin version

Cause: routers need slots without a message per request. Change: RouterShare queues by (pool, team) and starts the lowest counter on each freed slot; PoolSchedulers allots slots to teams by lowest counter after a horizon, splits them over routers and places them on servers; grants end with the pool lease at the latest, so a new scheduler waits for none.

--- /dev/null
+++ b/bench/sharing_fleet.py
@@ -0,0 +1,228 @@
+"""A fleet of routers and schedulers over links in memory, under a paused clock."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field, replace
+
+from almondfield_core.clock import now
+from almondfield_core.messages import (
+    AnnouncementRelay,
+    PoolLease,
+    ServerAnnouncement,
+    ServerState,
+)
+from almondfield_core.settings import (
+    DaemonSettings,
+    HostSettings,
+    SecuritySettings,
+    SharingPolicy,
+)
+from almondfield_core.tables import Pool, Tables
+from almondfield_fairshare import PoolSchedulers, RouterShare
+from almondfield_testing import InMemoryNetwork
+
+__all__ = ["Fleet", "FleetView", "ServerStub", "make_settings"]
+
+ANNOUNCE_S = 1.0
+"""Time between two announcements of a server, in seconds."""
+
+LEASE_RENEWAL_S = 0.5
+"""Time between two renewals of a pool lease, in seconds."""
+
+LEASE_NEWS_S = 0.02
+"""Time until the holder of a new lease hears of it, in seconds."""
+
+
+def make_settings(
+    hosts: list[str], host: str, policy: SharingPolicy = SharingPolicy.FAIR_SHARE
+) -> DaemonSettings:
+    """Return the settings of one daemon of a fleet."""
+    rows = tuple(HostSettings(name, "dc", "127.0.0.1") for name in hosts)
+    return DaemonSettings(
+        host, rows, SecuritySettings("", "", ""), sharing_policy=policy
+    )
+
+
+class FleetView:
+    """Tables and pool leases as one host knows them."""
+
+    def __init__(self, fleet: "Fleet", host: str) -> None:
+        self._fleet = fleet
+        self._host = host
+        self.lease_by_pool: dict[str, PoolLease] = {}
+        self.lease_until_by_pool: dict[str, float] = {}
+
+    @property
+    def tables(self) -> Tables:
+        """Return the newest tables."""
+        return self._fleet.tables
+
+    def freshness_left_s(self) -> float:
+        """Return the seconds for which the tables count as current."""
+        return 3.0
+
+    def pool_lease_left_s(self, pool: str) -> float:
+        """Return the seconds for which this host may schedule a pool."""
+        lease = self.lease_by_pool.get(pool)
+        if lease is None or lease.host != self._host:
+            return 0.0
+        return max(0.0, self.lease_until_by_pool.get(pool, 0.0) - now())
+
+    async def wait_change(self, revision: int) -> Tables:
+        """Return the tables once their revision is beyond the given one."""
+        while self.tables.revision <= revision:
+            await asyncio.sleep(0.05)
+        return self.tables
+
+
+@dataclass
+class ServerStub:
+    """A backend server that announces itself and counts what it runs."""
+
+    announcement: ServerAnnouncement
+    running: Counter = field(default_factory=Counter)
+    most_running: int = 0
+    over_slots: int = 0
+    alive: bool = True
+
+    def start(self, router: str) -> None:
+        """Count a request, and whether there was a slot for it."""
+        self.running[router] += 1
+        total = self.running.total()
+        self.most_running = max(self.most_running, total)
+        if total > self.announcement.slots:
+            self.over_slots += 1
+
+    def finish(self, router: str) -> None:
+        """Count a request as done."""
+        self.running[router] -= 1
+
+
+class Fleet:
+    """Hosts with a router share and pool schedulers each, and backend servers.
+
+    :param hosts: number of hosts.
+    :param pools: rows of the pools table.
+    :param servers: announcements of the backend servers.
+    :param seed: seed of the network's random choices.
+    :param policy: how slots are shared.
+    :param network: links between the hosts.
+    """
+
+    def __init__(
+        self,
+        hosts: int,
+        pools: tuple[Pool, ...],
+        servers: tuple[ServerAnnouncement, ...],
+        seed: int = 1,
+        policy: SharingPolicy = SharingPolicy.FAIR_SHARE,
+        network: InMemoryNetwork | None = None,
+    ) -> None:
+        self.hosts = [f"host-{number}" for number in range(1, hosts + 1)]
+        self.tables = Tables(1, pools, ())
+        self.network = network or InMemoryNetwork(seed, (0.002, 0.002))
+        self.policy = policy
+        self.server_by_name = {one.name: ServerStub(one) for one in servers}
+        self.view_by_host = {host: FleetView(self, host) for host in self.hosts}
+        self.share_by_host: dict[str, RouterShare] = {}
+        self.schedulers_by_host: dict[str, PoolSchedulers] = {}
+        self.epoch_by_pool: dict[str, int] = {}
+        self.cut_off: set[str] = set()
+        self._tasks_by_host: dict[str, list[asyncio.Task]] = {}
+        self._incarnation = 0
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Start every host; the pools are leased to the hosts in turn."""
+        for number, pool in enumerate(self.tables.pools):
+            self.lease(pool.name, self.hosts[number % len(self.hosts)])
+        for host in self.hosts:
+            self.start_host(host)
+        self._tasks.append(asyncio.create_task(self._announce()))
+        self._tasks.append(asyncio.create_task(self._renew()))
+
+    def start_host(self, host: str) -> None:
+        """Start a host with empty memory."""
+        self._incarnation += 1
+        peers = self.network.peers(host)
+        view = self.view_by_host[host]
+        settings = make_settings(self.hosts, host, self.policy)
+        share = RouterShare(peers, view, settings, self._incarnation)
+        schedulers = PoolSchedulers(peers, view, settings, self._incarnation)
+        self.share_by_host[host] = share
+        self.schedulers_by_host[host] = schedulers
+        self._tasks_by_host[host] = [
+            asyncio.create_task(share.run()),
+            asyncio.create_task(schedulers.run()),
+        ]
+
+    def stop_host(self, host: str) -> None:
+        """Crash a host."""
+        self.network.stop(host)
+        for task in self._tasks_by_host.pop(host):
+            task.cancel()
+
+    def isolate(self, host: str) -> None:
+        """Cut a host off from the others and from the control group."""
+        self.network.isolate(host)
+        self.cut_off.add(host)
+
+    def heal(self) -> None:
+        """Let every path work again."""
+        self.network.heal()
+        self.cut_off.clear()
+
+    def lease(self, pool: str, host: str) -> None:
+        """Lease a pool to a host under a new epoch."""
+        epoch = self.epoch_by_pool.get(pool, 0) + 1
+        self.epoch_by_pool[pool] = epoch
+        for name, view in self.view_by_host.items():
+            if name in self.cut_off:
+                continue
+            view.lease_by_pool[pool] = PoolLease(pool, host, epoch)
+        self.view_by_host[host].lease_until_by_pool[pool] = now() + 1.0
+
+    def holder(self, pool: str) -> str:
+        """Return the host that holds a pool's newest lease."""
+        leases = [view.lease_by_pool[pool] for view in self.view_by_host.values()]
+        return max(leases, key=lambda lease: lease.epoch).host
+
+    def relay_all(self, pool: str, age_s: float = 0.0) -> None:
+        """Tell a pool's scheduler of every server that is alive."""
+        alive = [s.announcement for s in self.server_by_name.values() if s.alive]
+        self._relay(pool, tuple(alive), age_s)
+
+    async def _announce(self) -> None:
+        while True:
+            for server in self.server_by_name.values():
+                busy = server.running.total()
+                server.announcement = replace(server.announcement, busy=busy)
+            for pool in self.tables.pools:
+                self.relay_all(pool.name)
+            await asyncio.sleep(ANNOUNCE_S)
+
+    def leave(self, server: str) -> None:
+        """Let a server announce that it leaves."""
+        stub = self.server_by_name[server]
+        stub.announcement = replace(stub.announcement, state=ServerState.LEAVING)
+        for pool in self.tables.pools:
+            self._relay(pool.name, (stub.announcement,), 0.0)
+
+    def _relay(self, pool, announcements, age_s) -> None:
+        relays = [h for h in self._tasks_by_host if h not in self.cut_off]
+        if not relays:
+            return
+        message = AnnouncementRelay(
+            pool, announcements, tuple(age_s for _ in announcements)
+        )
+        peers = self.network.peers_by_host[relays[-1]]
+        peers.send(self.holder(pool), message)
+
+    async def _renew(self) -> None:
+        while True:
+            await asyncio.sleep(LEASE_RENEWAL_S)
+            for pool in self.tables.pools:
+                holder = self.holder(pool.name)
+                if holder in self._tasks_by_host and holder not in self.cut_off:
+                    view = self.view_by_host[holder]
+                    view.lease_until_by_pool[pool.name] = now() + 1.0
--- /dev/null
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/core.py
@@ -0,0 +1,215 @@
+"""The router's side of fair sharing, for all pools."""
+
+import asyncio
+from dataclasses import dataclass
+
+from almondfield_core.clock import now
+from almondfield_core.messages import NotRun, NotRunReason, SlotGrant, SlotRequest
+from almondfield_core.ports import Peers, Slot, TableView
+from almondfield_core.settings import DaemonSettings
+from result import Err, Result
+
+from almondfield_fairshare.router.pool import RouterPool
+from almondfield_fairshare.router.queues import QueueMemory
+
+__all__ = ["RouterShare", "RouterShareStats"]
+
+REST_WINDOW_S = 0.3
+"""Time between two reports while nothing waits, in seconds."""
+
+URGENT_BATCH_S = 0.002
+"""Time over which reasons for an early report are gathered, in seconds."""
+
+URGENT_PER_S = 12.0
+"""Early reports per second and pool, over time."""
+
+URGENT_BURST = 6.0
+"""Early reports that may follow one another closely."""
+
+TABLES_CHECK_S = 0.2
+"""Time between two looks for new pools, in seconds."""
+
+
+@dataclass(frozen=True)
+class RouterShareStats:
+    """What the router's side of fair sharing holds and did.
+
+    :ivar waiting: requests that wait.
+    :ivar waiting_bytes: bodies that wait, in bytes.
+    :ivar in_flight_by_pool: requests in flight.
+    :ivar slots_by_pool: slots that the router may use now.
+    :ivar reports: reports sent.
+    :ivar grants: grants received.
+    """
+
+    waiting: int
+    waiting_bytes: int
+    in_flight_by_pool: dict[str, int]
+    slots_by_pool: dict[str, int]
+    reports: int
+    grants: int
+
+
+class RouterShare:
+    """Queues of this router; gives out slots in fair order.
+
+    :param peers: messages to and from the schedulers.
+    :param view: tables and leases.
+    :param settings: settings of the daemon.
+    :param incarnation: number that grows with each start of the process.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        view: TableView,
+        settings: DaemonSettings,
+        incarnation: int,
+    ) -> None:
+        self._peers = peers
+        self._view = view
+        self._settings = settings
+        self._incarnation = incarnation
+        limits = settings.limits
+        self._memory = QueueMemory(limits.max_queued_requests, limits.max_queued_bytes)
+        self._pool_by_name: dict[str, RouterPool] = {}
+        self._task_by_pool: dict[str, asyncio.Task[None]] = {}
+        self._refusing = False
+        self._reports = 0
+        self._grants = 0
+        peers.listen(SlotGrant, self._on_grant)
+
+    async def run(self) -> None:
+        """Report to the schedulers of all pools until cancelled."""
+        try:
+            while True:
+                self._follow_tables()
+                await asyncio.sleep(TABLES_CHECK_S)
+        finally:
+            for task in self._task_by_pool.values():
+                task.cancel()
+            tasks = self._task_by_pool.values()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def acquire(self, request: SlotRequest) -> Result[Slot, NotRun]:
+        """Return a slot once it is the request's turn; cancelling leaves the queue.
+
+        :param request: what the request needs.
+        """
+        if self._refusing:
+            return Err(NotRun(NotRunReason.DRAINING))
+        pool = self._pool(request.pool)
+        refusal = self._refusal(pool, request)
+        if refusal is not None:
+            return Err(refusal)
+        return await pool.acquire(request)
+
+    def refuse_new(self) -> None:
+        """Refuse requests from now on; those that wait or run go on."""
+        self._refusing = True
+
+    def stats(self) -> RouterShareStats:
+        """Return what waits and runs, and the messages so far."""
+        pools = self._pool_by_name
+        return RouterShareStats(
+            self._memory.requests,
+            self._memory.body_bytes,
+            {name: pool.usage.total() for name, pool in pools.items()},
+            {name: pool.granted_slots for name, pool in pools.items()},
+            self._reports,
+            self._grants,
+        )
+
+    def _refusal(self, pool: RouterPool, request: SlotRequest) -> NotRun | None:
+        """Return why a request cannot wait, if it cannot."""
+        if pool.queues.length(request.team) >= request.queue_limit:
+            retry_after_s = pool.retry_after_s(request.team)
+            return NotRun(NotRunReason.QUEUE_FULL, retry_after_s)
+        while not self._memory.fits(request):
+            largest = self._memory.largest_team(request)
+            if largest == request.team or not self._make_room(largest):
+                retry_after_s = pool.retry_after_s(request.team)
+                return NotRun(NotRunReason.MEMORY, retry_after_s)
+        return None
+
+    def _make_room(self, team: str) -> bool:
+        """Refuse the newest waiting request of a team; return if there was one."""
+        pools = sorted(
+            self._pool_by_name.values(), key=lambda pool: -pool.queues.length(team)
+        )
+        return any(
+            pool.queues.refuse_newest(team, pool.retry_after_s(team)) for pool in pools
+        )
+
+    def _pool(self, name: str) -> RouterPool:
+        pool = self._pool_by_name.get(name)
+        if pool is None:
+            rows = [row for row in self._view.tables.pools if row.name == name]
+            typical_cost_s = rows[0].typical_cost if rows else 1.0
+            pool = RouterPool(
+                name,
+                self._memory,
+                self._settings.sharing_policy,
+                self._incarnation,
+                typical_cost_s,
+            )
+            self._pool_by_name[name] = pool
+        return pool
+
+    def _follow_tables(self) -> None:
+        """Report for the pools of the tables, and for no others."""
+        wanted = {row.name for row in self._view.tables.pools}
+        for name in wanted - self._task_by_pool.keys():
+            task = asyncio.create_task(self._report(self._pool(name)))
+            self._task_by_pool[name] = task
+        for name in self._task_by_pool.keys() - wanted:
+            self._task_by_pool.pop(name).cancel()
+
+    async def _report(self, pool: RouterPool) -> None:
+        """Report the router's state in one pool, regularly and early where needed."""
+        tokens = URGENT_BURST
+        last_s = float("-inf")
+        while True:
+            window_s = self._window_s(pool)
+            due_s = last_s + window_s
+            early = await self._wait_due(pool, due_s)
+            if early:
+                await asyncio.sleep(URGENT_BATCH_S)
+                tokens -= 1.0
+            self._send_report(pool)
+            elapsed_s = min(now() - last_s, 1.0)
+            tokens = min(URGENT_BURST, tokens + URGENT_PER_S * elapsed_s)
+            last_s = now()
+            if tokens < 1.0:
+                await asyncio.sleep((1.0 - tokens) / URGENT_PER_S)
+
+    async def _wait_due(self, pool: RouterPool, due_s: float) -> bool:
+        """Return whether a report is wanted before it is due."""
+        left_s = due_s - now()
+        if left_s <= 0:
+            return False
+        try:
+            async with asyncio.timeout(left_s):
+                await pool.urgent.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _window_s(self, pool: RouterPool) -> float:
+        if pool.backlogged and pool.window_s > 0:
+            return min(pool.window_s, REST_WINDOW_S)
+        return REST_WINDOW_S
+
+    def _send_report(self, pool: RouterPool) -> None:
+        pool.urgent.clear()
+        lease = self._view.lease_by_pool.get(pool.name)
+        if lease is None:
+            return
+        self._reports += 1
+        self._peers.send(lease.host, pool.make_report())
+
+    async def _on_grant(self, sender: str, grant: SlotGrant) -> None:
+        self._grants += 1
+        pool = self._pool_by_name.get(grant.pool)
+        if pool is not None:
+            pool.on_grant(grant)
--- /dev/null
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/usage.py
@@ -0,0 +1,116 @@
+"""What a router uses of a pool: requests in flight, service and estimates."""
+
+from collections import Counter
+
+from almondfield_core.clock import now
+from almondfield_core.messages import InFlight, SlotRequest
+
+__all__ = ["PoolUsage"]
+
+SMOOTHING = 0.1
+"""Weight of the newest request in an estimate."""
+
+
+class PoolUsage:
+    """Requests in flight and slot-seconds used, by team.
+
+    :param typical_cost_s: first estimate of a request's cost, in slot-seconds.
+    """
+
+    def __init__(self, typical_cost_s: float) -> None:
+        self.finished = 0
+        self.typical_cost_s = typical_cost_s
+        self._in_flight: Counter[tuple[str, str]] = Counter()
+        self._in_flight_by_server: Counter[str] = Counter()
+        self._running_by_team: Counter[str] = Counter()
+        self._starts_by_team: dict[str, float] = {}
+        self._estimates_by_team: dict[str, float] = {}
+        self._settled_by_team: dict[str, float] = {}
+        self._estimate_by_route: dict[tuple[str, str], float] = {}
+
+    def on_server(self, server: str) -> int:
+        """Return the requests in flight on a server."""
+        return self._in_flight_by_server[server]
+
+    def running(self, team: str) -> int:
+        """Return the requests of a team in flight."""
+        return self._running_by_team.get(team, 0)
+
+    def total(self) -> int:
+        """Return all requests in flight."""
+        return self._in_flight_by_server.total()
+
+    def in_flight(self) -> tuple[InFlight, ...]:
+        """Return the requests in flight by server and team."""
+        return tuple(
+            InFlight(server, team, count)
+            for (server, team), count in sorted(self._in_flight.items())
+        )
+
+    def estimate(self, request: SlotRequest) -> float:
+        """Return the estimated cost of a request, in slot-seconds."""
+        route = (request.team, request.route)
+        return self._estimate_by_route.get(route, self.typical_cost_s)
+
+    def start(self, server: str, request: SlotRequest) -> float:
+        """Count a request as in flight; return its estimated cost."""
+        team = request.team
+        estimate_s = self.estimate(request)
+        self._in_flight[server, team] += 1
+        self._in_flight_by_server[server] += 1
+        self._running_by_team[team] += 1
+        self._starts_by_team[team] = self._starts_by_team.get(team, 0.0) + now()
+        charged = self._estimates_by_team.get(team, 0.0) + estimate_s
+        self._estimates_by_team[team] = charged
+        return estimate_s
+
+    def finish(
+        self, server: str, request: SlotRequest, started_s: float, estimate_s: float
+    ) -> float:
+        """Settle a request that was in flight; return its true cost.
+
+        :param server: name of the server that ran it.
+        :param request: the request.
+        :param started_s: when it started.
+        :param estimate_s: cost that was estimated when it started.
+        """
+        team = request.team
+        cost_s = now() - started_s
+        self._take_one(self._in_flight, (server, team))
+        self._take_one(self._in_flight_by_server, server)
+        self._take_one(self._running_by_team, team)
+        self._starts_by_team[team] -= started_s
+        self._estimates_by_team[team] -= estimate_s
+        self._settled_by_team[team] = self._settled_by_team.get(team, 0.0) + cost_s
+        self.finished += 1
+        route = (team, request.route)
+        before_s = self._estimate_by_route.get(route, cost_s)
+        self._estimate_by_route[route] = before_s + SMOOTHING * (cost_s - before_s)
+        return cost_s
+
+    def service(self, team: str) -> float:
+        """Return the slot-seconds of a team so far, running requests included."""
+        settled_s = self._settled_by_team.get(team, 0.0)
+        return settled_s + self._elapsed(team)
+
+    def service_by_team(self) -> dict[str, float]:
+        """Return the slot-seconds of every team so far."""
+        teams = sorted(self._settled_by_team.keys() | self._running_by_team.keys())
+        return {team: round(self.service(team), 4) for team in teams}
+
+    def remaining(self, team: str) -> float:
+        """Return the slot-seconds that a team's running requests should still use."""
+        estimates_s = self._estimates_by_team.get(team, 0.0)
+        return max(0.0, estimates_s - self._elapsed(team))
+
+    def _elapsed(self, team: str) -> float:
+        running = self._running_by_team.get(team, 0)
+        if not running:
+            return 0.0
+        return running * now() - self._starts_by_team[team]
+
+    @staticmethod
+    def _take_one(counts, key) -> None:
+        counts[key] -= 1
+        if not counts[key]:
+            del counts[key]
--- /dev/null
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/core.py
@@ -0,0 +1,146 @@
+"""Starts and stops the schedulers of the pools that this host holds."""
+
+import asyncio
+from dataclasses import dataclass
+
+from almondfield_core.messages import AnnouncementRelay, DemandReport
+from almondfield_core.ports import Peers, TableView
+from almondfield_core.settings import DaemonSettings
+from eliot import log_message
+
+from almondfield_fairshare.registry import PoolServers
+from almondfield_fairshare.scheduler.pool import PoolScheduler
+
+__all__ = ["PoolSchedulers", "PoolSchedulersStats"]
+
+LEASE_CHECK_S = 0.02
+"""Time between two looks at the pool leases, in seconds."""
+
+
+@dataclass(frozen=True)
+class PoolSchedulersStats:
+    """What the schedulers of a host did.
+
+    :ivar pools: pools that the host schedules now.
+    :ivar reports: demand reports taken.
+    :ivar grants: grants sent.
+    """
+
+    pools: tuple[str, ...]
+    reports: int
+    grants: int
+
+
+@dataclass(frozen=True)
+class _Running:
+    scheduler: PoolScheduler
+    task: asyncio.Task[None]
+
+
+class PoolSchedulers:
+    """Schedulers of the pools that this host holds the lease of.
+
+    :param peers: messages from and to the routers.
+    :param view: tables and leases.
+    :param settings: settings of the daemon.
+    :param incarnation: number that grows with each start of the process.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        view: TableView,
+        settings: DaemonSettings,
+        incarnation: int,
+    ) -> None:
+        self._peers = peers
+        self._view = view
+        self._settings = settings
+        self._incarnation = incarnation
+        self._running_by_pool: dict[str, _Running] = {}
+        self._servers_by_pool: dict[str, PoolServers] = {}
+        self._reports = 0
+        self._past_grants = 0
+        peers.listen(DemandReport, self._on_report)
+        peers.listen(AnnouncementRelay, self._on_relay)
+
+    async def run(self) -> None:
+        """Schedule the pools that this host holds, until cancelled."""
+        try:
+            while True:
+                await self._follow_leases()
+                await asyncio.sleep(LEASE_CHECK_S)
+        finally:
+            for pool in list(self._running_by_pool):
+                await self._stop(pool)
+
+    def stats(self) -> PoolSchedulersStats:
+        """Return what the schedulers did so far."""
+        running = self._running_by_pool.values()
+        grants = sum(one.scheduler.grants_sent for one in running)
+        return PoolSchedulersStats(
+            tuple(sorted(self._running_by_pool)),
+            self._reports,
+            self._past_grants + grants,
+        )
+
+    def scheduler(self, pool: str) -> PoolScheduler | None:
+        """Return the scheduler of a pool, where this host runs it.
+
+        :param pool: name of the pool.
+        """
+        running = self._running_by_pool.get(pool)
+        return running.scheduler if running else None
+
+    async def _follow_leases(self) -> None:
+        held = {
+            pool: lease.epoch
+            for pool, lease in self._view.lease_by_pool.items()
+            if lease.host == self._peers.host
+        }
+        for pool, running in list(self._running_by_pool.items()):
+            if held.get(pool) != running.scheduler.epoch or running.task.done():
+                await self._stop(pool)
+        for pool, epoch in held.items():
+            leased = self._view.pool_lease_left_s(pool) > 0
+            if leased and pool not in self._running_by_pool:
+                self._start(pool, epoch)
+
+    def _start(self, pool: str, epoch: int) -> None:
+        scheduler = PoolScheduler(
+            pool,
+            epoch,
+            self._peers,
+            self._view,
+            self._settings,
+            self._servers(pool),
+        )
+        task = asyncio.create_task(scheduler.run(), name=f"scheduler {pool}")
+        self._running_by_pool[pool] = _Running(scheduler, task)
+
+    async def _stop(self, pool: str) -> None:
+        running = self._running_by_pool.pop(pool)
+        self._past_grants += running.scheduler.grants_sent
+        running.task.cancel()
+        (outcome,) = await asyncio.gather(running.task, return_exceptions=True)
+        if isinstance(outcome, Exception):
+            log_message(
+                message_type="scheduler failed", pool=pool, reason=repr(outcome)
+            )
+
+    def _servers(self, pool: str) -> PoolServers:
+        silence_s = self._settings.timing.server_silence_s
+        return self._servers_by_pool.setdefault(pool, PoolServers(silence_s))
+
+    async def _on_report(self, sender: str, report: DemandReport) -> None:
+        running = self._running_by_pool.get(report.pool)
+        if running is None:
+            return
+        self._reports += 1
+        running.scheduler.take_report(sender, report)
+
+    async def _on_relay(self, sender: str, relay: AnnouncementRelay) -> None:
+        changed = self._servers(relay.pool).take(relay)
+        running = self._running_by_pool.get(relay.pool)
+        if running is not None:
+            running.scheduler.take_relay(changed)
--- /dev/null
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/holds.py
@@ -0,0 +1,143 @@
+"""What a scheduler knows of one router, and which slots that router may be using."""
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from almondfield_core.clock import now
+from almondfield_core.messages import DemandReport, SlotGrant
+
+__all__ = ["RouterState"]
+
+
+@dataclass(frozen=True)
+class _Sent:
+    """A grant that the router may still follow."""
+
+    grant: SlotGrant
+    sent_s: float
+    until_s: float
+
+    def slots_by_server(self) -> dict[str, int]:
+        return {server.name: server.slots for server in self.grant.servers}
+
+
+class RouterState:
+    """Newest report of a router and the grants that it may follow.
+
+    :param host: name of the router's host.
+    :param epoch: epoch of the scheduler's pool lease.
+    """
+
+    def __init__(self, host: str, epoch: int) -> None:
+        self.host = host
+        self.report: DemandReport | None = None
+        self.heard_s = float("-inf")
+        self.lost_s = float("-inf")
+        self._epoch = epoch
+        self._sent: list[_Sent] = []
+        self._next_number = 1
+        self._foreign_number = 0
+        self._left_over: Counter[str] = Counter()
+
+    @property
+    def accounted(self) -> bool:
+        """Return whether the router follows no grant but those of this scheduler."""
+        report = self.report
+        return (
+            report is not None
+            and report.epoch == self._epoch
+            and report.grant_number > self._foreign_number
+        )
+
+    @property
+    def last_sent_s(self) -> float:
+        """Return when the newest grant was sent."""
+        return self._sent[-1].sent_s if self._sent else float("-inf")
+
+    @property
+    def granted_until_s(self) -> float:
+        """Return when the newest grant ends, at the latest."""
+        return self._sent[-1].until_s if self._sent else float("-inf")
+
+    def take(self, report: DemandReport) -> bool:
+        """Note a report; return False where it is older than the known one.
+
+        :param report: full state of the router.
+        """
+        known = self.report
+        if known is not None:
+            if report.incarnation < known.incarnation:
+                return False
+            if report.incarnation > known.incarnation:
+                self.note_lost()
+            elif report.number <= known.number:
+                return False
+            else:
+                self._left_over.clear()
+        self.report = report
+        self.heard_s = now()
+        if report.epoch == self._epoch:
+            self._confirm(report.grant_number)
+        return True
+
+    def next_grant_number(self) -> int:
+        """Return the number for the next grant to the router."""
+        number = self._next_number
+        self._next_number += 1
+        return number
+
+    def note_sent(self, grant: SlotGrant) -> None:
+        """Remember a grant until the router confirms a newer one.
+
+        :param grant: the grant that was sent.
+        """
+        self._sent.append(_Sent(grant, now(), self.heard_s + grant.lifetime_s))
+
+    def note_lost(self) -> None:
+        """Keep what the router may be running as left over, and nothing else."""
+        self._left_over |= Counter(self.hold())
+        self._sent.clear()
+        self.report = None
+        self.lost_s = now()
+
+    def granted(self) -> dict[str, int]:
+        """Return the slots by server of the newest grant."""
+        return self._sent[-1].slots_by_server() if self._sent else {}
+
+    def in_flight(self) -> dict[str, int]:
+        """Return the requests by server that the router reported."""
+        counts: Counter[str] = Counter()
+        if self.report is not None:
+            for entry in self.report.in_flight:
+                counts[entry.server] += entry.count
+        return dict(counts)
+
+    def hold(self) -> dict[str, int]:
+        """Return the slots by server that the router may be using, at most."""
+        held = Counter(self.in_flight())
+        for sent in self._sent:
+            held |= Counter(sent.slots_by_server())
+        return dict(held + self._left_over)
+
+    def settle_left_over(
+        self, hidden_by_server: Mapping[str, int], bound_s: float
+    ) -> None:
+        """Give back slots of a lost router that servers no longer run.
+
+        :param hidden_by_server: requests that a server reports beyond the known ones,
+            for servers that reported late enough after the loss.
+        :param bound_s: seconds after which nothing is left over.
+        """
+        if now() - self.lost_s > bound_s:
+            self._left_over.clear()
+        for server, hidden in hidden_by_server.items():
+            if server in self._left_over:
+                self._left_over[server] = min(self._left_over[server], hidden)
+
+    def _confirm(self, number: int) -> None:
+        """Drop grants before the confirmed one; go beyond one that is not ours."""
+        if number >= self._next_number:
+            self._foreign_number = number
+            self._next_number = number + 1
+        self._sent = [sent for sent in self._sent if sent.grant.number >= number]
--- /dev/null
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
@@ -0,0 +1,381 @@
+"""Scheduler of one pool."""
+
+import asyncio
+from collections import Counter
+
+from almondfield_core.clock import now
+from almondfield_core.messages import (
+    DemandReport,
+    ServerAnnouncement,
+    ServerSlots,
+    SlotGrant,
+)
+from almondfield_core.ports import Peers, TableView
+from almondfield_core.settings import DaemonSettings, SharingPolicy
+from almondfield_core.tables import Pool
+
+from almondfield_fairshare.allotment import (
+    TeamDemand,
+    allot_to_teams,
+    split_over_routers,
+    spread_idle,
+)
+from almondfield_fairshare.counters import ServiceCounters
+from almondfield_fairshare.placement import place_slots
+from almondfield_fairshare.registry import PoolServers
+from almondfield_fairshare.scheduler.holds import RouterState
+from almondfield_fairshare.windows import ReportWindows
+
+__all__ = ["PoolScheduler"]
+
+BATCH_S = 0.003
+"""Time over which reports are gathered before slots are moved, in seconds."""
+
+FIRST_REPORTS_S = 0.1
+"""Time that a new scheduler waits for the reports of all routers, in seconds."""
+
+LEAST_LEFT_S = 0.4
+"""Time before the end of a grant from which it is renewed early, in seconds."""
+
+LEAST_GAIN_S = 0.1
+"""Shortest extension that is worth an early renewal, in seconds."""
+
+GREETING_S = 0.25
+"""Time between two greetings of a router that does not report, in seconds."""
+
+LEFT_OVER_BOUND_S = 30.0
+"""Longest time that requests of a lost router count as running, in seconds."""
+
+LOAD_LAG_S = 2.0
+"""Age at which a server's own load counts for slots of a lost router, in seconds."""
+
+
+class PoolScheduler:
+    """Grants the slots of one pool while this host holds its lease.
+
+    :param pool: name of the pool.
+    :param epoch: epoch of the pool lease.
+    :param peers: messages to the routers.
+    :param view: tables and leases.
+    :param settings: settings of the daemon.
+    :param servers: announced servers, which outlive the lease.
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        epoch: int,
+        peers: Peers,
+        view: TableView,
+        settings: DaemonSettings,
+        servers: PoolServers,
+    ) -> None:
+        self.pool = pool
+        self.epoch = epoch
+        self.grants_sent = 0
+        self.counters = ServiceCounters()
+        self._peers = peers
+        self._view = view
+        self._settings = settings
+        self._servers = servers
+        self._windows = ReportWindows()
+        self._router_by_host = {
+            host.name: RouterState(host.name, epoch) for host in settings.hosts
+        }
+        self._credit_by_team: dict[str, dict[str, float]] = {}
+        self._wake = asyncio.Event()
+        self._backlogged = False
+        self._planned_s = now()
+        self._reports_until_s = now() + FIRST_REPORTS_S
+
+    async def run(self) -> None:
+        """Grant slots until cancelled; pauses while the lease has run out."""
+        while True:
+            if self._view.pool_lease_left_s(self.pool) > 0:
+                self._greet_routers()
+                self._plan()
+            await self._wait_work()
+
+    def take_report(self, host: str, report: DemandReport) -> None:
+        """Note the state of a router.
+
+        :param host: name of the router's host.
+        :param report: its report.
+        """
+        router = self._router_by_host.get(host)
+        if router is None:
+            router = RouterState(host, self.epoch)
+            self._router_by_host[host] = router
+        restarted = self._is_restart(router, report)
+        if not router.take(report):
+            return
+        if report.epoch == self.epoch:
+            self.counters.restore(report.counter_by_team)
+        self.counters.charge(
+            host,
+            report.incarnation,
+            report.service_by_team,
+            report.weight_by_team,
+            baseline=not restarted,
+        )
+        self._windows.take(host, report)
+        self._wake.set()
+
+    def take_relay(self, changed: bool) -> None:
+        """Plan again where the announced servers differ.
+
+        :param changed: whether usable servers may differ.
+        """
+        if changed:
+            self._wake.set()
+
+    def _is_restart(self, router: RouterState, report: DemandReport) -> bool:
+        known = router.report
+        return known is not None and report.incarnation > known.incarnation
+
+    def _greet_routers(self) -> None:
+        """Ask the routers that follow no grant of ours to drop others and report."""
+        for router in self._router_by_host.values():
+            due = now() - router.last_sent_s >= GREETING_S
+            if due and not router.accounted:
+                self._send(router, {}, {})
+
+    async def _wait_work(self) -> None:
+        lifetime_s = self._settings.timing.grant_lifetime_s
+        wait_s = min(self._servers.next_silence_s(), lifetime_s / 4)
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._wake.wait()
+            await asyncio.sleep(BATCH_S)
+        except TimeoutError:
+            pass
+        self._wake.clear()
+
+    def _plan(self) -> None:
+        """Compute the slots of every router and send what differs or is due."""
+        row = next((p for p in self._view.tables.pools if p.name == self.pool), None)
+        if row is None:
+            return
+        usable = self._servers.usable(self._view.tables.pools, row)
+        slots_by_server = {
+            name: _slots_of(row, server) for name, server in usable.items()
+        }
+        live = self._live_routers()
+        total = sum(slots_by_server.values())
+        target = self._targets(live, total, row)
+        placed = place_slots(
+            target,
+            {r.host: r.granted() for r in live},
+            {r.host: r.in_flight() for r in live},
+            self._free_slots(usable, slots_by_server),
+            slots_by_server,
+        )
+        for router in live:
+            slots = placed[router.host]
+            if slots != router.granted() or self._renewal_due(router):
+                self._send(router, slots, usable)
+
+    def _live_routers(self) -> list[RouterState]:
+        """Return the routers that may get slots, and give up the silent ones."""
+        for router in self._router_by_host.values():
+            silent_s = now() - router.heard_s
+            if router.report is not None and silent_s > self._lost_after_s():
+                router.note_lost()
+        return [r for r in self._router_by_host.values() if r.accounted]
+
+    def _lost_after_s(self) -> float:
+        """Return the silence after which no grant of a router can hold."""
+        timing = self._settings.timing
+        return timing.grant_lifetime_s * (1 + timing.drift_margin)
+
+    def _targets(self, live: list[RouterState], total: int, row: Pool):
+        """Return the slots that each router should have."""
+        requests = _requests_by_team(live)
+        waiting = {
+            team
+            for router in live
+            for team, count in router.report.waiting_by_team.items()
+            if count
+        }
+        horizon_s = self._windows.mean_cost_s(row.typical_cost)
+        self.counters.set_backlogged(waiting, total * horizon_s)
+        demand_by_team = {
+            team: TeamDemand(
+                sum(by_router.values()),
+                self.counters.counter(team),
+                self.counters.weight(team),
+            )
+            for team, by_router in requests.items()
+        }
+        need = {router.host: 0 for router in live}
+        allotted = self._allot(total, demand_by_team, horizon_s, need)
+        for team, slots in allotted.items():
+            split = self._split(team, slots, requests[team])
+            for host, count in split.items():
+                need[host] += count
+        wanted = sum(demand.requests for demand in demand_by_team.values())
+        idle = total - sum(need.values())
+        self._backlogged = wanted > total
+        self._planned_s = now()
+        if self._backlogged and idle <= 0:
+            return need
+        return self._with_idle(live, need, idle)
+
+    def _allot(self, total, demand_by_team, horizon_s, need):
+        match self._settings.sharing_policy:
+            case SharingPolicy.FAIR_SHARE:
+                return allot_to_teams(total, demand_by_team, horizon_s)
+            case SharingPolicy.FIRST_COME:
+                requests = {t: d.requests for t, d in demand_by_team.items()}
+                slots = min(total, sum(requests.values()))
+                return split_over_routers(slots, requests, {})
+            case SharingPolicy.PER_ROUTER:
+                need.update(spread_idle(total, dict.fromkeys(need, 0.0)))
+                return {}
+
+    def _split(self, team: str, slots: int, by_router: dict[str, int]):
+        """Return a team's slots at each router, and note who missed its share."""
+        credit = self._credit_by_team.setdefault(team, {})
+        total = sum(by_router.values())
+        if slots >= total:
+            credit.clear()
+            return dict(by_router)
+        split = split_over_routers(slots, by_router, credit)
+        elapsed_s = min(now() - self._planned_s, 1.0)
+        for host in list(credit):
+            if host not in by_router:
+                del credit[host]
+        for host, count in by_router.items():
+            missed = slots * count / total - split[host]
+            grown = credit.get(host, 0.0) + missed * elapsed_s
+            credit[host] = min(1.0, max(-1.0, grown))
+        return split
+
+    def _with_idle(self, live, need, idle):
+        """Return the need of each router with its part of the idle slots."""
+        granted = {r.host: sum(r.granted().values()) for r in live}
+        total = sum(need.values()) + idle
+        spare_each = 1 if idle >= len(live) else 0
+        if sum(granted.values()) == total and all(
+            granted[host] >= count + spare_each for host, count in need.items()
+        ):
+            return granted
+        spread = spread_idle(idle, self._windows.recent_need(need))
+        return {host: count + spread[host] for host, count in need.items()}
+
+    def _free_slots(self, usable, slots_by_server) -> Counter[str]:
+        """Return the slots by server that no router may be using."""
+        held: Counter[str] = Counter()
+        in_flight: Counter[str] = Counter()
+        for router in self._router_by_host.values():
+            held.update(router.hold())
+            in_flight.update(router.in_flight())
+        hidden = {
+            name: max(0, server.busy - in_flight[name])
+            for name, server in usable.items()
+        }
+        self._settle_left_over(hidden)
+        if not self._all_accounted():
+            if now() < self._reports_until_s:
+                return Counter()
+            held.update(hidden)
+        return Counter(
+            {
+                name: max(0, slots - held[name])
+                for name, slots in slots_by_server.items()
+            }
+        )
+
+    def _settle_left_over(self, hidden: dict[str, int]) -> None:
+        for router in self._router_by_host.values():
+            since_s = router.lost_s + LOAD_LAG_S
+            reported = {
+                name: count
+                for name, count in hidden.items()
+                if self._servers.heard_at_s(name) > since_s
+            }
+            router.settle_left_over(reported, LEFT_OVER_BOUND_S)
+
+    def _all_accounted(self) -> bool:
+        """Return whether every router has told what it has in flight."""
+        return all(router.accounted for router in self._router_by_host.values())
+
+    def _renewal_due(self, router: RouterState) -> bool:
+        """Return whether a grant's counters are old or its end is near."""
+        age_s = now() - router.last_sent_s
+        if age_s >= self._windows.window_s(self._backlogged):
+            return True
+        gained_s = router.heard_s + self._lifetime_s(router) - router.granted_until_s
+        left_s = router.granted_until_s - now()
+        return left_s < LEAST_LEFT_S and gained_s > LEAST_GAIN_S
+
+    def _lifetime_s(self, router: RouterState) -> float:
+        """Return how long a grant may last from the sending of the last report.
+
+        No grant outlives the pool lease, so that the next scheduler finds none.
+        """
+        timing = self._settings.timing
+        lease_left_s = self._view.pool_lease_left_s(self.pool)
+        until_lease_end_s = now() + lease_left_s - router.heard_s
+        return min(timing.grant_lifetime_s, until_lease_end_s)
+
+    def _send(
+        self,
+        router: RouterState,
+        slots: dict[str, int],
+        usable: dict[str, ServerAnnouncement],
+    ) -> None:
+        servers = tuple(
+            ServerSlots(
+                name,
+                usable[name].incarnation,
+                usable[name].address,
+                count,
+                usable[name].resumes_streams,
+            )
+            for name, count in slots.items()
+        )
+        grant = SlotGrant(
+            self.pool,
+            self.epoch,
+            router.next_grant_number(),
+            self._lifetime_s(router) if router.report else 0.0,
+            self._backlogged,
+            servers,
+            self._counters_for(router),
+            self._windows.window_s(self._backlogged),
+            router.report.incarnation if router.report else 0,
+            router.report.number if router.report else 0,
+        )
+        router.note_sent(grant)
+        self.grants_sent += 1
+        self._peers.send(router.host, grant)
+
+    def _counters_for(self, router: RouterState) -> dict[str, float]:
+        if router.report is None:
+            return {}
+        floor = self.counters.floor
+        return {
+            team: round(self.counters.counter(team) - floor, 4)
+            for team, count in router.report.waiting_by_team.items()
+            if count
+        }
+
+
+def _slots_of(pool: Pool, server: ServerAnnouncement) -> int:
+    if pool.max_slots_per_server:
+        return min(server.slots, pool.max_slots_per_server)
+    return server.slots
+
+
+def _requests_by_team(live: list[RouterState]) -> dict[str, dict[str, int]]:
+    """Return the requests that wait or run, by team and router."""
+    requests: dict[str, dict[str, int]] = {}
+    for router in live:
+        counts = Counter(router.report.waiting_by_team)
+        for entry in router.report.in_flight:
+            counts[entry.team] += entry.count
+        for team, count in counts.items():
+            if count:
+                requests.setdefault(team, {})[router.host] = count
+    return requests
