--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,268 @@
+"""Figures of one run, computed from the stand-ins' ledgers and the callers' records."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import combinations
+
+from load import CallRecord, TeamLoad
+from standins import RunRecord
+
+__all__ = ["PoolFigures", "TeamFigures", "count_faults", "measure_pool", "percentile"]
+
+GRID_S = 0.1
+# A request counts as waiting once it is older than the way to a backend server takes.
+TRANSIT_S = 0.02
+WINDOW_S = 5.0
+
+
+@dataclass(frozen=True)
+class Run:
+    """One request's time on a stand-in, in seconds."""
+
+    request_id: str
+    team: str
+    start_s: float
+    end_s: float
+    method: str
+    resumed: bool
+
+
+@dataclass(frozen=True)
+class TeamFigures:
+    """Figures of one team in one pool; service in slot-seconds."""
+
+    team: str
+    weight: float
+    requests: int
+    answered: int
+    service: float
+    share_wanted: float
+    share_got: float
+    first_byte_p50_s: float
+    first_byte_p95_s: float
+
+
+@dataclass(frozen=True)
+class PoolFigures:
+    """Figures of one pool.
+
+    :ivar utilisation: busy slot-seconds over slot-seconds while work waits; None
+        where no work waited.
+    :ivar waiting_s: seconds in which work waited.
+    :ivar fairness_gap: largest difference of weighted service between two teams over
+        any interval in which both are backlogged, in slot-seconds per weight.
+    :ivar fairness_bound: what it may be at most.
+    :ivar window_gap: the same within windows of 5 s.
+    """
+
+    pool: str
+    utilisation: float | None
+    waiting_s: float
+    fairness_gap: float
+    fairness_bound: float
+    window_gap: float
+    widest_pair: tuple[str, str] = ("", "")
+    teams: tuple[TeamFigures, ...] = ()
+    notes: tuple[str, ...] = field(default=())
+
+
+def percentile(values: Iterable[float], share: float) -> float:
+    """Return the value below which a share of the values lies; 0 for none."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def pair_runs(records: Iterable[RunRecord], end_s: float) -> list[Run]:
+    """Return the runs of a ledger; those without an end last until ``end_s``."""
+    open_runs: dict[tuple[str, str], list[RunRecord]] = defaultdict(list)
+    runs = []
+    for record in records:
+        key = (record.request_id, record.server)
+        if record.event == "start":
+            open_runs[key].append(record)
+        elif open_runs[key]:
+            runs.append(_run(open_runs[key].pop(0), record.time_s))
+    for started in open_runs.values():
+        runs.extend(_run(record, max(end_s, record.time_s)) for record in started)
+    return runs
+
+
+def _run(started: RunRecord, end_s: float) -> Run:
+    return Run(
+        started.request_id,
+        started.team,
+        started.time_s,
+        end_s,
+        started.method,
+        started.resumed,
+    )
+
+
+def count_faults(
+    records: Iterable[RunRecord], calls: Iterable[CallRecord], once: set[str]
+) -> dict[str, int]:
+    """Return how often promises to callers were broken.
+
+    :param records: ledger lines of every stand-in.
+    :param calls: the callers' records.
+    :param once: teams whose requests may run at most once.
+    """
+    starts: dict[str, int] = defaultdict(int)
+    for record in records:
+        if record.event == "start" and not record.resumed:
+            starts[record.request_id] += 1
+    team_by_id = {call.request_id: call.team for call in calls}
+    ran_twice = sum(1 for i, n in starts.items() if n > 1 and team_by_id.get(i) in once)
+    outcomes_by_id: dict[str, set[str]] = defaultdict(set)
+    for call in calls:
+        outcomes_by_id[call.request_id].add(call.outcome)
+    # A key sent twice may be refused once and run once.
+    not_run_but_ran = sum(
+        1 for i, told in outcomes_by_id.items() if told == {"not-run"} and starts[i]
+    )
+    counts = defaultdict(int)
+    for call in calls:
+        counts[call.outcome] += 1
+    return {
+        "requests": len(team_by_id),
+        "answered": counts["answered"],
+        "not_run": counts["not-run"],
+        "unknown": counts["unknown"],
+        "cut": counts["cut"],
+        "unfinished": counts["unfinished"],
+        "wrong_answers": counts["wrong"],
+        "ran_twice": ran_twice,
+        "not_run_but_ran": not_run_but_ran,
+    }
+
+
+def measure_pool(
+    pool: str,
+    slots: int,
+    teams: tuple[TeamLoad, ...],
+    records: Iterable[RunRecord],
+    calls: Iterable[CallRecord],
+    start_s: float,
+    end_s: float,
+) -> PoolFigures:
+    """Return the figures of one pool between two times.
+
+    :param pool: name of the pool.
+    :param slots: slots of all its stand-ins.
+    :param teams: what each team sent to it.
+    :param records: ledger lines of its stand-ins.
+    :param calls: the callers' records of the pool.
+    :param start_s: first time that counts, by the monotonic clock.
+    :param end_s: last time that counts.
+    """
+    calls = [call for call in calls if call.pool == pool]
+    runs = pair_runs(records, end_s)
+    steps = int((end_s - start_s) / GRID_S)
+    busy = _spread(((run.start_s, run.end_s) for run in runs), start_s, steps)
+    service_by_team = {team.team: [0.0] * steps for team in teams}
+    for team in teams:
+        spans = ((r.start_s, r.end_s) for r in runs if r.team == team.team)
+        service_by_team[team.team] = _spread(spans, start_s, steps)
+    waiting_by_team = _waiting(teams, runs, calls, start_s, steps)
+    waits = [any(w[k] for w in waiting_by_team.values()) for k in range(steps)]
+    waiting_s = sum(waits) * GRID_S
+    used = sum(b for b, waited in zip(busy, waits) if waited)
+    utilisation = used / (slots * waiting_s) if waiting_s else None
+    weight_by_team = {team.team: team.weight for team in teams}
+    whole = _widest_gap(service_by_team, waiting_by_team, weight_by_team, steps)
+    window = _widest_gap(
+        service_by_team, waiting_by_team, weight_by_team, int(WINDOW_S / GRID_S)
+    )
+    largest_cost_s = max(team.largest_cost_s for team in teams)
+    lightest = min(weight_by_team.values())
+    return PoolFigures(
+        pool,
+        utilisation,
+        waiting_s,
+        whole[0],
+        slots * largest_cost_s / lightest,
+        window[0],
+        whole[1],
+        _team_figures(teams, service_by_team, waits, calls),
+    )
+
+
+def _spread(spans, start_s: float, steps: int) -> list[float]:
+    """Return the time that the spans cover in each step of the grid."""
+    covered = [0.0] * steps
+    for begin_s, end_s in spans:
+        first = max(0, int((begin_s - start_s) / GRID_S))
+        last = min(steps - 1, int((end_s - start_s) / GRID_S))
+        for k in range(first, last + 1):
+            left = start_s + k * GRID_S
+            covered[k] += max(0.0, min(end_s, left + GRID_S) - max(begin_s, left))
+    return covered
+
+
+def _waiting(teams, runs, calls, start_s: float, steps: int):
+    """Return by team whether a request waited throughout each step."""
+    started_by_id: dict[str, float] = {}
+    for run in runs:
+        started = started_by_id.get(run.request_id, run.start_s)
+        started_by_id[run.request_id] = min(started, run.start_s)
+    waiting_by_team = {team.team: [False] * steps for team in teams}
+    for call in calls:
+        begin_s = call.sent_s + TRANSIT_S
+        end_s = started_by_id.get(call.request_id, call.sent_s + call.total_s)
+        first = max(0, int((begin_s - start_s) / GRID_S) + 1)
+        last = min(steps, int((end_s - TRANSIT_S - start_s) / GRID_S))
+        waiting = waiting_by_team[call.team]
+        for k in range(first, last):
+            waiting[k] = True
+    return waiting_by_team
+
+
+def _widest_gap(service_by_team, waiting_by_team, weight_by_team, longest: int):
+    """Return the widest gap over joint backlogs of at most ``longest`` steps."""
+    widest, pair = 0.0, ("", "")
+    for one, other in combinations(service_by_team, 2):
+        difference, low, high, length = 0.0, 0.0, 0.0, 0
+        for k in range(len(service_by_team[one])):
+            joint = waiting_by_team[one][k] and waiting_by_team[other][k]
+            if not joint or length >= longest:
+                difference, low, high, length = 0.0, 0.0, 0.0, 0
+                if not joint:
+                    continue
+            length += 1
+            difference += service_by_team[one][k] / weight_by_team[one]
+            difference -= service_by_team[other][k] / weight_by_team[other]
+            low, high = min(low, difference), max(high, difference)
+            if high - low > widest:
+                widest, pair = high - low, (one, other)
+    return widest, pair
+
+
+def _team_figures(teams, service_by_team, waits, calls) -> tuple[TeamFigures, ...]:
+    total = sum(
+        s for service in service_by_team.values() for s, w in zip(service, waits) if w
+    )
+    weights = sum(team.weight for team in teams)
+    figures = []
+    for team in teams:
+        own = [call for call in calls if call.team == team.team]
+        answered = [call for call in own if call.outcome == "answered"]
+        first_bytes = [call.first_byte_s for call in answered]
+        service = service_by_team[team.team]
+        while_waiting = sum(s for s, waited in zip(service, waits) if waited)
+        figures.append(
+            TeamFigures(
+                team.team,
+                team.weight,
+                len(own),
+                len(answered),
+                sum(service),
+                team.weight / weights,
+                while_waiting / total if total else 0.0,
+                percentile(first_bytes, 0.5),
+                percentile(first_bytes, 0.95),
+            )
+        )
+    return tuple(figures)
--- /dev/null
+++ b/bench/standins.py
@@ -0,0 +1,265 @@
+"""Stand-ins for backend servers: a streaming model runner and a plain service.
+
+Both keep a ledger of what they ran; measurements count from it. As a program:
+``python bench/standins.py --name NAME ...`` serves one stand-in until it is stopped.
+"""
+
+import asyncio
+import json
+import os
+import random
+import signal
+from dataclasses import asdict, dataclass, replace
+from pathlib import Path
+
+import aiosonic
+import cyclopts
+from almondfield_core.clock import now
+from almondfield_core.messages import ServerAnnouncement, ServerState
+from almondfield_core.tables import PoolKind
+from almondfield_daemon.serving import HttpListener, bind
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+__all__ = ["RunRecord", "StandIn", "answer_text", "event_bytes"]
+
+ANNOUNCE_S = 1.0
+ANNOUNCE_TIMEOUT_S = 1.0
+MAX_HEADER_BYTES = 64 * 1024
+
+
+@dataclass(frozen=True)
+class RunRecord:
+    """One line of a stand-in's ledger.
+
+    :ivar request_id: identifier that the caller gave.
+    :ivar team: team that the caller named.
+    :ivar server: name of the stand-in.
+    :ivar pool: pool that the stand-in was started for.
+    :ivar event: ``start`` or ``end``.
+    :ivar time_s: when, by the monotonic clock of the machine.
+    :ivar whole: at the end, whether the whole answer was sent.
+    :ivar resumed: whether this run resumes a stream that was cut.
+    :ivar method: HTTP method.
+    """
+
+    request_id: str
+    team: str
+    server: str
+    pool: str
+    event: str
+    time_s: float
+    whole: bool = False
+    resumed: bool = False
+    method: str = "POST"
+
+
+def event_bytes(request_id: str, number: int) -> bytes:
+    """Return one server-sent event of a model's answer."""
+    return f'id: {number}\ndata: {{"id":"{request_id}","n":{number}}}\n\n'.encode()
+
+
+def answer_text(request_id: str) -> str:
+    """Return the body of a plain service's answer."""
+    return json.dumps({"id": request_id, "done": True, "note": request_id * 4})
+
+
+class StandIn:
+    """One backend server stand-in.
+
+    :param announcement: what it announces.
+    :param pool: name of the pool it stands behind, for the ledger.
+    :param token: token of backend servers.
+    :param seeds: ``address:port`` of hosts to ask for addresses.
+    :param ledger_file: where ledger lines are appended; None keeps them in memory.
+    :param listen: ``address:port`` to serve on, where it is not the announced one.
+    """
+
+    def __init__(
+        self,
+        announcement: ServerAnnouncement,
+        pool: str,
+        token: str,
+        seeds: tuple[str, ...],
+        ledger_file: Path | None = None,
+        listen: str = "",
+    ) -> None:
+        self._listen = listen or announcement.address
+        self.announcement = announcement
+        self.pool = pool
+        self.records: list[RunRecord] = []
+        self.busy = 0
+        self._token = token
+        self._seeds = seeds
+        self._file = open(ledger_file, "a") if ledger_file else None  # noqa: SIM115
+        self._listener: HttpListener | None = None
+        self._announcer: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Return once it serves requests and announces itself."""
+        host, port = self._listen.rsplit(":", 1)
+        path = "/{path:path}"
+        app = Starlette(routes=[Route(path, self._serve, methods=["GET", "POST"])])
+        self._listener = HttpListener(app, bind(host, int(port)), MAX_HEADER_BYTES)
+        await self._listener.start()
+        self._announcer = asyncio.create_task(self._announce_forever())
+
+    async def leave(self) -> None:
+        """Announce that it leaves; it keeps serving what runs."""
+        self.announcement = replace(self.announcement, state=ServerState.LEAVING)
+        async with aiosonic.HTTPClient() as client:
+            await self._announce(client)
+
+    async def stop(self) -> None:
+        """Return once it no longer serves."""
+        if self._announcer:
+            self._announcer.cancel()
+        if self._listener:
+            await self._listener.stop()
+        if self._file:
+            self._file.close()
+
+    async def _announce_forever(self) -> None:
+        async with aiosonic.HTTPClient() as client:
+            while True:
+                await self._announce(client)
+                await asyncio.sleep(ANNOUNCE_S)
+
+    async def _announce(self, client: aiosonic.HTTPClient) -> None:
+        body = asdict(replace(self.announcement, busy=self.busy))
+        headers = {"authorization": f"Bearer {self._token}"}
+        seeds = list(self._seeds)
+        random.shuffle(seeds)
+        for seed in seeds:
+            url = f"http://{seed}/announcements"
+            try:
+                async with asyncio.timeout(ANNOUNCE_TIMEOUT_S):
+                    answer = await client.post(url, json=body, headers=headers)
+                    await answer.content()
+            except (Exception, TimeoutError):
+                continue
+            if answer.status_code < 300:
+                return
+
+    async def _serve(self, request: Request) -> Response:
+        if request.method == "GET":
+            order = dict(request.query_params)
+        else:
+            order = json.loads(await request.body())
+        request_id = order["id"]
+        cost_s = float(order.get("cost_s", 0.01))
+        team = order.get("team", "")
+        match self.announcement.kind:
+            case PoolKind.MODEL:
+                chunks = int(order.get("chunks", 5))
+                first = int(request.headers.get("last-event-id", "0"))
+                events = self._generate(
+                    request, request_id, team, cost_s, chunks, first
+                )
+                return StreamingResponse(events, media_type="text/event-stream")
+            case PoolKind.SERVICE:
+                return await self._run_plain(request, request_id, team, cost_s)
+
+    async def _generate(self, request, request_id, team, cost_s, chunks, first):
+        self._start(request, request_id, team, resumed=first > 0)
+        whole = False
+        try:
+            for number in range(first + 1, chunks + 1):
+                await asyncio.sleep(cost_s / chunks)
+                yield event_bytes(request_id, number)
+            whole = True
+        finally:
+            self._end(request, request_id, team, whole, resumed=first > 0)
+
+    async def _run_plain(self, request, request_id, team, cost_s) -> Response:
+        self._start(request, request_id, team)
+        whole = False
+        try:
+            await asyncio.sleep(cost_s)
+            whole = True
+        finally:
+            self._end(request, request_id, team, whole)
+        return JSONResponse(json.loads(answer_text(request_id)))
+
+    def _start(self, request, request_id, team, resumed=False) -> None:
+        self.busy += 1
+        self._note(request, request_id, team, "start", resumed=resumed)
+
+    def _end(self, request, request_id, team, whole, resumed=False) -> None:
+        self.busy -= 1
+        self._note(request, request_id, team, "end", whole, resumed)
+
+    def _note(self, request, request_id, team, event, whole=False, resumed=False):
+        record = RunRecord(
+            request_id,
+            team,
+            self.announcement.name,
+            self.pool,
+            event,
+            now(),
+            whole,
+            resumed,
+            request.method,
+        )
+        if self._file is None:
+            self.records.append(record)
+            return
+        # One write a line, so that a killed process leaves whole lines.
+        os.write(self._file.fileno(), (json.dumps(asdict(record)) + "\n").encode())
+
+
+app = cyclopts.App(help="Serve one backend server stand-in until it is stopped.")
+
+
+@app.default
+def serve(
+    *,
+    name: str,
+    address: str,
+    data_centre: str,
+    pool: str,
+    slots: int,
+    kind: PoolKind,
+    model: str = "",
+    resumes: bool = False,
+    announced: str = "",
+    token_file: Path,
+    ledger_file: Path,
+    seeds: list[str],
+) -> None:
+    """Serve one stand-in; SIGUSR1 makes it leave."""
+    announcement = ServerAnnouncement(
+        name=name,
+        incarnation=os.getpid(),
+        address=announced or address,
+        data_centre=data_centre,
+        kind=kind,
+        slots=slots,
+        model=model,
+        resumes_streams=resumes,
+        label_by_name={"pool": pool},
+    )
+    token = token_file.read_text().strip()
+
+    async def main() -> None:
+        stand_in = StandIn(
+            announcement, pool, token, tuple(seeds), ledger_file, address
+        )
+        await stand_in.start()
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        leaving: set[asyncio.Task[None]] = set()
+        loop.add_signal_handler(
+            signal.SIGUSR1, lambda: leaving.add(loop.create_task(stand_in.leave()))
+        )
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        await stop.wait()
+        await stand_in.stop()
+
+    asyncio.run(main())
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/main.py
@@ -0,0 +1,77 @@
+"""The binary ``almondfieldd``: one daemon from one settings file."""
+
+import asyncio
+import signal
+import sys
+import time
+from pathlib import Path
+
+import cyclopts
+from result import Err, Ok, Result
+
+from almondfield_core.findings import AlmondfieldError, Finding
+from almondfield_core.settings import DaemonSettings, load_settings
+from almondfield_daemon.runtime import Daemon, Secrets, load_secrets
+
+__all__ = ["app", "main"]
+
+EXIT_OK = 0
+EXIT_BAD_INPUT = 2
+
+app = cyclopts.App(name="almondfieldd", help="Run one host of the router fleet.")
+
+
+@app.default
+def serve(*, settings: Path, check: bool = False) -> int:
+    """Run the daemon until it is told to stop.
+
+    :param settings: settings file in TOML.
+    :param check: report what is wrong with the settings, and do not run.
+    :returns: exit code; 2 where the daemon cannot start.
+    """
+    match _load(settings):
+        case Err(findings):
+            for finding in findings:
+                print(finding, file=sys.stderr)
+            return EXIT_BAD_INPUT
+        case Ok((loaded, secrets)):
+            if check:
+                print(f"{settings}: no findings")
+                return EXIT_OK
+            return _run(loaded, secrets)
+
+
+def _load(
+    path: Path,
+) -> Result[tuple[DaemonSettings, Secrets], tuple[Finding, ...]]:
+    loaded = load_settings(path)
+    if loaded.is_err():
+        return loaded
+    settings = loaded.unwrap()
+    return load_secrets(settings.security).map(lambda secrets: (settings, secrets))
+
+
+def _run(settings: DaemonSettings, secrets: Secrets) -> int:
+    try:
+        asyncio.run(_serve_until_stopped(settings, secrets))
+    except AlmondfieldError as error:
+        print(f"almondfieldd: {error}", file=sys.stderr)
+        return EXIT_BAD_INPUT
+    return EXIT_OK
+
+
+async def _serve_until_stopped(settings: DaemonSettings, secrets: Secrets) -> None:
+    loop = asyncio.get_running_loop()
+    # The one look at calendar time; the clock of the loop carries it on.
+    started_unix_s = time.time()
+    daemon = Daemon(settings, secrets, started_unix_s)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await daemon.start()
+    await daemon.run_until(stop)
+
+
+def main() -> None:
+    """Run the command line and exit with its code."""
+    sys.exit(app(result_action="return_value"))
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
@@ -0,0 +1,140 @@
+"""One daemon: every part of it, started, stopped and drained."""
+
+import asyncio
+import os
+
+import eliot
+
+from almondfield_control import ControlNode
+from almondfield_core.clock import WallClock, now
+from almondfield_core.settings import DaemonSettings, HostSettings
+from almondfield_daemon.backend import HttpBackends
+from almondfield_daemon.edge import build_caller_app
+from almondfield_daemon.membership import Membership
+from almondfield_daemon.operator import OperatorNode, build_operator_app
+from almondfield_daemon.peers import PynngPeers
+from almondfield_daemon.router import Router
+from almondfield_daemon.runtime.secrets import Secrets
+from almondfield_daemon.serving import HttpListener, bind
+from almondfield_fairshare import PoolSchedulers, RouterShare
+
+__all__ = ["Daemon"]
+
+MILLISECONDS = 1000
+IDLE_POLL_S = 0.1
+
+
+class Daemon:
+    """One host of the fleet.
+
+    :param settings: settings of the daemon.
+    :param secrets: secrets that its settings name.
+    :param started_unix_s: calendar time of the start, in seconds since 1970.
+    :raises AlmondfieldError: where a port or the data folder cannot be used.
+    """
+
+    def __init__(
+        self, settings: DaemonSettings, secrets: Secrets, started_unix_s: float
+    ) -> None:
+        self.settings = settings
+        self.host = _find_host(settings)
+        incarnation = int(started_unix_s * MILLISECONDS)
+        wall_clock = WallClock(started_unix_s - now())
+        self._caller_socket = bind(self.host.address, self.host.caller_port)
+        self._operator_socket = bind(self.host.address, self.host.operator_port)
+        self.peers = PynngPeers(settings, secrets.fleet_secret, incarnation)
+        self.control = ControlNode(self.peers, settings, wall_clock, incarnation)
+        view = self.control.view
+        self.share = RouterShare(self.peers, view, settings, incarnation)
+        self.schedulers = PoolSchedulers(self.peers, view, settings, incarnation)
+        self.membership = Membership(self.peers, view, settings, incarnation)
+        self.backends = HttpBackends(settings)
+        self.router = Router(
+            view, self.share, self.control.control, self.backends, settings
+        )
+        self._drain_asked = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._listeners = self._build_listeners(secrets)
+
+    def _build_listeners(self, secrets: Secrets) -> list[HttpListener]:
+        limits = self.settings.limits
+        caller_app = build_caller_app(
+            self.router, self.membership, self.settings, secrets.backend_token
+        )
+        node = OperatorNode(
+            control=self.control,
+            membership=self.membership,
+            stats=self.stats,
+            drain=self._drain_asked.set,
+        )
+        operator_app = build_operator_app(node, secrets.operator_token)
+        return [
+            HttpListener(caller_app, self._caller_socket, limits.max_header_bytes),
+            HttpListener(operator_app, self._operator_socket, limits.max_header_bytes),
+        ]
+
+    def stats(self) -> dict[str, object]:
+        """Return the statistics of each part, by its name."""
+        return {
+            "peers": self.peers.stats(),
+            "control": self.control.stats(),
+            "share": self.share.stats(),
+            "schedulers": self.schedulers.stats(),
+            "router": self.router.stats(),
+        }
+
+    async def start(self) -> None:
+        """Return once every part runs and both ports accept requests."""
+        parts = (
+            self.peers,
+            self.control,
+            self.share,
+            self.schedulers,
+            self.membership,
+            self.backends,
+        )
+        self._tasks = [asyncio.create_task(part.run()) for part in parts]
+        for listener in self._listeners:
+            await listener.start()
+        eliot.log_message("daemon:started", host=self.host.name, pid=os.getpid())
+
+    async def run_until(self, stop: asyncio.Event) -> None:
+        """Return after a graceful shutdown, once it is asked for.
+
+        :param stop: set to ask for it; the operator's drain does the same.
+        :raises Exception: where a part fails; what it raised.
+        """
+        stopped = asyncio.create_task(stop.wait())
+        drained = asyncio.create_task(self._drain_asked.wait())
+        done, _ = await asyncio.wait(
+            [stopped, drained, *self._tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done & set(self._tasks):
+            task.result()
+        await self.shut_down()
+
+    async def shut_down(self) -> None:
+        """Return after leaving the fleet without cutting a request."""
+        eliot.log_message("daemon:draining", host=self.host.name)
+        self.membership.drain()
+        await self.control.hand_over()
+        # Callers may use the last answer that named this host until it expires.
+        await asyncio.sleep(self.settings.timing.address_lifetime_s)
+        self.router.refuse_new()
+        self.share.refuse_new()
+        while self.router.running:
+            await asyncio.sleep(IDLE_POLL_S)
+        await self.close()
+
+    async def close(self) -> None:
+        """Return once every part has stopped, with no regard to running requests."""
+        for listener in self._listeners:
+            await listener.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        eliot.log_message("daemon:stopped", host=self.host.name)
+
+
+def _find_host(settings: DaemonSettings) -> HostSettings:
+    return next(host for host in settings.hosts if host.name == settings.host)
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -0,0 +1,91 @@
+"""Serves starlette applications by uvicorn on the event loop of the daemon."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import uvicorn
+from starlette.types import ASGIApp
+
+from almondfield_core.findings import AlmondfieldError
+
+__all__ = ["HttpListener", "ListenError", "bind"]
+
+BACKLOG = 2048
+KEEP_ALIVE_S = 30
+STARTED_POLL_S = 0.005
+
+
+class ListenError(AlmondfieldError):
+    """Raised where an address and port cannot be listened on."""
+
+
+def bind(address: str, port: int) -> socket.socket:
+    """Return a socket bound to an address and port.
+
+    :param address: IP address of this host.
+    :param port: port number.
+    :raises ListenError: where the port is in use or the address is not this host's.
+    """
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((address, port))
+    except OSError as error:
+        listener.close()
+        raise ListenError(f"cannot listen on {address}:{port}: {error}") from None
+    listener.setblocking(False)
+    return listener
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class HttpListener:
+    """One application on one bound socket.
+
+    :param app: the application.
+    :param listener: socket to serve on, from :func:`bind`.
+    :param max_header_bytes: largest header section of a request, in bytes.
+    """
+
+    def __init__(
+        self, app: ASGIApp, listener: socket.socket, max_header_bytes: int
+    ) -> None:
+        config = uvicorn.Config(
+            app,
+            loop="asyncio",
+            http="h11",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            proxy_headers=False,
+            server_header=False,
+            date_header=False,
+            backlog=BACKLOG,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            h11_max_incomplete_event_size=max_header_bytes,
+        )
+        self._server = _Server(config)
+        self._listener = listener
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Return once requests are accepted."""
+        self._task = asyncio.create_task(self._server.serve(sockets=[self._listener]))
+        while not self._server.started and not self._task.done():
+            await asyncio.sleep(STARTED_POLL_S)
+
+    async def stop(self) -> None:
+        """Return once running requests have finished and connections are closed."""
+        if self._task is None:
+            return
+        self._server.should_exit = True
+        await self._task
