Measure fair sharing under a paused clock

bench/sharing.py drives the real router and scheduler sides over links in memory with the profiles, costs and measures of the measuring tool.

--- a/bench/sharing_fleet.py
+++ b/bench/sharing_fleet.py
@@ -162,6 +162,10 @@
         for task in self._tasks_by_host.pop(host):
             task.cancel()
 
+    def live_hosts(self) -> list[str]:
+        """Return the hosts that run and can be reached."""
+        return [host for host in self._tasks_by_host if host not in self.cut_off]
+
     def isolate(self, host: str) -> None:
         """Cut a host off from the others and from the control group."""
         self.network.isolate(host)
@@ -171,6 +175,9 @@
         """Let every path work again."""
         self.network.heal()
         self.cut_off.clear()
+        newest = {pool: self._newest(pool) for pool in self.epoch_by_pool}
+        for view in self.view_by_host.values():
+            view.lease_by_pool.update(newest)
 
     def lease(self, pool: str, host: str) -> None:
         """Lease a pool to a host under a new epoch."""
@@ -184,8 +191,11 @@
 
     def holder(self, pool: str) -> str:
         """Return the host that holds a pool's newest lease."""
+        return self._newest(pool).host
+
+    def _newest(self, pool: str) -> PoolLease:
         leases = [view.lease_by_pool[pool] for view in self.view_by_host.values()]
-        return max(leases, key=lambda lease: lease.epoch).host
+        return max(leases, key=lambda lease: lease.epoch)
 
     def relay_all(self, pool: str, age_s: float = 0.0) -> None:
         """Tell a pool's scheduler of every server that is alive."""
@@ -209,7 +219,7 @@
             self._relay(pool.name, (stub.announcement,), 0.0)
 
     def _relay(self, pool, announcements, age_s) -> None:
-        relays = [h for h in self._tasks_by_host if h not in self.cut_off]
+        relays = self.live_hosts()
         if not relays:
             return
         message = AnnouncementRelay(
--- a/bench/sharing_load.py
+++ b/bench/sharing_load.py
@@ -1,100 +1,208 @@
-"""Closed-loop callers for a fleet in memory, and what they were served."""
+"""Callers of a fleet in memory, recorded as the measuring tool records real ones."""
 
 import asyncio
-from collections import Counter, defaultdict
-from dataclasses import dataclass, field
+import random
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field, replace
 
 from almondfield_core.clock import now
-from almondfield_core.messages import SlotRequest
+from almondfield_core.messages import ServerFailure, SlotRequest
+from almondfield_core.ports import Slot
+from load import COST_CAP, COST_SIGMA, SKEW, CallRecord, TeamLoad
 from result import Err, Ok
 from sharing_fleet import Fleet
+from standins import RunRecord
 
-__all__ = ["Callers", "Interval"]
+__all__ = ["Callers", "draw_cost_s"]
 
 
-@dataclass(frozen=True)
-class Interval:
-    """Time for which a team held a slot, in seconds of the event loop."""
+def draw_cost_s(team: TeamLoad, source: random.Random) -> float:
+    """Return a heavy-tailed cost with the team's mean, in seconds.
 
-    team: str
-    pool: str
-    start_s: float
-    end_s: float
+    :param team: load of the team.
+    :param source: source of random numbers.
+    """
+    mu = -COST_SIGMA * COST_SIGMA / 2
+    factor = source.lognormvariate(mu, COST_SIGMA)
+    return team.mean_cost_s * min(factor, COST_CAP)
 
 
 @dataclass
-class Callers:
-    """Callers of a fleet, and what became of their requests."""
+class _SlotWatch:
+    """Times from a freed slot to the next start while work waits, by server."""
 
-    fleet: Fleet
-    weight_by_team: dict[str, float] = field(default_factory=dict)
-    intervals: list[Interval] = field(default_factory=list)
-    waits_s: list[float] = field(default_factory=list)
-    refused: Counter = field(default_factory=Counter)
     waiting: Counter = field(default_factory=Counter)
-    running: dict = field(default_factory=dict)
-    _tasks: list = field(default_factory=list)
-    _next_run: int = 0
+    waiting_since_s: dict[str, float] = field(default_factory=dict)
+    freed_s: dict[str, list[float]] = field(default_factory=dict)
+    idle_s: list[float] = field(default_factory=list)
+
+    def begin_wait(self, pool: str) -> None:
+        if not self.waiting[pool]:
+            self.waiting_since_s[pool] = now()
+        self.waiting[pool] += 1
+
+    def end_wait(self, pool: str) -> None:
+        self.waiting[pool] -= 1
+
+    def start(self, pool: str, server: str) -> None:
+        freed = self.freed_s.get(server)
+        if not freed:
+            return
+        since_s = max(freed.pop(0), self.waiting_since_s[pool])
+        self.idle_s.append(now() - since_s)
 
-    def keep_busy(self, host: str, pool: str, team: str, callers: int, draw_cost):
+    def free(self, server: str) -> None:
+        self.freed_s.setdefault(server, []).append(now())
+
+
+class Callers:
+    """Callers of a fleet, and what became of their requests.
+
+    :param fleet: the fleet.
+    :param seed: seed of every random choice.
+    """
+
+    def __init__(self, fleet: Fleet, seed: int = 1) -> None:
+        self.fleet = fleet
+        self.weight_by_team: dict[str, float] = {}
+        self.calls: list[CallRecord] = []
+        self.runs: list[RunRecord] = []
+        self.waits_s: list[float] = []
+        self.watch = _SlotWatch()
+        self.refused: Counter = Counter()
+        self._waiting_by_id: dict[str, CallRecord] = {}
+        self._random = random.Random(seed)
+        self._tasks: set[asyncio.Task] = set()
+        self._number = 0
+
+    def keep_busy(
+        self, host: str, pool: str, team: str, callers: int, draw: Callable[[], float]
+    ) -> None:
         """Start callers that each send one request after the other."""
         for _ in range(callers):
-            work = self._loop(host, pool, team, draw_cost)
-            self._tasks.append(asyncio.create_task(work))
+            self._start(self._send_in_turn(host, pool, team, draw))
+
+    def send_rate(self, team: TeamLoad) -> None:
+        """Start sending a team's requests at its rate, whatever is answered."""
+        self.weight_by_team[team.team] = team.weight
+        self._start(self._send_at_rate(team))
+
+    def call_soon(self, host: str, pool: str, team: str, cost_s: float) -> asyncio.Task:
+        """Return a task that sends one request."""
+        return self._start(self.call(host, pool, team, cost_s))
 
     async def call(self, host: str, pool: str, team: str, cost_s: float) -> bool:
         """Return whether one request was run."""
+        self._number += 1
+        request_id = f"{team}-{self._number}"
+        record = CallRecord(request_id, team, pool, now(), 0.0, 0.0, "unfinished")
+        self._waiting_by_id[request_id] = record
         weight = self.weight_by_team.get(team, 1.0)
-        request = SlotRequest(pool, team, "/", weight=weight)
-        began_s = now()
-        self.waiting[pool, team] += 1
-        try:
+        request = SlotRequest(pool, team, "/", weight, queue_deadline_s=20.0)
+        with self._record_wait(pool):
             outcome = await self.fleet.share_by_host[host].acquire(request)
-        finally:
-            self.waiting[pool, team] -= 1
         match outcome:
             case Ok(slot):
-                self.waits_s.append(now() - began_s)
-                await self._run(slot, host, pool, team, cost_s)
+                self.waits_s.append(now() - record.sent_s)
+                await self._run(slot, host, record, cost_s)
+                self._settle(record, "answered")
                 return True
             case Err(not_run):
                 self.refused[not_run.reason] += 1
+                self._settle(record, "not-run")
         return False
 
     def stop(self) -> None:
         """Stop all callers."""
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
 
+    def all_calls(self) -> list[CallRecord]:
+        """Return every call; those that have no answer yet end now."""
+        open_calls = [
+            replace(record, total_s=now() - record.sent_s)
+            for record in self._waiting_by_id.values()
+        ]
+        return self.calls + open_calls
+
     def service(self, pool: str, start_s: float, end_s: float) -> dict[str, float]:
         """Return the slot-seconds of each team in an interval."""
-        service: dict[str, float] = defaultdict(float)
-        running = [
-            Interval(team, at, began_s, now())
-            for team, at, began_s in self.running.values()
-        ]
-        for one in self.intervals + running:
-            if one.pool == pool:
-                begin_s = max(one.start_s, start_s)
-                service[one.team] += max(0.0, min(one.end_s, end_s) - begin_s)
+        begun_s: dict[str, float] = {}
+        service: Counter = Counter()
+        for run in self.runs:
+            if run.pool != pool:
+                continue
+            if run.event == "start":
+                begun_s[run.request_id] = run.time_s
+                service[run.team] += max(0.0, end_s - max(run.time_s, start_s))
+            else:
+                service[run.team] -= max(0.0, end_s - max(run.time_s, start_s))
         return dict(service)
 
-    async def _run(self, slot, host, pool, team, cost_s) -> None:
-        server = self.fleet.server_by_name[slot.server.name]
-        started_s = now()
-        self._next_run += 1
-        run = self._next_run
-        self.running[run] = (team, pool, started_s)
+    @contextmanager
+    def _record_wait(self, pool: str) -> Iterator[None]:
+        self.watch.begin_wait(pool)
+        try:
+            yield
+        finally:
+            self.watch.end_wait(pool)
+
+    async def _run(
+        self, slot: Slot, host: str, record: CallRecord, cost_s: float
+    ) -> None:
+        name = slot.server.name
+        server = self.fleet.server_by_name[name]
+        if not server.alive:
+            slot.release(ServerFailure.CONNECT)
+            return
+        self.watch.start(record.pool, name)
+        self._note(record, name, "start")
         server.start(host)
         try:
             await asyncio.sleep(cost_s)
         finally:
-            del self.running[run]
             server.finish(host)
-            self.intervals.append(Interval(team, pool, started_s, now()))
+            self._note(record, name, "end")
+            self.watch.free(name)
             slot.release()
 
-    async def _loop(self, host, pool, team, draw_cost) -> None:
+    def _note(self, record: CallRecord, server: str, event: str) -> None:
+        run = RunRecord(
+            record.request_id, record.team, server, record.pool, event, now()
+        )
+        self.runs.append(run)
+
+    def _settle(self, record: CallRecord, outcome: str) -> None:
+        del self._waiting_by_id[record.request_id]
+        total_s = now() - record.sent_s
+        self.calls.append(replace(record, total_s=total_s, outcome=outcome))
+
+    async def _send_in_turn(self, host, pool, team, draw) -> None:
         while True:
-            if not await self.call(host, pool, team, draw_cost()):
+            if not await self.call(host, pool, team, draw()):
                 await asyncio.sleep(0.5)
+
+    async def _send_at_rate(self, team: TeamLoad) -> None:
+        while True:
+            await asyncio.sleep(self._random.expovariate(team.rate))
+            cost_s = draw_cost_s(team, self._random)
+            self.call_soon(self._pick_host(team), team.pool, team.team, cost_s)
+
+    def _pick_host(self, team: TeamLoad) -> str:
+        """Return a live host; each team uses the first ones of its order most."""
+        order = sorted(self.fleet.live_hosts())
+        if team.router is not None:
+            return order[team.router % len(order)]
+        random.Random(team.team).shuffle(order)
+        for host in order[:-1]:
+            if self._random.random() < SKEW:
+                return host
+        return order[-1]
+
+    def _start(self, work) -> asyncio.Task:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
