Move slots between routers only where it is worth a message

Cause: every plan moved slots after small changes of demand, and a reused slot was reported as if it had to go back. Change: slots in use move only to a router that misses two or has none, idle ones at once; a quarter of the idle slots stays with the scheduler; reports are early only for the first waiting request, a slot that may not be reused and idle slots in a backlog; regular window 0.25 to 0.3 s.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/allotment/__init__.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/allotment/__init__.py
@@ -1,10 +1,19 @@
 """How many slots each team and each router should have."""
 
 from almondfield_fairshare.allotment.core import (
+    RouterNeed,
     TeamDemand,
+    adjust_targets,
     allot_to_teams,
     split_over_routers,
     spread_idle,
 )
 
-__all__ = ["TeamDemand", "allot_to_teams", "split_over_routers", "spread_idle"]
+__all__ = [
+    "RouterNeed",
+    "TeamDemand",
+    "adjust_targets",
+    "allot_to_teams",
+    "split_over_routers",
+    "spread_idle",
+]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/allotment/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/allotment/core.py
@@ -4,7 +4,32 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-__all__ = ["TeamDemand", "allot_to_teams", "split_over_routers", "spread_idle"]
+__all__ = [
+    "RouterNeed",
+    "TeamDemand",
+    "adjust_targets",
+    "allot_to_teams",
+    "split_over_routers",
+    "spread_idle",
+]
+
+
+LEAST_MOVE = 2
+"""Slots that a router must miss before slots in use move to it."""
+
+
+@dataclass(frozen=True)
+class RouterNeed:
+    """What a router has and needs.
+
+    :ivar granted: slots of its newest grant.
+    :ivar fair: slots that its teams' shares come to.
+    :ivar demand: requests that wait or run there.
+    """
+
+    granted: int
+    fair: int
+    demand: int
 
 
 @dataclass(frozen=True)
@@ -102,3 +127,54 @@
         filled = spread[router] / (1.0 - negative_need)
         heapq.heapreplace(heap, (filled + 1.0, negative_need, router))
     return spread
+
+
+def adjust_targets(
+    total: int, need_by_router: Mapping[str, RouterNeed], spare_each: int
+) -> dict[str, int]:
+    """Return the slots that each router should have, with few changes.
+
+    A router that could run more gets slots that others leave unused; slots in use
+    move for fairness only where a router misses at least two, or has none.
+
+    :param total: slots of the pool.
+    :param need_by_router: what each router has, should have and could use.
+    :param spare_each: unused slots that each router should have beside its demand.
+    """
+    target = {router: need.granted for router, need in need_by_router.items()}
+    _take_back(target, need_by_router, sum(target.values()) - total)
+    missing = _missing(target, need_by_router, spare_each)
+    for router in sorted(missing, key=lambda name: (-missing[name], name)):
+        target[router] += missing[router]
+    _take_back(target, need_by_router, sum(target.values()) - total)
+    return target
+
+
+def _missing(target, need_by_router, spare_each) -> dict[str, int]:
+    """Return the slots that each router lacks, where moving them is worth while."""
+    unused = sum(
+        max(0, target[router] - need.demand) for router, need in need_by_router.items()
+    )
+    missing = {}
+    for router, need in need_by_router.items():
+        lacks = need.fair - target[router]
+        if lacks >= LEAST_MOVE or (lacks > 0 and (unused or not target[router])):
+            missing[router] = lacks
+        elif need.fair >= need.demand:
+            missing[router] = max(0, need.demand + spare_each - target[router])
+    return missing
+
+
+def _take_back(target, need_by_router, count: int) -> None:
+    """Take slots from the routers that have most beyond their need."""
+    for _ in range(count):
+        router = max(
+            target,
+            key=lambda name: (
+                target[name] - need_by_router[name].demand > 0,
+                target[name] - need_by_router[name].fair,
+                target[name],
+                name,
+            ),
+        )
+        target[router] -= 1
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/core.py
@@ -18,7 +18,7 @@
 """Time between two reports while nothing waits, in seconds."""
 
 URGENT_BATCH_S = 0.002
-"""Time over which reasons for an early report are gathered, in seconds."""
+"""Least time between two reports, in which reasons are gathered, in seconds."""
 
 URGENT_PER_S = 12.0
 """Early reports per second and pool, over time."""
@@ -174,7 +174,7 @@
             due_s = last_s + window_s
             early = await self._wait_due(pool, due_s)
             if early:
-                await asyncio.sleep(URGENT_BATCH_S)
+                await asyncio.sleep(max(0.0, last_s + URGENT_BATCH_S - now()))
                 tokens -= 1.0
             self._send_report(pool)
             elapsed_s = min(now() - last_s, 1.0)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
@@ -128,7 +128,7 @@
         waiter = self._enqueue(request)
         self.dispatch()
         if not waiter.answer.done():
-            self._call_for_slots(request.team)
+            self._call_for_slots()
         try:
             async with asyncio.timeout(request.queue_deadline_s):
                 return await waiter.answer
@@ -175,9 +175,9 @@
         """
         known = [one.name for one in self._servers()]
         self.health.note(server.name, failure, known)
-        self.dispatch()
         if self.usage.on_server(server.name) >= self._slots_on(server.name):
             self.urgent.set()
+        self.dispatch()
 
     def on_grant(self, grant: SlotGrant) -> None:
         """Follow a grant, unless it is older than the one followed now.
@@ -196,12 +196,10 @@
         self.window_s = grant.report_window_s
         self._date_grant(grant)
         after = {server.name: server.slots for server in grant.servers}
-        if any(after.get(name, 0) < slots for name, slots in before.items()):
-            self.urgent.set()
-        if not grant.report_number:
-            self.urgent.set()
         self._told_idle = False
         self.dispatch()
+        if not grant.report_number or self._freed_by(before, after):
+            self.urgent.set()
 
     def make_report(self) -> DemandReport:
         """Return the full state of the router in this pool."""
@@ -237,9 +235,9 @@
         self.queues.add(waiter)
         return waiter
 
-    def _call_for_slots(self, team: str) -> None:
-        """Report at once where a team has just begun to wait."""
-        if self.queues.length(team) == 1:
+    def _call_for_slots(self) -> None:
+        """Report at once where work has just begun to wait, or none can run."""
+        if len(self.queues) == 1 or not self.granted_slots:
             self.urgent.set()
 
     def _give_up(self, waiter: Waiter) -> Result[Slot, NotRun]:
@@ -276,6 +274,13 @@
         charged = since + self.usage.remaining(team)
         return sent.get(team, 0.0) + charged / self._weight_by_team[team]
 
+    def _freed_by(self, before: dict[str, int], after: dict[str, int]) -> bool:
+        """Return whether a new grant leaves slots that another router may use."""
+        return any(
+            max(after.get(name, 0), self.usage.on_server(name)) < slots
+            for name, slots in before.items()
+        )
+
     def _servers(self) -> tuple[ServerSlots, ...]:
         """Return the servers that the router may use now."""
         if self._grant is None or now() >= self._grant_until_s:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
@@ -15,7 +15,9 @@
 from almondfield_core.tables import Pool
 
 from almondfield_fairshare.allotment import (
+    RouterNeed,
     TeamDemand,
+    adjust_targets,
     allot_to_teams,
     split_over_routers,
     spread_idle,
@@ -29,11 +31,14 @@
 __all__ = ["PoolScheduler"]
 
 BATCH_S = 0.003
-"""Time over which reports are gathered before slots are moved, in seconds."""
+"""Least time between two plans, in which reports are gathered, in seconds."""
 
 FIRST_REPORTS_S = 0.1
 """Time that a new scheduler waits for the reports of all routers, in seconds."""
 
+RESERVE_PART = 4
+"""The scheduler keeps one of so many idle slots for the next router in need."""
+
 LEAST_LEFT_S = 0.4
 """Time before the end of a grant from which it is renewed early, in seconds."""
 
@@ -146,7 +151,7 @@
         try:
             async with asyncio.timeout(wait_s):
                 await self._wake.wait()
-            await asyncio.sleep(BATCH_S)
+            await asyncio.sleep(max(0.0, self._planned_s + BATCH_S - now()))
         except TimeoutError:
             pass
         self._wake.clear()
@@ -214,12 +219,9 @@
             for host, count in split.items():
                 need[host] += count
         wanted = sum(demand.requests for demand in demand_by_team.values())
-        idle = total - sum(need.values())
         self._backlogged = wanted > total
         self._planned_s = now()
-        if self._backlogged and idle <= 0:
-            return need
-        return self._with_idle(live, need, idle)
+        return self._with_idle(live, need, total)
 
     def _allot(self, total, demand_by_team, horizon_s, need):
         match self._settings.sharing_policy:
@@ -251,17 +253,21 @@
             credit[host] = min(1.0, max(-1.0, grown))
         return split
 
-    def _with_idle(self, live, need, idle):
-        """Return the need of each router with its part of the idle slots."""
-        granted = {r.host: sum(r.granted().values()) for r in live}
-        total = sum(need.values()) + idle
+    def _with_idle(self, live, fair, total):
+        """Return the slots that each router should have, idle ones included."""
+        need = {
+            router.host: RouterNeed(
+                sum(router.granted().values()), fair[router.host], _demand(router)
+            )
+            for router in live
+        }
+        idle = total - sum(fair.values())
         spare_each = 1 if idle >= len(live) else 0
-        if sum(granted.values()) == total and all(
-            granted[host] >= count + spare_each for host, count in need.items()
-        ):
-            return granted
-        spread = spread_idle(idle, self._windows.recent_need(need))
-        return {host: count + spread[host] for host, count in need.items()}
+        target = adjust_targets(total, need, spare_each)
+        left = total - sum(target.values())
+        given = left - left // RESERVE_PART
+        spread = spread_idle(given, self._windows.recent_need(fair))
+        return {host: slots + spread[host] for host, slots in target.items()}
 
     def _free_slots(self, usable, slots_by_server) -> Counter[str]:
         """Return the slots by server that no router may be using."""
@@ -368,6 +374,12 @@
     return server.slots
 
 
+def _demand(router: RouterState) -> int:
+    """Return the requests that wait or run at a router."""
+    waiting = sum(router.report.waiting_by_team.values())
+    return waiting + sum(entry.count for entry in router.report.in_flight)
+
+
 def _requests_by_team(live: list[RouterState]) -> dict[str, dict[str, int]]:
     """Return the requests that wait or run, by team and router."""
     requests: dict[str, dict[str, int]] = {}
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/windows/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/windows/core.py
@@ -4,7 +4,7 @@
 
 __all__ = ["ReportWindows"]
 
-LEAST_WINDOW_S = 0.1
+LEAST_WINDOW_S = 0.25
 """Shortest time between two regular reports, in seconds."""
 
 MOST_WINDOW_S = 0.3
