Let routers give back idle slots in a report

Cause: recalling an idle slot took a grant and its confirmation, and reports repeated totals that the scheduler had heard. Change: a router with idle slots and no work in a backlogged pool gives them back in its report; reports leave out unchanged totals and weights of 1. Core message change: given_back_by_server, with a default.

--- a/packages/almondfield-core/src/almondfield_core/messages/sharing.py
+++ b/packages/almondfield-core/src/almondfield_core/messages/sharing.py
@@ -120,14 +120,17 @@
     :ivar number: number of the report, growing within the incarnation.
     :ivar grant_number: number of the newest grant that the router applied.
     :ivar waiting_by_team: requests that wait, by team.
-    :ivar weight_by_team: weight of each team that waits or runs.
+    :ivar weight_by_team: weight of each team that waits or runs, where it is not 1.
     :ivar in_flight: requests that run, by server and team.
     :ivar service_by_team: slot-seconds used since the incarnation began, with what
-        running requests have used so far.
+        running requests have used so far; without teams whose total is that of the
+        report that the newest grant answers.
     :ivar failures_by_server: calls that failed since the incarnation began.
     :ivar finished: requests finished since the incarnation began.
     :ivar counter_by_team: counters that an earlier scheduler gave, with what the
         router charged since; only in the first reports of an epoch.
+    :ivar given_back_by_server: slots of the grant ``grant_number`` that the router
+        gives back unused.
     """
 
     pool: str
@@ -142,6 +145,7 @@
     failures_by_server: dict[str, int] = field(default_factory=dict)
     finished: int = 0
     counter_by_team: dict[str, float] = field(default_factory=dict)
+    given_back_by_server: dict[str, int] = field(default_factory=dict)
 
 
 @wire_message("slot-grant")
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/counters/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/counters/core.py
@@ -51,16 +51,20 @@
         service_by_team: Mapping[str, float],
         weight_by_team: Mapping[str, float],
         baseline: bool,
-    ) -> None:
-        """Charge what a router's totals grew by since they were last seen.
+    ) -> float:
+        """Return what a router's totals grew by, after charging it to the teams.
 
         :param router: name of the router.
         :param incarnation: incarnation of the router.
         :param service_by_team: slot-seconds since the incarnation began.
-        :param weight_by_team: weights of the teams.
+        :param weight_by_team: weights of the teams, where they are not 1.
         :param baseline: whether totals seen for the first time were charged before,
             by an earlier scheduler.
+        :returns: slot-seconds of all teams.
         """
+        all_used = 0.0
+        for team in service_by_team:
+            self._weight_by_team[team] = weight_by_team.get(team, 1.0)
         self._weight_by_team.update(weight_by_team)
         source = (router, incarnation)
         first = source not in self._seen_by_source
@@ -69,9 +73,11 @@
             before = total if first and baseline else seen.get(team, 0.0)
             seen[team] = max(total, before)
             used = max(0.0, total - before)
+            all_used += used
             charged = self.counter(team) + used / self.weight(team)
             self._counter_by_team[team] = charged
         self._forget_older(router, incarnation)
+        return all_used
 
     def set_backlogged(self, teams: Iterable[str], most_debt: float) -> None:
         """Note which teams wait; a team that begins to wait starts near the lowest.
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
@@ -1,8 +1,8 @@
 """One pool as a router sees it: queues, grant and requests in flight."""
 
 import asyncio
-from collections import OrderedDict
-from dataclasses import dataclass
+from collections import Counter, OrderedDict
+from dataclasses import dataclass, replace
 
 from almondfield_core.clock import now
 from almondfield_core.messages import (
@@ -107,7 +107,7 @@
         self._report_number = 0
         self._weight_by_team: dict[str, float] = {}
         self._number_of_waiter = 0
-        self._told_idle = False
+        self._given_back: Counter[str] = Counter()
 
     @property
     def backlogged(self) -> bool:
@@ -165,7 +165,7 @@
             self.drain.note(waiter.request.team)
             slot = HeldSlot(self, server, waiter.request)
             waiter.answer.set_result(Ok(slot))
-        self._tell_idle()
+        self._give_back_idle()
 
     def on_released(self, server: ServerSlots, failure: ServerFailure | None) -> None:
         """Use a freed slot for the next request, or tell the scheduler of it.
@@ -196,7 +196,7 @@
         self.window_s = grant.report_window_s
         self._date_grant(grant)
         after = {server.name: server.slots for server in grant.servers}
-        self._told_idle = False
+        self._given_back.clear()
         self.dispatch()
         if not grant.report_number or self._freed_by(before, after):
             self.urgent.set()
@@ -204,27 +204,27 @@
     def make_report(self) -> DemandReport:
         """Return the full state of the router in this pool."""
         self._report_number += 1
-        service_by_team = self.usage.service_by_team()
-        sent = _SentReport(now(), service_by_team)
+        sent = _SentReport(now(), self.usage.service_by_team())
         self._sent_by_number[self._report_number] = sent
         if len(self._sent_by_number) > KEPT_REPORTS:
             self._sent_by_number.popitem(last=False)
         waiting = {team: self.queues.length(team) for team in self.queues.teams}
         in_flight = self.usage.in_flight()
         active = waiting.keys() | {entry.team for entry in in_flight}
-        grant = self._grant
+        weights = {team: self._weight_by_team[team] for team in sorted(active)}
         return DemandReport(
             self.name,
             self.epoch,
             self._incarnation,
             self._report_number,
-            grant.number if grant is not None else 0,
+            self._grant.number if self._grant is not None else 0,
             waiting,
-            {team: self._weight_by_team[team] for team in sorted(active)},
+            {team: weight for team, weight in weights.items() if weight != 1.0},
             in_flight,
-            service_by_team,
+            self._changed_service(),
             dict(self.health.failures_by_server),
             self.usage.finished,
+            given_back_by_server=dict(+self._given_back),
         )
 
     def _enqueue(self, request: SlotRequest) -> Waiter:
@@ -294,15 +294,29 @@
         """Count the grant's lifetime from the report that it answers."""
         sent = self._sent_by_number.get(grant.report_number)
         if sent is None or grant.incarnation != self._incarnation:
+            self._answered = None
             self._grant_until_s = float("-inf")
             return
         self._answered = sent
         self._grant_until_s = sent.at_s + grant.lifetime_s
 
-    def _tell_idle(self) -> None:
-        """Report once that slots are free here while work waits elsewhere."""
-        if self._told_idle or self._grant is None or not self._grant.backlogged:
+    def _give_back_idle(self) -> None:
+        """Give idle slots back while work waits elsewhere."""
+        if self._grant is None or not self._grant.backlogged:
             return
-        if self.usage.total() < self.granted_slots:
-            self._told_idle = True
+        kept = []
+        for server in self._servers():
+            idle = max(0, server.slots - self.usage.on_server(server.name))
+            self._given_back[server.name] += idle
+            kept.append(replace(server, slots=server.slots - idle))
+        if kept and sum(server.slots for server in kept) < self.granted_slots:
+            self._grant = replace(self._grant, servers=tuple(kept))
             self.urgent.set()
+
+    def _changed_service(self) -> dict[str, float]:
+        """Return the totals that the scheduler may not have heard."""
+        service_by_team = self.usage.service_by_team()
+        if self._answered is None:
+            return service_by_team
+        heard = self._answered.service_by_team
+        return {t: s for t, s in service_by_team.items() if heard.get(t) != s}
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/holds.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/holds.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
 from almondfield_core.clock import now
 from almondfield_core.messages import DemandReport, SlotGrant
@@ -17,9 +17,15 @@
     grant: SlotGrant
     sent_s: float
     until_s: float
+    given_back_by_server: dict[str, int] = field(default_factory=dict)
 
     def slots_by_server(self) -> dict[str, int]:
-        return {server.name: server.slots for server in self.grant.servers}
+        given_back = self.given_back_by_server
+        slots = {
+            server.name: server.slots - given_back.get(server.name, 0)
+            for server in self.grant.servers
+        }
+        return {name: count for name, count in slots.items() if count > 0}
 
 
 class RouterState:
@@ -78,7 +84,7 @@
         self.report = report
         self.heard_s = now()
         if report.epoch == self._epoch:
-            self._confirm(report.grant_number)
+            self._confirm(report)
         return True
 
     def next_grant_number(self) -> int:
@@ -135,9 +141,13 @@
             if server in self._left_over:
                 self._left_over[server] = min(self._left_over[server], hidden)
 
-    def _confirm(self, number: int) -> None:
+    def _confirm(self, report: DemandReport) -> None:
         """Drop grants before the confirmed one; go beyond one that is not ours."""
+        number = report.grant_number
         if number >= self._next_number:
             self._foreign_number = number
             self._next_number = number + 1
         self._sent = [sent for sent in self._sent if sent.grant.number >= number]
+        if self._sent and self._sent[0].grant.number == number:
+            given_back = report.given_back_by_server
+            self._sent[0] = replace(self._sent[0], given_back_by_server=given_back)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
@@ -116,14 +116,14 @@
             return
         if report.epoch == self.epoch:
             self.counters.restore(report.counter_by_team)
-        self.counters.charge(
-            host,
-            report.incarnation,
-            report.service_by_team,
-            report.weight_by_team,
-            baseline=not restarted,
-        )
-        self._windows.take(host, report)
+            used_s = self.counters.charge(
+                host,
+                report.incarnation,
+                report.service_by_team,
+                report.weight_by_team,
+                baseline=not restarted,
+            )
+            self._windows.take(host, report, used_s)
         self._wake.set()
 
     def take_relay(self, changed: bool) -> None:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/windows/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/windows/core.py
@@ -26,11 +26,12 @@
         self._finished = 0
         self._service_s = 0.0
 
-    def take(self, host: str, report: DemandReport) -> None:
+    def take(self, host: str, report: DemandReport, service_s: float) -> None:
         """Note a report.
 
         :param host: name of the router's host.
         :param report: newest report of that router.
+        :param service_s: slot-seconds used since the report before.
         """
         last = self._last_by_host.get(host)
         self._last_by_host[host] = report
@@ -41,9 +42,7 @@
         if last is None or last.incarnation != report.incarnation:
             return
         self._finished += report.finished - last.finished
-        grown_s = sum(report.service_by_team.values())
-        grown_s -= sum(last.service_by_team.values())
-        self._service_s += grown_s
+        self._service_s += service_s
 
     def mean_cost_s(self, typical_s: float) -> float:
         """Return the mean slot-seconds of a request.
