Say at once that nothing waits any more, and measure waits by pool

Cause: the scheduler took routers for waiting whose queues had drained. Change: a router whose last report told of waiting work reports early once it has idle slots; the measuring tool tells waits and idle slots by pool.

--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -87,6 +87,9 @@
     interval_bound: float
     bound_kept: bool
     smallest_share: float
+    wait_p50_ms: float
+    wait_p99_ms: float
+    freed_to_start_p95_ms: float
 
 
 @dataclass(frozen=True)
@@ -106,9 +109,6 @@
 
     pools: tuple[PoolResult, ...]
     hosts: tuple[HostResult, ...]
-    wait_p50_ms: float
-    wait_p99_ms: float
-    freed_to_start_p95_ms: float
     refused: dict[str, int]
     over_slots: int
     notes: tuple[str, ...]
@@ -153,9 +153,6 @@
     result = RunResult(
         pools,
         hosts,
-        percentile(callers.waits_s, 0.5) * 1000,
-        percentile(callers.waits_s, 0.99) * 1000,
-        percentile(callers.watch.idle_s, 0.95) * 1000,
         {reason.value: count for reason, count in callers.refused.items()},
         sum(server.over_slots for server in fleet.server_by_name.values()),
         notes.result() if notes.done() else ("the fault had not ended",),
@@ -213,6 +210,8 @@
         for team in figures.teams
         if team.requests and team.share_wanted
     ]
+    waits_s = callers.waits_s_by_pool.get(pool.name, [])
+    idle_s = callers.watch.idle_s_by_pool.get(pool.name, [])
     return PoolResult(
         pool.name,
         figures.utilisation,
@@ -223,6 +222,9 @@
         interval_bound(*sizes),
         figures.fairness_gap <= interval_bound(*sizes),
         min(shares),
+        percentile(waits_s, 0.5) * 1000,
+        percentile(waits_s, 0.99) * 1000,
+        percentile(idle_s, 0.95) * 1000,
     )
 
 
@@ -256,7 +258,9 @@
             f" gap {pool.gap:.1f}, in 5 s {pool.window_gap:.1f}"
             f" (one-sided bound {pool.one_sided_bound:.1f}, over any interval"
             f" {pool.interval_bound:.1f});"
-            f" least share {pool.smallest_share:.2f} of its weight"
+            f" least share {pool.smallest_share:.2f} of its weight;"
+            f" wait p50 {pool.wait_p50_ms:.2f} ms, p99 {pool.wait_p99_ms:.2f} ms;"
+            f" freed slot to next start p95 {pool.freed_to_start_p95_ms:.2f} ms"
         )
     routers = [host for host in result.hosts if not host.schedules]
     schedulers = [host for host in result.hosts if host.schedules]
@@ -269,10 +273,7 @@
             f" {cpu:.2%} of a core"
         )
     print(
-        f"wait p50 {result.wait_p50_ms:.2f} ms, p99 {result.wait_p99_ms:.2f} ms;"
-        f" freed slot to next start p95 {result.freed_to_start_p95_ms:.2f} ms;"
-        f" refused {result.refused}; starts beyond a server's slots"
-        f" {result.over_slots}"
+        f"refused {result.refused}; starts beyond a server's slots {result.over_slots}"
     )
     for note in result.notes:
         print(note)
--- a/bench/sharing_load.py
+++ b/bench/sharing_load.py
@@ -36,7 +36,7 @@
     waiting: Counter = field(default_factory=Counter)
     waiting_since_s: dict[str, float] = field(default_factory=dict)
     freed_s: dict[str, list[float]] = field(default_factory=dict)
-    idle_s: list[float] = field(default_factory=list)
+    idle_s_by_pool: dict[str, list[float]] = field(default_factory=dict)
 
     def begin_wait(self, pool: str) -> None:
         if not self.waiting[pool]:
@@ -51,7 +51,7 @@
         if not freed:
             return
         since_s = max(freed.pop(0), self.waiting_since_s[pool])
-        self.idle_s.append(now() - since_s)
+        self.idle_s_by_pool.setdefault(pool, []).append(now() - since_s)
 
     def free(self, server: str) -> None:
         self.freed_s.setdefault(server, []).append(now())
@@ -69,7 +69,7 @@
         self.weight_by_team: dict[str, float] = {}
         self.calls: list[CallRecord] = []
         self.runs: list[RunRecord] = []
-        self.waits_s: list[float] = []
+        self.waits_s_by_pool: dict[str, list[float]] = {}
         self.watch = _SlotWatch()
         self.refused: Counter = Counter()
         self._waiting_by_id: dict[str, CallRecord] = {}
@@ -105,7 +105,8 @@
             outcome = await self.fleet.share_by_host[host].acquire(request)
         match outcome:
             case Ok(slot):
-                self.waits_s.append(now() - record.sent_s)
+                waits_s = self.waits_s_by_pool.setdefault(pool, [])
+                waits_s.append(now() - record.sent_s)
                 await self._run(slot, host, record, cost_s)
                 self._settle(record, "answered")
                 return True
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
@@ -107,6 +107,7 @@
         self._report_number = 0
         self._weight_by_team: dict[str, float] = {}
         self._number_of_waiter = 0
+        self._reported_waiting = False
         self._given_back: Counter[str] = Counter()
 
     @property
@@ -210,6 +211,7 @@
             self._sent_by_number.popitem(last=False)
         waiting = {team: self.queues.length(team) for team in self.queues.teams}
         in_flight = self.usage.in_flight()
+        self._reported_waiting = bool(waiting)
         active = waiting.keys() | {entry.team for entry in in_flight}
         weights = {team: self._weight_by_team[team] for team in sorted(active)}
         return DemandReport(
@@ -301,7 +303,9 @@
         self._grant_until_s = sent.at_s + grant.lifetime_s
 
     def _give_back_idle(self) -> None:
-        """Give idle slots back while work waits elsewhere."""
+        """Give idle slots back while work waits elsewhere, and say that none does."""
+        if self._reported_waiting and self.usage.total() < self.granted_slots:
+            self.urgent.set()
         if self._grant is None or not self._grant.backlogged:
             return
         kept = []
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/sharing_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/sharing_steps.py
@@ -69,4 +69,5 @@
 @then("a request at host {host:d} gets its slot within {milliseconds:g} ms")
 def step_impl(context, host, milliseconds):
     assert run(context, context.callers.call(f"host-{host}", "pool", "bar", 0.1))
-    assert context.callers.waits_s[-1] <= milliseconds / 1000, context.callers.waits_s
+    waits_s = context.callers.waits_s_by_pool["pool"]
+    assert waits_s[-1] <= milliseconds / 1000, waits_s
