Account for what lost routers still run, by the servers' own load

Change: what lost routers run only falls, so the least that an announcement shows counts; a leaving server stays leaving; the measuring tool cuts the requests of a host that stops.

--- a/bench/sharing_fleet.py
+++ b/bench/sharing_fleet.py
@@ -128,6 +128,7 @@
         self.schedulers_by_host: dict[str, PoolSchedulers] = {}
         self.epoch_by_pool: dict[str, int] = {}
         self.cut_off: set[str] = set()
+        self.calls_by_host: dict[str, set[asyncio.Task]] = {}
         self._tasks_by_host: dict[str, list[asyncio.Task]] = {}
         self._incarnation = 0
         self._tasks: list[asyncio.Task] = []
@@ -161,6 +162,8 @@
         self.network.stop(host)
         for task in self._tasks_by_host.pop(host):
             task.cancel()
+        for call in list(self.calls_by_host.pop(host, ())):
+            call.cancel()
 
     def live_hosts(self) -> list[str]:
         """Return the hosts that run and can be reached."""
--- a/bench/sharing_load.py
+++ b/bench/sharing_load.py
@@ -94,18 +94,38 @@
         return self._start(self.call(host, pool, team, cost_s))
 
     async def call(self, host: str, pool: str, team: str, cost_s: float) -> bool:
-        """Return whether one request was run."""
+        """Return whether one request was run; it is cut where its host stops."""
+        work = asyncio.create_task(self._call(host, pool, team, cost_s))
+        calls = self.fleet.calls_by_host.setdefault(host, set())
+        calls.add(work)
+        work.add_done_callback(calls.discard)
+        try:
+            return await work
+        except asyncio.CancelledError:
+            work.cancel()
+            if asyncio.current_task().cancelling():
+                raise
+            return False
+
+    async def _call(self, host: str, pool: str, team: str, cost_s: float) -> bool:
         self._number += 1
         request_id = f"{team}-{self._number}"
         record = CallRecord(request_id, team, pool, now(), 0.0, 0.0, "unfinished")
         self._waiting_by_id[request_id] = record
         weight = self.weight_by_team.get(team, 1.0)
         request = SlotRequest(pool, team, "/", weight, queue_deadline_s=20.0)
-        with self._record_wait(pool):
+        try:
+            return await self._acquire_and_run(host, request, record, cost_s)
+        except asyncio.CancelledError:
+            self._settle(record, "cut")
+            raise
+
+    async def _acquire_and_run(self, host, request, record, cost_s) -> bool:
+        with self._record_wait(request.pool):
             outcome = await self.fleet.share_by_host[host].acquire(request)
         match outcome:
             case Ok(slot):
-                waits_s = self.waits_s_by_pool.setdefault(pool, [])
+                waits_s = self.waits_s_by_pool.setdefault(request.pool, [])
                 waits_s.append(now() - record.sent_s)
                 await self._run(slot, host, record, cost_s)
                 self._settle(record, "answered")
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/registry/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/registry/core.py
@@ -1,7 +1,7 @@
 """Which announced servers a pool may use, and with how many slots."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from almondfield_core.clock import now
 from almondfield_core.messages import (
@@ -11,7 +11,7 @@
 )
 from almondfield_core.tables import Pool
 
-__all__ = ["PoolServers", "owner_pool", "selects_server"]
+__all__ = ["News", "PoolServers", "owner_pool", "selects_server"]
 
 
 def selects_server(pool: Pool, server: ServerAnnouncement) -> bool:
@@ -49,6 +49,18 @@
     at_s: float
 
 
+@dataclass(frozen=True)
+class News:
+    """What relayed announcements told.
+
+    :ivar newer: announcements that replaced older ones.
+    :ivar changed: whether servers may be used otherwise than before.
+    """
+
+    newer: tuple[ServerAnnouncement, ...]
+    changed: bool
+
+
 class PoolServers:
     """Newest announcement of each server that was relayed for a pool.
 
@@ -59,15 +71,22 @@
         self._silence_s = silence_s
         self._heard_by_name: dict[str, _Heard] = {}
 
-    def take(self, relay: AnnouncementRelay) -> bool:
-        """Note relayed announcements; return whether the usable servers may differ.
+    def take(self, relay: AnnouncementRelay) -> News:
+        """Return what a relay's announcements tell that was not known.
 
         :param relay: announcements with their ages.
         """
+        newer = []
         changed = False
         for announcement, age_s in zip(relay.announcements, relay.age_s):
-            changed |= self._note(_Heard(announcement, now() - age_s))
-        return changed
+            heard = _Heard(announcement, now() - age_s)
+            known = self._heard_by_name.get(announcement.name)
+            if known is not None and not _is_newer(heard, known):
+                continue
+            self._heard_by_name[announcement.name] = heard
+            newer.append(announcement)
+            changed |= known is None or self._differs(heard, known)
+        return News(tuple(newer), changed)
 
     def usable(
         self, pools: Iterable[Pool], pool: Pool
@@ -99,21 +118,22 @@
         ]
         return min((left_s for left_s in left if left_s > 0), default=self._silence_s)
 
-    def _note(self, heard: _Heard) -> bool:
-        name = heard.announcement.name
-        known = self._heard_by_name.get(name)
-        if known is not None and not _is_newer(heard, known):
-            return False
-        self._heard_by_name[name] = heard
-        if known is None or known.at_s <= now() - self._silence_s:
-            return True
-        return known.announcement != heard.announcement
+    def _differs(self, heard: _Heard, known: _Heard) -> bool:
+        """Return whether a server may be used otherwise than before."""
+        was_silent = known.at_s <= now() - self._silence_s
+        before = replace(known.announcement, busy=heard.announcement.busy)
+        return was_silent or before != heard.announcement
 
 
 def _is_newer(heard: _Heard, known: _Heard) -> bool:
+    """Return whether an announcement replaces another one of the same server.
+
+    A server that leaves stays so until it starts anew.
+    """
     incarnation = heard.announcement.incarnation
     if incarnation != known.announcement.incarnation:
         return incarnation > known.announcement.incarnation
-    if known.announcement.state == ServerState.LEAVING:
-        return heard.announcement.state == ServerState.LEAVING
+    leaves = heard.announcement.state == ServerState.LEAVING
+    if leaves != (known.announcement.state == ServerState.LEAVING):
+        return leaves
     return heard.at_s > known.at_s
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/core.py
@@ -140,7 +140,7 @@
         running.scheduler.take_report(sender, report)
 
     async def _on_relay(self, sender: str, relay: AnnouncementRelay) -> None:
-        changed = self._servers(relay.pool).take(relay)
+        news = self._servers(relay.pool).take(relay)
         running = self._running_by_pool.get(relay.pool)
         if running is not None:
-            running.scheduler.take_relay(changed)
+            running.scheduler.take_news(news)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/holds.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/holds.py
@@ -1,7 +1,6 @@
 """What a scheduler knows of one router, and which slots that router may be using."""
 
 from collections import Counter
-from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
 from almondfield_core.clock import now
@@ -9,6 +8,9 @@
 
 __all__ = ["RouterState"]
 
+LEFT_OVER_BOUND_S = 30.0
+"""Longest time that requests of a lost router count as running, in seconds."""
+
 
 @dataclass(frozen=True)
 class _Sent:
@@ -126,20 +128,19 @@
             held |= Counter(sent.slots_by_server())
         return dict(held + self._left_over)
 
-    def settle_left_over(
-        self, hidden_by_server: Mapping[str, int], bound_s: float
-    ) -> None:
-        """Give back slots of a lost router that servers no longer run.
+    def settle_left_over(self, server: str, hidden: int) -> None:
+        """Give back slots of a lost router that a server no longer runs.
 
-        :param hidden_by_server: requests that a server reports beyond the known ones,
-            for servers that reported late enough after the loss.
-        :param bound_s: seconds after which nothing is left over.
+        :param server: name of the server.
+        :param hidden: requests that the server reports beyond the known ones.
         """
-        if now() - self.lost_s > bound_s:
+        if server in self._left_over:
+            self._left_over[server] = min(self._left_over[server], hidden)
+
+    def forget_left_over(self) -> None:
+        """Give back all slots of a router that was lost long ago."""
+        if now() - self.lost_s > LEFT_OVER_BOUND_S:
             self._left_over.clear()
-        for server, hidden in hidden_by_server.items():
-            if server in self._left_over:
-                self._left_over[server] = min(self._left_over[server], hidden)
 
     def _confirm(self, report: DemandReport) -> None:
         """Drop grants before the confirmed one; go beyond one that is not ours."""
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
@@ -24,7 +24,7 @@
 )
 from almondfield_fairshare.counters import ServiceCounters
 from almondfield_fairshare.placement import place_slots
-from almondfield_fairshare.registry import PoolServers
+from almondfield_fairshare.registry import News, PoolServers
 from almondfield_fairshare.scheduler.holds import RouterState
 from almondfield_fairshare.windows import ReportWindows
 
@@ -33,9 +33,6 @@
 BATCH_S = 0.003
 """Least time between two plans, in which reports are gathered, in seconds."""
 
-FIRST_REPORTS_S = 0.1
-"""Time that a new scheduler waits for the reports of all routers, in seconds."""
-
 RESERVE_PART = 4
 """The scheduler keeps one of so many idle slots for the next router in need."""
 
@@ -48,11 +45,8 @@
 GREETING_S = 0.25
 """Time between two greetings of a router that does not report, in seconds."""
 
-LEFT_OVER_BOUND_S = 30.0
-"""Longest time that requests of a lost router count as running, in seconds."""
-
-LOAD_LAG_S = 2.0
-"""Age at which a server's own load counts for slots of a lost router, in seconds."""
+LOAD_LAG_S = 0.5
+"""Time by which a server's own load may lag, in seconds."""
 
 
 class PoolScheduler:
@@ -91,7 +85,8 @@
         self._wake = asyncio.Event()
         self._backlogged = False
         self._planned_s = now()
-        self._reports_until_s = now() + FIRST_REPORTS_S
+        self._begun_s = now()
+        self._unknown_by_server: dict[str, int] = {}
 
     async def run(self) -> None:
         """Grant slots until cancelled; pauses while the lease has run out."""
@@ -126,12 +121,14 @@
             self._windows.take(host, report, used_s)
         self._wake.set()
 
-    def take_relay(self, changed: bool) -> None:
-        """Plan again where the announced servers differ.
+    def take_news(self, news: News) -> None:
+        """Note what servers announced.
 
-        :param changed: whether usable servers may differ.
+        :param news: what the announcements told.
         """
-        if changed:
+        for server in news.newer:
+            self._settle_unknown(server)
+        if news.changed:
             self._wake.set()
 
     def _is_restart(self, router: RouterState, report: DemandReport) -> bool:
@@ -172,7 +169,7 @@
             target,
             {r.host: r.granted() for r in live},
             {r.host: r.in_flight() for r in live},
-            self._free_slots(usable, slots_by_server),
+            self._free_slots(slots_by_server),
             slots_by_server,
         )
         for router in live:
@@ -186,6 +183,7 @@
             silent_s = now() - router.heard_s
             if router.report is not None and silent_s > self._lost_after_s():
                 router.note_lost()
+            router.forget_left_over()
         return [r for r in self._router_by_host.values() if r.accounted]
 
     def _lost_after_s(self) -> float:
@@ -269,38 +267,34 @@
         spread = spread_idle(given, self._windows.recent_need(fair))
         return {host: slots + spread[host] for host, slots in target.items()}
 
-    def _free_slots(self, usable, slots_by_server) -> Counter[str]:
+    def _free_slots(self, slots_by_server: dict[str, int]) -> Counter[str]:
         """Return the slots by server that no router may be using."""
         held: Counter[str] = Counter()
-        in_flight: Counter[str] = Counter()
         for router in self._router_by_host.values():
             held.update(router.hold())
-            in_flight.update(router.in_flight())
-        hidden = {
-            name: max(0, server.busy - in_flight[name])
-            for name, server in usable.items()
-        }
-        self._settle_left_over(hidden)
         if not self._all_accounted():
-            if now() < self._reports_until_s:
-                return Counter()
-            held.update(hidden)
-        return Counter(
-            {
-                name: max(0, slots - held[name])
-                for name, slots in slots_by_server.items()
-            }
-        )
+            for name, slots in slots_by_server.items():
+                held[name] += self._unknown_by_server.get(name, slots)
+        free = {
+            name: max(0, slots - held[name]) for name, slots in slots_by_server.items()
+        }
+        return Counter(free)
 
-    def _settle_left_over(self, hidden: dict[str, int]) -> None:
-        for router in self._router_by_host.values():
-            since_s = router.lost_s + LOAD_LAG_S
-            reported = {
-                name: count
-                for name, count in hidden.items()
-                if self._servers.heard_at_s(name) > since_s
-            }
-            router.settle_left_over(reported, LEFT_OVER_BOUND_S)
+    def _settle_unknown(self, server: ServerAnnouncement) -> None:
+        """Bound what lost routers still run on a server by the load it tells.
+
+        They start nothing any more, so the least that was seen holds.
+        """
+        routers = self._router_by_host.values()
+        known = sum(router.in_flight().get(server.name, 0) for router in routers)
+        hidden = max(0, server.busy - known)
+        heard_s = self._servers.heard_at_s(server.name)
+        if heard_s >= self._begun_s + LOAD_LAG_S:
+            least = min(hidden, self._unknown_by_server.get(server.name, hidden))
+            self._unknown_by_server[server.name] = least
+        for router in routers:
+            if heard_s >= router.lost_s + LOAD_LAG_S:
+                router.settle_left_over(server.name, hidden)
 
     def _all_accounted(self) -> bool:
         """Return whether every router has told what it has in flight."""
