Recycle known slots at once after loss of a scheduler

Cause: until servers announced their load again, a new scheduler granted nothing beyond what routers ran. Change: what unreported routers run is bounded by the slots that no report explains, from the first reports on.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
@@ -274,7 +274,7 @@
             held.update(router.hold())
         if not self._all_accounted():
             for name, slots in slots_by_server.items():
-                held[name] += self._unknown_by_server.get(name, slots)
+                held[name] += self._bound_unknown(name, slots - self._known_on(name))
         free = {
             name: max(0, slots - held[name]) for name, slots in slots_by_server.items()
         }
@@ -285,17 +285,25 @@
 
         They start nothing any more, so the least that was seen holds.
         """
-        routers = self._router_by_host.values()
-        known = sum(router.in_flight().get(server.name, 0) for router in routers)
-        hidden = max(0, server.busy - known)
+        hidden = max(0, server.busy - self._known_on(server.name))
         heard_s = self._servers.heard_at_s(server.name)
         if heard_s >= self._begun_s + LOAD_LAG_S:
-            least = min(hidden, self._unknown_by_server.get(server.name, hidden))
-            self._unknown_by_server[server.name] = least
-        for router in routers:
+            self._bound_unknown(server.name, hidden)
+        for router in self._router_by_host.values():
             if heard_s >= router.lost_s + LOAD_LAG_S:
                 router.settle_left_over(server.name, hidden)
 
+    def _known_on(self, server: str) -> int:
+        """Return the requests on a server that routers reported."""
+        routers = self._router_by_host.values()
+        return sum(router.in_flight().get(server, 0) for router in routers)
+
+    def _bound_unknown(self, server: str, most: int) -> int:
+        """Return what routers that have not reported run on a server, at most."""
+        before = self._unknown_by_server.get(server, most)
+        self._unknown_by_server[server] = max(0, min(before, most))
+        return self._unknown_by_server[server]
+
     def _all_accounted(self) -> bool:
         """Return whether every router has told what it has in flight."""
         return all(router.accounted for router in self._router_by_host.values())
