--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -119,7 +119,7 @@
 
     :param plan: what to run.
     """
-    loop = looptime.new_event_loop(start=0.0)
+    loop = looptime.new_event_loop(start=0.0, noop_cycles=0)
     asyncio.set_event_loop(loop)
     try:
         return loop.run_until_complete(_measure(plan))
--- a/bench/sharing_fleet.py
+++ b/bench/sharing_fleet.py
@@ -169,6 +169,10 @@
         """Return the hosts that run and can be reached."""
         return [host for host in self._tasks_by_host if host not in self.cut_off]
 
+    def runs(self, host: str) -> bool:
+        """Return whether a host's process runs."""
+        return host in self._tasks_by_host
+
     def isolate(self, host: str) -> None:
         """Cut a host off from the others and from the control group."""
         self.network.isolate(host)
@@ -221,6 +225,17 @@
         for pool in self.tables.pools:
             self._relay(pool.name, (stub.announcement,), 0.0)
 
+    def rejoin(self, server: str) -> None:
+        """Let a server announce itself anew, as after a restart."""
+        stub = self.server_by_name[server]
+        stub.announcement = replace(
+            stub.announcement,
+            incarnation=stub.announcement.incarnation + 1,
+            state=ServerState.SERVING,
+        )
+        for pool in self.tables.pools:
+            self._relay(pool.name, (stub.announcement,), 0.0)
+
     def _relay(self, pool, announcements, age_s) -> None:
         relays = self.live_hosts()
         if not relays:
--- a/bench/sharing_load.py
+++ b/bench/sharing_load.py
@@ -76,6 +76,7 @@
         self._random = random.Random(seed)
         self._tasks: set[asyncio.Task] = set()
         self._number = 0
+        self._sending = True
 
     def keep_busy(
         self, host: str, pool: str, team: str, callers: int, draw: Callable[[], float]
@@ -95,6 +96,8 @@
 
     async def call(self, host: str, pool: str, team: str, cost_s: float) -> bool:
         """Return whether one request was run; it is cut where its host stops."""
+        if not self.fleet.runs(host):
+            return False
         work = asyncio.create_task(self._call(host, pool, team, cost_s))
         calls = self.fleet.calls_by_host.setdefault(host, set())
         calls.add(work)
@@ -135,6 +138,10 @@
                 self._settle(record, "not-run")
         return False
 
+    def stop_sending(self) -> None:
+        """Send nothing more; what waits or runs goes on."""
+        self._sending = False
+
     def stop(self) -> None:
         """Stop all callers."""
         for task in list(self._tasks):
@@ -142,11 +149,14 @@
 
     def all_calls(self) -> list[CallRecord]:
         """Return every call; those that have no answer yet end now."""
-        open_calls = [
+        return self.calls + self.open_calls()
+
+    def open_calls(self) -> list[CallRecord]:
+        """Return the calls that have no answer yet."""
+        return [
             replace(record, total_s=now() - record.sent_s)
             for record in self._waiting_by_id.values()
         ]
-        return self.calls + open_calls
 
     def service(self, pool: str, start_s: float, end_s: float) -> dict[str, float]:
         """Return the slot-seconds of each team in an interval."""
@@ -201,12 +211,12 @@
         self.calls.append(replace(record, total_s=total_s, outcome=outcome))
 
     async def _send_in_turn(self, host, pool, team, draw) -> None:
-        while True:
+        while self._sending:
             if not await self.call(host, pool, team, draw()):
                 await asyncio.sleep(0.5)
 
     async def _send_at_rate(self, team: TeamLoad) -> None:
-        while True:
+        while self._sending:
             await asyncio.sleep(self._random.expovariate(team.rate))
             cost_s = draw_cost_s(team, self._random)
             self.call_soon(self._pick_host(team), team.pool, team.team, cost_s)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
@@ -108,6 +108,7 @@
         self._weight_by_team: dict[str, float] = {}
         self._number_of_waiter = 0
         self._reported_waiting = False
+        self._carried: dict[str, float] = {}
         self._given_back: Counter[str] = Counter()
 
     @property
@@ -191,6 +192,9 @@
         known = last is not None and grant.epoch == self.epoch
         if known and grant.number <= last.number:
             return
+        if grant.epoch > self.epoch:
+            teams = self.queues.teams
+            self._carried = {team: round(self._counter(team), 4) for team in teams}
         before = {} if last is None else {s.name: s.slots for s in last.servers}
         self.epoch = grant.epoch
         self._grant = grant
@@ -226,6 +230,7 @@
             self._changed_service(),
             dict(self.health.failures_by_server),
             self.usage.finished,
+            counter_by_team=dict(self._carried),
             given_back_by_server=dict(+self._given_back),
         )
 
@@ -300,6 +305,7 @@
             self._grant_until_s = float("-inf")
             return
         self._answered = sent
+        self._carried.clear()
         self._grant_until_s = sent.at_s + grant.lifetime_s
 
     def _give_back_idle(self) -> None:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/core.py
@@ -13,7 +13,7 @@
 
 __all__ = ["PoolSchedulers", "PoolSchedulersStats"]
 
-LEASE_CHECK_S = 0.02
+LEASE_CHECK_S = 0.05
 """Time between two looks at the pool leases, in seconds."""
 
 
