Load settings and tables from TOML with every finding at once

Cause: operators drive the system by two tables, and a daemon by its settings; both are typed by hand. What: findings.structure reads plain values into the data classes (cattrs, strict types), load_settings, load_tables, check_tables, dump_tables, difference and read_secret build on it.

--- a/packages/almondfield-core/src/almondfield_core/findings/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/findings/__init__.py
@@ -1,5 +1,15 @@
 """Findings: problems collected with their place and reported together."""
 
 from almondfield_core.findings.core import AlmondfieldError, Finding, FindingsError
+from almondfield_core.findings.structuring import StructuringError, show, structure
+from almondfield_core.findings.toml import read_toml
 
-__all__ = ["AlmondfieldError", "Finding", "FindingsError"]
+__all__ = [
+    "AlmondfieldError",
+    "Finding",
+    "FindingsError",
+    "StructuringError",
+    "read_toml",
+    "show",
+    "structure",
+]
--- a/packages/almondfield-core/src/almondfield_core/settings/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings of one daemon."""
 
+from almondfield_core.settings.checking import check_settings
 from almondfield_core.settings.core import (
     DaemonSettings,
     HostSettings,
@@ -8,6 +9,8 @@
     SharingPolicy,
     TimingSettings,
 )
+from almondfield_core.settings.loading import load_settings
+from almondfield_core.settings.secrets import read_secret
 
 __all__ = [
     "DaemonSettings",
@@ -16,4 +19,7 @@
     "SecuritySettings",
     "SharingPolicy",
     "TimingSettings",
+    "check_settings",
+    "load_settings",
+    "read_secret",
 ]
--- a/packages/almondfield-core/src/almondfield_core/tables/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/tables/__init__.py
@@ -1,5 +1,6 @@
 """The two tables that operators edit: pools and routes."""
 
+from almondfield_core.tables.checking import check_tables
 from almondfield_core.tables.core import (
     Pool,
     PoolKind,
@@ -9,6 +10,8 @@
     Timeouts,
     hash_key,
 )
+from almondfield_core.tables.difference import difference
+from almondfield_core.tables.loading import dump_tables, load_tables
 
 __all__ = [
     "Pool",
@@ -17,5 +20,9 @@
     "Selector",
     "Tables",
     "Timeouts",
+    "check_tables",
+    "difference",
+    "dump_tables",
     "hash_key",
+    "load_tables",
 ]
--- /dev/null
+++ b/packages/almondfield-core/src/almondfield_core/tables/checking.py
@@ -0,0 +1,204 @@
+"""Checks the rows of the tables, alone and beside each other."""
+
+import re
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator, Sequence
+
+from almondfield_core.findings import Finding, show
+from almondfield_core.tables.core import Pool, Route, Timeouts
+
+__all__ = ["check_tables"]
+
+MAX_POOLS = 10_000
+MAX_ROUTES = 100_000
+MAX_KEYS_PER_ROUTE = 64
+MAX_NAME_LENGTH = 128
+MAX_PREFIX_LENGTH = 1024
+MIN_WEIGHT = 0.001
+MAX_WEIGHT = 1_000_000.0
+MAX_SERVERS = 100_000
+MAX_SLOTS = 100_000
+MAX_QUEUE_LIMIT = 1_000_000
+MAX_TIMEOUT_S = 86_400.0
+MAX_COST_S = 86_400.0
+
+METHOD = re.compile(r"[A-Z][A-Z-]{0,31}")
+KEY_HASH = re.compile(r"[0-9a-f]{64}")
+PATH_PREFIX = re.compile(r"/[!-~]*")
+
+
+def check_tables(pools: Sequence[Pool], routes: Sequence[Route]) -> tuple[Finding, ...]:
+    """Return everything that is wrong with the rows, in the order of the rows.
+
+    :param pools: rows of the pools table.
+    :param routes: rows of the routes table.
+    """
+    oversize = tuple(_check_row_counts(pools, routes))
+    if oversize:
+        return oversize
+    findings: list[Finding] = []
+    for index, pool in enumerate(pools):
+        findings += _check_pool(f"pools[{index}]", pool)
+    findings += _find_repeated_pools(pools)
+    pool_names = {pool.name for pool in pools}
+    for index, route in enumerate(routes):
+        findings += _check_route(f"routes[{index}]", route, pool_names)
+    findings += _find_repeated_routes(routes)
+    findings += _find_shared_keys(routes)
+    findings += _find_differing_weights(routes)
+    return tuple(findings)
+
+
+def _check_row_counts(
+    pools: Sequence[Pool], routes: Sequence[Route]
+) -> Iterator[Finding]:
+    if len(pools) > MAX_POOLS:
+        yield Finding("pools", f"has {len(pools)} rows", f"at most {MAX_POOLS}")
+    if len(routes) > MAX_ROUTES:
+        yield Finding("routes", f"has {len(routes)} rows", f"at most {MAX_ROUTES}")
+
+
+def _check_pool(path: str, pool: Pool) -> Iterator[Finding]:
+    yield from _check_name(f"{path}.name", pool.name)
+    yield from _check_range(
+        f"{path}.wanted_servers", pool.wanted_servers, 0, MAX_SERVERS
+    )
+    yield from _check_range(
+        f"{path}.max_slots_per_server", pool.max_slots_per_server, 0, MAX_SLOTS
+    )
+    yield from _check_duration(f"{path}.typical_cost", pool.typical_cost, MAX_COST_S)
+    yield from _check_timeouts(f"{path}.timeouts", pool.timeouts)
+    selects = pool.selects
+    if pool.wanted_servers and not selects.model:
+        problem = f"is {pool.wanted_servers}, but selects.model is empty"
+        yield Finding(f"{path}.wanted_servers", problem, "0, or name the model")
+    if selects.version and not selects.model:
+        problem = f"is {show(selects.version)}, but selects.model is empty"
+        yield Finding(f"{path}.selects.version", problem, "name the model too")
+    names = (selects.model, selects.version, *selects.adapters)
+    labels = (*selects.label_by_name.keys(), *selects.label_by_name.values())
+    for name in (*names, *labels):
+        if name:
+            yield from _check_name(f"{path}.selects", name)
+
+
+def _check_timeouts(path: str, timeouts: Timeouts) -> Iterator[Finding]:
+    for item in ("connect_s", "first_byte_s", "chunk_s"):
+        yield from _check_duration(
+            f"{path}.{item}", getattr(timeouts, item), MAX_TIMEOUT_S
+        )
+
+
+def _check_route(path: str, route: Route, pool_names: set[str]) -> Iterator[Finding]:
+    yield from _check_name(f"{path}.team", route.team)
+    if route.pool not in pool_names:
+        problem = f"no pool {show(route.pool)}"
+        yield Finding(f"{path}.pool", problem, "the name of a row of pools")
+    if len(route.path_prefix) > MAX_PREFIX_LENGTH or not PATH_PREFIX.fullmatch(
+        route.path_prefix
+    ):
+        allowed = f"/ and then up to {MAX_PREFIX_LENGTH - 1} printable characters"
+        yield Finding(f"{path}.path_prefix", f"is {show(route.path_prefix)}", allowed)
+    yield from _check_range(f"{path}.weight", route.weight, MIN_WEIGHT, MAX_WEIGHT)
+    yield from _check_range(
+        f"{path}.queue_limit", route.queue_limit, 1, MAX_QUEUE_LIMIT
+    )
+    yield from _check_duration(
+        f"{path}.queue_deadline_s", route.queue_deadline_s, MAX_TIMEOUT_S
+    )
+    yield from _check_keys(f"{path}.key_hashes", route.key_hashes)
+    for index, method in enumerate(route.idempotent_methods):
+        if not METHOD.fullmatch(method):
+            place = f"{path}.idempotent_methods[{index}]"
+            yield Finding(place, f"is {show(method)}", "an HTTP method in capitals")
+
+
+def _check_keys(path: str, key_hashes: tuple[str, ...]) -> Iterator[Finding]:
+    if len(key_hashes) > MAX_KEYS_PER_ROUTE:
+        problem = f"has {len(key_hashes)} hashes"
+        yield Finding(path, problem, f"at most {MAX_KEYS_PER_ROUTE}")
+    for index, key_hash in enumerate(key_hashes):
+        if not KEY_HASH.fullmatch(key_hash):
+            place = f"{path}[{index}]"
+            yield Finding(
+                place,
+                f"is {show(key_hash)}",
+                "a SHA-256 of 64 lower-case hexadecimal digits",
+            )
+
+
+def _check_name(path: str, name: str) -> Iterator[Finding]:
+    fits = 1 <= len(name) <= MAX_NAME_LENGTH
+    if not fits or not name.isprintable() or name != name.strip():
+        allowed = f"1 to {MAX_NAME_LENGTH} printable characters, no space at either end"
+        yield Finding(path, f"is {show(name)}", allowed)
+
+
+def _check_range(
+    path: str, value: float, least: float, most: float
+) -> Iterator[Finding]:
+    if not least <= value <= most:
+        yield Finding(path, f"is {value}", f"{least:g} to {most:.0f}")
+
+
+def _check_duration(path: str, value: float, most_s: float) -> Iterator[Finding]:
+    if not 0 < value <= most_s:
+        yield Finding(path, f"is {value}", f"above 0, at most {most_s:.0f} s")
+
+
+def _find_repeated_pools(pools: Sequence[Pool]) -> Iterator[Finding]:
+    for name, indexes in _group(pools, lambda pool: pool.name):
+        for index in indexes[1:]:
+            problem = f"{show(name)} is also the name of pools[{indexes[0]}]"
+            yield Finding(f"pools[{index}].name", problem, "a name of its own")
+
+
+def _find_repeated_routes(routes: Sequence[Route]) -> Iterator[Finding]:
+    groups = _group(routes, lambda route: (route.team, route.path_prefix))
+    for (team, path_prefix), indexes in groups:
+        for index in indexes[1:]:
+            problem = (
+                f"team {show(team)} has {show(path_prefix)} "
+                f"in routes[{indexes[0]}] already"
+            )
+            yield Finding(f"routes[{index}]", problem, "one route per team and prefix")
+
+
+def _find_shared_keys(routes: Sequence[Route]) -> Iterator[Finding]:
+    first_by_hash: dict[str, tuple[int, str]] = {}
+    for index, route in enumerate(routes):
+        for key_hash in route.key_hashes:
+            first, team = first_by_hash.setdefault(key_hash, (index, route.team))
+            if team != route.team:
+                problem = (
+                    f"{show(key_hash[:12])}... is a key of team {show(team)} "
+                    f"in routes[{first}]"
+                )
+                yield Finding(
+                    f"routes[{index}].key_hashes", problem, "a key of one team only"
+                )
+
+
+def _find_differing_weights(routes: Sequence[Route]) -> Iterator[Finding]:
+    for (team, pool), indexes in _group(routes, lambda row: (row.team, row.pool)):
+        first = routes[indexes[0]].weight
+        for index in indexes[1:]:
+            weight = routes[index].weight
+            if weight != first:
+                problem = (
+                    f"is {weight}, but team {show(team)} has weight {first} "
+                    f"in pool {show(pool)} by routes[{indexes[0]}]"
+                )
+                yield Finding(
+                    f"routes[{index}].weight", problem, "one weight per team and pool"
+                )
+
+
+def _group(
+    rows: Iterable[Pool | Route], key: Callable[[Pool | Route], object]
+) -> list[tuple[object, list[int]]]:
+    """Return the indexes of the rows with the same key, for each key."""
+    indexes_by_key: defaultdict[object, list[int]] = defaultdict(list)
+    for index, row in enumerate(rows):
+        indexes_by_key[key(row)].append(index)
+    return list(indexes_by_key.items())
--- /dev/null
+++ b/packages/almondfield-core/src/almondfield_core/tables/loading.py
@@ -0,0 +1,91 @@
+"""Reads tables from TOML files and plain values, and writes them to TOML."""
+
+import dataclasses
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+import tomlkit
+from result import Err, Ok, Result
+
+from almondfield_core.findings import Finding, read_toml, structure
+from almondfield_core.tables.checking import check_tables
+from almondfield_core.tables.core import Tables
+
+__all__ = ["dump_tables", "load_tables"]
+
+MAX_TABLES_BYTES = 16 * 1024 * 1024
+
+
+def load_tables(path: str | Path) -> Result[Tables, tuple[Finding, ...]]:
+    """Return the tables in a TOML file, or everything that is wrong with them.
+
+    The revision is the one that the file names, as an export does, or 0.
+
+    :param path: the file.
+    """
+    match read_toml(Path(path), MAX_TABLES_BYTES):
+        case Ok(values):
+            pass
+        case Err(finding):
+            return Err((finding,))
+    read = structure(values, Tables, str(path))
+    if isinstance(read, Err):
+        return read
+    tables = read.ok_value
+    findings = list(check_tables(tables.pools, tables.routes))
+    if tables.revision < 0:
+        findings.append(Finding("revision", f"is {tables.revision}", "0 or more"))
+    if findings:
+        return Err(
+            tuple(
+                dataclasses.replace(finding, place=f"{path}: {finding.place}")
+                for finding in findings
+            )
+        )
+    return read
+
+
+def dump_tables(tables: Tables) -> str:
+    """Return tables as TOML that :func:`load_tables` reads back.
+
+    Items that have their default value are left out.
+
+    :param tables: the tables.
+    """
+    document = tomlkit.document()
+    document.add("revision", tables.revision)
+    for name in ("pools", "routes"):
+        rows = tomlkit.aot()
+        for row in getattr(tables, name):
+            rows.append(tomlkit.item(_unstructure(row)))
+        if rows:
+            document.add(name, rows)
+    return tomlkit.dumps(document)
+
+
+def _unstructure(row: Any) -> dict[str, Any]:
+    """Return the items of a row that differ from their defaults."""
+    values = {}
+    for item in dataclasses.fields(row):
+        value = getattr(row, item.name)
+        if value != _default_of(item):
+            values[item.name] = _to_plain(value)
+    return values
+
+
+def _default_of(item: dataclasses.Field) -> Any:
+    if item.default_factory is not dataclasses.MISSING:
+        return item.default_factory()
+    return item.default
+
+
+def _to_plain(value: Any) -> Any:
+    match value:
+        case Enum():
+            return value.value
+        case tuple():
+            return list(value)
+    if dataclasses.is_dataclass(value):
+        return _unstructure(value)
+    return value
