Name the allowed values where an enumerated item is wrong

Cause: cattrs took StrEnum for str and hid the allowed values. What: a hook for StrEnum. Conclusion: a wrong kind is reported with the kinds that there are.

--- a/packages/almondfield-core/src/almondfield_core/findings/structuring.py
+++ b/packages/almondfield-core/src/almondfield_core/findings/structuring.py
@@ -3,12 +3,9 @@
 import dataclasses
 import difflib
 import math
-import operator
-import types
 import typing
 from collections.abc import Callable, Mapping
-from enum import Enum
-from functools import partial
+from enum import StrEnum
 from typing import Any, TypeVar
 
 import cattrs
@@ -144,7 +141,7 @@
     return value
 
 
-def _read_enum(value: Any, wanted: type[Enum]) -> Enum:
+def _read_enum(value: Any, wanted: type[StrEnum]) -> StrEnum:
     allowed = ", ".join(str(member.value) for member in wanted)
     if not isinstance(value, str):
         raise StructuringError(f"is {show(value)}", allowed)
@@ -205,11 +202,11 @@
 
 def _make_converter() -> cattrs.Converter:
     converter = cattrs.Converter(detailed_validation=True, forbid_extra_keys=True)
-    readers = {str: _read_text, bool: _read_flag, int: _read_integer}
-    for plain, reader in {**readers, float: _read_number}.items():
-        # By identity, since a hook registered by type also takes its subclasses.
-        converter.register_structure_hook_func(partial(operator.is_, plain), reader)
-    converter.register_structure_hook_func(_is_enum, _read_enum)
+    converter.register_structure_hook(str, _read_text)
+    converter.register_structure_hook(bool, _read_flag)
+    converter.register_structure_hook(int, _read_integer)
+    converter.register_structure_hook(float, _read_number)
+    converter.register_structure_hook(StrEnum, _read_enum)
     converter.register_structure_hook_factory(
         dataclasses.is_dataclass, lambda wanted: _make_mapping_reader(wanted, converter)
     )
@@ -222,12 +219,4 @@
     return converter
 
 
-def _is_enum(wanted: Any) -> bool:
-    return (
-        isinstance(wanted, type)
-        and not isinstance(wanted, types.GenericAlias)
-        and issubclass(wanted, Enum)
-    )
-
-
 _CONVERTER = _make_converter()
