--- a/packages/almondfield-core/src/almondfield_core/messages/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/messages/__init__.py
@@ -19,6 +19,13 @@
     TableChange,
     VoterStatus,
 )
+from almondfield_core.messages.operators import (
+    DrainRequest,
+    DrainStarted,
+    InForce,
+    OperatorError,
+    VoterChange,
+)
 from almondfield_core.messages.servers import (
     AnnouncementRelay,
     ServerAnnouncement,
@@ -50,10 +57,14 @@
     "ClaimRunning",
     "ControlUnavailable",
     "DemandReport",
+    "DrainRequest",
+    "DrainStarted",
     "FleetStatus",
     "InFlight",
+    "InForce",
     "NotRun",
     "NotRunReason",
+    "OperatorError",
     "PoolLease",
     "ServerAnnouncement",
     "ServerFailure",
@@ -63,5 +74,6 @@
     "SlotRequest",
     "StoredAnswer",
     "TableChange",
+    "VoterChange",
     "VoterStatus",
 ]
--- /dev/null
+++ b/packages/almondfield-core/src/almondfield_core/messages/operators.py
@@ -0,0 +1,59 @@
+"""Bodies of the operator interface beside the outcomes of changes."""
+
+from dataclasses import dataclass
+
+from almondfield_core.findings import Finding
+
+__all__ = ["DrainRequest", "DrainStarted", "InForce", "OperatorError", "VoterChange"]
+
+
+@dataclass(frozen=True)
+class InForce:
+    """Whether a revision is in force at every host that may serve.
+
+    :ivar revision: the revision that was asked for.
+    :ivar in_force: whether it came in force within the time waited.
+    """
+
+    revision: int
+    in_force: bool
+
+
+@dataclass(frozen=True)
+class DrainRequest:
+    """Asks a host to finish what it runs and stop.
+
+    :ivar host: name of the host; must be the one that is asked.
+    """
+
+    host: str
+
+
+@dataclass(frozen=True)
+class DrainStarted:
+    """The host takes no new work and stops once it has finished.
+
+    :ivar host: name of the host.
+    """
+
+    host: str
+
+
+@dataclass(frozen=True)
+class VoterChange:
+    """Asks for a member of the control group to be admitted or removed.
+
+    :ivar voter_id: random number in the voter's data folder, in hexadecimal.
+    """
+
+    voter_id: str
+
+
+@dataclass(frozen=True)
+class OperatorError:
+    """A request that was refused and had no effect.
+
+    :ivar findings: everything that is wrong with the request.
+    """
+
+    findings: tuple[Finding, ...]
