Add the operator interface, the command line and metrics

Cause: operators drive the system only by editing two tables. What: the HTTP interface for operators behind a token, the binary almondfield with check, plan, apply, status, history, export, addresses, drain, settings and key, and metrics made from the stats() of each part.

--- /dev/null
+++ b/packages/almondfield-cli/src/almondfield_cli/changing.py
@@ -0,0 +1,163 @@
+"""Commands that compare and change the tables."""
+
+import uuid
+from pathlib import Path
+from typing import Annotated
+
+from almondfield_core.clock import now
+from almondfield_core.messages import ChangeAccepted, InForce, TableChange
+from almondfield_core.tables import Tables, difference, load_tables
+from cyclopts import Parameter
+from result import Err, Ok
+
+from almondfield_cli.client import ClientFailure, OperatorClient, UnknownOutcome
+from almondfield_cli.exits import ExitCode
+from almondfield_cli.options import (
+    DEFAULT_CONNECTION,
+    TEXT_FORM,
+    Connection,
+    Form,
+    author_name,
+)
+from almondfield_cli.output import Printer, exit_code_of
+
+__all__ = ["apply", "check", "plan"]
+
+DEFAULT_WAIT_S = 30.0
+
+
+def check(tables_file: Path, /, *, form: Form = TEXT_FORM) -> ExitCode:
+    """Check a tables file without sending it anywhere.
+
+    :param tables_file: TOML file with the tables.
+    """
+    match load_tables(tables_file):
+        case Ok(tables):
+            counts = f"{len(tables.pools)} pools, {len(tables.routes)} routes"
+            return form.printer.show(
+                {"pools": len(tables.pools), "routes": len(tables.routes)},
+                f"{tables_file}: {counts}, no findings",
+            )
+        case Err(findings):
+            return form.printer.fail(findings)
+
+
+async def plan(
+    tables_file: Path, /, *, connection: Connection = DEFAULT_CONNECTION
+) -> ExitCode:
+    """Print what a tables file would change.
+
+    :param tables_file: TOML file with the tables.
+    """
+    printer = connection.printer
+    wanted = load_tables(tables_file)
+    client = connection.connect()
+    if isinstance(wanted, Err) or isinstance(client, Err):
+        return _fail_both(printer, wanted, client)
+    current = await client.ok_value.tables()
+    if isinstance(current, Err):
+        return printer.fail(current.err_value)
+    tables = current.ok_value
+    lines = difference(tables, wanted.ok_value)
+    heading = f"against revision {tables.revision}"
+    body = "\n".join(lines) or "no difference"
+    return printer.show(
+        {"revision": tables.revision, "difference": lines}, f"{heading}\n{body}"
+    )
+
+
+async def apply(
+    tables_file: Path,
+    /,
+    *,
+    expect_revision: int | None = None,
+    change_id: str | None = None,
+    author: str | None = None,
+    wait: Annotated[bool, Parameter(negative="--no-wait")] = True,
+    wait_seconds: float = DEFAULT_WAIT_S,
+    connection: Connection = DEFAULT_CONNECTION,
+) -> ExitCode:
+    """Change the tables to what a file holds.
+
+    Sending the same file with the same change id again is safe: it is accepted
+    once, and later answers repeat the first.
+
+    :param tables_file: TOML file with the tables.
+    :param expect_revision: revision that the change was made against; else the one
+        that the file names, else the one in force.
+    :param change_id: identifier of the change; a random one by default.
+    :param author: who asks for the change; the user by default.
+    :param wait: whether to wait until the change is in force everywhere.
+    :param wait_seconds: seconds to wait, at most.
+    """
+    printer = connection.printer
+    wanted = load_tables(tables_file)
+    connected = connection.connect()
+    if isinstance(wanted, Err) or isinstance(connected, Err):
+        return _fail_both(printer, wanted, connected)
+    client = connected.ok_value
+    tables = wanted.ok_value
+    revision = await _expected_revision(client, tables, expect_revision)
+    if isinstance(revision, Err):
+        return printer.fail(revision.err_value)
+    change = TableChange(
+        change_id=change_id or str(uuid.uuid4()),
+        author=author or author_name(),
+        expect_revision=revision.ok_value,
+        pools=tables.pools,
+        routes=tables.routes,
+    )
+    outcome = await client.apply(change)
+    if isinstance(outcome, Err):
+        return _fail_change(printer, change, outcome.err_value)
+    accepted = outcome.ok_value
+    printer.show(accepted)
+    if not wait or accepted.in_force:
+        return ExitCode.DONE
+    return await _wait_in_force(client, printer, accepted, wait_seconds)
+
+
+async def _expected_revision(client: OperatorClient, tables: Tables, asked: int | None):
+    """Return the revision that a change is made against."""
+    if asked is not None:
+        return Ok(asked)
+    if tables.revision:
+        return Ok(tables.revision)
+    return (await client.tables()).map(lambda current: current.revision)
+
+
+def _fail_change(
+    printer: Printer, change: TableChange, failure: ClientFailure
+) -> ExitCode:
+    """Print why a change failed, and how to send it again where that may help."""
+    if exit_code_of(failure) is not ExitCode.UNAVAILABLE:
+        return printer.fail(failure)
+    return printer.fail(
+        UnknownOutcome(change.change_id, change.expect_revision, failure)
+    )
+
+
+async def _wait_in_force(
+    client: OperatorClient, printer: Printer, accepted: ChangeAccepted, wait_s: float
+) -> ExitCode:
+    """Print and return whether a change came in force in time."""
+    deadline = now() + wait_s
+    while (left_s := deadline - now()) > 0:
+        match await client.wait_in_force(accepted.revision, left_s):
+            case Ok(InForce(in_force=True) as in_force):
+                return printer.show(in_force)
+            case Err(failure):
+                printer.fail(failure)
+                return ExitCode.NOT_IN_FORCE
+    return printer.fail(InForce(accepted.revision, False))
+
+
+def _fail_both(printer: Printer, *outcomes) -> ExitCode:
+    """Print the findings of every outcome that failed."""
+    findings = [
+        finding
+        for outcome in outcomes
+        if isinstance(outcome, Err)
+        for finding in outcome.err_value
+    ]
+    return printer.fail(tuple(findings))
--- /dev/null
+++ b/packages/almondfield-cli/src/almondfield_cli/exits.py
@@ -0,0 +1,28 @@
+"""Exit codes of the command line."""
+
+from enum import IntEnum
+
+__all__ = ["ExitCode"]
+
+
+class ExitCode(IntEnum):
+    """How a command ended.
+
+    :cvar DONE: it did what was asked.
+    :cvar FAILED: the system refused it for a reason without a code of its own.
+    :cvar USAGE: the command line is wrong; nothing was sent.
+    :cvar CONFLICT: another change was accepted under the expected revision.
+    :cvar FINDINGS: a file or the tables are wrong.
+    :cvar UNAVAILABLE: no host could answer; the change may or may not be accepted.
+    :cvar NOT_IN_FORCE: the change is accepted but not yet in force everywhere.
+    :cvar NOT_ALLOWED: the token is wrong or cannot be read.
+    """
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    CONFLICT = 3
+    FINDINGS = 4
+    UNAVAILABLE = 5
+    NOT_IN_FORCE = 6
+    NOT_ALLOWED = 7
--- /dev/null
+++ b/packages/almondfield-cli/src/almondfield_cli/main.py
@@ -0,0 +1,56 @@
+"""The binary ``almondfield``."""
+
+import asyncio
+import sys
+from collections.abc import Sequence
+
+from cyclopts import App, CycloptsError
+
+from almondfield_cli.changing import apply, check, plan
+from almondfield_cli.exits import ExitCode
+from almondfield_cli.offline import key, settings
+from almondfield_cli.reading import addresses, drain, export, history, status
+
+__all__ = ["build_app", "main", "run_command"]
+
+COMMANDS = (
+    check,
+    plan,
+    apply,
+    status,
+    history,
+    export,
+    addresses,
+    drain,
+    settings,
+    key,
+)
+
+
+def build_app() -> App:
+    """Return the command line with all commands."""
+    app = App(
+        name="almondfield",
+        help="Operate a fleet of almondfield routers.",
+        result_action="return_value",
+    )
+    for command in COMMANDS:
+        app.command(command)
+    return app
+
+
+async def run_command(arguments: Sequence[str]) -> ExitCode:
+    """Return the exit code of one command.
+
+    :param arguments: arguments after the name of the binary.
+    """
+    try:
+        outcome = await build_app().run_async(list(arguments), exit_on_error=False)
+    except CycloptsError:
+        return ExitCode.USAGE
+    return outcome if isinstance(outcome, ExitCode) else ExitCode.DONE
+
+
+def main() -> None:
+    """Run the command that the process was started with, and exit."""
+    sys.exit(asyncio.run(run_command(sys.argv[1:])))
--- /dev/null
+++ b/packages/almondfield-cli/src/almondfield_cli/options.py
@@ -0,0 +1,96 @@
+"""Options that several commands share."""
+
+import getpass
+import re
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+from almondfield_core.findings import Finding, show
+from almondfield_core.settings import read_secret
+from cyclopts import Parameter
+from result import Err, Ok, Result
+
+from almondfield_cli.client import OperatorClient
+from almondfield_cli.output import Output, Printer
+from almondfield_cli.transport import AiosonicTransport
+
+__all__ = [
+    "DEFAULT_CONNECTION",
+    "TEXT_FORM",
+    "Connection",
+    "Form",
+    "author_name",
+]
+
+DEFAULT_HOST = "127.0.0.1:8081"
+DEFAULT_TIMEOUT_S = 5.0
+ENDPOINT = re.compile(r"(\[[0-9A-Fa-f:.]+\]|[0-9A-Za-z.-]+):([0-9]{1,5})")
+
+
+@Parameter(name="*")
+@dataclass(frozen=True)
+class Form:
+    """Form of the output."""
+
+    output: Annotated[Output, Parameter(help="Form of the output.")] = Output.TEXT
+
+    @property
+    def printer(self) -> Printer:
+        """Return the printer for this form."""
+        return Printer(self.output)
+
+
+@Parameter(name="*")
+@dataclass(frozen=True)
+class Connection(Form):
+    """Which hosts to ask, and how."""
+
+    host: Annotated[
+        tuple[str, ...],
+        Parameter(
+            help="ADDRESS:PORT of an operator interface; may be repeated, and the "
+            "next one is tried when one is silent or reaches no quorum.",
+            negative=(),
+        ),
+    ] = (DEFAULT_HOST,)
+    token_file: Annotated[
+        Path | None, Parameter(help="File with the operators' token.")
+    ] = None
+    timeout: Annotated[
+        float, Parameter(help="Seconds to wait for the answer of one host.")
+    ] = DEFAULT_TIMEOUT_S
+
+    def connect(self) -> Result[OperatorClient, tuple[Finding, ...]]:
+        """Return the client, or everything that is wrong with the options."""
+        findings = [
+            Finding("--host", f"is {show(host)}", "ADDRESS:PORT")
+            for host in self.host
+            if not ENDPOINT.fullmatch(host)
+        ]
+        if not 0 < self.timeout < 3600:
+            findings.append(Finding("--timeout", f"is {self.timeout}", "above 0"))
+        token = self._read_token()
+        if isinstance(token, Err):
+            findings.append(token.err_value)
+        if findings:
+            return Err(tuple(findings))
+        transport = AiosonicTransport(token.unwrap())
+        return Ok(OperatorClient(transport, self.host, self.timeout))
+
+    def _read_token(self) -> Result[str, Finding]:
+        if self.token_file is None:
+            return Err(Finding("--token-file", "is missing", "the name of a file"))
+        return read_secret(self.token_file)
+
+
+TEXT_FORM = Form()
+DEFAULT_CONNECTION = Connection()
+
+
+def author_name() -> str:
+    """Return the name of the user who runs the command."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
--- /dev/null
+++ b/packages/almondfield-cli/src/almondfield_cli/output.py
@@ -0,0 +1,178 @@
+"""Prints results for people and for programs."""
+
+import sys
+from collections.abc import Iterable
+from datetime import UTC, datetime
+from enum import StrEnum
+from typing import Any
+
+import msgspec
+from almondfield_core.findings import Finding
+from almondfield_core.messages import (
+    AuditRecord,
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeRefused,
+    ControlUnavailable,
+    DrainStarted,
+    FleetStatus,
+    InForce,
+    OperatorError,
+)
+
+from almondfield_cli.client import NotAllowed, Silent, Unexpected, UnknownOutcome
+from almondfield_cli.exits import ExitCode
+
+__all__ = ["Output", "Printer", "exit_code_of"]
+
+
+class Output(StrEnum):
+    """Form of the output."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class Printer:
+    """Prints results to standard output and failures to standard error.
+
+    :param output: form of both.
+    """
+
+    def __init__(self, output: Output) -> None:
+        self._output = output
+
+    def show(self, result: Any, text: str | None = None) -> ExitCode:
+        """Print a result and return the exit code for success.
+
+        :param result: data class or plain value.
+        :param text: its text, where :func:`describe` knows none.
+        """
+        shown = describe(result) if text is None else text
+        self._print(result, shown, sys.stdout)
+        return ExitCode.DONE
+
+    def fail(self, failure: Any) -> ExitCode:
+        """Print a failure and return its exit code.
+
+        :param failure: a client failure, or findings.
+        """
+        body = {"findings": failure} if isinstance(failure, tuple) else failure
+        self._print(body, describe(failure), sys.stderr)
+        return exit_code_of(failure)
+
+    def _print(self, result: Any, text: str, stream: Any) -> None:
+        if self._output is Output.JSON:
+            text = msgspec.json.encode(result).decode()
+        print(text.rstrip("\n"), file=stream, flush=True)
+
+
+def exit_code_of(failure: Any) -> ExitCode:
+    """Return the exit code of a failure.
+
+    :param failure: a client failure, or findings.
+    """
+    match failure:
+        case ChangeConflict():
+            return ExitCode.CONFLICT
+        case ChangeRefused() | OperatorError() | tuple():
+            return ExitCode.FINDINGS
+        case Silent() | ControlUnavailable() | UnknownOutcome():
+            return ExitCode.UNAVAILABLE
+        case InForce():
+            return ExitCode.NOT_IN_FORCE
+        case NotAllowed():
+            return ExitCode.NOT_ALLOWED
+        case _:
+            return ExitCode.FAILED
+
+
+def describe(value: Any) -> str:
+    """Return a result or failure as text.
+
+    :param value: the result or failure.
+    """
+    match value:
+        case ChangeAccepted():
+            state = ", in force" if value.in_force else ""
+            return (
+                f"change {value.change_id} accepted at revision {value.revision}{state}"
+            )
+        case InForce(in_force=True):
+            return f"revision {value.revision} in force"
+        case InForce():
+            return f"revision {value.revision} is accepted but not yet in force"
+        case ChangeConflict():
+            return _describe_conflict(value)
+        case ChangeRefused() | OperatorError():
+            return describe(value.findings)
+        case ControlUnavailable():
+            return f"no quorum: {value.reason}"
+        case Silent():
+            lines = [f"{one.host}: {one.reason}" for one in value.attempts]
+            return "\n".join([*lines, "no host could answer"])
+        case UnknownOutcome():
+            return _describe_unknown(value)
+        case NotAllowed():
+            return f"{value.host}: the token is not valid"
+        case Unexpected():
+            return f"{value.host}: HTTP status {value.status}: {value.reason}"
+        case FleetStatus():
+            return "\n".join(_describe_status(value))
+        case DrainStarted():
+            return f"{value.host} finishes what it runs and stops"
+        case AuditRecord():
+            return "\n".join(_describe_record(value))
+        case Finding() | str():
+            return str(value)
+        case tuple() | list():
+            return "\n".join(describe(item) for item in value)
+        case _:
+            return msgspec.json.format(msgspec.json.encode(value)).decode()
+
+
+def _describe_unknown(unknown: UnknownOutcome) -> str:
+    match unknown.failure:
+        case ControlUnavailable(certainly_not_done=True):
+            effect = "the change was not accepted"
+        case _:
+            effect = "the change may have been accepted"
+    return (
+        f"{describe(unknown.failure)}\n{effect}; to send it again, add "
+        f"--change-id {unknown.change_id} --expect-revision {unknown.expect_revision}"
+    )
+
+
+def _describe_conflict(conflict: ChangeConflict) -> str:
+    winner = conflict.winner_change_id or "another change"
+    author = f" by {conflict.winner_author}" if conflict.winner_author else ""
+    return (
+        f"change {conflict.change_id} conflicts with {winner}{author}; "
+        f"the tables are at revision {conflict.revision}"
+    )
+
+
+def _describe_status(status: FleetStatus) -> Iterable[str]:
+    leader = status.leader or "none"
+    yield f"leader    {leader} (term {status.term})"
+    state = "in force" if status.in_force else "not yet in force"
+    yield f"revision  {status.revision} ({state})"
+    yield f"voters    {status.losses_tolerated} more may be lost"
+    for voter in status.voters:
+        reach = "reachable" if voter.reachable else "NOT REACHABLE"
+        yield (
+            f"  {voter.host}  {voter.role}  {reach}  entry {voter.match_index}  "
+            f"id {voter.voter_id}"
+        )
+    yield f"hosts     {' '.join(status.hosts) or 'none'}"
+    for lease in status.pool_leases:
+        yield f"pool      {lease.pool} scheduled by {lease.host} (epoch {lease.epoch})"
+    for finding in status.findings:
+        yield f"finding   {finding}"
+
+
+def _describe_record(record: AuditRecord) -> Iterable[str]:
+    when = datetime.fromtimestamp(record.unix_s, UTC).isoformat(timespec="seconds")
+    yield f"{record.revision}  {when}  {record.author}  {record.change_id}"
+    for line in record.difference:
+        yield f"    {line}"
--- /dev/null
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
@@ -0,0 +1,104 @@
+Feature: The operator command line
+
+  Scenario: A change is applied, waited for and listed
+    Given hosts "a" that answer
+    When the command "apply tables.toml --change-id c1 --author ann" runs
+    Then it ends with DONE and prints
+      """
+      change c1 accepted at revision 1
+      revision 1 in force
+      """
+    When the command "history" runs
+    Then it ends with DONE and prints "1  1970-01-01T00:00:00+00:00  ann  c1"
+    When the command "export" runs
+    Then it ends with DONE and prints "revision = 1"
+
+  Scenario: The next host is tried when the first is silent or has no quorum
+    Given hosts "a b c" that answer
+    And host "a" is silent
+    And host "b" reaches no quorum
+    When the command "apply tables.toml --change-id c1 --expect-revision 0" runs
+    Then it ends with DONE and prints "change c1 accepted at revision 1"
+
+  Scenario: A change whose answer was lost is accepted once when sent again
+    Given hosts "a" that answer
+    And host "a" loses its answers
+    When the command "apply tables.toml --change-id c1 --expect-revision 0" runs
+    Then it ends with UNAVAILABLE and complains "--change-id c1 --expect-revision 0"
+    Given host "a" answers again
+    When the command "apply tables.toml --change-id c1 --expect-revision 0" runs
+    Then it ends with DONE and prints "change c1 accepted at revision 1"
+    And the tables are at revision 1
+
+  Scenario: A conflict names the winner
+    Given hosts "a" that answer
+    When the command "apply tables.toml --change-id c1 --author ann" runs
+    And the command "apply tables.toml --change-id c2 --expect-revision 0" runs
+    Then it ends with CONFLICT and complains "c2 conflicts with c1 by ann"
+
+  Scenario: A change that does not come in force in time is told apart
+    Given hosts "a" that answer
+    And changes do not come in force
+    When the command "apply tables.toml --change-id c1" runs
+    Then it ends with NOT_IN_FORCE and complains "accepted but not yet in force"
+    When the command "apply tables.toml --change-id c1 --no-wait" runs
+    Then it ends with DONE and prints "change c1 accepted at revision 1"
+
+  Scenario: An exported file whose revision has passed is a conflict
+    Given hosts "a" that answer
+    When the command "apply tables.toml --change-id c1" runs
+    And the command "apply exported.toml --change-id c2" runs
+    Then it ends with CONFLICT and complains "the tables are at revision 1"
+
+  Scenario Outline: Each kind of failure has an exit code
+    Given hosts "a" that answer
+    When the command "<command>" runs
+    Then it ends with <code> and complains "<words>"
+
+    Examples:
+      | command                       | code        | words                   |
+      | apply wrong.toml              | FINDINGS    | no pool 'none'          |
+      | check wrong.toml              | FINDINGS    | no pool 'none'          |
+      | plan missing.toml             | FINDINGS    | No such file            |
+      | drain elsewhere               | FINDINGS    | no host 'elsewhere'     |
+      | status --host nonsense        | FINDINGS    | ADDRESS:PORT            |
+      | status --token-file none      | FINDINGS    | none                    |
+      | status --token-file bad.token | NOT_ALLOWED | the token is not valid  |
+      | status --timeout soon         | USAGE       | soon                    |
+      | unknown                       | USAGE       | unknown                 |
+
+  Scenario: Failures are printed as JSON where asked for
+    Given hosts "a" that answer
+    When the command "apply wrong.toml --output json" runs
+    Then it ends with FINDINGS and complains "{\"findings\":[{\"place\":\"wrong.toml: routes[0].pool\""
+
+  Scenario: A plan shows rows and changes nothing
+    Given hosts "a" that answer
+    When the command "plan tables.toml" runs
+    Then it ends with DONE and prints "+ pool "p""
+    And the tables are at revision 0
+
+  Scenario: A host is drained by its name
+    Given hosts "a" that answer
+    When the command "drain north-1" runs
+    Then it ends with DONE and prints "north-1 finishes what it runs and stops"
+
+  Scenario Outline: Other commands answer
+    Given hosts "a" that answer
+    When the command "<command>" runs
+    Then it ends with DONE and prints "<words>"
+
+    Examples:
+      | command                  | words                          |
+      | status                   | leader    north-1 (term 3)     |
+      | status --output json     | {"leader":"north-1","term":3   |
+      | addresses                | 127.0.0.1:8080                 |
+      | check tables.toml        | 1 pools, 1 routes, no findings |
+      | settings                 | timing.heartbeat_s  number in s, default 0.3 |
+      | key team.key             | 58e1c144d9e77a3f                   |
+
+  Scenario: Commands reach a daemon over HTTP
+    Given a daemon's operator interface on a free port
+    When a change and a status are asked for over HTTP
+    Then both end with DONE
+    And a port without a listener ends with UNAVAILABLE
--- /dev/null
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/steps/cli_steps.py
@@ -0,0 +1,216 @@
+"""Steps of cli.feature."""
+
+import asyncio
+import contextlib
+import io
+import os
+import shlex
+import socket
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+from unittest import mock
+
+import uvicorn
+from almondfield_cli import ExitCode, run_command
+from almondfield_cli.transport import HttpAnswer, NoAnswer
+from almondfield_core.messages import ControlUnavailable
+from almondfield_core.tables import Pool, Route, Tables, dump_tables
+from almondfield_daemon.operator import build_operator_app
+from almondfield_testing import run
+from almondfield_testing.operators import (
+    OPERATOR_TOKEN,
+    FakeControl,
+    call_app,
+    make_node,
+)
+from behave import given, then, when
+from result import Err, Ok
+
+TABLES = Tables(pools=(Pool("p"),), routes=(Route("t", "/", "p"),))
+WRONG = Tables(routes=(Route("t", "/", "none"),))
+FILES = {
+    "tables.toml": dump_tables(TABLES).replace("revision = 0\n", ""),
+    "exported.toml": dump_tables(replace(TABLES, revision=3)),
+    "wrong.toml": dump_tables(WRONG),
+    "operator.token": OPERATOR_TOKEN,
+    "bad.token": "not-the-right-token",
+    "team.key": "key-of-the-foals-team\n",
+}
+
+
+class FakeTransport:
+    """Carries requests to applications in memory.
+
+    :param apps: application of each host, by ``address:port``.
+    """
+
+    def __init__(self, apps):
+        self.apps = apps
+        self.silent = set()
+        self.loses_answers = set()
+        self.token = ""
+
+    def with_token(self, token):
+        """Return the transport for a token, as the real one is made."""
+        self.token = token
+        return self
+
+    async def send(self, host, request):
+        """Return the answer of a host."""
+        if host in self.silent or host not in self.apps:
+            return Err(NoAnswer(host, "silent"))
+        headers = {"authorization": f"Bearer {self.token}"}
+        answer = await call_app(
+            self.apps[host], request.method, request.path, request.body, headers
+        )
+        if host in self.loses_answers:
+            return Err(NoAnswer(host, "silent"))
+        return Ok(HttpAnswer(host, answer.status, answer.body))
+
+
+class CutOffControl(FakeControl):
+    """A control group that cannot be reached."""
+
+    def __init__(self):
+        super().__init__()
+        self.unavailable = ControlUnavailable("no leader", True)
+
+
+@contextlib.contextmanager
+def files_in_folder():
+    before = Path.cwd()
+    with tempfile.TemporaryDirectory() as folder:
+        for name, text in FILES.items():
+            (Path(folder) / name).write_text(text)
+        os.chdir(folder)
+        try:
+            yield
+        finally:
+            os.chdir(before)
+
+
+async def run_line(line, hosts):
+    words = shlex.split(line)
+    online = words[0] not in {"check", "settings", "key", "unknown"}
+    if online:
+        for option, values in (("--host", hosts), ("--token-file", ["operator.token"])):
+            if option not in words:
+                words += [word for value in values for word in (option, value)]
+    out, err = io.StringIO(), io.StringIO()
+    with (
+        files_in_folder(),
+        mock.patch.dict(os.environ, COLUMNS="200"),
+        contextlib.redirect_stdout(out),
+        contextlib.redirect_stderr(err),
+    ):
+        code = await run_command(words)
+    return code, out.getvalue(), err.getvalue()
+
+
+@given('hosts "{names}" that answer')
+def step_impl(context, names):
+    context.hosts = [f"{name}:8081" for name in names.split()]
+    context.control = FakeControl()
+    app = build_operator_app(make_node(context.control), OPERATOR_TOKEN)
+    context.transport = FakeTransport(dict.fromkeys(context.hosts, app))
+    context.transport.apps["127.0.0.1:8081"] = app
+
+
+@given('host "{name}" is silent')
+def step_impl(context, name):
+    context.transport.silent.add(f"{name}:8081")
+
+
+@given('host "{name}" loses its answers')
+def step_impl(context, name):
+    context.transport.loses_answers.add(f"{name}:8081")
+
+
+@given('host "{name}" answers again')
+def step_impl(context, name):
+    context.transport.loses_answers.clear()
+
+
+@given('host "{name}" reaches no quorum')
+def step_impl(context, name):
+    app = build_operator_app(make_node(CutOffControl()), OPERATOR_TOKEN)
+    context.transport.apps[f"{name}:8081"] = app
+
+
+@given("changes do not come in force")
+def step_impl(context):
+    context.control.in_force = False
+
+
+@when('the command "{line}" runs')
+def step_impl(context, line):
+    with mock.patch(
+        "almondfield_cli.options.AiosonicTransport", context.transport.with_token
+    ):
+        call = run_line(line, context.hosts)
+        context.code, context.out, context.err = run(context, call)
+
+
+@then("it ends with {code} and prints")
+def step_impl(context, code):
+    assert (context.code.name, context.out.strip()) == (code, context.text), (
+        context.code,
+        context.out,
+        context.err,
+    )
+
+
+@then('it ends with {code} and prints "{words}"')
+def step_impl(context, code, words):
+    assert context.code.name == code, (context.code, context.out, context.err)
+    assert words in context.out, context.out
+
+
+@then('it ends with {code} and complains "{words}"')
+def step_impl(context, code, words):
+    assert context.code.name == code, (context.code, context.out, context.err)
+    assert words.replace('\\"', '"') in context.err, context.err
+    assert OPERATOR_TOKEN not in context.out + context.err
+
+
+@then("the tables are at revision {revision:d}")
+def step_impl(context, revision):
+    assert context.control.tables.revision == revision
+
+
+@given("a daemon's operator interface on a free port")
+def step_impl(context):
+    context.app = build_operator_app(make_node(FakeControl()), OPERATOR_TOKEN)
+
+
+async def ask_daemon(app):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+        config = uvicorn.Config(app, loop="asyncio", log_level="error", lifespan="off")
+        server = uvicorn.Server(config)
+        serving = asyncio.ensure_future(server.serve(sockets=[listener]))
+        host = f"127.0.0.1:{port}"
+        applied = await run_line("apply tables.toml --change-id c1", [host])
+        shown = await run_line("status", [host])
+        server.should_exit = True
+        await serving
+    silent = await run_line("status", [host])
+    return applied, shown, silent
+
+
+@when("a change and a status are asked for over HTTP")
+def step_impl(context):
+    context.outcomes = asyncio.run(ask_daemon(context.app))
+
+
+@then("both end with DONE")
+def step_impl(context):
+    for code, out, err in context.outcomes[:2]:
+        assert code is ExitCode.DONE, (out, err)
+
+
+@then("a port without a listener ends with UNAVAILABLE")
+def step_impl(context):
+    code, out, err = context.outcomes[2]
+    assert code is ExitCode.UNAVAILABLE, (out, err)
--- a/packages/almondfield-core/src/almondfield_core/settings/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/__init__.py
@@ -9,17 +9,20 @@
     SharingPolicy,
     TimingSettings,
 )
+from almondfield_core.settings.listing import ItemDescription, list_items
 from almondfield_core.settings.loading import load_settings
 from almondfield_core.settings.secrets import read_secret
 
 __all__ = [
     "DaemonSettings",
     "HostSettings",
+    "ItemDescription",
     "LimitSettings",
     "SecuritySettings",
     "SharingPolicy",
     "TimingSettings",
     "check_settings",
+    "list_items",
     "load_settings",
     "read_secret",
 ]
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/metrics/core.py
@@ -0,0 +1,116 @@
+"""Turns the counts that parts of the daemon give into metrics.
+
+A part gives a frozen data class from its ``stats()``. Each of its numbers is one
+metric, and each of its mappings one metric with a label per key:
+
+    class PeerStats:
+        messages_sent_total: int                # almondfield_peers_messages_sent_total
+        bytes_by_kind: dict[str, int]           # almondfield_peers_bytes{kind="..."}
+
+A name that ends in ``_total`` is a counter, any other a gauge. A mapping whose name
+ends in ``_total`` keeps that end: ``bytes_by_kind_total`` gives ``bytes_total``.
+"""
+
+import dataclasses
+import math
+import re
+from collections.abc import Iterator, Mapping, Sequence
+from enum import Enum
+from typing import Any
+
+from aioprometheus import Counter, Gauge, Registry, render
+
+__all__ = ["render_metrics"]
+
+PREFIX = "almondfield"
+LABELLED = re.compile(r"(?P<name>\w+)_by_(?P<labels>\w+?)(?P<total>_total)?")
+LABEL_SEPARATOR = "_and_"
+FORBIDDEN_IN_NAMES = re.compile(r"[^a-zA-Z0-9_]")
+
+
+@dataclasses.dataclass(frozen=True)
+class Sample:
+    """One value of a metric.
+
+    :ivar name: name of the metric.
+    :ivar labels: labels by name.
+    :ivar value: the value.
+    """
+
+    name: str
+    labels: dict[str, str]
+    value: float
+
+
+def render_metrics(
+    stats_by_part: Mapping[str, Any], accept: Sequence[str] = ()
+) -> tuple[bytes, dict[str, str]]:
+    """Return the metrics of all parts and the HTTP headers that go with them.
+
+    :param stats_by_part: data class of each part, by the part's name.
+    :param accept: values of the request's ``accept`` headers.
+    """
+    registry = Registry()
+    metric_by_name: dict[str, Counter | Gauge] = {}
+    for part, stats in stats_by_part.items():
+        for sample in _samples(f"{PREFIX}_{_clean(part)}", stats):
+            metric = metric_by_name.get(sample.name)
+            if metric is None:
+                metric = _make_metric(sample.name, part, registry)
+                metric_by_name[sample.name] = metric
+            metric.set_value(sample.labels, sample.value)
+    return render(registry, list(accept))
+
+
+def _make_metric(name: str, part: str, registry: Registry) -> Counter | Gauge:
+    kind = Counter if name.endswith("_total") else Gauge
+    words = name.removeprefix(f"{PREFIX}_").replace("_", " ")
+    return kind(name, f"{words}, as {part} counts it", registry=registry)
+
+
+def _samples(prefix: str, stats: Any) -> Iterator[Sample]:
+    """Return the samples of a data class, and of those nested in it."""
+    for item in dataclasses.fields(stats):
+        value = getattr(stats, item.name)
+        name = f"{prefix}_{item.name}"
+        if dataclasses.is_dataclass(value):
+            yield from _samples(name, value)
+        elif isinstance(value, Mapping):
+            yield from _labelled_samples(prefix, item.name, value)
+        elif _is_number(value):
+            yield Sample(name, {}, float(value))
+
+
+def _labelled_samples(
+    prefix: str, name: str, value_by_key: Mapping[Any, Any]
+) -> Iterator[Sample]:
+    match = LABELLED.fullmatch(name)
+    metric = f"{match['name']}{match['total'] or ''}" if match else name
+    label_names = match["labels"].split(LABEL_SEPARATOR) if match else ["key"]
+    for key, value in value_by_key.items():
+        keys = key if isinstance(key, tuple) else (key,)
+        labels = dict(zip(_fit(label_names, len(keys)), map(_text, keys)))
+        if dataclasses.is_dataclass(value):
+            for sample in _samples(f"{prefix}_{metric}", value):
+                yield dataclasses.replace(sample, labels=labels | sample.labels)
+        elif _is_number(value):
+            yield Sample(f"{prefix}_{metric}", labels, float(value))
+
+
+def _fit(label_names: list[str], count: int) -> list[str]:
+    """Return as many label names as a key has parts."""
+    if len(label_names) == count:
+        return label_names
+    return [f"key_{index}" for index in range(count)]
+
+
+def _is_number(value: Any) -> bool:
+    return isinstance(value, bool | int | float) and math.isfinite(value)
+
+
+def _text(key: Any) -> str:
+    return str(key.value) if isinstance(key, Enum) else str(key)
+
+
+def _clean(name: str) -> str:
+    return FORBIDDEN_IN_NAMES.sub("_", name)
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
@@ -0,0 +1,223 @@
+"""The routes of the operator interface."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from almondfield_core.findings import Finding
+from almondfield_core.messages import (
+    DrainRequest,
+    DrainStarted,
+    InForce,
+    OperatorError,
+    TableChange,
+    VoterChange,
+)
+from almondfield_core.tables import check_tables
+from result import Err, Ok, Result
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.middleware import Middleware
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from almondfield_daemon.metrics import render_metrics
+from almondfield_daemon.operator.authentication import OperatorAuthentication
+from almondfield_daemon.operator.coding import (
+    RequestRefusedError,
+    answer,
+    answer_failure,
+    read_body,
+    read_number,
+    read_query,
+)
+from almondfield_daemon.operator.node import OperatorNode
+
+__all__ = ["OperatorNode", "build_operator_app"]
+
+MAX_WAIT_S = 60
+MAX_REVISION = 10**15
+MAX_HISTORY_RECORDS = 1000
+DEFAULT_HISTORY_RECORDS = 100
+MAX_SMALL_BODY_BYTES = 4096
+MAX_CHANGE_ID_LENGTH = 128
+MAX_AUTHOR_LENGTH = 128
+
+
+def build_operator_app(node: OperatorNode, operator_token: str) -> Starlette:
+    """Return the application for the operator port.
+
+    :param node: the daemon.
+    :param operator_token: the operators' token.
+    """
+    handlers = _Handlers(node)
+    return Starlette(
+        routes=[
+            Route("/health", handlers.get_health),
+            Route("/ready", handlers.get_ready),
+            Route("/metrics", handlers.get_metrics),
+            Route("/v1/tables", handlers.get_tables),
+            Route("/v1/changes", handlers.post_change, methods=["POST"]),
+            Route("/v1/changes/{revision}/in-force", handlers.get_in_force),
+            Route("/v1/history", handlers.get_history),
+            Route("/v1/status", handlers.get_status),
+            Route("/v1/hosts", handlers.get_hosts),
+            Route("/v1/addresses", handlers.get_addresses),
+            Route("/v1/drain", handlers.post_drain, methods=["POST"]),
+            Route("/v1/voters/admit", handlers.post_admit, methods=["POST"]),
+            Route("/v1/voters/remove", handlers.post_remove, methods=["POST"]),
+        ],
+        middleware=[Middleware(OperatorAuthentication, token=operator_token)],
+        exception_handlers={
+            RequestRefusedError: _answer_refused,
+            HTTPException: _answer_http_error,
+        },
+    )
+
+
+async def _answer_refused(request: Request, error: Exception) -> Response:
+    assert isinstance(error, RequestRefusedError)
+    return answer(OperatorError(error.findings), error.status)
+
+
+async def _answer_http_error(request: Request, error: Exception) -> Response:
+    assert isinstance(error, HTTPException)
+    finding = Finding(f"{request.method} {request.url.path}", error.detail)
+    return answer(OperatorError((finding,)), error.status_code)
+
+
+class _Handlers:
+    """One method per route; each answers from one part of the daemon."""
+
+    def __init__(self, node: OperatorNode) -> None:
+        self._node = node
+
+    async def get_health(self, request: Request) -> Response:
+        """Return that the process answers."""
+        return answer({"host": self._node.settings.host})
+
+    async def get_ready(self, request: Request) -> Response:
+        """Return 200 where the host takes new requests of callers, else 503."""
+        fresh = self._node.view.freshness_left_s() > 0
+        ready = fresh and not self._node.is_draining()
+        return answer({"ready": ready}, 200 if ready else 503)
+
+    async def get_metrics(self, request: Request) -> Response:
+        """Return the counts of every part in the Prometheus format."""
+        accept = request.headers.getlist("accept")
+        content, headers = render_metrics(self._node.stats(), accept)
+        return Response(content, headers=headers)
+
+    async def get_tables(self, request: Request) -> Response:
+        """Return the tables as this host knows them."""
+        return answer(self._node.view.tables)
+
+    async def post_change(self, request: Request) -> Response:
+        """Apply a change, and wait for it to come in force where asked to."""
+        wait_s = read_query(request, "wait", 0, MAX_WAIT_S)
+        max_bytes = self._node.settings.limits.max_tables_bytes
+        change = await read_body(request, TableChange, max_bytes)
+        _check_change(change)
+        match await self._node.control.apply(change):
+            case Ok(accepted):
+                pass
+            case Err(failure):
+                return answer_failure(failure)
+        if wait_s and not accepted.in_force:
+            in_force = await self._wait_in_force(accepted.revision, wait_s)
+            accepted = dataclasses.replace(accepted, in_force=in_force)
+        return answer(accepted)
+
+    async def _wait_in_force(self, revision: int, wait_s: int) -> bool:
+        # The change stays accepted also where no quorum answers any more.
+        outcome = await self._node.control.wait_in_force(revision, wait_s)
+        return outcome.unwrap_or(False)
+
+    async def get_in_force(self, request: Request) -> Response:
+        """Return whether a revision is in force everywhere."""
+        path_item = request.path_params["revision"]
+        revision = read_number(path_item, "path: revision", MAX_REVISION)
+        wait_s = read_query(request, "wait", 0, MAX_WAIT_S)
+        match await self._node.control.wait_in_force(revision, wait_s):
+            case Ok(in_force):
+                return answer(InForce(revision, in_force))
+            case Err(failure):
+                return answer_failure(failure)
+
+    async def get_history(self, request: Request) -> Response:
+        """Return records of the audit trail."""
+        after = read_query(request, "after", 0, MAX_REVISION)
+        limit = read_query(
+            request, "limit", DEFAULT_HISTORY_RECORDS, MAX_HISTORY_RECORDS
+        )
+        return _answer_outcome(await self._node.control.history(after, limit))
+
+    async def get_status(self, request: Request) -> Response:
+        """Return what the control group knows of the fleet."""
+        return _answer_outcome(await self._node.control.status())
+
+    async def get_hosts(self, request: Request) -> Response:
+        """Return the hosts of the settings."""
+        return answer(self._node.settings.hosts)
+
+    async def get_addresses(self, request: Request) -> Response:
+        """Return the addresses that callers get from this host."""
+        return answer(self._node.addresses())
+
+    async def post_drain(self, request: Request) -> Response:
+        """Start the graceful shutdown of this host."""
+        wanted = await read_body(request, DrainRequest, MAX_SMALL_BODY_BYTES)
+        own = self._node.settings.host
+        if wanted.host != own:
+            finding = Finding("body: host", f"is {wanted.host!r}", own)
+            raise RequestRefusedError(421, finding)
+        self._node.drain()
+        return answer(DrainStarted(own), 202)
+
+    async def post_admit(self, request: Request) -> Response:
+        """Admit a learner to the control group."""
+        return await _change_voters(request, self._node.admit_voter)
+
+    async def post_remove(self, request: Request) -> Response:
+        """Remove a member from the control group."""
+        return await _change_voters(request, self._node.remove_voter)
+
+
+async def _change_voters(
+    request: Request, operation: Callable[[str], Awaitable[Result[Any, Any]]] | None
+) -> Response:
+    wanted = await read_body(request, VoterChange, MAX_SMALL_BODY_BYTES)
+    if operation is None:
+        finding = Finding("request", "this host cannot change the voters")
+        raise RequestRefusedError(501, finding)
+    return _answer_outcome(await operation(wanted.voter_id))
+
+
+def _answer_outcome(outcome: Result[Any, Any]) -> Response:
+    match outcome:
+        case Ok(value):
+            return answer(value)
+        case Err(failure):
+            return answer_failure(failure)
+
+
+def _check_change(change: TableChange) -> None:
+    """Refuse a change that cannot be accepted, before the control group sees it.
+
+    :raises RequestRefusedError: with all findings.
+    """
+    findings = list(check_tables(change.pools, change.routes))
+    for name, most in (
+        ("change_id", MAX_CHANGE_ID_LENGTH),
+        ("author", MAX_AUTHOR_LENGTH),
+    ):
+        text = getattr(change, name)
+        if not 1 <= len(text) <= most or not text.isprintable():
+            problem = f"has {len(text)} characters"
+            findings.append(Finding(name, problem, f"1 to {most} printable ones"))
+    if change.expect_revision < 0:
+        problem = f"is {change.expect_revision}"
+        findings.append(Finding("expect_revision", problem, "0 or more"))
+    if findings:
+        raise RequestRefusedError(422, *findings)
--- /dev/null
+++ b/tools/almondfield_testing/operators.py
@@ -0,0 +1,170 @@
+"""A small daemon for the operator interface, and a client that needs no socket."""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+from almondfield_core.messages import (
+    AuditRecord,
+    ChangeAccepted,
+    ChangeConflict,
+    ControlUnavailable,
+    FleetStatus,
+    TableChange,
+    VoterStatus,
+)
+from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
+from almondfield_core.tables import Tables, difference
+from almondfield_daemon.operator import OperatorNode
+from result import Err, Ok
+
+__all__ = ["OPERATOR_TOKEN", "FakeControl", "call_app", "make_node"]
+
+OPERATOR_TOKEN = "token-of-the-tests"
+
+
+class FakeControl:
+    """One control group in memory; it is its own view of the tables."""
+
+    def __init__(self) -> None:
+        self.tables = Tables()
+        self.records: list[AuditRecord] = []
+        self.answer_by_id: dict[str, ChangeAccepted] = {}
+        self.unavailable: ControlUnavailable | None = None
+        self.in_force = True
+        self.lease_by_pool = {}
+        self.fresh_s = 3.0
+
+    def freshness_left_s(self) -> float:
+        """Return the seconds for which the tables count as current."""
+        return self.fresh_s
+
+    async def apply(self, change: TableChange):
+        """Return the outcome of a change."""
+        if self.unavailable:
+            return Err(self.unavailable)
+        if change.change_id in self.answer_by_id:
+            return Ok(self.answer_by_id[change.change_id])
+        if change.expect_revision != self.tables.revision:
+            revision = self.tables.revision
+            return Err(self._conflict(change, revision))
+        return Ok(self._accept(change))
+
+    def _accept(self, change: TableChange) -> ChangeAccepted:
+        revision = self.tables.revision + 1
+        old, self.tables = self.tables, Tables(revision, change.pools, change.routes)
+        lines = difference(old, self.tables)
+        record = AuditRecord(revision, change.change_id, change.author, 0.0, lines)
+        self.records.append(record)
+        accepted = ChangeAccepted(change.change_id, revision)
+        self.answer_by_id[change.change_id] = accepted
+        return accepted
+
+    def _conflict(self, change: TableChange, revision: int) -> ChangeConflict:
+        if change.expect_revision >= len(self.records):
+            return ChangeConflict(change.change_id, revision)
+        winner = self.records[change.expect_revision]
+        return ChangeConflict(
+            change.change_id, revision, winner.change_id, winner.author
+        )
+
+    async def wait_in_force(self, revision: int, timeout_s: float):
+        """Return whether a revision came in force in time."""
+        if self.unavailable:
+            return Err(self.unavailable)
+        if not self.in_force:
+            await asyncio.sleep(timeout_s)
+        return Ok(self.in_force and revision <= self.tables.revision)
+
+    async def history(self, after_revision: int, limit: int):
+        """Return accepted changes in order."""
+        if self.unavailable:
+            return Err(self.unavailable)
+        return Ok(tuple(self.records[after_revision : after_revision + limit]))
+
+    async def status(self):
+        """Return what the control group knows of the fleet."""
+        if self.unavailable:
+            return Err(self.unavailable)
+        voter = VoterStatus("ab12", "north-1", "leader", True, 7)
+        revision = self.tables.revision
+        return Ok(FleetStatus("north-1", 3, revision, True, (voter,), 0, (), ()))
+
+
+def make_node(control: FakeControl, host: str = "north-1") -> OperatorNode:
+    """Return a daemon with two hosts in its settings.
+
+    :param control: the control group.
+    :param host: name of this host.
+    """
+    settings = DaemonSettings(
+        host=host,
+        hosts=(
+            HostSettings("north-1", "dc-1", "127.0.0.1", voter=True),
+            HostSettings("north-2", "dc-2", "127.0.0.2"),
+        ),
+        security=SecuritySettings("operator", "backend", "fleet"),
+    )
+    drained: list[str] = []
+    return OperatorNode(
+        settings=settings,
+        control=control,
+        view=control,
+        addresses=lambda: {"addresses": ["127.0.0.1:8080"], "lifetime_s": 5.0},
+        stats=lambda: {},
+        drain=lambda: drained.append(host),
+        is_draining=lambda: bool(drained),
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class AppAnswer:
+    """Answer of an application."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+async def call_app(
+    app: Any,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> AppAnswer:
+    """Return the answer of an ASGI application to one request.
+
+    :param app: the application.
+    :param method: HTTP method.
+    :param path: path and query.
+    :param body: body of the request.
+    :param headers: headers; the operators' token where None.
+    """
+    if headers is None:
+        headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
+    path, _, query = path.partition("?")
+    scope = {
+        "type": "http",
+        "http_version": "1.1",
+        "method": method,
+        "scheme": "http",
+        "path": path,
+        "raw_path": path.encode(),
+        "query_string": query.encode(),
+        "headers": [(k.encode(), v.encode("latin-1")) for k, v in headers.items()],
+        "server": ("127.0.0.1", 8081),
+        "client": ("127.0.0.1", 1),
+    }
+    sent: list[dict[str, Any]] = []
+
+    async def receive():
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message):
+        sent.append(message)
+
+    await app(scope, receive, send)
+    fields = {k.decode(): v.decode() for k, v in sent[0]["headers"]}
+    content = b"".join(message.get("body", b"") for message in sent[1:])
+    return AppAnswer(sent[0]["status"], fields, content)
