Give the operator interface the settings and the draining state

Cause: it answers /v1/hosts, limits bodies and reports readiness by them. What: two arguments in the wiring; nothing else changes.

--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
@@ -62,10 +62,12 @@
             self.router, self.membership, self.settings, secrets.backend_token
         )
         node = OperatorNode(
+            settings=self.settings,
             control=self.control,
             membership=self.membership,
             stats=self.stats,
             drain=self._drain_asked.set,
+            is_draining=self._drain_asked.is_set,
         )
         operator_app = build_operator_app(node, secrets.operator_token)
         return [
