Fit the operator interface to the wiring and embed the client

Cause: the wiring hands over the control part and the membership, and the demo applies tables by the command line's own client.

--- a/packages/almondfield-cli/src/almondfield_cli/changing.py
+++ b/packages/almondfield-cli/src/almondfield_cli/changing.py
@@ -5,6 +5,7 @@
 from typing import Annotated
 
 from almondfield_core.clock import now
+from almondfield_core.findings import AlmondfieldError
 from almondfield_core.messages import ChangeAccepted, InForce, TableChange
 from almondfield_core.tables import Tables, difference, load_tables
 from cyclopts import Parameter
@@ -14,18 +15,45 @@
 from almondfield_cli.exits import ExitCode
 from almondfield_cli.options import (
     DEFAULT_CONNECTION,
+    DEFAULT_TIMEOUT_S,
     TEXT_FORM,
     Connection,
     Form,
     author_name,
 )
-from almondfield_cli.output import Printer, exit_code_of
+from almondfield_cli.output import Printer, describe, exit_code_of
+from almondfield_cli.transport import AiosonicTransport
 
-__all__ = ["apply", "check", "plan"]
+__all__ = ["ApplyError", "apply", "apply_file", "check", "plan"]
 
 DEFAULT_WAIT_S = 30.0
 
 
+class ApplyError(AlmondfieldError):
+    """Raised for tables that could not be applied."""
+
+
+async def apply_file(tables_file: Path, hosts: tuple[str, ...], token: str) -> None:
+    """Change the tables to what a file holds, for programs that embed the client.
+
+    :param tables_file: TOML file with the tables.
+    :param hosts: ``address:port`` of operator interfaces, in the order to try.
+    :param token: the operators' token.
+    :raises ApplyError: where the change is not accepted.
+    """
+    tables = load_tables(tables_file)
+    if isinstance(tables, Err):
+        raise ApplyError(describe(tables.err_value))
+    client = OperatorClient(AiosonicTransport(token), hosts, DEFAULT_TIMEOUT_S)
+    current = await client.tables()
+    if isinstance(current, Err):
+        raise ApplyError(describe(current.err_value))
+    change = _make_change(tables.ok_value, current.ok_value.revision)
+    outcome = await client.apply(change)
+    if isinstance(outcome, Err):
+        raise ApplyError(describe(outcome.err_value))
+
+
 def check(tables_file: Path, /, *, form: Form = TEXT_FORM) -> ExitCode:
     """Check a tables file without sending it anywhere.
 
@@ -100,13 +128,7 @@
     revision = await _expected_revision(client, tables, expect_revision)
     if isinstance(revision, Err):
         return printer.fail(revision.err_value)
-    change = TableChange(
-        change_id=change_id or str(uuid.uuid4()),
-        author=author or author_name(),
-        expect_revision=revision.ok_value,
-        pools=tables.pools,
-        routes=tables.routes,
-    )
+    change = _make_change(tables, revision.ok_value, change_id, author)
     outcome = await client.apply(change)
     if isinstance(outcome, Err):
         return _fail_change(printer, change, outcome.err_value)
@@ -117,6 +139,21 @@
     return await _wait_in_force(client, printer, accepted, wait_seconds)
 
 
+def _make_change(
+    tables: Tables,
+    revision: int,
+    change_id: str | None = None,
+    author: str | None = None,
+) -> TableChange:
+    return TableChange(
+        change_id=change_id or str(uuid.uuid4()),
+        author=author or author_name(),
+        expect_revision=revision,
+        pools=tables.pools,
+        routes=tables.routes,
+    )
+
+
 async def _expected_revision(client: OperatorClient, tables: Tables, asked: int | None):
     """Return the revision that a change is made against."""
     if asked is not None:
--- a/packages/almondfield-cli/src/almondfield_cli/main.py
+++ b/packages/almondfield-cli/src/almondfield_cli/main.py
@@ -6,12 +6,12 @@
 
 from cyclopts import App, CycloptsError
 
-from almondfield_cli.changing import apply, check, plan
+from almondfield_cli.changing import apply, apply_file, check, plan
 from almondfield_cli.exits import ExitCode
 from almondfield_cli.offline import key, settings
 from almondfield_cli.reading import addresses, drain, export, history, status
 
-__all__ = ["build_app", "main", "run_command"]
+__all__ = ["apply_file", "build_app", "main", "run_command"]
 
 COMMANDS = (
     check,
--- a/packages/almondfield-cli/src/almondfield_cli/output.py
+++ b/packages/almondfield-cli/src/almondfield_cli/output.py
@@ -23,7 +23,7 @@
 from almondfield_cli.client import NotAllowed, Silent, Unexpected, UnknownOutcome
 from almondfield_cli.exits import ExitCode
 
-__all__ = ["Output", "Printer", "exit_code_of"]
+__all__ = ["Output", "Printer", "describe", "exit_code_of"]
 
 
 class Output(StrEnum):
--- a/packages/almondfield-daemon/src/almondfield_daemon/metrics/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/metrics/core.py
@@ -4,11 +4,13 @@
 metric, and each of its mappings one metric with a label per key:
 
     class PeerStats:
-        messages_sent_total: int                # almondfield_peers_messages_sent_total
-        bytes_by_kind: dict[str, int]           # almondfield_peers_bytes{kind="..."}
+        links: int                       # almondfield_peers_links
+        bytes_sent_by_kind: dict         # almondfield_peers_bytes_sent{kind="..."}
+        hosts: tuple                     # almondfield_peers_hosts, how many they are
 
 A name that ends in ``_total`` is a counter, any other a gauge. A mapping whose name
-ends in ``_total`` keeps that end: ``bytes_by_kind_total`` gives ``bytes_total``.
+ends in ``_total`` keeps that end: ``bytes_by_kind_total`` gives ``bytes_total``. A
+key of several parts has its labels joined: ``bytes_by_kind_and_host``.
 """
 
 import dataclasses
@@ -77,6 +79,8 @@
             yield from _samples(name, value)
         elif isinstance(value, Mapping):
             yield from _labelled_samples(prefix, item.name, value)
+        elif isinstance(value, tuple):
+            yield Sample(name, {}, float(len(value)))
         elif _is_number(value):
             yield Sample(name, {}, float(value))
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
@@ -92,6 +92,8 @@
 
     def __init__(self, node: OperatorNode) -> None:
         self._node = node
+        self._control = node.control.control
+        self._view = node.control.view
 
     async def get_health(self, request: Request) -> Response:
         """Return that the process answers."""
@@ -99,7 +101,7 @@
 
     async def get_ready(self, request: Request) -> Response:
         """Return 200 where the host takes new requests of callers, else 503."""
-        fresh = self._node.view.freshness_left_s() > 0
+        fresh = self._view.freshness_left_s() > 0
         ready = fresh and not self._node.is_draining()
         return answer({"ready": ready}, 200 if ready else 503)
 
@@ -111,7 +113,7 @@
 
     async def get_tables(self, request: Request) -> Response:
         """Return the tables as this host knows them."""
-        return answer(self._node.view.tables)
+        return answer(self._view.tables)
 
     async def post_change(self, request: Request) -> Response:
         """Apply a change, and wait for it to come in force where asked to."""
@@ -119,7 +121,7 @@
         max_bytes = self._node.settings.limits.max_tables_bytes
         change = await read_body(request, TableChange, max_bytes)
         _check_change(change)
-        match await self._node.control.apply(change):
+        match await self._control.apply(change):
             case Ok(accepted):
                 pass
             case Err(failure):
@@ -131,7 +133,7 @@
 
     async def _wait_in_force(self, revision: int, wait_s: int) -> bool:
         # The change stays accepted also where no quorum answers any more.
-        outcome = await self._node.control.wait_in_force(revision, wait_s)
+        outcome = await self._control.wait_in_force(revision, wait_s)
         return outcome.unwrap_or(False)
 
     async def get_in_force(self, request: Request) -> Response:
@@ -139,7 +141,7 @@
         path_item = request.path_params["revision"]
         revision = read_number(path_item, "path: revision", MAX_REVISION)
         wait_s = read_query(request, "wait", 0, MAX_WAIT_S)
-        match await self._node.control.wait_in_force(revision, wait_s):
+        match await self._control.wait_in_force(revision, wait_s):
             case Ok(in_force):
                 return answer(InForce(revision, in_force))
             case Err(failure):
@@ -151,11 +153,11 @@
         limit = read_query(
             request, "limit", DEFAULT_HISTORY_RECORDS, MAX_HISTORY_RECORDS
         )
-        return _answer_outcome(await self._node.control.history(after, limit))
+        return _answer_outcome(await self._control.history(after, limit))
 
     async def get_status(self, request: Request) -> Response:
         """Return what the control group knows of the fleet."""
-        return _answer_outcome(await self._node.control.status())
+        return _answer_outcome(await self._control.status())
 
     async def get_hosts(self, request: Request) -> Response:
         """Return the hosts of the settings."""
@@ -163,7 +165,7 @@
 
     async def get_addresses(self, request: Request) -> Response:
         """Return the addresses that callers get from this host."""
-        return answer(self._node.addresses())
+        return answer(self._node.membership.addresses())
 
     async def post_drain(self, request: Request) -> Response:
         """Start the graceful shutdown of this host."""
@@ -177,20 +179,17 @@
 
     async def post_admit(self, request: Request) -> Response:
         """Admit a learner to the control group."""
-        return await _change_voters(request, self._node.admit_voter)
+        return await _change_voters(request, self._node.control.admit_voter)
 
     async def post_remove(self, request: Request) -> Response:
         """Remove a member from the control group."""
-        return await _change_voters(request, self._node.remove_voter)
+        return await _change_voters(request, self._node.control.remove_voter)
 
 
 async def _change_voters(
-    request: Request, operation: Callable[[str], Awaitable[Result[Any, Any]]] | None
+    request: Request, operation: Callable[[str], Awaitable[Result[Any, Any]]]
 ) -> Response:
     wanted = await read_body(request, VoterChange, MAX_SMALL_BODY_BYTES)
-    if operation is None:
-        finding = Finding("request", "this host cannot change the voters")
-        raise RequestRefusedError(501, finding)
     return _answer_outcome(await operation(wanted.voter_id))
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/node.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/node.py
@@ -1,14 +1,45 @@
 """What the operator interface needs of the daemon."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from almondfield_core.ports import Control, TableView
 from almondfield_core.settings import DaemonSettings
 from result import Result
 
-__all__ = ["OperatorNode"]
+__all__ = ["AddressSource", "ControlPart", "OperatorNode"]
+
+
+class ControlPart(Protocol):
+    """The part of the daemon that takes part in the control group."""
+
+    @property
+    def control(self) -> Control:
+        """Return the control group."""
+
+    @property
+    def view(self) -> TableView:
+        """Return the tables as this host knows them."""
+
+    async def admit_voter(self, voter_id: str) -> Result[Any, Any]:
+        """Return the outcome of admitting a learner as a voter.
+
+        :param voter_id: random number in the voter's data folder, in hexadecimal.
+        """
+
+    async def remove_voter(self, voter_id: str) -> Result[Any, Any]:
+        """Return the outcome of removing a voter.
+
+        :param voter_id: random number in the voter's data folder, in hexadecimal.
+        """
+
+
+class AddressSource(Protocol):
+    """Tells callers which hosts to use."""
+
+    def addresses(self) -> Any:
+        """Return the answer that callers get to GET /addresses."""
 
 
 @dataclass(frozen=True)
@@ -16,23 +47,16 @@
     """One daemon as its operators see it.
 
     :ivar settings: settings of the daemon.
-    :ivar control: the control group.
-    :ivar view: the tables as this host knows them.
-    :ivar addresses: returns the answer that callers get to GET /addresses.
+    :ivar control: its part in the control group.
+    :ivar membership: tells callers which hosts to use.
     :ivar stats: returns the counts of each part by the part's name.
     :ivar drain: starts the graceful shutdown; may be called again.
     :ivar is_draining: returns whether the graceful shutdown has begun.
-    :ivar admit_voter: admits a learner, by its voter id; None where the control
-        side offers no such operation.
-    :ivar remove_voter: removes a member, by its voter id; None likewise.
     """
 
     settings: DaemonSettings
-    control: Control
-    view: TableView
-    addresses: Callable[[], Any]
+    control: ControlPart
+    membership: AddressSource
     stats: Callable[[], Mapping[str, Any]]
     drain: Callable[[], None]
     is_draining: Callable[[], bool] = lambda: False
-    admit_voter: Callable[[str], Awaitable[Result[Any, Any]]] | None = None
-    remove_voter: Callable[[str], Awaitable[Result[Any, Any]]] | None = None
--- a/tools/almondfield_testing/operators.py
+++ b/tools/almondfield_testing/operators.py
@@ -24,7 +24,7 @@
 
 
 class FakeControl:
-    """One control group in memory; it is its own view of the tables."""
+    """The control side of a daemon in memory, on its own."""
 
     def __init__(self) -> None:
         self.tables = Tables()
@@ -35,6 +35,28 @@
         self.lease_by_pool = {}
         self.fresh_s = 3.0
 
+    @property
+    def control(self):
+        """Return the control group."""
+        return self
+
+    @property
+    def view(self):
+        """Return the tables as this host knows them."""
+        return self
+
+    def addresses(self):
+        """Return the answer that callers get to GET /addresses."""
+        return {"addresses": ["127.0.0.1:8080"], "lifetime_s": 5.0}
+
+    async def admit_voter(self, voter_id: str):
+        """Return the outcome of admitting a learner as a voter."""
+        return Ok(voter_id) if not self.unavailable else Err(self.unavailable)
+
+    async def remove_voter(self, voter_id: str):
+        """Return the outcome of removing a voter."""
+        return Ok(voter_id) if not self.unavailable else Err(self.unavailable)
+
     def freshness_left_s(self) -> float:
         """Return the seconds for which the tables count as current."""
         return self.fresh_s
@@ -109,8 +131,7 @@
     return OperatorNode(
         settings=settings,
         control=control,
-        view=control,
-        addresses=lambda: {"addresses": ["127.0.0.1:8080"], "lifetime_s": 5.0},
+        membership=control,
         stats=lambda: {},
         drain=lambda: drained.append(host),
         is_draining=lambda: bool(drained),
