Escape label values of metrics

Cause: the library writes label values as they are, so that a team named with a quotation mark would break the page of metrics for every reader. What: values are escaped beforehand; a feature for the mapping from stats to metrics. Conclusion: any team name can be a label.

--- a/packages/almondfield-daemon/src/almondfield_daemon/metrics/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/metrics/core.py
@@ -27,6 +27,7 @@
 PREFIX = "almondfield"
 LABELLED = re.compile(r"(?P<name>\w+)_by_(?P<labels>\w+?)(?P<total>_total)?")
 LABEL_SEPARATOR = "_and_"
+ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
 FORBIDDEN_IN_NAMES = re.compile(r"[^a-zA-Z0-9_]")
 
 
@@ -80,9 +81,9 @@
         elif isinstance(value, Mapping):
             yield from _labelled_samples(prefix, item.name, value)
         elif isinstance(value, tuple):
-            yield Sample(name, {}, float(len(value)))
+            yield Sample(name, {}, len(value))
         elif _is_number(value):
-            yield Sample(name, {}, float(value))
+            yield Sample(name, {}, _number(value))
 
 
 def _labelled_samples(
@@ -98,7 +99,7 @@
             for sample in _samples(f"{prefix}_{metric}", value):
                 yield dataclasses.replace(sample, labels=labels | sample.labels)
         elif _is_number(value):
-            yield Sample(f"{prefix}_{metric}", labels, float(value))
+            yield Sample(f"{prefix}_{metric}", labels, _number(value))
 
 
 def _fit(label_names: list[str], count: int) -> list[str]:
@@ -112,8 +113,17 @@
     return isinstance(value, bool | int | float) and math.isfinite(value)
 
 
+def _number(value: Any) -> float:
+    return int(value) if isinstance(value, bool) else value
+
+
 def _text(key: Any) -> str:
-    return str(key.value) if isinstance(key, Enum) else str(key)
+    """Return a label value, escaped as the text format wants it.
+
+    The library writes label values as they are.
+    """
+    text = str(key.value) if isinstance(key, Enum) else str(key)
+    return text.translate(ESCAPES)
 
 
 def _clean(name: str) -> str:
