Carry messages between hosts over pynng, and answer addresses

Cause: the Peers port had no adapter, and callers had no addresses to use. Change: one Push0 per peer and one Pull0 per host; frames hold queued messages together, name both incarnations, echo the highest sequence and carry a keyed hash. Messages wait until the other host's incarnation is known, so that none reaches a later one.

--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/__init__.py
@@ -0,0 +1,7 @@
+"""Which hosts and backend servers are there, as this host knows it."""
+
+from almondfield_daemon.membership.addresses import AddressAnswer, HostAddress
+from almondfield_daemon.membership.core import Membership
+from almondfield_daemon.membership.selection import selects_server
+
+__all__ = ["AddressAnswer", "HostAddress", "Membership", "selects_server"]
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/fakes.py
@@ -0,0 +1,96 @@
+"""Connections in memory that may go silent, and frames that arrive again."""
+
+import asyncio
+
+from almondfield_core.messages import SlotGrant
+from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
+from almondfield_daemon.peers import PynngPeers
+
+NO_SECRETS = SecuritySettings("", "", "")
+SECRET = b"fleet"
+DELAY_S = 0.002
+
+
+class MemoryConnection:
+    """A dialled connection."""
+
+    def __init__(self, network, source, target):
+        self.network = network
+        self.path = (source, target)
+        self.silent = False
+        self.closed = False
+
+    def send(self, frame):
+        if self.network.refuses_all:
+            return False
+        self.network.frames_by_path.setdefault(self.path, []).append(frame)
+        asyncio.get_running_loop().call_later(DELAY_S, self.arrive, frame)
+        return True
+
+    def arrive(self, frame):
+        dead = self.silent or self.closed or self.path in self.network.dead_paths
+        on_frame = self.network.on_frame_by_host.get(self.path[1])
+        if on_frame is not None and not dead:
+            on_frame(frame)
+
+    def close(self):
+        self.closed = True
+
+
+class MemoryListener:
+    """A listening socket."""
+
+    def __init__(self, network, host, on_frame):
+        self.network, self.host, self.on_frame = network, host, on_frame
+        network.on_frame_by_host[host] = on_frame
+
+    def close(self):
+        if self.network.on_frame_by_host.get(self.host) is self.on_frame:
+            del self.network.on_frame_by_host[self.host]
+
+
+class MemorySockets:
+    """The ``Sockets`` port of one host."""
+
+    def __init__(self, network, host):
+        self.network, self.host = network, host
+
+    def dial(self, address):
+        target = address.partition(":")[0]
+        connection = MemoryConnection(self.network, self.host, target)
+        self.network.connections.append(connection)
+        return connection
+
+    def listen(self, address, on_frame):
+        return MemoryListener(self.network, self.host, on_frame)
+
+
+class MemoryNetwork:
+    """All connections; an address is the name of its host."""
+
+    def __init__(self):
+        self.on_frame_by_host = {}
+        self.frames_by_path = {}
+        self.connections = []
+        self.dead_paths = set()
+        self.refuses_all = False
+
+
+class Node:
+    """One host with a handler that answers reports by grants."""
+
+    def __init__(self, network, name, known, incarnation=1):
+        hosts = tuple(HostSettings(other, "dc", other) for other in known)
+        settings = DaemonSettings(name, hosts, NO_SECRETS)
+        sockets = MemorySockets(network, name)
+        self.peers = PynngPeers(settings, SECRET, incarnation, sockets)
+        self.incarnation = incarnation
+        self.handled = []
+        self.failing = set()
+        self.task = None
+
+    async def handle(self, sender, report):
+        if report.number in self.failing:
+            raise RuntimeError(f"report {report.number} from {sender}")
+        self.handled.append(report.number)
+        return SlotGrant(report.pool, report.epoch, report.number, 1.0, False)
