--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/secrets.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/secrets.py
@@ -1,16 +1,13 @@
 """The secrets of one daemon, read from the files that its settings name."""
 
 from dataclasses import dataclass, field
-from pathlib import Path
 
 from almondfield_core.findings import Finding
-from almondfield_core.settings import SecuritySettings
+from almondfield_core.settings import SecuritySettings, read_secret
 from result import Err, Ok, Result
 
 __all__ = ["Secrets", "load_secrets"]
 
-MIN_SECRET_BYTES = 16
-
 
 @dataclass(frozen=True)
 class Secrets:
@@ -31,26 +28,14 @@
 
     :param settings: names of the files.
     """
-    path_by_item = {
-        "security.operator_token_file": settings.operator_token_file,
-        "security.backend_token_file": settings.backend_token_file,
-        "security.fleet_secret_file": settings.fleet_secret_file,
-    }
-    results = [_read(item, path) for item, path in path_by_item.items()]
+    paths = (
+        settings.operator_token_file,
+        settings.backend_token_file,
+        settings.fleet_secret_file,
+    )
+    results = [read_secret(path) for path in paths]
     findings = tuple(result.err_value for result in results if result.is_err())
     if findings:
         return Err(findings)
     operator_token, backend_token, fleet_secret = (r.ok_value for r in results)
     return Ok(Secrets(operator_token, backend_token, fleet_secret.encode()))
-
-
-def _read(item: str, path: str) -> Result[str, Finding]:
-    try:
-        text = Path(path).read_text().strip()
-    except (OSError, UnicodeDecodeError) as error:
-        reason = getattr(error, "strerror", None) or "not text"
-        return Err(Finding(item, f"cannot read {path!r}: {reason}", "a readable file"))
-    if len(text.encode()) < MIN_SECRET_BYTES:
-        allowed = f"at least {MIN_SECRET_BYTES} bytes"
-        return Err(Finding(item, f"{path!r} holds {len(text.encode())} bytes", allowed))
-    return Ok(text)
