--- a/packages/almondfield-core/src/almondfield_core/ports/core.py
+++ b/packages/almondfield-core/src/almondfield_core/ports/core.py
@@ -160,6 +160,17 @@
     async def status(self) -> Result[FleetStatus, ControlUnavailable]:
         """Return what the control group knows of the fleet."""
 
+    async def next_fencing(self) -> Result[int, ControlUnavailable]:
+        """Return a fencing number greater than every one issued before."""
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this host leads the control group and its lease holds."""
+
+    @property
+    def leader_host(self) -> str:
+        """Return the host that leads, as far as this host knows; else empty."""
+
 
 class Slot(Protocol):
     """The right to run one request on one backend server, once."""
