--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/commands/__init__.py
@@ -0,0 +1,33 @@
+"""Commands that the control group agrees on."""
+
+from almondfield_control.commands.core import (
+    ClaimKey,
+    Command,
+    FencingIssued,
+    LeasePool,
+    LogEntry,
+    LoseClaims,
+    Member,
+    MembershipChange,
+    NoOperation,
+    SettleClaim,
+    TableCommand,
+    command_of,
+    entry_of,
+)
+
+__all__ = [
+    "ClaimKey",
+    "Command",
+    "FencingIssued",
+    "LeasePool",
+    "LogEntry",
+    "LoseClaims",
+    "Member",
+    "MembershipChange",
+    "NoOperation",
+    "SettleClaim",
+    "TableCommand",
+    "command_of",
+    "entry_of",
+]
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/commands/core.py
@@ -0,0 +1,182 @@
+"""Commands, and the log entry that carries one."""
+
+from dataclasses import dataclass
+
+from almondfield_core.messages import ClaimRequest, StoredAnswer, TableChange
+from almondfield_core.wire import (
+    decode_message,
+    encode_message,
+    kind_of,
+    wire_message,
+)
+
+__all__ = [
+    "ClaimKey",
+    "Command",
+    "FencingIssued",
+    "LeasePool",
+    "LogEntry",
+    "LoseClaims",
+    "Member",
+    "MembershipChange",
+    "NoOperation",
+    "SettleClaim",
+    "TableCommand",
+    "command_of",
+    "entry_of",
+]
+
+
+@dataclass(frozen=True)
+class Member:
+    """One member of the control group.
+
+    :ivar voter_id: random number in the member's data folder, in hexadecimal.
+    :ivar host: name of the host.
+    :ivar votes: whether it counts towards a quorum; a learner does not.
+    """
+
+    voter_id: str
+    host: str
+    votes: bool = True
+
+
+@wire_message("no-operation")
+@dataclass(frozen=True)
+class NoOperation:
+    """First entry of a leader's term; commits what earlier terms left."""
+
+
+@wire_message("membership-change")
+@dataclass(frozen=True)
+class MembershipChange:
+    """Members from this entry on; differs by one voter from the one before.
+
+    :ivar members: all members.
+    """
+
+    members: tuple[Member, ...]
+
+
+@wire_message("table-command")
+@dataclass(frozen=True)
+class TableCommand:
+    """A change of the tables.
+
+    :ivar change: the change.
+    """
+
+    change: TableChange
+
+
+@wire_message("lease-pool")
+@dataclass(frozen=True)
+class LeasePool:
+    """Leases a pool to a host under the next epoch.
+
+    :ivar pool: name of the pool.
+    :ivar host: name of the host; empty where the pool is leased to none.
+    """
+
+    pool: str
+    host: str
+
+
+@wire_message("claim-key")
+@dataclass(frozen=True)
+class ClaimKey:
+    """Claims an idempotency key for an attempt.
+
+    :ivar request: the claim.
+    :ivar host: router that makes the attempt.
+    :ivar incarnation: incarnation of that router.
+    """
+
+    request: ClaimRequest
+    host: str
+    incarnation: int
+
+
+@wire_message("settle-claim")
+@dataclass(frozen=True)
+class SettleClaim:
+    """Stores the result of a claimed request.
+
+    :ivar request: the claim that was granted.
+    :ivar ran: whether the request may have run.
+    :ivar answer: the whole answer, or None where none is known.
+    """
+
+    request: ClaimRequest
+    ran: bool
+    answer: StoredAnswer | None = None
+
+
+@wire_message("lose-claims")
+@dataclass(frozen=True)
+class LoseClaims:
+    """Marks the running claims of a router's earlier incarnations as lost.
+
+    :ivar host: name of the router's host.
+    :ivar before_incarnation: claims of smaller incarnations are lost.
+    """
+
+    host: str
+    before_incarnation: int
+
+
+@wire_message("fencing-issued")
+@dataclass(frozen=True)
+class FencingIssued:
+    """Issues the next fencing number."""
+
+
+Command = (
+    NoOperation
+    | MembershipChange
+    | TableCommand
+    | LeasePool
+    | ClaimKey
+    | SettleClaim
+    | LoseClaims
+    | FencingIssued
+)
+
+
+@dataclass(frozen=True)
+class LogEntry:
+    """One entry of the replicated log.
+
+    :ivar index: place in the log; the first entry has 1.
+    :ivar term: term of the leader that made it.
+    :ivar unix_s: when the leader made it, in seconds since 1970.
+    :ivar kind: kind of the command.
+    :ivar body: the command, coded.
+    """
+
+    index: int
+    term: int
+    unix_s: float
+    kind: str
+    body: bytes
+
+
+def entry_of(index: int, term: int, unix_s: float, command: Command) -> LogEntry:
+    """Return the log entry of a command.
+
+    :param index: place in the log.
+    :param term: term of the leader.
+    :param unix_s: calendar time in seconds since 1970.
+    :param command: the command.
+    """
+    kind = kind_of(type(command))
+    return LogEntry(index, term, unix_s, kind, encode_message(command))
+
+
+def command_of(entry: LogEntry) -> Command:
+    """Return the command of a log entry.
+
+    :param entry: the entry.
+    :raises WireError: where the entry holds no known command.
+    """
+    return decode_message(entry.kind, entry.body).unwrap_or_raise(ValueError)
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/consensus/__init__.py
@@ -0,0 +1,6 @@
+"""Consensus of the control group: elections, replication, membership."""
+
+from almondfield_control.consensus.core import Replica
+from almondfield_control.consensus.roles import Role
+
+__all__ = ["Replica", "Role"]
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -0,0 +1,354 @@
+"""One member of the control group."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+from almondfield_core.clock import WallClock, now
+from almondfield_core.messages import ControlUnavailable
+from almondfield_core.ports import Peers
+from almondfield_core.settings import TimingSettings
+from result import Err, Result
+
+from almondfield_control.commands import Command, LogEntry, Member
+from almondfield_control.consensus.election import Election
+from almondfield_control.consensus.formation import Formation
+from almondfield_control.consensus.leadership import Leadership
+from almondfield_control.consensus.log import ReplicatedLog
+from almondfield_control.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    HandOver,
+    JoinRequest,
+)
+from almondfield_control.consensus.roles import Role, RoleMachine
+from almondfield_control.errors import StorageError
+from almondfield_control.state import ControlState
+from almondfield_control.storage import Disk, HardState, Journal
+
+__all__ = ["Replica"]
+
+_VOTER_ID_BITS = 128
+
+
+class Replica:
+    """A member of the control group with its log, state and role.
+
+    :param peers: messages to the other hosts.
+    :param disk: files of the data folder.
+    :param configured: hosts that the settings name as voters.
+    :param timing: intervals of the protocol.
+    :param wall_clock: calendar time for new entries.
+    :param chance: source of identities and election timeouts.
+
+    :ivar hard: what must never be forgotten.
+    :ivar log: the replicated log.
+    :ivar state: the state after the committed entries.
+    :ivar commit_index: last entry known to be committed.
+    :ivar durable_index: last entry known to be synced here.
+    :ivar leader_host: host of the leader; empty where none is known.
+    :ivar last_heard: when a leader was heard or a vote given, on the loop's clock.
+    :ivar leadership: what a leader keeps; None in other roles.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        disk: Disk,
+        configured: tuple[str, ...],
+        timing: TimingSettings,
+        wall_clock: WallClock,
+        chance: random.Random,
+    ) -> None:
+        self.peers = peers
+        self.configured = configured
+        self.timing = timing
+        self.wall_clock = wall_clock
+        self.chance = chance
+        self.journal = Journal(disk)
+        self.hard = HardState(f"{chance.getrandbits(_VOTER_ID_BITS):032x}")
+        self.log = ReplicatedLog(0, 0, ())
+        self.state = ControlState()
+        self.commit_index = 0
+        self.durable_index = 0
+        self.leader_host = ""
+        self.last_heard = 0.0
+        self.leadership: Leadership | None = None
+        self.on_apply: list[Callable[[LogEntry, object], None]] = []
+        self.on_lead: list[Callable[[], None]] = []
+        self._roles = RoleMachine()
+        self._saved = HardState("")
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._formation = Formation(self)
+        self._election = Election(self)
+
+    @property
+    def role(self) -> Role:
+        """Return what this member does now."""
+        return Role(self._roles.role)
+
+    @property
+    def voter_id(self) -> str:
+        """Return the identity in the data folder."""
+        return self.hard.voter_id
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this member leads and its lease has not run out."""
+        return self.leadership is not None and self.leadership.is_confirmed()
+
+    @property
+    def votes(self) -> bool:
+        """Return whether the newest members name this identity as a voter."""
+        return any(m.voter_id == self.voter_id and m.votes for m in self.log.members)
+
+    @property
+    def other_voters(self) -> tuple[Member, ...]:
+        """Return the voting members but this one."""
+        return tuple(
+            m for m in self.log.members if m.votes and m.voter_id != self.voter_id
+        )
+
+    @property
+    def quorum(self) -> int:
+        """Return how many voters decide, this one included."""
+        return sum(m.votes for m in self.log.members) // 2 + 1
+
+    async def run(self) -> None:
+        """Recover what the folder holds, then take part until cancelled.
+
+        :raises DamageError: where the folder holds damaged records.
+        """
+        await self._recover()
+        self._listen()
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.journal.run())
+                group.create_task(self._formation.run())
+                group.create_task(self._election.run())
+        finally:
+            self.step_down()
+
+    async def propose(self, command: Command) -> Result[object, ControlUnavailable]:
+        """Return the outcome of a command once it is committed and applied.
+
+        :param command: the command.
+        """
+        if not self.is_leader:
+            return Err(ControlUnavailable("not the leader", certainly_not_done=True))
+        return await self.leadership.propose(command)
+
+    async def save(self) -> None:
+        """Return once the hard state is durable.
+
+        :raises StorageError: where the write failed.
+        """
+        if self.hard != self._saved:
+            hard = self.hard
+            await self.journal.write(hard=hard)
+            self._saved = hard
+
+    def adopt_term(self, term: int) -> None:
+        """Move to a newer term and give up any other role; :meth:`save` follows.
+
+        :param term: a term that is at least the own one.
+        """
+        if term > self.hard.term:
+            self.hard = replace(self.hard, term=term, voted_for="")
+        self.step_down()
+
+    def step_down(self) -> None:
+        """Give up leadership or candidacy."""
+        leadership, self.leadership = self.leadership, None
+        if leadership is not None:
+            leadership.stop()
+            self.leader_host = ""
+        if self.role is not Role.UNFORMED:
+            self.settle_role()
+
+    def settle_role(self) -> None:
+        """Take the role of a member that neither leads nor stands."""
+        wanted = Role.FOLLOWER if self.votes else Role.LEARNER
+        if self.role is wanted:
+            return
+        if self.votes:
+            self._roles.follow()
+        else:
+            self._roles.learn()
+
+    def stand(self) -> None:
+        """Become a candidate."""
+        self.leader_host = ""
+        self._roles.stand()
+
+    def lead(self, heard_at: dict[str, float]) -> None:
+        """Become the leader of the term.
+
+        :param heard_at: when the vote of each voter was asked for, by identity.
+        """
+        self._roles.win()
+        self.leader_host = self.peers.host
+        self.leadership = Leadership(self, heard_at)
+        self.leadership.start()
+        for callback in self.on_lead:
+            callback()
+
+    def hears_leader(self) -> bool:
+        """Return whether a promise to a leader or candidate still holds."""
+        return now() < self.last_heard + self.timing.election_s
+
+    def commit(self, index: int) -> None:
+        """Apply what is committed up to an index.
+
+        :param index: last entry known to be committed.
+        """
+        index = min(index, self.log.last_index)
+        while self.commit_index < index:
+            self.commit_index += 1
+            entry = self.log.entry(self.commit_index)
+            outcome = self.state.apply(entry)
+            for callback in self.on_apply:
+                callback(entry, outcome)
+
+    def append(self, entry: LogEntry) -> asyncio.Task[None]:
+        """Append an entry of the own term to the own log.
+
+        :param entry: the entry that follows the last one.
+        :returns: a task that ends once the write is durable or has failed.
+        """
+        self.log.append((entry,))
+        return self.spawn(
+            self._await_durable(self.journal.write(entries=(entry,)), entry)
+        )
+
+    def belongs(self, cluster_id: str, to_voter: str) -> bool:
+        """Return whether a message addresses this identity in its group.
+
+        :param cluster_id: group of the sender.
+        :param to_voter: identity that is addressed.
+        """
+        if to_voter != self.voter_id or not self.hard.voter_id:
+            return False
+        return self._formation.accepts(cluster_id)
+
+    def spawn(self, coroutine) -> asyncio.Task[None]:
+        """Return a task that is kept until it ends.
+
+        :param coroutine: what the task runs.
+        """
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _recover(self) -> None:
+        recovered = await self.journal.recover()
+        self.last_heard = now()
+        if recovered.hard is None:
+            await self.journal.compact(self.hard, 0, 0, b"", ())
+            self._saved = self.hard
+            return
+        self.hard = self._saved = recovered.hard
+        members = recovered.hard.members
+        if recovered.base_index:
+            self.state = ControlState.decode(recovered.snapshot)
+            members = self.state.members
+        self.state.members = members
+        self.log = ReplicatedLog(recovered.base_index, recovered.base_term, members)
+        self.log.append(recovered.entries)
+        self.commit_index = recovered.base_index
+        self.durable_index = self.log.last_index
+        if self.hard.formed:
+            self.settle_role()
+
+    def _listen(self) -> None:
+        self.peers.listen(AppendRequest, self._on_append)
+        self.peers.listen(HandOver, self._on_hand_over)
+        self.peers.listen(JoinRequest, self._on_join)
+        self._formation.listen()
+        self._election.listen()
+
+    async def _on_append(
+        self, sender: str, request: AppendRequest
+    ) -> AppendReply | None:
+        if not self.belongs(request.cluster_id, request.to_voter):
+            return None
+        if request.term < self.hard.term:
+            return AppendReply(self.hard.term, False, 0)
+        self._follow(sender, request.term)
+        if not self._agrees(request):
+            hint = min(self.log.last_index, request.previous_index - 1)
+            return AppendReply(self.hard.term, False, hint)
+        last = request.previous_index + len(request.entries)
+        try:
+            await self._take(request)
+        except StorageError:
+            return AppendReply(self.hard.term, False, self.durable_index, True)
+        if self.hard.term != request.term:
+            return AppendReply(self.hard.term, False, 0)
+        self.commit(min(request.commit_index, last))
+        return AppendReply(self.hard.term, True, last)
+
+    def _agrees(self, request: AppendRequest) -> bool:
+        if request.previous_index < self.log.base_index:
+            return True
+        return self.log.term_at(request.previous_index) == request.previous_term
+
+    def _follow(self, leader_host: str, term: int) -> None:
+        if term > self.hard.term or self.role is Role.CANDIDATE:
+            self.adopt_term(term)
+        self.leader_host = leader_host
+        self.last_heard = now()
+
+    async def _take(self, request: AppendRequest) -> None:
+        entries = self._new_entries(request.entries)
+        cut_after = None
+        if entries and entries[0].index <= self.log.last_index:
+            cut_after = entries[0].index - 1
+            self.log.cut_after(cut_after)
+            self.durable_index = min(self.durable_index, cut_after)
+        self.log.append(entries)
+        self.settle_role()
+        hard = self.hard if self.hard != self._saved else None
+        last = request.previous_index + len(request.entries)
+        if not entries and hard is None and last <= self.durable_index:
+            return
+        await self.journal.write(hard=hard, cut_after=cut_after, entries=entries)
+        if hard is not None:
+            self._saved = hard
+        if request.entries:
+            self._mark_durable(last, request.entries[-1].term)
+
+    def _new_entries(self, entries: tuple[LogEntry, ...]) -> tuple[LogEntry, ...]:
+        for place, entry in enumerate(entries):
+            if entry.index <= self.log.base_index:
+                continue
+            if self.log.term_at(entry.index) != entry.term:
+                return entries[place:]
+        return ()
+
+    async def _await_durable(
+        self, written: asyncio.Future[None], entry: LogEntry
+    ) -> None:
+        try:
+            await written
+        except StorageError:
+            return
+        self._mark_durable(entry.index, entry.term)
+        if self.leadership is not None:
+            self.leadership.advance()
+
+    def _mark_durable(self, index: int, term: int) -> None:
+        if self.log.term_at(index) == term:
+            self.durable_index = max(self.durable_index, index)
+
+    async def _on_hand_over(self, sender: str, message: HandOver) -> None:
+        if not self.belongs(message.cluster_id, message.to_voter):
+            return
+        if message.term == self.hard.term and self.role is Role.FOLLOWER:
+            self.spawn(self._election.campaign(hand_over=True))
+
+    async def _on_join(self, sender: str, message: JoinRequest) -> None:
+        if self.is_leader and sender in self.configured:
+            self.leadership.add_learner(Member(message.voter_id, sender, votes=False))
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -0,0 +1,191 @@
+"""How a group forms for the first time, and how an empty folder joins it."""
+
+import asyncio
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from almondfield_control.commands import Member
+from almondfield_control.consensus.log import ReplicatedLog
+from almondfield_control.consensus.messages import (
+    FormationOffer,
+    FormationQuery,
+    FormationState,
+    JoinRequest,
+)
+from almondfield_control.consensus.roles import Role
+from almondfield_control.errors import StorageError
+
+if TYPE_CHECKING:
+    from almondfield_control.consensus.core import Replica
+
+__all__ = ["Formation"]
+
+RETRY_S = 0.5
+ASK_TIMEOUT_S = 1.0
+_CLUSTER_ID_BITS = 64
+
+
+class Formation:
+    """Forms a group only from empty folders, all configured voters being present.
+
+    The configured voter with the lowest host name offers the group; each one agrees
+    durably to one group, ever; the group exists once all agreed. An empty folder
+    that finds an existing group joins it as a learner.
+
+    :param replica: the member that forms or joins.
+    """
+
+    def __init__(self, replica: "Replica") -> None:
+        self._replica = replica
+        self.waiting_for = ""
+
+    def listen(self) -> None:
+        """Answer queries and offers from now on."""
+        self._replica.peers.listen(FormationQuery, self._on_query)
+        self._replica.peers.listen(FormationOffer, self._on_offer)
+
+    async def run(self) -> None:
+        """Return once this member belongs to a group and was admitted or formed it."""
+        replica = self._replica
+        while True:
+            if replica.hard.formed and self._is_member():
+                self.waiting_for = ""
+                if replica.role is Role.UNFORMED:
+                    replica.settle_role()
+            elif replica.hard.formed:
+                self._ask_to_join()
+            else:
+                await self._step()
+            await asyncio.sleep(RETRY_S)
+
+    def accepts(self, cluster_id: str) -> bool:
+        """Return whether messages of a group are for this member.
+
+        An identity that is addressed by a group was named in its members, so that
+        the group exists; a folder that agreed to none joins it.
+
+        :param cluster_id: the group.
+        """
+        replica = self._replica
+        if replica.hard.cluster_id not in ("", cluster_id):
+            return False
+        if not replica.hard.formed:
+            replica.hard = replace(replica.hard, cluster_id=cluster_id, formed=True)
+            replica.settle_role()
+        return True
+
+    def _is_member(self) -> bool:
+        members = self._replica.log.members
+        return any(m.voter_id == self._replica.voter_id for m in members)
+
+    async def _step(self) -> None:
+        replica = self._replica
+        others = [host for host in replica.configured if host != replica.peers.host]
+        states = await self._ask_all(others, FormationQuery(replica.voter_id))
+        if any(state.formed for state in states.values()):
+            self._ask_to_join()
+            return
+        missing = [host for host in others if host not in states]
+        if missing:
+            self.waiting_for = f"voters that do not answer: {', '.join(missing)}"
+            return
+        if replica.peers.host != min(replica.configured):
+            self.waiting_for = f"{min(replica.configured)} to offer the group"
+            return
+        await self._offer(states)
+
+    async def _offer(self, states: dict[str, FormationState]) -> None:
+        replica = self._replica
+        if not replica.hard.cluster_id:
+            strangers = [host for host, s in states.items() if s.cluster_id]
+            if strangers:
+                hosts = ", ".join(strangers)
+                self.waiting_for = f"empty data folders on {hosts}: formation broke off"
+                return
+            members = [Member(replica.voter_id, replica.peers.host)]
+            members += [Member(s.voter_id, host) for host, s in states.items()]
+            cluster_id = f"{replica.chance.getrandbits(_CLUSTER_ID_BITS):016x}"
+            if not await self._agree(cluster_id, tuple(members)):
+                return
+        offer = FormationOffer(replica.hard.cluster_id, replica.hard.members)
+        answers = await self._ask_all(list(states), offer)
+        agreed = {
+            host: answer.voter_id
+            for host, answer in answers.items()
+            if answer.cluster_id == offer.cluster_id
+        }
+        wanted = {m.host: m.voter_id for m in offer.members}
+        del wanted[replica.peers.host]
+        if agreed != wanted:
+            broken = ", ".join(host for host in wanted if host not in agreed)
+            self.waiting_for = f"agreement of {broken or 'replaced folders'}"
+            return
+        await self._complete(offer)
+
+    async def _complete(self, offer: FormationOffer) -> None:
+        replica = self._replica
+        replica.hard = replace(replica.hard, formed=True)
+        try:
+            await replica.save()
+        except StorageError:
+            return
+        replica.settle_role()
+        done = replace(offer, formed=True)
+        others = [m.host for m in offer.members if m.host != replica.peers.host]
+        await self._ask_all(others, done)
+
+    async def _agree(self, cluster_id: str, members: tuple[Member, ...]) -> bool:
+        replica = self._replica
+        replica.hard = replace(replica.hard, cluster_id=cluster_id, members=members)
+        replica.state.members = members
+        replica.log = ReplicatedLog(0, 0, members)
+        try:
+            await replica.save()
+        except StorageError:
+            return False
+        return True
+
+    async def _ask_all(
+        self, hosts: list[str], message: object
+    ) -> dict[str, FormationState]:
+        peers = self._replica.peers
+        answers = await asyncio.gather(
+            *(peers.ask(host, message, ASK_TIMEOUT_S) for host in hosts)
+        )
+        return {
+            host: answer.ok_value
+            for host, answer in zip(hosts, answers)
+            if isinstance(answer, Ok) and isinstance(answer.ok_value, FormationState)
+        }
+
+    def _ask_to_join(self) -> None:
+        replica = self._replica
+        self.waiting_for = "the leader to add this host as a learner"
+        for host in replica.configured:
+            if host != replica.peers.host:
+                replica.peers.send(host, JoinRequest(replica.voter_id))
+
+    async def _on_query(self, sender: str, query: FormationQuery) -> FormationState:
+        return self._state()
+
+    async def _on_offer(
+        self, sender: str, offer: FormationOffer
+    ) -> FormationState | None:
+        replica = self._replica
+        named = any(m.voter_id == replica.voter_id for m in offer.members)
+        joins = named and not replica.hard.cluster_id
+        if joins and not await self._agree(offer.cluster_id, offer.members):
+            return None
+        if replica.hard.cluster_id == offer.cluster_id and offer.formed:
+            self.accepts(offer.cluster_id)
+            try:
+                await replica.save()
+            except StorageError:
+                return None
+        return self._state()
+
+    def _state(self) -> FormationState:
+        hard = self._replica.hard
+        return FormationState(hard.voter_id, hard.cluster_id, hard.formed)
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/consensus/log.py
@@ -0,0 +1,120 @@
+"""The replicated log in memory, from the last snapshot on."""
+
+from almondfield_core.wire import kind_of
+
+from almondfield_control.commands import (
+    LogEntry,
+    Member,
+    MembershipChange,
+    command_of,
+)
+
+__all__ = ["ReplicatedLog"]
+
+_MEMBERSHIP_KIND = kind_of(MembershipChange)
+
+
+class ReplicatedLog:
+    """Entries after a base that a snapshot covers, and the members they name.
+
+    :param base_index: last entry that the snapshot covers; 0 for none.
+    :param base_term: term of that entry.
+    :param members: members as of that entry.
+    """
+
+    def __init__(
+        self, base_index: int, base_term: int, members: tuple[Member, ...]
+    ) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
+        self._entries: list[LogEntry] = []
+        self._members_by_index = {base_index: members}
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Return the newest members, committed or not."""
+        return self._members_by_index[self.members_index]
+
+    @property
+    def members_index(self) -> int:
+        """Return the index of the entry that named the newest members."""
+        return max(self._members_by_index)
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry; None where it is not held.
+
+        :param index: place in the log.
+        """
+        if index == self.base_index:
+            return self.base_term
+        if not self.base_index < index <= self.last_index:
+            return None
+        return self._entries[index - self.base_index - 1].term
+
+    def entry(self, index: int) -> LogEntry:
+        """Return an entry after the base.
+
+        :param index: place in the log.
+        """
+        return self._entries[index - self.base_index - 1]
+
+    def after(self, index: int, limit: int | None = None) -> tuple[LogEntry, ...]:
+        """Return the entries after an index.
+
+        :param index: place in the log, not before the base.
+        :param limit: number of entries, at most; None for all.
+        """
+        start = index - self.base_index
+        stop = None if limit is None else start + limit
+        return tuple(self._entries[start:stop])
+
+    def append(self, entries: tuple[LogEntry, ...]) -> None:
+        """Add entries that follow the last one.
+
+        :param entries: the entries.
+        """
+        for entry in entries:
+            if entry.kind == _MEMBERSHIP_KIND:
+                self._members_by_index[entry.index] = command_of(entry).members
+        self._entries.extend(entries)
+
+    def cut_after(self, index: int) -> None:
+        """Drop the entries beyond an index.
+
+        :param index: last entry to keep.
+        """
+        del self._entries[index - self.base_index :]
+        for place in [at for at in self._members_by_index if at > index]:
+            del self._members_by_index[place]
+
+    def move_base(self, index: int) -> None:
+        """Forget the entries up to an index that a snapshot now covers.
+
+        :param index: last entry that the snapshot covers.
+        """
+        base_term = self.term_at(index)
+        members = self.members_as_of(index)
+        del self._entries[: index - self.base_index]
+        self.base_index = index
+        self.base_term = base_term
+        later = {at: item for at, item in self._members_by_index.items() if at > index}
+        self._members_by_index = {index: members, **later}
+
+    def members_as_of(self, index: int) -> tuple[Member, ...]:
+        """Return the members as an entry saw them.
+
+        :param index: place in the log.
+        """
+        return self._members_by_index[
+            max(at for at in self._members_by_index if at <= index)
+        ]
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/consensus/messages.py
@@ -0,0 +1,207 @@
+"""Messages between members of the control group."""
+
+from dataclasses import dataclass
+
+from almondfield_core.wire import wire_message
+
+from almondfield_control.commands import LogEntry, Member
+
+__all__ = [
+    "AppendReply",
+    "AppendRequest",
+    "FormationOffer",
+    "FormationQuery",
+    "FormationState",
+    "HandOver",
+    "JoinRequest",
+    "SnapshotChunk",
+    "SnapshotReply",
+    "VoteReply",
+    "VoteRequest",
+]
+
+
+@wire_message("vote-request")
+@dataclass(frozen=True)
+class VoteRequest:
+    """Asks for a vote.
+
+    :ivar cluster_id: group of the candidate.
+    :ivar to_voter: identity that is asked; another one must not answer.
+    :ivar term: term that the candidate stands for.
+    :ivar candidate: identity of the candidate.
+    :ivar last_index: last entry of its log.
+    :ivar last_term: term of that entry.
+    :ivar pre_vote: whether it only asks what the vote would be.
+    :ivar hand_over: whether the leader gave up its lease for this candidate.
+    """
+
+    cluster_id: str
+    to_voter: str
+    term: int
+    candidate: str
+    last_index: int
+    last_term: int
+    pre_vote: bool = False
+    hand_over: bool = False
+
+
+@wire_message("vote-reply")
+@dataclass(frozen=True)
+class VoteReply:
+    """Answers a vote request.
+
+    :ivar term: newest term that the voter has seen.
+    :ivar granted: whether it votes, or would vote, for the candidate.
+    """
+
+    term: int
+    granted: bool
+
+
+@wire_message("append-request")
+@dataclass(frozen=True)
+class AppendRequest:
+    """Entries from the leader; without entries it is a heartbeat.
+
+    :ivar cluster_id: group of the leader.
+    :ivar to_voter: identity that is addressed.
+    :ivar term: term of the leader.
+    :ivar previous_index: entry before the first one here.
+    :ivar previous_term: term of that entry.
+    :ivar commit_index: last entry that is committed.
+    :ivar entries: the entries.
+    """
+
+    cluster_id: str
+    to_voter: str
+    term: int
+    previous_index: int
+    previous_term: int
+    commit_index: int
+    entries: tuple[LogEntry, ...] = ()
+
+
+@wire_message("append-reply")
+@dataclass(frozen=True)
+class AppendReply:
+    """Answers an append request once its entries are durable.
+
+    :ivar term: newest term that the member has seen.
+    :ivar matched: whether its log agreed with the previous entry.
+    :ivar match_index: last entry known to agree and durable; where not matched,
+        the last entry that the leader may try next.
+    :ivar stalled: whether the member cannot write at present.
+    """
+
+    term: int
+    matched: bool
+    match_index: int
+    stalled: bool = False
+
+
+@wire_message("snapshot-chunk")
+@dataclass(frozen=True)
+class SnapshotChunk:
+    """A part of the leader's snapshot.
+
+    :ivar cluster_id: group of the leader.
+    :ivar to_voter: identity that is addressed.
+    :ivar term: term of the leader.
+    :ivar last_index: last entry that the snapshot covers.
+    :ivar last_term: term of that entry.
+    :ivar total: size of the snapshot in bytes.
+    :ivar offset: place of the part in bytes.
+    :ivar data: the part.
+    """
+
+    cluster_id: str
+    to_voter: str
+    term: int
+    last_index: int
+    last_term: int
+    total: int
+    offset: int
+    data: bytes
+
+
+@wire_message("snapshot-reply")
+@dataclass(frozen=True)
+class SnapshotReply:
+    """Says where a member wants the snapshot to go on.
+
+    :ivar term: newest term that the member has seen.
+    :ivar offset: bytes that it holds.
+    :ivar installed: whether it holds the snapshot durably.
+    """
+
+    term: int
+    offset: int
+    installed: bool = False
+
+
+@wire_message("hand-over")
+@dataclass(frozen=True)
+class HandOver:
+    """Tells a voter to stand at once; the leader has given up its lease.
+
+    :ivar cluster_id: group of the leader.
+    :ivar to_voter: identity that is addressed.
+    :ivar term: term of the former leader.
+    """
+
+    cluster_id: str
+    to_voter: str
+    term: int
+
+
+@wire_message("formation-query")
+@dataclass(frozen=True)
+class FormationQuery:
+    """Asks a voter host what its data folder holds.
+
+    :ivar voter_id: identity of the host that asks.
+    """
+
+    voter_id: str
+
+
+@wire_message("formation-offer")
+@dataclass(frozen=True)
+class FormationOffer:
+    """Offers the first members of a new group, or says that all agreed.
+
+    :ivar cluster_id: random identifier of the group.
+    :ivar members: the first members.
+    :ivar formed: whether every member agreed durably.
+    """
+
+    cluster_id: str
+    members: tuple[Member, ...]
+    formed: bool = False
+
+
+@wire_message("formation-state")
+@dataclass(frozen=True)
+class FormationState:
+    """What a voter's data folder holds; answers queries and offers.
+
+    :ivar voter_id: identity in the folder.
+    :ivar cluster_id: group that it agreed to; empty for none.
+    :ivar formed: whether it knows that the group exists.
+    """
+
+    voter_id: str
+    cluster_id: str
+    formed: bool
+
+
+@wire_message("join-request")
+@dataclass(frozen=True)
+class JoinRequest:
+    """Asks the leader to add a host with an empty data folder as a learner.
+
+    :ivar voter_id: identity in the folder.
+    """
+
+    voter_id: str
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/freshness/__init__.py
@@ -0,0 +1,19 @@
+"""Leases that say that a host's tables are current."""
+
+from almondfield_control.freshness.core import HostLeases
+from almondfield_control.freshness.messages import (
+    NotLeader,
+    RenewalReply,
+    RenewalRequest,
+    RevisionNotice,
+)
+from almondfield_control.freshness.view import HostView
+
+__all__ = [
+    "HostLeases",
+    "HostView",
+    "NotLeader",
+    "RenewalReply",
+    "RenewalRequest",
+    "RevisionNotice",
+]
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/node/client.py
@@ -0,0 +1,201 @@
+"""Requests of one host to the leader, wherever it is."""
+
+import asyncio
+from typing import Any
+
+from almondfield_core.clock import now
+from almondfield_core.messages import (
+    AuditRecord,
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeRefused,
+    ClaimOutcome,
+    ClaimRequest,
+    ControlUnavailable,
+    FleetStatus,
+    StoredAnswer,
+    TableChange,
+)
+from almondfield_core.ports import Peers
+from result import Err, Ok, Result
+
+from almondfield_control.commands import ClaimKey, SettleClaim
+from almondfield_control.freshness import NotLeader
+from almondfield_control.node.messages import (
+    ApplyRequest,
+    FencingRequest,
+    HistoryRequest,
+    InForceRequest,
+    StatusRequest,
+    VoterReply,
+    VoterRequest,
+)
+
+__all__ = ["ControlClient"]
+
+ATTEMPT_S = 1.0
+PAUSE_S = 0.1
+APPLY_TIMEOUT_S = 10.0
+CLAIM_TIMEOUT_S = 3.0
+READ_TIMEOUT_S = 5.0
+VOTER_TIMEOUT_S = 30.0
+IN_FORCE_POLL_S = 0.1
+
+
+class ControlClient:
+    """The ``Control`` port; finds the leader and repeats idempotent requests.
+
+    :param peers: messages to the other hosts.
+    :param voters: hosts that the settings name as voters.
+    :param incarnation: number that grows with each start of this host.
+    :param replica: this host's member of the control group, if it has one.
+    """
+
+    def __init__(self, peers: Peers, voters: tuple[str, ...], incarnation: int) -> None:
+        self._peers = peers
+        self._voters = voters
+        self._incarnation = incarnation
+        self._replica = replica
+        self._target = voters[0] if voters else ""
+        self._leader_host = ""
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this host leads the control group and its lease holds."""
+        return self._replica is not None and self._replica.is_leader
+
+    @property
+    def leader_host(self) -> str:
+        """Return the host that last answered as the leader; else empty."""
+        return self._leader_host
+
+    async def apply(
+        self, change: TableChange
+    ) -> Result[ChangeAccepted, ChangeConflict | ChangeRefused | ControlUnavailable]:
+        """Return the outcome of a change once it is accepted, not yet in force.
+
+        :param change: the change.
+        """
+        match await self.ask(ApplyRequest(change), APPLY_TIMEOUT_S):
+            case Ok(ChangeAccepted() as accepted):
+                return Ok(accepted)
+            case Ok(refusal) | Err(refusal):
+                return Err(refusal)
+
+    async def wait_in_force(
+        self, revision: int, timeout_s: float
+    ) -> Result[bool, ControlUnavailable]:
+        """Return whether a revision came in force at every host in time.
+
+        :param revision: an accepted revision.
+        :param timeout_s: seconds to wait.
+        """
+        until = now() + timeout_s
+        while True:
+            left_s = max(IN_FORCE_POLL_S, until - now())
+            answer = await self.ask(InForceRequest(revision), left_s)
+            if isinstance(answer, Err):
+                return answer
+            if answer.ok_value.in_force or now() >= until:
+                return Ok(answer.ok_value.in_force)
+            await asyncio.sleep(IN_FORCE_POLL_S)
+
+    async def claim(
+        self, request: ClaimRequest
+    ) -> Result[ClaimOutcome, ControlUnavailable]:
+        """Return who may run the request of an idempotency key.
+
+        :param request: the claim.
+        """
+        command = ClaimKey(request, self._peers.host, self._incarnation)
+        return await self.ask(command, CLAIM_TIMEOUT_S)
+
+    async def settle_claim(
+        self, request: ClaimRequest, answer: StoredAnswer | None, ran: bool
+    ) -> Result[bool, ControlUnavailable]:
+        """Return True once the result of a claimed request is stored.
+
+        :param request: the claim that was granted.
+        :param answer: the whole answer, or None where none is known.
+        :param ran: whether the request may have run; if not, the key is free again.
+        """
+        reply = await self.ask(SettleClaim(request, ran, answer), APPLY_TIMEOUT_S)
+        return reply.map(lambda item: item.stored)
+
+    async def history(
+        self, after_revision: int, limit: int
+    ) -> Result[tuple[AuditRecord, ...], ControlUnavailable]:
+        """Return accepted changes in order.
+
+        :param after_revision: the first record has a greater revision.
+        :param limit: number of records, at most.
+        """
+        request = HistoryRequest(after_revision, limit)
+        reply = await self.ask(request, READ_TIMEOUT_S)
+        return reply.map(lambda item: item.records)
+
+    async def status(self) -> Result[FleetStatus, ControlUnavailable]:
+        """Return what the control group knows of the fleet."""
+        return await self.ask(StatusRequest(), READ_TIMEOUT_S)
+
+    async def next_fencing(self) -> Result[int, ControlUnavailable]:
+        """Return a fencing number greater than every one issued before."""
+        reply = await self.ask(FencingRequest(), READ_TIMEOUT_S)
+        return reply.map(lambda item: item.number)
+
+    async def change_voter(self, host: str, admit: bool) -> Result[str, str]:
+        """Return the host once the membership change is committed.
+
+        :param host: name of the host.
+        :param admit: whether to admit it; else it is removed.
+        """
+        match await self.ask(VoterRequest(host, admit), VOTER_TIMEOUT_S):
+            case Ok(VoterReply(done=True)):
+                return Ok(host)
+            case Ok(VoterReply(reason=reason)):
+                return Err(reason)
+            case Err(unavailable):
+                return Err(unavailable.reason)
+
+    async def ask(
+        self, message: object, timeout_s: float
+    ) -> Result[Any, ControlUnavailable]:
+        """Return the leader's reply to an idempotent request.
+
+        :param message: the request.
+        :param timeout_s: seconds to go on trying.
+        """
+        until = now() + timeout_s
+        maybe_done = False
+        reason = "no voter is configured"
+        while self._target and now() < until:
+            target = self._target
+            attempt_s = min(ATTEMPT_S, until - now())
+            match await self._peers.ask(target, message, attempt_s):
+                case Ok(NotLeader(leader_host)):
+                    reason = f"{target} does not lead"
+                    self._turn_to(leader_host, target)
+                case Ok(ControlUnavailable() as unavailable):
+                    maybe_done |= not unavailable.certainly_not_done
+                    reason = unavailable.reason
+                    self._turn_to("", target)
+                case Ok(reply):
+                    self._leader_host = target
+                    return Ok(reply)
+                case Err(failure):
+                    maybe_done = True
+                    reason = f"{target}: {failure.reason}"
+                    self._turn_to("", target)
+            await asyncio.sleep(min(PAUSE_S, max(0.0, until - now())))
+        return Err(ControlUnavailable(reason, certainly_not_done=not maybe_done))
+
+    def _turn_to(self, leader_host: str, asked: str) -> None:
+        if self._leader_host == asked:
+            self._leader_host = ""
+        if self._target != asked:
+            return
+        if leader_host and leader_host != asked and leader_host in self._voters:
+            self._target = leader_host
+            return
+        place = self._voters.index(asked) if asked in self._voters else -1
+        self._target = self._voters[(place + 1) % len(self._voters)]
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/node/core.py
@@ -0,0 +1,161 @@
+"""Wiring of one host's part in the control group."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+from pathlib import Path
+
+from almondfield_core.clock import WallClock
+from almondfield_core.findings import Finding
+from almondfield_core.ports import Control, Peers, TableView
+from almondfield_core.settings import DaemonSettings
+from almondfield_core.tables import Pool, Route
+from result import Result
+
+from almondfield_control.consensus import Replica
+from almondfield_control.freshness import HostView
+from almondfield_control.node.client import ControlClient
+from almondfield_control.node.leader import CheckTables, LeaderService
+from almondfield_control.node.renewal import Renewal
+from almondfield_control.storage import Disk, FolderDisk
+
+__all__ = ["ControlNode", "ControlStats"]
+
+HAND_OVER_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True)
+class ControlStats:
+    """Counters of one host's part in the control group.
+
+    :ivar role: role of this host's member; empty on hosts without one.
+    :ivar term: newest term that the member has seen.
+    :ivar last_index: last entry of its log.
+    :ivar commit_index: last entry that it knows to be committed.
+    :ivar revision: revision of the host's tables.
+    :ivar freshness_left_s: seconds for which they count as current.
+    :ivar leader: host that is asked as the leader.
+    """
+
+    role: str
+    term: int
+    last_index: int
+    commit_index: int
+    revision: int
+    freshness_left_s: float
+    leader: str
+
+
+def _accept_any(
+    pools: tuple[Pool, ...], routes: tuple[Route, ...]
+) -> tuple[Finding, ...]:
+    return ()
+
+
+class ControlNode:
+    """One host's part in the control group: view, client and, on voters, replica.
+
+    :param peers: messages to the other hosts.
+    :param settings: settings of the daemon.
+    :param wall_clock: calendar time.
+    :param incarnation: number that grows with each start of this host.
+    :param disk: files for durable state; by default those of the data folder.
+    :param check: gives the findings of wrong tables.
+    :param chance: source of identities and election timeouts.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        settings: DaemonSettings,
+        wall_clock: WallClock,
+        incarnation: int,
+        disk: Disk | None = None,
+        check: CheckTables = _accept_any,
+        chance: random.Random | None = None,
+    ) -> None:
+        timing = settings.timing
+        voters = tuple(item.name for item in settings.hosts if item.voter)
+        hosts = tuple(item.name for item in settings.hosts)
+        self._view = HostView(peers.host)
+        self._replica: Replica | None = None
+        self._leader_service: LeaderService | None = None
+        self._disk: Disk | None = None
+        if peers.host in voters:
+            self._disk = disk or FolderDisk(Path(settings.data_folder))
+            chance = chance or random.SystemRandom()
+            self._replica = Replica(
+                peers, self._disk, voters, timing, wall_clock, chance
+            )
+            self._leader_service = LeaderService(
+                self._replica, peers, timing, hosts, check
+            )
+        self._client = ControlClient(peers, voters, incarnation, self._replica)
+        self._renewal = Renewal(peers, self._view, self._client, timing, incarnation)
+
+    @property
+    def control(self) -> Control:
+        """Return the control group as this host reaches it."""
+        return self._client
+
+    @property
+    def view(self) -> TableView:
+        """Return the tables and leases of this host."""
+        return self._view
+
+    @property
+    def replica(self) -> Replica | None:
+        """Return this host's member of the control group, if it has one."""
+        return self._replica
+
+    async def run(self) -> None:
+        """Take part until cancelled.
+
+        :raises DamageError: where the data folder holds damaged records.
+        """
+        self._renewal.listen()
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._renewal.run())
+                if self._replica is not None:
+                    self._leader_service.listen()
+                    group.create_task(self._replica.run())
+                    group.create_task(self._leader_service.run())
+        finally:
+            if self._disk is not None:
+                self._disk.close()
+
+    async def hand_over(self) -> None:
+        """Give this host's pool leases and leadership away."""
+        self._view.give_up_pools()
+        self._renewal.draining = True
+        await self._renewal.renew()
+        if self._replica is not None and self._replica.is_leader:
+            await self._replica.leadership.hand_over(HAND_OVER_TIMEOUT_S)
+
+    async def admit_voter(self, host: str) -> Result[str, str]:
+        """Return the host once it votes; the error says why it does not.
+
+        :param host: name of a host whose member is a learner that is caught up.
+        """
+        return await self._client.change_voter(host, admit=True)
+
+    async def remove_voter(self, host: str) -> Result[str, str]:
+        """Return the host once it is no member; the error says why it still is.
+
+        :param host: name of a host that is a member.
+        """
+        return await self._client.change_voter(host, admit=False)
+
+    def stats(self) -> ControlStats:
+        """Return the counters of this host."""
+        replica = self._replica
+        return ControlStats(
+            role=replica.role.value if replica else "",
+            term=replica.hard.term if replica else 0,
+            last_index=replica.log.last_index if replica else 0,
+            commit_index=replica.commit_index if replica else 0,
+            revision=self._view.tables.revision,
+            freshness_left_s=self._view.freshness_left_s(),
+            leader=self._client.leader_host,
+        )
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/node/leader.py
@@ -0,0 +1,207 @@
+"""What the leader answers to the other hosts."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from almondfield_core.findings import Finding
+from almondfield_core.messages import (
+    ChangeRefused,
+    ControlUnavailable,
+    FleetStatus,
+    TableChange,
+)
+from almondfield_core.ports import Peers
+from almondfield_core.settings import TimingSettings
+from almondfield_core.tables import Pool, Route
+from result import Err, Ok
+
+from almondfield_control.commands import (
+    ClaimKey,
+    Command,
+    FencingIssued,
+    LoseClaims,
+    SettleClaim,
+    TableCommand,
+)
+from almondfield_control.consensus import Replica
+from almondfield_control.freshness import (
+    HostLeases,
+    NotLeader,
+    RenewalReply,
+    RenewalRequest,
+    RevisionNotice,
+)
+from almondfield_control.node.messages import (
+    ApplyRequest,
+    FencingReply,
+    FencingRequest,
+    HistoryReply,
+    HistoryRequest,
+    InForceReply,
+    InForceRequest,
+    SettleReply,
+    StatusRequest,
+)
+from almondfield_control.node.status import status_of
+from almondfield_control.pools import next_pool_lease
+
+__all__ = ["CheckTables", "LeaderService"]
+
+CheckTables = Callable[[tuple[Pool, ...], tuple[Route, ...]], tuple[Finding, ...]]
+
+POOL_CHECK_S = 0.1
+
+
+class LeaderService:
+    """Answers requests while this host's replica leads.
+
+    :param replica: the member of the control group on this host.
+    :param peers: messages to the other hosts.
+    :param timing: lifetimes of leases.
+    :param hosts: every host of the deployment.
+    :param check: gives the findings of wrong tables.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        peers: Peers,
+        timing: TimingSettings,
+        hosts: tuple[str, ...],
+        check: CheckTables,
+    ) -> None:
+        self._replica = replica
+        self._peers = peers
+        self._timing = timing
+        self._hosts = hosts
+        self._check = check
+        self._leases: HostLeases | None = None
+        replica.on_lead.append(self._begin_term)
+        replica.on_apply.append(self._on_apply)
+
+    def listen(self) -> None:
+        """Answer requests from now on."""
+        for message_type, handler in (
+            (RenewalRequest, self._renew),
+            (ApplyRequest, self._apply),
+            (ClaimKey, self._claim),
+            (SettleClaim, self._settle),
+            (InForceRequest, self._in_force),
+            (HistoryRequest, self._history),
+            (StatusRequest, self._status),
+            (FencingRequest, self._fencing),
+        ):
+            self._peers.listen(message_type, self._as_leader(handler))
+
+    async def run(self) -> None:
+        """Keep every pool leased to a live host while this host leads."""
+        while True:
+            await asyncio.sleep(POOL_CHECK_S)
+            if self._leads():
+                await self._lease_pools()
+
+    def _leads(self) -> bool:
+        replica = self._replica
+        return replica.is_leader and replica.leadership.has_committed
+
+    def _as_leader(
+        self, handler: Callable[[str, Any], Awaitable[object]]
+    ) -> Callable[[str, Any], Awaitable[object]]:
+        async def answer(sender: str, message: Any) -> object:
+            if not self._leads():
+                return NotLeader(self._replica.leader_host)
+            return await handler(sender, message)
+
+        return answer
+
+    def _begin_term(self) -> None:
+        self._leases = HostLeases(self._timing)
+
+    def _on_apply(self, entry: object, outcome: object) -> None:
+        replica = self._replica
+        if not replica.is_leader or entry.kind != "table-command":
+            return
+        notice = RevisionNotice(replica.state.tables.revision)
+        for host in self._hosts:
+            self._peers.send(host, notice)
+
+    async def _propose(
+        self, command: Command, to_reply: Callable[[Any], object]
+    ) -> object:
+        match await self._replica.propose(command):
+            case Ok(outcome):
+                return to_reply(outcome)
+            case Err(unavailable):
+                return unavailable
+
+    async def _renew(self, sender: str, request: RenewalRequest) -> RenewalReply:
+        state = self._replica.state
+        revision = state.tables.revision
+        is_new = self._leases.renew(sender, request, revision)
+        if is_new and state.claims.has_running(sender, request.incarnation):
+            command = LoseClaims(sender, request.incarnation)
+            self._replica.spawn(self._replica.propose(command))
+        return RenewalReply(
+            term=self._replica.hard.term,
+            freshness_s=self._timing.freshness_lease_s,
+            pool_lease_s=0.0 if request.draining else self._timing.pool_lease_s,
+            revision=revision,
+            pool_leases=tuple(state.lease_by_pool.values()),
+            tables=state.tables if request.revision < revision else None,
+        )
+
+    async def _apply(self, sender: str, request: ApplyRequest) -> object:
+        change: TableChange = request.change
+        earlier = self._replica.state.answer_of(change.change_id)
+        if earlier is not None:
+            return earlier
+        findings = self._check(change.pools, change.routes)
+        if findings:
+            return ChangeRefused(findings)
+        return await self._propose(TableCommand(change), lambda outcome: outcome)
+
+    async def _claim(self, sender: str, command: ClaimKey) -> object:
+        full = ControlUnavailable("too many claims", certainly_not_done=True)
+        return await self._propose(command, lambda outcome: outcome or full)
+
+    async def _settle(self, sender: str, command: SettleClaim) -> object:
+        return await self._propose(command, SettleReply)
+
+    async def _fencing(self, sender: str, request: FencingRequest) -> object:
+        return await self._propose(FencingIssued(), FencingReply)
+
+    async def _in_force(self, sender: str, request: InForceRequest) -> InForceReply:
+        return InForceReply(self._is_in_force(request.revision))
+
+    def _is_in_force(self, revision: int) -> bool:
+        accepted = revision <= self._replica.state.tables.revision
+        return accepted and self._leases.is_in_force(revision)
+
+    async def _history(self, sender: str, request: HistoryRequest) -> HistoryReply:
+        state = self._replica.state
+        return HistoryReply(state.history(request.after_revision, request.limit))
+
+    async def _status(self, sender: str, request: StatusRequest) -> FleetStatus:
+        revision = self._replica.state.tables.revision
+        return status_of(
+            self._replica, self._leases, self._hosts, self._is_in_force(revision)
+        )
+
+    async def _lease_pools(self) -> None:
+        state = self._replica.state
+        while self._leads():
+            command = next_pool_lease(
+                state.tables,
+                state.lease_by_pool,
+                self._leases.schedulers(),
+                self._leases.may_schedule,
+            )
+            if command is None:
+                return
+            if not isinstance(await self._replica.propose(command), Ok):
+                return
+            self._notify(command.host)
+
+    def _notify(self, host: str) -> None:
+        self._peers.send(host, RevisionNotice(self._replica.state.tables.revision))
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/node/renewal.py
@@ -0,0 +1,94 @@
+"""Keeps the leases of one host alive."""
+
+import asyncio
+
+from almondfield_core.clock import now
+from almondfield_core.ports import Peers
+from almondfield_core.settings import TimingSettings
+from result import Ok
+
+from almondfield_control.freshness import (
+    HostView,
+    RenewalReply,
+    RenewalRequest,
+    RevisionNotice,
+)
+from almondfield_control.node.client import ControlClient
+
+__all__ = ["Renewal"]
+
+RENEWALS_PER_LEASE = 3
+
+
+class Renewal:
+    """Renews the leases of a host and takes the news.
+
+    :param peers: messages to the other hosts.
+    :param view: where the tables and leases go.
+    :param client: finds the leader.
+    :param timing: lifetimes of leases.
+    :param incarnation: number that grows with each start of this host.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        view: HostView,
+        client: ControlClient,
+        timing: TimingSettings,
+        incarnation: int,
+    ) -> None:
+        self._peers = peers
+        self._view = view
+        self._client = client
+        self._timing = timing
+        self._incarnation = incarnation
+        self._wake = asyncio.Event()
+        self.draining = False
+
+    def listen(self) -> None:
+        """Take notices of news from now on."""
+        self._peers.listen(RevisionNotice, self._on_notice)
+
+    async def run(self) -> None:
+        """Renew until cancelled."""
+        while True:
+            await self.renew()
+            try:
+                async with asyncio.timeout(self._pause_s()):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+
+    async def renew(self) -> bool:
+        """Return whether the leader renewed the leases."""
+        sent_at = now()
+        revision = self._view.tables.revision
+        request = RenewalRequest(self._incarnation, revision, revision, self.draining)
+        timeout_s = self._timing.pool_lease_s / RENEWALS_PER_LEASE
+        match await self._client.ask(request, timeout_s):
+            case Ok(RenewalReply() as reply):
+                self._take(reply, sent_at)
+                return True
+        return False
+
+    def _take(self, reply: RenewalReply, sent_at: float) -> None:
+        view = self._view
+        if reply.tables is not None:
+            view.take_tables(reply.tables)
+            # Acknowledges the revision without waiting for the next renewal.
+            self._wake.set()
+        view.take_freshness(reply.revision, sent_at + reply.freshness_s)
+        if not self.draining:
+            view.take_pool_leases(reply.pool_leases, sent_at + reply.pool_lease_s)
+
+    def _pause_s(self) -> float:
+        host = self._peers.host
+        leases = self._view.lease_by_pool.values()
+        if any(lease.host == host for lease in leases):
+            return self._timing.pool_lease_s / RENEWALS_PER_LEASE
+        return self._timing.freshness_lease_s / (2 * RENEWALS_PER_LEASE)
+
+    async def _on_notice(self, sender: str, notice: RevisionNotice) -> None:
+        self._wake.set()
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/node/status.py
@@ -0,0 +1,86 @@
+"""The state of the fleet as the leader knows it."""
+
+from almondfield_core.clock import now
+from almondfield_core.messages import FleetStatus, VoterStatus
+
+from almondfield_control.commands import Member
+from almondfield_control.consensus import Replica
+from almondfield_control.freshness import HostLeases
+
+__all__ = ["status_of"]
+
+REACHABLE_ELECTIONS = 2
+
+
+def status_of(
+    replica: Replica, leases: HostLeases, hosts: tuple[str, ...], in_force: bool
+) -> FleetStatus:
+    """Return the state of the fleet.
+
+    :param replica: the member that leads.
+    :param leases: leases that it has given.
+    :param hosts: every host of the deployment.
+    :param in_force: whether the newest revision is in force everywhere.
+    """
+    voters = tuple(_voter_status(replica, member) for member in replica.log.members)
+    fresh = leases.fresh_hosts()
+    return FleetStatus(
+        leader=replica.peers.host,
+        term=replica.hard.term,
+        revision=replica.state.tables.revision,
+        in_force=in_force,
+        voters=voters,
+        losses_tolerated=_losses_tolerated(replica, voters),
+        pool_leases=tuple(replica.state.lease_by_pool.values()),
+        hosts=fresh,
+        findings=_findings(replica, voters, hosts, fresh),
+    )
+
+
+def _voter_status(replica: Replica, member: Member) -> VoterStatus:
+    if member.voter_id == replica.voter_id:
+        index = replica.durable_index
+        return VoterStatus(member.voter_id, member.host, "leader", True, index)
+    progress = replica.leadership.progress_by_voter.get(member.voter_id)
+    heard_within_s = REACHABLE_ELECTIONS * replica.timing.election_s
+    return VoterStatus(
+        voter_id=member.voter_id,
+        host=member.host,
+        role="voter" if member.votes else "learner",
+        reachable=progress is not None and progress.heard_at > now() - heard_within_s,
+        match_index=progress.match_index if progress else 0,
+    )
+
+
+def _losses_tolerated(replica: Replica, voters: tuple[VoterStatus, ...]) -> int:
+    whole = sum(
+        1
+        for voter in voters
+        if voter.role != "learner"
+        and voter.reachable
+        and voter.match_index >= replica.commit_index
+    )
+    return max(0, whole - replica.quorum)
+
+
+def _findings(
+    replica: Replica,
+    voters: tuple[VoterStatus, ...],
+    hosts: tuple[str, ...],
+    fresh: tuple[str, ...],
+) -> tuple[str, ...]:
+    findings = [
+        f"{voter.role} {voter.host} ({voter.voter_id}) does not answer"
+        for voter in voters
+        if not voter.reachable
+    ]
+    findings += [
+        f"learner {voter.host} holds {voter.match_index} of "
+        f"{replica.commit_index} entries"
+        for voter in voters
+        if voter.role == "learner"
+    ]
+    findings += [f"host {host} has no lease" for host in hosts if host not in fresh]
+    if replica.journal.failure is not None:
+        findings.append(str(replica.journal.failure))
+    return tuple(findings)
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/pools/__init__.py
@@ -0,0 +1,5 @@
+"""Which host schedules which pool."""
+
+from almondfield_control.pools.core import next_pool_lease
+
+__all__ = ["next_pool_lease"]
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/state/claims.py
@@ -0,0 +1,156 @@
+"""Claims on idempotency keys."""
+
+from dataclasses import dataclass, replace
+
+from almondfield_core.messages import (
+    ClaimAnswered,
+    ClaimGranted,
+    ClaimLost,
+    ClaimMismatch,
+    ClaimOutcome,
+    ClaimRunning,
+    StoredAnswer,
+)
+
+from almondfield_control.commands import ClaimKey, LoseClaims, SettleClaim
+
+__all__ = ["ClaimRecord", "ClaimTable"]
+
+CLAIM_LIFETIME_S = 24 * 3600.0
+MAX_CLAIMS = 200_000
+MAX_ANSWER_BYTES = 16 * 1024
+
+
+@dataclass(frozen=True)
+class ClaimRecord:
+    """What is known of one idempotency key.
+
+    :ivar team: team that owns the key.
+    :ivar key: the idempotency key.
+    :ivar fingerprint: hash of the request.
+    :ivar claimant: attempt that holds the key.
+    :ivar host: router of that attempt.
+    :ivar incarnation: incarnation of that router.
+    :ivar claimed_unix_s: when the key was claimed, in seconds since 1970.
+    :ivar settled: whether the request has ended, or its router was lost.
+    :ivar answer: the stored answer, where there is one.
+    """
+
+    team: str
+    key: str
+    fingerprint: str
+    claimant: str
+    host: str
+    incarnation: int
+    claimed_unix_s: float
+    settled: bool = False
+    answer: StoredAnswer | None = None
+
+
+class ClaimTable:
+    """Claims by (team, key), oldest first."""
+
+    def __init__(self, records: tuple[ClaimRecord, ...] = ()) -> None:
+        self._record_by_key = {(item.team, item.key): item for item in records}
+
+    @property
+    def records(self) -> tuple[ClaimRecord, ...]:
+        """Return all claims, oldest first."""
+        return tuple(self._record_by_key.values())
+
+    def claim(self, command: ClaimKey, unix_s: float) -> ClaimOutcome | None:
+        """Return who may run the request; None where no further key fits.
+
+        :param command: the claim.
+        :param unix_s: time of the entry, in seconds since 1970.
+        """
+        self._expire(unix_s)
+        request = command.request
+        key = (request.team, request.key)
+        record = self._record_by_key.get(key)
+        if record is not None:
+            return _outcome_of(record, command)
+        if len(self._record_by_key) >= MAX_CLAIMS:
+            return None
+        self._record_by_key[key] = ClaimRecord(
+            team=request.team,
+            key=request.key,
+            fingerprint=request.fingerprint,
+            claimant=request.claimant,
+            host=command.host,
+            incarnation=command.incarnation,
+            claimed_unix_s=unix_s,
+        )
+        return ClaimGranted()
+
+    def settle(self, command: SettleClaim) -> bool:
+        """Return whether the claimant held the key, whose result is now stored.
+
+        :param command: the result.
+        """
+        key = (command.request.team, command.request.key)
+        record = self._record_by_key.get(key)
+        if record is None or record.claimant != command.request.claimant:
+            return False
+        if record.answer is not None:
+            return True
+        if not command.ran:
+            del self._record_by_key[key]
+            return True
+        answer = _bounded(command.answer)
+        self._record_by_key[key] = replace(record, settled=True, answer=answer)
+        return True
+
+    def lose(self, command: LoseClaims) -> int:
+        """Return how many running claims of a dead router are now lost.
+
+        :param command: which router, and from which incarnation on it lives.
+        """
+        lost = [
+            (key, record)
+            for key, record in self._record_by_key.items()
+            if record.host == command.host
+            and record.incarnation < command.before_incarnation
+            and not record.settled
+        ]
+        for key, record in lost:
+            self._record_by_key[key] = replace(record, settled=True)
+        return len(lost)
+
+    def has_running(self, host: str, before_incarnation: int) -> bool:
+        """Return whether earlier incarnations of a router hold unsettled claims.
+
+        :param host: name of the router's host.
+        :param before_incarnation: incarnation from which on it lives.
+        """
+        return any(
+            record.host == host
+            and record.incarnation < before_incarnation
+            and not record.settled
+            for record in self._record_by_key.values()
+        )
+
+    def _expire(self, unix_s: float) -> None:
+        while self._record_by_key:
+            key, record = next(iter(self._record_by_key.items()))
+            if record.claimed_unix_s + CLAIM_LIFETIME_S > unix_s:
+                return
+            del self._record_by_key[key]
+
+
+def _outcome_of(record: ClaimRecord, command: ClaimKey) -> ClaimOutcome:
+    if record.fingerprint != command.request.fingerprint:
+        return ClaimMismatch()
+    if record.answer is not None:
+        return ClaimAnswered(record.answer)
+    if record.settled:
+        return ClaimLost()
+    if record.claimant == command.request.claimant:
+        return ClaimGranted()
+    return ClaimRunning()
+
+
+def _bounded(answer: StoredAnswer | None) -> StoredAnswer | None:
+    if answer is None or len(answer.body) <= MAX_ANSWER_BYTES:
+        return answer
+    return replace(answer, body=b"", complete=False)
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/state/core.py
@@ -0,0 +1,209 @@
+"""The replicated state: tables, audit trail, pool leases, claims, fencing."""
+
+from dataclasses import dataclass
+
+import msgspec
+from almondfield_core.messages import (
+    AuditRecord,
+    ChangeAccepted,
+    ChangeConflict,
+    PoolLease,
+    TableChange,
+)
+from almondfield_core.tables import Tables
+
+from almondfield_control.commands import (
+    ClaimKey,
+    FencingIssued,
+    LeasePool,
+    LogEntry,
+    LoseClaims,
+    Member,
+    MembershipChange,
+    NoOperation,
+    SettleClaim,
+    TableCommand,
+    command_of,
+)
+from almondfield_control.state.audit import difference_of
+from almondfield_control.state.claims import ClaimRecord, ClaimTable
+
+__all__ = ["ControlState"]
+
+MAX_AUDIT_RECORDS = 1_000
+MAX_CONFLICTS = 1_000
+
+
+@dataclass(frozen=True)
+class _StateImage:
+    """The whole state as a snapshot holds it."""
+
+    index: int
+    unix_s: float
+    tables: Tables
+    audit: tuple[AuditRecord, ...]
+    conflicts: tuple[ChangeConflict, ...]
+    pool_leases: tuple[PoolLease, ...]
+    claims: tuple[ClaimRecord, ...]
+    fencing: int
+    members: tuple[Member, ...]
+
+
+class ControlState:
+    """State after the entries applied so far.
+
+    :ivar index: last applied entry.
+    :ivar unix_s: time of the newest entry; never goes back.
+    :ivar tables: the tables.
+    :ivar lease_by_pool: the host that each pool is leased to.
+    :ivar claims: claims on idempotency keys.
+    :ivar fencing: last fencing number that was issued.
+    :ivar members: members as of the last applied entry.
+    """
+
+    def __init__(self) -> None:
+        self.index = 0
+        self.unix_s = 0.0
+        self.tables = Tables()
+        self.lease_by_pool: dict[str, PoolLease] = {}
+        self.claims = ClaimTable()
+        self.fencing = 0
+        self.members: tuple[Member, ...] = ()
+        self._audit_by_revision: dict[int, AuditRecord] = {}
+        self._revision_by_change_id: dict[str, int] = {}
+        self._conflict_by_change_id: dict[str, ChangeConflict] = {}
+
+    def apply(self, entry: LogEntry) -> object:
+        """Return what a committed entry leads to.
+
+        :param entry: the entry after :attr:`index`.
+        """
+        self.index = entry.index
+        self.unix_s = max(self.unix_s, entry.unix_s)
+        match command_of(entry):
+            case NoOperation():
+                return None
+            case MembershipChange(members):
+                self.members = members
+                return members
+            case TableCommand(change):
+                return self._change_tables(change)
+            case LeasePool(pool, host):
+                return self._lease_pool(pool, host)
+            case ClaimKey() as command:
+                return self.claims.claim(command, self.unix_s)
+            case SettleClaim() as command:
+                return self.claims.settle(command)
+            case LoseClaims() as command:
+                return self.claims.lose(command)
+            case FencingIssued():
+                self.fencing += 1
+                return self.fencing
+
+    def answer_of(self, change_id: str) -> ChangeAccepted | ChangeConflict | None:
+        """Return the first answer to a change; None where it is not known.
+
+        :param change_id: identifier of the change.
+        """
+        revision = self._revision_by_change_id.get(change_id)
+        if revision is not None:
+            return ChangeAccepted(change_id, revision)
+        return self._conflict_by_change_id.get(change_id)
+
+    def history(self, after_revision: int, limit: int) -> tuple[AuditRecord, ...]:
+        """Return audit records in order.
+
+        :param after_revision: the first record has a greater revision.
+        :param limit: number of records, at most.
+        """
+        records = [
+            record
+            for revision, record in self._audit_by_revision.items()
+            if revision > after_revision
+        ]
+        return tuple(records[:limit])
+
+    def encode(self) -> bytes:
+        """Return the whole state as MessagePack."""
+        image = _StateImage(
+            index=self.index,
+            unix_s=self.unix_s,
+            tables=self.tables,
+            audit=tuple(self._audit_by_revision.values()),
+            conflicts=tuple(self._conflict_by_change_id.values()),
+            pool_leases=tuple(self.lease_by_pool.values()),
+            claims=self.claims.records,
+            fencing=self.fencing,
+            members=self.members,
+        )
+        return msgspec.msgpack.encode(image)
+
+    @classmethod
+    def decode(cls, body: bytes) -> "ControlState":
+        """Return the state that :meth:`encode` gave.
+
+        :param body: the state as MessagePack.
+        :raises msgspec.ValidationError: where the body is no state.
+        """
+        image = msgspec.msgpack.decode(body, type=_StateImage)
+        state = cls()
+        state.index = image.index
+        state.unix_s = image.unix_s
+        state.tables = image.tables
+        state.lease_by_pool = {lease.pool: lease for lease in image.pool_leases}
+        state.claims = ClaimTable(image.claims)
+        state.fencing = image.fencing
+        state.members = image.members
+        for record in image.audit:
+            state._audit_by_revision[record.revision] = record
+            state._revision_by_change_id[record.change_id] = record.revision
+        for conflict in image.conflicts:
+            state._conflict_by_change_id[conflict.change_id] = conflict
+        return state
+
+    def _change_tables(self, change: TableChange) -> ChangeAccepted | ChangeConflict:
+        earlier = self.answer_of(change.change_id)
+        if earlier is not None:
+            return earlier
+        if change.expect_revision != self.tables.revision:
+            return self._refuse(change)
+        revision = self.tables.revision + 1
+        tables = Tables(revision, change.pools, change.routes)
+        record = AuditRecord(
+            revision=revision,
+            change_id=change.change_id,
+            author=change.author,
+            unix_s=self.unix_s,
+            difference=difference_of(self.tables, tables),
+        )
+        self.tables = tables
+        self._audit_by_revision[revision] = record
+        self._revision_by_change_id[change.change_id] = revision
+        self._drop_oldest_audit()
+        return ChangeAccepted(change.change_id, revision)
+
+    def _refuse(self, change: TableChange) -> ChangeConflict:
+        winner = self._audit_by_revision.get(change.expect_revision + 1)
+        conflict = ChangeConflict(
+            change_id=change.change_id,
+            revision=self.tables.revision,
+            winner_change_id=winner.change_id if winner else "",
+            winner_author=winner.author if winner else "",
+        )
+        self._conflict_by_change_id[change.change_id] = conflict
+        if len(self._conflict_by_change_id) > MAX_CONFLICTS:
+            del self._conflict_by_change_id[next(iter(self._conflict_by_change_id))]
+        return conflict
+
+    def _drop_oldest_audit(self) -> None:
+        if len(self._audit_by_revision) <= MAX_AUDIT_RECORDS:
+            return
+        oldest = next(iter(self._audit_by_revision))
+        record = self._audit_by_revision.pop(oldest)
+        del self._revision_by_change_id[record.change_id]
+
+    def _lease_pool(self, pool: str, host: str) -> PoolLease:
+        earlier = self.lease_by_pool.get(pool)
+        epoch = earlier.epoch + 1 if earlier else 1
+        self.lease_by_pool[pool] = PoolLease(pool, host, epoch)
+        return self.lease_by_pool[pool]
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/storage/folder.py
@@ -0,0 +1,111 @@
+"""The disk port over one folder of the file system."""
+
+import asyncio
+import fcntl
+import os
+from pathlib import Path
+
+from almondfield_core.findings import Finding, FindingsError
+
+__all__ = ["FolderDisk"]
+
+_LOCK_NAME = "lock"
+_BESIDE_SUFFIX = ".new"
+_FILE_MODE = 0o600
+
+
+class FolderDisk:
+    """Files of a data folder that one process at a time may use.
+
+    :param folder: the folder; made where it is missing.
+    :raises FindingsError: where another process holds the folder.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self._folder = folder
+        self._lock = os.open(folder / _LOCK_NAME, os.O_CREAT | os.O_RDWR, _FILE_MODE)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            os.close(self._lock)
+            finding = Finding(
+                f"data_folder: {folder}",
+                "another process uses the folder",
+                "one daemon per data folder",
+            )
+            raise FindingsError((finding,)) from None
+
+    async def names(self) -> tuple[str, ...]:
+        """Return the names of all files."""
+        return await asyncio.to_thread(self._names)
+
+    async def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        return await asyncio.to_thread((self._folder / name).read_bytes)
+
+    async def append(self, name: str, data: bytes) -> None:
+        """Add data to the end of a file and sync it."""
+        await asyncio.to_thread(self._append, name, data)
+
+    async def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size in bytes and sync it."""
+        await asyncio.to_thread(self._truncate, name, size)
+
+    async def replace(self, name: str, data: bytes) -> None:
+        """Put a whole file in place at once."""
+        await asyncio.to_thread(self._replace, name, data)
+
+    async def remove(self, name: str) -> None:
+        """Remove a file."""
+        await asyncio.to_thread((self._folder / name).unlink, missing_ok=True)
+
+    def close(self) -> None:
+        """Give up the lock of the folder."""
+        os.close(self._lock)
+
+    def _names(self) -> tuple[str, ...]:
+        names = (path.name for path in self._folder.iterdir())
+        return tuple(sorted(name for name in names if name != _LOCK_NAME))
+
+    def _append(self, name: str, data: bytes) -> None:
+        flags = os.O_WRONLY | os.O_APPEND
+        descriptor = os.open(self._folder / name, flags)
+        try:
+            _write_all(descriptor, data)
+            os.fdatasync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def _truncate(self, name: str, size: int) -> None:
+        descriptor = os.open(self._folder / name, os.O_WRONLY)
+        try:
+            os.ftruncate(descriptor, size)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def _replace(self, name: str, data: bytes) -> None:
+        beside = self._folder / (name + _BESIDE_SUFFIX)
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+        descriptor = os.open(beside, flags, _FILE_MODE)
+        try:
+            _write_all(descriptor, data)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        beside.rename(self._folder / name)
+        self._sync_folder()
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/storage/records.py
@@ -0,0 +1,86 @@
+"""Checksummed, versioned frames, each holding one synced batch of items."""
+
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import xxhash
+from almondfield_core.findings import Finding
+
+from almondfield_control.errors import DamageError
+
+__all__ = ["Frame", "encode_frame", "read_frames"]
+
+_MAGIC = b"afj1"
+_HEADER = struct.Struct(">4sIQ")
+
+
+@dataclass(frozen=True)
+class Frame:
+    """One frame of a file.
+
+    :ivar body: what the frame holds.
+    :ivar end: offset in bytes of what follows it.
+    """
+
+    body: bytes
+    end: int
+
+
+def encode_frame(body: bytes) -> bytes:
+    """Return a frame with its header.
+
+    :param body: what the frame holds.
+    """
+    return _HEADER.pack(_MAGIC, len(body), _checksum(body)) + body
+
+
+def read_frames(name: str, data: bytes) -> Iterator[Frame]:
+    """Return the whole frames of a file, up to a torn tail.
+
+    :param name: name of the file, for findings.
+    :param data: content of the file.
+    :raises DamageError: where a damaged frame is followed by an intact one.
+    """
+    offset = 0
+    while offset < len(data):
+        frame = _read_frame(data, offset)
+        if frame is None:
+            _refuse_damage(name, data, offset)
+            return
+        yield frame
+        offset = frame.end
+
+
+def _read_frame(data: bytes, offset: int) -> Frame | None:
+    start = offset + _HEADER.size
+    if len(data) < start:
+        return None
+    magic, length, checksum = _HEADER.unpack_from(data, offset)
+    body = data[start : start + length]
+    if magic != _MAGIC or len(body) < length or _checksum(body) != checksum:
+        return None
+    return Frame(body, start + length)
+
+
+def _refuse_damage(name: str, data: bytes, offset: int) -> None:
+    candidate = data.find(_MAGIC, offset + 1)
+    while candidate >= 0:
+        if _read_frame(data, candidate) is not None:
+            raise DamageError((_damage(name, offset),))
+        candidate = data.find(_MAGIC, candidate + 1)
+
+
+def _damage(name: str, offset: int) -> Finding:
+    return Finding(
+        place=f"{name}: offset {offset}",
+        problem="damaged record before intact ones",
+        allowed=(
+            "empty the data folder; the host then rejoins as a new voter "
+            "once the others admit it"
+        ),
+    )
+
+
+def _checksum(body: bytes) -> int:
+    return xxhash.xxh64_intdigest(body)
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/tests/control_group.feature
@@ -0,0 +1,44 @@
+Feature: The control group accepts each change once and keeps it
+
+  Scenario Outline: a group forms, accepts a change and brings it in force everywhere
+    Given a fleet of <hosts> hosts with <voters> voters
+    When h<hosts> asks for change "a" at revision 0
+    Then change "a" is accepted at revision 1
+    And revision 1 is in force within 5 seconds
+    And every host has revision 1 and a freshness lease
+    And every pool is scheduled by exactly one host within 2 seconds
+
+    Examples:
+      | hosts | voters |
+      | 1     | 1      |
+      | 4     | 3      |
+      | 9     | 5      |
+
+  Scenario: of two changes under one revision the second names the first
+    Given a fleet of 4 hosts with 3 voters
+    When h1 asks for change "a" at revision 0
+    And h4 asks for change "b" at revision 0
+    Then change "a" is accepted at revision 1
+    And change "b" conflicts with "a"
+
+  Scenario: a change that is sent again gets its first answer
+    Given a fleet of 4 hosts with 3 voters
+    When h1 asks for change "a" at revision 0
+    And the leader crashes
+    And all hosts are ready again
+    And h4 asks for change "a" at revision 0
+    Then change "a" is accepted at revision 1
+
+  Scenario: all voters restart after a change
+    Given a fleet of 4 hosts with 3 voters
+    When h1 asks for change "a" at revision 0
+    And all voters crash and start again
+    And all hosts are ready again
+    Then every host has revision 1 and a freshness lease
+
+  Scenario: an isolated leader loses its lease and another host leads
+    Given a fleet of 4 hosts with 3 voters
+    When the leader is isolated for 60 seconds
+    Then the isolated host did not lead after 1 second
+    And the other hosts had a leader within 3 seconds
+    And its return does not change the leader
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/tests/fake_disk.py
@@ -0,0 +1,76 @@
+"""A data folder in memory that crashes, tears writes and fills up."""
+
+import asyncio
+import errno
+
+SYNC_S = 0.001
+
+
+class FakeDisk:
+    """The disk port; what was not synced is lost by :meth:`crash`."""
+
+    def __init__(self, chance):
+        self.chance = chance
+        self.file_by_name = {}
+        self.writing = None
+        self.free_bytes = None
+        self.sync_s = SYNC_S
+        self.generation = 0
+
+    async def names(self):
+        return tuple(sorted(self.file_by_name))
+
+    async def read(self, name):
+        return bytes(self.file_by_name[name])
+
+    async def append(self, name, data):
+        generation = self.generation
+        self._take_space(name, data)
+        self.writing = (name, data)
+        await asyncio.sleep(self.sync_s)
+        self._check(generation)
+        self.writing = None
+        self.file_by_name[name] += data
+
+    async def truncate(self, name, size):
+        self.file_by_name[name] = self.file_by_name[name][:size]
+
+    async def replace(self, name, data):
+        generation = self.generation
+        self._take_space(name, data)
+        await asyncio.sleep(self.sync_s)
+        self._check(generation)
+        self.file_by_name[name] = bytes(data)
+
+    async def remove(self, name):
+        self.file_by_name.pop(name, None)
+
+    def close(self):
+        pass
+
+    def crash(self):
+        """Lose what is not synced; a part of the last write may remain."""
+        self.generation += 1
+        if self.writing is not None:
+            name, data = self.writing
+            self.file_by_name[name] += data[: self.chance.randrange(len(data))]
+            self.writing = None
+
+    def wipe(self):
+        """Empty the folder."""
+        self.crash()
+        self.file_by_name = {}
+
+    def _take_space(self, name, data):
+        if self.free_bytes is None:
+            return
+        if self.free_bytes < len(data):
+            part = data[: self.free_bytes]
+            self.file_by_name[name] = self.file_by_name.get(name, b"") + part
+            self.free_bytes = 0
+            raise OSError(errno.ENOSPC, "no space left on device")
+        self.free_bytes -= len(data)
+
+    def _check(self, generation):
+        if generation != self.generation:
+            raise OSError(errno.EIO, "the host crashed")
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/tests/fleet.py
@@ -0,0 +1,108 @@
+"""A fleet of control nodes over links and disks in memory."""
+
+import asyncio
+import functools
+import random
+
+from almondfield_control import ControlNode
+from almondfield_core.clock import WallClock, now
+from almondfield_core.messages import TableChange
+from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
+from almondfield_core.tables import Pool
+from almondfield_testing import InMemoryNetwork, run
+from fake_disk import FakeDisk
+
+
+def in_loop(step):
+    """Return an async step as one that runs in the scenario's paused loop."""
+
+    @functools.wraps(step)
+    def run_step(context, **arguments):
+        run(context, step(context, **arguments))
+
+    return run_step
+
+
+SECURITY = SecuritySettings("", "", "")
+
+
+class Fleet:
+    """Hosts h1, h2, ... of which the first few vote."""
+
+    def __init__(self, hosts, voters, seed=1, **network):
+        self.chance = random.Random(seed)
+        self.network = InMemoryNetwork(seed=seed, **network)
+        self.names = [f"h{i + 1}" for i in range(hosts)]
+        self.voters = self.names[:voters]
+        self.settings = tuple(
+            HostSettings(name, f"dc{i % 3}", "127.0.0.1", voter=name in self.voters)
+            for i, name in enumerate(self.names)
+        )
+        self.disk_by_host = {name: FakeDisk(self.chance) for name in self.voters}
+        self.node_by_host = {}
+        self.task_by_host = {}
+        self.incarnation = 0
+
+    def start(self, *hosts):
+        """Start hosts, or all of them."""
+        for host in hosts or self.names:
+            self.incarnation += 1
+            settings = DaemonSettings(host, self.settings, SECURITY, data_folder="x")
+            node = ControlNode(
+                self.network.peers(host),
+                settings,
+                WallClock(1e9),
+                self.incarnation,
+                disk=self.disk_by_host.get(host),
+                chance=random.Random(self.chance.random()),
+            )
+            self.node_by_host[host] = node
+            self.task_by_host[host] = asyncio.ensure_future(node.run())
+
+    async def crash(self, *hosts):
+        """Kill hosts; what they had not synced is lost."""
+        for host in hosts:
+            self.network.stop(host)
+            if host in self.disk_by_host:
+                self.disk_by_host[host].crash()
+            task = self.task_by_host.pop(host)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            del self.node_by_host[host]
+
+    def leader(self):
+        """Return the host that leads with a lease; None if there is none."""
+        leaders = [
+            host
+            for host, node in self.node_by_host.items()
+            if node.replica and node.replica.is_leader
+        ]
+        assert len(leaders) <= 1, f"two leaders with leases: {leaders}"
+        return leaders[0] if leaders else None
+
+    async def until(self, condition, timeout_s=30.0):
+        """Wait for a condition; return how long it took in seconds."""
+        started = now()
+        while not condition():
+            assert now() < started + timeout_s, f"not within {timeout_s} s"
+            await asyncio.sleep(0.02)
+        return now() - started
+
+    async def ready(self, timeout_s=30.0):
+        """Wait until there is a leader and every host holds a lease."""
+        await self.until(
+            lambda: (
+                self.leader()
+                and all(
+                    node.view.freshness_left_s() > 0
+                    for node in self.node_by_host.values()
+                )
+            ),
+            timeout_s,
+        )
+
+    async def change(self, host, expect, change_id, pools=None):
+        """Return the outcome of a change that is asked for at a host."""
+        rows = tuple(Pool(name) for name in (pools or [f"pool-{change_id}"]))
+        change = TableChange(change_id, "operator", expect, rows, ())
+        return await self.node_by_host[host].control.apply(change)
