--- a/packages/almondfield-control/src/almondfield_control/node/client.py
+++ b/packages/almondfield-control/src/almondfield_control/node/client.py
@@ -20,6 +20,7 @@
 from result import Err, Ok, Result
 
 from almondfield_control.commands import ClaimKey, SettleClaim
+from almondfield_control.consensus import Replica
 from almondfield_control.freshness import NotLeader
 from almondfield_control.node.messages import (
     ApplyRequest,
@@ -51,7 +52,13 @@
     :param replica: this host's member of the control group, if it has one.
     """
 
-    def __init__(self, peers: Peers, voters: tuple[str, ...], incarnation: int) -> None:
+    def __init__(
+        self,
+        peers: Peers,
+        voters: tuple[str, ...],
+        incarnation: int,
+        replica: Replica | None = None,
+    ) -> None:
         self._peers = peers
         self._voters = voters
         self._incarnation = incarnation
