Add learn_host to the Peers port (core change)

Cause: membership learns hosts that the settings don't name and has to tell Peers. Change: the port and the in-memory fake get learn_host; PynngPeers had it already. Conclusion: the smallest port that membership needs.

--- a/packages/almondfield-core/src/almondfield_core/ports/core.py
+++ b/packages/almondfield-core/src/almondfield_core/ports/core.py
@@ -23,6 +23,7 @@
     StoredAnswer,
     TableChange,
 )
+from almondfield_core.settings import HostSettings
 from almondfield_core.tables import Tables
 
 __all__ = ["Control", "LinkFailure", "Peers", "Slot", "SlotSource", "TableView"]
@@ -82,6 +83,12 @@
         :param host: name of the host.
         """
 
+    def learn_host(self, host: HostSettings) -> None:
+        """Take note of a host that the settings may not name.
+
+        :param host: how to reach it; the settings win where they name it.
+        """
+
 
 class TableView(Protocol):
     """The tables and pool leases as this host knows them."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/main.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/main.py
@@ -7,10 +7,10 @@
 from pathlib import Path
 
 import cyclopts
-from result import Err, Ok, Result
-
 from almondfield_core.findings import AlmondfieldError, Finding
 from almondfield_core.settings import DaemonSettings, load_settings
+from result import Err, Ok, Result
+
 from almondfield_daemon.runtime import Daemon, Secrets, load_secrets
 
 __all__ = ["app", "main"]
--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/secrets.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/secrets.py
@@ -3,10 +3,9 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from result import Err, Ok, Result
-
 from almondfield_core.findings import Finding
 from almondfield_core.settings import SecuritySettings
+from result import Err, Ok, Result
 
 __all__ = ["Secrets", "load_secrets"]
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -6,9 +6,8 @@
 from collections.abc import Iterator
 
 import uvicorn
-from starlette.types import ASGIApp
-
 from almondfield_core.findings import AlmondfieldError
+from starlette.types import ASGIApp
 
 __all__ = ["HttpListener", "ListenError", "bind"]
 
--- a/tools/almondfield_testing/core.py
+++ b/tools/almondfield_testing/core.py
@@ -181,6 +181,9 @@
         known = host in self._network.peers_by_host
         return known and (self._host, host) not in cut and (host, self._host) not in cut
 
+    def learn_host(self, host: Any) -> None:
+        """Do nothing: every host of the network can be reached by name."""
+
     def receive(self, source: str, kind: str, body: bytes, tag: Any) -> None:
         """Take one message from the network."""
         message = decode_message(kind, body).unwrap()
