Run scenarios in the loop that is paused from its start

Cause: run() entered looptime.enabled() outside of a running loop, which raises RuntimeError, so no scenario that calls run() could pass. Change: the loop is made with its clock paused, so nothing needs enabling.

--- a/tools/almondfield_testing/core.py
+++ b/tools/almondfield_testing/core.py
@@ -50,8 +50,7 @@
     async def main() -> Any:
         return await awaitable
 
-    with looptime.enabled():
-        return context.loop.run_until_complete(main())
+    return context.loop.run_until_complete(main())
 
 
 class InMemoryNetwork:
