--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -0,0 +1,207 @@
+"""One connection to a backend server, parsed by httptools."""
+
+import asyncio
+from collections import deque
+
+import httptools
+
+from almondfield_daemon.router.calls import Header
+
+__all__ = ["BackendConnection", "ConnectionCutError"]
+
+HIGH_WATER_BYTES = 256 * 1024
+BODILESS_STATUSES = (204, 304)
+
+
+class ConnectionCutError(ConnectionError):
+    """Raised where an answer ended before it was whole, or broke the protocol."""
+
+
+class BackendConnection(asyncio.Protocol):
+    """Carries one request and its answer at a time.
+
+    An answer is read only by the task that sent its request. Bytes that belong to
+    no request make the connection unusable.
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: list[Header] = []
+        self.head_complete = False
+        self.complete = False
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._parts: deque[bytes] = deque()
+        self._buffered = 0
+        self._waiter: asyncio.Future[None] | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._failure: str = ""
+        self._keep_alive = False
+        self._expects_body = True
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether another request may be sent on the connection."""
+        return self._keep_alive and not self._failure and self._parser is None
+
+    async def send(self, method: bytes, head: bytes, body: bytes) -> None:
+        """Send one request.
+
+        :param method: HTTP method.
+        :param head: request line and headers, up to the empty line.
+        :param body: body; its length is in the head.
+        :raises ConnectionCutError: where the connection is lost meanwhile.
+        """
+        self._start_answer(method)
+        self._transport.write(head)
+        if body:
+            self._transport.write(body)
+        if self._writable is not None:
+            await self._writable
+        self._check()
+
+    async def wait_head(self) -> None:
+        """Wait until status and headers of the answer are known.
+
+        :raises ConnectionCutError: where the connection is lost before.
+        """
+        while not self.head_complete:
+            self._check()
+            await self._wait()
+
+    async def read(self) -> bytes:
+        """Return the next bytes of the answer's body; empty at its end.
+
+        :raises ConnectionCutError: where the answer ends before it is whole.
+        """
+        while not self._parts:
+            if self.complete:
+                self._parser = None
+                return b""
+            self._check()
+            await self._wait()
+        return self._take()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._fail("closed by this side")
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport; called by the event loop."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived; called by the event loop."""
+        if self._parser is None or self.complete:
+            self._fail("bytes that belong to no request")
+            self._transport.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail("the server switched protocols")
+        except httptools.HttpParserError as error:
+            self._fail(f"malformed answer: {error}")
+        if self._buffered > HIGH_WATER_BYTES:
+            self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Let the transport close; called by the event loop."""
+        self._fail("the server closed the connection")
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Wake whoever waits; called by the event loop."""
+        self._fail(f"connection lost: {error}")
+        self.resume_writing()
+
+    def pause_writing(self) -> None:
+        """Make the sender wait; called by the transport."""
+        self._writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let the sender go on; called by the transport."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    def on_status(self, status: bytes) -> None:
+        """Called by the parser at the status line."""
+
+    def on_message_begin(self) -> None:
+        """Forget an interim answer; called by the parser."""
+        if self.complete:
+            self._fail("bytes that belong to no request")
+        self.headers = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header; called by the parser."""
+        if not self.head_complete:
+            self.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Keep the status; called by the parser."""
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        self.status = status
+        self.head_complete = True
+        self._keep_alive = self._parser.should_keep_alive()
+        if not self._expects_body or status in BODILESS_STATUSES:
+            self.complete = True
+
+    def on_body(self, part: bytes) -> None:
+        """Keep a part of the body; called by the parser."""
+        if self.complete:
+            self._fail("a body where none is allowed")
+            return
+        self._parts.append(part)
+        self._buffered += len(part)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the answer; called by the parser."""
+        if self.head_complete:
+            self.complete = True
+
+    def _start_answer(self, method: bytes) -> None:
+        self.status = 0
+        self.headers = []
+        self.head_complete = False
+        self.complete = False
+        self._keep_alive = False
+        self._expects_body = method != b"HEAD"
+        self._parser = httptools.HttpResponseParser(self)
+
+    def _take(self) -> bytes:
+        if len(self._parts) == 1:
+            data = self._parts.popleft()
+        else:
+            data = b"".join(self._parts)
+            self._parts.clear()
+        if self._buffered > HIGH_WATER_BYTES:
+            self._transport.resume_reading()
+        self._buffered = 0
+        return data
+
+    def _check(self) -> None:
+        if self._failure and not self.complete:
+            raise ConnectionCutError(self._failure)
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _fail(self, reason: str) -> None:
+        if not self._failure:
+            self._failure = reason
+        self._wake()
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/bodies.py
@@ -0,0 +1,108 @@
+"""Bounded reading of request heads and bodies."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from almondfield_daemon.router import Header, Problem
+from almondfield_daemon.router.problems import refuse
+
+__all__ = ["BodyBudget", "CallerGoneError", "check_headers", "read_body"]
+
+BODY_PART_TIMEOUT_S = 30.0
+
+
+class CallerGoneError(Exception):
+    """Raised where the caller's connection closed before the body was whole."""
+
+
+class BodyBudget:
+    """Bounds the bytes of all bodies that one daemon holds.
+
+    :param limit_bytes: bytes, at most.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self.held_bytes = 0
+
+    def take(self, count: int) -> bool:
+        """Return whether so many more bytes may be held, and count them.
+
+        :param count: number of bytes.
+        """
+        if self.held_bytes + count > self._limit_bytes:
+            return False
+        self.held_bytes += count
+        return True
+
+    def give_back(self, count: int) -> None:
+        """Count bytes as no longer held.
+
+        :param count: number of bytes.
+        """
+        self.held_bytes -= count
+
+
+def check_headers(headers: list[Header], limit_bytes: int) -> Problem | None:
+    """Return what is wrong with the size of a header section, if anything.
+
+    :param headers: headers as received.
+    :param limit_bytes: bytes, at most.
+    """
+    size = sum(len(name) + len(value) for name, value in headers)
+    if size <= limit_bytes:
+        return None
+    detail = f"headers of {size} bytes; allowed: {limit_bytes}"
+    return refuse(431, "headers-too-large", detail)
+
+
+async def read_body(
+    receive: Any,
+    declared_bytes: int,
+    limit_bytes: int,
+    take: Callable[[int], bool],
+) -> Result[bytes, Problem]:
+    """Return the whole body of a request.
+
+    :param receive: ASGI's receive.
+    :param declared_bytes: value of content-length; 0 without one.
+    :param limit_bytes: bytes, at most.
+    :param take: asks whether so many more bytes may be held.
+    :raises CallerGoneError: where the caller's connection closes before.
+    """
+    if declared_bytes > limit_bytes:
+        return Err(_too_large(f"{declared_bytes}", limit_bytes))
+    parts = []
+    size = 0
+    while True:
+        try:
+            async with asyncio.timeout(BODY_PART_TIMEOUT_S):
+                message = await receive()
+        except TimeoutError:
+            detail = f"no byte of the body for {BODY_PART_TIMEOUT_S} s"
+            return Err(refuse(408, "body-timeout", detail))
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError
+        part = message.get("body", b"")
+        size += len(part)
+        if size > limit_bytes:
+            return Err(_too_large(f"more than {limit_bytes}", limit_bytes))
+        if part:
+            if not take(len(part)):
+                return Err(_no_memory())
+            parts.append(part)
+        if not message.get("more_body", False):
+            return Ok(b"".join(parts))
+
+
+def _too_large(size: str, limit_bytes: int) -> Problem:
+    detail = f"body of {size} bytes; allowed: {limit_bytes}"
+    return refuse(413, "body-too-large", detail)
+
+
+def _no_memory() -> Problem:
+    detail = "this host holds as many bodies as it may"
+    return Problem(503, "memory", detail, retry_after_s=1.0, elsewhere=True)
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/caller.py
@@ -0,0 +1,168 @@
+"""Takes one caller's request through the router and streams its answer."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import aclosing, asynccontextmanager
+from dataclasses import replace
+from typing import Any
+
+from almondfield_core.settings import DaemonSettings
+from result import Err, Ok
+
+from almondfield_daemon.edge.bodies import BodyBudget, CallerGoneError, read_body
+from almondfield_daemon.edge.heads import RequestHead, parse_head, request_id_of
+from almondfield_daemon.edge.replies import send_problem
+from almondfield_daemon.router import (
+    AnswerCutError,
+    CallerRequest,
+    Plan,
+    Problem,
+    RoutedAnswer,
+    Router,
+)
+
+__all__ = ["CallerEndpoint"]
+
+OUTCOME_HEADER = b"almondfield-outcome"
+
+
+class CallerEndpoint:
+    """The ASGI app of callers' requests.
+
+    :param router: serves the requests.
+    :param membership: names other addresses where those help.
+    :param settings: settings of the daemon.
+    """
+
+    def __init__(
+        self, router: Router, membership: Any, settings: DaemonSettings
+    ) -> None:
+        self._router = router
+        self._membership = membership
+        self._limits = settings.limits
+        self._budget = BodyBudget(settings.limits.max_queued_bytes)
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one request."""
+        request_id = request_id_of(scope)
+        match parse_head(scope, request_id, self._limits):
+            case Ok(head):
+                await self._admit(head, receive, send)
+            case Err(problem):
+                await self._refuse(send, problem, request_id)
+
+    async def _admit(self, head: RequestHead, receive: Any, send: Any) -> None:
+        match self._router.admit(head.request):
+            case Ok(plan):
+                await self._take(head, plan, receive, send)
+            case Err(problem):
+                await self._refuse(send, problem, head.request.request_id)
+
+    async def _take(
+        self, head: RequestHead, plan: Plan, receive: Any, send: Any
+    ) -> None:
+        held = _HeldBody(self._budget)
+        try:
+            body = await read_body(
+                receive, head.declared_bytes, self._limits.max_body_bytes, held.take
+            )
+            match body:
+                case Ok(content):
+                    request = replace(head.request, body=content)
+                    async with _until_disconnect(receive):
+                        await self._serve(request, plan, send, held)
+                case Err(problem):
+                    await self._refuse(send, problem, head.request.request_id)
+        except CallerGoneError:
+            return
+        finally:
+            held.release()
+
+    async def _serve(
+        self, request: CallerRequest, plan: Plan, send: Any, held: "_HeldBody"
+    ) -> None:
+        match await self._router.serve(request, plan):
+            case Ok(answer):
+                held.release()
+                await self._stream(answer, request, send)
+            case Err(problem):
+                await send_problem(send, problem, request.request_id, self._membership)
+
+    async def _stream(
+        self, answer: RoutedAnswer, request: CallerRequest, send: Any
+    ) -> None:
+        """Stream an answer; returning before its end closes the connection."""
+        try:
+            await send(_start(answer, request))
+            async with aclosing(answer.chunks()) as chunks:
+                async for chunk in chunks:
+                    await send(_part(chunk, more=True))
+            await send(_part(b"", more=False))
+        except AnswerCutError:
+            return
+        finally:
+            answer.close()
+
+    async def _refuse(self, send: Any, problem: Problem, request_id: str) -> None:
+        # The body may still be coming; closing ends it without reading on.
+        await send_problem(send, problem, request_id, self._membership, close=True)
+
+
+class _HeldBody:
+    """The share of one request in the budget."""
+
+    def __init__(self, budget: BodyBudget) -> None:
+        self._budget = budget
+        self._held_bytes = 0
+
+    def take(self, count: int) -> bool:
+        if not self._budget.take(count):
+            return False
+        self._held_bytes += count
+        return True
+
+    def release(self) -> None:
+        self._budget.give_back(self._held_bytes)
+        self._held_bytes = 0
+
+
+def _start(answer: RoutedAnswer, request: CallerRequest) -> dict[str, Any]:
+    headers = [header for header in answer.headers if header[0] != OUTCOME_HEADER]
+    if not any(name.lower() == b"x-request-id" for name, _ in headers):
+        headers.append((b"x-request-id", request.request_id.encode()))
+    return {
+        "type": "http.response.start",
+        "status": answer.status,
+        "headers": headers,
+    }
+
+
+def _part(body: bytes, more: bool) -> dict[str, Any]:
+    return {"type": "http.response.body", "body": body, "more_body": more}
+
+
+@asynccontextmanager
+async def _until_disconnect(receive: Any) -> AsyncIterator[None]:
+    """Cancel the block when the caller's connection closes.
+
+    :raises CallerGoneError: where that happened.
+    """
+    work = asyncio.current_task()
+    gone = False
+
+    async def watch() -> None:
+        nonlocal gone
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        gone = True
+        work.cancel()
+
+    watcher = asyncio.ensure_future(watch())
+    try:
+        yield
+    except asyncio.CancelledError:
+        if gone and work.uncancel() == 0:
+            raise CallerGoneError from None
+        raise
+    finally:
+        watcher.cancel()
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/replies.py
@@ -0,0 +1,81 @@
+"""Replies of the router's own: problems and addresses, as JSON."""
+
+import math
+from typing import Any
+
+import msgspec
+from almondfield_core.settings import TimingSettings
+
+from almondfield_daemon.router import Header, Problem
+
+__all__ = ["AddressEndpoint", "send_json", "send_problem"]
+
+
+async def send_json(
+    send: Any, status: int, body: Any, headers: tuple[Header, ...] = ()
+) -> None:
+    """Send a whole JSON answer.
+
+    :param send: ASGI's send.
+    :param status: HTTP status.
+    :param body: data class or built-in values.
+    :param headers: further headers.
+    """
+    content = msgspec.json.encode(body)
+    fixed = [
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(content)),
+    ]
+    start = {"type": "http.response.start", "status": status}
+    await send(start | {"headers": fixed + list(headers)})
+    await send({"type": "http.response.body", "body": content})
+
+
+async def send_problem(
+    send: Any, problem: Problem, request_id: str, membership: Any, close: bool = False
+) -> None:
+    """Send an error answer.
+
+    :param send: ASGI's send.
+    :param problem: what went wrong.
+    :param request_id: identifier of the request.
+    :param membership: names the other addresses where those help.
+    :param close: whether the caller's connection ends with the answer.
+    """
+    body = {
+        "error": problem.kind,
+        "detail": problem.detail,
+        "outcome": problem.outcome.value,
+        "request_id": request_id,
+    }
+    headers = [
+        (b"almondfield-outcome", problem.outcome.value.encode()),
+        (b"x-request-id", request_id.encode("latin-1")),
+    ]
+    if problem.retry_after_s is not None:
+        body["retry_after_s"] = problem.retry_after_s
+        headers.append((b"retry-after", b"%d" % math.ceil(problem.retry_after_s)))
+    if problem.elsewhere:
+        body["addresses"] = membership.addresses()
+    if problem.status == 401:
+        headers.append((b"www-authenticate", b"Bearer"))
+    if close:
+        headers.append((b"connection", b"close"))
+    await send_json(send, problem.status, body, tuple(headers))
+
+
+class AddressEndpoint:
+    """Answers ``GET /addresses``.
+
+    :param membership: knows the addresses.
+    :param timing: says how long callers may keep the answer.
+    """
+
+    def __init__(self, membership: Any, timing: TimingSettings) -> None:
+        self._membership = membership
+        self._cache_control = b"max-age=%d" % int(timing.address_lifetime_s)
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one request."""
+        headers = ((b"cache-control", self._cache_control),)
+        await send_json(send, 200, self._membership.addresses(), headers)
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/problems.py
@@ -0,0 +1,92 @@
+"""Errors that the router answers with, typed by kind and outcome."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from almondfield_core.messages import NotRun, NotRunReason, ServerFailure
+
+from almondfield_daemon.router.calls import CallFailure
+
+__all__ = ["Outcome", "Problem", "from_call_failure", "from_not_run", "refuse"]
+
+
+class Outcome(StrEnum):
+    """Whether the request of a failed answer was run."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class Problem:
+    """An error answer of the router's own.
+
+    :ivar status: HTTP status.
+    :ivar kind: short name of the error, for programs.
+    :ivar detail: what happened, with the value and what was allowed.
+    :ivar outcome: whether the request was run.
+    :ivar retry_after_s: seconds after which another try may succeed; None where
+        another try won't help.
+    :ivar elsewhere: whether another host may take the request now.
+    """
+
+    status: int
+    kind: str
+    detail: str
+    outcome: Outcome = Outcome.NOT_RUN
+    retry_after_s: float | None = None
+    elsewhere: bool = False
+
+
+DETAIL_BY_REASON = {
+    NotRunReason.QUEUE_FULL: "the team's queue is full",
+    NotRunReason.QUEUE_DEADLINE: "no slot came free before the queue deadline",
+    NotRunReason.STALE_TABLES: "this host's tables may be out of date",
+    NotRunReason.DRAINING: "this host is shutting down",
+    NotRunReason.NO_CAPACITY: "no backend server of the pool takes work",
+    NotRunReason.CONTROL_UNAVAILABLE: "the control group can't be reached",
+    NotRunReason.MEMORY: "this host holds as many bodies as it may",
+}
+ELSEWHERE = frozenset(
+    (
+        NotRunReason.STALE_TABLES,
+        NotRunReason.DRAINING,
+        NotRunReason.MEMORY,
+        NotRunReason.CONTROL_UNAVAILABLE,
+    )
+)
+
+
+def refuse(status: int, kind: str, detail: str) -> Problem:
+    """Return a problem that repeating the request won't mend.
+
+    :param status: HTTP status.
+    :param kind: short name of the error.
+    :param detail: what is wrong, with the value and what is allowed.
+    """
+    return Problem(status, kind, detail)
+
+
+def from_not_run(not_run: NotRun) -> Problem:
+    """Return the problem of a request that was certainly not run.
+
+    :param not_run: why it was not run.
+    """
+    return Problem(
+        status=503,
+        kind=not_run.reason.value,
+        detail=DETAIL_BY_REASON[not_run.reason],
+        retry_after_s=not_run.retry_after_s,
+        elsewhere=not_run.reason in ELSEWHERE,
+    )
+
+
+def from_call_failure(failure: CallFailure) -> Problem:
+    """Return the problem of a request whose last attempt failed.
+
+    :param failure: how the attempt failed.
+    """
+    if not failure.may_have_run:
+        return Problem(503, "connect", failure.reason, retry_after_s=1.0)
+    status = 504 if failure.failure is ServerFailure.FIRST_BYTE else 502
+    return Problem(status, failure.failure.value, failure.reason, Outcome.UNKNOWN)
