Turn Nagle's algorithm off on the listening sockets

Cause: a socket made without IPPROTO_TCP is skipped by asyncio's own TCP_NODELAY, so head and body of a small answer waited for a delayed acknowledgement. Change: the socket names its protocol (a file of the wiring; one line).

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -28,7 +28,8 @@
     :param port: port number.
     :raises ListenError: where the port is in use or the address is not this host's.
     """
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # asyncio turns Nagle's algorithm off only for sockets that name their protocol.
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listener.bind((address, port))
