Name voters by their host in the operator messages

Cause: the control side admits and removes members by the name of their host. What: VoterChange holds a host; VotersChanged is the answer.

--- a/packages/almondfield-core/src/almondfield_core/messages/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/messages/__init__.py
@@ -25,6 +25,7 @@
     InForce,
     OperatorError,
     VoterChange,
+    VotersChanged,
 )
 from almondfield_core.messages.servers import (
     AnnouncementRelay,
@@ -76,4 +77,5 @@
     "TableChange",
     "VoterChange",
     "VoterStatus",
+    "VotersChanged",
 ]
--- a/packages/almondfield-core/src/almondfield_core/messages/operators.py
+++ b/packages/almondfield-core/src/almondfield_core/messages/operators.py
@@ -4,7 +4,14 @@
 
 from almondfield_core.findings import Finding
 
-__all__ = ["DrainRequest", "DrainStarted", "InForce", "OperatorError", "VoterChange"]
+__all__ = [
+    "DrainRequest",
+    "DrainStarted",
+    "InForce",
+    "OperatorError",
+    "VoterChange",
+    "VotersChanged",
+]
 
 
 @dataclass(frozen=True)
@@ -43,10 +50,22 @@
 class VoterChange:
     """Asks for a member of the control group to be admitted or removed.
 
-    :ivar voter_id: random number in the voter's data folder, in hexadecimal.
+    :ivar host: name of the member's host.
     """
 
-    voter_id: str
+    host: str
+
+
+@dataclass(frozen=True)
+class VotersChanged:
+    """The control group has changed as it was asked to.
+
+    :ivar host: name of the member's host.
+    :ivar votes: whether it votes now; else it is no member any more.
+    """
+
+    host: str
+    votes: bool
 
 
 @dataclass(frozen=True)
