Admit and remove voters, and count kinds of messages for their part

Cause: a lost voter must be replaced by its operators; peers count in data classes by kind of message. What: almondfield admit and remove; stats_by_kind gives almondfield_peers_sent_bytes and its like, with the label kind.

--- a/packages/almondfield-cli/src/almondfield_cli/client.py
+++ b/packages/almondfield-cli/src/almondfield_cli/client.py
@@ -16,6 +16,8 @@
     InForce,
     OperatorError,
     TableChange,
+    VoterChange,
+    VotersChanged,
 )
 from almondfield_core.settings import HostSettings
 from almondfield_core.tables import Tables
@@ -174,6 +176,19 @@
         endpoint = f"{host.address}:{host.operator_port}"
         return _decode(await self._ask(request, (endpoint,)), DrainStarted)
 
+    async def change_voters(
+        self, host_name: str, admit: bool
+    ) -> Result[VotersChanged, ClientFailure]:
+        """Return that a member of the control group was admitted or removed.
+
+        :param host_name: name of the member's host.
+        :param admit: whether to admit it; else it is removed.
+        """
+        path = f"/v1/voters/{'admit' if admit else 'remove'}"
+        body = msgspec.json.encode(VoterChange(host_name))
+        request = HttpRequest("POST", path, body, self._timeout_s)
+        return _decode(await self._ask(request), VotersChanged)
+
     async def _get(self, path: str, wanted: Any) -> Result[Any, ClientFailure]:
         request = HttpRequest("GET", path, timeout_s=self._timeout_s)
         return _decode(await self._ask(request), wanted)
@@ -214,7 +229,6 @@
 
 _FAILURE_BY_STATUS: dict[int, Any] = {
     409: ChangeConflict,
-    422: OperatorError,
     503: ControlUnavailable,
 }
 
--- a/packages/almondfield-cli/src/almondfield_cli/main.py
+++ b/packages/almondfield-cli/src/almondfield_cli/main.py
@@ -8,8 +8,9 @@
 
 from almondfield_cli.changing import apply, apply_file, check, plan
 from almondfield_cli.exits import ExitCode
+from almondfield_cli.hosts import admit, drain, remove
 from almondfield_cli.offline import key, settings
-from almondfield_cli.reading import addresses, drain, export, history, status
+from almondfield_cli.reading import addresses, export, history, status
 
 __all__ = ["apply_file", "build_app", "main", "run_command"]
 
@@ -22,6 +23,8 @@
     export,
     addresses,
     drain,
+    admit,
+    remove,
     settings,
     key,
 )
--- a/packages/almondfield-cli/src/almondfield_cli/output.py
+++ b/packages/almondfield-cli/src/almondfield_cli/output.py
@@ -18,6 +18,7 @@
     FleetStatus,
     InForce,
     OperatorError,
+    VotersChanged,
 )
 
 from almondfield_cli.client import NotAllowed, Silent, Unexpected, UnknownOutcome
@@ -121,6 +122,10 @@
             return "\n".join(_describe_status(value))
         case DrainStarted():
             return f"{value.host} finishes what it runs and stops"
+        case VotersChanged(votes=True):
+            return f"{value.host} votes in the control group"
+        case VotersChanged():
+            return f"{value.host} is no member of the control group"
         case AuditRecord():
             return "\n".join(_describe_record(value))
         case Finding() | str():
--- a/packages/almondfield-cli/src/almondfield_cli/reading.py
+++ b/packages/almondfield-cli/src/almondfield_cli/reading.py
@@ -1,6 +1,5 @@
-"""Commands that read from the system, and the one that drains a host."""
+"""Commands that read from the system."""
 
-from almondfield_core.findings import Finding
 from almondfield_core.tables import dump_tables
 from result import Err, Ok, Result
 
@@ -9,7 +8,7 @@
 from almondfield_cli.options import DEFAULT_CONNECTION, Connection
 from almondfield_cli.output import Printer
 
-__all__ = ["addresses", "drain", "export", "history", "status"]
+__all__ = ["addresses", "export", "history", "show_outcome", "status"]
 
 DEFAULT_HISTORY_RECORDS = 100
 
@@ -18,7 +17,7 @@
     """Print what the control group knows of the fleet."""
     match connection.connect():
         case Ok(client):
-            return _show(connection.printer, await client.status())
+            return show_outcome(connection.printer, await client.status())
         case Err(findings):
             return connection.printer.fail(findings)
 
@@ -36,7 +35,7 @@
     """
     match connection.connect():
         case Ok(client):
-            return _show(connection.printer, await client.history(after, limit))
+            return show_outcome(connection.printer, await client.history(after, limit))
         case Err(findings):
             return connection.printer.fail(findings)
 
@@ -59,35 +58,17 @@
     """Print the addresses that callers are told to use."""
     match connection.connect():
         case Ok(client):
-            return _show(connection.printer, await client.addresses())
+            return show_outcome(connection.printer, await client.addresses())
         case Err(findings):
             return connection.printer.fail(findings)
 
 
-async def drain(
-    host_name: str, /, *, connection: Connection = DEFAULT_CONNECTION
-) -> ExitCode:
-    """Let a host finish what it runs and stop.
+def show_outcome(printer: Printer, outcome: Result[object, ClientFailure]) -> ExitCode:
+    """Print a result or failure and return the exit code.
 
-    :param host_name: name of the host.
+    :param printer: prints it.
+    :param outcome: what the client answered.
     """
-    printer = connection.printer
-    match connection.connect():
-        case Ok(client):
-            known = await client.hosts()
-        case Err(findings):
-            return printer.fail(findings)
-    if isinstance(known, Err):
-        return printer.fail(known.err_value)
-    host_by_name = {host.name: host for host in known.ok_value}
-    if host_name not in host_by_name:
-        allowed = ", ".join(host_by_name)
-        finding = Finding("HOST", f"no host {host_name!r}", allowed)
-        return printer.fail((finding,))
-    return _show(printer, await client.drain(host_by_name[host_name]))
-
-
-def _show(printer: Printer, outcome: Result[object, ClientFailure]) -> ExitCode:
     match outcome:
         case Ok(value):
             return printer.show(value)
--- a/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
@@ -61,6 +61,8 @@
       | check wrong.toml              | FINDINGS    | no pool 'none'          |
       | plan missing.toml             | FINDINGS    | No such file            |
       | drain elsewhere               | FINDINGS    | no host 'elsewhere'     |
+      | admit elsewhere               | FINDINGS    | elsewhere is no learner |
+      | remove elsewhere              | FINDINGS    | elsewhere is no member  |
       | status --host nonsense        | FINDINGS    | ADDRESS:PORT            |
       | status --token-file none      | FINDINGS    | none                    |
       | status --token-file bad.token | NOT_ALLOWED | the token is not valid  |
@@ -93,6 +95,8 @@
       | status                   | leader    north-1 (term 3)     |
       | status --output json     | {"leader":"north-1","term":3   |
       | addresses                | 127.0.0.1:8080                 |
+      | admit north-1            | north-1 votes in the control group |
+      | remove north-1           | north-1 is no member of the control group |
       | check tables.toml        | 1 pools, 1 routes, no findings |
       | settings                 | timing.heartbeat_s  number in s, default 0.3 |
       | key team.key             | 58e1c144d9e77a3f                   |
--- a/packages/almondfield-daemon/src/almondfield_daemon/metrics/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/metrics/core.py
@@ -10,7 +10,8 @@
 
 A name that ends in ``_total`` is a counter, any other a gauge. A mapping whose name
 ends in ``_total`` keeps that end: ``bytes_by_kind_total`` gives ``bytes_total``. A
-key of several parts has its labels joined: ``bytes_by_kind_and_host``.
+key of several parts has its labels joined: ``bytes_by_kind_and_host``. The data
+classes in ``stats_by_kind`` count for the part itself, with the label ``kind``.
 """
 
 import dataclasses
@@ -26,6 +27,7 @@
 
 PREFIX = "almondfield"
 LABELLED = re.compile(r"(?P<name>\w+)_by_(?P<labels>\w+?)(?P<total>_total)?")
+OWN_NAME = "stats"
 LABEL_SEPARATOR = "_and_"
 ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
 FORBIDDEN_IN_NAMES = re.compile(r"[^a-zA-Z0-9_]")
@@ -96,7 +98,8 @@
         keys = key if isinstance(key, tuple) else (key,)
         labels = dict(zip(_fit(label_names, len(keys)), map(_text, keys)))
         if dataclasses.is_dataclass(value):
-            for sample in _samples(f"{prefix}_{metric}", value):
+            inner = prefix if metric == OWN_NAME else f"{prefix}_{metric}"
+            for sample in _samples(inner, value):
                 yield dataclasses.replace(sample, labels=labels | sample.labels)
         elif _is_number(value):
             yield Sample(f"{prefix}_{metric}", labels, _number(value))
--- a/packages/almondfield-daemon/src/almondfield_daemon/metrics/tests/metrics.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/metrics/tests/metrics.feature
@@ -13,6 +13,7 @@
       almondfield_peers_queue_waiting 7
       almondfield_peers_ready 1
       almondfield_peers_retries_total 5
+      almondfield_peers_sent{kind="slot-grant"} 9
       almondfield_peers_served{team="mares \"2\""} 1.5
       """
     And "almondfield_peers_retries_total" is a counter
--- a/packages/almondfield-daemon/src/almondfield_daemon/metrics/tests/steps/metrics_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/metrics/tests/steps/metrics_steps.py
@@ -11,6 +11,11 @@
     waiting: int
 
 
+@dataclass(frozen=True)
+class KindStats:
+    sent: int
+
+
 @dataclass(frozen=True)
 class EveryKind:
     links: int
@@ -21,6 +26,7 @@
     bytes_sent_by_kind: dict[str, int]
     delay_s_by_host_and_kind: dict[tuple[str, str], float]
     served_by_team: dict[str, float]
+    stats_by_kind: dict[str, KindStats]
 
 
 @dataclass(frozen=True)
@@ -49,6 +55,7 @@
         bytes_sent_by_kind={"slot-grant": 30, "demand-report": 12},
         delay_s_by_host_and_kind={("north-1", "slot-grant"): 0.25},
         served_by_team={'mares "2"': 1.5},
+        stats_by_kind={"slot-grant": KindStats(9)},
     )
     add(context, part, stats)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/coding.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/coding.py
@@ -69,7 +69,7 @@
             response.headers["retry-after"] = str(RETRY_AFTER_S)
             return response
         case _:
-            return answer(OperatorError((Finding("request", str(failure)),)), 409)
+            return answer(OperatorError((Finding("request", str(failure)),)), 422)
 
 
 async def read_body(request: Request, wanted: type[T], max_bytes: int) -> T:
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
@@ -1,7 +1,6 @@
 """The routes of the operator interface."""
 
 import dataclasses
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 from almondfield_core.findings import Finding
@@ -12,6 +11,7 @@
     OperatorError,
     TableChange,
     VoterChange,
+    VotersChanged,
 )
 from almondfield_core.tables import check_tables
 from result import Err, Ok, Result
@@ -179,18 +179,15 @@
 
     async def post_admit(self, request: Request) -> Response:
         """Admit a learner to the control group."""
-        return await _change_voters(request, self._node.control.admit_voter)
+        wanted = await read_body(request, VoterChange, MAX_SMALL_BODY_BYTES)
+        outcome = await self._node.control.admit_voter(wanted.host)
+        return _answer_outcome(outcome.map(lambda host: VotersChanged(host, True)))
 
     async def post_remove(self, request: Request) -> Response:
         """Remove a member from the control group."""
-        return await _change_voters(request, self._node.control.remove_voter)
-
-
-async def _change_voters(
-    request: Request, operation: Callable[[str], Awaitable[Result[Any, Any]]]
-) -> Response:
-    wanted = await read_body(request, VoterChange, MAX_SMALL_BODY_BYTES)
-    return _answer_outcome(await operation(wanted.voter_id))
+        wanted = await read_body(request, VoterChange, MAX_SMALL_BODY_BYTES)
+        outcome = await self._node.control.remove_voter(wanted.host)
+        return _answer_outcome(outcome.map(lambda host: VotersChanged(host, False)))
 
 
 def _answer_outcome(outcome: Result[Any, Any]) -> Response:
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/node.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/node.py
@@ -22,16 +22,16 @@
     def view(self) -> TableView:
         """Return the tables as this host knows them."""
 
-    async def admit_voter(self, voter_id: str) -> Result[Any, Any]:
-        """Return the outcome of admitting a learner as a voter.
+    async def admit_voter(self, host: str) -> Result[str, str]:
+        """Return the host once it votes; the error says why it does not.
 
-        :param voter_id: random number in the voter's data folder, in hexadecimal.
+        :param host: name of a host whose member is a learner.
         """
 
-    async def remove_voter(self, voter_id: str) -> Result[Any, Any]:
-        """Return the outcome of removing a voter.
+    async def remove_voter(self, host: str) -> Result[str, str]:
+        """Return the host once it is no member; the error says why it still is.
 
-        :param voter_id: random number in the voter's data folder, in hexadecimal.
+        :param host: name of a host that is a member.
         """
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/operator.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/operator.feature
@@ -87,6 +87,18 @@
     Then the status is 202
     And "/ready" answers 503
 
+  Scenario: Voters are admitted and removed by their host
+    When "admit" of the voter on "north-1" is asked for
+    Then the answer is 200 and holds
+      """
+      {"host":"north-1","votes":true}
+      """
+    When "remove" of the voter on "north-2" is asked for
+    Then the answer is 422 and holds
+      """
+      {"findings":[{"place":"request","problem":"north-2 is no member","allowed":""}]}
+      """
+
   Scenario Outline: Read requests answer
     When a change "c1" against revision 0 is posted with wait 0
     Then "<path>" answers <status>
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/steps/operator_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/steps/operator_steps.py
@@ -74,6 +74,11 @@
     post(context, "/v1/drain", msgspec.json.encode({"host": host}))
 
 
+@when('"{operation}" of the voter on "{host}" is asked for')
+def step_impl(context, operation, host):
+    post(context, f"/v1/voters/{operation}", msgspec.json.encode({"host": host}))
+
+
 @then("the answer is {status:d} and holds")
 def step_impl(context, status):
     assert context.answer.status == status, context.answer
--- a/tools/almondfield_testing/operators.py
+++ b/tools/almondfield_testing/operators.py
@@ -49,13 +49,13 @@
         """Return the answer that callers get to GET /addresses."""
         return {"addresses": ["127.0.0.1:8080"], "lifetime_s": 5.0}
 
-    async def admit_voter(self, voter_id: str):
-        """Return the outcome of admitting a learner as a voter."""
-        return Ok(voter_id) if not self.unavailable else Err(self.unavailable)
+    async def admit_voter(self, host: str):
+        """Return the host once it votes."""
+        return Ok(host) if host == "north-1" else Err(f"{host} is no learner")
 
-    async def remove_voter(self, voter_id: str):
-        """Return the outcome of removing a voter."""
-        return Ok(voter_id) if not self.unavailable else Err(self.unavailable)
+    async def remove_voter(self, host: str):
+        """Return the host once it is no member."""
+        return Ok(host) if host == "north-1" else Err(f"{host} is no member")
 
     def freshness_left_s(self) -> float:
         """Return the seconds for which the tables count as current."""
