Keep waiting for a change while the quorum is away for a moment

Cause: apply gave up its wait at the first host without a quorum, and a host that fell silent held it for up to a minute; its timeout was shorter than the hosts' own. Conclusion: a change of leader during apply is not reported as a failure.

--- a/packages/almondfield-cli/src/almondfield_cli/changing.py
+++ b/packages/almondfield-cli/src/almondfield_cli/changing.py
@@ -1,5 +1,6 @@
 """Commands that compare and change the tables."""
 
+import asyncio
 import uuid
 from pathlib import Path
 from typing import Annotated
@@ -27,6 +28,7 @@
 __all__ = ["ApplyError", "apply", "apply_file", "check", "plan"]
 
 DEFAULT_WAIT_S = 30.0
+RETRY_S = 1.0
 
 
 class ApplyError(AlmondfieldError):
@@ -179,14 +181,17 @@
 ) -> ExitCode:
     """Print and return whether a change came in force in time."""
     deadline = now() + wait_s
+    failure: ClientFailure | InForce = InForce(accepted.revision, False)
     while (left_s := deadline - now()) > 0:
         match await client.wait_in_force(accepted.revision, left_s):
             case Ok(InForce(in_force=True) as in_force):
                 return printer.show(in_force)
+            case Ok(not_yet):
+                failure = not_yet
             case Err(failure):
-                printer.fail(failure)
-                return ExitCode.NOT_IN_FORCE
-    return printer.fail(InForce(accepted.revision, False))
+                await asyncio.sleep(min(RETRY_S, left_s))
+    printer.fail(failure)
+    return ExitCode.NOT_IN_FORCE
 
 
 def _fail_both(printer: Printer, *outcomes) -> ExitCode:
--- a/packages/almondfield-cli/src/almondfield_cli/client.py
+++ b/packages/almondfield-cli/src/almondfield_cli/client.py
@@ -1,5 +1,6 @@
 """Asks the hosts of a deployment, one after the other until one answers."""
 
+import math
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -36,8 +37,10 @@
 
 T = TypeVar("T")
 
-# A host waits this long at most for a revision to come in force.
-MAX_SERVER_WAIT_S = 60
+# One request waits this long at most, so that the next host is asked soon when the
+# first falls silent.
+MAX_WAIT_PER_REQUEST_S = 5
+MIN_VOTERS_TIMEOUT_S = 35.0
 SERVICE_UNAVAILABLE = 503
 
 
@@ -136,9 +139,9 @@
         """Return whether a revision came in force in time.
 
         :param revision: an accepted revision.
-        :param wait_s: seconds to wait.
+        :param wait_s: seconds to wait; a host waits 5 of them at most.
         """
-        wait_s = min(round(wait_s), MAX_SERVER_WAIT_S)
+        wait_s = min(math.ceil(wait_s), MAX_WAIT_PER_REQUEST_S)
         path = f"/v1/changes/{revision}/in-force?wait={wait_s}"
         request = HttpRequest("GET", path, timeout_s=wait_s + self._timeout_s)
         return _decode(await self._ask(request), InForce)
@@ -186,7 +189,8 @@
         """
         path = f"/v1/voters/{'admit' if admit else 'remove'}"
         body = msgspec.json.encode(VoterChange(host_name))
-        request = HttpRequest("POST", path, body, self._timeout_s)
+        timeout_s = max(self._timeout_s, MIN_VOTERS_TIMEOUT_S)
+        request = HttpRequest("POST", path, body, timeout_s)
         return _decode(await self._ask(request), VotersChanged)
 
     async def _get(self, path: str, wanted: Any) -> Result[Any, ClientFailure]:
--- a/packages/almondfield-cli/src/almondfield_cli/options.py
+++ b/packages/almondfield-cli/src/almondfield_cli/options.py
@@ -24,7 +24,8 @@
 ]
 
 DEFAULT_HOST = "127.0.0.1:8081"
-DEFAULT_TIMEOUT_S = 5.0
+# Longer than a host itself looks for a quorum that takes a change.
+DEFAULT_TIMEOUT_S = 12.0
 ENDPOINT = re.compile(r"(\[[0-9A-Fa-f:.]+\]|[0-9A-Za-z.-]+):([0-9]{1,5})")
 
 
--- a/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
@@ -44,6 +44,13 @@
     When the command "apply tables.toml --change-id c1 --no-wait" runs
     Then it ends with DONE and prints "change c1 accepted at revision 1"
 
+  Scenario: The wait goes on while the host has no quorum for a moment
+    Given hosts "a" that answer
+    And host "a" reaches no quorum from the accepted change on for 8 seconds
+    When the command "apply tables.toml --change-id c1" runs
+    Then it ends with DONE and prints "revision 1 in force"
+    And 8 seconds have passed
+
   Scenario: An exported file whose revision has passed is a conflict
     Given hosts "a" that answer
     When the command "apply tables.toml --change-id c1" runs
--- a/packages/almondfield-cli/src/almondfield_cli/tests/steps/cli_steps.py
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/steps/cli_steps.py
@@ -14,6 +14,7 @@
 import uvicorn
 from almondfield_cli import ExitCode, run_command
 from almondfield_cli.transport import HttpAnswer, NoAnswer
+from almondfield_core.clock import now
 from almondfield_core.messages import ControlUnavailable
 from almondfield_core.tables import Pool, Route, Tables, dump_tables
 from almondfield_daemon.operator import build_operator_app
@@ -138,6 +139,38 @@
     context.transport.apps[f"{name}:8081"] = app
 
 
+class InterruptedControl(FakeControl):
+    """A control group without a quorum for some seconds after each change."""
+
+    def __init__(self, pause_s):
+        super().__init__()
+        self.pause_s = pause_s
+        self.until = 0.0
+
+    async def apply(self, change):
+        """Return the outcome of a change."""
+        self.until = now() + self.pause_s
+        return await super().apply(change)
+
+    async def wait_in_force(self, revision, timeout_s):
+        """Return whether a revision came in force in time."""
+        if now() < self.until:
+            return Err(ControlUnavailable("no leader"))
+        return await super().wait_in_force(revision, timeout_s)
+
+
+@given('host "{name}" reaches no quorum from the accepted change on for {s:d} seconds')
+def step_impl(context, name, s):
+    context.control = InterruptedControl(s)
+    app = build_operator_app(make_node(context.control), OPERATOR_TOKEN)
+    context.transport.apps[f"{name}:8081"] = app
+
+
+@then("{seconds:d} seconds have passed")
+def step_impl(context, seconds):
+    assert context.loop.time() >= seconds, context.loop.time()
+
+
 @given("changes do not come in force")
 def step_impl(context):
     context.control.in_force = False
