--- a/docs/tests/pages.feature
+++ b/docs/tests/pages.feature
@@ -10,9 +10,9 @@
     Then the settings of every example have no findings
     And the tables of every example have no findings
     And the secrets of every example can be read
-    And "single-host" has 1 host in 1 data centre and 2 teams
-    And "jaakarp" has 9 hosts in 4 data centres and 16 teams
-    And "hestasala" has 8 hosts in 3 data centres and 16 teams
+    And "single-host" has 1 hosts in 1 data centres, 2 teams
+    And "jaakarp" has 9 hosts in 4 data centres, 16 teams
+    And "hestasala" has 8 hosts in 3 data centres, 16 teams
 
   Scenario: The documented example keys are the hashed ones
     Then the key of every team is "example-key-of-" and its name
--- a/docs/tests/steps/pages_steps.py
+++ b/docs/tests/steps/pages_steps.py
@@ -68,8 +68,8 @@
             assert read_secret(ROOT / name).is_ok(), name
 
 
-@then('"{name}" has {hosts:d} {_} in {data_centres:d} data {__} and {teams:d} teams')
-def step_impl(context, name, hosts, _, data_centres, __, teams):
+@then('"{name}" has {hosts:d} hosts in {data_centres:d} data centres, {teams:d} teams')
+def step_impl(context, name, hosts, data_centres, teams):
     folder = ROOT / "examples" / name
     paths = settings_of(folder)
     loaded = load_settings(paths[0]).unwrap()
