--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/servers.feature
@@ -0,0 +1,63 @@
+Feature: Announcements of backend servers reach the schedulers that need them
+
+  Background:
+    Given a host "h0", and "h1" and "h2" that schedule "writing" and "board"
+
+  Scenario: The scheduler of the selecting pool hears at once, and no other
+    When server "engine-1" announces itself for "writing"
+    And 0.05 s pass
+    Then "h1" has heard of "engine-1" once
+    And "h2" has heard nothing
+
+  Scenario: Repeated announcements are relayed in batches
+    Given servers 1 to 40 announce themselves for "writing" 3 times in 3 s
+    Then "h1" got at most 54 relays and the newest load of every server
+
+  Scenario: A leaving server is relayed at once
+    Given server "engine-1" announces itself for "writing"
+    And 0.3 s pass
+    When server "engine-1" announces that it is leaving
+    And 0.01 s pass
+    Then "h1" knows that "engine-1" is leaving
+
+  Scenario: An announcement of an earlier incarnation changes nothing
+    Given server "engine-1" announces itself for "writing" in incarnation 7
+    When server "engine-1" announces itself for "writing" in incarnation 6
+    And 1.0 s pass
+    Then "h1" has heard of "engine-1" once
+
+  Scenario: A server that changes its model leaves the pool that it served
+    Given server "engine-1" announces itself for "writing"
+    When server "engine-1" announces itself for "board"
+    And 0.05 s pass
+    Then "h1" knows that "engine-1" is leaving
+    And "h2" has heard of "engine-1" once
+
+  Scenario: A new scheduler is told of every server
+    Given servers 1 to 5 announce themselves for "writing" 1 times in 1 s
+    When "h2" is leased "writing"
+    And 0.3 s pass
+    Then "h2" has heard of 5 servers
+
+  Scenario: A silent server is relayed no more
+    Given server "engine-1" announces itself for "writing"
+    And 4.0 s pass
+    When "h2" is leased "writing"
+    And 0.5 s pass
+    Then "h2" has heard nothing
+    And "h0" knows of no server
+
+  Scenario Outline: A pool selects servers by all that it names
+    Then a pool with <selector> selects a server with <server> gives <answer>
+
+    Examples:
+      | selector                         | server                               | answer |
+      | {}                               | {}                                   | yes    |
+      | {"model": "m"}                   | {"model": "m", "version": "2"}       | yes    |
+      | {"model": "m"}                   | {"model": "n"}                       | no     |
+      | {"model": "m", "version": "1"}   | {"model": "m", "version": "2"}       | no     |
+      | {"adapters": ["a", "b"]}         | {"adapters": ["b"]}                  | no     |
+      | {"adapters": ["b"]}              | {"adapters": ["a", "b"]}             | yes    |
+      | {"label_by_name": {"r": "1"}}    | {"label_by_name": {"r": "1"}}        | yes    |
+      | {"label_by_name": {"r": "1"}}    | {"label_by_name": {}}                | no     |
+      | {}                               | {"kind": "service"}                  | no     |
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/steps/servers_steps.py
@@ -0,0 +1,151 @@
+"""Steps of servers.feature."""
+
+import asyncio
+import json
+
+from almondfield_core.messages import (
+    AnnouncementRelay,
+    PoolLease,
+    ServerAnnouncement,
+    ServerState,
+)
+from almondfield_core.tables import Pool, PoolKind, Selector, Tables
+from almondfield_daemon.membership import Membership, selects_server
+from almondfield_daemon.membership.tests.fakes import (
+    FakeView,
+    daemon_settings,
+    host_settings,
+)
+from almondfield_testing import InMemoryNetwork, run
+from behave import given, then, when
+
+
+def announcement(name, model, **changes):
+    base = {"incarnation": 1, "data_centre": "north", "kind": PoolKind.MODEL}
+    return ServerAnnouncement(
+        name=name, address="127.0.0.1:1", slots=4, model=model, **(base | changes)
+    )
+
+
+def announce(context, name, model, **changes):
+    said = announcement(name, model, **changes)
+    run(context, context.membership.announce(said))
+
+
+def heard(context, host):
+    relays = context.relays_by_host[host]
+    return [said for relay in relays for said in relay.announcements]
+
+
+@given('a host "h0", and "h1" and "h2" that schedule "writing" and "board"')
+def step_impl(context):
+    pools = tuple(Pool(n, selects=Selector(model=n)) for n in ("writing", "board"))
+    leases = {
+        "writing": PoolLease("writing", "h1", 1),
+        "board": PoolLease("board", "h2", 1),
+    }
+    context.view = FakeView(Tables(1, pools), leases)
+    context.relays_by_host = {"h1": [], "h2": []}
+    network = InMemoryNetwork()
+    hosts = [host_settings(name, "north") for name in ("h0", "h1", "h2")]
+
+    def listen(host):
+        async def on_relay(sender, relay):
+            context.relays_by_host[host].append(relay)
+
+        network.peers(host).listen(AnnouncementRelay, on_relay)
+
+    async def start():
+        listen("h1")
+        listen("h2")
+        context.membership = Membership(
+            network.peers("h0"), context.view, daemon_settings("h0", hosts), 1
+        )
+        context.task = asyncio.ensure_future(context.membership.run())
+
+    run(context, start())
+
+
+@given('server "{name}" announces itself for "{model}"')
+@when('server "{name}" announces itself for "{model}"')
+def step_impl(context, name, model):
+    announce(context, name, model)
+
+
+@given('server "{name}" announces itself for "{model}" in incarnation {number:d}')
+@when('server "{name}" announces itself for "{model}" in incarnation {number:d}')
+def step_impl(context, name, model, number):
+    announce(context, name, model, incarnation=number)
+
+
+@when('server "{name}" announces that it is leaving')
+def step_impl(context, name):
+    announce(context, name, "writing", state=ServerState.LEAVING)
+
+
+@given(
+    'servers 1 to {last:d} announce themselves for "writing" {times:d} times in {s:d} s'
+)
+def step_impl(context, last, times, s):
+    for turn in range(times):
+        for number in range(1, last + 1):
+            announce(context, f"engine-{number}", "writing", busy=turn)
+            run(context, asyncio.sleep(s / times / last))
+    run(context, asyncio.sleep(0.3))
+    context.last_load = times - 1
+
+
+@when('"{host}" is leased "{pool}"')
+def step_impl(context, host, pool):
+    context.view.lease_by_pool = {pool: PoolLease(pool, host, 2)}
+
+
+@then('"{host}" has heard of "{name}" once')
+def step_impl(context, host, name):
+    assert [said.name for said in heard(context, host)] == [name]
+
+
+@then('"{host}" has heard nothing')
+def step_impl(context, host):
+    assert heard(context, host) == []
+
+
+@then('"{host}" has heard of {count:d} servers')
+def step_impl(context, host, count):
+    assert len({said.name for said in heard(context, host)}) == count
+
+
+@then('"h1" got at most {most:d} relays and the newest load of every server')
+def step_impl(context, most):
+    assert len(context.relays_by_host["h1"]) <= most, len(context.relays_by_host["h1"])
+    load = {said.name: said.busy for said in heard(context, "h1")}
+    assert load == {f"engine-{n}": context.last_load for n in range(1, 41)}, load
+
+
+@then('"{host}" knows that "{name}" is leaving')
+def step_impl(context, host, name):
+    states = [said.state for said in heard(context, host) if said.name == name]
+    assert states[-1] is ServerState.LEAVING, states
+
+
+@then('"h0" knows of no server')
+def step_impl(context):
+    async def read():
+        return context.membership.servers()
+
+    assert run(context, read()) == ()
+
+
+@then("a pool with {selector} selects a server with {server} gives {answer}")
+def step_impl(context, selector, server, answer):
+    pool = Pool("p", selects=Selector(**lists_as_tuples(json.loads(selector))))
+    said = lists_as_tuples(json.loads(server))
+    kind = PoolKind(said.pop("kind", "model"))
+    model = said.pop("model", "")
+    assert selects_server(pool, announcement("e", model, kind=kind, **said)) is (
+        answer == "yes"
+    )
+
+
+def lists_as_tuples(items):
+    return {k: tuple(v) if isinstance(v, list) else v for k, v in items.items()}
