--- a/packages/almondfield-core/src/almondfield_core/settings/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings of one daemon."""
 
+from almondfield_core.settings.checking import check_settings
 from almondfield_core.settings.core import (
     DaemonSettings,
     HostSettings,
@@ -8,12 +9,20 @@
     SharingPolicy,
     TimingSettings,
 )
+from almondfield_core.settings.listing import ItemDescription, list_items
+from almondfield_core.settings.loading import load_settings
+from almondfield_core.settings.secrets import read_secret
 
 __all__ = [
     "DaemonSettings",
     "HostSettings",
+    "ItemDescription",
     "LimitSettings",
     "SecuritySettings",
     "SharingPolicy",
     "TimingSettings",
+    "check_settings",
+    "list_items",
+    "load_settings",
+    "read_secret",
 ]
