--- a/packages/almondfield-core/src/almondfield_core/settings/core.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/core.py
@@ -8,6 +8,7 @@
     "DaemonSettings",
     "HostSettings",
     "LimitSettings",
+    "OrderSettings",
     "SecuritySettings",
     "SharingPolicy",
     "TimingSettings",
@@ -96,6 +97,35 @@
     )
 
 
+@dataclass(frozen=True)
+class OrderSettings:
+    """Orders to backend servers to load models or to change roles."""
+
+    load_interval_s: float = item(
+        "Least time between the starts of two loads from the weight store.",
+        "s",
+        default=10.0,
+    )
+    backlog_s: float = item(
+        "Time that a pool is backlogged before it gets a spare server.",
+        "s",
+        default=30.0,
+    )
+    stay_s: float = item(
+        "Least time that a moved server stays in its pool.", "s", default=300.0
+    )
+    idle_s: float = item(
+        "Longest wait for a server's requests to end before an order.",
+        "s",
+        default=120.0,
+    )
+    done_s: float = item(
+        "Longest wait for a server to report that an order is done.",
+        "s",
+        default=900.0,
+    )
+
+
 class SharingPolicy(StrEnum):
     """How slots are shared; all but the first are baselines for measurements."""
 
@@ -120,6 +150,7 @@
     limits: LimitSettings = item(
         "Bounds on what a daemon holds.", default=LimitSettings()
     )
+    orders: OrderSettings = item("Orders to backend servers.", default=OrderSettings())
     sharing_policy: SharingPolicy = item(
         "How slots are shared between teams.", default=SharingPolicy.FAIR_SHARE
     )
