Add retries under a budget, idempotency keys and resumed streams

Cause: a failed call ended its request also where another try is safe, keys were not claimed, and a cut event stream was lost. Change: idempotent requests, and requests of which no byte left, go to another server on a new connection, within a tenth of the traffic and three attempts. A key is claimed before queueing; its run goes on without its caller, so that a repeat hears the true answer. Event streams go on after the last whole event. Tables and freshness are read again when a slot comes.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -38,12 +38,18 @@
         self._failure: str = ""
         self._keep_alive = False
         self._expects_body = True
+        self._answered = False
 
     @property
     def reusable(self) -> bool:
         """Return whether another request may be sent on the connection."""
         return self._keep_alive and not self._failure and self._parser is None
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether the other side closed before a byte of the answer."""
+        return bool(self._failure) and not self._answered
+
     async def send(self, method: bytes, head: bytes, body: bytes) -> None:
         """Send one request.
 
@@ -98,6 +104,7 @@
             self._fail("bytes that belong to no request")
             self._transport.abort()
             return
+        self._answered = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -171,6 +178,7 @@
         self.headers = []
         self.head_complete = False
         self.complete = False
+        self._answered = False
         self._keep_alive = False
         self._expects_body = method != b"HEAD"
         self._parser = httptools.HttpResponseParser(self)
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 from almondfield_core.messages import ServerFailure
 from almondfield_core.settings import DaemonSettings
@@ -74,7 +75,7 @@
         if self._connection is None:
             return
         connection, self._connection = self._connection, None
-        if whole and self._call.repeatable and connection.reusable:
+        if whole and self._call.pooled and connection.reusable:
             self._pool.put(self._call.address, connection)
         else:
             connection.close()
@@ -93,10 +94,11 @@
     async def send(self, call: BackendCall) -> Result[HttpAnswer, CallFailure]:
         """Return the answer once its head is known.
 
-        :param call: the call. Where it isn't repeatable it gets a connection of
+        :param call: the call. Where it may not be pooled it gets a connection of
             its own.
         """
-        connection = self._pool.take(call.address) if call.repeatable else None
+        connection = self._pool.take(call.address) if call.pooled else None
+        reused = connection is not None
         if connection is None:
             match await _connect(call.address, call.timeouts):
                 case Ok(fresh):
@@ -110,7 +112,7 @@
             raise
         if failure is not None:
             connection.close()
-            return Err(failure)
+            return Err(replace(failure, stale=reused and connection.is_unanswered))
         return Ok(HttpAnswer(connection, call, self._pool))
 
     async def run(self) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/headers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/headers.py
@@ -49,6 +49,6 @@
     lines += [b"%b: %b" % header for header in call.headers]
     if call.body or call.method in BODY_METHODS:
         lines.append(b"content-length: %d" % len(call.body))
-    if not call.repeatable:
+    if not call.pooled:
         lines.append(b"connection: close")
     return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/caller.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/caller.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from typing import Any
 
+import eliot
 from almondfield_core.settings import DaemonSettings
 from result import Err, Ok
 
@@ -13,17 +14,18 @@
 from almondfield_daemon.edge.heads import RequestHead, parse_head, request_id_of
 from almondfield_daemon.edge.replies import send_problem
 from almondfield_daemon.router import (
+    Answer,
     AnswerCutError,
     CallerRequest,
     Plan,
     Problem,
-    RoutedAnswer,
     Router,
 )
 
 __all__ = ["CallerEndpoint"]
 
 OUTCOME_HEADER = b"almondfield-outcome"
+CALLER_TIMEOUT_S = 30.0
 
 
 class CallerEndpoint:
@@ -88,18 +90,19 @@
             case Err(problem):
                 await send_problem(send, problem, request.request_id, self._membership)
 
-    async def _stream(
-        self, answer: RoutedAnswer, request: CallerRequest, send: Any
-    ) -> None:
+    async def _stream(self, answer: Answer, request: CallerRequest, send: Any) -> None:
         """Stream an answer; returning before its end closes the connection."""
         try:
             await send(_start(answer, request))
             async with aclosing(answer.chunks()) as chunks:
                 async for chunk in chunks:
-                    await send(_part(chunk, more=True))
+                    async with asyncio.timeout(CALLER_TIMEOUT_S):
+                        await send(_part(chunk, more=True))
             await send(_part(b"", more=False))
-        except AnswerCutError:
-            return
+        except AnswerCutError as error:
+            _log_cut(request, f"backend server: {error}")
+        except TimeoutError:
+            _log_cut(request, f"the caller took no byte for {CALLER_TIMEOUT_S} s")
         finally:
             answer.close()
 
@@ -126,8 +129,14 @@
         self._held_bytes = 0
 
 
-def _start(answer: RoutedAnswer, request: CallerRequest) -> dict[str, Any]:
-    headers = [header for header in answer.headers if header[0] != OUTCOME_HEADER]
+def _log_cut(request: CallerRequest, reason: str) -> None:
+    eliot.log_message("request:cut", request_id=request.request_id, reason=reason)
+
+
+def _start(answer: Answer, request: CallerRequest) -> dict[str, Any]:
+    headers = [
+        header for header in answer.headers if header[0].lower() != OUTCOME_HEADER
+    ]
     if not any(name.lower() == b"x-request-id" for name, _ in headers):
         headers.append((b"x-request-id", request.request_id.encode()))
     return {
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/__init__.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/__init__.py
@@ -1,5 +1,6 @@
 """Takes a caller's request to a backend server and brings its answer back."""
 
+from almondfield_daemon.router.answers import Answer
 from almondfield_daemon.router.calls import (
     AnswerCutError,
     BackendAnswer,
@@ -8,11 +9,13 @@
     CallFailure,
     Header,
 )
-from almondfield_daemon.router.core import RoutedAnswer, Router
+from almondfield_daemon.router.core import Router
 from almondfield_daemon.router.plans import CallerRequest, Plan, PlanIndex
 from almondfield_daemon.router.problems import Outcome, Problem
+from almondfield_daemon.router.stats import RouterStats
 
 __all__ = [
+    "Answer",
     "AnswerCutError",
     "BackendAnswer",
     "BackendCall",
@@ -24,6 +27,6 @@
     "Plan",
     "PlanIndex",
     "Problem",
-    "RoutedAnswer",
     "Router",
+    "RouterStats",
 ]
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
@@ -43,7 +43,7 @@
     :ivar headers: end-to-end headers, without host and content-length.
     :ivar body: the whole body.
     :ivar timeouts: timeouts of the pool.
-    :ivar repeatable: whether a pooled connection may carry it.
+    :ivar pooled: whether a pooled connection may carry it.
     """
 
     address: str
@@ -52,7 +52,7 @@
     headers: tuple[Header, ...]
     body: bytes
     timeouts: Timeouts
-    repeatable: bool
+    pooled: bool
 
 
 @dataclass(frozen=True)
@@ -62,11 +62,14 @@
     :ivar failure: how it failed.
     :ivar may_have_run: whether a byte of the request may have left.
     :ivar reason: what was seen.
+    :ivar stale: whether a pooled connection ended before a byte of the answer, as it
+        does where the server closes an idle connection.
     """
 
     failure: ServerFailure
     may_have_run: bool
     reason: str
+    stale: bool = False
 
 
 class BackendAnswer(Protocol):
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/core.py
@@ -1,78 +1,23 @@
 """The router: from a request to a slot, a backend server and an answer."""
 
-from collections.abc import AsyncIterator, Callable
-
-from almondfield_core.messages import NotRun, NotRunReason, ServerFailure, SlotRequest
-from almondfield_core.ports import Control, Slot, SlotSource, TableView
+import eliot
+from almondfield_core.messages import NotRun, NotRunReason, ServerFailure, StoredAnswer
+from almondfield_core.ports import Control, SlotSource, TableView
 from almondfield_core.settings import DaemonSettings
 from result import Err, Ok, Result
 
-from almondfield_daemon.router.calls import (
-    AnswerCutError,
-    BackendAnswer,
-    BackendCall,
-    Backends,
-    Header,
-)
+from almondfield_daemon.router.answers import Answer, RoutedAnswer, StoredReply
+from almondfield_daemon.router.calls import Backends
+from almondfield_daemon.router.claimed import ClaimedRun
+from almondfield_daemon.router.claims import ClaimKeeper
+from almondfield_daemon.router.dispatch import Dispatcher
 from almondfield_daemon.router.plans import CallerRequest, Plan, PlanIndex
-from almondfield_daemon.router.problems import (
-    Problem,
-    from_call_failure,
-    from_not_run,
-)
+from almondfield_daemon.router.problems import Outcome, Problem, from_not_run
 from almondfield_daemon.router.stats import RouterStats
 
-__all__ = ["RoutedAnswer", "Router"]
+__all__ = ["Router"]
 
 STALE_RETRY_AFTER_S = 1.0
-PRIVATE_HEADERS = frozenset(
-    (b"host", b"authorization", b"content-length", b"expect", b"x-request-id")
-)
-
-
-class RoutedAnswer:
-    """A backend server's answer; holds its slot until it is read or closed.
-
-    :param answer: the answer.
-    :param slot: the slot of its request.
-    :param finished: called once the answer is read or closed.
-    """
-
-    def __init__(
-        self, answer: BackendAnswer, slot: Slot, finished: Callable[[], None]
-    ) -> None:
-        self.status = answer.status
-        self.headers = answer.headers
-        self._answer = answer
-        self._slot: Slot | None = slot
-        self._finished = finished
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Return the body as it comes.
-
-        :raises AnswerCutError: where it ends before it is whole.
-        """
-        failure = None
-        try:
-            async for chunk in self._answer.chunks():
-                yield chunk
-        except AnswerCutError as error:
-            failure = error.failure
-            raise
-        finally:
-            self.close(failure)
-
-    def close(self, failure: ServerFailure | None = None) -> None:
-        """Give up what is left of the answer and release the slot.
-
-        :param failure: how the answer failed, if it did.
-        """
-        if self._slot is None:
-            return
-        slot, self._slot = self._slot, None
-        self._answer.close()
-        slot.release(failure)
-        self._finished()
 
 
 class Router:
@@ -94,23 +39,34 @@
         settings: DaemonSettings,
     ) -> None:
         self._view = view
-        self._slots = slots
-        self._control = control
-        self._backends = backends
-        self._settings = settings
         self._index = PlanIndex()
+        self._keeper = ClaimKeeper(control)
+        self._dispatcher = Dispatcher(
+            slots, backends, self._plan, settings.limits.retry_budget_share
+        )
         self._draining = False
         self._running = 0
         self._served = 0
+        self._not_run = 0
+        self._unknown = 0
+        self._cut = 0
 
     @property
     def running(self) -> int:
-        """Return the number of requests that are being served."""
-        return self._running
+        """Return the number of requests that are being served or settled."""
+        return self._running + self._keeper.unsettled
 
     def stats(self) -> RouterStats:
         """Return counts of what the router did."""
-        return RouterStats(running=self._running, served=self._served)
+        return RouterStats(
+            running=self._running,
+            served=self._served,
+            not_run=self._not_run,
+            unknown=self._unknown,
+            cut=self._cut,
+            retries=self._dispatcher.retries,
+            resumed=self._dispatcher.resumed,
+        )
 
     def refuse_new(self) -> None:
         """Refuse requests from now on; those that run go on."""
@@ -123,86 +79,82 @@
         """
         if self._draining:
             return Err(from_not_run(NotRun(NotRunReason.DRAINING)))
-        if self._view.freshness_left_s() <= 0:
-            not_run = NotRun(NotRunReason.STALE_TABLES, STALE_RETRY_AFTER_S)
-            return Err(from_not_run(not_run))
-        return self._index.plan(self._view.tables, request)
+        return self._plan(request)
 
     async def serve(
         self, request: CallerRequest, plan: Plan
-    ) -> Result[RoutedAnswer, Problem]:
-        """Return the answer of a backend server once its head is known.
+    ) -> Result[Answer, Problem]:
+        """Return the answer once its head is known.
 
         :param request: the request.
         :param plan: what :meth:`admit` returned for it.
         """
-        self._running += 1
         self._served += 1
-        try:
-            served = await self._queue(request, plan)
-        except BaseException:
-            self._running -= 1
-            raise
+        if request.idempotency_key and not plan.repeatable:
+            served = await self._serve_claimed(request, plan)
+        else:
+            served = await self._serve_plain(request, plan)
         if served.is_err():
-            self._running -= 1
+            self._note_problem(request, plan, served.unwrap_err())
         return served
 
-    async def _queue(
+    async def _serve_plain(
         self, request: CallerRequest, plan: Plan
-    ) -> Result[RoutedAnswer, Problem]:
-        match await self._slots.acquire(_slot_request(request, plan)):
-            case Err(not_run):
-                return Err(from_not_run(not_run))
-            case Ok(slot):
-                return await self._run(request, plan, slot)
-
-    async def _run(
-        self, request: CallerRequest, plan: Plan, slot: Slot
-    ) -> Result[RoutedAnswer, Problem]:
-        call = _call(request, plan, slot)
+    ) -> Result[Answer, Problem]:
+        self._running += 1
         try:
-            sent = await self._backends.send(call)
+            dispatched = await self._dispatcher.run(request, plan, _ignore)
         except BaseException:
-            slot.release()
+            self._running -= 1
             raise
-        match sent:
-            case Ok(answer):
-                return Ok(RoutedAnswer(answer, slot, self._finished))
-            case Err(failure):
-                slot.release(failure.failure)
-                return Err(from_call_failure(failure))
-
-    def _finished(self) -> None:
-        self._running -= 1
+        match dispatched:
+            case Ok(found):
+                return Ok(RoutedAnswer(found, self._finish))
+            case Err(problem):
+                self._running -= 1
+                return Err(problem)
+
+    async def _serve_claimed(
+        self, request: CallerRequest, plan: Plan
+    ) -> Result[Answer, Problem]:
+        match await self._keeper.claim(request, plan.route.team):
+            case Err(problem):
+                return Err(problem)
+            case Ok(StoredAnswer() as stored):
+                return Ok(StoredReply(stored))
+            case Ok(claim):
+                self._running += 1
+                run = ClaimedRun(self._dispatcher, self._keeper, claim, self._finish)
+                return await run.start(request, plan)
+
+    def _plan(self, request: CallerRequest) -> Result[Plan, Problem]:
+        if self._view.freshness_left_s() <= 0:
+            not_run = NotRun(NotRunReason.STALE_TABLES, STALE_RETRY_AFTER_S)
+            return Err(from_not_run(not_run))
+        return self._index.plan(self._view.tables, request)
 
+    def _finish(self, failure: ServerFailure | None) -> None:
+        self._running -= 1
+        if failure is not None:
+            self._cut += 1
 
-def _slot_request(request: CallerRequest, plan: Plan) -> SlotRequest:
-    route = plan.route
-    return SlotRequest(
-        pool=plan.pool.name,
-        team=route.team,
-        route=route.path_prefix,
-        weight=route.weight,
-        queue_limit=route.queue_limit,
-        queue_deadline_s=route.queue_deadline_s,
-        body_bytes=len(request.body),
-    )
-
-
-def _call(request: CallerRequest, plan: Plan, slot: Slot) -> BackendCall:
-    return BackendCall(
-        address=slot.server.address,
-        method=request.method,
-        target=request.target,
-        headers=_forwarded(request),
-        body=request.body,
-        timeouts=plan.pool.timeouts,
-        repeatable=plan.repeatable,
-    )
-
-
-def _forwarded(request: CallerRequest) -> tuple[Header, ...]:
-    """Return the headers for the backend server; the team's key stays here."""
-    kept = [header for header in request.headers if header[0] not in PRIVATE_HEADERS]
-    kept.append((b"x-request-id", request.request_id.encode()))
-    return tuple(kept)
+    def _note_problem(
+        self, request: CallerRequest, plan: Plan, problem: Problem
+    ) -> None:
+        if problem.outcome is Outcome.UNKNOWN:
+            self._unknown += 1
+        else:
+            self._not_run += 1
+        eliot.log_message(
+            "request:failed",
+            request_id=request.request_id,
+            team=plan.route.team,
+            pool=plan.pool.name,
+            error=problem.kind,
+            outcome=problem.outcome.value,
+            detail=problem.detail,
+        )
+
+
+def _ignore() -> None:
+    """Do nothing when a request is sent."""
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/dispatch.py
@@ -0,0 +1,215 @@
+"""Sends a request to backend servers until one answers or none may be tried."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from almondfield_core.clock import now
+from almondfield_core.messages import SlotRequest
+from almondfield_core.ports import Slot, SlotSource
+from result import Err, Ok, Result
+
+from almondfield_daemon.router.calls import (
+    BackendAnswer,
+    BackendCall,
+    Backends,
+    CallFailure,
+    Header,
+)
+from almondfield_daemon.router.plans import CallerRequest, Plan
+from almondfield_daemon.router.problems import (
+    Outcome,
+    Problem,
+    from_call_failure,
+    from_not_run,
+)
+from almondfield_daemon.router.resume import ResumingAnswer, can_resume
+from almondfield_daemon.router.retry_budget import RetryBudget
+
+__all__ = ["Dispatched", "Dispatcher"]
+
+MAX_ATTEMPTS = 3
+PRIVATE_HEADERS = frozenset(
+    (b"host", b"authorization", b"content-length", b"expect", b"x-request-id")
+)
+
+
+@dataclass(frozen=True)
+class Dispatched:
+    """An answer with the slot that its request holds.
+
+    :ivar answer: the answer; its body is still coming.
+    :ivar slot: the slot.
+    """
+
+    answer: BackendAnswer
+    slot: Slot
+
+
+class Dispatcher:
+    """Queues a request, sends it, and retries where that is safe.
+
+    :param slots: gives out slots in fair order.
+    :param backends: sends requests to backend servers.
+    :param replan: returns the plan of a request under the newest tables.
+    :param retry_share: retries per request, at most, over time.
+    """
+
+    def __init__(
+        self,
+        slots: SlotSource,
+        backends: Backends,
+        replan: Callable[[CallerRequest], Result[Plan, Problem]],
+        retry_share: float,
+    ) -> None:
+        self._slots = slots
+        self._backends = backends
+        self._replan = replan
+        self._budget = RetryBudget(retry_share)
+        self.retries = 0
+        self.resumed = 0
+
+    async def run(
+        self, request: CallerRequest, plan: Plan, on_send: Callable[[], None]
+    ) -> Result[Dispatched, Problem]:
+        """Return the first answer of a backend server.
+
+        A request that may not be repeated is sent again only after an attempt of
+        which no byte left.
+
+        :param request: the request.
+        :param plan: how it is to be served.
+        :param on_send: called before each attempt.
+        """
+        deadline = now() + plan.route.queue_deadline_s
+        failures: list[CallFailure] = []
+        avoid: tuple[str, ...] = ()
+        while True:
+            match await self._take_slot(request, plan, deadline, avoid):
+                case Err(problem):
+                    return Err(_worst(problem, failures))
+                case Ok((slot, plan)):
+                    pass
+            if not failures:
+                self._budget.note_request()
+            on_send()
+            match await self._attempt(request, plan, slot, fresh=bool(failures)):
+                case Ok(dispatched):
+                    return Ok(dispatched)
+                case Err(failure):
+                    failures.append(failure)
+            if not self._may_retry(plan, failures):
+                return Err(_worst(from_call_failure(failure), failures))
+            avoid += (slot.server.name,)
+
+    async def _take_slot(
+        self,
+        request: CallerRequest,
+        plan: Plan,
+        deadline: float,
+        avoid: tuple[str, ...],
+    ) -> Result[tuple[Slot, Plan], Problem]:
+        """Return a slot of the pool that the newest tables name."""
+        while True:
+            left_s = max(0.0, deadline - now())
+            match await self._slots.acquire(
+                _slot_request(request, plan, left_s, avoid)
+            ):
+                case Err(not_run):
+                    return Err(from_not_run(not_run))
+                case Ok(slot):
+                    pass
+            match self._replan(request):
+                case Err(problem):
+                    slot.release()
+                    return Err(problem)
+                case Ok(newest) if newest.pool.name == plan.pool.name:
+                    return Ok((slot, newest))
+                case Ok(newest):
+                    slot.release()
+                    plan = newest
+
+    async def _attempt(
+        self, request: CallerRequest, plan: Plan, slot: Slot, fresh: bool
+    ) -> Result[Dispatched, CallFailure]:
+        call = _call(request, plan, slot, fresh)
+        try:
+            sent = await self._backends.send(call)
+            if sent.is_err() and sent.unwrap_err().stale and self._budget.take():
+                self.retries += 1
+                sent = await self._backends.send(replace(call, pooled=False))
+        except BaseException:
+            slot.release()
+            raise
+        match sent:
+            case Ok(answer):
+                return Ok(Dispatched(self._resuming(answer, call, slot), slot))
+            case Err(failure):
+                slot.release(failure.failure)
+                return Err(failure)
+
+    def _resuming(
+        self, answer: BackendAnswer, call: BackendCall, slot: Slot
+    ) -> BackendAnswer:
+        if not (slot.server.resumes_streams and can_resume(answer)):
+            return answer
+
+        async def resume(last_id: bytes) -> Result[BackendAnswer, CallFailure]:
+            self.resumed += 1
+            header = (b"last-event-id", last_id)
+            headers = tuple(h for h in call.headers if h[0] != b"last-event-id")
+            again = replace(call, headers=headers + (header,), pooled=False)
+            return await self._backends.send(again)
+
+        return ResumingAnswer(answer, resume)
+
+    def _may_retry(self, plan: Plan, failures: list[CallFailure]) -> bool:
+        if failures[-1].may_have_run and not plan.repeatable:
+            return False
+        if len(failures) >= MAX_ATTEMPTS or not self._budget.take():
+            return False
+        self.retries += 1
+        return True
+
+
+def _worst(problem: Problem, failures: list[CallFailure]) -> Problem:
+    """Return the problem, with outcome unknown if any attempt may have run."""
+    if not any(failure.may_have_run for failure in failures):
+        return problem
+    if problem.outcome is Outcome.UNKNOWN:
+        return problem
+    return next(from_call_failure(f) for f in reversed(failures) if f.may_have_run)
+
+
+def _slot_request(
+    request: CallerRequest, plan: Plan, left_s: float, avoid: tuple[str, ...]
+) -> SlotRequest:
+    route = plan.route
+    return SlotRequest(
+        pool=plan.pool.name,
+        team=route.team,
+        route=route.path_prefix,
+        weight=route.weight,
+        queue_limit=route.queue_limit,
+        queue_deadline_s=left_s,
+        body_bytes=len(request.body),
+        avoid=avoid,
+    )
+
+
+def _call(request: CallerRequest, plan: Plan, slot: Slot, fresh: bool) -> BackendCall:
+    return BackendCall(
+        address=slot.server.address,
+        method=request.method,
+        target=request.target,
+        headers=_forwarded(request),
+        body=request.body,
+        timeouts=plan.pool.timeouts,
+        pooled=plan.repeatable and not fresh,
+    )
+
+
+def _forwarded(request: CallerRequest) -> tuple[Header, ...]:
+    """Return the headers for the backend server; the team's key stays here."""
+    kept = [header for header in request.headers if header[0] not in PRIVATE_HEADERS]
+    kept.append((b"x-request-id", request.request_id.encode()))
+    return tuple(kept)
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/events.py
@@ -0,0 +1,69 @@
+"""Finds whole server-sent events in a stream."""
+
+import re
+
+__all__ = ["EventTracker"]
+
+MAX_EVENT_BYTES = 256 * 1024
+# A carriage return at the end may be half of a line end whose rest is still coming.
+LINE_END = rb"(?:\r\n|\n|\r(?!\n|\Z))"
+EVENT_END = re.compile(LINE_END + LINE_END)
+EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
+EVENT_DATA = re.compile(rb"(?:^|[\r\n])data[:\r\n]")
+
+
+class EventTracker:
+    """Cuts a stream after whole events and remembers the last one's identifier.
+
+    :ivar last_id: identifier of the last whole event; None where the stream can't be
+        resumed after it.
+    """
+
+    def __init__(self) -> None:
+        self.last_id: bytes | None = None
+        self._partial = b""
+        self._oversized = False
+        self._skip_id: bytes | None = None
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Return the bytes that complete events, up to the last whole one.
+
+        :param chunk: next bytes of the stream.
+        """
+        if self._oversized:
+            return chunk
+        data = self._partial + chunk
+        whole = []
+        start = 0
+        for end in EVENT_END.finditer(data):
+            event = data[start : end.end()]
+            start = end.end()
+            if self._note(event):
+                whole.append(event)
+        self._partial = data[start:]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            self._oversized = True
+            self.last_id = None
+            whole.append(self.take_rest())
+        return b"".join(whole)
+
+    def take_rest(self) -> bytes:
+        """Return the bytes after the last whole event, at the stream's end."""
+        rest, self._partial = self._partial, b""
+        return rest
+
+    def restart(self) -> None:
+        """Forget a partial event; the resumed stream brings it again, whole."""
+        self._partial = b""
+        self._skip_id = self.last_id
+
+    def _note(self, event: bytes) -> bool:
+        """Return whether an event is to be delivered, and keep its identifier."""
+        if not EVENT_DATA.search(event):
+            return True
+        ids = EVENT_ID.findall(event)
+        skip_id, self._skip_id = self._skip_id, None
+        if ids and ids[-1] == skip_id:
+            return False
+        self.last_id = ids[-1] if ids and ids[-1] else None
+        return True
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/resume.py
@@ -0,0 +1,92 @@
+"""Carries an event stream on over a new connection when its own goes silent."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from result import Err, Ok, Result
+
+from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer, CallFailure
+from almondfield_daemon.router.events import EventTracker
+
+__all__ = ["ResumingAnswer", "can_resume"]
+
+MAX_RESUMES_WITHOUT_PROGRESS = 3
+RESUME_DELAY_S = 0.1
+UNRESUMABLE_HEADERS = (b"content-length", b"content-encoding")
+
+
+def can_resume(answer: BackendAnswer) -> bool:
+    """Return whether an answer is a plain event stream.
+
+    :param answer: the answer.
+    """
+    value_by_name = {name.lower(): value for name, value in answer.headers}
+    if any(name in value_by_name for name in UNRESUMABLE_HEADERS):
+        return False
+    content_type = value_by_name.get(b"content-type", b"")
+    return answer.status == 200 and content_type.startswith(b"text/event-stream")
+
+
+class ResumingAnswer:
+    """An event stream that goes on after a cut; implements ``BackendAnswer``.
+
+    :param answer: the answer as it began.
+    :param resume: asks the same server, on a new connection, for the events after
+        the given identifier.
+    """
+
+    def __init__(
+        self,
+        answer: BackendAnswer,
+        resume: Callable[[bytes], Awaitable[Result[BackendAnswer, CallFailure]]],
+    ) -> None:
+        self.status = answer.status
+        self.headers = answer.headers
+        self._answer = answer
+        self._resume = resume
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Return the stream, each event whole and once.
+
+        :raises AnswerCutError: where it can't go on.
+        """
+        tracker = EventTracker()
+        tries = 0
+        while True:
+            try:
+                async for chunk in self._answer.chunks():
+                    events = tracker.feed(chunk)
+                    if events:
+                        tries = 0
+                        yield events
+                rest = tracker.take_rest()
+                if rest:
+                    yield rest
+                return
+            except AnswerCutError as error:
+                tries += 1
+                await self._go_on(tracker, tries, error)
+
+    def close(self) -> None:
+        """Give up the stream."""
+        self._answer.close()
+
+    async def _go_on(
+        self, tracker: EventTracker, tries: int, error: AnswerCutError
+    ) -> None:
+        """Replace the answer by one that begins after the last whole event."""
+        if tracker.last_id is None:
+            raise error
+        tracker.restart()
+        while tries <= MAX_RESUMES_WITHOUT_PROGRESS:
+            await asyncio.sleep(RESUME_DELAY_S * (tries - 1))
+            match await self._resume(tracker.last_id):
+                case Ok(answer) if can_resume(answer):
+                    self._answer = answer
+                    return
+                case Ok(answer):
+                    answer.close()
+                    raise error
+                case Err(_):
+                    tries += 1
+        raise error
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/fakes.py
@@ -219,7 +219,7 @@
 class House:
     """A caller app with fakes behind it."""
 
-    def __init__(self, **limits):
+    def __init__(self, backends=None, **limits):
         self.view = FakeView()
         servers = [
             ServerSlots("s1", 1, "127.0.0.1:1001", 4),
@@ -228,7 +228,7 @@
         ]
         self.slots = FakeSlots(servers)
         self.control = FakeControl()
-        self.backends = FakeBackends()
+        self.backends = backends or FakeBackends()
         self.membership = FakeMembership()
         self.settings = settings(**limits)
         self.router = Router(
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/steps/router_steps.py
@@ -0,0 +1,302 @@
+"""Steps of the router's features."""
+
+import asyncio
+from dataclasses import replace
+
+from almondfield_core.messages import (
+    ClaimAnswered,
+    ClaimLost,
+    ClaimMismatch,
+    ClaimRunning,
+    ControlUnavailable,
+    NotRun,
+    NotRunReason,
+    ServerFailure,
+    StoredAnswer,
+)
+from almondfield_daemon.router import AnswerCutError, CallerRequest, CallFailure
+from almondfield_daemon.router.tests.fakes import FakeAnswer, House
+from almondfield_testing import run
+from behave import given, then, when
+from hypothesis import given as given_values
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
+EVENT_STREAM = ((b"content-type", b"text/event-stream"),)
+MANY = 1000
+OUTCOME_BY_NAME = {
+    "lost": Ok(ClaimLost()),
+    "mismatch": Ok(ClaimMismatch()),
+    "unavailable": Err(ControlUnavailable("no quorum")),
+    "running": Ok(ClaimRunning()),
+    "incomplete": Ok(ClaimAnswered(StoredAnswer(200, (), b"", complete=False))),
+    "answered": Ok(ClaimAnswered(StoredAnswer(200, (), b"ok"))),
+}
+
+
+def stream(*parts):
+    """Return an event stream of the given parts."""
+    return FakeAnswer(parts, headers=EVENT_STREAM)
+
+
+async def serve(house, method, key=""):
+    """Return the parts of an answer, or the problem that came instead."""
+    body = b"" if method == "GET" else b"x"
+    request = CallerRequest(method, "/stock", b"/stock", (), "k1", "r1", key, body=body)
+    plan = house.router.admit(request).unwrap()
+    served = await house.router.serve(request, plan)
+    if served.is_err():
+        return served.unwrap_err()
+    return [chunk async for chunk in served.unwrap().chunks()]
+
+
+async def serve_to_end(context, method, key=""):
+    """Serve one request and let what goes on behind it finish."""
+    task = asyncio.ensure_future(serve(context.house, method, key))
+    if leave_after_s := getattr(context, "leave_after_s", 0):
+        await asyncio.sleep(leave_after_s)
+        task.cancel()
+    (result,) = await asyncio.gather(task, return_exceptions=True)
+    while context.house.router.running:
+        await asyncio.sleep(0.1)
+    return result
+
+
+@given('a router with servers "s1", "s2" and "s3"')
+def step_impl(context):
+    context.house = House()
+
+
+@given("the servers resume streams")
+def step_impl(context):
+    slots = context.house.slots
+    slots.servers = [replace(s, resumes_streams=True) for s in slots.servers]
+
+
+@given("{calls} with {failure} {when} sending")
+def step_impl(context, calls, failure, when):
+    count = 1 if calls.startswith("one") else MANY
+    may_have_run = when == "after"
+    failed = CallFailure(ServerFailure(failure), may_have_run, "by the scenario")
+    context.house.backends.answers = [failed] * count
+
+
+@given("one call finds its pooled connection closed")
+def step_impl(context):
+    failed = CallFailure(ServerFailure.FIRST_BYTE, True, "closed", stale=True)
+    context.house.backends.answers = [failed]
+
+
+@given("no slot comes free after the first")
+def step_impl(context):
+    slots = context.house.slots
+
+    def count():
+        if len(slots.requests) > 1:
+            slots.answer = NotRun(NotRunReason.QUEUE_DEADLINE)
+
+    slots.on_acquire = count
+
+
+@given('the route changes to pool "{pool}" while the request waits')
+def step_impl(context, pool):
+    house = context.house
+
+    def change():
+        old = house.view.tables
+        routes = (replace(old.routes[0], pool=pool), *old.routes[1:])
+        house.view.tables = replace(old, revision=2, routes=routes)
+
+    house.slots.on_acquire = change
+
+
+@given("the tables grow stale while the request waits")
+def step_impl(context):
+    house = context.house
+    house.slots.on_acquire = lambda: setattr(house.view, "freshness_s", 0.0)
+
+
+@given("the claim answers running twice, then answered")
+def step_impl(context):
+    names = ["running", "running", "answered"]
+    context.house.control.outcomes = [OUTCOME_BY_NAME[name] for name in names]
+
+
+@given("the claim answers {name:w}")
+def step_impl(context, name):
+    context.house.control.outcomes = [OUTCOME_BY_NAME[name]] * MANY
+
+
+@given("the answer has {count:d} bytes")
+def step_impl(context, count):
+    context.house.backends.answers = [FakeAnswer((bytes(count),))]
+
+
+@given("the caller goes away while its request {phase}")
+def step_impl(context, phase):
+    context.leave_after_s = 1.0
+    slow = context.house.slots if phase == "waits" else context.house.backends
+    slow.delay_s = 2.0
+
+
+@given("a stream of 3 events is cut after {count:d} bytes")
+def step_impl(context, count):
+    whole = b"".join(EVENTS)
+    first = stream(whole[:count], ServerFailure.STREAM)
+    rest = b"".join(EVENTS[whole[:count].count(b"\n\n") :])
+    context.house.backends.answers = [first, stream(rest)]
+
+
+@given("a stream without identifiers is cut")
+def step_impl(context):
+    cut = stream(EVENTS[0], b"data: b\n\n", ServerFailure.STREAM)
+    context.house.backends.answers = [cut]
+
+
+@given("the server answers {status:d} to resuming")
+def step_impl(context, status):
+    context.house.backends.answers[1] = FakeAnswer((b"gone",), status=status)
+
+
+@given("every stream is cut after its first event")
+def step_impl(context):
+    cut = stream(EVENTS[0], ServerFailure.STREAM)
+    context.house.backends.answers = [cut] * MANY
+
+
+@when("a {method:w} is served")
+def step_impl(context, method):
+    context.result = run(context, serve_to_end(context, method))
+
+
+@when('a {method:w} with key "{key}" is served')
+def step_impl(context, method, key):
+    context.result = run(context, serve_to_end(context, method, key))
+
+
+@when("{count:d} GETs are served")
+def step_impl(context, count):
+    for _ in range(count):
+        run(context, serve_to_end(context, "GET"))
+
+
+@then("it is answered")
+def step_impl(context):
+    assert context.result == [b"ok"], context.result
+
+
+@then('the problem is {status:d} with outcome "{outcome}"')
+def step_impl(context, status, outcome):
+    problem = context.result
+    assert (problem.status, problem.outcome) == (status, outcome), problem
+
+
+@then("the answer is cut")
+def step_impl(context):
+    assert isinstance(context.result, AnswerCutError), context.result
+
+
+@then('servers "{names}" were called')
+def step_impl(context, names):
+    servers = context.house.slots.servers
+    name_by_address = {server.address: server.name for server in servers}
+    called = [name_by_address[call.address] for call in context.house.backends.calls]
+    assert called == names.split(), called
+
+
+@then('servers "" were called')
+def step_impl(context):
+    assert context.house.backends.calls == []
+
+
+@then("every call had a connection of its own")
+def step_impl(context):
+    assert not any(call.pooled for call in context.house.backends.calls)
+
+
+@then("the last call had a connection of its own")
+def step_impl(context):
+    assert not context.house.backends.calls[-1].pooled
+
+
+@then("at most {count:d} calls were made")
+def step_impl(context, count):
+    assert 200 < len(context.house.backends.calls) <= count
+
+
+@then("{count:d} calls were made")
+def step_impl(context, count):
+    assert len(context.house.backends.calls) == count
+
+
+@then("every slot is released")
+def step_impl(context):
+    slots = context.house.slots
+    given_out = len(slots.requests) - (slots.delay_s > 0)
+    assert len(slots.released) == given_out, slots
+    assert context.house.router.running == 0
+
+
+@then('pools "{names}" were asked')
+def step_impl(context, names):
+    asked = [request.pool for request in context.house.slots.requests]
+    assert asked == names.split(), asked
+
+
+@then('the key is settled with answer "{body}"')
+def step_impl(context, body):
+    ((claim, answer, ran),) = context.house.control.settled
+    assert claim == context.house.control.claims[0]
+    assert (answer.body, answer.complete, ran) == (body.encode(), True, True)
+
+
+@then("the key is settled without a whole answer")
+def step_impl(context):
+    ((_, answer, ran),) = context.house.control.settled
+    assert (answer.body, answer.complete, ran) == (b"", False, True)
+
+
+@then("the key is settled as {how}")
+def step_impl(context, how):
+    ((_, answer, ran),) = context.house.control.settled
+    assert (answer, ran) == (None, how == "run")
+
+
+@then("no key was claimed")
+def step_impl(context):
+    assert context.house.control.claims == []
+
+
+@then("each of {count:d} events came once and whole")
+def step_impl(context, count):
+    assert b"".join(context.result) == b"".join(EVENTS[:count]), context.result
+
+
+@then('the stream was resumed after event "{last}"')
+def step_impl(context, last):
+    first, second = context.house.backends.calls
+    assert second.headers[-1] == (b"last-event-id", last.encode())
+    assert second.address == first.address
+    assert not second.pooled
+
+
+@then("streams with random cuts and chunks deliver each event once and whole")
+def step_impl(context):
+    events = [b"id: %d\r\ndata: %s\r\n\r\n" % (n, b"x" * n) for n in range(1, 9)]
+    whole = b"".join(events)
+
+    @hypothesis_settings(derandomize=True, max_examples=200, deadline=None)
+    @given_values(st.integers(18, len(whole) - 1), st.integers(1, 40))
+    def check(cut, size):
+        house = House()
+        server = replace(house.slots.servers[0], resumes_streams=True)
+        house.slots.servers = [server]
+        head = [whole[i : min(i + size, cut)] for i in range(0, cut, size)]
+        rest = b"".join(events[whole[:cut].count(b"\r\n\r\n") :])
+        house.backends.answers = [stream(*head, ServerFailure.STREAM), stream(rest)]
+        parts = run(context, serve(house, "POST"))
+        assert b"".join(parts) == whole, (cut, size, parts)
+
+    check()
