Keep an answer's head when a second answer follows it in one read

Cause: a new test found that the parser's next message replaced status and headers of an answer that was already whole. Change: what follows a whole answer only marks the connection as unusable. Features of the adapter against scripted servers on free ports.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -140,8 +140,9 @@
 
     def on_message_begin(self) -> None:
         """Forget an interim answer; called by the parser."""
-        if self.complete:
+        if self.head_complete:
             self._fail("bytes that belong to no request")
+            return
         self.headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -152,7 +153,7 @@
     def on_headers_complete(self) -> None:
         """Keep the status; called by the parser."""
         status = self._parser.get_status_code()
-        if status < 200:
+        if status < 200 or self.head_complete:
             return
         self.status = status
         self.head_complete = True
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/environment.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/environment.py
@@ -1,5 +1,13 @@
-"""Gives each scenario a paused event loop."""
+"""Gives each scenario an event loop that runs in real time, for real sockets."""
 
-from almondfield_testing import after_scenario, before_scenario
+import asyncio
+
+from almondfield_testing import after_scenario
 
 __all__ = ["after_scenario", "before_scenario"]
+
+
+def before_scenario(context, scenario):
+    """Give the scenario an event loop as ``context.loop``."""
+    context.loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(context.loop)
