Answer every path and method with a typed error, and check announcements' values

Cause: drawn requests showed starlette answering an empty path with a redirect and others with plain text; an announcement with no slots or no port was passed on. Change: the callers' endpoint is the app's default, an unexpected failure is answered as unknown, and announcements are refused with all findings.

--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/announced.py
@@ -0,0 +1,51 @@
+"""Checks what a backend server announces."""
+
+import re
+
+from almondfield_core.findings import Finding
+from almondfield_core.messages import ServerAnnouncement
+
+__all__ = ["check_announcement"]
+
+MAX_NAME_CHARACTERS = 255
+MAX_SLOTS = 100_000
+MAX_PORT = 65_535
+ADDRESS = re.compile(r"(?:\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9.-]+):([0-9]{1,5})")
+
+
+def check_announcement(announcement: ServerAnnouncement) -> tuple[Finding, ...]:
+    """Return everything that is wrong with an announcement's values.
+
+    :param announcement: the announcement; its types are right.
+    """
+    findings = [
+        *_check_name("name", announcement.name),
+        *_check_name("data_centre", announcement.data_centre),
+        *_check_address(announcement.address),
+        *_check_count("slots", announcement.slots, 1, MAX_SLOTS),
+        *_check_count("busy", announcement.busy, 0, MAX_SLOTS),
+    ]
+    if announcement.incarnation < 0:
+        problem = f"{announcement.incarnation}"
+        findings.append(Finding("incarnation", problem, "0 or more"))
+    return tuple(findings)
+
+
+def _check_name(place: str, name: str) -> list[Finding]:
+    if 0 < len(name) <= MAX_NAME_CHARACTERS and name.isprintable():
+        return []
+    allowed = f"1 to {MAX_NAME_CHARACTERS} printable characters"
+    return [Finding(place, f"{name[:MAX_NAME_CHARACTERS]!r}", allowed)]
+
+
+def _check_address(address: str) -> list[Finding]:
+    match = ADDRESS.fullmatch(address)
+    if match and 0 < int(match[1]) <= MAX_PORT:
+        return []
+    return [Finding("address", f"{address!r}", "host:port")]
+
+
+def _check_count(place: str, count: int, least: int, most: int) -> list[Finding]:
+    if least <= count <= most:
+        return []
+    return [Finding(place, f"{count}", f"{least} to {most}")]
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/announcements.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/announcements.py
@@ -8,6 +8,7 @@
 from almondfield_core.settings import LimitSettings
 from result import Err, Ok
 
+from almondfield_daemon.edge.announced import check_announcement
 from almondfield_daemon.edge.bodies import CallerGoneError, read_body
 from almondfield_daemon.edge.heads import request_id_of
 from almondfield_daemon.edge.replies import send_json, send_problem
@@ -63,5 +64,8 @@
             return refuse(400, "body", "the body ended early")
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return refuse(400, "announcement", str(error))
+        findings = check_announcement(announcement)
+        if findings:
+            return refuse(400, "announcement", "; ".join(map(str, findings)))
         await self._membership.announce(announcement)
         return None
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/caller.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/caller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import aclosing, asynccontextmanager
+from contextlib import aclosing, asynccontextmanager, suppress
 from dataclasses import replace
 from typing import Any
 
@@ -17,6 +17,7 @@
     Answer,
     AnswerCutError,
     CallerRequest,
+    Outcome,
     Plan,
     Problem,
     Router,
@@ -42,11 +43,20 @@
         self._router = router
         self._membership = membership
         self._limits = settings.limits
-        self._budget = BodyBudget(settings.limits.max_queued_bytes)
+        self.budget = BodyBudget(settings.limits.max_queued_bytes)
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
         request_id = request_id_of(scope)
+        try:
+            await self._handle(scope, receive, send, request_id)
+        except Exception:
+            eliot.write_traceback()
+            await self._give_up(send, request_id)
+
+    async def _handle(
+        self, scope: Any, receive: Any, send: Any, request_id: str
+    ) -> None:
         match parse_head(scope, request_id, self._limits):
             case Ok(head):
                 await self._admit(head, receive, send)
@@ -63,7 +73,7 @@
     async def _take(
         self, head: RequestHead, plan: Plan, receive: Any, send: Any
     ) -> None:
-        held = _HeldBody(self._budget)
+        held = _HeldBody(self.budget)
         try:
             body = await read_body(
                 receive, head.declared_bytes, self._limits.max_body_bytes, held.take
@@ -106,6 +116,12 @@
         finally:
             answer.close()
 
+    async def _give_up(self, send: Any, request_id: str) -> None:
+        """Answer that the outcome is unknown, where no answer has begun."""
+        problem = Problem(500, "internal", "unexpected failure", Outcome.UNKNOWN)
+        with suppress(RuntimeError):
+            await self._refuse(send, problem, request_id)
+
     async def _refuse(self, send: Any, problem: Problem, request_id: str) -> None:
         # The body may still be coming; closing ends it without reading on.
         await send_problem(send, problem, request_id, self._membership, close=True)
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/core.py
@@ -5,7 +5,7 @@
 from almondfield_core.messages import ServerAnnouncement
 from almondfield_core.settings import DaemonSettings
 from starlette.applications import Starlette
-from starlette.routing import Mount, Route
+from starlette.routing import Route
 
 from almondfield_daemon.edge.announcements import AnnouncementEndpoint
 from almondfield_daemon.edge.caller import CallerEndpoint
@@ -42,10 +42,13 @@
     :param backend_token: token that backend servers present.
     """
     announcements = AnnouncementEndpoint(membership, settings.limits, backend_token)
-    return Starlette(
+    app = Starlette(
         routes=[
             Route("/addresses", AddressEndpoint(membership, settings.timing)),
             Route("/announcements", announcements),
-            Mount("/", CallerEndpoint(router, membership, settings)),
         ]
     )
+    # Every other path is a team's, also one that a route pattern can't match.
+    app.router.redirect_slashes = False
+    app.router.default = CallerEndpoint(router, membership, settings)
+    return app
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/replies.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/replies.py
@@ -7,6 +7,7 @@
 from almondfield_core.settings import TimingSettings
 
 from almondfield_daemon.router import Header, Problem
+from almondfield_daemon.router.problems import refuse
 
 __all__ = ["AddressEndpoint", "send_json", "send_problem"]
 
@@ -77,5 +78,10 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one request."""
+        if scope["method"] not in ("GET", "HEAD"):
+            detail = f"method {scope['method']!r}; allowed: GET, HEAD"
+            problem = refuse(405, "method", detail)
+            await send_problem(send, problem, "", self._membership, close=True)
+            return
         headers = ((b"cache-control", self._cache_control),)
         await send_json(send, 200, self._membership.addresses(), headers)
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/caller.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/caller.feature
@@ -31,3 +31,115 @@
     When "k1" sends GET "/stock"
     Then the reply is cut after "half"
     And every slot is released
+
+  Scenario: A stale host refuses and names other addresses
+    Given a caller app
+    And its tables are stale
+    When "k1" sends GET "/stock"
+    Then the reply is 503 "not-run" with error "stale-tables"
+    And the reply names other addresses and when to come back
+
+  Scenario: A draining host refuses new work and finishes what runs
+    Given a caller app
+    And it drains while a request runs
+    When "k1" sends GET "/stock"
+    Then the reply is 200 with body "ok"
+    When "k1" sends GET "/stock"
+    Then the reply is 503 "not-run" with error "draining"
+    And the reply names other addresses and when to come back
+
+  Scenario Outline: A request beyond a limit is refused without being held
+    Given a caller app with small limits
+    When "k1" sends a request with <what>
+    Then the reply is <status> "not-run" with error "<error>"
+    And the caller's connection ends
+    And no slot was asked for
+    And at most 3000 bytes of it were read
+
+    Examples:
+      | what                  | status | error             |
+      | a declared large body | 413    | body-too-large    |
+      | an endless body       | 413    | body-too-large    |
+      | large headers         | 431    | headers-too-large |
+
+  Scenario: Bodies beyond the memory of the host are refused
+    Given a caller app with small limits
+    And 3 requests with bodies of 1000 bytes wait
+    When "k1" sends a request with a body of 1000 bytes
+    Then the reply is 503 "not-run" with error "memory"
+    And the reply names other addresses and when to come back
+    When the 3 requests are answered
+    Then no body is held
+
+  Scenario: A caller that stops sending its body is given up
+    Given a caller app
+    When "k1" sends a request with half a body
+    Then the reply is 408 "not-run" with error "body-timeout"
+    And no body is held
+
+  Scenario Outline: A caller that goes away frees its slot at once
+    Given a caller app
+    And the backend server <phase>
+    When "k1" sends GET "/stock" and goes away after 5 s
+    Then the request ended after 5 s
+    And every slot is released
+
+    Examples:
+      | phase                   |
+      | takes 60 s to answer    |
+      | streams with long gaps  |
+
+  Scenario: A caller that takes no bytes frees its slot
+    Given a caller app
+    When "k1" sends GET "/stock" and takes no bytes
+    Then the reply is cut before its first byte
+    And every slot is released
+
+  Scenario: The request id passes through
+    Given a caller app
+    When "k1" sends GET "/stock" with header "x-request-id: r-77"
+    Then the backend server was sent header "x-request-id: r-77"
+    And the reply has header "x-request-id: r-77"
+
+  Scenario: A backend server can't speak for the router
+    Given a caller app
+    And the backend server's answer has header "Almondfield-Outcome: not-run"
+    When "k1" sends GET "/stock"
+    Then the reply has no header "almondfield-outcome"
+
+  Scenario Outline: Malformed input gives a typed error
+    Given a caller app
+    When "k1" sends <method> "<path>" with header "<header>"
+    Then the reply is <status> "not-run" with error "<error>"
+    And no slot was asked for
+
+    Examples:
+      | method | path      | header              | status | error           |
+      | POST   | /stock    | content-length: 1x  | 400    | content-length  |
+      | POST   | /stock    | content-length: -1  | 400    | content-length  |
+      | BREW   | /stock    | x: y                | 405    | method          |
+      | GET    | /a/../b   | x: y                | 400    | path            |
+      | POST   | /stock    | idempotency-key: é  | 400    | idempotency-key |
+      | GET    | /stock    | authorization: x    | 400    | repeated-header |
+
+  Scenario: An unexpected failure leaves the outcome unknown
+    Given a caller app
+    And the router fails unexpectedly
+    When "k1" sends POST "/stock"
+    Then the reply is 500 "unknown" with error "internal"
+    And no body is held
+
+  Scenario: Whatever is sent gets a typed error or an answer
+    Then drawn requests never fail inside the app
+
+  @sockets
+  Scenario Outline: A cut is visible on the wire
+    Given a caller app on a free port
+    And the backend server's answer of <kind> is cut
+    When a caller reads the answer to its end
+    Then what it read is not a whole answer
+
+    Examples:
+      | kind         |
+      | chunks       |
+      | known length |
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/steps/announcement_steps.py
@@ -0,0 +1,95 @@
+"""Steps of announcements.feature."""
+
+import msgspec
+from almondfield_daemon.router.tests.fakes import Caller, House
+from almondfield_testing import run
+from behave import then, when
+from hypothesis import given as given_values
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+GOOD = {
+    "name": "s9",
+    "incarnation": 1,
+    "address": "127.0.0.1:9000",
+    "data_centre": "dc1",
+    "kind": "model",
+    "slots": 4,
+}
+TOKEN = ("authorization", "Bearer backend-token")
+
+
+def announce(context, house, body, headers=(TOKEN,)):
+    """Return the reply to an announcement."""
+    caller = Caller(house.app)
+    return run(context, caller.call("POST", "/announcements", headers, body))
+
+
+@when("a backend server announces itself")
+def step_impl(context):
+    context.reply = announce(context, context.house, msgspec.json.encode(GOOD))
+
+
+@when("a backend server announces itself {how}")
+def step_impl(context, how):
+    announced = dict(GOOD)
+    headers = [TOKEN]
+    match how:
+        case "without a token":
+            headers = []
+        case "with a team's key":
+            headers = [("authorization", "Bearer k1")]
+        case "with 70000 bytes":
+            announced["model"] = "x" * 70000
+        case "without a name":
+            announced["name"] = ""
+        case "with an unknown kind":
+            announced["kind"] = "toaster"
+        case "with no slots":
+            announced["slots"] = 0
+        case "with no port":
+            announced["address"] = "127.0.0.1"
+    body = msgspec.json.encode(announced)
+    body = body[:50] if how == "in half" else body
+    context.reply = announce(context, context.house, body, headers)
+
+
+@then("the reply is {status:d}")
+def step_impl(context, status):
+    assert context.reply.status == status, context.reply
+
+
+@then('the fleet knows server "{name}"')
+def step_impl(context, name):
+    (known,) = context.house.membership.announced
+    assert known.name == name
+
+
+@then("the fleet knows no server")
+def step_impl(context):
+    assert context.house.membership.announced == []
+
+
+@then("drawn announcements never fail inside the app")
+def step_impl(context):
+    values = st.none() | st.integers() | st.text() | st.lists(st.integers())
+    fields = st.fixed_dictionaries({name: values for name in GOOD})
+    mutated = fields.map(msgspec.json.encode)
+
+    @hypothesis_settings(derandomize=True, max_examples=200, deadline=None)
+    @given_values(st.binary() | mutated | st.text().map(str.encode))
+    def check(body):
+        house = House()
+        reply = announce(context, house, body)
+        assert reply.status == 400, reply
+        assert reply.json["error"] == "announcement"
+        assert house.membership.announced == []
+
+    check()
+
+
+@then("the reply names the addresses for {count:d} s")
+def step_impl(context, count):
+    reply = context.reply
+    assert reply.json == {"addresses": ["127.0.0.1:8080"], "lifetime_s": count}
+    assert reply.headers[b"cache-control"] == b"max-age=%d" % count
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/steps/caller_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/steps/caller_steps.py
@@ -1,16 +1,25 @@
 """Steps of the features of the caller app."""
 
+import asyncio
+
+import h11
+from almondfield_core.clock import now
 from almondfield_core.messages import ServerFailure
 from almondfield_daemon.router.tests.fakes import Caller, FakeAnswer, House
+from almondfield_daemon.serving import HttpListener, bind
 from almondfield_testing import run
 from behave import given, then, when
+from hypothesis import given as given_values
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
 
 
 def send(context, key, method, path, **kwargs):
     """Send one request as the holder of a key."""
     headers = [("authorization", f"Bearer {key}")] if key else []
     headers += kwargs.pop("headers", [])
-    context.caller = Caller(context.house.app)
+    takes_bytes = kwargs.pop("takes_bytes", True)
+    context.caller = Caller(context.house.app, takes_bytes)
     call = context.caller.call(method, path, headers, **kwargs)
     context.reply = run(context, call)
 
@@ -26,12 +35,12 @@
     context.house.backends.answers.append(answer)
 
 
-@when('"{key}" sends {method} "{path}"')
+@when('"{key}" sends {method:w} "{path:S}"')
 def step_impl(context, key, method, path):
     send(context, key, method, path)
 
 
-@when('"" sends {method} "{path}"')
+@when('"" sends {method:w} "{path:S}"')
 def step_impl(context, method, path):
     send(context, "", method, path)
 
@@ -58,6 +67,12 @@
     assert not context.reply.whole
 
 
+@then("the reply is cut before its first byte")
+def step_impl(context):
+    assert not context.reply.parts, context.reply
+    assert not context.reply.whole
+
+
 @then('pool "{pool}" was asked for team "{team}"')
 def step_impl(context, pool, team):
     (request,) = context.house.slots.requests
@@ -82,3 +97,220 @@
 @then("no slot was asked for")
 def step_impl(context):
     assert context.house.slots.requests == []
+
+
+def settle(context, seconds=0.0):
+    """Let tasks of the paused loop run."""
+    run(context, asyncio.sleep(seconds))
+
+
+@given("a caller app with small limits")
+def step_impl(context):
+    context.house = House(
+        max_body_bytes=2000, max_header_bytes=1000, max_queued_bytes=3500
+    )
+
+
+@given("its tables are stale")
+def step_impl(context):
+    context.house.view.freshness_s = 0.0
+
+
+@given("it drains while a request runs")
+def step_impl(context):
+    context.house.slots.on_acquire = context.house.router.refuse_new
+
+
+@given("{count:d} requests with bodies of {size:d} bytes wait")
+def step_impl(context, count, size):
+    context.house.slots.delay_s = 60.0
+    headers = [("authorization", "Bearer k1")]
+    context.waiting = [
+        context.loop.create_task(
+            Caller(context.house.app).call("POST", "/stock", headers, bytes(size))
+        )
+        for _ in range(count)
+    ]
+    settle(context, 1.0)
+
+
+@given("the backend server takes {seconds:d} s to answer")
+def step_impl(context, seconds):
+    context.house.backends.delay_s = float(seconds)
+
+
+@given("the backend server streams with long gaps")
+def step_impl(context):
+    context.house.backends.answers = [FakeAnswer((b"a", 60.0, b"b", 60.0))]
+
+
+@given('the backend server\'s answer has header "{header}"')
+def step_impl(context, header):
+    headers = (tuple(header.encode().split(b": ")),)
+    context.house.backends.answers = [FakeAnswer((b"ok",), headers=headers)]
+
+
+@given("the router fails unexpectedly")
+def step_impl(context):
+    context.house.slots.on_acquire = lambda: 1 / 0
+
+
+@given("a caller app on a free port")
+def step_impl(context):
+    context.house = House()
+    context.socket = bind("127.0.0.1", 0)
+    context.listener = HttpListener(context.house.app, context.socket, 4096)
+    run(context, context.listener.start())
+
+
+@given("the backend server's answer of {kind} is cut")
+def step_impl(context, kind):
+    headers = ((b"content-length", b"100"),) if kind == "known length" else ()
+    parts = (b"half", ServerFailure.STREAM)
+    context.house.backends.answers = [FakeAnswer(parts, headers=headers)]
+
+
+@when('"{key}" sends a request with {what}')
+def step_impl(context, key, what):
+    match what:
+        case "a declared large body":
+            length = ("content-length", "100000000")
+            send(context, key, "POST", "/stock", headers=[length], parts=[b"x"] * 100)
+        case "an endless body":
+            send(context, key, "POST", "/stock", parts=[b"x" * 100] * 1000)
+        case "large headers":
+            send(context, key, "POST", "/stock", headers=[("x", "y" * 2000)])
+        case "a body of 1000 bytes":
+            send(context, key, "POST", "/stock", body=bytes(1000))
+        case "half a body":
+            send(context, key, "POST", "/stock", parts=[b"x", None])
+
+
+@when("the 3 requests are answered")
+def step_impl(context):
+    replies = run(context, asyncio.gather(*context.waiting))
+    assert [reply.status for reply in replies] == [200, 200, 200]
+
+
+@when('"{key}" sends {method:w} "{path:S}" and goes away after {seconds:d} s')
+def step_impl(context, key, method, path, seconds):
+    headers = [("authorization", f"Bearer {key}")]
+
+    async def call():
+        caller = Caller(context.house.app)
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, caller.gone.set)
+        began = now()
+        await caller.call(method, path, headers)
+        return now() - began
+
+    context.took_s = run(context, call())
+
+
+@when('"{key}" sends {method:w} "{path:S}" and takes no bytes')
+def step_impl(context, key, method, path):
+    send(context, key, method, path, takes_bytes=False)
+
+
+@when('"{key}" sends {method:w} "{path:S}" with header "{header}"')
+def step_impl(context, key, method, path, header):
+    send(context, key, method, path, headers=[tuple(header.split(": "))])
+
+
+@when("a caller reads the answer to its end")
+def step_impl(context):
+    async def read():
+        host, port = context.socket.getsockname()
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"GET /stock HTTP/1.1\r\nHost: x\r\n")
+        writer.write(b"Authorization: Bearer k1\r\n\r\n")
+        data = await reader.read()
+        writer.close()
+        await context.listener.stop()
+        return data
+
+    context.data = run(context, read())
+
+
+@then("what it read is not a whole answer")
+def step_impl(context):
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+    parser.send(h11.EndOfMessage())
+    parser.receive_data(context.data)
+    parser.receive_data(b"")
+    assert isinstance(parser.next_event(), h11.Response)
+    assert parser.next_event().data == b"half"
+    try:
+        event = parser.next_event()
+    except h11.RemoteProtocolError:
+        return
+    raise AssertionError(f"the cut looked like {event}")
+
+
+@then("the reply names other addresses and when to come back")
+def step_impl(context):
+    reply = context.reply
+    assert reply.json["addresses"]["addresses"] == ["127.0.0.1:8080"], reply
+    assert int(reply.headers[b"retry-after"]) >= 0
+
+
+@then("the caller's connection ends")
+def step_impl(context):
+    assert context.reply.headers[b"connection"] == b"close"
+
+
+@then("at most {count:d} bytes of it were read")
+def step_impl(context, count):
+    assert context.caller.read_bytes <= count, context.caller.read_bytes
+
+
+@then("no body is held")
+def step_impl(context):
+    assert context.house.held_bytes() == 0
+
+
+@then("the request ended after {seconds:d} s")
+def step_impl(context, seconds):
+    assert context.took_s == seconds, context.took_s
+
+
+@then('the backend server was sent header "{header}"')
+def step_impl(context, header):
+    (call,) = context.house.backends.calls
+    assert tuple(header.encode().split(b": ")) in call.headers, call
+
+
+@then('the reply has header "{header}"')
+def step_impl(context, header):
+    name, value = header.encode().split(b": ")
+    assert context.reply.headers[name] == value
+
+
+@then('the reply has no header "{name}"')
+def step_impl(context, name):
+    names = [header.lower() for header in context.reply.headers]
+    assert name.encode() not in names
+
+
+@then("drawn requests never fail inside the app")
+def step_impl(context):
+    header = st.tuples(
+        st.sampled_from(
+            ["authorization", "content-length", "idempotency-key", "x-request-id"]
+        ),
+        st.text(st.characters(max_codepoint=255), max_size=20),
+    )
+    path = st.text(st.characters(codec="utf-8", exclude_characters="?"), max_size=20)
+
+    @hypothesis_settings(derandomize=True, max_examples=300, deadline=None)
+    @given_values(st.text(max_size=9), path, st.lists(header, max_size=5))
+    def check(method, path, headers):
+        house = House()
+        caller = Caller(house.app)
+        reply = run(context, caller.call(method, path, headers))
+        assert 400 <= reply.status < 500, reply
+        assert reply.json["outcome"] == "not-run"
+        assert house.slots.requests == []
+
+    check()
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/fakes.py
@@ -175,8 +175,9 @@
 class Caller:
     """Calls an ASGI app in process."""
 
-    def __init__(self, app):
+    def __init__(self, app, takes_bytes=True):
         self.app = app
+        self.takes_bytes = takes_bytes
         self.reply = Reply()
         self.read_bytes = 0
         self.gone = asyncio.Event()
@@ -193,7 +194,7 @@
             "raw_path": path.encode(),
             "root_path": "",
             "query_string": query.encode(),
-            "headers": [(n.encode(), v.encode()) for n, v in headers],
+            "headers": [(n.encode(), v.encode("latin-1")) for n, v in headers],
         }
         await self.app(made | scope, self._receive, self._send)
         return self.reply
@@ -201,6 +202,8 @@
     async def _receive(self):
         if self._parts:
             part = self._parts.pop(0)
+            if part is None:
+                await self.gone.wait()
             self.read_bytes += len(part)
             more = bool(self._parts)
             return {"type": "http.request", "body": part, "more_body": more}
@@ -212,6 +215,8 @@
             self.reply.status = message["status"]
             self.reply.headers = dict(message["headers"])
             return
+        if not self.takes_bytes:
+            await asyncio.Event().wait()
         self.reply.parts.append(message["body"])
         self.reply.whole = not message.get("more_body", False)
 
@@ -237,3 +242,7 @@
         self.app = build_caller_app(
             self.router, self.membership, self.settings, "backend-token"
         )
+
+    def held_bytes(self):
+        """Return the bytes of bodies that the app counts as held."""
+        return self.app.router.default.budget.held_bytes
