Plan against current tables, list the newest history first

Cause: a host without a lease gave its old tables to plan and apply, which then met a conflict; history showed the oldest hundred changes of all; drain built a wrong address for a host with an IPv6 address. What: GET /v1/tables answers 503 where the tables may be out of date, unless stale=1; history begins at the newest records; IPv6 addresses are bracketed. Conclusion: a stale host is passed over for the next one.

--- a/packages/almondfield-cli/src/almondfield_cli/client.py
+++ b/packages/almondfield-cli/src/almondfield_cli/client.py
@@ -118,9 +118,12 @@
         self._hosts = hosts
         self._timeout_s = timeout_s
 
-    async def tables(self) -> Result[Tables, ClientFailure]:
-        """Return the tables."""
-        return await self._get("/v1/tables", Tables)
+    async def tables(self, stale: bool = False) -> Result[Tables, ClientFailure]:
+        """Return the tables.
+
+        :param stale: whether tables that may be out of date will do.
+        """
+        return await self._get(f"/v1/tables?stale={int(stale)}", Tables)
 
     async def apply(self, change: TableChange) -> Result[ChangeAccepted, ClientFailure]:
         """Return the outcome of a change.
@@ -176,8 +179,7 @@
         """
         body = msgspec.json.encode(DrainRequest(host.name))
         request = HttpRequest("POST", "/v1/drain", body, self._timeout_s)
-        endpoint = f"{host.address}:{host.operator_port}"
-        return _decode(await self._ask(request, (endpoint,)), DrainStarted)
+        return _decode(await self._ask(request, (_endpoint_of(host),)), DrainStarted)
 
     async def change_voters(
         self, host_name: str, admit: bool
@@ -223,6 +225,11 @@
         return Ok(min(without_quorum, key=_is_certainly_not_done))
 
 
+def _endpoint_of(host: HostSettings) -> str:
+    address = f"[{host.address}]" if ":" in host.address else host.address
+    return f"{address}:{host.operator_port}"
+
+
 def _is_certainly_not_done(answer: HttpAnswer) -> bool:
     try:
         failure = msgspec.json.decode(answer.body, type=ControlUnavailable)
--- a/packages/almondfield-cli/src/almondfield_cli/reading.py
+++ b/packages/almondfield-cli/src/almondfield_cli/reading.py
@@ -24,27 +24,40 @@
 
 async def history(
     *,
-    after: int = 0,
+    after: int | None = None,
     limit: int = DEFAULT_HISTORY_RECORDS,
     connection: Connection = DEFAULT_CONNECTION,
 ) -> ExitCode:
-    """Print the audit trail of accepted changes.
+    """Print the audit trail of accepted changes, the newest ones by default.
 
     :param after: the first record has a greater revision.
     :param limit: number of records, at most.
     """
     match connection.connect():
         case Ok(client):
-            return show_outcome(connection.printer, await client.history(after, limit))
+            pass
         case Err(findings):
             return connection.printer.fail(findings)
+    if after is None:
+        match await client.status():
+            case Ok(fleet):
+                after = max(0, fleet.revision - limit)
+            case Err(failure):
+                return connection.printer.fail(failure)
+    return show_outcome(connection.printer, await client.history(after, limit))
 
 
-async def export(*, connection: Connection = DEFAULT_CONNECTION) -> ExitCode:
-    """Print the tables as TOML that ``apply`` takes."""
+async def export(
+    *, stale: bool = False, connection: Connection = DEFAULT_CONNECTION
+) -> ExitCode:
+    """Print the tables as TOML that ``apply`` takes.
+
+    :param stale: whether tables that may be out of date will do, as where no quorum
+        is left.
+    """
     match connection.connect():
         case Ok(client):
-            outcome = await client.tables()
+            outcome = await client.tables(stale)
         case Err(findings):
             return connection.printer.fail(findings)
     match outcome:
--- a/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
@@ -68,6 +68,7 @@
       | check wrong.toml              | FINDINGS    | no pool 'none'          |
       | plan missing.toml             | FINDINGS    | No such file            |
       | drain elsewhere               | FINDINGS    | no host 'elsewhere'     |
+      | drain north-6                 | UNAVAILABLE | [::1]:8081: silent      |
       | admit elsewhere               | FINDINGS    | elsewhere is no learner |
       | remove elsewhere              | FINDINGS    | elsewhere is no member  |
       | status --host nonsense        | FINDINGS    | ADDRESS:PORT            |
@@ -87,6 +88,25 @@
     Then it ends with DONE and prints "+ pool "p""
     And the tables are at revision 0
 
+  Scenario: A plan is made against tables that are current
+    Given hosts "a b" that answer
+    And host "a" has tables that are out of date
+    When the command "plan tables.toml" runs
+    Then it ends with DONE and prints "against revision 0"
+    When the command "export --host a:8081" runs
+    Then it ends with UNAVAILABLE and complains "may be out of date"
+    When the command "export --host a:8081 --stale" runs
+    Then it ends with DONE and prints "revision = 4"
+
+  Scenario: History begins with the newest changes
+    Given hosts "a" that answer
+    When the command "apply tables.toml --change-id c1" runs
+    And the command "apply tables.toml --change-id c2" runs
+    And the command "history --limit 1" runs
+    Then it ends with DONE and prints "c2"
+    When the command "history --limit 1 --after 0" runs
+    Then it ends with DONE and prints "c1"
+
   Scenario: A host is drained by its name
     Given hosts "a" that answer
     When the command "drain north-1" runs
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
@@ -5,6 +5,7 @@
 
 from almondfield_core.findings import Finding
 from almondfield_core.messages import (
+    ControlUnavailable,
     DrainRequest,
     DrainStarted,
     InForce,
@@ -112,8 +113,12 @@
         return Response(content, headers=headers)
 
     async def get_tables(self, request: Request) -> Response:
-        """Return the tables as this host knows them."""
-        return answer(self._view.tables)
+        """Return the tables; stale ones only where the query asks for them."""
+        stale_allowed = read_query(request, "stale", 0, 1)
+        if self._view.freshness_left_s() > 0 or stale_allowed:
+            return answer(self._view.tables)
+        reason = "the tables of this host may be out of date"
+        return answer_failure(ControlUnavailable(reason, certainly_not_done=True))
 
     async def post_change(self, request: Request) -> Response:
         """Apply a change, and wait for it to come in force where asked to."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/operator.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/operator.feature
@@ -76,6 +76,8 @@
     Given the tables of the host are stale
     Then "/health" answers 200
     And "/ready" answers 503
+    And "/v1/tables" answers 503
+    And "/v1/tables?stale=1" answers 200
 
   Scenario: Draining is refused by another host than the one named
     When the host is told to drain "north-2"
--- a/tools/almondfield_testing/operators.py
+++ b/tools/almondfield_testing/operators.py
@@ -114,7 +114,7 @@
 
 
 def make_node(control: FakeControl, host: str = "north-1") -> OperatorNode:
-    """Return a daemon with two hosts in its settings.
+    """Return a daemon with three hosts in its settings.
 
     :param control: the control group.
     :param host: name of this host.
@@ -124,6 +124,7 @@
         hosts=(
             HostSettings("north-1", "dc-1", "127.0.0.1", voter=True),
             HostSettings("north-2", "dc-2", "127.0.0.2"),
+            HostSettings("north-6", "dc-3", "::1"),
         ),
         security=SecuritySettings("operator", "backend", "fleet"),
     )
