Go on where the reader of the output stops reading

Cause: 'almondfield export | head -3' ended in a traceback, and apply would have stopped its wait the same way. What: what is left of the output is discarded; the command and its exit code go on.

--- a/packages/almondfield-cli/src/almondfield_cli/output.py
+++ b/packages/almondfield-cli/src/almondfield_cli/output.py
@@ -1,5 +1,6 @@
 """Prints results for people and for programs."""
 
+import os
 import sys
 from collections.abc import Iterable
 from datetime import UTC, datetime
@@ -65,7 +66,18 @@
     def _print(self, result: Any, text: str, stream: Any) -> None:
         if self._output is Output.JSON:
             text = msgspec.json.encode(result).decode()
-        print(text.rstrip("\n"), file=stream, flush=True)
+        try:
+            print(text.rstrip("\n"), file=stream, flush=True)
+        except BrokenPipeError:
+            # The reader has seen enough; the command and its exit code go on.
+            _discard(stream)
+
+
+def _discard(stream: Any) -> None:
+    """Send what is left in a stream, and all that follows, nowhere."""
+    nowhere = os.open(os.devnull, os.O_WRONLY)
+    os.dup2(nowhere, stream.fileno())
+    os.close(nowhere)
 
 
 def exit_code_of(failure: Any) -> ExitCode:
--- a/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
@@ -128,6 +128,11 @@
       | settings                 | timing.heartbeat_s  number in s, default 0.3 |
       | key team.key             | 58e1c144d9e77a3f                   |
 
+  Scenario: A reader that stops reading does not stop a command
+    Given hosts "a" that answer
+    When the command "apply tables.toml --change-id c1" runs and nobody reads
+    Then it ends with DONE
+
   Scenario: Commands reach a daemon over HTTP
     Given a daemon's operator interface on a free port
     When a change and a status are asked for over HTTP
--- a/packages/almondfield-cli/src/almondfield_cli/tests/steps/cli_steps.py
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/steps/cli_steps.py
@@ -91,14 +91,14 @@
             os.chdir(before)
 
 
-async def run_line(line, hosts):
+async def run_line(line, hosts, out=None):
     words = shlex.split(line)
     online = words[0] not in {"check", "settings", "key", "unknown"}
     if online:
         for option, values in (("--host", hosts), ("--token-file", ["operator.token"])):
             if option not in words:
                 words += [word for value in values for word in (option, value)]
-    out, err = io.StringIO(), io.StringIO()
+    out, err = out or io.StringIO(), io.StringIO()
     with (
         files_in_folder(),
         mock.patch.dict(os.environ, COLUMNS="200"),
@@ -106,7 +106,8 @@
         contextlib.redirect_stderr(err),
     ):
         code = await run_command(words)
-    return code, out.getvalue(), err.getvalue()
+    printed = out.getvalue() if isinstance(out, io.StringIO) else ""
+    return code, printed, err.getvalue()
 
 
 @given('hosts "{names}" that answer')
@@ -194,6 +195,25 @@
         context.code, context.out, context.err = run(context, call)
 
 
+@when('the command "{line}" runs and nobody reads')
+def step_impl(context, line):
+    reader, writer = os.pipe()
+    os.close(reader)
+    with (
+        mock.patch(
+            "almondfield_cli.options.AiosonicTransport", context.transport.with_token
+        ),
+        os.fdopen(writer, "w") as unread,
+    ):
+        call = run_line(line, context.hosts, unread)
+        context.code, _, context.err = run(context, call)
+
+
+@then("it ends with {code:w}")
+def step_impl(context, code):
+    assert context.code.name == code, (context.code, context.err)
+
+
 @then("it ends with {code} and prints")
 def step_impl(context, code):
     assert (context.code.name, context.out.strip()) == (code, context.text), (
