--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/operator.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/operator.feature
@@ -76,6 +76,8 @@
     Given the tables of the host are stale
     Then "/health" answers 200
     And "/ready" answers 503
+    And "/v1/tables" answers 503
+    And "/v1/tables?stale=1" answers 200
 
   Scenario: Draining is refused by another host than the one named
     When the host is told to drain "north-2"
@@ -118,6 +120,14 @@
       | /v1/drain                       | 405    |
       | /metrics                        | 200    |
 
+  Scenario: A large change leaves time for heartbeats while it is read
+    When a change with 2000 routes is posted beside another task
+    Then the answer is 200 and holds
+      """
+      {"change_id":"c1","revision":1,"in_force":false}
+      """
+    And the other task ran more than 50 times meanwhile
+
   Scenario: Malformed requests are refused with findings and change nothing
     Then 300 malformed bodies are each refused
     And the tables are at revision 0
