--- a/packages/almondfield-core/src/almondfield_core/settings/checking.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/checking.py
@@ -105,7 +105,7 @@
 
 
 def _check_sections(settings: DaemonSettings) -> Iterator[Finding]:
-    for section in ("timing", "limits"):
+    for section in ("timing", "limits", "orders"):
         values = getattr(settings, section)
         for item in dataclasses.fields(values):
             value = getattr(values, item.name)
