Hold backend servers so that orders meet no running work

Cause: a server is to leave the grants before an order and come back after it. Change: news of holds spread among hosts; a held server is relayed as leaving until it is released or its hold runs out. Conclusion: schedulers need no message of their own for it.

--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/core.py
@@ -11,15 +11,17 @@
 from almondfield_core.settings import DaemonSettings
 
 from almondfield_daemon.membership.addresses import AddressAnswer, order_hosts
+from almondfield_daemon.membership.holds import HoldDirectory
 from almondfield_daemon.membership.hosts import HostDirectory
 from almondfield_daemon.membership.messages import (
+    HoldNews,
     HostDigest,
     HostNews,
     HostState,
     SilenceNews,
     SpareNews,
 )
-from almondfield_daemon.membership.servers import ServerDirectory
+from almondfield_daemon.membership.servers import HeardServer, ServerDirectory
 from almondfield_daemon.membership.spreading import Outbox
 
 __all__ = ["Membership"]
@@ -51,8 +53,9 @@
         self._incarnation = incarnation
         self._random = random.Random(f"{settings.host}/{incarnation}")
         self._own = next(h for h in settings.hosts if h.name == settings.host)
-        self._directory = HostDirectory(settings.host, settings.hosts)
-        self._servers = ServerDirectory(settings.timing.server_silence_s)
+        self._holds = HoldDirectory()
+        self._directory = HostDirectory(settings.host, settings.hosts, self._holds)
+        self._servers = ServerDirectory(settings.timing.server_silence_s, self._holds)
         self._outbox_by_host: dict[str, Outbox] = {}
         self._incarnation_by_neighbour: dict[str, int] = {}
         self._open_neighbours: frozenset[str] = frozenset()
@@ -85,9 +88,27 @@
         if self._servers.note(announcement, self._view.tables.pools):
             self._send_relays()
 
-    def servers(self) -> tuple[ServerAnnouncement, ...]:
+    def servers(self) -> tuple[HeardServer, ...]:
         """Return the servers that announce themselves to this host."""
-        return self._servers.announcements()
+        return self._servers.heard()
+
+    def hold_server(self, server: str, fencing: int, lifetime_s: float) -> None:
+        """Keep new work from a backend server, in the whole fleet.
+
+        :param server: name of the server.
+        :param fencing: fencing number of the order that it is held for.
+        :param lifetime_s: seconds until it gets work again; 0 for now.
+        """
+        news = HoldNews(server, fencing, self._next(), lifetime_s)
+        self._say(HostDigest(holds=(news,)))
+        self._send_relays()
+
+    def is_held(self, server: str) -> bool:
+        """Return whether new work is kept from a backend server.
+
+        :param server: name of the server.
+        """
+        return self._holds.is_held(server)
 
     def addresses(self, data_centre: str = "") -> AddressAnswer:
         """Return the addresses that a caller may use, the best first.
@@ -165,6 +186,7 @@
             self._send_relays()
 
     def _send_relays(self) -> None:
+        self._servers.note_holds()
         self._servers.note_leases(dict(self._view.lease_by_pool))
         for host, relay in self._servers.take_relays():
             self._peers.send(host, relay)
@@ -175,6 +197,8 @@
             self._peers.learn_host(news.settings)
         self._outdo_own_past(fresh)
         self._pass_on(fresh, sender)
+        if fresh.holds:
+            self._send_relays()
         if self._has_restarted(sender):
             self._outbox(sender).add(self._directory.everything())
 
@@ -235,7 +259,7 @@
     def _pass_on(self, digest: HostDigest, source: str) -> None:
         for host in self._directory.neighbours(self._own.name) - {source}:
             self._outbox(host).add(digest)
-        if digest.hosts or digest.silences:
+        if digest.hosts or digest.silences or digest.holds:
             self._urgent.set()
 
     def _tell(self, host: str) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/hosts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/hosts.py
@@ -2,6 +2,7 @@
 
 from almondfield_core.settings import HostSettings
 
+from almondfield_daemon.membership.holds import HoldDirectory
 from almondfield_daemon.membership.messages import (
     HostDigest,
     HostNews,
@@ -22,10 +23,14 @@
 
     :param own: name of this host.
     :param hosts: hosts of the settings.
+    :param holds: takes news of held backend servers.
     """
 
-    def __init__(self, own: str, hosts: tuple[HostSettings, ...]) -> None:
+    def __init__(
+        self, own: str, hosts: tuple[HostSettings, ...], holds: HoldDirectory
+    ) -> None:
         self._own = own
+        self._holds = holds
         self._settings_by_host = {host.name: host for host in hosts}
         self._news_by_host: dict[str, HostNews] = {}
         self._silence_by_pair: dict[tuple[str, str], SilenceNews] = {}
@@ -57,6 +62,7 @@
             tuple(news for news in digest.hosts if self._merge_host(news)),
             tuple(news for news in digest.silences if self._merge_silence(news)),
             tuple(news for news in digest.spares if self._merge_spare(news)),
+            tuple(news for news in digest.holds if self._holds.merge(news)),
         )
 
     def everything(self) -> HostDigest:
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/messages.py
@@ -6,7 +6,14 @@
 from almondfield_core.settings import HostSettings
 from almondfield_core.wire import wire_message
 
-__all__ = ["HostDigest", "HostNews", "HostState", "SilenceNews", "SpareNews"]
+__all__ = [
+    "HoldNews",
+    "HostDigest",
+    "HostNews",
+    "HostState",
+    "SilenceNews",
+    "SpareNews",
+]
 
 
 class HostState(StrEnum):
@@ -83,6 +90,27 @@
         return self.incarnation, self.number
 
 
+@dataclass(frozen=True)
+class HoldNews:
+    """That a backend server gets no new work; greater (fencing, number) wins.
+
+    :ivar server: name of the server.
+    :ivar fencing: fencing number of the order that it is held for.
+    :ivar number: number that grows for the order.
+    :ivar lifetime_s: seconds after receipt for which it holds; 0 ends it.
+    """
+
+    server: str
+    fencing: int
+    number: int
+    lifetime_s: float
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what tells newer news from older."""
+        return self.fencing, self.number
+
+
 @wire_message("host-digest")
 @dataclass(frozen=True)
 class HostDigest:
@@ -91,8 +119,10 @@
     :ivar hosts: what hosts say of themselves.
     :ivar silences: which neighbours hear which hosts.
     :ivar spares: how much more work hosts can take.
+    :ivar holds: backend servers that get no new work.
     """
 
     hosts: tuple[HostNews, ...] = ()
     silences: tuple[SilenceNews, ...] = ()
     spares: tuple[SpareNews, ...] = ()
+    holds: tuple[HoldNews, ...] = ()
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/servers.py
@@ -12,13 +12,20 @@
 )
 from almondfield_core.tables import Pool
 
+from almondfield_daemon.membership.holds import HoldDirectory
 from almondfield_daemon.membership.selection import selects_server
 
-__all__ = ["ServerDirectory"]
+__all__ = ["HeardServer", "ServerDirectory"]
 
 
 @dataclass(frozen=True)
-class _Heard:
+class HeardServer:
+    """A server as it announced itself.
+
+    :ivar announcement: its newest announcement.
+    :ivar heard_s: when that came, in seconds of the loop's clock.
+    """
+
     announcement: ServerAnnouncement
     heard_s: float
 
@@ -27,11 +34,13 @@
     """Newest announcement of each server, and what schedulers must be told.
 
     :param silence_s: seconds after which a silent server is forgotten.
+    :param holds: servers that get no new work.
     """
 
-    def __init__(self, silence_s: float) -> None:
+    def __init__(self, silence_s: float, holds: HoldDirectory) -> None:
         self._silence_s = silence_s
-        self._heard_by_server: dict[str, _Heard] = {}
+        self._holds = holds
+        self._heard_by_server: dict[str, HeardServer] = {}
         self._untold: dict[str, set[str]] = {}
         self._pools_by_server: dict[str, frozenset[str]] = {}
         self._lease_by_pool: dict[str, PoolLease] = {}
@@ -47,7 +56,7 @@
         known = self._heard_by_server.get(name)
         if known and known.announcement.incarnation > announcement.incarnation:
             return False
-        self._heard_by_server[name] = _Heard(announcement, now())
+        self._heard_by_server[name] = HeardServer(announcement, now())
         before = self._pools_by_server.get(name, frozenset())
         selecting = frozenset(p.name for p in pools if selects_server(p, announcement))
         self._pools_by_server[name] = selecting
@@ -68,6 +77,12 @@
                     self._untold.setdefault(pool, set()).add(server)
         self._lease_by_pool = dict(lease_by_pool)
 
+    def note_holds(self) -> None:
+        """Make servers that were held or released due to their schedulers."""
+        for server in self._holds.take_changed():
+            for pool in self._pools_by_server.get(server, ()):
+                self._untold.setdefault(pool, set()).add(server)
+
     def take_relays(self) -> list[tuple[str, AnnouncementRelay]]:
         """Return what is due, as (scheduler host, relay); it is due no more."""
         relays = []
@@ -85,10 +100,10 @@
                 del self._heard_by_server[name]
                 self._pools_by_server.pop(name, None)
 
-    def announcements(self) -> tuple[ServerAnnouncement, ...]:
+    def heard(self) -> tuple[HeardServer, ...]:
         """Return the newest announcement of each server that is not silent."""
         self.forget_silent()
-        return tuple(heard.announcement for heard in self._heard_by_server.values())
+        return tuple(self._heard_by_server.values())
 
     def _relay(self, pool: str, names: list[str]) -> AnnouncementRelay:
         heard = [self._heard_by_server[n] for n in names if n in self._heard_by_server]
@@ -99,9 +114,10 @@
     def _as_seen_by(
         self, pool: str, announcement: ServerAnnouncement
     ) -> ServerAnnouncement:
-        if pool in self._pools_by_server.get(announcement.name, ()):
+        selected = pool in self._pools_by_server.get(announcement.name, ())
+        if selected and not self._holds.is_held(announcement.name):
             return announcement
-        # The pool selects it no more, so its scheduler is to give it no new work.
+        # Its scheduler is to give it no new work.
         return replace(announcement, state=ServerState.LEAVING)
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/servers.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/servers.feature
@@ -61,3 +61,24 @@
       | {"label_by_name": {"r": "1"}}    | {"label_by_name": {"r": "1"}}        | yes    |
       | {"label_by_name": {"r": "1"}}    | {"label_by_name": {}}                | no     |
       | {}                               | {"kind": "service"}                  | no     |
+
+  Scenario: A held server leaves its pool until it is released
+    Given server "engine-1" announces itself for "writing"
+    And 0.5 s pass
+    When "engine-1" is held for 5.0 s
+    And 0.05 s pass
+    Then "h1" knows that "engine-1" is leaving
+    When server "engine-1" announces itself for "writing"
+    And 0.5 s pass
+    Then "h1" knows that "engine-1" is leaving
+    When "engine-1" is held for 0.0 s
+    And 0.05 s pass
+    Then "h1" knows that "engine-1" is serving
+
+  Scenario: A hold that nobody renews runs out
+    Given server "engine-1" announces itself for "writing"
+    When "engine-1" is held for 5.0 s
+    And 5.1 s pass
+    And server "engine-1" announces itself for "writing"
+    And 0.5 s pass
+    Then "h1" knows that "engine-1" is serving
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/steps/servers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/steps/servers_steps.py
@@ -149,3 +149,17 @@
 
 def lists_as_tuples(items):
     return {k: tuple(v) if isinstance(v, list) else v for k, v in items.items()}
+
+
+@when('"{name}" is held for {seconds:f} s')
+def step_impl(context, name, seconds):
+    async def hold():
+        context.membership.hold_server(name, 1, seconds)
+
+    run(context, hold())
+
+
+@then('"{host}" knows that "{name}" is serving')
+def step_impl(context, host, name):
+    states = [said.state for said in heard(context, host) if said.name == name]
+    assert states[-1] is ServerState.SERVING, states
