Order models and roles from backend servers, from one issuer

Cause: a pool's wanted servers, model, version and adapters had no effect. Change: the leader's host plans orders from what servers announce and carries them out: hold, wait until idle, fencing number, send until answered, wait until reported done. A new issuer waits out the old lease for servers that ignore fencing; loads are spaced; a spare server goes to a pool with a lasting backlog and stays for a while. Conclusion: nothing needs to be kept from one issuer to the next.

--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/__init__.py
@@ -0,0 +1,39 @@
+"""Orders to backend servers: which model, version, adapters and role each has."""
+
+from almondfield_daemon.orders.board import PoolLoad, PoolLoads, ServerReport
+from almondfield_daemon.orders.core import Orders
+from almondfield_daemon.orders.kinds import (
+    ChangeRole,
+    FencedOrder,
+    LoadModel,
+    Order,
+    UnloadModel,
+)
+from almondfield_daemon.orders.outcomes import (
+    OrderAccepted,
+    OrderOutcome,
+    OrderRefused,
+    OrderUnanswered,
+    StaleFencing,
+)
+from almondfield_daemon.orders.plan import plan_orders
+from almondfield_daemon.orders.sender import HttpOrderSender
+
+__all__ = [
+    "ChangeRole",
+    "FencedOrder",
+    "HttpOrderSender",
+    "LoadModel",
+    "Order",
+    "OrderAccepted",
+    "OrderOutcome",
+    "OrderRefused",
+    "OrderUnanswered",
+    "Orders",
+    "PoolLoad",
+    "PoolLoads",
+    "ServerReport",
+    "StaleFencing",
+    "UnloadModel",
+    "plan_orders",
+]
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/steps/orders_steps.py
@@ -0,0 +1,284 @@
+"""Steps of orders.feature."""
+
+import asyncio
+from itertools import pairwise
+
+from almondfield_core.clock import now
+from almondfield_core.messages import ServerState
+from almondfield_core.tables import Pool, Selector
+from almondfield_daemon.orders import FencedOrder, LoadModel, StaleFencing
+from almondfield_daemon.orders.tests.fakes import (
+    ControlGroup,
+    Engine,
+    OrderHost,
+    View,
+)
+from almondfield_testing import InMemoryNetwork, run
+from behave import given, then, when
+
+HOSTS = ("h0", "h1", "h2")
+
+
+async def announce_all(context):
+    turn = 0
+    while True:
+        for number, engine in enumerate(context.engine_by_name.values()):
+            host = context.hosts[HOSTS[(turn + number) % len(HOSTS)]]
+            await host.membership.announce(engine.said)
+        turn += 1
+        await asyncio.sleep(1.0)
+
+
+async def report_backlogs(context):
+    while True:
+        waiting = {pool: 5 for pool in context.backlogged}
+        context.waiting.clear()
+        context.waiting.update(waiting)
+        await asyncio.sleep(0.5)
+
+
+@given('hosts "h0", "h1" and "h2", led by "h0"')
+def step_impl(context):
+    context.engine_by_name = {}
+    context.backlogged = set()
+    context.waiting = {}
+    context.group = ControlGroup()
+    context.group.leader = "h0"
+    context.view = View()
+    network = InMemoryNetwork()
+
+    async def start():
+        context.hosts = {
+            name: OrderHost(
+                network,
+                name,
+                HOSTS,
+                context.view,
+                context.group,
+                context.engine_by_name,
+            )
+            for name in HOSTS
+        }
+        context.hosts["h0"].orders.watch_waiting(lambda: context.waiting)
+        context.tasks = [
+            asyncio.ensure_future(announce_all(context)),
+            asyncio.ensure_future(report_backlogs(context)),
+        ]
+
+    run(context, start())
+
+
+def add_engines(context, first, last, **items):
+    for number in range(first, last + 1):
+        context.engine_by_name[f"engine-{number}"] = Engine(f"engine-{number}", **items)
+
+
+@given("engines {first:d} to {last:d} without a model")
+def step_impl(context, first, last):
+    add_engines(context, first, last)
+
+
+@given("engines {first:d} to {last:d} without a model that ignore fencing")
+def step_impl(context, first, last):
+    add_engines(context, first, last, checks_fencing=False)
+
+
+@given('engines {first:d} to {last:d} with model "{model}"')
+def step_impl(context, first, last, model):
+    add_engines(context, first, last, model=model)
+
+
+@given('an engine with version "{version}" of model "{model}"')
+def step_impl(context, version, model):
+    add_engines(context, 1, 1, model=model)
+    context.engine_by_name["engine-1"].change(version=version)
+
+
+@given("engine 1 and 2 run 3 requests each that end {s:f} s after work stops coming")
+def step_impl(context, s):
+    async def work(engine):
+        engine.change(busy=3)
+        while not any(h.membership.is_held(engine.said.name) for h in hosts):
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(s)
+        engine.change(busy=0)
+
+    hosts = list(context.hosts.values())
+
+    async def start():
+        engines = context.engine_by_name.values()
+        context.work = [asyncio.ensure_future(work(engine)) for engine in engines]
+
+    run(context, start())
+
+
+@given("engine 1 loses {count:d} answers")
+def step_impl(context, count):
+    context.engine_by_name["engine-1"].lost_answers = count
+
+
+@given('pool "writing" wants {first:d} servers and pool "board" wants {second:d}')
+@when('pool "writing" wants {first:d} servers and pool "board" wants {second:d}')
+def step_impl(context, first, second):
+    context.view.set_pools(
+        Pool(name, selects=Selector(model=name), wanted_servers=wanted)
+        for name, wanted in (("writing", first), ("board", second))
+    )
+
+
+@when('pool "writing" selects version "{version}" and wants 0 servers')
+def step_impl(context, version):
+    context.view.set_pools([Pool("writing", selects=Selector("writing", version))])
+
+
+@when('pool "writing" selects role "{role}" and wants 1 servers')
+def step_impl(context, role):
+    selector = Selector("writing", label_by_name={"role": role})
+    context.view.set_pools([Pool("writing", selects=selector, wanted_servers=1)])
+
+
+@given("{seconds:f} s pass")
+@when("{seconds:f} s pass")
+def step_impl(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@when('the orders of "h0" take {seconds:f} s on their way')
+def step_impl(context, seconds):
+    context.hosts["h0"].sender.delay_s = seconds
+
+
+@when('the orders of "h0" get lost')
+def step_impl(context):
+    context.hosts["h0"].sender.cut = True
+
+
+@when('"h0" is cut off and "h1" leads')
+def step_impl(context):
+    cut_off(context, 0.0)
+
+
+@when('"h0" is cut off with {seconds:f} s of its lease left and "h1" leads')
+def step_impl(context, seconds):
+    cut_off(context, seconds)
+
+
+def cut_off(context, lease_s):
+    async def change():
+        context.hosts["h0"].control.lease_until_s = now() + lease_s
+        context.group.leader = "h1"
+        context.led_s = now()
+        # What is on its way arrives although its sender stopped to wait for it.
+        sender = context.hosts["h0"].sender
+        if sender.delay_s > 1.0:
+            engine = context.engine_by_name["engine-1"]
+            context.late = asyncio.ensure_future(deliver_late(context, engine))
+
+    run(context, change())
+
+
+async def deliver_late(context, engine):
+    await asyncio.sleep(60.0)
+    late = FencedOrder("engine-1", "engine-1", LoadModel("board"), 1)
+    return engine.take(late)
+
+
+@when('pool "{pool}" is backlogged for {seconds:f} s')
+def step_impl(context, pool, seconds):
+    context.backlogged = {pool}
+    run(context, asyncio.sleep(seconds))
+    context.backlogged = set()
+
+
+@when('"board" and "writing" are backlogged by turns of {turn:f} s for {seconds:f} s')
+def step_impl(context, turn, seconds):
+    for number in range(int(seconds / turn)):
+        context.backlogged = {("board", "writing")[number % 2]}
+        run(context, asyncio.sleep(turn))
+
+
+def engines(context):
+    return list(context.engine_by_name.values())
+
+
+def taken(context):
+    return [fenced for engine in engines(context) for _, fenced in engine.taken]
+
+
+@then('{a:d} engines have model "writing", {b:d} has "board" and {c:d} none')
+def step_impl(context, a, b, c):
+    models = sorted(engine.said.model for engine in engines(context))
+    assert models == sorted(["writing"] * a + ["board"] * b + [""] * c), models
+    assert all(e.said.state is ServerState.SERVING for e in engines(context))
+
+
+@then("{count:d} orders were taken, each by another engine")
+def step_impl(context, count):
+    servers = [fenced.server for fenced in taken(context)]
+    assert len(servers) == len(set(servers)) == count, servers
+
+
+@then("every order met an engine without work")
+def step_impl(context):
+    met = [busy for engine in engines(context) for busy in engine.work_at_order]
+    assert met
+    assert not any(met), met
+
+
+@then("no engine is held")
+def step_impl(context):
+    async def read():
+        return [
+            name
+            for name in context.engine_by_name
+            for host in context.hosts.values()
+            if host.membership.is_held(name)
+        ]
+
+    assert run(context, read()) == []
+
+
+@then("any two loads started at least {gap:f} s apart")
+def step_impl(context, gap):
+    starts = sorted(s for e in engines(context) for s in e.loads_started_s)
+    assert len(starts) == 4
+    gaps = [later - earlier for earlier, later in pairwise(starts)]
+    assert min(gaps) >= gap - 0.001, gaps
+
+
+@then("engine 1 took {count:d} orders with one fencing number and loaded once")
+def step_impl(context, count):
+    engine = context.engine_by_name["engine-1"]
+    numbers = [fenced.fencing for _, fenced in engine.taken]
+    assert len(numbers) == count, numbers
+    assert len(set(numbers)) == 1, numbers
+    assert len(engine.loads_started_s) == 1
+
+
+@then("engine 1 carried out one order, and refused the late one")
+def step_impl(context):
+    engine = context.engine_by_name["engine-1"]
+    assert len(engine.loads_started_s) == 1, engine.loads_started_s
+    assert engine.said.model == "writing"
+    assert isinstance(context.late.result(), StaleFencing)
+
+
+@then('no order of "h1" came within {seconds:f} s of its lead')
+def step_impl(context, seconds):
+    engine = context.engine_by_name["engine-1"]
+    times = [s - context.led_s for s, _ in engine.taken]
+    assert times
+    assert min(times) >= seconds, times
+
+
+@then("every engine loaded once")
+def step_impl(context):
+    loads = [len(engine.loads_started_s) for engine in engines(context)]
+    assert set(loads) == {1}, loads
+
+
+@then('engine 1 has role "{role}" and loaded nothing')
+def step_impl(context, role):
+    engine = context.engine_by_name["engine-1"]
+    assert engine.said.label_by_name.get("role") == role
+    assert engine.loads_started_s == []
