--- a/packages/almondfield-cli/src/almondfield_cli/client.py
+++ b/packages/almondfield-cli/src/almondfield_cli/client.py
@@ -1,5 +1,6 @@
 """Asks the hosts of a deployment, one after the other until one answers."""
 
+import math
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -16,6 +17,8 @@
     InForce,
     OperatorError,
     TableChange,
+    VoterChange,
+    VotersChanged,
 )
 from almondfield_core.settings import HostSettings
 from almondfield_core.tables import Tables
@@ -34,8 +37,10 @@
 
 T = TypeVar("T")
 
-# A host waits this long at most for a revision to come in force.
-MAX_SERVER_WAIT_S = 60
+# One request waits this long at most, so that the next host is asked soon when the
+# first falls silent.
+MAX_WAIT_PER_REQUEST_S = 5
+MIN_VOTERS_TIMEOUT_S = 35.0
 SERVICE_UNAVAILABLE = 503
 
 
@@ -134,9 +139,9 @@
         """Return whether a revision came in force in time.
 
         :param revision: an accepted revision.
-        :param wait_s: seconds to wait.
+        :param wait_s: seconds to wait; a host waits 5 of them at most.
         """
-        wait_s = min(round(wait_s), MAX_SERVER_WAIT_S)
+        wait_s = min(math.ceil(wait_s), MAX_WAIT_PER_REQUEST_S)
         path = f"/v1/changes/{revision}/in-force?wait={wait_s}"
         request = HttpRequest("GET", path, timeout_s=wait_s + self._timeout_s)
         return _decode(await self._ask(request), InForce)
@@ -174,6 +179,20 @@
         endpoint = f"{host.address}:{host.operator_port}"
         return _decode(await self._ask(request, (endpoint,)), DrainStarted)
 
+    async def change_voters(
+        self, host_name: str, admit: bool
+    ) -> Result[VotersChanged, ClientFailure]:
+        """Return that a member of the control group was admitted or removed.
+
+        :param host_name: name of the member's host.
+        :param admit: whether to admit it; else it is removed.
+        """
+        path = f"/v1/voters/{'admit' if admit else 'remove'}"
+        body = msgspec.json.encode(VoterChange(host_name))
+        timeout_s = max(self._timeout_s, MIN_VOTERS_TIMEOUT_S)
+        request = HttpRequest("POST", path, body, timeout_s)
+        return _decode(await self._ask(request), VotersChanged)
+
     async def _get(self, path: str, wanted: Any) -> Result[Any, ClientFailure]:
         request = HttpRequest("GET", path, timeout_s=self._timeout_s)
         return _decode(await self._ask(request), wanted)
@@ -214,7 +233,6 @@
 
 _FAILURE_BY_STATUS: dict[int, Any] = {
     409: ChangeConflict,
-    422: OperatorError,
     503: ControlUnavailable,
 }
 
--- a/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
@@ -44,6 +44,13 @@
     When the command "apply tables.toml --change-id c1 --no-wait" runs
     Then it ends with DONE and prints "change c1 accepted at revision 1"
 
+  Scenario: The wait goes on while the host has no quorum for a moment
+    Given hosts "a" that answer
+    And host "a" reaches no quorum from the accepted change on for 8 seconds
+    When the command "apply tables.toml --change-id c1" runs
+    Then it ends with DONE and prints "revision 1 in force"
+    And 8 seconds have passed
+
   Scenario: An exported file whose revision has passed is a conflict
     Given hosts "a" that answer
     When the command "apply tables.toml --change-id c1" runs
@@ -61,6 +68,8 @@
       | check wrong.toml              | FINDINGS    | no pool 'none'          |
       | plan missing.toml             | FINDINGS    | No such file            |
       | drain elsewhere               | FINDINGS    | no host 'elsewhere'     |
+      | admit elsewhere               | FINDINGS    | elsewhere is no learner |
+      | remove elsewhere              | FINDINGS    | elsewhere is no member  |
       | status --host nonsense        | FINDINGS    | ADDRESS:PORT            |
       | status --token-file none      | FINDINGS    | none                    |
       | status --token-file bad.token | NOT_ALLOWED | the token is not valid  |
@@ -93,6 +102,8 @@
       | status                   | leader    north-1 (term 3)     |
       | status --output json     | {"leader":"north-1","term":3   |
       | addresses                | 127.0.0.1:8080                 |
+      | admit north-1            | north-1 votes in the control group |
+      | remove north-1           | north-1 is no member of the control group |
       | check tables.toml        | 1 pools, 1 routes, no findings |
       | settings                 | timing.heartbeat_s  number in s, default 0.3 |
       | key team.key             | 58e1c144d9e77a3f                   |
