--- a/packages/almondfield-control/src/almondfield_control/commands/core.py
+++ b/packages/almondfield-control/src/almondfield_control/commands/core.py
@@ -34,11 +34,13 @@
     :ivar voter_id: random number in the member's data folder, in hexadecimal.
     :ivar host: name of the host.
     :ivar votes: whether it counts towards a quorum; a learner does not.
+    :ivar replaces: lost identity that a learner stands in for; empty for none.
     """
 
     voter_id: str
     host: str
     votes: bool = True
+    replaces: str = ""
 
 
 @wire_message("no-operation")
--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -13,16 +13,13 @@
 
 from almondfield_control.commands import Command, LogEntry, Member
 from almondfield_control.consensus.election import Election
+from almondfield_control.consensus.following import Following
 from almondfield_control.consensus.formation import Formation
 from almondfield_control.consensus.leadership import Leadership
 from almondfield_control.consensus.log import ReplicatedLog
-from almondfield_control.consensus.messages import (
-    AppendReply,
-    AppendRequest,
-    HandOver,
-    JoinRequest,
-)
+from almondfield_control.consensus.messages import HandOver, JoinRequest
 from almondfield_control.consensus.roles import Role, RoleMachine
+from almondfield_control.consensus.transfer import Snapshot, SnapshotStore
 from almondfield_control.errors import StorageError
 from almondfield_control.state import ControlState
 from almondfield_control.storage import Disk, HardState, Journal
@@ -43,6 +40,7 @@
     :param chance: source of identities and election timeouts.
 
     :ivar hard: what must never be forgotten.
+    :ivar saved: the hard state as it is synced.
     :ivar log: the replicated log.
     :ivar state: the state after the committed entries.
     :ivar commit_index: last entry known to be committed.
@@ -78,8 +76,10 @@
         self.on_apply: list[Callable[[LogEntry, object], None]] = []
         self.on_lead: list[Callable[[], None]] = []
         self._roles = RoleMachine()
-        self._saved = HardState("")
+        self.saved = HardState("")
         self._tasks: set[asyncio.Task[None]] = set()
+        self.snapshots = SnapshotStore(self)
+        self._following = Following(self)
         self._formation = Formation(self)
         self._election = Election(self)
 
@@ -144,10 +144,10 @@
 
         :raises StorageError: where the write failed.
         """
-        if self.hard != self._saved:
+        if self.hard != self.saved:
             hard = self.hard
             await self.journal.write(hard=hard)
-            self._saved = hard
+            self.saved = hard
 
     def adopt_term(self, term: int) -> None:
         """Move to a newer term and give up any other role; :meth:`save` follows.
@@ -208,8 +208,9 @@
             self.commit_index += 1
             entry = self.log.entry(self.commit_index)
             outcome = self.state.apply(entry)
-            for callback in self.on_apply:
+            for callback in tuple(self.on_apply):
                 callback(entry, outcome)
+            self.snapshots.count(entry.body)
 
     def append(self, entry: LogEntry) -> asyncio.Task[None]:
         """Append an entry of the own term to the own log.
@@ -222,6 +223,22 @@
             self._await_durable(self.journal.write(entries=(entry,)), entry)
         )
 
+    def install(
+        self, snapshot: Snapshot, state: ControlState, log: ReplicatedLog
+    ) -> None:
+        """Take a durable snapshot in place of state and log.
+
+        :param snapshot: the snapshot.
+        :param state: the state that it holds.
+        :param log: the entries after it.
+        """
+        self.state = state
+        self.log = log
+        self.commit_index = snapshot.index
+        self.durable_index = log.last_index
+        self.snapshots.latest = snapshot
+        self.settle_role()
+
     def belongs(self, cluster_id: str, to_voter: str) -> bool:
         """Return whether a message addresses this identity in its group.
 
@@ -247,13 +264,16 @@
         self.last_heard = now()
         if recovered.hard is None:
             await self.journal.compact(self.hard, 0, 0, b"", ())
-            self._saved = self.hard
+            self.saved = self.hard
             return
-        self.hard = self._saved = recovered.hard
+        self.hard = self.saved = recovered.hard
         members = recovered.hard.members
         if recovered.base_index:
             self.state = ControlState.decode(recovered.snapshot)
             members = self.state.members
+            self.snapshots.latest = Snapshot(
+                recovered.base_index, recovered.base_term, recovered.snapshot
+            )
         self.state.members = members
         self.log = ReplicatedLog(recovered.base_index, recovered.base_term, members)
         self.log.append(recovered.entries)
@@ -263,71 +283,12 @@
             self.settle_role()
 
     def _listen(self) -> None:
-        self.peers.listen(AppendRequest, self._on_append)
+        self._following.listen()
         self.peers.listen(HandOver, self._on_hand_over)
         self.peers.listen(JoinRequest, self._on_join)
         self._formation.listen()
         self._election.listen()
 
-    async def _on_append(
-        self, sender: str, request: AppendRequest
-    ) -> AppendReply | None:
-        if not self.belongs(request.cluster_id, request.to_voter):
-            return None
-        if request.term < self.hard.term:
-            return AppendReply(self.hard.term, False, 0)
-        self._follow(sender, request.term)
-        if not self._agrees(request):
-            hint = min(self.log.last_index, request.previous_index - 1)
-            return AppendReply(self.hard.term, False, hint)
-        last = request.previous_index + len(request.entries)
-        try:
-            await self._take(request)
-        except StorageError:
-            return AppendReply(self.hard.term, False, self.durable_index, True)
-        if self.hard.term != request.term:
-            return AppendReply(self.hard.term, False, 0)
-        self.commit(min(request.commit_index, last))
-        return AppendReply(self.hard.term, True, last)
-
-    def _agrees(self, request: AppendRequest) -> bool:
-        if request.previous_index < self.log.base_index:
-            return True
-        return self.log.term_at(request.previous_index) == request.previous_term
-
-    def _follow(self, leader_host: str, term: int) -> None:
-        if term > self.hard.term or self.role is Role.CANDIDATE:
-            self.adopt_term(term)
-        self.leader_host = leader_host
-        self.last_heard = now()
-
-    async def _take(self, request: AppendRequest) -> None:
-        entries = self._new_entries(request.entries)
-        cut_after = None
-        if entries and entries[0].index <= self.log.last_index:
-            cut_after = entries[0].index - 1
-            self.log.cut_after(cut_after)
-            self.durable_index = min(self.durable_index, cut_after)
-        self.log.append(entries)
-        self.settle_role()
-        hard = self.hard if self.hard != self._saved else None
-        last = request.previous_index + len(request.entries)
-        if not entries and hard is None and last <= self.durable_index:
-            return
-        await self.journal.write(hard=hard, cut_after=cut_after, entries=entries)
-        if hard is not None:
-            self._saved = hard
-        if request.entries:
-            self._mark_durable(last, request.entries[-1].term)
-
-    def _new_entries(self, entries: tuple[LogEntry, ...]) -> tuple[LogEntry, ...]:
-        for place, entry in enumerate(entries):
-            if entry.index <= self.log.base_index:
-                continue
-            if self.log.term_at(entry.index) != entry.term:
-                return entries[place:]
-        return ()
-
     async def _await_durable(
         self, written: asyncio.Future[None], entry: LogEntry
     ) -> None:
@@ -335,11 +296,16 @@
             await written
         except StorageError:
             return
-        self._mark_durable(entry.index, entry.term)
+        self.mark_durable(entry.index, entry.term)
         if self.leadership is not None:
             self.leadership.advance()
 
-    def _mark_durable(self, index: int, term: int) -> None:
+    def mark_durable(self, index: int, term: int) -> None:
+        """Note that the log is synced up to an entry, if it still holds that entry.
+
+        :param index: place of the entry.
+        :param term: term of the entry.
+        """
         if self.log.term_at(index) == term:
             self.durable_index = max(self.durable_index, index)
 
@@ -351,4 +317,4 @@
 
     async def _on_join(self, sender: str, message: JoinRequest) -> None:
         if self.is_leader and sender in self.configured:
-            self.leadership.add_learner(Member(message.voter_id, sender, votes=False))
+            self.leadership.membership.add_learner(message.voter_id, sender)
--- a/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
@@ -15,7 +15,16 @@
     NoOperation,
     entry_of,
 )
-from almondfield_control.consensus.messages import AppendReply, AppendRequest, HandOver
+from almondfield_control.consensus.membership import Membership
+from almondfield_control.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    HandOver,
+    SnapshotChunk,
+    SnapshotReply,
+)
+from almondfield_control.consensus.progress import Progress
+from almondfield_control.consensus.transfer import CHUNK_BYTES, Snapshot
 
 if TYPE_CHECKING:
     from almondfield_control.consensus.core import Replica
@@ -27,25 +36,6 @@
 MAX_UNCOMMITTED_ENTRIES = 4096
 
 
-class _Progress:
-    """How far one member has come.
-
-    :ivar member: the member.
-    :ivar match_index: last entry that it holds durably.
-    :ivar next_index: first entry to send next.
-    :ivar heard_at: when the newest message that it answered was sent.
-    :ivar wake: set when there is something to send.
-    """
-
-    def __init__(self, member: Member, next_index: int, heard_at: float) -> None:
-        self.member = member
-        self.match_index = 0
-        self.next_index = next_index
-        self.heard_at = heard_at
-        self.wake = asyncio.Event()
-        self.tasks: list[asyncio.Task[None]] = []
-
-
 class Leadership:
     """Replication, commits and the lease of one leader in one term.
 
@@ -56,25 +46,29 @@
     def __init__(self, replica: "Replica", heard_at: dict[str, float]) -> None:
         self.term = replica.hard.term
         self.started_at = now()
-        self.progress_by_voter: dict[str, _Progress] = {}
+        self.progress_by_voter: dict[str, Progress] = {}
         self._replica = replica
         self._first_heard_at = heard_at
         self._waiter_by_index: dict[int, asyncio.Future[object]] = {}
-        self._watch: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
         self._handing_over = False
+        self.membership = Membership(replica, self)
 
     def start(self) -> None:
         """Begin the term with an entry of its own."""
         self._replica.on_apply.append(self._on_apply)
-        self._reconcile_members()
-        self._watch = asyncio.create_task(self._watch_lease())
         self._append(NoOperation())
+        self._reconcile_members()
+        self._tasks = [
+            asyncio.create_task(self._watch_lease()),
+            asyncio.create_task(self.membership.run()),
+        ]
 
     def stop(self) -> None:
         """End the term; what waits gets no outcome."""
         self._replica.on_apply.remove(self._on_apply)
         tasks = [task for p in self.progress_by_voter.values() for task in p.tasks]
-        for task in [self._watch, *tasks]:
+        for task in [*self._tasks, *tasks]:
             if task is not asyncio.current_task():
                 task.cancel()
         for waiter in self._waiter_by_index.values():
@@ -120,31 +114,6 @@
         self._append(command)
         return await waiter
 
-    def add_learner(self, learner: Member) -> None:
-        """Add a member that replicates but does not vote.
-
-        :param learner: the new member.
-        """
-        members = self._replica.log.members
-        if any(member.voter_id == learner.voter_id for member in members):
-            return
-        if not self.may_change_members():
-            return
-        kept = [m for m in members if m.votes or m.host != learner.host]
-        self._append(MembershipChange((*kept, learner)))
-
-    def may_change_members(self) -> bool:
-        """Return whether the last membership change is committed, in this term."""
-        committed = self._replica.log.members_index <= self._replica.commit_index
-        return self.has_committed and committed and not self._handing_over
-
-    def change_members(self, members: tuple[Member, ...]) -> None:
-        """Append a membership change that differs by one voter at most.
-
-        :param members: all members from then on.
-        """
-        self._append(MembershipChange(members))
-
     async def hand_over(self, timeout_s: float) -> None:
         """Give leadership to the voter that is furthest; step down in any case.
 
@@ -168,7 +137,7 @@
             message = HandOver(cluster_id, target.member.voter_id, self.term)
             replica.peers.send(target.member.host, message)
 
-    def _best_voter(self) -> _Progress | None:
+    def _best_voter(self) -> Progress | None:
         voters = [p for p in self.progress_by_voter.values() if p.member.votes]
         return max(voters, key=lambda p: (p.match_index, p.heard_at), default=None)
 
@@ -218,38 +187,76 @@
 
     def _start_member(self, member: Member) -> None:
         heard_at = self._first_heard_at.get(member.voter_id, float("-inf"))
-        next_index = self._replica.log.last_index + 1
-        progress = _Progress(member, next_index, heard_at)
+        # The last entry is of this term, so that sending it finds where logs part.
+        next_index = self._replica.log.last_index
+        progress = Progress(member, next_index, heard_at)
         self.progress_by_voter[member.voter_id] = progress
         progress.tasks = [
             asyncio.create_task(self._replicate(progress)),
             asyncio.create_task(self._beat(progress)),
         ]
 
-    async def _replicate(self, progress: _Progress) -> None:
+    async def _replicate(self, progress: Progress) -> None:
         replica = self._replica
         while replica.leadership is self:
             if progress.next_index > replica.log.last_index:
                 progress.wake.clear()
                 await progress.wake.wait()
                 continue
+            if progress.next_index <= replica.log.base_index:
+                await self._send_snapshot(progress)
+                continue
             previous = progress.next_index - 1
             entries = replica.log.after(previous, MAX_ENTRIES_PER_APPEND)
-            reply = await self._ask(progress, previous, entries)
+            reply = await self._append_to(progress, previous, entries)
             if reply is None or reply.stalled:
                 await asyncio.sleep(self._beat_s())
 
-    async def _beat(self, progress: _Progress) -> None:
+    async def _send_snapshot(self, progress: Progress) -> None:
+        snapshot = self._replica.snapshots.latest
+        checksum = snapshot.checksum
+        offset = 0
+        while self._replica.leadership is self:
+            chunk = self._chunk_of(snapshot, checksum, progress.member, offset)
+            reply = await self._ask(progress, chunk)
+            if reply is None:
+                await asyncio.sleep(self._beat_s())
+                continue
+            if reply.installed:
+                progress.match_index = max(progress.match_index, snapshot.index)
+                progress.next_index = progress.match_index + 1
+                self.advance()
+                return
+            if reply.offset == 0 and offset > 0:
+                return
+            offset = reply.offset
+
+    def _chunk_of(
+        self, snapshot: Snapshot, checksum: int, member: Member, offset: int
+    ) -> SnapshotChunk:
+        return SnapshotChunk(
+            cluster_id=self._replica.hard.cluster_id,
+            to_voter=member.voter_id,
+            term=self.term,
+            last_index=snapshot.index,
+            last_term=snapshot.term,
+            total=len(snapshot.data),
+            checksum=checksum,
+            offset=offset,
+            data=snapshot.data[offset : offset + CHUNK_BYTES],
+        )
+
+    async def _beat(self, progress: Progress) -> None:
         while self._replica.leadership is self:
             previous = max(progress.match_index, self._replica.log.base_index)
-            self._replica.spawn(self._ask(progress, previous, ()))
+            self._replica.spawn(self._append_to(progress, previous, ()))
             await asyncio.sleep(self._beat_s())
 
     def _beat_s(self) -> float:
         return self._replica.timing.election_s / HEARTBEATS_PER_ELECTION
 
-    async def _ask(
-        self, progress: _Progress, previous: int, entries: tuple[LogEntry, ...]
+    async def _append_to(
+        self, progress: Progress, previous: int, entries: tuple[LogEntry, ...]
     ) -> AppendReply | None:
         replica = self._replica
         request = AppendRequest(
@@ -261,27 +268,31 @@
             commit_index=replica.commit_index,
             entries=entries,
         )
+        reply = await self._ask(progress, request)
+        if reply is not None:
+            self._on_reply(progress, reply)
+        return reply
+
+    async def _ask(
+        self, progress: Progress, request: AppendRequest | SnapshotChunk
+    ) -> AppendReply | SnapshotReply | None:
+        replica = self._replica
         sent_at = now()
         timeout_s = replica.timing.election_s
         answer = await replica.peers.ask(progress.member.host, request, timeout_s)
-        if replica.leadership is not self:
+        if replica.leadership is not self or not isinstance(answer, Ok):
             return None
-        match answer:
-            case Ok(AppendReply() as reply):
-                self._on_reply(progress, reply, sent_at)
-                return reply
-        return None
-
-    def _on_reply(
-        self, progress: _Progress, reply: AppendReply, sent_at: float
-    ) -> None:
         if not self.is_confirmed():
-            self._replica.step_down()
-            return
+            replica.step_down()
+            return None
+        reply = answer.ok_value
         if reply.term > self.term:
-            self._replica.adopt_term(reply.term)
-            return
+            replica.adopt_term(reply.term)
+            return None
         progress.heard_at = max(progress.heard_at, sent_at)
+        return reply
+
+    def _on_reply(self, progress: Progress, reply: AppendReply) -> None:
         if not reply.matched:
             progress.next_index = max(progress.match_index, reply.match_index) + 1
             progress.wake.set()
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/consensus/membership.py
@@ -0,0 +1,148 @@
+"""Replaces lost voters, one membership change at a time."""
+
+import asyncio
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from almondfield_core.clock import now
+from result import Err, Ok, Result
+
+from almondfield_control.commands import Member, MembershipChange
+
+if TYPE_CHECKING:
+    from almondfield_control.consensus.core import Replica
+    from almondfield_control.consensus.leadership import Leadership
+
+__all__ = ["Membership"]
+
+CHECK_S = 0.2
+REPLACE_SILENCE_S = 3.0
+
+
+class Membership:
+    """Membership changes of one leader.
+
+    A learner that replaces the lost identity of its host is admitted in two changes:
+    the lost voter is removed, then the learner votes. Each differs by one voter from
+    the one before, so that their quorums meet; and the removal comes first, so that a
+    second loss in between leaves a quorum.
+
+    :param replica: the member that leads.
+    :param leadership: its term.
+    """
+
+    def __init__(self, replica: "Replica", leadership: "Leadership") -> None:
+        self._replica = replica
+        self._leadership = leadership
+
+    async def run(self) -> None:
+        """Replace lost voters until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_S)
+            if self._may_change():
+                self._replace_lost()
+
+    def add_learner(self, voter_id: str, host: str) -> None:
+        """Add a member that replicates but does not vote.
+
+        :param voter_id: identity in its data folder.
+        :param host: name of its host.
+        """
+        members = self._replica.log.members
+        if any(m.voter_id == voter_id for m in members) or not self._may_change():
+            return
+        earlier = [m for m in members if m.host == host]
+        replaces = next((m.voter_id for m in earlier if m.votes), "")
+        replaces = replaces or next((m.replaces for m in earlier), "")
+        kept = [m for m in members if m.votes or m.host != host]
+        learner = Member(voter_id, host, votes=False, replaces=replaces)
+        self._append((*kept, learner))
+
+    async def admit(self, host: str) -> Result[str, str]:
+        """Return the host once its learner votes; the error says why it does not.
+
+        :param host: name of the host.
+        """
+        learner = self._find(host, votes=False)
+        if learner is None:
+            return Err(f"host {host} has no learner")
+        if not self._is_caught_up(learner):
+            return Err(f"the learner on {host} does not hold the whole log yet")
+        return await self._change(self._promoted(learner), host)
+
+    async def remove(self, host: str) -> Result[str, str]:
+        """Return the host once it has no member; the error says why it still has.
+
+        :param host: name of the host.
+        """
+        members = self._replica.log.members
+        kept = tuple(m for m in members if m.host != host)
+        if host == self._replica.peers.host:
+            return Err(f"host {host} leads; let it hand over first")
+        if len(kept) == len(members):
+            return Err(f"host {host} has no member")
+        if not self._has_quorum(kept):
+            return Err(f"without {host} no quorum of the others answers")
+        return await self._change(kept, host)
+
+    async def _change(self, members: tuple[Member, ...], host: str) -> Result[str, str]:
+        if not self._may_change():
+            return Err("another membership change is under way")
+        match await self._leadership.propose(MembershipChange(members)):
+            case Ok(_):
+                return Ok(host)
+            case Err(unavailable):
+                return Err(unavailable.reason)
+
+    def _replace_lost(self) -> None:
+        members = self._replica.log.members
+        for learner in members:
+            if learner.votes or not learner.replaces:
+                continue
+            if not self._is_caught_up(learner):
+                continue
+            lost = next((m for m in members if m.voter_id == learner.replaces), None)
+            if lost is None:
+                self._append(self._promoted(learner))
+                return
+            kept = tuple(m for m in members if m is not lost)
+            if self._is_silent(lost) and self._has_quorum(kept):
+                self._append(kept)
+                return
+
+    def _append(self, members: tuple[Member, ...]) -> None:
+        self._replica.spawn(self._leadership.propose(MembershipChange(members)))
+
+    def _may_change(self) -> bool:
+        replica = self._replica
+        committed = replica.log.members_index <= replica.commit_index
+        return self._leadership.has_committed and committed
+
+    def _promoted(self, learner: Member) -> tuple[Member, ...]:
+        voter = replace(learner, votes=True, replaces="")
+        return tuple(voter if m is learner else m for m in self._replica.log.members)
+
+    def _find(self, host: str, votes: bool) -> Member | None:
+        members = self._replica.log.members
+        return next((m for m in members if m.host == host and m.votes == votes), None)
+
+    def _is_caught_up(self, learner: Member) -> bool:
+        progress = self._leadership.progress_by_voter.get(learner.voter_id)
+        if progress is None or self._is_silent(learner):
+            return False
+        return progress.match_index >= self._replica.commit_index
+
+    def _is_silent(self, member: Member) -> bool:
+        progress = self._leadership.progress_by_voter.get(member.voter_id)
+        heard_at = progress.heard_at if progress else float("-inf")
+        heard_at = max(heard_at, self._leadership.started_at)
+        return now() > heard_at + REPLACE_SILENCE_S
+
+    def _has_quorum(self, members: tuple[Member, ...]) -> bool:
+        voters = [m for m in members if m.votes]
+        answering = [
+            m
+            for m in voters
+            if m.voter_id == self._replica.voter_id or not self._is_silent(m)
+        ]
+        return len(voters) > 0 and len(answering) > len(voters) // 2
--- a/packages/almondfield-control/src/almondfield_control/consensus/messages.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/messages.py
@@ -111,6 +111,7 @@
     :ivar last_index: last entry that the snapshot covers.
     :ivar last_term: term of that entry.
     :ivar total: size of the snapshot in bytes.
+    :ivar checksum: xxHash of the whole snapshot.
     :ivar offset: place of the part in bytes.
     :ivar data: the part.
     """
@@ -121,6 +122,7 @@
     last_index: int
     last_term: int
     total: int
+    checksum: int
     offset: int
     data: bytes
 
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/consensus/progress.py
@@ -0,0 +1,28 @@
+"""How far a leader has brought each member."""
+
+import asyncio
+
+from almondfield_control.commands import Member
+
+__all__ = ["Progress"]
+
+
+class Progress:
+    """How far one member has come.
+
+    :param member: the member.
+    :param next_index: first entry to send next.
+    :param heard_at: when the newest message that it answered was sent.
+
+    :ivar match_index: last entry that it holds durably.
+    :ivar wake: set when there is something to send.
+    :ivar tasks: tasks that serve the member.
+    """
+
+    def __init__(self, member: Member, next_index: int, heard_at: float) -> None:
+        self.member = member
+        self.match_index = 0
+        self.next_index = next_index
+        self.heard_at = heard_at
+        self.wake = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/consensus/transfer.py
@@ -0,0 +1,161 @@
+"""Snapshots: when to make one, and how one reaches a member that is far behind."""
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from almondfield_control.consensus.log import ReplicatedLog
+from almondfield_control.consensus.messages import SnapshotChunk, SnapshotReply
+from almondfield_control.errors import StorageError
+from almondfield_control.state import ControlState
+
+if TYPE_CHECKING:
+    from almondfield_control.consensus.core import Replica
+
+__all__ = ["CHUNK_BYTES", "Snapshot", "SnapshotReceiver", "SnapshotStore"]
+
+CHUNK_BYTES = 256 * 1024
+MIN_COMPACT_BYTES = 256 * 1024
+COMPACT_RATIO = 2
+TRAILING_ENTRIES = 256
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """The state after an entry.
+
+    :ivar index: last entry that it covers.
+    :ivar term: term of that entry.
+    :ivar data: the state, coded.
+    """
+
+    index: int = 0
+    term: int = 0
+    data: bytes = b""
+
+    @property
+    def checksum(self) -> int:
+        """Return the xxHash of the data."""
+        return xxhash.xxh64_intdigest(self.data)
+
+
+class SnapshotStore:
+    """Makes a snapshot once the log outgrew the last one.
+
+    :param replica: the member whose log is compacted.
+
+    :ivar latest: the newest snapshot; index 0 for none.
+    """
+
+    def __init__(self, replica: "Replica") -> None:
+        self._replica = replica
+        self._bytes = 0
+        self._running = False
+        self.latest = Snapshot()
+
+    def count(self, body: bytes) -> None:
+        """Note an applied entry; compact in the background where it is time.
+
+        :param body: the entry's command.
+        """
+        self._bytes += len(body)
+        limit = max(MIN_COMPACT_BYTES, COMPACT_RATIO * len(self.latest.data))
+        if self._bytes >= limit and not self._running:
+            self._running = True
+            self._replica.spawn(self._compact())
+
+    async def _compact(self) -> None:
+        replica = self._replica
+        self._bytes = 0
+        index = replica.commit_index
+        term = replica.log.term_at(index)
+        snapshot = Snapshot(index, term, replica.state.encode())
+        entries = replica.log.after(index)
+        last_index = replica.log.last_index
+        try:
+            await replica.journal.compact(
+                replica.hard, index, term, snapshot.data, entries
+            )
+        except StorageError:
+            return
+        finally:
+            self._running = False
+        if entries:
+            replica.mark_durable(last_index, entries[-1].term)
+        if snapshot.index > self.latest.index:
+            self.latest = snapshot
+        base = max(replica.log.base_index, index - TRAILING_ENTRIES)
+        replica.log.move_base(base)
+
+
+@dataclass
+class _Partial:
+    """A snapshot of which a part arrived.
+
+    :ivar key: index, term, size and checksum of the whole.
+    :ivar data: what arrived.
+    """
+
+    key: tuple[int, int, int, int]
+    data: bytearray = field(default_factory=bytearray)
+
+
+class SnapshotReceiver:
+    """Puts chunks together and installs the whole; goes on where it stopped.
+
+    :param replica: the member that receives.
+
+    :ivar installing: whether a whole snapshot is being written.
+    """
+
+    def __init__(self, replica: "Replica") -> None:
+        self._replica = replica
+        self._partial: _Partial | None = None
+        self.installing = False
+
+    async def take(self, chunk: SnapshotChunk) -> SnapshotReply:
+        """Return where the leader goes on.
+
+        :param chunk: a part of the leader's snapshot.
+        """
+        replica = self._replica
+        term = replica.hard.term
+        if chunk.last_index <= replica.commit_index:
+            return SnapshotReply(term, chunk.total, installed=True)
+        if self.installing:
+            return SnapshotReply(term, 0)
+        key = (chunk.last_index, chunk.last_term, chunk.total, chunk.checksum)
+        if self._partial is None or self._partial.key != key:
+            self._partial = _Partial(key)
+        held = self._partial.data
+        if chunk.offset == len(held):
+            held.extend(chunk.data)
+        if len(held) < chunk.total:
+            return SnapshotReply(term, len(held))
+        snapshot = Snapshot(chunk.last_index, chunk.last_term, bytes(held))
+        self._partial = None
+        if snapshot.checksum != chunk.checksum:
+            return SnapshotReply(term, 0)
+        installed = await self._install(snapshot)
+        return SnapshotReply(term, chunk.total if installed else 0, installed)
+
+    async def _install(self, snapshot: Snapshot) -> bool:
+        replica = self._replica
+        state = ControlState.decode(snapshot.data)
+        suffix = ()
+        if replica.log.term_at(snapshot.index) == snapshot.term:
+            suffix = replica.log.after(snapshot.index)
+        self.installing = True
+        try:
+            await replica.journal.compact(
+                replica.hard, snapshot.index, snapshot.term, snapshot.data, suffix
+            )
+        except StorageError:
+            return False
+        finally:
+            self.installing = False
+        log = ReplicatedLog(snapshot.index, snapshot.term, state.members)
+        log.append(suffix)
+        replica.install(snapshot, state, log)
+        return True
--- a/packages/almondfield-control/src/almondfield_control/node/leader.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader.py
@@ -42,6 +42,8 @@
     InForceRequest,
     SettleReply,
     StatusRequest,
+    VoterReply,
+    VoterRequest,
 )
 from almondfield_control.node.status import status_of
 from almondfield_control.pools import next_pool_lease
@@ -91,6 +93,7 @@
             (HistoryRequest, self._history),
             (StatusRequest, self._status),
             (FencingRequest, self._fencing),
+            (VoterRequest, self._change_voter),
         ):
             self._peers.listen(message_type, self._as_leader(handler))
 
@@ -171,6 +174,15 @@
     async def _fencing(self, sender: str, request: FencingRequest) -> object:
         return await self._propose(FencingIssued(), FencingReply)
 
+    async def _change_voter(self, sender: str, request: VoterRequest) -> VoterReply:
+        membership = self._replica.leadership.membership
+        change = membership.admit if request.admit else membership.remove
+        match await change(request.host):
+            case Ok(_):
+                return VoterReply(True)
+            case Err(reason):
+                return VoterReply(False, reason)
+
     async def _in_force(self, sender: str, request: InForceRequest) -> InForceReply:
         return InForceReply(self._is_in_force(request.revision))
 
--- a/packages/almondfield-control/src/almondfield_control/storage/core.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/core.py
@@ -212,6 +212,7 @@
                 await self._replace(hard, base_index, base_term, snapshot, entries)
             except OSError as error:
                 failure = self._fail(error)
+                self._pending.batches[:0] = pending.batches
                 _settle(pending.waiters, failure)
                 raise failure from error
         _settle(pending.waiters, None)
--- a/packages/almondfield-control/src/almondfield_control/tests/control_group.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/control_group.feature
@@ -42,3 +42,11 @@
     Then the isolated host did not lead after 1 second
     And the other hosts had a leader within 3 seconds
     And its return does not change the leader
+
+  Scenario: all voters restart after 500 changes and keep every one
+    Given a fleet of 4 hosts with 3 voters
+    When h4 makes 500 changes
+    And all voters crash and start again
+    And all hosts are ready again
+    Then every host has revision 500 and a freshness lease
+    And the history holds changes 1 to 500 in order
--- a/packages/almondfield-control/src/almondfield_control/tests/fleet.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/fleet.py
@@ -6,11 +6,12 @@
 
 from almondfield_control import ControlNode
 from almondfield_core.clock import WallClock, now
-from almondfield_core.messages import TableChange
+from almondfield_core.messages import ChangeAccepted, TableChange
 from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
 from almondfield_core.tables import Pool
 from almondfield_testing import InMemoryNetwork, run
 from fake_disk import FakeDisk
+from result import Ok
 
 
 def in_loop(step):
@@ -106,3 +107,16 @@
         rows = tuple(Pool(name) for name in (pools or [f"pool-{change_id}"]))
         change = TableChange(change_id, "operator", expect, rows, ())
         return await self.node_by_host[host].control.apply(change)
+
+    async def make_changes(self, host, count, size=10):
+        """Make changes one after the other, each adding some bytes to the tables."""
+        status = await self.status()
+        for revision in range(status.revision, status.revision + count):
+            pools = [f"pool-{revision + 1}".ljust(size, "x")]
+            change_id = f"change-{revision + 1}"
+            outcome = await self.change(host, revision, change_id, pools)
+            assert outcome == Ok(ChangeAccepted(change_id, revision + 1)), outcome
+
+    async def status(self):
+        """Return the status as the last host hears it."""
+        return (await self.node_by_host[self.names[-1]].control.status()).unwrap()
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/control_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/control_steps.py
@@ -8,6 +8,8 @@
 from fleet import Fleet, in_loop
 from result import Err, Ok
 
+IN_FORCE_S = 3.0
+
 
 @given("a fleet of {hosts:d} hosts with {voters:d} voters")
 @in_loop
@@ -53,9 +55,14 @@
 @then("every host has revision {revision:d} and a freshness lease")
 @in_loop
 async def step_impl(context, revision):
-    for host, node in context.fleet.node_by_host.items():
-        assert node.view.tables.revision == revision, host
-        assert node.view.freshness_left_s() > 0, host
+    views = [node.view for node in context.fleet.node_by_host.values()]
+    await context.fleet.until(
+        lambda: all(
+            view.tables.revision == revision and view.freshness_left_s() > 0
+            for view in views
+        ),
+        IN_FORCE_S,
+    )
 
 
 @then("every pool is scheduled by exactly one host within {timeout_s:d} seconds")
@@ -130,3 +137,12 @@
 @in_loop
 async def step_impl(context):
     assert context.leader_then == context.fleet.leader()
+
+
+@then("the history holds changes {first:d} to {last:d} in order")
+@in_loop
+async def step_impl(context, first, last):
+    control = context.fleet.node_by_host["h1"].control
+    records = (await control.history(first - 1, last)).unwrap()
+    names = [(record.revision, record.change_id) for record in records]
+    assert names == [(n, f"change-{n}") for n in range(first, last + 1)]
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/voter_steps.py
@@ -0,0 +1,137 @@
+"""Steps about voters and their data folders."""
+
+import asyncio
+
+from almondfield_control.consensus import Role
+from behave import given, then, when
+from fleet import Fleet, in_loop
+from result import Ok
+
+
+@given("a fleet of {hosts:d} hosts with {voters:d} voters of which {some} start")
+@in_loop
+async def step_impl(context, hosts, voters, some):
+    context.fleet = Fleet(hosts, voters)
+    context.fleet.start(*some.split(", "))
+
+
+@when("{host} makes {count:d} changes")
+@when("{host} makes {count:d} more changes")
+@in_loop
+async def step_impl(context, host, count):
+    await context.fleet.make_changes(host, count)
+
+
+@when("{host} makes {count:d} changes of {size:d} bytes")
+@in_loop
+async def step_impl(context, host, count, size):
+    await context.fleet.make_changes(host, count, size)
+
+
+@when("{host} crashes and its data folder is wiped")
+@in_loop
+async def step_impl(context, host):
+    await context.fleet.crash(host)
+    context.fleet.disk_by_host[host].wipe()
+
+
+@when("h1 and h2 crash and their data folders are wiped")
+@in_loop
+async def step_impl(context):
+    await context.fleet.crash("h1", "h2")
+    context.fleet.disk_by_host["h1"].wipe()
+    context.fleet.disk_by_host["h2"].wipe()
+
+
+@when("{host} starts")
+@in_loop
+async def step_impl(context, host):
+    context.fleet.start(host)
+
+
+@when("h1 and h2 start")
+@in_loop
+async def step_impl(context):
+    context.fleet.start("h1", "h2")
+
+
+@when("{seconds:d} seconds pass")
+@in_loop
+async def step_impl(context, seconds):
+    await asyncio.sleep(seconds)
+
+
+@when("the group reports that it tolerates {losses:d} loss")
+@in_loop
+async def step_impl(context, losses):
+    async with asyncio.timeout(30):
+        while (await context.fleet.status()).losses_tolerated < losses:
+            await asyncio.sleep(0.1)
+
+
+@then("{host} got a snapshot and holds what the leader holds")
+@in_loop
+async def step_impl(context, host):
+    replica = context.fleet.node_by_host[host].replica
+    leader = context.fleet.node_by_host[context.fleet.leader()].replica
+    assert replica.snapshots.latest.index > 0
+    await asyncio.sleep(1)
+    assert replica.state.encode() == leader.state.encode()
+
+
+@then("there is no leader")
+@in_loop
+async def step_impl(context):
+    assert context.fleet.leader() is None
+
+
+@then("h1 and h2 have no vote")
+@in_loop
+async def step_impl(context):
+    for host in ("h1", "h2"):
+        replica = context.fleet.node_by_host[host].replica
+        assert not replica.votes, host
+        assert replica.role in (Role.UNFORMED, Role.LEARNER), replica.role
+        assert replica.hard.voted_for == "", replica.hard
+
+
+@then("all hosts become ready")
+@in_loop
+async def step_impl(context):
+    await context.fleet.ready()
+
+
+@when("an operator removes a voter that does not lead")
+@in_loop
+async def step_impl(context):
+    fleet = context.fleet
+    leader = fleet.leader()
+    context.removed = next(host for host in fleet.voters if host != leader)
+    answer = await fleet.node_by_host["h4"].remove_voter(context.removed)
+    assert answer == Ok(context.removed), answer
+
+
+@when("the removed voter loses its folder and starts again")
+@in_loop
+async def step_impl(context):
+    await context.fleet.crash(context.removed)
+    context.fleet.disk_by_host[context.removed].wipe()
+    context.fleet.start(context.removed)
+
+
+@when("an operator admits it")
+@in_loop
+async def step_impl(context):
+    answer = await context.fleet.node_by_host["h4"].admit_voter(context.removed)
+    assert answer == Ok(context.removed), answer
+
+
+@then("{count:d} voters remain")
+@in_loop
+async def step_impl(context, count):
+    voters = [
+        voter
+        for voter in (await context.fleet.status()).voters
+        if voter.role != "learner"
+    ]
+    assert len(voters) == count, voters
