--- a/packages/almondfield-core/src/almondfield_core/messages/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/messages/__init__.py
@@ -19,6 +19,14 @@
     TableChange,
     VoterStatus,
 )
+from almondfield_core.messages.operators import (
+    DrainRequest,
+    DrainStarted,
+    InForce,
+    OperatorError,
+    VoterChange,
+    VotersChanged,
+)
 from almondfield_core.messages.servers import (
     AnnouncementRelay,
     ServerAnnouncement,
@@ -50,10 +58,14 @@
     "ClaimRunning",
     "ControlUnavailable",
     "DemandReport",
+    "DrainRequest",
+    "DrainStarted",
     "FleetStatus",
     "InFlight",
+    "InForce",
     "NotRun",
     "NotRunReason",
+    "OperatorError",
     "PoolLease",
     "ServerAnnouncement",
     "ServerFailure",
@@ -63,5 +75,7 @@
     "SlotRequest",
     "StoredAnswer",
     "TableChange",
+    "VoterChange",
     "VoterStatus",
+    "VotersChanged",
 ]
--- a/packages/almondfield-core/src/almondfield_core/ports/core.py
+++ b/packages/almondfield-core/src/almondfield_core/ports/core.py
@@ -23,6 +23,7 @@
     StoredAnswer,
     TableChange,
 )
+from almondfield_core.settings import HostSettings
 from almondfield_core.tables import Tables
 
 __all__ = ["Control", "LinkFailure", "Peers", "Slot", "SlotSource", "TableView"]
@@ -82,6 +83,12 @@
         :param host: name of the host.
         """
 
+    def learn_host(self, host: HostSettings) -> None:
+        """Take note of a host that the settings may not name.
+
+        :param host: how to reach it; the settings win where they name it.
+        """
+
 
 class TableView(Protocol):
     """The tables and pool leases as this host knows them."""
@@ -160,6 +167,17 @@
     async def status(self) -> Result[FleetStatus, ControlUnavailable]:
         """Return what the control group knows of the fleet."""
 
+    async def next_fencing(self) -> Result[int, ControlUnavailable]:
+        """Return a fencing number greater than every one issued before."""
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this host leads the control group and its lease holds."""
+
+    @property
+    def leader_host(self) -> str:
+        """Return the host that leads, as far as this host knows; else empty."""
+
 
 class Slot(Protocol):
     """The right to run one request on one backend server, once."""
