Recall unused slots for what free slots cannot give now

Cause: slots that routers beyond their number still used were reckoned as free, so a waiting router waited for the next regular report; and more work at a router that had waited before was not told. Change: unused slots are recalled for the part of the need that the slots free now do not cover; outside a backlog every waiting request is a reason for an early report.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/allotment/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/allotment/core.py
@@ -132,7 +132,7 @@
 
 
 def adjust_targets(
-    total: int, need_by_router: Mapping[str, RouterNeed]
+    total: int, free: int, need_by_router: Mapping[str, RouterNeed]
 ) -> dict[str, int]:
     """Return the slots that each router should have, with few changes.
 
@@ -140,6 +140,7 @@
     move for fairness only where a router misses at least two, or has none.
 
     :param total: slots of the pool.
+    :param free: slots that no router may be using.
     :param need_by_router: what each router has, should have and could use.
     """
     target = {router: need.granted for router, need in need_by_router.items()}
@@ -148,6 +149,7 @@
     for router in sorted(missing, key=lambda name: (-missing[name], name)):
         target[router] += missing[router]
     _take_back(target, need_by_router, sum(target.values()) - total)
+    _take_unused(target, need_by_router, sum(missing.values()) - free)
     return target
 
 
@@ -166,6 +168,18 @@
     return missing
 
 
+def _take_unused(target, need_by_router, count: int) -> None:
+    """Take unused slots back for what the free slots cannot give now."""
+    moved = sum(
+        max(0, need.granted - target[router]) for router, need in need_by_router.items()
+    )
+    unused = sum(
+        max(0, min(target[router], need.granted) - need.demand)
+        for router, need in need_by_router.items()
+    )
+    _take_back(target, need_by_router, min(unused, count - moved))
+
+
 def _take_back(target, need_by_router, count: int) -> None:
     """Take slots from the routers that have most beyond their need."""
     for _ in range(count):
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
@@ -245,8 +245,9 @@
         return waiter
 
     def _call_for_slots(self) -> None:
-        """Report at once where work has just begun to wait, or none can run."""
-        if len(self.queues) == 1 or not self.granted_slots:
+        """Report at once unless the scheduler knows that work waits here."""
+        known = self._grant is not None and self._grant.backlogged
+        if not known or len(self.queues) == 1 or not self.granted_slots:
             self.urgent.set()
 
     def _give_up(self, waiter: Waiter) -> Result[Slot, NotRun]:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
@@ -165,12 +165,13 @@
         }
         live = self._live_routers()
         total = sum(slots_by_server.values())
-        target = self._targets(live, total, row)
+        free = self._free_slots(slots_by_server)
+        target = self._targets(live, total, free.total(), row)
         placed = place_slots(
             target,
             {r.host: r.granted() for r in live},
             {r.host: r.in_flight() for r in live},
-            self._free_slots(slots_by_server),
+            free,
             slots_by_server,
         )
         for router in live:
@@ -192,7 +193,7 @@
         timing = self._settings.timing
         return timing.grant_lifetime_s * (1 + timing.drift_margin)
 
-    def _targets(self, live: list[RouterState], total: int, row: Pool):
+    def _targets(self, live: list[RouterState], total: int, free: int, row: Pool):
         """Return the slots that each router should have."""
         requests = _requests_by_team(live)
         waiting = {
@@ -220,7 +221,7 @@
         wanted = sum(demand.requests for demand in demand_by_team.values())
         self._backlogged = wanted > total
         self._planned_s = now()
-        return self._with_idle(live, need, total)
+        return self._with_idle(live, need, total, free)
 
     def _allot(self, total, demand_by_team, horizon_s, need):
         match self._settings.sharing_policy:
@@ -252,7 +253,7 @@
             credit[host] = min(1.0, max(-1.0, grown))
         return split
 
-    def _with_idle(self, live, fair, total):
+    def _with_idle(self, live, fair, total, free):
         """Return the slots that each router should have, idle ones included."""
         idle = total - sum(fair.values())
         most_spare = idle // max(1, len(live))
@@ -262,8 +263,9 @@
             granted = sum(router.granted().values())
             spare = min(most_spare, isqrt(demand) + 1)
             need[router.host] = RouterNeed(granted, fair[router.host], demand, spare)
-        target = adjust_targets(total, need)
-        left = total - sum(target.values())
+        target = adjust_targets(total, free, need)
+        wanted = sum(max(0, target[r] - one.granted) for r, one in need.items())
+        left = max(0, min(free - wanted, total - sum(target.values())))
         given = left - left // RESERVE_PART
         spread = spread_idle(given, self._windows.recent_need(fair))
         return {host: slots + spread[host] for host, slots in target.items()}
