Spread idle slots in grants that are sent anyway

Cause: each report shifted idle slots in grants of their own. Change: a router that had a grant in the last 0.1 s gets no further one for idle slots alone.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
@@ -34,6 +34,9 @@
 BATCH_S = 0.003
 """Least time between two plans, in which reports are gathered, in seconds."""
 
+IDLE_SPREAD_S = 0.1
+"""Least time between a grant and the next that only adds idle slots, in seconds."""
+
 RESERVE_PART = 4
 """The scheduler keeps one of so many idle slots for the next router in need."""
 
@@ -267,8 +270,13 @@
         wanted = sum(max(0, target[r] - one.granted) for r, one in need.items())
         left = max(0, min(free - wanted, total - sum(target.values())))
         given = left - left // RESERVE_PART
-        spread = spread_idle(given, self._windows.recent_need(fair))
-        return {host: slots + spread[host] for host, slots in target.items()}
+        spread = spread_idle(given, self._windows.recent_need(self._due_idle(live)))
+        return {host: slots + spread.get(host, 0) for host, slots in target.items()}
+
+    def _due_idle(self, live: list[RouterState]) -> list[str]:
+        """Return the routers that have had no grant lately; idle slots can wait."""
+        latest_s = now() - IDLE_SPREAD_S
+        return [router.host for router in live if router.last_sent_s <= latest_s]
 
     def _free_slots(self, slots_by_server: dict[str, int]) -> Counter[str]:
         """Return the slots by server that no router may be using."""
