--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -70,9 +70,8 @@
         for plan in self.deployment.profile.pools:
             for index in range(plan.servers):
                 self._start_stand_in(plan, index)
-        await self._wait_answers("/health")
-        await self._apply_tables()
         await self._wait_answers("/ready")
+        await self._apply_tables()
 
     async def stop(self) -> None:
         """Kill every process that was started, by its id."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/frames.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/frames.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import zlib
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any
@@ -14,6 +15,22 @@
 __all__ = ["Envelope", "Frame", "FrameError", "FrameSeal", "Purpose"]
 
 SEAL_BYTES = 16
+# Window and memory level that make a small compressor: most frames are under 2 KB.
+WINDOW_BITS = -11
+MEMORY_LEVEL = 3
+COMPRESSION_LEVEL = 1
+MAX_PAYLOAD_BYTES = 32 * 1024 * 1024
+# Names that most frames hold. Both ends need the same bytes: a change of them is a
+# change of the protocol.
+DICTIONARY = (
+    b"weight_by_teamservice_by_teamfailures_by_serverfinishedincarnationnumber"
+    b"grant_numberwaiting_by_teamin_flightserverteamcountpoolepochlifetime_s"
+    b"backloggedserversnameaddressslotsresumes_streamscounter_by_teamreport_window_s"
+    b"announcementsage_sdata_centrekindstateservingbusymodelversionadapters"
+    b"label_by_nametermleaderentriescommitfreshness_left_s"
+    b"senderreceiverincarnationsequencewants_echoecho_incarnationecho_sequence"
+    b"introductionenvelopesdemand-reportslot-grantkindbodypurposetag"
+)
 
 
 class FrameError(AlmondfieldError):
@@ -88,7 +105,7 @@
 
         :param frame: the frame.
         """
-        payload = self._encoder.encode(frame)
+        payload = _compress(self._encoder.encode(frame))
         return self._digest(payload) + payload
 
     def open(self, sealed: bytes) -> Result[Frame, FrameError]:
@@ -100,9 +117,26 @@
         if not hmac.compare_digest(seal, self._digest(payload)):
             return Err(FrameError("the frame is not sealed with the fleet secret"))
         try:
-            return Ok(self._decoder.decode(payload))
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            return Ok(self._decoder.decode(_decompress(payload)))
+        except (msgspec.DecodeError, msgspec.ValidationError, zlib.error) as error:
             return Err(FrameError(f"malformed frame: {error}"))
 
     def _digest(self, payload: bytes) -> bytes:
         return hashlib.blake2b(payload, key=self._key, digest_size=SEAL_BYTES).digest()
+
+
+def _compress(payload: bytes) -> bytes:
+    compressor = zlib.compressobj(
+        COMPRESSION_LEVEL,
+        zlib.DEFLATED,
+        WINDOW_BITS,
+        MEMORY_LEVEL,
+        zlib.Z_DEFAULT_STRATEGY,
+        DICTIONARY,
+    )
+    return compressor.compress(payload) + compressor.flush()
+
+
+def _decompress(payload: bytes) -> bytes:
+    decompressor = zlib.decompressobj(WINDOW_BITS, DICTIONARY)
+    return decompressor.decompress(payload, MAX_PAYLOAD_BYTES)
