Add the outcome of a change of voters that was not confirmed

Cause: the control side gives a reason both for a refusal and for a missing reply. What: VoterChangeFailed in messages/operators.py.

--- a/packages/almondfield-core/src/almondfield_core/messages/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/messages/__init__.py
@@ -25,6 +25,7 @@
     InForce,
     OperatorError,
     VoterChange,
+    VoterChangeFailed,
     VotersChanged,
 )
 from almondfield_core.messages.servers import (
@@ -76,6 +77,7 @@
     "StoredAnswer",
     "TableChange",
     "VoterChange",
+    "VoterChangeFailed",
     "VoterStatus",
     "VotersChanged",
 ]
--- a/packages/almondfield-core/src/almondfield_core/messages/operators.py
+++ b/packages/almondfield-core/src/almondfield_core/messages/operators.py
@@ -10,6 +10,7 @@
     "InForce",
     "OperatorError",
     "VoterChange",
+    "VoterChangeFailed",
     "VotersChanged",
 ]
 
@@ -68,6 +69,18 @@
     votes: bool
 
 
+@dataclass(frozen=True)
+class VoterChangeFailed:
+    """The control group did not confirm a change of its members.
+
+    :ivar host: name of the member's host.
+    :ivar reason: why; where no answer came, the change may still happen.
+    """
+
+    host: str
+    reason: str
+
+
 @dataclass(frozen=True)
 class OperatorError:
     """A request that was refused and had no effect.
