--- a/packages/almondfield-cli/src/almondfield_cli/client.py
+++ b/packages/almondfield-cli/src/almondfield_cli/client.py
@@ -18,6 +18,7 @@
     OperatorError,
     TableChange,
     VoterChange,
+    VoterChangeFailed,
     VotersChanged,
 )
 from almondfield_core.settings import HostSettings
@@ -100,6 +101,7 @@
     | ChangeRefused
     | ControlUnavailable
     | OperatorError
+    | VoterChangeFailed
 )
 
 
@@ -193,7 +195,7 @@
         body = msgspec.json.encode(VoterChange(host_name))
         timeout_s = max(self._timeout_s, MIN_VOTERS_TIMEOUT_S)
         request = HttpRequest("POST", path, body, timeout_s)
-        return _decode(await self._ask(request), VotersChanged)
+        return _decode(await self._ask(request), VotersChanged, VoterChangeFailed)
 
     async def _get(self, path: str, wanted: Any) -> Result[Any, ClientFailure]:
         request = HttpRequest("GET", path, timeout_s=self._timeout_s)
@@ -238,25 +240,25 @@
     return failure.certainly_not_done
 
 
-_FAILURE_BY_STATUS: dict[int, Any] = {
-    409: ChangeConflict,
-    503: ControlUnavailable,
-}
-
-
 def _decode(
-    asked: Result[HttpAnswer, Silent], wanted: Any
+    asked: Result[HttpAnswer, Silent], wanted: Any, conflict: Any = ChangeConflict
 ) -> Result[Any, ClientFailure]:
-    """Return the body of an answer as the wanted type, or the typed failure."""
+    """Return the body of an answer as the wanted type, or the typed failure.
+
+    :param asked: the answer, if one came.
+    :param wanted: type of the body where the request succeeded.
+    :param conflict: type of the body with status 409.
+    """
     if isinstance(asked, Err):
         return asked
     answer = asked.ok_value
     if answer.status == 401:
         return Err(NotAllowed(answer.host))
     succeeded = answer.status < 300
-    expected = wanted if succeeded else _FAILURE_BY_STATUS.get(answer.status)
+    failure_by_status = {409: conflict, 503: ControlUnavailable}
+    failure = failure_by_status.get(answer.status, OperatorError)
     try:
-        body = msgspec.json.decode(answer.body, type=expected or OperatorError)
+        body = msgspec.json.decode(answer.body, type=wanted if succeeded else failure)
     except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
         return Err(Unexpected(answer.host, answer.status, str(error)))
     return Ok(body) if succeeded else Err(body)
--- a/packages/almondfield-cli/src/almondfield_cli/exits.py
+++ b/packages/almondfield-cli/src/almondfield_cli/exits.py
@@ -9,7 +9,7 @@
     """How a command ended.
 
     :cvar DONE: it did what was asked.
-    :cvar FAILED: the system refused it for a reason without a code of its own.
+    :cvar FAILED: a change of voters was not confirmed, or an answer is not understood.
     :cvar USAGE: the command line is wrong; nothing was sent.
     :cvar CONFLICT: another change was accepted under the expected revision.
     :cvar FINDINGS: a file or the tables are wrong.
--- a/packages/almondfield-cli/src/almondfield_cli/output.py
+++ b/packages/almondfield-cli/src/almondfield_cli/output.py
@@ -19,6 +19,7 @@
     FleetStatus,
     InForce,
     OperatorError,
+    VoterChangeFailed,
     VotersChanged,
 )
 
@@ -134,6 +135,8 @@
             return "\n".join(_describe_status(value))
         case DrainStarted():
             return f"{value.host} finishes what it runs and stops"
+        case VoterChangeFailed():
+            return f"{value.host}: {value.reason}; see status for what holds"
         case VotersChanged(votes=True):
             return f"{value.host} votes in the control group"
         case VotersChanged():
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/coding.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/coding.py
@@ -10,7 +10,7 @@
     ChangeConflict,
     ChangeRefused,
     ControlUnavailable,
-    OperatorError,
+    VoterChangeFailed,
 )
 from result import Err, Ok, Result
 from starlette.requests import ClientDisconnect, Request
@@ -64,7 +64,7 @@
     :param failure: the typed outcome.
     """
     match failure:
-        case ChangeConflict():
+        case ChangeConflict() | VoterChangeFailed():
             return answer(failure, 409)
         case ChangeRefused():
             return answer(failure, 422)
@@ -73,7 +73,7 @@
             response.headers["retry-after"] = str(RETRY_AFTER_S)
             return response
         case _:
-            return answer(OperatorError((Finding("request", str(failure)),)), 422)
+            raise TypeError(f"no answer for {type(failure).__name__}")
 
 
 def _accept_any(body: Any) -> tuple[Finding, ...]:
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
@@ -12,6 +12,7 @@
     OperatorError,
     TableChange,
     VoterChange,
+    VoterChangeFailed,
     VotersChanged,
 )
 from almondfield_core.tables import check_tables
@@ -185,13 +186,21 @@
         """Admit a learner to the control group."""
         wanted = await read_body(request, VoterChange, MAX_SMALL_BODY_BYTES)
         outcome = await self._node.control.admit_voter(wanted.host)
-        return _answer_outcome(outcome.map(lambda host: VotersChanged(host, True)))
+        return _answer_voters(wanted.host, True, outcome)
 
     async def post_remove(self, request: Request) -> Response:
         """Remove a member from the control group."""
         wanted = await read_body(request, VoterChange, MAX_SMALL_BODY_BYTES)
         outcome = await self._node.control.remove_voter(wanted.host)
-        return _answer_outcome(outcome.map(lambda host: VotersChanged(host, False)))
+        return _answer_voters(wanted.host, False, outcome)
+
+
+def _answer_voters(host: str, votes: bool, outcome: Result[str, str]) -> Response:
+    match outcome:
+        case Ok(_):
+            return answer(VotersChanged(host, votes))
+        case Err(reason):
+            return answer_failure(VoterChangeFailed(host, reason))
 
 
 def _answer_outcome(outcome: Result[Any, Any]) -> Response:
