--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -9,10 +9,13 @@
 from almondfield_core.findings import AlmondfieldError
 from starlette.types import ASGIApp
 
+from almondfield_daemon.serving.protocol import make_protocol
+
 __all__ = ["HttpListener", "ListenError", "bind"]
 
 BACKLOG = 2048
 KEEP_ALIVE_S = 30
+HEAD_TIMEOUT_S = 30.0
 STARTED_POLL_S = 0.005
 
 
@@ -61,7 +64,7 @@
         config = uvicorn.Config(
             app,
             loop="asyncio",
-            http="h11",
+            http=make_protocol(max_header_bytes, HEAD_TIMEOUT_S),
             ws="none",
             lifespan="off",
             log_config=None,
@@ -71,7 +74,6 @@
             date_header=False,
             backlog=BACKLOG,
             timeout_keep_alive=KEEP_ALIVE_S,
-            h11_max_incomplete_event_size=max_header_bytes,
         )
         self._server = _Server(config)
         self._listener = listener
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -0,0 +1,99 @@
+"""The HTTP protocol of the listeners: limits and typed answers before any app runs."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+__all__ = ["make_protocol"]
+
+BAD_REQUEST = "400 Bad Request"
+HEADERS_TOO_LARGE = "431 Request Header Fields Too Large"
+
+
+class _Protocol(HttpToolsProtocol):
+    """Refuses long or malformed heads with a typed answer.
+
+    The parser sets no bound on a head, so the bytes of an unfinished one are counted
+    here.
+    """
+
+    max_head_bytes = 0
+    head_timeout_s = 0.0
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._head_bytes = 0
+        self._in_head = True
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        super().connection_made(transport)
+        self._start_head_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
+    def on_message_begin(self) -> None:
+        self._in_head = True
+        self._head_bytes = 0
+        self._start_head_timer()
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        self._stop_head_timer()
+        super().on_headers_complete()
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        if not self._in_head or self.transport.is_closing():
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > self.max_head_bytes:
+            allowed = f"at most {self.max_head_bytes} bytes"
+            self._refuse(HEADERS_TOO_LARGE, "headers-too-large", allowed)
+
+    def send_400_response(self, msg: str) -> None:
+        self._refuse(BAD_REQUEST, "malformed-request", msg)
+
+    def _refuse(self, status: str, kind: str, detail: str) -> None:
+        problem = {"error": kind, "detail": detail, "outcome": "not-run"}
+        body = msgspec.json.encode(problem)
+        head = (
+            f"HTTP/1.1 {status}\r\n"
+            "content-type: application/json\r\n"
+            "almondfield-outcome: not-run\r\n"
+            f"content-length: {len(body)}\r\n"
+            "connection: close\r\n\r\n"
+        )
+        self.transport.write(head.encode() + body)
+        self.transport.close()
+
+    def _start_head_timer(self) -> None:
+        if self._head_timer is None:
+            self._head_timer = self.loop.call_later(
+                self.head_timeout_s, self._give_up_on_head
+            )
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _give_up_on_head(self) -> None:
+        # A client that sends its head a byte at a time must not hold a connection.
+        self._head_timer = None
+        self.transport.close()
+
+
+def make_protocol(max_head_bytes: int, head_timeout_s: float) -> type[_Protocol]:
+    """Return the protocol class of one listener.
+
+    :param max_head_bytes: largest head of a request, in bytes.
+    :param head_timeout_s: seconds in which a head must arrive.
+    """
+    limits = {"max_head_bytes": max_head_bytes, "head_timeout_s": head_timeout_s}
+    return type("LimitedProtocol", (_Protocol,), limits)
