Let one pool use a server that several select, and part the baselines

Cause: two pools that select one server would both grant its slots; the per-router baseline used the fleet's counters and recalls. Change: the first pool by name that selects a server uses it, after a wait where the owner changed, with a finding for the others; per-router splits evenly with counters of its own; a left-out server is probed when its time is over; a request that met no slot at all hears no-capacity.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/registry/__init__.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/registry/__init__.py
@@ -6,5 +6,6 @@
     owner_pool,
     selects_server,
 )
+from almondfield_fairshare.registry.ownership import ServerOwnership
 
-__all__ = ["News", "PoolServers", "owner_pool", "selects_server"]
+__all__ = ["News", "PoolServers", "ServerOwnership", "owner_pool", "selects_server"]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/registry/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/registry/core.py
@@ -88,22 +88,13 @@
             changed |= known is None or self._differs(heard, known)
         return News(tuple(newer), changed)
 
-    def usable(
-        self, pools: Iterable[Pool], pool: Pool
-    ) -> dict[str, ServerAnnouncement]:
-        """Return the servers that may get new work, by name.
-
-        :param pools: rows of the pools table.
-        :param pool: the pool in question.
-        """
-        rows = tuple(pools)
+    def serving(self) -> dict[str, ServerAnnouncement]:
+        """Return the servers that take new work, by name."""
         oldest_s = now() - self._silence_s
         return {
             name: heard.announcement
             for name, heard in sorted(self._heard_by_name.items())
-            if heard.at_s > oldest_s
-            and heard.announcement.state == ServerState.SERVING
-            and owner_pool(rows, heard.announcement) == pool.name
+            if heard.at_s > oldest_s and heard.announcement.state == ServerState.SERVING
         }
 
     def heard_at_s(self, name: str) -> float:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
@@ -179,6 +179,9 @@
         """
         known = [one.name for one in self._servers()]
         self.health.note(server.name, failure, known)
+        if self.health.is_ejected(server.name):
+            probe_s = self.health.ejected_until_s(server.name)
+            asyncio.get_running_loop().call_at(probe_s, self.dispatch)
         if self.usage.on_server(server.name) >= self._slots_on(server.name):
             self.urgent.set()
         self.dispatch()
@@ -256,7 +259,10 @@
             return waiter.answer.result()
         self.queues.remove(waiter)
         retry_after_s = self.retry_after_s(waiter.request.team)
-        return Err(NotRun(NotRunReason.QUEUE_DEADLINE, retry_after_s))
+        reason = NotRunReason.QUEUE_DEADLINE
+        if not self.granted_slots and not self.usage.total():
+            reason = NotRunReason.NO_CAPACITY
+        return Err(NotRun(reason, retry_after_s))
 
     def _leave(self, waiter: Waiter) -> None:
         """Take a cancelled request out; a slot that it just got goes back."""
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/servers.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/servers.py
@@ -61,6 +61,10 @@
         ejection = self._ejection_by_server.get(server)
         return ejection is not None and now() < ejection.until_s
 
+    def ejected_until_s(self, server: str) -> float:
+        """Return when a server that is left out may be tried again."""
+        return self._ejection_by_server[server].until_s
+
     def on_probation(self, server: str) -> bool:
         """Return whether a server was left out and has not succeeded since."""
         return server in self._ejection_by_server
@@ -76,11 +80,6 @@
             length_s = min(2 * last.length_s, LONGEST_EJECTION_S)
         self._ejection_by_server[server] = _Ejection(now() + length_s, length_s)
 
-    def next_probe_s(self) -> float | None:
-        """Return when the next server may be tried again, if one is left out."""
-        ejections = self._ejection_by_server.values()
-        return min((e.until_s for e in ejections if e.until_s > now()), default=None)
-
 
 def choose_server(
     servers: Iterable[ServerSlots],
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/core.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from almondfield_core.findings import Finding
 from almondfield_core.messages import AnnouncementRelay, DemandReport
 from almondfield_core.ports import Peers, TableView
 from almondfield_core.settings import DaemonSettings
@@ -24,11 +25,13 @@
     :ivar pools: pools that the host schedules now.
     :ivar reports: demand reports taken.
     :ivar grants: grants sent.
+    :ivar findings: servers that several pools select.
     """
 
     pools: tuple[str, ...]
     reports: int
     grants: int
+    findings: tuple[Finding, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -82,6 +85,7 @@
             tuple(sorted(self._running_by_pool)),
             self._reports,
             self._past_grants + grants,
+            tuple(found for one in running for found in one.scheduler.findings),
         )
 
     def scheduler(self, pool: str) -> PoolScheduler | None:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
@@ -5,6 +5,7 @@
 from math import isqrt
 
 from almondfield_core.clock import now
+from almondfield_core.findings import Finding
 from almondfield_core.messages import (
     DemandReport,
     ServerAnnouncement,
@@ -25,7 +26,7 @@
 )
 from almondfield_fairshare.counters import ServiceCounters
 from almondfield_fairshare.placement import place_slots
-from almondfield_fairshare.registry import News, PoolServers
+from almondfield_fairshare.registry import News, PoolServers, ServerOwnership
 from almondfield_fairshare.scheduler.holds import RouterState
 from almondfield_fairshare.windows import ReportWindows
 
@@ -76,7 +77,9 @@
         self.pool = pool
         self.epoch = epoch
         self.grants_sent = 0
+        self.findings: tuple[Finding, ...] = ()
         self.counters = ServiceCounters()
+        self._counters_by_router: dict[str, ServiceCounters] = {}
         self._peers = peers
         self._view = view
         self._settings = settings
@@ -86,6 +89,10 @@
             host.name: RouterState(host.name, epoch) for host in settings.hosts
         }
         self._credit_by_team: dict[str, dict[str, float]] = {}
+        timing = settings.timing
+        self._ownership = ServerOwnership(
+            pool, epoch == 1, timing.freshness_lease_s + timing.grant_lifetime_s
+        )
         self._wake = asyncio.Event()
         self._backlogged = False
         self._planned_s = now()
@@ -114,8 +121,9 @@
         if not router.take(report):
             return
         if report.epoch == self.epoch:
-            self.counters.restore(report.counter_by_team)
-            used_s = self.counters.charge(
+            counters = self._counters_at(host)
+            counters.restore(report.counter_by_team)
+            used_s = counters.charge(
                 host,
                 report.incarnation,
                 report.service_by_team,
@@ -162,7 +170,10 @@
         row = next((p for p in self._view.tables.pools if p.name == self.pool), None)
         if row is None:
             return
-        usable = self._servers.usable(self._view.tables.pools, row)
+        serving = self._servers.serving()
+        allowed = self._ownership.settle(self._view.tables.pools, serving.values())
+        self.findings = self._ownership.findings(row, serving.values())
+        usable = {name: serving[name] for name in serving if name in allowed}
         slots_by_server = {
             name: _slots_of(row, server) for name, server in usable.items()
         }
@@ -206,6 +217,8 @@
             if count
         }
         horizon_s = self._windows.mean_cost_s(row.typical_cost)
+        if self._settings.sharing_policy == SharingPolicy.PER_ROUTER:
+            return self._even_targets(live, total, horizon_s)
         self.counters.set_backlogged(waiting, total * horizon_s)
         demand_by_team = {
             team: TeamDemand(
@@ -216,7 +229,7 @@
             for team, by_router in requests.items()
         }
         need = {router.host: 0 for router in live}
-        allotted = self._allot(total, demand_by_team, horizon_s, need)
+        allotted = self._allot(total, demand_by_team, horizon_s)
         for team, slots in allotted.items():
             split = self._split(team, slots, requests[team])
             for host, count in split.items():
@@ -226,17 +239,26 @@
         self._planned_s = now()
         return self._with_idle(live, need, total, free)
 
-    def _allot(self, total, demand_by_team, horizon_s, need):
-        match self._settings.sharing_policy:
-            case SharingPolicy.FAIR_SHARE:
-                return allot_to_teams(total, demand_by_team, horizon_s)
-            case SharingPolicy.FIRST_COME:
-                requests = {t: d.requests for t, d in demand_by_team.items()}
-                slots = min(total, sum(requests.values()))
-                return split_over_routers(slots, requests, {})
-            case SharingPolicy.PER_ROUTER:
-                need.update(spread_idle(total, dict.fromkeys(need, 0.0)))
-                return {}
+    def _counters_at(self, host: str) -> ServiceCounters:
+        """Return the counters that a router's teams are compared by."""
+        if self._settings.sharing_policy == SharingPolicy.PER_ROUTER:
+            return self._counters_by_router.setdefault(host, ServiceCounters())
+        return self.counters
+
+    def _even_targets(self, live: list[RouterState], total: int, horizon_s: float):
+        """Return an even split, by which each router shares on its own."""
+        for router in live:
+            waiting = [t for t, n in router.report.waiting_by_team.items() if n]
+            counters = self._counters_at(router.host)
+            counters.set_backlogged(waiting, total * horizon_s)
+        return spread_idle(total, dict.fromkeys((r.host for r in live), 0.0))
+
+    def _allot(self, total, demand_by_team, horizon_s):
+        if self._settings.sharing_policy == SharingPolicy.FIRST_COME:
+            requests = {team: one.requests for team, one in demand_by_team.items()}
+            slots = min(total, sum(requests.values()))
+            return split_over_routers(slots, requests, {})
+        return allot_to_teams(total, demand_by_team, horizon_s)
 
     def _split(self, team: str, slots: int, by_router: dict[str, int]):
         """Return a team's slots at each router, and note who missed its share."""
@@ -373,9 +395,9 @@
     def _counters_for(self, router: RouterState) -> dict[str, float]:
         if router.report is None:
             return {}
-        floor = self.counters.floor
+        counters = self._counters_at(router.host)
         return {
-            team: round(self.counters.counter(team) - floor, 4)
+            team: round(counters.counter(team) - counters.floor, 4)
             for team, count in router.report.waiting_by_team.items()
             if count
         }
