Grant free slots at once and acknowledge skipped grants

Servers of equal load were taken by name. Change: free slots go to any router that misses some; a router that skips a grant number reports early; a new scheduler hears which slots routers had from the earlier one, which bounds what a lost router had; equal servers are used in turn.

--- a/bench/sharing_faults.py
+++ b/bench/sharing_faults.py
@@ -9,7 +9,7 @@
 __all__ = ["FAULT_BY_NAME"]
 
 FAULT_AT_SHARE = 1 / 3
-LEASE_TO_NEXT_S = 1.1
+LEASE_MARGIN_S = 0.1
 STEP_S = 0.05
 FULL_SHARE = 0.95
 
@@ -26,8 +26,9 @@
     lost = fleet.holder(pool)
     held = [p.name for p in fleet.tables.pools if fleet.holder(p.name) == lost]
     began_s = now()
+    left_s = fleet.view_by_host[lost].pool_lease_left_s(pool)
     fleet.stop_host(lost)
-    await asyncio.sleep(LEASE_TO_NEXT_S)
+    await asyncio.sleep(left_s + LEASE_MARGIN_S)
     for name in held:
         fleet.lease(name, fleet.live_hosts()[0])
         fleet.relay_all(name)
@@ -59,8 +60,10 @@
     await asyncio.sleep(seconds * FAULT_AT_SHARE)
     pool = fleet.tables.pools[0].name
     began_s = now()
-    fleet.isolate(fleet.holder(pool))
-    await asyncio.sleep(LEASE_TO_NEXT_S)
+    holder = fleet.holder(pool)
+    left_s = fleet.view_by_host[holder].pool_lease_left_s(pool)
+    fleet.isolate(holder)
+    await asyncio.sleep(left_s + LEASE_MARGIN_S)
     fleet.lease(pool, fleet.live_hosts()[1])
     fleet.relay_all(pool)
     notes = await _watch_recovery(fleet, pool, began_s)
--- a/bench/sharing_fleet.py
+++ b/bench/sharing_fleet.py
@@ -128,7 +128,7 @@
         self.schedulers_by_host: dict[str, PoolSchedulers] = {}
         self.epoch_by_pool: dict[str, int] = {}
         self.cut_off: set[str] = set()
-        self.calls_by_host: dict[str, set[asyncio.Task]] = {}
+        self.calls_by_host: dict[str, dict[asyncio.Task, None]] = {}
         self._tasks_by_host: dict[str, list[asyncio.Task]] = {}
         self._incarnation = 0
         self._tasks: list[asyncio.Task] = []
--- a/bench/sharing_load.py
+++ b/bench/sharing_load.py
@@ -99,9 +99,9 @@
         if not self.fleet.runs(host):
             return False
         work = asyncio.create_task(self._call(host, pool, team, cost_s))
-        calls = self.fleet.calls_by_host.setdefault(host, set())
-        calls.add(work)
-        work.add_done_callback(calls.discard)
+        calls = self.fleet.calls_by_host.setdefault(host, {})
+        calls[work] = None
+        work.add_done_callback(lambda done: calls.pop(done, None))
         try:
             return await work
         except asyncio.CancelledError:
--- a/bench/sharing_random.py
+++ b/bench/sharing_random.py
@@ -173,17 +173,26 @@
     since_s = now()
     end_s = now() + QUIET_S
     longest_s = 0.0
+    state = ""
     while now() < end_s:
         running = sum(s.running.total() for s in fleet.server_by_name.values())
         if running >= SERVERS * SLOTS or not callers.watch.waiting[POOL]:
             since_s = now()
-        longest_s = max(longest_s, now() - since_s)
+        if now() - since_s > longest_s:
+            longest_s = now() - since_s
+            state = _describe(fleet)
         await asyncio.sleep(STEP_S)
     if longest_s > MOST_IDLE_S:
-        return [f"slots idle for {longest_s:.2f} s while work waited"]
+        return [f"slots idle for {longest_s:.2f} s while work waited: {state}"]
     return []
 
 
+def _describe(fleet: Fleet) -> str:
+    """Return what each router has, for a report of a broken promise."""
+    lines = [f"{host}: {fleet.share_by_host[host].stats()}" for host in fleet.hosts]
+    return "; ".join([f"scheduler {fleet.holder(POOL)}", *lines])
+
+
 def _check_gap(callers: Callers, begun_s: float) -> list[str]:
     service = callers.service(POOL, begun_s, now())
     gap = abs(service.get("busy", 0.0) - service.get("heavy", 0.0))
--- a/packages/almondfield-core/src/almondfield_core/messages/sharing.py
+++ b/packages/almondfield-core/src/almondfield_core/messages/sharing.py
@@ -130,7 +130,8 @@
     :ivar counter_by_team: counters that an earlier scheduler gave, with what the
         router charged since; only in the first reports of an epoch.
     :ivar given_back_by_server: slots of the grant ``grant_number`` that the router
-        gives back unused.
+        gives back unused; in the first reports of an epoch, the slots that it had
+        from the scheduler of the epoch before.
     """
 
     pool: str
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/allotment/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/allotment/core.py
@@ -145,7 +145,7 @@
     """
     target = {router: need.granted for router, need in need_by_router.items()}
     _take_back(target, need_by_router, sum(target.values()) - total)
-    missing = _missing(target, need_by_router)
+    missing = _missing(target, need_by_router, free)
     for router in sorted(missing, key=lambda name: (-missing[name], name)):
         target[router] += missing[router]
     _take_back(target, need_by_router, sum(target.values()) - total)
@@ -153,9 +153,9 @@
     return target
 
 
-def _missing(target, need_by_router) -> dict[str, int]:
+def _missing(target, need_by_router, free) -> dict[str, int]:
     """Return the slots that each router lacks, where moving them is worth while."""
-    unused = sum(
+    unused = free + sum(
         max(0, target[router] - need.demand) for router, need in need_by_router.items()
     )
     missing = {}
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
@@ -109,6 +109,7 @@
         self._number_of_waiter = 0
         self._reported_waiting = False
         self._carried: dict[str, float] = {}
+        self._carried_slots: dict[str, int] = {}
         self._given_back: Counter[str] = Counter()
 
     @property
@@ -200,7 +201,8 @@
         if grant.epoch > self.epoch:
             teams = self.queues.teams
             self._carried = {team: round(self._counter(team), 4) for team in teams}
-        before = {} if last is None else {s.name: s.slots for s in last.servers}
+            self._carried_slots = self._slots_by_server()
+        before = self._slots_by_server()
         self.epoch = grant.epoch
         self._grant = grant
         self.window_s = grant.report_window_s
@@ -208,7 +210,8 @@
         after = {server.name: server.slots for server in grant.servers}
         self._given_back.clear()
         self.dispatch()
-        if not grant.report_number or self._freed_by(before, after):
+        skipped = known and grant.number > last.number + 1
+        if skipped or not grant.report_number or self._freed_by(before, after):
             self.urgent.set()
 
     def make_report(self) -> DemandReport:
@@ -236,7 +239,7 @@
             dict(self.health.failures_by_server),
             self.usage.finished,
             counter_by_team=dict(self._carried),
-            given_back_by_server=dict(+self._given_back),
+            given_back_by_server=self._carried_slots or dict(+self._given_back),
         )
 
     def _enqueue(self, request: SlotRequest) -> Waiter:
@@ -303,6 +306,11 @@
             return ()
         return self._grant.servers
 
+    def _slots_by_server(self) -> dict[str, int]:
+        """Return the slots of the newest grant, also where its time is over."""
+        servers = self._grant.servers if self._grant is not None else ()
+        return {server.name: server.slots for server in servers if server.slots}
+
     def _slots_on(self, name: str) -> int:
         return next((s.slots for s in self._servers() if s.name == name), 0)
 
@@ -315,6 +323,7 @@
             return
         self._answered = sent
         self._carried.clear()
+        self._carried_slots.clear()
         self._grant_until_s = sent.at_s + grant.lifetime_s
 
     def _give_back_idle(self) -> None:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/servers.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/servers.py
@@ -89,6 +89,8 @@
 ) -> ServerSlots | None:
     """Return the server with the largest share of free slots; None if none is free.
 
+    Of several, the one that was used longest ago is taken.
+
     :param servers: servers that the router may use.
     :param usage: requests in flight.
     :param health: servers that fail.
@@ -103,7 +105,9 @@
         if health.on_probation(server.name):
             slots = min(slots, 1)
         if busy < slots:
-            free.append((server.name in avoid, busy / server.slots, server))
+            load = busy / server.slots
+            order = (server.name in avoid, load, usage.last_start(server.name))
+            free.append((order, server))
     if not free:
         return None
-    return min(free, key=lambda entry: (entry[0], entry[1], entry[2].name))[2]
+    return min(free, key=lambda entry: (entry[0], entry[1].name))[1]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/usage.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/usage.py
@@ -20,6 +20,8 @@
     def __init__(self, typical_cost_s: float) -> None:
         self.finished = 0
         self.typical_cost_s = typical_cost_s
+        self._starts = 0
+        self._last_start_by_server: dict[str, int] = {}
         self._in_flight: Counter[tuple[str, str]] = Counter()
         self._in_flight_by_server: Counter[str] = Counter()
         self._running_by_team: Counter[str] = Counter()
@@ -32,6 +34,10 @@
         """Return the requests in flight on a server."""
         return self._in_flight_by_server[server]
 
+    def last_start(self, server: str) -> int:
+        """Return the number of the newest start on a server, counted over all."""
+        return self._last_start_by_server.get(server, 0)
+
     def running(self, team: str) -> int:
         """Return the requests of a team in flight."""
         return self._running_by_team.get(team, 0)
@@ -56,6 +62,8 @@
         """Count a request as in flight; return its estimated cost."""
         team = request.team
         estimate_s = self.estimate(request)
+        self._starts += 1
+        self._last_start_by_server[server] = self._starts
         self._in_flight[server, team] += 1
         self._in_flight_by_server[server] += 1
         self._running_by_team[team] += 1
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/holds.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/holds.py
@@ -35,6 +35,7 @@
 
     :param host: name of the router's host.
     :param epoch: epoch of the scheduler's pool lease.
+    :ivar earlier_by_server: slots that it had from the scheduler before.
     """
 
     def __init__(self, host: str, epoch: int) -> None:
@@ -42,6 +43,8 @@
         self.report: DemandReport | None = None
         self.heard_s = float("-inf")
         self.lost_s = float("-inf")
+        self.accounted_once = False
+        self.earlier_by_server: dict[str, int] = {}
         self._epoch = epoch
         self._sent: list[_Sent] = []
         self._next_number = 1
@@ -86,6 +89,9 @@
         self.report = report
         self.heard_s = now()
         if report.epoch == self._epoch:
+            if not self.accounted_once and self.accounted:
+                self.accounted_once = True
+                self.earlier_by_server = dict(report.given_back_by_server)
             self._confirm(report)
         return True
 
@@ -121,6 +127,16 @@
                 counts[entry.server] += entry.count
         return dict(counts)
 
+    def likely_on(self, server: str) -> int:
+        """Return the requests that the router likely runs on a server now.
+
+        A router with waiting work has used its slots since it reported.
+        """
+        reported = self.in_flight().get(server, 0)
+        if self.report is None or not any(self.report.waiting_by_team.values()):
+            return reported
+        return max(reported, self.granted().get(server, 0))
+
     def hold(self) -> dict[str, int]:
         """Return the slots by server that the router may be using, at most."""
         held = Counter(self.in_flight())
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
@@ -307,6 +307,7 @@
             held.update(router.hold())
         if not self._all_accounted():
             for name, slots in slots_by_server.items():
+                self._bound_unknown(name, slots - self._earlier_on(name))
                 held[name] += self._bound_unknown(name, slots - self._known_on(name))
         free = {
             name: max(0, slots - held[name]) for name, slots in slots_by_server.items()
@@ -318,7 +319,8 @@
 
         They start nothing any more, so the least that was seen holds.
         """
-        hidden = max(0, server.busy - self._known_on(server.name))
+        likely = sum(r.likely_on(server.name) for r in self._router_by_host.values())
+        hidden = max(0, server.busy - likely)
         heard_s = self._servers.heard_at_s(server.name)
         if heard_s >= self._begun_s + LOAD_LAG_S:
             self._bound_unknown(server.name, hidden)
@@ -331,6 +333,14 @@
         routers = self._router_by_host.values()
         return sum(router.in_flight().get(server, 0) for router in routers)
 
+    def _earlier_on(self, server: str) -> int:
+        """Return the slots on a server that reporting routers had before.
+
+        The earlier scheduler granted none twice, so no other router had these.
+        """
+        routers = self._router_by_host.values()
+        return sum(router.earlier_by_server.get(server, 0) for router in routers)
+
     def _bound_unknown(self, server: str, most: int) -> int:
         """Return what routers that have not reported run on a server, at most."""
         before = self._unknown_by_server.get(server, most)
