Take a broken answer for no answer, and try the next host

Cause: an answer that broke off, or whose lengths were no numbers, ended the command in a traceback (the client library lets IncompleteReadError and ValueError pass); one cut in its headers counted as understood, so that apply did not say how to send the change again. What: such answers count as none; an answer without JSON too; a change whose answer is not understood may have been accepted, and is reported so. Conclusion: a broken host is passed over like a silent one.

--- a/packages/almondfield-cli/src/almondfield_cli/changing.py
+++ b/packages/almondfield-cli/src/almondfield_cli/changing.py
@@ -7,12 +7,23 @@
 
 from almondfield_core.clock import now
 from almondfield_core.findings import AlmondfieldError
-from almondfield_core.messages import ChangeAccepted, InForce, TableChange
+from almondfield_core.messages import (
+    ChangeAccepted,
+    ControlUnavailable,
+    InForce,
+    TableChange,
+)
 from almondfield_core.tables import Tables, difference, load_tables
 from cyclopts import Parameter
 from result import Err, Ok
 
-from almondfield_cli.client import ClientFailure, OperatorClient, UnknownOutcome
+from almondfield_cli.client import (
+    ClientFailure,
+    OperatorClient,
+    Silent,
+    Unexpected,
+    UnknownOutcome,
+)
 from almondfield_cli.exits import ExitCode
 from almondfield_cli.options import (
     DEFAULT_CONNECTION,
@@ -22,7 +33,7 @@
     Form,
     author_name,
 )
-from almondfield_cli.output import Printer, describe, exit_code_of
+from almondfield_cli.output import Printer, describe
 from almondfield_cli.transport import AiosonicTransport
 
 __all__ = ["ApplyError", "apply", "apply_file", "check", "plan"]
@@ -169,7 +180,7 @@
     printer: Printer, change: TableChange, failure: ClientFailure
 ) -> ExitCode:
     """Print why a change failed, and how to send it again where that may help."""
-    if exit_code_of(failure) is not ExitCode.UNAVAILABLE:
+    if not isinstance(failure, Silent | ControlUnavailable | Unexpected):
         return printer.fail(failure)
     return printer.fail(
         UnknownOutcome(change.change_id, change.expect_revision, failure)
--- a/packages/almondfield-cli/src/almondfield_cli/client.py
+++ b/packages/almondfield-cli/src/almondfield_cli/client.py
@@ -90,7 +90,7 @@
 
     change_id: str
     expect_revision: int
-    failure: Silent | ControlUnavailable
+    failure: Silent | ControlUnavailable | Unexpected
 
 
 ClientFailure = (
@@ -213,6 +213,9 @@
         without_quorum = []
         for host in hosts or self._hosts:
             match await self._transport.send(host, request):
+                case Ok(answer) if not _is_json(answer):
+                    reason = f"HTTP status {answer.status} without a JSON body"
+                    attempts.append(NoAnswer(host, reason))
                 case Ok(answer) if answer.status != SERVICE_UNAVAILABLE:
                     return Ok(answer)
                 case Ok(answer):
@@ -227,6 +230,14 @@
         return Ok(min(without_quorum, key=_is_certainly_not_done))
 
 
+def _is_json(answer: HttpAnswer) -> bool:
+    try:
+        msgspec.json.decode(answer.body, type=msgspec.Raw)
+    except (msgspec.DecodeError, RecursionError):
+        return False
+    return True
+
+
 def _endpoint_of(host: HostSettings) -> str:
     address = f"[{host.address}]" if ":" in host.address else host.address
     return f"{address}:{host.operator_port}"
--- a/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
@@ -138,3 +138,20 @@
     When a change and a status are asked for over HTTP
     Then both end with DONE
     And a port without a listener ends with UNAVAILABLE
+
+  Scenario: A change whose answer is not understood may have been accepted
+    When a host answers a change over HTTP with "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}" and closes
+    Then it ends with UNAVAILABLE and complains "--change-id c1 --expect-revision 0"
+
+  Scenario Outline: An answer that breaks off or is no HTTP is no answer
+    When a host answers a status over HTTP with "<bytes>" and closes
+    Then it ends with <code>
+
+    Examples:
+      | bytes                                                       | code        |
+      | HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{           | UNAVAILABLE |
+      | HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\n{             | UNAVAILABLE |
+      | HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n | UNAVAILABLE |
+      | HTTP/1.1 200 OK\r\ncontent-len                             | UNAVAILABLE |
+      | nonsense\r\n\r\n                                          | UNAVAILABLE |
+      | HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}            | FAILED      |
--- a/packages/almondfield-cli/src/almondfield_cli/tests/steps/cli_steps.py
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/steps/cli_steps.py
@@ -276,3 +276,27 @@
 def step_impl(context):
     code, out, err = context.outcomes[2]
     assert code is ExitCode.UNAVAILABLE, (out, err)
+
+
+async def ask_broken_host(line, reply):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(reply)
+        writer.close()
+
+    async with await asyncio.start_server(answer, "127.0.0.1", 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        return await run_line(line, [f"127.0.0.1:{port}"])
+
+
+LINE_BY_REQUEST = {
+    "status": "status",
+    "change": "apply tables.toml --change-id c1 --expect-revision 0",
+}
+
+
+@when('a host answers a {asked:w} over HTTP with "{reply}" and closes')
+def step_impl(context, asked, reply):
+    content = reply.encode().decode("unicode_escape").encode()
+    call = ask_broken_host(LINE_BY_REQUEST[asked], content)
+    context.code, context.out, context.err = asyncio.run(call)
--- a/packages/almondfield-cli/src/almondfield_cli/transport.py
+++ b/packages/almondfield-cli/src/almondfield_cli/transport.py
@@ -1,5 +1,6 @@
 """Sends one request to one host."""
 
+import asyncio
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -12,6 +13,16 @@
 
 MAX_CONNECT_S = 2.0
 
+# The client lets errors of the stream and of parsing pass as they are.
+_NO_ANSWER = (
+    AiosonicError,
+    OSError,
+    TimeoutError,
+    EOFError,
+    ValueError,
+    asyncio.LimitOverrunError,
+)
+
 
 @dataclass(frozen=True)
 class HttpRequest:
@@ -99,6 +110,6 @@
                     timeouts=timeouts,
                 )
                 body = await response.content()
-        except (AiosonicError, OSError, TimeoutError) as error:
+        except _NO_ANSWER as error:
             return Err(NoAnswer(host, str(error) or type(error).__name__))
         return Ok(HttpAnswer(host, response.status_code, body))
