Move no more small shortfalls than slots are unused

Cause: one free slot made every router that missed one ask for one, and slots in use were taken back from others. Change: shortfalls of one slot are met as far as slots are unused.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/allotment/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/allotment/core.py
@@ -161,10 +161,18 @@
     missing = {}
     for router, need in need_by_router.items():
         lacks = need.fair - target[router]
-        if lacks >= LEAST_MOVE or (lacks > 0 and (unused or not target[router])):
+        if lacks >= LEAST_MOVE or (lacks > 0 and not target[router]):
             missing[router] = lacks
         elif need.fair >= need.demand:
             missing[router] = max(0, need.demand + need.spare - target[router])
+        elif lacks > 0:
+            missing[router] = 0
+    left = unused - sum(missing.values())
+    for router in sorted(missing, key=lambda name: (target[name], name)):
+        lacks = need_by_router[router].fair - target[router]
+        if not missing[router] and 0 < lacks <= left:
+            missing[router] = lacks
+            left -= lacks
     return missing
 
 
