Keep what a lost router left over until its servers no longer run it

Cause: the second report of a restarted router cleared what its earlier incarnation might still run. The schedules did not show it, since they cut the requests of stopped hosts. Change: only a report of the lost incarnation clears it; reports older than the newest are dropped also after a loss; servers finish requests of stopped hosts in half of the schedules.

--- a/bench/sharing_fleet.py
+++ b/bench/sharing_fleet.py
@@ -107,6 +107,7 @@
     :param seed: seed of the network's random choices.
     :param policy: how slots are shared.
     :param network: links between the hosts.
+    :ivar servers_run_on: whether servers finish requests whose host has stopped.
     """
 
     def __init__(
@@ -128,6 +129,7 @@
         self.schedulers_by_host: dict[str, PoolSchedulers] = {}
         self.epoch_by_pool: dict[str, int] = {}
         self.cut_off: set[str] = set()
+        self.servers_run_on = False
         self.calls_by_host: dict[str, dict[asyncio.Task, None]] = {}
         self._tasks_by_host: dict[str, list[asyncio.Task]] = {}
         self._incarnation = 0
--- a/bench/sharing_load.py
+++ b/bench/sharing_load.py
@@ -191,10 +191,18 @@
         self.watch.start(record.pool, name)
         self._note(record, name, "start")
         server.start(host)
+        end_s = now() + cost_s
         try:
             await asyncio.sleep(cost_s)
-        finally:
+        except asyncio.CancelledError:
+            if self.fleet.servers_run_on:
+                asyncio.get_running_loop().call_at(end_s, server.finish, host)
+            else:
+                server.finish(host)
+            raise
+        else:
             server.finish(host)
+        finally:
             self._note(record, name, "end")
             self.watch.free(name)
             slot.release()
--- a/bench/sharing_random.py
+++ b/bench/sharing_random.py
@@ -36,6 +36,7 @@
     loss: float
     repeat: float
     longest_delay_s: float
+    servers_run_on: bool
     faults: tuple[str, ...]
 
 
@@ -46,6 +47,7 @@
         source.choice((0.0, 0.02, 0.1)),
         source.choice((0.0, 0.1)),
         source.choice((0.002, 0.01, 0.05)),
+        source.choice((False, True)),
         tuple(source.choice(kinds) for _ in range(FAULTS)),
     )
 
@@ -73,6 +75,7 @@
         seed, (0.001, schedule.longest_delay_s), schedule.loss, schedule.repeat
     )
     fleet = Fleet(HOSTS, (Pool(POOL),), _servers(), seed, network=network)
+    fleet.servers_run_on = schedule.servers_run_on
     callers = Callers(fleet, seed)
     await fleet.start()
     _start_load(callers, source)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/holds.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/holds.py
@@ -50,6 +50,8 @@
         self._next_number = 1
         self._foreign_number = 0
         self._left_over: Counter[str] = Counter()
+        self._lost_incarnation = -1
+        self._newest = (-1, -1)
 
     @property
     def accounted(self) -> bool:
@@ -76,16 +78,14 @@
 
         :param report: full state of the router.
         """
-        known = self.report
-        if known is not None:
-            if report.incarnation < known.incarnation:
-                return False
-            if report.incarnation > known.incarnation:
-                self.note_lost()
-            elif report.number <= known.number:
-                return False
-            else:
-                self._left_over.clear()
+        newest = (report.incarnation, report.number)
+        if newest <= self._newest:
+            return False
+        if self.is_restart(report):
+            self.note_lost()
+        elif report.incarnation == self._lost_incarnation:
+            self._left_over.clear()
+        self._newest = newest
         self.report = report
         self.heard_s = now()
         if report.epoch == self._epoch:
@@ -95,6 +95,13 @@
             self._confirm(report)
         return True
 
+    def is_restart(self, report: DemandReport) -> bool:
+        """Return whether a report is the first of a new incarnation.
+
+        :param report: full state of the router.
+        """
+        return 0 <= self._newest[0] < report.incarnation
+
     def next_grant_number(self) -> int:
         """Return the number for the next grant to the router."""
         number = self._next_number
@@ -110,6 +117,7 @@
 
     def note_lost(self) -> None:
         """Keep what the router may be running as left over, and nothing else."""
+        self._lost_incarnation = self._newest[0]
         self._left_over |= Counter(self.hold())
         self._sent.clear()
         self.report = None
