--- a/bench/faults.py
+++ b/bench/faults.py
@@ -139,6 +139,7 @@
     name, process = next(iter(fleet.stand_in_by_name.items()))
     left_s = now()
     process.send_signal(signal.SIGUSR1)
+    fleet.note_loss(name, died=False)
     await asyncio.sleep(2 * LEAVE_GRACE_S)
     path = fleet.deployment.folder / f"{name}.ledger"
     lines = [json.loads(line) for line in path.read_text().splitlines()]
@@ -154,6 +155,7 @@
     """Kill the first stand-in with what runs on it."""
     name, process = next(iter(fleet.stand_in_by_name.items()))
     process.kill()
+    fleet.note_loss(name, died=True)
     return {"killed": name}
 
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -11,7 +11,9 @@
 
 import aiosonic
 import tomlkit
+from almondfield_core.clock import now
 from deployment import OPERATOR_TOKEN, Deployment, HostPlan, PoolPlan
+from measures import Loss
 from relay import Relay
 from standins import RunRecord
 
@@ -58,6 +60,7 @@
         self.daemon_by_host: dict[str, subprocess.Popen[bytes]] = {}
         self.stand_in_by_name: dict[str, subprocess.Popen[bytes]] = {}
         self.relay_by_path: dict[tuple[str, str], Relay] = {}
+        self.losses: list[Loss] = []
         self._relayed = relayed
 
     async def start(self) -> None:
@@ -95,6 +98,16 @@
         self.daemon_by_host[host.name] = subprocess.Popen(command, stderr=errors)
         errors.close()
 
+    def note_loss(self, name: str, died: bool) -> None:
+        """Note that a stand-in left or died now.
+
+        :param name: name of the stand-in.
+        :param died: whether what ran on it ended with it.
+        """
+        pools = self.deployment.profile.pools
+        slots = next(p.slots for p in pools if name.startswith(f"{p.name}-"))
+        self.losses.append(Loss(name, slots, now(), died))
+
     async def stop_daemon(self, name: str) -> int:
         """Return the exit code of a daemon after asking it to stop."""
         process = self.daemon_by_host[name]
--- a/bench/run.py
+++ b/bench/run.py
@@ -110,6 +110,11 @@
                 load.records,
                 start_s,
                 end_s,
+                tuple(
+                    loss
+                    for loss in fleet.losses
+                    if loss.server.startswith(f"{pool.name}-")
+                ),
             )
         )
     services = {p.name for p in deployment.profile.pools if p.kind is PoolKind.SERVICE}
