--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -88,9 +88,18 @@
             await self._wait()
         return self._take()
 
+    def fail(self, reason: str) -> None:
+        """Make the connection unusable and wake whoever waits.
+
+        :param reason: what was seen; the first one stays.
+        """
+        if not self._failure:
+            self._failure = reason
+        self._wake()
+
     def close(self) -> None:
         """Close the connection at once."""
-        self._fail("closed by this side")
+        self.fail("closed by this side")
         if self._transport is not None:
             self._transport.abort()
 
@@ -101,28 +110,28 @@
     def data_received(self, data: bytes) -> None:
         """Parse what arrived; called by the event loop."""
         if self._parser is None or self.complete:
-            self._fail("bytes that belong to no request")
+            self.fail("bytes that belong to no request")
             self._transport.abort()
             return
         self._answered = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._fail("the server switched protocols")
+            self.fail("the server switched protocols")
         except httptools.HttpParserError as error:
-            self._fail(f"malformed answer: {error}")
+            self.fail(f"malformed answer: {error}")
         if self._buffered > HIGH_WATER_BYTES:
             self._transport.pause_reading()
         self._wake()
 
     def eof_received(self) -> bool:
         """Let the transport close; called by the event loop."""
-        self._fail("the server closed the connection")
+        self.fail("the server closed the connection")
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Wake whoever waits; called by the event loop."""
-        self._fail(f"connection lost: {error}")
+        self.fail(f"connection lost: {error}")
         self.resume_writing()
 
     def pause_writing(self) -> None:
@@ -141,7 +150,7 @@
     def on_message_begin(self) -> None:
         """Forget an interim answer; called by the parser."""
         if self.head_complete:
-            self._fail("bytes that belong to no request")
+            self.fail("bytes that belong to no request")
             return
         self.headers = []
 
@@ -164,7 +173,7 @@
     def on_body(self, part: bytes) -> None:
         """Keep a part of the body; called by the parser."""
         if self.complete:
-            self._fail("a body where none is allowed")
+            self.fail("a body where none is allowed")
             return
         self._parts.append(part)
         self._buffered += len(part)
@@ -209,8 +218,3 @@
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
-
-    def _fail(self, reason: str) -> None:
-        if not self._failure:
-            self._failure = reason
-        self._wake()
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -22,6 +22,7 @@
     CallFailure,
     Header,
 )
+from almondfield_daemon.router.stall import StallTimer
 
 __all__ = ["HttpAnswer", "HttpBackends"]
 
@@ -49,22 +50,23 @@
         :raises AnswerCutError: where it ends before it is whole, or is silent for
             longer than the timeout of the pool.
         """
+        connection = self._connection
         chunk_s = self._call.timeouts.chunk_s
+        stall = StallTimer(chunk_s, lambda: connection.fail(f"silent for {chunk_s} s"))
         whole = False
         try:
             while True:
-                async with asyncio.timeout(chunk_s):
-                    chunk = await self._connection.read()
+                stall.begin()
+                chunk = await connection.read()
+                stall.end()
                 if not chunk:
                     whole = True
                     return
                 yield chunk
         except ConnectionCutError as error:
             raise AnswerCutError(ServerFailure.STREAM, str(error)) from error
-        except TimeoutError as error:
-            reason = f"no byte for {chunk_s} s"
-            raise AnswerCutError(ServerFailure.STREAM, reason) from error
         finally:
+            stall.stop()
             self._finish(whole)
 
     def close(self) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/bodies.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/bodies.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from almondfield_core.findings import AlmondfieldError
 from result import Err, Ok, Result
 
 from almondfield_daemon.router import Header, Problem
@@ -14,8 +15,8 @@
 BODY_PART_TIMEOUT_S = 30.0
 
 
-class CallerGoneError(Exception):
-    """Raised where the caller's connection closed before the body was whole."""
+class CallerGoneError(AlmondfieldError):
+    """Raised where the caller's connection closed or went silent."""
 
 
 class BodyBudget:
@@ -85,7 +86,7 @@
             detail = f"no byte of the body for {BODY_PART_TIMEOUT_S} s"
             return Err(refuse(408, "body-timeout", detail))
         if message["type"] == "http.disconnect":
-            raise CallerGoneError
+            raise CallerGoneError("the caller closed before its body was whole")
         part = message.get("body", b"")
         size += len(part)
         if size > limit_bytes:
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/caller.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/caller.py
@@ -1,8 +1,6 @@
 """Takes one caller's request through the router and streams its answer."""
 
-import asyncio
-from collections.abc import AsyncIterator
-from contextlib import aclosing, asynccontextmanager, suppress
+from contextlib import aclosing, suppress
 from dataclasses import replace
 from typing import Any
 
@@ -13,6 +11,7 @@
 from almondfield_daemon.edge.bodies import BodyBudget, CallerGoneError, read_body
 from almondfield_daemon.edge.heads import RequestHead, parse_head, request_id_of
 from almondfield_daemon.edge.replies import send_problem
+from almondfield_daemon.edge.watch import CallerWatch
 from almondfield_daemon.router import (
     Answer,
     AnswerCutError,
@@ -26,7 +25,6 @@
 __all__ = ["CallerEndpoint"]
 
 OUTCOME_HEADER = b"almondfield-outcome"
-CALLER_TIMEOUT_S = 30.0
 
 
 class CallerEndpoint:
@@ -81,38 +79,45 @@
             match body:
                 case Ok(content):
                     request = replace(head.request, body=content)
-                    async with _until_disconnect(receive):
-                        await self._serve(request, plan, send, held)
+                    async with CallerWatch(receive) as watch:
+                        await self._serve(request, plan, send, held, watch)
                 case Err(problem):
                     await self._refuse(send, problem, head.request.request_id)
-        except CallerGoneError:
-            return
+        except CallerGoneError as error:
+            _log_cut(head.request, str(error))
         finally:
             held.release()
 
     async def _serve(
-        self, request: CallerRequest, plan: Plan, send: Any, held: "_HeldBody"
+        self,
+        request: CallerRequest,
+        plan: Plan,
+        send: Any,
+        held: "_HeldBody",
+        watch: CallerWatch,
     ) -> None:
         match await self._router.serve(request, plan):
             case Ok(answer):
                 held.release()
-                await self._stream(answer, request, send)
+                await self._stream(answer, request, send, watch)
             case Err(problem):
                 await send_problem(send, problem, request.request_id, self._membership)
 
-    async def _stream(self, answer: Answer, request: CallerRequest, send: Any) -> None:
+    async def _stream(
+        self, answer: Answer, request: CallerRequest, send: Any, watch: CallerWatch
+    ) -> None:
         """Stream an answer; returning before its end closes the connection."""
         try:
             await send(_start(answer, request))
             async with aclosing(answer.chunks()) as chunks:
                 async for chunk in chunks:
-                    async with asyncio.timeout(CALLER_TIMEOUT_S):
-                        await send(_part(chunk, more=True))
+                    watch.stall.begin()
+                    await send(_part(chunk, more=True))
+                    watch.stall.end()
+            watch.stall.begin()
             await send(_part(b"", more=False))
         except AnswerCutError as error:
             _log_cut(request, f"backend server: {error}")
-        except TimeoutError:
-            _log_cut(request, f"the caller took no byte for {CALLER_TIMEOUT_S} s")
         finally:
             answer.close()
 
@@ -164,30 +169,3 @@
 
 def _part(body: bytes, more: bool) -> dict[str, Any]:
     return {"type": "http.response.body", "body": body, "more_body": more}
-
-
-@asynccontextmanager
-async def _until_disconnect(receive: Any) -> AsyncIterator[None]:
-    """Cancel the block when the caller's connection closes.
-
-    :raises CallerGoneError: where that happened.
-    """
-    work = asyncio.current_task()
-    gone = False
-
-    async def watch() -> None:
-        nonlocal gone
-        while (await receive())["type"] != "http.disconnect":
-            pass
-        gone = True
-        work.cancel()
-
-    watcher = asyncio.ensure_future(watch())
-    try:
-        yield
-    except asyncio.CancelledError:
-        if gone and work.uncancel() == 0:
-            raise CallerGoneError from None
-        raise
-    finally:
-        watcher.cancel()
