--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
@@ -0,0 +1,333 @@
+"""What a leader does during its term."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from almondfield_core.clock import now
+from almondfield_core.messages import ControlUnavailable
+from result import Err, Ok, Result
+
+from almondfield_control.commands import (
+    Command,
+    LogEntry,
+    Member,
+    MembershipChange,
+    NoOperation,
+    entry_of,
+)
+from almondfield_control.consensus.membership import Membership
+from almondfield_control.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    HandOver,
+    SnapshotChunk,
+    SnapshotReply,
+)
+from almondfield_control.consensus.progress import Progress
+from almondfield_control.consensus.transfer import CHUNK_BYTES, Snapshot
+
+if TYPE_CHECKING:
+    from almondfield_control.consensus.core import Replica
+
+__all__ = ["HEARTBEATS_PER_ELECTION", "Leadership"]
+
+HEARTBEATS_PER_ELECTION = 4
+MAX_ENTRIES_PER_APPEND = 256
+MAX_UNCOMMITTED_ENTRIES = 4096
+
+
+class Leadership:
+    """Replication, commits and the lease of one leader in one term.
+
+    :param replica: the member that leads.
+    :param heard_at: when the vote of each voter was asked for, by identity.
+    """
+
+    def __init__(self, replica: "Replica", heard_at: dict[str, float]) -> None:
+        self.term = replica.hard.term
+        self.started_at = now()
+        self.progress_by_voter: dict[str, Progress] = {}
+        self._replica = replica
+        self._first_heard_at = heard_at
+        self._waiter_by_index: dict[int, asyncio.Future[object]] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._handing_over = False
+        self.membership = Membership(replica, self)
+
+    def start(self) -> None:
+        """Begin the term with an entry of its own."""
+        self._replica.on_apply.append(self._on_apply)
+        self._append(NoOperation())
+        self._reconcile_members()
+        self._tasks = [
+            asyncio.create_task(self._watch_lease()),
+            asyncio.create_task(self.membership.run()),
+        ]
+
+    def stop(self) -> None:
+        """End the term; what waits gets no outcome."""
+        self._replica.on_apply.remove(self._on_apply)
+        tasks = [task for p in self.progress_by_voter.values() for task in p.tasks]
+        for task in [*self._tasks, *tasks]:
+            if task is not asyncio.current_task():
+                task.cancel()
+        for waiter in self._waiter_by_index.values():
+            if not waiter.done():
+                waiter.set_result(Err(ControlUnavailable("the leader stepped down")))
+        self._waiter_by_index.clear()
+
+    def lease_until(self) -> float:
+        """Return until when no other leader can have been elected."""
+        replica = self._replica
+        heard = [
+            now()
+            if member.voter_id == replica.voter_id
+            else self._heard_at(member.voter_id)
+            for member in replica.log.members
+            if member.votes
+        ]
+        confirmed = sorted(heard, reverse=True)[replica.quorum - 1]
+        timing = replica.timing
+        return confirmed + timing.election_s * (1 - 2 * timing.drift_margin)
+
+    def is_confirmed(self) -> bool:
+        """Return whether the leader's lease holds now."""
+        return now() < self.lease_until()
+
+    @property
+    def has_committed(self) -> bool:
+        """Return whether an entry of the own term is committed."""
+        replica = self._replica
+        return replica.log.term_at(replica.commit_index) == self.term
+
+    async def propose(self, command: Command) -> Result[object, ControlUnavailable]:
+        """Return the outcome of a command once it is committed and applied.
+
+        :param command: the command.
+        """
+        replica = self._replica
+        refusal = self._refusal()
+        if refusal:
+            return Err(ControlUnavailable(refusal, certainly_not_done=True))
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiter_by_index[replica.log.last_index + 1] = waiter
+        self._append(command)
+        return await waiter
+
+    async def hand_over(self, timeout_s: float) -> None:
+        """Give leadership to the voter that is furthest; step down in any case.
+
+        :param timeout_s: seconds to wait for that voter to hold the whole log.
+        """
+        replica = self._replica
+        self._handing_over = True
+        target = self._best_voter()
+        try:
+            async with asyncio.timeout(timeout_s):
+                while target and target.match_index < replica.log.last_index:
+                    await asyncio.sleep(replica.timing.election_s / 20)
+                    target = self._best_voter()
+        except TimeoutError:
+            target = None
+        if replica.leadership is not self:
+            return
+        replica.step_down()
+        if target:
+            cluster_id = replica.hard.cluster_id
+            message = HandOver(cluster_id, target.member.voter_id, self.term)
+            replica.peers.send(target.member.host, message)
+
+    def _best_voter(self) -> Progress | None:
+        voters = [p for p in self.progress_by_voter.values() if p.member.votes]
+        return max(voters, key=lambda p: (p.match_index, p.heard_at), default=None)
+
+    def _refusal(self) -> str:
+        replica = self._replica
+        if self._handing_over:
+            return "the leader hands over"
+        if replica.journal.failure is not None:
+            return f"the leader cannot write: {replica.journal.failure}"
+        if replica.log.last_index - replica.commit_index >= MAX_UNCOMMITTED_ENTRIES:
+            return "too many uncommitted entries"
+        return ""
+
+    def _append(self, command: Command) -> None:
+        replica = self._replica
+        index = replica.log.last_index + 1
+        unix_s = replica.wall_clock.unix_s()
+        entry = entry_of(index, self.term, unix_s, command)
+        replica.append(entry)
+        if isinstance(command, MembershipChange):
+            self._reconcile_members()
+        self._wake_all()
+
+    def _wake_all(self) -> None:
+        for progress in self.progress_by_voter.values():
+            progress.wake.set()
+
+    def _heard_at(self, voter_id: str) -> float:
+        progress = self.progress_by_voter.get(voter_id)
+        return progress.heard_at if progress else float("-inf")
+
+    def _reconcile_members(self) -> None:
+        replica = self._replica
+        if replica.leadership is not self:
+            return
+        wanted = {m.voter_id: m for m in replica.log.members}
+        wanted.pop(replica.voter_id, None)
+        for voter_id in [v for v in self.progress_by_voter if v not in wanted]:
+            for task in self.progress_by_voter.pop(voter_id).tasks:
+                task.cancel()
+        for voter_id, member in wanted.items():
+            progress = self.progress_by_voter.get(voter_id)
+            if progress is None:
+                self._start_member(member)
+            else:
+                progress.member = member
+
+    def _start_member(self, member: Member) -> None:
+        heard_at = self._first_heard_at.get(member.voter_id, float("-inf"))
+        # The last entry is of this term, so that sending it finds where logs part.
+        next_index = self._replica.log.last_index
+        progress = Progress(member, next_index, heard_at)
+        self.progress_by_voter[member.voter_id] = progress
+        progress.tasks = [
+            asyncio.create_task(self._replicate(progress)),
+            asyncio.create_task(self._beat(progress)),
+        ]
+
+    async def _replicate(self, progress: Progress) -> None:
+        replica = self._replica
+        while replica.leadership is self:
+            if progress.next_index > replica.log.last_index:
+                progress.wake.clear()
+                await progress.wake.wait()
+                continue
+            if progress.next_index <= replica.log.base_index:
+                await self._send_snapshot(progress)
+                continue
+            previous = progress.next_index - 1
+            entries = replica.log.after(previous, MAX_ENTRIES_PER_APPEND)
+            reply = await self._append_to(progress, previous, entries)
+            if reply is None or reply.stalled:
+                await asyncio.sleep(self._beat_s())
+
+    async def _send_snapshot(self, progress: Progress) -> None:
+        snapshot = self._replica.snapshots.latest
+        checksum = snapshot.checksum
+        offset = 0
+        while self._replica.leadership is self:
+            chunk = self._chunk_of(snapshot, checksum, progress.member, offset)
+            reply = await self._ask(progress, chunk)
+            if reply is None:
+                await asyncio.sleep(self._beat_s())
+                continue
+            if reply.installed:
+                progress.match_index = max(progress.match_index, snapshot.index)
+                progress.next_index = progress.match_index + 1
+                self.advance()
+                return
+            if reply.offset == 0 and offset > 0:
+                return
+            offset = reply.offset
+
+    def _chunk_of(
+        self, snapshot: Snapshot, checksum: int, member: Member, offset: int
+    ) -> SnapshotChunk:
+        return SnapshotChunk(
+            cluster_id=self._replica.hard.cluster_id,
+            to_voter=member.voter_id,
+            term=self.term,
+            last_index=snapshot.index,
+            last_term=snapshot.term,
+            total=len(snapshot.data),
+            checksum=checksum,
+            offset=offset,
+            data=snapshot.data[offset : offset + CHUNK_BYTES],
+        )
+
+    async def _beat(self, progress: Progress) -> None:
+        while self._replica.leadership is self:
+            previous = max(progress.match_index, self._replica.log.base_index)
+            self._replica.spawn(self._append_to(progress, previous, ()))
+            await asyncio.sleep(self._beat_s())
+
+    def _beat_s(self) -> float:
+        return self._replica.timing.election_s / HEARTBEATS_PER_ELECTION
+
+    async def _append_to(
+        self, progress: Progress, previous: int, entries: tuple[LogEntry, ...]
+    ) -> AppendReply | None:
+        replica = self._replica
+        request = AppendRequest(
+            cluster_id=replica.hard.cluster_id,
+            to_voter=progress.member.voter_id,
+            term=self.term,
+            previous_index=previous,
+            previous_term=replica.log.term_at(previous),
+            commit_index=replica.commit_index,
+            entries=entries,
+        )
+        reply = await self._ask(progress, request)
+        if reply is not None:
+            self._on_reply(progress, reply)
+        return reply
+
+    async def _ask(
+        self, progress: Progress, request: AppendRequest | SnapshotChunk
+    ) -> AppendReply | SnapshotReply | None:
+        replica = self._replica
+        sent_at = now()
+        timeout_s = replica.timing.election_s
+        answer = await replica.peers.ask(progress.member.host, request, timeout_s)
+        if replica.leadership is not self or not isinstance(answer, Ok):
+            return None
+        if not self.is_confirmed():
+            replica.step_down()
+            return None
+        reply = answer.ok_value
+        if reply.term > self.term:
+            replica.adopt_term(reply.term)
+            return None
+        progress.heard_at = max(progress.heard_at, sent_at)
+        return reply
+
+    def _on_reply(self, progress: Progress, reply: AppendReply) -> None:
+        if not reply.matched:
+            progress.next_index = max(progress.match_index, reply.match_index) + 1
+            progress.wake.set()
+            return
+        progress.match_index = max(progress.match_index, reply.match_index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
+        self.advance()
+
+    def advance(self) -> None:
+        """Commit what a quorum holds durably."""
+        replica = self._replica
+        matched = sorted(
+            (self._match_index(m) for m in replica.log.members if m.votes),
+            reverse=True,
+        )
+        index = matched[replica.quorum - 1]
+        if index <= replica.commit_index or replica.log.term_at(index) != self.term:
+            return
+        if not self.is_confirmed():
+            replica.step_down()
+            return
+        replica.commit(index)
+
+    def _match_index(self, member: Member) -> int:
+        if member.voter_id == self._replica.voter_id:
+            return self._replica.durable_index
+        progress = self.progress_by_voter.get(member.voter_id)
+        return progress.match_index if progress else 0
+
+    def _on_apply(self, entry: LogEntry, outcome: object) -> None:
+        waiter = self._waiter_by_index.pop(entry.index, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(Ok(outcome))
+
+    async def _watch_lease(self) -> None:
+        while self.is_confirmed():
+            await asyncio.sleep(max(0.001, self.lease_until() - now()))
+        self._replica.step_down()
