Share body memory by team, and free a claim whose fate is unknown

Cause: one team's waiting bodies could fill the daemon's budget and shut the others out; a claim that was stored after its settling stayed running; a claimed run that failed unexpectedly cancelled its caller's task and left the connection open. Change: a team holds at most what the others leave free; settling is tried again until the claim is found; the failure reaches the caller as 500 unknown.

--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/bodies.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/bodies.py
@@ -10,7 +10,13 @@
 from almondfield_daemon.router import Header, Problem
 from almondfield_daemon.router.problems import refuse
 
-__all__ = ["BodyBudget", "CallerGoneError", "check_headers", "read_body"]
+__all__ = [
+    "BodyBudget",
+    "CallerGoneError",
+    "HeldBody",
+    "check_headers",
+    "read_body",
+]
 
 BODY_PART_TIMEOUT_S = 30.0
 
@@ -22,29 +28,69 @@
 class BodyBudget:
     """Bounds the bytes of all bodies that one daemon holds.
 
+    A team may hold at most as much as the others leave free, so that one that floods
+    the host takes half of it and leaves room for the next.
+
     :param limit_bytes: bytes, at most.
     """
 
     def __init__(self, limit_bytes: int) -> None:
         self._limit_bytes = limit_bytes
+        self._held_by_team: dict[str, int] = {}
         self.held_bytes = 0
 
-    def take(self, count: int) -> bool:
-        """Return whether so many more bytes may be held, and count them.
+    def take(self, team: str, count: int) -> bool:
+        """Return whether a team may hold so many more bytes, and count them.
 
+        :param team: name of the team.
         :param count: number of bytes.
         """
-        if self.held_bytes + count > self._limit_bytes:
+        held = self._held_by_team.get(team, 0) + count
+        if held > self._limit_bytes - self.held_bytes - count:
             return False
+        self._held_by_team[team] = held
         self.held_bytes += count
         return True
 
-    def give_back(self, count: int) -> None:
+    def give_back(self, team: str, count: int) -> None:
         """Count bytes as no longer held.
 
+        :param team: name of the team.
         :param count: number of bytes.
         """
         self.held_bytes -= count
+        self._held_by_team[team] -= count
+        if not self._held_by_team[team]:
+            del self._held_by_team[team]
+
+
+class HeldBody:
+    """The bytes that one request holds of a budget.
+
+    :param budget: the budget.
+    :param team: name of the team.
+    """
+
+    def __init__(self, budget: BodyBudget, team: str) -> None:
+        self._budget = budget
+        self._team = team
+        self._held_bytes = 0
+
+    def take(self, count: int) -> bool:
+        """Return whether so many more bytes may be held, and count them.
+
+        :param count: number of bytes.
+        """
+        if not self._budget.take(self._team, count):
+            return False
+        self._held_bytes += count
+        return True
+
+    def release(self) -> None:
+        """Count all bytes as no longer held."""
+        if self._held_bytes:
+            self._budget.give_back(self._team, self._held_bytes)
+            self._held_bytes = 0
 
 
 def check_headers(headers: list[Header], limit_bytes: int) -> Problem | None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/caller.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/caller.py
@@ -8,7 +8,12 @@
 from almondfield_core.settings import DaemonSettings
 from result import Err, Ok
 
-from almondfield_daemon.edge.bodies import BodyBudget, CallerGoneError, read_body
+from almondfield_daemon.edge.bodies import (
+    BodyBudget,
+    CallerGoneError,
+    HeldBody,
+    read_body,
+)
 from almondfield_daemon.edge.heads import RequestHead, parse_head, request_id_of
 from almondfield_daemon.edge.replies import send_problem
 from almondfield_daemon.edge.watch import CallerWatch
@@ -71,7 +76,7 @@
     async def _take(
         self, head: RequestHead, plan: Plan, receive: Any, send: Any
     ) -> None:
-        held = _HeldBody(self.budget)
+        held = HeldBody(self.budget, plan.route.team)
         try:
             body = await read_body(
                 receive, head.declared_bytes, self._limits.max_body_bytes, held.take
@@ -93,7 +98,7 @@
         request: CallerRequest,
         plan: Plan,
         send: Any,
-        held: "_HeldBody",
+        held: HeldBody,
         watch: CallerWatch,
     ) -> None:
         match await self._router.serve(request, plan):
@@ -132,24 +137,6 @@
         await send_problem(send, problem, request_id, self._membership, close=True)
 
 
-class _HeldBody:
-    """The share of one request in the budget."""
-
-    def __init__(self, budget: BodyBudget) -> None:
-        self._budget = budget
-        self._held_bytes = 0
-
-    def take(self, count: int) -> bool:
-        if not self._budget.take(count):
-            return False
-        self._held_bytes += count
-        return True
-
-    def release(self) -> None:
-        self._budget.give_back(self._held_bytes)
-        self._held_bytes = 0
-
-
 def _log_cut(request: CallerRequest, reason: str) -> None:
     eliot.log_message("request:cut", request_id=request.request_id, reason=reason)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/claimed.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/claimed.py
@@ -94,6 +94,7 @@
             asyncio.get_running_loop().create_future()
         )
         task = asyncio.ensure_future(self._run(request, plan, head))
+        self._keeper.keep(task)
         try:
             return await asyncio.shield(head)
         except asyncio.CancelledError:
@@ -116,11 +117,13 @@
     ) -> None:
         try:
             dispatched = await self._dispatcher.run(request, plan, self._note_sent)
-        except BaseException:
-            self._keeper.settle(self._claim, None, ran=self._sent)
-            self._finished(None)
-            head.cancel()
+        except asyncio.CancelledError:
+            self._give_up()
             raise
+        except Exception as error:
+            self._give_up()
+            head.set_exception(error)
+            return
         match dispatched:
             case Ok(found):
                 answer = found.answer
@@ -132,6 +135,10 @@
                 self._finished(None)
                 head.set_result(Err(problem))
 
+    def _give_up(self) -> None:
+        self._keeper.settle(self._claim, None, ran=self._sent)
+        self._finished(None)
+
     async def _copy(self, dispatched: Dispatched) -> None:
         """Hand the answer to the caller and keep it for repeats."""
         answer = RoutedAnswer(dispatched, self._finished)
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/claims.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/claims.py
@@ -50,7 +50,7 @@
 
     @property
     def unsettled(self) -> int:
-        """Return the number of keys that are being settled."""
+        """Return the number of tasks that run or settle claimed requests."""
         return len(self._tasks)
 
     async def claim(
@@ -91,7 +91,13 @@
         :param answer: the answer; None where none is known.
         :param ran: whether the request may have run.
         """
-        task = asyncio.ensure_future(self._settle(claim, answer, ran))
+        self.keep(asyncio.ensure_future(self._settle(claim, answer, ran)))
+
+    def keep(self, task: asyncio.Task[None]) -> None:
+        """Hold a task until it is done, and count it as unsettled.
+
+        :param task: runs or settles a claimed request.
+        """
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -101,7 +107,8 @@
         delay_s = FIRST_SETTLE_DELAY_S
         for _ in range(SETTLE_TRIES):
             settled = await self._control.settle_claim(claim, answer, ran)
-            if settled.is_ok():
+            # False: the claim isn't stored; it may still be on its way.
+            if settled == Ok(True):
                 return
             await asyncio.sleep(delay_s)
             delay_s *= 2
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/claims.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/claims.feature
@@ -59,3 +59,10 @@
     When a GET with key "b1" is served
     Then it is answered
     And no key was claimed
+
+  Scenario: A claim whose fate is unknown is freed once it appears
+    Given the claim answers unavailable
+    And the claim is stored late
+    When a POST with key "b1" is served
+    Then the problem is 503 with outcome "not-run"
+    And the key is settled as not run at the third try
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/steps/router_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/steps/router_steps.py
@@ -129,6 +129,11 @@
     context.house.control.outcomes = [OUTCOME_BY_NAME[name]] * MANY
 
 
+@given("the claim is stored late")
+def step_impl(context):
+    context.house.control.replies = [Err(ControlUnavailable("no quorum")), Ok(False)]
+
+
 @given("the answer has {count:d} bytes")
 def step_impl(context, count):
     context.house.backends.answers = [FakeAnswer((bytes(count),))]
@@ -258,6 +263,12 @@
     assert (answer.body, answer.complete, ran) == (b"", False, True)
 
 
+@then("the key is settled as not run at the third try")
+def step_impl(context):
+    settled = context.house.control.settled
+    assert [(answer, ran) for _, answer, ran in settled] == [(None, False)] * 3
+
+
 @then("the key is settled as {how}")
 def step_impl(context, how):
     ((_, answer, ran),) = context.house.control.settled
