--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -10,6 +10,7 @@
 __all__ = ["BackendConnection", "ConnectionCutError"]
 
 HIGH_WATER_BYTES = 256 * 1024
+SMALL_BODY_BYTES = 16 * 1024
 BODILESS_STATUSES = (204, 304)
 
 
@@ -59,8 +60,10 @@
         :raises ConnectionCutError: where the connection is lost meanwhile.
         """
         self._start_answer(method)
-        self._transport.write(head)
-        if body:
+        if len(body) <= SMALL_BODY_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.write(head)
             self._transport.write(body)
         if self._writable is not None:
             await self._writable
