--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/caller.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/caller.feature
@@ -146,3 +146,10 @@
       | kind         |
       | chunks       |
       | known length |
+
+  @sockets
+  Scenario: A caller that closes is seen on the wire
+    Given a caller app on a free port
+    And the backend server streams with long gaps
+    When a caller reads the first bytes and closes
+    Then the call ends and every slot is released
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/steps/caller_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/steps/caller_steps.py
@@ -225,13 +225,41 @@
     send(context, key, method, path, headers=[tuple(header.split(": "))])
 
 
+async def connect(context):
+    """Return the streams of a caller that has sent its request."""
+    host, port = context.socket.getsockname()
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(b"GET /stock HTTP/1.1\r\nHost: x\r\n")
+    writer.write(b"Authorization: Bearer k1\r\n\r\n")
+    return reader, writer
+
+
+@when("a caller reads the first bytes and closes")
+def step_impl(context):
+    async def read():
+        reader, writer = await connect(context)
+        await reader.readuntil(b"a")
+        writer.close()
+
+    run(context, read())
+
+
+@then("the call ends and every slot is released")
+def step_impl(context):
+    async def wait():
+        while context.house.router.running:
+            await asyncio.sleep(0.01)
+        await context.listener.stop()
+
+    run(context, wait())
+    assert context.house.slots.released == [("s1", None)]
+    assert context.house.backends.given[0].closed
+
+
 @when("a caller reads the answer to its end")
 def step_impl(context):
     async def read():
-        host, port = context.socket.getsockname()
-        reader, writer = await asyncio.open_connection(host, port)
-        writer.write(b"GET /stock HTTP/1.1\r\nHost: x\r\n")
-        writer.write(b"Authorization: Bearer k1\r\n\r\n")
+        reader, writer = await connect(context)
         data = await reader.read()
         writer.close()
         await context.listener.stop()
