Settle a key before its caller takes the end of the answer

Cause: a caller that stopped reading kept its key running for up to 30 s after the answer was whole; each refusal under a flood wrote a log message. Change: the key is settled before the end is handed over; refusals that were not run are counted and not logged.

--- a/packages/almondfield-daemon/src/almondfield_daemon/router/claimed.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/claimed.py
@@ -143,15 +143,17 @@
         """Hand the answer to the caller and keep it for repeats."""
         answer = RoutedAnswer(dispatched, self._finished)
         stored = None
+        end: AnswerCutError | None = None
         try:
             body = await self._read(answer)
             stored = _stored(answer, body)
-            await self._hand(None)
         except AnswerCutError as error:
-            await self._hand(error)
+            end = error
         finally:
-            self._keeper.settle(self._claim, stored, ran=True)
             answer.close()
+            # Not after the end is handed over: the caller may be slow to take it.
+            self._keeper.settle(self._claim, stored, ran=True)
+        await self._hand(end)
 
     async def _read(self, answer: RoutedAnswer) -> bytes | None:
         """Return the whole body, or None where it is too large to keep."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/core.py
@@ -141,17 +141,17 @@
     def _note_problem(
         self, request: CallerRequest, plan: Plan, problem: Problem
     ) -> None:
-        if problem.outcome is Outcome.UNKNOWN:
-            self._unknown += 1
-        else:
+        if problem.outcome is Outcome.NOT_RUN:
+            # Counted only: a team that floods the fleet must not fill the log.
             self._not_run += 1
+            return
+        self._unknown += 1
         eliot.log_message(
-            "request:failed",
+            "request:unknown",
             request_id=request.request_id,
             team=plan.route.team,
             pool=plan.pool.name,
             error=problem.kind,
-            outcome=problem.outcome.value,
             detail=problem.detail,
         )
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/claims.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/claims.feature
@@ -55,6 +55,12 @@
       | waits      | as not run       |
       | runs       | with answer "ok" |
 
+  Scenario: A caller that stops reading does not keep the key unsettled
+    Given the answer has 30 parts
+    When a POST with key "b1" is served to a caller that takes one part
+    Then the key is settled once, when the caller is gone
+    And every slot is released
+
   Scenario: An idempotent method needs no key
     When a GET with key "b1" is served
     Then it is answered
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/steps/router_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/steps/router_steps.py
@@ -139,6 +139,11 @@
     context.house.backends.answers = [FakeAnswer((bytes(count),))]
 
 
+@given("the answer has {count:d} parts")
+def step_impl(context, count):
+    context.house.backends.answers = [FakeAnswer((b"x",) * count)]
+
+
 @given("the caller goes away while its request {phase}")
 def step_impl(context, phase):
     context.leave_after_s = 1.0
@@ -181,6 +186,31 @@
     context.result = run(context, serve_to_end(context, method, key))
 
 
+@when('a POST with key "{key}" is served to a caller that takes one part')
+def step_impl(context, key):
+    async def take_one():
+        house = context.house
+        request = CallerRequest("POST", "/stock", b"/stock", (), "k1", "r1", key)
+        served = await house.router.serve(request, house.router.admit(request).unwrap())
+        answer = served.unwrap()
+        assert await anext(answer.chunks()) == b"x"
+        await asyncio.sleep(5.0)
+        settled_before = len(house.control.settled)
+        answer.close()
+        while house.router.running:
+            await asyncio.sleep(0.1)
+        return settled_before, house.control.settled
+
+    context.result = run(context, take_one())
+
+
+@then("the key is settled once, when the caller is gone")
+def step_impl(context):
+    settled_before, settled = context.result
+    assert settled_before == 0
+    assert [answer.body for _, answer, _ in settled] == [b"x" * 30]
+
+
 @when("{count:d} GETs are served")
 def step_impl(context, count):
     for _ in range(count):
