Give freshness leases by quorum read and by neighbours; send deltas

Hosts cut off from the leader serve by a neighbour's lease, and without any leader by a quorum of voters that hold nothing newer. A neighbour acknowledges a revision only when leases that it relayed ran out. Found on the way: a renewal between proposing and applying a move of a pool extended the loser's lease; it is no longer renewed meanwhile.

--- a/packages/almondfield-control/src/almondfield_control/freshness/core.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/core.py
@@ -16,17 +16,30 @@
 
     :ivar incarnation: newest incarnation that renewed a lease.
     :ivar seen_at: when it last renewed one.
-    :ivar until_by_revision: when the leases given with each revision run out.
+    :ivar until_by_grant: when the leases given to each incarnation with each
+        revision run out.
     :ivar pool_until: when its pool leases run out.
     :ivar draining: whether it wants no pools.
     """
 
     incarnation: int = 0
     seen_at: float = 0.0
-    until_by_revision: dict[int, float] = field(default_factory=dict)
+    until_by_grant: dict[tuple[int, int], float] = field(default_factory=dict)
     pool_until: float = 0.0
     draining: bool = False
 
+    def acknowledge(self, incarnation: int, revision: int) -> None:
+        """Drop the grants of earlier revisions, and those that ran out.
+
+        An earlier incarnation may have relayed its lease and forgotten it, so that
+        its grants end by time alone.
+        """
+        self.until_by_grant = {
+            (holder, held): until
+            for (holder, held), until in self.until_by_grant.items()
+            if until > now() and (holder != incarnation or held >= revision)
+        }
+
 
 class HostLeases:
     """Leases given in one term, by host.
@@ -40,6 +53,7 @@
     def __init__(self, timing: TimingSettings) -> None:
         self._timing = timing
         self._started_at = now()
+        self._losing_hosts: set[str] = set()
         self._record_by_host: dict[str, _HostRecord] = {}
 
     def renew(self, host: str, request: RenewalRequest, revision: int) -> bool:
@@ -51,18 +65,41 @@
         """
         record = self._record_by_host.setdefault(host, _HostRecord())
         is_new = request.incarnation > record.incarnation
-        record.incarnation = max(record.incarnation, request.incarnation)
+        if is_new:
+            record.incarnation = request.incarnation
+            record.draining = False
         record.seen_at = now()
-        record.draining = request.draining
-        for held in [r for r in record.until_by_revision if r < request.acknowledged]:
-            del record.until_by_revision[held]
+        record.draining |= request.draining
+        record.acknowledge(request.incarnation, request.acknowledged)
         lifetime_s = self._with_margin(self._timing.freshness_lease_s)
-        record.until_by_revision[revision] = now() + lifetime_s
-        if not request.draining:
+        record.until_by_grant[(request.incarnation, revision)] = now() + lifetime_s
+        if self.renews_pools(host):
             pool_lease_s = self._with_margin(self._timing.pool_lease_s)
             record.pool_until = now() + pool_lease_s
         return is_new
 
+    def renews_pools(self, host: str) -> bool:
+        """Return whether the pool leases of a host are renewed now.
+
+        :param host: name of the host.
+        """
+        record = self._record_by_host[host]
+        return not record.draining and host not in self._losing_hosts
+
+    def begin_move(self, host: str) -> None:
+        """Renew no pool lease of a host while one of its pools goes elsewhere.
+
+        :param host: name of the host.
+        """
+        self._losing_hosts.add(host)
+
+    def end_move(self, host: str) -> None:
+        """Renew the pool leases of a host again.
+
+        :param host: name of the host.
+        """
+        self._losing_hosts.discard(host)
+
     def is_in_force(self, revision: int) -> bool:
         """Return whether no host may still serve an earlier revision.
 
@@ -74,7 +111,7 @@
         return not any(
             until > now()
             for record in self._record_by_host.values()
-            for held, until in record.until_by_revision.items()
+            for (_, held), until in record.until_by_grant.items()
             if held < revision
         )
 
@@ -83,7 +120,7 @@
         return tuple(
             host
             for host, record in sorted(self._record_by_host.items())
-            if any(until > now() for until in record.until_by_revision.values())
+            if any(until > now() for until in record.until_by_grant.values())
         )
 
     def schedulers(self) -> tuple[str, ...]:
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/freshness/reads.py
@@ -0,0 +1,41 @@
+"""What a voter says about its log to hosts that find no leader."""
+
+from almondfield_core.wire import kind_of
+
+from almondfield_control.commands import TableCommand
+from almondfield_control.consensus import Replica
+from almondfield_control.freshness.messages import RevisionAnswer, RevisionQuery
+
+__all__ = ["VoterReads"]
+
+_TABLE_KIND = kind_of(TableCommand)
+
+
+class VoterReads:
+    """Answers revision queries.
+
+    :param replica: the member of the control group on this host.
+    """
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+
+    def listen(self) -> None:
+        """Answer queries from now on."""
+        self._replica.peers.listen(RevisionQuery, self._on_query)
+
+    async def _on_query(
+        self, sender: str, query: RevisionQuery
+    ) -> RevisionAnswer | None:
+        replica = self._replica
+        if not replica.votes:
+            return None
+        uncommitted = replica.log.after(replica.commit_index)
+        pending = sum(entry.kind == _TABLE_KIND for entry in uncommitted)
+        return RevisionAnswer(
+            voter_id=replica.voter_id,
+            revision=replica.state.tables.revision + pending,
+            hears_leader=replica.is_leader or replica.hears_leader(),
+            members_index=replica.log.members_index,
+            members=replica.log.members,
+        )
--- a/packages/almondfield-control/src/almondfield_control/freshness/view.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/view.py
@@ -20,9 +20,12 @@
     def __init__(self, host: str) -> None:
         self._host = host
         self._tables = Tables()
+        self._leases_index = 0
         self._lease_by_pool: dict[str, PoolLease] = {}
         self._fresh_until = float("-inf")
         self._pool_until = float("-inf")
+        self._own_until = float("-inf")
+        self._relayed: list[tuple[int, float]] = []
         self._changed = asyncio.Event()
 
     @property
@@ -69,25 +72,56 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    def take_freshness(self, revision: int, until: float) -> None:
+    def take_freshness(
+        self, revision: int, until: float, relayed: bool = False
+    ) -> None:
         """Extend the freshness lease, if it is for the tables in place.
 
         :param revision: revision that counts as current.
         :param until: when the lease runs out, on the loop's clock.
+        :param relayed: whether a neighbour shared it; such a lease goes no further.
         """
-        if revision == self._tables.revision:
-            self._fresh_until = max(self._fresh_until, until)
+        if revision != self._tables.revision:
+            return
+        self._fresh_until = max(self._fresh_until, until)
+        if not relayed:
+            self._own_until = max(self._own_until, until)
+
+    def relay_left_s(self) -> float:
+        """Return the seconds of a lease that a neighbour may share; note that it may.
+
+        :returns: 0 without a lease of the host's own.
+        """
+        left_s = max(0.0, self._own_until - now())
+        if left_s > 0:
+            self._relayed.append((self._tables.revision, self._own_until))
+        return left_s
+
+    def acknowledged(self) -> int:
+        """Return the lowest revision that this host, or one it relayed to, serves."""
+        self._relayed = [item for item in self._relayed if item[1] > now()]
+        revisions = [revision for revision, _ in self._relayed]
+        return min([self._tables.revision, *revisions])
+
+    @property
+    def leases_index(self) -> int:
+        """Return the entry of the newest change of pool leases."""
+        return self._leases_index
 
-    def take_pool_leases(self, leases: tuple[PoolLease, ...], until: float) -> None:
+    def take_pool_leases(
+        self, leases: tuple[PoolLease, ...], leases_index: int, until: float
+    ) -> None:
         """Put newer pool leases in place; older epochs are dropped.
 
-        :param leases: which host schedules which pool.
+        :param leases: which host schedules which pool; empty where nothing changed.
+        :param leases_index: entry that last changed one.
         :param until: when this host's own leases run out, on the loop's clock.
         """
         for lease in leases:
             known = self._lease_by_pool.get(lease.pool)
             if known is None or known.epoch <= lease.epoch:
                 self._lease_by_pool[lease.pool] = lease
+        self._leases_index = max(self._leases_index, leases_index)
         self._pool_until = max(self._pool_until, until)
 
     def give_up_pools(self) -> None:
--- a/packages/almondfield-control/src/almondfield_control/node/client.py
+++ b/packages/almondfield-control/src/almondfield_control/node/client.py
@@ -35,6 +35,7 @@
 __all__ = ["ControlClient"]
 
 ATTEMPT_S = 1.0
+MIN_ATTEMPT_S = 0.001
 PAUSE_S = 0.1
 APPLY_TIMEOUT_S = 10.0
 CLAIM_TIMEOUT_S = 3.0
@@ -175,7 +176,7 @@
         until = now() + timeout_s
         maybe_done = False
         reason = "no voter is configured"
-        while self._target and now() < until:
+        while self._target and until - now() > MIN_ATTEMPT_S:
             target = self._target
             attempt_s = min(ATTEMPT_S, until - now())
             match await self._peers.ask(target, message, attempt_s):
--- a/packages/almondfield-control/src/almondfield_control/node/core.py
+++ b/packages/almondfield-control/src/almondfield_control/node/core.py
@@ -13,7 +13,7 @@
 from result import Result
 
 from almondfield_control.consensus import Replica
-from almondfield_control.freshness import HostView
+from almondfield_control.freshness import Fallback, HostView, VoterReads
 from almondfield_control.node.client import ControlClient
 from almondfield_control.node.leader import CheckTables, LeaderService
 from almondfield_control.node.renewal import Renewal
@@ -91,7 +91,10 @@
                 self._replica, peers, timing, hosts, check
             )
         self._client = ControlClient(peers, voters, incarnation, self._replica)
-        self._renewal = Renewal(peers, self._view, self._client, timing, incarnation)
+        fallback = Fallback(peers, self._view, voters, hosts, timing)
+        self._renewal = Renewal(
+            peers, self._view, self._client, fallback, timing, incarnation
+        )
 
     @property
     def control(self) -> Control:
@@ -119,6 +122,7 @@
                 group.create_task(self._renewal.run())
                 if self._replica is not None:
                     self._leader_service.listen()
+                    VoterReads(self._replica).listen()
                     group.create_task(self._replica.run())
                     group.create_task(self._leader_service.run())
         finally:
--- a/packages/almondfield-control/src/almondfield_control/node/leader.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader.py
@@ -6,6 +6,7 @@
 
 from almondfield_core.findings import Finding
 from almondfield_core.messages import (
+    ChangeAccepted,
     ChangeRefused,
     ControlUnavailable,
     FleetStatus,
@@ -13,13 +14,14 @@
 )
 from almondfield_core.ports import Peers
 from almondfield_core.settings import TimingSettings
-from almondfield_core.tables import Pool, Route
+from almondfield_core.tables import Pool, Route, Tables
 from result import Err, Ok
 
 from almondfield_control.commands import (
     ClaimKey,
     Command,
     FencingIssued,
+    LeasePool,
     LoseClaims,
     SettleClaim,
     TableCommand,
@@ -31,6 +33,8 @@
     RenewalReply,
     RenewalRequest,
     RevisionNotice,
+    TablesDelta,
+    delta_between,
 )
 from almondfield_control.node.messages import (
     ApplyRequest,
@@ -53,6 +57,7 @@
 CheckTables = Callable[[tuple[Pool, ...], tuple[Route, ...]], tuple[Finding, ...]]
 
 POOL_CHECK_S = 0.1
+MAX_RECENT_TABLES = 16
 
 
 class LeaderService:
@@ -78,6 +83,7 @@
         self._timing = timing
         self._hosts = hosts
         self._check = check
+        self._recent_tables: dict[int, Tables] = {}
         self._leases: HostLeases | None = None
         replica.on_lead.append(self._begin_term)
         replica.on_apply.append(self._on_apply)
@@ -122,13 +128,21 @@
         self._leases = HostLeases(self._timing)
 
     def _on_apply(self, entry: object, outcome: object) -> None:
+        if not isinstance(outcome, ChangeAccepted):
+            return
         replica = self._replica
-        if not replica.is_leader or entry.kind != "table-command":
+        self._remember(replica.state.tables)
+        if not replica.is_leader:
             return
         notice = RevisionNotice(replica.state.tables.revision)
         for host in self._hosts:
             self._peers.send(host, notice)
 
+    def _remember(self, tables: Tables) -> None:
+        self._recent_tables[tables.revision] = tables
+        if len(self._recent_tables) > MAX_RECENT_TABLES:
+            del self._recent_tables[next(iter(self._recent_tables))]
+
     async def _propose(
         self, command: Command, to_reply: Callable[[Any], object]
     ) -> object:
@@ -141,19 +155,35 @@
     async def _renew(self, sender: str, request: RenewalRequest) -> RenewalReply:
         state = self._replica.state
         revision = state.tables.revision
+        leases = ()
+        if request.leases_index < state.leases_index:
+            leases = tuple(state.lease_by_pool.values())
+        whole, delta = self._news_since(request.revision)
         is_new = self._leases.renew(sender, request, revision)
+        renews_pools = self._leases.renews_pools(sender)
         if is_new and state.claims.has_running(sender, request.incarnation):
             command = LoseClaims(sender, request.incarnation)
             self._replica.spawn(self._replica.propose(command))
         return RenewalReply(
             term=self._replica.hard.term,
             freshness_s=self._timing.freshness_lease_s,
-            pool_lease_s=0.0 if request.draining else self._timing.pool_lease_s,
+            pool_lease_s=self._timing.pool_lease_s if renews_pools else 0.0,
             revision=revision,
-            pool_leases=tuple(state.lease_by_pool.values()),
-            tables=state.tables if request.revision < revision else None,
+            leases_index=state.leases_index,
+            pool_leases=leases,
+            tables=whole,
+            delta=delta,
         )
 
+    def _news_since(self, revision: int) -> tuple[Tables | None, TablesDelta | None]:
+        tables = self._replica.state.tables
+        if revision >= tables.revision:
+            return None, None
+        before = self._recent_tables.get(revision)
+        if before is None:
+            return tables, None
+        return None, delta_between(before, tables)
+
     async def _apply(self, sender: str, request: ApplyRequest) -> object:
         change: TableChange = request.change
         earlier = self._replica.state.answer_of(change.change_id)
@@ -211,9 +241,20 @@
             )
             if command is None:
                 return
-            if not isinstance(await self._replica.propose(command), Ok):
+            if not await self._move_pool(command):
                 return
-            self._notify(command.host)
+
+    async def _move_pool(self, command: LeasePool) -> bool:
+        earlier = self._replica.state.lease_by_pool.get(command.pool)
+        loser = earlier.host if earlier else ""
+        leases = self._leases
+        leases.begin_move(loser)
+        outcome = await self._replica.propose(command)
+        if isinstance(outcome, Err):
+            return False
+        leases.end_move(loser)
+        self._notify(command.host)
+        return True
 
     def _notify(self, host: str) -> None:
         self._peers.send(host, RevisionNotice(self._replica.state.tables.revision))
--- a/packages/almondfield-control/src/almondfield_control/node/renewal.py
+++ b/packages/almondfield-control/src/almondfield_control/node/renewal.py
@@ -8,10 +8,12 @@
 from result import Ok
 
 from almondfield_control.freshness import (
+    Fallback,
     HostView,
     RenewalReply,
     RenewalRequest,
     RevisionNotice,
+    apply_delta,
 )
 from almondfield_control.node.client import ControlClient
 
@@ -26,6 +28,7 @@
     :param peers: messages to the other hosts.
     :param view: where the tables and leases go.
     :param client: finds the leader.
+    :param fallback: gives freshness leases where there is no leader.
     :param timing: lifetimes of leases.
     :param incarnation: number that grows with each start of this host.
     """
@@ -35,12 +38,14 @@
         peers: Peers,
         view: HostView,
         client: ControlClient,
+        fallback: Fallback,
         timing: TimingSettings,
         incarnation: int,
     ) -> None:
         self._peers = peers
         self._view = view
         self._client = client
+        self._fallback = fallback
         self._timing = timing
         self._incarnation = incarnation
         self._wake = asyncio.Event()
@@ -49,6 +54,7 @@
     def listen(self) -> None:
         """Take notices of news from now on."""
         self._peers.listen(RevisionNotice, self._on_notice)
+        self._fallback.listen()
 
     async def run(self) -> None:
         """Renew until cancelled."""
@@ -64,24 +70,35 @@
     async def renew(self) -> bool:
         """Return whether the leader renewed the leases."""
         sent_at = now()
-        revision = self._view.tables.revision
-        request = RenewalRequest(self._incarnation, revision, revision, self.draining)
+        request = RenewalRequest(
+            incarnation=self._incarnation,
+            revision=self._view.tables.revision,
+            acknowledged=self._view.acknowledged(),
+            leases_index=self._view.leases_index,
+            draining=self.draining,
+        )
         timeout_s = self._timing.pool_lease_s / RENEWALS_PER_LEASE
         match await self._client.ask(request, timeout_s):
             case Ok(RenewalReply() as reply):
                 self._take(reply, sent_at)
                 return True
+        if self._view.freshness_left_s() < self._timing.freshness_lease_s / 2:
+            await self._fallback.renew()
         return False
 
     def _take(self, reply: RenewalReply, sent_at: float) -> None:
         view = self._view
-        if reply.tables is not None:
-            view.take_tables(reply.tables)
+        tables = reply.tables
+        if reply.delta is not None:
+            tables = apply_delta(view.tables, reply.delta)
+        if tables is not None:
+            view.take_tables(tables)
             # Acknowledges the revision without waiting for the next renewal.
             self._wake.set()
         view.take_freshness(reply.revision, sent_at + reply.freshness_s)
         if not self.draining:
-            view.take_pool_leases(reply.pool_leases, sent_at + reply.pool_lease_s)
+            until = sent_at + reply.pool_lease_s
+            view.take_pool_leases(reply.pool_leases, reply.leases_index, until)
 
     def _pause_s(self) -> float:
         host = self._peers.host
--- a/packages/almondfield-control/src/almondfield_control/state/core.py
+++ b/packages/almondfield-control/src/almondfield_control/state/core.py
@@ -47,6 +47,7 @@
     claims: tuple[ClaimRecord, ...]
     fencing: int
     members: tuple[Member, ...]
+    leases_index: int
 
 
 class ControlState:
@@ -56,6 +57,7 @@
     :ivar unix_s: time of the newest entry; never goes back.
     :ivar tables: the tables.
     :ivar lease_by_pool: the host that each pool is leased to.
+    :ivar leases_index: entry that last changed a pool lease.
     :ivar claims: claims on idempotency keys.
     :ivar fencing: last fencing number that was issued.
     :ivar members: members as of the last applied entry.
@@ -66,6 +68,7 @@
         self.unix_s = 0.0
         self.tables = Tables()
         self.lease_by_pool: dict[str, PoolLease] = {}
+        self.leases_index = 0
         self.claims = ClaimTable()
         self.fencing = 0
         self.members: tuple[Member, ...] = ()
@@ -135,6 +138,7 @@
             claims=self.claims.records,
             fencing=self.fencing,
             members=self.members,
+            leases_index=self.leases_index,
         )
         return msgspec.msgpack.encode(image)
 
@@ -154,6 +158,7 @@
         state.claims = ClaimTable(image.claims)
         state.fencing = image.fencing
         state.members = image.members
+        state.leases_index = image.leases_index
         for record in image.audit:
             state._audit_by_revision[record.revision] = record
             state._revision_by_change_id[record.change_id] = record.revision
@@ -206,4 +211,5 @@
         earlier = self.lease_by_pool.get(pool)
         epoch = earlier.epoch + 1 if earlier else 1
         self.lease_by_pool[pool] = PoolLease(pool, host, epoch)
+        self.leases_index = self.index
         return self.lease_by_pool[pool]
--- a/packages/almondfield-control/src/almondfield_control/tests/fleet.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/fleet.py
@@ -8,7 +8,7 @@
 from almondfield_core.clock import WallClock, now
 from almondfield_core.messages import ChangeAccepted, TableChange
 from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
-from almondfield_core.tables import Pool
+from almondfield_core.tables import Pool, Selector
 from almondfield_testing import InMemoryNetwork, run
 from fake_disk import FakeDisk
 from result import Ok
@@ -102,19 +102,18 @@
             timeout_s,
         )
 
-    async def change(self, host, expect, change_id, pools=None):
+    async def change(self, host, expect, change_id, size=0):
         """Return the outcome of a change that is asked for at a host."""
-        rows = tuple(Pool(name) for name in (pools or [f"pool-{change_id}"]))
-        change = TableChange(change_id, "operator", expect, rows, ())
+        pool = Pool(f"pool-{change_id}", selects=Selector(model="x" * size))
+        change = TableChange(change_id, "operator", expect, (pool,), ())
         return await self.node_by_host[host].control.apply(change)
 
     async def make_changes(self, host, count, size=10):
         """Make changes one after the other, each adding some bytes to the tables."""
-        status = await self.status()
+        status = (await self.node_by_host[host].control.status()).unwrap()
         for revision in range(status.revision, status.revision + count):
-            pools = [f"pool-{revision + 1}".ljust(size, "x")]
             change_id = f"change-{revision + 1}"
-            outcome = await self.change(host, revision, change_id, pools)
+            outcome = await self.change(host, revision, change_id, size)
             assert outcome == Ok(ChangeAccepted(change_id, revision + 1)), outcome
 
     async def status(self):
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/freshness_steps.py
@@ -0,0 +1,188 @@
+"""Steps about freshness leases and pool leases."""
+
+import asyncio
+
+from almondfield_control.commands import TableCommand
+from almondfield_core.clock import now
+from almondfield_core.messages import TableChange
+from almondfield_core.tables import Pool
+from behave import then, when
+from fleet import in_loop
+from result import Ok
+
+WAIT_S = 10.0
+
+
+@when("{host} loses the paths to and from every voter")
+@in_loop
+async def step_impl(context, host):
+    for voter in context.fleet.voters:
+        context.fleet.network.cut(host, voter)
+        context.fleet.network.cut(voter, host)
+
+
+@when("the voters lose the paths between them")
+@in_loop
+async def step_impl(context):
+    for voter in context.fleet.voters:
+        for other in context.fleet.voters:
+            if voter != other:
+                context.fleet.network.cut(voter, other)
+
+
+@when("host {host} is isolated")
+@in_loop
+async def step_impl(context, host):
+    context.fleet.network.isolate(host)
+
+
+@when("host {host} crashes")
+@in_loop
+async def step_impl(context, host):
+    await context.fleet.crash(host)
+
+
+@when("every path works again")
+@in_loop
+async def step_impl(context):
+    context.fleet.network.heal()
+
+
+@when("another host leads")
+@in_loop
+async def step_impl(context):
+    await context.fleet.until(context.fleet.leader)
+
+
+@when("an entry beyond the tables reaches one voter besides the leader")
+@in_loop
+async def step_impl(context):
+    fleet = context.fleet
+    leader = fleet.node_by_host[fleet.leader()].replica
+    others = [voter for voter in fleet.voters if voter != fleet.leader()]
+    fleet.network.isolate(others[0])
+    fleet.network.cut(others[1], fleet.leader())
+    change = TableChange("x", "operator", 0, (Pool("x"),), ())
+    task = asyncio.ensure_future(leader.propose(TableCommand(change)))
+    await asyncio.sleep(0.1)
+    fleet.network.heal()
+    for voter in fleet.voters:
+        for other in fleet.voters:
+            if voter != other:
+                fleet.network.cut(voter, other)
+    await task
+
+
+@then("{host} holds a freshness lease")
+@in_loop
+async def step_impl(context, host):
+    assert context.fleet.node_by_host[host].view.freshness_left_s() > 0
+
+
+@then("{host} holds no freshness lease")
+@in_loop
+async def step_impl(context, host):
+    assert context.fleet.node_by_host[host].view.freshness_left_s() == 0
+
+
+@then("all hosts are without a freshness lease")
+@in_loop
+async def step_impl(context):
+    for host, node in context.fleet.node_by_host.items():
+        assert node.view.freshness_left_s() == 0, host
+
+
+@then("all hosts that do not vote hold a lease")
+@in_loop
+async def step_impl(context):
+    for host in set(context.fleet.names) - set(context.fleet.voters):
+        assert context.fleet.node_by_host[host].view.freshness_left_s() > 0, host
+
+
+@then("revision 1 comes in force, and no host serves revision 0 from then on")
+@in_loop
+async def step_impl(context):
+    control = context.fleet.node_by_host["h4"].control
+    assert await control.wait_in_force(1, WAIT_S) == Ok(True)
+    until = now() + WAIT_S
+    while now() < until:
+        for host, node in context.fleet.node_by_host.items():
+            stale = node.view.tables.revision < 1
+            assert not (stale and node.view.freshness_left_s() > 0), host
+        await asyncio.sleep(0.05)
+
+
+@then("{host} has revision {revision:d} within {seconds:d} seconds")
+@in_loop
+async def step_impl(context, host, revision, seconds):
+    view = context.fleet.node_by_host[host].view
+    await context.fleet.until(
+        lambda: view.tables.revision == revision and view.freshness_left_s() > 0,
+        seconds,
+    )
+
+
+@when("one row is added to the tables")
+@in_loop
+async def step_impl(context):
+    fleet = context.fleet
+    tables = fleet.node_by_host["h4"].view.tables
+    context.bytes_before = fleet.network.bytes_by_kind["renewal-reply"]
+    context.count_before = fleet.network.count_by_kind["renewal-reply"]
+    pools = (*tables.pools, Pool("small"))
+    change = TableChange("small", "operator", tables.revision, pools, ())
+    assert (await fleet.node_by_host["h4"].control.apply(change)).is_ok()
+    views = [node.view for node in fleet.node_by_host.values()]
+    await fleet.until(lambda: all(view.tables.pools == pools for view in views))
+
+
+@then("the news reach every host in less than {limit:d} bytes each")
+@in_loop
+async def step_impl(context, limit):
+    network = context.fleet.network
+    sent = network.bytes_by_kind["renewal-reply"] - context.bytes_before
+    assert network.count_by_kind["renewal-reply"] > context.count_before
+    assert sent < limit, sent
+
+
+def scheduler(fleet):
+    """Return the hosts that may schedule the only pool."""
+    nodes = fleet.node_by_host.items()
+    pool = next(node.view.tables.pools[0].name for _, node in nodes)
+    return [host for host, node in nodes if node.view.pool_lease_left_s(pool) > 0]
+
+
+@when("the host of the pool hands over")
+@in_loop
+async def step_impl(context):
+    (context.former,) = scheduler(context.fleet)
+    context.left_at = now()
+    await context.fleet.node_by_host[context.former].hand_over()
+
+
+@when("the scheduler of the pool is cut off")
+@in_loop
+async def step_impl(context):
+    (context.former,) = scheduler(context.fleet)
+    context.left_at = now()
+    context.fleet.network.isolate(context.former)
+
+
+@then("another host schedules the pool within {milliseconds:d} milliseconds")
+@in_loop
+async def step_impl(context, milliseconds):
+    context.most = 0
+    while scheduler(context.fleet) in ([], [context.former]):
+        context.most = max(context.most, len(scheduler(context.fleet)))
+        assert now() < context.left_at + milliseconds / 1000
+        await asyncio.sleep(0.005)
+
+
+@then("at no time did two hosts schedule it")
+@in_loop
+async def step_impl(context):
+    until = now() + WAIT_S
+    while now() < until:
+        context.most = max(context.most, len(scheduler(context.fleet)))
+        await asyncio.sleep(0.005)
+    assert context.most <= 1, context.most
