--- /dev/null
+++ b/spec/check.py
@@ -0,0 +1,158 @@
+"""Checks every specification, and that each broken variant is found.
+
+Exits with 1 where a specification does not hold within its bounds, the search does
+not end, or a broken variant passes.
+"""
+
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from minicheck import check_safety
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from claims import claims_protocol
+from grants import grants_protocol
+from log import log_protocol
+
+__all__ = ["CASES", "Case", "Outcome", "check", "main"]
+
+MAX_STATES = 2_000_000
+MAX_STATES_BROKEN = 100_000
+
+
+@dataclass(frozen=True)
+class Case:
+    """One specification with its bounds.
+
+    :ivar name: name of the case.
+    :ivar build: returns the protocol.
+    :ivar bounds: arguments of ``build``.
+    :ivar broken: whether a counterexample must be found.
+    :ivar quick: whether the case is small enough for every test run.
+    """
+
+    name: str
+    build: object
+    bounds: dict = field(default_factory=dict)
+    broken: bool = False
+    quick: bool = True
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What the search of a case gave.
+
+    :ivar states: states that were reached.
+    :ivar as_expected: whether the case holds, or its fault was found.
+    :ivar trace: actions of the shortest counterexample; empty without one.
+    :ivar seconds: time that the search took.
+    """
+
+    states: int
+    as_expected: bool
+    trace: tuple[str, ...]
+    seconds: float
+
+
+TWO_CANDIDATES = {"candidates": (0, 2)}
+
+CASES = (
+    Case("log", log_protocol, quick=False),
+    Case(
+        "log, three terms",
+        log_protocol,
+        TWO_CANDIDATES | {"max_term": 3, "max_changes": 0},
+        quick=False,
+    ),
+    Case("log, quick", log_protocol, {"candidates": (0,), "max_term": 1}),
+    Case(
+        "log, identity by address",
+        log_protocol,
+        TWO_CANDIDATES | {"identity_by_address": True},
+        broken=True,
+    ),
+    Case(
+        "log, replaced in one step",
+        log_protocol,
+        TWO_CANDIDATES | {"replace_in_one_step": True, "max_changes": 0},
+        broken=True,
+        quick=False,
+    ),
+    Case("grants", grants_protocol),
+    Case(
+        "grants, grant outlives its lease",
+        grants_protocol,
+        {"grant_outlives_lease": True},
+        broken=True,
+    ),
+    Case(
+        "grants, new leader does not wait",
+        grants_protocol,
+        {"leader_forgets": True},
+        broken=True,
+    ),
+    Case(
+        "grants, renewal during a move",
+        grants_protocol,
+        {"renews_while_moving": True},
+        broken=True,
+    ),
+    Case("claims", claims_protocol),
+    Case(
+        "claims, claim after dispatch",
+        claims_protocol,
+        {"claim_after_dispatch": True},
+        broken=True,
+    ),
+    Case(
+        "claims, lost claim given away",
+        claims_protocol,
+        {"lost_is_free": True},
+        broken=True,
+    ),
+)
+
+
+def check(case: Case) -> Outcome:
+    """Return what the search of a case gives.
+
+    :param case: the specification with its bounds.
+    """
+    started = time.perf_counter()
+    max_states = MAX_STATES_BROKEN if case.broken else MAX_STATES
+    result = check_safety(case.build(**case.bounds), max_states=max_states)
+    properties = result["properties"].values()
+    traces = [p["counterexample"] for p in properties if p["holds"] is False]
+    shortest = min(traces, key=len, default=[])
+    holds = all(p["holds"] is True for p in properties)
+    return Outcome(
+        states=result["reachable_states"],
+        as_expected=bool(traces) if case.broken else holds and result["exhaustive"],
+        trace=tuple(str(step["label"]) for step in shortest[1:]),
+        seconds=time.perf_counter() - started,
+    )
+
+
+def main() -> int:
+    """Return 0 where every case came out as expected."""
+    surprises = 0
+    for case in CASES:
+        outcome = check(case)
+        surprises += not outcome.as_expected
+        verdict = "as expected" if outcome.as_expected else "SURPRISE"
+        kind = "must fail" if case.broken else "must hold"
+        print(
+            f"{case.name} {case.bounds}: {kind}, {verdict}, "
+            f"{outcome.states} states, {outcome.seconds:.1f} s"
+        )
+        if outcome.trace:
+            print("  " + " -> ".join(outcome.trace))
+    print(f"{len(CASES) - surprises} as expected, {surprises} surprises")
+    return 1 if surprises else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/spec/tests/environment.py
@@ -0,0 +1,1 @@
+"""The features need no event loop."""
