Check repeated rows in one pass each

Cause: the check of the tables is done for every change, and grouped all rows to find repeats; it also matched the same few HTTP methods for every route. What: the first use of each key is kept instead of groups; methods are remembered.

--- a/packages/almondfield-core/src/almondfield_core/tables/checking.py
+++ b/packages/almondfield-core/src/almondfield_core/tables/checking.py
@@ -1,8 +1,8 @@
 """Checks the rows of the tables, alone and beside each other."""
 
+import functools
 import re
-from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Hashable, Iterable, Iterator, Sequence
 
 from almondfield_core.findings import Finding, show
 from almondfield_core.tables.core import Pool, Route, Timeouts
@@ -107,10 +107,19 @@
         f"{path}.queue_deadline_s", route.queue_deadline_s, MAX_TIMEOUT_S
     )
     yield from _check_keys(f"{path}.key_hashes", route.key_hashes)
-    for index, method in enumerate(route.idempotent_methods):
-        if not METHOD.fullmatch(method):
-            place = f"{path}.idempotent_methods[{index}]"
-            yield Finding(place, f"is {show(method)}", "an HTTP method in capitals")
+    for index in _wrong_methods(route.idempotent_methods):
+        place = f"{path}.idempotent_methods[{index}]"
+        problem = f"is {show(route.idempotent_methods[index])}"
+        yield Finding(place, problem, "an HTTP method in capitals")
+
+
+# Most routes of a fleet name the same few methods.
+@functools.lru_cache(maxsize=256)
+def _wrong_methods(methods: tuple[str, ...]) -> tuple[int, ...]:
+    """Return the indexes of what is no HTTP method."""
+    return tuple(
+        index for index, method in enumerate(methods) if not METHOD.fullmatch(method)
+    )
 
 
 def _check_keys(path: str, key_hashes: tuple[str, ...]) -> Iterator[Finding]:
@@ -147,28 +156,28 @@
 
 
 def _find_repeated_pools(pools: Sequence[Pool]) -> Iterator[Finding]:
-    for name, indexes in _group(pools, lambda pool: pool.name):
-        for index in indexes[1:]:
-            problem = f"{show(name)} is also the name of pools[{indexes[0]}]"
-            yield Finding(f"pools[{index}].name", problem, "a name of its own")
+    for index, first in _find_repeats(pool.name for pool in pools):
+        problem = f"{show(pools[index].name)} is also the name of pools[{first}]"
+        yield Finding(f"pools[{index}].name", problem, "a name of its own")
 
 
 def _find_repeated_routes(routes: Sequence[Route]) -> Iterator[Finding]:
-    groups = _group(routes, lambda route: (route.team, route.path_prefix))
-    for (team, path_prefix), indexes in groups:
-        for index in indexes[1:]:
-            problem = (
-                f"team {show(team)} has {show(path_prefix)} "
-                f"in routes[{indexes[0]}] already"
-            )
-            yield Finding(f"routes[{index}]", problem, "one route per team and prefix")
+    keys = ((route.team, route.path_prefix) for route in routes)
+    for index, first in _find_repeats(keys):
+        route = routes[index]
+        problem = (
+            f"team {show(route.team)} has {show(route.path_prefix)} "
+            f"in routes[{first}] already"
+        )
+        yield Finding(f"routes[{index}]", problem, "one route per team and prefix")
 
 
 def _find_shared_keys(routes: Sequence[Route]) -> Iterator[Finding]:
-    first_by_hash: dict[str, tuple[int, str]] = {}
+    first_by_hash: dict[str, int] = {}
     for index, route in enumerate(routes):
         for key_hash in route.key_hashes:
-            first, team = first_by_hash.setdefault(key_hash, (index, route.team))
+            first = first_by_hash.setdefault(key_hash, index)
+            team = routes[first].team
             if team != route.team:
                 problem = (
                     f"{show(key_hash[:12])}... is a key of team {show(team)} "
@@ -180,25 +189,22 @@
 
 
 def _find_differing_weights(routes: Sequence[Route]) -> Iterator[Finding]:
-    for (team, pool), indexes in _group(routes, lambda row: (row.team, row.pool)):
-        first = routes[indexes[0]].weight
-        for index in indexes[1:]:
-            weight = routes[index].weight
-            if weight != first:
-                problem = (
-                    f"is {weight}, but team {show(team)} has weight {first} "
-                    f"in pool {show(pool)} by routes[{indexes[0]}]"
-                )
-                yield Finding(
-                    f"routes[{index}].weight", problem, "one weight per team and pool"
-                )
+    for index, first in _find_repeats((route.team, route.pool) for route in routes):
+        route, weight = routes[index], routes[first].weight
+        if route.weight != weight:
+            problem = (
+                f"is {route.weight}, but team {show(route.team)} has weight {weight} "
+                f"in pool {show(route.pool)} by routes[{first}]"
+            )
+            yield Finding(
+                f"routes[{index}].weight", problem, "one weight per team and pool"
+            )
 
 
-def _group(
-    rows: Iterable[Pool | Route], key: Callable[[Pool | Route], object]
-) -> list[tuple[object, list[int]]]:
-    """Return the indexes of the rows with the same key, for each key."""
-    indexes_by_key: defaultdict[object, list[int]] = defaultdict(list)
-    for index, row in enumerate(rows):
-        indexes_by_key[key(row)].append(index)
-    return list(indexes_by_key.items())
+def _find_repeats(keys: Iterable[Hashable]) -> Iterator[tuple[int, int]]:
+    """Return the index of each repeated key with the index of its first use."""
+    first_by_key: dict[Hashable, int] = {}
+    for index, key in enumerate(keys):
+        first = first_by_key.setdefault(key, index)
+        if first != index:
+            yield index, first
--- a/packages/almondfield-core/src/almondfield_core/tables/tests/tables.feature
+++ b/packages/almondfield-core/src/almondfield_core/tables/tests/tables.feature
@@ -48,6 +48,7 @@
       path_prefix = "/v1"
       pool = "writing"
       key_hashes = ["2D711642"]
+      idempotent_methods = ["GET", "put"]
 
       [[routes]]
       team = "mares"
@@ -64,6 +65,7 @@
       | routes[0].path_prefix   | is 'v1'                                        | / and then up to 1023 printable characters |
       | routes[0].weight        | is 0.0                                         | 0.001 to 1000000 |
       | routes[1].key_hashes[0] | is '2D711642'                                  | a SHA-256 of 64 lower-case hexadecimal digits |
+      | routes[1].idempotent_methods[1] | is 'put'                               | an HTTP method in capitals |
       | routes[2]               | team 'mares' has '/v1' in routes[1] already    | one route per team and prefix |
       | routes[2].weight        | is 2.0, but team 'mares' has weight 1.0 in pool 'writing' by routes[1] | one weight per team and pool |
 
