List items of settings and tables by the same code

Cause: names of types and defaults were worked out twice, for almondfield settings and for the reference pages. Conclusion: one place to mend.

--- a/packages/almondfield-core/src/almondfield_core/settings/listing.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/listing.py
@@ -1,6 +1,7 @@
 """Lists the items of data classes with their types, units and defaults."""
 
 import dataclasses
+import re
 import types
 import typing
 from collections.abc import Iterator
@@ -30,6 +31,9 @@
     description: str
 
 
+# One item of a docstring, up to the next one or the end.
+_DOCUMENTED = re.compile(r":ivar (\w+): (.*?)(?=:ivar|\Z)", re.DOTALL)
+_SECONDS = "_s"
 _NAME_BY_TYPE = {
     str: "text",
     bool: "true or false",
@@ -38,30 +42,45 @@
 }
 
 
-def list_items() -> tuple[ItemDescription, ...]:
-    """Return the items of a daemon's settings, in order."""
-    return tuple(_list_items(DaemonSettings, ""))
+def list_items(wanted: type = DaemonSettings) -> tuple[ItemDescription, ...]:
+    """Return the items of a data class and of those nested in it, in order.
+
+    An item without a description of its own has that of the docstring.
+
+    :param wanted: the data class; a daemon's settings by default.
+    """
+    return tuple(_list_items(wanted, ""))
 
 
 def _list_items(wanted: Any, prefix: str) -> Iterator[ItemDescription]:
     type_by_name = typing.get_type_hints(wanted)
+    text_by_name = dict(_DOCUMENTED.findall(wanted.__doc__ or ""))
     for item in dataclasses.fields(wanted):
         item_type = type_by_name[item.name]
         path = f"{prefix}{item.name}"
+        element = _element_of(item_type)
         if dataclasses.is_dataclass(item_type):
             yield from _list_items(item_type, f"{path}.")
-            continue
-        element = _element_of(item_type)
-        if element is not None and dataclasses.is_dataclass(element):
+        elif dataclasses.is_dataclass(element):
             yield from _list_items(element, f"{path}[].")
-            continue
-        yield ItemDescription(
-            path,
-            _name_type(item_type),
-            item.metadata.get("unit", ""),
-            _show_default(item),
-            item.metadata.get("description", ""),
-        )
+        else:
+            text = _to_sentence(text_by_name.get(item.name, ""))
+            yield ItemDescription(
+                path,
+                _name_type(item_type),
+                item.metadata.get("unit", _unit_of(item.name)),
+                _show_default(item),
+                item.metadata.get("description", text),
+            )
+
+
+def _to_sentence(text: str) -> str:
+    words = " ".join(text.split())
+    return words[:1].upper() + words[1:]
+
+
+def _unit_of(name: str) -> str:
+    return "s" if name.endswith(_SECONDS) else ""
 
 
 def _element_of(item_type: Any) -> Any:
@@ -75,18 +94,28 @@
     element = _element_of(item_type)
     if element is not None:
         return f"list of {_name_type(element)}"
-    if isinstance(item_type, type) and issubclass(item_type, Enum):
+    if typing.get_origin(item_type) is dict:
+        return "table of text"
+    if issubclass(item_type, Enum):
         return "one of " + ", ".join(f'"{member.value}"' for member in item_type)
     return _NAME_BY_TYPE[item_type]
 
 
 def _show_default(item: dataclasses.Field) -> str | None:
-    match item.default:
-        case dataclasses.MISSING:
-            return None
-        case bool() as flag:
-            return str(flag).lower()
+    if item.default_factory is not dataclasses.MISSING:
+        return "{}"
+    if item.default is dataclasses.MISSING:
+        return None
+    return _to_toml(item.default)
+
+
+def _to_toml(value: Any) -> str:
+    match value:
+        case bool():
+            return str(value).lower()
         case Enum() | str():
-            return f'"{item.default}"'
+            return f'"{value}"'
+        case tuple():
+            return "[" + ", ".join(_to_toml(inner) for inner in value) + "]"
         case _:
-            return str(item.default)
+            return str(value)
