--- a/tools/make_reference.py
+++ b/tools/make_reference.py
@@ -48,9 +48,9 @@
     yield "the file was exported at; `almondfield apply` then refuses the file once"
     yield "another change has been accepted."
     yield ""
-    yield "A row of `pools` says what capacity stands behind a name: `selects` picks the"
-    yield "backend servers, `timeouts` says how long a router waits for one. A row of"
-    yield "`routes` sends a team's requests under a path to a pool."
+    yield "A row of `pools` says what capacity stands behind a name: `selects` picks"
+    yield "the backend servers, `timeouts` says how long a router waits for one. A row"
+    yield "of `routes` sends a team's requests under a path to a pool."
     for table, row_type in (("pools", Pool), ("routes", Route)):
         for section, items in group_items(list_items(row_type)).items():
             title = f"`[{table}.{section}]`" if section else f"`[[{table}]]`"
