Be unready from SIGTERM on, as from the operators' drain on

Cause: /ready answered 200 while a host that got SIGTERM drained. What: the graceful shutdown sets the same event as the drain.

--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
@@ -118,6 +118,7 @@
     async def shut_down(self) -> None:
         """Return after leaving the fleet without cutting a request."""
         eliot.log_message("daemon:draining", host=self.host.name)
+        self._drain_asked.set()
         self.membership.drain()
         await self.control.hand_over()
         # Callers may use the last answer that named this host until it expires.
