Log what operators ask for

Cause: the audit trail holds accepted changes only; refused ones, drains and changes of voters left no trace. What: one log message each, with the outcome's type; never the token.

--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import Any
 
+import eliot
 from almondfield_core.findings import Finding
 from almondfield_core.messages import (
     ControlUnavailable,
@@ -126,7 +127,9 @@
         wait_s = read_query(request, "wait", 0, MAX_WAIT_S)
         max_bytes = self._node.settings.limits.max_tables_bytes
         change = await read_body(request, TableChange, max_bytes, _check_change)
-        match await self._control.apply(change):
+        outcome = await self._control.apply(change)
+        _log("change", outcome, change_id=change.change_id, author=change.author)
+        match outcome:
             case Ok(accepted):
                 pass
             case Err(failure):
@@ -180,21 +183,30 @@
             finding = Finding("body: host", f"is {wanted.host!r}", own)
             raise RequestRefusedError(421, finding)
         self._node.drain()
+        _log("drain", Ok(DrainStarted(own)), host=own)
         return answer(DrainStarted(own), 202)
 
     async def post_admit(self, request: Request) -> Response:
         """Admit a learner to the control group."""
         wanted = await read_body(request, VoterChange, MAX_SMALL_BODY_BYTES)
         outcome = await self._node.control.admit_voter(wanted.host)
+        _log("admit", outcome, host=wanted.host)
         return _answer_voters(wanted.host, True, outcome)
 
     async def post_remove(self, request: Request) -> Response:
         """Remove a member from the control group."""
         wanted = await read_body(request, VoterChange, MAX_SMALL_BODY_BYTES)
         outcome = await self._node.control.remove_voter(wanted.host)
+        _log("remove", outcome, host=wanted.host)
         return _answer_voters(wanted.host, False, outcome)
 
 
+def _log(operation: str, outcome: Result[Any, Any], **items: str) -> None:
+    result = type(outcome.ok_value if outcome.is_ok() else outcome.err_value).__name__
+    done = outcome.is_ok()
+    eliot.log_message(f"operator:{operation}", done=done, result=result, **items)
+
+
 def _answer_voters(host: str, votes: bool, outcome: Result[str, str]) -> Response:
     match outcome:
         case Ok(_):
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/operator.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/operator.feature
@@ -89,6 +89,16 @@
     Then the status is 202
     And "/ready" answers 503
 
+  Scenario: What operators ask for is logged, without their token
+    When a change "c1" against revision 0 is posted with wait 0
+    And a change "c2" against revision 0 is posted with wait 0
+    And the host is told to drain "north-1"
+    Then the log holds
+      | message         | done  | result         |
+      | operator:change | True  | ChangeAccepted |
+      | operator:change | False | ChangeConflict |
+      | operator:drain  | True  | DrainStarted   |
+
   Scenario: Voters are admitted and removed by their host
     When "admit" of the voter on "north-1" is asked for
     Then the answer is 200 and holds
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/steps/operator_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/steps/operator_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import eliot
 import msgspec
 from almondfield_core.messages import ControlUnavailable, TableChange
 from almondfield_core.tables import Pool, Route
@@ -33,6 +34,9 @@
 def step_impl(context):
     context.control = FakeControl()
     context.app = build_operator_app(make_node(context.control), OPERATOR_TOKEN)
+    context.log = []
+    eliot.add_destinations(context.log.append)
+    context.add_cleanup(eliot.remove_destination, context.log.append)
 
 
 @given("no quorum can be reached")
@@ -129,6 +133,17 @@
     assert body["revision"] == revision, body
 
 
+@then("the log holds")
+def step_impl(context):
+    logged = [
+        (message["message_type"], str(message["done"]), message["result"])
+        for message in context.log
+    ]
+    wanted = [(row["message"], row["done"], row["result"]) for row in context.table]
+    assert logged == wanted, logged
+    assert OPERATOR_TOKEN not in str(context.log)
+
+
 @then("{seconds:d} seconds have passed")
 def step_impl(context, seconds):
     assert context.loop.time() >= seconds
