--- /dev/null
+++ b/bench/slopes_router.py
@@ -0,0 +1,154 @@
+"""Slopes of the data path: chunks and requests through one daemon process."""
+
+import asyncio
+import json
+import os
+import random
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+
+from almondfield_core.clock import now
+from almondfield_core.tables import PoolKind
+from deployment import Deployment, PoolPlan, Profile
+from fleet import Fleet
+from slopes_fit import Slope, fit
+
+__all__ = ["measure_router"]
+
+MICROSECONDS = 1e6
+TICKS = os.sysconf("SC_CLK_TCK")
+FIRST_PORTS = range(21000, 29000, 100)
+STREAMS = 100
+STREAM_S = 4.0
+CHUNKS_PER_STREAM = (4, 20, 40, 80)
+REQUEST_RATES = (0, 50, 100, 200)
+WARM_S = 1.0
+MEASURE_S = 2.0
+PATH = "/v1/writing"
+
+
+def measure_router() -> list[Slope]:
+    """Return the slopes of chunks and of requests."""
+    return asyncio.run(_measure())
+
+
+async def _measure() -> list[Slope]:
+    plans = (
+        PoolPlan("writing", PoolKind.MODEL, PATH, 4, 64, 1.0, 0.5),
+        PoolPlan("orders", PoolKind.SERVICE, "/v1/orders", 2, 64, 0.1, 0.5),
+    )
+    profile = Profile("slopes", "local", {"dc1": 1}, plans, 4)
+    with tempfile.TemporaryDirectory() as folder:
+        first_port = random.choice(FIRST_PORTS)
+        deployment = Deployment(profile, Path(folder) / "d", first_port, "fair-share")
+        fleet = Fleet(deployment, relayed=False)
+        try:
+            await fleet.start()
+            await asyncio.sleep(2.0)
+            return await _measure_fleet(fleet)
+        finally:
+            await fleet.stop()
+
+
+async def _measure_fleet(fleet: Fleet) -> list[Slope]:
+    chunks = [(await _stream(fleet, count)) for count in CHUNKS_PER_STREAM]
+    requests = [(await _request(fleet, rate)) for rate in REQUEST_RATES]
+    memory = fleet.largest_memory_mb()
+    return [
+        fit(
+            "router, chunks",
+            "chunks a second through the daemon",
+            "us of processor time a second",
+            f"{STREAMS} streams, one event a chunk, TCP on loopback",
+            chunks,
+        ),
+        fit(
+            "router, requests",
+            "requests a second through the daemon",
+            "us of processor time a second",
+            "short answers of a plain service, TCP on loopback",
+            requests,
+        ),
+        replace(
+            fit(
+                "router, memory",
+                "streams held",
+                "MB of the process",
+                "one point: after these measurements",
+                [(0, memory), (STREAMS, memory)],
+            ),
+            points=((STREAMS, memory),),
+        ),
+    ]
+
+
+async def _stream(fleet: Fleet, chunks: int) -> tuple[float, float]:
+    """Return (chunks a second, processor time a second) of the daemon."""
+    calls = [
+        asyncio.create_task(_call(fleet, PATH, f"s-{chunks}-{n}", STREAM_S, chunks))
+        for n in range(STREAMS)
+    ]
+    await asyncio.sleep(WARM_S)
+    spent_us = await _spent_us(fleet)
+    whole = await asyncio.gather(*calls)
+    assert all(whole), "a stream was not answered"
+    return STREAMS * chunks / STREAM_S, spent_us
+
+
+async def _request(fleet: Fleet, rate: int) -> tuple[float, float]:
+    calls = []
+
+    async def send():
+        while True:
+            name = f"r-{rate}-{len(calls)}"
+            call = _call(fleet, "/v1/orders", name, 0.01, 1)
+            calls.append(asyncio.create_task(call))
+            await asyncio.sleep(1.0 / rate)
+
+    sender = asyncio.create_task(send()) if rate else None
+    await asyncio.sleep(WARM_S)
+    before = len(calls)
+    started_s = now()
+    spent_us = await _spent_us(fleet)
+    reached = (len(calls) - before) / (now() - started_s)
+    if sender:
+        sender.cancel()
+    assert all(await asyncio.gather(*calls)), "a request was not answered"
+    return reached, spent_us
+
+
+async def _spent_us(fleet: Fleet) -> float:
+    process = next(iter(fleet.daemon_by_host.values()))
+    before, started_s = _processor_s(process.pid), now()
+    await asyncio.sleep(MEASURE_S)
+    spent_s = _processor_s(process.pid) - before
+    return spent_s / (now() - started_s) * MICROSECONDS
+
+
+def _processor_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+async def _call(fleet: Fleet, path: str, name: str, cost_s: float, chunks: int) -> bool:
+    """Return whether a request was answered with status 200 up to its end."""
+    address, _, port = fleet.deployment.seeds[0].rpartition(":")
+    load = next(load for load in fleet.deployment.loads() if load.path == path)
+    order = {"id": name, "team": load.team, "cost_s": cost_s, "chunks": chunks}
+    body = json.dumps(order).encode()
+    head = (
+        f"POST {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n"
+        f"authorization: Bearer {load.key}\r\ncontent-type: application/json\r\n"
+        f"content-length: {len(body)}\r\n\r\n"
+    )
+    reader, writer = await asyncio.open_connection(address, int(port))
+    writer.write(head.encode() + body)
+    answer = b"".join([piece async for piece in _pieces(reader)])
+    writer.close()
+    return answer.startswith(b"HTTP/1.1 200")
+
+
+async def _pieces(reader: asyncio.StreamReader):
+    while piece := await reader.read(65536):
+        yield piece
