Bound the traffic of spare levels, and measure claims kept and announcements

Cause: the slope of spare levels, 136 B/s sent by each host per change a second, would let 370 hosts whose level flaps every tick send 167 KB/s each. Change: a host tells of its spare level at most once in 10 s, so at 370 hosts at most 37 changes a second and about 5 KB/s.

--- a/bench/slopes_control.py
+++ b/bench/slopes_control.py
@@ -23,6 +23,7 @@
 ROWS = (100, 200, 400, 800)
 CHANGES = (0, 2, 4, 8)
 CLAIMS = (0, 25, 50, 100)
+KEPT_CLAIMS = (50, 100, 150, 200)
 MEASURE_S = 4.0
 SECRETS = SecuritySettings("", "", "")
 
@@ -159,6 +160,9 @@
     memory = [(rows, _row_memory(rows)) for rows in ROWS]
     unit = "bytes of one host"
     slopes.append(fit("tables, memory", "rows of the tables", unit, "routes", memory))
+    kept = [(claims, _claim_memory(claims)) for claims in KEPT_CLAIMS]
+    unit = "bytes of one voter"
+    slopes.append(fit("claims, memory", "claims kept", unit, "state and log", kept))
     return slopes
 
 
@@ -247,6 +251,27 @@
     return _measure(6, work)
 
 
+def _claim_memory(claims: int) -> float:
+    group = _Group(VOTERS)
+
+    async def main():
+        await group.start()
+        tracemalloc.start()
+        before = tracemalloc.get_traced_memory()[0]
+        for number in range(claims):
+            await group.claim(number)
+        written = sum(len(b) for d in group.disks.values() for b in _files(d))
+        used = tracemalloc.get_traced_memory()[0] - before
+        tracemalloc.stop()
+        return (used - written) / VOTERS
+
+    return run_metered(group.network, main)
+
+
+def _files(disk: _MemoryDisk) -> list[bytes]:
+    return list(disk.file_by_name.values())
+
+
 def _row_memory(rows: int) -> float:
     tracemalloc.start()
     try:
--- a/bench/slopes_router.py
+++ b/bench/slopes_router.py
@@ -8,11 +8,13 @@
 from dataclasses import replace
 from pathlib import Path
 
+import msgspec
 from almondfield_core.clock import now
 from almondfield_core.tables import PoolKind
-from deployment import Deployment, PoolPlan, Profile
+from deployment import BACKEND_TOKEN, Deployment, PoolPlan, Profile
 from fleet import Fleet
 from slopes_fit import Slope, fit
+from slopes_hosts import make_announcement
 
 __all__ = ["measure_router"]
 
@@ -23,6 +25,7 @@
 STREAM_S = 4.0
 CHUNKS_PER_STREAM = (4, 20, 40, 80)
 REQUEST_RATES = (0, 50, 100, 200)
+ANNOUNCE_RATES = (0, 50, 100, 200)
 WARM_S = 1.0
 MEASURE_S = 2.0
 PATH = "/v1/writing"
@@ -54,6 +57,7 @@
 async def _measure_fleet(fleet: Fleet) -> list[Slope]:
     chunks = [(await _stream(fleet, count)) for count in CHUNKS_PER_STREAM]
     requests = [(await _request(fleet, rate)) for rate in REQUEST_RATES]
+    announced = [(await _announce(fleet, rate)) for rate in ANNOUNCE_RATES]
     memory = fleet.largest_memory_mb()
     return [
         fit(
@@ -70,6 +74,13 @@
             "short answers of a plain service, TCP on loopback",
             requests,
         ),
+        fit(
+            "router, announcements",
+            "announcements a second to the daemon",
+            "us of processor time a second",
+            "HTTP on one kept connection; one host, so their relay is local",
+            announced,
+        ),
         replace(
             fit(
                 "router, memory",
@@ -118,6 +129,45 @@
     return reached, spent_us
 
 
+async def _announce(fleet: Fleet, rate: int) -> tuple[float, float]:
+    address, _, port = fleet.deployment.seeds[0].rpartition(":")
+    reader, writer = await asyncio.open_connection(address, int(port))
+    sent = 0
+
+    async def send():
+        nonlocal sent
+        while True:
+            said = make_announcement(sent % 10, "none")
+            body = msgspec.json.encode(said)
+            head = (
+                f"POST /announcements HTTP/1.1\r\nhost: {address}\r\n"
+                f"authorization: Bearer {BACKEND_TOKEN}\r\n"
+                f"content-type: application/json\r\n"
+                f"content-length: {len(body)}\r\n\r\n"
+            )
+            writer.write(head.encode() + body)
+            status = await reader.readline()
+            assert status.startswith(b"HTTP/1.1 202"), status
+            length = 0
+            while (line := await reader.readline()) != b"\r\n":
+                if line.lower().startswith(b"content-length:"):
+                    length = int(line.split(b":")[1])
+            await reader.readexactly(length)
+            sent += 1
+            await asyncio.sleep(1.0 / rate)
+
+    sender = asyncio.create_task(send()) if rate else None
+    await asyncio.sleep(WARM_S)
+    before, started_s = sent, now()
+    spent_us = await _spent_us(fleet)
+    reached = (sent - before) / (now() - started_s)
+    if sender:
+        assert not sender.done(), sender
+        sender.cancel()
+    writer.close()
+    return reached, spent_us
+
+
 async def _spent_us(fleet: Fleet) -> float:
     process = next(iter(fleet.daemon_by_host.values()))
     before, started_s = _processor_s(process.pid), now()
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/core.py
@@ -28,6 +28,7 @@
 
 RELAY_WINDOW_S = 0.25
 URGENT_WINDOW_S = 0.05
+SPARE_INTERVAL_S = 10.0
 GREATEST_SPARE_LEVEL = 15
 
 
@@ -62,6 +63,7 @@
         self._read_spare: Callable[[], float] = lambda: 0.0
         self._state = HostState.LIVE
         self._number = 0
+        self._spare_said_s = -SPARE_INTERVAL_S
         self._started_s = now()
         self._urgent = asyncio.Event()
         peers.listen(HostDigest, self._on_digest)
@@ -229,8 +231,10 @@
     def _say_spare(self) -> None:
         level = round(math.log2(1.0 + max(0.0, self._read_spare())))
         level = min(level, GREATEST_SPARE_LEVEL)
-        if self._directory.spare(self._own.name) == 2.0**level:
+        same = self._directory.spare(self._own.name) == 2.0**level
+        if same or now() - self._spare_said_s < SPARE_INTERVAL_S:
             return
+        self._spare_said_s = now()
         spare = SpareNews(self._own.name, self._incarnation, self._next(), level)
         self._say(HostDigest(spares=(spare,)))
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/steps/hosts_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/steps/hosts_steps.py
@@ -1,6 +1,7 @@
 """Steps of hosts.feature."""
 
 import asyncio
+import itertools
 
 from almondfield_daemon.membership import Membership
 from almondfield_daemon.membership.neighbours import find_neighbours
@@ -64,6 +65,26 @@
         host.membership.watch_spare(lambda own=other == name: spare if own else 0)
 
 
+@given("the spare slots of every host change all the time")
+def step_impl(context):
+    context.told = {name: set() for name in context.hosts}
+    for name, host in context.hosts.items():
+        levels = itertools.cycle((0, 100))
+        host.membership.watch_spare(lambda levels=levels: next(levels))
+        take_note(context.told[name], name, host.membership)
+
+
+def take_note(told, name, membership):
+    """Count what a host says of itself by what it passes on."""
+    pass_on = membership._pass_on
+
+    def noted(digest, source):
+        told.update(n.order for n in digest.spares if n.host == name == source)
+        pass_on(digest, source)
+
+    membership._pass_on = noted
+
+
 @given("a tenth of the messages is lost and a tenth repeated")
 def step_impl(context):
     context.network.loss = context.network.repeat = 0.1
@@ -198,3 +219,9 @@
         for _ in range(most):
             reached |= {other for host in reached for other in neighbours[host]}
         assert len(reached) == 370, len(reached)
+
+
+@then("every host has told of its spare slots at most {most:d} times")
+def step_impl(context, most):
+    counts = [len(told) for told in context.told.values()]
+    assert all(1 <= count <= most for count in counts), counts
