--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -10,6 +10,7 @@
 __all__ = ["BackendConnection", "ConnectionCutError"]
 
 HIGH_WATER_BYTES = 256 * 1024
+SMALL_BODY_BYTES = 16 * 1024
 BODILESS_STATUSES = (204, 304)
 
 
@@ -59,8 +60,10 @@
         :raises ConnectionCutError: where the connection is lost meanwhile.
         """
         self._start_answer(method)
-        self._transport.write(head)
-        if body:
+        if len(body) <= SMALL_BODY_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.write(head)
             self._transport.write(body)
         if self._writable is not None:
             await self._writable
@@ -88,9 +91,18 @@
             await self._wait()
         return self._take()
 
+    def fail(self, reason: str) -> None:
+        """Make the connection unusable and wake whoever waits.
+
+        :param reason: what was seen; the first one stays.
+        """
+        if not self._failure:
+            self._failure = reason
+        self._wake()
+
     def close(self) -> None:
         """Close the connection at once."""
-        self._fail("closed by this side")
+        self.fail("closed by this side")
         if self._transport is not None:
             self._transport.abort()
 
@@ -101,28 +113,28 @@
     def data_received(self, data: bytes) -> None:
         """Parse what arrived; called by the event loop."""
         if self._parser is None or self.complete:
-            self._fail("bytes that belong to no request")
+            self.fail("bytes that belong to no request")
             self._transport.abort()
             return
         self._answered = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._fail("the server switched protocols")
+            self.fail("the server switched protocols")
         except httptools.HttpParserError as error:
-            self._fail(f"malformed answer: {error}")
+            self.fail(f"malformed answer: {error}")
         if self._buffered > HIGH_WATER_BYTES:
             self._transport.pause_reading()
         self._wake()
 
     def eof_received(self) -> bool:
         """Let the transport close; called by the event loop."""
-        self._fail("the server closed the connection")
+        self.fail("the server closed the connection")
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Wake whoever waits; called by the event loop."""
-        self._fail(f"connection lost: {error}")
+        self.fail(f"connection lost: {error}")
         self.resume_writing()
 
     def pause_writing(self) -> None:
@@ -141,7 +153,7 @@
     def on_message_begin(self) -> None:
         """Forget an interim answer; called by the parser."""
         if self.head_complete:
-            self._fail("bytes that belong to no request")
+            self.fail("bytes that belong to no request")
             return
         self.headers = []
 
@@ -164,7 +176,7 @@
     def on_body(self, part: bytes) -> None:
         """Keep a part of the body; called by the parser."""
         if self.complete:
-            self._fail("a body where none is allowed")
+            self.fail("a body where none is allowed")
             return
         self._parts.append(part)
         self._buffered += len(part)
@@ -209,8 +221,3 @@
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
-
-    def _fail(self, reason: str) -> None:
-        if not self._failure:
-            self._failure = reason
-        self._wake()
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/caller.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/caller.py
@@ -1,8 +1,6 @@
 """Takes one caller's request through the router and streams its answer."""
 
-import asyncio
-from collections.abc import AsyncIterator
-from contextlib import aclosing, asynccontextmanager, suppress
+from contextlib import aclosing, suppress
 from dataclasses import replace
 from typing import Any
 
@@ -10,9 +8,15 @@
 from almondfield_core.settings import DaemonSettings
 from result import Err, Ok
 
-from almondfield_daemon.edge.bodies import BodyBudget, CallerGoneError, read_body
+from almondfield_daemon.edge.bodies import (
+    BodyBudget,
+    CallerGoneError,
+    HeldBody,
+    read_body,
+)
 from almondfield_daemon.edge.heads import RequestHead, parse_head, request_id_of
 from almondfield_daemon.edge.replies import send_problem
+from almondfield_daemon.edge.watch import CallerWatch
 from almondfield_daemon.router import (
     Answer,
     AnswerCutError,
@@ -26,7 +30,6 @@
 __all__ = ["CallerEndpoint"]
 
 OUTCOME_HEADER = b"almondfield-outcome"
-CALLER_TIMEOUT_S = 30.0
 
 
 class CallerEndpoint:
@@ -73,7 +76,7 @@
     async def _take(
         self, head: RequestHead, plan: Plan, receive: Any, send: Any
     ) -> None:
-        held = _HeldBody(self.budget)
+        held = HeldBody(self.budget, plan.route.team)
         try:
             body = await read_body(
                 receive, head.declared_bytes, self._limits.max_body_bytes, held.take
@@ -81,38 +84,45 @@
             match body:
                 case Ok(content):
                     request = replace(head.request, body=content)
-                    async with _until_disconnect(receive):
-                        await self._serve(request, plan, send, held)
+                    async with CallerWatch(receive) as watch:
+                        await self._serve(request, plan, send, held, watch)
                 case Err(problem):
                     await self._refuse(send, problem, head.request.request_id)
-        except CallerGoneError:
-            return
+        except CallerGoneError as error:
+            _log_cut(head.request, str(error))
         finally:
             held.release()
 
     async def _serve(
-        self, request: CallerRequest, plan: Plan, send: Any, held: "_HeldBody"
+        self,
+        request: CallerRequest,
+        plan: Plan,
+        send: Any,
+        held: HeldBody,
+        watch: CallerWatch,
     ) -> None:
         match await self._router.serve(request, plan):
             case Ok(answer):
                 held.release()
-                await self._stream(answer, request, send)
+                await self._stream(answer, request, send, watch)
             case Err(problem):
                 await send_problem(send, problem, request.request_id, self._membership)
 
-    async def _stream(self, answer: Answer, request: CallerRequest, send: Any) -> None:
+    async def _stream(
+        self, answer: Answer, request: CallerRequest, send: Any, watch: CallerWatch
+    ) -> None:
         """Stream an answer; returning before its end closes the connection."""
         try:
             await send(_start(answer, request))
             async with aclosing(answer.chunks()) as chunks:
                 async for chunk in chunks:
-                    async with asyncio.timeout(CALLER_TIMEOUT_S):
-                        await send(_part(chunk, more=True))
+                    watch.stall.begin()
+                    await send(_part(chunk, more=True))
+                    watch.stall.end()
+            watch.stall.begin()
             await send(_part(b"", more=False))
         except AnswerCutError as error:
             _log_cut(request, f"backend server: {error}")
-        except TimeoutError:
-            _log_cut(request, f"the caller took no byte for {CALLER_TIMEOUT_S} s")
         finally:
             answer.close()
 
@@ -127,24 +137,6 @@
         await send_problem(send, problem, request_id, self._membership, close=True)
 
 
-class _HeldBody:
-    """The share of one request in the budget."""
-
-    def __init__(self, budget: BodyBudget) -> None:
-        self._budget = budget
-        self._held_bytes = 0
-
-    def take(self, count: int) -> bool:
-        if not self._budget.take(count):
-            return False
-        self._held_bytes += count
-        return True
-
-    def release(self) -> None:
-        self._budget.give_back(self._held_bytes)
-        self._held_bytes = 0
-
-
 def _log_cut(request: CallerRequest, reason: str) -> None:
     eliot.log_message("request:cut", request_id=request.request_id, reason=reason)
 
@@ -164,30 +156,3 @@
 
 def _part(body: bytes, more: bool) -> dict[str, Any]:
     return {"type": "http.response.body", "body": body, "more_body": more}
-
-
-@asynccontextmanager
-async def _until_disconnect(receive: Any) -> AsyncIterator[None]:
-    """Cancel the block when the caller's connection closes.
-
-    :raises CallerGoneError: where that happened.
-    """
-    work = asyncio.current_task()
-    gone = False
-
-    async def watch() -> None:
-        nonlocal gone
-        while (await receive())["type"] != "http.disconnect":
-            pass
-        gone = True
-        work.cancel()
-
-    watcher = asyncio.ensure_future(watch())
-    try:
-        yield
-    except asyncio.CancelledError:
-        if gone and work.uncancel() == 0:
-            raise CallerGoneError from None
-        raise
-    finally:
-        watcher.cancel()
