Use a server again that no longer says it leaves

Cause: the membership side marks a server as leaving while an order holds it, and lets it go under the same incarnation; the scheduler never used it again. Change: the newest announcement counts; one that says leaving stands against others heard within 0.5 s.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/registry/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/registry/core.py
@@ -13,6 +13,9 @@
 
 __all__ = ["News", "PoolServers", "owner_pool", "selects_server"]
 
+LEAVING_COUNTS_S = 0.5
+"""Time around an announcement to leave in which others don't replace it, in seconds."""
+
 
 def selects_server(pool: Pool, server: ServerAnnouncement) -> bool:
     """Return whether a server belongs to a pool by the pool's selector.
@@ -119,12 +122,16 @@
 def _is_newer(heard: _Heard, known: _Heard) -> bool:
     """Return whether an announcement replaces another one of the same server.
 
-    A server that leaves stays so until it starts anew.
+    Announcements reach a scheduler over several hosts and may overtake one another,
+    so that leaving counts for a while against one that says otherwise.
     """
     incarnation = heard.announcement.incarnation
     if incarnation != known.announcement.incarnation:
         return incarnation > known.announcement.incarnation
     leaves = heard.announcement.state == ServerState.LEAVING
-    if leaves != (known.announcement.state == ServerState.LEAVING):
-        return leaves
+    left = known.announcement.state == ServerState.LEAVING
+    if leaves and not left:
+        return heard.at_s > known.at_s - LEAVING_COUNTS_S
+    if left and not leaves:
+        return heard.at_s > known.at_s + LEAVING_COUNTS_S
     return heard.at_s > known.at_s
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/tests/backends.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/tests/backends.feature
@@ -25,13 +25,24 @@
     When 20 requests of 0.1 s are sent one after the other
     Then "server-1" was tried 20 times
 
-  Scenario: A leaving server gets no new work, and a silent one neither
+  Scenario: A leaving server gets no new work
     Given a fleet of 3 hosts with 2 servers of 4 slots
     When "server-1" leaves
     And 0.1 s pass
     And 4 requests of 1 s are sent
     Then "server-1" runs 0 requests
 
+  Scenario: A server that takes work again is used again
+    Given a fleet of 3 hosts with 2 servers of 4 slots
+    When "server-1" leaves
+    And an announcement from before arrives late
+    And 4 requests of 1 s are sent
+    Then "server-1" runs 0 requests
+    When "server-1" takes work again
+    And 2.1 s pass
+    And 4 requests of 1 s are sent
+    Then "server-1" runs 4 requests
+
   Scenario: A silent server gets no new work
     Given a fleet of 3 hosts with 2 servers of 4 slots
     When "server-1" falls silent
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/backend_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/backend_steps.py
@@ -2,8 +2,15 @@
 
 import asyncio
 from collections import Counter
-
-from almondfield_core.messages import ServerAnnouncement, ServerFailure, SlotRequest
+from dataclasses import replace
+
+from almondfield_core.messages import (
+    AnnouncementRelay,
+    ServerAnnouncement,
+    ServerFailure,
+    ServerState,
+    SlotRequest,
+)
 from almondfield_core.tables import Pool, PoolKind
 from almondfield_testing import run
 from behave import given, then, when
@@ -79,6 +86,26 @@
     run(context, leave())
 
 
+@when("an announcement from before arrives late")
+def step_impl(context):
+    async def arrive():
+        fleet = context.fleet
+        leaving = fleet.server_by_name["server-1"]
+        before = replace(leaving.announcement, state=ServerState.SERVING)
+        relay = AnnouncementRelay("pool", (before,), (0.0,))
+        await asyncio.sleep(0.02)
+        fleet.network.peers_by_host["host-2"].send(fleet.holder("pool"), relay)
+        await asyncio.sleep(0.02)
+
+    run(context, arrive())
+
+
+@when('"{server}" takes work again')
+def step_impl(context, server):
+    stub = context.fleet.server_by_name[server]
+    stub.announcement = replace(stub.announcement, state=ServerState.SERVING)
+
+
 @when('"{server}" falls silent')
 def step_impl(context, server):
     context.fleet.server_by_name[server].alive = False
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/sharing_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/sharing_steps.py
@@ -6,7 +6,7 @@
 from almondfield_core.messages import ServerAnnouncement
 from almondfield_core.tables import Pool, PoolKind
 from almondfield_testing import run
-from behave import given, then, when
+from behave import given, step, then
 from sharing_fleet import Fleet
 from sharing_load import Callers
 
@@ -35,7 +35,7 @@
     run(context, start())
 
 
-@when("{seconds:g} s pass")
+@step("{seconds:g} s pass")
 def step_impl(context, seconds):
     run(context, asyncio.sleep(seconds))
 
