--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -124,9 +124,10 @@
     try:
         return loop.run_until_complete(_measure(plan))
     finally:
-        for task in asyncio.all_tasks(loop):
+        tasks = asyncio.all_tasks(loop)
+        for task in tasks:
             task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
         loop.close()
 
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
@@ -262,8 +262,10 @@
             return waiter.answer.result()
         self.queues.remove(waiter)
         retry_after_s = self.retry_after_s(waiter.request.team)
+        backlogged = self._grant is not None and self._grant.backlogged
+        unused = not self.granted_slots and not self.usage.total()
         reason = NotRunReason.QUEUE_DEADLINE
-        if not self.granted_slots and not self.usage.total():
+        if unused and not backlogged:
             reason = NotRunReason.NO_CAPACITY
         return Err(NotRun(reason, retry_after_s))
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/sharing.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/sharing.py
@@ -80,7 +80,7 @@
             for host, count in split.items():
                 fair[host] += count
         wanted = sum(sum(by_router.values()) for by_router in requests.values())
-        self.backlogged = wanted > total
+        self.backlogged = 0 < total < wanted
         return self._with_idle(live, fair, total, free)
 
     def _even_targets(self, live: list[RouterState], total: int, horizon_s: float):
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/tests/queues.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/tests/queues.feature
@@ -35,3 +35,8 @@
     When the router drains
     And team "bar" asks with a deadline of 30 s
     Then it hears "draining" after 0 s
+
+  Scenario: A pool without servers has no capacity
+    Given a fleet of 1 hosts with 0 servers of 1 slots
+    When team "bar" asks with a deadline of 2 s
+    Then it hears "no-capacity" after 2 s with a time to come back
