Wire orders and the log file; refuse a missing data folder

Change: Orders runs in the daemon; the log goes where the settings say; a missing folder is one line and code 2; an attempt of which no byte left costs no retry budget.

--- a/packages/almondfield-control/src/almondfield_control/storage/folder.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/folder.py
@@ -17,14 +17,24 @@
 class FolderDisk:
     """Files of a data folder that one process at a time may use.
 
-    :param folder: the folder; made where it is missing.
-    :raises FindingsError: where another process holds the folder.
+    :param folder: the folder, which must exist: one that is missing may be a disk
+        that is not mounted, and an empty one in its place would make a new voter.
+    :raises FindingsError: where the folder is missing or another process holds it.
     """
 
     def __init__(self, folder: Path) -> None:
-        folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
-        self._lock = os.open(folder / _LOCK_NAME, os.O_CREAT | os.O_RDWR, _FILE_MODE)
+        try:
+            self._lock = os.open(
+                folder / _LOCK_NAME, os.O_CREAT | os.O_RDWR, _FILE_MODE
+            )
+        except OSError as error:
+            finding = Finding(
+                f"data_folder: {folder}",
+                f"cannot be used: {error.strerror}",
+                "an existing folder that the daemon may write",
+            )
+            raise FindingsError((finding,)) from None
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
--- a/packages/almondfield-daemon/src/almondfield_daemon/main.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/main.py
@@ -1,12 +1,15 @@
 """The binary ``almondfieldd``: one daemon from one settings file."""
 
 import asyncio
+import contextlib
 import signal
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
 
 import cyclopts
+import eliot
 from almondfield_core.findings import AlmondfieldError, Finding
 from almondfield_core.settings import DaemonSettings, load_settings
 from result import Err, Ok, Result
@@ -17,6 +20,7 @@
 
 EXIT_OK = 0
 EXIT_BAD_INPUT = 2
+LINE_BUFFERED = 1
 
 app = cyclopts.App(name="almondfieldd", help="Run one host of the router fleet.")
 
@@ -53,13 +57,36 @@
 
 def _run(settings: DaemonSettings, secrets: Secrets) -> int:
     try:
-        asyncio.run(_serve_until_stopped(settings, secrets))
+        with _logging_to(settings.log_file):
+            asyncio.run(_serve_until_stopped(settings, secrets))
     except AlmondfieldError as error:
         print(f"almondfieldd: {error}", file=sys.stderr)
         return EXIT_BAD_INPUT
     return EXIT_OK
 
 
+class LogFileError(AlmondfieldError):
+    """Raised where the log file cannot be written."""
+
+
+@contextlib.contextmanager
+def _logging_to(path: str) -> Iterator[None]:
+    """Write the log to a file, or to standard error where the path is empty."""
+    try:
+        log = open(path, "a", buffering=LINE_BUFFERED) if path else sys.stderr  # noqa: SIM115
+    except OSError as error:
+        reason = f"log_file: {path!r} cannot be written: {error.strerror}"
+        raise LogFileError(reason) from None
+    destination = eliot.FileDestination(file=log)
+    eliot.add_destinations(destination)
+    try:
+        yield
+    finally:
+        eliot.remove_destination(destination)
+        if path:
+            log.close()
+
+
 async def _serve_until_stopped(settings: DaemonSettings, secrets: Secrets) -> None:
     loop = asyncio.get_running_loop()
     # The one look at calendar time; the clock of the loop carries it on.
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/dispatch.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/dispatch.py
@@ -165,7 +165,10 @@
     def _may_retry(self, plan: Plan, failures: list[CallFailure]) -> bool:
         if failures[-1].may_have_run and not plan.repeatable:
             return False
-        if len(failures) >= MAX_ATTEMPTS or not self._budget.take():
+        if len(failures) >= MAX_ATTEMPTS:
+            return False
+        # An attempt of which no byte left adds no load to the servers.
+        if failures[-1].may_have_run and not self._budget.take():
             return False
         self.retries += 1
         return True
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/at_most_once.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/at_most_once.feature
@@ -47,6 +47,12 @@
     Then at most 230 calls were made
     And every slot is released
 
+  Scenario: An attempt of which no byte left costs no retry budget
+    Given calls end with connect before sending
+    When 200 GETs are served
+    Then 600 calls were made
+    And every slot is released
+
   Scenario: Tables that change while a request waits decide its pool
     Given the route changes to pool "writing" while the request waits
     When a POST is served
--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
@@ -13,6 +13,7 @@
 from almondfield_daemon.edge import build_caller_app
 from almondfield_daemon.membership import Membership
 from almondfield_daemon.operator import OperatorNode, build_operator_app
+from almondfield_daemon.orders import HttpOrderSender, Orders
 from almondfield_daemon.peers import PynngPeers
 from almondfield_daemon.router import Router
 from almondfield_daemon.runtime.secrets import Secrets
@@ -52,6 +53,12 @@
         self.router = Router(
             view, self.share, self.control.control, self.backends, settings
         )
+        sender = HttpOrderSender(secrets.backend_token)
+        control = self.control.control
+        self.orders = Orders(
+            self.peers, view, control, self.membership, sender, settings
+        )
+        self.orders.watch_waiting(self.schedulers.waiting_by_pool)
         self._drain_asked = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners = self._build_listeners(secrets)
@@ -83,6 +90,7 @@
             "share": self.share.stats(),
             "schedulers": self.schedulers.stats(),
             "router": self.router.stats(),
+            "orders": self.orders.stats(),
         }
 
     async def start(self) -> None:
@@ -94,6 +102,7 @@
             self.schedulers,
             self.membership,
             self.backends,
+            self.orders,
         )
         self._tasks = [asyncio.create_task(part.run()) for part in parts]
         for listener in self._listeners:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/core.py
@@ -88,6 +88,11 @@
             tuple(found for one in running for found in one.scheduler.findings),
         )
 
+    def waiting_by_pool(self) -> dict[str, int]:
+        """Return the requests that wait in all routers, by pool scheduled here."""
+        running_by_pool = self._running_by_pool.items()
+        return {pool: one.scheduler.waiting() for pool, one in running_by_pool}
+
     def scheduler(self, pool: str) -> PoolScheduler | None:
         """Return the scheduler of a pool, where this host runs it.
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
@@ -107,6 +107,11 @@
                 self._plan()
             await self._wait_work()
 
+    def waiting(self) -> int:
+        """Return the requests that wait in the live routers."""
+        reports = [router.report for router in self._live_routers()]
+        return sum(sum(r.waiting_by_team.values()) for r in reports if r)
+
     def take_report(self, host: str, report: DemandReport) -> None:
         """Note the state of a router.
 
