Wait a little before a retry, so that a failing server is left out meanwhile

Cause: after a backend server was killed its free slots drew request after request, and three attempts were over within milliseconds, before the server was left out. Change: 50 ms before the second attempt and 100 ms before the third, drawn half as much to one and a half times.

--- a/packages/almondfield-daemon/src/almondfield_daemon/router/dispatch.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/dispatch.py
@@ -1,5 +1,7 @@
 """Sends a request to backend servers until one answers or none may be tried."""
 
+import asyncio
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -28,6 +30,7 @@
 __all__ = ["Dispatched", "Dispatcher"]
 
 MAX_ATTEMPTS = 3
+FIRST_RETRY_DELAY_S = 0.05
 PRIVATE_HEADERS = frozenset(
     (b"host", b"authorization", b"content-length", b"expect", b"x-request-id")
 )
@@ -100,6 +103,7 @@
             if not self._may_retry(plan, failures):
                 return Err(_worst(from_call_failure(failure), failures))
             avoid += (slot.server.name,)
+            await asyncio.sleep(_retry_delay_s(len(failures)))
 
     async def _take_slot(
         self,
@@ -171,6 +175,11 @@
         return True
 
 
+def _retry_delay_s(failures: int) -> float:
+    """Return the seconds to wait, so that a failing server is left out meanwhile."""
+    return FIRST_RETRY_DELAY_S * 2 ** (failures - 1) * random.uniform(0.5, 1.5)
+
+
 def _worst(problem: Problem, failures: list[CallFailure]) -> Problem:
     """Return the problem, with outcome unknown if any attempt may have run."""
     if not any(failure.may_have_run for failure in failures):
