--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/servers.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/servers.py
@@ -61,6 +61,10 @@
         ejection = self._ejection_by_server.get(server)
         return ejection is not None and now() < ejection.until_s
 
+    def ejected_until_s(self, server: str) -> float:
+        """Return when a server that is left out may be tried again."""
+        return self._ejection_by_server[server].until_s
+
     def on_probation(self, server: str) -> bool:
         """Return whether a server was left out and has not succeeded since."""
         return server in self._ejection_by_server
@@ -76,11 +80,6 @@
             length_s = min(2 * last.length_s, LONGEST_EJECTION_S)
         self._ejection_by_server[server] = _Ejection(now() + length_s, length_s)
 
-    def next_probe_s(self) -> float | None:
-        """Return when the next server may be tried again, if one is left out."""
-        ejections = self._ejection_by_server.values()
-        return min((e.until_s for e in ejections if e.until_s > now()), default=None)
-
 
 def choose_server(
     servers: Iterable[ServerSlots],
@@ -90,6 +89,8 @@
 ) -> ServerSlots | None:
     """Return the server with the largest share of free slots; None if none is free.
 
+    Of several, the one that was used longest ago is taken.
+
     :param servers: servers that the router may use.
     :param usage: requests in flight.
     :param health: servers that fail.
@@ -104,7 +105,9 @@
         if health.on_probation(server.name):
             slots = min(slots, 1)
         if busy < slots:
-            free.append((server.name in avoid, busy / server.slots, server))
+            load = busy / server.slots
+            order = (server.name in avoid, load, usage.last_start(server.name))
+            free.append((order, server))
     if not free:
         return None
-    return min(free, key=lambda entry: (entry[0], entry[1], entry[2].name))[2]
+    return min(free, key=lambda entry: (entry[0], entry[1].name))[1]
