Check that a late answer on an idle connection reaches no caller

Cause: only a second answer in the same read was checked. Change: a scenario where it comes later, while the connection is pooled.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/backend.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/backend.feature
@@ -72,6 +72,12 @@
     Then every answer is its own
     And the server saw 2 connections
 
+  Scenario: A late answer on an idle connection reaches no caller
+    Given a server that sends a second answer later
+    When a pooled request is sent, then another after the late answer
+    Then every answer is its own
+    And the server saw 2 connections
+
   Scenario: A connection that the server closed while idle is known as stale
     Given a server that closes its kept connection at the second request
     When 2 pooled requests are sent one after the other
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/backend_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/backend_steps.py
@@ -35,6 +35,7 @@
         self.heads = []
         self.connections = 0
         self.closed = asyncio.Event()
+        self.late = asyncio.Event()
 
     async def start(self):
         """Listen on a free port."""
@@ -182,6 +183,19 @@
     start(context, script)
 
 
+@given("a server that sends a second answer later")
+def step_impl(context):
+    async def script(server, reader, writer):
+        answer = OK + b"Content-Length: 2\r\n\r\n"
+        await server.request(reader)
+        writer.write(answer + b"ok")
+        await server.late.wait()
+        writer.write(answer + b"no")
+        await reader.readexactly(1)
+
+    start(context, script)
+
+
 @given("a server that closes its kept connection at the second request")
 def step_impl(context):
     async def script(server, reader, writer):
@@ -236,6 +250,18 @@
     context.results = context.loop.run_until_complete(send_all())
 
 
+@when("a pooled request is sent, then another after the late answer")
+def step_impl(context):
+    async def send_both():
+        backends = HttpBackends(settings())
+        first = await send(context, "GET", pooled=True, backends=backends)
+        context.server.late.set()
+        await context.server.closed.wait()
+        return [first, await send(context, "GET", pooled=True, backends=backends)]
+
+    context.results = context.loop.run_until_complete(send_both())
+
+
 @when("a POST is sent and given up after its first chunk")
 def step_impl(context):
     async def send_and_leave():
