--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,187 @@
+"""Measures the control group on the disk at hand.
+
+Prints the latency of changes with 1, 3 and 5 voters beside one fsync of the same disk
+in the same run, the rate and processor time of claims, and the time of a restart after
+many changes. All voters run in this process over links in memory without delay, so
+that disks and processor are shared.
+"""
+
+import argparse
+import asyncio
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parents[1] / "tools"))
+
+from almondfield_control import ControlNode
+from almondfield_core.clock import WallClock
+from almondfield_core.messages import ClaimRequest, TableChange
+from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
+from almondfield_core.tables import Pool
+from almondfield_testing import InMemoryNetwork
+
+SECURITY = SecuritySettings("", "", "")
+RECORD_BYTES = 400
+CLAIMS_AT_ONCE = 200
+MILLISECONDS = 1000.0
+
+
+class Group:
+    """Control nodes of one process.
+
+    :param voters: number of voters.
+    :param folder: where their data folders are.
+    """
+
+    def __init__(self, voters: int, folder: Path) -> None:
+        network = InMemoryNetwork(delay_s=(0.0, 0.0))
+        names = [f"h{number}" for number in range(voters)]
+        hosts = tuple(HostSettings(n, "dc", "127.0.0.1", voter=True) for n in names)
+        clock = WallClock(time.time() - asyncio.get_running_loop().time())
+        self.nodes = [
+            ControlNode(
+                network.peers(name),
+                DaemonSettings(name, hosts, SECURITY, data_folder=str(folder / name)),
+                clock,
+                incarnation=1,
+            )
+            for name in names
+        ]
+        self.tasks = [asyncio.create_task(node.run()) for node in self.nodes]
+
+    async def stop(self) -> None:
+        """Stop every node."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def change(self, revision: int) -> None:
+        """Make one change under a revision."""
+        pools = (Pool(f"pool-{revision % 10}"),)
+        change = TableChange(f"change-{revision}", "bench", revision, pools, ())
+        outcome = await self.nodes[0].control.apply(change)
+        assert outcome.is_ok(), outcome
+
+
+def measure_fsync(folder: Path, count: int) -> list[float]:
+    """Return seconds of appending and syncing one record.
+
+    :param folder: a folder on the disk.
+    :param count: number of records.
+    """
+    times = []
+    descriptor = os.open(folder / "probe", os.O_CREAT | os.O_WRONLY | os.O_APPEND)
+    for _ in range(count):
+        started = time.perf_counter()
+        os.write(descriptor, b"x" * RECORD_BYTES)
+        os.fdatasync(descriptor)
+        times.append(time.perf_counter() - started)
+    os.close(descriptor)
+    return times
+
+
+async def measure_changes(voters: int, folder: Path, count: int) -> list[float]:
+    """Return seconds of each change, one after the other.
+
+    :param voters: number of voters.
+    :param folder: where data folders go.
+    :param count: number of changes.
+    """
+    group = Group(voters, folder)
+    await group.change(0)
+    times = []
+    for revision in range(1, count + 1):
+        started = time.perf_counter()
+        await group.change(revision)
+        times.append(time.perf_counter() - started)
+    await group.stop()
+    return times
+
+
+async def measure_claims(folder: Path, rounds: int) -> tuple[float, float]:
+    """Return claims a second, and processor seconds of all voters per claim.
+
+    :param folder: where data folders go.
+    :param rounds: number of times that claims are made at once.
+    """
+    group = Group(3, folder)
+    await group.change(0)
+    control = group.nodes[0].control
+    started, used = time.perf_counter(), time.process_time()
+    for number in range(rounds):
+        requests = [
+            ClaimRequest("team", f"{number}-{n}", "print", f"{number}-{n}")
+            for n in range(CLAIMS_AT_ONCE)
+        ]
+        outcomes = await asyncio.gather(*(control.claim(item) for item in requests))
+        assert all(outcome.is_ok() for outcome in outcomes)
+    claims = rounds * CLAIMS_AT_ONCE
+    rate = claims / (time.perf_counter() - started)
+    cost_s = (time.process_time() - used) / claims
+    await group.stop()
+    return rate, cost_s
+
+
+async def measure_restart(folder: Path, count: int) -> tuple[float, float]:
+    """Return seconds until the log is recovered, and until a change is accepted.
+
+    :param folder: where the data folder goes.
+    :param count: number of changes before the restart.
+    """
+    group = Group(1, folder)
+    for revision in range(count):
+        await group.change(revision)
+    await group.stop()
+    started = time.perf_counter()
+    group = Group(1, folder)
+    while group.nodes[0].replica.durable_index < count:
+        await asyncio.sleep(0.005)
+    recovered_s = time.perf_counter() - started
+    await group.change(count)
+    changed_s = time.perf_counter() - started
+    await group.stop()
+    return recovered_s, changed_s
+
+
+def summary(times: list[float]) -> str:
+    """Return the 50th and 99th percentile of times in milliseconds.
+
+    :param times: seconds.
+    """
+    ordered = sorted(times)
+    middle = ordered[len(ordered) // 2] * MILLISECONDS
+    high = ordered[int(len(ordered) * 0.99)] * MILLISECONDS
+    return f"p50 {middle:.2f} ms, p99 {high:.2f} ms"
+
+
+def main() -> None:
+    """Print every figure."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--folder", help="folder on the disk to measure")
+    parser.add_argument("--changes", type=int, default=300)
+    parser.add_argument("--restart-changes", type=int, default=10_000)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory(dir=options.folder) as name:
+        folder = Path(name)
+        print(f"load average {os.getloadavg()[0]:.1f} on {os.cpu_count()} cores")
+        print(f"fsync: {summary(measure_fsync(folder, options.changes))}")
+        for voters in (1, 3, 5):
+            path = folder / f"voters-{voters}"
+            times = asyncio.run(measure_changes(voters, path, options.changes))
+            print(f"change, {voters} voters: {summary(times)}")
+        rate, cost_s = asyncio.run(measure_claims(folder / "claims", 20))
+        cost_ms = cost_s * MILLISECONDS
+        print(f"claims: {rate:.0f}/s, {cost_ms:.3f} ms of processor time each")
+        count = options.restart_changes
+        recovered_s, changed_s = asyncio.run(measure_restart(folder / "restart", count))
+        print(
+            f"restart after {count} changes: recovered in {recovered_s:.2f} s, "
+            f"next change accepted after {changed_s:.2f} s"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/almondfield-control/src/almondfield_control/consensus/roles.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/roles.py
@@ -1,11 +1,15 @@
 """Roles of a member and the changes between them."""
 
+import logging
 from enum import StrEnum
 
 from transitions import Machine
 
 __all__ = ["Role", "RoleMachine"]
 
+# Logs go through eliot; the library's own notes of each change add nothing.
+logging.getLogger("transitions").setLevel(logging.WARNING)
+
 
 class Role(StrEnum):
     """What a member of the control group does."""
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/consensus/tests/environment.py
@@ -0,0 +1,17 @@
+"""The paused loop and the fleet of the control group's other features."""
+
+import sys
+from pathlib import Path
+
+import almondfield_testing
+from almondfield_testing import after_scenario
+
+__all__ = ["after_scenario", "before_scenario"]
+
+sys.path.insert(0, str(Path(__file__).parents[2] / "tests"))
+
+
+def before_scenario(context, scenario):
+    """Give the scenario a paused loop that goes to the next timer at once."""
+    almondfield_testing.before_scenario(context, scenario)
+    context.loop.setup_looptime(start=0.0, noop_cycles=0)
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/consensus/tests/history.py
@@ -0,0 +1,190 @@
+"""Short seeded histories of faults, and an independent check of what came out."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from almondfield_core.clock import now
+from almondfield_core.messages import (
+    ChangeAccepted,
+    ClaimAnswered,
+    ClaimGranted,
+    ClaimRequest,
+    StoredAnswer,
+    TableChange,
+)
+from almondfield_core.tables import Pool
+from control_fleet import Fleet
+from result import Ok
+
+FAULT_S = 1.2
+SETTLE_S = 10.0
+KEYS = ("k1", "k2")
+ANSWER = StoredAnswer(200, (), b"done")
+
+
+@dataclass
+class Record:
+    """What the clients of one history saw.
+
+    :ivar accepted: (change id, revision) of every answer that accepted a change.
+    :ivar runs: claimants that ran the request of each key.
+    :ivar freed: claimants that gave a key back without running it.
+    """
+
+    accepted: list = field(default_factory=list)
+    runs: dict = field(default_factory=dict)
+    faults: list = field(default_factory=list)
+    revisions: dict = field(default_factory=dict)
+
+
+async def play(seed):
+    """Return the fleet and the record of one history."""
+    chance = random.Random(seed)
+    loss = chance.choice([0.0, 0.0, 0.05, 0.2])
+    repeat = chance.choice([0.0, 0.1])
+    fleet = Fleet(3, 3, seed=seed, loss=loss, repeat=repeat, delay_s=(0.001, 0.02))
+    fleet.form()
+    fleet.start(*fleet.names)
+    record = Record()
+    work = [
+        asyncio.ensure_future(_change(fleet, record, chance, f"{seed}-{n}"))
+        for n in range(2)
+    ]
+    work += [
+        asyncio.ensure_future(_claim(fleet, record, f"{seed}-{n}", KEYS[n % 2]))
+        for n in range(4)
+    ]
+    work.append(asyncio.ensure_future(_watch(fleet, record)))
+    await _break(fleet, record, chance)
+    fleet.network.heal()
+    fleet.network.loss = 0.0
+    missing = [host for host in fleet.names if host not in fleet.node_by_host]
+    fleet.start(*missing)
+    for task in work:
+        task.cancel()
+    for outcome in await asyncio.gather(*work, return_exceptions=True):
+        if isinstance(outcome, Exception):
+            raise outcome
+    await _settle(fleet)
+    return fleet, record
+
+
+async def _settle(fleet):
+    until = now() + SETTLE_S
+    while now() < until and not _is_settled(fleet):
+        await asyncio.sleep(0.1)
+
+
+def _is_settled(fleet):
+    leader = fleet.leader()
+    if leader is None:
+        return False
+    replica = fleet.node_by_host[leader].replica
+    done = replica.commit_index == replica.log.last_index
+    views = [node.view for node in fleet.node_by_host.values()]
+    return done and all(
+        view.tables == replica.state.tables and view.freshness_left_s() > 0
+        for view in views
+    )
+
+
+async def _break(fleet, record, chance):
+    await asyncio.sleep(chance.uniform(0.7, 1.1))
+    until = now() + FAULT_S
+    while now() < until:
+        host = chance.choice(fleet.names)
+        fault = chance.choice(["cut", "isolate", "crash", "heal", "crash all"])
+        record.faults.append((round(now(), 3), fault, host))
+        match fault:
+            case "cut":
+                fleet.network.cut(host, chance.choice(fleet.names))
+            case "isolate":
+                fleet.network.isolate(host)
+            case "crash":
+                await _restart(fleet, chance, [host])
+            case "heal":
+                fleet.network.heal()
+            case "crash all":
+                await _restart(fleet, chance, fleet.names)
+        await asyncio.sleep(chance.uniform(0.1, 0.8))
+
+
+async def _restart(fleet, chance, hosts):
+    await fleet.crash(*[host for host in hosts if host in fleet.node_by_host])
+    await asyncio.sleep(chance.uniform(0.0, 0.3))
+    fleet.start(*[host for host in hosts if host not in fleet.node_by_host])
+
+
+async def _change(fleet, record, chance, name):
+    number = 0
+    while True:
+        await asyncio.sleep(chance.uniform(0.05, 0.3))
+        host = chance.choice(fleet.names)
+        if host not in fleet.node_by_host:
+            continue
+        node = fleet.node_by_host[host]
+        number += 1
+        change_id = f"{name}-{number}"
+        pools = (Pool(change_id),)
+        change = TableChange(change_id, name, node.view.tables.revision, pools, ())
+        for _ in range(chance.choice([1, 2])):
+            match await node.control.apply(change):
+                case Ok(ChangeAccepted(change_id=same, revision=revision)):
+                    record.accepted.append((same, revision))
+
+
+async def _claim(fleet, record, claimant, key):
+    attempt = 0
+    while True:
+        attempt += 1
+        await asyncio.sleep(0.2)
+        host = fleet.names[attempt % len(fleet.names)]
+        if host not in fleet.node_by_host:
+            continue
+        control = fleet.node_by_host[host].control
+        request = ClaimRequest("team", key, "print", f"{claimant}-{attempt}")
+        match await control.claim(request):
+            case Ok(ClaimGranted()):
+                record.runs.setdefault(key, []).append(request.claimant)
+                await control.settle_claim(request, ANSWER, ran=True)
+            case Ok(ClaimAnswered(answer)):
+                assert answer == ANSWER, answer
+
+
+async def _watch(fleet, record):
+    while True:
+        await asyncio.sleep(0.02)
+        fleet.leader()
+        for host, node in fleet.node_by_host.items():
+            key = (host, id(node))
+            revision = node.view.tables.revision
+            assert revision >= record.revisions.get(key, 0), (host, revision)
+            record.revisions[key] = revision
+
+
+async def violations(fleet, record):
+    """Return what is wrong with a history; empty where nothing is."""
+    found = []
+    leader = fleet.leader()
+    if leader is None:
+        return ["no leader after every fault ended"]
+    state = fleet.node_by_host[leader].replica.state
+    order = [(item.change_id, item.revision) for item in state.history(0, 10_000)]
+    if [revision for _, revision in order] != list(range(1, len(order) + 1)):
+        found.append(f"revisions with gaps: {order}")
+    names = [change_id for change_id, _ in order]
+    if len(set(names)) != len(names):
+        found.append(f"a change id was accepted twice: {names}")
+    found += [
+        f"accepted and lost: {item}" for item in record.accepted if item not in order
+    ]
+    for key, claimants in record.runs.items():
+        if len(set(claimants)) > 1:
+            found.append(f"key {key} ran twice: {claimants}")
+    for host, node in fleet.node_by_host.items():
+        if node.view.tables != state.tables:
+            found.append(f"{host} has revision {node.view.tables.revision}")
+        if node.view.freshness_left_s() == 0:
+            found.append(f"{host} has no lease after every fault ended")
+    return found
--- a/packages/almondfield-control/src/almondfield_control/freshness/core.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/core.py
@@ -144,5 +144,15 @@
             until = max(until, record.pool_until)
         return now() < until
 
+    def is_silent(self, host: str, seconds: float) -> bool:
+        """Return whether a host has renewed no lease for some time, in this term.
+
+        :param host: name of the host.
+        :param seconds: how long.
+        """
+        record = self._record_by_host.get(host)
+        seen_at = record.seen_at if record else self._started_at
+        return now() > seen_at + seconds
+
     def _with_margin(self, lifetime_s: float) -> float:
         return lifetime_s * (1 + 2 * self._timing.drift_margin)
--- a/packages/almondfield-control/src/almondfield_control/node/client.py
+++ b/packages/almondfield-control/src/almondfield_control/node/client.py
@@ -22,6 +22,7 @@
 from almondfield_control.commands import ClaimKey, SettleClaim
 from almondfield_control.consensus import Replica
 from almondfield_control.freshness import NotLeader
+from almondfield_control.node.batches import Batches
 from almondfield_control.node.messages import (
     ApplyRequest,
     FencingRequest,
@@ -39,6 +40,7 @@
 PAUSE_S = 0.1
 APPLY_TIMEOUT_S = 10.0
 CLAIM_TIMEOUT_S = 3.0
+SETTLE_TIMEOUT_S = 10.0
 READ_TIMEOUT_S = 5.0
 VOTER_TIMEOUT_S = 30.0
 IN_FORCE_POLL_S = 0.1
@@ -64,6 +66,7 @@
         self._voters = voters
         self._incarnation = incarnation
         self._replica = replica
+        self._batches = Batches(self.ask)
         self._target = voters[0] if voters else ""
         self._leader_host = ""
 
@@ -116,7 +119,7 @@
         :param request: the claim.
         """
         command = ClaimKey(request, self._peers.host, self._incarnation)
-        return await self.ask(command, CLAIM_TIMEOUT_S)
+        return await self._batches.ask(command, CLAIM_TIMEOUT_S)
 
     async def settle_claim(
         self, request: ClaimRequest, answer: StoredAnswer | None, ran: bool
@@ -127,7 +130,8 @@
         :param answer: the whole answer, or None where none is known.
         :param ran: whether the request may have run; if not, the key is free again.
         """
-        reply = await self.ask(SettleClaim(request, ran, answer), APPLY_TIMEOUT_S)
+        command = SettleClaim(request, ran, answer)
+        reply = await self._batches.ask(command, SETTLE_TIMEOUT_S)
         return reply.map(lambda item: item.stored)
 
     async def history(
--- a/packages/almondfield-control/src/almondfield_control/node/leader.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader.py
@@ -36,8 +36,11 @@
     TablesDelta,
     delta_between,
 )
+from almondfield_control.node.batches import coded, decoded
 from almondfield_control.node.messages import (
     ApplyRequest,
+    BatchReply,
+    BatchRequest,
     FencingReply,
     FencingRequest,
     HistoryReply,
@@ -57,6 +60,8 @@
 CheckTables = Callable[[tuple[Pool, ...], tuple[Route, ...]], tuple[Finding, ...]]
 
 POOL_CHECK_S = 0.1
+CLAIM_SILENCE_S = 30.0
+EVERY_INCARNATION = 2**63 - 1
 MAX_RECENT_TABLES = 16
 
 
@@ -93,8 +98,7 @@
         for message_type, handler in (
             (RenewalRequest, self._renew),
             (ApplyRequest, self._apply),
-            (ClaimKey, self._claim),
-            (SettleClaim, self._settle),
+            (BatchRequest, self._batch),
             (InForceRequest, self._in_force),
             (HistoryRequest, self._history),
             (StatusRequest, self._status),
@@ -109,6 +113,7 @@
             await asyncio.sleep(POOL_CHECK_S)
             if self._leads():
                 await self._lease_pools()
+                await self._lose_claims()
 
     def _leads(self) -> bool:
         replica = self._replica
@@ -194,13 +199,23 @@
             return ChangeRefused(findings)
         return await self._propose(TableCommand(change), lambda outcome: outcome)
 
-    async def _claim(self, sender: str, command: ClaimKey) -> object:
+    async def _batch(self, sender: str, request: BatchRequest) -> BatchReply:
+        replies = await asyncio.gather(
+            *(self._run_item(decoded(item)) for item in request.items)
+        )
+        return BatchReply(tuple(coded(reply) for reply in replies))
+
+    async def _run_item(self, command: ClaimKey | SettleClaim) -> object:
+        match command:
+            case ClaimKey():
+                return await self._claim(command)
+            case SettleClaim():
+                return await self._propose(command, SettleReply)
+
+    async def _claim(self, command: ClaimKey) -> object:
         full = ControlUnavailable("too many claims", certainly_not_done=True)
         return await self._propose(command, lambda outcome: outcome or full)
 
-    async def _settle(self, sender: str, command: SettleClaim) -> object:
-        return await self._propose(command, SettleReply)
-
     async def _fencing(self, sender: str, request: FencingRequest) -> object:
         return await self._propose(FencingIssued(), FencingReply)
 
@@ -244,6 +259,14 @@
             if not await self._move_pool(command):
                 return
 
+    async def _lose_claims(self) -> None:
+        """Mark running claims of hosts that have been silent for long as lost."""
+        for host in self._hosts:
+            if not self._leases.is_silent(host, CLAIM_SILENCE_S):
+                continue
+            if self._replica.state.claims.has_running(host, EVERY_INCARNATION):
+                await self._replica.propose(LoseClaims(host, EVERY_INCARNATION))
+
     async def _move_pool(self, command: LeasePool) -> bool:
         earlier = self._replica.state.lease_by_pool.get(command.pool)
         loser = earlier.host if earlier else ""
--- a/packages/almondfield-control/src/almondfield_control/node/messages.py
+++ b/packages/almondfield-control/src/almondfield_control/node/messages.py
@@ -20,6 +20,9 @@
 
 __all__ = [
     "ApplyRequest",
+    "BatchReply",
+    "BatchRequest",
+    "CodedItem",
     "FencingReply",
     "FencingRequest",
     "HistoryReply",
@@ -47,6 +50,18 @@
     wire_message(_kind)(_message_type)
 
 
+@dataclass(frozen=True)
+class CodedItem:
+    """One message inside another.
+
+    :ivar kind: kind of the message.
+    :ivar body: the message, coded.
+    """
+
+    kind: str
+    body: bytes
+
+
 @wire_message("apply-request")
 @dataclass(frozen=True)
 class ApplyRequest:
@@ -77,6 +92,28 @@
     in_force: bool
 
 
+@wire_message("batch-request")
+@dataclass(frozen=True)
+class BatchRequest:
+    """Commands of one host that reached it together.
+
+    :ivar items: the commands.
+    """
+
+    items: tuple[CodedItem, ...]
+
+
+@wire_message("batch-reply")
+@dataclass(frozen=True)
+class BatchReply:
+    """Outcomes of a batch, in its order.
+
+    :ivar items: the outcomes.
+    """
+
+    items: tuple[CodedItem, ...]
+
+
 @wire_message("settle-reply")
 @dataclass(frozen=True)
 class SettleReply:
--- a/packages/almondfield-control/src/almondfield_control/state/claims.py
+++ b/packages/almondfield-control/src/almondfield_control/state/claims.py
@@ -52,6 +52,9 @@
 
     def __init__(self, records: tuple[ClaimRecord, ...] = ()) -> None:
         self._record_by_key = {(item.team, item.key): item for item in records}
+        self._running_keys = {
+            key for key, item in self._record_by_key.items() if not item.settled
+        }
 
     @property
     def records(self) -> tuple[ClaimRecord, ...]:
@@ -81,6 +84,7 @@
             incarnation=command.incarnation,
             claimed_unix_s=unix_s,
         )
+        self._running_keys.add(key)
         return ClaimGranted()
 
     def settle(self, command: SettleClaim) -> bool:
@@ -94,6 +98,7 @@
             return False
         if record.answer is not None:
             return True
+        self._running_keys.discard(key)
         if not command.ran:
             del self._record_by_key[key]
             return True
@@ -106,15 +111,11 @@
 
         :param command: which router, and from which incarnation on it lives.
         """
-        lost = [
-            (key, record)
-            for key, record in self._record_by_key.items()
-            if record.host == command.host
-            and record.incarnation < command.before_incarnation
-            and not record.settled
-        ]
-        for key, record in lost:
+        lost = self._running_of(command.host, command.before_incarnation)
+        for key in lost:
+            record = self._record_by_key[key]
             self._record_by_key[key] = replace(record, settled=True)
+            self._running_keys.discard(key)
         return len(lost)
 
     def has_running(self, host: str, before_incarnation: int) -> bool:
@@ -123,12 +124,15 @@
         :param host: name of the router's host.
         :param before_incarnation: incarnation from which on it lives.
         """
-        return any(
-            record.host == host
-            and record.incarnation < before_incarnation
-            and not record.settled
-            for record in self._record_by_key.values()
-        )
+        return bool(self._running_of(host, before_incarnation))
+
+    def _running_of(self, host: str, before_incarnation: int) -> list[tuple[str, str]]:
+        return [
+            key
+            for key in self._running_keys
+            if self._record_by_key[key].host == host
+            and self._record_by_key[key].incarnation < before_incarnation
+        ]
 
     def _expire(self, unix_s: float) -> None:
         while self._record_by_key:
@@ -136,6 +140,7 @@
             if record.claimed_unix_s + CLAIM_LIFETIME_S > unix_s:
                 return
             del self._record_by_key[key]
+            self._running_keys.discard(key)
 
 
 def _outcome_of(record: ClaimRecord, command: ClaimKey) -> ClaimOutcome:
--- a/packages/almondfield-control/src/almondfield_control/storage/core.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/core.py
@@ -11,7 +11,7 @@
 from almondfield_control.errors import DamageError, StorageError
 from almondfield_control.storage.records import encode_frame, read_frames
 
-__all__ = ["Disk", "HardState", "Journal", "Recovered"]
+__all__ = ["Disk", "HardState", "Journal", "Recovered", "first_journal"]
 
 _JOURNAL_PREFIX = "journal-"
 _SNAPSHOT_PREFIX = "snapshot-"
@@ -305,6 +305,15 @@
     return sequence != name and sequence.isdigit()
 
 
+def first_journal(hard: HardState) -> tuple[str, bytes]:
+    """Return name and content of a journal with a hard state and no entries.
+
+    :param hard: the hard state.
+    """
+    name = f"{_JOURNAL_PREFIX}{1:0{_SEQUENCE_DIGITS}d}"
+    return name, _frame_of(_Start("", 0, 0)) + _frame_of((_Batch(hard),))
+
+
 def _frame_of(item: object) -> bytes:
     return encode_frame(msgspec.msgpack.encode(item))
 
--- a/packages/almondfield-control/src/almondfield_control/tests/fleet.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/control_fleet.py
@@ -5,12 +5,14 @@
 import random
 
 from almondfield_control import ControlNode
+from almondfield_control.commands import Member
+from almondfield_control.storage import HardState
 from almondfield_core.clock import WallClock, now
 from almondfield_core.messages import ChangeAccepted, TableChange
 from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
 from almondfield_core.tables import Pool, Selector
 from almondfield_testing import InMemoryNetwork, run
-from fake_disk import FakeDisk
+from fake_disk import FakeDisk, journal_files
 from result import Ok
 
 
@@ -45,8 +47,8 @@
         self.incarnation = 0
 
     def start(self, *hosts):
-        """Start hosts, or all of them."""
-        for host in hosts or self.names:
+        """Start hosts."""
+        for host in hosts:
             self.incarnation += 1
             settings = DaemonSettings(host, self.settings, SECURITY, data_folder="x")
             node = ControlNode(
@@ -60,6 +62,13 @@
             self.node_by_host[host] = node
             self.task_by_host[host] = asyncio.ensure_future(node.run())
 
+    def form(self):
+        """Write folders of a group that has formed, so that it need not form."""
+        members = tuple(Member(f"id-{host}", host) for host in self.voters)
+        for member in members:
+            hard = HardState(member.voter_id, "group", True, members)
+            self.disk_by_host[member.host].file_by_name = journal_files(hard)
+
     async def crash(self, *hosts):
         """Kill hosts; what they had not synced is lost."""
         for host in hosts:
--- a/packages/almondfield-control/src/almondfield_control/tests/environment.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/environment.py
@@ -12,4 +12,4 @@
     Nothing here waits for threads or sockets, so that the loop needs no idle rounds.
     """
     almondfield_testing.before_scenario(context, scenario)
-    context.loop.setup_looptime(start=0.0, noop_cycles=1)
+    context.loop.setup_looptime(start=0.0, noop_cycles=0)
--- a/packages/almondfield-control/src/almondfield_control/tests/fake_disk.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/fake_disk.py
@@ -3,6 +3,8 @@
 import asyncio
 import errno
 
+from almondfield_control.storage.core import first_journal
+
 SYNC_S = 0.001
 
 
@@ -74,3 +76,9 @@
     def _check(self, generation):
         if generation != self.generation:
             raise OSError(errno.EIO, "the host crashed")
+
+
+def journal_files(hard):
+    """Return the files of a folder that holds a hard state and an empty log."""
+    name, data = first_journal(hard)
+    return {name: data}
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/claim_steps.py
@@ -0,0 +1,105 @@
+"""Steps about claims and fencing numbers."""
+
+import asyncio
+
+from almondfield_core.messages import (
+    ClaimAnswered,
+    ClaimGranted,
+    ClaimRequest,
+    StoredAnswer,
+)
+from behave import then, when
+from control_fleet import in_loop
+
+
+@when('{host} claims key "{key}" for print "{fingerprint}"')
+@in_loop
+async def step_impl(context, host, key, fingerprint):
+    request = ClaimRequest("team", key, fingerprint, f"attempt-{host}")
+    outcome = await context.fleet.node_by_host[host].control.claim(request)
+    context.claim_by_host = getattr(context, "claim_by_host", {}) | {host: request}
+    heard = outcome.ok_value if outcome.is_ok() else outcome.err_value
+    context.heard_by_host = getattr(context, "heard_by_host", {}) | {host: heard}
+
+
+@when("{host} settles its claim with an answer of {size:d} bytes")
+@in_loop
+async def step_impl(context, host, size):
+    answer = StoredAnswer(200, (("a", "b"),), b"x" * size)
+    control = context.fleet.node_by_host[host].control
+    stored = await control.settle_claim(context.claim_by_host[host], answer, True)
+    assert stored.unwrap() is True
+
+
+@when("{host} gives its claim back")
+@in_loop
+async def step_impl(context, host):
+    control = context.fleet.node_by_host[host].control
+    stored = await control.settle_claim(context.claim_by_host[host], None, False)
+    assert stored.unwrap() is True
+
+
+@when("the clocks move on by {hours:d} hours")
+@in_loop
+async def step_impl(context, hours):
+    for voter in context.fleet.voters:
+        replica = context.fleet.node_by_host[voter].replica
+        clock = replica.wall_clock
+        replica.wall_clock = type(clock)(clock.offset_s + hours * 3600)
+
+
+@then("h4 heard {first} and h5 heard {second}")
+@in_loop
+async def step_impl(context, first, second):
+    assert type(context.heard_by_host["h4"]).__name__ == first
+    assert type(context.heard_by_host["h5"]).__name__ == second
+
+
+@then("h5 heard ClaimAnswered without its body")
+@in_loop
+async def step_impl(context):
+    answer = context.heard_by_host["h5"].answer
+    assert answer == StoredAnswer(200, (("a", "b"),), b"", complete=False), answer
+
+
+@then("{host:w} heard {name:w}")
+@in_loop
+async def step_impl(context, host, name):
+    heard = context.heard_by_host[host]
+    assert type(heard).__name__ == name, heard
+    if isinstance(heard, ClaimAnswered):
+        assert heard.answer.status == 200
+
+
+@when("{host} makes {count:d} claims at once")
+@in_loop
+async def step_impl(context, host, count):
+    control = context.fleet.node_by_host[host].control
+    context.outcomes = await asyncio.gather(
+        *(control.claim(ClaimRequest("t", f"{n}", "p", f"{n}")) for n in range(count))
+    )
+
+
+@then("every claim is granted, in at most {limit:d} messages")
+@in_loop
+async def step_impl(context, limit):
+    assert all(item.unwrap() == ClaimGranted() for item in context.outcomes)
+    count = context.fleet.network.count_by_kind["batch-request"]
+    assert count <= limit, count
+
+
+@when("{host} takes {count:d} fencing numbers")
+@in_loop
+async def step_impl(context, host, count):
+    context.numbers = getattr(context, "numbers", [])
+    for _ in range(count):
+        number = await context.fleet.node_by_host[host].control.next_fencing()
+        context.numbers.append(number.unwrap())
+
+
+@then("the fencing numbers grow")
+@in_loop
+async def step_impl(context):
+    numbers = context.numbers
+    assert len(numbers) == 6
+    assert numbers == sorted(set(numbers)), numbers
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/control_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/control_steps.py
@@ -5,7 +5,7 @@
 from almondfield_core.clock import now
 from almondfield_core.messages import ChangeAccepted, ChangeConflict
 from behave import given, then, when
-from fleet import Fleet, in_loop
+from control_fleet import Fleet, in_loop
 from result import Err, Ok
 
 IN_FORCE_S = 3.0
@@ -16,7 +16,7 @@
 async def step_impl(context, hosts, voters):
     context.fleet = Fleet(hosts, voters)
     context.outcome_by_id = {}
-    context.fleet.start()
+    context.fleet.start(*context.fleet.names)
     await context.fleet.ready()
 
 
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/freshness_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/freshness_steps.py
@@ -7,7 +7,7 @@
 from almondfield_core.messages import TableChange
 from almondfield_core.tables import Pool
 from behave import then, when
-from fleet import in_loop
+from control_fleet import in_loop
 from result import Ok
 
 WAIT_S = 10.0
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/storage_steps.py
@@ -0,0 +1,181 @@
+"""Steps about disks."""
+
+import asyncio
+import random
+import tempfile
+from pathlib import Path
+
+from almondfield_control.commands import NoOperation, entry_of
+from almondfield_control.errors import DamageError, StorageError
+from almondfield_control.storage import FolderDisk, HardState, Journal
+from almondfield_core.findings import FindingsError
+from behave import given, then, when
+from control_fleet import in_loop
+from fake_disk import FakeDisk
+
+HARD = HardState("id", "group", True, (), 4, "id")
+ENTRIES = tuple(entry_of(index, 1, 1e9, NoOperation()) for index in (1, 2, 3))
+LATER = tuple(entry_of(index, 1, 1e9, NoOperation()) for index in (4, 5))
+
+
+async def write(disk, entries=ENTRIES):
+    """Write a journal with entries in writes of their own."""
+    journal = Journal(disk)
+    task = asyncio.ensure_future(journal.run())
+    await journal.compact(HARD, 0, 0, b"", ())
+    for entry in entries:
+        await journal.write(entries=(entry,))
+    return journal, task
+
+
+@given("a journal with 3 synced entries on a disk")
+@in_loop
+async def step_impl(context):
+    context.disk = FakeDisk(random.Random(1))
+    context.journal, context.task = await write(context.disk)
+
+
+@when("the host crashes in the middle of the next write, at every length")
+@in_loop
+async def step_impl(context):
+    (name,) = context.disk.file_by_name
+    before = context.disk.file_by_name[name]
+    await context.journal.write(entries=LATER)
+    whole = context.disk.file_by_name[name]
+    context.recovered = []
+    for length in range(len(before), len(whole)):
+        disk = FakeDisk(random.Random(1))
+        disk.file_by_name = {name: whole[:length]}
+        context.recovered.append(await Journal(disk).recover())
+        assert disk.file_by_name[name] == before
+
+
+@then("each recovery gives the 3 entries")
+@then("the recovery gives the 3 entries")
+@in_loop
+async def step_impl(context):
+    assert context.recovered
+    for recovered in context.recovered:
+        assert recovered.entries == ENTRIES
+        assert recovered.hard == HARD
+
+
+@when("a byte in the middle of the file is flipped")
+@in_loop
+async def step_impl(context):
+    (context.name,) = context.disk.file_by_name
+    data = bytearray(context.disk.file_by_name[context.name])
+    data[len(data) // 2] ^= 1
+    context.disk.file_by_name[context.name] = bytes(data)
+
+
+@when("a snapshot is written and then lost")
+@in_loop
+async def step_impl(context):
+    await context.journal.compact(HARD, 3, 1, b"state", ())
+    names = context.disk.file_by_name
+    context.name = next(name for name in names if name.startswith("snapshot"))
+    del names[context.name]
+
+
+@then("recovery names the file, the offset and what to do")
+@in_loop
+async def step_impl(context):
+    try:
+        await Journal(context.disk).recover()
+    except DamageError as error:
+        (finding,) = error.findings
+        assert finding.place.startswith(f"{context.name}: offset "), finding
+        assert "empty the data folder" in finding.allowed, finding
+    else:
+        raise AssertionError("no finding")
+
+
+@when("the host crashes while a snapshot is written")
+@in_loop
+async def step_impl(context):
+    task = asyncio.ensure_future(context.journal.compact(HARD, 3, 1, b"state", ()))
+    await asyncio.sleep(context.disk.sync_s / 2)
+    context.disk.crash()
+    try:
+        await task
+    except StorageError:
+        context.recovered = [await Journal(context.disk).recover()]
+    else:
+        raise AssertionError("the crash was not noticed")
+
+
+@then("a second use of a real data folder is refused")
+def step_impl(context):
+    with tempfile.TemporaryDirectory() as folder:
+        disk = FolderDisk(Path(folder))
+        findings = ()
+        try:
+            FolderDisk(Path(folder))
+        except FindingsError as error:
+            findings = error.findings
+        assert [folder in finding.place for finding in findings] == [True]
+        disk.close()
+        FolderDisk(Path(folder)).close()
+
+
+@then("a real data folder gives back entries, snapshot and hard state")
+def step_impl(context):
+    async def main(folder):
+        disk = FolderDisk(Path(folder))
+        journal, task = await write(disk)
+        await journal.compact(HARD, 2, 1, b"state", ENTRIES[2:])
+        await journal.write(entries=LATER)
+        task.cancel()
+        disk.close()
+        disk = FolderDisk(Path(folder))
+        recovered = await Journal(disk).recover()
+        disk.close()
+        return recovered
+
+    with tempfile.TemporaryDirectory() as folder:
+        recovered = asyncio.run(main(folder))
+    assert recovered.entries == (*ENTRIES[2:], *LATER)
+    assert recovered.snapshot == b"state"
+    assert (recovered.base_index, recovered.base_term) == (2, 1)
+    assert recovered.hard == HARD
+
+
+@when("every disk is full")
+@in_loop
+async def step_impl(context):
+    for disk in context.fleet.disk_by_host.values():
+        disk.free_bytes = 20
+
+
+@when("every disk has space again")
+@in_loop
+async def step_impl(context):
+    for disk in context.fleet.disk_by_host.values():
+        disk.free_bytes = None
+
+
+@then('change "{change_id}" is not accepted')
+def step_impl(context, change_id):
+    assert context.outcome_by_id[change_id].is_err()
+
+
+@then('change "{change_id}" is accepted')
+def step_impl(context, change_id):
+    assert context.outcome_by_id[change_id].is_ok(), context.outcome_by_id
+
+
+@then("some voter says that its disk is full")
+@in_loop
+async def step_impl(context):
+    nodes = [context.fleet.node_by_host[host] for host in context.fleet.voters]
+    failures = [str(node.replica.journal.failure) for node in nodes]
+    assert any("no space left" in failure for failure in failures), failures
+
+
+@when('{host} asks for change "{change_id}" at the revision that it has')
+@in_loop
+async def step_impl(context, host, change_id):
+    revision = context.fleet.node_by_host[host].view.tables.revision
+    outcome = await context.fleet.change(host, revision, change_id)
+    context.outcome_by_id[change_id] = outcome
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/voter_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/voter_steps.py
@@ -4,7 +4,7 @@
 
 from almondfield_control.consensus import Role
 from behave import given, then, when
-from fleet import Fleet, in_loop
+from control_fleet import Fleet, in_loop
 from result import Ok
 
 
