--- a/packages/almondfield-core/src/almondfield_core/messages/sharing.py
+++ b/packages/almondfield-core/src/almondfield_core/messages/sharing.py
@@ -120,12 +120,18 @@
     :ivar number: number of the report, growing within the incarnation.
     :ivar grant_number: number of the newest grant that the router applied.
     :ivar waiting_by_team: requests that wait, by team.
-    :ivar weight_by_team: weight of each team that waits or runs.
+    :ivar weight_by_team: weight of each team that waits or runs, where it is not 1.
     :ivar in_flight: requests that run, by server and team.
     :ivar service_by_team: slot-seconds used since the incarnation began, with what
-        running requests have used so far.
+        running requests have used so far; without teams whose total is that of the
+        report that the newest grant answers.
     :ivar failures_by_server: calls that failed since the incarnation began.
     :ivar finished: requests finished since the incarnation began.
+    :ivar counter_by_team: counters that an earlier scheduler gave, with what the
+        router charged since; only in the first reports of an epoch.
+    :ivar given_back_by_server: slots of the grant ``grant_number`` that the router
+        gives back unused; in the first reports of an epoch, the slots that it had
+        from the scheduler of the epoch before.
     """
 
     pool: str
@@ -139,6 +145,8 @@
     service_by_team: dict[str, float] = field(default_factory=dict)
     failures_by_server: dict[str, int] = field(default_factory=dict)
     finished: int = 0
+    counter_by_team: dict[str, float] = field(default_factory=dict)
+    given_back_by_server: dict[str, int] = field(default_factory=dict)
 
 
 @wire_message("slot-grant")
@@ -152,12 +160,17 @@
     :ivar pool: name of the pool.
     :ivar epoch: epoch of the scheduler's pool lease.
     :ivar number: number of the grant, growing within (epoch, router).
-    :ivar lifetime_s: seconds after receipt during which it may start requests.
+    :ivar lifetime_s: seconds during which it may start requests, counted from when
+        the router sent the report that the grant answers, so that no delay on the
+        way makes a grant last longer than its scheduler reckons.
     :ivar backlogged: whether work waits that the pool's slots cannot take.
     :ivar servers: slots by server.
     :ivar counter_by_team: weighted service of the teams that wait at the router,
         relative to the lowest backlogged team, in slot-seconds per weight.
     :ivar report_window_s: seconds between two reports from now on.
+    :ivar incarnation: incarnation of the router that the grant answers.
+    :ivar report_number: number of the report that the grant answers; 0 where it
+        answers none, and then it has no slots.
     """
 
     pool: str
@@ -168,3 +181,5 @@
     servers: tuple[ServerSlots, ...] = ()
     counter_by_team: dict[str, float] = field(default_factory=dict)
     report_window_s: float = 0.1
+    incarnation: int = 0
+    report_number: int = 0
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/secrets.py
@@ -0,0 +1,41 @@
+"""The secrets of one daemon, read from the files that its settings name."""
+
+from dataclasses import dataclass, field
+
+from almondfield_core.findings import Finding
+from almondfield_core.settings import SecuritySettings, read_secret
+from result import Err, Ok, Result
+
+__all__ = ["Secrets", "load_secrets"]
+
+
+@dataclass(frozen=True)
+class Secrets:
+    """Secrets, kept out of every representation.
+
+    :ivar operator_token: token that operators present.
+    :ivar backend_token: token that backend servers present.
+    :ivar fleet_secret: secret that all hosts share.
+    """
+
+    operator_token: str = field(repr=False)
+    backend_token: str = field(repr=False)
+    fleet_secret: bytes = field(repr=False)
+
+
+def load_secrets(settings: SecuritySettings) -> Result[Secrets, tuple[Finding, ...]]:
+    """Return the secrets, or a finding for each file that cannot be used.
+
+    :param settings: names of the files.
+    """
+    paths = (
+        settings.operator_token_file,
+        settings.backend_token_file,
+        settings.fleet_secret_file,
+    )
+    results = [read_secret(path) for path in paths]
+    findings = tuple(result.err_value for result in results if result.is_err())
+    if findings:
+        return Err(findings)
+    operator_token, backend_token, fleet_secret = (r.ok_value for r in results)
+    return Ok(Secrets(operator_token, backend_token, fleet_secret.encode()))
