Specify freshness leases; check tables; isolate a voter for ten minutes

Changes are checked with check_tables by default, so that the scenarios with large tables now use routes of allowed length. An isolated leader and an isolated follower return after 600 s without a change of leader or term.

--- a/packages/almondfield-control/src/almondfield_control/consensus/tests/history.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/tests/history.py
@@ -29,7 +29,8 @@
 
     :ivar accepted: (change id, revision) of every answer that accepted a change.
     :ivar runs: claimants that ran the request of each key.
-    :ivar freed: claimants that gave a key back without running it.
+    :ivar faults: what was broken, with its time.
+    :ivar revisions: newest revision that each process has shown.
     """
 
     accepted: list = field(default_factory=list)
@@ -161,6 +162,15 @@
             revision = node.view.tables.revision
             assert revision >= record.revisions.get(key, 0), (host, revision)
             record.revisions[key] = revision
+        _check_schedulers(fleet)
+
+
+def _check_schedulers(fleet):
+    views = {host: node.view for host, node in fleet.node_by_host.items()}
+    pools = {pool for view in views.values() for pool in view.lease_by_pool}
+    for pool in pools:
+        hosts = [h for h, view in views.items() if view.pool_lease_left_s(pool) > 0]
+        assert len(hosts) <= 1, (pool, hosts)
 
 
 async def violations(fleet, record):
--- a/packages/almondfield-control/src/almondfield_control/node/core.py
+++ b/packages/almondfield-control/src/almondfield_control/node/core.py
@@ -6,10 +6,9 @@
 from pathlib import Path
 
 from almondfield_core.clock import WallClock
-from almondfield_core.findings import Finding
 from almondfield_core.ports import Control, Peers, TableView
 from almondfield_core.settings import DaemonSettings
-from almondfield_core.tables import Pool, Route
+from almondfield_core.tables import check_tables
 from result import Result
 
 from almondfield_control.consensus import Replica
@@ -46,12 +45,6 @@
     leader: str
 
 
-def _accept_any(
-    pools: tuple[Pool, ...], routes: tuple[Route, ...]
-) -> tuple[Finding, ...]:
-    return ()
-
-
 class ControlNode:
     """One host's part in the control group: view, client and, on voters, replica.
 
@@ -71,7 +64,7 @@
         wall_clock: WallClock,
         incarnation: int,
         disk: Disk | None = None,
-        check: CheckTables = _accept_any,
+        check: CheckTables = check_tables,
         chance: random.Random | None = None,
     ) -> None:
         timing = settings.timing
--- a/packages/almondfield-control/src/almondfield_control/tests/control_fleet.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/control_fleet.py
@@ -10,7 +10,7 @@
 from almondfield_core.clock import WallClock, now
 from almondfield_core.messages import ChangeAccepted, TableChange
 from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
-from almondfield_core.tables import Pool, Selector
+from almondfield_core.tables import Pool, Route
 from almondfield_testing import InMemoryNetwork, run
 from fake_disk import FakeDisk, journal_files
 from result import Ok
@@ -26,6 +26,7 @@
     return run_step
 
 
+PREFIX_LENGTH = 1000
 SECURITY = SecuritySettings("", "", "")
 
 
@@ -113,8 +114,12 @@
 
     async def change(self, host, expect, change_id, size=0):
         """Return the outcome of a change that is asked for at a host."""
-        pool = Pool(f"pool-{change_id}", selects=Selector(model="x" * size))
-        change = TableChange(change_id, "operator", expect, (pool,), ())
+        pool = Pool(f"pool-{change_id}")
+        routes = tuple(
+            Route("team", f"/{number}".ljust(PREFIX_LENGTH, "x"), pool.name)
+            for number in range(size // PREFIX_LENGTH)
+        )
+        change = TableChange(change_id, "operator", expect, (pool,), routes)
         return await self.node_by_host[host].control.apply(change)
 
     async def make_changes(self, host, count, size=10):
--- a/packages/almondfield-control/src/almondfield_control/tests/control_group.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/control_group.feature
@@ -38,11 +38,27 @@
 
   Scenario: an isolated leader loses its lease and another host leads
     Given a fleet of 4 hosts with 3 voters
-    When the leader is isolated for 60 seconds
+    When the leader is isolated for 600 seconds
     Then the isolated host did not lead after 1 second
     And the other hosts had a leader within 3 seconds
     And its return does not change the leader
 
+  Scenario: a voter that was isolated for long returns without a change of leader
+    Given a fleet of 4 hosts with 3 voters
+    When a voter that follows is isolated for 600 seconds, with changes meanwhile
+    Then its return changes neither the leader nor the term
+    And every host has revision 5 and a freshness lease
+
+  Scenario: wrong tables are refused with every finding
+    Given a fleet of 4 hosts with 3 voters
+    When h4 asks for a route to a pool that is not there
+    Then the change is refused with a finding that names the pool
+
+  Scenario: a leader that hands over leads no more, and another does at once
+    Given a fleet of 4 hosts with 3 voters
+    When the leader hands over
+    Then another host leads within 300 milliseconds
+
   Scenario: all voters restart after 500 changes and keep every one
     Given a fleet of 4 hosts with 3 voters
     When h4 makes 500 changes
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/control_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/control_steps.py
@@ -3,7 +3,13 @@
 import asyncio
 
 from almondfield_core.clock import now
-from almondfield_core.messages import ChangeAccepted, ChangeConflict
+from almondfield_core.messages import (
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeRefused,
+    TableChange,
+)
+from almondfield_core.tables import Route
 from behave import given, then, when
 from control_fleet import Fleet, in_loop
 from result import Err, Ok
@@ -146,3 +152,63 @@
     records = (await control.history(first - 1, last)).unwrap()
     names = [(record.revision, record.change_id) for record in records]
     assert names == [(n, f"change-{n}") for n in range(first, last + 1)]
+
+
+@when(
+    "a voter that follows is isolated for {seconds:d} seconds, with changes meanwhile"
+)
+@in_loop
+async def step_impl(context, seconds):
+    fleet = context.fleet
+    leader = fleet.leader()
+    context.term = fleet.node_by_host[leader].replica.hard.term
+    context.leader_then = leader
+    follower = next(host for host in fleet.voters if host != leader)
+    fleet.network.isolate(follower)
+    await fleet.make_changes("h4", 5)
+    await asyncio.sleep(seconds)
+    fleet.network.heal()
+    await asyncio.sleep(10)
+
+
+@then("its return changes neither the leader nor the term")
+@in_loop
+async def step_impl(context):
+    fleet = context.fleet
+    assert fleet.leader() == context.leader_then
+    for voter in fleet.voters:
+        assert fleet.node_by_host[voter].replica.hard.term == context.term, voter
+
+
+@when("h4 asks for a route to a pool that is not there")
+@in_loop
+async def step_impl(context):
+    route = Route("team", "/", "missing-pool")
+    change = TableChange("wrong", "operator", 0, (), (route,))
+    context.outcome = await context.fleet.node_by_host["h4"].control.apply(change)
+
+
+@then("the change is refused with a finding that names the pool")
+@in_loop
+async def step_impl(context):
+    match context.outcome:
+        case Err(ChangeRefused(findings)):
+            assert any("missing-pool" in str(finding) for finding in findings)
+        case other:
+            raise AssertionError(other)
+
+
+@when("the leader hands over")
+@in_loop
+async def step_impl(context):
+    context.former = context.fleet.leader()
+    await context.fleet.node_by_host[context.former].hand_over()
+
+
+@then("another host leads within {milliseconds:d} milliseconds")
+@in_loop
+async def step_impl(context, milliseconds):
+    leader = context.fleet.leader
+    await context.fleet.until(
+        lambda: leader() not in (None, context.former), milliseconds / 1000
+    )
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/freshness_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/freshness_steps.py
@@ -130,7 +130,7 @@
     context.bytes_before = fleet.network.bytes_by_kind["renewal-reply"]
     context.count_before = fleet.network.count_by_kind["renewal-reply"]
     pools = (*tables.pools, Pool("small"))
-    change = TableChange("small", "operator", tables.revision, pools, ())
+    change = TableChange("small", "operator", tables.revision, pools, tables.routes)
     assert (await fleet.node_by_host["h4"].control.apply(change)).is_ok()
     views = [node.view for node in fleet.node_by_host.values()]
     await fleet.until(lambda: all(view.tables.pools == pools for view in views))
--- a/spec/check.py
+++ b/spec/check.py
@@ -14,6 +14,7 @@
 sys.path.insert(0, str(Path(__file__).parent))
 
 from claims import claims_protocol
+from freshness import freshness_protocol
 from grants import grants_protocol
 from log import log_protocol
 
@@ -100,6 +101,25 @@
         {"renews_while_moving": True},
         broken=True,
     ),
+    Case("freshness", freshness_protocol),
+    Case(
+        "freshness, new leader does not wait",
+        freshness_protocol,
+        {"new_leader_waits": False},
+        broken=True,
+    ),
+    Case(
+        "freshness, neighbour acknowledges early",
+        freshness_protocol,
+        {"neighbour_holds_back": False},
+        broken=True,
+    ),
+    Case(
+        "freshness, quorum read ignores entries",
+        freshness_protocol,
+        {"read_checks_entries": False},
+        broken=True,
+    ),
     Case("claims", claims_protocol),
     Case(
         "claims, claim after dispatch",
