--- a/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/environment.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/environment.py
@@ -1,5 +1,5 @@
-"""Runs each scenario in a paused event loop."""
+"""Runs each scenario in a paused event loop; those over sockets wait for them."""
 
-from almondfield_testing import after_scenario, before_scenario
+from almondfield_daemon.peers.tests.environment import after_scenario, before_scenario
 
 __all__ = ["after_scenario", "before_scenario"]
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/steps/sender_steps.py
@@ -0,0 +1,82 @@
+"""Steps of sender.feature."""
+
+import asyncio
+import json
+
+from almondfield_daemon.orders import FencedOrder, HttpOrderSender, LoadModel
+from almondfield_testing import run
+from behave import given, then, when
+
+
+def serve(context, answer):
+    context.requests = []
+
+    async def take(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        lines = head.decode().lower().split("\r\n")
+        length = next(int(x[15:]) for x in lines if x.startswith("content-length:"))
+        context.requests.append((lines, json.loads(await reader.readexactly(length))))
+        await answer(writer)
+
+    async def start():
+        context.server = await asyncio.start_server(take, "127.0.0.1", 0)
+        port = context.server.sockets[0].getsockname()[1]
+        context.address = f"127.0.0.1:{port}"
+
+    run(context, start())
+
+
+@given("a backend server that answers orders with {status:d}")
+def step_impl(context, status):
+    async def answer(writer):
+        writer.write(f"HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\n{{}}".encode())
+        await writer.drain()
+        writer.close()
+
+    serve(context, answer)
+
+
+@given("a backend server that closes each connection")
+def step_impl(context):
+    async def answer(writer):
+        writer.close()
+
+    serve(context, answer)
+
+
+@given("a backend server that never answers")
+def step_impl(context):
+    async def answer(writer):
+        await asyncio.sleep(1000.0)
+
+    serve(context, answer)
+
+
+@given("no backend server")
+def step_impl(context):
+    async def answer(writer):
+        writer.close()
+
+    serve(context, answer)
+    context.server.close()
+    run(context, context.server.wait_closed())
+
+
+@when('a load of "{model}" with fencing number {fencing:d} is sent to it')
+def step_impl(context, model, fencing):
+    order = FencedOrder("engine-1", context.address, LoadModel(model), fencing)
+    context.outcome = run(context, HttpOrderSender("secret").send(order))
+
+
+@then("the outcome is {name}")
+def step_impl(context, name):
+    assert type(context.outcome).__name__ == name, context.outcome
+
+
+@then('the server got token "{token}" and fencing number {fencing:d} once')
+def step_impl(context, token, fencing):
+    ((lines, body),) = context.requests
+    assert lines[0].startswith("post /orders "), lines[0]
+    assert f"authorization: bearer {token}" in lines
+    assert body["fencing"] == fencing
+    assert (body["order"], body["model"]) == ("load-model", "writing"), body
