Move half of the spare servers at a time, and leave the donor enough

Change: up to half of the spare servers move at a time; a pool gives none away that would leave it using more than 0.8 of its slots.

--- a/packages/almondfield-daemon/src/almondfield_daemon/orders/plan.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/plan.py
@@ -19,6 +19,9 @@
 
 __all__ = ["PlannedOrder", "plan_orders"]
 
+LARGEST_LOAD = 0.8
+"""Share of its slots that a pool may use after it gave a server away."""
+
 
 @dataclass(frozen=True)
 class PlannedOrder:
@@ -41,8 +44,9 @@
 ) -> tuple[PlannedOrder, ...]:
     """Return the orders that are due, at most one per server.
 
-    Every pool gets its wanted servers first. Servers beyond those are spare: one at a
-    time goes to a backlogged pool, from a pool that is not.
+    Every pool gets its wanted servers first. Servers beyond those are spare: up to half
+    of them at a time go to a backlogged pool, from pools that are not backlogged and
+    keep enough slots for what they run.
 
     :param pools: rows of the pools table.
     :param servers: what the servers announce.
@@ -72,6 +76,10 @@
         self.planned: list[PlannedOrder] = []
         self._pool_by_name = {pool.name: pool for pool in pools}
         self._busy = set(order_by_server)
+        self._running_by_pool = {
+            pool.name: sum(s.busy for s in servers if selects_server(pool, s))
+            for pool in pools
+        }
         self._later_by_server = {
             server.name: _after(order_by_server.get(server.name), server)
             for server in sorted(servers, key=lambda server: server.name)
@@ -88,14 +96,42 @@
     def relieve(
         self, pool: Pool, backlogged: Collection[str], settled: Collection[str]
     ) -> None:
-        if not pool.wanted_servers or self._is_awaiting(pool):
+        if not pool.wanted_servers:
             return
-        for server in self._donors(pool):
-            helped = {p.name for p in self._pools_of(server)} & set(backlogged)
-            free = not self._pools_of(server) or server.name in settled
-            if free and not helped and self._is_spare(server):
-                self._move(server, pool)
+        most = max(1, self._count_spare() // 2)
+        while self._count_awaited(pool) < most:
+            donors = [
+                server
+                for server in self._donors(pool)
+                if self._may_help(server, backlogged, settled)
+            ]
+            if not donors:
                 return
+            self._move(donors[0], pool)
+
+    def _may_help(
+        self,
+        server: ServerAnnouncement,
+        backlogged: Collection[str],
+        settled: Collection[str],
+    ) -> bool:
+        pools = self._pools_of(server)
+        if not pools:
+            return True
+        if server.name not in settled or not self._is_spare(server):
+            return False
+        return all(
+            pool.name not in backlogged and self._keeps_enough(pool, server)
+            for pool in pools
+        )
+
+    def _keeps_enough(self, pool: Pool, server: ServerAnnouncement) -> bool:
+        slots = sum(member.slots for member in self._members(pool)) - server.slots
+        return self._running_by_pool[pool.name] <= LARGEST_LOAD * slots
+
+    def _count_spare(self) -> int:
+        wanted = sum(pool.wanted_servers for pool in self.pools)
+        return len(self._later_by_server) - wanted
 
     def unload_retired(self) -> None:
         models = {pool.selects.model for pool in self.pools if pool.selects.version}
@@ -111,8 +147,8 @@
     def _pools_of(self, server: ServerAnnouncement) -> list[Pool]:
         return [pool for pool in self.pools if selects_server(pool, server)]
 
-    def _is_awaiting(self, pool: Pool) -> bool:
-        return any(server.name in self._busy for server in self._members(pool))
+    def _count_awaited(self, pool: Pool) -> int:
+        return sum(server.name in self._busy for server in self._members(pool))
 
     def _is_spare(self, server: ServerAnnouncement) -> bool:
         pools = self._pools_of(server)
--- a/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/orders.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/orders.feature
@@ -73,6 +73,21 @@
     When pool "writing" is backlogged for 120.0 s
     Then 2 engines have model "writing", 1 has "board" and 0 none
 
+  Scenario: A pool that needs its slots gives no server away
+    Given engines 1 to 3 with model "writing"
+    And pool "writing" wants 1 servers and pool "board" wants 1
+    And 120.0 s pass
+    And every engine of "writing" runs 3 requests
+    When pool "board" is backlogged for 120.0 s
+    Then 2 engines have model "writing", 1 has "board" and 0 none
+
+  Scenario: Several spare servers go to a backlogged pool at a time
+    Given engines 1 to 10 with model "writing"
+    And pool "writing" wants 1 servers and pool "board" wants 1
+    And 120.0 s pass
+    When pool "board" is backlogged for 60.0 s
+    Then 5 engines have "board", and 2 to 4 of them loaded at a time
+
   Scenario: A short backlog moves nothing, nor do pools that take turns
     Given engines 1 to 3 with model "writing"
     And pool "writing" wants 1 servers and pool "board" wants 1
--- a/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/steps/orders_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/steps/orders_steps.py
@@ -112,6 +112,14 @@
     run(context, start())
 
 
+@given('every engine of "{model}" runs {count:d} requests')
+def step_impl(context, model, count):
+    for engine in context.engine_by_name.values():
+        if engine.said.model == model:
+            engine.change(busy=count)
+    run(context, asyncio.sleep(12.0))
+
+
 @given("engine 1 loses {count:d} answers")
 def step_impl(context, count):
     context.engine_by_name["engine-1"].lost_answers = count
@@ -282,3 +290,14 @@
     engine = context.engine_by_name["engine-1"]
     assert engine.said.label_by_name.get("role") == role
     assert engine.loads_started_s == []
+
+
+@then('{count:d} engines have "{model}", and {a:d} to {b:d} of them loaded at a time')
+def step_impl(context, count, model, a, b):
+    assert sum(engine.said.model == model for engine in engines(context)) == count
+    loads = [(s, e.load_s) for e in engines(context) for s in e.loads_started_s]
+    at_a_time = [
+        sum(start <= other < start + load_s for other, _ in loads)
+        for start, load_s in loads
+    ]
+    assert a <= max(at_a_time) <= b, at_a_time
--- a/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/steps/sender_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/steps/sender_steps.py
@@ -47,7 +47,8 @@
 @given("a backend server that never answers")
 def step_impl(context):
     async def answer(writer):
-        await asyncio.sleep(1000.0)
+        # The connection stays open and silent.
+        context.open_writer = writer
 
     serve(context, answer)
 
