Let handlers that wait hold up no other message of their sender

Change of the Peers port, its fake and PynngPeers: listen(..., waits=True). The inbox of a sender ran one handler at a time until it returned, so that an append request in its fsync, or a change that waits for its commit, held up demand reports and votes of the same host.

--- a/packages/almondfield-core/src/almondfield_core/ports/core.py
+++ b/packages/almondfield-core/src/almondfield_core/ports/core.py
@@ -66,15 +66,19 @@
         """
 
     def listen(
-        self, message_type: type, handler: Callable[[str, Any], Awaitable[Any]]
+        self,
+        message_type: type,
+        handler: Callable[[str, Any], Awaitable[Any]],
+        waits: bool = False,
     ) -> None:
         """Register the handler of a message type.
 
         :param message_type: a registered wire message type.
         :param handler: called as ``await handler(sender, message)``; what it
             returns, if not None, is the reply to :meth:`ask`. Messages of one
-            sender are handed over in order; a handler that waits for long does so
-            in a task of its own.
+            sender are handed over in order.
+        :param waits: whether the handler waits for a disk or for other hosts; it is
+            then started in order too, but the next message does not wait for it.
         """
 
     def is_reachable(self, host: str) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
@@ -54,6 +54,7 @@
         self._link_by_host: dict[str, OutgoingLink] = {}
         self._inbox_by_host: dict[str, Inbox] = {}
         self._handler_by_kind: dict[str, Handler] = {}
+        self._waiting_kinds: set[str] = set()
         self._reply_by_tag: dict[int, asyncio.Future[Any]] = {}
         self._next_tag = 0
         self._kept: tuple[str, ...] = ()
@@ -101,9 +102,12 @@
             del self._reply_by_tag[tag]
             self._withdraw(to, tag, reply)
 
-    def listen(self, message_type: type, handler: Handler) -> None:
+    def listen(self, message_type: type, handler: Handler, waits: bool = False) -> None:
         """Register the handler of a message type."""
-        self._handler_by_kind[kind_of(message_type)] = handler
+        kind = kind_of(message_type)
+        self._handler_by_kind[kind] = handler
+        if waits:
+            self._waiting_kinds.add(kind)
 
     def is_reachable(self, host: str) -> bool:
         """Return whether the path to a host and back works, as heartbeats show.
@@ -201,7 +205,7 @@
     def _inbox(self, host: str) -> Inbox:
         inbox = self._inbox_by_host.get(host)
         if inbox is None:
-            inbox = Inbox(lambda envelope: self._handle(host, envelope), self._meter)
+            inbox = Inbox(lambda envelope: self._hand_over(host, envelope), self._meter)
             self._inbox_by_host[host] = inbox
             if self._tasks is not None:
                 self._tasks.create_task(inbox.run())
@@ -271,6 +275,12 @@
             return None
         return decoded.unwrap()
 
+    async def _hand_over(self, sender: str, envelope: Envelope) -> None:
+        if envelope.kind in self._waiting_kinds and self._tasks is not None:
+            self._tasks.create_task(self._handle(sender, envelope))
+            return
+        await self._handle(sender, envelope)
+
     async def _handle(self, sender: str, envelope: Envelope) -> None:
         handler = self._handler_by_kind.get(envelope.kind)
         if handler is None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
@@ -13,6 +13,11 @@
     Then "b" has handled reports 1 to 300 in order
     And "a" sent them in at most 20 frames
 
+  Scenario: A handler that waits holds up no other message of its sender
+    Given the handler of relays at "b" waits for 5.0 s
+    When "a" asks "b" to take a relay
+    Then "a" asks "b" for report 8 and gets grant 8
+
   Scenario: A connection that goes silent in one direction is dialled anew
     Given "a" and "b" have talked for 2.0 s
     When every open connection from "a" to "b" goes silent
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from almondfield_core.messages import DemandReport
+from almondfield_core.messages import AnnouncementRelay, DemandReport
 from almondfield_daemon.peers import Frame
 from almondfield_daemon.peers.frames import FrameSeal
 from almondfield_daemon.peers.tests.fakes import SECRET, MemoryNetwork, Node
@@ -257,3 +257,20 @@
     before = len(sent_frames(context, "a", "b"))
     run(context, asyncio.sleep(seconds))
     assert 1 <= len(sent_frames(context, "a", "b")) - before <= most
+
+
+@given('the handler of relays at "b" waits for {seconds:f} s')
+def step_impl(context, seconds):
+    async def wait(sender, message):
+        await asyncio.sleep(seconds)
+
+    context.nodes["b"].peers.listen(AnnouncementRelay, wait, waits=True)
+
+
+@when('"a" asks "b" to take a relay')
+def step_impl(context):
+    async def send():
+        context.nodes["a"].peers.send("b", AnnouncementRelay("writing", (), ()))
+        await asyncio.sleep(0.1)
+
+    run(context, send())
--- a/tools/almondfield_testing/core.py
+++ b/tools/almondfield_testing/core.py
@@ -170,7 +170,10 @@
             del self._reply_by_tag[tag]
 
     def listen(
-        self, message_type: type, handler: Callable[[str, Any], Awaitable[Any]]
+        self,
+        message_type: type,
+        handler: Callable[[str, Any], Awaitable[Any]],
+        waits: bool = False,
     ) -> None:
         """Register the handler of a message type."""
         self._handler_by_kind[kind_of(message_type)] = handler
