--- a/packages/almondfield-control/src/almondfield_control/consensus/election.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/election.py
@@ -29,7 +29,7 @@
 
     def listen(self) -> None:
         """Answer vote requests from now on."""
-        self._replica.peers.listen(VoteRequest, self._on_vote)
+        self._replica.peers.listen(VoteRequest, self._on_vote, waits=True)
 
     async def run(self) -> None:
         """Stand whenever no leader was heard for an election timeout."""
--- a/packages/almondfield-control/src/almondfield_control/consensus/following.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/following.py
@@ -33,8 +33,8 @@
 
     def listen(self) -> None:
         """Answer the leader from now on."""
-        self._replica.peers.listen(AppendRequest, self._on_append)
-        self._replica.peers.listen(SnapshotChunk, self._on_chunk)
+        self._replica.peers.listen(AppendRequest, self._on_append, waits=True)
+        self._replica.peers.listen(SnapshotChunk, self._on_chunk, waits=True)
 
     async def _on_append(
         self, sender: str, request: AppendRequest
--- a/packages/almondfield-control/src/almondfield_control/consensus/formation.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -44,7 +44,7 @@
     def listen(self) -> None:
         """Answer queries and offers from now on."""
         self._replica.peers.listen(FormationQuery, self._on_query)
-        self._replica.peers.listen(FormationOffer, self._on_offer)
+        self._replica.peers.listen(FormationOffer, self._on_offer, waits=True)
 
     async def run(self) -> None:
         """Return once this member belongs to a group and was admitted or formed it."""
--- a/packages/almondfield-control/src/almondfield_control/node/leader.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader.py
@@ -97,15 +97,18 @@
         """Answer requests from now on."""
         for message_type, handler in (
             (RenewalRequest, self._renew),
-            (ApplyRequest, self._apply),
-            (BatchRequest, self._batch),
             (InForceRequest, self._in_force),
             (HistoryRequest, self._history),
             (StatusRequest, self._status),
+        ):
+            self._peers.listen(message_type, self._as_leader(handler))
+        for message_type, handler in (
+            (ApplyRequest, self._apply),
+            (BatchRequest, self._batch),
             (FencingRequest, self._fencing),
             (VoterRequest, self._change_voter),
         ):
-            self._peers.listen(message_type, self._as_leader(handler))
+            self._peers.listen(message_type, self._as_leader(handler), waits=True)
 
     async def run(self) -> None:
         """Keep every pool leased to a live host while this host leads."""
