--- a/bench/measures.py
+++ b/bench/measures.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import combinations
 
 from load import CallRecord, TeamLoad
@@ -21,6 +21,8 @@
 # A request counts as waiting once it is older than the way to a backend server takes.
 TRANSIT_S = 0.02
 WINDOW_S = 5.0
+FULL_USE = 0.9
+SUSTAINED_S = 0.5
 
 
 @dataclass(frozen=True)
@@ -61,6 +63,12 @@
         any interval in which both are backlogged, in slot-seconds per weight.
     :ivar fairness_bound: what it may be at most.
     :ivar window_gap: the same within windows of 5 s.
+    :ivar widest_pair: the two teams of the gap.
+    :ivar refill_p95_s: from the end of a request to the next start on its server,
+        while work waits, for 95 in 100.
+    :ivar recovery_s: from the fault until the slots are used again as they should;
+        None without a fault or where it did not come to that.
+    :ivar teams: figures by team.
     """
 
     pool: str
@@ -70,8 +78,9 @@
     fairness_bound: float
     window_gap: float
     widest_pair: tuple[str, str] = ("", "")
+    refill_p95_s: float = 0.0
+    recovery_s: float | None = None
     teams: tuple[TeamFigures, ...] = ()
-    notes: tuple[str, ...] = field(default=())
 
 
 def percentile(values: Iterable[float], share: float) -> float:
@@ -180,6 +189,7 @@
     start_s: float,
     end_s: float,
     losses: tuple[Loss, ...] = (),
+    fault_s: float | None = None,
 ) -> PoolFigures:
     """Return the figures of one pool between two times.
 
@@ -191,7 +201,9 @@
     :param start_s: first time that counts, by the monotonic clock.
     :param end_s: last time that counts.
     :param losses: stand-ins of the pool that left or died.
+    :param fault_s: when a fault began, by the monotonic clock.
     """
+    records = list(records)
     calls = [call for call in calls if call.pool == pool]
     runs = pair_runs(records, end_s, losses)
     steps = int((end_s - start_s) / GRID_S)
@@ -225,6 +237,8 @@
         slots * largest_cost_s / lightest,
         window[0],
         whole[1],
+        percentile(_refill_times(records, waits, start_s), 0.95),
+        _recovery_s(busy, slots_at, waits, start_s, fault_s),
         _team_figures(teams, service_by_team, waits, calls),
     )
 
@@ -279,6 +293,38 @@
     return widest, pair
 
 
+def _refill_times(records, waits, start_s: float) -> list[float]:
+    """Return the times between an end and the next start on its server."""
+    times = []
+    ends_by_server: dict[str, list[float]] = defaultdict(list)
+    for record in sorted(records, key=lambda record: record.time_s):
+        ends = ends_by_server[record.server]
+        step = int((record.time_s - start_s) / GRID_S)
+        if record.event == "end":
+            if 0 <= step < len(waits) and waits[step]:
+                ends.append(record.time_s)
+        elif ends:
+            times.append(record.time_s - ends.pop(0))
+    return times
+
+
+def _recovery_s(busy, slots_at, waits, start_s: float, fault_s: float | None):
+    """Return the time from a fault to full use, kept up for half a second."""
+    if fault_s is None:
+        return None
+    first = int((fault_s - start_s) / GRID_S)
+    needed = int(SUSTAINED_S / GRID_S)
+    run = 0
+    dipped = False
+    for k in range(first, len(busy)):
+        full = not waits[k] or busy[k] >= FULL_USE * slots_at[k] * GRID_S
+        dipped = dipped or not full
+        run = run + 1 if full else 0
+        if run == needed and dipped:
+            return (k + 1 - needed - first) * GRID_S
+    return 0.0 if not dipped else None
+
+
 def _team_figures(teams, service_by_team, waits, calls) -> tuple[TeamFigures, ...]:
     total = sum(
         s for service in service_by_team.values() for s, w in zip(service, waits) if w
--- a/bench/run.py
+++ b/bench/run.py
@@ -78,7 +78,8 @@
     end_s = start_s + plan.seconds
     await sampler
     fault_notes = await fault_task
-    figures = summarize(plan, deployment, fleet, load, loads, start_s, end_s)
+    fault_s = None if plan.fault == "none" else fault_notes["began_s"]
+    figures = summarize(plan, deployment, fleet, load, loads, (start_s, end_s), fault_s)
     figures |= fleet.control_figures(before, after, plan.seconds)
     figures["added_ms"] = await added
     figures["fault_notes"] = fault_notes
@@ -96,7 +97,7 @@
     return await fault.run(fleet)
 
 
-def summarize(plan, deployment, fleet, load, loads, start_s, end_s):
+def summarize(plan, deployment, fleet, load, loads, span_s, fault_s):
     """Return the figures that come from ledgers and callers."""
     records = fleet.read_ledgers()
     pools = []
@@ -108,13 +109,13 @@
                 tuple(team for team in loads if team.pool == pool.name),
                 [record for record in records if record.pool == pool.name],
                 load.records,
-                start_s,
-                end_s,
+                *span_s,
                 tuple(
                     loss
                     for loss in fleet.losses
                     if loss.server.startswith(f"{pool.name}-")
                 ),
+                fault_s,
             )
         )
     services = {p.name for p in deployment.profile.pools if p.kind is PoolKind.SERVICE}
