--- a/packages/almondfield-control/src/almondfield_control/consensus/tests/history.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/tests/history.py
@@ -18,7 +18,8 @@
 from result import Ok
 
 FAULT_S = 1.2
-SETTLE_S = 10.0
+SETTLE_S = 15.0
+WIPE_EVERY = 4
 KEYS = ("k1", "k2")
 ANSWER = StoredAnswer(200, (), b"done")
 
@@ -57,6 +58,8 @@
         for n in range(4)
     ]
     work.append(asyncio.ensure_future(_watch(fleet, record)))
+    if seed % WIPE_EVERY == 0:
+        work.append(asyncio.ensure_future(_wipe(fleet, record, chance)))
     await _break(fleet, record, chance)
     fleet.network.heal()
     fleet.network.loss = 0.0
@@ -83,6 +86,7 @@
         return False
     replica = fleet.node_by_host[leader].replica
     done = replica.commit_index == replica.log.last_index
+    done &= {m.voter_id for m in replica.log.members if m.votes} == _identities(fleet)
     views = [node.view for node in fleet.node_by_host.values()]
     return done and all(
         view.tables == replica.state.tables and view.freshness_left_s() > 0
@@ -111,6 +115,18 @@
         await asyncio.sleep(chance.uniform(0.1, 0.8))
 
 
+async def _wipe(fleet, record, chance):
+    """Empty one data folder at any moment."""
+    await asyncio.sleep(chance.uniform(0.7, 0.7 + FAULT_S))
+    host = chance.choice(fleet.names)
+    record.faults.append((round(now(), 3), "wipe", host))
+    if host in fleet.node_by_host:
+        await fleet.crash(host)
+    fleet.disk_by_host[host].wipe()
+    if host not in fleet.node_by_host:
+        fleet.start(host)
+
+
 async def _restart(fleet, chance, hosts):
     await fleet.crash(*[host for host in hosts if host in fleet.node_by_host])
     await asyncio.sleep(chance.uniform(0.0, 0.3))
@@ -173,6 +189,10 @@
         assert len(hosts) <= 1, (pool, hosts)
 
 
+def _identities(fleet):
+    return {node.replica.voter_id for node in fleet.node_by_host.values()}
+
+
 async def violations(fleet, record):
     """Return what is wrong with a history; empty where nothing is."""
     found = []
@@ -192,6 +212,9 @@
     for key, claimants in record.runs.items():
         if len(set(claimants)) > 1:
             found.append(f"key {key} ran twice: {claimants}")
+    voters = {m.voter_id for m in state.members if m.votes}
+    if voters != _identities(fleet):
+        found.append(f"not every folder votes after every fault ended: {voters}")
     for host, node in fleet.node_by_host.items():
         if node.view.tables != state.tables:
             found.append(f"{host} has revision {node.view.tables.revision}")
