--- a/packages/almondfield-control/src/almondfield_control/node/core.py
+++ b/packages/almondfield-control/src/almondfield_control/node/core.py
@@ -14,6 +14,7 @@
 from almondfield_control.consensus import Replica
 from almondfield_control.freshness import Fallback, HostView, VoterReads
 from almondfield_control.node.client import ControlClient
+from almondfield_control.node.export import AuditExport
 from almondfield_control.node.leader import CheckTables, LeaderService
 from almondfield_control.node.renewal import Renewal
 from almondfield_control.storage import Disk, FolderDisk
@@ -118,6 +119,7 @@
                     VoterReads(self._replica).listen()
                     group.create_task(self._replica.run())
                     group.create_task(self._leader_service.run())
+                    group.create_task(AuditExport(self._replica, self._disk).run())
         finally:
             if self._disk is not None:
                 self._disk.close()
--- a/packages/almondfield-control/src/almondfield_control/state/__init__.py
+++ b/packages/almondfield-control/src/almondfield_control/state/__init__.py
@@ -1,6 +1,6 @@
 """State that every voter derives from the log in the same way."""
 
 from almondfield_control.state.claims import ClaimTable
-from almondfield_control.state.core import ControlState
+from almondfield_control.state.core import MAX_AUDIT_RECORDS, ControlState
 
-__all__ = ["ClaimTable", "ControlState"]
+__all__ = ["MAX_AUDIT_RECORDS", "ClaimTable", "ControlState"]
--- a/packages/almondfield-control/src/almondfield_control/state/claims.py
+++ b/packages/almondfield-control/src/almondfield_control/state/claims.py
@@ -19,6 +19,7 @@
 CLAIM_LIFETIME_S = 24 * 3600.0
 MAX_CLAIMS = 200_000
 MAX_ANSWER_BYTES = 16 * 1024
+MAX_STORED_BYTES = 64 * 1024 * 1024
 
 
 @dataclass(frozen=True)
@@ -55,6 +56,7 @@
         self._running_keys = {
             key for key, item in self._record_by_key.items() if not item.settled
         }
+        self._stored_bytes = sum(_body_bytes(item) for item in records)
 
     @property
     def records(self) -> tuple[ClaimRecord, ...]:
@@ -102,7 +104,8 @@
         if not command.ran:
             del self._record_by_key[key]
             return True
-        answer = _bounded(command.answer)
+        answer = self._bounded(command.answer)
+        self._stored_bytes += len(answer.body) if answer else 0
         self._record_by_key[key] = replace(record, settled=True, answer=answer)
         return True
 
@@ -141,6 +144,16 @@
                 return
             del self._record_by_key[key]
             self._running_keys.discard(key)
+            self._stored_bytes -= _body_bytes(record)
+
+    def _bounded(self, answer: StoredAnswer | None) -> StoredAnswer | None:
+        if answer is None:
+            return None
+        size = len(answer.body)
+        total = self._stored_bytes + size
+        if size <= MAX_ANSWER_BYTES and total <= MAX_STORED_BYTES:
+            return answer
+        return replace(answer, body=b"", complete=False)
 
 
 def _outcome_of(record: ClaimRecord, command: ClaimKey) -> ClaimOutcome:
@@ -155,7 +168,5 @@
     return ClaimRunning()
 
 
-def _bounded(answer: StoredAnswer | None) -> StoredAnswer | None:
-    if answer is None or len(answer.body) <= MAX_ANSWER_BYTES:
-        return answer
-    return replace(answer, body=b"", complete=False)
+def _body_bytes(record: ClaimRecord) -> int:
+    return len(record.answer.body) if record.answer else 0
--- a/packages/almondfield-control/src/almondfield_control/state/core.py
+++ b/packages/almondfield-control/src/almondfield_control/state/core.py
@@ -28,10 +28,11 @@
 from almondfield_control.state.audit import difference_of
 from almondfield_control.state.claims import ClaimRecord, ClaimTable
 
-__all__ = ["ControlState"]
+__all__ = ["MAX_AUDIT_RECORDS", "ControlState"]
 
 MAX_AUDIT_RECORDS = 1_000
 MAX_CONFLICTS = 1_000
+MAX_CHANGE_IDS = 50_000
 
 
 @dataclass(frozen=True)
@@ -48,6 +49,7 @@
     fencing: int
     members: tuple[Member, ...]
     leases_index: int
+    revision_by_change_id: dict[str, int]
 
 
 class ControlState:
@@ -139,6 +141,7 @@
             fencing=self.fencing,
             members=self.members,
             leases_index=self.leases_index,
+            revision_by_change_id=self._revision_by_change_id,
         )
         return msgspec.msgpack.encode(image)
 
@@ -159,9 +162,9 @@
         state.fencing = image.fencing
         state.members = image.members
         state.leases_index = image.leases_index
+        state._revision_by_change_id = image.revision_by_change_id
         for record in image.audit:
             state._audit_by_revision[record.revision] = record
-            state._revision_by_change_id[record.change_id] = record.revision
         for conflict in image.conflicts:
             state._conflict_by_change_id[conflict.change_id] = conflict
         return state
@@ -184,7 +187,7 @@
         self.tables = tables
         self._audit_by_revision[revision] = record
         self._revision_by_change_id[change.change_id] = revision
-        self._drop_oldest_audit()
+        self._drop_oldest()
         return ChangeAccepted(change.change_id, revision)
 
     def _refuse(self, change: TableChange) -> ChangeConflict:
@@ -200,12 +203,11 @@
             del self._conflict_by_change_id[next(iter(self._conflict_by_change_id))]
         return conflict
 
-    def _drop_oldest_audit(self) -> None:
-        if len(self._audit_by_revision) <= MAX_AUDIT_RECORDS:
-            return
-        oldest = next(iter(self._audit_by_revision))
-        record = self._audit_by_revision.pop(oldest)
-        del self._revision_by_change_id[record.change_id]
+    def _drop_oldest(self) -> None:
+        if len(self._audit_by_revision) > MAX_AUDIT_RECORDS:
+            del self._audit_by_revision[next(iter(self._audit_by_revision))]
+        if len(self._revision_by_change_id) > MAX_CHANGE_IDS:
+            del self._revision_by_change_id[next(iter(self._revision_by_change_id))]
 
     def _lease_pool(self, pool: str, host: str) -> PoolLease:
         earlier = self.lease_by_pool.get(pool)
--- a/packages/almondfield-control/src/almondfield_control/storage/core.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/core.py
@@ -29,7 +29,7 @@
         """Return the content of a file."""
 
     async def append(self, name: str, data: bytes) -> None:
-        """Add data to the end of a file and sync it.
+        """Add data to the end of a file, made where it is missing, and sync it.
 
         :raises OSError: where that failed; part of the data may be there.
         """
@@ -296,7 +296,8 @@
             type=_Start,
         )
         for name in names:
-            if name not in (self._name, start.snapshot):
+            is_own = name.startswith((_JOURNAL_PREFIX, _SNAPSHOT_PREFIX))
+            if is_own and name not in (self._name, start.snapshot):
                 await self._disk.remove(name)
 
 
--- a/packages/almondfield-control/src/almondfield_control/storage/folder.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/folder.py
@@ -69,13 +69,17 @@
         return tuple(sorted(name for name in names if name != _LOCK_NAME))
 
     def _append(self, name: str, data: bytes) -> None:
-        flags = os.O_WRONLY | os.O_APPEND
-        descriptor = os.open(self._folder / name, flags)
+        path = self._folder / name
+        is_new = not path.exists()
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+        descriptor = os.open(path, flags, _FILE_MODE)
         try:
             _write_all(descriptor, data)
             os.fdatasync(descriptor)
         finally:
             os.close(descriptor)
+        if is_new:
+            self._sync_folder()
 
     def _truncate(self, name: str, size: int) -> None:
         descriptor = os.open(self._folder / name, os.O_WRONLY)
--- a/packages/almondfield-control/src/almondfield_control/tests/fake_disk.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/fake_disk.py
@@ -32,7 +32,7 @@
         await asyncio.sleep(self.sync_s)
         self._check(generation)
         self.writing = None
-        self.file_by_name[name] += data
+        self.file_by_name[name] = self.file_by_name.get(name, b"") + data
 
     async def truncate(self, name, size):
         self.file_by_name[name] = self.file_by_name[name][:size]
@@ -55,7 +55,8 @@
         self.generation += 1
         if self.writing is not None:
             name, data = self.writing
-            self.file_by_name[name] += data[: self.chance.randrange(len(data))]
+            part = data[: self.chance.randrange(len(data))]
+            self.file_by_name[name] = self.file_by_name.get(name, b"") + part
             self.writing = None
 
     def wipe(self):
