Let half of the model stand-ins resume streams, and measure daemons at rest

Cause: resuming was not met by any run of the measuring tool, and the daemon's own account of control leaves out its timers.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -12,6 +12,7 @@
 import aiosonic
 import tomlkit
 from almondfield_core.clock import now
+from almondfield_core.tables import PoolKind
 from deployment import OPERATOR_TOKEN, Deployment, HostPlan, PoolPlan
 from measures import Loss
 from relay import Relay
@@ -26,6 +27,7 @@
 EXIT_TIMEOUT_S = 60.0
 RELAY_PORT_OFFSET = 20
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 BYTES_SENT = 'almondfield_peers_sent_bytes{kind="frames"}'
 CONTROL_CPU_S = "almondfield_peers_processor_s"
 
@@ -126,6 +128,7 @@
         if ("", name) in self.relay_by_path:
             command += ["--announced", self.relay_by_path["", name].listen]
         command += ["--data-centre", self.deployment.stand_in_data_centre(index)]
+        command += ["--resumes"] if plan.kind is PoolKind.MODEL and index % 2 else []
         command += ["--slots", str(plan.slots), "--kind", plan.kind.value]
         command += ["--token-file", str(folder / "backend.token")]
         command += ["--ledger-file", str(folder / f"{name}.ledger")]
@@ -246,6 +249,15 @@
                 sizes.append(int(pages) * PAGE_BYTES / 1e6)
         return max(sizes)
 
+    def processor_s(self) -> dict[str, float]:
+        """Return the processor seconds of each daemon's whole process, by host."""
+        spent_by_host = {}
+        for name, process in self.daemon_by_host.items():
+            fields = Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1]
+            user, system = fields.split()[11:13]
+            spent_by_host[name] = (int(user) + int(system)) / TICKS_PER_S
+        return spent_by_host
+
     def read_ledgers(self) -> list[RunRecord]:
         """Return the ledger lines of every stand-in."""
         records = []
--- a/bench/run.py
+++ b/bench/run.py
@@ -60,7 +60,9 @@
 
 
 async def _measure(plan, deployment, fleet, fault) -> dict[str, object]:
+    rested = fleet.processor_s()
     await asyncio.sleep(SETTLE_S)
+    at_rest = fleet.processor_s()
     loads = tuple(
         scale(load, plan.load_factor)
         for load in (*deployment.loads(), *fault.loads(deployment))
@@ -83,6 +85,9 @@
     figures |= fleet.control_figures(before, after, plan.seconds)
     figures["added_ms"] = await added
     figures["fault_notes"] = fault_notes
+    figures["rest_cpu_share"] = max(
+        (at_rest[name] - rested[name]) / SETTLE_S for name in rested
+    )
     figures["daemon_rss_mb"] = fleet.largest_memory_mb()
     return figures
 
