--- a/packages/almondfield-control/src/almondfield_control/node/core.py
+++ b/packages/almondfield-control/src/almondfield_control/node/core.py
@@ -6,15 +6,15 @@
 from pathlib import Path
 
 from almondfield_core.clock import WallClock
-from almondfield_core.findings import Finding
 from almondfield_core.ports import Control, Peers, TableView
 from almondfield_core.settings import DaemonSettings
-from almondfield_core.tables import Pool, Route
+from almondfield_core.tables import check_tables
 from result import Result
 
 from almondfield_control.consensus import Replica
 from almondfield_control.freshness import Fallback, HostView, VoterReads
 from almondfield_control.node.client import ControlClient
+from almondfield_control.node.export import AuditExport
 from almondfield_control.node.leader import CheckTables, LeaderService
 from almondfield_control.node.renewal import Renewal
 from almondfield_control.storage import Disk, FolderDisk
@@ -46,12 +46,6 @@
     leader: str
 
 
-def _accept_any(
-    pools: tuple[Pool, ...], routes: tuple[Route, ...]
-) -> tuple[Finding, ...]:
-    return ()
-
-
 class ControlNode:
     """One host's part in the control group: view, client and, on voters, replica.
 
@@ -71,7 +65,7 @@
         wall_clock: WallClock,
         incarnation: int,
         disk: Disk | None = None,
-        check: CheckTables = _accept_any,
+        check: CheckTables = check_tables,
         chance: random.Random | None = None,
     ) -> None:
         timing = settings.timing
@@ -125,6 +119,7 @@
                     VoterReads(self._replica).listen()
                     group.create_task(self._replica.run())
                     group.create_task(self._leader_service.run())
+                    group.create_task(AuditExport(self._replica, self._disk).run())
         finally:
             if self._disk is not None:
                 self._disk.close()
--- a/packages/almondfield-control/src/almondfield_control/state/claims.py
+++ b/packages/almondfield-control/src/almondfield_control/state/claims.py
@@ -19,6 +19,7 @@
 CLAIM_LIFETIME_S = 24 * 3600.0
 MAX_CLAIMS = 200_000
 MAX_ANSWER_BYTES = 16 * 1024
+MAX_STORED_BYTES = 64 * 1024 * 1024
 
 
 @dataclass(frozen=True)
@@ -52,6 +53,10 @@
 
     def __init__(self, records: tuple[ClaimRecord, ...] = ()) -> None:
         self._record_by_key = {(item.team, item.key): item for item in records}
+        self._running_keys = {
+            key for key, item in self._record_by_key.items() if not item.settled
+        }
+        self._stored_bytes = sum(_body_bytes(item) for item in records)
 
     @property
     def records(self) -> tuple[ClaimRecord, ...]:
@@ -81,6 +86,7 @@
             incarnation=command.incarnation,
             claimed_unix_s=unix_s,
         )
+        self._running_keys.add(key)
         return ClaimGranted()
 
     def settle(self, command: SettleClaim) -> bool:
@@ -94,10 +100,12 @@
             return False
         if record.answer is not None:
             return True
+        self._running_keys.discard(key)
         if not command.ran:
             del self._record_by_key[key]
             return True
-        answer = _bounded(command.answer)
+        answer = self._bounded(command.answer)
+        self._stored_bytes += len(answer.body) if answer else 0
         self._record_by_key[key] = replace(record, settled=True, answer=answer)
         return True
 
@@ -106,15 +114,11 @@
 
         :param command: which router, and from which incarnation on it lives.
         """
-        lost = [
-            (key, record)
-            for key, record in self._record_by_key.items()
-            if record.host == command.host
-            and record.incarnation < command.before_incarnation
-            and not record.settled
-        ]
-        for key, record in lost:
+        lost = self._running_of(command.host, command.before_incarnation)
+        for key in lost:
+            record = self._record_by_key[key]
             self._record_by_key[key] = replace(record, settled=True)
+            self._running_keys.discard(key)
         return len(lost)
 
     def has_running(self, host: str, before_incarnation: int) -> bool:
@@ -123,12 +127,15 @@
         :param host: name of the router's host.
         :param before_incarnation: incarnation from which on it lives.
         """
-        return any(
-            record.host == host
-            and record.incarnation < before_incarnation
-            and not record.settled
-            for record in self._record_by_key.values()
-        )
+        return bool(self._running_of(host, before_incarnation))
+
+    def _running_of(self, host: str, before_incarnation: int) -> list[tuple[str, str]]:
+        return [
+            key
+            for key in self._running_keys
+            if self._record_by_key[key].host == host
+            and self._record_by_key[key].incarnation < before_incarnation
+        ]
 
     def _expire(self, unix_s: float) -> None:
         while self._record_by_key:
@@ -136,6 +143,17 @@
             if record.claimed_unix_s + CLAIM_LIFETIME_S > unix_s:
                 return
             del self._record_by_key[key]
+            self._running_keys.discard(key)
+            self._stored_bytes -= _body_bytes(record)
+
+    def _bounded(self, answer: StoredAnswer | None) -> StoredAnswer | None:
+        if answer is None:
+            return None
+        size = len(answer.body)
+        total = self._stored_bytes + size
+        if size <= MAX_ANSWER_BYTES and total <= MAX_STORED_BYTES:
+            return answer
+        return replace(answer, body=b"", complete=False)
 
 
 def _outcome_of(record: ClaimRecord, command: ClaimKey) -> ClaimOutcome:
@@ -150,7 +168,5 @@
     return ClaimRunning()
 
 
-def _bounded(answer: StoredAnswer | None) -> StoredAnswer | None:
-    if answer is None or len(answer.body) <= MAX_ANSWER_BYTES:
-        return answer
-    return replace(answer, body=b"", complete=False)
+def _body_bytes(record: ClaimRecord) -> int:
+    return len(record.answer.body) if record.answer else 0
--- a/packages/almondfield-control/src/almondfield_control/tests/fake_disk.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/fake_disk.py
@@ -3,6 +3,8 @@
 import asyncio
 import errno
 
+from almondfield_control.storage.core import first_journal
+
 SYNC_S = 0.001
 
 
@@ -30,7 +32,7 @@
         await asyncio.sleep(self.sync_s)
         self._check(generation)
         self.writing = None
-        self.file_by_name[name] += data
+        self.file_by_name[name] = self.file_by_name.get(name, b"") + data
 
     async def truncate(self, name, size):
         self.file_by_name[name] = self.file_by_name[name][:size]
@@ -53,7 +55,8 @@
         self.generation += 1
         if self.writing is not None:
             name, data = self.writing
-            self.file_by_name[name] += data[: self.chance.randrange(len(data))]
+            part = data[: self.chance.randrange(len(data))]
+            self.file_by_name[name] = self.file_by_name.get(name, b"") + part
             self.writing = None
 
     def wipe(self):
@@ -74,3 +77,9 @@
     def _check(self, generation):
         if generation != self.generation:
             raise OSError(errno.EIO, "the host crashed")
+
+
+def journal_files(hard):
+    """Return the files of a folder that holds a hard state and an empty log."""
+    name, data = first_journal(hard)
+    return {name: data}
