Let the mean cost of a pool follow its load

Cause: the mean over all requests ever follows a changed load too slowly, and the horizon and windows rest on it. Change: it forgets half after 500 requests.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/windows/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/windows/core.py
@@ -16,6 +16,9 @@
 SMOOTHING = 0.2
 """Weight of the newest value in a running mean."""
 
+REMEMBERED = 500
+"""Requests after which the mean cost forgets half of what it is made of."""
+
 
 class ReportWindows:
     """Mean cost of a pool and recent demand of its routers, as reports tell."""
@@ -23,7 +26,7 @@
     def __init__(self) -> None:
         self._last_by_host: dict[str, DemandReport] = {}
         self._need_by_host: dict[str, float] = {}
-        self._finished = 0
+        self._finished = 0.0
         self._service_s = 0.0
 
     def take(self, host: str, report: DemandReport, service_s: float) -> None:
@@ -43,6 +46,9 @@
             return
         self._finished += report.finished - last.finished
         self._service_s += service_s
+        if self._finished > REMEMBERED:
+            self._finished /= 2
+            self._service_s /= 2
 
     def mean_cost_s(self, typical_s: float) -> float:
         """Return the mean slot-seconds of a request.
