--- a/bench/control.py
+++ b/bench/control.py
@@ -41,6 +41,8 @@
         names = [f"h{number}" for number in range(voters)]
         hosts = tuple(HostSettings(n, "dc", "127.0.0.1", voter=True) for n in names)
         clock = WallClock(time.time() - asyncio.get_running_loop().time())
+        for name in names:
+            (folder / name).mkdir(parents=True, exist_ok=True)
         self.nodes = [
             ControlNode(
                 network.peers(name),
