Log what the control group does, and sync agreements before repeated offers are answered

A repeated offer was answered while the first agreement was still being synced, so that a crash could forget a membership that the others counted on; found by reading, no run showed it. Leading, stepping down, membership changes, failed writes and what a voter waits for are logged, and stats() names the latter.

--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+import eliot
 from almondfield_core.clock import WallClock, now
 from almondfield_core.messages import ControlUnavailable
 from almondfield_core.ports import Peers
@@ -98,6 +99,11 @@
         """Return whether this member leads and its lease has not run out."""
         return self.leadership is not None and self.leadership.is_confirmed()
 
+    @property
+    def waiting_for(self) -> str:
+        """Return what keeps this member from belonging to a group; else empty."""
+        return self._formation.waiting_for
+
     @property
     def votes(self) -> bool:
         """Return whether the newest members name this identity as a voter."""
@@ -163,6 +169,9 @@
         leadership, self.leadership = self.leadership, None
         if leadership is not None:
             leadership.stop()
+            eliot.log_message(
+                "control:steps-down", host=self.peers.host, term=leadership.term
+            )
             self.leader_host = ""
         if self.role is not Role.UNFORMED:
             self.settle_role()
@@ -191,6 +200,7 @@
         self.leader_host = self.peers.host
         self.leadership = Leadership(self, heard_at)
         self.leadership.start()
+        eliot.log_message("control:leads", host=self.peers.host, term=self.hard.term)
         for callback in self.on_lead:
             callback()
 
--- a/packages/almondfield-control/src/almondfield_control/consensus/formation.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+import eliot
 from result import Ok
 
 from almondfield_control.commands import Member
@@ -35,6 +36,8 @@
     that finds an existing group joins it as a learner.
 
     :param replica: the member that forms or joins.
+
+    :ivar waiting_for: what keeps the member from belonging to a group; else empty.
     """
 
     def __init__(self, replica: "Replica") -> None:
@@ -76,6 +79,12 @@
             replica.settle_role()
         return True
 
+    def _wait_for(self, reason: str) -> None:
+        if reason != self.waiting_for:
+            host = self._replica.peers.host
+            eliot.log_message("control:waits", host=host, reason=reason)
+        self.waiting_for = reason
+
     def _is_member(self) -> bool:
         members = self._replica.log.members
         return any(m.voter_id == self._replica.voter_id for m in members)
@@ -89,10 +98,10 @@
             return
         missing = [host for host in others if host not in states]
         if missing:
-            self.waiting_for = f"voters that do not answer: {', '.join(missing)}"
+            self._wait_for(f"voters that do not answer: {', '.join(missing)}")
             return
         if replica.peers.host != min(replica.configured):
-            self.waiting_for = f"{min(replica.configured)} to offer the group"
+            self._wait_for(f"{min(replica.configured)} to offer the group")
             return
         await self._offer(states)
 
@@ -102,7 +111,7 @@
             strangers = [host for host, s in states.items() if s.cluster_id]
             if strangers:
                 hosts = ", ".join(strangers)
-                self.waiting_for = f"empty data folders on {hosts}: formation broke off"
+                self._wait_for(f"empty data folders on {hosts}: formation broke off")
                 return
             members = [Member(replica.voter_id, replica.peers.host)]
             members += [Member(s.voter_id, host) for host, s in states.items()]
@@ -120,7 +129,7 @@
         del wanted[replica.peers.host]
         if agreed != wanted:
             broken = ", ".join(host for host in wanted if host not in agreed)
-            self.waiting_for = f"agreement of {broken or 'replaced folders'}"
+            self._wait_for(f"agreement of {broken or 'replaced folders'}")
             return
         await self._complete(offer)
 
@@ -162,7 +171,7 @@
 
     def _ask_to_join(self) -> None:
         replica = self._replica
-        self.waiting_for = "the leader to add this host as a learner"
+        self._wait_for("the leader to add this host as a learner")
         for host in replica.configured:
             if host != replica.peers.host:
                 replica.peers.send(host, JoinRequest(replica.voter_id))
@@ -180,10 +189,11 @@
             return None
         if replica.hard.cluster_id == offer.cluster_id and offer.formed:
             self.accepts(offer.cluster_id)
-            try:
-                await replica.save()
-            except StorageError:
-                return None
+        try:
+            # A repeated offer may come while the first agreement is being synced.
+            await replica.save()
+        except StorageError:
+            return None
         return self._state()
 
     def _state(self) -> FormationState:
--- a/packages/almondfield-control/src/almondfield_control/consensus/membership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/membership.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+import eliot
 from almondfield_core.clock import now
 from result import Err, Ok, Result
 
@@ -111,6 +112,10 @@
                 return
 
     def _append(self, members: tuple[Member, ...]) -> None:
+        eliot.log_message(
+            "control:changes-members",
+            members=[(m.host, m.voter_id, m.votes) for m in members],
+        )
         self._replica.spawn(self._leadership.propose(MembershipChange(members)))
 
     def _may_change(self) -> bool:
--- a/packages/almondfield-control/src/almondfield_control/node/core.py
+++ b/packages/almondfield-control/src/almondfield_control/node/core.py
@@ -35,6 +35,7 @@
     :ivar revision: revision of the host's tables.
     :ivar freshness_left_s: seconds for which they count as current.
     :ivar leader: host that is asked as the leader.
+    :ivar waiting_for: what keeps the member from belonging to a group; else empty.
     """
 
     role: str
@@ -44,6 +45,7 @@
     revision: int
     freshness_left_s: float
     leader: str
+    waiting_for: str = ""
 
 
 class ControlNode:
@@ -157,4 +159,5 @@
             revision=self._view.tables.revision,
             freshness_left_s=self._view.freshness_left_s(),
             leader=self._client.leader_host,
+            waiting_for=replica.waiting_for if replica else "",
         )
--- a/packages/almondfield-control/src/almondfield_control/storage/core.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/core.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+import eliot
 import msgspec
 from almondfield_core.findings import Finding
 
@@ -249,11 +250,14 @@
         _settle(pending.waiters, None)
 
     def _fail(self, error: OSError) -> StorageError:
+        earlier = self._failure
         self._failure = Finding(
             place=f"data folder: {self._name}",
             problem=f"write failed: {error}",
             allowed="a folder with free space on a working disk",
         )
+        if earlier != self._failure:
+            eliot.log_message("control:write-failed", finding=str(self._failure))
         return StorageError(str(self._failure))
 
     async def _read_journal(self, name: str) -> Recovered:
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/voter_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/voter_steps.py
@@ -135,3 +135,32 @@
         if voter.role != "learner"
     ]
     assert len(voters) == count, voters
+
+
+@then("{host} says that it waits for {other}")
+@in_loop
+async def step_impl(context, host, other):
+    waiting_for = context.fleet.node_by_host[host].stats().waiting_for
+    assert other in waiting_for, waiting_for
+
+
+@when(
+    "all voters crash and start again every {milliseconds:d} milliseconds, "
+    "{times:d} times"
+)
+@in_loop
+async def step_impl(context, milliseconds, times):
+    fleet = context.fleet
+    for _ in range(times):
+        await asyncio.sleep(milliseconds / 1000)
+        await fleet.crash(*fleet.voters)
+        fleet.start(*fleet.voters)
+
+
+@then("every voter belongs to one group")
+@in_loop
+async def step_impl(context):
+    fleet = context.fleet
+    hards = [fleet.node_by_host[voter].replica.hard for voter in fleet.voters]
+    assert len({hard.cluster_id for hard in hards}) == 1, hards
+    assert all(hard.formed for hard in hards), hards
--- a/packages/almondfield-control/src/almondfield_control/tests/voters.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/voters.feature
@@ -37,9 +37,23 @@
     Given a fleet of 4 hosts with 3 voters of which h1, h2, h4 start
     When 30 seconds pass
     Then there is no leader
+    And h1 says that it waits for h3
     When h3 starts
     Then all hosts become ready
 
+  Scenario Outline: crashes while the group forms leave one group
+    Given a fleet of 4 hosts with 3 voters of which h1, h2, h3, h4 start
+    When all voters crash and start again every <milliseconds> milliseconds, 20 times
+    And all hosts are ready again
+    Then every voter belongs to one group
+
+    Examples:
+      | milliseconds |
+      | 2            |
+      | 3            |
+      | 505          |
+      | 511          |
+
   Scenario: an operator removes a voter and admits it again
     Given a fleet of 4 hosts with 3 voters
     When h4 makes 5 changes
