Weigh addresses by spare slots; skip idle cycles of the paused clock

Cause: GET /addresses drew hosts evenly, for no host told its spare capacity; paused scenarios spent most of their time in idle cycles of the loop.

--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
@@ -49,6 +49,7 @@
         self.share = RouterShare(self.peers, view, settings, incarnation)
         self.schedulers = PoolSchedulers(self.peers, view, settings, incarnation)
         self.membership = Membership(self.peers, view, settings, incarnation)
+        self.membership.watch_spare(self._spare_slots)
         self.backends = HttpBackends(settings)
         self.router = Router(
             view, self.share, self.control.control, self.backends, settings
@@ -82,6 +83,13 @@
             HttpListener(operator_app, self._operator_socket, limits.max_header_bytes),
         ]
 
+    def _spare_slots(self) -> float:
+        """Return how many more requests this host could start now."""
+        share = self.share.stats()
+        slots = sum(share.slots_by_pool.values())
+        taken = sum(share.in_flight_by_pool.values()) + share.waiting
+        return float(max(0, slots - taken))
+
     def stats(self) -> dict[str, object]:
         """Return the statistics of each part, by its name."""
         return {
--- a/tools/almondfield_testing/core.py
+++ b/tools/almondfield_testing/core.py
@@ -25,7 +25,7 @@
 
 def before_scenario(context: Any, scenario: Any) -> None:
     """Give the scenario a paused event loop as ``context.loop``."""
-    context.loop = looptime.new_event_loop(start=0.0)
+    context.loop = looptime.new_event_loop(start=0.0, noop_cycles=0)
     asyncio.set_event_loop(context.loop)
 
 
