Measure faults that come at once, and hosts that neither schedule nor lead

Cause: faults were met one at a time only, and the leader's traffic with claims hid what a plain router spends.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -11,7 +11,7 @@
 from fleet import Fleet
 from load import TeamLoad
 
-__all__ = ["FAULT_BY_NAME", "Fault"]
+__all__ = ["FAULT_BY_NAME", "Fault", "find_fault"]
 
 STOPPED_S = 8.0
 RESTART_AFTER_S = 1.0
@@ -183,3 +183,22 @@
     "server-kill": Fault(kill_server),
     "rolling-restart": Fault(restart_all),
 }
+
+
+def find_fault(names: str) -> Fault:
+    """Return a fault, or several that come at once.
+
+    :param names: names of faults, joined by ``+``.
+    :raises KeyError: where there is no such fault.
+    """
+    faults = [FAULT_BY_NAME[name] for name in names.split("+")]
+
+    async def act(fleet: Fleet) -> dict[str, object]:
+        seen = await asyncio.gather(*(fault.act(fleet) for fault in faults))
+        return {key: value for notes in seen for key, value in notes.items()}
+
+    return Fault(
+        act,
+        relayed=any(fault.relayed for fault in faults),
+        flood=any(fault.flood for fault in faults),
+    )
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -43,11 +43,13 @@
     :ivar sent_bytes: bytes sent to other hosts.
     :ivar processor_s: processor seconds for messages, by the daemon's own account.
     :ivar schedules: pools that it schedules.
+    :ivar leads: whether it leads the control group.
     """
 
     sent_bytes: float
     processor_s: float
     schedules: int
+    leads: bool
 
 
 class Fleet:
@@ -210,7 +212,8 @@
 
     async def read_control(self) -> dict[str, ControlUse]:
         """Return what each daemon that answers spent on control so far."""
-        scheduling = list((await self.schedulers()).values())
+        status = await self.status()
+        scheduling = [lease["host"] for lease in status["pool_leases"]]
         uses = {}
         for host, operator in zip(self.deployment.hosts, self.deployment.operators):
             text = await self.ask(operator, "/metrics")
@@ -220,18 +223,24 @@
                 sum_metric(text, BYTES_SENT),
                 sum_metric(text, CONTROL_CPU_S),
                 scheduling.count(host.name),
+                status["leader"] == host.name,
             )
         return uses
 
     def control_figures(self, before, after, seconds: float) -> dict[str, float]:
-        """Return control traffic and processor share, largest of each kind of host."""
+        """Return control traffic and processor share, largest of each kind of host.
+
+        The prefix ``router_`` stands for hosts that neither schedule nor lead.
+        """
         figures: dict[str, float] = {}
-        for prefix, scheduling in (("", False), ("scheduler_", True)):
-            names = [
-                name
-                for name in before.keys() & after.keys()
-                if bool(after[name].schedules) == scheduling
-            ]
+        both = before.keys() & after.keys()
+        schedulers = {name for name in both if after[name].schedules}
+        leaders = {name for name in both if after[name].leads or before[name].leads}
+        for prefix, names in (
+            ("", both - schedulers),
+            ("scheduler_", schedulers),
+            ("router_", both - schedulers - leaders),
+        ):
             sent = [after[n].sent_bytes - before[n].sent_bytes for n in names]
             spent = [after[n].processor_s - before[n].processor_s for n in names]
             figures[f"{prefix}control_bytes_per_second"] = (
--- a/bench/run.py
+++ b/bench/run.py
@@ -17,7 +17,7 @@
 from cyclopts import Parameter
 from deployment import PROFILE_BY_NAME, Deployment
 from direct import measure_added_ms
-from faults import FAULT_BY_NAME
+from faults import find_fault
 from fleet import Fleet, FleetError
 from limits import raise_open_files
 from load import Load
@@ -50,7 +50,7 @@
     """Return the figures of one run."""
     profile = PROFILE_BY_NAME[plan.profile]
     deployment = Deployment(profile, folder, plan.first_port, plan.policy)
-    fault = FAULT_BY_NAME[plan.fault]
+    fault = find_fault(plan.fault)
     fleet = Fleet(deployment, relayed=fault.relayed)
     try:
         await fleet.start()
