Keep data classes frozen everywhere

Cause: seven data classes were mutable, against the house style. Change: four are frozen, three with fields that change became plain classes.

--- a/bench/prefix_affinity.py
+++ b/bench/prefix_affinity.py
@@ -10,7 +10,7 @@
 import random
 import statistics
 from collections import Counter, OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 __all__ = ["Result", "simulate"]
@@ -53,12 +53,12 @@
     gap_s: float
 
 
-@dataclass
 class Server:
     """A server with slots and a cache that forgets the prefix unused for longest."""
 
-    running: int = 0
-    cache: OrderedDict = field(default_factory=OrderedDict)
+    def __init__(self) -> None:
+        self.running = 0
+        self.cache: OrderedDict[object, bool] = OrderedDict()
 
     def touch(self, prefix) -> bool:
         """Return whether a prefix was cached; it is afterwards."""
--- a/bench/sharing_fleet.py
+++ b/bench/sharing_fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from almondfield_core.clock import now
 from almondfield_core.messages import (
@@ -75,15 +75,18 @@
         return self.tables
 
 
-@dataclass
 class ServerStub:
-    """A backend server that announces itself and counts what it runs."""
+    """A backend server that announces itself and counts what it runs.
 
-    announcement: ServerAnnouncement
-    running: Counter = field(default_factory=Counter)
-    most_running: int = 0
-    over_slots: int = 0
-    alive: bool = True
+    :param announcement: what it announces.
+    """
+
+    def __init__(self, announcement: ServerAnnouncement) -> None:
+        self.announcement = announcement
+        self.running: Counter[str] = Counter()
+        self.most_running = 0
+        self.over_slots = 0
+        self.alive = True
 
     def start(self, router: str) -> None:
         """Count a request, and whether there was a slot for it."""
--- a/bench/sharing_load.py
+++ b/bench/sharing_load.py
@@ -29,7 +29,7 @@
     return team.mean_cost_s * min(factor, COST_CAP)
 
 
-@dataclass
+@dataclass(frozen=True)
 class _SlotWatch:
     """Times from a freed slot to the next start while work waits, by server."""
 
--- a/packages/almondfield-control/src/almondfield_control/consensus/transfer.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/transfer.py
@@ -89,7 +89,7 @@
         replica.log.move_base(base)
 
 
-@dataclass
+@dataclass(frozen=True)
 class _Partial:
     """A snapshot of which a part arrived.
 
--- a/packages/almondfield-control/src/almondfield_control/freshness/core.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/core.py
@@ -1,7 +1,5 @@
 """Leases that the leader has given to hosts."""
 
-from dataclasses import dataclass, field
-
 from almondfield_core.clock import now
 from almondfield_core.settings import TimingSettings
 
@@ -10,7 +8,6 @@
 __all__ = ["HostLeases"]
 
 
-@dataclass
 class _HostRecord:
     """What the leader knows of one host.
 
@@ -22,11 +19,12 @@
     :ivar draining: whether it wants no pools.
     """
 
-    incarnation: int = 0
-    seen_at: float = 0.0
-    until_by_grant: dict[tuple[int, int], float] = field(default_factory=dict)
-    pool_until: float = 0.0
-    draining: bool = False
+    def __init__(self) -> None:
+        self.incarnation = 0
+        self.seen_at = 0.0
+        self.until_by_grant: dict[tuple[int, int], float] = {}
+        self.pool_until = 0.0
+        self.draining = False
 
     def acknowledge(self, incarnation: int, revision: int) -> None:
         """Drop the grants of earlier revisions, and those that ran out.
--- a/packages/almondfield-control/src/almondfield_control/node/batches.py
+++ b/packages/almondfield-control/src/almondfield_control/node/batches.py
@@ -16,7 +16,7 @@
 MAX_ITEMS = 64
 
 
-@dataclass
+@dataclass(frozen=True)
 class _Waiting:
     """One command that waits for its outcome.
 
--- a/packages/almondfield-control/src/almondfield_control/storage/core.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/core.py
@@ -114,7 +114,7 @@
     entries: tuple[LogEntry, ...] = ()
 
 
-@dataclass
+@dataclass(frozen=True)
 class _Pending:
     """Writes that wait for the next sync."""
 
