Let a change of the tables be rows put and removed (core: messages, ports)

Cause: a change carried both tables, so that it cost what the tables hold. Conclusion: the smallest change of the ports that lets every part carry rows.

--- a/packages/almondfield-core/src/almondfield_core/messages/control.py
+++ b/packages/almondfield-core/src/almondfield_core/messages/control.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from almondfield_core.findings import Finding
-from almondfield_core.tables import Pool, Route
+from almondfield_core.tables import Pool, Route, TableRows
 
 __all__ = [
     "AuditRecord",
@@ -20,6 +20,7 @@
     "ControlUnavailable",
     "FleetStatus",
     "PoolLease",
+    "RowChange",
     "StoredAnswer",
     "TableChange",
     "VoterStatus",
@@ -28,7 +29,9 @@
 
 @dataclass(frozen=True)
 class TableChange:
-    """A change of both tables, accepted only at the expected revision.
+    """A change that gives both tables as a whole, accepted only at a revision.
+
+    The host that takes it turns it into a :class:`RowChange`.
 
     :ivar change_id: identifier chosen by the operator's client; the same one sent
         again gets the first answer again.
@@ -45,6 +48,23 @@
     routes: tuple[Route, ...]
 
 
+@dataclass(frozen=True)
+class RowChange:
+    """A change of some rows, accepted only at the expected revision.
+
+    :ivar change_id: identifier chosen by the operator's client; the same one sent
+        again gets the first answer again.
+    :ivar author: who asks for the change.
+    :ivar expect_revision: revision that the change was made against.
+    :ivar rows: rows put and removed.
+    """
+
+    change_id: str
+    author: str
+    expect_revision: int
+    rows: TableRows
+
+
 @dataclass(frozen=True)
 class ChangeAccepted:
     """The change is accepted and durable.
--- a/packages/almondfield-core/src/almondfield_core/ports/core.py
+++ b/packages/almondfield-core/src/almondfield_core/ports/core.py
@@ -17,6 +17,7 @@
     FleetStatus,
     NotRun,
     PoolLease,
+    RowChange,
     ServerFailure,
     ServerSlots,
     SlotRequest,
@@ -125,11 +126,11 @@
     """The control group as any host reaches it."""
 
     async def apply(
-        self, change: TableChange
+        self, change: TableChange | RowChange
     ) -> Result[ChangeAccepted, ChangeConflict | ChangeRefused | ControlUnavailable]:
         """Return the outcome of a change once it is accepted, not yet in force.
 
-        :param change: the change.
+        :param change: the change; tables as a whole cost more than rows.
         """
 
     async def wait_in_force(
--- a/packages/almondfield-core/src/almondfield_core/tables/checking.py
+++ b/packages/almondfield-core/src/almondfield_core/tables/checking.py
@@ -2,12 +2,12 @@
 
 import functools
 import re
-from collections.abc import Hashable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Hashable, Iterable, Iterator, Sequence
 
 from almondfield_core.findings import Finding, show
 from almondfield_core.tables.core import Pool, Route, Timeouts
 
-__all__ = ["check_tables"]
+__all__ = ["check_named_rows", "check_row_counts", "check_tables"]
 
 MAX_POOLS = 10_000
 MAX_ROUTES = 100_000
@@ -26,6 +26,8 @@
 KEY_HASH = re.compile(r"[0-9a-f]{64}")
 PATH_PREFIX = re.compile(r"/[!-~]*")
 
+NameRow = Callable[[int], str]
+
 
 def check_tables(pools: Sequence[Pool], routes: Sequence[Route]) -> tuple[Finding, ...]:
     """Return everything that is wrong with the rows, in the order of the rows.
@@ -33,29 +35,48 @@
     :param pools: rows of the pools table.
     :param routes: rows of the routes table.
     """
-    oversize = tuple(_check_row_counts(pools, routes))
+    oversize = tuple(check_row_counts(len(pools), len(routes)))
     if oversize:
         return oversize
+    return check_named_rows(pools, routes, "pools[{}]".format, "routes[{}]".format)
+
+
+def check_named_rows(
+    pools: Sequence[Pool],
+    routes: Sequence[Route],
+    name_pool: NameRow,
+    name_route: NameRow,
+) -> tuple[Finding, ...]:
+    """Return everything that is wrong with the rows, in the order of the rows.
+
+    :param pools: rows of the pools table.
+    :param routes: rows of the routes table.
+    :param name_pool: gives the place of a pool by its index.
+    :param name_route: gives the place of a route by its index.
+    """
     findings: list[Finding] = []
     for index, pool in enumerate(pools):
-        findings += _check_pool(f"pools[{index}]", pool)
-    findings += _find_repeated_pools(pools)
+        findings += _check_pool(name_pool(index), pool)
+    findings += _find_repeated_pools(pools, name_pool)
     pool_names = {pool.name for pool in pools}
     for index, route in enumerate(routes):
-        findings += _check_route(f"routes[{index}]", route, pool_names)
-    findings += _find_repeated_routes(routes)
-    findings += _find_shared_keys(routes)
-    findings += _find_differing_weights(routes)
+        findings += _check_route(name_route(index), route, pool_names)
+    findings += _find_repeated_routes(routes, name_route)
+    findings += _find_shared_keys(routes, name_route)
+    findings += _find_differing_weights(routes, name_route)
     return tuple(findings)
 
 
-def _check_row_counts(
-    pools: Sequence[Pool], routes: Sequence[Route]
-) -> Iterator[Finding]:
-    if len(pools) > MAX_POOLS:
-        yield Finding("pools", f"has {len(pools)} rows", f"at most {MAX_POOLS}")
-    if len(routes) > MAX_ROUTES:
-        yield Finding("routes", f"has {len(routes)} rows", f"at most {MAX_ROUTES}")
+def check_row_counts(pools: int, routes: int) -> Iterator[Finding]:
+    """Return a finding for each table that has too many rows.
+
+    :param pools: number of rows of the pools table.
+    :param routes: number of rows of the routes table.
+    """
+    if pools > MAX_POOLS:
+        yield Finding("pools", f"has {pools} rows", f"at most {MAX_POOLS}")
+    if routes > MAX_ROUTES:
+        yield Finding("routes", f"has {routes} rows", f"at most {MAX_ROUTES}")
 
 
 def _check_pool(path: str, pool: Pool) -> Iterator[Finding]:
@@ -155,24 +176,30 @@
         yield Finding(path, f"is {value}", f"above 0, at most {most_s:.0f} s")
 
 
-def _find_repeated_pools(pools: Sequence[Pool]) -> Iterator[Finding]:
+def _find_repeated_pools(
+    pools: Sequence[Pool], name_pool: NameRow
+) -> Iterator[Finding]:
     for index, first in _find_repeats(pool.name for pool in pools):
-        problem = f"{show(pools[index].name)} is also the name of pools[{first}]"
-        yield Finding(f"pools[{index}].name", problem, "a name of its own")
+        problem = f"{show(pools[index].name)} is also the name of {name_pool(first)}"
+        yield Finding(f"{name_pool(index)}.name", problem, "a name of its own")
 
 
-def _find_repeated_routes(routes: Sequence[Route]) -> Iterator[Finding]:
+def _find_repeated_routes(
+    routes: Sequence[Route], name_route: NameRow
+) -> Iterator[Finding]:
     keys = ((route.team, route.path_prefix) for route in routes)
     for index, first in _find_repeats(keys):
         route = routes[index]
         problem = (
             f"team {show(route.team)} has {show(route.path_prefix)} "
-            f"in routes[{first}] already"
+            f"in {name_route(first)} already"
         )
-        yield Finding(f"routes[{index}]", problem, "one route per team and prefix")
+        yield Finding(name_route(index), problem, "one route per team and prefix")
 
 
-def _find_shared_keys(routes: Sequence[Route]) -> Iterator[Finding]:
+def _find_shared_keys(
+    routes: Sequence[Route], name_route: NameRow
+) -> Iterator[Finding]:
     first_by_hash: dict[str, int] = {}
     for index, route in enumerate(routes):
         for key_hash in route.key_hashes:
@@ -181,23 +208,25 @@
             if team != route.team:
                 problem = (
                     f"{show(key_hash[:12])}... is a key of team {show(team)} "
-                    f"in routes[{first}]"
+                    f"in {name_route(first)}"
                 )
                 yield Finding(
-                    f"routes[{index}].key_hashes", problem, "a key of one team only"
+                    f"{name_route(index)}.key_hashes", problem, "a key of one team only"
                 )
 
 
-def _find_differing_weights(routes: Sequence[Route]) -> Iterator[Finding]:
+def _find_differing_weights(
+    routes: Sequence[Route], name_route: NameRow
+) -> Iterator[Finding]:
     for index, first in _find_repeats((route.team, route.pool) for route in routes):
         route, weight = routes[index], routes[first].weight
         if route.weight != weight:
             problem = (
                 f"is {route.weight}, but team {show(route.team)} has weight {weight} "
-                f"in pool {show(route.pool)} by routes[{first}]"
+                f"in pool {show(route.pool)} by {name_route(first)}"
             )
             yield Finding(
-                f"routes[{index}].weight", problem, "one weight per team and pool"
+                f"{name_route(index)}.weight", problem, "one weight per team and pool"
             )
 
 
--- a/packages/almondfield-core/src/almondfield_core/tables/difference.py
+++ b/packages/almondfield-core/src/almondfield_core/tables/difference.py
@@ -6,8 +6,10 @@
 from typing import Any
 
 from almondfield_core.tables.core import Pool, Route, Tables
+from almondfield_core.tables.index import TableIndex
+from almondfield_core.tables.rows import RouteKey, TableRows, rows_between
 
-__all__ = ["difference"]
+__all__ = ["describe_rows", "difference"]
 
 SHOWN_HASH_LENGTH = 12
 
@@ -18,33 +20,44 @@
     :param old: the tables before.
     :param new: the tables after.
     """
-    pools = _compare(old.pools, new.pools, _name_pool)
-    routes = _compare(old.routes, new.routes, _name_route)
-    return (*pools, *routes)
+    rows = rows_between(old, new)
+    return describe_rows(TableIndex(old).replaced_by(rows), rows)
+
+
+def describe_rows(replaced: TableRows, rows: TableRows) -> tuple[str, ...]:
+    """Return one line for each row that a change removes, alters or adds.
+
+    :param replaced: the rows that the change replaces or takes out.
+    :param rows: the change.
+    """
+    names = [f'pool "{name}"' for name in rows.removed_pools]
+    keys = [_name_route(key) for key in rows.removed_routes]
+    return (
+        *(f"- {name}" for name in names),
+        *_compare(replaced.put_pools, rows.put_pools, _name_pool),
+        *(f"- {key}" for key in keys),
+        *_compare(replaced.put_routes, rows.put_routes, _name_route),
+    )
 
 
 def _name_pool(pool: Pool) -> str:
     return f'pool "{pool.name}"'
 
 
-def _name_route(route: Route) -> str:
+def _name_route(route: Route | RouteKey) -> str:
     return f'route "{route.team}" {route.path_prefix}'
 
 
 def _compare(
-    old: Iterable[Any], new: Iterable[Any], name: Callable[[Any], str]
+    replaced: Iterable[Any], put: Iterable[Any], name: Callable[[Any], str]
 ) -> Iterator[str]:
-    old_by_name = {name(row): row for row in old}
-    new_by_name = {name(row): row for row in new}
-    for row_name in old_by_name:
-        if row_name not in new_by_name:
-            yield f"- {row_name}"
-    for row_name, row in new_by_name.items():
-        before = old_by_name.get(row_name)
+    before_by_name = {name(row): row for row in replaced}
+    for row in put:
+        before = before_by_name.get(name(row))
         if before is None:
-            yield f"+ {row_name}: {', '.join(_show_items(row))}"
+            yield f"+ {name(row)}: {', '.join(_show_items(row))}"
         elif before != row:
-            yield f"~ {row_name}: {', '.join(_compare_items(before, row))}"
+            yield f"~ {name(row)}: {', '.join(_compare_items(before, row))}"
 
 
 def _show_items(row: Any) -> list[str]:
