Carry rows through the log to every host, and check them at the leader

Cause: with 20,000 routes every change sent, checked, logged and compared them all. What: TableCommand and ApplyRequest carry a RowChange. A whole-table change is turned into rows at the host that takes it, against the tables at the expected revision; a host that is behind waits up to 1 s for them. The leader checks the rows beside its tables, in a thread beyond 200 rows; a change against a revision to come gets a conflict for good. The state keeps rows by key; the audit trail keeps the rows and tells the difference when asked. Hosts get the rows of each revision that they lack, from the audit trail, so also after a change of leader or a restart. control's own difference_of, delta_between and apply_delta are gone. freshness_steps.py: the command that it proposes is a RowChange now; nothing else in it. Conclusion: a change costs what it changes; loading whole tables at once is left.

--- a/packages/almondfield-control/src/almondfield_control/commands/core.py
+++ b/packages/almondfield-control/src/almondfield_control/commands/core.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from almondfield_core.messages import ClaimRequest, StoredAnswer, TableChange
+from almondfield_core.messages import ClaimRequest, RowChange, StoredAnswer
 from almondfield_core.wire import (
     decode_message,
     encode_message,
@@ -63,12 +63,12 @@
 @wire_message("table-command")
 @dataclass(frozen=True)
 class TableCommand:
-    """A change of the tables.
+    """A change of rows of the tables.
 
     :ivar change: the change.
     """
 
-    change: TableChange
+    change: RowChange
 
 
 @wire_message("lease-pool")
--- a/packages/almondfield-control/src/almondfield_control/freshness/__init__.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/__init__.py
@@ -1,11 +1,7 @@
 """Leases that say that a host's tables are current."""
 
 from almondfield_control.freshness.core import HostLeases
-from almondfield_control.freshness.delta import (
-    TablesDelta,
-    apply_delta,
-    delta_between,
-)
+from almondfield_control.freshness.delta import TablesDelta
 from almondfield_control.freshness.fallback import Fallback
 from almondfield_control.freshness.messages import (
     NotLeader,
@@ -26,6 +22,4 @@
     "RevisionNotice",
     "TablesDelta",
     "VoterReads",
-    "apply_delta",
-    "delta_between",
 ]
--- a/packages/almondfield-control/src/almondfield_control/freshness/view.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/view.py
@@ -6,7 +6,9 @@
 
 from almondfield_core.clock import now
 from almondfield_core.messages import PoolLease
-from almondfield_core.tables import Tables
+from almondfield_core.tables import TableIndex, Tables
+
+from almondfield_control.freshness.delta import TablesDelta
 
 __all__ = ["HostView"]
 
@@ -20,6 +22,7 @@
     def __init__(self, host: str) -> None:
         self._host = host
         self._tables = Tables()
+        self._index = TableIndex()
         self._leases_index = 0
         self._lease_by_pool: dict[str, PoolLease] = {}
         self._fresh_until = float("-inf")
@@ -68,6 +71,21 @@
         """
         if tables.revision <= self._tables.revision:
             return
+        self._index = TableIndex(tables)
+        self._put_in_place(tables)
+
+    def take_delta(self, delta: TablesDelta) -> None:
+        """Put newer tables in place; a delta from others than these is dropped.
+
+        :param delta: changes as the control group accepted them.
+        """
+        if delta.base_revision != self._tables.revision or not delta.steps:
+            return
+        for rows in delta.steps:
+            self._index.apply(rows)
+        self._put_in_place(self._index.tables(delta.revision))
+
+    def _put_in_place(self, tables: Tables) -> None:
         self._tables = tables
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
--- a/packages/almondfield-control/src/almondfield_control/node/client.py
+++ b/packages/almondfield-control/src/almondfield_control/node/client.py
@@ -13,10 +13,11 @@
     ClaimRequest,
     ControlUnavailable,
     FleetStatus,
+    RowChange,
     StoredAnswer,
     TableChange,
 )
-from almondfield_core.ports import Peers
+from almondfield_core.ports import Peers, TableView
 from result import Err, Ok, Result
 
 from almondfield_control.commands import ClaimKey, SettleClaim
@@ -32,6 +33,7 @@
     VoterReply,
     VoterRequest,
 )
+from almondfield_control.node.rows import rows_of, void
 
 __all__ = ["ControlClient"]
 
@@ -45,11 +47,16 @@
 VOTER_TIMEOUT_S = 30.0
 IN_FORCE_POLL_S = 0.1
 
+_BEHIND = ControlUnavailable(
+    "this host does not have the expected revision", certainly_not_done=True
+)
+
 
 class ControlClient:
     """The ``Control`` port; finds the leader and repeats idempotent requests.
 
     :param peers: messages to the other hosts.
+    :param view: the tables of this host.
     :param voters: hosts that the settings name as voters.
     :param incarnation: number that grows with each start of this host.
     :param replica: this host's member of the control group, if it has one.
@@ -58,11 +65,13 @@
     def __init__(
         self,
         peers: Peers,
+        view: TableView,
         voters: tuple[str, ...],
         incarnation: int,
         replica: Replica | None = None,
     ) -> None:
         self._peers = peers
+        self._view = view
         self._voters = voters
         self._incarnation = incarnation
         self._replica = replica
@@ -81,18 +90,37 @@
         return self._leader_host
 
     async def apply(
-        self, change: TableChange
+        self, change: TableChange | RowChange
     ) -> Result[ChangeAccepted, ChangeConflict | ChangeRefused | ControlUnavailable]:
         """Return the outcome of a change once it is accepted, not yet in force.
 
-        :param change: the change.
+        :param change: the change; tables as a whole cost more than rows.
         """
+        if isinstance(change, TableChange):
+            match await self._to_rows(change):
+                case Ok(row_change):
+                    change = row_change
+                case failed:
+                    return failed
         match await self.ask(ApplyRequest(change), APPLY_TIMEOUT_S):
             case Ok(ChangeAccepted() as accepted):
                 return Ok(accepted)
             case Ok(refusal) | Err(refusal):
                 return Err(refusal)
 
+    async def _to_rows(
+        self, change: TableChange
+    ) -> Result[RowChange, ControlUnavailable]:
+        row_change = await rows_of(self._view, change)
+        if row_change is not None:
+            return Ok(row_change)
+        status = await self.status()
+        if isinstance(status, Err):
+            return status.map_err(lambda _: _BEHIND)
+        if status.ok_value.revision < change.expect_revision:
+            return Ok(void(change))
+        return Err(_BEHIND)
+
     async def wait_in_force(
         self, revision: int, timeout_s: float
     ) -> Result[bool, ControlUnavailable]:
--- a/packages/almondfield-control/src/almondfield_control/node/core.py
+++ b/packages/almondfield-control/src/almondfield_control/node/core.py
@@ -8,13 +8,12 @@
 from almondfield_core.clock import WallClock
 from almondfield_core.ports import Control, Peers, TableView
 from almondfield_core.settings import DaemonSettings
-from almondfield_core.tables import check_tables
 from result import Result
 
 from almondfield_control.consensus import Replica
 from almondfield_control.freshness import Fallback, HostView, VoterReads
 from almondfield_control.node.client import ControlClient
-from almondfield_control.node.leader import CheckTables, LeaderService
+from almondfield_control.node.leader import LeaderService
 from almondfield_control.node.renewal import Renewal
 from almondfield_control.storage import Disk, FolderDisk
 
@@ -53,7 +52,6 @@
     :param wall_clock: calendar time.
     :param incarnation: number that grows with each start of this host.
     :param disk: files for durable state; by default those of the data folder.
-    :param check: gives the findings of wrong tables.
     :param chance: source of identities and election timeouts.
     """
 
@@ -64,7 +62,6 @@
         wall_clock: WallClock,
         incarnation: int,
         disk: Disk | None = None,
-        check: CheckTables = check_tables,
         chance: random.Random | None = None,
     ) -> None:
         timing = settings.timing
@@ -80,10 +77,10 @@
             self._replica = Replica(
                 peers, self._disk, voters, timing, wall_clock, chance
             )
-            self._leader_service = LeaderService(
-                self._replica, peers, timing, hosts, check
-            )
-        self._client = ControlClient(peers, voters, incarnation, self._replica)
+            self._leader_service = LeaderService(self._replica, peers, timing, hosts)
+        self._client = ControlClient(
+            peers, self._view, voters, incarnation, self._replica
+        )
         fallback = Fallback(peers, self._view, voters, hosts, timing)
         self._renewal = Renewal(
             peers, self._view, self._client, fallback, timing, incarnation
--- a/packages/almondfield-control/src/almondfield_control/node/leader.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 from almondfield_core.findings import Finding
@@ -10,11 +11,11 @@
     ChangeRefused,
     ControlUnavailable,
     FleetStatus,
-    TableChange,
+    RowChange,
 )
 from almondfield_core.ports import Peers
 from almondfield_core.settings import TimingSettings
-from almondfield_core.tables import Pool, Route, Tables
+from almondfield_core.tables import TableIndex, TableRows, Tables, check_rows
 from result import Err, Ok
 
 from almondfield_control.commands import (
@@ -34,7 +35,6 @@
     RenewalRequest,
     RevisionNotice,
     TablesDelta,
-    delta_between,
 )
 from almondfield_control.node.batches import coded, decoded
 from almondfield_control.node.messages import (
@@ -52,17 +52,17 @@
     VoterReply,
     VoterRequest,
 )
+from almondfield_control.node.rows import void
 from almondfield_control.node.status import status_of
 from almondfield_control.pools import next_pool_lease
 
-__all__ = ["CheckTables", "LeaderService"]
-
-CheckTables = Callable[[tuple[Pool, ...], tuple[Route, ...]], tuple[Finding, ...]]
+__all__ = ["LeaderService"]
 
 POOL_CHECK_S = 0.1
 CLAIM_SILENCE_S = 30.0
 EVERY_INCARNATION = 2**63 - 1
-MAX_RECENT_TABLES = 16
+# More rows than these are checked in a thread, to keep heartbeats and leases going.
+MAX_ROWS_ON_LOOP = 200
 
 
 class LeaderService:
@@ -72,7 +72,6 @@
     :param peers: messages to the other hosts.
     :param timing: lifetimes of leases.
     :param hosts: every host of the deployment.
-    :param check: gives the findings of wrong tables.
     """
 
     def __init__(
@@ -81,14 +80,11 @@
         peers: Peers,
         timing: TimingSettings,
         hosts: tuple[str, ...],
-        check: CheckTables,
     ) -> None:
         self._replica = replica
         self._peers = peers
         self._timing = timing
         self._hosts = hosts
-        self._check = check
-        self._recent_tables: dict[int, Tables] = {}
         self._leases: HostLeases | None = None
         replica.on_lead.append(self._begin_term)
         replica.on_apply.append(self._on_apply)
@@ -136,18 +132,12 @@
         if not isinstance(outcome, ChangeAccepted):
             return
         replica = self._replica
-        self._remember(replica.state.tables)
         if not replica.is_leader:
             return
         notice = RevisionNotice(replica.state.tables.revision)
         for host in self._hosts:
             self._peers.send(host, notice)
 
-    def _remember(self, tables: Tables) -> None:
-        self._recent_tables[tables.revision] = tables
-        if len(self._recent_tables) > MAX_RECENT_TABLES:
-            del self._recent_tables[next(iter(self._recent_tables))]
-
     async def _propose(
         self, command: Command, to_reply: Callable[[Any], object]
     ) -> object:
@@ -184,21 +174,39 @@
         tables = self._replica.state.tables
         if revision >= tables.revision:
             return None, None
-        before = self._recent_tables.get(revision)
-        if before is None:
+        steps = self._replica.state.rows_since(revision)
+        row_count = len(tables.pools) + len(tables.routes)
+        if steps is None or sum(len(rows) for rows in steps) > row_count:
             return tables, None
-        return None, delta_between(before, tables)
+        return None, TablesDelta(revision, steps)
 
     async def _apply(self, sender: str, request: ApplyRequest) -> object:
-        change: TableChange = request.change
+        change: RowChange = request.change
         earlier = self._replica.state.answer_of(change.change_id)
         if earlier is not None:
             return earlier
-        findings = self._check(change.pools, change.routes)
-        if findings:
-            return ChangeRefused(findings)
+        revision = self._replica.state.tables.revision
+        if change.expect_revision == revision:
+            findings = await self._check(change.rows)
+            if findings:
+                return ChangeRefused(findings)
+        elif change.expect_revision < revision:
+            change = replace(change, rows=TableRows())
+        else:
+            # Its rows cannot be checked yet, so that no later state may accept it.
+            change = void(change)
         return await self._propose(TableCommand(change), lambda outcome: outcome)
 
+    async def _check(self, rows: TableRows) -> tuple[Finding, ...]:
+        """Return what is wrong with the tables after a change of the newest ones."""
+        state = self._replica.state
+        if len(rows) <= MAX_ROWS_ON_LOOP:
+            return check_rows(state.table_index, rows)
+        tables = state.tables
+        return await asyncio.to_thread(
+            lambda: check_rows(TableIndex(tables), rows),
+        )
+
     async def _batch(self, sender: str, request: BatchRequest) -> BatchReply:
         replies = await asyncio.gather(
             *(self._run_item(decoded(item)) for item in request.items)
--- a/packages/almondfield-control/src/almondfield_control/node/messages.py
+++ b/packages/almondfield-control/src/almondfield_control/node/messages.py
@@ -14,7 +14,7 @@
     ClaimRunning,
     ControlUnavailable,
     FleetStatus,
-    TableChange,
+    RowChange,
 )
 from almondfield_core.wire import wire_message
 
@@ -70,7 +70,7 @@
     :ivar change: the change.
     """
 
-    change: TableChange
+    change: RowChange
 
 
 @wire_message("in-force-request")
--- a/packages/almondfield-control/src/almondfield_control/node/renewal.py
+++ b/packages/almondfield-control/src/almondfield_control/node/renewal.py
@@ -13,7 +13,6 @@
     RenewalReply,
     RenewalRequest,
     RevisionNotice,
-    apply_delta,
 )
 from almondfield_control.node.client import ControlClient
 
@@ -88,11 +87,11 @@
 
     def _take(self, reply: RenewalReply, sent_at: float) -> None:
         view = self._view
-        tables = reply.tables
+        if reply.tables is not None:
+            view.take_tables(reply.tables)
         if reply.delta is not None:
-            tables = apply_delta(view.tables, reply.delta)
-        if tables is not None:
-            view.take_tables(tables)
+            view.take_delta(reply.delta)
+        if reply.tables is not None or reply.delta is not None:
             # Acknowledges the revision without waiting for the next renewal.
             self._wake.set()
         view.take_freshness(reply.revision, sent_at + reply.freshness_s)
--- a/packages/almondfield-control/src/almondfield_control/state/audit.py
+++ b/packages/almondfield-control/src/almondfield_control/state/audit.py
@@ -1,47 +1,42 @@
-"""Differences between two revisions of the tables, row by row."""
+"""What the audit trail keeps of a change, and its record for operators."""
 
-from collections.abc import Mapping
+from dataclasses import dataclass
 
-from almondfield_core.tables import Tables
+from almondfield_core.messages import AuditRecord
+from almondfield_core.tables import TableRows, describe_rows
 
-__all__ = ["difference_of"]
+__all__ = ["AcceptedChange", "record_of"]
 
 
-def difference_of(before: Tables, after: Tables) -> tuple[str, ...]:
-    """Return the rows added, removed and altered, one line each.
+@dataclass(frozen=True)
+class AcceptedChange:
+    """One accepted change.
 
-    :param before: the earlier tables.
-    :param after: the later tables.
+    :ivar revision: revision that the change made.
+    :ivar change_id: identifier of the change.
+    :ivar author: who asked for it.
+    :ivar unix_s: when it was accepted, in seconds since 1970.
+    :ivar rows: rows put and removed.
+    :ivar replaced: rows that were there before under the same keys.
     """
-    return (
-        *_row_difference("pool", _pools_by_name(before), _pools_by_name(after)),
-        *_row_difference("route", _routes_by_key(before), _routes_by_key(after)),
-    )
-
-
-def _pools_by_name(tables: Tables) -> dict[str, object]:
-    return {pool.name: pool for pool in tables.pools}
 
+    revision: int
+    change_id: str
+    author: str
+    unix_s: float
+    rows: TableRows
+    replaced: TableRows
 
-def _routes_by_key(tables: Tables) -> dict[str, object]:
-    return {f"{route.team} {route.path_prefix}": route for route in tables.routes}
 
+def record_of(accepted: AcceptedChange) -> AuditRecord:
+    """Return the record of a change, with a line for each row.
 
-def _row_difference(
-    table: str, before: Mapping[str, object], after: Mapping[str, object]
-) -> list[str]:
-    lines = [f"removed {table} {key}" for key in before if key not in after]
-    for key, row in after.items():
-        if key not in before:
-            lines.append(f"added {table} {key}")
-        elif before[key] != row:
-            lines.append(f"altered {table} {key}: {_fields(before[key], row)}")
-    return lines
-
-
-def _fields(before: object, after: object) -> str:
-    return ", ".join(
-        f"{name} {value!r} -> {vars(after)[name]!r}"
-        for name, value in vars(before).items()
-        if value != vars(after)[name]
+    :param accepted: the change.
+    """
+    return AuditRecord(
+        revision=accepted.revision,
+        change_id=accepted.change_id,
+        author=accepted.author,
+        unix_s=accepted.unix_s,
+        difference=describe_rows(accepted.replaced, accepted.rows),
     )
--- a/packages/almondfield-control/src/almondfield_control/state/core.py
+++ b/packages/almondfield-control/src/almondfield_control/state/core.py
@@ -8,9 +8,9 @@
     ChangeAccepted,
     ChangeConflict,
     PoolLease,
-    TableChange,
+    RowChange,
 )
-from almondfield_core.tables import Tables
+from almondfield_core.tables import TableIndex, TableRows, Tables
 
 from almondfield_control.commands import (
     ClaimKey,
@@ -25,7 +25,7 @@
     TableCommand,
     command_of,
 )
-from almondfield_control.state.audit import difference_of
+from almondfield_control.state.audit import AcceptedChange, record_of
 from almondfield_control.state.claims import ClaimRecord, ClaimTable
 
 __all__ = ["ControlState"]
@@ -41,7 +41,7 @@
     index: int
     unix_s: float
     tables: Tables
-    audit: tuple[AuditRecord, ...]
+    audit: tuple[AcceptedChange, ...]
     conflicts: tuple[ChangeConflict, ...]
     pool_leases: tuple[PoolLease, ...]
     claims: tuple[ClaimRecord, ...]
@@ -56,6 +56,7 @@
     :ivar index: last applied entry.
     :ivar unix_s: time of the newest entry; never goes back.
     :ivar tables: the tables.
+    :ivar table_index: the tables by the keys of their rows.
     :ivar lease_by_pool: the host that each pool is leased to.
     :ivar leases_index: entry that last changed a pool lease.
     :ivar claims: claims on idempotency keys.
@@ -67,12 +68,13 @@
         self.index = 0
         self.unix_s = 0.0
         self.tables = Tables()
+        self.table_index = TableIndex()
         self.lease_by_pool: dict[str, PoolLease] = {}
         self.leases_index = 0
         self.claims = ClaimTable()
         self.fencing = 0
         self.members: tuple[Member, ...] = ()
-        self._audit_by_revision: dict[int, AuditRecord] = {}
+        self._audit_by_revision: dict[int, AcceptedChange] = {}
         self._revision_by_change_id: dict[str, int] = {}
         self._conflict_by_change_id: dict[str, ChangeConflict] = {}
 
@@ -119,12 +121,23 @@
         :param after_revision: the first record has a greater revision.
         :param limit: number of records, at most.
         """
-        records = [
-            record
-            for revision, record in self._audit_by_revision.items()
+        accepted = [
+            item
+            for revision, item in self._audit_by_revision.items()
             if revision > after_revision
         ]
-        return tuple(records[:limit])
+        return tuple(record_of(item) for item in accepted[:limit])
+
+    def rows_since(self, revision: int) -> tuple[TableRows, ...] | None:
+        """Return the rows of each revision after one; None where not all are kept.
+
+        :param revision: an accepted revision.
+        """
+        newest = self.tables.revision
+        if revision < newest and revision + 1 not in self._audit_by_revision:
+            return None
+        revisions = range(revision + 1, newest + 1)
+        return tuple(self._audit_by_revision[number].rows for number in revisions)
 
     def encode(self) -> bytes:
         """Return the whole state as MessagePack."""
@@ -154,6 +167,7 @@
         state.index = image.index
         state.unix_s = image.unix_s
         state.tables = image.tables
+        state.table_index = TableIndex(image.tables)
         state.lease_by_pool = {lease.pool: lease for lease in image.pool_leases}
         state.claims = ClaimTable(image.claims)
         state.fencing = image.fencing
@@ -166,28 +180,30 @@
             state._conflict_by_change_id[conflict.change_id] = conflict
         return state
 
-    def _change_tables(self, change: TableChange) -> ChangeAccepted | ChangeConflict:
+    def _change_tables(self, change: RowChange) -> ChangeAccepted | ChangeConflict:
         earlier = self.answer_of(change.change_id)
         if earlier is not None:
             return earlier
         if change.expect_revision != self.tables.revision:
             return self._refuse(change)
         revision = self.tables.revision + 1
-        tables = Tables(revision, change.pools, change.routes)
-        record = AuditRecord(
+        accepted = AcceptedChange(
             revision=revision,
             change_id=change.change_id,
             author=change.author,
             unix_s=self.unix_s,
-            difference=difference_of(self.tables, tables),
+            rows=change.rows,
+            replaced=self.table_index.replaced_by(change.rows),
         )
-        self.tables = tables
-        self._audit_by_revision[revision] = record
+        self.table_index.apply(change.rows)
+        # Copies references only; the rows are shared with the tables before.
+        self.tables = self.table_index.tables(revision)
+        self._audit_by_revision[revision] = accepted
         self._revision_by_change_id[change.change_id] = revision
         self._drop_oldest_audit()
         return ChangeAccepted(change.change_id, revision)
 
-    def _refuse(self, change: TableChange) -> ChangeConflict:
+    def _refuse(self, change: RowChange) -> ChangeConflict:
         winner = self._audit_by_revision.get(change.expect_revision + 1)
         conflict = ChangeConflict(
             change_id=change.change_id,
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/tests/rows.feature
@@ -0,0 +1,58 @@
+Feature: A change carries the rows that it puts and removes
+
+  Background:
+    Given a fleet of 4 hosts with 3 voters
+    And tables of 3 routes at revision 1
+
+  Scenario: rows are put and removed at every host, and the history tells which
+    When h4 puts route "team-0" to "pool-b" and removes route "team-1" as "r"
+    Then change "r" is accepted at revision 2
+    And every host has the routes "team-0 pool-b, team-2 pool-a" within 3 seconds
+    And the history of revision 2 is
+      """
+      - route "team-1" /
+      ~ route "team-0" /: pool "pool-a" -> "pool-b"
+      """
+
+  Scenario: a change of rows against a passed revision conflicts, and changes nothing
+    When h4 puts route "team-0" to "pool-b" and removes route "team-1" as "r"
+    And h1 puts route "team-2" to "pool-b" at revision 1 as "s"
+    Then change "s" conflicts with "r"
+    And every host has the routes "team-0 pool-b, team-2 pool-a" within 3 seconds
+
+  Scenario: a change against a revision to come never takes effect
+    When h1 puts route "team-2" to "pool-b" at revision 2 as "s"
+    And h4 puts route "team-0" to "pool-b" and removes route "team-1" as "r"
+    And h1 puts route "team-2" to "pool-b" at revision 2 as "s"
+    Then change "s" conflicts at revision 1
+    And every host has the routes "team-0 pool-b, team-2 pool-a" within 3 seconds
+
+  Scenario: a change of rows that is sent again gets its first answer
+    When h4 puts route "team-0" to "pool-b" and removes route "team-1" as "r"
+    And the leader crashes
+    And all hosts are ready again
+    And h4 puts route "team-0" to "pool-b" and removes route "team-1" as "r"
+    Then change "r" is accepted at revision 2
+
+  Scenario: wrong rows are refused, and change nothing
+    When h4 puts route "team-0" to "pool-x" at revision 1 as "w"
+    Then change "w" is refused for "no pool 'pool-x'"
+    And every host has the routes "team-0 pool-a, team-1 pool-a, team-2 pool-a" within 3 seconds
+
+  Scenario: whole tables become the rows that differ
+    When h4 posts whole tables in which route "team-0" goes to "pool-b" as "t"
+    Then change "t" is accepted at revision 2
+    And the log holds 1 row for it
+
+  Scenario: all voters restart after changes of rows
+    When h4 puts route "team-0" to "pool-b" and removes route "team-1" as "r"
+    And all voters crash and start again
+    And all hosts are ready again
+    Then every host has the routes "team-0 pool-b, team-2 pool-a" within 3 seconds
+
+  Scenario: wrong rows are refused after a restart from a snapshot
+    When h4 makes 40 changes of 100000 bytes
+    And all voters crash and start again
+    And all hosts are ready again
+    And h4 removes a pool in use at revision 41 as "w"
+    Then change "w" is refused for "is removed, but 100 routes name it"
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/freshness_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/freshness_steps.py
@@ -4,8 +4,8 @@
 
 from almondfield_control.commands import TableCommand
 from almondfield_core.clock import now
-from almondfield_core.messages import TableChange
-from almondfield_core.tables import Pool
+from almondfield_core.messages import RowChange, TableChange
+from almondfield_core.tables import Pool, TableRows
 from behave import then, when
 from control_fleet import in_loop
 from result import Ok
@@ -62,7 +62,7 @@
     others = [voter for voter in fleet.voters if voter != fleet.leader()]
     fleet.network.isolate(others[0])
     fleet.network.cut(others[1], fleet.leader())
-    change = TableChange("x", "operator", 0, (Pool("x"),), ())
+    change = RowChange("x", "operator", 0, TableRows((Pool("x"),)))
     task = asyncio.ensure_future(leader.propose(TableCommand(change)))
     await asyncio.sleep(0.1)
     fleet.network.heal()
