Take changes of rows at the operator port, and send them from the command line

Cause: POST /v1/changes carries 4.6 MB of JSON for one route of 20,000. What: POST /v1/row-changes; apply compares the file with the tables that it got and sends rows where their revision is the expected one, else whole tables as before. Conclusion: whole tables stay accepted.

--- a/packages/almondfield-cli/src/almondfield_cli/changing.py
+++ b/packages/almondfield-cli/src/almondfield_cli/changing.py
@@ -11,11 +11,12 @@
     ChangeAccepted,
     ControlUnavailable,
     InForce,
+    RowChange,
     TableChange,
 )
-from almondfield_core.tables import Tables, difference, load_tables
+from almondfield_core.tables import Tables, difference, load_tables, rows_between
 from cyclopts import Parameter
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from almondfield_cli.client import (
     ClientFailure,
@@ -61,7 +62,8 @@
     current = await client.tables()
     if isinstance(current, Err):
         raise ApplyError(describe(current.err_value))
-    change = _make_change(tables.ok_value, current.ok_value.revision)
+    before = current.ok_value
+    change = _make_change(tables.ok_value, before, before.revision)
     outcome = await client.apply(change)
     if isinstance(outcome, Err):
         raise ApplyError(describe(outcome.err_value))
@@ -138,10 +140,12 @@
         return _fail_both(printer, wanted, connected)
     client = connected.ok_value
     tables = wanted.ok_value
-    revision = await _expected_revision(client, tables, expect_revision)
+    current = await client.tables()
+    revision = _expected_revision(tables, current, expect_revision)
     if isinstance(revision, Err):
         return printer.fail(revision.err_value)
-    change = _make_change(tables, revision.ok_value, change_id, author)
+    before = current.unwrap_or(Tables())
+    change = _make_change(tables, before, revision.ok_value, change_id, author)
     outcome = await client.apply(change)
     if isinstance(outcome, Err):
         return _fail_change(printer, change, outcome.err_value)
@@ -154,30 +158,33 @@
 
 def _make_change(
     tables: Tables,
+    before: Tables,
     revision: int,
     change_id: str | None = None,
     author: str | None = None,
-) -> TableChange:
-    return TableChange(
-        change_id=change_id or str(uuid.uuid4()),
-        author=author or author_name(),
-        expect_revision=revision,
-        pools=tables.pools,
-        routes=tables.routes,
-    )
-
-
-async def _expected_revision(client: OperatorClient, tables: Tables, asked: int | None):
+) -> TableChange | RowChange:
+    """Return the change as rows where the tables at its revision are known."""
+    change_id = change_id or str(uuid.uuid4())
+    author = author or author_name()
+    if before.revision == revision:
+        rows = rows_between(before, tables)
+        return RowChange(change_id, author, revision, rows)
+    return TableChange(change_id, author, revision, tables.pools, tables.routes)
+
+
+def _expected_revision(
+    tables: Tables, current: Result[Tables, ClientFailure], asked: int | None
+) -> Result[int, ClientFailure]:
     """Return the revision that a change is made against."""
     if asked is not None:
         return Ok(asked)
     if tables.revision:
         return Ok(tables.revision)
-    return (await client.tables()).map(lambda current: current.revision)
+    return current.map(lambda newest: newest.revision)
 
 
 def _fail_change(
-    printer: Printer, change: TableChange, failure: ClientFailure
+    printer: Printer, change: TableChange | RowChange, failure: ClientFailure
 ) -> ExitCode:
     """Print why a change failed, and how to send it again where that may help."""
     if not isinstance(failure, Silent | ControlUnavailable | Unexpected):
--- a/packages/almondfield-cli/src/almondfield_cli/client.py
+++ b/packages/almondfield-cli/src/almondfield_cli/client.py
@@ -16,6 +16,7 @@
     FleetStatus,
     InForce,
     OperatorError,
+    RowChange,
     TableChange,
     VoterChange,
     VoterChangeFailed,
@@ -127,15 +128,18 @@
         """
         return await self._get(f"/v1/tables?stale={int(stale)}", Tables)
 
-    async def apply(self, change: TableChange) -> Result[ChangeAccepted, ClientFailure]:
+    async def apply(
+        self, change: TableChange | RowChange
+    ) -> Result[ChangeAccepted, ClientFailure]:
         """Return the outcome of a change.
 
         Each host gets the same change id, so that it is accepted once at most.
 
         :param change: the change.
         """
+        path = "/v1/row-changes" if isinstance(change, RowChange) else "/v1/changes"
         body = msgspec.json.encode(change)
-        request = HttpRequest("POST", "/v1/changes", body, self._timeout_s)
+        request = HttpRequest("POST", path, body, self._timeout_s)
         return _decode(await self._ask(request), ChangeAccepted)
 
     async def wait_in_force(
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
@@ -1,6 +1,7 @@
 """The routes of the operator interface."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import Any
 
 import eliot
@@ -11,6 +12,7 @@
     DrainStarted,
     InForce,
     OperatorError,
+    RowChange,
     TableChange,
     VoterChange,
     VoterChangeFailed,
@@ -62,6 +64,7 @@
             Route("/metrics", handlers.get_metrics),
             Route("/v1/tables", handlers.get_tables),
             Route("/v1/changes", handlers.post_change, methods=["POST"]),
+            Route("/v1/row-changes", handlers.post_row_change, methods=["POST"]),
             Route("/v1/changes/{revision}/in-force", handlers.get_in_force),
             Route("/v1/history", handlers.get_history),
             Route("/v1/status", handlers.get_status),
@@ -123,10 +126,23 @@
         return answer_failure(ControlUnavailable(reason, certainly_not_done=True))
 
     async def post_change(self, request: Request) -> Response:
-        """Apply a change, and wait for it to come in force where asked to."""
+        """Apply a change of whole tables; wait until in force where asked to."""
+        return await self._apply(request, TableChange, _check_tables)
+
+    async def post_row_change(self, request: Request) -> Response:
+        """Apply a change of rows; wait until in force where asked to."""
+        # The control group checks the rows beside those that it has.
+        return await self._apply(request, RowChange, _check_names)
+
+    async def _apply(
+        self,
+        request: Request,
+        wanted: type[TableChange | RowChange],
+        check: Callable[[Any], tuple[Finding, ...]],
+    ) -> Response:
         wait_s = read_query(request, "wait", 0, MAX_WAIT_S)
         max_bytes = self._node.settings.limits.max_tables_bytes
-        change = await read_body(request, TableChange, max_bytes, _check_change)
+        change = await read_body(request, wanted, max_bytes, check)
         outcome = await self._control.apply(change)
         _log("change", outcome, change_id=change.change_id, author=change.author)
         match outcome:
@@ -223,9 +239,14 @@
             return answer_failure(failure)
 
 
-def _check_change(change: TableChange) -> tuple[Finding, ...]:
-    """Return why a change cannot be accepted, before the control group sees it."""
-    findings = list(check_tables(change.pools, change.routes))
+def _check_tables(change: TableChange) -> tuple[Finding, ...]:
+    """Return why a change of whole tables cannot be accepted."""
+    return (*check_tables(change.pools, change.routes), *_check_names(change))
+
+
+def _check_names(change: TableChange | RowChange) -> tuple[Finding, ...]:
+    """Return what is wrong with a change beside its rows."""
+    findings = []
     for name, most in (
         ("change_id", MAX_CHANGE_ID_LENGTH),
         ("author", MAX_AUTHOR_LENGTH),
--- a/tools/almondfield_testing/operators.py
+++ b/tools/almondfield_testing/operators.py
@@ -8,13 +8,22 @@
     AuditRecord,
     ChangeAccepted,
     ChangeConflict,
+    ChangeRefused,
     ControlUnavailable,
     FleetStatus,
+    RowChange,
     TableChange,
     VoterStatus,
 )
 from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
-from almondfield_core.tables import Tables, difference
+from almondfield_core.tables import (
+    TableIndex,
+    TableRows,
+    Tables,
+    check_rows,
+    describe_rows,
+    rows_between,
+)
 from almondfield_daemon.operator import OperatorNode
 from result import Err, Ok
 
@@ -61,7 +70,7 @@
         """Return the seconds for which the tables count as current."""
         return self.fresh_s
 
-    async def apply(self, change: TableChange):
+    async def apply(self, change: TableChange | RowChange):
         """Return the outcome of a change."""
         if self.unavailable:
             return Err(self.unavailable)
@@ -70,19 +79,34 @@
         if change.expect_revision != self.tables.revision:
             revision = self.tables.revision
             return Err(self._conflict(change, revision))
-        return Ok(self._accept(change))
-
-    def _accept(self, change: TableChange) -> ChangeAccepted:
+        index = TableIndex(self.tables)
+        rows = self._rows_of(change)
+        findings = check_rows(index, rows)
+        if findings:
+            return Err(ChangeRefused(findings))
+        return Ok(self._accept(change, index, rows))
+
+    def _rows_of(self, change: TableChange | RowChange) -> TableRows:
+        if isinstance(change, RowChange):
+            return change.rows
+        return rows_between(self.tables, Tables(0, change.pools, change.routes))
+
+    def _accept(
+        self, change: TableChange | RowChange, index: TableIndex, rows: TableRows
+    ) -> ChangeAccepted:
         revision = self.tables.revision + 1
-        old, self.tables = self.tables, Tables(revision, change.pools, change.routes)
-        lines = difference(old, self.tables)
+        lines = describe_rows(index.replaced_by(rows), rows)
+        index.apply(rows)
+        self.tables = index.tables(revision)
         record = AuditRecord(revision, change.change_id, change.author, 0.0, lines)
         self.records.append(record)
         accepted = ChangeAccepted(change.change_id, revision)
         self.answer_by_id[change.change_id] = accepted
         return accepted
 
-    def _conflict(self, change: TableChange, revision: int) -> ChangeConflict:
+    def _conflict(
+        self, change: TableChange | RowChange, revision: int
+    ) -> ChangeConflict:
         if change.expect_revision >= len(self.records):
             return ChangeConflict(change.change_id, revision)
         winner = self.records[change.expect_revision]
