Follow the tables by the rows that change in the router's plans

What: routes that are not the same objects as before are put into a TableIndex; sorting by prefix waits until a team asks.

--- a/packages/almondfield-daemon/src/almondfield_daemon/router/plans.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/plans.py
@@ -1,9 +1,16 @@
 """Which team, route and pool a request belongs to."""
 
-from collections import defaultdict
 from dataclasses import dataclass
 
-from almondfield_core.tables import Pool, Route, Tables, hash_key
+from almondfield_core.tables import (
+    Pool,
+    Route,
+    RouteKey,
+    TableIndex,
+    TableRows,
+    Tables,
+    hash_key,
+)
 from result import Err, Ok, Result
 
 from almondfield_daemon.router.calls import Header
@@ -53,12 +60,13 @@
 
 
 class PlanIndex:
-    """Finds routes by key and path; rebuilt when the tables change."""
+    """Finds routes by key and path; follows the tables by the rows that change."""
 
     def __init__(self) -> None:
-        self._tables: Tables | None = None
-        self._team_by_key_hash: dict[str, str] = {}
-        self._routes_by_team: dict[str, list[Route]] = {}
+        self._tables = Tables()
+        self._index = TableIndex()
+        # Routes of each team that was asked for, longest prefix first.
+        self._sorted_by_team: dict[str, list[Route]] = {}
         self._pool_by_name: dict[str, Pool] = {}
 
     def plan(self, tables: Tables, request: CallerRequest) -> Result[Plan, Problem]:
@@ -68,14 +76,14 @@
         :param request: the request; its body doesn't matter here.
         """
         if tables is not self._tables:
-            self._rebuild(tables)
+            self._follow(tables)
         if not request.key:
             detail = "no team key; allowed: authorization: Bearer KEY"
             return Err(refuse(401, "no-team-key", detail))
-        team = self._team_by_key_hash.get(hash_key(request.key))
+        team = self._index.team_by_key_hash.get(hash_key(request.key))
         if team is None:
             return Err(refuse(401, "unknown-team-key", "the key belongs to no team"))
-        for route in self._routes_by_team[team]:
+        for route in self._routes_of(team):
             if request.path.startswith(route.path_prefix):
                 return self._with_pool(tables, route, request)
         detail = f"team {team!r} has no route for path {request.path!r}"
@@ -90,16 +98,40 @@
         repeatable = request.method in route.idempotent_methods
         return Ok(Plan(tables.revision, route, pool, repeatable))
 
-    def _rebuild(self, tables: Tables) -> None:
-        routes_by_team: dict[str, list[Route]] = defaultdict(list)
-        team_by_key_hash = {}
-        for route in tables.routes:
-            routes_by_team[route.team].append(route)
-            for key_hash in route.key_hashes:
-                team_by_key_hash[key_hash.lower()] = route.team
-        for routes in routes_by_team.values():
-            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
-        self._routes_by_team = dict(routes_by_team)
-        self._team_by_key_hash = team_by_key_hash
+    def _routes_of(self, team: str) -> list[Route]:
+        routes = self._sorted_by_team.get(team)
+        if routes is None:
+            routes = sorted(
+                self._index.routes_by_team[team].values(),
+                key=lambda route: len(route.path_prefix),
+                reverse=True,
+            )
+            self._sorted_by_team[team] = routes
+        return routes
+
+    def _follow(self, tables: Tables) -> None:
+        """Take over the routes that are not the same objects as before."""
+        rows = _changed_routes(self._tables.routes, tables.routes)
+        self._index.apply(rows)
+        for row in (*rows.put_routes, *rows.removed_routes):
+            self._sorted_by_team.pop(row.team, None)
         self._pool_by_name = {pool.name: pool for pool in tables.pools}
         self._tables = tables
+
+
+def _changed_routes(before: tuple[Route, ...], after: tuple[Route, ...]) -> TableRows:
+    """Return the routes put and removed, where unchanged ones are shared objects.
+
+    Comparing what is the same object is quick also for large tables.
+    """
+    old_ids = set(map(id, before))
+    new_ids = set(map(id, after))
+    put = tuple(route for route in after if id(route) not in old_ids)
+    gone = (route for route in before if id(route) not in new_ids)
+    put_keys = {(route.team, route.path_prefix) for route in put}
+    removed = tuple(
+        RouteKey(route.team, route.path_prefix)
+        for route in gone
+        if (route.team, route.path_prefix) not in put_keys
+    )
+    return TableRows(put_routes=put, removed_routes=removed)
