--- a/packages/almondfield-control/src/almondfield_control/node/core.py
+++ b/packages/almondfield-control/src/almondfield_control/node/core.py
@@ -13,6 +13,7 @@
 from almondfield_control.consensus import Replica
 from almondfield_control.freshness import Fallback, HostView, VoterReads
 from almondfield_control.node.client import ControlClient
+from almondfield_control.node.export import AuditExport
 from almondfield_control.node.leader import LeaderService
 from almondfield_control.node.renewal import Renewal
 from almondfield_control.storage import Disk, FolderDisk
@@ -33,6 +34,7 @@
     :ivar revision: revision of the host's tables.
     :ivar freshness_left_s: seconds for which they count as current.
     :ivar leader: host that is asked as the leader.
+    :ivar waiting_for: what keeps the member from belonging to a group; else empty.
     """
 
     role: str
@@ -42,6 +44,7 @@
     revision: int
     freshness_left_s: float
     leader: str
+    waiting_for: str = ""
 
 
 class ControlNode:
@@ -115,6 +118,7 @@
                     VoterReads(self._replica).listen()
                     group.create_task(self._replica.run())
                     group.create_task(self._leader_service.run())
+                    group.create_task(AuditExport(self._replica, self._disk).run())
         finally:
             if self._disk is not None:
                 self._disk.close()
@@ -152,4 +156,5 @@
             revision=self._view.tables.revision,
             freshness_left_s=self._view.freshness_left_s(),
             leader=self._client.leader_host,
+            waiting_for=replica.waiting_for if replica else "",
         )
--- a/packages/almondfield-control/src/almondfield_control/node/leader.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader.py
@@ -55,6 +55,7 @@
 from almondfield_control.node.rows import void
 from almondfield_control.node.status import status_of
 from almondfield_control.pools import next_pool_lease
+from almondfield_control.state import records_of
 
 __all__ = ["LeaderService"]
 
@@ -93,15 +94,18 @@
         """Answer requests from now on."""
         for message_type, handler in (
             (RenewalRequest, self._renew),
-            (ApplyRequest, self._apply),
-            (BatchRequest, self._batch),
             (InForceRequest, self._in_force),
             (HistoryRequest, self._history),
             (StatusRequest, self._status),
+        ):
+            self._peers.listen(message_type, self._as_leader(handler))
+        for message_type, handler in (
+            (ApplyRequest, self._apply),
+            (BatchRequest, self._batch),
             (FencingRequest, self._fencing),
             (VoterRequest, self._change_voter),
         ):
-            self._peers.listen(message_type, self._as_leader(handler))
+            self._peers.listen(message_type, self._as_leader(handler), waits=True)
 
     async def run(self) -> None:
         """Keep every pool leased to a live host while this host leads."""
@@ -245,7 +249,8 @@
 
     async def _history(self, sender: str, request: HistoryRequest) -> HistoryReply:
         state = self._replica.state
-        return HistoryReply(state.history(request.after_revision, request.limit))
+        changes = state.history(request.after_revision, request.limit)
+        return HistoryReply(await records_of(changes))
 
     async def _status(self, sender: str, request: StatusRequest) -> FleetStatus:
         revision = self._replica.state.tables.revision
--- a/packages/almondfield-control/src/almondfield_control/state/audit.py
+++ b/packages/almondfield-control/src/almondfield_control/state/audit.py
@@ -1,11 +1,15 @@
 """What the audit trail keeps of a change, and its record for operators."""
 
+import asyncio
 from dataclasses import dataclass
 
 from almondfield_core.messages import AuditRecord
 from almondfield_core.tables import TableRows, describe_rows
 
-__all__ = ["AcceptedChange", "record_of"]
+__all__ = ["AcceptedChange", "records_of"]
+
+# More rows than these are told in a thread, to keep heartbeats and leases going.
+MAX_ROWS_ON_LOOP = 1_000
 
 
 @dataclass(frozen=True)
@@ -28,11 +32,17 @@
     replaced: TableRows
 
 
-def record_of(accepted: AcceptedChange) -> AuditRecord:
-    """Return the record of a change, with a line for each row.
+async def records_of(changes: tuple[AcceptedChange, ...]) -> tuple[AuditRecord, ...]:
+    """Return the records of changes, with a line for each row.
 
-    :param accepted: the change.
+    :param changes: the changes.
     """
+    if sum(len(change.rows) for change in changes) <= MAX_ROWS_ON_LOOP:
+        return tuple(map(_record_of, changes))
+    return await asyncio.to_thread(lambda: tuple(map(_record_of, changes)))
+
+
+def _record_of(accepted: AcceptedChange) -> AuditRecord:
     return AuditRecord(
         revision=accepted.revision,
         change_id=accepted.change_id,
--- a/packages/almondfield-control/src/almondfield_control/state/core.py
+++ b/packages/almondfield-control/src/almondfield_control/state/core.py
@@ -1,10 +1,10 @@
 """The replicated state: tables, audit trail, pool leases, claims, fencing."""
 
+import itertools
 from dataclasses import dataclass
 
 import msgspec
 from almondfield_core.messages import (
-    AuditRecord,
     ChangeAccepted,
     ChangeConflict,
     PoolLease,
@@ -25,13 +25,14 @@
     TableCommand,
     command_of,
 )
-from almondfield_control.state.audit import AcceptedChange, record_of
+from almondfield_control.state.audit import AcceptedChange
 from almondfield_control.state.claims import ClaimRecord, ClaimTable
 
-__all__ = ["ControlState"]
+__all__ = ["MAX_AUDIT_RECORDS", "ControlState"]
 
 MAX_AUDIT_RECORDS = 1_000
 MAX_CONFLICTS = 1_000
+MAX_CHANGE_IDS = 50_000
 
 
 @dataclass(frozen=True)
@@ -48,6 +49,7 @@
     fencing: int
     members: tuple[Member, ...]
     leases_index: int
+    revision_by_change_id: dict[str, int]
 
 
 class ControlState:
@@ -115,18 +117,22 @@
             return ChangeAccepted(change_id, revision)
         return self._conflict_by_change_id.get(change_id)
 
-    def history(self, after_revision: int, limit: int) -> tuple[AuditRecord, ...]:
-        """Return audit records in order.
+    def history(
+        self, after_revision: int, limit: int, last_revision: int | None = None
+    ) -> tuple[AcceptedChange, ...]:
+        """Return accepted changes in order.
 
-        :param after_revision: the first record has a greater revision.
-        :param limit: number of records, at most.
+        :param after_revision: the first change has a greater revision.
+        :param limit: number of changes, at most.
+        :param last_revision: no change has a greater revision; None for no bound.
         """
-        accepted = [
-            item
-            for revision, item in self._audit_by_revision.items()
-            if revision > after_revision
-        ]
-        return tuple(record_of(item) for item in accepted[:limit])
+        last = self.tables.revision if last_revision is None else last_revision
+        changes = (
+            change
+            for revision, change in self._audit_by_revision.items()
+            if after_revision < revision <= last
+        )
+        return tuple(itertools.islice(changes, limit))
 
     def rows_since(self, revision: int) -> tuple[TableRows, ...] | None:
         """Return the rows of each revision after one; None where not all are kept.
@@ -152,6 +158,7 @@
             fencing=self.fencing,
             members=self.members,
             leases_index=self.leases_index,
+            revision_by_change_id=self._revision_by_change_id,
         )
         return msgspec.msgpack.encode(image)
 
@@ -173,9 +180,9 @@
         state.fencing = image.fencing
         state.members = image.members
         state.leases_index = image.leases_index
+        state._revision_by_change_id = image.revision_by_change_id
         for record in image.audit:
             state._audit_by_revision[record.revision] = record
-            state._revision_by_change_id[record.change_id] = record.revision
         for conflict in image.conflicts:
             state._conflict_by_change_id[conflict.change_id] = conflict
         return state
@@ -200,7 +207,7 @@
         self.tables = self.table_index.tables(revision)
         self._audit_by_revision[revision] = accepted
         self._revision_by_change_id[change.change_id] = revision
-        self._drop_oldest_audit()
+        self._drop_oldest()
         return ChangeAccepted(change.change_id, revision)
 
     def _refuse(self, change: RowChange) -> ChangeConflict:
@@ -216,12 +223,11 @@
             del self._conflict_by_change_id[next(iter(self._conflict_by_change_id))]
         return conflict
 
-    def _drop_oldest_audit(self) -> None:
-        if len(self._audit_by_revision) <= MAX_AUDIT_RECORDS:
-            return
-        oldest = next(iter(self._audit_by_revision))
-        record = self._audit_by_revision.pop(oldest)
-        del self._revision_by_change_id[record.change_id]
+    def _drop_oldest(self) -> None:
+        if len(self._audit_by_revision) > MAX_AUDIT_RECORDS:
+            del self._audit_by_revision[next(iter(self._audit_by_revision))]
+        if len(self._revision_by_change_id) > MAX_CHANGE_IDS:
+            del self._revision_by_change_id[next(iter(self._revision_by_change_id))]
 
     def _lease_pool(self, pool: str, host: str) -> PoolLease:
         earlier = self.lease_by_pool.get(pool)
--- a/packages/almondfield-control/src/almondfield_control/storage/core.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/core.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+import eliot
 import msgspec
 from almondfield_core.findings import Finding
 
@@ -29,7 +30,7 @@
         """Return the content of a file."""
 
     async def append(self, name: str, data: bytes) -> None:
-        """Add data to the end of a file and sync it.
+        """Add data to the end of a file, made where it is missing, and sync it.
 
         :raises OSError: where that failed; part of the data may be there.
         """
@@ -249,11 +250,14 @@
         _settle(pending.waiters, None)
 
     def _fail(self, error: OSError) -> StorageError:
+        earlier = self._failure
         self._failure = Finding(
             place=f"data folder: {self._name}",
             problem=f"write failed: {error}",
             allowed="a folder with free space on a working disk",
         )
+        if earlier != self._failure:
+            eliot.log_message("control:write-failed", finding=str(self._failure))
         return StorageError(str(self._failure))
 
     async def _read_journal(self, name: str) -> Recovered:
@@ -296,7 +300,8 @@
             type=_Start,
         )
         for name in names:
-            if name not in (self._name, start.snapshot):
+            is_own = name.startswith((_JOURNAL_PREFIX, _SNAPSHOT_PREFIX))
+            if is_own and name not in (self._name, start.snapshot):
                 await self._disk.remove(name)
 
 
--- a/packages/almondfield-core/src/almondfield_core/tables/index.py
+++ b/packages/almondfield-core/src/almondfield_core/tables/index.py
@@ -24,11 +24,17 @@
     def __init__(self, tables: Tables = _EMPTY) -> None:
         self.pool_by_name: dict[str, Pool] = {pool.name: pool for pool in tables.pools}
         self.routes_by_team: dict[str, dict[str, Route]] = {}
-        self.team_by_key_hash: dict[str, str] = {}
-        self.route_count_by_pool: Counter[str] = Counter()
-        self._route_by_key: dict[tuple[str, str], Route] = {}
+        self.team_by_key_hash = {
+            key_hash: route.team
+            for route in tables.routes
+            for key_hash in route.key_hashes
+        }
+        self.route_count_by_pool = Counter(route.pool for route in tables.routes)
+        self._route_by_key = {
+            (route.team, route.path_prefix): route for route in tables.routes
+        }
         for route in tables.routes:
-            self._put_route(route)
+            self.routes_by_team.setdefault(route.team, {})[route.path_prefix] = route
 
     @property
     def route_count(self) -> int:
