Test changes of rows at the operator port and the command line

Cause: the requests were there without features of their own. What: rows put and removed, a conflict, wrong rows; apply sends one row for one change.

--- a/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
@@ -13,6 +13,13 @@
     When the command "export" runs
     Then it ends with DONE and prints "revision = 1"
 
+  Scenario: A change carries the rows that differ where the revision is at hand
+    Given hosts "a" that answer
+    When the command "apply tables.toml --change-id c1" runs
+    And the command "apply rerouted.toml --change-id c2" runs
+    Then it ends with DONE and prints "change c2 accepted at revision 2"
+    And "/v1/row-changes" was asked for, with 1 row
+
   Scenario: The next host is tried when the first is silent or has no quorum
     Given hosts "a b c" that answer
     And host "a" is silent
--- a/packages/almondfield-cli/src/almondfield_cli/tests/steps/cli_steps.py
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/steps/cli_steps.py
@@ -11,11 +11,12 @@
 from pathlib import Path
 from unittest import mock
 
+import msgspec
 import uvicorn
 from almondfield_cli import ExitCode, run_command
 from almondfield_cli.transport import HttpAnswer, NoAnswer
 from almondfield_core.clock import now
-from almondfield_core.messages import ControlUnavailable
+from almondfield_core.messages import ControlUnavailable, RowChange
 from almondfield_core.tables import Pool, Route, Tables, dump_tables
 from almondfield_daemon.operator import build_operator_app
 from almondfield_testing import run
@@ -29,9 +30,11 @@
 from result import Err, Ok
 
 TABLES = Tables(pools=(Pool("p"),), routes=(Route("t", "/", "p"),))
+REROUTED = Tables(pools=(Pool("p"),), routes=(Route("t", "/", "p", weight=2.0),))
 WRONG = Tables(routes=(Route("t", "/", "none"),))
 FILES = {
     "tables.toml": dump_tables(TABLES).replace("revision = 0\n", ""),
+    "rerouted.toml": dump_tables(REROUTED).replace("revision = 0\n", ""),
     "exported.toml": dump_tables(replace(TABLES, revision=3)),
     "wrong.toml": dump_tables(WRONG),
     "operator.token": OPERATOR_TOKEN,
@@ -51,6 +54,7 @@
         self.silent = set()
         self.loses_answers = set()
         self.token = ""
+        self.requests = []
 
     def with_token(self, token):
         """Return the transport for a token, as the real one is made."""
@@ -61,6 +65,7 @@
         """Return the answer of a host."""
         if host in self.silent or host not in self.apps:
             return Err(NoAnswer(host, "silent"))
+        self.requests.append(request)
         headers = {"authorization": f"Bearer {self.token}"}
         answer = await call_app(
             self.apps[host], request.method, request.path, request.body, headers
@@ -110,6 +115,13 @@
     return code, printed, err.getvalue()
 
 
+@then('"{path}" was asked for, with {count:d} row')
+def step_impl(context, path, count):
+    asked = [item for item in context.transport.requests if item.path == path]
+    change = msgspec.json.decode(asked[-1].body, type=RowChange)
+    assert len(change.rows) == count, change
+
+
 @given('hosts "{names}" that answer')
 def step_impl(context, names):
     context.hosts = [f"{name}:8081" for name in names.split()]
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/operator.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/operator.feature
@@ -39,6 +39,45 @@
       """
     And the tables are at revision 0
 
+  Scenario: Rows are put and removed, and the rest of the tables stays
+    When a change "c1" against revision 0 is posted with wait 0
+    And the rows of change "c2" against revision 1 are posted
+      """
+      {"put_pools":[{"name":"q"}],"put_routes":[{"team":"u","path_prefix":"/","pool":"q"}],
+       "removed_routes":[{"team":"t","path_prefix":"/"}]}
+      """
+    Then the answer is 200 and holds
+      """
+      {"change_id":"c2","revision":2,"in_force":false}
+      """
+    And the tables hold the pools "p q" and routes of "u"
+
+  Scenario: Rows against a passed revision conflict
+    When a change "c1" against revision 0 is posted with wait 0
+    And the rows of change "c2" against revision 0 are posted
+      """
+      {"removed_routes":[{"team":"t","path_prefix":"/"}]}
+      """
+    Then the answer is 409 and holds
+      """
+      {"change_id":"c2","revision":1,"winner_change_id":"c1","winner_author":"ann"}
+      """
+
+  Scenario Outline: Wrong rows are refused with findings and change nothing
+    When a change "c1" against revision 0 is posted with wait 0
+    And the rows of change "c2" against revision 1 are posted
+      """
+      <rows>
+      """
+    Then the answer is 422 and its body holds "<words>"
+    And the tables are at revision 1
+
+    Examples:
+      | rows                                            | words                    |
+      | {"removed_pools":["p"]}                         | but 1 routes name it     |
+      | {"put_route":[]}                                | put_route                |
+      | {"put_routes":[{"team":"u","path_prefix":"/"}]} | body: rows.put_routes[0] |
+
   Scenario: Without a quorum the answer says so and when to come back
     Given no quorum can be reached
     When a change "c1" against revision 0 is posted with wait 0
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/steps/operator_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/steps/operator_steps.py
@@ -62,6 +62,26 @@
     post(context, f"/v1/changes?wait={s}", msgspec.json.encode(change))
 
 
+@when('the rows of change "{change_id}" against revision {revision:d} are posted')
+def step_impl(context, change_id, revision):
+    head = f'"change_id":"{change_id}","author":"bob","expect_revision":{revision}'
+    body = f'{{{head},"rows":{context.text}}}'
+    post(context, "/v1/row-changes", body.encode())
+
+
+@then('the tables hold the pools "{pools}" and routes of "{teams}"')
+def step_impl(context, pools, teams):
+    tables = context.control.tables
+    assert " ".join(pool.name for pool in tables.pools) == pools, tables
+    assert " ".join(route.team for route in tables.routes) == teams, tables
+
+
+@then('the answer is {status:d} and its body holds "{words}"')
+def step_impl(context, status, words):
+    assert context.answer.status == status, context.answer
+    assert words in context.answer.body.decode(), context.answer
+
+
 @when("a change with a route to no pool is posted")
 def step_impl(context):
     change = TableChange("c1", "ann", 0, (), (Route("t", "/", "none"),))
