--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -22,7 +22,7 @@
 from almondfield_control.consensus.roles import Role, RoleMachine
 from almondfield_control.consensus.transfer import Snapshot, SnapshotStore
 from almondfield_control.errors import StorageError
-from almondfield_control.state import ControlState
+from almondfield_control.state import ControlState, decode_image
 from almondfield_control.storage import Disk, HardState, Journal
 
 __all__ = ["Replica"]
@@ -279,7 +279,8 @@
         self.hard = self.saved = recovered.hard
         members = recovered.hard.members
         if recovered.base_index:
-            self.state = ControlState.decode(recovered.snapshot)
+            image = await decode_image(recovered.snapshot)
+            self.state = ControlState.restore(image)
             members = self.state.members
             self.snapshots.latest = Snapshot(
                 recovered.base_index, recovered.base_term, recovered.snapshot
--- a/packages/almondfield-control/src/almondfield_control/consensus/transfer.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/transfer.py
@@ -8,7 +8,7 @@
 from almondfield_control.consensus.log import ReplicatedLog
 from almondfield_control.consensus.messages import SnapshotChunk, SnapshotReply
 from almondfield_control.errors import StorageError
-from almondfield_control.state import ControlState
+from almondfield_control.state import ControlState, decode_image, encode_image
 
 if TYPE_CHECKING:
     from almondfield_control.consensus.core import Replica
@@ -70,7 +70,11 @@
         self._bytes = 0
         index = replica.commit_index
         term = replica.log.term_at(index)
-        snapshot = Snapshot(index, term, replica.state.encode())
+        snapshot = Snapshot(index, term, await encode_image(replica.state.image()))
+        if replica.log.base_index > index:
+            # A snapshot of the leader took the place of this state meanwhile.
+            self._running = False
+            return
         entries = replica.log.after(index)
         last_index = replica.log.last_index
         try:
@@ -142,12 +146,14 @@
 
     async def _install(self, snapshot: Snapshot) -> bool:
         replica = self._replica
-        state = ControlState.decode(snapshot.data)
-        suffix = ()
-        if replica.log.term_at(snapshot.index) == snapshot.term:
-            suffix = replica.log.after(snapshot.index)
         self.installing = True
         try:
+            state = ControlState.restore(await decode_image(snapshot.data))
+            if snapshot.index <= replica.commit_index:
+                return True
+            suffix = ()
+            if replica.log.term_at(snapshot.index) == snapshot.term:
+                suffix = replica.log.after(snapshot.index)
             await replica.journal.compact(
                 replica.hard, snapshot.index, snapshot.term, snapshot.data, suffix
             )
--- a/packages/almondfield-control/src/almondfield_control/state/__init__.py
+++ b/packages/almondfield-control/src/almondfield_control/state/__init__.py
@@ -3,5 +3,13 @@
 from almondfield_control.state.audit import records_of
 from almondfield_control.state.claims import ClaimTable
 from almondfield_control.state.core import MAX_AUDIT_RECORDS, ControlState
+from almondfield_control.state.image import decode_image, encode_image
 
-__all__ = ["MAX_AUDIT_RECORDS", "ClaimTable", "ControlState", "records_of"]
+__all__ = [
+    "MAX_AUDIT_RECORDS",
+    "ClaimTable",
+    "ControlState",
+    "decode_image",
+    "encode_image",
+    "records_of",
+]
--- a/packages/almondfield-control/src/almondfield_control/state/core.py
+++ b/packages/almondfield-control/src/almondfield_control/state/core.py
@@ -1,9 +1,7 @@
 """The replicated state: tables, audit trail, pool leases, claims, fencing."""
 
 import itertools
-from dataclasses import dataclass
 
-import msgspec
 from almondfield_core.messages import (
     ChangeAccepted,
     ChangeConflict,
@@ -26,7 +24,8 @@
     command_of,
 )
 from almondfield_control.state.audit import AcceptedChange
-from almondfield_control.state.claims import ClaimRecord, ClaimTable
+from almondfield_control.state.claims import ClaimTable
+from almondfield_control.state.image import StateHead, StateImage
 
 __all__ = ["MAX_AUDIT_RECORDS", "ControlState"]
 
@@ -35,23 +34,6 @@
 MAX_CHANGE_IDS = 50_000
 
 
-@dataclass(frozen=True)
-class _StateImage:
-    """The whole state as a snapshot holds it."""
-
-    index: int
-    unix_s: float
-    tables: Tables
-    audit: tuple[AcceptedChange, ...]
-    conflicts: tuple[ChangeConflict, ...]
-    pool_leases: tuple[PoolLease, ...]
-    claims: tuple[ClaimRecord, ...]
-    fencing: int
-    members: tuple[Member, ...]
-    leases_index: int
-    revision_by_change_id: dict[str, int]
-
-
 class ControlState:
     """State after the entries applied so far.
 
@@ -145,46 +127,49 @@
         revisions = range(revision + 1, newest + 1)
         return tuple(self._audit_by_revision[number].rows for number in revisions)
 
-    def encode(self) -> bytes:
-        """Return the whole state as MessagePack."""
-        image = _StateImage(
+    def image(self) -> StateImage:
+        """Return the whole state as it is now, for a snapshot."""
+        head = StateHead(
             index=self.index,
             unix_s=self.unix_s,
-            tables=self.tables,
-            audit=tuple(self._audit_by_revision.values()),
+            revision=self.tables.revision,
             conflicts=tuple(self._conflict_by_change_id.values()),
             pool_leases=tuple(self.lease_by_pool.values()),
-            claims=self.claims.records,
+            leases_index=self.leases_index,
             fencing=self.fencing,
             members=self.members,
-            leases_index=self.leases_index,
-            revision_by_change_id=self._revision_by_change_id,
+            revision_by_change_id=dict(self._revision_by_change_id),
+        )
+        return StateImage(
+            head=head,
+            pools=self.tables.pools,
+            routes=self.tables.routes,
+            audit=tuple(self._audit_by_revision.values()),
+            claims=self.claims.records,
         )
-        return msgspec.msgpack.encode(image)
 
     @classmethod
-    def decode(cls, body: bytes) -> "ControlState":
-        """Return the state that :meth:`encode` gave.
+    def restore(cls, image: StateImage) -> "ControlState":
+        """Return the state that :meth:`image` gave.
 
-        :param body: the state as MessagePack.
-        :raises msgspec.ValidationError: where the body is no state.
+        :param image: the image.
         """
-        image = msgspec.msgpack.decode(body, type=_StateImage)
+        head = image.head
         state = cls()
-        state.index = image.index
-        state.unix_s = image.unix_s
-        state.tables = image.tables
-        state.table_index = TableIndex(image.tables)
-        state.lease_by_pool = {lease.pool: lease for lease in image.pool_leases}
+        state.index = head.index
+        state.unix_s = head.unix_s
+        state.tables = Tables(head.revision, image.pools, image.routes)
+        state.table_index = TableIndex(state.tables)
+        state.lease_by_pool = {lease.pool: lease for lease in head.pool_leases}
         state.claims = ClaimTable(image.claims)
-        state.fencing = image.fencing
-        state.members = image.members
-        state.leases_index = image.leases_index
-        state._revision_by_change_id = image.revision_by_change_id
-        for record in image.audit:
-            state._audit_by_revision[record.revision] = record
-        for conflict in image.conflicts:
-            state._conflict_by_change_id[conflict.change_id] = conflict
+        state.fencing = head.fencing
+        state.members = head.members
+        state.leases_index = head.leases_index
+        state._revision_by_change_id = dict(head.revision_by_change_id)
+        state._audit_by_revision = {change.revision: change for change in image.audit}
+        state._conflict_by_change_id = {
+            conflict.change_id: conflict for conflict in head.conflicts
+        }
         return state
 
     def _change_tables(self, change: RowChange) -> ChangeAccepted | ChangeConflict:
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/voter_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/voter_steps.py
@@ -76,7 +76,7 @@
     leader = context.fleet.node_by_host[context.fleet.leader()].replica
     assert replica.snapshots.latest.index > 0
     await asyncio.sleep(1)
-    assert replica.state.encode() == leader.state.encode()
+    assert replica.state.image() == leader.state.image()
 
 
 @then("there is no leader")
