Send whole tables where most rows changed, and index them when rows come

What: a delta is sent for up to half as many rows as the tables have; a host makes its index with the first change of rows after whole tables; rows that are new skip the removal of earlier ones.

--- a/packages/almondfield-control/src/almondfield_control/freshness/view.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/view.py
@@ -22,7 +22,8 @@
     def __init__(self, host: str) -> None:
         self._host = host
         self._tables = Tables()
-        self._index = TableIndex()
+        # Made with the first change of rows after whole tables.
+        self._index: TableIndex | None = None
         self._leases_index = 0
         self._lease_by_pool: dict[str, PoolLease] = {}
         self._fresh_until = float("-inf")
@@ -71,7 +72,7 @@
         """
         if tables.revision <= self._tables.revision:
             return
-        self._index = TableIndex(tables)
+        self._index = None
         self._put_in_place(tables)
 
     def take_delta(self, delta: TablesDelta) -> None:
@@ -81,9 +82,11 @@
         """
         if delta.base_revision != self._tables.revision or not delta.steps:
             return
+        index = self._index or TableIndex(self._tables)
         for rows in delta.steps:
-            self._index.apply(rows)
-        self._put_in_place(self._index.tables(delta.revision))
+            index.apply(rows)
+        self._index = index
+        self._put_in_place(index.tables(delta.revision))
 
     def _put_in_place(self, tables: Tables) -> None:
         self._tables = tables
--- a/packages/almondfield-control/src/almondfield_control/node/leader.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader.py
@@ -180,7 +180,7 @@
             return None, None
         steps = self._replica.state.rows_since(revision)
         row_count = len(tables.pools) + len(tables.routes)
-        if steps is None or sum(len(rows) for rows in steps) > row_count:
+        if steps is None or 2 * sum(len(rows) for rows in steps) > row_count:
             return tables, None
         return None, TablesDelta(revision, steps)
 
--- a/packages/almondfield-core/src/almondfield_core/tables/index.py
+++ b/packages/almondfield-core/src/almondfield_core/tables/index.py
@@ -88,7 +88,8 @@
         # A key that moves to another team belongs to the new one, so that rows
         # which lose it go first.
         for route in rows.put_routes:
-            self._forget(route.team, route.path_prefix)
+            if (route.team, route.path_prefix) in self._route_by_key:
+                self._forget(route.team, route.path_prefix)
         for route in rows.put_routes:
             self._put_route(route)
 
