--- a/packages/almondfield-control/src/almondfield_control/tests/rows.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/rows.feature
@@ -46,8 +46,8 @@
 
   Scenario: whole tables are taken at a host that has just started
     When h4 puts route "team-0" to "pool-b" and removes route "team-1" as "r"
-    And all voters crash and start again
-    And h1 posts whole tables of one pool at revision 2 as "t"
+    And all voters crash, and h1 starts 3 seconds before the others
+    And h1 posts whole tables of one pool at revision 2 as "t" meanwhile
     Then change "t" is accepted at revision 3
     And every host has no routes within 3 seconds
 
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/row_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/row_steps.py
@@ -1,5 +1,6 @@
 """Steps of rows.feature."""
 
+import asyncio
 from dataclasses import replace
 
 from almondfield_control.commands import command_of
@@ -70,7 +71,20 @@
     context.outcome_by_id[name] = await node.control.apply(change)
 
 
-@when('{host} posts whole tables of one pool at revision {revision:d} as "{name}"')
+@when("all voters crash, and {first} starts {seconds:d} seconds before the others")
+@in_loop
+async def step_impl(context, first, seconds):
+    fleet = context.fleet
+    await fleet.crash(*fleet.voters)
+    fleet.start(first)
+    others = [voter for voter in fleet.voters if voter != first]
+    asyncio.get_running_loop().call_later(seconds, fleet.start, *others)
+
+
+@when(
+    "{host} posts whole tables of one pool at revision {revision:d} "
+    'as "{name}" meanwhile'
+)
 @in_loop
 async def step_impl(context, host, revision, name):
     change = TableChange(name, "operator", revision, (Pool("pool-a"),), ())
