--- a/packages/almondfield-control/src/almondfield_control/node/export.py
+++ b/packages/almondfield-control/src/almondfield_control/node/export.py
@@ -6,7 +6,7 @@
 from almondfield_core.messages import AuditRecord
 
 from almondfield_control.consensus import Replica
-from almondfield_control.state import MAX_AUDIT_RECORDS
+from almondfield_control.state import MAX_AUDIT_RECORDS, records_of
 from almondfield_control.storage import Disk
 
 __all__ = ["AUDIT_FILE", "AuditExport"]
@@ -41,10 +41,10 @@
         """Return whether records were written, so that more may be due."""
         state = self._replica.state
         oldest_kept = state.tables.revision - KEPT_RECORDS
-        records = state.history(self._exported, MAX_RECORDS_PER_WRITE)
-        due = [record for record in records if record.revision <= oldest_kept]
-        if not due:
+        changes = state.history(self._exported, MAX_RECORDS_PER_WRITE, oldest_kept)
+        if not changes:
             return False
+        due = await records_of(changes)
         lines = b"".join(msgspec.json.encode(record) + b"\n" for record in due)
         try:
             await self._disk.append(AUDIT_FILE, lines)
--- a/packages/almondfield-control/src/almondfield_control/state/audit.py
+++ b/packages/almondfield-control/src/almondfield_control/state/audit.py
@@ -1,47 +1,52 @@
-"""Differences between two revisions of the tables, row by row."""
+"""What the audit trail keeps of a change, and its record for operators."""
 
-from collections.abc import Mapping
+import asyncio
+from dataclasses import dataclass
 
-from almondfield_core.tables import Tables
+from almondfield_core.messages import AuditRecord
+from almondfield_core.tables import TableRows, describe_rows
 
-__all__ = ["difference_of"]
+__all__ = ["AcceptedChange", "records_of"]
 
+# More rows than these are told in a thread, to keep heartbeats and leases going.
+MAX_ROWS_ON_LOOP = 1_000
 
-def difference_of(before: Tables, after: Tables) -> tuple[str, ...]:
-    """Return the rows added, removed and altered, one line each.
 
-    :param before: the earlier tables.
-    :param after: the later tables.
-    """
-    return (
-        *_row_difference("pool", _pools_by_name(before), _pools_by_name(after)),
-        *_row_difference("route", _routes_by_key(before), _routes_by_key(after)),
-    )
-
-
-def _pools_by_name(tables: Tables) -> dict[str, object]:
-    return {pool.name: pool for pool in tables.pools}
+@dataclass(frozen=True)
+class AcceptedChange:
+    """One accepted change.
 
+    :ivar revision: revision that the change made.
+    :ivar change_id: identifier of the change.
+    :ivar author: who asked for it.
+    :ivar unix_s: when it was accepted, in seconds since 1970.
+    :ivar rows: rows put and removed.
+    :ivar replaced: rows that were there before under the same keys.
+    """
 
-def _routes_by_key(tables: Tables) -> dict[str, object]:
-    return {f"{route.team} {route.path_prefix}": route for route in tables.routes}
-
+    revision: int
+    change_id: str
+    author: str
+    unix_s: float
+    rows: TableRows
+    replaced: TableRows
 
-def _row_difference(
-    table: str, before: Mapping[str, object], after: Mapping[str, object]
-) -> list[str]:
-    lines = [f"removed {table} {key}" for key in before if key not in after]
-    for key, row in after.items():
-        if key not in before:
-            lines.append(f"added {table} {key}")
-        elif before[key] != row:
-            lines.append(f"altered {table} {key}: {_fields(before[key], row)}")
-    return lines
 
+async def records_of(changes: tuple[AcceptedChange, ...]) -> tuple[AuditRecord, ...]:
+    """Return the records of changes, with a line for each row.
 
-def _fields(before: object, after: object) -> str:
-    return ", ".join(
-        f"{name} {value!r} -> {vars(after)[name]!r}"
-        for name, value in vars(before).items()
-        if value != vars(after)[name]
+    :param changes: the changes.
+    """
+    if sum(len(change.rows) for change in changes) <= MAX_ROWS_ON_LOOP:
+        return tuple(map(_record_of, changes))
+    return await asyncio.to_thread(lambda: tuple(map(_record_of, changes)))
+
+
+def _record_of(accepted: AcceptedChange) -> AuditRecord:
+    return AuditRecord(
+        revision=accepted.revision,
+        change_id=accepted.change_id,
+        author=accepted.author,
+        unix_s=accepted.unix_s,
+        difference=describe_rows(accepted.replaced, accepted.rows),
     )
--- a/packages/almondfield-control/src/almondfield_control/state/core.py
+++ b/packages/almondfield-control/src/almondfield_control/state/core.py
@@ -1,16 +1,14 @@
 """The replicated state: tables, audit trail, pool leases, claims, fencing."""
 
-from dataclasses import dataclass
+import itertools
 
-import msgspec
 from almondfield_core.messages import (
-    AuditRecord,
     ChangeAccepted,
     ChangeConflict,
     PoolLease,
-    TableChange,
+    RowChange,
 )
-from almondfield_core.tables import Tables
+from almondfield_core.tables import TableIndex, TableRows, Tables
 
 from almondfield_control.commands import (
     ClaimKey,
@@ -25,8 +23,9 @@
     TableCommand,
     command_of,
 )
-from almondfield_control.state.audit import difference_of
-from almondfield_control.state.claims import ClaimRecord, ClaimTable
+from almondfield_control.state.audit import AcceptedChange
+from almondfield_control.state.claims import ClaimTable
+from almondfield_control.state.image import StateHead, StateImage
 
 __all__ = ["MAX_AUDIT_RECORDS", "ControlState"]
 
@@ -35,29 +34,13 @@
 MAX_CHANGE_IDS = 50_000
 
 
-@dataclass(frozen=True)
-class _StateImage:
-    """The whole state as a snapshot holds it."""
-
-    index: int
-    unix_s: float
-    tables: Tables
-    audit: tuple[AuditRecord, ...]
-    conflicts: tuple[ChangeConflict, ...]
-    pool_leases: tuple[PoolLease, ...]
-    claims: tuple[ClaimRecord, ...]
-    fencing: int
-    members: tuple[Member, ...]
-    leases_index: int
-    revision_by_change_id: dict[str, int]
-
-
 class ControlState:
     """State after the entries applied so far.
 
     :ivar index: last applied entry.
     :ivar unix_s: time of the newest entry; never goes back.
     :ivar tables: the tables.
+    :ivar table_index: the tables by the keys of their rows.
     :ivar lease_by_pool: the host that each pool is leased to.
     :ivar leases_index: entry that last changed a pool lease.
     :ivar claims: claims on idempotency keys.
@@ -69,12 +52,13 @@
         self.index = 0
         self.unix_s = 0.0
         self.tables = Tables()
+        self.table_index = TableIndex()
         self.lease_by_pool: dict[str, PoolLease] = {}
         self.leases_index = 0
         self.claims = ClaimTable()
         self.fencing = 0
         self.members: tuple[Member, ...] = ()
-        self._audit_by_revision: dict[int, AuditRecord] = {}
+        self._audit_by_revision: dict[int, AcceptedChange] = {}
         self._revision_by_change_id: dict[str, int] = {}
         self._conflict_by_change_id: dict[str, ChangeConflict] = {}
 
@@ -115,82 +99,103 @@
             return ChangeAccepted(change_id, revision)
         return self._conflict_by_change_id.get(change_id)
 
-    def history(self, after_revision: int, limit: int) -> tuple[AuditRecord, ...]:
-        """Return audit records in order.
+    def history(
+        self, after_revision: int, limit: int, last_revision: int | None = None
+    ) -> tuple[AcceptedChange, ...]:
+        """Return accepted changes in order.
+
+        :param after_revision: the first change has a greater revision.
+        :param limit: number of changes, at most.
+        :param last_revision: no change has a greater revision; None for no bound.
+        """
+        last = self.tables.revision if last_revision is None else last_revision
+        changes = (
+            change
+            for revision, change in self._audit_by_revision.items()
+            if after_revision < revision <= last
+        )
+        return tuple(itertools.islice(changes, limit))
 
-        :param after_revision: the first record has a greater revision.
-        :param limit: number of records, at most.
+    def rows_since(self, revision: int) -> tuple[TableRows, ...] | None:
+        """Return the rows of each revision after one; None where not all are kept.
+
+        :param revision: an accepted revision.
         """
-        records = [
-            record
-            for revision, record in self._audit_by_revision.items()
-            if revision > after_revision
-        ]
-        return tuple(records[:limit])
-
-    def encode(self) -> bytes:
-        """Return the whole state as MessagePack."""
-        image = _StateImage(
+        newest = self.tables.revision
+        if revision < newest and revision + 1 not in self._audit_by_revision:
+            return None
+        revisions = range(revision + 1, newest + 1)
+        return tuple(self._audit_by_revision[number].rows for number in revisions)
+
+    def image(self) -> StateImage:
+        """Return the whole state as it is now, for a snapshot."""
+        head = StateHead(
             index=self.index,
             unix_s=self.unix_s,
-            tables=self.tables,
-            audit=tuple(self._audit_by_revision.values()),
+            revision=self.tables.revision,
             conflicts=tuple(self._conflict_by_change_id.values()),
             pool_leases=tuple(self.lease_by_pool.values()),
-            claims=self.claims.records,
+            leases_index=self.leases_index,
             fencing=self.fencing,
             members=self.members,
-            leases_index=self.leases_index,
-            revision_by_change_id=self._revision_by_change_id,
+            revision_by_change_id=dict(self._revision_by_change_id),
+        )
+        return StateImage(
+            head=head,
+            pools=self.tables.pools,
+            routes=self.tables.routes,
+            audit=tuple(self._audit_by_revision.values()),
+            claims=self.claims.records,
         )
-        return msgspec.msgpack.encode(image)
 
     @classmethod
-    def decode(cls, body: bytes) -> "ControlState":
-        """Return the state that :meth:`encode` gave.
+    def restore(cls, image: StateImage) -> "ControlState":
+        """Return the state that :meth:`image` gave.
 
-        :param body: the state as MessagePack.
-        :raises msgspec.ValidationError: where the body is no state.
+        :param image: the image.
         """
-        image = msgspec.msgpack.decode(body, type=_StateImage)
+        head = image.head
         state = cls()
-        state.index = image.index
-        state.unix_s = image.unix_s
-        state.tables = image.tables
-        state.lease_by_pool = {lease.pool: lease for lease in image.pool_leases}
+        state.index = head.index
+        state.unix_s = head.unix_s
+        state.tables = Tables(head.revision, image.pools, image.routes)
+        state.table_index = TableIndex(state.tables)
+        state.lease_by_pool = {lease.pool: lease for lease in head.pool_leases}
         state.claims = ClaimTable(image.claims)
-        state.fencing = image.fencing
-        state.members = image.members
-        state.leases_index = image.leases_index
-        state._revision_by_change_id = image.revision_by_change_id
-        for record in image.audit:
-            state._audit_by_revision[record.revision] = record
-        for conflict in image.conflicts:
-            state._conflict_by_change_id[conflict.change_id] = conflict
+        state.fencing = head.fencing
+        state.members = head.members
+        state.leases_index = head.leases_index
+        state._revision_by_change_id = dict(head.revision_by_change_id)
+        state._audit_by_revision = {change.revision: change for change in image.audit}
+        state._conflict_by_change_id = {
+            conflict.change_id: conflict for conflict in head.conflicts
+        }
         return state
 
-    def _change_tables(self, change: TableChange) -> ChangeAccepted | ChangeConflict:
+    def _change_tables(self, change: RowChange) -> ChangeAccepted | ChangeConflict:
         earlier = self.answer_of(change.change_id)
         if earlier is not None:
             return earlier
         if change.expect_revision != self.tables.revision:
             return self._refuse(change)
         revision = self.tables.revision + 1
-        tables = Tables(revision, change.pools, change.routes)
-        record = AuditRecord(
+        accepted = AcceptedChange(
             revision=revision,
             change_id=change.change_id,
             author=change.author,
             unix_s=self.unix_s,
-            difference=difference_of(self.tables, tables),
+            rows=change.rows,
+            replaced=self.table_index.replaced_by(change.rows),
         )
-        self.tables = tables
-        self._audit_by_revision[revision] = record
+        self.table_index.apply(change.rows)
+        # Copies references only; the rows are shared with the tables before.
+        self.tables = self.table_index.tables(revision)
+        self._audit_by_revision[revision] = accepted
         self._revision_by_change_id[change.change_id] = revision
         self._drop_oldest()
         return ChangeAccepted(change.change_id, revision)
 
-    def _refuse(self, change: TableChange) -> ChangeConflict:
+    def _refuse(self, change: RowChange) -> ChangeConflict:
         winner = self._audit_by_revision.get(change.expect_revision + 1)
         conflict = ChangeConflict(
             change_id=change.change_id,
