Wait for the end of a listener without ticks

Cause: uvicorn's main loop wakes ten times a second for each of the two listeners of a daemon, only to refresh a date header that they don't send. What changed: the listener's server sets its default headers once and waits for an event; start waits for an event instead of polling.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -16,7 +16,6 @@
 BACKLOG = 2048
 KEEP_ALIVE_S = 30
 HEAD_TIMEOUT_S = 30.0
-STARTED_POLL_S = 0.005
 
 
 class ListenError(AlmondfieldError):
@@ -43,12 +42,24 @@
 
 
 class _Server(uvicorn.Server):
-    """A uvicorn server that leaves signals to the daemon."""
+    """A uvicorn server that leaves signals to the daemon, and waits without ticks."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.running = asyncio.Event()
+        self.asked_to_exit = asyncio.Event()
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         yield
 
+    async def main_loop(self) -> None:
+        # One tick sets what every answer carries; later ones would only refresh a
+        # date header, which these listeners don't send.
+        await self.on_tick(0)
+        self.running.set()
+        await self.asked_to_exit.wait()
+
 
 class HttpListener:
     """One application on one bound socket.
@@ -82,12 +93,13 @@
     async def start(self) -> None:
         """Return once requests are accepted."""
         self._task = asyncio.create_task(self._server.serve(sockets=[self._listener]))
-        while not self._server.started and not self._task.done():
-            await asyncio.sleep(STARTED_POLL_S)
+        running = asyncio.create_task(self._server.running.wait())
+        await asyncio.wait([running, self._task], return_when=asyncio.FIRST_COMPLETED)
+        running.cancel()
 
     async def stop(self) -> None:
         """Return once running requests have finished and connections are closed."""
         if self._task is None:
             return
-        self._server.should_exit = True
+        self._server.asked_to_exit.set()
         await self._task
