Follow pool leases and tables by events

Changes a port: TableView gets wait_leases, which returns once the pool leases were renewed or changed; the view of sharing_fleet gets it too. Cause: every daemon looked at its pool leases 20 times a second and at its tables 5 times a second. What changed: the schedulers wait for news of leases, the router's side for newer tables. Leases that change while a scheduler stops are seen, since each look is a fresh one.

--- a/bench/sharing_fleet.py
+++ b/bench/sharing_fleet.py
@@ -74,6 +74,10 @@
             await asyncio.sleep(0.05)
         return self.tables
 
+    async def wait_leases(self) -> None:
+        """Return once the pool leases may have been renewed or changed."""
+        await asyncio.sleep(0.05)
+
 
 @dataclass
 class ServerStub:
--- a/packages/almondfield-control/src/almondfield_control/freshness/view.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/view.py
@@ -27,6 +27,7 @@
         self._own_until = float("-inf")
         self._relayed: list[tuple[int, float]] = []
         self._changed = asyncio.Event()
+        self._leases_taken = asyncio.Event()
 
     @property
     def tables(self) -> Tables:
@@ -61,6 +62,10 @@
             await self._changed.wait()
         return self._tables
 
+    async def wait_leases(self) -> None:
+        """Return once the pool leases were renewed or changed."""
+        await self._leases_taken.wait()
+
     def take_tables(self, tables: Tables) -> None:
         """Put newer tables in place; older ones are dropped.
 
@@ -123,6 +128,8 @@
                 self._lease_by_pool[lease.pool] = lease
         self._leases_index = max(self._leases_index, leases_index)
         self._pool_until = max(self._pool_until, until)
+        taken, self._leases_taken = self._leases_taken, asyncio.Event()
+        taken.set()
 
     def give_up_pools(self) -> None:
         """Stop scheduling every pool at once."""
--- a/packages/almondfield-core/src/almondfield_core/ports/core.py
+++ b/packages/almondfield-core/src/almondfield_core/ports/core.py
@@ -120,6 +120,9 @@
         :param revision: a revision that the caller has.
         """
 
+    async def wait_leases(self) -> None:
+        """Return once the pool leases were renewed or changed."""
+
 
 class Control(Protocol):
     """The control group as any host reaches it."""
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/core.py
@@ -26,9 +26,6 @@
 URGENT_BURST = 6.0
 """Early reports that may follow one another closely."""
 
-TABLES_CHECK_S = 0.2
-"""Time between two looks for new pools, in seconds."""
-
 
 @dataclass(frozen=True)
 class RouterShareStats:
@@ -84,7 +81,7 @@
         try:
             while True:
                 self._follow_tables()
-                await asyncio.sleep(TABLES_CHECK_S)
+                await self._view.wait_change(self._view.tables.revision)
         finally:
             for task in self._task_by_pool.values():
                 task.cancel()
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/core.py
@@ -14,9 +14,6 @@
 
 __all__ = ["PoolSchedulers", "PoolSchedulersStats"]
 
-LEASE_CHECK_S = 0.05
-"""Time between two looks at the pool leases, in seconds."""
-
 
 @dataclass(frozen=True)
 class PoolSchedulersStats:
@@ -72,7 +69,7 @@
         try:
             while True:
                 await self._follow_leases()
-                await asyncio.sleep(LEASE_CHECK_S)
+                await self._view.wait_leases()
         finally:
             for pool in list(self._running_by_pool):
                 await self._stop(pool)
@@ -102,18 +99,28 @@
         return running.scheduler if running else None
 
     async def _follow_leases(self) -> None:
-        held = {
+        # Leases may change while a scheduler stops, so each look is a fresh one.
+        while (ended := self._ended_pool()) is not None:
+            await self._stop(ended)
+        for pool, epoch in self._epoch_by_held_pool().items():
+            leased = self._view.pool_lease_left_s(pool) > 0
+            if leased and pool not in self._running_by_pool:
+                self._start(pool, epoch)
+
+    def _ended_pool(self) -> str | None:
+        """Return a pool whose scheduler failed or lost its lease; else None."""
+        held = self._epoch_by_held_pool()
+        for pool, running in self._running_by_pool.items():
+            if held.get(pool) != running.scheduler.epoch or running.task.done():
+                return pool
+        return None
+
+    def _epoch_by_held_pool(self) -> dict[str, int]:
+        return {
             pool: lease.epoch
             for pool, lease in self._view.lease_by_pool.items()
             if lease.host == self._peers.host
         }
-        for pool, running in list(self._running_by_pool.items()):
-            if held.get(pool) != running.scheduler.epoch or running.task.done():
-                await self._stop(pool)
-        for pool, epoch in held.items():
-            leased = self._view.pool_lease_left_s(pool) > 0
-            if leased and pool not in self._running_by_pool:
-                self._start(pool, epoch)
 
     def _start(self, pool: str, epoch: int) -> None:
         scheduler = PoolScheduler(
