Renew the slots of a router at rest without a plan for all

Cause: in a profile of the host that leads and schedules (15 s, small deployment at rest) plans took 0.27 s of 1.64 s: one for each report, so that their number and the cost of each grow with the number of routers. What changed: a report of a router without requests that changes nothing only renews that router's grant where it is due, by the same rule; the timed plan four times a second goes on, and every other report wakes the scheduler as before.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/holds.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/holds.py
@@ -30,6 +30,17 @@
         return {name: count for name, count in slots.items() if count > 0}
 
 
+@dataclass(frozen=True)
+class _Rest:
+    """What a scheduler plans by for a router that has no request."""
+
+    incarnation: int
+    finished: int
+    held_by_server: dict[str, int]
+    granted_by_server: dict[str, int]
+    failures_by_server: dict[str, int]
+
+
 class RouterState:
     """Newest report of a router and the grants that it may follow.
 
@@ -102,6 +113,23 @@
         """
         return 0 <= self._newest[0] < report.incarnation
 
+    def rest(self) -> _Rest | None:
+        """Return the state of a router where nothing waits or runs; else None."""
+        report = self.report
+        if (
+            not self.accounted
+            or report.in_flight
+            or any(report.waiting_by_team.values())
+        ):
+            return None
+        return _Rest(
+            report.incarnation,
+            report.finished,
+            self.hold(),
+            self.granted(),
+            report.failures_by_server,
+        )
+
     def next_grant_number(self) -> int:
         """Return the number for the next grant to the router."""
         number = self._next_number
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
@@ -80,6 +80,7 @@
         self._planned_s = now()
         self._begun_s = now()
         self._unknown_by_server: dict[str, int] = {}
+        self._usable: dict[str, ServerAnnouncement] = {}
 
     async def run(self) -> None:
         """Grant slots until cancelled; pauses while the lease has run out."""
@@ -104,6 +105,7 @@
         if router is None:
             router = RouterState(host, self.epoch)
             self._router_by_host[host] = router
+        rested = router.rest()
         restarted = router.is_restart(report)
         if not router.take(report):
             return
@@ -118,7 +120,10 @@
                 baseline=not restarted,
             )
             self._windows.take(host, report, used_s)
-        self._wake.set()
+        if rested is not None and rested == router.rest() and not self._wake.is_set():
+            self._renew(router)
+        else:
+            self._wake.set()
 
     def take_news(self, news: News) -> None:
         """Note what servers announced.
@@ -130,6 +135,16 @@
         if news.changed:
             self._wake.set()
 
+    def _renew(self, router: RouterState) -> None:
+        """Send a router at rest its slots again, if that is due.
+
+        A report that changes nothing is no reason to plan for all routers.
+        """
+        slots = router.granted()
+        leased = self._view.pool_lease_left_s(self.pool) > 0
+        if leased and slots.keys() <= self._usable.keys() and self._renewal_due(router):
+            self._send(router, slots, self._usable)
+
     def _greet_routers(self) -> None:
         """Ask the routers that follow no grant of ours to drop others and report."""
         for router in self._router_by_host.values():
@@ -152,11 +167,13 @@
         """Compute the slots of every router and send what differs or is due."""
         row = next((p for p in self._view.tables.pools if p.name == self.pool), None)
         if row is None:
+            self._usable = {}
             return
         serving = self._servers.serving()
         allowed = self._ownership.settle(self._view.tables.pools, serving.values())
         self.findings = self._ownership.findings(row, serving.values())
         usable = {name: serving[name] for name in serving if name in allowed}
+        self._usable = usable
         slots_by_server = {
             name: _slots_of(row, server) for name, server in usable.items()
         }
