Look at pool leases when one can have changed hands

Cause: each voter looked ten times a second whether a pool needs a host, also where it doesn't lead. What changed: the leader's service waits until a host may lose its pools by time alone, or for an event: a new term, the first commit of a term, a change of tables, or a renewal that changes which hosts may take pools. A move that failed is tried again after 0.1 s as before; silent claims are looked for once a second at least.

--- a/packages/almondfield-control/src/almondfield_control/freshness/core.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/core.py
@@ -1,6 +1,7 @@
 """Leases that the leader has given to hosts."""
 
 from dataclasses import dataclass, field
+from math import inf
 
 from almondfield_core.clock import now
 from almondfield_core.settings import TimingSettings
@@ -144,6 +145,15 @@
             until = max(until, record.pool_until)
         return now() < until
 
+    def next_loss_s(self) -> float:
+        """Return when the next host may hold no pools any more, by time alone.
+
+        :returns: a time on the loop's clock; infinite where none holds any.
+        """
+        term_until = self._started_at + self._with_margin(self._timing.pool_lease_s)
+        ends = [record.pool_until for record in self._record_by_host.values()]
+        return min((end for end in (term_until, *ends) if end > now()), default=inf)
+
     def is_silent(self, host: str, seconds: float) -> bool:
         """Return whether a host has renewed no lease for some time, in this term.
 
--- a/packages/almondfield-control/src/almondfield_control/node/leader.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from almondfield_core.clock import now
 from almondfield_core.findings import Finding
 from almondfield_core.messages import (
     ChangeAccepted,
@@ -59,7 +60,8 @@
 
 CheckTables = Callable[[tuple[Pool, ...], tuple[Route, ...]], tuple[Finding, ...]]
 
-POOL_CHECK_S = 0.1
+RETRY_S = 0.1
+LONGEST_CHECK_S = 1.0
 CLAIM_SILENCE_S = 30.0
 EVERY_INCARNATION = 2**63 - 1
 MAX_RECENT_TABLES = 16
@@ -90,6 +92,8 @@
         self._check = check
         self._recent_tables: dict[int, Tables] = {}
         self._leases: HostLeases | None = None
+        self._wake = asyncio.Event()
+        self._checked_term = -1
         replica.on_lead.append(self._begin_term)
         replica.on_apply.append(self._on_apply)
 
@@ -113,10 +117,26 @@
     async def run(self) -> None:
         """Keep every pool leased to a live host while this host leads."""
         while True:
-            await asyncio.sleep(POOL_CHECK_S)
+            pause_s = LONGEST_CHECK_S
+            self._wake.clear()
             if self._leads():
-                await self._lease_pools()
+                self._checked_term = self._replica.hard.term
+                settled = await self._lease_pools()
                 await self._lose_claims()
+                pause_s = self._pause_s() if settled else RETRY_S
+            await self._wait_work(pause_s)
+
+    def _pause_s(self) -> float:
+        """Return the seconds until a host may lose its pools by time alone."""
+        due_s = self._leases.next_loss_s() - now()
+        return min(max(0.0, due_s), LONGEST_CHECK_S)
+
+    async def _wait_work(self, pause_s: float) -> None:
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
 
     def _leads(self) -> bool:
         replica = self._replica
@@ -134,11 +154,16 @@
 
     def _begin_term(self) -> None:
         self._leases = HostLeases(self._timing)
+        self._wake.set()
 
     def _on_apply(self, entry: object, outcome: object) -> None:
+        replica = self._replica
+        leadership = replica.leadership
+        if leadership is not None and leadership.term != self._checked_term:
+            self._wake.set()
         if not isinstance(outcome, ChangeAccepted):
             return
-        replica = self._replica
+        self._wake.set()
         self._remember(replica.state.tables)
         if not replica.is_leader:
             return
@@ -167,7 +192,10 @@
         if request.leases_index < state.leases_index:
             leases = tuple(state.lease_by_pool.values())
         whole, delta = self._news_since(request.revision)
+        schedulers = self._leases.schedulers()
         is_new = self._leases.renew(sender, request, revision)
+        if self._leases.schedulers() != schedulers:
+            self._wake.set()
         renews_pools = self._leases.renews_pools(sender)
         if is_new and state.claims.has_running(sender, request.incarnation):
             command = LoseClaims(sender, request.incarnation)
@@ -248,7 +276,8 @@
             self._replica, self._leases, self._hosts, self._is_in_force(revision)
         )
 
-    async def _lease_pools(self) -> None:
+    async def _lease_pools(self) -> bool:
+        """Return whether every pool has its host, as far as there are hosts."""
         state = self._replica.state
         while self._leads():
             command = next_pool_lease(
@@ -258,9 +287,10 @@
                 self._leases.may_schedule,
             )
             if command is None:
-                return
+                return True
             if not await self._move_pool(command):
-                return
+                return False
+        return False
 
     async def _lose_claims(self) -> None:
         """Mark running claims of hosts that have been silent for long as lost."""
