Check that routers at rest need no plan for each report

What changed: a scenario with six routers at rest allows 30 plans in 5 s, and both ends still get their slots without a round trip.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/tests/sharing.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/tests/sharing.feature
@@ -14,6 +14,13 @@
       | 1     |
       | 2     |
 
+  Scenario: Routers at rest keep their slots without a plan for each report
+    Given a fleet of 6 hosts with 2 servers of 6 slots
+    When 3 s pass
+    Then the scheduler plans at most 30 times in the next 5 s
+    And a request at host 1 gets its slot within 0.1 ms
+    And a request at host 6 gets its slot within 0.1 ms
+
   Scenario: An unloaded pool needs no round trip
     Given a fleet of 2 hosts with 2 servers of 4 slots
     When 1 s pass
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/sharing_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/sharing_steps.py
@@ -1,6 +1,7 @@
 """Steps on a fleet in memory."""
 
 import asyncio
+from unittest.mock import patch
 
 from almondfield_core.clock import now
 from almondfield_core.messages import ServerAnnouncement
@@ -71,3 +72,12 @@
     assert run(context, context.callers.call(f"host-{host}", "pool", "bar", 0.1))
     waits_s = context.callers.waits_s_by_pool["pool"]
     assert waits_s[-1] <= milliseconds / 1000, waits_s
+
+
+@then("the scheduler plans at most {most:d} times in the next {seconds:g} s")
+def step_impl(context, most, seconds):
+    holder = context.fleet.holder("pool")
+    scheduler = context.fleet.schedulers_by_host[holder].scheduler("pool")
+    with patch.object(scheduler, "_plan", wraps=scheduler._plan) as plan:
+        run(context, asyncio.sleep(seconds))
+    assert 0 < plan.call_count <= most, plan.call_count
