Test wrong rows against the revision of a change that is on its way

Cause: no feature failed when the leader let unchecked rows against a revision to come into the log. What: a scenario in which two changes reach the leader before the first is committed.

--- a/packages/almondfield-control/src/almondfield_control/tests/rows.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/rows.feature
@@ -27,6 +27,12 @@
     Then change "s" conflicts at revision 1
     And every host has the routes "team-0 pool-b, team-2 pool-a" within 3 seconds
 
+  Scenario: wrong rows against the revision of a change on its way are not taken
+    When the leader asks for "r", and for wrong rows after it as "w" before the answer
+    Then change "r" is accepted at revision 2
+    And change "w" conflicts at revision 2
+    And every host has the routes "team-0 pool-b, team-1 pool-a, team-2 pool-a" within 3 seconds
+
   Scenario: a change of rows that is sent again gets its first answer
     When h4 puts route "team-0" to "pool-b" and removes route "team-1" as "r"
     And the leader crashes
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/row_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/row_steps.py
@@ -50,6 +50,21 @@
     await apply_rows(context, host, name, revision, rows)
 
 
+@when(
+    'the leader asks for "{first}", and for wrong rows after it as "{wrong}" '
+    "before the answer"
+)
+@in_loop
+async def step_impl(context, first, wrong):
+    right_rows = TableRows(put_routes=(Route("team-0", "/", "pool-b"),))
+    wrong_rows = TableRows(removed_pools=("pool-b",))
+    leader = context.fleet.leader()
+    await asyncio.gather(
+        apply_rows(context, leader, first, 1, right_rows),
+        apply_rows(context, leader, wrong, 2, wrong_rows),
+    )
+
+
 @when('{host} removes a pool in use at revision {revision:d} as "{name}"')
 @in_loop
 async def step_impl(context, host, revision, name):
