--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/replies.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/replies.py
@@ -2,6 +2,7 @@
 
 import math
 from typing import Any
+from urllib.parse import parse_qs
 
 import msgspec
 from almondfield_core.settings import TimingSettings
@@ -84,4 +85,7 @@
             await send_problem(send, problem, "", self._membership, close=True)
             return
         headers = ((b"cache-control", self._cache_control),)
-        await send_json(send, 200, self._membership.addresses(), headers)
+        asked = parse_qs(scope["query_string"].decode("latin-1"))
+        data_centre = asked.get("data_centre", [""])[0]
+        answer = self._membership.addresses(data_centre)
+        await send_json(send, 200, answer, headers)
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/announcements.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/announcements.feature
@@ -30,3 +30,10 @@
     Given a caller app
     When "" sends GET "/addresses"
     Then the reply names the addresses for 5 s
+    And the nearest ones were asked for data centre ""
+
+  Scenario: Callers in another data centre say where they are
+    Given a caller app
+    When "" sends GET "/addresses?data_centre=dc-2&other=x"
+    Then the reply names the addresses for 5 s
+    And the nearest ones were asked for data centre "dc-2"
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/steps/announcement_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/steps/announcement_steps.py
@@ -93,3 +93,9 @@
     reply = context.reply
     assert reply.json == {"addresses": ["127.0.0.1:8080"], "lifetime_s": count}
     assert reply.headers[b"cache-control"] == b"max-age=%d" % count
+
+
+@then('the nearest ones were asked for data centre "{name}"')
+@then('the nearest ones were asked for data centre ""')
+def step_impl(context, name=""):
+    assert context.house.membership.asked_data_centre == name
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/claimed.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/claimed.py
@@ -15,7 +15,7 @@
 
 __all__ = ["ClaimedAnswer", "ClaimedRun"]
 
-MAX_STORED_BYTES = 64 * 1024
+MAX_STORED_BYTES = 16 * 1024
 BUFFERED_CHUNKS = 8
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/fakes.py
@@ -151,7 +151,8 @@
     async def announce(self, announcement):
         self.announced.append(announcement)
 
-    def addresses(self):
+    def addresses(self, data_centre=""):
+        self.asked_data_centre = data_centre
         return Addresses()
 
 
