Let heartbeats, news and the leader's beats of a host share wake-ups

Cause: each link, the watch of neighbours and each member's heartbeats ran on timers of their own, so that a host woke for each one. A link lets the other parts post their messages of the same beat first.

--- a/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from almondfield_core.clock import now
+from almondfield_core.clock import Beat, now
 from almondfield_core.messages import ControlUnavailable
 from result import Err, Ok, Result
 
@@ -247,10 +247,11 @@
         )
 
     async def _beat(self, progress: Progress) -> None:
+        beat = Beat(self._replica.peers.host, self._beat_s())
         while self._replica.leadership is self:
             previous = max(progress.match_index, self._replica.log.base_index)
             self._replica.spawn(self._append_to(progress, previous, ()))
-            await asyncio.sleep(self._beat_s())
+            await beat.wait()
 
     def _beat_s(self) -> float:
         return self._replica.timing.election_s / HEARTBEATS_PER_ELECTION
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/core.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from almondfield_core.clock import now
+from almondfield_core.clock import Beat, now
 from almondfield_core.messages import ServerAnnouncement
 from almondfield_core.ports import Peers, TableView
 from almondfield_core.settings import DaemonSettings
@@ -66,6 +66,7 @@
         self._spare_said_s = -SPARE_INTERVAL_S
         self._started_s = now()
         self._urgent = asyncio.Event()
+        self._beat = Beat(settings.host, settings.timing.heartbeat_s)
         peers.listen(HostDigest, self._on_digest)
 
     def watch_spare(self, read: Callable[[], float]) -> None:
@@ -170,7 +171,7 @@
             self._note_neighbours()
             for host in self._directory.neighbours(self._own.name):
                 self._tell(host)
-            await asyncio.sleep(self._settings.timing.heartbeat_s)
+            await self._beat.wait()
 
     async def _spread_urgent(self) -> None:
         while True:
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/link.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/link.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 
-from almondfield_core.clock import now
+from almondfield_core.clock import Beat, now
 from almondfield_core.settings import HostSettings, TimingSettings
 
 from almondfield_daemon.peers.frames import Envelope, Frame, FrameSeal, Purpose
@@ -49,7 +49,7 @@
         self._sockets = sockets
         self._seal = seal
         self._meter = meter
-        self._timing = timing
+        self._beat = Beat(own.name, timing.heartbeat_s)
         self._queue: deque[Envelope] = deque()
         self._wake = asyncio.Event()
         self._used_s = -UNUSED_S
@@ -134,10 +134,11 @@
             await self._wake.wait()
             return
         try:
-            async with asyncio.timeout(self._timing.heartbeat_s):
+            async with asyncio.timeout_at(self._beat.next_s(now())):
                 await self._wake.wait()
         except TimeoutError:
-            pass
+            # What other parts send on this beat goes in the same frame.
+            await asyncio.sleep(0)
 
     async def _send_frame(self) -> None:
         self._redial_if_silent()
