--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/core.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from almondfield_core.clock import now
+from almondfield_core.clock import Beat, now
 from almondfield_core.messages import NotRun, NotRunReason, SlotGrant, SlotRequest
 from almondfield_core.ports import Peers, Slot, TableView
 from almondfield_core.settings import DaemonSettings
@@ -71,6 +71,7 @@
         self._memory = QueueMemory(limits.max_queued_requests, limits.max_queued_bytes)
         self._pool_by_name: dict[str, RouterPool] = {}
         self._task_by_pool: dict[str, asyncio.Task[None]] = {}
+        self._beat = Beat(settings.host, REST_WINDOW_S)
         self._refusing = False
         self._reports = 0
         self._grants = 0
@@ -167,9 +168,7 @@
         tokens = URGENT_BURST
         last_s = float("-inf")
         while True:
-            window_s = self._window_s(pool)
-            due_s = last_s + window_s
-            early = await self._wait_due(pool, due_s)
+            early = await self._wait_due(pool, self._due_s(pool, last_s))
             if early:
                 await asyncio.sleep(max(0.0, last_s + URGENT_BATCH_S - now()))
                 tokens -= 1.0
@@ -192,10 +191,13 @@
             return False
         return True
 
-    def _window_s(self, pool: RouterPool) -> float:
+    def _due_s(self, pool: RouterPool, last_s: float) -> float:
+        """Return when the report after one sent at a time is due."""
         if pool.backlogged and pool.window_s > 0:
-            return min(pool.window_s, REST_WINDOW_S)
-        return REST_WINDOW_S
+            return last_s + min(pool.window_s, REST_WINDOW_S)
+        if pool.is_at_rest and last_s > float("-inf"):
+            return self._beat.next_s(last_s)
+        return last_s + REST_WINDOW_S
 
     def _send_report(self, pool: RouterPool) -> None:
         pool.urgent.clear()
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
@@ -214,6 +214,11 @@
         if skipped or not grant.report_number or self._freed_by(before, after):
             self.urgent.set()
 
+    @property
+    def is_at_rest(self) -> bool:
+        """Return whether no request waits or runs."""
+        return not len(self.queues) and not self.usage.total()
+
     def make_report(self) -> DemandReport:
         """Return the full state of the router in this pool."""
         self._report_number += 1
