Look for members and keep links on the beat of the host

Cause: each voter looked twice a second whether it belongs to the group, and each host once a second at the links that it keeps, on timers of their own. What changed: both wait for the host's beat (0.6 s and 0.9 s with the settings' 0.3 s). Features of control and daemon: 272 passed.

--- a/packages/almondfield-control/src/almondfield_control/consensus/formation.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import eliot
+from almondfield_core.clock import Beat
 from result import Ok
 
 from almondfield_control.commands import Member
@@ -23,7 +24,7 @@
 
 __all__ = ["Formation"]
 
-RETRY_S = 0.5
+BEATS_PER_CHECK = 2
 ASK_TIMEOUT_S = 1.0
 _CLUSTER_ID_BITS = 64
 
@@ -52,6 +53,8 @@
     async def run(self) -> None:
         """Return once this member belongs to a group and was admitted or formed it."""
         replica = self._replica
+        heartbeat_s = replica.timing.heartbeat_s
+        beat = Beat(replica.peers.host, BEATS_PER_CHECK * heartbeat_s)
         while True:
             if replica.hard.formed and self._is_member():
                 self.waiting_for = ""
@@ -61,7 +64,7 @@
                 self._ask_to_join()
             else:
                 await self._step()
-            await asyncio.sleep(RETRY_S)
+            await beat.wait()
 
     def accepts(self, cluster_id: str) -> bool:
         """Return whether messages of a group are for this member.
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import eliot
+from almondfield_core.clock import Beat
 from almondfield_core.ports import LinkFailure
 from almondfield_core.settings import DaemonSettings, HostSettings
 from almondfield_core.wire import decode_message, encode_message, kind_of
@@ -19,6 +20,7 @@
 __all__ = ["PynngPeers"]
 
 FRAME_OVERHEAD_BYTES = 1024 * 1024
+BEATS_PER_CHECK = 3
 
 Handler = Callable[[str, Any], Awaitable[Any]]
 
@@ -153,8 +155,9 @@
         return self._meter.stats(links)
 
     async def _keep_links(self) -> None:
+        beat = Beat(self.host, BEATS_PER_CHECK * self._settings.timing.heartbeat_s)
         while True:
-            await asyncio.sleep(self._settings.timing.silence_s)
+            await beat.wait()
             for host in self._kept:
                 self.is_reachable(host)
 
