--- a/bench/chunk_cost.py
+++ b/bench/chunk_cost.py
@@ -9,6 +9,8 @@
 import time
 
 import cyclopts
+from result import Ok
+
 from almondfield_core.messages import ServerSlots
 from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
 from almondfield_core.tables import Pool, Route, Tables, hash_key
@@ -16,7 +18,6 @@
 from almondfield_daemon.edge import build_caller_app
 from almondfield_daemon.router import Router
 from almondfield_daemon.serving import HttpListener, bind
-from result import Ok
 
 EVENT = b'id: %d\ndata: {"token":"almond"}\n\n'
 HEAD = (
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 import aiosonic
+
 from almondfield_cli.main import apply_file
 from almondfield_core.clock import now
 from almondfield_core.messages import ServerAnnouncement
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import tomlkit
+
 from almondfield_core.tables import PoolKind, hash_key
 from load import TeamLoad
 
--- a/bench/direct.py
+++ b/bench/direct.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import aiosonic
+
 from almondfield_core.clock import now
 from deployment import Deployment
 from load import TeamLoad
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -11,6 +11,7 @@
 
 import aiosonic
 import tomlkit
+
 from almondfield_core.clock import now
 from almondfield_core.tables import PoolKind
 from deployment import OPERATOR_TOKEN, Deployment, HostPlan, PoolPlan
--- a/bench/load.py
+++ b/bench/load.py
@@ -7,6 +7,7 @@
 
 import aiosonic
 from aiosonic.pools import PoolConfig
+
 from almondfield_core.clock import now
 from almondfield_core.tables import PoolKind
 from standins import answer_text, event_bytes
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import looptime
+
 from almondfield_core.clock import now
 from almondfield_core.messages import ServerState
 from almondfield_core.tables import Pool, Selector
--- a/bench/run.py
+++ b/bench/run.py
@@ -12,9 +12,10 @@
 from typing import Annotated
 
 import cyclopts
+from cyclopts import Parameter
+
 from almondfield_core.clock import now
 from almondfield_core.tables import PoolKind
-from cyclopts import Parameter
 from deployment import PROFILE_BY_NAME, Deployment
 from direct import measure_added_ms
 from faults import find_fault
--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -13,13 +13,14 @@
 
 import cyclopts
 import looptime
+from cyclopts import Parameter
+
 from almondfield_core.clock import now
 from almondfield_core.messages import ServerAnnouncement
 from almondfield_core.settings import SharingPolicy
 from almondfield_core.tables import Pool
 from almondfield_fairshare.bound import fairness_bound, interval_bound
 from almondfield_testing import InMemoryNetwork
-from cyclopts import Parameter
 from deployment import PROFILE_BY_NAME, Deployment, PoolPlan, Profile
 from load import COST_CAP, TeamLoad
 from measures import measure_pool, percentile
--- a/bench/sharing_load.py
+++ b/bench/sharing_load.py
@@ -7,11 +7,12 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 
+from result import Err, Ok
+
 from almondfield_core.clock import now
 from almondfield_core.messages import ServerFailure, SlotRequest
 from almondfield_core.ports import Slot
 from load import COST_CAP, COST_SIGMA, SKEW, CallRecord, TeamLoad
-from result import Err, Ok
 from sharing_fleet import Fleet
 from standins import RunRecord
 
--- a/bench/sharing_random.py
+++ b/bench/sharing_random.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import looptime
+
 from almondfield_core.clock import now
 from almondfield_core.messages import ServerAnnouncement
 from almondfield_core.tables import Pool, PoolKind
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -17,6 +17,7 @@
 matplotlib.use("Agg")
 
 from matplotlib import pyplot
+
 from slopes_fit import Slope
 
 __all__ = ["main"]
--- a/bench/slopes_control.py
+++ b/bench/slopes_control.py
@@ -4,12 +4,13 @@
 import random
 import tracemalloc
 
+from result import Ok
+
 from almondfield_control import ControlNode
 from almondfield_core.clock import WallClock
 from almondfield_core.messages import ClaimRequest, TableChange
 from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
 from almondfield_core.tables import Pool, Route, hash_key
-from result import Ok
 from slopes_fit import Slope, fit
 from slopes_harness import HostUse, MeteredNetwork, at_host, run_metered
 
--- a/bench/slopes_harness.py
+++ b/bench/slopes_harness.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import looptime
+
 from almondfield_daemon.peers.meter import Meter
 from almondfield_testing import InMemoryNetwork, InMemoryPeers
 
--- a/bench/slopes_router.py
+++ b/bench/slopes_router.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import msgspec
+
 from almondfield_core.clock import now
 from almondfield_core.tables import PoolKind
 from deployment import BACKEND_TOKEN, Deployment, PoolPlan, Profile
--- a/bench/standins.py
+++ b/bench/standins.py
@@ -14,15 +14,16 @@
 
 import aiosonic
 import cyclopts
-from almondfield_core.clock import now
-from almondfield_core.messages import ServerAnnouncement, ServerState
-from almondfield_core.tables import PoolKind
-from almondfield_daemon.serving import HttpListener, bind
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from almondfield_core.clock import now
+from almondfield_core.messages import ServerAnnouncement, ServerState
+from almondfield_core.tables import PoolKind
+from almondfield_daemon.serving import HttpListener, bind
+
 __all__ = ["RunRecord", "StandIn", "answer_text", "event_bytes"]
 
 ANNOUNCE_S = 1.0
--- a/docs/tests/steps/pages_steps.py
+++ b/docs/tests/steps/pages_steps.py
@@ -3,10 +3,11 @@
 import re
 from pathlib import Path
 
+from behave import then
+
 from almondfield_cli import ExitCode
 from almondfield_core.settings import load_settings, read_secret
 from almondfield_core.tables import hash_key, load_tables
-from behave import then
 from make_reference import render_pages
 
 ROOT = Path(__file__).resolve().parents[3]
--- a/packages/almondfield-cli/src/almondfield_cli/changing.py
+++ b/packages/almondfield-cli/src/almondfield_cli/changing.py
@@ -5,16 +5,6 @@
 from pathlib import Path
 from typing import Annotated
 
-from almondfield_core.clock import now
-from almondfield_core.findings import AlmondfieldError
-from almondfield_core.messages import (
-    ChangeAccepted,
-    ControlUnavailable,
-    InForce,
-    RowChange,
-    TableChange,
-)
-from almondfield_core.tables import Tables, difference, load_tables, rows_between
 from cyclopts import Parameter
 from result import Err, Ok, Result
 
@@ -36,6 +26,16 @@
 )
 from almondfield_cli.output import Printer, describe
 from almondfield_cli.transport import AiosonicTransport
+from almondfield_core.clock import now
+from almondfield_core.findings import AlmondfieldError
+from almondfield_core.messages import (
+    ChangeAccepted,
+    ControlUnavailable,
+    InForce,
+    RowChange,
+    TableChange,
+)
+from almondfield_core.tables import Tables, difference, load_tables, rows_between
 
 __all__ = ["ApplyError", "apply", "apply_file", "check", "plan"]
 
--- a/packages/almondfield-cli/src/almondfield_cli/client.py
+++ b/packages/almondfield-cli/src/almondfield_cli/client.py
@@ -5,6 +5,9 @@
 from typing import Any, TypeVar
 
 import msgspec
+from result import Err, Ok, Result
+
+from almondfield_cli.transport import HttpAnswer, HttpRequest, NoAnswer, Transport
 from almondfield_core.messages import (
     AuditRecord,
     ChangeAccepted,
@@ -24,9 +27,6 @@
 )
 from almondfield_core.settings import HostSettings
 from almondfield_core.tables import Tables
-from result import Err, Ok, Result
-
-from almondfield_cli.transport import HttpAnswer, HttpRequest, NoAnswer, Transport
 
 __all__ = [
     "ClientFailure",
--- a/packages/almondfield-cli/src/almondfield_cli/hosts.py
+++ b/packages/almondfield-cli/src/almondfield_cli/hosts.py
@@ -1,11 +1,11 @@
 """Commands that act on one host."""
 
-from almondfield_core.findings import Finding
 from result import Err, Ok
 
 from almondfield_cli.exits import ExitCode
 from almondfield_cli.options import DEFAULT_CONNECTION, Connection
 from almondfield_cli.reading import show_outcome
+from almondfield_core.findings import Finding
 
 __all__ = ["admit", "drain", "remove"]
 
--- a/packages/almondfield-cli/src/almondfield_cli/offline.py
+++ b/packages/almondfield-cli/src/almondfield_cli/offline.py
@@ -2,12 +2,12 @@
 
 from pathlib import Path
 
-from almondfield_core.settings import list_items, read_secret
-from almondfield_core.tables import hash_key
 from result import Err, Ok
 
 from almondfield_cli.exits import ExitCode
 from almondfield_cli.options import TEXT_FORM, Form
+from almondfield_core.settings import list_items, read_secret
+from almondfield_core.tables import hash_key
 
 __all__ = ["key", "settings"]
 
--- a/packages/almondfield-cli/src/almondfield_cli/options.py
+++ b/packages/almondfield-cli/src/almondfield_cli/options.py
@@ -6,14 +6,14 @@
 from pathlib import Path
 from typing import Annotated
 
-from almondfield_core.findings import Finding, show
-from almondfield_core.settings import read_secret
 from cyclopts import Parameter
 from result import Err, Ok, Result
 
 from almondfield_cli.client import OperatorClient
 from almondfield_cli.output import Output, Printer
 from almondfield_cli.transport import AiosonicTransport
+from almondfield_core.findings import Finding, show
+from almondfield_core.settings import read_secret
 
 __all__ = [
     "DEFAULT_CONNECTION",
--- a/packages/almondfield-cli/src/almondfield_cli/output.py
+++ b/packages/almondfield-cli/src/almondfield_cli/output.py
@@ -8,6 +8,9 @@
 from typing import Any
 
 import msgspec
+
+from almondfield_cli.client import NotAllowed, Silent, Unexpected, UnknownOutcome
+from almondfield_cli.exits import ExitCode
 from almondfield_core.findings import Finding
 from almondfield_core.messages import (
     AuditRecord,
@@ -23,9 +26,6 @@
     VotersChanged,
 )
 
-from almondfield_cli.client import NotAllowed, Silent, Unexpected, UnknownOutcome
-from almondfield_cli.exits import ExitCode
-
 __all__ = ["Output", "Printer", "describe", "exit_code_of"]
 
 
--- a/packages/almondfield-cli/src/almondfield_cli/reading.py
+++ b/packages/almondfield-cli/src/almondfield_cli/reading.py
@@ -1,12 +1,12 @@
 """Commands that read from the system."""
 
-from almondfield_core.tables import dump_tables
 from result import Err, Ok, Result
 
 from almondfield_cli.client import ClientFailure
 from almondfield_cli.exits import ExitCode
 from almondfield_cli.options import DEFAULT_CONNECTION, Connection
 from almondfield_cli.output import Printer
+from almondfield_core.tables import dump_tables
 
 __all__ = ["addresses", "export", "history", "show_outcome", "status"]
 
--- a/packages/almondfield-cli/src/almondfield_cli/tests/steps/cli_steps.py
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/steps/cli_steps.py
@@ -13,6 +13,9 @@
 
 import msgspec
 import uvicorn
+from behave import given, then, when
+from result import Err, Ok
+
 from almondfield_cli import ExitCode, run_command
 from almondfield_cli.transport import HttpAnswer, NoAnswer
 from almondfield_core.clock import now
@@ -26,8 +29,6 @@
     call_app,
     make_node,
 )
-from behave import given, then, when
-from result import Err, Ok
 
 TABLES = Tables(pools=(Pool("p"),), routes=(Route("t", "/", "p"),))
 REROUTED = Tables(pools=(Pool("p"),), routes=(Route("t", "/", "p", weight=2.0),))
--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -6,10 +6,6 @@
 from dataclasses import replace
 
 import eliot
-from almondfield_core.clock import WallClock, now
-from almondfield_core.messages import ControlUnavailable
-from almondfield_core.ports import Peers
-from almondfield_core.settings import TimingSettings
 from result import Err, Result
 
 from almondfield_control.commands import Command, LogEntry, Member
@@ -24,6 +20,10 @@
 from almondfield_control.errors import StorageError
 from almondfield_control.state import ControlState, decode_image
 from almondfield_control.storage import Disk, HardState, Journal
+from almondfield_core.clock import WallClock, now
+from almondfield_core.messages import ControlUnavailable
+from almondfield_core.ports import Peers
+from almondfield_core.settings import TimingSettings
 
 __all__ = ["Replica"]
 
--- a/packages/almondfield-control/src/almondfield_control/consensus/election.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/election.py
@@ -4,13 +4,13 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from almondfield_core.clock import now
 from result import Ok
 
 from almondfield_control.commands import Member
 from almondfield_control.consensus.messages import VoteReply, VoteRequest
 from almondfield_control.consensus.roles import Role
 from almondfield_control.errors import StorageError
+from almondfield_core.clock import now
 
 if TYPE_CHECKING:
     from almondfield_control.consensus.core import Replica
--- a/packages/almondfield-control/src/almondfield_control/consensus/following.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/following.py
@@ -2,8 +2,6 @@
 
 from typing import TYPE_CHECKING
 
-from almondfield_core.clock import now
-
 from almondfield_control.commands import LogEntry
 from almondfield_control.consensus.messages import (
     AppendReply,
@@ -14,6 +12,7 @@
 from almondfield_control.consensus.roles import Role
 from almondfield_control.consensus.transfer import SnapshotReceiver
 from almondfield_control.errors import StorageError
+from almondfield_core.clock import now
 
 if TYPE_CHECKING:
     from almondfield_control.consensus.core import Replica
--- a/packages/almondfield-control/src/almondfield_control/consensus/formation.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 import eliot
-from almondfield_core.clock import Beat
 from result import Ok
 
 from almondfield_control.commands import Member
@@ -18,6 +17,7 @@
 )
 from almondfield_control.consensus.roles import Role
 from almondfield_control.errors import StorageError
+from almondfield_core.clock import Beat
 
 if TYPE_CHECKING:
     from almondfield_control.consensus.core import Replica
--- a/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
@@ -3,8 +3,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from almondfield_core.clock import Beat, now
-from almondfield_core.messages import ControlUnavailable
 from result import Err, Ok, Result
 
 from almondfield_control.commands import (
@@ -25,6 +23,8 @@
 )
 from almondfield_control.consensus.progress import Progress
 from almondfield_control.consensus.transfer import CHUNK_BYTES, Snapshot
+from almondfield_core.clock import Beat, now
+from almondfield_core.messages import ControlUnavailable
 
 if TYPE_CHECKING:
     from almondfield_control.consensus.core import Replica
--- a/packages/almondfield-control/src/almondfield_control/consensus/log.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/log.py
@@ -1,13 +1,12 @@
 """The replicated log in memory, from the last snapshot on."""
 
-from almondfield_core.wire import kind_of
-
 from almondfield_control.commands import (
     LogEntry,
     Member,
     MembershipChange,
     command_of,
 )
+from almondfield_core.wire import kind_of
 
 __all__ = ["ReplicatedLog"]
 
--- a/packages/almondfield-control/src/almondfield_control/consensus/membership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/membership.py
@@ -5,10 +5,10 @@
 from typing import TYPE_CHECKING
 
 import eliot
-from almondfield_core.clock import now
 from result import Err, Ok, Result
 
 from almondfield_control.commands import Member, MembershipChange
+from almondfield_core.clock import now
 
 if TYPE_CHECKING:
     from almondfield_control.consensus.core import Replica
--- a/packages/almondfield-control/src/almondfield_control/consensus/messages.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/messages.py
@@ -2,9 +2,8 @@
 
 from dataclasses import dataclass
 
-from almondfield_core.wire import wire_message
-
 from almondfield_control.commands import LogEntry, Member
+from almondfield_core.wire import wire_message
 
 __all__ = [
     "AppendReply",
--- a/packages/almondfield-control/src/almondfield_control/consensus/tests/history.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/tests/history.py
@@ -4,6 +4,9 @@
 import random
 from dataclasses import dataclass, field
 
+from control_fleet import Fleet
+from result import Ok
+
 from almondfield_core.clock import now
 from almondfield_core.messages import (
     ChangeAccepted,
@@ -14,8 +17,6 @@
     TableChange,
 )
 from almondfield_core.tables import Pool
-from control_fleet import Fleet
-from result import Ok
 
 FAULT_S = 1.2
 SETTLE_S = 15.0
--- a/packages/almondfield-control/src/almondfield_control/freshness/core.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/core.py
@@ -2,11 +2,10 @@
 
 from math import inf
 
+from almondfield_control.freshness.messages import RenewalRequest
 from almondfield_core.clock import now
 from almondfield_core.settings import TimingSettings
 
-from almondfield_control.freshness.messages import RenewalRequest
-
 __all__ = ["HostLeases"]
 
 
--- a/packages/almondfield-control/src/almondfield_control/freshness/fallback.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/fallback.py
@@ -2,9 +2,6 @@
 
 import asyncio
 
-from almondfield_core.clock import now
-from almondfield_core.ports import Peers
-from almondfield_core.settings import TimingSettings
 from result import Ok
 
 from almondfield_control.freshness.messages import (
@@ -14,6 +11,9 @@
     RevisionQuery,
 )
 from almondfield_control.freshness.view import HostView
+from almondfield_core.clock import now
+from almondfield_core.ports import Peers
+from almondfield_core.settings import TimingSettings
 
 __all__ = ["Fallback", "is_current"]
 
--- a/packages/almondfield-control/src/almondfield_control/freshness/messages.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/messages.py
@@ -2,13 +2,12 @@
 
 from dataclasses import dataclass
 
+from almondfield_control.commands import Member
+from almondfield_control.freshness.delta import TablesDelta
 from almondfield_core.messages import PoolLease
 from almondfield_core.tables import Tables
 from almondfield_core.wire import wire_message
 
-from almondfield_control.commands import Member
-from almondfield_control.freshness.delta import TablesDelta
-
 __all__ = [
     "NotLeader",
     "RelayReply",
--- a/packages/almondfield-control/src/almondfield_control/freshness/reads.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/reads.py
@@ -1,10 +1,9 @@
 """What a voter says about its log to hosts that find no leader."""
 
-from almondfield_core.wire import kind_of
-
 from almondfield_control.commands import TableCommand
 from almondfield_control.consensus import Replica
 from almondfield_control.freshness.messages import RevisionAnswer, RevisionQuery
+from almondfield_core.wire import kind_of
 
 __all__ = ["VoterReads"]
 
--- a/packages/almondfield-control/src/almondfield_control/freshness/view.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/view.py
@@ -4,12 +4,11 @@
 from collections.abc import Mapping
 from types import MappingProxyType
 
+from almondfield_control.freshness.delta import TablesDelta
 from almondfield_core.clock import now
 from almondfield_core.messages import PoolLease
 from almondfield_core.tables import TableIndex, Tables
 
-from almondfield_control.freshness.delta import TablesDelta
-
 __all__ = ["HostView"]
 
 
--- a/packages/almondfield-control/src/almondfield_control/node/batches.py
+++ b/packages/almondfield-control/src/almondfield_control/node/batches.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from almondfield_core.clock import now
-from almondfield_core.messages import ControlUnavailable
-from almondfield_core.wire import decode_message, encode_message, kind_of
 from result import Err, Ok, Result
 
 from almondfield_control.node.messages import BatchReply, BatchRequest, CodedItem
+from almondfield_core.clock import now
+from almondfield_core.messages import ControlUnavailable
+from almondfield_core.wire import decode_message, encode_message, kind_of
 
 __all__ = ["Batches", "coded", "decoded"]
 
--- a/packages/almondfield-control/src/almondfield_control/node/client.py
+++ b/packages/almondfield-control/src/almondfield_control/node/client.py
@@ -3,21 +3,6 @@
 import asyncio
 from typing import Any
 
-from almondfield_core.clock import now
-from almondfield_core.messages import (
-    AuditRecord,
-    ChangeAccepted,
-    ChangeConflict,
-    ChangeRefused,
-    ClaimOutcome,
-    ClaimRequest,
-    ControlUnavailable,
-    FleetStatus,
-    RowChange,
-    StoredAnswer,
-    TableChange,
-)
-from almondfield_core.ports import Peers, TableView
 from result import Err, Ok, Result
 
 from almondfield_control.commands import ClaimKey, SettleClaim
@@ -34,6 +19,21 @@
     VoterRequest,
 )
 from almondfield_control.node.rows import rows_of, void
+from almondfield_core.clock import now
+from almondfield_core.messages import (
+    AuditRecord,
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeRefused,
+    ClaimOutcome,
+    ClaimRequest,
+    ControlUnavailable,
+    FleetStatus,
+    RowChange,
+    StoredAnswer,
+    TableChange,
+)
+from almondfield_core.ports import Peers, TableView
 
 __all__ = ["ControlClient"]
 
--- a/packages/almondfield-control/src/almondfield_control/node/core.py
+++ b/packages/almondfield-control/src/almondfield_control/node/core.py
@@ -5,9 +5,6 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from almondfield_core.clock import WallClock
-from almondfield_core.ports import Control, Peers, TableView
-from almondfield_core.settings import DaemonSettings
 from result import Result
 
 from almondfield_control.consensus import Replica
@@ -17,6 +14,9 @@
 from almondfield_control.node.leader import LeaderService
 from almondfield_control.node.renewal import Renewal
 from almondfield_control.storage import Disk, FolderDisk
+from almondfield_core.clock import WallClock
+from almondfield_core.ports import Control, Peers, TableView
+from almondfield_core.settings import DaemonSettings
 
 __all__ = ["ControlNode", "ControlStats"]
 
--- a/packages/almondfield-control/src/almondfield_control/node/export.py
+++ b/packages/almondfield-control/src/almondfield_control/node/export.py
@@ -3,11 +3,11 @@
 import asyncio
 
 import msgspec
-from almondfield_core.messages import AuditRecord
 
 from almondfield_control.consensus import Replica
 from almondfield_control.state import MAX_AUDIT_RECORDS, records_of
 from almondfield_control.storage import Disk
+from almondfield_core.messages import AuditRecord
 
 __all__ = ["AUDIT_FILE", "AuditExport"]
 
--- a/packages/almondfield-control/src/almondfield_control/node/leader.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader.py
@@ -5,18 +5,6 @@
 from dataclasses import replace
 from typing import Any
 
-from almondfield_core.clock import now
-from almondfield_core.findings import Finding
-from almondfield_core.messages import (
-    ChangeAccepted,
-    ChangeRefused,
-    ControlUnavailable,
-    FleetStatus,
-    RowChange,
-)
-from almondfield_core.ports import Peers
-from almondfield_core.settings import TimingSettings
-from almondfield_core.tables import TableIndex, TableRows, Tables, check_rows
 from result import Err, Ok
 
 from almondfield_control.commands import (
@@ -57,6 +45,18 @@
 from almondfield_control.node.status import status_of
 from almondfield_control.pools import next_pool_lease
 from almondfield_control.state import records_of
+from almondfield_core.clock import now
+from almondfield_core.findings import Finding
+from almondfield_core.messages import (
+    ChangeAccepted,
+    ChangeRefused,
+    ControlUnavailable,
+    FleetStatus,
+    RowChange,
+)
+from almondfield_core.ports import Peers
+from almondfield_core.settings import TimingSettings
+from almondfield_core.tables import TableIndex, TableRows, Tables, check_rows
 
 __all__ = ["LeaderService"]
 
--- a/packages/almondfield-control/src/almondfield_control/node/renewal.py
+++ b/packages/almondfield-control/src/almondfield_control/node/renewal.py
@@ -2,9 +2,6 @@
 
 import asyncio
 
-from almondfield_core.clock import now
-from almondfield_core.ports import Peers
-from almondfield_core.settings import TimingSettings
 from result import Ok
 
 from almondfield_control.freshness import (
@@ -15,6 +12,9 @@
     RevisionNotice,
 )
 from almondfield_control.node.client import ControlClient
+from almondfield_core.clock import now
+from almondfield_core.ports import Peers
+from almondfield_core.settings import TimingSettings
 
 __all__ = ["Renewal"]
 
--- a/packages/almondfield-control/src/almondfield_control/node/status.py
+++ b/packages/almondfield-control/src/almondfield_control/node/status.py
@@ -1,11 +1,10 @@
 """The state of the fleet as the leader knows it."""
 
-from almondfield_core.clock import now
-from almondfield_core.messages import FleetStatus, VoterStatus
-
 from almondfield_control.commands import Member
 from almondfield_control.consensus import Replica
 from almondfield_control.freshness import HostLeases
+from almondfield_core.clock import now
+from almondfield_core.messages import FleetStatus, VoterStatus
 
 __all__ = ["status_of"]
 
--- a/packages/almondfield-control/src/almondfield_control/pools/core.py
+++ b/packages/almondfield-control/src/almondfield_control/pools/core.py
@@ -3,11 +3,10 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 
+from almondfield_control.commands import LeasePool
 from almondfield_core.messages import PoolLease
 from almondfield_core.tables import Tables
 
-from almondfield_control.commands import LeasePool
-
 __all__ = ["next_pool_lease"]
 
 
--- a/packages/almondfield-control/src/almondfield_control/state/claims.py
+++ b/packages/almondfield-control/src/almondfield_control/state/claims.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 
+from almondfield_control.commands import ClaimKey, LoseClaims, SettleClaim
 from almondfield_core.messages import (
     ClaimAnswered,
     ClaimGranted,
@@ -12,8 +13,6 @@
     StoredAnswer,
 )
 
-from almondfield_control.commands import ClaimKey, LoseClaims, SettleClaim
-
 __all__ = ["ClaimRecord", "ClaimTable"]
 
 CLAIM_LIFETIME_S = 24 * 3600.0
--- a/packages/almondfield-control/src/almondfield_control/state/core.py
+++ b/packages/almondfield-control/src/almondfield_control/state/core.py
@@ -2,14 +2,6 @@
 
 import itertools
 
-from almondfield_core.messages import (
-    ChangeAccepted,
-    ChangeConflict,
-    PoolLease,
-    RowChange,
-)
-from almondfield_core.tables import TableIndex, TableRows, Tables
-
 from almondfield_control.commands import (
     ClaimKey,
     FencingIssued,
@@ -26,6 +18,13 @@
 from almondfield_control.state.audit import AcceptedChange
 from almondfield_control.state.claims import ClaimTable
 from almondfield_control.state.image import StateHead, StateImage
+from almondfield_core.messages import (
+    ChangeAccepted,
+    ChangeConflict,
+    PoolLease,
+    RowChange,
+)
+from almondfield_core.tables import TableIndex, TableRows, Tables
 
 __all__ = ["MAX_AUDIT_RECORDS", "ControlState"]
 
--- a/packages/almondfield-control/src/almondfield_control/state/image.py
+++ b/packages/almondfield-control/src/almondfield_control/state/image.py
@@ -10,12 +10,12 @@
 from typing import Any
 
 import msgspec
-from almondfield_core.messages import ChangeConflict, PoolLease
-from almondfield_core.tables import Pool, Route
 
 from almondfield_control.commands import Member
 from almondfield_control.state.audit import AcceptedChange
 from almondfield_control.state.claims import ClaimRecord
+from almondfield_core.messages import ChangeConflict, PoolLease
+from almondfield_core.tables import Pool, Route
 
 __all__ = ["StateHead", "StateImage", "decode_image", "encode_image"]
 
--- a/packages/almondfield-control/src/almondfield_control/storage/core.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/core.py
@@ -6,11 +6,11 @@
 
 import eliot
 import msgspec
-from almondfield_core.findings import Finding
 
 from almondfield_control.commands import LogEntry, Member
 from almondfield_control.errors import DamageError, StorageError
 from almondfield_control.storage.records import encode_frame, read_frames
+from almondfield_core.findings import Finding
 
 __all__ = ["Disk", "HardState", "Journal", "Recovered", "first_journal"]
 
--- a/packages/almondfield-control/src/almondfield_control/storage/records.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/records.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 
 import xxhash
-from almondfield_core.findings import Finding
 
 from almondfield_control.errors import DamageError
+from almondfield_core.findings import Finding
 
 __all__ = ["Frame", "encode_frame", "read_frames"]
 
--- a/packages/almondfield-control/src/almondfield_control/tests/control_fleet.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/control_fleet.py
@@ -4,6 +4,9 @@
 import functools
 import random
 
+from fake_disk import FakeDisk, journal_files
+from result import Ok
+
 from almondfield_control import ControlNode
 from almondfield_control.commands import Member
 from almondfield_control.storage import HardState
@@ -12,8 +15,6 @@
 from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
 from almondfield_core.tables import Pool, Route
 from almondfield_testing import InMemoryNetwork, run
-from fake_disk import FakeDisk, journal_files
-from result import Ok
 
 
 def in_loop(step):
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/audit_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/audit_steps.py
@@ -2,10 +2,11 @@
 
 import json
 
-from almondfield_control.node.export import AUDIT_FILE
 from behave import then
 from control_fleet import in_loop
 
+from almondfield_control.node.export import AUDIT_FILE
+
 
 @then(
     "every voter exported changes 1 to {exported:d}, "
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/claim_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/claim_steps.py
@@ -2,14 +2,15 @@
 
 import asyncio
 
+from behave import then, when
+from control_fleet import in_loop
+
 from almondfield_core.messages import (
     ClaimAnswered,
     ClaimGranted,
     ClaimRequest,
     StoredAnswer,
 )
-from behave import then, when
-from control_fleet import in_loop
 
 
 @when('{host} claims key "{key}" for print "{fingerprint}"')
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/control_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/control_steps.py
@@ -2,6 +2,10 @@
 
 import asyncio
 
+from behave import given, then, when
+from control_fleet import Fleet, in_loop
+from result import Err, Ok
+
 from almondfield_core.clock import now
 from almondfield_core.messages import (
     ChangeAccepted,
@@ -10,9 +14,6 @@
     TableChange,
 )
 from almondfield_core.tables import Route
-from behave import given, then, when
-from control_fleet import Fleet, in_loop
-from result import Err, Ok
 
 IN_FORCE_S = 3.0
 
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/freshness_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/freshness_steps.py
@@ -2,13 +2,14 @@
 
 import asyncio
 
+from behave import then, when
+from control_fleet import in_loop
+from result import Ok
+
 from almondfield_control.commands import TableCommand
 from almondfield_core.clock import now
 from almondfield_core.messages import RowChange, TableChange
 from almondfield_core.tables import Pool, TableRows
-from behave import then, when
-from control_fleet import in_loop
-from result import Ok
 
 WAIT_S = 10.0
 
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/row_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/row_steps.py
@@ -3,6 +3,10 @@
 import asyncio
 from dataclasses import replace
 
+from behave import given, then, when
+from control_fleet import in_loop
+from result import Err
+
 from almondfield_control.commands import command_of
 from almondfield_core.messages import (
     ChangeConflict,
@@ -11,9 +15,6 @@
     TableChange,
 )
 from almondfield_core.tables import Pool, Route, RouteKey, TableRows
-from behave import given, then, when
-from control_fleet import in_loop
-from result import Err
 
 
 async def apply_rows(context, host, change_id, revision, rows):
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/storage_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/storage_steps.py
@@ -5,13 +5,14 @@
 import tempfile
 from pathlib import Path
 
+from behave import given, then, when
+from control_fleet import in_loop
+from fake_disk import FakeDisk
+
 from almondfield_control.commands import NoOperation, entry_of
 from almondfield_control.errors import DamageError, StorageError
 from almondfield_control.storage import FolderDisk, HardState, Journal
 from almondfield_core.findings import FindingsError
-from behave import given, then, when
-from control_fleet import in_loop
-from fake_disk import FakeDisk
 
 HARD = HardState("id", "group", True, (), 4, "id")
 ENTRIES = tuple(entry_of(index, 1, 1e9, NoOperation()) for index in (1, 2, 3))
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/voter_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/voter_steps.py
@@ -2,11 +2,12 @@
 
 import asyncio
 
-from almondfield_control.consensus import Role
 from behave import given, then, when
 from control_fleet import Fleet, in_loop
 from result import Ok
 
+from almondfield_control.consensus import Role
+
 
 @given("a fleet of {hosts:d} hosts with {voters:d} voters of which {some} start")
 @in_loop
--- a/packages/almondfield-core/src/almondfield_core/clock/tests/steps/beat_steps.py
+++ b/packages/almondfield-core/src/almondfield_core/clock/tests/steps/beat_steps.py
@@ -3,9 +3,10 @@
 import asyncio
 import math
 
-from almondfield_core.clock import Beat, now
 from behave import given, then, when
 
+from almondfield_core.clock import Beat, now
+
 TIMES_S = [number * 0.017 for number in range(400)]
 CLOSE_S = 1e-6
 
--- a/packages/almondfield-core/src/almondfield_core/settings/tests/steps/settings_steps.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/tests/steps/settings_steps.py
@@ -6,6 +6,12 @@
 import tomllib
 from pathlib import Path
 
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+from result import Err
+
 from almondfield_core.findings import structure
 from almondfield_core.settings import (
     DaemonSettings,
@@ -13,11 +19,6 @@
     load_settings,
     read_secret,
 )
-from behave import given, then, when
-from hypothesis import given as for_all
-from hypothesis import settings
-from hypothesis import strategies as st
-from result import Err
 
 GOOD = """
 host = 'north-1'
--- a/packages/almondfield-core/src/almondfield_core/tables/tests/steps/rows_steps.py
+++ b/packages/almondfield-core/src/almondfield_core/tables/tests/steps/rows_steps.py
@@ -2,6 +2,11 @@
 
 from dataclasses import replace
 
+from behave import then, when
+from hypothesis import assume, settings
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
 from almondfield_core.tables import (
     Pool,
     Route,
@@ -14,10 +19,6 @@
     hash_key,
     rows_between,
 )
-from behave import then, when
-from hypothesis import assume, settings
-from hypothesis import given as for_all
-from hypothesis import strategies as st
 
 FOALS = Route("foals", "/v1", "writing", (hash_key("foal"),))
 MARES = Route("mares", "/v1", "writing", (hash_key("mare"),))
--- a/packages/almondfield-core/src/almondfield_core/tables/tests/steps/tables_steps.py
+++ b/packages/almondfield-core/src/almondfield_core/tables/tests/steps/tables_steps.py
@@ -5,6 +5,12 @@
 from pathlib import Path
 
 import tomlkit
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+from result import Err
+
 from almondfield_core.findings import structure
 from almondfield_core.tables import (
     Pool,
@@ -17,11 +23,6 @@
     hash_key,
     load_tables,
 )
-from behave import given, then, when
-from hypothesis import given as for_all
-from hypothesis import settings
-from hypothesis import strategies as st
-from result import Err
 
 GOOD = Tables(
     revision=7,
--- a/packages/almondfield-core/src/almondfield_core/wire/tests/steps/wire_steps.py
+++ b/packages/almondfield-core/src/almondfield_core/wire/tests/steps/wire_steps.py
@@ -1,8 +1,9 @@
 """Steps of wire.feature."""
 
+from behave import given, then, when
+
 from almondfield_core.messages import DemandReport, InFlight
 from almondfield_core.wire import decode_message, encode_message
-from behave import given, then, when
 
 
 @given("a demand report with two teams")
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -4,11 +4,11 @@
 from collections.abc import AsyncIterator
 from dataclasses import replace
 
+from result import Err, Ok, Result
+
 from almondfield_core.messages import ServerFailure
 from almondfield_core.settings import DaemonSettings
 from almondfield_core.tables import Timeouts
-from result import Err, Ok, Result
-
 from almondfield_daemon.backend.connection import (
     BODILESS_STATUSES,
     BackendConnection,
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/backend_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/backend_steps.py
@@ -4,12 +4,13 @@
 import random
 import socket
 
+from behave import given, then, when
+from result import Err, Ok
+
 from almondfield_core.tables import Timeouts
 from almondfield_daemon.backend import HttpBackends
 from almondfield_daemon.router import AnswerCutError, BackendCall
 from almondfield_daemon.router.tests.fakes import settings
-from behave import given, then, when
-from result import Err, Ok
 
 GENEROUS = Timeouts(connect_s=10.0, first_byte_s=10.0, chunk_s=10.0)
 SHORT = Timeouts(connect_s=0.05, first_byte_s=0.05, chunk_s=0.05)
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/announcements.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/announcements.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 import msgspec
-from almondfield_core.messages import ServerAnnouncement
-from almondfield_core.settings import LimitSettings
 from result import Err, Ok
 
+from almondfield_core.messages import ServerAnnouncement
+from almondfield_core.settings import LimitSettings
 from almondfield_daemon.edge.announced import check_announcement
 from almondfield_daemon.edge.bodies import CallerGoneError, read_body
 from almondfield_daemon.edge.heads import request_id_of
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/bodies.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/bodies.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from almondfield_core.findings import AlmondfieldError
 from result import Err, Ok, Result
 
+from almondfield_core.findings import AlmondfieldError
 from almondfield_daemon.router import Header, Problem
 from almondfield_daemon.router.problems import refuse
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/caller.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/caller.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 import eliot
-from almondfield_core.settings import DaemonSettings
 from result import Err, Ok
 
+from almondfield_core.settings import DaemonSettings
 from almondfield_daemon.edge.bodies import (
     BodyBudget,
     CallerGoneError,
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/core.py
@@ -2,11 +2,11 @@
 
 from typing import Any, Protocol
 
-from almondfield_core.messages import ServerAnnouncement
-from almondfield_core.settings import DaemonSettings
 from starlette.applications import Starlette
 from starlette.routing import Route
 
+from almondfield_core.messages import ServerAnnouncement
+from almondfield_core.settings import DaemonSettings
 from almondfield_daemon.edge.announcements import AnnouncementEndpoint
 from almondfield_daemon.edge.caller import CallerEndpoint
 from almondfield_daemon.edge.replies import AddressEndpoint
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/heads.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/heads.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from almondfield_core.settings import LimitSettings
 from result import Err, Ok, Result
 
+from almondfield_core.settings import LimitSettings
 from almondfield_daemon.edge.bodies import check_headers
 from almondfield_daemon.router import CallerRequest, Problem
 from almondfield_daemon.router.problems import refuse
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/replies.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/replies.py
@@ -5,8 +5,8 @@
 from urllib.parse import parse_qs
 
 import msgspec
-from almondfield_core.settings import TimingSettings
 
+from almondfield_core.settings import TimingSettings
 from almondfield_daemon.router import Header, Problem
 from almondfield_daemon.router.problems import refuse
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/steps/announcement_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/steps/announcement_steps.py
@@ -1,13 +1,14 @@
 """Steps of announcements.feature."""
 
 import msgspec
-from almondfield_daemon.router.tests.fakes import Caller, House
-from almondfield_testing import run
 from behave import then, when
 from hypothesis import given as given_values
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from almondfield_daemon.router.tests.fakes import Caller, House
+from almondfield_testing import run
+
 GOOD = {
     "name": "s9",
     "incarnation": 1,
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/steps/caller_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/steps/caller_steps.py
@@ -3,15 +3,16 @@
 import asyncio
 
 import h11
+from behave import given, then, when
+from hypothesis import given as given_values
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
 from almondfield_core.clock import now
 from almondfield_core.messages import ServerFailure
 from almondfield_daemon.router.tests.fakes import Caller, FakeAnswer, House
 from almondfield_daemon.serving import HttpListener, bind
 from almondfield_testing import run
-from behave import given, then, when
-from hypothesis import given as given_values
-from hypothesis import settings as hypothesis_settings
-from hypothesis import strategies as st
 
 
 def send(context, key, method, path, **kwargs):
--- a/packages/almondfield-daemon/src/almondfield_daemon/main.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/main.py
@@ -10,10 +10,10 @@
 
 import cyclopts
 import eliot
-from almondfield_core.findings import AlmondfieldError, Finding
-from almondfield_core.settings import DaemonSettings, load_settings
 from result import Err, Ok, Result
 
+from almondfield_core.findings import AlmondfieldError, Finding
+from almondfield_core.settings import DaemonSettings, load_settings
 from almondfield_daemon.runtime import Daemon, Secrets, load_secrets
 
 __all__ = ["app", "main"]
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/core.py
@@ -9,7 +9,6 @@
 from almondfield_core.messages import ServerAnnouncement
 from almondfield_core.ports import Peers, TableView
 from almondfield_core.settings import DaemonSettings
-
 from almondfield_daemon.membership.addresses import AddressAnswer, order_hosts
 from almondfield_daemon.membership.holds import HoldDirectory
 from almondfield_daemon.membership.hosts import HostDirectory
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/holds.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/holds.py
@@ -1,7 +1,6 @@
 """Backend servers that get no new work because an order is carried out on them."""
 
 from almondfield_core.clock import now
-
 from almondfield_daemon.membership.messages import HoldNews
 
 __all__ = ["HoldDirectory"]
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/hosts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/hosts.py
@@ -1,7 +1,6 @@
 """The newest news of every host, and which hosts they make suspect."""
 
 from almondfield_core.settings import HostSettings
-
 from almondfield_daemon.membership.holds import HoldDirectory
 from almondfield_daemon.membership.messages import (
     HostDigest,
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/servers.py
@@ -11,7 +11,6 @@
     ServerState,
 )
 from almondfield_core.tables import Pool
-
 from almondfield_daemon.membership.holds import HoldDirectory
 from almondfield_daemon.membership.selection import selects_server
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/steps/hosts_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/steps/hosts_steps.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 
+from behave import given, then, when
+
 from almondfield_daemon.membership import Membership
 from almondfield_daemon.membership.neighbours import find_neighbours
 from almondfield_daemon.membership.tests.fakes import (
@@ -11,7 +13,6 @@
     host_settings,
 )
 from almondfield_testing import InMemoryNetwork, run
-from behave import given, then, when
 
 
 class Host:
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/steps/servers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/steps/servers_steps.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+from behave import given, then, when
+
 from almondfield_core.messages import (
     AnnouncementRelay,
     PoolLease,
@@ -17,7 +19,6 @@
     host_settings,
 )
 from almondfield_testing import InMemoryNetwork, run
-from behave import given, then, when
 
 
 def announcement(name, model, **changes):
--- a/packages/almondfield-daemon/src/almondfield_daemon/metrics/tests/steps/metrics_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/metrics/tests/steps/metrics_steps.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass
 
-from almondfield_daemon.metrics import render_metrics
 from behave import given, then, when
 
+from almondfield_daemon.metrics import render_metrics
+
 
 @dataclass(frozen=True)
 class QueueStats:
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/authentication.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/authentication.py
@@ -2,11 +2,11 @@
 
 import hmac
 
-from almondfield_core.findings import Finding
-from almondfield_core.messages import OperatorError
 from starlette.datastructures import Headers
 from starlette.types import ASGIApp, Receive, Scope, Send
 
+from almondfield_core.findings import Finding
+from almondfield_core.messages import OperatorError
 from almondfield_daemon.operator.coding import answer
 
 __all__ = ["OperatorAuthentication"]
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/coding.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/coding.py
@@ -5,6 +5,10 @@
 from typing import Any, TypeVar
 
 import msgspec
+from result import Err, Ok, Result
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+
 from almondfield_core.findings import AlmondfieldError, Finding, show, structure
 from almondfield_core.messages import (
     ChangeConflict,
@@ -12,9 +16,6 @@
     ControlUnavailable,
     VoterChangeFailed,
 )
-from result import Err, Ok, Result
-from starlette.requests import ClientDisconnect, Request
-from starlette.responses import Response
 
 __all__ = [
     "RequestRefusedError",
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
@@ -5,6 +5,14 @@
 from typing import Any
 
 import eliot
+from result import Err, Ok, Result
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.middleware import Middleware
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
 from almondfield_core.findings import Finding
 from almondfield_core.messages import (
     ControlUnavailable,
@@ -19,14 +27,6 @@
     VotersChanged,
 )
 from almondfield_core.tables import check_tables
-from result import Err, Ok, Result
-from starlette.applications import Starlette
-from starlette.exceptions import HTTPException
-from starlette.middleware import Middleware
-from starlette.requests import Request
-from starlette.responses import Response
-from starlette.routing import Route
-
 from almondfield_daemon.metrics import render_metrics
 from almondfield_daemon.operator.authentication import OperatorAuthentication
 from almondfield_daemon.operator.coding import (
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/node.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/node.py
@@ -4,9 +4,10 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from result import Result
+
 from almondfield_core.ports import Control, TableView
 from almondfield_core.settings import DaemonSettings
-from result import Result
 
 __all__ = ["AddressSource", "ControlPart", "OperatorNode"]
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/steps/operator_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/tests/steps/operator_steps.py
@@ -5,6 +5,11 @@
 
 import eliot
 import msgspec
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
 from almondfield_core.findings import structure
 from almondfield_core.messages import ControlUnavailable, TableChange
 from almondfield_core.tables import Pool, Route
@@ -16,10 +21,6 @@
     call_app,
     make_node,
 )
-from behave import given, then, when
-from hypothesis import given as for_all
-from hypothesis import settings
-from hypothesis import strategies as st
 
 BODY_LIMIT = 16 * 1024 * 1024
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/orders/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/core.py
@@ -7,7 +7,6 @@
 from almondfield_core.messages import ServerAnnouncement
 from almondfield_core.ports import Peers, TableView
 from almondfield_core.settings import DaemonSettings
-
 from almondfield_daemon.membership import HeardServer, Membership
 from almondfield_daemon.orders.board import (
     REPORT_REFRESH_S,
--- a/packages/almondfield-daemon/src/almondfield_daemon/orders/issuer.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/issuer.py
@@ -6,12 +6,12 @@
 from typing import Protocol
 
 import eliot
+from result import Result
+
 from almondfield_core.clock import now
 from almondfield_core.messages import ControlUnavailable
 from almondfield_core.settings import DaemonSettings
 from almondfield_core.tables import Pool
-from result import Result
-
 from almondfield_daemon.orders.board import REPORT_REFRESH_S, ServerBoard
 from almondfield_daemon.orders.kinds import FencedOrder, LoadModel, Order, is_done
 from almondfield_daemon.orders.outcomes import (
--- a/packages/almondfield-daemon/src/almondfield_daemon/orders/plan.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/plan.py
@@ -5,7 +5,6 @@
 
 from almondfield_core.messages import ServerAnnouncement, ServerState
 from almondfield_core.tables import Pool
-
 from almondfield_daemon.membership import selects_server
 from almondfield_daemon.orders.kinds import (
     ROLE_LABEL,
--- a/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/fakes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from result import Ok
+
 from almondfield_core.clock import now
 from almondfield_core.messages import PoolLease, ServerAnnouncement, ServerState
 from almondfield_core.settings import (
@@ -21,7 +23,6 @@
     StaleFencing,
 )
 from almondfield_daemon.orders.kinds import apply_order
-from result import Ok
 
 ORDER_SETTINGS = OrderSettings(load_interval_s=5.0, backlog_s=10.0, stay_s=60.0)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/steps/orders_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/steps/orders_steps.py
@@ -3,6 +3,8 @@
 import asyncio
 from itertools import pairwise
 
+from behave import given, then, when
+
 from almondfield_core.clock import now
 from almondfield_core.messages import ServerState
 from almondfield_core.tables import Pool, Selector
@@ -14,7 +16,6 @@
     View,
 )
 from almondfield_testing import InMemoryNetwork, run
-from behave import given, then, when
 
 HOSTS = ("h0", "h1", "h2")
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/steps/sender_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/steps/sender_steps.py
@@ -3,9 +3,10 @@
 import asyncio
 import json
 
+from behave import given, then, when
+
 from almondfield_daemon.orders import FencedOrder, HttpOrderSender, LoadModel
 from almondfield_testing import run
-from behave import given, then, when
 
 
 def serve(context, answer):
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
@@ -5,12 +5,12 @@
 from typing import Any
 
 import eliot
+from result import Err, Ok, Result
+
 from almondfield_core.clock import Beat
 from almondfield_core.ports import LinkFailure
 from almondfield_core.settings import DaemonSettings, HostSettings
 from almondfield_core.wire import decode_message, encode_message, kind_of
-from result import Err, Ok, Result
-
 from almondfield_daemon.peers.frames import Envelope, Frame, FrameSeal, Purpose
 from almondfield_daemon.peers.inbox import Inbox
 from almondfield_daemon.peers.link import OutgoingLink
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/frames.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/frames.py
@@ -8,9 +8,10 @@
 from typing import Any
 
 import msgspec
+from result import Err, Ok, Result
+
 from almondfield_core.findings import AlmondfieldError
 from almondfield_core.settings import HostSettings
-from result import Err, Ok, Result
 
 __all__ = ["Envelope", "Frame", "FrameError", "FrameSeal", "Purpose"]
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/link.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/link.py
@@ -5,7 +5,6 @@
 
 from almondfield_core.clock import Beat, now
 from almondfield_core.settings import HostSettings, TimingSettings
-
 from almondfield_daemon.peers.frames import Envelope, Frame, FrameSeal, Purpose
 from almondfield_daemon.peers.meter import FRAMES, Meter
 from almondfield_daemon.peers.path import Path
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/path.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/path.py
@@ -3,7 +3,6 @@
 from collections import deque
 
 from almondfield_core.clock import now
-
 from almondfield_daemon.peers.frames import Frame
 
 __all__ = ["Path"]
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/environment.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/environment.py
@@ -7,8 +7,9 @@
 import asyncio
 import selectors
 
-import almondfield_testing
 import looptime
+
+import almondfield_testing
 from almondfield_testing import after_scenario
 
 __all__ = ["after_scenario", "before_scenario"]
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
@@ -2,14 +2,15 @@
 
 import asyncio
 
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings, strategies
+
 from almondfield_core.messages import AnnouncementRelay, DemandReport
 from almondfield_daemon.peers import Frame
 from almondfield_daemon.peers.frames import FrameSeal
 from almondfield_daemon.peers.tests.fakes import SECRET, MemoryNetwork, Node
 from almondfield_testing import run
-from behave import given, then, when
-from hypothesis import given as for_all
-from hypothesis import settings, strategies
 
 
 def report(number):
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/sockets_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/sockets_steps.py
@@ -3,13 +3,14 @@
 import asyncio
 import socket
 
+from behave import given, then, when
+
 from almondfield_core.messages import DemandReport, SlotGrant
 from almondfield_core.settings import DaemonSettings, HostSettings
 from almondfield_daemon.peers import PynngPeers
 from almondfield_daemon.peers.tests.fakes import NO_SECRETS, SECRET
 from almondfield_daemon.peers.tests.relay import Relay
 from almondfield_testing import run
-from behave import given, then, when
 
 
 def free_port():
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/answers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/answers.py
@@ -4,7 +4,6 @@
 from typing import Protocol
 
 from almondfield_core.messages import ServerFailure, StoredAnswer
-
 from almondfield_daemon.router.calls import AnswerCutError, Header
 from almondfield_daemon.router.dispatch import Dispatched
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
@@ -4,10 +4,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from result import Result
+
 from almondfield_core.findings import AlmondfieldError
 from almondfield_core.messages import ServerFailure
 from almondfield_core.tables import Timeouts
-from result import Result
 
 __all__ = [
     "AnswerCutError",
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/claimed.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/claimed.py
@@ -3,9 +3,9 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 
-from almondfield_core.messages import ClaimRequest, ServerFailure, StoredAnswer
 from result import Err, Ok, Result
 
+from almondfield_core.messages import ClaimRequest, ServerFailure, StoredAnswer
 from almondfield_daemon.router.answers import RoutedAnswer
 from almondfield_daemon.router.calls import AnswerCutError, Header
 from almondfield_daemon.router.claims import ClaimKeeper
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/claims.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/claims.py
@@ -5,6 +5,8 @@
 import uuid
 
 import eliot
+from result import Err, Ok, Result
+
 from almondfield_core.clock import now
 from almondfield_core.messages import (
     ClaimAnswered,
@@ -18,8 +20,6 @@
     StoredAnswer,
 )
 from almondfield_core.ports import Control
-from result import Err, Ok, Result
-
 from almondfield_daemon.router.plans import CallerRequest
 from almondfield_daemon.router.problems import (
     Outcome,
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/core.py
@@ -1,11 +1,11 @@
 """The router: from a request to a slot, a backend server and an answer."""
 
 import eliot
+from result import Err, Ok, Result
+
 from almondfield_core.messages import NotRun, NotRunReason, ServerFailure, StoredAnswer
 from almondfield_core.ports import Control, SlotSource, TableView
 from almondfield_core.settings import DaemonSettings
-from result import Err, Ok, Result
-
 from almondfield_daemon.router.answers import Answer, RoutedAnswer, StoredReply
 from almondfield_daemon.router.calls import Backends
 from almondfield_daemon.router.claimed import ClaimedRun
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/dispatch.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/dispatch.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from result import Err, Ok, Result
+
 from almondfield_core.clock import now
 from almondfield_core.messages import SlotRequest
 from almondfield_core.ports import Slot, SlotSource
-from result import Err, Ok, Result
-
 from almondfield_daemon.router.calls import (
     BackendAnswer,
     BackendCall,
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/plans.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/plans.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from operator import is_not
 
+from result import Err, Ok, Result
+
 from almondfield_core.tables import (
     Pool,
     Route,
@@ -13,8 +15,6 @@
     Tables,
     hash_key,
 )
-from result import Err, Ok, Result
-
 from almondfield_daemon.router.calls import Header
 from almondfield_daemon.router.problems import Problem, refuse
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/problems.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/problems.py
@@ -4,7 +4,6 @@
 from enum import StrEnum
 
 from almondfield_core.messages import NotRun, NotRunReason, ServerFailure
-
 from almondfield_daemon.router.calls import CallFailure
 
 __all__ = ["Outcome", "Problem", "from_call_failure", "from_not_run", "refuse"]
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/fakes.py
@@ -4,12 +4,13 @@
 from dataclasses import dataclass, field, replace
 
 import msgspec
+from result import Err, Ok
+
 from almondfield_core.messages import ClaimGranted, ServerSlots
 from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
 from almondfield_core.tables import Pool, Route, Tables, Timeouts, hash_key
 from almondfield_daemon.edge import build_caller_app
 from almondfield_daemon.router import AnswerCutError, Router
-from result import Err, Ok
 
 TIMEOUTS = Timeouts(connect_s=0.5, first_byte_s=1.0, chunk_s=1.0)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/steps/plans_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/steps/plans_steps.py
@@ -1,5 +1,10 @@
 """Steps of plans.feature."""
 
+from behave import then
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
 from almondfield_core.tables import (
     Pool,
     Route,
@@ -10,10 +15,6 @@
     hash_key,
 )
 from almondfield_daemon.router.plans import CallerRequest, PlanIndex
-from behave import then
-from hypothesis import given as for_all
-from hypothesis import settings
-from hypothesis import strategies as st
 
 TEAMS = ("foals", "mares", "colts")
 PREFIXES = ("/", "/v1", "/v1/long")
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/steps/router_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/steps/router_steps.py
@@ -3,6 +3,12 @@
 import asyncio
 from dataclasses import replace
 
+from behave import given, then, when
+from hypothesis import given as given_values
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
 from almondfield_core.messages import (
     ClaimAnswered,
     ClaimLost,
@@ -17,11 +23,6 @@
 from almondfield_daemon.router import AnswerCutError, CallerRequest, CallFailure
 from almondfield_daemon.router.tests.fakes import FakeAnswer, House
 from almondfield_testing import run
-from behave import given, then, when
-from hypothesis import given as given_values
-from hypothesis import settings as hypothesis_settings
-from hypothesis import strategies as st
-from result import Err, Ok
 
 EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
 EVENT_STREAM = ((b"content-type", b"text/event-stream"),)
--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
@@ -4,11 +4,10 @@
 import os
 
 import eliot
+
 from almondfield_control import ControlNode
 from almondfield_core.clock import WallClock, now
 from almondfield_core.settings import DaemonSettings, HostSettings
-from almondfield_fairshare import PoolSchedulers, RouterShare
-
 from almondfield_daemon.backend import HttpBackends
 from almondfield_daemon.edge import build_caller_app
 from almondfield_daemon.membership import Membership
@@ -18,6 +17,7 @@
 from almondfield_daemon.router import Router
 from almondfield_daemon.runtime.secrets import Secrets
 from almondfield_daemon.serving import HttpListener, bind
+from almondfield_fairshare import PoolSchedulers, RouterShare
 
 __all__ = ["Daemon"]
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/secrets.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/secrets.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass, field
 
+from result import Err, Ok, Result
+
 from almondfield_core.findings import Finding
 from almondfield_core.settings import SecuritySettings, read_secret
-from result import Err, Ok, Result
 
 __all__ = ["Secrets", "load_secrets"]
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/tests/steps/start_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/tests/steps/start_steps.py
@@ -5,9 +5,10 @@
 import socket
 
 import tomlkit
-from almondfield_daemon.main import serve
 from behave import given, then, when
 
+from almondfield_daemon.main import serve
+
 LOCALHOST = "127.0.0.1"
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -6,9 +6,9 @@
 from collections.abc import Iterator
 
 import uvicorn
-from almondfield_core.findings import AlmondfieldError
 from starlette.types import ASGIApp
 
+from almondfield_core.findings import AlmondfieldError
 from almondfield_daemon.serving.protocol import make_protocol
 
 __all__ = ["HttpListener", "ListenError", "bind"]
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/serving_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/serving_steps.py
@@ -3,10 +3,11 @@
 import asyncio
 import json
 
-from almondfield_daemon.serving import HttpListener, ListenError, bind
 from behave import given, then, when
 from starlette.responses import PlainTextResponse
 
+from almondfield_daemon.serving import HttpListener, ListenError, bind
+
 LOCALHOST = "127.0.0.1"
 LONG = "y" * 4096
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/registry/ownership.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/registry/ownership.py
@@ -6,7 +6,6 @@
 from almondfield_core.findings import Finding
 from almondfield_core.messages import ServerAnnouncement
 from almondfield_core.tables import Pool
-
 from almondfield_fairshare.registry.core import owner_pool, selects_server
 
 __all__ = ["ServerOwnership"]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/core.py
@@ -3,12 +3,12 @@
 import asyncio
 from dataclasses import dataclass
 
+from result import Err, Result
+
 from almondfield_core.clock import Beat, now
 from almondfield_core.messages import NotRun, NotRunReason, SlotGrant, SlotRequest
 from almondfield_core.ports import Peers, Slot, TableView
 from almondfield_core.settings import DaemonSettings
-from result import Err, Result
-
 from almondfield_fairshare.router.pool import RouterPool
 from almondfield_fairshare.router.queues import QueueMemory
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/pool.py
@@ -4,6 +4,8 @@
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, replace
 
+from result import Err, Ok, Result
+
 from almondfield_core.clock import now
 from almondfield_core.messages import (
     DemandReport,
@@ -16,8 +18,6 @@
 )
 from almondfield_core.ports import Slot
 from almondfield_core.settings import SharingPolicy
-from result import Err, Ok, Result
-
 from almondfield_fairshare.router.drain import DrainRate
 from almondfield_fairshare.router.queues import QueueMemory, TeamQueues, Waiter
 from almondfield_fairshare.router.servers import ServerHealth, choose_server
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/queues.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/queues.py
@@ -4,9 +4,10 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+from result import Err, Result
+
 from almondfield_core.messages import NotRun, NotRunReason, SlotRequest
 from almondfield_core.ports import Slot
-from result import Err, Result
 
 __all__ = ["QueueMemory", "TeamQueues", "Waiter"]
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/router/servers.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/router/servers.py
@@ -5,7 +5,6 @@
 
 from almondfield_core.clock import now
 from almondfield_core.messages import ServerFailure, ServerSlots
-
 from almondfield_fairshare.router.usage import PoolUsage
 
 __all__ = ["ServerHealth", "choose_server"]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/core.py
@@ -3,12 +3,12 @@
 import asyncio
 from dataclasses import dataclass
 
+from eliot import log_message
+
 from almondfield_core.findings import Finding
 from almondfield_core.messages import AnnouncementRelay, DemandReport
 from almondfield_core.ports import Peers, TableView
 from almondfield_core.settings import DaemonSettings
-from eliot import log_message
-
 from almondfield_fairshare.registry import PoolServers
 from almondfield_fairshare.scheduler.pool import PoolScheduler
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/pool.py
@@ -14,7 +14,6 @@
 from almondfield_core.ports import Peers, TableView
 from almondfield_core.settings import DaemonSettings
 from almondfield_core.tables import Pool
-
 from almondfield_fairshare.placement import place_slots
 from almondfield_fairshare.registry import News, PoolServers, ServerOwnership
 from almondfield_fairshare.scheduler.holds import RouterState
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/sharing.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/scheduler/sharing.py
@@ -5,7 +5,6 @@
 
 from almondfield_core.clock import now
 from almondfield_core.settings import SharingPolicy
-
 from almondfield_fairshare.allotment import (
     RouterNeed,
     TeamDemand,
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/allotment_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/allotment_steps.py
@@ -1,5 +1,10 @@
 """Steps on splitting and placing slots, over generated cases."""
 
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
 from almondfield_fairshare.allotment import (
     RouterNeed,
     TeamDemand,
@@ -9,10 +14,6 @@
 )
 from almondfield_fairshare.counters import ServiceCounters
 from almondfield_fairshare.placement import place_slots
-from behave import given, then, when
-from hypothesis import given as for_all
-from hypothesis import settings
-from hypothesis import strategies as st
 
 CASES = settings(derandomize=True, max_examples=200, deadline=None, database=None)
 NAMES = st.sampled_from("abcdef")
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/backend_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/backend_steps.py
@@ -4,6 +4,8 @@
 from collections import Counter
 from dataclasses import replace
 
+from behave import given, then, when
+
 from almondfield_core.messages import (
     AnnouncementRelay,
     ServerAnnouncement,
@@ -13,7 +15,6 @@
 )
 from almondfield_core.tables import Pool, PoolKind
 from almondfield_testing import run
-from behave import given, then, when
 from sharing_fleet import Fleet
 from sharing_load import Callers
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/fault_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/fault_steps.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
-from almondfield_testing import run
 from behave import then, when
 
+from almondfield_testing import run
+
 LEASE_MARGIN_S = 0.02
 
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/queue_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/queue_steps.py
@@ -2,12 +2,13 @@
 
 import asyncio
 
+from behave import given, then, when
+from result import Err
+
 from almondfield_core.clock import now
 from almondfield_core.messages import NotRunReason, SlotRequest
 from almondfield_fairshare.router.queues import QueueMemory
 from almondfield_testing import run
-from behave import given, then, when
-from result import Err
 
 PLENTY = 1_000_000
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/random_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/random_steps.py
@@ -3,6 +3,7 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from behave import then, when
+
 from sharing_random import run_schedule
 
 WORKERS = 4
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/sharing_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/tests/steps/sharing_steps.py
@@ -3,11 +3,12 @@
 import asyncio
 from unittest.mock import patch
 
+from behave import given, step, then
+
 from almondfield_core.clock import now
 from almondfield_core.messages import ServerAnnouncement
 from almondfield_core.tables import Pool, PoolKind
 from almondfield_testing import run
-from behave import given, step, then
 from sharing_fleet import Fleet
 from sharing_load import Callers
 
--- a/tools/almondfield_testing/core.py
+++ b/tools/almondfield_testing/core.py
@@ -10,9 +10,10 @@
 from typing import Any
 
 import looptime
+from result import Err, Ok, Result
+
 from almondfield_core.ports import LinkFailure
 from almondfield_core.wire import decode_message, encode_message, kind_of
-from result import Err, Ok, Result
 
 __all__ = [
     "InMemoryNetwork",
--- a/tools/almondfield_testing/operators.py
+++ b/tools/almondfield_testing/operators.py
@@ -4,6 +4,8 @@
 import dataclasses
 from typing import Any
 
+from result import Err, Ok
+
 from almondfield_core.messages import (
     AuditRecord,
     ChangeAccepted,
@@ -25,7 +27,6 @@
     rows_between,
 )
 from almondfield_daemon.operator import OperatorNode
-from result import Err, Ok
 
 __all__ = ["OPERATOR_TOKEN", "FakeControl", "call_app", "make_node"]
 
