--- a/bench/slopes_capacity.py
+++ b/bench/slopes_capacity.py
@@ -103,19 +103,49 @@
     return f"{fixed:,.0f} / 2 × {frames:,.4g}", fixed / 2 * frames
 
 
-def router_rows(s: Slopes, pools: int) -> list[Row]:
-    """Return the control work of a daemon that is no control host."""
-    announced = RUNNERS / DAEMONS
-    teams = 3 * PART_TEAMS * 3 / REGION_DAEMONS
-    report = add(
-        s.line(PART_RUNNERS, "sharing, router", "servers", PROCESSOR),
-        s.times(teams, "sharing, router", "teams with", PROCESSOR),
-    )
+def one_pool(s: Slopes, servers: float, teams: float) -> tuple[Cell, Cell]:
+    """Return bytes and microseconds a second of one pool's reports and grants.
+
+    :param servers: servers of the pool.
+    :param teams: teams of the pool at the router.
+    """
     sent = add(
         s.line(0, "sharing, router", "servers", "bytes a second sent"),
         s.times(teams, "sharing, router", "teams with", "bytes a second sent"),
     )
+    processor = add(
+        s.line(servers, "sharing, router", "servers", PROCESSOR),
+        s.times(teams, "sharing, router", "teams with", PROCESSOR),
+    )
+    return sent, processor
+
+
+def reports_row(s: Slopes, pools: int, servers: float, teams: float) -> Row:
+    """Return the work of reports and grants of several pools."""
+    sent, processor = one_pool(s, servers, teams)
     rounds = 2 * REPORTS_A_SECOND * pools
+    return Row(
+        f"demand reports and grants, {pools} pools",
+        rounds,
+        factor(pools, sent),
+        add(factor(pools, processor), frame_half(s, rounds)),
+    )
+
+
+def announcements_row(s: Slopes, servers: float) -> Row:
+    """Return the work of the announcements of some servers, one a second each."""
+    return Row(
+        f"announcements of {servers:.1f} servers",
+        servers,
+        s.times(servers, "announcements, traffic"),
+        s.times(servers, "router, announcements"),
+    )
+
+
+def router_rows(s: Slopes, pools: int) -> list[Row]:
+    """Return the control work of a daemon that is no control host."""
+    announced = RUNNERS / DAEMONS
+    teams = 3 * PART_TEAMS * 3 / REGION_DAEMONS
     claims = REQUESTS / 10 / DAEMONS
     restarts = RESTARTS_A_DAY / DAY_S * 10
     return [
@@ -140,18 +170,8 @@
                 frame_half(s, 2 * RENEWALS_A_SECOND),
             ),
         ),
-        Row(
-            f"demand reports and grants, {pools} pools",
-            rounds,
-            factor(pools, sent),
-            add(factor(pools, report), frame_half(s, rounds)),
-        ),
-        Row(
-            f"announcements of {announced:.1f} servers",
-            announced,
-            s.times(announced, "announcements, traffic"),
-            s.times(announced, "router, announcements"),
-        ),
+        reports_row(s, pools, PART_RUNNERS, teams),
+        announcements_row(s, announced),
         Row(
             f"{claims:.1f} claims with settlement a second",
             4 * claims,
@@ -176,46 +196,19 @@
 def today_rows(s: Slopes) -> list[Row]:
     """Return the control work of a daemon of today's larger deployment."""
     pools, servers, teams = 2, 10, 16
-    announced = servers / TODAY_DAEMONS
-    report = add(
-        s.line(servers, "sharing, router", "servers", PROCESSOR),
-        s.times(teams, "sharing, router", "teams with", PROCESSOR),
-    )
-    sent = add(
-        s.line(0, "sharing, router", "servers", "bytes a second sent"),
-        s.times(teams, "sharing, router", "teams with", "bytes a second sent"),
-    )
-    rounds = 2 * REPORTS_A_SECOND * pools
     heartbeats, _, renewals = router_rows(s, pools)[:3]
     return [
         heartbeats,
         renewals,
-        Row(
-            f"demand reports and grants, {pools} pools",
-            rounds,
-            factor(pools, sent),
-            add(factor(pools, report), frame_half(s, rounds)),
-        ),
-        Row(
-            f"announcements of {announced:.1f} servers",
-            announced,
-            s.times(announced, "announcements, traffic"),
-            s.times(announced, "router, announcements"),
-        ),
+        reports_row(s, pools, servers, teams),
+        announcements_row(s, servers / TODAY_DAEMONS),
     ]
 
 
 def planned_rows(s: Slopes) -> list[Row]:
     """Return the same daemon's work with the mechanisms that the page proposes."""
     teams = 3 * PART_TEAMS * 3 / REGION_DAEMONS
-    report = add(
-        s.line(PART_RUNNERS, "sharing, router", "servers", PROCESSOR),
-        s.times(teams, "sharing, router", "teams with", PROCESSOR),
-    )
-    sent = add(
-        s.line(0, "sharing, router", "servers", "bytes a second sent"),
-        s.times(teams, "sharing, router", "teams with", "bytes a second sent"),
-    )
+    sent, report = one_pool(s, PART_RUNNERS, teams)
     calmer = 1.0 / REPORTS_A_SECOND
     claims = REQUESTS / 10 / DAEMONS
     control_hosts = 3
