Refuse a data folder of another version, and end on a failed task

Cause: a single host with a folder from before changes travelled as rows came up and never became ready: the task that applied an entry failed, and nobody took its error. Ruled out: election and freshness; the log shows the host leading. Change: journals of another format are refused and left as they are; a kept task that fails ends the member; findings from within a running daemon are one line each, code 2.

--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -79,6 +79,7 @@
         self._roles = RoleMachine()
         self.saved = HardState("")
         self._tasks: set[asyncio.Task[None]] = set()
+        self._failures: asyncio.Queue[BaseException] = asyncio.Queue()
         self.snapshots = SnapshotStore(self)
         self._following = Following(self)
         self._formation = Formation(self)
@@ -133,6 +134,7 @@
                 group.create_task(self.journal.run())
                 group.create_task(self._formation.run())
                 group.create_task(self._election.run())
+                group.create_task(self._end_on_failure())
         finally:
             self.step_down()
 
@@ -266,9 +268,18 @@
         """
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._note_end)
         return task
 
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._failures.put_nowait(task.exception())
+
+    async def _end_on_failure(self) -> None:
+        """Raise what a kept task raised: a member must not go on half alive."""
+        raise await self._failures.get()
+
     async def _recover(self) -> None:
         recovered = await self.journal.recover()
         self.last_heard = now()
--- a/packages/almondfield-control/src/almondfield_control/storage/records.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/records.py
@@ -11,7 +11,8 @@
 
 __all__ = ["Frame", "encode_frame", "read_frames"]
 
-_MAGIC = b"afj1"
+_FAMILY = b"afj"
+_MAGIC = _FAMILY + b"2"
 _HEADER = struct.Struct(">4sIQ")
 
 
@@ -40,10 +41,12 @@
 
     :param name: name of the file, for findings.
     :param data: content of the file.
-    :raises DamageError: where a damaged frame is followed by an intact one.
+    :raises DamageError: where a damaged frame is followed by an intact one, or the
+        frames are of another version.
     """
     offset = 0
     while offset < len(data):
+        _refuse_other_version(name, data, offset)
         frame = _read_frame(data, offset)
         if frame is None:
             _refuse_damage(name, data, offset)
@@ -63,6 +66,19 @@
     return Frame(body, start + length)
 
 
+def _refuse_other_version(name: str, data: bytes, offset: int) -> None:
+    # Taken for a torn tail it would be cut, and the voter would forget its votes.
+    magic = data[offset : offset + len(_MAGIC)]
+    if magic == _MAGIC or len(magic) < len(_MAGIC) or not magic.startswith(_FAMILY):
+        return
+    finding = Finding(
+        place=f"{name}: offset {offset}",
+        problem=f"written in format {magic.decode(errors='replace')!r}",
+        allowed=f"{_MAGIC.decode()!r}; start the version that wrote it",
+    )
+    raise DamageError((finding,))
+
+
 def _refuse_damage(name: str, data: bytes, offset: int) -> None:
     candidate = data.find(_MAGIC, offset + 1)
     while candidate >= 0:
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/storage_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/storage_steps.py
@@ -70,6 +70,28 @@
     context.disk.file_by_name[context.name] = bytes(data)
 
 
+@when("the file says that another version wrote it")
+@in_loop
+async def step_impl(context):
+    ((context.name, data),) = context.disk.file_by_name.items()
+    context.old = data.replace(b"afj2", b"afj1")
+    context.disk.file_by_name[context.name] = context.old
+
+
+@then("recovery names the format and the file is as it was")
+@in_loop
+async def step_impl(context):
+    try:
+        await Journal(context.disk).recover()
+    except DamageError as error:
+        (finding,) = error.findings
+        assert "'afj1'" in finding.problem, finding
+        assert "'afj2'" in finding.allowed, finding
+    else:
+        raise AssertionError("no finding")
+    assert context.disk.file_by_name[context.name] == context.old
+
+
 @when("a snapshot is written and then lost")
 @in_loop
 async def step_impl(context):
--- a/packages/almondfield-control/src/almondfield_control/tests/storage.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/storage.feature
@@ -10,6 +10,11 @@
     When a byte in the middle of the file is flipped
     Then recovery names the file, the offset and what to do
 
+  Scenario: a file of another version is refused, and not cut as a torn write
+    Given a journal with 3 synced entries on a disk
+    When the file says that another version wrote it
+    Then recovery names the format and the file is as it was
+
   Scenario: a missing snapshot is refused
     Given a journal with 3 synced entries on a disk
     When a snapshot is written and then lost
--- a/packages/almondfield-daemon/src/almondfield_daemon/main.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/main.py
@@ -56,13 +56,24 @@
 
 
 def _run(settings: DaemonSettings, secrets: Secrets) -> int:
+    code = EXIT_OK
     try:
         with _logging_to(settings.log_file):
             asyncio.run(_serve_until_stopped(settings, secrets))
-    except AlmondfieldError as error:
-        print(f"almondfieldd: {error}", file=sys.stderr)
-        return EXIT_BAD_INPUT
-    return EXIT_OK
+    except* AlmondfieldError as group:
+        for error in _leaves(group):
+            print(f"almondfieldd: {error}", file=sys.stderr)
+        code = EXIT_BAD_INPUT
+    return code
+
+
+def _leaves(group: BaseExceptionGroup) -> Iterator[BaseException]:
+    """Return the errors that a group holds, also those of groups within it."""
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _leaves(error)
+        else:
+            yield error
 
 
 class LogFileError(AlmondfieldError):
--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/tests/start.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/tests/start.feature
@@ -6,6 +6,12 @@
     When the daemon starts
     Then it ends with code 2 and one line that names "data_folder"
 
+  Scenario: The data folder was written by another version
+    Given settings of a voter
+    And its data folder holds a journal of another version
+    When the daemon starts
+    Then it ends with code 2 and one line that names "written in format"
+
   Scenario: A port is in use
     Given settings of a voter
     And its caller port is in use
--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/tests/steps/start_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/tests/steps/start_steps.py
@@ -23,6 +23,13 @@
     return ports
 
 
+def use_free_ports(context):
+    """Let the daemon listen, on ports that were free a moment ago."""
+    host = context.settings["hosts"][0]
+    ports = unused_ports(3)
+    host["caller_port"], host["operator_port"], host["peer_port"] = ports
+
+
 def used_port(context):
     """Return a port that is in use until the scenario ends."""
     holder = socket.socket()
@@ -43,6 +50,7 @@
     context.settings = {
         "host": "entry-1",
         "data_folder": str(folder / "data"),
+        "log_file": str(folder / "daemon.log"),
         "security": {
             "operator_token_file": str(folder / "operator.token"),
             "backend_token_file": str(folder / "backend.token"),
@@ -55,8 +63,14 @@
 @given("its data folder is missing")
 def step_impl(context):
     context.settings["data_folder"] = str(context.folder / "missing")
-    host = context.settings["hosts"][0]
-    host["caller_port"], host["operator_port"] = unused_ports(2)
+    use_free_ports(context)
+
+
+@given("its data folder holds a journal of another version")
+def step_impl(context):
+    journal = context.folder / "data" / "journal-0000000000000001"
+    journal.write_bytes(b"afj1" + bytes(64))
+    use_free_ports(context)
 
 
 @given("its caller port is in use")
