Use the measuring tool's one quantile for what a router adds

Cause: bench/direct.py had its own copy of percentile from bench/measures.py. Change: it calls that one; without samples the figures stay NaN, not 0.

--- a/bench/direct.py
+++ b/bench/direct.py
@@ -9,6 +9,7 @@
 from almondfield_core.clock import now
 from deployment import Deployment
 from load import TeamLoad
+from measures import percentile
 
 __all__ = ["measure_added_ms"]
 
@@ -52,10 +53,10 @@
                 if took_s is not None:
                     times.append(took_s)
             await asyncio.sleep(1 / RATE)
-    direct.sort()
-    routed.sort()
+    if not direct or not routed:
+        return {"p50": float("nan"), "p99": float("nan")}
     return {
-        name: (_quantile(routed, share) - _quantile(direct, share)) * 1000
+        name: (percentile(routed, share) - percentile(direct, share)) * 1000
         for name, share in (("p50", 0.5), ("p99", 0.99))
     }
 
@@ -71,9 +72,3 @@
     except Exception:
         return None
     return now() - began_s if answer.status_code == 200 else None
-
-
-def _quantile(ordered: list[float], share: float) -> float:
-    if not ordered:
-        return float("nan")
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
