Install setuptools and wheel before packages without isolation

Cause: the set-up builds without isolation, and quantile-python, a dependency of aioprometheus, has only a source archive. A fresh virtual environment without wheel failed with: invalid command 'bdist_wheel'. Both are pinned and installed first now.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 $(STAMP):
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q -c constraints.txt hatchling editables
+	$(BIN)/pip install -q -c constraints.txt hatchling editables setuptools wheel
 	$(BIN)/pip install -q -c constraints.txt --no-build-isolation -r requirements-dev.txt $(EDITABLE)
 	touch $@
 
