Replicate routing tables and let a control group grow from seeds

The users' platform names three control hosts only, and its operators number their tables themselves. Hosts that ask join as learners and vote once caught up; one that is silent for 15 s is removed while enough voters are left.

--- a/packages/almondfield-control/src/almondfield_control/commands/core.py
+++ b/packages/almondfield-control/src/almondfield_control/commands/core.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from almondfield_core.messages import ClaimRequest, RowChange, StoredAnswer
+from almondfield_core.routing import RoutingTable
 from almondfield_core.wire import (
     decode_message,
     encode_message,
@@ -20,6 +21,7 @@
     "Member",
     "MembershipChange",
     "NoOperation",
+    "PublishTable",
     "SettleClaim",
     "TableCommand",
     "command_of",
@@ -127,6 +129,19 @@
     before_incarnation: int
 
 
+@wire_message("publish-table")
+@dataclass(frozen=True)
+class PublishTable:
+    """Puts a routing table in force, unless one of its version or a higher one is.
+
+    :ivar table: the table.
+    :ivar document: the operator's own form of it, given back as it came.
+    """
+
+    table: RoutingTable
+    document: bytes
+
+
 @wire_message("fencing-issued")
 @dataclass(frozen=True)
 class FencingIssued:
@@ -142,6 +157,7 @@
     | SettleClaim
     | LoseClaims
     | FencingIssued
+    | PublishTable
 )
 
 
--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -15,6 +15,7 @@
 from almondfield_control.consensus.leadership import Leadership
 from almondfield_control.consensus.log import ReplicatedLog
 from almondfield_control.consensus.messages import HandOver, JoinRequest
+from almondfield_control.consensus.policy import GroupPolicy
 from almondfield_control.consensus.roles import Role, RoleMachine
 from almondfield_control.consensus.transfer import Snapshot, SnapshotStore
 from almondfield_control.errors import StorageError
@@ -39,6 +40,7 @@
     :param timing: intervals of the protocol.
     :param wall_clock: calendar time for new entries.
     :param chance: source of identities and election timeouts.
+    :param policy: rules for the members of the group.
 
     :ivar hard: what must never be forgotten.
     :ivar saved: the hard state as it is synced.
@@ -59,7 +61,9 @@
         timing: TimingSettings,
         wall_clock: WallClock,
         chance: random.Random,
+        policy: GroupPolicy | None = None,
     ) -> None:
+        self.policy = policy or GroupPolicy()
         self.peers = peers
         self.configured = configured
         self.timing = timing
@@ -338,5 +342,10 @@
             self.spawn(self._election.campaign(hand_over=True))
 
     async def _on_join(self, sender: str, message: JoinRequest) -> None:
-        if self.is_leader and sender in self.configured:
-            self.leadership.membership.add_learner(message.voter_id, sender)
+        host = message.host or sender
+        if not self.policy.grows and sender not in self.configured:
+            return
+        if self.is_leader:
+            self.leadership.membership.add_learner(message.voter_id, host)
+        elif self.policy.grows and self.leader_host and not message.host:
+            self.peers.send(self.leader_host, JoinRequest(message.voter_id, host))
--- a/packages/almondfield-control/src/almondfield_control/consensus/formation.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -96,9 +96,14 @@
         replica = self._replica
         others = [host for host in replica.configured if host != replica.peers.host]
         states = await self._ask_all(others, FormationQuery(replica.voter_id))
+        if replica.hard.formed:
+            return
         if any(state.formed for state in states.values()):
             self._ask_to_join()
             return
+        if not replica.policy.may_form:
+            self._wait_for("a group that exists already")
+            return
         missing = [host for host in others if host not in states]
         if missing:
             self._wait_for(f"voters that do not answer: {', '.join(missing)}")
@@ -175,7 +180,8 @@
     def _ask_to_join(self) -> None:
         replica = self._replica
         self._wait_for("the leader to add this host as a learner")
-        for host in replica.configured:
+        members = {member.host for member in replica.log.members}
+        for host in members.union(replica.configured):
             if host != replica.peers.host:
                 replica.peers.send(host, JoinRequest(replica.voter_id))
 
--- a/packages/almondfield-control/src/almondfield_control/consensus/membership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/membership.py
@@ -18,6 +18,7 @@
 
 CHECK_S = 0.2
 REPLACE_SILENCE_S = 3.0
+REMOVE_SILENCE_S = 15.0  # longer than a restart or a network partition of seconds
 
 
 class Membership:
@@ -42,6 +43,8 @@
             await asyncio.sleep(CHECK_S)
             if self._may_change():
                 self._replace_lost()
+            if self._replica.policy.grows and self._may_change():
+                self._follow_hosts()
 
     def add_learner(self, voter_id: str, host: str) -> None:
         """Add a member that replicates but does not vote.
@@ -111,6 +114,23 @@
                 self._append(kept)
                 return
 
+    def _follow_hosts(self) -> None:
+        """Let a new host that is caught up vote; drop a voter that stays silent."""
+        members = self._replica.log.members
+        for learner in members:
+            is_new = not learner.votes and not learner.replaces
+            if is_new and self._is_caught_up(learner):
+                self._append(self._promoted(learner))
+                return
+        voters = [m for m in members if m.votes]
+        if len(voters) <= self._replica.policy.least_voters:
+            return
+        for voter in voters:
+            kept = tuple(m for m in members if m is not voter)
+            if self._is_silent(voter, REMOVE_SILENCE_S) and self._has_quorum(kept):
+                self._append(kept)
+                return
+
     def _append(self, members: tuple[Member, ...]) -> None:
         eliot.log_message(
             "control:changes-members",
@@ -137,11 +157,13 @@
             return False
         return progress.match_index >= self._replica.commit_index
 
-    def _is_silent(self, member: Member) -> bool:
+    def _is_silent(self, member: Member, silence_s: float = REPLACE_SILENCE_S) -> bool:
+        if member.voter_id == self._replica.voter_id:
+            return False
         progress = self._leadership.progress_by_voter.get(member.voter_id)
         heard_at = progress.heard_at if progress else float("-inf")
         heard_at = max(heard_at, self._leadership.started_at)
-        return now() > heard_at + REPLACE_SILENCE_S
+        return now() > heard_at + silence_s
 
     def _has_quorum(self, members: tuple[Member, ...]) -> bool:
         voters = [m for m in members if m.votes]
--- a/packages/almondfield-control/src/almondfield_control/consensus/messages.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/messages.py
@@ -203,6 +203,9 @@
     """Asks the leader to add a host with an empty data folder as a learner.
 
     :ivar voter_id: identity in the folder.
+    :ivar host: host of the folder, where another one passes its request on; else
+        empty.
     """
 
     voter_id: str
+    host: str = ""
--- a/packages/almondfield-control/src/almondfield_control/node/client.py
+++ b/packages/almondfield-control/src/almondfield_control/node/client.py
@@ -1,14 +1,13 @@
 """Requests of one host to the leader, wherever it is."""
 
 import asyncio
-from typing import Any
 
 from result import Err, Ok, Result
 
 from almondfield_control.commands import ClaimKey, SettleClaim
 from almondfield_control.consensus import Replica
-from almondfield_control.freshness import NotLeader
 from almondfield_control.node.batches import Batches
+from almondfield_control.node.leader_client import LeaderClient
 from almondfield_control.node.messages import (
     ApplyRequest,
     FencingRequest,
@@ -37,9 +36,6 @@
 
 __all__ = ["ControlClient"]
 
-ATTEMPT_S = 1.0
-MIN_ATTEMPT_S = 0.001
-PAUSE_S = 0.1
 APPLY_TIMEOUT_S = 10.0
 CLAIM_TIMEOUT_S = 3.0
 SETTLE_TIMEOUT_S = 10.0
@@ -52,7 +48,7 @@
 )
 
 
-class ControlClient:
+class ControlClient(LeaderClient):
     """The ``Control`` port; finds the leader and repeats idempotent requests.
 
     :param peers: messages to the other hosts.
@@ -70,25 +66,17 @@
         incarnation: int,
         replica: Replica | None = None,
     ) -> None:
-        self._peers = peers
+        super().__init__(peers, lambda: voters)
         self._view = view
-        self._voters = voters
         self._incarnation = incarnation
         self._replica = replica
         self._batches = Batches(self.ask)
-        self._target = voters[0] if voters else ""
-        self._leader_host = ""
 
     @property
     def is_leader(self) -> bool:
         """Return whether this host leads the control group and its lease holds."""
         return self._replica is not None and self._replica.is_leader
 
-    @property
-    def leader_host(self) -> str:
-        """Return the host that last answered as the leader; else empty."""
-        return self._leader_host
-
     async def apply(
         self, change: TableChange | RowChange
     ) -> Result[ChangeAccepted, ChangeConflict | ChangeRefused | ControlUnavailable]:
@@ -197,46 +185,3 @@
                 return Err(reason)
             case Err(unavailable):
                 return Err(unavailable.reason)
-
-    async def ask(
-        self, message: object, timeout_s: float
-    ) -> Result[Any, ControlUnavailable]:
-        """Return the leader's reply to an idempotent request.
-
-        :param message: the request.
-        :param timeout_s: seconds to go on trying.
-        """
-        until = now() + timeout_s
-        maybe_done = False
-        reason = "no voter is configured"
-        while self._target and until - now() > MIN_ATTEMPT_S:
-            target = self._target
-            attempt_s = min(ATTEMPT_S, until - now())
-            match await self._peers.ask(target, message, attempt_s):
-                case Ok(NotLeader(leader_host)):
-                    reason = f"{target} does not lead"
-                    self._turn_to(leader_host, target)
-                case Ok(ControlUnavailable() as unavailable):
-                    maybe_done |= not unavailable.certainly_not_done
-                    reason = unavailable.reason
-                    self._turn_to("", target)
-                case Ok(reply):
-                    self._leader_host = target
-                    return Ok(reply)
-                case Err(failure):
-                    maybe_done = True
-                    reason = f"{target}: {failure.reason}"
-                    self._turn_to("", target)
-            await asyncio.sleep(min(PAUSE_S, max(0.0, until - now())))
-        return Err(ControlUnavailable(reason, certainly_not_done=not maybe_done))
-
-    def _turn_to(self, leader_host: str, asked: str) -> None:
-        if self._leader_host == asked:
-            self._leader_host = ""
-        if self._target != asked:
-            return
-        if leader_host and leader_host != asked and leader_host in self._voters:
-            self._target = leader_host
-            return
-        place = self._voters.index(asked) if asked in self._voters else -1
-        self._target = self._voters[(place + 1) % len(self._voters)]
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/publishing/__init__.py
@@ -0,0 +1,7 @@
+"""The routing table: accepted by the control group, leased to the routers."""
+
+from almondfield_control.publishing.core import TablePublisher
+from almondfield_control.publishing.messages import ReadReply, ReadRequest
+from almondfield_control.publishing.subscription import TableSubscription
+
+__all__ = ["ReadReply", "ReadRequest", "TablePublisher", "TableSubscription"]
--- a/packages/almondfield-control/src/almondfield_control/state/core.py
+++ b/packages/almondfield-control/src/almondfield_control/state/core.py
@@ -11,6 +11,7 @@
     Member,
     MembershipChange,
     NoOperation,
+    PublishTable,
     SettleClaim,
     TableCommand,
     command_of,
@@ -45,6 +46,7 @@
     :ivar claims: claims on idempotency keys.
     :ivar fencing: last fencing number that was issued.
     :ivar members: members as of the last applied entry.
+    :ivar published: the routing table in force; None before the first one.
     """
 
     def __init__(self) -> None:
@@ -57,6 +59,7 @@
         self.claims = ClaimTable()
         self.fencing = 0
         self.members: tuple[Member, ...] = ()
+        self.published: PublishTable | None = None
         self._audit_by_revision: dict[int, AcceptedChange] = {}
         self._revision_by_change_id: dict[str, int] = {}
         self._conflict_by_change_id: dict[str, ChangeConflict] = {}
@@ -84,6 +87,8 @@
                 return self.claims.settle(command)
             case LoseClaims() as command:
                 return self.claims.lose(command)
+            case PublishTable() as command:
+                return self._publish(command)
             case FencingIssued():
                 self.fencing += 1
                 return self.fencing
@@ -137,6 +142,7 @@
             leases_index=self.leases_index,
             fencing=self.fencing,
             members=self.members,
+            published=self.published,
             revision_by_change_id=dict(self._revision_by_change_id),
         )
         return StateImage(
@@ -163,6 +169,7 @@
         state.claims = ClaimTable(image.claims)
         state.fencing = head.fencing
         state.members = head.members
+        state.published = head.published
         state.leases_index = head.leases_index
         state._revision_by_change_id = dict(head.revision_by_change_id)
         state._audit_by_revision = {change.revision: change for change in image.audit}
@@ -171,6 +178,13 @@
         }
         return state
 
+    def _publish(self, command: PublishTable) -> int:
+        """Return the version in force after a table was offered."""
+        held = self.published
+        if held is None or command.table.version > held.table.version:
+            self.published = held = command
+        return held.table.version
+
     def _change_tables(self, change: RowChange) -> ChangeAccepted | ChangeConflict:
         earlier = self.answer_of(change.change_id)
         if earlier is not None:
--- a/packages/almondfield-control/src/almondfield_control/state/image.py
+++ b/packages/almondfield-control/src/almondfield_control/state/image.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from almondfield_control.commands import Member
+from almondfield_control.commands import Member, PublishTable
 from almondfield_control.state.audit import AcceptedChange
 from almondfield_control.state.claims import ClaimRecord
 from almondfield_core.messages import ChangeConflict, PoolLease
@@ -36,6 +36,7 @@
     :ivar fencing: last fencing number that was issued.
     :ivar members: members as of the last applied entry.
     :ivar revision_by_change_id: revisions that changes made.
+    :ivar published: the routing table in force; None before the first one.
     """
 
     index: int
@@ -47,6 +48,7 @@
     fencing: int
     members: tuple[Member, ...]
     revision_by_change_id: dict[str, int]
+    published: PublishTable | None = None
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/packages/almondfield-core/src/almondfield_core/routing/__init__.py
@@ -0,0 +1,30 @@
+"""The routing table: what requests may ask for, of which backend servers, and who."""
+
+from almondfield_core.routing.checking import check_routing_table
+from almondfield_core.routing.core import (
+    EngineLimits,
+    PoolShare,
+    RequestKind,
+    RequestLimits,
+    RouteRule,
+    RoutingTable,
+    ServerPool,
+    TeamKeys,
+)
+from almondfield_core.routing.index import RoutingIndex
+from almondfield_core.routing.prompt import Prompt, PromptPart
+
+__all__ = [
+    "EngineLimits",
+    "PoolShare",
+    "Prompt",
+    "PromptPart",
+    "RequestKind",
+    "RequestLimits",
+    "RouteRule",
+    "RoutingIndex",
+    "RoutingTable",
+    "ServerPool",
+    "TeamKeys",
+    "check_routing_table",
+]
--- /dev/null
+++ b/packages/almondfield-core/src/almondfield_core/routing/checking.py
@@ -0,0 +1,85 @@
+"""Checks a routing table and reports everything that is wrong with it."""
+
+from collections.abc import Iterator
+
+from almondfield_core.findings import Finding
+from almondfield_core.routing.core import RouteRule, RoutingTable
+
+__all__ = ["check_routing_table"]
+
+
+def check_routing_table(table: RoutingTable) -> tuple[Finding, ...]:
+    """Return a finding for each rule that the table breaks.
+
+    :param table: the table; its types are right.
+    """
+    return (
+        *_check_version(table),
+        *_check_pools(table),
+        *_check_routes(table),
+        *_check_teams(table),
+    )
+
+
+def _check_version(table: RoutingTable) -> Iterator[Finding]:
+    if table.version < 1:
+        yield Finding("version", f"{table.version}", "1 or more")
+
+
+def _check_pools(table: RoutingTable) -> Iterator[Finding]:
+    seen: set[str] = set()
+    for index, pool in enumerate(table.pools):
+        if not pool.name:
+            yield Finding(f"pools[{index}].name", "empty", "a name")
+        if pool.name in seen:
+            place = f"pools[{index}].name"
+            yield Finding(place, f"{pool.name!r} stands twice", "one pool of a name")
+        seen.add(pool.name)
+
+
+def _check_routes(table: RoutingTable) -> Iterator[Finding]:
+    pools = {pool.name for pool in table.pools}
+    first_by_place: dict[tuple[str, str], int] = {}
+    for index, route in enumerate(table.routes):
+        place = f"routes[{index}]"
+        yield from _check_route(place, route, pools)
+        key = (route.domain, route.path_prefix)
+        first = first_by_place.setdefault(key, index)
+        if first != index:
+            problem = f"domain and prefix of routes[{first}]"
+            yield Finding(place, problem, "one route for a domain and prefix")
+
+
+def _check_route(place: str, route: RouteRule, pools: set[str]) -> Iterator[Finding]:
+    prefix = route.path_prefix
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        allowed = "a prefix that begins and ends with /"
+        yield Finding(f"{place}.path_prefix", f"{prefix!r}", allowed)
+    if route.timeout_s <= 0:
+        yield Finding(f"{place}.timeout_s", f"{route.timeout_s}", "more than 0")
+    if route.max_attempts < 1:
+        yield Finding(f"{place}.max_attempts", f"{route.max_attempts}", "1 or more")
+    for number, share in enumerate(route.shares):
+        if share.pool not in pools:
+            where = f"{place}.shares[{number}].pool"
+            yield Finding(where, f"no pool {share.pool!r}", "the name of a pool")
+        if share.weight < 0:
+            where = f"{place}.shares[{number}].weight"
+            yield Finding(where, f"{share.weight}", "0 or more")
+    if sum(share.weight for share in route.shares) <= 0:
+        yield Finding(f"{place}.shares", "weights add up to 0", "more than 0")
+
+
+def _check_teams(table: RoutingTable) -> Iterator[Finding]:
+    team_by_key_hash: dict[str, str] = {}
+    names: set[str] = set()
+    for index, team in enumerate(table.teams):
+        if team.team in names:
+            problem = f"{team.team!r} stands twice"
+            yield Finding(f"teams[{index}].team", problem, "one row for a team")
+        names.add(team.team)
+        for number, key_hash in enumerate(team.key_hashes):
+            holder = team_by_key_hash.setdefault(key_hash, team.team)
+            if holder != team.team:
+                place = f"teams[{index}].key_hashes[{number}]"
+                yield Finding(place, f"held by {holder!r} too", "a key of one team")
--- a/packages/almondfield-core/src/almondfield_core/settings/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/__init__.py
@@ -10,12 +10,19 @@
     SharingPolicy,
     TimingSettings,
 )
+from almondfield_core.settings.fleet import (
+    FleetRole,
+    FleetSettings,
+    load_fleet_settings,
+)
 from almondfield_core.settings.listing import ItemDescription, list_items
 from almondfield_core.settings.loading import load_settings
 from almondfield_core.settings.secrets import read_secret
 
 __all__ = [
     "DaemonSettings",
+    "FleetRole",
+    "FleetSettings",
     "HostSettings",
     "ItemDescription",
     "LimitSettings",
@@ -25,6 +32,7 @@
     "TimingSettings",
     "check_settings",
     "list_items",
+    "load_fleet_settings",
     "load_settings",
     "read_secret",
 ]
--- /dev/null
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -0,0 +1,199 @@
+"""Settings of a daemon that finds the other hosts from a few seeds."""
+
+import ipaddress
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from almondfield_core.findings import Finding, read_toml, show, structure
+from almondfield_core.settings.core import (
+    DaemonSettings,
+    HostSettings,
+    SecuritySettings,
+    TimingSettings,
+    item,
+)
+
+__all__ = ["FleetRole", "FleetSettings", "load_fleet_settings"]
+
+MAX_SETTINGS_BYTES = 64 * 1024
+MAX_PORT = 65_535
+
+
+class FleetRole(StrEnum):
+    """What a daemon does."""
+
+    ROUTER = "router"
+    CONTROL = "control"
+
+
+@dataclass(frozen=True)
+class FleetSettings:
+    """All settings of one daemon whose fleet is found from seeds.
+
+    Hosts are named by their IP address, and listen for each other on one port. The
+    seal of their messages has no secret: the network between hosts must be private.
+    """
+
+    role: FleetRole = item("What the daemon does.")
+    address: str = item("IP address of this host; its name in the fleet.")
+    data_centre: str = item("Data centre that the host stands in.")
+    region: str = item("Region of the data centre.")
+    peer_port: int = item("Port for the other hosts.")
+    seed_addresses: tuple[str, ...] = item(
+        "``ip:port`` of some control hosts; only the IP address is used."
+    )
+    may_form: bool = item(
+        "Whether an empty data folder may take part in forming a new control group.",
+        default=False,
+    )
+    caller_address: str = item(
+        "``ip:port`` for callers; needed on routers, else empty.", default=""
+    )
+    ready_address: str = item(
+        "``ip:port`` that tells whether a router is ready.", default=""
+    )
+    control_address: str = item(
+        "``ip:port`` for operators and backend servers; needed on control hosts.",
+        default="",
+    )
+    directory_address: str = item(
+        "``ip:port`` that tells callers which routers to use; may be empty.",
+        default="",
+    )
+    metrics_port: int = item("Port of the metrics; 0 for none.", default=0)
+    data_folder: str = item(
+        "Folder for durable state; needed on control hosts.", default=""
+    )
+    lost_disks: int = item(
+        "Control hosts that may lose their disks at the same time.", default=1
+    )
+    memory_mb: int = item("Memory that the daemon may use.", "MB", default=256)
+    drain_s: float = item(
+        "Time in which a leaving backend server gets its last request.",
+        "s",
+        default=2.0,
+    )
+    grace_s: float = item(
+        "Time between the signal to stop and the kill.", "s", default=8.0
+    )
+    revocation_s: float = item(
+        "Time in which a key that was taken away stops working on every host.",
+        "s",
+        default=5.0,
+    )
+    address_lifetime_s: float = item(
+        "Time that callers may keep the addresses of routers.", "s", default=2.0
+    )
+    retry_share: float = item(
+        "Repeated requests to a pool in a window, per request.", default=0.2
+    )
+    retry_slack: float = item(
+        "Repeated requests to a pool in a window beyond that share, in the whole "
+        "fleet.",
+        default=50.0,
+    )
+    retry_window_s: float = item("Length of that window.", "s", default=10.0)
+    share_window_s: float = item(
+        "Time over which teams get their shares of the engines.", "s", default=4.0
+    )
+
+    @property
+    def seeds(self) -> tuple[str, ...]:
+        """Return the names of the control hosts that the settings name."""
+        return tuple(text.rpartition(":")[0] for text in self.seed_addresses)
+
+    def host(self, address: str, is_control: bool = False) -> HostSettings:
+        """Return how a host of this fleet is reached.
+
+        :param address: its IP address.
+        :param is_control: whether it belongs to the control group.
+        """
+        return HostSettings(
+            name=address,
+            data_centre=self.data_centre,
+            address=address,
+            region=self.region,
+            peer_port=self.peer_port,
+            voter=is_control,
+        )
+
+    def daemon_settings(self) -> DaemonSettings:
+        """Return the settings that parts shared with listed hosts read."""
+        is_control = self.role is FleetRole.CONTROL
+        own = self.host(self.address, is_control)
+        seeds = tuple(
+            self.host(seed, is_control=True)
+            for seed in self.seeds
+            if seed != self.address
+        )
+        return DaemonSettings(
+            host=self.address,
+            hosts=(own, *seeds),
+            security=SecuritySettings("", "", ""),
+            data_folder=self.data_folder,
+            timing=TimingSettings(),
+        )
+
+
+def load_fleet_settings(
+    path: str | Path,
+) -> Result[FleetSettings, tuple[Finding, ...]]:
+    """Return the settings in a TOML file, or everything that is wrong with them.
+
+    :param path: the file.
+    """
+    match read_toml(Path(path), MAX_SETTINGS_BYTES):
+        case Ok(values):
+            pass
+        case Err(finding):
+            return Err((finding,))
+    read = structure(values, FleetSettings, str(path))
+    if isinstance(read, Err):
+        return read
+    findings = tuple(
+        replace(finding, place=f"{path}: {finding.place}")
+        for finding in _check(read.ok_value)
+    )
+    return Err(findings) if findings else read
+
+
+def _check(settings: FleetSettings) -> Iterator[Finding]:
+    yield from _check_ip("address", settings.address)
+    if not 1 <= settings.peer_port <= MAX_PORT:
+        yield Finding("peer_port", f"is {settings.peer_port}", f"1 to {MAX_PORT}")
+    if not settings.seed_addresses:
+        yield Finding("seed_addresses", "is empty", "ip:port of a control host")
+    for index, text in enumerate(settings.seed_addresses):
+        yield from _check_endpoint(f"seed_addresses[{index}]", text)
+    needed = {
+        FleetRole.ROUTER: ("caller_address", "ready_address"),
+        FleetRole.CONTROL: ("control_address", "data_folder"),
+    }
+    for name in needed[settings.role]:
+        if not getattr(settings, name):
+            yield Finding(name, "is empty", f"a value for role {settings.role}")
+    for name in ("caller", "ready", "control", "directory"):
+        text = getattr(settings, f"{name}_address")
+        if text:
+            yield from _check_endpoint(f"{name}_address", text)
+    for name in ("grace_s", "revocation_s", "address_lifetime_s", "retry_window_s"):
+        if getattr(settings, name) <= 0:
+            yield Finding(name, f"is {getattr(settings, name)}", "a number above 0")
+
+
+def _check_ip(place: str, text: str) -> Iterator[Finding]:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        yield Finding(place, f"{show(text)} is no IP address", "an IP address")
+
+
+def _check_endpoint(place: str, text: str) -> Iterator[Finding]:
+    address, _, port = text.rpartition(":")
+    yield from _check_ip(place, address)
+    if not (port.isdecimal() and 1 <= int(port) <= MAX_PORT):
+        yield Finding(place, f"{show(text)} has no port", "ip:port")
