Forward requests by the routing table in fleets found from seeds

Routers say hello to control hosts, which keep a board of announced backend servers and the directory of routers. Attempts tell whether the request may have run, and only those that may be repeated are, within a window over the fleet. A peer with a lower incarnation is heard once the earlier one was silent, as calendar time may be set back before a restart.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -12,6 +12,7 @@
 HIGH_WATER_BYTES = 256 * 1024
 SMALL_BODY_BYTES = 16 * 1024
 BODILESS_STATUSES = (204, 304)
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
 class ConnectionCutError(ConnectionError):
@@ -40,12 +41,18 @@
         self._keep_alive = False
         self._expects_body = True
         self._answered = False
+        self._ends_with_connection = False
 
     @property
     def reusable(self) -> bool:
         """Return whether another request may be sent on the connection."""
         return self._keep_alive and not self._failure and self._parser is None
 
+    @property
+    def is_sent(self) -> bool:
+        """Return whether the whole request has left for the socket."""
+        return self._transport is None or not self._transport.get_write_buffer_size()
+
     @property
     def is_unanswered(self) -> bool:
         """Return whether the other side closed before a byte of the answer."""
@@ -129,6 +136,8 @@
 
     def eof_received(self) -> bool:
         """Let the transport close; called by the event loop."""
+        if self.head_complete and self._ends_with_connection:
+            self.complete = True
         self.fail("the server closed the connection")
         return False
 
@@ -172,6 +181,8 @@
         self._keep_alive = self._parser.should_keep_alive()
         if not self._expects_body or status in BODILESS_STATUSES:
             self.complete = True
+        names = {name.lower() for name, _ in self.headers}
+        self._ends_with_connection = not names & FRAMING_HEADERS
 
     def on_body(self, part: bytes) -> None:
         """Keep a part of the body; called by the parser."""
@@ -193,6 +204,7 @@
         self.complete = False
         self._answered = False
         self._keep_alive = False
+        self._ends_with_connection = False
         self._expects_body = method != b"HEAD"
         self._parser = httptools.HttpResponseParser(self)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -15,7 +15,7 @@
     ConnectionCutError,
 )
 from almondfield_daemon.backend.headers import encode_head, end_to_end
-from almondfield_daemon.backend.pool import ConnectionPool
+from almondfield_daemon.backend.pool import ConnectionPool, idle_lifetime_s
 from almondfield_daemon.router.calls import (
     AnswerCutError,
     BackendCall,
@@ -77,8 +77,10 @@
         if self._connection is None:
             return
         connection, self._connection = self._connection, None
-        if whole and self._call.pooled and connection.reusable:
-            self._pool.put(self._call.address, connection)
+        reusable = connection.reusable and connection.is_sent
+        if whole and self._call.pooled and reusable:
+            idle_s = idle_lifetime_s(connection.headers)
+            self._pool.put(self._call.address, connection, idle_s)
         else:
             connection.close()
 
@@ -147,7 +149,9 @@
 
 def _end_is_visible(connection: BackendConnection, call: BackendCall) -> bool:
     """Return whether a cut of the answer can be told from its end."""
-    if call.method == "HEAD" or connection.status in BODILESS_STATUSES:
+    if call.may_end_by_close or call.method == "HEAD":
+        return True
+    if connection.status in BODILESS_STATUSES:
         return True
     names = {name.lower() for name, _ in connection.headers}
     return b"content-length" in names or b"transfer-encoding" in names
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/headers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/headers.py
@@ -44,7 +44,7 @@
     """
     lines = [
         b"%b %b HTTP/1.1" % (call.method.encode(), call.target),
-        b"host: " + call.address.encode(),
+        b"host: " + (call.authority or call.address.encode()),
     ]
     lines += [b"%b: %b" % header for header in call.headers]
     if call.body or call.method in BODY_METHODS:
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/__init__.py
@@ -0,0 +1,17 @@
+"""Hosts and backend servers of a fleet whose settings name only a few hosts."""
+
+from almondfield_daemon.fleet.board import ServerBoard
+from almondfield_daemon.fleet.control import FleetControl
+from almondfield_daemon.fleet.messages import FleetServer, RouterState, ServerPhase
+from almondfield_daemon.fleet.routers import RouterDirectory
+from almondfield_daemon.fleet.view import FleetView
+
+__all__ = [
+    "FleetControl",
+    "FleetServer",
+    "FleetView",
+    "RouterDirectory",
+    "RouterState",
+    "ServerBoard",
+    "ServerPhase",
+]
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/__init__.py
@@ -0,0 +1,8 @@
+"""Daemons of a fleet whose hosts find each other from seeds."""
+
+from almondfield_daemon.fleet_daemon.control import ControlHost
+from almondfield_daemon.fleet_daemon.core import FleetHost
+from almondfield_daemon.fleet_daemon.loop import SuspendAwareLoop
+from almondfield_daemon.fleet_daemon.router import RouterHost
+
+__all__ = ["ControlHost", "FleetHost", "RouterHost", "SuspendAwareLoop"]
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -0,0 +1,82 @@
+"""A control host of a fleet: keeps the routing table and knows routers and servers."""
+
+import random
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from almondfield_control.consensus import GroupPolicy, Replica
+from almondfield_control.node.leader_client import LeaderClient
+from almondfield_control.publishing import TablePublisher
+from almondfield_control.storage import FolderDisk
+from almondfield_core.clock import WallClock, now
+from almondfield_core.settings import FleetSettings
+from almondfield_daemon.fleet import FleetControl
+from almondfield_daemon.fleet_daemon.core import FleetHost
+
+__all__ = ["ControlHost"]
+
+LEADER_ATTEMPT_S = 0.4  # many round trips, and a fraction of an election
+HAND_OVER_TIMEOUT_S = 1.0
+FEWEST_SEEDS_OF_A_GROUP = 3  # smaller deployments name all their control hosts
+
+
+class ControlHost(FleetHost):
+    """One control host.
+
+    :param settings: settings of the daemon.
+    :param settings_path: file that they come from.
+    :param started_unix_s: calendar time of the start, in seconds since 1970.
+
+    :ivar fleet: routers and backend servers.
+    :ivar publisher: the routing table.
+    """
+
+    def __init__(
+        self, settings: FleetSettings, settings_path: Path, started_unix_s: float
+    ) -> None:
+        super().__init__(settings, settings_path, started_unix_s)
+        self._disk = FolderDisk(Path(settings.data_folder))
+        chance = random.SystemRandom()
+        self._replica = Replica(
+            self.peers,
+            self._disk,
+            settings.seeds,
+            settings.daemon_settings().timing,
+            WallClock(started_unix_s - now()),
+            chance,
+            GroupPolicy(settings.may_form, True, _least_voters(settings)),
+        )
+        leader = LeaderClient(self.peers, self._members, LEADER_ATTEMPT_S)
+        self.publisher = TablePublisher(self._replica, self.peers, leader)
+        self.fleet = FleetControl(self.peers, self.incarnation, self._members, chance)
+
+    def parts(self) -> tuple[Coroutine[Any, Any, None], ...]:
+        """Return what runs beside the messages between hosts."""
+        self.publisher.listen()
+        self.fleet.listen()
+        return (self._replica.run(), self.fleet.run())
+
+    def take_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Use other seeds from now on."""
+        self._replica.configured = seeds
+
+    async def drain(self) -> None:
+        """Return once another member may lead."""
+        if self._replica.is_leader:
+            await self._replica.leadership.hand_over(HAND_OVER_TIMEOUT_S)
+
+    async def _close(self) -> None:
+        await super()._close()
+        self._disk.close()
+
+    def _members(self) -> tuple[str, ...]:
+        members = tuple(member.host for member in self._replica.log.members)
+        return tuple(dict.fromkeys((*members, *self._replica.configured)))
+
+
+def _least_voters(settings: FleetSettings) -> int:
+    """Return how many voters keep what a quorum holds when disks are lost."""
+    if len(settings.seeds) < FEWEST_SEEDS_OF_A_GROUP:
+        return len(settings.seeds)
+    return 2 * settings.lost_disks + 1
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -0,0 +1,98 @@
+"""The path of requests from their head to the end of their answer."""
+
+import asyncio
+from collections.abc import Callable
+
+import eliot
+
+from almondfield_core.clock import now
+from almondfield_daemon.forwarding.attempts import Attempts
+from almondfield_daemon.forwarding.budget import RetryWindow
+from almondfield_daemon.forwarding.messages import ForwardRequest
+from almondfield_daemon.forwarding.ports import ResponseSink
+from almondfield_daemon.forwarding.run import RequestRun, StreamBrokenError
+from almondfield_daemon.forwarding.servers import ServerChoice
+from almondfield_daemon.router.problems import Outcome, Problem
+
+__all__ = ["Forwarder"]
+
+
+class Forwarder:
+    """Serves requests.
+
+    :param attempts: sends requests to servers.
+    :param servers: chooses servers.
+    :param make_window: returns the bound on the repeated requests of a pool.
+    """
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        servers: ServerChoice,
+        make_window: Callable[[], RetryWindow],
+    ) -> None:
+        self._attempts = attempts
+        self._servers = servers
+        self._make_window = make_window
+        self._window_by_pool: dict[str, RetryWindow] = {}
+        self.running = 0
+
+    async def serve(
+        self, request: ForwardRequest, sink: ResponseSink
+    ) -> Problem | None:
+        """Return None once the answer was sent, or why nothing was sent.
+
+        :param request: the request.
+        :param sink: takes the answer.
+        :raises StreamBrokenError: where an answer that has begun can't be completed.
+        """
+        window = self._window(request.pool)
+        window.note_request()
+        run = RequestRun(request, self._attempts, self._servers, window, sink)
+        self.running += 1
+        problem = None
+        error = ""
+        try:
+            async with asyncio.timeout_at(request.until_s):
+                problem = await run.serve()
+        except TimeoutError:
+            problem = self._time_out(run)
+        except (StreamBrokenError, asyncio.CancelledError) as cause:
+            error = str(cause) or "the caller left"
+            raise
+        finally:
+            self.running -= 1
+            _log(request, run, problem, error)
+        return problem
+
+    def _window(self, pool: str) -> RetryWindow:
+        window = self._window_by_pool.get(pool)
+        if window is None:
+            window = self._window_by_pool[pool] = self._make_window()
+        return window
+
+    def _time_out(self, run: RequestRun) -> Problem:
+        if run.is_started:
+            raise StreamBrokenError("the time for the answer is over") from None
+        detail = "no answer in the time that the caller or the route allows"
+        outcome = Outcome.UNKNOWN if run.may_have_run else Outcome.NOT_RUN
+        return Problem(504, "timeout", detail, outcome)
+
+
+def _log(
+    request: ForwardRequest, run: RequestRun, problem: Problem | None, error: str
+) -> None:
+    eliot.log_message(
+        "request:ended",
+        request_id=request.marks.request_id,
+        route=request.route.name,
+        team=request.team,
+        table_version=request.table_version,
+        pool=request.pool,
+        server=run.server_name,
+        attempts=run.sent,
+        status=problem.status if problem else run.status,
+        cause=problem.detail if problem else error,
+        first_ms=round(run.first_s * 1000, 1),
+        total_ms=round((now() - request.arrived_s) * 1000, 1),
+    )
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -0,0 +1,278 @@
+"""The HTTP face of a router towards callers."""
+
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
+from typing import Any
+
+import eliot
+from result import Err, Ok, Result
+
+from almondfield_control.publishing import TableSubscription
+from almondfield_core.clock import now
+from almondfield_core.tables import hash_key
+from almondfield_daemon.edge.bodies import (
+    BodyBudget,
+    CallerGoneError,
+    HeldBody,
+    check_headers,
+    read_body,
+)
+from almondfield_daemon.edge.watch import CallerWatch
+from almondfield_daemon.forwarding.core import Forwarder
+from almondfield_daemon.forwarding.messages import CallerMarks, ForwardRequest
+from almondfield_daemon.forwarding.ports import HeaderCodec
+from almondfield_daemon.forwarding.run import StreamBrokenError
+from almondfield_daemon.forwarding.split import choose_pool
+from almondfield_daemon.router.calls import Header
+from almondfield_daemon.router.problems import Outcome, Problem, refuse
+
+__all__ = ["ForwardEndpoint"]
+
+STALE_RETRY_AFTER_S = 0.5
+DRAINING_RETRY_AFTER_S = 0.05  # another router takes the request at once
+LONGEST_DEADLINE_S = 3600.0
+
+
+class ForwardEndpoint:
+    """The ASGI app of callers' requests.
+
+    :param forwarder: serves requests.
+    :param subscription: the routing table.
+    :param codec: reads and writes headers.
+    :param max_held_bytes: bodies that may be held at a time, in bytes.
+    """
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        subscription: TableSubscription,
+        codec: HeaderCodec,
+        max_held_bytes: int,
+    ) -> None:
+        self._forwarder = forwarder
+        self._subscription = subscription
+        self._codec = codec
+        self._budget = BodyBudget(max_held_bytes)
+        self._is_closing = False
+        self._refuses = False
+        self.running = 0
+
+    def close_connections(self) -> None:
+        """End the caller's connection with each answer from now on."""
+        self._is_closing = True
+
+    def refuse_new(self) -> None:
+        """Refuse requests from now on; those that run go on."""
+        self._refuses = True
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one request."""
+        self.running += 1
+        sink = _Sink(send, lambda: self._is_closing)
+        try:
+            await self._handle(scope, receive, sink)
+        except StreamBrokenError:
+            # Returning before the end of the answer closes the connection.
+            pass
+        except Exception:
+            eliot.write_traceback()
+            problem = Problem(500, "internal", "unexpected failure", Outcome.UNKNOWN)
+            with suppress(RuntimeError):
+                await self._send_problem(sink, problem, close=True)
+        finally:
+            self.running -= 1
+
+    async def _handle(self, scope: Any, receive: Any, sink: "_Sink") -> None:
+        arrived_s = now()
+        headers = tuple((name.lower(), value) for name, value in scope["headers"])
+        match self._plan(scope, headers, arrived_s):
+            case Ok(request):
+                pass
+            case Err(problem):
+                _log_refusal(scope, headers, problem, self._subscription)
+                await self._refuse(receive, sink, problem)
+                return
+        held = HeldBody(self._budget, request.team)
+        try:
+            await self._take(request, receive, sink, held)
+        except CallerGoneError as error:
+            eliot.log_message(
+                "request:abandoned",
+                request_id=request.marks.request_id,
+                reason=str(error),
+                after_ms=round((now() - arrived_s) * 1000, 1),
+            )
+        finally:
+            held.release()
+
+    async def _take(
+        self, request: ForwardRequest, receive: Any, sink: "_Sink", held: HeldBody
+    ) -> None:
+        limit = self._subscription.index.table.limits.max_body_bytes
+        declared = int(dict(request.headers).get(b"content-length", b"0"))
+        match await read_body(receive, declared, limit, held.take):
+            case Ok(body):
+                request = replace(request, body=body)
+            case Err(problem):
+                await self._send_problem(sink, problem, close=True)
+                return
+        async with CallerWatch(receive) as watch:
+            sink.watch(watch)
+            problem = await self._forwarder.serve(request, sink)
+            if problem is not None:
+                await self._send_problem(sink, problem, close=False)
+
+    def _plan(
+        self, scope: Any, headers: tuple[Header, ...], arrived_s: float
+    ) -> Result[ForwardRequest, Problem]:
+        index = self._subscription.index
+        if not index.table.version:
+            return Err(_unready("this router has no routing table yet"))
+        if self._refuses:
+            detail = "this router is shutting down"
+            return Err(
+                Problem(503, "draining", detail, retry_after_s=DRAINING_RETRY_AFTER_S)
+            )
+        too_large = check_headers(list(headers), index.table.limits.max_header_bytes)
+        if too_large is not None:
+            return Err(too_large)
+        match self._codec.read_request(headers):
+            case Ok(marks):
+                pass
+            case Err(problem):
+                return Err(problem)
+        domain = dict(headers).get(b"host", b"").decode("latin-1").lower()
+        domain = domain.partition(":")[0]
+        raw_path = scope.get("raw_path") or scope["path"].encode()
+        route = index.route(domain, raw_path.decode("latin-1"))
+        is_fresh = self._subscription.fresh_left_s() > 0
+        if route is None:
+            if not is_fresh:
+                return Err(_unready("the routing table may be out of date"))
+            detail = f"no route for {domain!r} and path {scope['path']!r}"
+            return Err(refuse(404, "no-route", detail))
+        match self._team(marks, route.is_public, is_fresh):
+            case Ok(team):
+                pass
+            case Err(problem):
+                return Err(problem)
+        query = scope.get("query_string", b"")
+        return Ok(
+            ForwardRequest(
+                method=scope["method"],
+                target=raw_path + b"?" + query if query else raw_path,
+                headers=headers,
+                marks=marks,
+                route=route,
+                pool=choose_pool(route, marks.request_id),
+                table_version=index.table.version,
+                team=team,
+                arrived_s=arrived_s,
+                until_s=arrived_s
+                + min(route.timeout_s, marks.deadline_s or LONGEST_DEADLINE_S),
+            )
+        )
+
+    def _team(
+        self, marks: CallerMarks, is_public: bool, is_fresh: bool
+    ) -> Result[str, Problem]:
+        """Return the caller's team, empty where it needs none."""
+        index = self._subscription.index
+        if not index.needs_keys:
+            return Ok("")
+        if not is_public and not is_fresh:
+            # Its key may have been taken away since.
+            return Err(_unready("the routing table may be out of date"))
+        team = index.team(hash_key(marks.key)) if marks.key else None
+        if team is not None:
+            return Ok(team.team)
+        if is_public:
+            return Ok("")
+        detail = "the key belongs to no team" if marks.key else "no team key"
+        return Err(refuse(401, "team-key", detail))
+
+    async def _refuse(self, receive: Any, sink: "_Sink", problem: Problem) -> None:
+        """Answer once the body was read, as closing before would lose the answer."""
+        limit = self._subscription.index.table.limits.max_body_bytes
+        try:
+            body = await read_body(receive, 0, limit, lambda count: True)
+        except CallerGoneError:
+            return
+        await self._send_problem(sink, problem, close=body.is_err())
+
+    async def _send_problem(self, sink: "_Sink", problem: Problem, close: bool) -> None:
+        if close:
+            sink.close_connection()
+        headers = self._codec.problem_headers(problem)
+        await sink.start(problem.status, headers)
+        await sink.finish()
+
+
+class _Sink:
+    """Sends one answer over ASGI.
+
+    :param send: ASGI's send.
+    :param is_closing: returns whether the connection ends with the answer.
+    """
+
+    def __init__(self, send: Any, is_closing: Callable[[], bool]) -> None:
+        self._send = send
+        self._is_closing = is_closing
+        self._closes = False
+        self._watch: CallerWatch | None = None
+
+    def watch(self, watch: CallerWatch) -> None:
+        """Measure from now on how long the caller takes no byte.
+
+        :param watch: watches the caller's connection.
+        """
+        self._watch = watch
+
+    def close_connection(self) -> None:
+        """End the connection with the answer."""
+        self._closes = True
+
+    async def start(self, status: int, headers: tuple[Header, ...]) -> None:
+        """Send status and headers."""
+        if self._closes or self._is_closing():
+            headers = (*headers, (b"connection", b"close"))
+        message = {"type": "http.response.start", "status": status}
+        await self._send(message | {"headers": list(headers)})
+
+    async def send(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+        await self._deliver(chunk, more=True)
+
+    async def finish(self) -> None:
+        """Mark the answer as whole."""
+        await self._deliver(b"", more=False)
+
+    async def _deliver(self, chunk: bytes, more: bool) -> None:
+        if self._watch is not None:
+            self._watch.stall.begin()
+        message = {"type": "http.response.body", "body": chunk, "more_body": more}
+        await self._send(message)
+        if self._watch is not None:
+            self._watch.stall.end()
+
+
+def _unready(detail: str) -> Problem:
+    return Problem(503, "not-ready", detail, retry_after_s=STALE_RETRY_AFTER_S)
+
+
+def _log_refusal(
+    scope: Any,
+    headers: tuple[Header, ...],
+    problem: Problem,
+    subscription: TableSubscription,
+) -> None:
+    eliot.log_message(
+        "request:refused",
+        path=scope["path"],
+        domain=dict(headers).get(b"host", b"").decode("latin-1"),
+        status=problem.status,
+        cause=problem.detail,
+        table_version=subscription.version,
+        fresh_left_s=round(subscription.fresh_left_s(), 2),
+    )
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/ports.py
@@ -0,0 +1,66 @@
+"""Ports of the request path."""
+
+from typing import Protocol
+
+from result import Result
+
+from almondfield_daemon.forwarding.messages import (
+    AnswerMarks,
+    CallerMarks,
+    CallMarks,
+)
+from almondfield_daemon.router.calls import Header
+from almondfield_daemon.router.problems import Problem
+
+__all__ = ["HeaderCodec", "ResponseSink"]
+
+
+class HeaderCodec(Protocol):
+    """Reads and writes the headers that callers and backend servers speak."""
+
+    def read_request(self, headers: tuple[Header, ...]) -> Result[CallerMarks, Problem]:
+        """Return what a request's headers say.
+
+        :param headers: headers with names in lower case.
+        """
+
+    def call_headers(
+        self, headers: tuple[Header, ...], marks: CallMarks
+    ) -> tuple[Header, ...]:
+        """Return the headers of a request for one backend server.
+
+        :param headers: end-to-end headers of the caller's request.
+        :param marks: what the router adds.
+        """
+
+    def read_answer(self, headers: tuple[Header, ...]) -> AnswerMarks:
+        """Return what an answer's headers say.
+
+        :param headers: headers as received.
+        """
+
+    def problem_headers(self, problem: Problem) -> tuple[Header, ...]:
+        """Return the headers of an error answer of the router's own.
+
+        :param problem: the error.
+        """
+
+
+class ResponseSink(Protocol):
+    """Takes the answer for one caller."""
+
+    async def start(self, status: int, headers: tuple[Header, ...]) -> None:
+        """Send status and headers.
+
+        :param status: HTTP status.
+        :param headers: end-to-end headers.
+        """
+
+    async def send(self, chunk: bytes) -> None:
+        """Send a part of the body.
+
+        :param chunk: the part.
+        """
+
+    async def finish(self) -> None:
+        """Mark the answer as whole."""
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/logs/__init__.py
@@ -0,0 +1,5 @@
+"""Structured logs to standard output."""
+
+from almondfield_daemon.logs.core import LineLog
+
+__all__ = ["LineLog"]
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
@@ -34,6 +34,8 @@
     :param secret: the secret that all hosts share.
     :param incarnation: number that grows with each start of this host.
     :param sockets: opens connections; pynng's if None.
+    :param reach: returns how a host is reached that neither the settings nor the
+        host itself has told of; None where such hosts are unknown.
     """
 
     def __init__(
@@ -42,7 +44,9 @@
         secret: bytes,
         incarnation: int,
         sockets: Sockets | None = None,
+        reach: Callable[[str], HostSettings] | None = None,
     ) -> None:
+        self._reach = reach
         self._settings = settings
         self._incarnation = incarnation
         self._seal = FrameSeal(secret)
@@ -188,9 +192,13 @@
 
     def _link(self, host: str) -> OutgoingLink | None:
         link = self._link_by_host.get(host)
-        target = self._host_by_name.get(host)
-        if link is not None or target is None:
+        if link is not None:
             return link
+        target = self._host_by_name.get(host)
+        if target is None and self._reach is not None:
+            target = self._host_by_name[host] = self._reach(host)
+        if target is None:
+            return None
         link = OutgoingLink(
             self._own,
             self._incarnation,
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/path.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/path.py
@@ -69,13 +69,15 @@
 
         :param frame: a frame with a right seal.
         """
-        if frame.incarnation < self.peer_incarnation:
+        if frame.incarnation < self.peer_incarnation and self.is_heard:
             return "earlier incarnation of the sender"
         if frame.echo_incarnation not in (0, self._own_incarnation):
             return "meant for another incarnation"
         if frame.envelopes and not frame.echo_incarnation:
             return "meant for no known incarnation"
-        restarted = frame.incarnation > self.peer_incarnation
+        # A lower incarnation after a silence is a host whose calendar time was set
+        # back before it started again.
+        restarted = frame.incarnation != self.peer_incarnation
         if not restarted and frame.sequence <= self.peer_sequence:
             return "repeated or overtaken"
         if restarted:
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
@@ -45,6 +45,9 @@
     :ivar body: the whole body.
     :ivar timeouts: timeouts of the pool.
     :ivar pooled: whether a pooled connection may carry it.
+    :ivar authority: value of the host header; empty for the address.
+    :ivar may_end_by_close: whether an answer without a length that ends with its
+        connection counts as whole.
     """
 
     address: str
@@ -54,6 +57,8 @@
     body: bytes
     timeouts: Timeouts
     pooled: bool
+    authority: bytes = b""
+    may_end_by_close: bool = False
 
 
 @dataclass(frozen=True)
