Schedule model engines at the leading control host

Change: routers ask the leader of the control group, which models each engine (unread prompts, reading rate learnt from answers, parts kept) and the teams' shares of 4 s, admits a prompt only where it waits a short time, and refuses the rest at once with a time to come back.

--- a/packages/almondfield-control/src/almondfield_control/publishing/core.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/core.py
@@ -69,10 +69,18 @@
         """
         return await self._leader.ask(ReadRequest(), timeout_s)
 
-    def _leads(self) -> bool:
+    @property
+    def leads(self) -> bool:
+        """Return whether this host leads the control group."""
         replica = self._replica
         return replica.is_leader and replica.leadership.has_committed
 
+    @property
+    def table(self) -> RoutingTable | None:
+        """Return the newest table that this member knows to be accepted, if any."""
+        published = self._replica.state.published
+        return published.table if published else None
+
     def _not_leader(self) -> NotLeader:
         return NotLeader(self._replica.leader_host)
 
@@ -82,7 +90,7 @@
     async def _on_publish(
         self, sender: str, request: PublishRequest
     ) -> PublishReply | NotLeader | ControlUnavailable:
-        if not self._leads():
+        if not self.leads:
             return self._not_leader()
         held = self._replica.state.published
         if held is not None and held.table.version >= request.table.version:
@@ -101,7 +109,7 @@
     async def _on_read(
         self, sender: str, request: ReadRequest
     ) -> ReadReply | NotLeader | ControlUnavailable:
-        if not self._leads():
+        if not self.leads:
             return self._not_leader()
         match await self._replica.propose(NoOperation()):
             case Ok(_):
@@ -115,7 +123,7 @@
     async def _on_lease(
         self, sender: str, request: LeaseRequest
     ) -> LeaseReply | NotLeader:
-        if not self._leads():
+        if not self.leads:
             return self._not_leader()
         self._seen_s_by_router[sender] = now()
         held = self._replica.state.published
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/board.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/board.py
@@ -58,6 +58,14 @@
             return ()
         return self.merge((replace(known, phase=ServerPhase.GONE),))
 
+    def leaving(self) -> tuple[FleetServer, ...]:
+        """Return the servers that take no new work but were in use lately."""
+        return tuple(
+            server
+            for server in self._server_by_name.values()
+            if server.phase is not ServerPhase.SERVING
+        )
+
     def silent(self) -> tuple[str, ...]:
         """Return the names of servers that were not heard for a while."""
         before_s = now() - SILENCE_S
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
@@ -32,6 +32,7 @@
     :param chance: source of the order of addresses.
 
     :ivar routers: routers that said hello.
+    :ivar on_servers: called after the servers changed.
     """
 
     def __init__(
@@ -47,6 +48,11 @@
         self._board = ServerBoard()
         self._untold_by_name: dict[str, FleetServer] = {}
         self.routers = RouterDirectory(chance)
+        self.on_servers: list[Callable[[], None]] = []
+
+    def servers(self) -> tuple[FleetServer, ...]:
+        """Return every server, also those that left a short time ago."""
+        return self._board.servers()
 
     def listen(self) -> None:
         """Answer messages from now on."""
@@ -57,8 +63,10 @@
         """Tell the other control hosts of announcements until cancelled."""
         while True:
             await asyncio.sleep(SPREAD_S)
-            self._log(self._board.forget(), "silence")
-            untold = tuple(self._untold_by_name.values())
+            self._note(self._board.forget(), "silence")
+            # A control host that was cut off has not heard who left meanwhile.
+            leaving = self._board.leaving()
+            untold = (*leaving, *self._untold_by_name.values())
             self._untold_by_name.clear()
             if untold:
                 self._tell_control_hosts(ServerNews(untold[:MAX_SERVERS_PER_NEWS]))
@@ -72,7 +80,7 @@
         if not changed:
             self._untold_by_name[server.name] = server
             return
-        self._log(changed, "announced")
+        self._note(changed, "announced")
         self._tell_all(ServerNews(changed))
 
     def leave(self, name: str) -> bool:
@@ -82,11 +90,11 @@
         """
         changed = self._board.leave(name)
         if changed:
-            self._log(changed, "left")
+            self._note(changed, "left")
             self._tell_all(ServerNews(changed))
         return self._board.get(name) is not None
 
-    def _log(self, changed: tuple[FleetServer, ...], cause: str) -> None:
+    def _note(self, changed: tuple[FleetServer, ...], cause: str) -> None:
         for server in changed:
             eliot.log_message(
                 "server:changed",
@@ -96,6 +104,9 @@
                 sequence=server.sequence,
                 cause=cause,
             )
+        if changed:
+            for callback in self.on_servers:
+                callback()
 
     def _tell_all(self, news: ServerNews) -> None:
         self._tell_control_hosts(news)
@@ -121,7 +132,7 @@
 
     async def _on_news(self, sender: str, news: ServerNews) -> None:
         changed = self._board.merge(news.servers)
-        self._log(changed, f"told by {sender}")
+        self._note(changed, f"told by {sender}")
         leaving = [s for s in changed if s.phase is not ServerPhase.SERVING]
         if leaving:
             # The sender may not reach every router that this host reaches.
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -103,6 +103,17 @@
             if server.pool == pool and server.phase is ServerPhase.SERVING
         )
 
+    def unusable_servers(self, pool: str) -> frozenset[str]:
+        """Return the names of a pool's servers that take no new work.
+
+        :param pool: name of the pool.
+        """
+        return frozenset(
+            server.name
+            for server in self._board.servers()
+            if server.pool == pool and server.phase is not ServerPhase.SERVING
+        )
+
     def is_serving(self, server: FleetServer) -> bool:
         """Return whether a server still takes new work.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -13,11 +13,13 @@
 from almondfield_core.settings import FleetSettings
 from almondfield_daemon.fleet import FleetControl
 from almondfield_daemon.fleet_daemon.core import FleetHost
+from almondfield_daemon.scheduling import EngineService
 
 __all__ = ["ControlHost"]
 
 LEADER_ATTEMPT_S = 0.4  # many round trips, and a fraction of an election
 HAND_OVER_TIMEOUT_S = 1.0
+SCHEDULER_START_BITS = 48
 FEWEST_SEEDS_OF_A_GROUP = 3  # smaller deployments name all their control hosts
 
 
@@ -50,12 +52,20 @@
         leader = LeaderClient(self.peers, self._members, LEADER_ATTEMPT_S)
         self.publisher = TablePublisher(self._replica, self.peers, leader)
         self.fleet = FleetControl(self.peers, self.incarnation, self._members, chance)
+        self._engines = EngineService(
+            self.peers,
+            self.fleet,
+            self.publisher,
+            settings.share_window_s,
+            lambda: chance.getrandbits(SCHEDULER_START_BITS),
+        )
 
     def parts(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return what runs beside the messages between hosts."""
         self.publisher.listen()
         self.fleet.listen()
-        return (self._replica.run(), self.fleet.run())
+        self._engines.listen()
+        return (self._replica.run(), self.fleet.run(), self._engines.run())
 
     def take_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use other seeds from now on."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -22,6 +22,7 @@
     RetryWindow,
     ServerChoice,
 )
+from almondfield_daemon.scheduling import EngineClient
 from almondfield_fairshare.prefix_placement import Placement
 
 __all__ = ["RouterHost"]
@@ -68,7 +69,10 @@
         )
         self._backends = HttpBackends(settings.daemon_settings())
         placement = Placement(random.Random(f"{settings.address}/{self.incarnation}"))
-        self._servers = ServerChoice(self.view, placement, settings.data_centre)
+        engines = EngineClient(self.peers, lambda: leader.leader_host)
+        self._servers = ServerChoice(
+            self.view, placement, settings.data_centre, engines
+        )
         attempts = Attempts(self._backends, codec)
         forwarder = Forwarder(attempts, self._servers, self._make_window)
         held_bytes = int(BODY_SHARE_OF_MEMORY * settings.memory_mb * BYTES_PER_MB)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -82,6 +82,8 @@
 def _log(
     request: ForwardRequest, run: RequestRun, problem: Problem | None, error: str
 ) -> None:
+    place = run.place
+    wait_s = place.wait_s if place else None
     eliot.log_message(
         "request:ended",
         request_id=request.marks.request_id,
@@ -91,6 +93,8 @@
         pool=request.pool,
         server=run.server_name,
         attempts=run.sent,
+        unread_tokens=place.unread_tokens if place else None,
+        predicted_wait_ms=None if wait_s is None else round(wait_s * 1000, 1),
         status=problem.status if problem else run.status,
         cause=problem.detail if problem else error,
         first_ms=round(run.first_s * 1000, 1),
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -20,10 +20,11 @@
 )
 from almondfield_daemon.forwarding.ports import ResponseSink
 from almondfield_daemon.forwarding.reports import log_attempt
-from almondfield_daemon.forwarding.servers import Choice, ServerChoice
+from almondfield_daemon.forwarding.servers import Choice, ServerChoice, Unavailable
 from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer, Header
 from almondfield_daemon.router.events import EventTracker
 from almondfield_daemon.router.problems import Outcome, Problem
+from almondfield_daemon.scheduling import EnginePlace
 
 __all__ = ["RequestRun", "StreamBrokenError"]
 
@@ -54,6 +55,7 @@
     :ivar status: status that the caller got; 0 before.
     :ivar first_s: seconds until the answer began; 0 before.
     :ivar server_name: server of the last attempt; empty before.
+    :ivar place: its place at a model engine; None for other servers.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         self.status = 0
         self.first_s = 0.0
         self.server_name = ""
+        self.place: EnginePlace | None = None
 
     async def serve(self) -> Problem | None:
         """Return None once the answer was sent, or why nothing was sent.
@@ -189,10 +192,11 @@
         while True:
             if self._left_s() < LEAST_LEFT_S:
                 return self._unknown("the time for the answer is over", True)
-            choice = self._servers.choose(self._request, self._tried)
-            if choice is None:
-                return self._refusal("no backend server of the pool takes work")
+            choice = await self._servers.choose(self._request, self._tried)
+            if isinstance(choice, Unavailable):
+                return self._refusal(choice.detail, choice.retry_after_s)
             self.server_name = choice.server.name
+            self.place = choice.place
             outcome = await self._attempt(choice)
             match outcome:
                 case Answered():
@@ -277,11 +281,11 @@
         patience_s = TARGETS_PER_ATTEMPT * route.latency_target_s
         return max(LEAST_ANSWER_TIMEOUT_S, patience_s)
 
-    def _refusal(self, detail: str) -> Problem:
+    def _refusal(self, detail: str, retry_after_s: float = RETRY_AFTER_S) -> Problem:
         """Return the problem of a request that no server has begun, if that is so."""
         if self.may_have_run:
             return self._unknown(detail, is_timeout=False)
-        return Problem(503, "no-capacity", detail, retry_after_s=RETRY_AFTER_S)
+        return Problem(503, "no-capacity", detail, retry_after_s=retry_after_s)
 
     def _unknown(self, detail: str, is_timeout: bool) -> Problem:
         if not self.may_have_run and not is_timeout:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -1,14 +1,29 @@
 """Chooses backend servers for requests and keeps account of their load."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 import eliot
 
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.forwarding.messages import ForwardRequest, ServerLoad
+from almondfield_daemon.scheduling import EngineClient, EnginePlace
+from almondfield_daemon.scheduling.messages import EngineRefusal
 from almondfield_fairshare.prefix_placement import Candidate, Placement, Ticket
 
-__all__ = ["Choice", "ServerChoice"]
+__all__ = ["Choice", "ServerChoice", "Unavailable"]
+
+
+@dataclass(frozen=True)
+class Unavailable:
+    """Why no server takes a request now.
+
+    :ivar detail: what is known.
+    :ivar retry_after_s: when another try may succeed, in seconds.
+    """
+
+    detail: str
+    retry_after_s: float = 0.3
 
 
 class Choice:
@@ -17,14 +32,20 @@
     :param server: the server.
     :param placement: keeps its record.
     :param ticket: the request's part in its load.
+    :param place: its place at a model engine, told to the scheduler; None for others.
     """
 
     def __init__(
-        self, server: FleetServer, placement: Placement, ticket: Ticket
+        self,
+        server: FleetServer,
+        placement: Placement,
+        ticket: Ticket,
+        place: EnginePlace | None = None,
     ) -> None:
         self.server = server
         self._placement = placement
         self._ticket = ticket
+        self.place = place
 
     def report(self, load: ServerLoad | None) -> None:
         """Take note of the load that the server told, if it did.
@@ -38,6 +59,8 @@
     def begin_answer(self) -> None:
         """Note that the server has read the prompt."""
         self._ticket.begin_answer()
+        if self.place is not None:
+            self.place.begin_answer()
 
     def succeed(self) -> None:
         """Note a whole answer."""
@@ -62,6 +85,8 @@
     def end(self) -> None:
         """Note that the attempt is over."""
         self._ticket.end()
+        if self.place is not None:
+            self.place.end()
 
 
 class ServerChoice:
@@ -70,31 +95,92 @@
     :param view: servers as they are known.
     :param placement: chooses among them.
     :param data_centre: data centre of this router.
+    :param engines: the scheduler of model engines.
     """
 
-    def __init__(self, view: FleetView, placement: Placement, data_centre: str) -> None:
+    def __init__(
+        self,
+        view: FleetView,
+        placement: Placement,
+        data_centre: str,
+        engines: EngineClient,
+    ) -> None:
+        self._engines = engines
         self._view = view
         self._placement = placement
         self._data_centre = data_centre
         # Servers that hold the address of an earlier one, by name and start.
         self._misdirected: set[tuple[str, int]] = set()
 
-    def choose(self, request: ForwardRequest, tried: frozenset[str]) -> Choice | None:
-        """Return where to make the next attempt; None where there is no server.
+    async def choose(
+        self, request: ForwardRequest, tried: frozenset[str]
+    ) -> Choice | Unavailable:
+        """Return where to make the next attempt, or why there is none.
 
         :param request: the request.
         :param tried: servers that failed it already.
         """
+        prompt = request.marks.prompt if request.route.has_prompt else None
+        if prompt is None:
+            return self._choose_here(request, tried)
+        excluded = tried | self._avoided(request.pool)
+        excluded |= self._view.unusable_servers(request.pool)
+        place = await self._engines.ask(
+            request.pool,
+            request.team,
+            prompt,
+            request.route.latency_target_s,
+            excluded,
+            is_repeat=bool(tried),
+        )
+        match place:
+            case EngineRefusal(retry_after_s, is_over_share, wait_s):
+                reason = "the team has had its share" if is_over_share else "no room"
+                detail = f"{reason}; the shortest wait is {wait_s:.3f} s"
+                return Unavailable(detail, retry_after_s)
+            case EnginePlace():
+                server = self._find(request.pool, place.server)
+                if server is not None:
+                    self._engines.remember(prompt, server.name)
+                    candidate = self._candidate(server, frozenset())
+                    ticket = self._placement.start(candidate, prompt)
+                    return Choice(server, self._placement, ticket, place)
+                place.end()
+        return self._choose_here(request, tried)
+
+    def _choose_here(
+        self, request: ForwardRequest, tried: frozenset[str]
+    ) -> Choice | Unavailable:
+        """Return a server by what this router alone knows."""
         servers = self._usable(request.pool)
         silent = self._view.silent_servers()
         candidates = tuple(self._candidate(server, silent) for server in servers)
         prompt = request.marks.prompt if request.route.has_prompt else None
-        chosen = self._placement.choose(candidates, prompt, tried)
+        hint = self._engines.remembered(prompt) if prompt else ""
+        chosen = self._placement.choose(candidates, prompt, tried, hint)
         if chosen is None:
-            return None
+            return Unavailable("no backend server of the pool takes work now")
         server = next(item for item in servers if item.name == chosen.name)
         ticket = self._placement.start(chosen, prompt)
-        return Choice(server, self._placement, ticket)
+        place = None
+        if prompt is not None:
+            self._engines.remember(prompt, server.name)
+            own_tokens = prompt.parts[-1].tokens if prompt.parts else 1
+            place = self._engines.place(request.pool, server.name, own_tokens)
+        return Choice(server, self._placement, ticket, place)
+
+    def _find(self, pool: str, name: str) -> FleetServer | None:
+        return next((s for s in self._usable(pool) if s.name == name), None)
+
+    def _avoided(self, pool: str) -> frozenset[str]:
+        """Return servers that the scheduler must not choose; none if that is all."""
+        servers = self._usable(pool)
+        avoided = frozenset(
+            server.name
+            for server in servers
+            if self._placement.record(server.name).is_avoided
+        )
+        return avoided if len(avoided) < len(servers) else frozenset()
 
     def is_serving(self, choice: Choice) -> bool:
         """Return whether a chosen server still takes new work.
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -0,0 +1,147 @@
+"""Schedules the engines of every model pool on the leading control host."""
+
+import asyncio
+from collections.abc import Callable
+
+from almondfield_control.publishing import TablePublisher
+from almondfield_core.ports import Peers
+from almondfield_core.routing import RoutingTable
+from almondfield_daemon.fleet import FleetControl, FleetServer, ServerPhase
+from almondfield_daemon.scheduling.messages import (
+    EngineAsk,
+    EngineProgress,
+    EngineRefusal,
+    EngineReply,
+    NotScheduling,
+)
+from almondfield_fairshare.engines import (
+    Admitted,
+    EngineScheduler,
+    EngineServer,
+    PromptRequest,
+    Refused,
+    TicketId,
+)
+
+__all__ = ["EngineService"]
+
+CLEAN_UP_S = 1.0
+
+
+class EngineService:
+    """Answers routers while this host leads the control group.
+
+    :param peers: messages to the other hosts.
+    :param fleet: routers and backend servers.
+    :param publisher: tells the routing table, and whether this host leads.
+    :param window_s: window of the teams' shares, in seconds.
+    :param make_start: returns a number that no earlier scheduler had.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        fleet: FleetControl,
+        publisher: TablePublisher,
+        window_s: float,
+        make_start: Callable[[], int],
+    ) -> None:
+        self._peers = peers
+        self._fleet = fleet
+        self._publisher = publisher
+        self._window_s = window_s
+        self._make_start = make_start
+        self._start = 0
+        self._is_scheduling = False
+        self._scheduler_by_pool: dict[str, EngineScheduler] = {}
+
+    def listen(self) -> None:
+        """Answer messages from now on."""
+        self._peers.listen(EngineAsk, self._on_ask)
+        self._peers.listen(EngineProgress, self._on_progress)
+        self._fleet.on_servers.append(self._follow_servers)
+
+    async def run(self) -> None:
+        """Forget what nobody tells the end of, until cancelled."""
+        routers: frozenset[str] = frozenset()
+        while True:
+            await asyncio.sleep(CLEAN_UP_S)
+            before, routers = routers, frozenset(self._fleet.routers.hosts())
+            for scheduler in self._scheduler_by_pool.values():
+                scheduler.forget_lost()
+                for router in before - routers:
+                    scheduler.forget_router(router)
+
+    def _leads(self) -> bool:
+        """Return whether this host schedules; a new term begins with no knowledge."""
+        leads = self._publisher.leads
+        if leads and not self._is_scheduling:
+            self._scheduler_by_pool.clear()
+            self._start = self._make_start()
+        self._is_scheduling = leads
+        return leads
+
+    async def _on_ask(
+        self, sender: str, ask: EngineAsk
+    ) -> EngineReply | EngineRefusal | NotScheduling:
+        table = self._publisher.table
+        if not self._leads() or table is None:
+            return NotScheduling()
+        request = PromptRequest(
+            TicketId(sender, ask.number),
+            ask.team,
+            ask.prompt,
+            ask.latency_target_s,
+            ask.excluded,
+            ask.is_repeat,
+            ask.hint,
+        )
+        scheduler = self._scheduler(ask.pool, table)
+        match scheduler.decide(request, table.limits.work_per_s):
+            case Admitted(server, unread_tokens, wait_s):
+                return EngineReply(server, unread_tokens, wait_s, self._start)
+            case Refused(retry_after_s, is_over_share, wait_s):
+                return EngineRefusal(retry_after_s, is_over_share, wait_s, self._start)
+
+    async def _on_progress(self, sender: str, progress: EngineProgress) -> None:
+        table = self._publisher.table
+        if not self._leads() or table is None:
+            return
+        for item in progress.in_flight:
+            ticket = TicketId(sender, item.number)
+            scheduler = self._scheduler(item.pool, table)
+            scheduler.restore(ticket, item.server, item.unread_tokens)
+        for item in progress.begun:
+            ticket = TicketId(sender, item.number)
+            self._scheduler(item.pool, table).begin(ticket, item.server)
+        for item in progress.ended:
+            ticket = TicketId(sender, item.number)
+            self._scheduler(item.pool, table).end(ticket)
+
+    def _scheduler(self, pool: str, table: RoutingTable) -> EngineScheduler:
+        scheduler = self._scheduler_by_pool.get(pool)
+        if scheduler is None:
+            scheduler = EngineScheduler(self._window_s)
+            self._scheduler_by_pool[pool] = scheduler
+            scheduler.set_servers(self._engines(pool, table))
+        return scheduler
+
+    def _follow_servers(self) -> None:
+        table = self._publisher.table
+        if table is None:
+            return
+        for pool, scheduler in self._scheduler_by_pool.items():
+            scheduler.set_servers(self._engines(pool, table))
+
+    def _engines(self, pool: str, table: RoutingTable) -> list[EngineServer]:
+        limits = next((p.engine for p in table.pools if p.name == pool), None)
+        cache_tokens = limits.cache_tokens if limits else 0
+        return [
+            _engine(server, cache_tokens)
+            for server in self._fleet.servers()
+            if server.pool == pool and server.phase is ServerPhase.SERVING
+        ]
+
+
+def _engine(server: FleetServer, cache_tokens: int) -> EngineServer:
+    return EngineServer(server.name, server.born_ms, server.slots, cache_tokens)
--- /dev/null
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
@@ -0,0 +1,87 @@
+"""Max-min shares of the engines' work between teams over a sliding window."""
+
+from collections import deque
+
+from almondfield_core.clock import now
+
+__all__ = ["TeamShares"]
+
+
+class _Sum:
+    """Work of the last seconds.
+
+    :param window_s: length of the window in seconds.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._items: deque[tuple[float, float]] = deque()
+        self._total = 0.0
+
+    def add(self, work: float) -> None:
+        """Count work done now."""
+        self._items.append((now(), work))
+        self._total += work
+
+    def total(self) -> float:
+        """Return the work within the window."""
+        before_s = now() - self._window_s
+        while self._items and self._items[0][0] < before_s:
+            self._total -= self._items.popleft()[1]
+        return max(0.0, self._total)
+
+
+class TeamShares:
+    """What teams asked for and got, and the share that each may have.
+
+    A team that asks for less than an even share gets all; what it leaves is shared
+    evenly by the others.
+
+    :param window_s: length of the window in seconds.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._asked_by_team: dict[str, _Sum] = {}
+        self._got_by_team: dict[str, _Sum] = {}
+
+    def ask(self, team: str, work: float) -> None:
+        """Count work that a team asks for.
+
+        :param team: name of the team.
+        :param work: tokens of work.
+        """
+        self._asked_by_team.setdefault(team, _Sum(self._window_s)).add(work)
+
+    def grant(self, team: str, work: float) -> None:
+        """Count work that a team gets.
+
+        :param team: name of the team.
+        :param work: tokens of work.
+        """
+        self._got_by_team.setdefault(team, _Sum(self._window_s)).add(work)
+
+    def used(self, team: str, work_per_s: float) -> float:
+        """Return which part of its share a team has had; above 1 beyond its share.
+
+        :param team: name of the team.
+        :param work_per_s: work of all engines a second; 0 where not known.
+        """
+        if work_per_s <= 0:
+            return 0.0
+        level = self._level(work_per_s * self._window_s)
+        got = self._got_by_team.get(team)
+        return (got.total() if got else 0.0) / level
+
+    def _level(self, capacity: float) -> float:
+        """Return the most that one team may have in a window."""
+        asked = sorted(item.total() for item in self._asked_by_team.values())
+        asked = [total for total in asked if total > 0]
+        left = capacity
+        for place, total in enumerate(asked):
+            even = left / (len(asked) - place)
+            if total >= even:
+                return even
+            left -= total
+        # Nobody asks for more than there is; one team may have all that is left.
+        return max(left + (asked[-1] if asked else 0.0), 1.0)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/core.py
@@ -95,12 +95,16 @@
         candidates: tuple[Candidate, ...],
         prompt: Prompt | None,
         tried: frozenset[str] = frozenset(),
+        hint: str = "",
     ) -> Candidate | None:
         """Return the server to send a request to; None where there is none.
 
+        A server that still reads a prompt of this router gets no other one.
+
         :param candidates: servers of the pool that take new work.
         :param prompt: prompt of the request, if it tells one.
         :param tried: servers that failed this request already.
+        :param hint: server that had the prompt's shared parts last; empty for none.
         """
         usable = [c for c in candidates if c.name not in tried]
         sound = [
@@ -109,6 +113,12 @@
         choice = sound or usable
         if not choice:
             return None
+        if prompt is not None:
+            # Without a scheduler nobody knows what the other routers have sent.
+            choice = [c for c in choice if not self.record(c.name).unread_tokens]
+        remembered = next((c for c in choice if c.name == hint), None)
+        if remembered is not None or not choice:
+            return remembered
         if prompt is None or len(prompt.parts) < 2:
             return min(choice, key=self._business)
         return self._by_prompt(choice, prompt)
