Follow a leader that no seed is

Cause: after the final fault a control host that is no seed led, and routers that had just started asked the seeds only; they took no leader's name that was not among their voters. Change: a client follows the leader that a voter names, and hellos tell the members.

--- a/packages/almondfield-control/src/almondfield_control/node/leader_client.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader_client.py
@@ -83,7 +83,7 @@
             self._leader_host = ""
         if self._target != asked:
             return
-        if leader_host and leader_host != asked and leader_host in voters:
+        if leader_host and leader_host != asked:
             self._target = leader_host
             return
         place = voters.index(asked) if asked in voters else -1
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
@@ -128,6 +128,7 @@
             servers=None if is_current else self._board.servers(),
             silent=self._board.silent(),
             routers=len(self.routers.hosts()),
+            control_hosts=self._control_hosts(),
         )
 
     async def _on_news(self, sender: str, news: ServerNews) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/messages.py
@@ -88,6 +88,7 @@
     :ivar servers: the whole board; None where the router holds this version.
     :ivar silent: names of servers that no control host heard for a while.
     :ivar routers: number of routers that said hello lately.
+    :ivar control_hosts: members of the control group.
     """
 
     board_start: int
@@ -95,6 +96,7 @@
     servers: tuple[FleetServer, ...] | None
     silent: tuple[str, ...] = ()
     routers: int = 1
+    control_hosts: tuple[str, ...] = ()
 
 
 @wire_message("server-news")
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -70,7 +70,8 @@
 
     def control_hosts(self) -> tuple[str, ...]:
         """Return the hosts of the control group, as they are known."""
-        return tuple(dict.fromkeys((*self._members, *self._seeds)))
+        told = [host for f in self._heard_lately() for host in f.reply.control_hosts]
+        return tuple(dict.fromkeys((*self._members, *told, *self._seeds)))
 
     def learn_control_hosts(self, hosts: tuple[str, ...]) -> None:
         """Take note of the members of the control group.
