--- a/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
@@ -330,5 +330,9 @@
 
     async def _watch_lease(self) -> None:
         while self.is_confirmed():
+            if self._replica.journal.failure is not None:
+                # Another voter may be able to write.
+                await self.hand_over(self._replica.timing.election_s)
+                return
             await asyncio.sleep(max(0.001, self.lease_until() - now()))
         self._replica.step_down()
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -30,7 +30,8 @@
 LEADER_ATTEMPT_S = 0.4  # many round trips, and a fraction of an election
 LEASE_SHARE = 0.8  # of the revocation time; the rest covers clocks that drift
 STATE_CHECK_S = 0.1
-SERVE_WHILE_DRAINING_SHARE = 0.3  # of the grace, while callers may hold the address
+SERVE_STREAMS_SHARE = 0.3  # of the grace; most streams end in what is left of it
+SERVE_ALL_SHARE = 0.6  # of the grace, while callers may still hold the address
 LAST_CALL_SHARE = 0.93  # of the grace; the rest is for the end of the process
 BODY_SHARE_OF_MEMORY = 0.2
 BYTES_PER_MB = 1_000_000
@@ -105,7 +106,9 @@
         grace_s = self.settings.grace_s
         self.view.set_state(RouterState.DRAINING)
         self._endpoint.close_connections()
-        await asyncio.sleep(SERVE_WHILE_DRAINING_SHARE * grace_s)
+        await asyncio.sleep(SERVE_STREAMS_SHARE * grace_s)
+        self._endpoint.refuse_streams()
+        await asyncio.sleep((SERVE_ALL_SHARE - SERVE_STREAMS_SHARE) * grace_s)
         self._endpoint.refuse_new()
         while self._endpoint.running and now() - began_s < LAST_CALL_SHARE * grace_s:
             await asyncio.sleep(STATE_CHECK_S)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -10,6 +10,7 @@
 
 from almondfield_control.publishing import TableSubscription
 from almondfield_core.clock import now
+from almondfield_core.routing import RequestKind
 from almondfield_core.tables import hash_key
 from almondfield_daemon.edge.bodies import (
     BodyBudget,
@@ -55,6 +56,7 @@
         self._codec = codec
         self._budget = BodyBudget(max_held_bytes)
         self._is_closing = False
+        self._refuses_streams = False
         self._refuses = False
         self.running = 0
 
@@ -62,6 +64,10 @@
         """End the caller's connection with each answer from now on."""
         self._is_closing = True
 
+    def refuse_streams(self) -> None:
+        """Refuse requests for streams from now on; those that run go on."""
+        self._refuses_streams = True
+
     def refuse_new(self) -> None:
         """Refuse requests from now on; those that run go on."""
         self._refuses = True
@@ -130,10 +136,7 @@
         if not index.table.version:
             return Err(_unready("this router has no routing table yet"))
         if self._refuses:
-            detail = "this router is shutting down"
-            return Err(
-                Problem(503, "draining", detail, retry_after_s=DRAINING_RETRY_AFTER_S)
-            )
+            return Err(_draining())
         too_large = check_headers(list(headers), index.table.limits.max_header_bytes)
         if too_large is not None:
             return Err(too_large)
@@ -152,6 +155,8 @@
                 return Err(_unready("the routing table may be out of date"))
             detail = f"no route for {domain!r} and path {scope['path']!r}"
             return Err(refuse(404, "no-route", detail))
+        if self._refuses_streams and route.kind is RequestKind.STREAMING:
+            return Err(_draining())
         match self._team(marks, route.is_public, is_fresh):
             case Ok(team):
                 pass
@@ -261,6 +266,11 @@
     return Problem(503, "not-ready", detail, retry_after_s=STALE_RETRY_AFTER_S)
 
 
+def _draining() -> Problem:
+    detail = "this router is shutting down"
+    return Problem(503, "draining", detail, retry_after_s=DRAINING_RETRY_AFTER_S)
+
+
 def _log_refusal(
     scope: Any,
     headers: tuple[Header, ...],
