Test forwarding, fleets from seeds and the control group that grows

A request whose time ran out during its first attempt was logged as not run (504, which promises nothing): the scenarios 'What one failed attempt leads to' and 'The route's timeout ends a request' failed first. An attempt under way counts as one that may have run.

--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing_fleet.py
@@ -0,0 +1,120 @@
+"""Control hosts that start from seeds, and routers, over links in memory."""
+
+import asyncio
+import random
+
+from result import Ok
+
+from almondfield_control.consensus import GroupPolicy, Replica
+from almondfield_control.node.leader_client import LeaderClient
+from almondfield_control.publishing import TablePublisher, TableSubscription
+from almondfield_control.tests.fake_disk import FakeDisk
+from almondfield_core.clock import WallClock, now
+from almondfield_core.routing import RoutingTable
+from almondfield_core.settings import TimingSettings
+from almondfield_testing import InMemoryNetwork
+
+LEASE_S = 4.0
+ATTEMPT_S = 0.4
+PUBLISH_TIMEOUT_S = 1.5
+
+
+class PublishingFleet:
+    """Hosts c1, c2, ... of which the first few are seeds, and routers r1, r2, ..."""
+
+    def __init__(self, hosts, seeds, may_form=True, lost_disks=1):
+        self.chance = random.Random(1)
+        self.network = InMemoryNetwork()
+        self.hosts = [f"c{number + 1}" for number in range(hosts)]
+        self.seeds = tuple(self.hosts[:seeds])
+        self.policy = GroupPolicy(may_form, True, 2 * lost_disks + 1)
+        self.disk_by_host = {}
+        self.replica_by_host = {}
+        self.publisher_by_host = {}
+        self.subscription_by_router = {}
+        self.task_by_host = {}
+        self.answers = []
+
+    def start(self, host, may_form=None):
+        """Start a control host."""
+        disk = self.disk_by_host.setdefault(host, FakeDisk(self.chance))
+        peers = self.network.peers(host)
+        policy = self.policy
+        if may_form is not None:
+            policy = GroupPolicy(may_form, True, policy.least_voters)
+        chance = random.Random(self.chance.random())
+        replica = Replica(
+            peers, disk, self.seeds, TimingSettings(), WallClock(1e9), chance, policy
+        )
+
+        def members():
+            named = [member.host for member in replica.log.members]
+            return tuple(dict.fromkeys((*named, *self.seeds)))
+
+        leader = LeaderClient(peers, members, ATTEMPT_S)
+        publisher = TablePublisher(replica, peers, leader)
+        publisher.listen()
+        self.replica_by_host[host] = replica
+        self.publisher_by_host[host] = publisher
+        self.task_by_host[host] = asyncio.ensure_future(replica.run())
+
+    def start_router(self, router):
+        """Start a router that knows the seeds."""
+        peers = self.network.peers(router)
+        known = list(self.seeds)
+
+        def learn(hosts):
+            known[:] = dict.fromkeys((*hosts, *known))
+
+        leader = LeaderClient(peers, lambda: tuple(known), ATTEMPT_S)
+        subscription = TableSubscription(peers, leader, LEASE_S, learn)
+        self.subscription_by_router[router] = subscription
+        self.task_by_host[router] = asyncio.ensure_future(subscription.run())
+
+    async def stop(self, host, wipe=False):
+        """Kill a control host, with its power or with its disk."""
+        self.network.stop(host)
+        disk = self.disk_by_host[host]
+        disk.wipe() if wipe else disk.crash()
+        task = self.task_by_host.pop(host)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        del self.replica_by_host[host]
+
+    def leader(self):
+        """Return the host that leads; None where there is none."""
+        leaders = [h for h, r in self.replica_by_host.items() if r.is_leader]
+        assert len(leaders) <= 1, leaders
+        return leaders[0] if leaders else None
+
+    def voters(self):
+        """Return the voters as the leader knows them."""
+        leader = self.leader()
+        if leader is None:
+            return set()
+        members = self.replica_by_host[leader].log.members
+        return {member.host for member in members if member.votes}
+
+    async def until(self, condition, timeout_s):
+        """Wait for a condition."""
+        until_s = now() + timeout_s
+        while not condition():
+            assert now() < until_s, f"not within {timeout_s} s"
+            await asyncio.sleep(0.02)
+
+    async def publish(self, host, version, document=b""):
+        """Publish a table until it is acknowledged, as operators do."""
+        table = RoutingTable(version)
+        document = document or b"document %d" % version
+        for _ in range(10):
+            outcome = await self.publisher_by_host[host].publish(
+                table, document, PUBLISH_TIMEOUT_S
+            )
+            if isinstance(outcome, Ok):
+                self.answers.append(outcome.ok_value)
+                return
+        raise AssertionError(outcome)
+
+    async def read(self, host):
+        """Return what a read at a host gives."""
+        return await self.publisher_by_host[host].read(PUBLISH_TIMEOUT_S)
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/publishing_steps.py
@@ -0,0 +1,291 @@
+"""Steps of publishing.feature."""
+
+import asyncio
+
+from behave import given, then, when
+from result import Err, Ok
+
+from almondfield_control.publishing.tests.publishing_fleet import PublishingFleet
+from almondfield_core.clock import now
+from almondfield_core.routing import RoutingTable
+from almondfield_testing import run
+
+FORMING_S = 10.0
+
+
+def start(context, hosts, seeds, **changes):
+    async def begin():
+        context.fleet = PublishingFleet(hosts, seeds, **changes)
+        for host in context.fleet.hosts:
+            context.fleet.start(host)
+
+    run(context, begin())
+
+
+def publish(context, version, host, document=b""):
+    run(context, context.fleet.publish(host, version, document))
+
+
+def leader(context):
+    async def ask():
+        return context.fleet.leader()
+
+    return run(context, ask())
+
+
+@given("{hosts:d} control hosts of which {seeds:d} are seeds")
+def step_impl(context, hosts, seeds):
+    start(context, hosts, seeds)
+
+
+@given(
+    "{hosts:d} control hosts of which {seeds:d} are seeds, none of which may form "
+    "a group"
+)
+def step_impl(context, hosts, seeds):
+    start(context, hosts, seeds, may_form=False)
+
+
+@given(
+    "{hosts:d} control hosts of which {seeds:d} are seeds, where {lost:d} disks "
+    "may be lost"
+)
+def step_impl(context, hosts, seeds, lost):
+    start(context, hosts, seeds, lost_disks=lost)
+
+
+@given("a formed group of {hosts:d} and {routers:d} routers")
+def step_impl(context, hosts, routers):
+    start(context, hosts, 3)
+
+    async def form():
+        fleet = context.fleet
+        await fleet.until(lambda: len(fleet.voters()) == hosts, FORMING_S)
+        for number in range(routers):
+            fleet.start_router(f"r{number + 1}")
+        await asyncio.sleep(1.0)
+
+    run(context, form())
+
+
+@given("{seconds:g} s pass")
+@when("{seconds:g} s pass")
+def step_impl(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@given('version {version:d} is published at "{host}"')
+@when('version {version:d} is published at "{host}"')
+def step_impl(context, version, host):
+    publish(context, version, host)
+
+
+@when('version {version:d} with other content is published at "{host}"')
+def step_impl(context, version, host):
+    publish(context, version, host, b"other content")
+
+
+@when('version {version:d} is published with two contents at "{a}" and "{b}" at once')
+def step_impl(context, version, a, b):
+    async def race():
+        await asyncio.gather(
+            context.fleet.publish(a, version, b"one"),
+            context.fleet.publish(b, version, b"two"),
+        )
+
+    run(context, race())
+
+
+@when("every seed restarts until another host leads")
+def step_impl(context):
+    async def turn():
+        fleet = context.fleet
+        while fleet.leader() in (*fleet.seeds, None):
+            for seed in fleet.seeds:
+                await fleet.stop(seed)
+                await asyncio.sleep(0.3)
+                fleet.start(seed)
+                await asyncio.sleep(2.0)
+
+    run(context, turn())
+
+
+@when("version {version:d} is published at that host")
+def step_impl(context, version):
+    publish(context, version, leader(context))
+
+
+@when("a router starts")
+def step_impl(context):
+    async def begin():
+        context.fleet.start_router("r9")
+
+    run(context, begin())
+
+
+@when('router "{router}" is cut off')
+def step_impl(context, router):
+    context.fleet.network.isolate(router)
+
+
+@when('"{host}" loses its disk and starts again, which may not form a group')
+def step_impl(context, host):
+    context.identity = context.fleet.replica_by_host[host].voter_id
+
+    async def lose():
+        await context.fleet.stop(host, wipe=True)
+        await asyncio.sleep(0.5)
+        context.fleet.start(host, may_form=False)
+
+    run(context, lose())
+
+
+@when("all control hosts lose power and start again")
+def step_impl(context):
+    async def lose():
+        for host in context.fleet.hosts:
+            await context.fleet.stop(host)
+        for host in context.fleet.hosts:
+            context.fleet.start(host, may_form=False)
+
+    run(context, lose())
+
+
+@when('"{gone}" is gone for good and "{new}" starts in its place')
+def step_impl(context, gone, new):
+    async def replace():
+        await context.fleet.stop(gone)
+        context.fleet.start(new, may_form=False)
+
+    run(context, replace())
+
+
+@when('"{a}" and "{b}" are cut off from the others')
+def step_impl(context, a, b):
+    network = context.fleet.network
+    for host in (a, b):
+        for other in context.fleet.hosts:
+            if other not in (a, b):
+                network.cut(host, other)
+                network.cut(other, host)
+
+
+@when("the disk of the leader refuses writes")
+def step_impl(context):
+    context.fleet.disk_by_host[leader(context)].free_bytes = 0
+
+
+@then('version {version:d} is published at "{host}" within {seconds:g} s')
+def step_impl(context, version, host, seconds):
+    async def timed():
+        began_s = now()
+        await context.fleet.publish(host, version)
+        return now() - began_s
+
+    took_s = run(context, timed())
+    assert took_s <= seconds, took_s
+
+
+@then("all {count:d} vote")
+def step_impl(context, count):
+    async def ask():
+        return context.fleet.voters()
+
+    assert run(context, ask()) == set(context.fleet.hosts[:count])
+
+
+@then("none votes")
+def step_impl(context):
+    async def ask():
+        return context.fleet.leader()
+
+    assert run(context, ask()) is None
+
+
+@then('the voters are "{hosts}"')
+def step_impl(context, hosts):
+    async def ask():
+        return context.fleet.voters()
+
+    voters = run(context, ask())
+    assert voters == set(hosts.split(", ")), voters
+
+
+@then('"{host}" has another identity than before')
+def step_impl(context, host):
+    assert context.fleet.replica_by_host[host].voter_id != context.identity
+
+
+@then("every router holds version {version:d} and counts it as fresh")
+def step_impl(context, version):
+    async def ask():
+        return {
+            router: (item.version, item.fresh_left_s() > 0)
+            for router, item in context.fleet.subscription_by_router.items()
+        }
+
+    held = run(context, ask())
+    assert set(held.values()) == {(version, True)}, held
+
+
+@then('router "{router}" counts its table as stale')
+def step_impl(context, router):
+    async def ask():
+        return context.fleet.subscription_by_router[router].fresh_left_s()
+
+    assert run(context, ask()) == 0
+
+
+@then("no router's lease is longer than {seconds:g} s")
+def step_impl(context, seconds):
+    async def ask():
+        routers = context.fleet.subscription_by_router.values()
+        return max(item.fresh_left_s() for item in routers)
+
+    assert 0 < run(context, ask()) <= seconds
+
+
+@then('version {version:d} is read at "{host}"')
+def step_impl(context, version, host):
+    outcome = run(context, context.fleet.read(host))
+    assert isinstance(outcome, Ok), outcome
+    assert outcome.ok_value.version == version, outcome
+    assert outcome.ok_value.document == b"document %d" % version, outcome
+
+
+@then('version {version:d} is read at "{host}" with its first content')
+def step_impl(context, version, host):
+    outcome = run(context, context.fleet.read(host))
+    assert outcome.ok_value.document == b"document %d" % version, outcome
+
+
+@then('a read at "{host}" fails')
+def step_impl(context, host):
+    outcome = run(context, context.fleet.read(host))
+    assert isinstance(outcome, Err), outcome
+
+
+@then("every answer named version {version:d}")
+def step_impl(context, version):
+    assert set(context.fleet.answers) == {version}, context.fleet.answers
+
+
+@then("one of them is read at every control host")
+def step_impl(context):
+    async def ask():
+        hosts = context.fleet.hosts
+        outcomes = [await context.fleet.read(host) for host in hosts]
+        return {outcome.ok_value.document for outcome in outcomes}
+
+    documents = run(context, ask())
+    assert len(documents) == 1, documents
+    assert documents <= {b"one", b"two"}, documents
+
+
+@then('version {version:d} is refused at "{host}"')
+def step_impl(context, version, host):
+    async def ask():
+        publisher = context.fleet.publisher_by_host[host]
+        return await publisher.publish(RoutingTable(version), b"x", 2.0)
+
+    assert isinstance(run(context, ask()), Err)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -209,6 +209,9 @@
                         return problem
 
     async def _attempt(self, choice: Choice) -> Attempt:
+        may_have_run = self.may_have_run
+        # What ends this attempt from outside leaves open whether it ran.
+        self.may_have_run = True
         try:
             outcome = await self._attempts.make(
                 self._request,
@@ -219,6 +222,8 @@
         except BaseException:
             choice.end()
             raise
+        if isinstance(outcome, Unsent | NotExecuted | Misdirected):
+            self.may_have_run = may_have_run
         if not isinstance(outcome, Unsent):
             self.sent += 1
         if not isinstance(outcome, Answered):
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -0,0 +1,285 @@
+"""Steps of forwarding.feature."""
+
+import asyncio
+import random
+import re
+from contextlib import suppress
+
+from behave import given, then, when
+
+from almondfield_core.clock import now
+from almondfield_core.routing import PoolShare, RequestKind, RouteRule
+from almondfield_daemon.fleet import FleetServer
+from almondfield_daemon.forwarding import (
+    Attempts,
+    CallerMarks,
+    Forwarder,
+    RetryWindow,
+    ServerChoice,
+)
+from almondfield_daemon.forwarding.messages import ForwardRequest
+from almondfield_daemon.forwarding.run import StreamBrokenError
+from almondfield_daemon.forwarding.split import choose_pool
+from almondfield_daemon.forwarding.tests.fakes import (
+    EVENTS,
+    FakeBackends,
+    FakeCodec,
+    FakeEngines,
+    FakeServer,
+    FakeSink,
+    FakeView,
+)
+from almondfield_fairshare.prefix_placement import Placement
+from almondfield_testing import run
+
+TIMEOUT_S = 4.0
+TARGET_S = 0.3
+SHARE = 0.2
+SLACK = 50.0
+WINDOW_S = 10.0
+ONE_POOL = (PoolShare("p"),)
+
+
+def route(kind, attempts, shares=ONE_POOL):
+    is_resumable = kind == "resumable"
+    return RouteRule(
+        name="route",
+        domain="d",
+        path_prefix="/",
+        kind=RequestKind("streaming" if is_resumable else kind),
+        shares=shares,
+        timeout_s=TIMEOUT_S,
+        latency_target_s=TARGET_S,
+        max_attempts=attempts,
+        is_resumable=is_resumable,
+    )
+
+
+async def serve(context, deadline_s=TIMEOUT_S, after=""):
+    """Serve one request; return (problem, sink, error, seconds)."""
+    sink = FakeSink()
+    began_s = now()
+    request = ForwardRequest(
+        method="POST",
+        target=b"/",
+        headers=(),
+        marks=CallerMarks("r", deadline_s, last_event_id=after),
+        route=context.route,
+        pool="p",
+        table_version=1,
+        team="",
+        arrived_s=began_s,
+        until_s=began_s + min(TIMEOUT_S, deadline_s),
+    )
+    problem, error = None, None
+    try:
+        problem = await context.forwarder.serve(request, sink)
+    except StreamBrokenError as cause:
+        error = cause
+    return problem, sink, error, now() - began_s
+
+
+class InOrder(random.Random):
+    """Breaks ties in the order of servers."""
+
+    def random(self):
+        """Return the same each time."""
+        return 0.0
+
+
+@given('a "{kind}" route with {attempts:d} attempts and {count:d} servers')
+def step_impl(context, kind, attempts, count):
+    context.route = route(kind, attempts)
+    context.servers = [FakeServer(f"s{number}") for number in range(count)]
+    context.routers = 1
+    known = tuple(
+        FleetServer(server.name, "p", f"{server.name}:1", "east", 8)
+        for server in context.servers
+    )
+
+    async def make():
+        choice = ServerChoice(
+            FakeView(known), Placement(InOrder()), "east", FakeEngines()
+        )
+        attempts = Attempts(FakeBackends(context.servers), FakeCodec())
+        context.forwarder = Forwarder(
+            attempts,
+            choice,
+            lambda: RetryWindow(WINDOW_S, SHARE, SLACK, lambda: context.routers),
+        )
+
+    run(context, make())
+
+
+@given("the first server {how}")
+def step_impl(context, how):
+    context.servers[0].how = how
+
+
+@given("the second server {how}")
+def step_impl(context, how):
+    context.servers[1].how = how
+
+
+@given("every server {how}")
+def step_impl(context, how):
+    for server in context.servers:
+        server.how = how
+
+
+@given("{count:d} routers share the budget")
+def step_impl(context, count):
+    context.routers = count
+
+
+@when("a request is served")
+def step_impl(context):
+    context.served = run(context, serve(context))
+
+
+@when("a request that has event {number:d} is served")
+def step_impl(context, number):
+    context.served = run(context, serve(context, after=str(number)))
+
+
+@when("a request with a deadline of {deadline:g} s is served")
+def step_impl(context, deadline):
+    context.served = run(context, serve(context, deadline))
+
+
+@when("{count:d} requests are served in {seconds:g} s")
+def step_impl(context, count, seconds):
+    async def load():
+        tasks = []
+        for _ in range(count):
+            tasks.append(asyncio.ensure_future(serve(context)))
+            await asyncio.sleep(seconds / count)
+        await asyncio.gather(*tasks)
+
+    run(context, load())
+
+
+@when("{count:d} more requests are served")
+def step_impl(context, count):
+    async def load():
+        for _ in range(count):
+            await serve(context)
+
+    run(context, load())
+
+
+@when("a caller leaves {seconds:g} s after its request")
+def step_impl(context, seconds):
+    async def leave():
+        task = asyncio.ensure_future(serve(context))
+        await asyncio.sleep(seconds)
+        context.left_s = now()
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+
+    run(context, leave())
+
+
+@then("{count:d} servers got it")
+def step_impl(context, count):
+    got = [server.name for server in context.servers for _ in server.seen]
+    assert len(got) == count, got
+
+
+@then("the caller gets a cut")
+def step_impl(context):
+    _, sink, error, _ = context.served
+    assert error is not None, sink.body
+    assert not sink.is_whole
+
+
+@then("the caller gets {status:d} {outcome} within {seconds:g} s")
+def step_impl(context, status, outcome, seconds):
+    problem, _, _, took_s = context.served
+    assert (problem.status, problem.outcome.value) == (status, outcome), problem
+    assert took_s <= seconds, took_s
+
+
+@then("the caller gets {status:d} {outcome}")
+def step_impl(context, status, outcome):
+    problem, sink, _, _ = context.served
+    assert problem is not None, sink.status
+    assert (problem.status, problem.outcome.value) == (status, outcome), problem
+
+
+@then("the caller gets {status:d}")
+def step_impl(context, status):
+    problem, sink, error, _ = context.served
+    assert problem is None, problem
+    assert error is None, error
+    assert sink.status == status, sink.status
+    assert sink.is_whole
+    if status == 200:
+        ids = [int(i) for i in re.findall(rb"id: (\d+)", sink.body)]
+        assert ids == list(range(1, EVENTS + 1)), sink.body
+
+
+@then("the caller has events {first:d} to {last:d}, each once")
+def step_impl(context, first, last):
+    _, sink, _, _ = context.served
+    ids = [int(i) for i in re.findall(rb"id: (\d+)", sink.body)]
+    assert ids == list(range(first, last + 1)), sink.body
+    assert sink.is_whole
+
+
+@then("the {which} server was asked to go on after event {number:d}")
+def step_impl(context, which, number):
+    server = context.servers[("first", "second").index(which)]
+    assert server.seen[-1].after == str(number), server.seen
+
+
+@then("the answer is not marked as whole")
+def step_impl(context):
+    assert not context.served[1].is_whole
+
+
+@then("the second server has less time than the first")
+def step_impl(context):
+    first, second = (server.seen[0].left_s for server in context.servers[:2])
+    assert second < first - 0.5, (first, second)
+
+
+@then("the servers got at most {base:d} + {share:g} x {of:d} + {slack:g} of them")
+def step_impl(context, base, share, of, slack):
+    got = sum(len(server.seen) for server in context.servers)
+    assert got <= base + share * of + slack, got
+    assert got > base, "no request was repeated"
+
+
+@then("the call to the first server was given up within {seconds:g} s")
+def step_impl(context, seconds):
+    server = context.servers[0]
+    assert server.given_up_s is not None
+    assert server.given_up_s - context.left_s <= seconds
+
+
+@then("the first server got no more than {count:d} of them")
+def step_impl(context, count):
+    assert len(context.servers[0].seen) <= 1 + count, context.servers[0].seen
+
+
+@given('a route that sends {x:d} of 100 requests to "{a}" and {y:d} to "{b}"')
+def step_impl(context, x, a, y, b):
+    context.route = route("idempotent", 1, (PoolShare(a, x), PoolShare(b, y)))
+    context.second = b
+
+
+@then('of {count:d} requests {least:d} to {most:d} in 100 go to "{pool}"')
+def step_impl(context, count, least, most, pool):
+    chosen = [choose_pool(context.route, f"request-{n}") for n in range(count)]
+    share = 100 * chosen.count(pool) / count
+    assert least <= share <= most, share
+
+
+@then("a request without weight never goes there")
+def step_impl(context):
+    shares = (PoolShare("a", 1.0), PoolShare("b", 0.0))
+    rule = route("idempotent", 1, shares)
+    chosen = {choose_pool(rule, f"request-{n}") for n in range(500)}
+    assert chosen == {"a"}, chosen
