Test scheduling, logs and fleet settings; tell a new scheduler what ended

A caller that left while its router asked the first scheduler it knew left an attempt behind there for 20 s: scenario 'A caller that leaves while it asks leaves nothing behind' failed first. What ended is kept for a scheduler that is not known yet.

--- /dev/null
+++ b/packages/almondfield-core/src/almondfield_core/settings/tests/fleet_settings.feature
@@ -0,0 +1,38 @@
+Feature: Settings of a daemon that finds the others from seeds
+
+  Scenario: The settings of a router
+    Given the settings of a router
+    Then they are read without findings
+    And its seeds are "10.0.0.1, 10.0.0.2, 10.0.0.3"
+
+  Scenario: The settings of a control host
+    Given the settings of a control host
+    Then they are read without findings
+
+  Scenario Outline: Each wrong item is a finding with its place
+    Given the settings of a router
+    When item <item> has the value <value>
+    Then a finding names "<place>"
+
+    Examples:
+      | item              | value                | place             |
+      | role              | "cook"               | role              |
+      | address           | "nowhere"            | address           |
+      | peer_port         | 0                    | peer_port         |
+      | seed_addresses    | []                   | seed_addresses    |
+      | seed_addresses    | ["10.0.0.1"]         | seed_addresses[0] |
+      | seed_addresses    | ["x:1"]              | seed_addresses[0] |
+      | caller_address    | ""                   | caller_address    |
+      | ready_address     | "10.0.0.9:99999"     | ready_address     |
+      | grace_s           | 0                    | grace_s           |
+      | grace_s           | "8"                  | grace_s           |
+      | surprise          | 1                    | surprise          |
+
+  Scenario: A control host needs a data folder
+    Given the settings of a control host
+    When item data_folder has the value ""
+    Then a finding names "data_folder"
+
+  Scenario: A file that is missing is a finding
+    Given no settings file
+    Then a finding names "missing.toml"
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/logs/tests/steps/logs_steps.py
@@ -0,0 +1,107 @@
+"""Steps of logs.feature."""
+
+import asyncio
+import json
+import os
+
+from behave import given, then, when
+
+from almondfield_daemon.logs import LineLog
+from almondfield_testing import run
+
+READ_BYTES = 1 << 20
+
+
+def drain(context):
+    try:
+        while part := os.read(context.reader, READ_BYTES):
+            context.output += part
+    except BlockingIOError:
+        pass
+
+
+def lines(context):
+    drain(context)
+    return [json.loads(line) for line in context.output.splitlines()]
+
+
+@given("a log to a pipe")
+@given("a log to a pipe that is read")
+def step_impl(context):
+    context.reader, context.writer = os.pipe()
+    os.set_blocking(context.reader, False)
+    context.output = b""
+    context.log = LineLog(context.writer, "h1")
+    context.add_cleanup(os.close, context.reader)
+    context.add_cleanup(os.close, context.writer)
+
+
+@when('a message of kind "{kind}" with status {status:d} is logged')
+def step_impl(context, kind, status):
+    async def log():
+        context.log({"message_type": kind, "status": status, "task_uuid": "x"})
+        await asyncio.sleep(0)
+
+    run(context, log())
+
+
+@when('{count:d} messages of kind "{kind}" are logged in {seconds:g} s')
+def step_impl(context, count, kind, seconds):
+    async def log():
+        for _ in range(count):
+            context.log({"message_type": kind})
+            await asyncio.sleep(seconds / count)
+            drain(context)
+
+    run(context, log())
+
+
+@when("{seconds:g} s pass")
+def step_impl(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@when("{count:d} messages of {size:d} bytes are logged")
+def step_impl(context, count, size):
+    async def log():
+        for _ in range(count):
+            context.log({"message_type": "large", "text": "x" * size})
+            await asyncio.sleep(0)
+
+    run(context, log())
+
+
+@then('the pipe has 1 line of kind "{kind}" with status {status:d} and host "{host}"')
+def step_impl(context, kind, status, host):
+    (line,) = lines(context)
+    found = (line["message_type"], line["status"], line["host"])
+    assert found == (kind, status, host), line
+
+
+@then('between {least:d} and {most:d} lines of kind "{kind}" were written')
+def step_impl(context, least, most, kind):
+    count = sum(line["message_type"] == kind for line in lines(context))
+    assert least <= count <= most, count
+
+
+@then('a line tells how many of kind "{kind}" were left out')
+def step_impl(context, kind):
+    written = lines(context)
+    omitted = sum(
+        line["count_by_kind"].get(kind, 0)
+        for line in written
+        if line["message_type"] == "log:omitted"
+    )
+    kept = sum(line["message_type"] == kind for line in written)
+    assert omitted + kept == 3000, (omitted, kept)
+
+
+@then("logging never waited")
+def step_impl(context):
+    # A blocking write to a full pipe would have hung the step before.
+    assert not os.get_blocking(context.writer)
+
+
+@then("at most {kilobytes:d} kilobytes wait in memory")
+def step_impl(context, kilobytes):
+    assert len(context.log._pending) <= kilobytes * 1024
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -24,6 +24,7 @@
 ASK_TIMEOUT_S = 0.08  # many round trips between data centres, short beside a prompt
 PAUSE_AFTER_FAILURE_S = 0.3  # a fraction of an election
 TELL_S = 0.02  # delays what the scheduler hears by a fraction of a prompt's reading
+MAX_UNTOLD = 1000  # attempts kept for a scheduler that is not known yet
 MAX_REMEMBERED = 20_000  # shared parts whose server a router remembers
 
 
@@ -199,9 +200,11 @@
             return
         self._told_host, self._scheduler_start = host, start
         in_flight = tuple(self._in_flight_by_number.values())
+        # What ended before may have been counted as sent by this scheduler, too.
+        progress = EngineProgress(ended=tuple(self._ended), in_flight=in_flight)
         self._begun.clear()
         self._ended.clear()
-        self._peers.send(host, EngineProgress(in_flight=in_flight))
+        self._peers.send(host, progress)
 
     def _note_silence(self, host: str) -> None:
         self._silent_until_s = now() + PAUSE_AFTER_FAILURE_S
@@ -216,8 +219,10 @@
 
     def _tell(self) -> None:
         self._timer = None
-        if self._told_host:
-            progress = EngineProgress(tuple(self._begun), tuple(self._ended))
-            self._peers.send(self._told_host, progress)
+        if not self._told_host:
+            del self._begun[:-MAX_UNTOLD], self._ended[:-MAX_UNTOLD]
+            return
+        progress = EngineProgress(tuple(self._begun), tuple(self._ended))
+        self._peers.send(self._told_host, progress)
         self._begun.clear()
         self._ended.clear()
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
@@ -0,0 +1,245 @@
+"""Steps of scheduling.feature."""
+
+import asyncio
+import random
+from contextlib import suppress
+from dataclasses import dataclass
+
+from behave import given, then, when
+
+from almondfield_core.clock import now
+from almondfield_core.routing import (
+    EngineLimits,
+    Prompt,
+    PromptPart,
+    RequestLimits,
+    RoutingTable,
+    ServerPool,
+)
+from almondfield_daemon.fleet import FleetControl, FleetServer
+from almondfield_daemon.scheduling import EngineClient, EnginePlace, EngineService
+from almondfield_daemon.scheduling.messages import EngineRefusal
+from almondfield_testing import InMemoryNetwork, run
+
+POOL = "pool"
+HOSTS = ("c1", "c2")
+TABLE = RoutingTable(
+    version=1,
+    pools=(ServerPool(POOL, 100, engine=EngineLimits(64, 600_000)),),
+    limits=RequestLimits(work_per_s=80_000.0),
+)
+
+
+@dataclass
+class FakePublisher:
+    """Tells whether a host leads."""
+
+    leads: bool
+    table: RoutingTable = TABLE
+
+
+def prompt(topic, number):
+    parts = (PromptPart(topic, 4000), PromptPart(f"own-{number}", 1000))
+    return Prompt("m", 5000, 50, parts)
+
+
+async def ask(context, topic, number):
+    return await context.client.ask(
+        POOL, "team", prompt(topic, number), 0.8, frozenset(), False
+    )
+
+
+def known(context, host):
+    service = context.service_by_host[host]
+    schedulers = service._scheduler_by_pool.values()
+    return sum(
+        engine.in_flight for s in schedulers for engine in s._engine_by_name.values()
+    )
+
+
+@given('control hosts "c1" and "c2", of which "c1" leads, and router "r1"')
+def step_impl(context):
+    context.network = InMemoryNetwork()
+    context.publisher_by_host = {host: FakePublisher(host == "c1") for host in HOSTS}
+    context.fleet_by_host = {}
+    context.service_by_host = {}
+    context.leader = "c1"
+    context.places = []
+
+    async def start():
+        chance = random.Random(1)
+        for host in HOSTS:
+            peers = context.network.peers(host)
+            fleet = FleetControl(peers, 1, lambda: HOSTS, chance)
+            fleet.listen()
+            service = EngineService(
+                peers,
+                fleet,
+                context.publisher_by_host[host],
+                4.0,
+                lambda: chance.getrandbits(48),
+            )
+            service.listen()
+            context.fleet_by_host[host] = fleet
+            context.service_by_host[host] = service
+        peers = context.network.peers("r1")
+        context.client = EngineClient(peers, lambda: context.leader)
+
+    run(context, start())
+
+
+@given('engines "e1" and "e2"')
+def step_impl(context):
+    async def announce():
+        for fleet in context.fleet_by_host.values():
+            for name in ("e1", "e2"):
+                said = FleetServer(name, POOL, f"{name}:1", "east", 64, sequence=1)
+                fleet.announce(said)
+
+    run(context, announce())
+
+
+@given('"r1" takes "{host}" for the leader')
+def step_impl(context, host):
+    context.leader = host
+
+
+@given('"{host}" is cut off')
+def step_impl(context, host):
+    context.network.isolate(host)
+
+
+@when("the cut heals")
+def step_impl(context):
+    context.network.heal()
+
+
+@when("{seconds:g} s pass")
+def step_impl(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@given('"r1" asks for an engine')
+@when('"r1" asks for an engine')
+def step_impl(context):
+    async def timed():
+        began_s = now()
+        context.place = await ask(context, "topic", len(context.places))
+        context.took_s = now() - began_s
+
+    run(context, timed())
+
+
+@when('"r1" asks for {count:d} engines at once')
+def step_impl(context, count):
+    async def all_at_once():
+        asks = [ask(context, f"topic-{n}", n) for n in range(count)]
+        context.places += await asyncio.gather(*asks)
+
+    run(context, all_at_once())
+
+
+@given('"r1" asked for topic "{topic}" {count:d} times')
+def step_impl(context, topic, count):
+    async def repeat():
+        for number in range(count):
+            place = await ask(context, topic, number)
+            context.client.remember(prompt(topic, number), place.server)
+            context.server = place.server
+            place.begin_answer()
+            await asyncio.sleep(0.5)
+            place.end()
+
+    run(context, repeat())
+
+
+@when("every answer begins and ends")
+def step_impl(context):
+    async def end():
+        for place in context.places:
+            if isinstance(place, EnginePlace):
+                place.begin_answer()
+                place.end()
+
+    run(context, end())
+
+
+@when('"{new}" leads in place of "{old}"')
+def step_impl(context, new, old):
+    context.publisher_by_host[old].leads = False
+    context.publisher_by_host[new].leads = True
+    context.leader = new
+
+
+@when('a caller leaves while "r1" asks for an engine')
+def step_impl(context):
+    async def leave():
+        task = asyncio.ensure_future(ask(context, "topic", 0))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+        # The scheduler is known from an earlier request.
+        place = await ask(context, "topic", 1)
+        place.end()
+
+    run(context, leave())
+
+
+@then("it has a place")
+def step_impl(context):
+    assert isinstance(context.place, EnginePlace), context.place
+    assert context.place.server in ("e1", "e2"), context.place.server
+
+
+@then("some were refused")
+def step_impl(context):
+    kinds = {type(place) for place in context.places}
+    assert EngineRefusal in kinds, kinds
+    assert EnginePlace in kinds, kinds
+
+
+@then('"r1" gets a place again')
+def step_impl(context):
+    place = run(context, ask(context, "another", 99))
+    assert isinstance(place, EnginePlace), place
+
+
+@then("it has no scheduler")
+def step_impl(context):
+    assert context.place is None, context.place
+
+
+@then("it has no scheduler after at most {seconds:g} s")
+def step_impl(context, seconds):
+    assert context.place is None, context.place
+    assert context.took_s <= seconds, context.took_s
+
+
+@then("the next request does not wait for one")
+def step_impl(context):
+    async def timed():
+        began_s = now()
+        place = await ask(context, "topic", 2)
+        return place, now() - began_s
+
+    place, took_s = run(context, timed())
+    assert place is None, place
+    assert took_s == 0, took_s
+
+
+@then('"{host}" knows {count:d} requests or more')
+def step_impl(context, host, count):
+    assert known(context, host) >= count, known(context, host)
+
+
+@then('"{host}" knows {count:d} requests')
+def step_impl(context, host, count):
+    assert known(context, host) == count, known(context, host)
+
+
+@then('topic "{topic}" goes where it went before')
+def step_impl(context, topic):
+    place = run(context, ask(context, topic, 100))
+    assert place.server == context.server, (place.server, context.server)
