Find a new leader by asking all control hosts; hand over only to a disk that writes

Cause: after all hosts had restarted, a router asked one control host after the other for 0.4 s each and paused 0.7 s after each failed round. Scenario 'Routers find a new leader as soon as there is one' failed first (bound 0.3 s). All are asked at once while none is known to lead, hosts that they name are asked too, and a failed renewal is repeated after 0.1 s.

--- a/packages/almondfield-control/src/almondfield_control/consensus/following.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/following.py
@@ -57,7 +57,8 @@
         if replica.hard.term != request.term:
             return AppendReply(replica.hard.term, False, 0)
         replica.commit(min(request.commit_index, last))
-        return AppendReply(replica.hard.term, True, last)
+        fails = replica.journal.failure is not None
+        return AppendReply(replica.hard.term, True, last, disk_fails=fails)
 
     def _agrees(self, request: AppendRequest) -> bool:
         replica = self._replica
--- a/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
@@ -137,8 +137,17 @@
             message = HandOver(cluster_id, target.member.voter_id, self.term)
             replica.peers.send(target.member.host, message)
 
+    def _may_yield(self) -> bool:
+        """Return whether a voter answers that can write to its disk."""
+        answering_since_s = now() - self._replica.timing.election_s
+        return any(
+            p.member.votes and not p.disk_fails and p.heard_at > answering_since_s
+            for p in self.progress_by_voter.values()
+        )
+
     def _best_voter(self) -> Progress | None:
         voters = [p for p in self.progress_by_voter.values() if p.member.votes]
+        voters = [p for p in voters if not p.disk_fails] or voters
         return max(voters, key=lambda p: (p.match_index, p.heard_at), default=None)
 
     def _refusal(self) -> str:
@@ -298,6 +307,7 @@
             progress.next_index = max(progress.match_index, reply.match_index) + 1
             progress.wake.set()
             return
+        progress.disk_fails = reply.disk_fails
         progress.match_index = max(progress.match_index, reply.match_index)
         progress.next_index = max(progress.next_index, progress.match_index + 1)
         self.advance()
@@ -330,8 +340,7 @@
 
     async def _watch_lease(self) -> None:
         while self.is_confirmed():
-            if self._replica.journal.failure is not None:
-                # Another voter may be able to write.
+            if self._replica.journal.failure is not None and self._may_yield():
                 await self.hand_over(self._replica.timing.election_s)
                 return
             await asyncio.sleep(max(0.001, self.lease_until() - now()))
--- a/packages/almondfield-control/src/almondfield_control/consensus/messages.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/messages.py
@@ -91,12 +91,14 @@
     :ivar match_index: last entry known to agree and durable; where not matched,
         the last entry that the leader may try next.
     :ivar stalled: whether the member cannot write at present.
+    :ivar disk_fails: whether its last write to the disk failed.
     """
 
     term: int
     matched: bool
     match_index: int
     stalled: bool = False
+    disk_fails: bool = False
 
 
 @wire_message("snapshot-chunk")
--- a/packages/almondfield-control/src/almondfield_control/consensus/progress.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/progress.py
@@ -15,6 +15,7 @@
     :param heard_at: when the newest message that it answered was sent.
 
     :ivar match_index: last entry that it holds durably.
+    :ivar disk_fails: whether its last write to the disk failed, as it says.
     :ivar wake: set when there is something to send.
     :ivar tasks: tasks that serve the member.
     """
@@ -22,6 +23,7 @@
     def __init__(self, member: Member, next_index: int, heard_at: float) -> None:
         self.member = member
         self.match_index = 0
+        self.disk_fails = False
         self.next_index = next_index
         self.heard_at = heard_at
         self.wake = asyncio.Event()
--- a/packages/almondfield-control/src/almondfield_control/node/leader_client.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader_client.py
@@ -24,6 +24,7 @@
     :param peers: messages to the other hosts.
     :param voters: returns the hosts that may lead, as they are known now.
     :param attempt_s: seconds to wait for one host before the next is asked.
+    :param asks_all: whether to ask all hosts at once while the leader is not known.
     """
 
     def __init__(
@@ -31,7 +32,9 @@
         peers: Peers,
         voters: Callable[[], tuple[str, ...]],
         attempt_s: float = ATTEMPT_S,
+        asks_all: bool = False,
     ) -> None:
+        self._asks_all = asks_all
         self._peers = peers
         self._voters = voters
         self._attempt_s = attempt_s
@@ -59,6 +62,14 @@
         while self._target and until - now() > MIN_ATTEMPT_S:
             target = self._target
             attempt_s = min(self._attempt_s, until - now())
+            if self._asks_all and not self._leader_host:
+                maybe_done = True
+                reason = "no host leads"
+                reply = await self._ask_all(message, attempt_s)
+                if reply is not None:
+                    return Ok(reply)
+                await asyncio.sleep(min(PAUSE_S, max(0.0, until - now())))
+                continue
             match await self._peers.ask(target, message, attempt_s):
                 case Ok(NotLeader(leader_host)):
                     reason = f"{target} does not lead"
@@ -77,6 +88,40 @@
             await asyncio.sleep(min(PAUSE_S, max(0.0, until - now())))
         return Err(ControlUnavailable(reason, certainly_not_done=not maybe_done))
 
+    async def _ask_all(self, message: object, attempt_s: float) -> Any | None:
+        """Return the leader's reply; None where no host leads."""
+        asked = self._voters()
+        reply, named = await self._ask_each(asked, message, attempt_s)
+        others = tuple(named.difference(asked, [""]))
+        if reply is None and others:
+            reply, _ = await self._ask_each(others, message, attempt_s)
+        return reply
+
+    async def _ask_each(
+        self, hosts: tuple[str, ...], message: object, attempt_s: float
+    ) -> tuple[Any | None, set[str]]:
+        """Return the leader's reply, if one of the hosts leads, and who they name."""
+
+        async def ask(host: str) -> tuple[str, Any]:
+            return host, await self._peers.ask(host, message, attempt_s)
+
+        named: set[str] = set()
+        tasks = [asyncio.create_task(ask(host)) for host in hosts]
+        try:
+            for task in asyncio.as_completed(tasks):
+                match await task:
+                    case (_, Ok(NotLeader(leader_host))):
+                        named.add(leader_host)
+                    case (_, Ok(ControlUnavailable()) | Err(_)):
+                        continue
+                    case (host, Ok(reply)):
+                        self._target = self._leader_host = host
+                        return reply, named
+        finally:
+            for task in tasks:
+                task.cancel()
+        return None, named
+
     def _turn_to(self, leader_host: str, asked: str) -> None:
         voters = self._voters()
         if self._leader_host == asked:
--- a/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
@@ -19,6 +19,7 @@
 __all__ = ["TableSubscription"]
 
 RENEW_S = 0.7  # several tries within the shortest lease
+RETRY_S = 0.1  # a fraction of an election
 ASK_TIMEOUT_S = 1.0
 
 
@@ -67,21 +68,23 @@
         self._peers.listen(TableNotice, self._on_notice)
         while True:
             self._wake.clear()
-            await self._renew()
+            is_renewed = await self._renew()
             self._note_freshness()
             try:
-                async with asyncio.timeout(RENEW_S):
+                async with asyncio.timeout(RENEW_S if is_renewed else RETRY_S):
                     await self._wake.wait()
             except TimeoutError:
                 pass
 
-    async def _renew(self) -> None:
+    async def _renew(self) -> bool:
+        """Return whether a leader answered."""
         asked_s = now()
         match await self._leader.ask(LeaseRequest(self.version), ASK_TIMEOUT_S):
             case Ok(LeaseReply() as reply):
                 self._take(reply, asked_s)
+                return True
             case Err(_):
-                pass
+                return False
 
     def _take(self, reply: LeaseReply, asked_s: float) -> None:
         self._on_control_hosts(reply.control_hosts)
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
@@ -103,3 +103,9 @@
     Given a formed group of 5 and 2 routers
     When the disk of the leader refuses writes
     Then version 2 is published at "c1" within 4.0 s
+
+  Scenario: Routers find a new leader as soon as there is one
+    Given a formed group of 5 and 2 routers
+    And version 2 is published at "c1"
+    When all control hosts and routers lose power and start again
+    Then every router counts its table as fresh within 0.3 s of a leader
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing_fleet.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing_fleet.py
@@ -51,7 +51,7 @@
             named = [member.host for member in replica.log.members]
             return tuple(dict.fromkeys((*named, *self.seeds)))
 
-        leader = LeaderClient(peers, members, ATTEMPT_S)
+        leader = LeaderClient(peers, members, ATTEMPT_S, True)
         publisher = TablePublisher(replica, peers, leader)
         publisher.listen()
         self.replica_by_host[host] = replica
@@ -66,7 +66,7 @@
         def learn(hosts):
             known[:] = dict.fromkeys((*hosts, *known))
 
-        leader = LeaderClient(peers, lambda: tuple(known), ATTEMPT_S)
+        leader = LeaderClient(peers, lambda: tuple(known), ATTEMPT_S, True)
         subscription = TableSubscription(peers, leader, LEASE_S, learn)
         self.subscription_by_router[router] = subscription
         self.task_by_host[router] = asyncio.ensure_future(subscription.run())
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/publishing_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/publishing_steps.py
@@ -289,3 +289,32 @@
         return await publisher.publish(RoutingTable(version), b"x", 2.0)
 
     assert isinstance(run(context, ask()), Err)
+
+
+@when("all control hosts and routers lose power and start again")
+def step_impl(context):
+    async def lose():
+        fleet = context.fleet
+        for host in fleet.hosts:
+            await fleet.stop(host)
+        for router in fleet.subscription_by_router:
+            fleet.network.stop(router)
+            fleet.task_by_host[router].cancel()
+        for router in list(fleet.subscription_by_router):
+            fleet.start_router(router)
+        for host in fleet.hosts:
+            await asyncio.sleep(0.2)
+            fleet.start(host, may_form=False)
+
+    run(context, lose())
+
+
+@then("every router counts its table as fresh within {seconds:g} s of a leader")
+def step_impl(context, seconds):
+    async def wait():
+        fleet = context.fleet
+        await fleet.until(fleet.leader, 10.0)
+        routers = fleet.subscription_by_router.values()
+        await fleet.until(lambda: all(r.fresh_left_s() > 0 for r in routers), seconds)
+
+    run(context, wait())
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -13,6 +13,7 @@
 from almondfield_core.settings import FleetSettings
 from almondfield_daemon.fleet import FleetControl
 from almondfield_daemon.fleet_daemon.core import FleetHost
+from almondfield_daemon.fleet_daemon.metrics import ControlMetrics
 from almondfield_daemon.scheduling import EngineService
 
 __all__ = ["ControlHost"]
@@ -49,7 +50,7 @@
             chance,
             GroupPolicy(settings.may_form, True, _least_voters(settings)),
         )
-        leader = LeaderClient(self.peers, self._members, LEADER_ATTEMPT_S)
+        leader = LeaderClient(self.peers, self._members, LEADER_ATTEMPT_S, True)
         self.publisher = TablePublisher(self._replica, self.peers, leader)
         self.fleet = FleetControl(self.peers, self.incarnation, self._members, chance)
         self._engines = EngineService(
@@ -60,6 +61,8 @@
             lambda: chance.getrandbits(SCHEDULER_START_BITS),
         )
 
+        self.serve_metrics(ControlMetrics(self.fleet))
+
     def parts(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return what runs beside the messages between hosts."""
         self.publisher.listen()
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -11,6 +11,11 @@
 from starlette.types import ASGIApp
 
 from almondfield_core.settings import FleetSettings, load_fleet_settings
+from almondfield_daemon.fleet_daemon.metrics import (
+    ControlMetrics,
+    RouterMetrics,
+    build_metrics_app,
+)
 from almondfield_daemon.peers import PynngPeers
 from almondfield_daemon.serving import HttpListener, bind
 
@@ -54,6 +59,15 @@
         listener = HttpListener(app, bind(host, int(port)), MAX_HEAD_BYTES)
         self._listeners.append(listener)
 
+    def serve_metrics(self, metrics: RouterMetrics | ControlMetrics) -> None:
+        """Serve the metrics page, where the settings name a port for it.
+
+        :param metrics: the metrics.
+        """
+        if self.settings.metrics_port:
+            address = f"{self.settings.address}:{self.settings.metrics_port}"
+            self.serve(build_metrics_app(metrics), address)
+
     def parts(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return what runs beside the messages between hosts."""
         raise NotImplementedError
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
@@ -0,0 +1,100 @@
+"""Counters and latency histograms of a fleet daemon, and the page that shows them."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from almondfield_daemon.fleet import FleetControl
+from almondfield_daemon.forwarding import RequestReport
+
+__all__ = ["ControlMetrics", "RouterMetrics", "build_metrics_app"]
+
+# Around the usual targets of 0.1 to 1 s, and up to the usual timeouts.
+LATENCY_BUCKETS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 4.0, 8.0, 16.0]
+MILLISECONDS = 1000
+
+
+class RouterMetrics:
+    """What became of the requests of one router."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self._requests = Counter(
+            "almondfield_requests_total",
+            "Requests by route and status; 0 where the caller left before an answer",
+            registry=self.registry,
+        )
+        self._repeats = Counter(
+            "almondfield_repeats_total",
+            "Attempts beyond the first of a request, by pool",
+            registry=self.registry,
+        )
+        self._first_s = Histogram(
+            "almondfield_first_part_seconds",
+            "Time to the first part of an answer, by route",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._total_s = Histogram(
+            "almondfield_answer_seconds",
+            "Time to the end of an answer, by route",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def observe(self, report: RequestReport) -> None:
+        """Count a request that is over.
+
+        :param report: what became of it.
+        """
+        route = {"route": report.route}
+        self._requests.inc(route | {"status": str(report.status)})
+        if report.attempts > 1:
+            self._repeats.add({"pool": report.pool}, report.attempts - 1)
+        if report.first_ms:
+            self._first_s.observe(route, report.first_ms / MILLISECONDS)
+            self._total_s.observe(route, report.total_ms / MILLISECONDS)
+
+
+class ControlMetrics:
+    """What one control host knows.
+
+    :param fleet: routers and backend servers.
+    """
+
+    def __init__(self, fleet: FleetControl) -> None:
+        self.registry = Registry()
+        self._fleet = fleet
+        self._routers = Gauge(
+            "almondfield_routers", "Routers heard lately", registry=self.registry
+        )
+        self._servers = Gauge(
+            "almondfield_servers", "Backend servers by phase", registry=self.registry
+        )
+
+    def refresh(self) -> None:
+        """Bring the gauges up to date."""
+        self._routers.set({}, len(self._fleet.routers.hosts()))
+        count_by_phase: dict[str, int] = {}
+        for server in self._fleet.servers():
+            phase = server.phase.value
+            count_by_phase[phase] = count_by_phase.get(phase, 0) + 1
+        for phase, count in count_by_phase.items():
+            self._servers.set({"phase": phase}, count)
+
+
+def build_metrics_app(metrics: RouterMetrics | ControlMetrics) -> Starlette:
+    """Return the app of the metrics page.
+
+    :param metrics: the metrics.
+    """
+
+    async def show(request: Request) -> Response:
+        if isinstance(metrics, ControlMetrics):
+            metrics.refresh()
+        content, headers = render(metrics.registry, [request.headers.get("accept", "")])
+        return Response(content, headers=dict(headers))
+
+    return Starlette(routes=[Route("/metrics", show)])
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -14,6 +14,7 @@
 from almondfield_daemon.fleet import FleetView, RouterState
 from almondfield_daemon.fleet.messages import RouterHello
 from almondfield_daemon.fleet_daemon.core import FleetHost
+from almondfield_daemon.fleet_daemon.metrics import RouterMetrics
 from almondfield_daemon.forwarding import (
     Attempts,
     ForwardEndpoint,
@@ -61,7 +62,9 @@
             RouterState.STARTING,
         )
         self.view = FleetView(self.peers, hello, settings.seeds, self._on_servers)
-        leader = LeaderClient(self.peers, self.view.control_hosts, LEADER_ATTEMPT_S)
+        leader = LeaderClient(
+            self.peers, self.view.control_hosts, LEADER_ATTEMPT_S, True
+        )
         self.subscription = TableSubscription(
             self.peers,
             leader,
@@ -75,12 +78,16 @@
             self.view, placement, settings.data_centre, engines
         )
         attempts = Attempts(self._backends, codec)
-        forwarder = Forwarder(attempts, self._servers, self._make_window)
+        metrics = RouterMetrics()
+        forwarder = Forwarder(
+            attempts, self._servers, self._make_window, metrics.observe
+        )
         held_bytes = int(BODY_SHARE_OF_MEMORY * settings.memory_mb * BYTES_PER_MB)
         self._endpoint = ForwardEndpoint(
             forwarder, self.subscription, codec, held_bytes
         )
         self.serve(self._endpoint, settings.caller_address)
+        self.serve_metrics(metrics)
 
     @property
     def is_ready(self) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/__init__.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/__init__.py
@@ -11,6 +11,7 @@
     ServerLoad,
 )
 from almondfield_daemon.forwarding.ports import HeaderCodec
+from almondfield_daemon.forwarding.reports import RequestReport
 from almondfield_daemon.forwarding.servers import ServerChoice
 
 __all__ = [
@@ -21,6 +22,7 @@
     "ForwardEndpoint",
     "Forwarder",
     "HeaderCodec",
+    "RequestReport",
     "RetryWindow",
     "ServerChoice",
     "ServerLoad",
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
@@ -0,0 +1,49 @@
+"""Log lines of attempts that gave no answer."""
+
+import eliot
+
+from almondfield_core.clock import now
+from almondfield_daemon.fleet import FleetServer
+from almondfield_daemon.forwarding.messages import ForwardRequest
+from almondfield_daemon.forwarding.outcomes import (
+    Answered,
+    Attempt,
+    Lost,
+    Misdirected,
+    NotExecuted,
+    Unsent,
+)
+
+__all__ = ["log_attempt"]
+
+
+def log_attempt(request: ForwardRequest, server: FleetServer, outcome: Attempt) -> None:
+    """Write the line of an attempt that gave no answer.
+
+    :param request: the request.
+    :param server: the server that was asked.
+    :param outcome: how the attempt ended.
+    """
+    eliot.log_message(
+        "attempt:failed",
+        request_id=request.marks.request_id,
+        server=server.name,
+        address=server.address,
+        server_sequence=server.sequence,
+        outcome=_describe(outcome),
+        after_ms=round((now() - request.arrived_s) * 1000, 1),
+    )
+
+
+def _describe(outcome: Attempt) -> str:
+    match outcome:
+        case Answered():
+            return "answered"
+        case NotExecuted(status):
+            return f"not run: refused with {status}"
+        case Misdirected():
+            return "not run: another server has the address"
+        case Unsent(reason):
+            return f"not run: {reason}"
+        case Lost(reason):
+            return f"unknown: {reason}"
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -3,13 +3,15 @@
 import asyncio
 from collections.abc import Callable
 
-import eliot
-
-from almondfield_core.clock import now
 from almondfield_daemon.forwarding.attempts import Attempts
 from almondfield_daemon.forwarding.budget import RetryWindow
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.ports import ResponseSink
+from almondfield_daemon.forwarding.reports import (
+    RequestReport,
+    log_report,
+    make_report,
+)
 from almondfield_daemon.forwarding.run import RequestRun, StreamBrokenError
 from almondfield_daemon.forwarding.servers import ServerChoice
 from almondfield_daemon.router.problems import Outcome, Problem
@@ -23,6 +25,7 @@
     :param attempts: sends requests to servers.
     :param servers: chooses servers.
     :param make_window: returns the bound on the repeated requests of a pool.
+    :param observe: called with what became of each request.
     """
 
     def __init__(
@@ -30,7 +33,9 @@
         attempts: Attempts,
         servers: ServerChoice,
         make_window: Callable[[], RetryWindow],
+        observe: Callable[[RequestReport], None] = lambda report: None,
     ) -> None:
+        self._observe = observe
         self._attempts = attempts
         self._servers = servers
         self._make_window = make_window
@@ -62,7 +67,9 @@
             raise
         finally:
             self.running -= 1
-            _log(request, run, problem, error)
+            report = make_report(request, run, problem, error)
+            log_report(report)
+            self._observe(report)
         return problem
 
     def _window(self, pool: str) -> RetryWindow:
@@ -77,29 +84,3 @@
         detail = "no answer in the time that the caller or the route allows"
         outcome = Outcome.UNKNOWN if run.may_have_run else Outcome.NOT_RUN
         return Problem(504, "timeout", detail, outcome)
-
-
-def _log(
-    request: ForwardRequest, run: RequestRun, problem: Problem | None, error: str
-) -> None:
-    prompt = request.marks.prompt
-    place = run.place
-    wait_s = place.wait_s if place else None
-    eliot.log_message(
-        "request:ended",
-        request_id=request.marks.request_id,
-        route=request.route.name,
-        team=request.team,
-        table_version=request.table_version,
-        pool=request.pool,
-        server=run.server_name,
-        attempts=run.sent,
-        shared_part=prompt.shared_part if prompt else None,
-        input_tokens=prompt.input_tokens if prompt else None,
-        unread_tokens=place.unread_tokens if place else None,
-        predicted_wait_ms=None if wait_s is None else round(wait_s * 1000, 1),
-        status=problem.status if problem else run.status,
-        cause=problem.detail if problem else error,
-        first_ms=round(run.first_s * 1000, 1),
-        total_ms=round((now() - request.arrived_s) * 1000, 1),
-    )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -7,6 +7,7 @@
 from almondfield_core.findings import AlmondfieldError
 from almondfield_core.messages import ServerFailure
 from almondfield_core.routing import RequestKind
+from almondfield_daemon.forwarding.attempt_log import log_attempt
 from almondfield_daemon.forwarding.attempts import Attempts
 from almondfield_daemon.forwarding.budget import RetryWindow
 from almondfield_daemon.forwarding.messages import ForwardRequest
@@ -19,7 +20,6 @@
     Unsent,
 )
 from almondfield_daemon.forwarding.ports import ResponseSink
-from almondfield_daemon.forwarding.reports import log_attempt
 from almondfield_daemon.forwarding.servers import Choice, ServerChoice, Unavailable
 from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer, Header
 from almondfield_daemon.router.events import EventTracker
