Go on elsewhere when a stream that may be resumed falls silent

Cause: an engine that goes dark, or a connection that something between the ends has lost track of, kept a stream until its caller gave up after 2 s or more. Such a stream goes on at another server after 1.4 s, where the route allows another attempt and the budget has room; others wait as long as there is time. Also: developers' page, reference of fleet settings.

--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -72,11 +72,6 @@
         "Control hosts that may lose their disks at the same time.", default=1
     )
     memory_mb: int = item("Memory that the daemon may use.", "MB", default=256)
-    drain_s: float = item(
-        "Time in which a leaving backend server gets its last request.",
-        "s",
-        default=2.0,
-    )
     grace_s: float = item(
         "Time between the signal to stop and the kill.", "s", default=8.0
     )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
@@ -51,6 +51,7 @@
         server: FleetServer,
         last_event_id: str,
         answer_timeout_s: float,
+        silence_s: float,
     ) -> Attempt:
         """Return how one attempt ended, once the head of an answer is known.
 
@@ -58,8 +59,10 @@
         :param server: the server.
         :param last_event_id: last event that the caller has; empty for none.
         :param answer_timeout_s: longest wait for the head of the answer.
+        :param silence_s: longest wait for each further part of it.
         """
-        call = self._call(request, server, last_event_id, answer_timeout_s)
+        timeouts = _timeouts(request, answer_timeout_s, silence_s)
+        call = self._call(request, server, last_event_id, timeouts)
         match await self._backends.send(call):
             case Err(failure) if not failure.may_have_run:
                 return Unsent(failure.reason)
@@ -75,7 +78,7 @@
         request: ForwardRequest,
         server: FleetServer,
         last_event_id: str,
-        answer_timeout_s: float,
+        timeouts: Timeouts,
     ) -> BackendCall:
         left_s = max(0.0, request.until_s - now())
         marks = CallMarks(server.name, left_s, request.team, last_event_id)
@@ -91,11 +94,7 @@
             target=request.target,
             headers=self._codec.call_headers(headers, marks),
             body=request.body,
-            timeouts=Timeouts(
-                connect_s=min(CONNECT_TIMEOUT_S, left_s),
-                first_byte_s=min(answer_timeout_s, left_s),
-                chunk_s=left_s,
-            ),
+            timeouts=timeouts,
             pooled=_may_share_connection(request),
             authority=value_by_name.get(b"host", b""),
             may_end_by_close=True,
@@ -135,6 +134,17 @@
         answer.close()
 
 
+def _timeouts(
+    request: ForwardRequest, answer_timeout_s: float, silence_s: float
+) -> Timeouts:
+    left_s = max(0.0, request.until_s - now())
+    return Timeouts(
+        connect_s=min(CONNECT_TIMEOUT_S, left_s),
+        first_byte_s=min(answer_timeout_s, left_s),
+        chunk_s=min(silence_s, left_s),
+    )
+
+
 def _may_share_connection(request: ForwardRequest) -> bool:
     """Return whether a kept connection may carry the request.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/budget.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/budget.py
@@ -40,14 +40,18 @@
 
     def take(self) -> bool:
         """Return whether one more repeat is allowed, and count it."""
-        self._forget()
-        allowed = self._share * len(self._requests_s)
-        allowed += self._slack / max(1, self._routers())
-        if len(self._repeats_s) + 1 > SAFE_PART * allowed:
+        if not self.has_room():
             return False
         self._repeats_s.append(now())
         return True
 
+    def has_room(self) -> bool:
+        """Return whether one more repeat is allowed."""
+        self._forget()
+        allowed = self._share * len(self._requests_s)
+        allowed += self._slack / max(1, self._routers())
+        return len(self._repeats_s) + 1 <= SAFE_PART * allowed
+
     def _forget(self) -> None:
         before_s = now() - self._window_s
         for times_s in (self._requests_s, self._repeats_s):
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -33,6 +33,7 @@
 MAX_HELD_BODY_BYTES = 1024 * 1024
 LEAST_ANSWER_TIMEOUT_S = 0.3
 TARGETS_PER_ATTEMPT = 3.0  # a slower answer than this is more likely lost than late
+STREAM_SILENCE_S = 1.4  # callers give a silent stream up after 2 s or more
 RETRY_AFTER_S = 0.3
 
 
@@ -217,7 +218,8 @@
                 self._request,
                 choice.server,
                 self._last_event_id,
-                self._answer_timeout_s(),
+                self._answer_timeout_s(choice),
+                self._silence_s(),
             )
         except BaseException:
             choice.end()
@@ -277,9 +279,19 @@
     def _left_s(self) -> float:
         return self._request.until_s - now()
 
-    def _answer_timeout_s(self) -> float:
+    def _silence_s(self) -> float:
+        """Return how long to wait for the next part of an answer."""
+        route = self._request.route
+        is_last = self.sent + 1 >= route.max_attempts
+        if is_last or not route.is_resumable or not self._window.has_room():
+            return self._left_s()
+        return STREAM_SILENCE_S
+
+    def _answer_timeout_s(self, choice: Choice) -> float:
         """Return how long to wait for the head of an answer."""
         route = self._request.route
+        if route.kind is RequestKind.STREAMING:
+            return self._silence_s() + choice.reading_s
         is_last = self.sent + 1 >= route.max_attempts
         if route.kind is not RequestKind.IDEMPOTENT or is_last:
             return self._left_s()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -13,6 +13,8 @@
 
 __all__ = ["Choice", "ServerChoice", "Unavailable"]
 
+SLOW_READING_RATE = 20_000.0  # tokens a second; half of what large engines do
+
 
 @dataclass(frozen=True)
 class Unavailable:
@@ -47,6 +49,14 @@
         self._ticket = ticket
         self.place = place
 
+    @property
+    def reading_s(self) -> float:
+        """Return how long a slow engine takes to read the prompt, its wait included."""
+        if self.place is None:
+            return 0.0
+        wait_s = self.place.wait_s or 0.0
+        return wait_s + self.place.unread_tokens / SLOW_READING_RATE
+
     def report(self, load: ServerLoad | None) -> None:
         """Take note of the load that the server told, if it did.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -45,7 +45,8 @@
 class FakeAnswer:
     """An answer that may be cut."""
 
-    def __init__(self, status, marks, chunks, is_cut, server):
+    def __init__(self, status, marks, chunks, is_cut, server, silence_s=0.0):
+        self._silence_s = silence_s
         self.status = status
         self.headers = ((b"marks", marks), (b"content-type", b"text/event-stream"))
         self._chunks = chunks
@@ -57,6 +58,7 @@
         for chunk in self._chunks:
             await asyncio.sleep(0.001)
             yield chunk
+        await asyncio.sleep(self._silence_s)
         if self._is_cut:
             raise AnswerCutError(ServerFailure.STREAM, "cut")
 
@@ -110,6 +112,10 @@
             case "cuts its answer":
                 part = [*events[:CUT_AFTER_EVENTS], b"id: 4\nda"]
                 return Ok(FakeAnswer(200, marks, part, True, self))
+            case "falls silent":
+                part = events[:CUT_AFTER_EVENTS]
+                silence_s = call.timeouts.chunk_s
+                return Ok(FakeAnswer(200, marks, part, True, self, silence_s))
             case "fails with 500":
                 return Ok(FakeAnswer(500, marks, [b"failed"], False, self))
             case "is silent":
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
@@ -129,3 +129,34 @@
     Given a route that sends 90 of 100 requests to "a" and 10 to "b"
     Then of 2000 requests 8 to 12 in 100 go to "b"
     And a request without weight never goes there
+
+  Scenario Outline: A silent server holds a stream that may be resumed for a short time
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the first server <stops>
+    When a request is served
+    Then the caller has events 1 to 6, each once
+    And the answer took at most 1.6 s
+
+    Examples:
+      | stops              |
+      | is silent          |
+      | falls silent       |
+
+  Scenario: A silent server ends no stream that can't be resumed
+    Given a "streaming" route with 2 attempts and 3 servers
+    And the first server falls silent
+    When a request is served
+    Then the answer took at least 3.9 s
+
+  Scenario: The last server of a stream may be silent for as long as there is time
+    Given a "resumable" route with 1 attempts and 3 servers
+    And the first server falls silent
+    When a request is served
+    Then the answer took at least 3.9 s
+
+  Scenario: A slow stream goes on where no repeat is left in the budget
+    Given a "resumable" route with 2 attempts and 3 servers
+    And 1000 routers share the budget
+    And the first server falls silent
+    When a request is served
+    Then the answer took at least 3.9 s
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -234,6 +234,16 @@
     assert server.seen[-1].after == str(number), server.seen
 
 
+@then("the answer took at most {seconds:g} s")
+def step_impl(context, seconds):
+    assert context.served[3] <= seconds, context.served[3]
+
+
+@then("the answer took at least {seconds:g} s")
+def step_impl(context, seconds):
+    assert context.served[3] >= seconds, context.served[3]
+
+
 @then("the answer is not marked as whole")
 def step_impl(context):
     assert not context.served[1].is_whole
--- a/tools/make_reference.py
+++ b/tools/make_reference.py
@@ -8,7 +8,7 @@
 import sys
 from pathlib import Path
 
-from almondfield_core.settings import list_items
+from almondfield_core.settings import FleetSettings, list_items
 from almondfield_core.tables import Pool, Route
 
 __all__ = ["render_pages"]
@@ -22,6 +22,7 @@
     """Return the text of each page by its file name."""
     return {
         "settings.md": "\n".join(render_settings()),
+        "fleet-settings.md": "\n".join(render_fleet_settings()),
         "tables.md": "\n".join(render_tables()),
     }
 
@@ -39,6 +40,17 @@
         yield from render_section(title, items)
 
 
+def render_fleet_settings():
+    """Return the lines of the page of daemons that find each other from seeds."""
+    yield "# Fleet settings"
+    yield ""
+    yield "A daemon of a fleet whose hosts find each other from seeds reads one TOML"
+    yield "file. The seal of messages between its hosts has no secret: the network"
+    yield "between them must be private."
+    for section, items in group_items(list_items(FleetSettings)).items():
+        yield from render_section(section or "The top of the file", items)
+
+
 def render_tables():
     """Return the lines of the tables page."""
     yield "# Tables"
