--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -204,10 +204,10 @@
     """Return the longest wait at an engine.
 
     Where another engine keeps more of the prompt, this one takes it only while it has
-    time to spare: what it reads again it can't read for others.
+    time to spare: what it reads again it can't read for others. An idle one takes any.
     """
     again_s = (offer.unread_tokens - least_unread) / offer.engine.rate
-    return KEPT_PATIENCE * patience_s - READ_AGAIN_WEIGHT * again_s
+    return max(0.0, KEPT_PATIENCE * patience_s - READ_AGAIN_WEIGHT * again_s)
 
 
 def _wait_s(engine: Engine) -> float:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -46,7 +46,8 @@
         prompt = Prompt("m", 3000, 10, (PromptPart("s", 2000), PromptPart("o", 1000)))
         request = PromptRequest(TicketId("r", 0), "team", prompt, 0.8)
         request = replace(request, **changes)
-        context.decision = context.load.scheduler.decide(request, 0)
+        work_per_s = getattr(context, "work_per_s", 0)
+        context.decision = context.load.scheduler.decide(request, work_per_s)
 
     run(context, ask())
     return context.decision
@@ -265,3 +266,21 @@
     assert named, "nothing was refused"
     assert least <= min(named), min(named)
     assert max(named) <= most, max(named)
+
+
+@given("a team that has had twice its share")
+def step_impl(context):
+    finish(context)
+    # It has had two prompts of 3020 tokens of work; the window is 4 s.
+    context.work_per_s = 3020 / 4
+
+
+@when('a request of that team comes while "{server}" reads')
+def step_impl(context, server):
+    finish(context)
+
+    async def read():
+        context.load.scheduler.restore(TicketId("r", 1), server, 20_000)
+
+    run(context, read())
+    decide(context)
