--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
@@ -31,6 +31,7 @@
     :ivar cause: why the answer was not a server's own and whole; else empty.
     :ivar first_ms: time to the first part of the answer; 0 without one.
     :ivar total_ms: time to its end.
+    :ivar longest_gap_ms: longest pause between two events of a stream.
     """
 
     request_id: str
@@ -48,6 +49,7 @@
     cause: str
     first_ms: float
     total_ms: float
+    longest_gap_ms: float
 
 
 def make_report(
@@ -79,6 +81,7 @@
         cause=problem.detail if problem else error,
         first_ms=round(run.first_s * 1000, 1),
         total_ms=round((now() - request.arrived_s) * 1000, 1),
+        longest_gap_ms=round(run.longest_gap_s * 1000, 1),
     )
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -55,6 +55,7 @@
     :ivar is_started: whether the caller has a part of the answer.
     :ivar status: status that the caller got; 0 before.
     :ivar first_s: seconds until the answer began; 0 before.
+    :ivar longest_gap_s: longest pause between two events of a stream, in seconds.
     :ivar server_name: server of the last attempt; empty before.
     :ivar place: its place at a model engine; None for other servers.
     """
@@ -80,6 +81,8 @@
         self.is_started = False
         self.status = 0
         self.first_s = 0.0
+        self.longest_gap_s = 0.0
+        self._event_s: float | None = None
         self.server_name = ""
         self.place: EnginePlace | None = None
 
@@ -181,6 +184,7 @@
             if events:
                 choice.begin_answer()
                 await self._start(answer.status, answer.headers)
+                self._note_event()
                 await self._sink.send(events)
         await self._start(answer.status, answer.headers)
         rest = tracker.take_rest()
@@ -188,6 +192,12 @@
             await self._sink.send(rest)
         await self._sink.finish()
 
+    def _note_event(self) -> None:
+        event_s = now()
+        if self._event_s is not None:
+            self.longest_gap_s = max(self.longest_gap_s, event_s - self._event_s)
+        self._event_s = event_s
+
     async def _next_answer(self) -> Problem | tuple[Choice, Answered]:
         """Return an answer of a server, or why there is none."""
         while True:
