--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -92,7 +92,8 @@
         if not request.is_repeat:
             self._shares.ask(request.team, work)
         used = self._shares.used(request.team, work_per_s)
-        patience_s = self._patience_s(request, used)
+        full_patience_s = self._full_patience_s(request)
+        patience_s = _patience_s(full_patience_s, used)
         engines = [
             engine
             for name, engine in self._engine_by_name.items()
@@ -102,11 +103,15 @@
             return Refused(LEAST_RETRY_S, False, 0.0)
         offers = self._offers(engines, request)
         least_unread = min(offer.unread_tokens for offer in offers)
-        soon = [o for o in offers if o.wait_s <= _limit_s(o, least_unread, patience_s)]
-        if not soon:
+        if all(o.wait_s > _limit_s(o, least_unread, patience_s) for o in offers):
             wait_s = min(offer.wait_s for offer in offers)
             return self._refuse(wait_s, patience_s, used)
-        chosen = min(soon, key=lambda o: o.wait_s + READING_WEIGHT * o.reading_s)
+        # Where one may take it, it goes where it costs the engines least.
+        most_s = KEPT_PATIENCE * max(full_patience_s, patience_s)
+        chosen = min(
+            (o for o in offers if o.wait_s <= most_s),
+            key=lambda o: o.wait_s + READING_WEIGHT * o.reading_s,
+        )
         chosen.engine.send(
             request.ticket, prompt, chosen.unread_tokens, _output_tokens(prompt)
         )
@@ -160,19 +165,13 @@
         for engine in self._engine_by_name.values():
             engine.forget_lost()
 
-    def _patience_s(self, request: PromptRequest, used: float) -> float:
-        """Return the longest wait that a request may meet."""
+    def _full_patience_s(self, request: PromptRequest) -> float:
+        """Return the longest wait that requests of teams within their share meet."""
         target_s = request.latency_target_s
         if target_s > 0:
             remembered_s = self._strictest_target_s / TARGET_MEMORY
             self._strictest_target_s = min(target_s, remembered_s)
-        patience_s = WAIT_SHARE * self._strictest_target_s
-        if used > 1:
-            left = max(0.0, 1 - (used - 1) / OVER_SHARE_RANGE)
-            return OVER_SHARE_PATIENCE * patience_s * left
-        if used < LOW_USE:
-            return LOW_USE_PATIENCE * patience_s
-        return patience_s
+        return WAIT_SHARE * self._strictest_target_s
 
     def _offers(self, engines: list[Engine], request: PromptRequest) -> list[_Offer]:
         """Return what each engine would have to do for a request."""
@@ -200,6 +199,16 @@
         return Refused(retry_s, used > 1, wait_s)
 
 
+def _patience_s(full_patience_s: float, used: float) -> float:
+    """Return the longest wait for a team that has had a part of its share."""
+    if used > 1:
+        left = max(0.0, 1 - (used - 1) / OVER_SHARE_RANGE)
+        return OVER_SHARE_PATIENCE * full_patience_s * left
+    if used < LOW_USE:
+        return LOW_USE_PATIENCE * full_patience_s
+    return full_patience_s
+
+
 def _limit_s(offer: _Offer, least_unread: int, patience_s: float) -> float:
     """Return the longest wait at an engine.
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
@@ -80,5 +80,12 @@
     Given 2 engines
     And a prompt that "engine-0" has read
     And a team that has had twice its share
-    When a request of that team comes while "engine-0" reads
+    When a request of that team comes while "engine-0" reads 20000 tokens
     Then it is admitted at "engine-1"
+
+  Scenario: A kept prompt waits a moment rather than be read again
+    Given 2 engines
+    And a prompt that "engine-0" has read
+    And a team that has had twice its share
+    When a request of that team comes while "engine-0" reads 2000 tokens
+    Then it is admitted at "engine-0"
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -275,12 +275,12 @@
     context.work_per_s = 3020 / 4
 
 
-@when('a request of that team comes while "{server}" reads')
-def step_impl(context, server):
+@when('a request of that team comes while "{server}" reads {tokens:d} tokens')
+def step_impl(context, server, tokens):
     finish(context)
 
     async def read():
-        context.load.scheduler.restore(TicketId("r", 1), server, 20_000)
+        context.load.scheduler.restore(TicketId("r", 1), server, tokens)
 
     run(context, read())
     decide(context)
