--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -117,7 +117,7 @@
             except AnswerCutError as error:
                 if self.is_started:
                     raise StreamBrokenError(str(error)) from None
-                if self._note_lost(choice, Lost(str(error))):
+                if self._note_cut(choice, error):
                     continue
                 if failed is None:
                     return self._unknown(str(error), is_timeout=False)
@@ -160,7 +160,7 @@
                 if tracker.last_id is not None:
                     self._last_event_id = tracker.last_id.decode("latin-1")
                 can_go_on = not self.is_started or tracker.last_id is not None
-                if self._note_lost(choice, Lost(str(error))) and can_go_on:
+                if self._note_cut(choice, error) and can_go_on:
                     continue
                 if self.is_started:
                     raise StreamBrokenError(str(error)) from None
@@ -264,6 +264,12 @@
                     return None
                 return self._unknown(reason, is_timeout)
 
+    def _note_cut(self, choice: Choice, error: AnswerCutError) -> bool:
+        """Return whether the request may be sent again after its answer was cut."""
+        lost = Lost(str(error))
+        log_attempt(self._request, choice.server, lost)
+        return self._note_lost(choice, lost)
+
     def _note_lost(self, choice: Choice, lost: Lost) -> bool:
         """Return whether the request may be sent again after an answer was lost."""
         self.may_have_run = True
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -6,6 +6,7 @@
 engine that keeps most of them, unless much more waits there.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
@@ -94,6 +95,9 @@
         used = self._shares.used(request.team, work_per_s)
         full_patience_s = self._full_patience_s(request)
         patience_s = _patience_s(full_patience_s, used)
+        if request.is_repeat:
+            # Its caller has waited already, and may have a part of the answer.
+            patience_s = math.inf
         engines = [
             engine
             for name, engine in self._engine_by_name.items()
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
@@ -89,3 +89,11 @@
     And a team that has had twice its share
     When a request of that team comes while "engine-0" reads 2000 tokens
     Then it is admitted at "engine-0"
+
+  Scenario: A request that lost its engine is not refused
+    Given 2 engines
+    And a router restores 20 prompts of 10000 tokens at "engine-0"
+    And a router restores 10 prompts of 10000 tokens at "engine-1"
+    And a team that has had twice its share
+    When a request of that team is repeated
+    Then it is admitted at "engine-1"
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -284,3 +284,8 @@
 
     run(context, read())
     decide(context)
+
+
+@when("a request of that team is repeated")
+def step_impl(context):
+    decide(context, is_repeat=True)
