--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/backend.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/backend.feature
@@ -19,6 +19,27 @@
       | POST   | X: no length      | hello                       | unknown       |
       | POST   |                   |                             | unknown       |
 
+  Scenario Outline: An answer without a length that may end with its connection
+    Given a server that answers "<head>" and "hello" and <ends>
+    When a POST is sent whose answer may end with its connection
+    Then the caller sees <result>
+
+    Examples:
+      | head              | ends   | result        |
+      | X: no length      | closes | whole "hello" |
+      | X: no length      | resets | cut "hello"   |
+      | Content-Length: 9 | closes | cut "hello"   |
+
+  Scenario Outline: An idle connection is kept no longer than the server says
+    Then an answer with "<header>" leaves its connection idle for <seconds> s
+
+    Examples:
+      | header                     | seconds |
+      | X: none                    | 3.0     |
+      | Keep-Alive: timeout=2      | 1.0     |
+      | Keep-Alive: max=5, timeout=60 | 3.0  |
+      | Keep-Alive: timeout=1      | 0.0     |
+
   Scenario: Interim answers are passed over
     Given a server that sends 103 before "hello"
     When a GET is sent
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/backend_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/backend_steps.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 import socket
+import struct
 
 from behave import given, then, when
 from result import Err, Ok
 
 from almondfield_core.tables import Timeouts
 from almondfield_daemon.backend import HttpBackends
+from almondfield_daemon.backend.pool import idle_lifetime_s
 from almondfield_daemon.router import AnswerCutError, BackendCall
 from almondfield_daemon.router.tests.fakes import settings
 
@@ -81,10 +83,25 @@
     return script
 
 
-async def send(context, method, headers=(), body=b"", pooled=False, backends=None):
+async def send(
+    context,
+    method,
+    headers=(),
+    body=b"",
+    pooled=False,
+    backends=None,
+    may_end_by_close=False,
+):
     """Return (how it ended, answer, body)."""
     call = BackendCall(
-        context.address, method, b"/p", headers, body, context.timeouts, pooled
+        context.address,
+        method,
+        b"/p",
+        headers,
+        body,
+        context.timeouts,
+        pooled,
+        may_end_by_close=may_end_by_close,
     )
     backends = backends or HttpBackends(settings())
     match await backends.send(call):
@@ -342,3 +359,32 @@
 @then("the same bytes come back")
 def step_impl(context):
     assert context.result[2] == context.body
+
+
+@given('a server that answers "{head}" and "{body}" and resets')
+def step_impl(context, head, body):
+    data = OK + unescape(head) + b"\r\n\r\n" + unescape(body)
+
+    async def script(server, reader, writer):
+        await server.request(reader)
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        connection = writer.get_extra_info("socket")
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    start(context, script)
+
+
+@when("a POST is sent whose answer may end with its connection")
+def step_impl(context):
+    sent = send(context, "POST", may_end_by_close=True)
+    context.result = context.loop.run_until_complete(sent)
+
+
+@then('an answer with "{header}" leaves its connection idle for {seconds:g} s')
+def step_impl(context, header, seconds):
+    name, _, value = header.partition(": ")
+    found = idle_lifetime_s([(name.encode(), value.encode())])
+    assert found == seconds, found
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
@@ -51,6 +51,15 @@
     When every frame from "a" to "b" arrives a second time
     Then "b" counts drops for "earlier incarnation of the sender"
 
+  Scenario: A host whose calendar time was set back before it restarted is heard
+    Given "a" and "b" have talked for 2.0 s
+    And "a" restarts with the next incarnation
+    And "a" and "b" have talked for 2.0 s
+    When "a" restarts with an earlier incarnation
+    And 3.0 s pass
+    Then "a" asks "b" for report 7 and gets grant 7
+    And "b" asks "a" for report 8 and gets grant 8
+
   Scenario: A restarted host takes nothing that was meant for its earlier life
     Given "a" and "b" have talked for 2.0 s
     When "b" restarts with the next incarnation
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
@@ -88,9 +88,7 @@
     context.nodes["b"].failing.add(number)
 
 
-@given('"{name}" restarts with the next incarnation')
-@when('"{name}" restarts with the next incarnation')
-def step_impl(context, name):
+def restart(context, name, step):
     old = context.nodes[name]
 
     async def end():
@@ -98,7 +96,18 @@
         await asyncio.gather(old.task, return_exceptions=True)
 
     run(context, end())
-    start(context, name, incarnation=old.incarnation + 1)
+    start(context, name, incarnation=old.incarnation + step)
+
+
+@given('"{name}" restarts with the next incarnation')
+@when('"{name}" restarts with the next incarnation')
+def step_impl(context, name):
+    restart(context, name, 1)
+
+
+@when('"{name}" restarts with an earlier incarnation')
+def step_impl(context, name):
+    restart(context, name, -1)
 
 
 @when('"{name}" asks "{target}" for report {number:d}')
