Give a flooding team's share to requests that can still be in time

Cause: a team beyond its share had its share taken in equal parts by fresh requests and by those that came back late after a refusal, which no answer can bring within the target any more. Routers tell how long a caller has waited, by a deadline shorter than the route's usual one; teams within their share are still served late rather than never.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -21,6 +21,7 @@
 )
 from almondfield_daemon.edge.watch import CallerWatch
 from almondfield_daemon.forwarding.core import Forwarder
+from almondfield_daemon.forwarding.deadlines import UsualDeadlines
 from almondfield_daemon.forwarding.messages import CallerMarks, ForwardRequest
 from almondfield_daemon.forwarding.ports import HeaderCodec
 from almondfield_daemon.forwarding.run import StreamBrokenError
@@ -55,6 +56,7 @@
         self._subscription = subscription
         self._codec = codec
         self._budget = BodyBudget(max_held_bytes)
+        self._deadlines = UsualDeadlines()
         self._is_closing = False
         self._refuses_streams = False
         self._refuses = False
@@ -174,6 +176,7 @@
                 table_version=index.table.version,
                 team=team,
                 arrived_s=arrived_s,
+                waited_s=self._deadlines.waited_s(route.name, marks.deadline_s),
                 until_s=arrived_s
                 + min(route.timeout_s, marks.deadline_s or LONGEST_DEADLINE_S),
             )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
@@ -87,6 +87,7 @@
     :ivar table_version: version of the table that has the rule.
     :ivar team: team of the caller; empty without one.
     :ivar arrived_s: when its head was read, in seconds of the loop's clock.
+    :ivar waited_s: how long its caller had waited before, as its deadline tells.
     :ivar until_s: when its caller or the rule's timeout gives it up.
     :ivar body: the whole body.
     """
@@ -101,4 +102,5 @@
     team: str
     arrived_s: float
     until_s: float
+    waited_s: float = 0.0
     body: bytes = b""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
@@ -26,6 +26,7 @@
     :ivar shared_part: last part of its prompt that others may share; empty for none.
     :ivar input_tokens: length of its prompt; 0 without one.
     :ivar unread_tokens: tokens that the scheduler took for unread; None without one.
+    :ivar waited_ms: how long the caller had waited before.
     :ivar predicted_wait_ms: wait that the scheduler predicted; None without one.
     :ivar status: status that the caller got; 0 where it left before.
     :ivar cause: why the answer was not a server's own and whole; else empty.
@@ -44,6 +45,7 @@
     shared_part: str
     input_tokens: int
     unread_tokens: int | None
+    waited_ms: float
     predicted_wait_ms: float | None
     status: int
     cause: str
@@ -76,6 +78,7 @@
         shared_part=prompt.shared_part if prompt else "",
         input_tokens=prompt.input_tokens if prompt else 0,
         unread_tokens=place.unread_tokens if place else None,
+        waited_ms=round(request.waited_s * 1000, 1),
         predicted_wait_ms=None if wait_s is None else round(wait_s * 1000, 1),
         status=problem.status if problem else run.status,
         cause=problem.detail if problem else error,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -142,6 +142,7 @@
             request.route.latency_target_s,
             excluded,
             is_repeat=bool(tried),
+            waited_s=request.waited_s,
         )
         match place:
             case EngineRefusal(retry_after_s, is_over_share, wait_s):
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
@@ -160,3 +160,14 @@
     And the first server falls silent
     When a request is served
     Then the answer took at least 3.9 s
+
+  Scenario Outline: A deadline shorter than the usual one tells how long a caller waited
+    Given 50 requests with deadlines of <usual> s
+    Then a deadline of <deadline> s tells <waited> s
+
+    Examples:
+      | usual              | deadline | waited |
+      | 15.0               | 15.0     | 0.0    |
+      | 15.0               | 12.5     | 2.5    |
+      | 15.0               | 20.0     | 0.0    |
+      | 1.0 to 15.0        | 0.5      | 0.0    |
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -17,6 +17,7 @@
     RetryWindow,
     ServerChoice,
 )
+from almondfield_daemon.forwarding.deadlines import UsualDeadlines
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.run import StreamBrokenError
 from almondfield_daemon.forwarding.split import choose_pool
@@ -293,3 +294,19 @@
     rule = route("idempotent", 1, shares)
     chosen = {choose_pool(rule, f"request-{n}") for n in range(500)}
     assert chosen == {"a"}, chosen
+
+
+@given("{count:d} requests with deadlines of {usual} s")
+def step_impl(context, count, usual):
+    context.deadlines = UsualDeadlines()
+    least, _, most = usual.partition(" to ")
+    for number in range(count):
+        part = number / count
+        deadline_s = float(least) + (float(most or least) - float(least)) * part
+        context.deadlines.waited_s("route", deadline_s)
+
+
+@then("a deadline of {deadline:g} s tells {waited:g} s")
+def step_impl(context, deadline, waited):
+    assert context.deadlines.waited_s("route", deadline) == waited
+    assert context.deadlines.waited_s("route", None) == 0
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -115,6 +115,7 @@
         latency_target_s: float,
         excluded: frozenset[str],
         is_repeat: bool,
+        waited_s: float = 0.0,
     ) -> EnginePlace | EngineRefusal | None:
         """Return a place at an engine, a refusal, or None without a scheduler.
 
@@ -124,6 +125,7 @@
         :param latency_target_s: time to the first token that the caller wants.
         :param excluded: servers that the router can't use for the request.
         :param is_repeat: whether another attempt at the same request was made before.
+        :param waited_s: how long its caller has waited since it first tried.
         """
         host = self._leader()
         if not host or now() < self._silent_until_s:
@@ -139,6 +141,7 @@
             latency_target_s,
             tuple(excluded),
             is_repeat,
+            waited_s,
             hint,
         )
         try:
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
@@ -27,6 +27,7 @@
     :ivar latency_target_s: time to the first token that the caller wants.
     :ivar excluded: servers that the router can't use for the request.
     :ivar is_repeat: whether another attempt at the same request was made before.
+    :ivar waited_s: how long its caller has waited since it first tried.
     :ivar hint: server that had the shared parts last; empty for none.
     """
 
@@ -37,6 +38,7 @@
     latency_target_s: float
     excluded: tuple[str, ...] = ()
     is_repeat: bool = False
+    waited_s: float = 0.0
     hint: str = ""
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -88,13 +88,14 @@
         if not self._leads() or table is None:
             return NotScheduling()
         request = PromptRequest(
-            TicketId(sender, ask.number),
-            ask.team,
-            ask.prompt,
-            ask.latency_target_s,
-            ask.excluded,
-            ask.is_repeat,
-            ask.hint,
+            ticket=TicketId(sender, ask.number),
+            team=ask.team,
+            prompt=ask.prompt,
+            latency_target_s=ask.latency_target_s,
+            excluded=ask.excluded,
+            is_repeat=ask.is_repeat,
+            waited_s=ask.waited_s,
+            hint=ask.hint,
         )
         scheduler = self._scheduler(ask.pool, table)
         match scheduler.decide(request, table.limits.work_per_s):
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -29,6 +29,7 @@
 KEPT_PATIENCE = 1.25  # of the usual wait, where most of a prompt is kept
 READ_AGAIN_WEIGHT = 0.8  # of the time for what another engine keeps
 WAIT_SHARE = 0.6  # of the strictest latency target; the rest is for reading
+LATE_SHARE = 0.8  # beyond it a team's requests that are late already yield
 LOW_USE = 0.7  # teams below this part of their share may wait a little longer
 LOW_USE_PATIENCE = 1.3
 OVER_SHARE_PATIENCE = 0.25  # a team beyond its share gets what would be idle
@@ -107,6 +108,9 @@
             return Refused(LEAST_RETRY_S, False, 0.0)
         offers = self._offers(engines, request)
         least_unread = min(offer.unread_tokens for offer in offers)
+        if used > LATE_SHARE and _is_late(request, offers):
+            # Its share goes to requests that can still be answered in time.
+            patience_s = min(patience_s, 0.0)
         if all(o.wait_s > _limit_s(o, least_unread, patience_s) for o in offers):
             wait_s = min(offer.wait_s for offer in offers)
             return self._refuse(wait_s, patience_s, used)
@@ -203,6 +207,15 @@
         return Refused(retry_s, used > 1, wait_s)
 
 
+def _is_late(request: PromptRequest, offers: list[_Offer]) -> bool:
+    """Return whether no engine can begin the answer within the target any more."""
+    target_s = request.latency_target_s
+    if request.is_repeat or target_s <= 0:
+        return False
+    soonest_s = min(offer.wait_s + offer.reading_s for offer in offers)
+    return request.waited_s > 0 and request.waited_s + soonest_s > target_s
+
+
 def _patience_s(full_patience_s: float, used: float) -> float:
     """Return the longest wait for a team that has had a part of its share."""
     if used > 1:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
@@ -52,6 +52,7 @@
     :ivar latency_target_s: time to the first token that the caller wants.
     :ivar excluded: servers that the router can't use for it.
     :ivar is_repeat: whether another attempt at the same request was made before.
+    :ivar waited_s: how long its caller has waited since it first tried.
     :ivar hint: server that had the prompt's shared parts last, as the router knows;
         empty for none.
     """
@@ -62,6 +63,7 @@
     latency_target_s: float
     excluded: tuple[str, ...] = ()
     is_repeat: bool = False
+    waited_s: float = 0.0
     hint: str = ""
 
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
@@ -97,3 +97,15 @@
     And a team that has had twice its share
     When a request of that team is repeated
     Then it is admitted at "engine-1"
+
+  Scenario: Under a flood, requests that can still be in time go first
+    Given 6 engines
+    And callers that come back once when they are told
+    When team "flood" asks for 5.0 times what the engines can read beside 3 small teams
+    Then 0.9 of the answers to "flood" began within 0.8 s of the first try
+    And the engines were busy for at least 0.85 of the time
+
+  Scenario: A team within its share is served late rather than never
+    Given 2 engines
+    When a request that has waited 3.0 s comes
+    Then it is admitted at "engine-0"
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/standins.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/standins.py
@@ -65,6 +65,8 @@
         self.first_s = []
         self.outcomes = []
         self.number = 0
+        self.come_back = False
+        self.first_s_by_team = {}
 
     def prompt(self, shared, own_tokens, shared_tokens, output_tokens=100):
         """Return a prompt with one shared part and one of its own."""
@@ -76,17 +78,23 @@
         total = own_tokens + shared_tokens
         return Prompt("m", total, output_tokens, parts)
 
-    async def ask(self, team, prompt, target_s=0.8):
+    async def ask(self, team, prompt, target_s=0.8, began_s=None):
         """Ask for an engine and use it; note what came of it."""
-        ticket = TicketId("router", self.number)
+        ticket = TicketId("router", len(self.outcomes))
         asked_s = now()
-        request = PromptRequest(ticket, team, prompt, target_s)
+        waited_s = 0.0 if began_s is None else asked_s - began_s
+        request = PromptRequest(ticket, team, prompt, target_s, waited_s=waited_s)
         decision = self.scheduler.decide(request, self.work_per_s)
         self.outcomes.append((team, prompt, decision))
         if not isinstance(decision, Admitted):
+            if self.come_back and began_s is None:
+                await asyncio.sleep(decision.retry_after_s)
+                await self.ask(team, prompt, target_s, asked_s)
             return
         await self.engine_by_name[decision.server].read(prompt)
         self.first_s.append(now() - asked_s)
+        since_first_s = now() - asked_s + waited_s
+        self.first_s_by_team.setdefault(team, []).append(since_first_s)
         self.scheduler.begin(ticket, decision.server)
         await asyncio.sleep(prompt.max_output_tokens * TOKEN_S)
         self.scheduler.end(ticket)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -289,3 +289,20 @@
 @when("a request of that team is repeated")
 def step_impl(context):
     decide(context, is_repeat=True)
+
+
+@given("callers that come back once when they are told")
+def step_impl(context):
+    context.load.come_back = True
+
+
+@then('{share:g} of the answers to "{team}" began within {target:g} s of the first try')
+def step_impl(context, share, team, target):
+    first_s = context.load.first_s_by_team[team]
+    in_time = sum(item <= target for item in first_s) / len(first_s)
+    assert in_time >= share, f"{in_time:.3f} of {len(first_s)}"
+
+
+@when("a request that has waited {seconds:g} s comes")
+def step_impl(context, seconds):
+    decide(context, waited_s=seconds)
