Ask the scheduler with one type; read settings files in one place

The question to the scheduler repeated the fields of the request that it decides on, and the two kinds of settings were read by two copies of one function.

--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -6,9 +6,9 @@
 from enum import StrEnum
 from pathlib import Path
 
-from result import Err, Ok, Result
+from result import Result
 
-from almondfield_core.findings import Finding, read_toml, show, structure
+from almondfield_core.findings import Finding, show
 from almondfield_core.settings.core import (
     DaemonSettings,
     HostSettings,
@@ -16,10 +16,10 @@
     TimingSettings,
     item,
 )
+from almondfield_core.settings.reading import read_settings
 
 __all__ = ["FleetRole", "FleetSettings", "load_fleet_settings"]
 
-MAX_SETTINGS_BYTES = 64 * 1024
 MAX_PORT = 65_535
 
 
@@ -141,19 +141,14 @@
 
     :param path: the file.
     """
-    match read_toml(Path(path), MAX_SETTINGS_BYTES):
-        case Ok(values):
-            pass
-        case Err(finding):
-            return Err((finding,))
-    read = structure(values, FleetSettings, str(path))
-    if isinstance(read, Err):
-        return read
-    findings = tuple(
-        replace(finding, place=f"{path}: {finding.place}")
-        for finding in _check(read.ok_value)
+    return read_settings(path, FleetSettings, _check_settings)
+
+
+def _check_settings(settings: FleetSettings, place: str) -> tuple[Finding, ...]:
+    return tuple(
+        replace(finding, place=f"{place}: {finding.place}")
+        for finding in _check(settings)
     )
-    return Err(findings) if findings else read
 
 
 def _check(settings: FleetSettings) -> Iterator[Finding]:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -9,6 +9,7 @@
 from almondfield_daemon.forwarding.messages import ForwardRequest, ServerLoad
 from almondfield_daemon.scheduling import EngineClient, EnginePlace
 from almondfield_daemon.scheduling.messages import EngineRefusal
+from almondfield_fairshare.engines import PromptRequest
 from almondfield_fairshare.prefix_placement import Candidate, Placement, Ticket
 
 __all__ = ["Choice", "ServerChoice", "Unavailable"]
@@ -135,15 +136,15 @@
             return self._choose_here(request, tried)
         excluded = tried | self._avoided(request.pool)
         excluded |= self._view.unusable_servers(request.pool)
-        place = await self._engines.ask(
-            request.pool,
-            request.team,
-            prompt,
-            request.route.latency_target_s,
-            excluded,
+        asked = PromptRequest(
+            team=request.team,
+            prompt=prompt,
+            latency_target_s=request.route.latency_target_s,
+            excluded=tuple(excluded),
             is_repeat=bool(tried),
             waited_s=request.waited_s,
         )
+        place = await self._engines.ask(request.pool, asked)
         match place:
             case EngineRefusal(retry_after_s, is_over_share, wait_s):
                 reason = "the team has had its share" if is_over_share else "no room"
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -18,6 +18,7 @@
     EngineRefusal,
     EngineReply,
 )
+from almondfield_fairshare.engines import PromptRequest
 
 __all__ = ["EngineClient", "EnginePlace"]
 
@@ -108,42 +109,20 @@
                 self._server_by_part.popitem(last=False)
 
     async def ask(
-        self,
-        pool: str,
-        team: str,
-        prompt: Prompt,
-        latency_target_s: float,
-        excluded: frozenset[str],
-        is_repeat: bool,
-        waited_s: float = 0.0,
+        self, pool: str, request: PromptRequest
     ) -> EnginePlace | EngineRefusal | None:
         """Return a place at an engine, a refusal, or None without a scheduler.
 
         :param pool: name of the pool.
-        :param team: team that asks; empty without one.
-        :param prompt: the prompt.
-        :param latency_target_s: time to the first token that the caller wants.
-        :param excluded: servers that the router can't use for the request.
-        :param is_repeat: whether another attempt at the same request was made before.
-        :param waited_s: how long its caller has waited since it first tried.
+        :param request: what an engine is asked for; the hint is added here.
         """
         host = self._leader()
         if not host or now() < self._silent_until_s:
             return None
         self._next_number += 1
         number = self._next_number
-        hint = self.remembered(prompt)
-        question = EngineAsk(
-            pool,
-            number,
-            team,
-            prompt,
-            latency_target_s,
-            tuple(excluded),
-            is_repeat,
-            waited_s,
-            hint,
-        )
+        request = replace(request, hint=self.remembered(request.prompt))
+        question = EngineAsk(pool, number, request)
         try:
             answer = await self._peers.ask(host, question, ASK_TIMEOUT_S)
         except asyncio.CancelledError:
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from almondfield_core.routing import Prompt
 from almondfield_core.wire import wire_message
+from almondfield_fairshare.engines import PromptRequest
 
 __all__ = [
     "EngineAsk",
@@ -22,24 +22,12 @@
 
     :ivar pool: name of the pool.
     :ivar number: number of the attempt at this router.
-    :ivar team: team that asks; empty without one.
-    :ivar prompt: the prompt.
-    :ivar latency_target_s: time to the first token that the caller wants.
-    :ivar excluded: servers that the router can't use for the request.
-    :ivar is_repeat: whether another attempt at the same request was made before.
-    :ivar waited_s: how long its caller has waited since it first tried.
-    :ivar hint: server that had the shared parts last; empty for none.
+    :ivar request: what it is asked for.
     """
 
     pool: str
     number: int
-    team: str
-    prompt: Prompt
-    latency_target_s: float
-    excluded: tuple[str, ...] = ()
-    is_repeat: bool = False
-    waited_s: float = 0.0
-    hint: str = ""
+    request: PromptRequest
 
 
 @wire_message("engine-reply")
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -18,7 +18,6 @@
     Admitted,
     EngineScheduler,
     EngineServer,
-    PromptRequest,
     Refused,
     TicketId,
 )
@@ -87,18 +86,9 @@
         table = self._publisher.table
         if not self._leads() or table is None:
             return NotScheduling()
-        request = PromptRequest(
-            ticket=TicketId(sender, ask.number),
-            team=ask.team,
-            prompt=ask.prompt,
-            latency_target_s=ask.latency_target_s,
-            excluded=ask.excluded,
-            is_repeat=ask.is_repeat,
-            waited_s=ask.waited_s,
-            hint=ask.hint,
-        )
+        ticket = TicketId(sender, ask.number)
         scheduler = self._scheduler(ask.pool, table)
-        match scheduler.decide(request, table.limits.work_per_s):
+        match scheduler.decide(ticket, ask.request, table.limits.work_per_s):
             case Admitted(server, unread_tokens, wait_s):
                 return EngineReply(server, unread_tokens, wait_s, self._start)
             case Refused(retry_after_s, is_over_share, wait_s):
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
@@ -19,6 +19,7 @@
 from almondfield_daemon.fleet import FleetControl, FleetServer
 from almondfield_daemon.scheduling import EngineClient, EnginePlace, EngineService
 from almondfield_daemon.scheduling.messages import EngineRefusal
+from almondfield_fairshare.engines import PromptRequest
 from almondfield_testing import InMemoryNetwork, run
 
 POOL = "pool"
@@ -44,9 +45,8 @@
 
 
 async def ask(context, topic, number):
-    return await context.client.ask(
-        POOL, "team", prompt(topic, number), 0.8, frozenset(), False
-    )
+    request = PromptRequest("team", prompt(topic, number), 0.8)
+    return await context.client.ask(POOL, request)
 
 
 def known(context, host):
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -83,9 +83,12 @@
                 engine = Engine(server)
             self._engine_by_name[server.name] = engine
 
-    def decide(self, request: PromptRequest, work_per_s: float) -> Decision:
+    def decide(
+        self, ticket: TicketId, request: PromptRequest, work_per_s: float
+    ) -> Decision:
         """Return the engine for a request, which counts as sent, or a refusal.
 
+        :param ticket: names the attempt.
         :param request: the request.
         :param work_per_s: work of all engines a second, for the teams' shares.
         """
@@ -120,9 +123,7 @@
             (o for o in offers if o.wait_s <= most_s),
             key=lambda o: o.wait_s + READING_WEIGHT * o.reading_s,
         )
-        chosen.engine.send(
-            request.ticket, prompt, chosen.unread_tokens, _output_tokens(prompt)
-        )
+        chosen.engine.send(ticket, prompt, chosen.unread_tokens, _output_tokens(prompt))
         self._shares.grant(request.team, work)
         name = chosen.engine.server.name
         return Admitted(name, chosen.unread_tokens, chosen.wait_s)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
@@ -46,7 +46,6 @@
 class PromptRequest:
     """A request that asks for an engine.
 
-    :ivar ticket: names the attempt.
     :ivar team: team that asks; empty without one.
     :ivar prompt: its prompt.
     :ivar latency_target_s: time to the first token that the caller wants.
@@ -57,7 +56,6 @@
         empty for none.
     """
 
-    ticket: TicketId
     team: str
     prompt: Prompt
     latency_target_s: float
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/standins.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/standins.py
@@ -83,8 +83,8 @@
         ticket = TicketId("router", len(self.outcomes))
         asked_s = now()
         waited_s = 0.0 if began_s is None else asked_s - began_s
-        request = PromptRequest(ticket, team, prompt, target_s, waited_s=waited_s)
-        decision = self.scheduler.decide(request, self.work_per_s)
+        request = PromptRequest(team, prompt, target_s, waited_s=waited_s)
+        decision = self.scheduler.decide(ticket, request, self.work_per_s)
         self.outcomes.append((team, prompt, decision))
         if not isinstance(decision, Admitted):
             if self.come_back and began_s is None:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -44,10 +44,12 @@
 def decide(context, **changes):
     async def ask():
         prompt = Prompt("m", 3000, 10, (PromptPart("s", 2000), PromptPart("o", 1000)))
-        request = PromptRequest(TicketId("r", 0), "team", prompt, 0.8)
+        request = PromptRequest("team", prompt, 0.8)
         request = replace(request, **changes)
         work_per_s = getattr(context, "work_per_s", 0)
-        context.decision = context.load.scheduler.decide(request, work_per_s)
+        context.decision = context.load.scheduler.decide(
+            TicketId("r", 0), request, work_per_s
+        )
 
     run(context, ask())
     return context.decision
