Admit a caller that goes on with its stream

Cause: a caller that resumes a broken stream comes with less time left, and would have been taken for one that came back late and been refused beyond its team's share. Scenario 'A caller that goes on with its stream asks for an engine as a repeat' failed first.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -141,7 +141,7 @@
             prompt=prompt,
             latency_target_s=request.route.latency_target_s,
             excluded=tuple(excluded),
-            is_repeat=bool(tried),
+            is_repeat=bool(tried or request.marks.last_event_id),
             waited_s=request.waited_s,
         )
         place = await self._engines.ask(request.pool, asked)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -169,7 +169,20 @@
 
 
 class FakeEngines:
-    """No scheduler of model engines."""
+    """No scheduler of model engines, but the questions to one."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def ask(self, pool, request):
+        """Note a question."""
+        self.asked.append(request)
+
+    def remember(self, prompt, server):
+        """Forget it."""
+
+    def place(self, pool, server, unread_tokens):
+        """Return no place."""
 
     def remembered(self, prompt):
         """Return nothing."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
@@ -171,3 +171,13 @@
       | 15.0               | 12.5     | 2.5    |
       | 15.0               | 20.0     | 0.0    |
       | 1.0 to 15.0        | 0.5      | 0.0    |
+
+  Scenario Outline: A caller that goes on with its stream asks for an engine as a repeat
+    Given a "resumable" route with 2 attempts and 3 servers
+    When a request with a prompt that has event "<event>" is served
+    Then the scheduler was asked for <what>
+
+    Examples:
+      | event | what            |
+      | 4     | a repeat        |
+      |       | a first attempt |
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -4,11 +4,18 @@
 import random
 import re
 from contextlib import suppress
+from dataclasses import replace
 
 from behave import given, then, when
 
 from almondfield_core.clock import now
-from almondfield_core.routing import PoolShare, RequestKind, RouteRule
+from almondfield_core.routing import (
+    PoolShare,
+    Prompt,
+    PromptPart,
+    RequestKind,
+    RouteRule,
+)
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding import (
     Attempts,
@@ -56,7 +63,7 @@
     )
 
 
-async def serve(context, deadline_s=TIMEOUT_S, after=""):
+async def serve(context, deadline_s=TIMEOUT_S, after="", prompt=None):
     """Serve one request; return (problem, sink, error, seconds)."""
     sink = FakeSink()
     began_s = now()
@@ -64,7 +71,7 @@
         method="POST",
         target=b"/",
         headers=(),
-        marks=CallerMarks("r", deadline_s, last_event_id=after),
+        marks=CallerMarks("r", deadline_s, last_event_id=after, prompt=prompt),
         route=context.route,
         pool="p",
         table_version=1,
@@ -98,9 +105,11 @@
         for server in context.servers
     )
 
+    context.engines = FakeEngines()
+
     async def make():
         choice = ServerChoice(
-            FakeView(known), Placement(InOrder()), "east", FakeEngines()
+            FakeView(known), Placement(InOrder()), "east", context.engines
         )
         attempts = Attempts(FakeBackends(context.servers), FakeCodec())
         context.forwarder = Forwarder(
@@ -310,3 +319,17 @@
 def step_impl(context, deadline, waited):
     assert context.deadlines.waited_s("route", deadline) == waited
     assert context.deadlines.waited_s("route", None) == 0
+
+
+@when('a request with a prompt that has event "{event}" is served')
+@when('a request with a prompt that has event "" is served')
+def step_impl(context, event=""):
+    context.route = replace(context.route, has_prompt=True)
+    parts = (PromptPart("s", 10), PromptPart("o", 10))
+    served = serve(context, after=event, prompt=Prompt("m", 20, 5, parts))
+    context.served = run(context, served)
+
+
+@then("the scheduler was asked for {what}")
+def step_impl(context, what):
+    assert context.engines.asked[0].is_repeat == (what == "a repeat")
