--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -199,6 +199,10 @@
         """Return all of them."""
         return self._servers
 
+    def unusable_servers(self, pool):
+        """Return none."""
+        return frozenset()
+
     def silent_servers(self):
         """Return none."""
         return frozenset()
