Read any prompt anywhere only while most engines are idle

Now six tenths of the engines have to be idle. The scenario of idle engines has three engines of which two are idle, in place of two of which one is.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -30,6 +30,7 @@
 READ_AGAIN_WEIGHT = 0.8  # of the time for what another engine keeps
 WAIT_SHARE = 0.6  # of the strictest latency target; the rest is for reading
 LATE_SHARE = 0.8  # beyond it a team's requests that are late already yield
+IDLE_SHARE = 0.6  # of the engines; with fewer, one is idle between two prompts only
 LOW_USE = 0.7  # teams below this part of their share may wait a little longer
 LOW_USE_PATIENCE = 1.3
 OVER_SHARE_PATIENCE = 0.25  # a team beyond its share gets what would be idle
@@ -114,7 +115,9 @@
         if used > LATE_SHARE and _is_late(request, offers):
             # Its share goes to requests that can still be answered in time.
             patience_s = min(patience_s, 0.0)
-        if all(o.wait_s > _limit_s(o, least_unread, patience_s) for o in offers):
+        least_s = 0.0 if _has_time_to_spare(offers) else -math.inf
+        limits_s = [max(least_s, _limit_s(o, least_unread, patience_s)) for o in offers]
+        if all(o.wait_s > limit_s for o, limit_s in zip(offers, limits_s)):
             wait_s = min(offer.wait_s for offer in offers)
             return self._refuse(wait_s, patience_s, used)
         # Where one may take it, it goes where it costs the engines least.
@@ -208,6 +211,12 @@
         return Refused(retry_s, used > 1, wait_s)
 
 
+def _has_time_to_spare(offers: list[_Offer]) -> bool:
+    """Return whether so many engines are idle that any may read any prompt."""
+    idle = sum(offer.wait_s <= 0 for offer in offers)
+    return idle >= IDLE_SHARE * len(offers)
+
+
 def _is_late(request: PromptRequest, offers: list[_Offer]) -> bool:
     """Return whether no engine can begin the answer within the target any more."""
     target_s = request.latency_target_s
@@ -231,10 +240,10 @@
     """Return the longest wait at an engine.
 
     Where another engine keeps more of the prompt, this one takes it only while it has
-    time to spare: what it reads again it can't read for others. An idle one takes any.
+    time to spare: what it reads again it can't read for others.
     """
     again_s = (offer.unread_tokens - least_unread) / offer.engine.rate
-    return max(0.0, KEPT_PATIENCE * patience_s - READ_AGAIN_WEIGHT * again_s)
+    return KEPT_PATIENCE * patience_s - READ_AGAIN_WEIGHT * again_s
 
 
 def _wait_s(engine: Engine) -> float:
