--- a/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
@@ -20,7 +20,7 @@
 
 RENEW_S = 0.7  # several tries within the shortest lease
 RETRY_S = 0.1  # a fraction of an election
-ASK_TIMEOUT_S = 1.0
+ASK_TIMEOUT_S = 1.0  # an election and a round trip
 
 
 class TableSubscription:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
@@ -20,7 +20,7 @@
 __all__ = ["FleetControl"]
 
 SPREAD_S = 0.5  # a fraction of the interval between two announcements
-MAX_SERVERS_PER_NEWS = 500
+MAX_SERVERS_PER_NEWS = 500  # some 50 KB a message
 
 
 class FleetControl:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -21,8 +21,8 @@
 
 __all__ = ["FleetView"]
 
-HELLO_S = 1.0
-ASK_TIMEOUT_S = 0.9
+HELLO_S = 1.0  # callers keep the address of a router for about twice as long
+ASK_TIMEOUT_S = 0.9  # ends before the next hello
 LOST_S = 3.0  # three hellos without an answer
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -19,7 +19,7 @@
 __all__ = ["ControlHost"]
 
 LEADER_ATTEMPT_S = 0.4  # many round trips, and a fraction of an election
-HAND_OVER_TIMEOUT_S = 1.0
+HAND_OVER_TIMEOUT_S = 1.0  # a fraction of the grace of a stop
 SCHEDULER_START_BITS = 48
 FEWEST_SEEDS_OF_A_GROUP = 3  # smaller deployments name all their control hosts
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -30,11 +30,11 @@
 
 LEADER_ATTEMPT_S = 0.4  # many round trips, and a fraction of an election
 LEASE_SHARE = 0.8  # of the revocation time; the rest covers clocks that drift
-STATE_CHECK_S = 0.1
+STATE_CHECK_S = 0.1  # a fraction of a hello
 SERVE_STREAMS_SHARE = 0.3  # of the grace; most streams end in what is left of it
 SERVE_ALL_SHARE = 0.6  # of the grace, while callers may still hold the address
 LAST_CALL_SHARE = 0.93  # of the grace; the rest is for the end of the process
-BODY_SHARE_OF_MEMORY = 0.2
+BODY_SHARE_OF_MEMORY = 0.2  # the process itself takes a sixth, buffers the rest
 BYTES_PER_MB = 1_000_000
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -28,13 +28,13 @@
 
 __all__ = ["RequestRun", "StreamBrokenError"]
 
-MAX_UNSENT = 4
+MAX_UNSENT = 4  # servers that refuse connections before the caller hears of it
 LEAST_LEFT_S = 0.02  # a server gets no work that it cannot end
-MAX_HELD_BODY_BYTES = 1024 * 1024
-LEAST_ANSWER_TIMEOUT_S = 0.3
+MAX_HELD_BODY_BYTES = 1024 * 1024  # larger answers are streamed
+LEAST_ANSWER_TIMEOUT_S = 0.3  # several round trips and a short request
 TARGETS_PER_ATTEMPT = 3.0  # a slower answer than this is more likely lost than late
 STREAM_SILENCE_S = 1.4  # callers give a silent stream up after 2 s or more
-RETRY_AFTER_S = 0.3
+RETRY_AFTER_S = 0.3  # a server that failed is avoided for about as long
 
 
 class StreamBrokenError(AlmondfieldError):
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -1,9 +1,9 @@
 """Admits prompts to engines.
 
-The heaviest days ask for several times what the engines can read in time. A prompt is
-admitted only where it waits a short time before it is read, so that what is admitted
-begins within its target; a team that has had its share yields first. Prompts go to the
-engine that keeps most of them, unless much more waits there.
+Under overload, callers ask for several times what the engines can read in time. A
+prompt is admitted only where it waits a short time before it is read, so that what is
+admitted begins within its target; a team that has had its share yields first. Prompts
+go to the engine that keeps most of them, unless much more waits there.
 """
 
 import math
@@ -32,10 +32,10 @@
 LATE_SHARE = 0.8  # beyond it a team's requests that are late already yield
 IDLE_SHARE = 0.6  # of the engines; with fewer, one is idle between two prompts only
 LOW_USE = 0.7  # teams below this part of their share may wait a little longer
-LOW_USE_PATIENCE = 1.3
+LOW_USE_PATIENCE = 1.3  # of the usual wait
 OVER_SHARE_PATIENCE = 0.25  # a team beyond its share gets what would be idle
 OVER_SHARE_RANGE = 0.5  # part of a share over which that falls to nothing
-LEAST_RETRY_S = 0.1
+LEAST_RETRY_S = 0.1  # a fraction of the time that an engine reads one prompt
 TARGET_MEMORY = 0.999  # forgets a strict target after some thousand requests
 SLOT_PENALTY_S = 0.05  # wait for each request beyond an engine's slots
 
