Write the line of a changed server in one place; drop what nothing calls

Routers and control hosts had two copies of the loop that logs changed servers. Nothing called is_serving of the router's view and of its choice of servers. A server that still reads a prompt of this router is left out before the ranking, so that its unread tokens there were always 0.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
@@ -4,10 +4,9 @@
 import random
 from collections.abc import Callable
 
-import eliot
-
 from almondfield_core.ports import Peers
 from almondfield_daemon.fleet.board import ServerBoard
+from almondfield_daemon.fleet.change_log import log_changes
 from almondfield_daemon.fleet.messages import (
     FleetServer,
     HelloReply,
@@ -95,15 +94,7 @@
         return self._board.get(name) is not None
 
     def _note(self, changed: tuple[FleetServer, ...], cause: str) -> None:
-        for server in changed:
-            eliot.log_message(
-                "server:changed",
-                server=server.name,
-                address=server.address,
-                phase=server.phase.value,
-                sequence=server.sequence,
-                cause=cause,
-            )
+        log_changes(changed, cause)
         if changed:
             for callback in self.on_servers:
                 callback()
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -10,6 +10,7 @@
 from almondfield_core.clock import now
 from almondfield_core.ports import Peers
 from almondfield_daemon.fleet.board import ServerBoard
+from almondfield_daemon.fleet.change_log import log_changes
 from almondfield_daemon.fleet.messages import (
     FleetServer,
     HelloReply,
@@ -115,18 +116,6 @@
             if server.pool == pool and server.phase is not ServerPhase.SERVING
         )
 
-    def is_serving(self, server: FleetServer) -> bool:
-        """Return whether a server still takes new work.
-
-        :param server: the server as it was chosen.
-        """
-        known = self._board.get(server.name)
-        return (
-            known is not None
-            and known.phase is ServerPhase.SERVING
-            and known.born_ms == server.born_ms
-        )
-
     def silent_servers(self) -> frozenset[str]:
         """Return the names of servers that no control host hears."""
         reports = [frozenset(item.reply.silent) for item in self._heard_lately()]
@@ -184,15 +173,7 @@
 
     def _merge(self, servers: tuple[FleetServer, ...], sender: str) -> None:
         changed = self._board.merge(servers)
-        for server in changed:
-            eliot.log_message(
-                "server:changed",
-                server=server.name,
-                address=server.address,
-                phase=server.phase.value,
-                sequence=server.sequence,
-                cause=f"told by {sender}",
-            )
+        log_changes(changed, f"told by {sender}")
         if changed:
             self._on_change()
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -194,13 +194,6 @@
         )
         return avoided if len(avoided) < len(servers) else frozenset()
 
-    def is_serving(self, choice: Choice) -> bool:
-        """Return whether a chosen server still takes new work.
-
-        :param choice: the choice.
-        """
-        return self._view.is_serving(choice.server)
-
     def note_misdirected(self, choice: Choice) -> None:
         """Use a server no more: another one has its address.
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/core.py
@@ -150,7 +150,7 @@
             unread = 0 if place < RANKED_SERVERS else shared_tokens
             move = shared_tokens / 2 if 0 < place < RANKED_SERVERS else 0
             waiting = record.waiting * prompt.input_tokens
-            return record.unread_tokens + waiting + unread + move
+            return waiting + unread + move
 
         return ranked[min(range(len(ranked)), key=cost)]
 
