--- a/spec/check.py
+++ b/spec/check.py
@@ -14,6 +14,7 @@
 sys.path.insert(0, str(Path(__file__).parent))
 
 from claims import claims_protocol
+from formation import formation_protocol
 from freshness import freshness_protocol
 from grants import grants_protocol
 from log import log_protocol
@@ -133,6 +134,25 @@
         {"lost_is_free": True},
         broken=True,
     ),
+    Case("formation", formation_protocol),
+    Case(
+        "formation, emptied folder forms again",
+        formation_protocol,
+        {"emptied_may_form": True},
+        broken=True,
+    ),
+    Case(
+        "formation, identity by host",
+        formation_protocol,
+        {"agrees_by_host": True},
+        broken=True,
+    ),
+    Case(
+        "formation, two of three form",
+        formation_protocol,
+        {"quorum_forms": True},
+        broken=True,
+    ),
 )
 
 
