--- a/packages/almondfield-daemon/src/almondfield_daemon/logs/__init__.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/logs/__init__.py
@@ -1,5 +1,6 @@
 """Structured logs to standard output."""
 
 from almondfield_daemon.logs.core import LineLog
+from almondfield_daemon.logs.libraries import take_library_messages
 
-__all__ = ["LineLog"]
+__all__ = ["LineLog", "take_library_messages"]
--- a/packages/almondfield-daemon/src/almondfield_daemon/logs/tests/logs.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/logs/tests/logs.feature
@@ -23,3 +23,15 @@
     When 900 messages of 4000 bytes are logged
     Then logging never waited
     And at most 512 kilobytes wait in memory
+
+  Scenario: What a library warns of is a line, too
+    Given a log to a pipe
+    And the messages of libraries are taken
+    When library "uvicorn.error" warns "Invalid HTTP request received."
+    Then the pipe has 1 line of logger "uvicorn.error" with that message
+
+  Scenario: An answer that the router cuts has no second line
+    Given a log to a pipe
+    And the messages of libraries are taken
+    When library "uvicorn.error" warns "ASGI callable returned without completing response."
+    Then the pipe has no line
--- a/packages/almondfield-daemon/src/almondfield_daemon/logs/tests/steps/logs_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/logs/tests/steps/logs_steps.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import json
+import logging
 import os
 
+import eliot
 from behave import given, then, when
 
-from almondfield_daemon.logs import LineLog
+from almondfield_daemon.logs import LineLog, take_library_messages
 from almondfield_testing import run
 
 READ_BYTES = 1 << 20
@@ -105,3 +107,33 @@
 @then("at most {kilobytes:d} kilobytes wait in memory")
 def step_impl(context, kilobytes):
     assert len(context.log._pending) <= kilobytes * 1024
+
+
+@given("the messages of libraries are taken")
+def step_impl(context):
+    eliot.add_destinations(context.log)
+    context.add_cleanup(eliot.remove_destination, context.log)
+    handler = take_library_messages()
+    context.add_cleanup(logging.getLogger().removeHandler, handler)
+
+
+@when('library "{logger}" warns "{text}"')
+def step_impl(context, logger, text):
+    context.library_text = text
+
+    async def warn():
+        logging.getLogger(logger).error(text)
+        await asyncio.sleep(0)
+
+    run(context, warn())
+
+
+@then('the pipe has 1 line of logger "{logger}" with that message')
+def step_impl(context, logger):
+    (line,) = lines(context)
+    assert (line["logger"], line["message"]) == (logger, context.library_text), line
+
+
+@then("the pipe has no line")
+def step_impl(context):
+    assert lines(context) == []
