--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -16,6 +16,7 @@
     RouterMetrics,
     build_metrics_app,
 )
+from almondfield_daemon.fleet_daemon.usage import log_usage
 from almondfield_daemon.peers import PynngPeers
 from almondfield_daemon.serving import HttpListener, bind
 
@@ -89,7 +90,7 @@
         :param stop: set to ask for it.
         :raises Exception: where a part fails; what it raised.
         """
-        running = (self.peers.run(), *self.parts())
+        running = (self.peers.run(), log_usage(), *self.parts())
         self._tasks = [asyncio.create_task(part) for part in running]
         for listener in self._listeners:
             await listener.start()
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/usage.py
@@ -0,0 +1,35 @@
+"""What the process takes of its host, in the log."""
+
+import asyncio
+import resource
+import time
+from typing import Any
+
+import eliot
+
+__all__ = ["log_usage"]
+
+USAGE_S = 10.0  # a line that costs nothing beside those of requests
+KIB_PER_MIB = 1024
+
+
+async def log_usage() -> None:
+    """Log processor time, peak memory and wake-ups at intervals until cancelled."""
+    loop = asyncio.get_running_loop()
+    cpu_s, wake_ups = time.process_time(), _wake_ups(loop)
+    while True:
+        await asyncio.sleep(USAGE_S)
+        before_s, cpu_s = cpu_s, time.process_time()
+        before, wake_ups = wake_ups, _wake_ups(loop)
+        peak_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        eliot.log_message(
+            "daemon:usage",
+            cores=round((cpu_s - before_s) / USAGE_S, 4),
+            wake_ups_per_s=round((wake_ups - before) / USAGE_S, 1),
+            peak_mib=round(peak_kib / KIB_PER_MIB, 1),
+        )
+
+
+def _wake_ups(loop: Any) -> int:
+    """Return the wake-ups of a loop that counts them; else 0."""
+    return getattr(loop, "wake_ups", 0)
