--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -75,6 +75,7 @@
         self._sink = sink
         self._unsent = 0
         self._tried: frozenset[str] = frozenset()
+        self._lost_server = False
         self._last_event_id = request.marks.last_event_id
         self.sent = 0
         self.may_have_run = False
@@ -203,7 +204,9 @@
         while True:
             if self._left_s() < LEAST_LEFT_S:
                 return self._unknown("the time for the answer is over", True)
-            choice = await self._servers.choose(self._request, self._tried)
+            choice = await self._servers.choose(
+                self._request, self._tried, self._lost_server
+            )
             if isinstance(choice, Unavailable):
                 return self._refusal(choice.detail, choice.retry_after_s)
             self.server_name = choice.server.name
@@ -214,7 +217,7 @@
                     choice.report(outcome.marks.load)
                     return choice, outcome
                 case _:
-                    choice.end()
+                    choice.end(was_refused=isinstance(outcome, NotExecuted))
                     problem = self._judge(choice, outcome)
                     if problem is not None:
                         return problem
@@ -248,6 +251,7 @@
         match outcome:
             case Unsent(reason):
                 choice.fail(reason)
+                self._lost_server = True
                 self._unsent += 1
                 if self._unsent < MAX_UNSENT:
                     return None
@@ -273,6 +277,7 @@
     def _note_lost(self, choice: Choice, lost: Lost) -> bool:
         """Return whether the request may be sent again after an answer was lost."""
         self.may_have_run = True
+        self._lost_server = True
         self._tried |= {choice.server.name}
         choice.fail(lost.reason)
         return self._may_repeat()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -93,11 +93,14 @@
                 reason=reason,
             )
 
-    def end(self) -> None:
-        """Note that the attempt is over."""
+    def end(self, was_refused: bool = False) -> None:
+        """Note that the attempt is over.
+
+        :param was_refused: whether the server refused it as full.
+        """
         self._ticket.end()
         if self.place is not None:
-            self.place.end()
+            self.place.end(was_refused)
 
 
 class ServerChoice:
@@ -124,12 +127,13 @@
         self._misdirected: set[tuple[str, int]] = set()
 
     async def choose(
-        self, request: ForwardRequest, tried: frozenset[str]
+        self, request: ForwardRequest, tried: frozenset[str], lost_server: bool = False
     ) -> Choice | Unavailable:
         """Return where to make the next attempt, or why there is none.
 
         :param request: the request.
-        :param tried: servers that failed it already.
+        :param tried: servers that failed it already, or refused it.
+        :param lost_server: whether one of them was lost with it.
         """
         prompt = request.marks.prompt if request.route.has_prompt else None
         if prompt is None:
@@ -141,7 +145,7 @@
             prompt=prompt,
             latency_target_s=request.route.latency_target_s,
             excluded=tuple(excluded),
-            is_repeat=bool(tried or request.marks.last_event_id),
+            is_repeat=lost_server or bool(request.marks.last_event_id),
             waited_s=request.waited_s,
         )
         place = await self._engines.ask(request.pool, asked)
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -60,11 +60,14 @@
             self._item = replace(self._item, unread_tokens=0)
             self._client.tell_begun(self._item)
 
-    def end(self) -> None:
-        """Note that the attempt is over."""
+    def end(self, was_refused: bool = False) -> None:
+        """Note that the attempt is over.
+
+        :param was_refused: whether the server refused it as full.
+        """
         if not self._ended:
             self._ended = True
-            self._client.tell_ended(self._item)
+            self._client.tell_ended(replace(self._item, was_refused=was_refused))
 
 
 class EngineClient:
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
@@ -79,12 +79,14 @@
     :ivar pool: name of the pool.
     :ivar server: the server.
     :ivar unread_tokens: prompt tokens that it has to read; 0 once the answer began.
+    :ivar was_refused: whether the server refused it as full.
     """
 
     number: int
     pool: str
     server: str
     unread_tokens: int
+    was_refused: bool = False
 
 
 @wire_message("engine-progress")
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -117,7 +117,7 @@
             self._scheduler(item.pool, table).begin(ticket, item.server)
         for item in progress.ended:
             ticket = TicketId(sender, item.number)
-            self._scheduler(item.pool, table).end(ticket)
+            self._scheduler(item.pool, table).end(ticket, item.was_refused)
 
     def _scheduler(self, pool: str, table: RoutingTable) -> EngineScheduler:
         scheduler = self._scheduler_by_pool.get(pool)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -8,10 +8,13 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
+from typing import NamedTuple
 
+from almondfield_core.clock import now
 from almondfield_core.routing import Prompt
 from almondfield_fairshare.engines.engine import Engine
+from almondfield_fairshare.engines.kept import Chain, prompt_chains
 from almondfield_fairshare.engines.load import BusyShare, EngineLoad
 from almondfield_fairshare.engines.requests import (
     Admitted,
@@ -36,28 +39,28 @@
 LOW_USE_PATIENCE = 1.3  # of the usual wait
 OVER_SHARE_PATIENCE = 0.25  # a team beyond its share gets what would be idle
 OVER_SHARE_RANGE = 0.5  # part of a share over which that falls to nothing
+EASY_BUSY_SHARE = 0.5  # engines this busy have time to read prompts again
+TIGHT_BUSY_SHARE = 0.8  # beyond it waits grow steeply
 LEAST_RETRY_S = 0.1  # a fraction of the time that an engine reads one prompt
 TARGET_MEMORY = 0.999  # forgets a strict target after some thousand requests
 SLOT_PENALTY_S = 0.05  # wait for each request beyond an engine's slots
 
 
-@dataclass(frozen=True)
-class _Offer:
+class _Offer(NamedTuple):
     """What one engine would have to do for a request.
 
     :ivar engine: the engine.
     :ivar wait_s: predicted wait before it reads the prompt.
     :ivar unread_tokens: tokens that it has to read.
+    :ivar reading_s: how long it reads them.
     """
 
+    # Each question makes one for each engine, so that it must be cheap to make.
+
     engine: Engine
     wait_s: float
     unread_tokens: int
-
-    @property
-    def reading_s(self) -> float:
-        """Return how long the engine reads the prompt."""
-        return self.unread_tokens / self.engine.rate
+    reading_s: float
 
 
 class EngineScheduler:
@@ -70,6 +73,7 @@
         self._window_s = window_s
         self._shares = TeamShares(window_s)
         self._engine_by_name: dict[str, Engine] = {}
+        self._server_by_ticket: dict[TicketId, str] = {}
         self._busy = BusyShare()
         self._load = EngineLoad()
         self._strictest_target_s = float("inf")
@@ -86,6 +90,11 @@
             if engine is None or engine.server.born_ms != server.born_ms:
                 engine = Engine(server)
             self._engine_by_name[server.name] = engine
+        self._server_by_ticket = {
+            ticket: server
+            for ticket, server in self._server_by_ticket.items()
+            if self._engine_by_name.get(server) is before.get(server)
+        }
 
     def decide(
         self, ticket: TicketId, request: PromptRequest, work_per_s: float
@@ -103,24 +112,32 @@
         self._note_busy()
         used = self._shares.used(request.team, work_per_s, self._busy.value())
         full_patience_s = self._full_patience_s(request)
+        # Beyond its share a team does not make engines read parts again.
+        spare = _spare(self._busy.value()) if used <= 1 else 0.0
         patience_s = _patience_s(full_patience_s, used)
         if request.is_repeat:
             # Its caller has waited already, and may have a part of the answer.
             patience_s = math.inf
+        excluded = frozenset(request.excluded)
         engines = [
             engine
             for name, engine in self._engine_by_name.items()
-            if name not in request.excluded
+            if name not in excluded
         ]
         if not engines:
             return Refused(LEAST_RETRY_S, False, 0.0)
-        offers = self._offers(engines, request)
+        chains = prompt_chains(prompt)
+        offers = _offers(engines, request, chains)
         least_unread = min(offer.unread_tokens for offer in offers)
         if used > LATE_SHARE and _is_late(request, offers):
             # Its share goes to requests that can still be answered in time.
             patience_s = min(patience_s, 0.0)
         least_s = 0.0 if _has_time_to_spare(offers) else -math.inf
-        limits_s = [max(least_s, _limit_s(o, least_unread, patience_s)) for o in offers]
+        again_weight = READ_AGAIN_WEIGHT * (1 - spare)
+        limits_s = [
+            max(least_s, _limit_s(offer, least_unread, patience_s, again_weight))
+            for offer in offers
+        ]
         if all(o.wait_s > limit_s for o, limit_s in zip(offers, limits_s)):
             wait_s = min(offer.wait_s for offer in offers)
             return self._refuse(wait_s, patience_s, used)
@@ -130,7 +147,8 @@
             (o for o in offers if o.wait_s <= most_s),
             key=lambda o: o.wait_s + READING_WEIGHT * o.reading_s,
         )
-        chosen.engine.send(ticket, prompt, chosen.unread_tokens, _output_tokens(prompt))
+        chosen.engine.send(ticket, chains, chosen.unread_tokens, _output_tokens(prompt))
+        self._server_by_ticket[ticket] = chosen.engine.server.name
         self._shares.grant(request.team, work)
         self._load = replace(
             self._load,
@@ -149,14 +167,17 @@
         engine = self._engine_by_name.get(server)
         if engine is not None:
             engine.begin(ticket)
+            self._server_by_ticket[ticket] = server
 
-    def end(self, ticket: TicketId) -> None:
+    def end(self, ticket: TicketId, was_refused: bool = False) -> None:
         """Note that no engine has a request any more.
 
         :param ticket: names it.
+        :param was_refused: whether its engine refused it as full.
         """
-        for engine in self._engine_by_name.values():
-            engine.end(ticket)
+        engine = self._engine_by_name.get(self._server_by_ticket.pop(ticket, ""))
+        if engine is not None:
+            engine.end(ticket, was_refused)
 
     def restore(self, ticket: TicketId, server: str, unread_tokens: int) -> None:
         """Note a request that an engine had before this scheduler began.
@@ -168,6 +189,7 @@
         engine = self._engine_by_name.get(server)
         if engine is None:
             return
+        self._server_by_ticket[ticket] = server
         if unread_tokens:
             engine.take(ticket, unread_tokens)
         else:
@@ -179,12 +201,15 @@
         :param router: its host.
         """
         for engine in self._engine_by_name.values():
-            engine.forget_router(router)
+            for ticket in engine.tickets():
+                if ticket.router == router:
+                    self.end(ticket)
 
     def forget_lost(self) -> None:
         """Forget requests whose end nobody told."""
         for engine in self._engine_by_name.values():
-            engine.forget_lost()
+            for ticket in engine.lost_tickets():
+                self.end(ticket)
 
     def take_load(self) -> EngineLoad:
         """Return the load since this was called last."""
@@ -193,14 +218,16 @@
             self._load,
             engines=len(engines),
             busy_share=self._busy.value(),
-            longest_wait_s=max((engine.wait_s() for engine in engines), default=0.0),
+            longest_wait_s=max(
+                (engine.wait_s(now()) for engine in engines), default=0.0
+            ),
         )
         self._load = EngineLoad()
         return load
 
     def _note_busy(self) -> None:
         engines = self._engine_by_name.values()
-        busy = sum(engine.in_flight_unread > 0 for engine in engines)
+        busy = sum(engine.is_reading for engine in engines)
         self._busy.note(busy / max(1, len(engines)))
 
     def _full_patience_s(self, request: PromptRequest) -> float:
@@ -211,22 +238,6 @@
             self._strictest_target_s = min(target_s, remembered_s)
         return WAIT_SHARE * self._strictest_target_s
 
-    def _offers(self, engines: list[Engine], request: PromptRequest) -> list[_Offer]:
-        """Return what each engine would have to do for a request."""
-        prompt = request.prompt
-        offers = [_Offer(e, _wait_s(e), e.unread_tokens(prompt)) for e in engines]
-        is_unknown = all(o.unread_tokens >= prompt.input_tokens for o in offers)
-        if not is_unknown or not prompt.parts:
-            return offers
-        # The router saw the shared parts there before this scheduler began.
-        own_tokens = max(1, prompt.parts[-1].tokens)
-        return [
-            replace(o, unread_tokens=own_tokens)
-            if o.engine.server.name == request.hint
-            else o
-            for o in offers
-        ]
-
     def _refuse(self, wait_s: float, patience_s: float, used: float) -> Refused:
         retry_s = max(LEAST_RETRY_S, wait_s - patience_s)
         if used > 1:
@@ -241,6 +252,32 @@
         return Refused(retry_s, used > 1, wait_s)
 
 
+def _offers(
+    engines: list[Engine], request: PromptRequest, chains: tuple[Chain, ...]
+) -> list[_Offer]:
+    """Return what each engine would have to do for a request."""
+    at_s = now()
+    input_tokens = request.prompt.input_tokens
+    offers = []
+    for engine in engines:
+        unread = max(1, input_tokens - engine.kept_tokens(chains))
+        offer = _Offer(engine, _wait_s(engine, at_s), unread, unread / engine.rate)
+        offers.append(offer)
+    is_unknown = all(offer.unread_tokens >= input_tokens for offer in offers)
+    if not is_unknown or not chains:
+        return offers
+    # The router saw the shared parts there before this scheduler began.
+    own_tokens = max(1, chains[-1][1])
+    return [
+        offer._replace(
+            unread_tokens=own_tokens, reading_s=own_tokens / offer.engine.rate
+        )
+        if offer.engine.server.name == request.hint
+        else offer
+        for offer in offers
+    ]
+
+
 def _has_time_to_spare(offers: list[_Offer]) -> bool:
     """Return whether so many engines are idle that any may read any prompt."""
     idle = sum(offer.wait_s <= 0 for offer in offers)
@@ -256,6 +293,12 @@
     return request.waited_s > 0 and request.waited_s + soonest_s > target_s
 
 
+def _spare(busy_share: float) -> float:
+    """Return 1 where the engines have time to spare, 0 where they have none."""
+    tight = (busy_share - EASY_BUSY_SHARE) / (TIGHT_BUSY_SHARE - EASY_BUSY_SHARE)
+    return min(1.0, max(0.0, 1 - tight))
+
+
 def _patience_s(full_patience_s: float, used: float) -> float:
     """Return the longest wait for a team that has had a part of its share."""
     if used > 1:
@@ -266,19 +309,22 @@
     return full_patience_s
 
 
-def _limit_s(offer: _Offer, least_unread: int, patience_s: float) -> float:
+def _limit_s(
+    offer: _Offer, least_unread: int, patience_s: float, again_weight: float
+) -> float:
     """Return the longest wait at an engine.
 
     Where another engine keeps more of the prompt, this one takes it only while it has
     time to spare: what it reads again it can't read for others.
     """
     again_s = (offer.unread_tokens - least_unread) / offer.engine.rate
-    return KEPT_PATIENCE * patience_s - READ_AGAIN_WEIGHT * again_s
+    return KEPT_PATIENCE * patience_s - again_weight * again_s
 
 
-def _wait_s(engine: Engine) -> float:
+def _wait_s(engine: Engine, at_s: float) -> float:
+    wait_s = engine.wait_s(at_s)
     beyond = engine.in_flight + 1 - engine.server.slots
-    return engine.wait_s() + SLOT_PENALTY_S * max(0, beyond)
+    return wait_s + SLOT_PENALTY_S * beyond if beyond > 0 else wait_s
 
 
 def _output_tokens(prompt: Prompt) -> int:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
@@ -1,6 +1,7 @@
 """Questions to the scheduler of model engines, and its decisions."""
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from almondfield_core.routing import Prompt
 
@@ -14,8 +15,7 @@
 ]
 
 
-@dataclass(frozen=True)
-class TicketId:
+class TicketId(NamedTuple):
     """Names one attempt at one engine.
 
     :ivar router: host of the router that makes it.
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
@@ -116,3 +116,20 @@
     When team "flood" asks for 0.6 times what the engines can read beside 5 small teams
     Then each small team had at least 0.95 of its requests admitted
     And team "flood" had at least 0.9 of its requests admitted
+
+  Scenario: Large prompts within their share are served while half of the engines idle
+    Given 8 engines
+    When 4 topics of 24000 tokens are asked about 18 times a second with 6000 tokens more and a target of 0.5 s
+    Then at least 0.99 of the requests were admitted
+    And at most 0.7 of the engines' time was spent
+
+  Scenario: Callers are not sent to engines that answer nobody
+    Given 6 engines that have 6.0 s of work that the scheduler does not know of
+    And callers that leave after 2.0 s
+    When 8 teams ask for 2.0 times what the engines can read for 12 s
+    Then at most 0.15 of the callers that were admitted left
+
+  Scenario: An engine that refused a prompt as full gets a pause
+    Given 2 engines
+    When "engine-0" refuses a request as full
+    Then the next 3 requests are admitted at "engine-1"
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/standins.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/standins.py
@@ -66,6 +66,9 @@
         self.outcomes = []
         self.number = 0
         self.come_back = False
+        self.target_s = 0.8
+        self.leave_after_s = None
+        self.callers_left = 0
         self.first_s_by_team = {}
 
     def prompt(self, shared, own_tokens, shared_tokens, output_tokens=100):
@@ -78,20 +81,27 @@
         total = own_tokens + shared_tokens
         return Prompt("m", total, output_tokens, parts)
 
-    async def ask(self, team, prompt, target_s=0.8, began_s=None):
+    async def ask(self, team, prompt, began_s=None):
         """Ask for an engine and use it; note what came of it."""
         ticket = TicketId("router", len(self.outcomes))
         asked_s = now()
         waited_s = 0.0 if began_s is None else asked_s - began_s
-        request = PromptRequest(team, prompt, target_s, waited_s=waited_s)
+        request = PromptRequest(team, prompt, self.target_s, waited_s=waited_s)
         decision = self.scheduler.decide(ticket, request, self.work_per_s)
         self.outcomes.append((team, prompt, decision))
         if not isinstance(decision, Admitted):
             if self.come_back and began_s is None:
                 await asyncio.sleep(decision.retry_after_s)
-                await self.ask(team, prompt, target_s, asked_s)
+                await self.ask(team, prompt, asked_s)
+            return
+        engine = self.engine_by_name[decision.server]
+        try:
+            async with asyncio.timeout(self.leave_after_s):
+                await engine.read(prompt)
+        except TimeoutError:
+            self.callers_left += 1
+            self.scheduler.end(ticket)
             return
-        await self.engine_by_name[decision.server].read(prompt)
         self.first_s.append(now() - asked_s)
         since_first_s = now() - asked_s + waited_s
         self.first_s_by_team.setdefault(team, []).append(since_first_s)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -67,6 +67,21 @@
     start(context, count)
 
 
+@given(
+    "{count:d} engines that have {seconds:g} s of work that the scheduler does not "
+    "know of"
+)
+def step_impl(context, count, seconds):
+    start(context, count)
+
+    async def occupy():
+        for engine in context.load.engine_by_name.values():
+            await engine.turn.acquire()
+            asyncio.get_running_loop().call_later(seconds, engine.turn.release)
+
+    run(context, occupy())
+
+
 @given("{count:d} engines of which one reads at a fifth of the rate")
 def step_impl(context, count):
     start(context, count, slow=0.2)
@@ -341,3 +356,56 @@
 def step_impl(context, team, share):
     admitted = context.load.admitted(team)
     assert admitted >= share, f"{admitted:.3f}"
+
+
+@then("at most {share:g} of the engines' time was spent")
+def step_impl(context, share):
+    engines = context.load.engine_by_name.values()
+    busy = sum(e.read_tokens / e.rate for e in engines) / (20.0 * len(engines))
+    assert busy <= share, f"{busy:.3f}"
+
+
+@when(
+    "{topics:d} topics of {size:d} tokens are asked about {rate:g} times a second "
+    "with {own:d} tokens more and a target of {target:g} s"
+)
+def step_impl(context, topics, size, rate, own, target):
+    load = context.load
+    load.target_s = target
+    load.work_per_s *= 2  # the nominal work counts parts that are kept, too
+
+    def make():
+        return load.prompt(f"topic-{load.chance.randrange(topics)}", own, size)
+
+    run(context, load.play(20.0, [("team", rate, make)]))
+
+
+@given("callers that leave after {seconds:g} s")
+def step_impl(context, seconds):
+    context.load.leave_after_s = seconds
+
+
+@then("at most {share:g} of the callers that were admitted left")
+def step_impl(context, share):
+    left, answered = context.load.callers_left, len(context.load.first_s)
+    assert left <= share * (left + answered), (left, answered)
+
+
+@when('"{server}" refuses a request as full')
+def step_impl(context, server):
+    decide(context, excluded=("engine-1",))
+    assert context.decision.server == server
+
+    async def refuse():
+        context.load.scheduler.end(TicketId("r", 0), was_refused=True)
+
+    run(context, refuse())
+
+
+@then('the next {count:d} requests are admitted at "{server}"')
+def step_impl(context, count, server):
+    for number in range(count):
+        prompt = context.load.prompt(f"fresh-{number}", 100, 300)
+        decide(context, prompt=prompt)
+        assert context.decision.server == server, context.decision
+        finish(context)
