--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -14,6 +14,8 @@
 
 __all__ = ["Choice", "ServerChoice", "Unavailable"]
 
+# Unread prompts at a server that still begin in time, of all routers together.
+LOCAL_PROMPTS_PER_SERVER = 2
 SLOW_READING_RATE = 20_000.0  # tokens a second; half of what large engines do
 
 
@@ -172,6 +174,8 @@
         silent = self._view.silent_servers()
         candidates = tuple(self._candidate(server, silent) for server in servers)
         prompt = request.marks.prompt if request.route.has_prompt else None
+        if prompt is not None and self._reads_enough(servers):
+            return Unavailable("without a scheduler, enough prompts wait already")
         hint = self._engines.remembered(prompt) if prompt else ""
         chosen = self._placement.choose(candidates, prompt, tried, hint)
         if chosen is None:
@@ -185,6 +189,14 @@
             place = self._engines.place(request.pool, server.name, own_tokens)
         return Choice(server, self._placement, ticket, place)
 
+    def _reads_enough(self, servers: tuple[FleetServer, ...]) -> bool:
+        """Return whether this router's part of the unread prompts is in use."""
+        reading = sum(
+            self._placement.record(server.name).unread_tokens > 0 for server in servers
+        )
+        most = LOCAL_PROMPTS_PER_SERVER * len(servers) / max(1, self._view.routers())
+        return reading >= max(1, round(most))
+
     def _find(self, pool: str, name: str) -> FleetServer | None:
         return next((s for s in self._usable(pool) if s.name == name), None)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -192,8 +192,13 @@
 class FakeView:
     """Servers that are known."""
 
-    def __init__(self, servers):
+    def __init__(self, servers, routers):
         self._servers = servers
+        self._routers = routers
+
+    def routers(self):
+        """Return how many routers there are."""
+        return self._routers()
 
     def servers(self, pool):
         """Return all of them."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
@@ -181,3 +181,27 @@
       | event | what            |
       | 4     | a repeat        |
       |       | a first attempt |
+
+  Scenario Outline: Only a request that lost its server asks for an engine as a repeat
+    Given a "streaming" route with 2 attempts and 3 servers
+    And the first server <how>
+    When a request with a prompt that has event "" is served
+    Then the scheduler was asked at last for <what>
+
+    Examples:
+      | how                          | what            |
+      | says that it did not run it  | a first attempt |
+      | refuses the connection       | a repeat        |
+
+  Scenario Outline: Without a scheduler, routers together leave two unread prompts a server
+    Given a "streaming" route with 1 attempts and 4 servers
+    And <routers> routers share the budget
+    And every server is silent
+    When 6 requests with prompts are served at once
+    Then <sent> of them were sent
+
+    Examples:
+      | routers | sent |
+      | 1       | 4    |
+      | 4       | 2    |
+      | 60      | 1    |
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -109,7 +109,10 @@
 
     async def make():
         choice = ServerChoice(
-            FakeView(known), Placement(InOrder()), "east", context.engines
+            FakeView(known, lambda: context.routers),
+            Placement(InOrder()),
+            "east",
+            context.engines,
         )
         attempts = Attempts(FakeBackends(context.servers), FakeCodec())
         context.forwarder = Forwarder(
@@ -333,3 +336,28 @@
 @then("the scheduler was asked for {what}")
 def step_impl(context, what):
     assert context.engines.asked[0].is_repeat == (what == "a repeat")
+
+
+@then("the scheduler was asked at last for {what}")
+def step_impl(context, what):
+    assert len(context.engines.asked) == 2, context.engines.asked
+    assert context.engines.asked[-1].is_repeat == (what == "a repeat")
+
+
+@when("{count:d} requests with prompts are served at once")
+def step_impl(context, count):
+    context.route = replace(context.route, has_prompt=True)
+    parts = (PromptPart("s", 10), PromptPart("o", 10))
+
+    async def all_at_once():
+        prompt = Prompt("m", 20, 5, parts)
+        asks = [serve(context, prompt=prompt) for _ in range(count)]
+        await asyncio.gather(*asks)
+
+    run(context, all_at_once())
+
+
+@then("{count:d} of them were sent")
+def step_impl(context, count):
+    sent = sum(len(server.seen) for server in context.servers)
+    assert sent == count, sent
