Weigh a short delay of an engine's first prompt less

Seen in the load lines of a trial: predicted waits of 3 to 7 s in a calm second, as a head of a hundred tokens that was 0.2 s late made its engine look six times slower. Delays below 0.2 s now say little.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
@@ -15,6 +15,7 @@
 LEAST_SAMPLE_TOKENS = 500  # a shorter prompt tells of overheads, not of the rate
 LOST_AFTER_S = 20.0  # longer than callers wait for an answer
 OVERHEAD_S = 0.05  # round trips, and steps of the requests that run already
+SHORT_DELAY_S = 0.2  # a delay below it says little of the engine's speed
 FULL_PAUSE_S = 0.3  # a few of its requests end meanwhile
 
 
@@ -88,7 +89,8 @@
         expected_s = head.unread_tokens / self.rate + OVERHEAD_S
         if elapsed_s > expected_s:
             # It is slower than it was: what is left takes longer in proportion.
-            wait_s = elapsed_s - expected_s + wait_s * elapsed_s / expected_s
+            slowness = (elapsed_s + SHORT_DELAY_S) / (expected_s + SHORT_DELAY_S)
+            wait_s = elapsed_s - expected_s + wait_s * slowness
         return wait_s
 
     def send(
