--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/usage.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/usage.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import resource
-import time
 from typing import Any
 
 import eliot
@@ -16,10 +15,10 @@
 async def log_usage() -> None:
     """Log processor time, peak memory and wake-ups at intervals until cancelled."""
     loop = asyncio.get_running_loop()
-    cpu_s, wake_ups = time.process_time(), _wake_ups(loop)
+    cpu_s, wake_ups = _cpu_s(), _wake_ups(loop)
     while True:
         await asyncio.sleep(USAGE_S)
-        before_s, cpu_s = cpu_s, time.process_time()
+        before_s, cpu_s = cpu_s, _cpu_s()
         before, wake_ups = wake_ups, _wake_ups(loop)
         peak_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
         eliot.log_message(
@@ -30,6 +29,12 @@
         )
 
 
+def _cpu_s() -> float:
+    """Return the processor time of this process, in seconds."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
 def _wake_ups(loop: Any) -> int:
     """Return the wake-ups of a loop that counts them; else 0."""
     return getattr(loop, "wake_ups", 0)
