--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -33,6 +33,7 @@
 KEPT_PATIENCE = 1.25  # of the usual wait, where most of a prompt is kept
 READ_AGAIN_WEIGHT = 0.8  # of the time for what another engine keeps
 WAIT_SHARE = 0.6  # of the strictest latency target; the rest is for reading
+REPEAT_PATIENCE_S = 1.2  # callers leave a stream that pauses for 2 s, reading included
 LATE_SHARE = 0.8  # beyond it a team's requests that are late already yield
 IDLE_SHARE = 0.6  # of the engines; with fewer, one is idle between two prompts only
 LOW_USE = 0.7  # teams below this part of their share may wait a little longer
@@ -117,7 +118,7 @@
         patience_s = _patience_s(full_patience_s, used)
         if request.is_repeat:
             # Its caller has waited already, and may have a part of the answer.
-            patience_s = math.inf
+            patience_s = REPEAT_PATIENCE_S
         excluded = frozenset(request.excluded)
         engines = [
             engine
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -409,3 +409,34 @@
         decide(context, prompt=prompt)
         assert context.decision.server == server, context.decision
         finish(context)
+
+
+@then("it is refused")
+def step_impl(context):
+    assert isinstance(context.decision, Refused), context.decision
+
+
+@given("{count:d} requests that lost their engine come after {seconds:g} s")
+def step_impl(context, count, seconds):
+    load = context.load
+
+    async def come():
+        await asyncio.sleep(seconds)
+        prompts = [load.prompt(f"lost-{n}", OWN_TOKENS, 300) for n in range(count)]
+        asks = [load.ask("lost", prompt, is_repeat=True) for prompt in prompts]
+        await asyncio.gather(*asks)
+
+    async def begin():
+        context.lost = asyncio.ensure_future(come())
+
+    run(context, begin())
+
+
+@then(
+    "at least {share:g} of the other requests between {least:g} and {most:g} s were "
+    "admitted"
+)
+def step_impl(context, share, least, most):
+    load = context.load
+    seen = [ok for asked, ok in load.admitted_by_asked_s if least < asked < most]
+    assert sum(seen) >= share * len(seen), (sum(seen), len(seen))
