Leave what is idle to the team that has had least

Change: beyond its share a team is refused while another that has had much less of its own was refused within the last half second.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -139,7 +139,11 @@
             max(least_s, _limit_s(offer, least_unread, patience_s, again_weight))
             for offer in offers
         ]
-        if all(o.wait_s > limit_s for o, limit_s in zip(offers, limits_s)):
+        # What is left goes to the team that has had least of it.
+        is_ahead = used > 1 and not request.is_repeat and self._shares.is_ahead(used)
+        has_room = any(o.wait_s <= limit_s for o, limit_s in zip(offers, limits_s))
+        if is_ahead or not has_room:
+            self._shares.note_refused(request.team, used)
             wait_s = min(offer.wait_s for offer in offers)
             return self._refuse(wait_s, patience_s, used)
         # Where one may take it, it goes where it costs the engines least.
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
@@ -7,6 +7,8 @@
 __all__ = ["TeamShares"]
 
 FULL_S = 1.0  # engines that refused so lately are full
+REFUSED_S = 0.5  # a flooding team asks several times meanwhile
+AHEAD = 1.5  # times what another team has had; less evens out by itself
 
 
 class _Sum:
@@ -48,6 +50,7 @@
         self._got_by_team: dict[str, _Sum] = {}
         self._got = _Sum(window_s)
         self._full_until_s = float("-inf")
+        self._refused_by_team: dict[str, tuple[float, float]] = {}
 
     def ask(self, team: str, work: float) -> None:
         """Count work that a team asks for.
@@ -66,6 +69,25 @@
         self._got_by_team.setdefault(team, _Sum(self._window_s)).add(work)
         self._got.add(work)
 
+    def note_refused(self, team: str, used: float) -> None:
+        """Note that a request of a team was refused.
+
+        :param team: name of the team.
+        :param used: which part of its share it has had.
+        """
+        self._refused_by_team[team] = (now() + REFUSED_S, used)
+
+    def is_ahead(self, used: float) -> bool:
+        """Return whether a team that has had much less was refused lately.
+
+        :param used: which part of its share the asking team has had.
+        """
+        at_s = now()
+        return any(
+            until_s > at_s and used > AHEAD * other
+            for until_s, other in self._refused_by_team.values()
+        )
+
     def note_full(self) -> None:
         """Note that the engines take no more: what teams get now is all there is."""
         self._full_until_s = now() + FULL_S
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
@@ -146,3 +146,12 @@
     Given 2 engines
     When "engine-0" refuses a request as full
     Then the next 3 requests are admitted at "engine-1"
+
+  Scenario: What is left goes to the team that has had less
+    Given 6 engines
+    And team "b" has had 4 times its share, and team "a" 2 times
+    When team "a" is refused, and team "b" asks while engines are idle
+    Then it is refused
+    When 1.0 s pass
+    And team "b" asks while engines are idle
+    Then it is admitted
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -440,3 +440,47 @@
     load = context.load
     seen = [ok for asked, ok in load.admitted_by_asked_s if least < asked < most]
     assert sum(seen) >= share * len(seen), (sum(seen), len(seen))
+
+
+@given('team "b" has had 4 times its share, and team "a" 2 times')
+def step_impl(context):
+    # Each decision counts 3020 tokens of work; the window is 4 s.
+    context.work_per_s = 2 * 3020 / 4
+
+    async def had():
+        shares = context.load.scheduler._shares
+        for team, count in (("b", 4), ("a", 2)):
+            for _ in range(count):
+                shares.ask(team, 3020)
+                shares.grant(team, 3020)
+
+    run(context, had())
+
+
+@when('team "a" is refused, and team "b" asks while engines are idle')
+def step_impl(context):
+    every = tuple(context.load.engine_by_name)
+
+    async def fill():
+        for name in every:
+            context.load.scheduler.restore(TicketId("r", name), name, 50_000)
+
+    async def empty():
+        for name in every:
+            context.load.scheduler.end(TicketId("r", name))
+
+    run(context, fill())
+    decide(context, team="a")
+    assert isinstance(context.decision, Refused), context.decision
+    run(context, empty())
+    decide(context, team="b")
+
+
+@when('team "b" asks while engines are idle')
+def step_impl(context):
+    decide(context, team="b")
+
+
+@then("it is admitted")
+def step_impl(context):
+    assert isinstance(context.decision, Admitted), context.decision
