--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
@@ -80,11 +80,14 @@
     def is_ahead(self, used: float) -> bool:
         """Return whether a team that has had much less was refused lately.
 
+        A team within its share that was refused found no room, which idle engines that
+        others use don't change.
+
         :param used: which part of its share the asking team has had.
         """
         at_s = now()
         return any(
-            until_s > at_s and used > AHEAD * other
+            until_s > at_s and used > AHEAD * max(1.0, other)
             for until_s, other in self._refused_by_team.values()
         )
 
