--- a/packages/almondfield-core/src/almondfield_core/findings/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/findings/__init__.py
@@ -1,6 +1,7 @@
 """Findings: problems collected with their place and reported together."""
 
 from almondfield_core.findings.core import AlmondfieldError, Finding, FindingsError
+from almondfield_core.findings.reading import read_checked
 from almondfield_core.findings.structuring import StructuringError, show, structure
 from almondfield_core.findings.toml import read_toml
 
@@ -9,6 +10,7 @@
     "Finding",
     "FindingsError",
     "StructuringError",
+    "read_checked",
     "read_toml",
     "show",
     "structure",
--- a/packages/almondfield-core/src/almondfield_core/findings/core.py
+++ b/packages/almondfield-core/src/almondfield_core/findings/core.py
@@ -1,6 +1,6 @@
 """The finding, and the exception that carries several of them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 __all__ = ["AlmondfieldError", "Finding", "FindingsError"]
 
@@ -22,6 +22,13 @@
     problem: str
     allowed: str = ""
 
+    def within(self, place: str) -> "Finding":
+        """Return the finding with its place named inside another one.
+
+        :param place: the place around it, such as a file.
+        """
+        return replace(self, place=f"{place}: {self.place}")
+
     def __str__(self) -> str:
         """Return the finding on one line."""
         allowed = f" (allowed: {self.allowed})" if self.allowed else ""
--- a/packages/almondfield-core/src/almondfield_core/routing/prompt.py
+++ b/packages/almondfield-core/src/almondfield_core/routing/prompt.py
@@ -35,6 +35,11 @@
     parts: tuple[PromptPart, ...] = ()
     likely_output_tokens: int = 0
 
+    @property
+    def own_tokens(self) -> int:
+        """Return the length of the part that no other request shares; 0 for none."""
+        return self.parts[-1].tokens if self.parts else 0
+
     @property
     def shared_part(self) -> str:
         """Return the last part that other requests may share; empty for none."""
--- a/packages/almondfield-core/src/almondfield_core/settings/checking.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/checking.py
@@ -29,11 +29,7 @@
         _check_timing_relations(settings),
         _check_files(settings),
     )
-    return tuple(
-        dataclasses.replace(finding, place=f"{place}: {finding.place}")
-        for check in checks
-        for finding in check
-    )
+    return tuple(finding.within(place) for check in checks for finding in check)
 
 
 def _check_hosts(hosts: tuple[HostSettings, ...]) -> Iterator[Finding]:
--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -2,7 +2,7 @@
 
 import ipaddress
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import StrEnum
 from pathlib import Path
 
@@ -148,10 +148,7 @@
 
 
 def _check_settings(settings: FleetSettings, place: str) -> tuple[Finding, ...]:
-    return tuple(
-        replace(finding, place=f"{place}: {finding.place}")
-        for finding in _check(settings)
-    )
+    return tuple(finding.within(place) for finding in _check(settings))
 
 
 def _check(settings: FleetSettings) -> Iterator[Finding]:
--- a/packages/almondfield-core/src/almondfield_core/settings/reading.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/reading.py
@@ -4,9 +4,9 @@
 from pathlib import Path
 from typing import TypeVar
 
-from result import Err, Ok, Result
+from result import Result
 
-from almondfield_core.findings import Finding, read_toml, structure
+from almondfield_core.findings import Finding, read_checked
 
 __all__ = ["read_settings"]
 
@@ -27,13 +27,4 @@
     :param check: returns the findings of values whose types are right; gets the
         name of the file for their places.
     """
-    match read_toml(Path(path), MAX_SETTINGS_BYTES):
-        case Ok(values):
-            pass
-        case Err(finding):
-            return Err((finding,))
-    read = structure(values, wanted, str(path))
-    if isinstance(read, Err):
-        return read
-    findings = check(read.ok_value, str(path))
-    return Err(findings) if findings else read
+    return read_checked(path, MAX_SETTINGS_BYTES, wanted, check)
--- a/packages/almondfield-core/src/almondfield_core/tables/loading.py
+++ b/packages/almondfield-core/src/almondfield_core/tables/loading.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 import tomlkit
-from result import Err, Ok, Result
+from result import Result
 
-from almondfield_core.findings import Finding, read_toml, structure
+from almondfield_core.findings import Finding, read_checked
 from almondfield_core.tables.checking import check_tables
 from almondfield_core.tables.core import Tables
 
@@ -24,26 +24,14 @@
 
     :param path: the file.
     """
-    match read_toml(Path(path), MAX_TABLES_BYTES):
-        case Ok(values):
-            pass
-        case Err(finding):
-            return Err((finding,))
-    read = structure(values, Tables, str(path))
-    if isinstance(read, Err):
-        return read
-    tables = read.ok_value
+    return read_checked(path, MAX_TABLES_BYTES, Tables, _check)
+
+
+def _check(tables: Tables, place: str) -> tuple[Finding, ...]:
     findings = list(check_tables(tables.pools, tables.routes))
     if tables.revision < 0:
         findings.append(Finding("revision", f"is {tables.revision}", "0 or more"))
-    if findings:
-        return Err(
-            tuple(
-                dataclasses.replace(finding, place=f"{path}: {finding.place}")
-                for finding in findings
-            )
-        )
-    return read
+    return tuple(finding.within(place) for finding in findings)
 
 
 def dump_tables(tables: Tables) -> str:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from almondfield_control.consensus import GroupPolicy, Replica
-from almondfield_control.node.leader_client import LeaderClient
 from almondfield_control.publishing import TablePublisher
 from almondfield_control.storage import FolderDisk
 from almondfield_core.clock import WallClock, now
@@ -18,7 +17,6 @@
 
 __all__ = ["ControlHost"]
 
-LEADER_ATTEMPT_S = 0.4  # many round trips, and a fraction of an election
 HAND_OVER_TIMEOUT_S = 1.0  # a fraction of the grace of a stop
 SCHEDULER_START_BITS = 48
 FEWEST_SEEDS_OF_A_GROUP = 3  # smaller deployments name all their control hosts
@@ -50,7 +48,7 @@
             chance,
             GroupPolicy(settings.may_form, True, _least_voters(settings)),
         )
-        leader = LeaderClient(self.peers, self._members, LEADER_ATTEMPT_S, True)
+        leader = self.leader_client(self._members)
         self.fleet = FleetControl(self.peers, self.incarnation, self._members, chance)
         self.publisher = TablePublisher(
             self._replica, self.peers, leader, self.fleet.routers.hosts
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import os
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -10,6 +10,7 @@
 from result import Err, Ok
 from starlette.types import ASGIApp
 
+from almondfield_control.node.leader_client import LeaderClient
 from almondfield_core.settings import FleetSettings, load_fleet_settings
 from almondfield_daemon.fleet_daemon.metrics import (
     ControlMetrics,
@@ -24,6 +25,7 @@
 
 MILLISECONDS = 1000
 MAX_HEAD_BYTES = 64 * 1024  # above what any routing table allows
+LEADER_ATTEMPT_S = 0.4  # many round trips, and the shortest election
 NO_SECRET = b""
 
 
@@ -50,6 +52,13 @@
         self._listeners: list[HttpListener] = []
         self._tasks: list[asyncio.Task[None]] = []
 
+    def leader_client(self, hosts: Callable[[], tuple[str, ...]]) -> LeaderClient:
+        """Return requests to whichever control host leads.
+
+        :param hosts: returns the hosts that may lead, as they are known now.
+        """
+        return LeaderClient(self.peers, hosts, LEADER_ATTEMPT_S, asks_all=True)
+
     def serve(self, app: ASGIApp, address: str) -> None:
         """Serve an application once the daemon starts.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -6,7 +6,6 @@
 from pathlib import Path
 from typing import Any
 
-from almondfield_control.node.leader_client import LeaderClient
 from almondfield_control.publishing import TableSubscription
 from almondfield_core.clock import now
 from almondfield_core.settings import FleetSettings
@@ -28,7 +27,6 @@
 
 __all__ = ["RouterHost"]
 
-LEADER_ATTEMPT_S = 0.4  # many round trips, and a fraction of an election
 LEASE_SHARE = 0.8  # of the revocation time; the rest covers clocks that drift
 STATE_CHECK_S = 0.1  # a fraction of a hello
 SERVE_STREAMS_SHARE = 0.3  # of the grace; most streams end in what is left of it
@@ -62,9 +60,7 @@
             RouterState.STARTING,
         )
         self.view = FleetView(self.peers, hello, settings.seeds, self._on_servers)
-        leader = LeaderClient(
-            self.peers, self.view.control_hosts, LEADER_ATTEMPT_S, True
-        )
+        leader = self.leader_client(self.view.control_hosts)
         self.subscription = TableSubscription(
             self.peers,
             leader,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
@@ -6,8 +6,7 @@
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.outcomes import (
-    Answered,
-    Attempt,
+    FailedAttempt,
     Lost,
     Misdirected,
     NotExecuted,
@@ -17,7 +16,9 @@
 __all__ = ["log_attempt"]
 
 
-def log_attempt(request: ForwardRequest, server: FleetServer, outcome: Attempt) -> None:
+def log_attempt(
+    request: ForwardRequest, server: FleetServer, outcome: FailedAttempt
+) -> None:
     """Write the line of an attempt that gave no answer.
 
     :param request: the request.
@@ -35,10 +36,8 @@
     )
 
 
-def _describe(outcome: Attempt) -> str:
+def _describe(outcome: FailedAttempt) -> str:
     match outcome:
-        case Answered():
-            return "answered"
         case NotExecuted(status):
             return f"not run: refused with {status}"
         case Misdirected():
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -40,7 +40,6 @@
         self._servers = servers
         self._make_window = make_window
         self._window_by_pool: dict[str, RetryWindow] = {}
-        self.running = 0
 
     async def serve(
         self, request: ForwardRequest, sink: ResponseSink
@@ -54,7 +53,6 @@
         window = self._window(request.pool)
         window.note_request()
         run = RequestRun(request, self._attempts, self._servers, window, sink)
-        self.running += 1
         problem = None
         error = ""
         try:
@@ -66,7 +64,6 @@
             error = str(cause) or "the caller left"
             raise
         finally:
-            self.running -= 1
             report = make_report(request, run, problem, error)
             log_report(report)
             self._observe(report)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
@@ -5,7 +5,15 @@
 from almondfield_daemon.forwarding.messages import AnswerMarks
 from almondfield_daemon.router.calls import BackendAnswer
 
-__all__ = ["Answered", "Attempt", "Lost", "Misdirected", "NotExecuted", "Unsent"]
+__all__ = [
+    "Answered",
+    "Attempt",
+    "FailedAttempt",
+    "Lost",
+    "Misdirected",
+    "NotExecuted",
+    "Unsent",
+]
 
 
 @dataclass(frozen=True)
@@ -57,4 +65,5 @@
     is_timeout: bool = False
 
 
-Attempt = Answered | NotExecuted | Misdirected | Unsent | Lost
+FailedAttempt = NotExecuted | Misdirected | Unsent | Lost
+Attempt = Answered | FailedAttempt
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -20,7 +20,12 @@
     Unsent,
 )
 from almondfield_daemon.forwarding.ports import ResponseSink
-from almondfield_daemon.forwarding.servers import Choice, ServerChoice, Unavailable
+from almondfield_daemon.forwarding.servers import (
+    RETRY_AFTER_S,
+    Choice,
+    ServerChoice,
+    Unavailable,
+)
 from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer, Header
 from almondfield_daemon.router.events import EventTracker
 from almondfield_daemon.router.problems import Outcome, Problem
@@ -34,7 +39,6 @@
 LEAST_ANSWER_TIMEOUT_S = 0.3  # several round trips and a short request
 TARGETS_PER_ATTEMPT = 3.0  # a slower answer than this is more likely lost than late
 STREAM_SILENCE_S = 1.4  # callers give a silent stream up after 2 s or more
-RETRY_AFTER_S = 0.3  # a server that failed is avoided for about as long
 
 
 class StreamBrokenError(AlmondfieldError):
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -12,10 +12,11 @@
 from almondfield_fairshare.engines import PromptRequest
 from almondfield_fairshare.prefix_placement import Candidate, Placement, Ticket
 
-__all__ = ["Choice", "ServerChoice", "Unavailable"]
+__all__ = ["RETRY_AFTER_S", "Choice", "ServerChoice", "Unavailable"]
 
 # Unread prompts at a server that still begin in time, of all routers together.
 LOCAL_PROMPTS_PER_SERVER = 2
+RETRY_AFTER_S = 0.3  # a server that failed is avoided for about as long
 SLOW_READING_RATE = 20_000.0  # tokens a second; half of what large engines do
 
 
@@ -28,7 +29,7 @@
     """
 
     detail: str
-    retry_after_s: float = 0.3
+    retry_after_s: float = RETRY_AFTER_S
 
 
 class Choice:
@@ -185,8 +186,7 @@
         place = None
         if prompt is not None:
             self._engines.remember(prompt, server.name)
-            own_tokens = prompt.parts[-1].tokens if prompt.parts else 1
-            place = self._engines.place(request.pool, server.name, own_tokens)
+            place = self._engines.place(request.pool, server.name, prompt.own_tokens)
         return Choice(server, self._placement, ticket, place)
 
     def _reads_enough(self, servers: tuple[FleetServer, ...]) -> bool:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -7,8 +7,8 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Iterable
-from dataclasses import replace
 from typing import NamedTuple
 
 from almondfield_core.clock import now
@@ -76,7 +76,7 @@
         self._engine_by_name: dict[str, Engine] = {}
         self._server_by_ticket: dict[TicketId, str] = {}
         self._busy = BusyShare()
-        self._load = EngineLoad()
+        self._counts: Counter[str] = Counter()
         self._strictest_target_s = float("inf")
 
     def set_servers(self, servers: Iterable[EngineServer]) -> None:
@@ -155,11 +155,8 @@
         chosen.engine.send(ticket, chains, chosen.unread_tokens, _output_tokens(prompt))
         self._server_by_ticket[ticket] = chosen.engine.server.name
         self._shares.grant(request.team, work)
-        self._load = replace(
-            self._load,
-            admitted=self._load.admitted + 1,
-            unread_tokens=self._load.unread_tokens + chosen.unread_tokens,
-        )
+        self._counts["admitted"] += 1
+        self._counts["unread_tokens"] += chosen.unread_tokens
         name = chosen.engine.server.name
         return Admitted(name, chosen.unread_tokens, chosen.wait_s)
 
@@ -219,15 +216,15 @@
     def take_load(self) -> EngineLoad:
         """Return the load since this was called last."""
         engines = self._engine_by_name.values()
-        load = replace(
-            self._load,
+        load = EngineLoad(
             engines=len(engines),
             busy_share=self._busy.value(),
             longest_wait_s=max(
                 (engine.wait_s(now()) for engine in engines), default=0.0
             ),
+            **self._counts,
         )
-        self._load = EngineLoad()
+        self._counts.clear()
         return load
 
     def _note_busy(self) -> None:
@@ -248,12 +245,10 @@
         if used > 1:
             # What it had leaves the window evenly.
             retry_s = max(retry_s, self._window_s * (1 - 1 / used))
-            count = self._load.refused_over_share + 1
-            self._load = replace(self._load, refused_over_share=count)
+            self._counts["refused_over_share"] += 1
         else:
             self._shares.note_full()
-            count = self._load.refused_full + 1
-            self._load = replace(self._load, refused_full=count)
+            self._counts["refused_full"] += 1
         return Refused(retry_s, used > 1, wait_s)
 
 
@@ -272,7 +267,7 @@
     if not is_unknown or not chains:
         return offers
     # The router saw the shared parts there before this scheduler began.
-    own_tokens = max(1, chains[-1][1])
+    own_tokens = max(1, request.prompt.own_tokens)
     return [
         offer._replace(
             unread_tokens=own_tokens, reading_s=own_tokens / offer.engine.rate
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/core.py
@@ -129,7 +129,7 @@
         :param candidate: the server.
         :param prompt: prompt of the request, if it tells one.
         """
-        unread_tokens = prompt.parts[-1].tokens if prompt and prompt.parts else 0
+        unread_tokens = prompt.own_tokens if prompt else 0
         return Ticket(self.record(candidate.name), unread_tokens)
 
     def _business(self, candidate: Candidate) -> tuple[float, float]:
