Forget teams that ask for engines no more

Cause: the scheduler kept every team that ever asked, and each question looked at all of them to find the teams' shares; the sizes to design for have 10,000 teams. A team without work had no part in any share before, so that decisions stay as they were. The scenario failed first (50 teams kept).

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -208,7 +208,8 @@
                     self.end(ticket)
 
     def forget_lost(self) -> None:
-        """Forget requests whose end nobody told."""
+        """Forget requests whose end nobody told, and teams that ask no more."""
+        self._shares.forget_idle()
         for engine in self._engine_by_name.values():
             for ticket in engine.lost_tickets():
                 self.end(ticket)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
@@ -95,6 +95,16 @@
         """Note that the engines take no more: what teams get now is all there is."""
         self._full_until_s = now() + FULL_S
 
+    def forget_idle(self) -> None:
+        """Forget teams without work in the window, and refusals that are over."""
+        for sum_by_team in (self._asked_by_team, self._got_by_team):
+            idle = [team for team, item in sum_by_team.items() if not item.total()]
+            for team in idle:
+                del sum_by_team[team]
+        at_s = now()
+        refused = self._refused_by_team.items()
+        self._refused_by_team = {t: item for t, item in refused if item[0] > at_s}
+
     def used(self, team: str, work_per_s: float, busy_share: float) -> float:
         """Return which part of its share a team has had; above 1 beyond its share.
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
@@ -155,3 +155,9 @@
     When 1.0 s pass
     And team "b" asks while engines are idle
     Then it is admitted
+
+  Scenario: Teams that ask no more cost nothing
+    Given 1 engines
+    When 50 teams ask once each
+    And 25 s pass
+    Then the scheduler keeps no team
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -484,3 +484,18 @@
 @then("it is admitted")
 def step_impl(context):
     assert isinstance(context.decision, Admitted), context.decision
+
+
+@when("{count:d} teams ask once each")
+def step_impl(context, count):
+    context.work_per_s = 1.0
+    for number in range(count):
+        decide(context, team=f"team-{number}")
+
+
+@then("the scheduler keeps no team")
+def step_impl(context):
+    shares = context.load.scheduler._shares
+    assert not shares._asked_by_team, len(shares._asked_by_team)
+    assert not shares._got_by_team, len(shares._got_by_team)
+    assert not shares._refused_by_team, len(shares._refused_by_team)
