Log late replies, the age of a scheduler's last reply, and unsent admissions

A router only logged that the scheduler was lost.

Change: a reply that arrives after its request was given up is logged with its age (peer:late-reply, for the last 100 such requests); scheduler:lost says how long the request waited and how long ago the scheduler last answered this router; scheduler:load counts admissions that were never sent.

--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
@@ -1,13 +1,14 @@
 """Implementation of the ``Peers`` port over pynng."""
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import eliot
 from result import Err, Ok, Result
 
-from almondfield_core.clock import PeriodicTimer
+from almondfield_core.clock import PeriodicTimer, now
 from almondfield_core.ports import LinkFailure
 from almondfield_core.settings import DaemonSettings, HostSettings
 from almondfield_core.wire import decode_message, encode_message, kind_of
@@ -21,6 +22,8 @@
 
 FRAME_OVERHEAD_BYTES = 1024 * 1024
 HEARTBEATS_PER_CHECK = 3
+MAX_LATE_TAGS = 100  # requests without a timely reply whose start is recorded
+MS_PER_S = 1000
 
 Handler = Callable[[str, Any], Awaitable[Any]]
 
@@ -63,6 +66,7 @@
         self._handler_by_kind: dict[str, Handler] = {}
         self._concurrent_kinds: set[str] = set()
         self._reply_by_tag: dict[int, asyncio.Future[Any]] = {}
+        self._sent_s_by_late_tag: OrderedDict[int, float] = OrderedDict()
         self._next_tag = 0
         self._monitored_hosts: tuple[str, ...] = ()
         self._tasks: asyncio.TaskGroup | None = None
@@ -96,6 +100,7 @@
         """Return the reply of a peer's handler to a message."""
         self._next_tag += 1
         tag = self._next_tag
+        sent_s = now()
         reply = asyncio.get_running_loop().create_future()
         self._reply_by_tag[tag] = reply
         try:
@@ -104,6 +109,7 @@
             async with asyncio.timeout(timeout_s):
                 return Ok(await reply)
         except TimeoutError:
+            self._record_late(tag, sent_s)
             return Err(LinkFailure(to, f"no reply within {timeout_s} s"))
         finally:
             del self._reply_by_tag[tag]
@@ -283,11 +289,23 @@
         reply = self._reply_by_tag.get(envelope.tag)
         if reply is None or reply.done():
             self._counters.count_dropped("late reply")
+            self._log_late(envelope)
             return
         message = self._decode(envelope)
         if message is not None:
             reply.set_result(message)
 
+    def _record_late(self, tag: int, sent_s: float) -> None:
+        self._sent_s_by_late_tag[tag] = sent_s
+        if len(self._sent_s_by_late_tag) > MAX_LATE_TAGS:
+            self._sent_s_by_late_tag.popitem(last=False)
+
+    def _log_late(self, envelope: Envelope) -> None:
+        sent_s = self._sent_s_by_late_tag.pop(envelope.tag, None)
+        if sent_s is not None:
+            after_ms = round((now() - sent_s) * MS_PER_S, 1)
+            eliot.log_message("peer:late-reply", kind=envelope.kind, after_ms=after_ms)
+
     def _decode(self, envelope: Envelope) -> Any:
         if not isinstance(envelope.body, bytes):
             return envelope.body
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
@@ -7,6 +7,12 @@
     When "a" sends report 5 to "b" and awaits the reply
     Then the reply is grant 5
 
+  Scenario: A reply that arrives after the timeout is logged with its age
+    Given the handler of "b" answers after 0.3 s
+    When "a" sends a report to "b" and waits 0.1 s for the reply
+    And 1.0 s pass
+    Then "a" has logged a late reply after about 0.3 s
+
   Scenario: The messages of one sender are handled once and in order
     When "a" sends 300 reports to "b" at once
     And 1.0 s pass
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import eliot
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings, strategies
@@ -284,3 +285,34 @@
         await asyncio.sleep(0.1)
 
     run(context, send())
+
+
+@given('the handler of "b" answers after {seconds:g} s')
+def step_impl(context, seconds):
+    node = context.nodes["b"]
+
+    async def answer(sender, message):
+        await asyncio.sleep(seconds)
+        return await node.handle(sender, message)
+
+    node.peers.register_handler(DemandReport, answer)
+
+
+@when('"a" sends a report to "b" and waits {seconds:g} s for the reply')
+def step_impl(context, seconds):
+    context.messages = []
+    eliot.add_destinations(context.messages.append)
+    context.add_cleanup(eliot.remove_destination, context.messages.append)
+    reply = request_reply(context, "a", "b", 1, seconds)
+    assert reply.is_err(), reply
+
+
+@then('"a" has logged a late reply after about {seconds:g} s')
+def step_impl(context, seconds):
+    ages_ms = [
+        message["after_ms"]
+        for message in context.messages
+        if message["message_type"] == "peer:late-reply"
+    ]
+    assert len(ages_ms) == 1, context.messages
+    assert seconds <= ages_ms[0] / 1000 < seconds + 0.1, ages_ms
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -27,6 +27,7 @@
 FAILURE_BACKOFF_S = 0.3  # a fraction of the duration of an election
 REPORT_DELAY_S = 0.02  # batches reports; a fraction of the prefill time of a prompt
 MAX_UNREPORTED = 1000  # reports held back while no scheduler is known
+MS_PER_S = 1000
 MAX_KNOWN_PARTS = 20_000  # shared prompt parts whose last server is recorded
 
 
@@ -90,6 +91,7 @@
         self._unresponsive_host = ""
         self._backoff_until_s = float("-inf")
         self._is_reached = False
+        self._last_reply_s = float("-inf")
         self._server_by_part: OrderedDict[str, str] = OrderedDict()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -130,6 +132,7 @@
         self._next_number += 1
         number = self._next_number
         request = replace(request, hint=self.last_server(request.prompt))
+        sent_s = now()
         message = EngineRequest(pool, number, request)
         try:
             answer = await self._peers.request(host, message, REQUEST_TIMEOUT_S)
@@ -148,7 +151,7 @@
                 return refusal
             case _:
                 self.report_ended(EngineInFlight(number, pool, "", 0))
-                self._record_failure(host)
+                self._record_failure(host, sent_s)
                 return None
 
     def assign(self, pool: str, server: str, uncached_tokens: int) -> EngineAssignment:
@@ -183,6 +186,7 @@
         self._schedule_report()
 
     def _record_scheduler(self, host: str, start: int) -> None:
+        self._last_reply_s = now()
         if not self._is_reached:
             self._is_reached = True
             eliot.log_message("scheduler:reached", scheduler=host)
@@ -196,12 +200,17 @@
         self._ended.clear()
         self._peers.send(host, progress)
 
-    def _record_failure(self, host: str) -> None:
+    def _record_failure(self, host: str, sent_s: float) -> None:
         self._unresponsive_host = host
         self._backoff_until_s = now() + FAILURE_BACKOFF_S
         if self._is_reached:
             self._is_reached = False
-            eliot.log_message("scheduler:lost", scheduler=host)
+            eliot.log_message(
+                "scheduler:lost",
+                scheduler=host,
+                after_ms=round((now() - sent_s) * MS_PER_S, 1),
+                reply_age_ms=round((now() - self._last_reply_s) * MS_PER_S, 1),
+            )
 
     def _schedule_report(self) -> None:
         if self._timer is None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
@@ -77,7 +77,7 @@
 
     :ivar number: number of the attempt at its router.
     :ivar pool: name of the pool.
-    :ivar server: the server.
+    :ivar server: the server; empty if no admission arrived in time.
     :ivar unread_tokens: prompt tokens left to prefill; 0 once the answer has begun.
     :ivar was_refused: whether the server refused it as full.
     """
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -117,7 +117,9 @@
             self._scheduler(item.pool, table).begin_answer(attempt, item.server)
         for item in progress.ended:
             attempt = AttemptId(sender, item.number)
-            self._scheduler(item.pool, table).end(attempt, item.was_refused)
+            self._scheduler(item.pool, table).end(
+                attempt, item.was_refused, was_sent=bool(item.server)
+            )
 
     def _scheduler(self, pool: str, table: RoutingTable) -> EngineScheduler:
         scheduler = self._scheduler_by_pool.get(pool)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -185,15 +185,20 @@
             engine.begin_answer(attempt)
             self._server_by_attempt[attempt] = server
 
-    def end(self, attempt: AttemptId, was_refused: bool = False) -> None:
+    def end(
+        self, attempt: AttemptId, was_refused: bool = False, was_sent: bool = True
+    ) -> None:
         """Record that an attempt is over.
 
         :param attempt: identifier of the attempt.
         :param was_refused: whether the engine refused it as full.
+        :param was_sent: whether the router sent it; it does not if the admission
+            arrives too late.
         """
         engine = self._engine_by_name.get(self._server_by_attempt.pop(attempt, ""))
         if engine is not None:
             engine.end(attempt, was_refused)
+            self._counts["unsent"] += not was_sent
 
     def restore(self, attempt: AttemptId, server: str, uncached_tokens: int) -> None:
         """Record a request that was in flight before this scheduler started.
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
@@ -17,6 +17,7 @@
     :ivar engines: engines that accept new work.
     :ivar busy_share: mean fraction of them that had prompts to prefill, over about 1 s.
     :ivar admitted: admitted requests.
+    :ivar unsent: admitted requests that their routers did not send.
     :ivar unread_tokens: uncached prompt tokens of the admitted requests.
     :ivar refused_full: requests refused because the engines were full.
     :ivar refused_over_share: requests refused because their team exceeded its share.
@@ -26,6 +27,7 @@
     engines: int = 0
     busy_share: float = 0.0
     admitted: int = 0
+    unsent: int = 0
     unread_tokens: int = 0
     refused_full: int = 0
     refused_over_share: int = 0
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
@@ -147,6 +147,11 @@
     When "engine-0" refuses a request as full
     Then the next 3 requests are admitted at "engine-1"
 
+  Scenario: Admissions that arrive too late to be sent are counted
+    Given 2 engines
+    When a request is admitted, but its router gives up before it is told
+    Then the load has 1 admitted and 1 unsent request
+
   Scenario: Spare capacity goes to the team with the lower usage
     Given 6 engines
     And team "b" has used 4 times its share, and team "a" 2 times
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -511,3 +511,22 @@
     assert not shares._demand_by_team, len(shares._demand_by_team)
     assert not shares._granted_by_team, len(shares._granted_by_team)
     assert not shares._refusal_by_team, len(shares._refusal_by_team)
+
+
+@when("a request is admitted, but its router gives up before it is told")
+def step_impl(context):
+    decide(context)
+
+    async def end():
+        context.workload.scheduler.end(AttemptId("r", 0), was_sent=False)
+
+    run(context, end())
+
+
+@then("the load has {admitted:d} admitted and {unsent:d} unsent request")
+def step_impl(context, admitted, unsent):
+    async def collect():
+        return context.workload.scheduler.collect_load()
+
+    load = run(context, collect())
+    assert (load.admitted, load.unsent) == (admitted, unsent), load
