Add a failing test of a team whose only router gets late replies

What callers saw: a team of the grown sites got far less than its share (FAIR) while the engines had room.

The test: two teams with the same demand, one at a router whose messages take 60 to 120 ms, one at 14 others, 10 engines with room for both. The in-memory network gets delays by host for it.

--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
@@ -0,0 +1,12 @@
+Feature: A router with late replies from the scheduler serves its teams
+
+  Background:
+    Given control hosts "c1" and "c2", of which "c1" leads, and router "r1"
+    And 10 engines that do 1000000 tokens of work a second
+
+  # Guards against a router that takes its own late replies for the loss of the scheduler
+  # and then refuses most requests of its teams by itself (FAIR).
+  Scenario: A team whose only router gets late replies gets half of what others get
+    Given messages to and from "r1" take 0.06 to 0.12 s
+    When team "a" at "r1" and team "b" at 14 other routers each send 60 prompts a second for 8 s
+    Then team "a" was given at least 0.5 of the work of team "b"
--- a/tools/almondfield_testing/core.py
+++ b/tools/almondfield_testing/core.py
@@ -62,6 +62,8 @@
     :param delay_s: range of the one-way delay in seconds, as (minimum, maximum).
     :param loss: fraction of messages that are dropped.
     :param repeat: fraction of messages that are delivered twice.
+
+    :ivar delay_s_by_host: longer delays of the messages to and from some hosts.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         self.loss = loss
         self.repeat = repeat
         self.peers_by_host: dict[str, InMemoryPeers] = {}
+        self.delay_s_by_host: dict[str, tuple[float, float]] = {}
         self.cut_links: set[tuple[str, str]] = set()
         self.bytes_by_kind: dict[str, int] = {}
         self.count_by_kind: dict[str, int] = {}
@@ -118,11 +121,17 @@
             return
         copies = 2 if self.random.random() < self.repeat else 1
         for _ in range(copies):
-            delay_s = 0.0 if source == target else self.random.uniform(*self.delay_s)
+            delay_s = 0.0 if source == target else self._draw_delay_s(source, target)
             asyncio.get_running_loop().call_later(
                 delay_s, self._arrive, source, target, kind, body, tag
             )
 
+    def _draw_delay_s(self, source: str, target: str) -> float:
+        """Return a delay of the slower of the two hosts, in seconds."""
+        by_host = self.delay_s_by_host
+        ranges = (by_host.get(host, self.delay_s) for host in (source, target))
+        return self.random.uniform(*max(ranges))
+
     def _arrive(self, source, target, kind, body, tag):
         peers = self.peers_by_host.get(target)
         if peers is None or (source, target) in self.cut_links:
