Hold a refusal for the team's share for 50 ms at its router

Cause: each refused request cost a question to the scheduler and several passes over all servers.

Change: a refusal for the team's share applies to the team's further requests at this router for 50 ms, before servers are looked at; requests that lost their engine are still asked for. The scheduler gets at most 20 refused questions a second from a router and team.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -145,6 +145,11 @@
         prompt = request.metadata.prompt if request.route.has_prompt else None
         if prompt is None:
             return self._choose_locally(request, tried)
+        is_repeat = has_lost_server or bool(request.metadata.last_event_id)
+        if not is_repeat:
+            held = self._engines.held_refusal(request.pool, request.team)
+            if held is not None:
+                return _unavailable(held)
         excluded = tried | self._avoided_servers(request.pool)
         excluded |= self._view.unusable_servers(request.pool)
         engine_request = PromptRequest(
@@ -152,15 +157,13 @@
             prompt=prompt,
             latency_target_s=request.route.latency_target_s,
             excluded=tuple(excluded),
-            is_repeat=has_lost_server or bool(request.metadata.last_event_id),
+            is_repeat=is_repeat,
             waited_s=request.waited_s,
         )
         assignment = await self._engines.request_engine(request.pool, engine_request)
         match assignment:
-            case EngineRefusal(retry_after_s, is_over_share, wait_s):
-                reason = "the team has had its share" if is_over_share else "no room"
-                detail = f"{reason}; the shortest wait is {wait_s:.3f} s"
-                return Unavailable(detail, retry_after_s)
+            case EngineRefusal() as refusal:
+                return _unavailable(refusal)
             case EngineAssignment():
                 server = self._find_server(request.pool, assignment.server)
                 if server is not None:
@@ -256,3 +259,9 @@
             is_local=server.data_centre == self._data_centre,
             is_unresponsive=server.name in unresponsive,
         )
+
+
+def _unavailable(refusal: EngineRefusal) -> Unavailable:
+    reason = "the team has had its share" if refusal.is_over_share else "no room"
+    detail = f"{reason}; the shortest wait is {refusal.wait_s:.3f} s"
+    return Unavailable(detail, refusal.retry_after_s)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -177,6 +177,9 @@
     def __init__(self):
         self.requests = []
 
+    def held_refusal(self, pool, team):
+        """Return None: no refusal is held."""
+
     async def request_engine(self, pool, request):
         """Record a request."""
         self.requests.append(request)
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import eliot
 from result import Ok
@@ -25,6 +25,8 @@
 # Many round trips between data centres, but much shorter than a prefill.
 REQUEST_TIMEOUT_S = 0.08
 SLOW_TIMEOUT_SHARE = 0.5  # of the latency target; the rest is for wait and prefill
+# A team's usage changes little in this time; engines prefill one or two prompts.
+REFUSAL_HOLD_S = 0.05
 ANSWERING_S = 1.0  # after its last reply, the scheduler counts as answering for so long
 FAILURE_BACKOFF_S = 0.3  # a fraction of the duration of an election
 REPORT_DELAY_S = 0.02  # batches reports; a fraction of the prefill time of a prompt
@@ -33,6 +35,18 @@
 MAX_KNOWN_PARTS = 20_000  # shared prompt parts whose last server is recorded
 
 
+@dataclass(frozen=True)
+class _HeldRefusal:
+    """A refusal that applies to further requests of its team for a short time.
+
+    :ivar refusal: the refusal.
+    :ivar received_s: when it arrived, in seconds of the loop's clock.
+    """
+
+    refusal: EngineRefusal
+    received_s: float
+
+
 class EngineAssignment:
     """Assignment of a request to an engine; changes are reported to the scheduler.
 
@@ -94,6 +108,7 @@
         self._backoff_until_s = float("-inf")
         self._is_reached = False
         self._last_reply_s = float("-inf")
+        self._held_refusal_by_team: dict[tuple[str, str], _HeldRefusal] = {}
         self._server_by_part: OrderedDict[str, str] = OrderedDict()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -117,6 +132,25 @@
             if len(self._server_by_part) > MAX_KNOWN_PARTS:
                 self._server_by_part.popitem(last=False)
 
+    def held_refusal(self, pool: str, team: str) -> EngineRefusal | None:
+        """Return a recent refusal that still holds for a team above its share.
+
+        Without it, a team that sends far more than its share to one router takes all of
+        the router's processor time with requests that the scheduler refuses.
+
+        :param pool: name of the pool.
+        :param team: name of the team.
+        """
+        held = self._held_refusal_by_team.get((pool, team))
+        if held is None:
+            return None
+        age_s = now() - held.received_s
+        if age_s >= REFUSAL_HOLD_S:
+            del self._held_refusal_by_team[(pool, team)]
+            return None
+        refusal = held.refusal
+        return replace(refusal, retry_after_s=refusal.retry_after_s - age_s)
+
     async def request_engine(
         self, pool: str, request: PromptRequest
     ) -> EngineAssignment | EngineRefusal | None:
@@ -156,6 +190,9 @@
                 return EngineAssignment(self, item, reply.wait_s)
             case Ok(EngineRefusal() as refusal):
                 self._record_scheduler(host, refusal.scheduler_start)
+                if refusal.is_over_share:
+                    held = _HeldRefusal(refusal, now())
+                    self._held_refusal_by_team[(pool, request.team)] = held
                 return refusal
             case _:
                 self.report_ended(EngineInFlight(number, pool, "", 0))
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
@@ -18,3 +18,24 @@
     Then the request ends without a decision
     When 0.1 s pass
     Then "r1" is assigned an engine again
+
+  # Guards against a router that spends its processor time on asking for requests of a
+  # team which was refused for its share a moment ago (FAIR).
+  Scenario: A router asks again for a refused team at most 20 times a second
+    Given 10 engines that do 20000 tokens of work a second
+    When team "flood" at "r1" sends 300 prompts a second for 4 s
+    Then the scheduler refused at most 21 requests a second
+    And every refusal of "flood" had a retry time of at least 0.05 s
+
+  # Guards against a team that is held back at its only router more than its share asks for.
+  Scenario: A flood through one router gets as much as one through many
+    Given 10 engines that do 1200000 tokens of work a second
+    When team "a" at "r1" and team "b" at 14 other routers each send 300 prompts a second for 8 s
+    Then team "a" was given at least 0.8 of the work of team "b"
+    And the engines prefilled for at least 0.8 of the time
+
+  Scenario: A request that lost its engine is not refused for an earlier refusal
+    Given 10 engines that do 1000 tokens of work a second
+    When team "flood" at "r1" sends 300 prompts a second for 1 s
+    And team "flood" at "r1" continues an interrupted stream
+    Then it has a server
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
@@ -19,7 +19,7 @@
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding import RequestMetadata, ServerSelector
 from almondfield_daemon.forwarding.messages import ForwardRequest
-from almondfield_daemon.forwarding.servers import Unavailable
+from almondfield_daemon.forwarding.servers import SelectedServer, Unavailable
 from almondfield_daemon.forwarding.tests.fakes import FakeView
 from almondfield_daemon.scheduling import EngineClient
 from almondfield_fairshare.engines.tests.standins import StandInEngine
@@ -64,6 +64,7 @@
         self.number = 0
         self.work_by_team = Counter()
         self.refused_by_team = Counter()
+        self.retries_s = []
         view = FakeView(
             tuple(engine_server(name) for name in self.engine_by_name),
             lambda: len(hosts),
@@ -104,6 +105,7 @@
         selected = await self.selector_by_host[host].choose(request, frozenset())
         if isinstance(selected, Unavailable):
             self.refused_by_team[team] += 1
+            self.retries_s.append(selected.retry_after_s)
             return
         await self.engine_by_name[selected.server.name].prefill(prompt)
         selected.begin_answer()
@@ -149,6 +151,7 @@
     "{rate:g} prompts a second for {seconds:g} s"
 )
 def step_impl(context, a, slow, b, count, rate, seconds):
+    context.seconds = seconds
     others = [f"other-{number}" for number in range(count)]
 
     async def generate():
@@ -158,6 +161,54 @@
     run(context, generate())
 
 
+@when('team "{team}" at "{host}" sends {rate:g} prompts a second for {seconds:g} s')
+def step_impl(context, team, host, rate, seconds):
+    context.seconds = seconds
+
+    async def generate():
+        context.teams = RouterTeams(context, [host])
+        await context.teams.generate({team: [host]}, rate, seconds)
+
+    run(context, generate())
+
+
+@when('team "{team}" at "{host}" continues an interrupted stream')
+def step_impl(context, team, host):
+    async def choose():
+        request = context.teams.request(team)
+        metadata = replace(request.metadata, last_event_id="1")
+        request = replace(request, metadata=metadata)
+        selector = context.teams.selector_by_host[host]
+        context.selected = await selector.choose(request, frozenset())
+
+    run(context, choose())
+
+
+@then("it has a server")
+def step_impl(context):
+    assert isinstance(context.selected, SelectedServer), context.selected
+
+
+@then("the scheduler refused at most {rate:g} requests a second")
+def step_impl(context, rate):
+    refusals = context.network.count_by_kind["engine-refusal"]
+    assert 0 < refusals <= rate * context.seconds, refusals
+
+
+@then('every refusal of "{team}" had a retry time of at least {seconds:g} s')
+def step_impl(context, team, seconds):
+    retries_s = context.teams.retries_s
+    assert context.teams.refused_by_team[team] == len(retries_s) > 0
+    assert min(retries_s) >= seconds, min(retries_s)
+
+
+@then("the engines prefilled for at least {share:g} of the time")
+def step_impl(context, share):
+    engines = context.teams.engine_by_name.values()
+    busy_s = sum(engine.prefilled_tokens / engine.rate for engine in engines)
+    assert busy_s >= share * context.seconds * len(engines), busy_s
+
+
 @then('team "{a}" was given at least {share:g} of the work of team "{b}"')
 def step_impl(context, a, share, b):
     work = context.teams.work_by_team
