Keep the lease and the leader of a router whose replies come late

What callers saw: routers that one team floods refuse every request with a key ("the routing table may be out of date") and fail their readiness check; the team moves to the next router, which goes the same way.

A lease whose reply takes longer than 0.4 s was dropped, although it counts from its request and is valid for 4 s; the leader was forgotten with it, so that no scheduler was asked, and all control hosts were asked instead.

Change: a late reply of a leader is installed, with the lease counted from its request. The scheduler is asked at the last host that answered as the leader, until another one does.

--- a/packages/almondfield-control/src/almondfield_control/node/leader_client.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from result import Err, Ok, Result
@@ -41,12 +42,18 @@
         self._attempt_s = attempt_s
         self._target = ""
         self._leader_host = ""
+        self._last_leader = ""
 
     @property
     def leader_host(self) -> str:
         """Return the host that last answered as the leader; else empty."""
         return self._leader_host
 
+    @property
+    def last_leader(self) -> str:
+        """Return the host that last answered as the leader, even if it failed since."""
+        return self._last_leader
+
     def set_leader(self, host: str) -> bool:
         """Set the leader; return whether it changed.
 
@@ -54,16 +61,20 @@
         """
         if host == self._leader_host:
             return False
-        self._target = self._leader_host = host
+        self._record_leader(host)
         return True
 
     async def request(
-        self, message: object, timeout_s: float
+        self,
+        message: object,
+        timeout_s: float,
+        on_late: Callable[[Any], None] | None = None,
     ) -> Result[Any, ControlUnavailable]:
         """Return the leader's reply to an idempotent request.
 
         :param message: the request.
         :param timeout_s: seconds after which no further attempt is made.
+        :param on_late: called with a leader's reply that arrives after its attempt.
         """
         deadline = now() + timeout_s
         if not self._target:
@@ -76,12 +87,13 @@
             if self._broadcast and not self._leader_host:
                 maybe_done = True
                 reason = "no host leads"
-                reply = await self._request_all(message, attempt_s)
+                reply = await self._request_all(message, attempt_s, on_late)
                 if reply is not None:
                     return Ok(reply)
                 await asyncio.sleep(min(RETRY_DELAY_S, max(0.0, deadline - now())))
                 continue
-            match await self._peers.request(target, message, attempt_s):
+            process_late = partial(self._process_late, target, on_late)
+            match await self._peers.request(target, message, attempt_s, process_late):
                 case Ok(NotLeader(leader_host)):
                     reason = f"{target} does not lead"
                     self._select_target(leader_host, target)
@@ -90,7 +102,7 @@
                     reason = unavailable.reason
                     self._select_target("", target)
                 case Ok(reply):
-                    self._leader_host = target
+                    self._record_leader(target)
                     return Ok(reply)
                 case Err(failure):
                     maybe_done = True
@@ -99,22 +111,50 @@
             await asyncio.sleep(min(RETRY_DELAY_S, max(0.0, deadline - now())))
         return Err(ControlUnavailable(reason, certainly_not_done=not maybe_done))
 
-    async def _request_all(self, message: object, attempt_s: float) -> Any | None:
+    def _record_leader(self, host: str) -> None:
+        self._target = self._leader_host = self._last_leader = host
+
+    def _process_late(
+        self, host: str, on_late: Callable[[Any], None] | None, reply: Any
+    ) -> None:
+        """Record that a host answers as the leader, and pass its reply on."""
+        match reply:
+            case NotLeader() | ControlUnavailable():
+                return
+        if not self._leader_host:
+            self._record_leader(host)
+        if on_late is not None:
+            on_late(reply)
+
+    async def _request_all(
+        self,
+        message: object,
+        attempt_s: float,
+        on_late: Callable[[Any], None] | None,
+    ) -> Any | None:
         """Return the leader's reply, or None if no host leads."""
         targets = self._voters()
-        reply, named_leaders = await self._request_each(targets, message, attempt_s)
+        reply, named_leaders = await self._request_each(
+            targets, message, attempt_s, on_late
+        )
         others = tuple(named_leaders.difference(targets, [""]))
         if reply is None and others:
-            reply, _ = await self._request_each(others, message, attempt_s)
+            reply, _ = await self._request_each(others, message, attempt_s, on_late)
         return reply
 
     async def _request_each(
-        self, hosts: tuple[str, ...], message: object, attempt_s: float
+        self,
+        hosts: tuple[str, ...],
+        message: object,
+        attempt_s: float,
+        on_late: Callable[[Any], None] | None,
     ) -> tuple[Any | None, set[str]]:
         """Return the leader's reply, if any, and the leaders named by other hosts."""
 
         async def request(host: str) -> tuple[str, Any]:
-            return host, await self._peers.request(host, message, attempt_s)
+            process_late = partial(self._process_late, host, on_late)
+            answer = await self._peers.request(host, message, attempt_s, process_late)
+            return host, answer
 
         named_leaders: set[str] = set()
         tasks = [asyncio.create_task(request(host)) for host in hosts]
@@ -126,7 +166,7 @@
                     case (_, Ok(ControlUnavailable()) | Err(_)):
                         continue
                     case (host, Ok(reply)):
-                        self._target = self._leader_host = host
+                        self._record_leader(host)
                         return reply, named_leaders
         finally:
             for task in tasks:
--- a/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
@@ -81,7 +81,15 @@
     async def _renew(self) -> bool:
         """Return whether a leader answered."""
         sent_at_s = now()
-        match await self._leader.request(LeaseRequest(self.version), REQUEST_TIMEOUT_S):
+
+        def on_late(reply: object) -> None:
+            # The lease counts from its request, so that it may be valid still.
+            if isinstance(reply, LeaseReply):
+                self._install_reply(reply, sent_at_s)
+                self._log_freshness_change()
+
+        request = LeaseRequest(self.version)
+        match await self._leader.request(request, REQUEST_TIMEOUT_S, on_late):
             case Ok(LeaseReply() as reply):
                 self._install_reply(reply, sent_at_s)
                 return True
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
@@ -118,3 +118,14 @@
     Then another host leads within 0.9 s
     And every router has found the new leader within 0.05 s of its first entry
     And every router has a fresh table within 0.05 s of a leader
+
+  # Guards against a router that refuses requests with a key, and asks no scheduler, since
+  # the replies of a leader that answers reach it late (FAIR).
+  Scenario: A router whose replies come late keeps its lease and its leader
+    Given a formed group of 5 and 2 routers
+    And version 2 is published at "c1"
+    And 1.0 s pass
+    When messages to and from router "r1" take 0.3 to 0.5 s
+    And 8.0 s pass
+    Then every router holds version 2 with a fresh lease
+    And router "r1" knows the leader at each moment of the next 3.0 s
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/publishing_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/publishing_steps.py
@@ -356,3 +356,20 @@
 @then("another host leads within {seconds:g} s")
 def step_impl(context, seconds):
     run(context, context.fleet.wait_until(context.fleet.leader, seconds))
+
+
+@when('messages to and from router "{router}" take {least:g} to {most:g} s')
+def step_impl(context, router, least, most):
+    context.fleet.network.delay_s_by_host[router] = (least, most)
+
+
+@then('router "{router}" knows the leader at each moment of the next {seconds:g} s')
+def step_impl(context, router, seconds):
+    async def watch():
+        client = context.fleet.leader_client_by_router[router]
+        until_s = now() + seconds
+        while now() < until_s:
+            assert client.last_leader == context.fleet.leader(), client.last_leader
+            await asyncio.sleep(0.01)
+
+    run(context, watch())
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -69,7 +69,7 @@
         )
         self._backends = HttpBackends(settings.daemon_settings())
         placement = Placement(random.Random(f"{settings.address}/{self.incarnation}"))
-        engines = EngineClient(self.peers, lambda: leader.leader_host)
+        engines = EngineClient(self.peers, lambda: leader.last_leader)
         self._servers = ServerSelector(
             self.view, placement, settings.data_centre, engines
         )
