Close callers' connections after their answers above half of the descriptors

Cause, suspected: callers open a connection for each retry and keep it. c-8 had 4,711 open at second 23, its settings allow 4,100 descriptors, and a host without descriptors accepts no caller.

Change: a new setting, max_descriptors. While more than half of them are callers' connections, an answer says "connection: close".

--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -78,6 +78,9 @@
         "Number of control hosts that may lose their disks at the same time.", default=1
     )
     memory_mb: int = item("Memory that the daemon may use.", "MB", default=256)
+    max_descriptors: int = item(
+        "Descriptors that the daemon may have open.", default=1024
+    )
     grace_s: float = item(
         "Time from the stop signal until the daemon is killed.", "s", default=8.0
     )
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -59,8 +59,8 @@
         """
         return LeaderClient(self.peers, hosts, LEADER_ATTEMPT_S, broadcast=True)
 
-    def serve(self, app: ASGIApp, address: str) -> None:
-        """Serve an ASGI app once the daemon starts.
+    def serve(self, app: ASGIApp, address: str) -> HttpListener:
+        """Serve an ASGI app once the daemon starts, and return its listener.
 
         :param app: the app.
         :param address: ``ip:port`` to listen on.
@@ -68,6 +68,7 @@
         host, _, port = address.rpartition(":")
         listener = HttpListener(app, bind(host, int(port)), MAX_HEAD_BYTES)
         self._listeners.append(listener)
+        return listener
 
     def serve_metrics(self, metrics: RouterMetrics | ControlMetrics) -> None:
         """Serve the metrics page if the settings name a port for it.
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -32,6 +32,7 @@
 ACCEPT_STREAMS_FRACTION = 0.3  # of the grace period; most streams end in the rest
 ACCEPT_ALL_FRACTION = 0.6  # of the grace period; callers may cache the address
 DRAIN_FRACTION = 0.93  # of the grace period; the rest is for the process to exit
+CALLER_DESCRIPTOR_FRACTION = 0.5  # the rest is for servers, hosts and new connections
 BODY_MEMORY_FRACTION = 0.2  # the process uses a sixth, other buffers the rest
 BYTES_PER_MB = 1_000_000
 
@@ -84,7 +85,9 @@
         self._endpoint = ForwardEndpoint(
             forwarder, self.subscription, codec, max_buffered_bytes
         )
-        self.serve(self._endpoint, settings.caller_address)
+        listener = self.serve(self._endpoint, settings.caller_address)
+        max_connections = int(CALLER_DESCRIPTOR_FRACTION * settings.max_descriptors)
+        self._endpoint.limit_connections(listener.connection_count, max_connections)
         self.serve_metrics(metrics)
 
     @property
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -58,6 +58,8 @@
         self._budget = BodyBudget(max_held_bytes)
         self._deadlines = TypicalDeadlines()
         self._is_closing = False
+        self._connection_count: Callable[[], int] = lambda: 0
+        self._max_connections = 0
         self._refuses_streams = False
         self._refuses_all = False
         self.running = 0
@@ -66,6 +68,18 @@
         """Close the caller's connection after each answer from now on."""
         self._is_closing = True
 
+    def limit_connections(self, count: Callable[[], int], limit: int) -> None:
+        """Close a caller's connection after its answer while too many are open.
+
+        Callers keep connections for later requests; without descriptors left, the host
+        would accept no new ones.
+
+        :param count: returns the number of open connections.
+        :param limit: number of connections above which they are closed.
+        """
+        self._connection_count = count
+        self._max_connections = limit
+
     def refuse_streams(self) -> None:
         """Refuse new streaming requests; running requests continue."""
         self._refuses_streams = True
@@ -77,7 +91,7 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
         self.running += 1
-        sink = _AsgiSink(send, lambda: self._is_closing)
+        sink = _AsgiSink(send, self._closes_connections)
         try:
             await self._handle(scope, receive, sink)
         except StreamBrokenError:
@@ -91,6 +105,9 @@
         finally:
             self.running -= 1
 
+    def _closes_connections(self) -> bool:
+        return self._is_closing or self._connection_count() > self._max_connections
+
     async def _handle(self, scope: Any, receive: Any, sink: "_AsgiSink") -> None:
         arrived_s = now()
         headers = tuple((name.lower(), value) for name, value in scope["headers"])
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -97,6 +97,10 @@
         await asyncio.wait([running, self._task], return_when=asyncio.FIRST_COMPLETED)
         running.cancel()
 
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._server.server_state.connections)
+
     async def stop(self) -> None:
         """Return once running requests have finished and connections are closed."""
         if self._task is None:
