--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -34,6 +34,7 @@
 DRAIN_FRACTION = 0.93  # of the grace period; the rest is for the process to exit
 CALLER_DESCRIPTOR_FRACTION = 0.5  # the rest is for servers, hosts and new connections
 BODY_MEMORY_FRACTION = 0.2  # the process uses a sixth, other buffers the rest
+MAX_ATTEMPTS_PER_MS = 1000  # far above what one router makes
 BYTES_PER_MB = 1_000_000
 
 
@@ -70,7 +71,11 @@
         )
         self._backends = HttpBackends(settings.daemon_settings())
         placement = Placement(random.Random(f"{settings.address}/{self.incarnation}"))
-        engines = EngineClient(self.peers, lambda: leader.last_leader)
+        engines = EngineClient(
+            self.peers,
+            lambda: leader.last_leader,
+            self.incarnation * MAX_ATTEMPTS_PER_MS,
+        )
         self._servers = ServerSelector(
             self.view, placement, settings.data_centre, engines
         )
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -18,7 +18,7 @@
     EngineReply,
     EngineRequest,
 )
-from almondfield_fairshare.engines import PromptRequest
+from almondfield_fairshare.engines import AttemptSnapshot, PromptRequest
 
 __all__ = ["EngineAssignment", "EngineClient"]
 
@@ -30,6 +30,7 @@
 ANSWERING_S = 1.0  # after its last reply, the scheduler counts as answering for so long
 FAILURE_BACKOFF_S = 0.3  # a fraction of the duration of an election
 REPORT_DELAY_S = 0.02  # batches reports; a fraction of the prefill time of a prompt
+SNAPSHOT_INTERVAL_S = 1.0  # while attempts change; a report may be lost
 MAX_UNREPORTED = 1000  # reports held back while no scheduler is known
 MS_PER_S = 1000
 MAX_KNOWN_PARTS = 20_000  # shared prompt parts whose last server is recorded
@@ -93,12 +94,17 @@
 
     :param peers: messages to the other hosts.
     :param leader: returns the host that leads the control group; empty if unknown.
+    :param first_number: number of the first attempt; higher than those of an earlier
+        start of this router, so that a snapshot drops them at the scheduler.
     """
 
-    def __init__(self, peers: Peers, leader: Callable[[], str]) -> None:
+    def __init__(
+        self, peers: Peers, leader: Callable[[], str], first_number: int = 0
+    ) -> None:
         self._peers = peers
         self._leader = leader
-        self._next_number = 0
+        self._next_number = first_number
+        self._undecided: set[int] = set()
         self._in_flight_by_number: dict[int, EngineInFlight] = {}
         self._begun: list[EngineInFlight] = []
         self._ended: list[EngineInFlight] = []
@@ -111,6 +117,8 @@
         self._held_refusal_by_team: dict[tuple[str, str], _HeldRefusal] = {}
         self._server_by_part: OrderedDict[str, str] = OrderedDict()
         self._timer: asyncio.TimerHandle | None = None
+        self._snapshot_timer: asyncio.TimerHandle | None = None
+        self._snapshot_sent_s = float("-inf")
 
     def last_server(self, prompt: Prompt) -> str:
         """Return the server that last got a prompt's shared parts; empty for none.
@@ -174,6 +182,7 @@
         def on_late(reply: object) -> None:
             self._record_late_reply(host, reply)
 
+        self._undecided.add(number)
         try:
             answer = await self._peers.request(
                 host, message, self._timeout_s(host, request), on_late
@@ -182,6 +191,8 @@
             # The scheduler may have counted the attempt as sent.
             self.report_ended(EngineInFlight(number, pool, "", 0))
             raise
+        finally:
+            self._undecided.discard(number)
         match answer:
             case Ok(EngineReply() as reply):
                 self._record_scheduler(host, reply.scheduler_start)
@@ -288,7 +299,33 @@
         if not self._scheduler_host:
             del self._begun[:-MAX_UNREPORTED], self._ended[:-MAX_UNREPORTED]
             return
-        progress = EngineProgress(tuple(self._begun), tuple(self._ended))
+        snapshot = None
+        if now() - self._snapshot_sent_s >= SNAPSHOT_INTERVAL_S:
+            snapshot = self._take_snapshot()
+        elif self._snapshot_timer is None:
+            loop = asyncio.get_running_loop()
+            due_s = self._snapshot_sent_s + SNAPSHOT_INTERVAL_S
+            self._snapshot_timer = loop.call_at(due_s, self._send_snapshot)
+        progress = EngineProgress(
+            tuple(self._begun), tuple(self._ended), snapshot=snapshot
+        )
         self._peers.send(self._scheduler_host, progress)
         self._begun.clear()
         self._ended.clear()
+
+    def _send_snapshot(self) -> None:
+        self._snapshot_timer = None
+        if now() - self._snapshot_sent_s >= SNAPSHOT_INTERVAL_S:
+            self._schedule_report()
+
+    def _take_snapshot(self) -> AttemptSnapshot:
+        self._snapshot_sent_s = now()
+        in_flight = self._in_flight_by_number
+        return AttemptSnapshot(
+            last_number=self._next_number,
+            waiting=(
+                *self._undecided,
+                *(n for n, i in in_flight.items() if i.unread_tokens),
+            ),
+            running=tuple(n for n, i in in_flight.items() if not i.unread_tokens),
+        )
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from almondfield_core.wire import wire_message
-from almondfield_fairshare.engines import PromptRequest
+from almondfield_fairshare.engines import AttemptSnapshot, PromptRequest
 
 __all__ = [
     "EngineInFlight",
@@ -97,8 +97,10 @@
     :ivar begun: attempts whose answer has begun.
     :ivar ended: attempts that are over.
     :ivar in_flight: all attempts, for a scheduler that has just started; else empty.
+    :ivar snapshot: numbers of all attempts, at intervals; else None.
     """
 
     begun: tuple[EngineInFlight, ...] = ()
     ended: tuple[EngineInFlight, ...] = ()
     in_flight: tuple[EngineInFlight, ...] = ()
+    snapshot: AttemptSnapshot | None = None
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -120,6 +120,9 @@
             self._scheduler(item.pool, table).end(
                 attempt, item.was_refused, was_sent=bool(item.server)
             )
+        if progress.snapshot is not None:
+            for scheduler in self._scheduler_by_pool.values():
+                scheduler.reconcile(sender, progress.snapshot)
 
     def _scheduler(self, pool: str, table: RoutingTable) -> EngineScheduler:
         scheduler = self._scheduler_by_pool.get(pool)
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
@@ -45,6 +45,15 @@
     When "c2" replaces "c1" as the leader
     Then prefix "t" goes to the same engine as before
 
+  # Guards against engines that count as full for 20 s after routers were killed.
+  Scenario: A restarted router's earlier requests are dropped
+    When "r1" requests 10 engines at once
+    And "r1" restarts
+    And "r1" requests an engine
+    And the answer begins and ends
+    And 0.1 s pass
+    Then "c1" has 0 requests in flight
+
   Scenario: A request that is cancelled during admission leaves no state
     When a caller disconnects while "r1" requests an engine
     And 0.1 s pass
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
@@ -39,3 +39,12 @@
     When team "flood" at "r1" sends 300 prompts a second for 1 s
     And team "flood" at "r1" continues an interrupted stream
     Then it has a server
+
+  # Guards against engines that count as full for 20 s, since the link of a busy router
+  # dropped its reports of answers that began and ended (FAIR).
+  Scenario: Lost reports do not leave work at the engines
+    Given 0.3 of the messages are lost
+    When team "a" at "r1" and team "b" at 2 other routers each send 30 prompts a second for 4 s
+    And no more messages are lost
+    And 2.0 s pass
+    Then "c1" has 0 requests in flight
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
@@ -191,6 +191,24 @@
     run(context, disconnect())
 
 
+@when('"r1" restarts')
+def step_impl(context):
+    async def restart():
+        peers = context.network.peers("r1")
+        context.client = EngineClient(peers, lambda: context.leader, 1000)
+
+    run(context, restart())
+
+
+@when("the answer begins and ends")
+def step_impl(context):
+    async def end():
+        context.assignment.begin_answer()
+        context.assignment.end()
+
+    run(context, end())
+
+
 @then("it is assigned to an engine")
 def step_impl(context):
     assert isinstance(context.assignment, EngineAssignment), context.assignment
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
@@ -146,6 +146,16 @@
     context.network.delay_s_by_host[host] = (least, most)
 
 
+@given("{share:g} of the messages are lost")
+def step_impl(context, share):
+    context.network.loss = share
+
+
+@when("no more messages are lost")
+def step_impl(context):
+    context.network.loss = 0.0
+
+
 @when(
     'team "{a}" at "{slow}" and team "{b}" at {count:d} other routers each send '
     "{rate:g} prompts a second for {seconds:g} s"
@@ -189,6 +199,12 @@
     assert isinstance(context.selected, SelectedServer), context.selected
 
 
+@then("the scheduler was asked at most {rate:g} times a second")
+def step_impl(context, rate):
+    asked = context.network.count_by_kind["engine-ask"]
+    assert 0 < asked <= rate * context.seconds, asked
+
+
 @then("the scheduler refused at most {rate:g} requests a second")
 def step_impl(context, rate):
     refusals = context.network.count_by_kind["engine-refusal"]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/__init__.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/__init__.py
@@ -7,6 +7,7 @@
 from almondfield_fairshare.engines.requests import (
     Admitted,
     AttemptId,
+    AttemptSnapshot,
     Decision,
     EngineServer,
     PromptRequest,
@@ -17,6 +18,7 @@
 __all__ = [
     "Admitted",
     "AttemptId",
+    "AttemptSnapshot",
     "Decision",
     "Engine",
     "EngineLoad",
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -14,18 +14,20 @@
 
 from almondfield_core.clock import now
 from almondfield_core.routing import Prompt
+from almondfield_fairshare.engines.attempts import AttemptTable, InFlightAttempt
 from almondfield_fairshare.engines.engine import Engine
 from almondfield_fairshare.engines.load import BusyShare, EngineLoad
 from almondfield_fairshare.engines.prefix_cache import PrefixBlock, prefix_blocks
 from almondfield_fairshare.engines.requests import (
     Admitted,
     AttemptId,
+    AttemptSnapshot,
     Decision,
     EngineServer,
     PromptRequest,
     Refused,
 )
-from almondfield_fairshare.engines.shares import Grant, TeamShares
+from almondfield_fairshare.engines.shares import TeamShares
 
 __all__ = ["EngineScheduler"]
 
@@ -75,8 +77,7 @@
         self._window_s = window_s
         self._shares = TeamShares(window_s)
         self._engine_by_name: dict[str, Engine] = {}
-        self._server_by_attempt: dict[AttemptId, str] = {}
-        self._grant_by_attempt: dict[AttemptId, Grant] = {}
+        self._attempts = AttemptTable()
         self._busy_share = BusyShare()
         self._counts: Counter[str] = Counter()
         self._strictest_target_s = float("inf")
@@ -93,16 +94,9 @@
             if engine is None or engine.server.started_ms != server.started_ms:
                 engine = Engine(server)
             self._engine_by_name[server.name] = engine
-        self._server_by_attempt = {
-            attempt: server
-            for attempt, server in self._server_by_attempt.items()
-            if self._engine_by_name.get(server) is before.get(server)
-        }
-        self._grant_by_attempt = {
-            attempt: grant
-            for attempt, grant in self._grant_by_attempt.items()
-            if attempt in self._server_by_attempt
-        }
+        self._attempts.retain(
+            lambda name: self._engine_by_name.get(name) is before.get(name)
+        )
 
     def decide(
         self, attempt: AttemptId, request: PromptRequest, work_per_s: float
@@ -173,12 +167,11 @@
         chosen.engine.send(
             attempt, blocks, chosen.uncached_tokens, _output_tokens(prompt)
         )
-        self._server_by_attempt[attempt] = chosen.engine.server.name
+        name = chosen.engine.server.name
         grant = self._shares.record_grant(request.team, work)
-        self._grant_by_attempt[attempt] = grant
+        self._attempts.put(attempt, InFlightAttempt(name, grant))
         self._counts["admitted"] += 1
         self._counts["unread_tokens"] += chosen.uncached_tokens
-        name = chosen.engine.server.name
         return Admitted(name, chosen.uncached_tokens, chosen.wait_s)
 
     def begin_answer(self, attempt: AttemptId, server: str) -> None:
@@ -190,8 +183,7 @@
         engine = self._engine_by_name.get(server)
         if engine is not None:
             engine.begin_answer(attempt)
-            self._server_by_attempt[attempt] = server
-            self._grant_by_attempt.pop(attempt, None)
+            self._attempts.put(attempt, InFlightAttempt(server))
 
     def end(
         self, attempt: AttemptId, was_refused: bool = False, was_sent: bool = True
@@ -203,13 +195,38 @@
         :param was_sent: whether the router sent it; it does not if the admission
             arrives too late.
         """
-        grant = self._grant_by_attempt.pop(attempt, None)
-        if grant is not None and (was_refused or not was_sent):
-            self._shares.cancel_grant(grant)
-        engine = self._engine_by_name.get(self._server_by_attempt.pop(attempt, ""))
-        if engine is not None:
-            engine.end(attempt, was_refused)
-            self._counts["unsent"] += not was_sent
+        item = self._attempts.pop(attempt)
+        if item is None:
+            return
+        if item.grant is not None and (was_refused or not was_sent):
+            self._shares.cancel_grant(item.grant)
+        self._engine_by_name[item.server].end(attempt, was_refused)
+        self._counts["unsent"] += not was_sent
+
+    def reconcile(self, router: str, snapshot: AttemptSnapshot) -> None:
+        """Replace what is known of a router's attempts by its snapshot.
+
+        Reports are lost when a link fails. Without a snapshot, an attempt whose end was
+        not reported occupies its engine until it expires.
+
+        :param router: host of the router.
+        :param snapshot: its attempts.
+        """
+        waiting, running = frozenset(snapshot.waiting), frozenset(snapshot.running)
+        for attempt in self._attempts.of_router(router):
+            if attempt.number > snapshot.last_number or attempt.number in waiting:
+                continue
+            item = self._attempts.get(attempt)
+            engine = self._engine_by_name[item.server]
+            has_begun = attempt.number in running
+            if has_begun and not engine.is_waiting(attempt):
+                continue
+            self._counts["unreported"] += 1
+            engine.remove(attempt)
+            if has_begun:
+                self.begin_answer(attempt, item.server)
+            else:
+                self._attempts.pop(attempt)
 
     def restore(self, attempt: AttemptId, server: str, uncached_tokens: int) -> None:
         """Record a request that was in flight before this scheduler started.
@@ -221,7 +238,7 @@
         engine = self._engine_by_name.get(server)
         if engine is None:
             return
-        self._server_by_attempt[attempt] = server
+        self._attempts.put(attempt, InFlightAttempt(server))
         if uncached_tokens:
             engine.enqueue(attempt, uncached_tokens)
         else:
@@ -232,17 +249,16 @@
 
         :param router: host of the router.
         """
-        for engine in self._engine_by_name.values():
-            for attempt in engine.attempts():
-                if attempt.router == router:
-                    self.end(attempt)
+        for attempt in self._attempts.of_router(router):
+            self.end(attempt)
 
     def remove_expired(self) -> None:
         """Drop requests whose end was not reported, and teams without demand."""
         self._shares.remove_idle()
         for engine in self._engine_by_name.values():
             for attempt in engine.expired_attempts():
-                self.end(attempt)
+                engine.remove(attempt)
+                self._attempts.pop(attempt)
 
     def collect_load(self) -> EngineLoad:
         """Return the load since the previous call, and reset the counts."""
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
@@ -149,13 +149,23 @@
             if elapsed_s > waiting.uncached_tokens / self.prefill_rate + OVERHEAD_S:
                 # The caller left during prefill, which took at least this long.
                 self._update_rate(attempt, waiting)
+        self.remove(attempt)
+
+    def is_waiting(self, attempt: AttemptId) -> bool:
+        """Return whether the answer to a request has not begun.
+
+        :param attempt: identifier of the attempt.
+        """
+        return attempt in self._waiting_by_attempt
+
+    def remove(self, attempt: AttemptId) -> None:
+        """Remove a request without a sample of the prefill rate.
+
+        :param attempt: identifier of the attempt.
+        """
         self._dequeue(attempt)
         self._began_s_by_attempt.pop(attempt, None)
 
-    def attempts(self) -> tuple[AttemptId, ...]:
-        """Return the identifiers of all attempts in flight."""
-        return (*self._waiting_by_attempt, *self._began_s_by_attempt)
-
     def expired_attempts(self) -> tuple[AttemptId, ...]:
         """Return the identifiers of attempts past their lifetime, end unreported."""
         before_s = now() - ATTEMPT_LIFETIME_S
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
@@ -18,6 +18,8 @@
     :ivar busy_share: mean fraction of them that had prompts to prefill, over about 1 s.
     :ivar admitted: admitted requests.
     :ivar unsent: admitted requests that their routers did not send.
+    :ivar unreported: attempts that were over, or had begun, without a report that
+        arrived.
     :ivar unread_tokens: uncached prompt tokens of the admitted requests.
     :ivar refused_full: requests refused because the engines were full.
     :ivar refused_over_share: requests refused because their team exceeded its share.
@@ -28,6 +30,7 @@
     busy_share: float = 0.0
     admitted: int = 0
     unsent: int = 0
+    unreported: int = 0
     unread_tokens: int = 0
     refused_full: int = 0
     refused_over_share: int = 0
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "Admitted",
+    "AttemptSnapshot",
     "AttemptId",
     "Decision",
     "EngineServer",
@@ -26,6 +27,20 @@
     number: int
 
 
+@dataclass(frozen=True)
+class AttemptSnapshot:
+    """All attempts of one router that are in flight.
+
+    :ivar last_number: number of its latest attempt; later ones are not in the snapshot.
+    :ivar waiting: numbers of those whose answer has not begun, undecided ones included.
+    :ivar running: numbers of those whose answer has begun.
+    """
+
+    last_number: int
+    waiting: tuple[int, ...]
+    running: tuple[int, ...]
+
+
 @dataclass(frozen=True)
 class EngineServer:
     """A model engine that accepts new work.
