Ask for one request at a time while the scheduler's replies are all too late

Cause: that router now asks all the time, and its admissions arrive too late to be sent: 44 of 63 in one second. Until it reports so, they occupy engines that others could use.

Change: when the last reply took longer than the router would wait now, it asks only while no other request of it is undecided; the others are refused at once, as before when the scheduler counted as lost. Replies in time end this.

--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -114,6 +114,7 @@
         self._backoff_until_s = float("-inf")
         self._is_reached = False
         self._last_reply_s = float("-inf")
+        self._reply_time_s = 0.0
         self._held_refusal_by_team: dict[tuple[str, str], _HeldRefusal] = {}
         self._server_by_part: OrderedDict[str, str] = OrderedDict()
         self._timer: asyncio.TimerHandle | None = None
@@ -171,7 +172,11 @@
         is_backing_off = (
             host == self._unresponsive_host and now() < self._backoff_until_s
         )
-        if not host or is_backing_off:
+        timeout_s = self._timeout_s(host, request)
+        # An admission that is certain to come late reserves an engine for nothing. One
+        # request at a time shows when replies come in time again.
+        is_too_slow = self._undecided and self._reply_time_s > timeout_s
+        if not host or is_backing_off or is_too_slow:
             return None
         self._next_number += 1
         number = self._next_number
@@ -180,13 +185,11 @@
         message = EngineRequest(pool, number, request)
 
         def on_late(reply: object) -> None:
-            self._record_late_reply(host, reply)
+            self._record_late_reply(host, reply, sent_s)
 
         self._undecided.add(number)
         try:
-            answer = await self._peers.request(
-                host, message, self._timeout_s(host, request), on_late
-            )
+            answer = await self._peers.request(host, message, timeout_s, on_late)
         except asyncio.CancelledError:
             # The scheduler may have counted the attempt as sent.
             self.report_ended(EngineInFlight(number, pool, "", 0))
@@ -195,12 +198,12 @@
             self._undecided.discard(number)
         match answer:
             case Ok(EngineReply() as reply):
-                self._record_scheduler(host, reply.scheduler_start)
+                self._record_scheduler(host, reply.scheduler_start, sent_s)
                 item = EngineInFlight(number, pool, reply.server, reply.unread_tokens)
                 self._in_flight_by_number[number] = item
                 return EngineAssignment(self, item, reply.wait_s)
             case Ok(EngineRefusal() as refusal):
-                self._record_scheduler(host, refusal.scheduler_start)
+                self._record_scheduler(host, refusal.scheduler_start, sent_s)
                 if refusal.is_over_share:
                     held = _HeldRefusal(refusal, now())
                     self._held_refusal_by_team[(pool, request.team)] = held
@@ -241,8 +244,9 @@
         self._ended.append(item)
         self._schedule_report()
 
-    def _record_scheduler(self, host: str, start: int) -> None:
+    def _record_scheduler(self, host: str, start: int, sent_s: float) -> None:
         self._last_reply_s = now()
+        self._reply_time_s = now() - sent_s
         if not self._is_reached:
             self._is_reached = True
             eliot.log_message("scheduler:reached", scheduler=host)
@@ -266,11 +270,11 @@
             return REQUEST_TIMEOUT_S
         return max(REQUEST_TIMEOUT_S, SLOW_TIMEOUT_SHARE * request.latency_target_s)
 
-    def _record_late_reply(self, host: str, reply: object) -> None:
+    def _record_late_reply(self, host: str, reply: object, sent_s: float) -> None:
         """Record that the scheduler answers; the attempt has been reported as over."""
         match reply:
             case EngineReply() | EngineRefusal():
-                self._record_scheduler(host, reply.scheduler_start)
+                self._record_scheduler(host, reply.scheduler_start, sent_s)
                 if host == self._unresponsive_host:
                     self._backoff_until_s = float("-inf")
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
@@ -48,3 +48,10 @@
     And no more messages are lost
     And 2.0 s pass
     Then "c1" has 0 requests in flight
+
+  # Guards against engines that are reserved for a router which gets each admission too late
+  # to use it.
+  Scenario: A router whose replies are all too late asks for one request at a time
+    Given messages to and from "r1" take 0.5 to 0.6 s
+    When team "a" at "r1" sends 60 prompts a second for 4 s
+    Then the scheduler was asked at most 10 times a second
