Split the reports on attempts from the client of the scheduler

A late reply of a host that no longer leads is ignored. The refusal without a decision says that no scheduler answers in time, as one that answers late is reachable.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -186,7 +186,7 @@
         prompt = request.metadata.prompt if request.route.has_prompt else None
         if prompt is not None and self._is_prefill_limit_reached(servers):
             return Unavailable(
-                "no scheduler is reachable and too many prompts wait for prefill"
+                "no scheduler answers in time and too many prompts wait for prefill"
             )
         hint = self._engines.last_server(prompt) if prompt else ""
         chosen = self._placement.choose(candidates, prompt, tried, hint)
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -13,12 +13,12 @@
 from almondfield_core.routing import Prompt
 from almondfield_daemon.scheduling.messages import (
     EngineInFlight,
-    EngineProgress,
     EngineRefusal,
     EngineReply,
     EngineRequest,
 )
-from almondfield_fairshare.engines import AttemptSnapshot, PromptRequest
+from almondfield_daemon.scheduling.reports import AttemptReports
+from almondfield_fairshare.engines import PromptRequest
 
 __all__ = ["EngineAssignment", "EngineClient"]
 
@@ -29,9 +29,6 @@
 REFUSAL_HOLD_S = 0.05
 ANSWERING_S = 1.0  # after its last reply, the scheduler counts as answering for so long
 FAILURE_BACKOFF_S = 0.3  # a fraction of the duration of an election
-REPORT_DELAY_S = 0.02  # batches reports; a fraction of the prefill time of a prompt
-SNAPSHOT_INTERVAL_S = 1.0  # while attempts change; a report may be lost
-MAX_UNREPORTED = 1000  # reports held back while no scheduler is known
 MS_PER_S = 1000
 MAX_KNOWN_PARTS = 20_000  # shared prompt parts whose last server is recorded
 
@@ -51,20 +48,20 @@
 class EngineAssignment:
     """Assignment of a request to an engine; changes are reported to the scheduler.
 
-    :param client: client that reports to the scheduler.
+    :param reports: reports to the scheduler.
     :param item: the attempt.
     :param wait_s: predicted wait before prefill, in seconds; None without a scheduler.
     """
 
     def __init__(
         self,
-        client: "EngineClient",
+        reports: AttemptReports,
         item: EngineInFlight,
         wait_s: float | None = None,
     ) -> None:
         self.uncached_tokens = item.unread_tokens
         self.wait_s = wait_s
-        self._client = client
+        self._reports = reports
         self._item = item
         self._ended = False
 
@@ -77,7 +74,7 @@
         """Record that the answer has begun."""
         if self._item.unread_tokens:
             self._item = replace(self._item, unread_tokens=0)
-            self._client.report_begun(self._item)
+            self._reports.begin_answer(self._item)
 
     def end(self, was_refused: bool = False) -> None:
         """Record that the attempt is over.
@@ -86,7 +83,7 @@
         """
         if not self._ended:
             self._ended = True
-            self._client.report_ended(replace(self._item, was_refused=was_refused))
+            self._reports.end(replace(self._item, was_refused=was_refused))
 
 
 class EngineClient:
@@ -103,13 +100,7 @@
     ) -> None:
         self._peers = peers
         self._leader = leader
-        self._next_number = first_number
-        self._undecided: set[int] = set()
-        self._in_flight_by_number: dict[int, EngineInFlight] = {}
-        self._begun: list[EngineInFlight] = []
-        self._ended: list[EngineInFlight] = []
-        self._scheduler_host = ""
-        self._scheduler_start = 0
+        self._reports = AttemptReports(peers, first_number)
         self._unresponsive_host = ""
         self._backoff_until_s = float("-inf")
         self._is_reached = False
@@ -117,9 +108,6 @@
         self._reply_time_s = 0.0
         self._held_refusal_by_team: dict[tuple[str, str], _HeldRefusal] = {}
         self._server_by_part: OrderedDict[str, str] = OrderedDict()
-        self._timer: asyncio.TimerHandle | None = None
-        self._snapshot_timer: asyncio.TimerHandle | None = None
-        self._snapshot_sent_s = float("-inf")
 
     def last_server(self, prompt: Prompt) -> str:
         """Return the server that last got a prompt's shared parts; empty for none.
@@ -175,11 +163,10 @@
         timeout_s = self._timeout_s(host, request)
         # An admission that is certain to come late reserves an engine for nothing. One
         # request at a time shows when replies come in time again.
-        is_too_slow = self._undecided and self._reply_time_s > timeout_s
+        is_too_slow = self._reports.has_undecided and self._reply_time_s > timeout_s
         if not host or is_backing_off or is_too_slow:
             return None
-        self._next_number += 1
-        number = self._next_number
+        number = self._reports.add_undecided()
         request = replace(request, hint=self.last_server(request.prompt))
         sent_s = now()
         message = EngineRequest(pool, number, request)
@@ -187,29 +174,28 @@
         def on_late(reply: object) -> None:
             self._record_late_reply(host, reply, sent_s)
 
-        self._undecided.add(number)
         try:
             answer = await self._peers.request(host, message, timeout_s, on_late)
         except asyncio.CancelledError:
             # The scheduler may have counted the attempt as sent.
-            self.report_ended(EngineInFlight(number, pool, "", 0))
+            self._reports.end(EngineInFlight(number, pool, "", 0))
             raise
-        finally:
-            self._undecided.discard(number)
         match answer:
             case Ok(EngineReply() as reply):
+                # First, as a new scheduler has this attempt and receives the others.
                 self._record_scheduler(host, reply.scheduler_start, sent_s)
                 item = EngineInFlight(number, pool, reply.server, reply.unread_tokens)
-                self._in_flight_by_number[number] = item
-                return EngineAssignment(self, item, reply.wait_s)
+                self._reports.start(item)
+                return EngineAssignment(self._reports, item, reply.wait_s)
             case Ok(EngineRefusal() as refusal):
+                self._reports.remove_undecided(number)
                 self._record_scheduler(host, refusal.scheduler_start, sent_s)
                 if refusal.is_over_share:
                     held = _HeldRefusal(refusal, now())
                     self._held_refusal_by_team[(pool, request.team)] = held
                 return refusal
             case _:
-                self.report_ended(EngineInFlight(number, pool, "", 0))
+                self._reports.end(EngineInFlight(number, pool, "", 0))
                 self._record_failure(host, sent_s)
                 return None
 
@@ -220,29 +206,10 @@
         :param server: name of the server.
         :param uncached_tokens: prompt tokens that the server has to prefill.
         """
-        self._next_number += 1
-        item = EngineInFlight(self._next_number, pool, server, max(1, uncached_tokens))
-        self._in_flight_by_number[item.number] = item
-        return EngineAssignment(self, item)
-
-    def report_begun(self, item: EngineInFlight) -> None:
-        """Report to the scheduler that an answer has begun.
-
-        :param item: the attempt.
-        """
-        if item.number in self._in_flight_by_number:
-            self._in_flight_by_number[item.number] = item
-        self._begun.append(item)
-        self._schedule_report()
-
-    def report_ended(self, item: EngineInFlight) -> None:
-        """Report to the scheduler that an attempt is over.
-
-        :param item: the attempt.
-        """
-        self._in_flight_by_number.pop(item.number, None)
-        self._ended.append(item)
-        self._schedule_report()
+        number = self._reports.add_undecided()
+        item = EngineInFlight(number, pool, server, max(1, uncached_tokens))
+        self._reports.start(item)
+        return EngineAssignment(self._reports, item)
 
     def _record_scheduler(self, host: str, start: int, sent_s: float) -> None:
         self._last_reply_s = now()
@@ -250,15 +217,7 @@
         if not self._is_reached:
             self._is_reached = True
             eliot.log_message("scheduler:reached", scheduler=host)
-        if (host, start) == (self._scheduler_host, self._scheduler_start):
-            return
-        self._scheduler_host, self._scheduler_start = host, start
-        in_flight = tuple(self._in_flight_by_number.values())
-        # This scheduler may have counted attempts as sent that have ended since.
-        progress = EngineProgress(ended=tuple(self._ended), in_flight=in_flight)
-        self._begun.clear()
-        self._ended.clear()
-        self._peers.send(host, progress)
+        self._reports.set_scheduler(host, start)
 
     def _timeout_s(self, host: str, request: PromptRequest) -> float:
         """Return how long to wait for a decision, in seconds.
@@ -266,20 +225,20 @@
         While replies arrive, a late one means that this router or its link is busy.
         """
         is_answering = now() - self._last_reply_s < ANSWERING_S
-        if host != self._scheduler_host or not is_answering:
+        if host != self._reports.scheduler_host or not is_answering:
             return REQUEST_TIMEOUT_S
         return max(REQUEST_TIMEOUT_S, SLOW_TIMEOUT_SHARE * request.latency_target_s)
 
     def _record_late_reply(self, host: str, reply: object, sent_s: float) -> None:
         """Record that the scheduler answers; the attempt has been reported as over."""
         match reply:
-            case EngineReply() | EngineRefusal():
+            case EngineReply() | EngineRefusal() if host == self._leader():
                 self._record_scheduler(host, reply.scheduler_start, sent_s)
                 if host == self._unresponsive_host:
                     self._backoff_until_s = float("-inf")
 
     def _record_failure(self, host: str, sent_s: float) -> None:
-        if host == self._scheduler_host and self._last_reply_s >= sent_s:
+        if host == self._reports.scheduler_host and self._last_reply_s >= sent_s:
             # The scheduler has answered other requests of this router since.
             return
         self._unresponsive_host = host
@@ -292,44 +251,3 @@
                 after_ms=round((now() - sent_s) * MS_PER_S, 1),
                 reply_age_ms=round((now() - self._last_reply_s) * MS_PER_S, 1),
             )
-
-    def _schedule_report(self) -> None:
-        if self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(REPORT_DELAY_S, self._send_report)
-
-    def _send_report(self) -> None:
-        self._timer = None
-        if not self._scheduler_host:
-            del self._begun[:-MAX_UNREPORTED], self._ended[:-MAX_UNREPORTED]
-            return
-        snapshot = None
-        if now() - self._snapshot_sent_s >= SNAPSHOT_INTERVAL_S:
-            snapshot = self._take_snapshot()
-        elif self._snapshot_timer is None:
-            loop = asyncio.get_running_loop()
-            due_s = self._snapshot_sent_s + SNAPSHOT_INTERVAL_S
-            self._snapshot_timer = loop.call_at(due_s, self._send_snapshot)
-        progress = EngineProgress(
-            tuple(self._begun), tuple(self._ended), snapshot=snapshot
-        )
-        self._peers.send(self._scheduler_host, progress)
-        self._begun.clear()
-        self._ended.clear()
-
-    def _send_snapshot(self) -> None:
-        self._snapshot_timer = None
-        if now() - self._snapshot_sent_s >= SNAPSHOT_INTERVAL_S:
-            self._schedule_report()
-
-    def _take_snapshot(self) -> AttemptSnapshot:
-        self._snapshot_sent_s = now()
-        in_flight = self._in_flight_by_number
-        return AttemptSnapshot(
-            last_number=self._next_number,
-            waiting=(
-                *self._undecided,
-                *(n for n, i in in_flight.items() if i.unread_tokens),
-            ),
-            running=tuple(n for n, i in in_flight.items() if not i.unread_tokens),
-        )
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/reports.py
@@ -0,0 +1,143 @@
+"""Reports of a router on its attempts at engines, for the scheduler."""
+
+import asyncio
+
+from almondfield_core.clock import now
+from almondfield_core.ports import Peers
+from almondfield_daemon.scheduling.messages import EngineInFlight, EngineProgress
+from almondfield_fairshare.engines import AttemptSnapshot
+
+__all__ = ["AttemptReports"]
+
+REPORT_DELAY_S = 0.02  # batches reports; a fraction of the prefill time of a prompt
+SNAPSHOT_INTERVAL_S = 1.0  # while attempts change
+MAX_UNREPORTED = 1000  # reports held back while no scheduler is known
+
+
+class AttemptReports:
+    """Attempts of one router, and reports of their changes.
+
+    Reports are one-way messages that may be lost. While attempts change, one report a
+    second has a snapshot of all attempts, by which the scheduler corrects its own.
+
+    :param peers: messages to the other hosts.
+    :param first_number: attempts have higher numbers than this.
+
+    :ivar scheduler_host: host that is reported to; empty before the first reply.
+    """
+
+    def __init__(self, peers: Peers, first_number: int) -> None:
+        self._peers = peers
+        self._last_number = first_number
+        self._undecided: set[int] = set()
+        self._in_flight_by_number: dict[int, EngineInFlight] = {}
+        self._begun: list[EngineInFlight] = []
+        self._ended: list[EngineInFlight] = []
+        self.scheduler_host = ""
+        self._scheduler_start = 0
+        self._report_timer: asyncio.TimerHandle | None = None
+        self._snapshot_timer: asyncio.TimerHandle | None = None
+        self._snapshot_sent_s = float("-inf")
+
+    @property
+    def has_undecided(self) -> bool:
+        """Return whether an attempt has no engine yet."""
+        return bool(self._undecided)
+
+    def set_scheduler(self, host: str, start: int) -> None:
+        """Set the scheduler; a new one receives all attempts in flight.
+
+        :param host: its host.
+        :param start: identifier of its start.
+        """
+        if (host, start) == (self.scheduler_host, self._scheduler_start):
+            return
+        self.scheduler_host, self._scheduler_start = host, start
+        in_flight = tuple(self._in_flight_by_number.values())
+        # This scheduler may have counted attempts as sent that have ended since.
+        progress = EngineProgress(ended=tuple(self._ended), in_flight=in_flight)
+        self._begun.clear()
+        self._ended.clear()
+        self._peers.send(host, progress)
+
+    def add_undecided(self) -> int:
+        """Return the number of a new attempt that has no engine yet."""
+        self._last_number += 1
+        self._undecided.add(self._last_number)
+        return self._last_number
+
+    def remove_undecided(self, number: int) -> None:
+        """Remove an attempt that the scheduler refused.
+
+        :param number: number of the attempt.
+        """
+        self._undecided.discard(number)
+
+    def start(self, item: EngineInFlight) -> None:
+        """Record that an attempt has an engine.
+
+        :param item: the attempt.
+        """
+        self._undecided.discard(item.number)
+        self._in_flight_by_number[item.number] = item
+
+    def begin_answer(self, item: EngineInFlight) -> None:
+        """Report that an answer has begun.
+
+        :param item: the attempt.
+        """
+        if item.number in self._in_flight_by_number:
+            self._in_flight_by_number[item.number] = item
+        self._begun.append(item)
+        self._schedule_report()
+
+    def end(self, item: EngineInFlight) -> None:
+        """Report that an attempt is over.
+
+        :param item: the attempt.
+        """
+        self._undecided.discard(item.number)
+        self._in_flight_by_number.pop(item.number, None)
+        self._ended.append(item)
+        self._schedule_report()
+
+    def _schedule_report(self) -> None:
+        if self._report_timer is None:
+            loop = asyncio.get_running_loop()
+            self._report_timer = loop.call_later(REPORT_DELAY_S, self._send_report)
+
+    def _send_report(self) -> None:
+        self._report_timer = None
+        if not self.scheduler_host:
+            del self._begun[:-MAX_UNREPORTED], self._ended[:-MAX_UNREPORTED]
+            return
+        begun, ended = tuple(self._begun), tuple(self._ended)
+        self._begun.clear()
+        self._ended.clear()
+        snapshot = self._take_snapshot_if_due()
+        progress = EngineProgress(begun, ended, snapshot=snapshot)
+        self._peers.send(self.scheduler_host, progress)
+
+    def _take_snapshot_if_due(self) -> AttemptSnapshot | None:
+        """Return a snapshot if the last one is old; else make sure that one follows."""
+        due_s = self._snapshot_sent_s + SNAPSHOT_INTERVAL_S
+        if now() < due_s:
+            if self._snapshot_timer is None:
+                loop = asyncio.get_running_loop()
+                self._snapshot_timer = loop.call_at(due_s, self._send_snapshot)
+            return None
+        self._snapshot_sent_s = now()
+        items = self._in_flight_by_number.values()
+        return AttemptSnapshot(
+            last_number=self._last_number,
+            waiting=(
+                *self._undecided,
+                *(item.number for item in items if item.unread_tokens),
+            ),
+            running=tuple(item.number for item in items if not item.unread_tokens),
+        )
+
+    def _send_snapshot(self) -> None:
+        self._snapshot_timer = None
+        if now() - self._snapshot_sent_s >= SNAPSHOT_INTERVAL_S:
+            self._schedule_report()
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
@@ -19,6 +19,13 @@
     When 0.1 s pass
     Then "r1" is assigned an engine again
 
+  Scenario: A late reply of a former leader is ignored
+    Given messages to and from "r1" take 0.06 to 0.07 s
+    When "r1" requests an engine
+    And "c2" replaces "c1" as the leader
+    And 0.1 s pass
+    Then "r1" reports to no scheduler
+
   # Guards against a router that spends its processor time on asking for requests of a
   # team which was refused for its share a moment ago (FAIR).
   Scenario: A router asks again for a refused team at most 20 times a second
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
@@ -218,6 +218,11 @@
     assert min(retries_s) >= seconds, min(retries_s)
 
 
+@then('"r1" reports to no scheduler')
+def step_impl(context):
+    assert context.client._reports.scheduler_host == ""
+
+
 @then("the engines prefilled for at least {share:g} of the time")
 def step_impl(context, share):
     engines = context.teams.engine_by_name.values()
