Take back grants on a running clock, too

Cause: the grant kept a time that was read after the ones in the two sums, so that it was found again only on a paused clock.

Change: one reading of the clock serves the sums and the grant.

Result: the new scenario runs on a real loop; it fails before (usage 0.047 after six requests that were never sent) and passes. 60 scenarios of the fairshare package pass.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -91,7 +91,7 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
         self.running += 1
-        sink = _AsgiSink(send, self._closes_connections)
+        sink = _AsgiSink(send, self._must_close)
         try:
             await self._handle(scope, receive, sink)
         except StreamBrokenError:
@@ -105,7 +105,7 @@
         finally:
             self.running -= 1
 
-    def _closes_connections(self) -> bool:
+    def _must_close(self) -> bool:
         return self._is_closing or self._connection_count() > self._max_connections
 
     async def _handle(self, scope: Any, receive: Any, sink: "_AsgiSink") -> None:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
@@ -37,9 +37,13 @@
         self._items: deque[tuple[float, float]] = deque()
         self._total = 0.0
 
-    def add(self, work: float) -> None:
-        """Add work at the current time."""
-        self._items.append((now(), work))
+    def add(self, at_s: float, work: float) -> None:
+        """Add work at a time, which is not before that of the last addition.
+
+        :param at_s: the time, in seconds of the loop's clock.
+        :param work: the work.
+        """
+        self._items.append((at_s, work))
         self._total += work
 
     def remove(self, added_s: float, work: float) -> None:
@@ -88,7 +92,8 @@
         :param team: name of the team.
         :param work: tokens of work.
         """
-        self._demand_by_team.setdefault(team, _SlidingSum(self._window_s)).add(work)
+        demand = self._demand_by_team.setdefault(team, _SlidingSum(self._window_s))
+        demand.add(now(), work)
 
     def record_grant(self, team: str, work: float) -> Grant:
         """Record work that a team is granted, and return the grant.
@@ -96,9 +101,11 @@
         :param team: name of the team.
         :param work: tokens of work.
         """
-        self._granted_by_team.setdefault(team, _SlidingSum(self._window_s)).add(work)
-        self._granted.add(work)
-        return Grant(team, work, now())
+        at_s = now()
+        granted = self._granted_by_team.setdefault(team, _SlidingSum(self._window_s))
+        granted.add(at_s, work)
+        self._granted.add(at_s, work)
+        return Grant(team, work, at_s)
 
     def cancel_grant(self, grant: Grant) -> None:
         """Take back a grant whose work no engine began.
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
@@ -160,6 +160,11 @@
     When 6 requests are admitted, but their routers give up before they are told
     Then the team has used 0 of its share
 
+  # Guards against a grant that is found again only while the clock stands still.
+  Scenario: Admissions are taken back on a running clock
+    When 6 requests are admitted on a running clock, but none is sent
+    Then the usage of their team was 0
+
   Scenario: Requests that an engine refused as full are not charged to the team
     Given 2 engines
     And a team whose share is 2 requests in the window
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -568,3 +568,25 @@
         return shares.usage("team", context.work_per_s, busy_share=1.0)
 
     assert run(context, usage()) == share, run(context, usage())
+
+
+@when("{count:d} requests are admitted on a running clock, but none is sent")
+def step_impl(context, count):
+    async def admit():
+        workload = Workload(2)
+        request = PromptRequest("team", fresh_prompt(workload), 0.8)
+        for number in range(count):
+            attempt = AttemptId("r", number)
+            decision = workload.scheduler.decide(attempt, request, workload.work_per_s)
+            assert isinstance(decision, Admitted), decision
+            workload.scheduler.end(attempt, was_sent=False)
+        shares = workload.scheduler._shares
+        context.usage = shares.usage("team", workload.work_per_s, busy_share=1.0)
+
+    asyncio.run(admit())
+    asyncio.set_event_loop(context.loop)
+
+
+@then("the usage of their team was {share:g}")
+def step_impl(context, share):
+    assert context.usage == share, context.usage
