--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
@@ -119,8 +119,7 @@
     And every router has found the new leader within 0.05 s of its first entry
     And every router has a fresh table within 0.05 s of a leader
 
-  # Guards against a router that refuses requests with a key, and asks no scheduler, since
-  # the replies of a leader that answers reach it late (FAIR).
+  # Guards against FAIR: a router with late replies lost its lease and its leader.
   Scenario: A router whose replies come late keeps its lease and its leader
     Given a formed group of 5 and 2 routers
     And version 2 is published at "c1"
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
@@ -4,14 +4,13 @@
     Given control hosts "c1" and "c2", of which "c1" leads, and router "r1"
     And 10 engines that do 1000000 tokens of work a second
 
-  # Guards against a router that takes its own late replies for the loss of the scheduler
-  # and then refuses most requests of its teams by itself (FAIR).
+  # Guards against FAIR: a router with late replies took the scheduler as lost.
   Scenario: A team whose only router gets late replies gets half of what others get
     Given messages to and from "r1" take 0.06 to 0.12 s
     When team "a" at "r1" and team "b" at 14 other routers each send 60 prompts a second for 8 s
     Then team "a" was given at least 0.5 of the work of team "b"
 
-  # Guards against a router that ignores the scheduler although it answers, only late.
+  # Guards against a router that ignores a scheduler which answers, but late.
   Scenario: A late reply shows that the scheduler answers
     Given messages to and from "r1" take 0.06 to 0.07 s
     When "r1" requests an engine
@@ -26,15 +25,14 @@
     And 0.1 s pass
     Then "r1" reports to no scheduler
 
-  # Guards against a router that spends its processor time on asking for requests of a
-  # team which was refused for its share a moment ago (FAIR).
+  # Guards against FAIR: questions for a refused team took all of a router's processor.
   Scenario: A router asks again for a refused team at most 20 times a second
     Given 10 engines that do 20000 tokens of work a second
     When team "flood" at "r1" sends 300 prompts a second for 4 s
     Then the scheduler refused at most 21 requests a second
     And every refusal of "flood" had a retry time of at least 0.05 s
 
-  # Guards against a team that is held back at its only router more than its share asks for.
+  # Guards against a held refusal that costs a team at one router a part of its share.
   Scenario: A flood through one router gets as much as one through many
     Given 10 engines that do 1200000 tokens of work a second
     When team "a" at "r1" and team "b" at 14 other routers each send 300 prompts a second for 8 s
@@ -47,8 +45,7 @@
     And team "flood" at "r1" continues an interrupted stream
     Then it has a server
 
-  # Guards against engines that count as full for 20 s, since the link of a busy router
-  # dropped its reports of answers that began and ended (FAIR).
+  # Guards against engines that count as full for 20 s after a link dropped reports.
   Scenario: Lost reports do not leave work at the engines
     Given 0.3 of the messages are lost
     When team "a" at "r1" and team "b" at 2 other routers each send 30 prompts a second for 4 s
@@ -56,8 +53,7 @@
     And 2.0 s pass
     Then "c1" has 0 requests in flight
 
-  # Guards against engines that are reserved for a router which gets each admission too late
-  # to use it.
+  # Guards against engines reserved by admissions that arrive too late to be used.
   Scenario: A router whose replies are all too late asks for one request at a time
     Given messages to and from "r1" take 0.5 to 0.6 s
     When team "a" at "r1" sends 60 prompts a second for 4 s
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
@@ -152,8 +152,7 @@
     When a request is admitted, but its router gives up before it is told
     Then the load has 1 admitted and 1 unsent request
 
-  # Guards against a team that loses its share to admissions which its router never sent
-  # (FAIR).
+  # Guards against FAIR: a team was charged for admissions that were never sent.
   Scenario: Admissions that arrive too late to be sent are not charged to the team
     Given 2 engines
     And a team whose share is 2 requests in the window
