End an undecided attempt after any error of its request

Cause: when the reports were split from the client, the clean-up of undecided attempts moved from a finally clause to the handler of cancellations.

Change: the handler takes any exception, reports the attempt as over and raises it again.

--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -1,6 +1,5 @@
 """Client of the engine scheduler: requests engines and reports on the attempts."""
 
-import asyncio
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -91,8 +90,8 @@
 
     :param peers: messages to the other hosts.
     :param leader: returns the host that leads the control group; empty if unknown.
-    :param first_number: number of the first attempt; higher than those of an earlier
-        start of this router, so that a snapshot drops them at the scheduler.
+    :param first_number: attempts have higher numbers than this. It is above those of an
+        earlier start of this router, so that a snapshot drops them at the scheduler.
     """
 
     def __init__(
@@ -176,7 +175,7 @@
 
         try:
             answer = await self._peers.request(host, message, timeout_s, on_late)
-        except asyncio.CancelledError:
+        except BaseException:
             # The scheduler may have counted the attempt as sent.
             self._reports.end(EngineInFlight(number, pool, "", 0))
             raise
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
@@ -59,6 +59,11 @@
     And 0.1 s pass
     Then "c1" has 0 requests in flight
 
+  # Guards against an attempt that stays undecided after an error of the transport.
+  Scenario: A request that fails with an error leaves no undecided attempt
+    When the transport of "r1" raises an error while it requests an engine
+    Then "r1" has no undecided attempt
+
   Scenario: A new leader is used at once while the previous one is unresponsive
     Given "c1" is partitioned
     And "r1" requests an engine
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
@@ -209,6 +209,24 @@
     run(context, end())
 
 
+@when('the transport of "r1" raises an error while it requests an engine')
+def step_impl(context):
+    async def fail(*arguments):
+        raise OSError("no descriptors left")
+
+    async def request():
+        context.network.peers_by_host["r1"].request = fail
+        with suppress(OSError):
+            await request_engine(context, "prefix", 0)
+
+    run(context, request())
+
+
+@then('"r1" has no undecided attempt')
+def step_impl(context):
+    assert not context.client._reports.has_undecided
+
+
 @then("it is assigned to an engine")
 def step_impl(context):
     assert isinstance(context.assignment, EngineAssignment), context.assignment
