Log how late the event loop is, and how long requests lay unread

Cause: logs and metrics begin with the handler of a request. Nothing told a router whose iterations take half a second from a calm one, nor a request that lay unread in its socket from one that was read at once.

Change: the selector of the daemons' event loop records when it is called and when it returns. A monitor takes the longest delay of each quarter second for the histogram almondfield_loop_delay_seconds and writes loop:late at most once a second. The protocol of a connection bounds the arrival of each request by the iterations: the first one of a connection may have come with it, three iterations before it is read. request:ended, request:refused and request:abandoned have both bounds and whether the request was the first of its connection. No decision changes.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -14,10 +14,12 @@
 from almondfield_core.settings import FleetSettings, load_fleet_settings
 from almondfield_daemon.fleet_daemon.metrics import (
     ControlMetrics,
+    LoopMetrics,
     RouterMetrics,
     build_metrics_app,
 )
 from almondfield_daemon.fleet_daemon.usage import log_usage
+from almondfield_daemon.loop_delay import LoopMonitor
 from almondfield_daemon.peers import PynngPeers
 from almondfield_daemon.serving import HttpListener, bind
 
@@ -51,6 +53,7 @@
         self._settings_path = settings_path
         self._listeners: list[HttpListener] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._loop_monitor = LoopMonitor()
 
     def leader_client(self, hosts: Callable[[], tuple[str, ...]]) -> LeaderClient:
         """Return a client that finds the leader of the control group.
@@ -76,6 +79,7 @@
         :param metrics: the metrics.
         """
         if self.settings.metrics_port:
+            self._loop_monitor.observe = LoopMetrics(metrics.registry).observe
             address = f"{self.settings.address}:{self.settings.metrics_port}"
             self.serve(build_metrics_app(metrics), address)
 
@@ -100,7 +104,12 @@
         :param stop: event that requests the shutdown.
         :raises Exception: if a background coroutine fails; the exception it raised.
         """
-        coroutines = (self.peers.run(), log_usage(), *self.background_coroutines())
+        coroutines = (
+            self.peers.run(),
+            log_usage(),
+            self._loop_monitor.run(),
+            *self.background_coroutines(),
+        )
         self._tasks = [asyncio.create_task(item) for item in coroutines]
         for listener in self._listeners:
             await listener.start()
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
@@ -9,10 +9,12 @@
 from almondfield_daemon.fleet import FleetControl
 from almondfield_daemon.forwarding import RequestReport
 
-__all__ = ["ControlMetrics", "RouterMetrics", "build_metrics_app"]
+__all__ = ["ControlMetrics", "LoopMetrics", "RouterMetrics", "build_metrics_app"]
 
 # Dense around the usual targets of 0.1 to 1 s; up to the usual timeouts.
 LATENCY_BUCKETS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 4.0, 8.0, 16.0]
+# Dense around the time that callers wait for a request to be read.
+DELAY_BUCKETS_S = [0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0]
 MILLISECONDS = 1000
 
 
@@ -85,6 +87,28 @@
             self._servers.set({"phase": phase}, count)
 
 
+class LoopMetrics:
+    """Histogram of the delays of the event loop.
+
+    :param registry: registry of the metrics page.
+    """
+
+    def __init__(self, registry: Registry) -> None:
+        self._delay_s = Histogram(
+            "almondfield_loop_delay_seconds",
+            "Longest delay of the event loop in each interval",
+            buckets=DELAY_BUCKETS_S,
+            registry=registry,
+        )
+
+    def observe(self, delay_s: float) -> None:
+        """Count one interval.
+
+        :param delay_s: longest delay in it, in seconds.
+        """
+        self._delay_s.observe({}, delay_s)
+
+
 def build_metrics_app(metrics: RouterMetrics | ControlMetrics) -> Starlette:
     """Return the ASGI app of the metrics page.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -22,10 +22,16 @@
 from almondfield_daemon.edge.watch import CallerWatch
 from almondfield_daemon.forwarding.core import Forwarder
 from almondfield_daemon.forwarding.deadlines import TypicalDeadlines
-from almondfield_daemon.forwarding.messages import ForwardRequest, RequestMetadata
+from almondfield_daemon.forwarding.messages import (
+    ForwardRequest,
+    RequestMetadata,
+    UnreadTime,
+)
 from almondfield_daemon.forwarding.ports import HeaderCodec
+from almondfield_daemon.forwarding.reports import unread_fields
 from almondfield_daemon.forwarding.run import StreamBrokenError
 from almondfield_daemon.forwarding.split import choose_pool
+from almondfield_daemon.loop_delay import arrival_of
 from almondfield_daemon.router.calls import Header
 from almondfield_daemon.router.problems import Outcome, Problem, permanent_problem
 
@@ -111,11 +117,12 @@
     async def _handle(self, scope: Any, receive: Any, sink: "_AsgiSink") -> None:
         arrived_s = now()
         headers = tuple((name.lower(), value) for name, value in scope["headers"])
+        unread = _unread_time(scope, arrived_s)
         match self._prepare_request(scope, headers, arrived_s):
             case Ok(request):
-                pass
+                request = replace(request, unread=unread)
             case Err(problem):
-                _log_refusal(scope, headers, problem, self._subscription)
+                _log_refusal(scope, headers, problem, self._subscription, unread)
                 await self._refuse(receive, sink, problem)
                 return
         held = BodyReservation(self._budget, request.team)
@@ -127,6 +134,7 @@
                 request_id=request.metadata.request_id,
                 reason=str(error),
                 after_ms=round((now() - arrived_s) * 1000, 1),
+                **unread_fields(unread),
             )
         finally:
             held.release()
@@ -308,6 +316,7 @@
     headers: tuple[Header, ...],
     problem: Problem,
     subscription: TableSubscription,
+    unread: UnreadTime | None,
 ) -> None:
     eliot.log_message(
         "request:refused",
@@ -317,4 +326,15 @@
         cause=problem.detail,
         table_version=subscription.version,
         fresh_left_s=round(subscription.fresh_left_s(), 2),
+        **unread_fields(unread),
+    )
+
+
+def _unread_time(scope: Any, started_s: float) -> UnreadTime | None:
+    """Return how long a request was in the socket; None where that is unknown."""
+    arrival = arrival_of(scope)
+    if arrival is None:
+        return None
+    return UnreadTime(
+        started_s - arrival.latest_s, started_s - arrival.earliest_s, arrival.is_first
     )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
@@ -11,6 +11,7 @@
     "ForwardRequest",
     "RequestMetadata",
     "ServerLoad",
+    "UnreadTime",
 ]
 
 
@@ -84,6 +85,20 @@
     load: ServerLoad | None = None
 
 
+@dataclass(frozen=True)
+class UnreadTime:
+    """How long a request had been in the socket when its handler started.
+
+    :ivar least_s: lower bound in seconds.
+    :ivar most_s: upper bound in seconds.
+    :ivar is_first: whether it is the first request of its connection.
+    """
+
+    least_s: float
+    most_s: float
+    is_first: bool
+
+
 @dataclass(frozen=True)
 class ForwardRequest:
     """A caller's request with its whole body and the route rule that it matches.
@@ -96,7 +111,7 @@
     :ivar pool: pool that the request is sent to.
     :ivar table_version: version of the routing table with the rule.
     :ivar team: team of the caller; empty without one.
-    :ivar arrived_s: when its head was read, in seconds of the loop's clock.
+    :ivar arrived_s: when its handler started, in seconds of the loop's clock.
     :ivar waited_s: seconds that its caller had waited before, estimated from its
         deadline.
     :ivar until_s: when the caller's deadline or the rule's timeout ends it, in seconds
@@ -104,6 +119,7 @@
     :ivar body: the whole body.
     :ivar stream_version: software version at which a stream that the caller takes up
         has to go on; None for other requests.
+    :ivar unread: how long it was in the socket before; None where that is unknown.
     """
 
     method: str
@@ -119,6 +135,7 @@
     waited_s: float = 0.0
     body: bytes = b""
     stream_version: str | None = None
+    unread: UnreadTime | None = None
 
     @property
     def takes_up_stream(self) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
@@ -5,11 +5,11 @@
 import eliot
 
 from almondfield_core.clock import now
-from almondfield_daemon.forwarding.messages import ForwardRequest
+from almondfield_daemon.forwarding.messages import ForwardRequest, UnreadTime
 from almondfield_daemon.forwarding.run import RequestRun
 from almondfield_daemon.router.problems import Problem
 
-__all__ = ["RequestReport", "log_report", "make_report"]
+__all__ = ["RequestReport", "log_report", "make_report", "unread_fields"]
 
 
 @dataclass(frozen=True)
@@ -34,6 +34,11 @@
     :ivar input_tokens: length of its prompt in tokens; 0 without one.
     :ivar unread_tokens: uncached tokens by the scheduler's estimate; None without one.
     :ivar waited_ms: how long the caller had waited before, in milliseconds.
+    :ivar unread_least_ms: lower bound of the time in the socket before the handler
+        started, in milliseconds; None where that is unknown.
+    :ivar unread_most_ms: upper bound of that time.
+    :ivar is_first_on_connection: whether it is the first request of its connection;
+        None where that is unknown.
     :ivar predicted_wait_ms: wait that the scheduler predicted, in milliseconds; None
         without one.
     :ivar status: status sent to the caller; 0 if it disconnected before.
@@ -63,6 +68,9 @@
     input_tokens: int
     unread_tokens: int | None
     waited_ms: float
+    unread_least_ms: float | None
+    unread_most_ms: float | None
+    is_first_on_connection: bool | None
     predicted_wait_ms: float | None
     status: int
     cause: str
@@ -102,6 +110,7 @@
         input_tokens=prompt.input_tokens if prompt else 0,
         unread_tokens=assignment.uncached_tokens if assignment else None,
         waited_ms=round(request.waited_s * 1000, 1),
+        **unread_fields(request.unread),
         predicted_wait_ms=None if wait_s is None else round(wait_s * 1000, 1),
         status=problem.status if problem else run.status,
         cause=problem.detail if problem else error,
@@ -113,6 +122,23 @@
     )
 
 
+def unread_fields(unread: UnreadTime | None) -> dict[str, float | bool | None]:
+    """Return the log fields of how long a request was unread.
+
+    :param unread: the time; None where it is unknown.
+    """
+    match unread:
+        case UnreadTime(least_s, most_s, is_first):
+            return {
+                "unread_least_ms": round(least_s * 1000, 1),
+                "unread_most_ms": round(most_s * 1000, 1),
+                "is_first_on_connection": is_first,
+            }
+        case None:
+            names = ("unread_least_ms", "unread_most_ms", "is_first_on_connection")
+            return dict.fromkeys(names)
+
+
 def log_report(report: RequestReport) -> None:
     """Log a request that has ended.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -6,6 +6,8 @@
 import msgspec
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from almondfield_daemon.loop_delay import ARRIVAL_KEY, ArrivalTracker
+
 __all__ = ["make_protocol"]
 
 BAD_REQUEST = "400 Bad Request"
@@ -27,6 +29,7 @@
         self._head_bytes = 0
         self._in_head = True
         self._head_timer: asyncio.TimerHandle | None = None
+        self._arrivals = ArrivalTracker(getattr(self.loop, "iterations", None))
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         super().connection_made(transport)
@@ -41,6 +44,7 @@
         self._head_bytes = 0
         self._start_head_timer()
         super().on_message_begin()
+        self.scope["state"][ARRIVAL_KEY] = self._arrivals.next_arrival()
 
     def on_headers_complete(self) -> None:
         self._in_head = False
