Log a router's refusals by team and cause, its connections, and the teams' shares

A process writes 200 lines a second, and a router in a flood ends more requests than that, so that the causes of its refusals were lost in the seconds that matter. request:counts has them once a second, with the connections that are open and were accepted; scheduler:teams has the demand, the granted work and the decisions of the teams with the most demand. Decisions don't change: the cause of a refusal is a new field beside its text.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -19,8 +19,11 @@
     ForwardEndpoint,
     Forwarder,
     HeaderCodec,
+    RequestCounts,
+    RequestReport,
     RetryWindow,
     ServerSelector,
+    log_request_counts,
 )
 from almondfield_daemon.scheduling import EngineClient
 from almondfield_daemon.streams import OriginClient
@@ -89,28 +92,31 @@
             lambda: leader.last_leader,
             self.incarnation * MAX_ATTEMPTS_PER_MS,
         )
+        self._counts = RequestCounts()
         self._servers = ServerSelector(
-            self.view, placement, settings.data_centre, engines
+            self.view, placement, settings.data_centre, engines, self._counts
         )
         attempts = AttemptSender(self._backends, codec)
-        metrics = RouterMetrics()
+        self._metrics = RouterMetrics()
         forwarder = Forwarder(
             attempts,
             self._servers,
             self._origins,
             self._make_retry_window,
-            metrics.observe,
+            self._observe,
         )
         max_buffered_bytes = int(
             BODY_MEMORY_FRACTION * settings.memory_mb * BYTES_PER_MB
         )
         self._endpoint = ForwardEndpoint(
-            forwarder, self.subscription, codec, max_buffered_bytes
+            forwarder, self.subscription, codec, max_buffered_bytes, self._counts
         )
-        listener = self.serve(self._endpoint, settings.caller_address)
+        self._listener = self.serve(self._endpoint, settings.caller_address)
         max_connections = int(CALLER_DESCRIPTOR_FRACTION * settings.max_descriptors)
-        self._endpoint.limit_connections(listener.connection_count, max_connections)
-        self.serve_metrics(metrics)
+        self._endpoint.limit_connections(
+            self._listener.connection_count, max_connections
+        )
+        self.serve_metrics(self._metrics)
 
     @property
     def is_ready(self) -> bool:
@@ -124,6 +130,12 @@
             self.subscription.run(),
             self._backends.run(),
             self._update_state(),
+            log_request_counts(
+                self._counts,
+                self._listener.connection_count,
+                self._listener.accepted_count,
+                lambda: self._endpoint.running,
+            ),
         )
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -153,6 +165,10 @@
                 self.view.set_state(state)
             await asyncio.sleep(STATE_CHECK_INTERVAL_S)
 
+    def _observe(self, report: RequestReport) -> None:
+        self._metrics.observe(report)
+        self._counts.record_answer(report.team, report.status)
+
     def _make_retry_window(self) -> RetryWindow:
         settings = self.settings
         return RetryWindow(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/__init__.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import RetryWindow
 from almondfield_daemon.forwarding.core import Forwarder
+from almondfield_daemon.forwarding.counts import RequestCounts, log_request_counts
 from almondfield_daemon.forwarding.endpoint import ForwardEndpoint
 from almondfield_daemon.forwarding.messages import (
     AnswerMetadata,
@@ -21,9 +22,11 @@
     "ForwardEndpoint",
     "Forwarder",
     "HeaderCodec",
+    "RequestCounts",
     "RequestMetadata",
     "RequestReport",
     "RetryWindow",
     "ServerLoad",
     "ServerSelector",
+    "log_request_counts",
 ]
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -21,6 +21,7 @@
 )
 from almondfield_daemon.edge.watch import CallerWatch
 from almondfield_daemon.forwarding.core import Forwarder
+from almondfield_daemon.forwarding.counts import RequestCounts
 from almondfield_daemon.forwarding.deadlines import TypicalDeadlines
 from almondfield_daemon.forwarding.messages import ForwardRequest, RequestMetadata
 from almondfield_daemon.forwarding.ports import HeaderCodec
@@ -43,6 +44,7 @@
     :param subscription: the routing table.
     :param codec: reads and writes headers.
     :param max_held_bytes: limit on the total size of bodies held in memory, in bytes.
+    :param counts: counts bodies, and refusals that come before the choice of a server.
     """
 
     def __init__(
@@ -51,7 +53,9 @@
         subscription: TableSubscription,
         codec: HeaderCodec,
         max_held_bytes: int,
+        counts: RequestCounts | None = None,
     ) -> None:
+        self._counts = counts or RequestCounts()
         self._forwarder = forwarder
         self._subscription = subscription
         self._codec = codec
@@ -115,6 +119,7 @@
             case Ok(request):
                 pass
             case Err(problem):
+                self._counts.record_refusal("", problem.kind)
                 _log_refusal(scope, headers, problem, self._subscription)
                 await self._refuse(receive, sink, problem)
                 return
@@ -142,8 +147,10 @@
         declared = int(dict(request.headers).get(b"content-length", b"0"))
         match await read_body(receive, declared, limit, held.reserve):
             case Ok(body):
+                self._counts.record_body(len(body))
                 request = replace(request, body=body)
             case Err(problem):
+                self._counts.record_refusal(request.team, problem.kind)
                 await self._send_problem(sink, problem, close=True)
                 return
         async with CallerWatch(receive) as watch:
@@ -234,6 +241,7 @@
             body = await read_body(receive, 0, limit, lambda count: True)
         except CallerDisconnectedError:
             return
+        self._counts.record_body(len(body.unwrap_or(b"")))
         await self._send_problem(sink, problem, close=body.is_err())
 
     async def _send_problem(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -6,6 +6,7 @@
 import eliot
 
 from almondfield_daemon.fleet import FleetServer, FleetView
+from almondfield_daemon.forwarding.counts import RefusalCause, RequestCounts
 from almondfield_daemon.forwarding.messages import ForwardRequest, ServerLoad
 from almondfield_daemon.scheduling import EngineAssignment, EngineClient
 from almondfield_daemon.scheduling.messages import EngineRefusal
@@ -25,10 +26,12 @@
     """The reason why no server accepts a request now.
 
     :ivar detail: description of the reason.
+    :ivar cause: the kind of reason, for the counts.
     :ivar retry_after_s: seconds after which a retry may succeed.
     """
 
     detail: str
+    cause: RefusalCause
     retry_after_s: float = RETRY_AFTER_S
 
 
@@ -114,6 +117,7 @@
     :param placement: chooses among the servers.
     :param data_centre: data centre of this router.
     :param engines: client of the scheduler of model engines.
+    :param counts: counts refusals.
     """
 
     def __init__(
@@ -122,7 +126,9 @@
         placement: Placement,
         data_centre: str,
         engines: EngineClient,
+        counts: RequestCounts | None = None,
     ) -> None:
+        self._counts = counts or RequestCounts()
         self._engines = engines
         self._view = view
         self._placement = placement
@@ -144,9 +150,22 @@
         :param has_lost_server: whether one of them failed without a refusal.
         :param version: software version that the server must have; None for any.
         """
+        selected = await self._choose(request, tried, has_lost_server, version)
+        if isinstance(selected, Unavailable):
+            self._counts.record_refusal(request.team, selected.cause)
+        return selected
+
+    async def _choose(
+        self,
+        request: ForwardRequest,
+        tried: frozenset[str],
+        has_lost_server: bool,
+        version: str | None,
+    ) -> SelectedServer | Unavailable:
         servers = self._usable(request.pool, version)
         if version is not None and not servers:
-            return Unavailable(f"no server of version {version!r} takes work now")
+            detail = f"no server of version {version!r} takes work now"
+            return Unavailable(detail, RefusalCause.NO_VERSION)
         prompt = request.metadata.prompt if request.route.has_prompt else None
         if prompt is None:
             return self._choose_locally(request, servers, tried)
@@ -154,7 +173,7 @@
         if not is_repeat:
             held = self._engines.held_refusal(request.pool, request.team)
             if held is not None:
-                return _unavailable(held)
+                return _unavailable(held, RefusalCause.HELD_SHARE)
         excluded = tried | self._avoided_servers(servers)
         excluded |= self._view.unusable_servers(request.pool)
         names = frozenset(server.name for server in servers)
@@ -201,12 +220,14 @@
         prompt = request.metadata.prompt if request.route.has_prompt else None
         if prompt is not None and self._is_prefill_limit_reached(servers):
             return Unavailable(
-                "no scheduler answers in time and too many prompts wait for prefill"
+                "no scheduler answers in time and too many prompts wait for prefill",
+                RefusalCause.NO_SCHEDULER,
             )
         hint = self._engines.last_server(prompt) if prompt else ""
         chosen = self._placement.choose(candidates, prompt, tried, hint)
         if chosen is None:
-            return Unavailable("no backend server of the pool takes work now")
+            detail = "no backend server of the pool takes work now"
+            return Unavailable(detail, RefusalCause.NO_SERVER)
         server = next(item for item in servers if item.name == chosen.name)
         in_flight = self._placement.start(chosen, prompt)
         assignment = None
@@ -284,7 +305,10 @@
         )
 
 
-def _unavailable(refusal: EngineRefusal) -> Unavailable:
+def _unavailable(
+    refusal: EngineRefusal, over_share: RefusalCause = RefusalCause.SHARE
+) -> Unavailable:
     reason = "the team has had its share" if refusal.is_over_share else "no room"
+    cause = over_share if refusal.is_over_share else RefusalCause.NO_ROOM
     detail = f"{reason}; the shortest wait is {refusal.wait_s:.3f} s"
-    return Unavailable(detail, refusal.retry_after_s)
+    return Unavailable(detail, cause, refusal.retry_after_s)
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -20,7 +20,6 @@
 from almondfield_fairshare.engines import (
     Admitted,
     AttemptId,
-    EngineLoad,
     EngineScheduler,
     EngineServer,
     Refused,
@@ -29,6 +28,7 @@
 __all__ = ["EngineService"]
 
 CLEAN_UP_INTERVAL_S = 1.0  # also the interval of the scheduler:load log messages
+MAX_TEAMS = 5  # in one scheduler:teams message; those with the most demand
 
 
 class EngineService:
@@ -71,15 +71,21 @@
             await asyncio.sleep(CLEAN_UP_INTERVAL_S)
             before, routers = routers, frozenset(self._fleet.routers.hosts())
             for pool, scheduler in self._scheduler_by_pool.items():
-                self._log_load(pool, scheduler.collect_load())
+                self._log_load(pool, scheduler)
                 scheduler.remove_expired()
                 for router in before - routers:
                     scheduler.remove_router(router)
 
     @staticmethod
-    def _log_load(pool: str, load: EngineLoad) -> None:
-        if load.admitted or load.refused_full or load.refused_over_share:
+    def _log_load(pool: str, scheduler: EngineScheduler) -> None:
+        load = scheduler.collect_load()
+        teams = scheduler.collect_team_loads(MAX_TEAMS)
+        refused = load.refused_full + load.refused_over_share
+        if load.admitted or refused:
             eliot.log_message("scheduler:load", pool=pool, **asdict(load))
+        if refused:
+            items = [asdict(team) for team in teams]
+            eliot.log_message("scheduler:teams", pool=pool, teams=items)
 
     def _update_leadership(self) -> bool:
         """Return whether this host leads; a new leader starts with empty schedulers."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -72,10 +72,11 @@
     def __init__(
         self, app: ASGIApp, listener: socket.socket, max_header_bytes: int
     ) -> None:
+        self._protocol = make_protocol(max_header_bytes, HEAD_TIMEOUT_S)
         config = uvicorn.Config(
             app,
             loop="asyncio",
-            http=make_protocol(max_header_bytes, HEAD_TIMEOUT_S),
+            http=self._protocol,
             ws="none",
             lifespan="off",
             log_config=None,
@@ -101,6 +102,10 @@
         """Return the number of open connections."""
         return len(self._server.server_state.connections)
 
+    def accepted_count(self) -> int:
+        """Return the number of connections accepted since the start."""
+        return self._protocol.accepted
+
     async def stop(self) -> None:
         """Return once running requests have finished and connections are closed."""
         if self._task is None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -17,8 +17,11 @@
 
     The parser does not limit the size of a head, so the bytes of an incomplete head
     are counted here.
+
+    :cvar accepted: number of connections of this listener since its start.
     """
 
+    accepted = 0
     max_head_bytes = 0
     head_timeout_s = 0.0
 
@@ -29,6 +32,7 @@
         self._head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
+        type(self).accepted += 1
         super().connection_made(transport)
         self._start_head_timer()
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/__init__.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/__init__.py
@@ -2,7 +2,7 @@
 
 from almondfield_fairshare.engines.core import EngineScheduler
 from almondfield_fairshare.engines.engine import Engine
-from almondfield_fairshare.engines.load import EngineLoad
+from almondfield_fairshare.engines.load import EngineLoad, TeamLoad
 from almondfield_fairshare.engines.prefix_cache import PrefixCache
 from almondfield_fairshare.engines.requests import (
     Admitted,
@@ -27,5 +27,6 @@
     "PrefixCache",
     "PromptRequest",
     "Refused",
+    "TeamLoad",
     "TeamShares",
 ]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -8,7 +8,6 @@
 """
 
 import math
-from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -16,7 +15,7 @@
 from almondfield_core.routing import Prompt
 from almondfield_fairshare.engines.attempts import AttemptTable, InFlightAttempt
 from almondfield_fairshare.engines.engine import Engine
-from almondfield_fairshare.engines.load import BusyShare, EngineLoad
+from almondfield_fairshare.engines.load import BusyShare, DecisionCounts, EngineLoad
 from almondfield_fairshare.engines.prefix_cache import PrefixBlock, prefix_blocks
 from almondfield_fairshare.engines.requests import (
     Admitted,
@@ -27,7 +26,7 @@
     PromptRequest,
     Refused,
 )
-from almondfield_fairshare.engines.shares import TeamShares
+from almondfield_fairshare.engines.shares import TeamLoad, TeamShares
 
 __all__ = ["EngineScheduler"]
 
@@ -79,7 +78,7 @@
         self._engine_by_name: dict[str, Engine] = {}
         self._attempts = AttemptTable()
         self._busy_share = BusyShare()
-        self._counts: Counter[str] = Counter()
+        self._counts = DecisionCounts()
         self._strictest_target_s = float("inf")
 
     def set_servers(self, servers: Iterable[EngineServer]) -> None:
@@ -155,9 +154,8 @@
             e.wait_s <= limit_s for e, limit_s in zip(estimates, limits_s)
         )
         if must_yield or not has_capacity:
-            self._shares.record_refusal(request.team, usage)
             wait_s = min(estimate.wait_s for estimate in estimates)
-            return self._refuse(wait_s, max_wait_s, usage)
+            return self._refuse(request.team, wait_s, max_wait_s, usage)
         # The request is admitted: choose the engine with the lowest total cost.
         max_limit_s = CACHED_WAIT_FACTOR * max(base_max_wait_s, max_wait_s)
         chosen = min(
@@ -170,8 +168,8 @@
         name = chosen.engine.server.name
         grant = self._shares.record_grant(request.team, work)
         self._attempts.put(attempt, InFlightAttempt(name, grant))
-        self._counts["admitted"] += 1
-        self._counts["unread_tokens"] += chosen.uncached_tokens
+        self._counts.add_for(request.team, "admitted")
+        self._counts.add("unread_tokens", chosen.uncached_tokens)
         return Admitted(name, chosen.uncached_tokens, chosen.wait_s)
 
     def begin_answer(self, attempt: AttemptId, server: str) -> None:
@@ -201,7 +199,8 @@
         if item.grant is not None and (was_refused or not was_sent):
             self._shares.cancel_grant(item.grant)
         self._engine_by_name[item.server].end(attempt, was_refused)
-        self._counts["unsent"] += not was_sent
+        if item.grant is not None and not was_sent:
+            self._counts.add_for(item.grant.team, "unsent")
 
     def reconcile(self, router: str, snapshot: AttemptSnapshot) -> None:
         """Replace what is known of a router's attempts by its snapshot.
@@ -221,7 +220,7 @@
             has_begun = attempt.number in running
             if has_begun and not engine.is_waiting(attempt):
                 continue
-            self._counts["unreported"] += 1
+            self._counts.add("unreported")
             engine.remove(attempt)
             if has_begun:
                 self.begin_answer(attempt, item.server)
@@ -263,16 +262,21 @@
     def collect_load(self) -> EngineLoad:
         """Return the load since the previous call, and reset the counts."""
         engines = self._engine_by_name.values()
-        load = EngineLoad(
+        return EngineLoad(
             engines=len(engines),
             busy_share=self._busy_share.value(),
             longest_wait_s=max(
                 (engine.wait_s(now()) for engine in engines), default=0.0
             ),
-            **self._counts,
+            **self._counts.collect(),
         )
-        self._counts.clear()
-        return load
+
+    def collect_team_loads(self, count: int) -> tuple[TeamLoad, ...]:
+        """Return the loads of the teams with the most demand, and reset the counts.
+
+        :param count: number of teams.
+        """
+        return self._shares.loads(count, self._counts.collect_by_team())
 
     def _update_busy_share(self) -> None:
         engines = self._engine_by_name.values()
@@ -287,15 +291,18 @@
             self._strictest_target_s = min(target_s, decayed_s)
         return WAIT_SHARE * self._strictest_target_s
 
-    def _refuse(self, wait_s: float, max_wait_s: float, usage: float) -> Refused:
+    def _refuse(
+        self, team: str, wait_s: float, max_wait_s: float, usage: float
+    ) -> Refused:
+        self._shares.record_refusal(team, usage)
         retry_s = max(MIN_RETRY_S, wait_s - max_wait_s)
         if usage > 1:
             # The team's past usage leaves the window at an even rate.
             retry_s = max(retry_s, self._window_s * (1 - 1 / usage))
-            self._counts["refused_over_share"] += 1
+            self._counts.add_for(team, "refused_over_share")
         else:
             self._shares.record_saturation()
-            self._counts["refused_full"] += 1
+            self._counts.add_for(team, "refused_full")
         return Refused(retry_s, usage > 1, wait_s)
 
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
@@ -1,11 +1,12 @@
 """Recent load of a group of engines."""
 
 import math
+from collections import Counter
 from dataclasses import dataclass
 
 from almondfield_core.clock import now
 
-__all__ = ["BusyShare", "EngineLoad"]
+__all__ = ["BusyShare", "DecisionCounts", "EngineLoad", "TeamLoad"]
 
 TIME_CONSTANT_S = 1.0  # many prompts, but much shorter than the window of the shares
 
@@ -37,6 +38,63 @@
     longest_wait_s: float = 0.0
 
 
+@dataclass(frozen=True)
+class TeamLoad:
+    """Demand and share of one team, and decisions since the previous collection.
+
+    :ivar team: name of the team.
+    :ivar demand: work that it requested of the scheduler in the window, in tokens.
+    :ivar granted: work that it was granted in the window, in tokens.
+    :ivar admitted: admitted requests.
+    :ivar unsent: admitted requests that their routers did not send.
+    :ivar refused_full: requests refused because the engines were full.
+    :ivar refused_over_share: requests refused because it exceeded its share.
+    """
+
+    team: str
+    demand: int
+    granted: int
+    admitted: int = 0
+    unsent: int = 0
+    refused_full: int = 0
+    refused_over_share: int = 0
+
+
+class DecisionCounts:
+    """Counts of a scheduler's decisions, in total and by team."""
+
+    def __init__(self) -> None:
+        self._total: Counter[str] = Counter()
+        self._by_team: dict[str, Counter[str]] = {}
+
+    def add(self, name: str, count: int = 1) -> None:
+        """Add to a count that is not kept by team.
+
+        :param name: field of :class:`EngineLoad`.
+        :param count: what is added.
+        """
+        self._total[name] += count
+
+    def add_for(self, team: str, name: str) -> None:
+        """Count one request of a team.
+
+        :param team: name of the team.
+        :param name: field of :class:`EngineLoad` and :class:`TeamLoad`.
+        """
+        self._total[name] += 1
+        self._by_team.setdefault(team, Counter())[name] += 1
+
+    def collect(self) -> Counter[str]:
+        """Return the totals, and reset them."""
+        total, self._total = self._total, Counter()
+        return total
+
+    def collect_by_team(self) -> dict[str, Counter[str]]:
+        """Return the counts by team, and reset them."""
+        by_team, self._by_team = self._by_team, {}
+        return by_team
+
+
 class BusyShare:
     """Exponential moving average of the fraction of engines that prefill prompts."""
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
@@ -1,11 +1,14 @@
 """Max-min fair shares of the engines' work among teams over a sliding window."""
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
+from heapq import nlargest
 
 from almondfield_core.clock import now
+from almondfield_fairshare.engines.load import TeamLoad
 
-__all__ = ["Grant", "TeamShares"]
+__all__ = ["Grant", "TeamLoad", "TeamShares"]
 
 SATURATION_S = 1.0  # engines count as saturated this long after a refusal
 REFUSAL_S = 0.5  # long enough for several requests of an overloading team
@@ -140,6 +143,26 @@
             for until_s, other_usage in self._refusal_by_team.values()
         )
 
+    def loads(
+        self, count: int, counts_by_team: Mapping[str, Mapping[str, int]]
+    ) -> tuple[TeamLoad, ...]:
+        """Return the loads of the teams with the most demand.
+
+        :param count: number of teams.
+        :param counts_by_team: recent decisions, by team.
+        """
+        demands = {team: item.total() for team, item in self._demand_by_team.items()}
+        none = _SlidingSum(self._window_s)
+        return tuple(
+            TeamLoad(
+                team,
+                round(demands[team]),
+                round(self._granted_by_team.get(team, none).total()),
+                **counts_by_team.get(team, {}),
+            )
+            for team in nlargest(count, demands, key=demands.__getitem__)
+        )
+
     def record_saturation(self) -> None:
         """Record that the engines are full: the granted work equals the capacity."""
         self._saturated_until_s = now() + SATURATION_S
