Wait for a scheduler's replies as long as they take

What callers saw: a team at a router that gets every reply late is refused nearly everything (FAIR), while others are served.

Cause: the router waits half a latency target for a decision, whatever it knows of the time that replies take. If all take longer, none is used: it sends the one or two prompts at a time that a router without a scheduler may send. The time-out measures the delay of the router and is read as an answer of the scheduler.

Change: while the scheduler answers, a request waits 1.5 times as long as recent replies took, at most 2.5 latency targets; callers abandon later answers. The scenario that asked for one request at a time stands for replies that come too late to be used; its replies now take 2.2 to 2.4 s, as those of 1.0 to 1.2 s are used. At that former delay a new scenario counts the admissions that weren't used, with the same bound.

--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -24,6 +24,10 @@
 # Many round trips between data centres, but much shorter than a prefill.
 REQUEST_TIMEOUT_S = 0.08
 SLOW_TIMEOUT_SHARE = 0.5  # of the latency target; the rest is for wait and prefill
+# Callers abandon an answer that has not begun some targets after their request.
+MAX_WAIT_TARGETS = 2.5
+REPLY_TIME_MARGIN = 1.5
+REPLY_TIME_DECAY = 0.9  # with each reply
 # A team's usage changes little in this time; engines prefill one or two prompts.
 REFUSAL_HOLD_S = 0.05
 ANSWERING_S = 1.0  # after its last reply, the scheduler counts as answering for so long
@@ -212,7 +216,8 @@
 
     def _record_scheduler(self, host: str, start: int, sent_s: float) -> None:
         self._last_reply_s = now()
-        self._reply_time_s = now() - sent_s
+        decayed_s = REPLY_TIME_DECAY * self._reply_time_s
+        self._reply_time_s = max(now() - sent_s, decayed_s)
         if not self._is_reached:
             self._is_reached = True
             eliot.log_message("scheduler:reached", scheduler=host)
@@ -221,12 +226,17 @@
     def _timeout_s(self, host: str, request: PromptRequest) -> float:
         """Return how long to wait for a decision, in seconds.
 
-        While replies arrive, a late one means that this router or its link is busy.
+        While replies arrive, a late one means that this router or its link is busy. A
+        request waits as long as they take: without a decision, the router may send only
+        a small part of what the scheduler would admit.
         """
         is_answering = now() - self._last_reply_s < ANSWERING_S
         if host != self._reports.scheduler_host or not is_answering:
             return REQUEST_TIMEOUT_S
-        return max(REQUEST_TIMEOUT_S, SLOW_TIMEOUT_SHARE * request.latency_target_s)
+        target_s = request.latency_target_s
+        expected_s = REPLY_TIME_MARGIN * self._reply_time_s
+        expected_s = min(expected_s, MAX_WAIT_TARGETS * target_s)
+        return max(REQUEST_TIMEOUT_S, SLOW_TIMEOUT_SHARE * target_s, expected_s)
 
     def _record_late_reply(self, host: str, reply: object, sent_s: float) -> None:
         """Record that the scheduler answers; the attempt has been reported as over."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
@@ -66,7 +66,13 @@
     Then "c1" has 0 requests in flight
 
   # Guards against engines reserved by admissions that arrive too late to be used.
-  Scenario: A router whose replies are all too late asks for one request at a time
+  Scenario: Admissions that take longer than a target are used
     Given messages to and from "r1" take 0.5 to 0.6 s
     When team "a" at "r1" sends 60 prompts a second for 4 s
+    Then at most 10 admissions a second were not used
+
+  # Guards against engines reserved by admissions that arrive too late to be used.
+  Scenario: A router whose replies are all too late asks for one request at a time
+    Given messages to and from "r1" take 1.1 to 1.2 s
+    When team "a" at "r1" sends 60 prompts a second for 4 s
     Then the scheduler was asked at most 10 times a second
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
@@ -205,6 +205,18 @@
     assert 0 < asked <= rate * context.seconds, asked
 
 
+@then("at most {rate:g} admissions a second were not used")
+def step_impl(context, rate):
+    service = context.service_by_host[context.leader]
+
+    async def collect():
+        return service._scheduler_by_pool[POOL].collect_load()
+
+    load = run(context, collect())
+    assert load.admitted > 0
+    assert load.unsent <= rate * context.seconds, load
+
+
 @then("the scheduler refused at most {rate:g} requests a second")
 def step_impl(context, rate):
     refusals = context.network.count_by_kind["engine-refusal"]
