Count late replies to hellos, and keep the number of routers without them

Cause: a router drops replies to hellos that take longer than 0.9 s, and after 3 s without others it takes all control hosts as lost. It then counts itself as the only router, so that it sends as many prompts and repeats as the whole fleet may, and its servers take no more connections. When replies come again, it reports all origins of streams to each control host, although nothing was lost.

Change: late replies count, as those of the scheduler and of leases do. Without any, the last known number of routers holds. A late reply shows that the path is slow; origins are reported again only if it took longer than a lost host does.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -68,6 +68,7 @@
         self._last_reply_by_host: dict[str, _LastReply] = {}
         self._unresponsive_hosts: set[str] = set()
         self._missed_hosts: set[str] = set()  # without a reply to the last hello
+        self._last_router_count = 1
 
     @property
     def state(self) -> RouterState:
@@ -107,9 +108,13 @@
         self._seeds = seeds
 
     def router_count(self) -> int:
-        """Return the number of routers in the fleet; the largest that was reported."""
+        """Return the number of routers in the fleet; the largest that was reported.
+
+        Without recent replies it is the last known number. A router that is cut off, or
+        late, must not spend the share of all others.
+        """
         counts = [item.reply.routers for item in self._recent_replies()]
-        return max(counts, default=1)
+        return max(counts, default=self._last_router_count)
 
     def all_servers(self) -> tuple[FleetServer, ...]:
         """Return the servers of all pools, including those that left recently."""
@@ -174,7 +179,16 @@
                 board_start=reply.board_start,
                 board_version=reply.board_version,
             )
-        match await self._peers.request(host, hello, HELLO_TIMEOUT_S):
+        sent_s = now()
+
+        def on_late(reply: object) -> None:
+            if isinstance(reply, HelloReply):
+                if now() - sent_s < HEARTBEAT_TIMEOUT_S:
+                    # The path is slow, and nothing sent on it was lost.
+                    self._missed_hosts.discard(host)
+                self._process_reply(host, reply)
+
+        match await self._peers.request(host, hello, HELLO_TIMEOUT_S, on_late):
             case Ok(HelloReply() as reply):
                 self._process_reply(host, reply)
             case _:
@@ -187,6 +201,7 @@
             eliot.log_message("control-host:reached", control_host=host)
         without_servers = replace(reply, servers=None)
         self._last_reply_by_host[host] = _LastReply(without_servers, now())
+        self._last_router_count = self.router_count()
         has_restarted = last is None or last.reply.board_start != reply.board_start
         if has_restarted or host in self._missed_hosts:
             self._missed_hosts.discard(host)
