Keep a connection between hosts while late echoes arrive

What callers saw: a team at a router that gets everything late is refused (FAIR).

Cause: a host takes a frame that isn't echoed within 1.0 s for the loss of the path. It then replaces the connection and drops the one-way messages that are queued for it. While its link or its loop adds more than that, each connection is replaced after a second, and the reports of answers that began and ended are lost. A late echo was not counted as one; the time-out measured the delay of the host itself.

Change: the direction to the other host counts as lost only if no echo came within the timeout, however old its frame. Echoes of frames that were sent on an earlier connection count, too.

--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/path.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/path.py
@@ -23,6 +23,7 @@
         self._heartbeat_timeout_s = heartbeat_timeout_s
         self._sequence = 0
         self._unechoed: deque[tuple[int, float]] = deque()
+        self._echoed_sequence = 0
         self._last_received_s: float | None = None
         self._last_echo_s: float | None = None
         self.peer_incarnation = 0
@@ -52,6 +53,9 @@
     def is_unresponsive(self, dialled_s: float) -> bool:
         """Return whether either direction of a connection timed out.
 
+        Late echoes show that a path is slow. Only if none came within the timeout, for
+        a frame that is as old, the direction to the other host counts as lost.
+
         :param dialled_s: when it was dialled, in seconds of the loop's clock.
         """
         expired_before_s = now() - self._heartbeat_timeout_s
@@ -61,7 +65,8 @@
         is_inbound_lost = (
             self._last_received_s is None or self._last_received_s < expired_before_s
         )
-        return oldest_unechoed_s < expired_before_s or is_inbound_lost
+        is_echo_due = oldest_unechoed_s < expired_before_s
+        return (is_echo_due and not self.is_outbound_alive) or is_inbound_lost
 
     def next_sequence(self) -> int:
         """Return the sequence of the next frame, and record when it was sent."""
@@ -101,6 +106,8 @@
         self._last_received_s = now()
         if not frame.echo_incarnation:
             return
+        if frame.echo_sequence > self._echoed_sequence:
+            self._echoed_sequence = frame.echo_sequence
+            self._last_echo_s = now()
         while self._unechoed and self._unechoed[0][0] <= frame.echo_sequence:
             self._unechoed.popleft()
-            self._last_echo_s = now()
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
@@ -34,6 +34,18 @@
     Then "b" is reachable from "a"
     And "a" sends report 6 to "b" and gets grant 6
 
+  # Guards against a host that replaces connections, and drops what is queued for them,
+  # while its own link is full.
+  Scenario: A connection that is slow in both directions is kept
+    Given "a" and "b" have been connected for 2.0 s
+    When frames take longer, up to 1.6 s after 8 s
+    And 5.0 s pass
+    Then "a" has opened no new connection to "b"
+    And "b" is reachable from "a"
+    When every open connection from "a" to "b" stalls
+    And 3.2 s pass
+    Then "a" has opened a new connection to "b"
+
   Scenario: If one direction of a path fails, neither host is reachable
     Given "a" and "b" have been connected for 2.0 s
     When frames from "b" to "a" are lost
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
@@ -141,6 +141,26 @@
     run(context, asyncio.sleep(seconds))
 
 
+@when("frames take longer, up to {delay_s:f} s after {seconds:d} s")
+def step_impl(context, delay_s, seconds):
+    steps = 10 * seconds
+
+    async def slow_down():
+        for step in range(1, steps + 1):
+            context.network.delay_s = max(
+                context.network.delay_s, delay_s * step / steps
+            )
+            await asyncio.sleep(seconds / steps)
+
+    context.connection_count = len(context.network.connections)
+    run(context, slow_down())
+
+
+@then('"a" has opened no new connection to "b"')
+def step_impl(context):
+    assert len(context.network.connections) == context.connection_count
+
+
 @when('every open connection from "a" to "b" stalls')
 def step_impl(context):
     for connection in context.network.connections:
