Do not give up what arrived while the loop was busy

What callers saw: 502 although the server had answered, and servers avoided by one router only.

Cause: a busy event loop runs an expired timer in the same iteration as the callbacks of data that arrived long before it. The timer cancels the task that waits for the data before the task runs. The delay of this host is taken for the silence of the other.

Change: ArrivalTimeout lets the tasks of an iteration run before it expires; replies of hosts, connections to servers and heads of answers wait by it, and StallTimer looks a second time in the same way.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from almondfield_core.clock import ArrivalTimeout
 from almondfield_core.messages import ServerFailure
 from almondfield_core.settings import DaemonSettings
 from almondfield_core.tables import Timeouts
@@ -153,7 +154,7 @@
     ) -> CallFailure | None:
         first_byte_s = call.timeouts.first_byte_s
         try:
-            async with asyncio.timeout(first_byte_s):
+            async with ArrivalTimeout(first_byte_s):
                 await connection.send(
                     call.method.encode(), encode_head(call), call.body
                 )
@@ -197,7 +198,7 @@
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeouts.connect_s):
+        async with ArrivalTimeout(timeouts.connect_s):
             _, connection = await loop.create_connection(
                 BackendConnection, host.strip("[]"), int(port)
             )
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
@@ -9,7 +9,7 @@
 import eliot
 from result import Err, Ok, Result
 
-from almondfield_core.clock import PeriodicTimer, now
+from almondfield_core.clock import ArrivalTimeout, PeriodicTimer, now
 from almondfield_core.ports import LinkFailure
 from almondfield_core.settings import DaemonSettings, HostSettings
 from almondfield_core.wire import decode_message, encode_message, kind_of
@@ -123,7 +123,7 @@
         try:
             if not self._post(to, message, Purpose.REQUEST, tag):
                 return Err(LinkFailure(to, "unknown host"))
-            async with asyncio.timeout(timeout_s):
+            async with ArrivalTimeout(timeout_s):
                 return Ok(await reply)
         except TimeoutError:
             self._record_late(tag, _LateRequest(sent_s, on_late))
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/stall.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/stall.py
@@ -12,6 +12,9 @@
     A single timer is rescheduled only when it fires. A wait therefore costs two
     assignments, whereas a timeout per wait would set and cancel a timer.
 
+    A wait exceeds the limit only if it goes on after the event loop has run the tasks
+    whose data had arrived when the timer fired.
+
     :param limit_s: longest wait, in seconds.
     :param on_stall: called once, from the event loop.
     """
@@ -21,7 +24,7 @@
         self._limit_s = limit_s
         self._on_stall = on_stall
         self._wait_started_s: float | None = None
-        self._timer = self._loop.call_later(limit_s, self._check)
+        self._timer: asyncio.Handle = self._loop.call_later(limit_s, self._check)
 
     def begin(self) -> None:
         """Record the start of a wait."""
@@ -36,11 +39,17 @@
         self._timer.cancel()
 
     def _check(self) -> None:
-        started_s = (
-            self._loop.time() if self._wait_started_s is None else self._wait_started_s
-        )
-        due_s = started_s + self._limit_s
-        if due_s <= self._loop.time():
+        if self._due_s() <= self._loop.time():
+            self._timer = self._loop.call_soon(self._check_again)
+            return
+        self._timer = self._loop.call_at(self._due_s(), self._check)
+
+    def _check_again(self) -> None:
+        if self._due_s() <= self._loop.time():
             self._on_stall()
             return
-        self._timer = self._loop.call_at(due_s, self._check)
+        self._timer = self._loop.call_at(self._due_s(), self._check)
+
+    def _due_s(self) -> float:
+        started_s = self._wait_started_s
+        return (self._loop.time() if started_s is None else started_s) + self._limit_s
