Leave the delay of a host out of its judgement of servers

What callers saw: a team at a router that gets everything late is refused, with "no backend server of the pool takes work now", while other routers use these servers (FAIR).

Cause: a router gives a server 0.5 s for a connection and 0.3 to 1.4 s for an answer. When its own link or loop adds as much, each server in turn seems to fail, is avoided for up to 4 s, and answers that are on their way are given up and replaced by 502.

An answer that its server ended at 13.431 s became 502 at 14.621 s.

Change: a host estimates its own delay from the median time that replies of other hosts take, late ones included, if three or more reply. Timeouts of connections and answers are longer by it, and a timeout above a delay of 0.25 s is not counted as a failure of the server. Refused and broken connections count as before.

Measured: the two examples with a late host fail with the estimate set to 0 and pass with it.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -58,8 +58,14 @@
         """
         connection = self._connection
         chunk_s = self._call.timeouts.chunk_s
-        stall = StallTimer(chunk_s, lambda: connection.fail(f"silent for {chunk_s} s"))
-        complete = False
+        timed_out = complete = False
+
+        def on_stall() -> None:
+            nonlocal timed_out
+            timed_out = True
+            connection.fail(f"silent for {chunk_s} s")
+
+        stall = StallTimer(chunk_s, on_stall)
         try:
             while True:
                 stall.begin()
@@ -73,7 +79,8 @@
                     self._boundary.feed(chunk)
                 yield chunk
         except ConnectionCutError as error:
-            raise AnswerCutError(ServerFailure.STREAM, str(error)) from error
+            failure = ServerFailure.STREAM
+            raise AnswerCutError(failure, str(error), timed_out) from error
         finally:
             stall.stop()
             self._finish(complete)
@@ -163,7 +170,8 @@
             return CallFailure(ServerFailure.FIRST_BYTE, True, str(error))
         except TimeoutError:
             reason = f"no answer within {first_byte_s} s"
-            return CallFailure(ServerFailure.FIRST_BYTE, True, reason)
+            failure = ServerFailure.FIRST_BYTE
+            return CallFailure(failure, True, reason, timed_out=True)
         if not _has_detectable_end(connection, call):
             reason = "the answer has neither content-length nor chunked encoding"
             return CallFailure(ServerFailure.STREAM, True, reason)
@@ -204,7 +212,8 @@
             )
     except TimeoutError:
         reason = f"{address}: no connection within {timeouts.connect_s} s"
-        return Err(CallFailure(ServerFailure.CONNECT, False, reason))
+        failure = ServerFailure.CONNECT
+        return Err(CallFailure(failure, False, reason, timed_out=True))
     except (OSError, ValueError) as error:
         reason = f"{address}: {error}"
         return Err(CallFailure(ServerFailure.CONNECT, False, reason))
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -19,6 +19,7 @@
     build_metrics_app,
 )
 from almondfield_daemon.fleet_daemon.usage import log_usage
+from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.loop_delay import LoopMonitor
 from almondfield_daemon.peers import PynngPeers
 from almondfield_daemon.serving import HttpListener, bind
@@ -44,11 +45,13 @@
     ) -> None:
         self.settings = settings
         self.incarnation = int(started_unix_s * MILLISECONDS)
+        self.host_delay = HostDelay()
         self.peers = PynngPeers(
             settings.daemon_settings(),
             NO_SECRET,
             self.incarnation,
             resolve_host=settings.host,
+            on_reply=self.host_delay.record_reply,
         )
         self._settings_path = settings_path
         self._listeners: list[HttpListener] = []
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -94,9 +94,14 @@
         )
         self._counts = RequestCounts()
         self._servers = ServerSelector(
-            self.view, placement, settings.data_centre, engines, self._counts
+            self.view,
+            placement,
+            settings.data_centre,
+            engines,
+            self.host_delay,
+            self._counts,
         )
-        attempts = AttemptSender(self._backends, codec)
+        attempts = AttemptSender(self._backends, codec, self.host_delay)
         self._metrics = RouterMetrics()
         forwarder = Forwarder(
             attempts,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
@@ -20,6 +20,7 @@
     Unsent,
 )
 from almondfield_daemon.forwarding.ports import HeaderCodec
+from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.router.calls import (
     SUCCESS_STATUSES,
     AnswerCutError,
@@ -39,11 +40,15 @@
 
     :param backends: sends requests.
     :param codec: reads and writes headers.
+    :param host_delay: delay of this host, which timeouts leave out.
     """
 
-    def __init__(self, backends: Backends, codec: HeaderCodec) -> None:
+    def __init__(
+        self, backends: Backends, codec: HeaderCodec, host_delay: HostDelay
+    ) -> None:
         self._backends = backends
         self._codec = codec
+        self._host_delay = host_delay
 
     async def send(
         self,
@@ -61,15 +66,15 @@
         :param answer_timeout_s: timeout for the head of the answer, in seconds.
         :param chunk_timeout_s: timeout for each further part of the answer, in seconds.
         """
-        timeouts = _timeouts(request, answer_timeout_s, chunk_timeout_s)
+        timeouts = self._timeouts(request, answer_timeout_s, chunk_timeout_s)
         call = self._call(request, server, last_event_id, timeouts)
         match await self._backends.send(call):
             case Err(failure) if not failure.may_have_run:
-                return Unsent(failure.reason)
+                return Unsent(failure.reason, failure.timed_out)
             case Err(failure):
                 is_timeout = failure.failure is ServerFailure.FIRST_BYTE
                 is_timeout = is_timeout and now() >= request.until_s
-                return AnswerLost(failure.reason, is_timeout)
+                return AnswerLost(failure.reason, is_timeout, failure.timed_out)
             case Ok(answer):
                 return await self._classify(request, answer)
 
@@ -101,6 +106,17 @@
             expects_events=request.route.kind is RequestKind.STREAMING,
         )
 
+    def _timeouts(
+        self, request: ForwardRequest, answer_timeout_s: float, chunk_timeout_s: float
+    ) -> Timeouts:
+        remaining_s = max(0.0, request.until_s - now())
+        delay_s = self._host_delay.seconds()
+        return Timeouts(
+            connect_s=min(CONNECT_TIMEOUT_S + delay_s, remaining_s),
+            first_byte_s=min(answer_timeout_s + delay_s, remaining_s),
+            chunk_s=min(chunk_timeout_s + delay_s, remaining_s),
+        )
+
     async def _classify(
         self, request: ForwardRequest, answer: BackendAnswer
     ) -> Attempt:
@@ -137,17 +153,6 @@
         answer.close()
 
 
-def _timeouts(
-    request: ForwardRequest, answer_timeout_s: float, chunk_timeout_s: float
-) -> Timeouts:
-    remaining_s = max(0.0, request.until_s - now())
-    return Timeouts(
-        connect_s=min(CONNECT_TIMEOUT_S, remaining_s),
-        first_byte_s=min(answer_timeout_s, remaining_s),
-        chunk_s=min(chunk_timeout_s, remaining_s),
-    )
-
-
 def _may_share_connection(request: ForwardRequest) -> bool:
     """Return whether a pooled connection may carry the request.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
@@ -48,9 +48,11 @@
     """No byte of the request was sent.
 
     :ivar reason: description of the failure.
+    :ivar timed_out: whether the server did not answer within a timeout.
     """
 
     reason: str
+    timed_out: bool = False
 
 
 @dataclass(frozen=True)
@@ -59,10 +61,12 @@
 
     :ivar reason: description of the failure.
     :ivar is_timeout: whether the deadline passed before an answer arrived.
+    :ivar timed_out: whether the server did not answer within a timeout.
     """
 
     reason: str
     is_timeout: bool = False
+    timed_out: bool = False
 
 
 FailedAttempt = NotExecuted | Misdirected | Unsent | AnswerLost
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -292,8 +292,8 @@
         """Return the problem that ends the request; None for another attempt."""
         self._tried |= {selected.server.name}
         match outcome:
-            case Unsent(reason):
-                selected.record_failure(reason)
+            case Unsent(reason, timed_out):
+                selected.record_failure(reason, timed_out)
                 self._has_lost_server = True
                 self._unsent_attempts += 1
                 if self._unsent_attempts < MAX_UNSENT_ATTEMPTS:
@@ -306,7 +306,7 @@
             case NotExecuted(status):
                 detail = f"the server refused with {status}"
                 return None if self._may_send_again() else self._refusal(detail)
-            case AnswerLost(reason, is_timeout):
+            case AnswerLost(reason=reason, is_timeout=is_timeout):
                 if self._record_loss(selected, outcome):
                     return None
                 return self._no_answer(reason, is_timeout)
@@ -315,7 +315,7 @@
         self, selected: SelectedServer, error: AnswerCutError
     ) -> bool:
         """Return whether the request may be sent again after a truncated answer."""
-        lost = AnswerLost(str(error))
+        lost = AnswerLost(str(error), timed_out=error.timed_out)
         log_attempt(self._request, selected.server, lost)
         return self._record_loss(selected, lost)
 
@@ -324,7 +324,7 @@
         self.may_have_run = True
         self._has_lost_server = True
         self._tried |= {selected.server.name}
-        selected.record_failure(lost.reason)
+        selected.record_failure(lost.reason, lost.timed_out)
         return self._may_repeat()
 
     def _may_repeat(self) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -8,6 +8,7 @@
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.forwarding.counts import RefusalCause, RequestCounts
 from almondfield_daemon.forwarding.messages import ForwardRequest, ServerLoad
+from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.scheduling import EngineAssignment, EngineClient
 from almondfield_daemon.scheduling.messages import EngineRefusal
 from almondfield_fairshare.engines import PromptRequest
@@ -41,6 +42,7 @@
     :param server: the server.
     :param placement: holds the load record of the server.
     :param in_flight: the attempt's share of that load.
+    :param host_delay: delay of this host.
     :param assignment: the assignment to a model engine, reported to the scheduler; None
         for other servers.
     """
@@ -50,9 +52,11 @@
         server: FleetServer,
         placement: Placement,
         in_flight: InFlightRequest,
+        host_delay: HostDelay,
         assignment: EngineAssignment | None = None,
     ) -> None:
         self.server = server
+        self._host_delay = host_delay
         self._placement = placement
         self._in_flight = in_flight
         self.assignment = assignment
@@ -84,11 +88,21 @@
         """Record a complete answer."""
         self._placement.record(self.server.name).record_success()
 
-    def record_failure(self, reason: str) -> None:
+    def record_failure(self, reason: str, timed_out: bool = False) -> None:
         """Record that the server gave no answer of its own.
 
         :param reason: description of the failure.
+        :param timed_out: whether it did not answer within a timeout, which shows
+            nothing while this host itself is late.
         """
+        if timed_out and self._host_delay.is_late:
+            eliot.log_message(
+                "server:timeout-ignored",
+                server=self.server.name,
+                reason=reason,
+                host_delay_ms=round(self._host_delay.seconds() * 1000, 1),
+            )
+            return
         record = self._placement.record(self.server.name)
         was_avoided = record.is_avoided
         record.record_failure()
@@ -117,6 +131,7 @@
     :param placement: chooses among the servers.
     :param data_centre: data centre of this router.
     :param engines: client of the scheduler of model engines.
+    :param host_delay: delay of this host.
     :param counts: counts refusals.
     """
 
@@ -126,8 +141,10 @@
         placement: Placement,
         data_centre: str,
         engines: EngineClient,
+        host_delay: HostDelay,
         counts: RequestCounts | None = None,
     ) -> None:
+        self._host_delay = host_delay
         self._counts = counts or RequestCounts()
         self._engines = engines
         self._view = view
@@ -203,7 +220,11 @@
                     candidate = self._candidate(server, frozenset())
                     in_flight = self._placement.start(candidate, prompt)
                     return SelectedServer(
-                        server, self._placement, in_flight, assignment
+                        server,
+                        self._placement,
+                        in_flight,
+                        self._host_delay,
+                        assignment,
                     )
                 assignment.end()
         return self._choose_locally(request, servers, tried)
@@ -236,7 +257,9 @@
             assignment = self._engines.assign(
                 request.pool, server.name, prompt.unshared_tokens
             )
-        return SelectedServer(server, self._placement, in_flight, assignment)
+        return SelectedServer(
+            server, self._placement, in_flight, self._host_delay, assignment
+        )
 
     def _is_prefill_limit_reached(self, servers: tuple[FleetServer, ...]) -> bool:
         """Return whether this router has used its share of concurrent prefills."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -126,15 +126,23 @@
                 return Ok(FakeAnswer(500, metadata, [b"failed"], False, self))
             case "never answers":
                 return await self._never_answer(call)
+            case "answers after 1.0 s":
+                answer = FakeAnswer(200, metadata, events, False, self)
+                return await self._answer_late(call, answer)
             case _:
                 return Ok(FakeAnswer(200, metadata, events, False, self))
 
     async def _never_answer(self, call):
+        return await self._answer_late(call, None, SILENCE_S)
+
+    async def _answer_late(self, call, answer, after_s=1.0):
         try:
             async with asyncio.timeout(call.timeouts.first_byte_s):
-                await asyncio.sleep(SILENCE_S)
+                await asyncio.sleep(after_s)
+                return Ok(answer)
         except TimeoutError:
-            return Err(CallFailure(ServerFailure.FIRST_BYTE, True, "no answer"))
+            failure = ServerFailure.FIRST_BYTE
+            return Err(CallFailure(failure, True, "no answer", timed_out=True))
         except asyncio.CancelledError:
             self.closed_s = asyncio.get_running_loop().time()
             raise
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
@@ -118,6 +118,36 @@
     When a caller disconnects 0.2 s after its request
     Then the call to the first server was cancelled within 0.1 s
 
+  # Guards against a late host that avoids all servers and refuses what they could serve.
+  Scenario Outline: A host that is late itself does not avoid silent servers
+    Given a "idempotent" route with 2 attempts and 3 servers
+    And the replies of <hosts> other hosts take <delay> s
+    And the first server <failure>
+    When a request is served
+    Then the first server is <state>
+
+    Examples:
+      | hosts | delay | failure                | state       |
+      | 3     | 0.01  | never answers          | avoided     |
+      | 3     | 0.5   | never answers          | not avoided |
+      | 3     | 0.5   | loses its answer       | avoided     |
+      | 3     | 0.5   | refuses the connection | avoided     |
+      | 2     | 0.5   | never answers          | avoided     |
+
+  # Guards against a late host that gives up answers which are on their way.
+  Scenario Outline: A host that is late itself waits longer for an answer
+    Given a "idempotent" route with 2 attempts and 3 servers
+    And the replies of 3 other hosts take <delay> s
+    And the first server answers after 1.0 s
+    When a request is served
+    Then <servers> servers received it
+    And the caller gets 200
+
+    Examples:
+      | delay | servers |
+      | 0.01  | 2       |
+      | 0.5   | 1       |
+
   Scenario: The next requests avoid a server that failed
     Given a "idempotent" route with 1 attempts and 3 servers
     And the first server loses its answer
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -39,6 +39,7 @@
     route,
     serve,
 )
+from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.streams import StreamOrigin
 from almondfield_fairshare.prefix_placement import Placement
 from almondfield_testing import run
@@ -63,6 +64,7 @@
     )
 
     context.engines = FakeEngines()
+    context.host_delay = HostDelay()
     context.origins = FakeOrigins()
     # What callers take up without naming an attempt began at the only version.
     context.origins.origin_by_request[""] = StreamOrigin("", "p", "s0", "", 0.0)
@@ -75,8 +77,10 @@
             context.placement,
             "east",
             context.engines,
+            context.host_delay,
         )
-        attempts = AttemptSender(FakeBackends(context.servers), FakeCodec())
+        backends = FakeBackends(context.servers)
+        attempts = AttemptSender(backends, FakeCodec(), context.host_delay)
         context.forwarder = Forwarder(
             attempts,
             selector,
@@ -103,6 +107,23 @@
         server.failure = failure
 
 
+@given("the replies of {count:d} other hosts take {seconds:g} s")
+def step_impl(context, count, seconds):
+    async def record():
+        for number in range(count):
+            context.host_delay.record_reply(f"c{number}", seconds)
+
+    run(context, record())
+
+
+@then("the first server is {state}")
+def step_impl(context, state):
+    async def query():
+        return context.placement.record(context.servers[0].name).is_avoided
+
+    assert run(context, query()) == (state == "avoided")
+
+
 @given("{count:d} routers share the budget")
 def step_impl(context, count):
     context.routers = count
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
@@ -33,10 +33,12 @@
 class _LateRequest:
     """A request whose timeout has passed without a reply.
 
+    :ivar host: the host that it was sent to.
     :ivar sent_s: when it was sent, in seconds of the loop's clock.
     :ivar on_late: called with its reply; None to drop the reply.
     """
 
+    host: str
     sent_s: float
     on_late: Callable[[Any], None] | None
 
@@ -53,6 +55,8 @@
     :param sockets: opens connections; those of pynng if None.
     :param resolve_host: returns the settings of a host by name if neither the settings
         nor an introduction of the host has them; None if such hosts are unknown.
+    :param on_reply: called with the host of each reply, also of a late one, and the
+        seconds since its request was sent.
     """
 
     def __init__(
@@ -62,8 +66,10 @@
         incarnation: int,
         sockets: Sockets | None = None,
         resolve_host: Callable[[str], HostSettings] | None = None,
+        on_reply: Callable[[str, float], None] = lambda host, reply_time_s: None,
     ) -> None:
         self._resolve_host = resolve_host
+        self._on_reply = on_reply
         self._settings = settings
         self._incarnation = incarnation
         self._seal = FrameSeal(secret)
@@ -124,9 +130,11 @@
             if not self._post(to, message, Purpose.REQUEST, tag):
                 return Err(LinkFailure(to, "unknown host"))
             async with ArrivalTimeout(timeout_s):
-                return Ok(await reply)
+                message = await reply
+            self._on_reply(to, now() - sent_s)
+            return Ok(message)
         except TimeoutError:
-            self._record_late(tag, _LateRequest(sent_s, on_late))
+            self._record_late(tag, _LateRequest(to, sent_s, on_late))
             return Err(LinkFailure(to, f"no reply within {timeout_s} s"))
         finally:
             del self._reply_by_tag[tag]
@@ -321,6 +329,7 @@
         late = self._late_by_tag.pop(envelope.tag, None)
         if late is None:
             return
+        self._on_reply(late.host, now() - late.sent_s)
         after_ms = round((now() - late.sent_s) * MS_PER_S, 1)
         eliot.log_message("peer:late-reply", kind=envelope.kind, after_ms=after_ms)
         message = None if late.on_late is None else self._decode(envelope)
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
@@ -40,11 +40,15 @@
 
     :param failure: kind of the failure.
     :param reason: description of the failure.
+    :param timed_out: whether nothing arrived within a timeout.
     """
 
-    def __init__(self, failure: ServerFailure, reason: str) -> None:
+    def __init__(
+        self, failure: ServerFailure, reason: str, timed_out: bool = False
+    ) -> None:
         super().__init__(reason)
         self.failure = failure
+        self.timed_out = timed_out
 
 
 @dataclass(frozen=True)
@@ -85,12 +89,14 @@
     :ivar reason: description of the failure.
     :ivar stale: whether a pooled connection was closed before the first byte of the
         answer, as happens when the server closes an idle connection.
+    :ivar timed_out: whether nothing arrived within a timeout.
     """
 
     failure: ServerFailure
     may_have_run: bool
     reason: str
     stale: bool = False
+    timed_out: bool = False
 
 
 class BackendAnswer(Protocol):
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
@@ -21,6 +21,7 @@
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.servers import SelectedServer, Unavailable
 from almondfield_daemon.forwarding.tests.fakes import FakeView
+from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.scheduling import EngineClient
 from almondfield_fairshare.engines.tests.standins import StandInEngine
 from almondfield_fairshare.prefix_placement import Placement
@@ -72,7 +73,7 @@
         for host in hosts:
             client = EngineClient(context.network.peers(host), lambda: context.leader)
             self.selector_by_host[host] = ServerSelector(
-                view, Placement(random.Random(1)), "east", client
+                view, Placement(random.Random(1)), "east", client, HostDelay()
             )
 
     def request(self, team):
