Add failing tests of a router whose replies all come late

Every reply reaches it 0.4 to 1.7 s late. Hello replies come late, too, and are dropped: it loses all nine control hosts at once, takes itself for the only router, and sends each engine a prompt, whose connections then time out.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/fleet.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/fleet.feature
@@ -114,3 +114,21 @@
     When "c1" is isolated from all hosts
     And 4.0 s pass
     Then callers in "east" get the addresses of "r1, r2" from "c1"
+
+  # Guards against FAIR: a router that heard no one took itself for the only one, and
+  # spent the share of all routers in local prefills and retries.
+  Scenario: A router that hears no control host keeps the number of routers
+    Given "r1" and "r2" are ready
+    And 2.5 s pass
+    When "r1" is isolated from all hosts
+    And 4.0 s pass
+    Then "r1" counts 2 routers
+
+  # Guards against FAIR: a router dropped late replies and lost all control hosts at once.
+  Scenario: A router whose hellos are answered late still hears its control hosts
+    Given "r1" and "r2" are ready
+    And 2.5 s pass
+    When messages to and from "r1" take 0.6 to 0.7 s
+    And 6.0 s pass
+    Then "r1" hears 3 control hosts
+    And "r1" counts 2 routers
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/steps/fleet_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/steps/fleet_steps.py
@@ -210,3 +210,26 @@
 
     expected = {f"{host.strip()}:80" for host in hosts.split(",")}
     assert set(run(context, query())) == expected
+
+
+@when('messages to and from "{host}" take {least:g} to {most:g} s')
+def step_impl(context, host, least, most):
+    context.network.delay_s_by_host[host] = (least, most)
+
+
+@then('"{host}" counts {count:d} routers')
+def step_impl(context, host, count):
+    async def query():
+        return context.view_by_host[host].router_count()
+
+    counted = run(context, query())
+    assert counted == count, counted
+
+
+@then('"{host}" hears {count:d} control hosts')
+def step_impl(context, host, count):
+    async def query():
+        return context.view_by_host[host].responsive_control_hosts()
+
+    heard = run(context, query())
+    assert len(heard) == count, heard
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
@@ -10,6 +10,18 @@
     When team "a" at "r1" and team "b" at 14 other routers each send 60 prompts a second for 8 s
     Then team "a" was given at least 0.5 of the work of team "b"
 
+  # Guards against FAIR: a router whose replies all come too late served next to nobody.
+  Scenario Outline: A team whose only router gets every reply after half of its target
+    Given messages to and from "r1" take <least> to <most> s
+    When team "a" at "r1" and team "b" at 14 other routers each send 60 prompts a second for 8 s
+    Then team "a" was given at least 0.5 of the work of team "b"
+
+    Examples:
+      | least | most |
+      | 0.2   | 0.3  |
+      | 0.5   | 0.6  |
+      | 0.3   | 0.9  |
+
   # Guards against a router that ignores a scheduler which answers, but late.
   Scenario: A late reply shows that the scheduler answers
     Given messages to and from "r1" take 0.06 to 0.07 s
