Write lines of periodic counts also beyond the log's limit

Kinds that come at most once a second, and pool, are exempt from the limit of 200 lines a second; the bound on pending bytes holds for them, too. The new scenario fails before (0 lines of 1).

--- a/packages/almondfield-daemon/src/almondfield_daemon/logs/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/logs/core.py
@@ -16,14 +16,18 @@
 MAX_PENDING_BYTES = 256 * 1024
 SUMMARY_INTERVAL_S = 1.0
 DROPPED_FIELDS = ("task_uuid", "task_level")
+# At most one line a second and pool; they count what is beyond the limit.
+PERIODIC_KINDS = frozenset(
+    ("daemon:usage", "request:counts", "scheduler:load", "scheduler:teams")
+)
 
 
 class LineLog:
     """An eliot destination that writes to a file descriptor.
 
-    Lines beyond the rate limit, and lines that exceed the buffer because the reader is
-    slow, are omitted and counted by kind. A summary line reports these counts at most
-    once a second.
+    Lines beyond the rate limit, except those of periodic counts, and lines that exceed
+    the buffer because the reader is slow, are omitted and counted by kind. A summary
+    line reports these counts at most once a second.
 
     :param descriptor: file descriptor to write to; it is set to non-blocking mode.
     :param host: name of the host, added to each line.
@@ -47,7 +51,7 @@
         :param message: the message, as passed by eliot.
         """
         kind = str(message.get("message_type", message.get("action_type", "")))
-        if not self._may_write():
+        if kind not in PERIODIC_KINDS and not self._may_write():
             self._omitted_by_kind[kind] += 1
             return
         fields = {k: v for k, v in message.items() if k not in DROPPED_FIELDS}
--- a/packages/almondfield-daemon/src/almondfield_daemon/logs/tests/logs.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/logs/tests/logs.feature
@@ -13,6 +13,13 @@
     Then between 1000 and 1300 lines of kind "request:ended" were written
     And a line reports how many of kind "request:ended" were omitted
 
+  # Guards against FAIR: the counts of a flooded router were omitted in the flood.
+  Scenario: A line of counts is written during a burst beyond the limit
+    Given a log to a pipe that is read
+    When 3000 messages of kind "request:ended" are logged in 1.0 s
+    And a message of kind "request:counts" with status 0 is logged
+    Then between 1 and 1 lines of kind "request:counts" were written
+
   Scenario: Lines at a steady rate below the limit are all written
     Given a log to a pipe that is read
     When 1000 messages of kind "request:ended" are logged in 10.0 s
