Count the time that a request lay unread

Cause: the age of a request and its deadline began when its handler started. A router whose event loop is late reads requests that have lain in their sockets for a second and more, and takes each for a new one.

Change: the selector bounds when a socket became readable; a request is as old as the last moment at which its socket was seen without it. Deadlines, timeouts and what servers are told count from there. A request that may run again is refused as not run where it lay unread for as long as callers wait for that (1 s or a third of the deadline).

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -40,7 +40,12 @@
 
 STALE_RETRY_AFTER_S = 0.5
 DRAINING_RETRY_AFTER_S = 0.05  # other routers accept the request at once
+LATE_RETRY_AFTER_S = 0.1  # other routers are probably in time
 MAX_DEADLINE_S = 3600.0
+# Callers give up a request that may run again if it isn't read for this time, or for
+# this share of their deadline.
+MAX_UNREAD_S = 1.0
+MAX_UNREAD_SHARE = 1 / 3
 
 
 class ForwardEndpoint:
@@ -119,9 +124,9 @@
         return self._is_closing or self._connection_count() > self._max_connections
 
     async def _handle(self, scope: Any, receive: Any, sink: "_AsgiSink") -> None:
-        arrived_s = now()
+        unread = _unread_time(scope)
+        arrived_s = now() - (unread.most_s if unread else 0.0)
         headers = tuple((name.lower(), value) for name, value in scope["headers"])
-        unread = _unread_time(scope, arrived_s)
         match self._prepare_request(scope, headers, arrived_s):
             case Ok(request):
                 request = replace(request, unread=unread)
@@ -193,6 +198,9 @@
                 return Err(_not_ready("the routing table may be out of date"))
             detail = f"no route for {domain!r} and path {scope['path']!r}"
             return Err(permanent_problem(404, "no-route", detail))
+        unread_s = now() - arrived_s
+        if route.may_run_again and unread_s >= _patience_s(metadata.deadline_s):
+            return Err(_unread(unread_s))
         if self._refuses_streams and route.kind is RequestKind.STREAMING:
             return Err(_draining())
         match self._team(metadata, route.is_public, is_fresh):
@@ -314,6 +322,18 @@
     return Problem(503, "not-ready", detail, retry_after_s=STALE_RETRY_AFTER_S)
 
 
+def _patience_s(deadline_s: float | None) -> float:
+    """Return how long a caller waits until its request is read, in seconds."""
+    if deadline_s is None:
+        return MAX_UNREAD_S
+    return min(MAX_UNREAD_S, MAX_UNREAD_SHARE * deadline_s)
+
+
+def _unread(unread_s: float) -> Problem:
+    detail = f"the request was not read for up to {unread_s:.3f} s"
+    return Problem(503, "late", detail, retry_after_s=LATE_RETRY_AFTER_S)
+
+
 def _draining() -> Problem:
     detail = "this router is shutting down"
     return Problem(503, "draining", detail, retry_after_s=DRAINING_RETRY_AFTER_S)
@@ -338,11 +358,12 @@
     )
 
 
-def _unread_time(scope: Any, started_s: float) -> UnreadTime | None:
+def _unread_time(scope: Any) -> UnreadTime | None:
     """Return how long a request was in the socket; None where that is unknown."""
     arrival = arrival_of(scope)
     if arrival is None:
         return None
+    started_s = now()
     return UnreadTime(
         started_s - arrival.latest_s, started_s - arrival.earliest_s, arrival.is_first
     )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
@@ -111,7 +111,8 @@
     :ivar pool: pool that the request is sent to.
     :ivar table_version: version of the routing table with the rule.
     :ivar team: team of the caller; empty without one.
-    :ivar arrived_s: when its handler started, in seconds of the loop's clock.
+    :ivar arrived_s: earliest time at which it can have arrived, in seconds of the
+        loop's clock.
     :ivar waited_s: seconds that its caller had waited before, estimated from its
         deadline.
     :ivar until_s: when the caller's deadline or the rule's timeout ends it, in seconds
--- a/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/core.py
@@ -6,7 +6,9 @@
 __all__ = ["LATE_S", "IterationTimes", "LongestDelay"]
 
 LATE_S = 0.25  # a quarter of the time that callers wait for a request to be read
-KEPT_RETURNS = 3
+KEPT_ITERATIONS = 2
+MIN_WAIT_S = 0.001  # a selector that returns sooner found descriptors ready
+TIMER_ERROR_S = 0.02
 
 
 @dataclass(frozen=True)
@@ -34,7 +36,11 @@
 
     def __init__(self, started_s: float) -> None:
         self.count = 0
-        self._returns_s = deque([started_s] * KEPT_RETURNS, maxlen=KEPT_RETURNS)
+        self._returned_s = started_s
+        # For each iteration: when its descriptors became ready, earliest and latest.
+        self._ready_s = deque(
+            [(started_s, started_s)] * KEPT_ITERATIONS, maxlen=KEPT_ITERATIONS
+        )
         self._longest_s = 0.0
         self._late_count = 0
 
@@ -47,25 +53,30 @@
         :param timeout_s: longest wait that was asked for, in seconds; None for any.
         :param returned_s: when it returned, in seconds of the loop's clock.
         """
-        delay_s = called_s - self._returns_s[-1]
+        delay_s = called_s - self._returned_s
+        overdue_s = 0.0
         if timeout_s is not None:
             # A process without processor time returns later than it asked for.
-            delay_s += max(0.0, returned_s - called_s - max(0.0, timeout_s))
+            overdue_s = max(0.0, returned_s - called_s - max(0.0, timeout_s))
+        delay_s += overdue_s
         self._longest_s = max(self._longest_s, delay_s)
         self._late_count += delay_s >= LATE_S
-        self._returns_s.append(returned_s)
+        earliest_s = self._returned_s
+        if returned_s - called_s >= MIN_WAIT_S and timeout_s != 0:
+            # Nothing was ready at the call. A wait ends with the first descriptor,
+            # unless the process gets no processor time.
+            earliest_s = returned_s if overdue_s < TIMER_ERROR_S else called_s
+        self._ready_s.append((earliest_s, returned_s))
+        self._returned_s = returned_s
         self.count += 1
 
     def ready_between(self, iterations_ago: int = 0) -> tuple[float, float]:
         """Return when descriptors became ready that an iteration began with.
 
-        They were not ready at the return of the selector before that.
-
         :param iterations_ago: 0 for the current iteration, 1 for the one before.
         :returns: the earliest and the latest time, in seconds of the loop's clock.
         """
-        latest = KEPT_RETURNS - 1 - iterations_ago
-        return self._returns_s[latest - 1], self._returns_s[latest]
+        return self._ready_s[-1 - iterations_ago]
 
     def take_longest(self) -> LongestDelay:
         """Return the longest delay since the last call of this method."""
