Look whether a caller has left before a request is sent

Cause: the end of a connection reaches the task of its request five iterations of the event loop after the request does: its socket is read once more, connection_lost, the watch, the cancellation. The task may send the request in its first step.

Change: before each sending the router asks the kernel whether the connection has ended, without reading from it.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from almondfield_core.routing import RequestKind
+from almondfield_daemon.edge.bodies import CallerDisconnectedError
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import RetryWindow
 from almondfield_daemon.forwarding.messages import ForwardRequest
@@ -73,7 +74,11 @@
                     problem = await run.serve()
         except TimeoutError:
             problem = self._handle_timeout(run)
-        except (StreamBrokenError, asyncio.CancelledError) as cause:
+        except (
+            StreamBrokenError,
+            CallerDisconnectedError,
+            asyncio.CancelledError,
+        ) as cause:
             error = str(cause) or "the caller disconnected"
             raise
         finally:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -35,6 +35,7 @@
 from almondfield_daemon.loop_delay import arrival_of
 from almondfield_daemon.router.calls import Header
 from almondfield_daemon.router.problems import Outcome, Problem, permanent_problem
+from almondfield_daemon.serving import CallerConnection, connection_of
 
 __all__ = ["ForwardEndpoint"]
 
@@ -106,7 +107,7 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
         self.running += 1
-        sink = _AsgiSink(send, self._must_close)
+        sink = _AsgiSink(send, self._must_close, connection_of(scope))
         try:
             await self._handle(scope, receive, sink)
         except StreamBrokenError:
@@ -166,7 +167,7 @@
                 self._counts.record_refusal(request.team, problem.kind)
                 await self._send_problem(sink, problem, close=True)
                 return
-        async with CallerWatch(receive) as watch:
+        async with CallerWatch(receive, sink.connection) as watch:
             sink.set_watch(watch)
             problem = await self._forwarder.serve(request, sink)
             if problem is not None:
@@ -275,9 +276,16 @@
 
     :param send: ASGI send callable.
     :param is_closing: returns whether the connection is closed after the answer.
+    :param connection: the caller's connection; None if the listener records none.
     """
 
-    def __init__(self, send: Any, is_closing: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        send: Any,
+        is_closing: Callable[[], bool],
+        connection: CallerConnection | None,
+    ) -> None:
+        self.connection = connection
         self._send = send
         self._is_closing = is_closing
         self._closes_connection = False
@@ -294,6 +302,10 @@
         """Close the connection after the answer."""
         self._closes_connection = True
 
+    def is_closed(self) -> bool:
+        """Return whether the caller has closed its connection."""
+        return self.connection is not None and self.connection.is_closed()
+
     async def start(self, status: int, headers: tuple[Header, ...]) -> None:
         """Send status and headers."""
         if self._closes_connection or self._is_closing():
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -7,6 +7,7 @@
 from almondfield_core.findings import AlmondfieldError
 from almondfield_core.messages import ServerFailure
 from almondfield_core.routing import RequestKind
+from almondfield_daemon.edge.bodies import CallerDisconnectedError
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding.answers import read_body, stream_headers
 from almondfield_daemon.forwarding.attempt_log import log_attempt
@@ -263,6 +264,9 @@
                         return problem
 
     async def _attempt(self, selected: SelectedServer) -> Attempt:
+        if self._sink.is_closed():
+            selected.end()
+            raise CallerDisconnectedError("the caller closed its connection")
         may_have_run = self.may_have_run
         if self.first_attempt_s is None:
             self.first_attempt_s = now() - self._request.arrived_s
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -168,6 +168,11 @@
         self.status = 0
         self.body = b""
         self.is_complete = False
+        self.has_left = False
+
+    def is_closed(self):
+        """Return whether the caller has left."""
+        return self.has_left
 
     async def start(self, status, headers):
         """Record the status."""
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/connection.py
@@ -0,0 +1,63 @@
+"""The connection that carries a caller's requests, and whether it was closed."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+__all__ = ["CONNECTION_KEY", "CallerConnection", "connection_of"]
+
+CONNECTION_KEY = "connection"  # in the state of an ASGI scope
+
+
+class CallerConnection:
+    """The connection that carries a caller's requests.
+
+    An application learns of a disconnect some iterations of the event loop after the
+    protocol does, and the protocol one iteration after the kernel. In a busy loop that
+    takes long enough to send a request that nobody waits for.
+
+    :param transport: transport of the connection.
+
+    :ivar on_close: called once the protocol sees the end of the connection.
+    """
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        self._is_closed = False
+        self.on_close: Callable[[], None] = lambda: None
+
+    def close(self) -> None:
+        """Record that the caller has closed the connection."""
+        if not self._is_closed:
+            self._is_closed = True
+            self.on_close()
+
+    def is_closed(self) -> bool:
+        """Return whether the caller has closed, by what the kernel has received."""
+        if not self._is_closed and self._is_end_readable():
+            self.close()
+        return self._is_closed
+
+    def _is_end_readable(self) -> bool:
+        owner = self._transport.get_extra_info("socket")
+        if owner is None or owner.fileno() < 0:
+            return True
+        # The socket object of a transport has no method to receive.
+        peeked = socket.socket(owner.family, owner.type, owner.proto, owner.fileno())
+        try:
+            return not peeked.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            peeked.detach()
+
+
+def connection_of(scope: Any) -> CallerConnection | None:
+    """Return the connection of a request; None if the listener records none.
+
+    :param scope: ASGI scope of the request.
+    """
+    return scope.get("state", {}).get(CONNECTION_KEY)
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -7,6 +7,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from almondfield_daemon.loop_delay import ARRIVAL_KEY, ArrivalTracker
+from almondfield_daemon.serving.connection import CONNECTION_KEY, CallerConnection
 
 __all__ = ["make_protocol"]
 
@@ -37,18 +38,27 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         type(self).accepted += 1
         super().connection_made(transport)
+        self._connection = CallerConnection(transport)
         self._start_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._stop_head_timer()
+        self._connection.close()
         super().connection_lost(exc)
 
+    def eof_received(self) -> None:
+        self._connection.close()
+        super().eof_received()
+
     def on_message_begin(self) -> None:
         self._in_head = True
         self._head_bytes = 0
         self._start_head_timer()
         super().on_message_begin()
-        self.scope["state"][ARRIVAL_KEY] = self._arrivals.next_arrival()
+        self.scope["state"] |= {
+            ARRIVAL_KEY: self._arrivals.next_arrival(),
+            CONNECTION_KEY: self._connection,
+        }
 
     def on_headers_complete(self) -> None:
         self._in_head = False
