Decide on requests by their heads, and bound the connections that wait

Cause: nothing bounds what a router takes in. It accepts all waiting connections in one iteration, starts a task for each request and reads its body before it decides, and most are refused. With several hundred a second at half a core each iteration takes longer, its replies come late, and the refusals that are held for 50 ms have expired when the next iteration reads the requests that they are for. Readiness and leases wait behind that work.

Change: a request is decided by its head, before a task is made; a refusal is sent when its body has been read, which is not kept. While one request of a refused team asks the scheduler, the refusal holds for the others. A listener accepts at most 16 connections in one iteration, and at most 64 wait at the callers' port, so that what is accepted is fresh; the age of a request counts the time that its connection waited.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -22,7 +22,7 @@
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.loop_delay import LoopMonitor
 from almondfield_daemon.peers import PynngPeers
-from almondfield_daemon.serving import HttpListener, bind
+from almondfield_daemon.serving import BACKLOG, Gate, HttpListener, bind
 
 __all__ = ["FleetHost"]
 
@@ -65,14 +65,24 @@
         """
         return LeaderClient(self.peers, hosts, LEADER_ATTEMPT_S, broadcast=True)
 
-    def serve(self, app: ASGIApp, address: str) -> HttpListener:
+    def serve(
+        self,
+        app: ASGIApp,
+        address: str,
+        gate: Gate | None = None,
+        backlog: int = BACKLOG,
+    ) -> HttpListener:
         """Serve an ASGI app once the daemon starts, and return its listener.
 
         :param app: the app.
         :param address: ``ip:port`` to listen on.
+        :param gate: decides on requests by their heads; None to pass all of them on.
+        :param backlog: largest number of connections that wait to be accepted.
         """
         host, _, port = address.rpartition(":")
-        listener = HttpListener(app, bind(host, int(port)), MAX_HEAD_BYTES)
+        listener = HttpListener(
+            app, bind(host, int(port)), MAX_HEAD_BYTES, gate, backlog
+        )
         self._listeners.append(listener)
         return listener
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of a fleet daemon, and the page that serves them."""
 
+from collections import Counter as Counts
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -23,6 +25,7 @@
 
     def __init__(self) -> None:
         self.registry = Registry()
+        self._refusals: Counts[tuple[str, int]] = Counts()
         self._requests = Counter(
             "almondfield_requests_total",
             "Requests by route and status; 0 where the caller left before an answer",
@@ -59,6 +62,21 @@
             self._first_part_s.observe(route, report.first_ms / MILLISECONDS)
             self._answer_s.observe(route, report.total_ms / MILLISECONDS)
 
+    def observe_refusal(self, route: str, status: int) -> None:
+        """Count a request that was refused by its head.
+
+        :param route: name of its route.
+        :param status: status sent to the caller.
+        """
+        self._refusals[(route, status)] += 1
+
+    def refresh(self) -> None:
+        """Add the refusals to the counter of requests."""
+        # An addition to a counter takes longer than the refusal of a request.
+        refusals, self._refusals = self._refusals, Counts()
+        for (route, status), count in refusals.items():
+            self._requests.add({"route": route, "status": str(status)}, count)
+
 
 class ControlMetrics:
     """Gauges of the routers and backend servers that one control host tracks.
@@ -116,8 +134,7 @@
     """
 
     async def render_page(request: Request) -> Response:
-        if isinstance(metrics, ControlMetrics):
-            metrics.refresh()
+        metrics.refresh()
         content, headers = render(metrics.registry, [request.headers.get("accept", "")])
         return Response(content, headers=dict(headers))
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -38,6 +38,9 @@
 DRAIN_FRACTION = 0.93  # of the grace period; the rest is for the process to exit
 CALLER_DESCRIPTOR_FRACTION = 0.5  # the rest is for servers, hosts and new connections
 BODY_MEMORY_FRACTION = 0.2  # the process uses a sixth, other buffers the rest
+# Some iterations of a busy event loop accept as many. A caller whose connection would
+# wait longer connects to another router.
+CALLER_BACKLOG = 64
 MAX_ATTEMPTS_PER_MS = 1000  # far above what one router makes
 BYTES_PER_MB = 1_000_000
 
@@ -109,6 +112,7 @@
             self._origins,
             self._make_retry_window,
             self._observe,
+            self._observe_refusal,
         )
         max_buffered_bytes = int(
             BODY_MEMORY_FRACTION * settings.memory_mb * BYTES_PER_MB
@@ -116,7 +120,12 @@
         self._endpoint = ForwardEndpoint(
             forwarder, self.subscription, codec, max_buffered_bytes, self._counts
         )
-        self._listener = self.serve(self._endpoint, settings.caller_address)
+        self._listener = self.serve(
+            self._endpoint,
+            settings.caller_address,
+            self._endpoint.intake,
+            CALLER_BACKLOG,
+        )
         max_connections = int(CALLER_DESCRIPTOR_FRACTION * settings.max_descriptors)
         self._endpoint.limit_connections(
             self._listener.connection_count, max_connections
@@ -174,6 +183,10 @@
         self._metrics.observe(report)
         self._counts.record_answer(report.team, report.status)
 
+    def _observe_refusal(self, route: str, team: str, status: int) -> None:
+        self._metrics.observe_refusal(route, status)
+        self._counts.record_answer(team, status)
+
     def _make_retry_window(self) -> RetryWindow:
         settings = self.settings
         return RetryWindow(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -5,7 +5,7 @@
 
 from result import Err, Ok
 
-from almondfield_core.routing import RequestKind
+from almondfield_core.routing import RequestKind, RouteRule
 from almondfield_daemon.edge.bodies import CallerDisconnectedError
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import RetryWindow
@@ -32,6 +32,8 @@
     :param origins: knows where streams began.
     :param make_window: returns a new retry budget for one pool.
     :param observe: called with the report of each request that ended.
+    :param observe_refusal: called with route, team and status of each request that was
+        refused by its head.
     """
 
     def __init__(
@@ -41,7 +43,9 @@
         origins: StreamOrigins,
         make_window: Callable[[], RetryWindow],
         observe: Callable[[RequestReport], None] = lambda report: None,
+        observe_refusal: Callable[[str, str, int], None] = lambda *fields: None,
     ) -> None:
+        self._observe_refusal = observe_refusal
         self._observe = observe
         self._attempts = attempts
         self._servers = servers
@@ -49,6 +53,23 @@
         self._make_window = make_window
         self._window_by_pool: dict[str, RetryWindow] = {}
 
+    def held_refusal(self, route: RouteRule, pool: str, team: str) -> Problem | None:
+        """Return a refusal of a team's prompts that still holds; None for none.
+
+        :param route: route of a request with a prompt.
+        :param pool: pool of the request.
+        :param team: team of the request.
+        """
+        held = self._servers.held_refusal(pool, team)
+        if held is None:
+            return None
+        self._window(pool).record_request()
+        problem = Problem(
+            503, "no-capacity", held.detail, retry_after_s=held.retry_after_s
+        )
+        self._observe_refusal(route.name, team, problem.status)
+        return problem
+
     async def serve(
         self, request: ForwardRequest, sink: ResponseSink
     ) -> Problem | None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -6,48 +6,30 @@
 from typing import Any
 
 import eliot
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from almondfield_control.publishing import TableSubscription
 from almondfield_core.clock import now
-from almondfield_core.routing import RequestKind
-from almondfield_core.tables import hash_key
 from almondfield_daemon.edge.bodies import (
     BodyBudget,
     BodyReservation,
     CallerDisconnectedError,
-    check_headers,
     read_body,
 )
 from almondfield_daemon.edge.watch import CallerWatch
 from almondfield_daemon.forwarding.core import Forwarder
 from almondfield_daemon.forwarding.counts import RequestCounts
-from almondfield_daemon.forwarding.deadlines import TypicalDeadlines
-from almondfield_daemon.forwarding.messages import (
-    ForwardRequest,
-    RequestMetadata,
-    UnreadTime,
-)
+from almondfield_daemon.forwarding.intake import REQUEST_KEY, RequestIntake
+from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.ports import HeaderCodec
 from almondfield_daemon.forwarding.reports import unread_fields
 from almondfield_daemon.forwarding.run import StreamBrokenError
-from almondfield_daemon.forwarding.split import choose_pool
-from almondfield_daemon.loop_delay import arrival_of
 from almondfield_daemon.router.calls import Header
-from almondfield_daemon.router.problems import Outcome, Problem, permanent_problem
-from almondfield_daemon.serving import CallerConnection, connection_of
+from almondfield_daemon.router.problems import Outcome, Problem
+from almondfield_daemon.serving import CallerConnection, RequestHead, connection_of
 
 __all__ = ["ForwardEndpoint"]
 
-STALE_RETRY_AFTER_S = 0.5
-DRAINING_RETRY_AFTER_S = 0.05  # other routers accept the request at once
-LATE_RETRY_AFTER_S = 0.1  # other routers are probably in time
-MAX_DEADLINE_S = 3600.0
-# Callers give up a request that may run again if it isn't read for this time, or for
-# this share of their deadline.
-MAX_UNREAD_S = 1.0
-MAX_UNREAD_SHARE = 1 / 3
-
 
 class ForwardEndpoint:
     """ASGI app for callers' requests.
@@ -72,12 +54,12 @@
         self._subscription = subscription
         self._codec = codec
         self._budget = BodyBudget(max_held_bytes)
-        self._deadlines = TypicalDeadlines()
+        self.intake = RequestIntake(
+            forwarder, subscription, codec, self._counts, self._must_close
+        )
         self._is_closing = False
         self._connection_count: Callable[[], int] = lambda: 0
         self._max_connections = 0
-        self._refuses_streams = False
-        self._refuses_all = False
         self.running = 0
 
     def close_connections(self) -> None:
@@ -98,11 +80,11 @@
 
     def refuse_streams(self) -> None:
         """Refuse new streaming requests; running requests continue."""
-        self._refuses_streams = True
+        self.intake.refuses_streams = True
 
     def refuse_new(self) -> None:
         """Refuse new requests; running requests continue."""
-        self._refuses_all = True
+        self.intake.refuses_all = True
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
@@ -125,17 +107,18 @@
         return self._is_closing or self._connection_count() > self._max_connections
 
     async def _handle(self, scope: Any, receive: Any, sink: "_AsgiSink") -> None:
-        unread = _unread_time(scope)
-        arrived_s = now() - (unread.most_s if unread else 0.0)
-        headers = tuple((name.lower(), value) for name, value in scope["headers"])
-        match self._prepare_request(scope, headers, arrived_s):
-            case Ok(request):
-                request = replace(request, unread=unread)
-            case Err(problem):
-                self._counts.record_refusal("", problem.kind)
-                _log_refusal(scope, headers, problem, self._subscription, unread)
-                await self._refuse(receive, sink, problem)
-                return
+        request = scope.get("state", {}).get(REQUEST_KEY)
+        if request is None:
+            # The listener passes a request on unchecked while another one is served on
+            # its connection.
+            head = _read_head(scope)
+            match self.intake.prepare(head):
+                case Ok(request):
+                    pass
+                case Err(problem):
+                    self.intake.record_refusal(head, problem)
+                    await self._refuse(receive, sink, problem)
+                    return
         held = BodyReservation(self._budget, request.team)
         try:
             await self._read_and_serve(request, receive, sink, held)
@@ -144,8 +127,8 @@
                 "request:abandoned",
                 request_id=request.metadata.request_id,
                 reason=str(error),
-                after_ms=round((now() - arrived_s) * 1000, 1),
-                **unread_fields(unread),
+                after_ms=round((now() - request.arrived_s) * 1000, 1),
+                **unread_fields(request.unread),
             )
         finally:
             held.release()
@@ -173,81 +156,6 @@
             if problem is not None:
                 await self._send_problem(sink, problem, close=False)
 
-    def _prepare_request(
-        self, scope: Any, headers: tuple[Header, ...], arrived_s: float
-    ) -> Result[ForwardRequest, Problem]:
-        index = self._subscription.index
-        if not index.table.version:
-            return Err(_not_ready("this router has no routing table yet"))
-        if self._refuses_all:
-            return Err(_draining())
-        too_large = check_headers(list(headers), index.table.limits.max_header_bytes)
-        if too_large is not None:
-            return Err(too_large)
-        match self._codec.read_request(headers):
-            case Ok(metadata):
-                pass
-            case Err(problem):
-                return Err(problem)
-        domain = dict(headers).get(b"host", b"").decode("latin-1").lower()
-        domain = domain.partition(":")[0]
-        raw_path = scope.get("raw_path") or scope["path"].encode()
-        route = index.route(domain, raw_path.decode("latin-1"))
-        is_fresh = self._subscription.fresh_left_s() > 0
-        if route is None:
-            if not is_fresh:
-                return Err(_not_ready("the routing table may be out of date"))
-            detail = f"no route for {domain!r} and path {scope['path']!r}"
-            return Err(permanent_problem(404, "no-route", detail))
-        unread_s = now() - arrived_s
-        if route.may_run_again and unread_s >= _patience_s(metadata.deadline_s):
-            return Err(_unread(unread_s))
-        if self._refuses_streams and route.kind is RequestKind.STREAMING:
-            return Err(_draining())
-        match self._team(metadata, route.is_public, is_fresh):
-            case Ok(team):
-                pass
-            case Err(problem):
-                return Err(problem)
-        query = scope.get("query_string", b"")
-        return Ok(
-            ForwardRequest(
-                method=scope["method"],
-                target=raw_path + b"?" + query if query else raw_path,
-                headers=headers,
-                metadata=metadata,
-                route=route,
-                # A stream that is taken up goes on in the pool that it began in.
-                pool=choose_pool(
-                    route, metadata.first_request_id or metadata.request_id
-                ),
-                table_version=index.table.version,
-                team=team,
-                arrived_s=arrived_s,
-                waited_s=self._deadlines.waited_s(route.name, metadata.deadline_s),
-                until_s=arrived_s
-                + min(route.timeout_s, metadata.deadline_s or MAX_DEADLINE_S),
-            )
-        )
-
-    def _team(
-        self, metadata: RequestMetadata, is_public: bool, is_fresh: bool
-    ) -> Result[str, Problem]:
-        """Return the caller's team; empty if the request needs no team."""
-        index = self._subscription.index
-        if not index.needs_keys:
-            return Ok("")
-        if not is_public and not is_fresh:
-            # The key may have been revoked since the last table update.
-            return Err(_not_ready("the routing table may be out of date"))
-        team = index.team(hash_key(metadata.key)) if metadata.key else None
-        if team is not None:
-            return Ok(team.team)
-        if is_public:
-            return Ok("")
-        detail = "the key belongs to no team" if metadata.key else "no team key"
-        return Err(permanent_problem(401, "team-key", detail))
-
     async def _refuse(self, receive: Any, sink: "_AsgiSink", problem: Problem) -> None:
         """Send an error answer after reading the body.
 
@@ -330,52 +238,11 @@
             self._watch.stall.end()
 
 
-def _not_ready(detail: str) -> Problem:
-    return Problem(503, "not-ready", detail, retry_after_s=STALE_RETRY_AFTER_S)
-
-
-def _patience_s(deadline_s: float | None) -> float:
-    """Return how long a caller waits until its request is read, in seconds."""
-    if deadline_s is None:
-        return MAX_UNREAD_S
-    return min(MAX_UNREAD_S, MAX_UNREAD_SHARE * deadline_s)
-
-
-def _unread(unread_s: float) -> Problem:
-    detail = f"the request was not read for up to {unread_s:.3f} s"
-    return Problem(503, "late", detail, retry_after_s=LATE_RETRY_AFTER_S)
-
-
-def _draining() -> Problem:
-    detail = "this router is shutting down"
-    return Problem(503, "draining", detail, retry_after_s=DRAINING_RETRY_AFTER_S)
-
-
-def _log_refusal(
-    scope: Any,
-    headers: tuple[Header, ...],
-    problem: Problem,
-    subscription: TableSubscription,
-    unread: UnreadTime | None,
-) -> None:
-    eliot.log_message(
-        "request:refused",
-        path=scope["path"],
-        domain=dict(headers).get(b"host", b"").decode("latin-1"),
-        status=problem.status,
-        cause=problem.detail,
-        table_version=subscription.version,
-        fresh_left_s=round(subscription.fresh_left_s(), 2),
-        **unread_fields(unread),
-    )
-
-
-def _unread_time(scope: Any) -> UnreadTime | None:
-    """Return how long a request was in the socket; None where that is unknown."""
-    arrival = arrival_of(scope)
-    if arrival is None:
-        return None
-    started_s = now()
-    return UnreadTime(
-        started_s - arrival.latest_s, started_s - arrival.earliest_s, arrival.is_first
+def _read_head(scope: Any) -> RequestHead:
+    return RequestHead(
+        method=scope["method"],
+        path=scope.get("raw_path") or scope["path"].encode(),
+        query=scope.get("query_string", b""),
+        headers=tuple((name.lower(), value) for name, value in scope["headers"]),
+        state=scope.get("state", {}),
     )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
@@ -36,6 +36,11 @@
     first_request_id: str = ""
     prompt: Prompt | None = None
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Return whether the caller has events of the stream already."""
+        return bool(self.last_event_id or self.first_request_id)
+
 
 @dataclass(frozen=True)
 class CallMetadata:
@@ -120,6 +125,7 @@
     :ivar body: the whole body.
     :ivar stream_version: software version at which a stream that the caller takes up
         has to go on; None for other requests.
+    :ivar is_checked: whether held refusals were considered when its head was read.
     :ivar unread: how long it was in the socket before; None where that is unknown.
     """
 
@@ -136,10 +142,10 @@
     waited_s: float = 0.0
     body: bytes = b""
     stream_version: str | None = None
+    is_checked: bool = False
     unread: UnreadTime | None = None
 
     @property
     def takes_up_stream(self) -> bool:
         """Return whether the caller has events of the stream already."""
-        metadata = self.metadata
-        return bool(metadata.last_event_id or metadata.first_request_id)
+        return self.metadata.takes_up_stream
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -153,6 +153,19 @@
         # (name, start) of servers whose address now belongs to another server.
         self._misdirected: set[tuple[str, int]] = set()
 
+    def held_refusal(self, pool: str, team: str) -> Unavailable | None:
+        """Return a refusal of a team's prompts that still holds; None for none.
+
+        :param pool: name of a pool of engines.
+        :param team: name of the team, whose next request asks the scheduler if None is
+            returned.
+        """
+        held = self._engines.held_refusal(pool, team)
+        if held is None:
+            return None
+        self._counts.record_refusal(team, RefusalCause.HELD_SHARE)
+        return _unavailable(held, RefusalCause.HELD_SHARE)
+
     async def choose(
         self,
         request: ForwardRequest,
@@ -187,7 +200,7 @@
         if prompt is None:
             return self._choose_locally(request, servers, tried)
         is_repeat = has_lost_server or request.takes_up_stream
-        if not is_repeat:
+        if not request.is_checked and not is_repeat:
             held = self._engines.held_refusal(request.pool, request.team)
             if held is not None:
                 return _unavailable(held, RefusalCause.HELD_SHARE)
--- a/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/__init__.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/__init__.py
@@ -2,6 +2,7 @@
 
 from almondfield_daemon.loop_delay.arrivals import (
     ARRIVAL_KEY,
+    AcceptTimes,
     Arrival,
     ArrivalTracker,
     arrival_of,
@@ -11,6 +12,7 @@
 
 __all__ = [
     "ARRIVAL_KEY",
+    "AcceptTimes",
     "Arrival",
     "ArrivalTracker",
     "IterationTimes",
--- a/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/arrivals.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/arrivals.py
@@ -1,11 +1,13 @@
 """Bounds of the time at which requests arrived in the socket of their connection."""
 
+from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from almondfield_daemon.loop_delay.core import IterationTimes
 
-__all__ = ["ARRIVAL_KEY", "Arrival", "ArrivalTracker", "arrival_of"]
+__all__ = ["ARRIVAL_KEY", "AcceptTimes", "Arrival", "ArrivalTracker", "arrival_of"]
 
 ARRIVAL_KEY = "arrival"  # in the state of an ASGI scope
 # asyncio makes the protocol one iteration after it accepts the connection, and reads
@@ -28,20 +30,58 @@
     is_first: bool
 
 
+class AcceptTimes:
+    """Bounds the times at which the connections of one listener came.
+
+    While more connections wait than the event loop accepts in one iteration, a
+    connection may have come some iterations before it is accepted.
+
+    :param per_iteration: largest number of connections accepted in one iteration.
+    :param backlog: largest number of connections that wait to be accepted.
+    """
+
+    def __init__(self, per_iteration: int, backlog: int) -> None:
+        self._per_iteration = per_iteration
+        # Of the latest iteration, and of those before it that accepted all they could.
+        self._earliest_s: deque[float] = deque(maxlen=-(-backlog // per_iteration))
+        self._iteration = -1
+        self._accepted = 0
+
+    def connected_s(self, iterations: IterationTimes) -> float:
+        """Return the earliest time at which a connection can have come.
+
+        It is called once for each connection, when its protocol is made.
+
+        :param iterations: iterations of the event loop.
+        :returns: seconds of the loop's clock.
+        """
+        accepted_in = iterations.count - ACCEPTED_ITERATIONS_AGO
+        if accepted_in != self._iteration:
+            is_next = accepted_in == self._iteration + 1
+            if not is_next or self._accepted < self._per_iteration:
+                self._earliest_s.clear()
+            earliest_s, _ = iterations.ready_between(ACCEPTED_ITERATIONS_AGO)
+            self._earliest_s.append(earliest_s)
+            self._iteration = accepted_in
+            self._accepted = 0
+        self._accepted += 1
+        return self._earliest_s[0]
+
+
 class ArrivalTracker:
     """Tells when the requests of one connection arrived.
 
     It is made together with the protocol of the connection.
 
     :param iterations: iterations of the event loop; None if it records none.
+    :param accepts: times at which the listener's connections came.
     """
 
-    def __init__(self, iterations: IterationTimes | None) -> None:
+    def __init__(self, iterations: IterationTimes | None, accepts: AcceptTimes) -> None:
         self._iterations = iterations
         self._is_first = True
         if iterations is not None:
-            accepted_s = iterations.ready_between(ACCEPTED_ITERATIONS_AGO)
-            self._connected_s = accepted_s[0]
+            self._connected_s = accepts.connected_s(iterations)
             self._first_read = iterations.count + FIRST_READ_AFTER_ITERATIONS
 
     def next_arrival(self) -> Arrival | None:
@@ -59,9 +99,9 @@
         return Arrival(earliest_s, latest_s, is_first)
 
 
-def arrival_of(scope: Any) -> Arrival | None:
+def arrival_of(state: Mapping[str, Any]) -> Arrival | None:
     """Return when a request arrived; None if that was not recorded.
 
-    :param scope: ASGI scope of the request.
+    :param state: state of the request's ASGI scope.
     """
-    return scope.get("state", {}).get(ARRIVAL_KEY)
+    return state.get(ARRIVAL_KEY)
--- a/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/tests/loop_delay.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/tests/loop_delay.feature
@@ -54,3 +54,17 @@
     When it is monitored for 5.1 s
     Then there are no lines
     And 20 intervals of 0.1 s were measured
+
+  # Guards against requests that count as new because their connection waited to be accepted.
+  Scenario Outline: Connections wait while the event loop accepts as many as it can
+    Given a listener that accepts at most 2 of 6 waiting connections in an iteration
+    When iterations that begin at 2, 3, 4, 5 and 6 s make <made> connections accepted before
+    Then the last connection came at <earliest> s at the earliest
+
+    Examples:
+      | made      | earliest |
+      | 0 0 0 0 1 | 4        |
+      | 0 0 2 2 1 | 2        |
+      | 2 2 2 2 2 | 2        |
+      | 2 1 2 2 1 | 2        |
+      | 2 2 0 0 1 | 4        |
--- a/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/tests/steps/loop_delay_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/tests/steps/loop_delay_steps.py
@@ -8,6 +8,7 @@
 
 from almondfield_daemon.fleet_daemon import SuspendAwareLoop
 from almondfield_daemon.loop_delay import (
+    AcceptTimes,
     ArrivalTracker,
     IterationTimes,
     LongestDelay,
@@ -35,12 +36,12 @@
 def step_impl(context):
     context.iterations = IterationTimes(0.0)
     begin_iterations(context, 0.5, 1.0)
-    context.arrivals = ArrivalTracker(context.iterations)
+    context.arrivals = ArrivalTracker(context.iterations, AcceptTimes(64, 2048))
 
 
 @given("a connection in an event loop that records no iterations")
 def step_impl(context):
-    context.arrivals = ArrivalTracker(None)
+    context.arrivals = ArrivalTracker(None, AcceptTimes(64, 2048))
 
 
 def read_request(context):
@@ -179,3 +180,25 @@
 @then("{count:d} intervals of {seconds:g} s were measured")
 def step_impl(context, count, seconds):
     assert context.delays_s == [seconds] * count, context.delays_s
+
+
+@given("a listener that accepts at most 2 of 6 waiting connections in an iteration")
+def step_impl(context):
+    context.accepts = AcceptTimes(2, 6)
+
+
+@when(
+    "iterations that begin at 2, 3, 4, 5 and 6 s make {counts} connections accepted "
+    "before"
+)
+def step_impl(context, counts):
+    iterations = IterationTimes(0.0)
+    for second, count in enumerate((0, *map(int, counts.split())), start=1):
+        iterations.record(second, 0, second)
+        for _ in range(count):
+            context.connected_s = context.accepts.connected_s(iterations)
+
+
+@then("the last connection came at {seconds:g} s at the earliest")
+def step_impl(context, seconds):
+    assert context.connected_s == seconds, context.connected_s
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -30,6 +30,7 @@
 REPLY_TIME_DECAY = 0.9  # with each reply
 # A team's usage changes little in this time; engines prefill one or two prompts.
 REFUSAL_HOLD_S = 0.05
+MAX_ASKING_S = 0.25  # after which the next request of a refused team asks again
 ANSWERING_S = 1.0  # after its last reply, the scheduler counts as answering for so long
 FAILURE_BACKOFF_S = 0.3  # a fraction of the duration of an election
 MS_PER_S = 1000
@@ -42,10 +43,13 @@
 
     :ivar refusal: the refusal.
     :ivar received_s: when it arrived, in seconds of the loop's clock.
+    :ivar asked_until_s: until when another request of the team waits for the scheduler,
+        whose decision replaces this refusal, in seconds of the loop's clock.
     """
 
     refusal: EngineRefusal
     received_s: float
+    asked_until_s: float = float("-inf")
 
 
 class EngineAssignment:
@@ -136,7 +140,9 @@
         """Return a recent refusal that still holds for a team above its share.
 
         Without it, a team that sends far more than its share to one router takes all of
-        the router's processor time with requests that the scheduler refuses.
+        the router's processor time with requests that the scheduler refuses. After some
+        time one request asks again; the refusal holds for the others until it has
+        a decision.
 
         :param pool: name of the pool.
         :param team: name of the team.
@@ -145,11 +151,15 @@
         if held is None:
             return None
         age_s = now() - held.received_s
-        if age_s >= REFUSAL_HOLD_S:
-            del self._held_refusal_by_team[(pool, team)]
+        if age_s >= REFUSAL_HOLD_S and now() >= held.asked_until_s:
+            wait_s = min(MAX_ASKING_S, REPLY_TIME_MARGIN * self._reply_time_s)
+            wait_s = max(REFUSAL_HOLD_S, wait_s)
+            held = replace(held, asked_until_s=now() + wait_s)
+            self._held_refusal_by_team[(pool, team)] = held
             return None
         refusal = held.refusal
-        return replace(refusal, retry_after_s=refusal.retry_after_s - age_s)
+        retry_after_s = max(REFUSAL_HOLD_S, refusal.retry_after_s - age_s)
+        return replace(refusal, retry_after_s=retry_after_s)
 
     async def request_engine(
         self, pool: str, request: PromptRequest
@@ -187,6 +197,7 @@
             case Ok(EngineReply() as reply):
                 # First, as a new scheduler has this attempt and receives the others.
                 self._record_scheduler(host, reply.scheduler_start, sent_s)
+                self._drop_held_refusal(pool, request.team, sent_s)
                 item = EngineInFlight(number, pool, reply.server, reply.unread_tokens)
                 self._reports.start(item)
                 return EngineAssignment(self._reports, item, reply.wait_s)
@@ -202,6 +213,12 @@
                 self._record_failure(host, sent_s)
                 return None
 
+    def _drop_held_refusal(self, pool: str, team: str, sent_s: float) -> None:
+        """Drop a refusal that is older than the request that was admitted now."""
+        held = self._held_refusal_by_team.get((pool, team))
+        if held is not None and held.received_s <= sent_s:
+            del self._held_refusal_by_team[(pool, team)]
+
     def assign(self, pool: str, server: str, uncached_tokens: int) -> EngineAssignment:
         """Return an assignment that this router chose without a scheduler.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -9,11 +9,15 @@
 from starlette.types import ASGIApp
 
 from almondfield_core.findings import AlmondfieldError
+from almondfield_daemon.loop_delay import AcceptTimes
+from almondfield_daemon.serving.gate import Gate
 from almondfield_daemon.serving.protocol import make_protocol
 
-__all__ = ["HttpListener", "ListenError", "bind"]
+__all__ = ["BACKLOG", "HttpListener", "ListenError", "bind"]
 
 BACKLOG = 2048
+# So that the other work of the event loop goes on while many callers connect at once.
+ACCEPTS_PER_ITERATION = 16
 KEEP_ALIVE_S = 75
 HEAD_TIMEOUT_S = 30.0
 
@@ -67,12 +71,25 @@
     :param app: the application.
     :param listener: socket to serve on, from :func:`bind`.
     :param max_header_bytes: largest header section of a request, in bytes.
+    :param gate: decides on requests by their heads; None to pass all of them on.
+    :param backlog: largest number of connections that wait to be accepted.
     """
 
     def __init__(
-        self, app: ASGIApp, listener: socket.socket, max_header_bytes: int
+        self,
+        app: ASGIApp,
+        listener: socket.socket,
+        max_header_bytes: int,
+        gate: Gate | None = None,
+        backlog: int = BACKLOG,
     ) -> None:
-        self._protocol = make_protocol(max_header_bytes, HEAD_TIMEOUT_S)
+        self._backlog = backlog
+        self._protocol = make_protocol(
+            max_header_bytes,
+            HEAD_TIMEOUT_S,
+            AcceptTimes(ACCEPTS_PER_ITERATION, backlog),
+            gate,
+        )
         config = uvicorn.Config(
             app,
             loop="asyncio",
@@ -84,7 +101,8 @@
             proxy_headers=False,
             server_header=False,
             date_header=False,
-            backlog=BACKLOG,
+            # asyncio accepts up to this number of connections in one iteration.
+            backlog=ACCEPTS_PER_ITERATION,
             timeout_keep_alive=KEEP_ALIVE_S,
         )
         self._server = _Server(config)
@@ -97,6 +115,8 @@
         running = asyncio.create_task(self._server.running.wait())
         await asyncio.wait([running, self._task], return_when=asyncio.FIRST_COMPLETED)
         running.cancel()
+        if not self._task.done():
+            self._listener.listen(self._backlog)
 
     def connection_count(self) -> int:
         """Return the number of open connections."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -3,11 +3,14 @@
 import asyncio
 from typing import Any
 
+import httptools
 import msgspec
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from almondfield_daemon.loop_delay import ARRIVAL_KEY, ArrivalTracker
+from almondfield_daemon.loop_delay import ARRIVAL_KEY, AcceptTimes, ArrivalTracker
 from almondfield_daemon.serving.connection import CONNECTION_KEY, CallerConnection
+from almondfield_daemon.serving.gate import Gate, HeadRefusal, RequestHead
 
 __all__ = ["make_protocol"]
 
@@ -27,17 +30,27 @@
     accepted = 0
     max_head_bytes = 0
     head_timeout_s = 0.0
+    gate: Gate | None = None
+    accepts: AcceptTimes
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._head_bytes = 0
         self._in_head = True
         self._head_timer: asyncio.TimerHandle | None = None
-        self._arrivals = ArrivalTracker(getattr(self.loop, "iterations", None))
+        self._refusal: HeadRefusal | None = None
+        self._refused_bytes = 0
+        self._arrivals = ArrivalTracker(
+            getattr(self.loop, "iterations", None), self.accepts
+        )
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         type(self).accepted += 1
-        super().connection_made(transport)
+        # The base class would look up both addresses, which no application uses.
+        self.connections.add(self)
+        self.transport = transport
+        self.flow = FlowControl(transport)
+        self.scheme = "http"
         self._connection = CallerConnection(transport)
         self._start_head_timer()
 
@@ -62,9 +75,59 @@
 
     def on_headers_complete(self) -> None:
         self._in_head = False
+        self._refused_bytes = 0
+        self._refusal = self._check_head()
+        if self._refusal is not None:
+            # The timer runs on: the answer is due after the body.
+            return
         self._stop_head_timer()
         super().on_headers_complete()
 
+    def on_body(self, body: bytes) -> None:
+        if self._refusal is None:
+            super().on_body(body)
+            return
+        self._refused_bytes += len(body)
+        if self._refused_bytes > self._refusal.max_body_bytes:
+            self._send_refusal(closes_connection=True)
+
+    def on_message_complete(self) -> None:
+        if self._refusal is None:
+            super().on_message_complete()
+            return
+        closes = self._refusal.closes_connection or not self.parser.should_keep_alive()
+        self._send_refusal(closes)
+
+    def _check_head(self) -> HeadRefusal | None:
+        """Return the refusal of a request that is decided by its head."""
+        is_idle = self.cycle is None or self.cycle.response_complete
+        if self.gate is None or not is_idle or self.expect_100_continue:
+            return None
+        if self.transport.is_closing():
+            return None
+        url = httptools.parse_url(self.url)
+        head = RequestHead(
+            method=self.parser.get_method().decode("ascii"),
+            path=url.path or b"",
+            query=url.query or b"",
+            headers=tuple(self.headers),
+            state=self.scope["state"],
+        )
+        return self.gate.check(head)
+
+    def _send_refusal(self, closes_connection: bool) -> None:
+        answer, self._refusal = self._refusal.answer, None
+        self._stop_head_timer()
+        if self.transport.is_closing():
+            return
+        self.transport.write(answer)
+        if closes_connection:
+            self.transport.close()
+            return
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
     def data_received(self, data: bytes) -> None:
         super().data_received(data)
         if not self._in_head or self.transport.is_closing():
@@ -107,11 +170,24 @@
         self.transport.close()
 
 
-def make_protocol(max_head_bytes: int, head_timeout_s: float) -> type[_LimitedProtocol]:
+def make_protocol(
+    max_head_bytes: int,
+    head_timeout_s: float,
+    accepts: AcceptTimes,
+    gate: Gate | None = None,
+) -> type[_LimitedProtocol]:
     """Return the protocol class of one listener.
 
     :param max_head_bytes: largest head of a request, in bytes.
-    :param head_timeout_s: timeout for receiving a whole head, in seconds.
+    :param head_timeout_s: timeout for receiving a whole head, and the whole body of a
+        request that is refused by its head, in seconds.
+    :param accepts: times at which the listener's connections came.
+    :param gate: decides on requests by their heads; None to pass all of them on.
     """
-    limits = {"max_head_bytes": max_head_bytes, "head_timeout_s": head_timeout_s}
+    limits = {
+        "max_head_bytes": max_head_bytes,
+        "head_timeout_s": head_timeout_s,
+        "gate": gate,
+        "accepts": accepts,
+    }
     return type("LimitedProtocol", (_LimitedProtocol,), limits)
