Log when the first attempt of a request started, and delays of single iterations

Cause: request:ended has attempts 0 for a request that was sent and whose caller then left, so the log can't show that it was sent on late. loop:late and the histogram added the iterations that the monitor's own timer waits for: 1,061 ms for iterations of 400 ms.

Change: first_attempt_ms in request:ended, which a cancellation does not lose. The monitor takes the delays from the iterations alone where the event loop records them.

Result: scenarios of loop_delay and forwarding pass, the new one on single iterations and the extended one on disconnected callers too.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
@@ -28,7 +28,10 @@
     :ivar last_event_id: event after which the caller takes a stream up; empty for none.
     :ivar first_request_id: the caller's attempt that brought the first event of that
         stream; empty for none.
-    :ivar attempts: attempts of which a byte may have been sent.
+    :ivar attempts: attempts of which a byte may have been sent, without one that ended
+        with the caller's connection.
+    :ivar first_attempt_ms: time to the start of the first attempt, in milliseconds;
+        None without one.
     :ivar shared_part: last part of its prompt that other prompts may share; empty for
         none.
     :ivar input_tokens: length of its prompt in tokens; 0 without one.
@@ -64,6 +67,7 @@
     last_event_id: str
     first_request_id: str
     attempts: int
+    first_attempt_ms: float | None
     shared_part: str
     input_tokens: int
     unread_tokens: int | None
@@ -94,6 +98,7 @@
     prompt = request.metadata.prompt
     assignment = run.assignment
     wait_s = assignment.wait_s if assignment else None
+    first_attempt_s = run.first_attempt_s
     return RequestReport(
         request_id=request.metadata.request_id,
         route=request.route.name,
@@ -106,6 +111,9 @@
         last_event_id=request.metadata.last_event_id,
         first_request_id=request.metadata.first_request_id,
         attempts=run.sent,
+        first_attempt_ms=(
+            None if first_attempt_s is None else round(first_attempt_s * 1000, 1)
+        ),
         shared_part=prompt.shared_part if prompt else "",
         input_tokens=prompt.input_tokens if prompt else 0,
         unread_tokens=assignment.uncached_tokens if assignment else None,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -66,18 +66,16 @@
     :ivar may_have_run: whether a server may have run the request.
     :ivar is_started: whether a part of the answer was sent to the caller.
     :ivar status: status sent to the caller; 0 before.
+    :ivar first_attempt_s: seconds from arrival to the first attempt; None before.
     :ivar first_part_s: seconds from arrival to the start of the answer; 0 before.
     :ivar longest_gap_s: longest pause between two events of a stream, in seconds.
-    :ivar framing: how the last answer states where its body ends; empty before the
-        first.
-    :ivar unfinished_bytes: bytes after the last complete event of a stream, at the end
-        of its last answer.
-    :ivar stream_version: software version at which the stream has to go on; None before
-        its first event.
+    :ivar framing: how the last answer states where its body ends; empty before.
+    :ivar unfinished_bytes: bytes after the last complete event of the last answer.
+    :ivar stream_version: version at which the stream has to go on; None before its
+        first event.
     :ivar server_name: server of the last attempt; empty before the first.
     :ivar server_version: software version of that server.
-    :ivar assignment: assignment of the last attempt to a model engine; None for other
-        servers.
+    :ivar assignment: the last attempt's assignment to a model engine; None otherwise.
     """
 
     def __init__(
@@ -103,6 +101,7 @@
         self.may_have_run = False
         self.is_started = False
         self.status = 0
+        self.first_attempt_s: float | None = None
         self.first_part_s = 0.0
         self.longest_gap_s = 0.0
         self._last_event_s: float | None = None
@@ -265,6 +264,8 @@
 
     async def _attempt(self, selected: SelectedServer) -> Attempt:
         may_have_run = self.may_have_run
+        if self.first_attempt_s is None:
+            self.first_attempt_s = now() - self._request.arrived_s
         # A cancellation or timeout during the attempt leaves it unknown whether it ran.
         self.may_have_run = True
         try:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
@@ -117,6 +117,7 @@
     And the first server never answers
     When a caller disconnects 0.2 s after its request
     Then the call to the first server was cancelled within 0.1 s
+    And the line of the request has its first attempt after 0 ms
 
   Scenario: The next requests avoid a server that failed
     Given a "idempotent" route with 1 attempts and 3 servers
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from dataclasses import replace
 
+import eliot
 from behave import given, then, when
 
 from almondfield_core.clock import now
@@ -146,6 +147,11 @@
 
 @when("a caller disconnects {seconds:g} s after its request")
 def step_impl(context, seconds):
+    context.messages = []
+    eliot.add_destinations(context.messages.append)
+    context.add_cleanup(eliot.remove_destination, context.messages.append)
+    context.messages.clear()  # eliot delivers older lines to its first destination
+
     async def disconnect():
         task = asyncio.ensure_future(serve(context))
         await asyncio.sleep(seconds)
@@ -245,6 +251,12 @@
     assert server.closed_s - context.disconnected_s <= seconds
 
 
+@then("the line of the request has its first attempt after {count:g} ms")
+def step_impl(context, count):
+    (line,) = [m for m in context.messages if m["message_type"] == "request:ended"]
+    assert line["first_attempt_ms"] == count, line
+
+
 @then("the first server received at most {count:d} of them")
 def step_impl(context, count):
     assert len(context.servers[0].received) <= 1 + count, context.servers[0].received
--- a/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/monitor.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/monitor.py
@@ -55,11 +55,14 @@
     def _add(self, overdue_s: float, iterations: Any) -> None:
         """Add the delays of one interval.
 
-        :param overdue_s: delay of the timer that ended it, in seconds.
+        :param overdue_s: delay of the timer that ended it, in seconds; it takes one
+            iteration or more.
         :param iterations: iterations of the event loop; None if it records none.
         """
-        longest = LongestDelay() if iterations is None else iterations.take_longest()
-        delay_s = max(overdue_s, longest.seconds)
-        self._longest_s = max(self._longest_s, delay_s)
+        if iterations is None:
+            longest = LongestDelay(overdue_s)
+        else:
+            longest = iterations.take_longest()
+        self._longest_s = max(self._longest_s, longest.seconds)
         self._late_count += longest.late_count
-        self.observe(delay_s)
+        self.observe(longest.seconds)
--- a/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/tests/loop_delay.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/tests/loop_delay.feature
@@ -43,6 +43,12 @@
     Then there are 5 lines of 8 late iterations and 400 ms
     And 20 intervals of 0.4 s were measured
 
+  # Guards against counting the iterations that a timer waits for as one delay.
+  Scenario: A delay is that of one iteration
+    Given the event loop of a daemon
+    When each of its next 6 iterations lasts 0.1 s while it is monitored
+    Then each measured delay is between 0.1 and 0.2 s
+
   Scenario: An event loop in time writes no lines
     Given an event loop whose longest delay is 0.1 s, in 0 late iterations of each interval
     When it is monitored for 5.1 s
--- a/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/tests/steps/loop_delay_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/tests/steps/loop_delay_steps.py
@@ -1,10 +1,12 @@
 """Steps of loop_delay.feature."""
 
 import asyncio
+import time
 
 import eliot
 from behave import given, then, when
 
+from almondfield_daemon.fleet_daemon import SuspendAwareLoop
 from almondfield_daemon.loop_delay import (
     ArrivalTracker,
     IterationTimes,
@@ -131,6 +133,34 @@
     run(context, monitor())
 
 
+@given("the event loop of a daemon")
+def step_impl(context):
+    context.daemon_loop = SuspendAwareLoop()
+    context.add_cleanup(context.daemon_loop.close)
+
+
+@when("each of its next {count:d} iterations lasts {seconds:g} s while it is monitored")
+def step_impl(context, count, seconds):
+    context.delays_s = []
+
+    async def monitor():
+        task = asyncio.ensure_future(LoopMonitor(context.delays_s.append).run())
+        for _ in range(count):
+            await asyncio.sleep(0)
+            time.sleep(seconds)
+        task.cancel()
+
+    context.daemon_loop.run_until_complete(monitor())
+
+
+@then("each measured delay is between {least:g} and {most:g} s")
+def step_impl(context, least, most):
+    assert context.delays_s
+    assert all(least <= delay_s < most for delay_s in context.delays_s), (
+        context.delays_s
+    )
+
+
 def late_lines(context):
     return [m for m in context.messages if m["message_type"] == "loop:late"]
 
