--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -171,6 +171,7 @@
     context.messages = []
     eliot.add_destinations(context.messages.append)
     context.add_cleanup(eliot.remove_destination, context.messages.append)
+    context.messages.clear()  # eliot delivers older lines to its first destination
 
     async def disconnect():
         task = asyncio.ensure_future(serve(context))
