--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
@@ -70,3 +70,8 @@
     Given messages to and from "r1" take 0.5 to 0.6 s
     When team "a" at "r1" sends 60 prompts a second for 4 s
     Then the scheduler was asked at most 10 times a second
+
+  Scenario: The scheduler reports the demand, the grants and the refusals of a team
+    Given 10 engines that do 20000 tokens of work a second
+    When team "flood" at "r1" sends 300 prompts a second for 4 s
+    Then "c1" reports "flood" with more demand than grants, and with its refusals
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
@@ -234,3 +234,18 @@
 def step_impl(context, a, share, b):
     work = context.teams.work_by_team
     assert work[a] >= share * work[b], (work, context.teams.refused_by_team)
+
+
+@then('"{host}" reports "{team}" with more demand than grants, and with its refusals')
+def step_impl(context, host, team):
+    scheduler = context.service_by_host[host]._scheduler_by_pool[POOL]
+
+    async def collect():
+        return scheduler.collect_team_loads(5)
+
+    (load,) = run(context, collect())
+    refusals = context.network.count_by_kind["engine-refusal"]
+    assert load.team == team, load
+    assert load.demand > load.granted > 0, load
+    assert load.admitted > 0, load
+    assert load.refused_full + load.refused_over_share == refusals, (load, refusals)
