--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -40,7 +40,7 @@
 BODY_MEMORY_FRACTION = 0.2  # the process uses a sixth, other buffers the rest
 # Some iterations of a busy event loop accept as many. A caller whose connection would
 # wait longer connects to another router.
-CALLER_BACKLOG = 64
+CALLER_BACKLOG = 128
 MAX_ATTEMPTS_PER_MS = 1000  # far above what one router makes
 BYTES_PER_MB = 1_000_000
 
