End the hold of a refusal after a second without a decision

What callers would see: a team that was refused once for its share was refused again for a burst a minute later, and held to a few requests a second for as long as no scheduler answered.

Change: it ends after 1 s; late admissions end it and late refusals renew it, too. The time to come back is not before the pending request's decision.

--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -30,6 +30,7 @@
 REPLY_TIME_DECAY = 0.9  # with each reply
 # A team's usage changes little in this time; engines prefill one or two prompts.
 REFUSAL_HOLD_S = 0.05
+MAX_HOLD_S = 1.0  # without a newer decision
 MAX_ASKING_S = 0.25  # after which the next request of a refused team asks again
 ANSWERING_S = 1.0  # after its last reply, the scheduler counts as answering for so long
 FAILURE_BACKOFF_S = 0.3  # a fraction of the duration of an election
@@ -151,6 +152,9 @@
         if held is None:
             return None
         age_s = now() - held.received_s
+        if age_s >= MAX_HOLD_S:
+            del self._held_refusal_by_team[(pool, team)]
+            return None
         if age_s >= REFUSAL_HOLD_S and now() >= held.asked_until_s:
             wait_s = min(MAX_ASKING_S, REPLY_TIME_MARGIN * self._reply_time_s)
             wait_s = max(REFUSAL_HOLD_S, wait_s)
@@ -158,7 +162,8 @@
             self._held_refusal_by_team[(pool, team)] = held
             return None
         refusal = held.refusal
-        retry_after_s = max(REFUSAL_HOLD_S, refusal.retry_after_s - age_s)
+        earliest_s = max(REFUSAL_HOLD_S, held.asked_until_s - now())
+        retry_after_s = max(earliest_s, refusal.retry_after_s - age_s)
         return replace(refusal, retry_after_s=retry_after_s)
 
     async def request_engine(
@@ -186,6 +191,7 @@
 
         def on_late(reply: object) -> None:
             self._record_late_reply(host, reply, sent_s)
+            self._hold_refusal(pool, request.team, reply, sent_s)
 
         try:
             answer = await self._peers.request(host, message, timeout_s, on_late)
@@ -197,27 +203,36 @@
             case Ok(EngineReply() as reply):
                 # First, as a new scheduler has this attempt and receives the others.
                 self._record_scheduler(host, reply.scheduler_start, sent_s)
-                self._drop_held_refusal(pool, request.team, sent_s)
+                self._hold_refusal(pool, request.team, reply, sent_s)
                 item = EngineInFlight(number, pool, reply.server, reply.unread_tokens)
                 self._reports.start(item)
                 return EngineAssignment(self._reports, item, reply.wait_s)
             case Ok(EngineRefusal() as refusal):
                 self._reports.remove_undecided(number)
                 self._record_scheduler(host, refusal.scheduler_start, sent_s)
-                if refusal.is_over_share:
-                    held = _HeldRefusal(refusal, now())
-                    self._held_refusal_by_team[(pool, request.team)] = held
+                self._hold_refusal(pool, request.team, refusal, sent_s)
                 return refusal
             case _:
                 self._reports.end(EngineInFlight(number, pool, "", 0))
                 self._record_failure(host, sent_s)
                 return None
 
-    def _drop_held_refusal(self, pool: str, team: str, sent_s: float) -> None:
-        """Drop a refusal that is older than the request that was admitted now."""
-        held = self._held_refusal_by_team.get((pool, team))
-        if held is not None and held.received_s <= sent_s:
-            del self._held_refusal_by_team[(pool, team)]
+    def _hold_refusal(
+        self, pool: str, team: str, decision: object, sent_s: float
+    ) -> None:
+        """Hold a refusal for a team's share; an admission ends the hold of older ones.
+
+        :param decision: reply of the scheduler.
+        :param sent_s: when it was asked, in seconds of the loop's clock.
+        """
+        match decision:
+            case EngineRefusal(is_over_share=True) as refusal:
+                held = _HeldRefusal(refusal, now())
+                self._held_refusal_by_team[(pool, team)] = held
+            case EngineReply():
+                held = self._held_refusal_by_team.get((pool, team))
+                if held is not None and held.received_s <= sent_s:
+                    del self._held_refusal_by_team[(pool, team)]
 
     def assign(self, pool: str, server: str, uncached_tokens: int) -> EngineAssignment:
         """Return an assignment that this router chose without a scheduler.
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/slow_router.feature
@@ -51,6 +51,19 @@
     Then team "a" was given at least 0.8 of the work of team "b"
     And the engines prefilled for at least 0.8 of the time
 
+  # Guards against a team that is refused for a share that it had long ago.
+  Scenario Outline: A refusal holds for a second at most without a newer decision
+    Given 10 engines that do 20000 tokens of work a second
+    When team "flood" at "r1" sends 300 prompts a second for 2 s
+    And <event>
+    And 1.2 s pass
+    Then no refusal of "flood" is held at "r1"
+
+    Examples:
+      | event                        |
+      | nothing is sent              |
+      | "c1" and "c2" are cut off    |
+
   Scenario: A request that lost its engine is not refused for an earlier refusal
     Given 10 engines that do 1000 tokens of work a second
     When team "flood" at "r1" sends 300 prompts a second for 1 s
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
@@ -195,6 +195,27 @@
     run(context, choose())
 
 
+@when("nothing is sent")
+def step_impl(context):
+    pass
+
+
+@when('"c1" and "c2" are cut off')
+def step_impl(context):
+    context.network.isolate("c1")
+    context.network.isolate("c2")
+
+
+@then('no refusal of "{team}" is held at "{host}"')
+def step_impl(context, team, host):
+    async def query():
+        # One of two requests would ask the scheduler; the refusal held for the other.
+        selector = context.teams.selector_by_host[host]
+        return [selector.held_refusal(POOL, team) for _ in range(2)]
+
+    assert run(context, query()) == [None, None]
+
+
 @then("it has a server")
 def step_impl(context):
     assert isinstance(context.selected, SelectedServer), context.selected
