Report origins again also if only later hellos were answered late

What callers would see: a stream that is taken up is refused, as its origin was lost with a connection (LOST).

Cause: a late reply to one hello cleared the mark of an earlier one that was lost.

Change: unanswered hellos are remembered by the time of their sending. A reply to a later one shows that what was sent with the earlier one is lost.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -67,7 +67,8 @@
         self._registry = ServerRegistry()
         self._last_reply_by_host: dict[str, _LastReply] = {}
         self._unresponsive_hosts: set[str] = set()
-        self._missed_hosts: set[str] = set()  # without a reply to the last hello
+        # When hellos were sent that no reply, in time or late, has come for.
+        self._unanswered_s_by_host: dict[str, set[float]] = {}
         self._last_router_count = 1
 
     @property
@@ -183,18 +184,16 @@
 
         def on_late(reply: object) -> None:
             if isinstance(reply, HelloReply):
-                if now() - sent_s < HEARTBEAT_TIMEOUT_S:
-                    # The path is slow, and nothing sent on it was lost.
-                    self._missed_hosts.discard(host)
-                self._process_reply(host, reply)
+                self._unanswered_s_by_host[host].discard(sent_s)
+                self._process_reply(host, reply, sent_s)
 
         match await self._peers.request(host, hello, HELLO_TIMEOUT_S, on_late):
             case Ok(HelloReply() as reply):
-                self._process_reply(host, reply)
+                self._process_reply(host, reply, sent_s)
             case _:
-                self._missed_hosts.add(host)
+                self._unanswered_s_by_host.setdefault(host, set()).add(sent_s)
 
-    def _process_reply(self, host: str, reply: HelloReply) -> None:
+    def _process_reply(self, host: str, reply: HelloReply, sent_s: float) -> None:
         last = self._last_reply_by_host.get(host)
         if host in self._unresponsive_hosts or last is None:
             self._unresponsive_hosts.discard(host)
@@ -203,8 +202,11 @@
         self._last_reply_by_host[host] = _LastReply(without_servers, now())
         self._last_router_count = self.router_count()
         has_restarted = last is None or last.reply.board_start != reply.board_start
-        if has_restarted or host in self._missed_hosts:
-            self._missed_hosts.discard(host)
+        # Messages arrive in order: what was sent before and isn't answered is lost.
+        unanswered_s = self._unanswered_s_by_host.get(host, set())
+        lost_s = {other_s for other_s in unanswered_s if other_s < sent_s}
+        unanswered_s -= lost_s
+        if has_restarted or lost_s:
             self._on_control_return(host)
         if reply.servers is not None:
             self._merge(reply.servers, host)
