Do not count the time that a control host was suspended as silence of servers

What callers would see: all servers gone for the whole fleet (LOST, RECOVER), after one control host was suspended for 30 s. Found in a review of the common cause.

Cause: the silence of a server begins when this host handled its last announcement, and goes on while the host handles none. "Gone" outranks later announcements.

Change: the servers are checked at intervals; a check that comes more than 2 s after the one before extends all their times by as much.

Measured: the new scenario failed before; a server that is silent for 30 s is gone still.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/registry.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/registry.py
@@ -9,6 +9,7 @@
 __all__ = ["ServerRegistry"]
 
 HEARTBEAT_TIMEOUT_S = 4.5  # announcements come about every second, some seconds late
+MAX_EXPIRY_GAP_S = 2.0
 UNRESPONSIVE_EXPIRY_S = 30.0  # outlasts network partitions of a few seconds
 GONE_RETENTION_S = 60.0  # outlasts the delay of a late announcement
 
@@ -27,6 +28,7 @@
         self.version = 0
         self._server_by_name: dict[str, FleetServer] = {}
         self._last_seen_s_by_name: dict[str, float] = {}
+        self._expired_s: float | None = None
 
     def servers(self) -> tuple[FleetServer, ...]:
         """Return all servers, including those that left recently."""
@@ -78,7 +80,16 @@
         )
 
     def expire(self) -> tuple[FleetServer, ...]:
-        """Mark long unresponsive servers as gone and return them; drop old entries."""
+        """Mark long unresponsive servers as gone and return them; drop old entries.
+
+        It is called at intervals. A host that calls it late was suspended or busy, and
+        has not handled the announcements that arrived meanwhile.
+        """
+        gap_s = 0.0 if self._expired_s is None else now() - self._expired_s
+        self._expired_s = now()
+        if gap_s > MAX_EXPIRY_GAP_S:
+            for name in self._last_seen_s_by_name:
+                self._last_seen_s_by_name[name] += gap_s
         expired = []
         for name, last_seen_s in list(self._last_seen_s_by_name.items()):
             server = self._server_by_name[name]
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/fleet.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/fleet.feature
@@ -78,6 +78,30 @@
     When 31.0 s pass
     Then neither "r1" nor "r2" uses "s"
 
+  # Guards against a host that was suspended, and marks all servers as gone for the fleet.
+  Scenario: A host that checks its servers late does not mark them as gone
+    Given a host that has heard of a server and checks every 0.5 s for 5 s
+    When 40 s pass without a check
+    Then the next check finds no server gone
+    When it checks every 0.5 s for 31 s
+    Then the next check finds the server gone
+
+  # Guards against origins of streams that are lost with a connection, and not sent again.
+  Scenario Outline: A lost hello is noticed also if the next reply is late
+    Given "r1" and "r2" are ready
+    And 2.5 s pass
+    When "c1" is partitioned from "r1" and "r2"
+    And <outage> s pass
+    And the partition heals
+    And messages to and from "c1" take 0.55 to 0.58 s
+    And 2.0 s pass
+    Then "c1" returned to "r1" <times>
+
+    Examples:
+      | outage | times |
+      | 0.0    | never |
+      | 1.2    | once  |
+
   Scenario: A server without announcements for 7 s is unresponsive
     Given "s" announces itself at "c1" with sequence 1
     When 7.0 s pass
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/steps/fleet_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/steps/fleet_steps.py
@@ -14,11 +14,13 @@
     ServerPhase,
 )
 from almondfield_daemon.fleet.messages import RouterHello
+from almondfield_daemon.fleet.registry import ServerRegistry
 from almondfield_testing import InMemoryNetwork, run
 
 CONTROL_HOSTS = ("c1", "c2", "c3")
 POOL = "pool"
 HEARTBEAT_S = 1.2
+CHECK_INTERVAL_S = 0.5
 
 
 def server(name, sequence, **changes):
@@ -37,7 +39,8 @@
 async def start_router(context, host):
     hello = RouterHello("east", "region", f"{host}:80", RouterState.STARTING)
     peers = context.network.peers(host)
-    view = FleetView(peers, hello, CONTROL_HOSTS[:1], lambda: None)
+    returned = context.returned_by_host[host] = []
+    view = FleetView(peers, hello, CONTROL_HOSTS[:1], lambda: None, returned.append)
     context.view_by_host[host] = view
     context.task_by_host[host] = asyncio.ensure_future(view.run())
 
@@ -72,6 +75,7 @@
     context.network = InMemoryNetwork()
     context.control_by_host = {}
     context.view_by_host = {}
+    context.returned_by_host = {}
     context.task_by_host = {}
 
     async def start():
@@ -123,6 +127,7 @@
 
 
 @given('"{host}" is partitioned from "{a}" and "{b}"')
+@when('"{host}" is partitioned from "{a}" and "{b}"')
 def step_impl(context, host, a, b):
     partition(context, host, (a, b))
 
@@ -233,3 +238,52 @@
 
     heard = run(context, query())
     assert len(heard) == count, heard
+
+
+async def check_servers(context, seconds):
+    """Check the servers at intervals; return those found gone."""
+    gone = ()
+    for _ in range(round(seconds / CHECK_INTERVAL_S)):
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        gone += context.registry.expire()
+    return gone
+
+
+@given("a host that has heard of a server and checks every 0.5 s for {seconds:g} s")
+def step_impl(context, seconds):
+    async def main():
+        context.registry = ServerRegistry()
+        context.registry.merge((server("s", 1),))
+        return await check_servers(context, seconds)
+
+    assert run(context, main()) == ()
+
+
+@when("{seconds:g} s pass without a check")
+def step_impl(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@when("it checks every 0.5 s for {seconds:g} s")
+def step_impl(context, seconds):
+    context.gone = run(context, check_servers(context, seconds))
+
+
+@then("the next check finds no server gone")
+def step_impl(context):
+    async def check():
+        return context.registry.expire()
+
+    assert run(context, check()) == ()
+
+
+@then("the next check finds the server gone")
+def step_impl(context):
+    assert [item.name for item in context.gone] == ["s"], context.gone
+
+
+@then('"{control}" returned to "{host}" {times}')
+def step_impl(context, control, host, times):
+    # The first reply of a control host counts, too.
+    returned = context.returned_by_host[host].count(control) - 1
+    assert returned == {"never": 0, "once": 1}[times], returned
