End a refused request and an abandoned one in one answer at most

What callers would see: bytes that are no answer after a refusal (MIXED), a connection that is closed in use, a request served behind a refusal that closes the connection. What operators saw: an error line for each caller that left.

Cause: bytes after a refusal that ends its connection went on to the parser's base class, each pipelined refusal left a keep-alive timer, and an application that returned after its caller had left was taken for one that gave no answer.

Change: such bytes are discarded, a request ends the timer of the one before, and the base class is told of the disconnect. An end that the router finds by asking the kernel doesn't cancel the task that asked.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/connection.py
@@ -19,7 +19,8 @@
 
     :param transport: transport of the connection.
 
-    :ivar on_close: called once the protocol sees the end of the connection.
+    :ivar on_close: called once the protocol sees the end of the connection, but not for
+        an end that :meth:`is_closed` finds.
     """
 
     def __init__(self, transport: asyncio.Transport) -> None:
@@ -35,8 +36,7 @@
 
     def is_closed(self) -> bool:
         """Return whether the caller has closed, by what the kernel has received."""
-        if not self._is_closed and self._is_end_readable():
-            self.close()
+        self._is_closed = self._is_closed or self._is_end_readable()
         return self._is_closed
 
     def _is_end_readable(self) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -40,6 +40,7 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._refusal: HeadRefusal | None = None
         self._refused_bytes = 0
+        self._is_discarding = False
         self._arrivals = ArrivalTracker(
             getattr(self.loop, "iterations", None), self.accepts
         )
@@ -56,17 +57,24 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._stop_head_timer()
-        self._connection.close()
+        self._close_connection()
         super().connection_lost(exc)
 
-    def eof_received(self) -> None:
+    def _close_connection(self) -> None:
+        if self.cycle is not None and not self.cycle.response_complete:
+            # The application may return without an answer from now on.
+            self.cycle.disconnected = True
         self._connection.close()
+
+    def eof_received(self) -> None:
+        self._close_connection()
         super().eof_received()
 
     def on_message_begin(self) -> None:
         self._in_head = True
         self._head_bytes = 0
         self._start_head_timer()
+        self._unset_keepalive_if_required()
         super().on_message_begin()
         self.scope["state"] |= {
             ARRIVAL_KEY: self._arrivals.next_arrival(),
@@ -75,6 +83,8 @@
 
     def on_headers_complete(self) -> None:
         self._in_head = False
+        if self._is_discarding:
+            return
         self._refused_bytes = 0
         self._refusal = self._check_head()
         if self._refusal is not None:
@@ -84,6 +94,8 @@
         super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
+        if self._is_discarding:
+            return
         if self._refusal is None:
             super().on_body(body)
             return
@@ -92,6 +104,8 @@
             self._send_refusal(closes_connection=True)
 
     def on_message_complete(self) -> None:
+        if self._is_discarding:
+            return
         if self._refusal is None:
             super().on_message_complete()
             return
@@ -122,6 +136,8 @@
             return
         self.transport.write(answer)
         if closes_connection:
+            # What follows in the same read belongs to no request any more.
+            self._is_discarding = True
             self.transport.close()
             return
         self.timeout_keep_alive_task = self.loop.call_later(
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/serving_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/serving_steps.py
@@ -2,19 +2,34 @@
 
 import asyncio
 import json
+import logging
+import re
 import resource
 import socket
 import time
+from contextlib import suppress
 
 from behave import given, then, when
 from starlette.responses import PlainTextResponse
 
-from almondfield_daemon.serving import HttpListener, ListenError, bind
+from almondfield_daemon.edge.bodies import CallerDisconnectedError
+from almondfield_daemon.edge.watch import CallerWatch
+from almondfield_daemon.serving import (
+    HeadRefusal,
+    HttpListener,
+    ListenError,
+    bind,
+    connection_of,
+)
 
 LOCALHOST = "127.0.0.1"
 LONG = "y" * 4096
 TICK_S = 0.01
 ANSWER_TIMEOUT_S = 30.0
+MAX_REFUSED_BYTES = 10
+LONG_S = 1000.0
+ROUNDS = 20
+PAUSE_S = 0.005
 
 
 def listen(context, max_header_bytes, work_s):
@@ -124,3 +139,135 @@
 @then("a timer never waited for more than {seconds:g} s of processor time")
 def step_impl(context, seconds):
     assert max(context.gaps_s) <= seconds, context.gaps_s
+
+
+class PathGate:
+    """A gate that refuses paths below /no/."""
+
+    def check(self, head):
+        if not head.path.startswith(b"/no/"):
+            return None
+        closes = head.query == b"close"
+        lines = b"content-length: 0\r\n" + b"connection: close\r\n" * closes
+        answer = b"HTTP/1.1 503 Service Unavailable\r\n%b\r\n" % lines
+        return HeadRefusal(answer, closes, MAX_REFUSED_BYTES)
+
+
+def post(path, body, framing="length"):
+    """Return the bytes of one request."""
+    head = f"POST {path} HTTP/1.1\r\nhost: a\r\n"
+    if framing == "chunks":
+        return f"{head}transfer-encoding: chunked\r\n\r\n".encode() + (
+            b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+        )
+    return f"{head}content-length: {len(body)}\r\n\r\n".encode() + body
+
+
+REQUEST_BY_NAME = {
+    "accepted": post("/", b""),
+    "accepted and slow": post("/slow", b""),
+    "refused": post("/no/", b""),
+    "refused to close": post("/no/?close", b""),
+    "refused with 5 bytes": post("/no/", b"12345"),
+    "refused with 5 in chunks": post("/no/", b"12345", "chunks"),
+    "refused with 50 bytes": post("/no/", b"1" * 50),
+    "refused with 50": post("/no/", b"1" * 50),
+}
+
+
+@given("a listener whose gate refuses paths below /no/, and bodies of at most 10 bytes")
+def step_impl(context):
+    context.received = 0
+    context.lines = []
+    handler = logging.Handler()
+    handler.setLevel(logging.WARNING)
+    handler.emit = lambda record: context.lines.append(record.getMessage())
+    logger = logging.getLogger("uvicorn.error")
+    logger.addHandler(handler)
+    context.add_cleanup(logger.removeHandler, handler)
+
+    async def app(scope, receive, send):
+        context.received += 1
+        if scope["path"] == "/slow":
+            await receive()
+            async with CallerWatch(receive, connection_of(scope)):
+                await asyncio.sleep(LONG_S)
+        await PlainTextResponse("hello")(scope, receive, send)
+
+    async def guarded(scope, receive, send):
+        with suppress(CallerDisconnectedError):
+            await app(scope, receive, send)
+
+    listener = bind(LOCALHOST, 0)
+    context.port = listener.getsockname()[1]
+    context.listener = HttpListener(guarded, listener, 1024, PathGate())
+    context.loop.run_until_complete(context.listener.start())
+    context.add_cleanup(
+        lambda: context.loop.run_until_complete(context.listener.stop())
+    )
+
+
+async def exchange(context, data, half_closes=False):
+    """Send bytes at once; record what comes until a pause."""
+    reader, writer = await asyncio.open_connection(LOCALHOST, context.port)
+    context.add_cleanup(writer.close)
+    writer.write(data)
+    if half_closes:
+        writer.write_eof()
+    context.answers, context.is_closed = b"", False
+    for _ in range(ROUNDS):
+        # Real sockets need real time, which the paused loop would jump over.
+        time.sleep(PAUSE_S)
+        await asyncio.sleep(0)
+        while reader._buffer:
+            context.answers += await reader.read(65536)
+        context.is_closed = reader.at_eof()
+
+
+@when('a client sends "{names}" at once')
+def step_impl(context, names):
+    data = b"".join(REQUEST_BY_NAME[name] for name in names.split(", "))
+    context.loop.run_until_complete(exchange(context, data))
+
+
+@when('a client sends "{name}" and closes its side of the connection')
+def step_impl(context, name):
+    context.loop.run_until_complete(exchange(context, REQUEST_BY_NAME[name], True))
+
+
+@then("it gets answers with {statuses} and nothing else")
+def step_impl(context, statuses):
+    found = []
+    rest = context.answers
+    while rest:
+        head, _, rest = rest.partition(b"\r\n\r\n")
+        status = head.split()[1]
+        length = int(re.search(rb"content-length: (\d+)", head)[1])
+        found.append(status.decode())
+        rest = rest[length:]
+    assert found == statuses.split(), context.answers
+
+
+@then("its connection is {state}")
+def step_impl(context, state):
+    assert context.is_closed == (state == "closed"), context.answers
+
+
+@then("it gets no answer")
+def step_impl(context):
+    assert context.answers == b"", context.answers
+
+
+@then("no library complains")
+def step_impl(context):
+    assert not context.lines, context.lines
+
+
+@then("the listener has at most {count:d} timer of the connection")
+def step_impl(context, count):
+    timers = [
+        handle
+        for handle in context.loop._scheduled
+        if not handle.cancelled() and "HttpToolsProtocol" in repr(handle)
+    ]
+    assert len(timers) <= count, timers
