Make the headers of a request when its connection is there

What servers saw: a deadline that ends after the caller's (BUDGET), and requests of callers that left while the connection was made (GONE). Found in a review.

Cause: what is left of the deadline was computed before connecting, which may take 0.5 s and, in a late loop, four iterations more. The look at the caller came before it, too.

Change: headers are made, and the caller is looked at, right before sending.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -140,6 +140,8 @@
                 case Err(failure):
                     return Err(failure)
         try:
+            if call.prepare_headers is not None:
+                call = replace(call, headers=call.prepare_headers())
             failure = await self._exchange(connection, call)
         except BaseException:
             connection.close()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
@@ -1,6 +1,7 @@
 """Sends a request to one backend server and returns the outcome."""
 
 import asyncio
+from collections.abc import Callable
 
 from result import Err, Ok
 
@@ -27,6 +28,7 @@
     BackendAnswer,
     BackendCall,
     Backends,
+    Header,
 )
 
 __all__ = ["AttemptSender"]
@@ -57,6 +59,7 @@
         last_event_id: str,
         answer_timeout_s: float,
         chunk_timeout_s: float,
+        check_caller: Callable[[], None] = lambda: None,
     ) -> Attempt:
         """Return the outcome of one attempt, once the head of the answer has arrived.
 
@@ -65,9 +68,11 @@
         :param last_event_id: last event that the caller received; empty for none.
         :param answer_timeout_s: timeout for the head of the answer, in seconds.
         :param chunk_timeout_s: timeout for each further part of the answer, in seconds.
+        :param check_caller: called right before the request is sent; raises an error if
+            the caller has left.
         """
         timeouts = self._timeouts(request, answer_timeout_s, chunk_timeout_s)
-        call = self._call(request, server, last_event_id, timeouts)
+        call = self._call(request, server, last_event_id, timeouts, check_caller)
         match await self._backends.send(call):
             case Err(failure) if not failure.may_have_run:
                 return Unsent(failure.reason, failure.timed_out)
@@ -84,20 +89,29 @@
         server: FleetServer,
         last_event_id: str,
         timeouts: Timeouts,
+        check_caller: Callable[[], None],
     ) -> BackendCall:
-        remaining_s = max(0.0, request.until_s - now())
-        metadata = CallMetadata(server.name, remaining_s, request.team, last_event_id)
         headers = tuple(
             header
             for header in end_to_end(request.headers)
             if header[0] not in (b"host", b"content-length", b"expect")
         )
+
+        def prepare_headers() -> tuple[Header, ...]:
+            check_caller()
+            remaining_s = max(0.0, request.until_s - now())
+            metadata = CallMetadata(
+                server.name, remaining_s, request.team, last_event_id
+            )
+            return self._codec.call_headers(headers, metadata)
+
         value_by_name = dict(request.headers)
         return BackendCall(
             address=server.address,
             method=request.method,
             target=request.target,
-            headers=self._codec.call_headers(headers, metadata),
+            headers=(),
+            prepare_headers=prepare_headers,
             body=request.body,
             timeouts=timeouts,
             pooled=_may_share_connection(request),
@@ -110,7 +124,7 @@
         self, request: ForwardRequest, answer_timeout_s: float, chunk_timeout_s: float
     ) -> Timeouts:
         remaining_s = max(0.0, request.until_s - now())
-        delay_s = self._host_delay.seconds()
+        delay_s = self._host_delay.allowance_s()
         return Timeouts(
             connect_s=min(CONNECT_TIMEOUT_S + delay_s, remaining_s),
             first_byte_s=min(answer_timeout_s + delay_s, remaining_s),
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -210,9 +210,10 @@
         """Close the connection after the answer."""
         self._closes_connection = True
 
-    def is_closed(self) -> bool:
-        """Return whether the caller has closed its connection."""
-        return self.connection is not None and self.connection.is_closed()
+    def check_caller(self) -> None:
+        """Raise an error if the caller has closed its connection."""
+        if self.connection is not None and self.connection.is_closed():
+            raise CallerDisconnectedError("the caller closed its connection")
 
     async def start(self, status: int, headers: tuple[Header, ...]) -> None:
         """Send status and headers."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/ports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/ports.py
@@ -52,8 +52,11 @@
 class ResponseSink(Protocol):
     """Sends the answer to one caller."""
 
-    def is_closed(self) -> bool:
-        """Return whether the caller has closed its connection."""
+    def check_caller(self) -> None:
+        """Return if the caller still waits.
+
+        :raises CallerDisconnectedError: if it has closed its connection.
+        """
 
     async def start(self, status: int, headers: tuple[Header, ...]) -> None:
         """Send status and headers.
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -7,7 +7,6 @@
 from almondfield_core.findings import AlmondfieldError
 from almondfield_core.messages import ServerFailure
 from almondfield_core.routing import RequestKind
-from almondfield_daemon.edge.bodies import CallerDisconnectedError
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding.answers import read_body, stream_headers
 from almondfield_daemon.forwarding.attempt_log import log_attempt
@@ -264,9 +263,6 @@
                         return problem
 
     async def _attempt(self, selected: SelectedServer) -> Attempt:
-        if self._sink.is_closed():
-            selected.end()
-            raise CallerDisconnectedError("the caller closed its connection")
         may_have_run = self.may_have_run
         if self.first_attempt_s is None:
             self.first_attempt_s = now() - self._request.arrived_s
@@ -279,6 +275,7 @@
                 self._last_event_id,
                 self._answer_timeout_s(selected),
                 self._chunk_timeout_s(),
+                self._sink.check_caller,
             )
         except BaseException:
             selected.end()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -1,11 +1,12 @@
 """Fake backend servers, header codec and caller in memory."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from result import Err, Ok
 
 from almondfield_core.messages import ServerFailure
+from almondfield_daemon.edge.bodies import CallerDisconnectedError
 from almondfield_daemon.forwarding import AnswerMetadata, RequestMetadata
 from almondfield_daemon.router.calls import AnswerCutError, CallFailure, Framing
 from almondfield_daemon.scheduling import EngineAssignment
@@ -154,10 +155,13 @@
     def __init__(self, servers):
         self.server_by_address = {f"{server.name}:1": server for server in servers}
         self.request_id = "r"
+        self.connect_s = 0.0
 
     async def send(self, call):
         """Pass a call to its server."""
         server = self.server_by_address[call.address]
+        await asyncio.sleep(self.connect_s)
+        call = replace(call, headers=call.prepare_headers())
         return await server.answer(call, self.request_id)
 
 
@@ -170,9 +174,10 @@
         self.is_complete = False
         self.has_left = False
 
-    def is_closed(self):
-        """Return whether the caller has left."""
-        return self.has_left
+    def check_caller(self):
+        """Raise an error if the caller has left."""
+        if self.has_left:
+            raise CallerDisconnectedError("left")
 
     async def start(self, status, headers):
         """Record the status."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
@@ -93,6 +93,20 @@
     When a request with a deadline of 1.5 s is served
     Then the second server gets a shorter deadline than the first
 
+  # Guards against servers that get more time than callers have left.
+  Scenario: A server is told what is left once its connection is there
+    Given a "idempotent" route with 1 attempts and 1 servers
+    And connections take 0.4 s
+    When a request with a deadline of 1.5 s is served
+    Then the server is told that at most 1.1 s are left
+
+  # Guards against requests that are sent on although their callers left meanwhile.
+  Scenario: Nothing is sent for a caller that leaves while its server is connected
+    Given a "idempotent" route with 1 attempts and 1 servers
+    And connections take 0.4 s
+    When a caller leaves unnoticed 0.2 s after its request
+    Then 0 servers received it
+
   Scenario: The route's timeout ends a request
     Given a "non-idempotent" route with 1 attempts and 1 servers
     And every server never answers
@@ -135,6 +149,15 @@
       | 3     | 0.5   | refuses the connection | avoided     |
       | 2     | 0.5   | never answers          | avoided     |
 
+  # Guards against a dead server that gets requests as long as the host is late.
+  Scenario: A late host avoids a server that is silent twice in a row
+    Given a "idempotent" route with 2 attempts and 1 servers
+    And the replies of 3 other hosts take 0.5 s
+    And the first server never answers
+    When a request is served
+    And a request is served
+    Then the first server is avoided
+
   # Guards against a late host that gives up answers which are on their way.
   Scenario Outline: A host that is late itself waits longer for an answer
     Given a "idempotent" route with 2 attempts and 3 servers
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/requests.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/requests.py
@@ -30,13 +30,12 @@
     )
 
 
-async def serve(
-    context, deadline_s=TIMEOUT_S, last_event_id="", prompt=None, first_request_id=""
+def make_request(
+    context, deadline_s, last_event_id="", prompt=None, first_request_id=""
 ):
-    """Serve one request; return its problem, sink, error and duration in seconds."""
-    sink = FakeSink()
+    """Return a request that arrives now."""
     began_s = now()
-    request = ForwardRequest(
+    return ForwardRequest(
         method="POST",
         target=b"/",
         headers=(),
@@ -54,6 +53,15 @@
         arrived_s=began_s,
         until_s=began_s + min(TIMEOUT_S, deadline_s),
     )
+
+
+async def serve(
+    context, deadline_s=TIMEOUT_S, last_event_id="", prompt=None, first_request_id=""
+):
+    """Serve one request; return its problem, sink, error and duration in seconds."""
+    sink = FakeSink()
+    began_s = now()
+    request = make_request(context, deadline_s, last_event_id, prompt, first_request_id)
     problem, error = None, None
     try:
         problem = await context.forwarder.serve(request, sink)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -31,12 +31,14 @@
     FakeEngines,
     FakeOrigins,
     FakeServer,
+    FakeSink,
     FakeView,
 )
 from almondfield_daemon.forwarding.tests.requests import (
     SHARE,
     SLACK,
     WINDOW_S,
+    make_request,
     route,
     serve,
 )
@@ -80,8 +82,8 @@
             context.engines,
             context.host_delay,
         )
-        backends = FakeBackends(context.servers)
-        attempts = AttemptSender(backends, FakeCodec(), context.host_delay)
+        context.backends = FakeBackends(context.servers)
+        attempts = AttemptSender(context.backends, FakeCodec(), context.host_delay)
         context.forwarder = Forwarder(
             attempts,
             selector,
@@ -125,6 +127,31 @@
     assert run(context, query()) == (state == "avoided")
 
 
+@given("connections take {seconds:g} s")
+def step_impl(context, seconds):
+    context.backends.connect_s = seconds
+
+
+@when("a caller leaves unnoticed {seconds:g} s after its request")
+def step_impl(context, seconds):
+    async def leave():
+        sink = FakeSink()
+        served = asyncio.ensure_future(
+            context.forwarder.serve(make_request(context, 1.5), sink)
+        )
+        await asyncio.sleep(seconds)
+        sink.has_left = True
+        await asyncio.gather(served, return_exceptions=True)
+
+    run(context, leave())
+
+
+@then("the server is told that at most {seconds:g} s are left")
+def step_impl(context, seconds):
+    (call,) = context.servers[0].received
+    assert 0 < call.remaining_s <= seconds + 0.001, call
+
+
 @given("{count:d} routers share the budget")
 def step_impl(context, count):
     context.routers = count
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
@@ -1,6 +1,6 @@
 """The interface through which the router calls backend servers, and its data."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
@@ -66,6 +66,8 @@
     :ivar may_end_by_close: whether an answer without a length is complete when the
         server closes the connection.
     :ivar expects_events: whether a success without a content type is an event stream.
+    :ivar prepare_headers: returns the headers when the connection is there, instead of
+        ``headers``; it may raise an error, and then nothing is sent. None to use them.
     """
 
     address: str
@@ -78,6 +80,7 @@
     authority: bytes = b""
     may_end_by_close: bool = False
     expects_events: bool = False
+    prepare_headers: Callable[[], tuple[Header, ...]] | None = None
 
 
 @dataclass(frozen=True)
