Bound what a late host grants its servers

What callers would see: requests sent to a dead server again and again while the router is late, and waits beyond the time after which they leave.

Cause: the delay was left out twice, from the timeout and from the judgement, without a bound; with fewer than three other hosts it was unknown.

Change: one timeout in a row is ignored, timeouts are longer by 0.5 s at most, and the delay of the event loop counts for a second whatever the other hosts are.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -56,7 +56,8 @@
         self._settings_path = settings_path
         self._listeners: list[HttpListener] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self._loop_monitor = LoopMonitor()
+        self._loop_monitor = LoopMonitor(self._observe_loop_delay)
+        self._loop_metrics: LoopMetrics | None = None
 
     def leader_client(self, hosts: Callable[[], tuple[str, ...]]) -> LeaderClient:
         """Return a client that finds the leader of the control group.
@@ -92,10 +93,15 @@
         :param metrics: the metrics.
         """
         if self.settings.metrics_port:
-            self._loop_monitor.observe = LoopMetrics(metrics.registry).observe
+            self._loop_metrics = LoopMetrics(metrics.registry)
             address = f"{self.settings.address}:{self.settings.metrics_port}"
             self.serve(build_metrics_app(metrics), address)
 
+    def _observe_loop_delay(self, delay_s: float) -> None:
+        self.host_delay.record_loop_delay(delay_s)
+        if self._loop_metrics is not None:
+            self._loop_metrics.observe(delay_s)
+
     def background_coroutines(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return the coroutines that run until shutdown, besides the peer messaging."""
         raise NotImplementedError
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -92,10 +92,12 @@
         """Record that the server gave no answer of its own.
 
         :param reason: description of the failure.
-        :param timed_out: whether it did not answer within a timeout, which shows
-            nothing while this host itself is late.
+        :param timed_out: whether it did not answer within a timeout. While this host
+            itself is late, one timeout in a row shows nothing.
         """
-        if timed_out and self._host_delay.is_late:
+        record = self._placement.record(self.server.name)
+        if timed_out and self._host_delay.is_late and not record.timeouts:
+            record.timeouts += 1
             eliot.log_message(
                 "server:timeout-ignored",
                 server=self.server.name,
@@ -103,7 +105,6 @@
                 host_delay_ms=round(self._host_delay.seconds() * 1000, 1),
             )
             return
-        record = self._placement.record(self.server.name)
         was_avoided = record.is_avoided
         record.record_failure()
         if not was_avoided:
--- a/packages/almondfield-daemon/src/almondfield_daemon/host_delay/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/host_delay/core.py
@@ -9,6 +9,8 @@
 RECENT_S = 5.0  # several intervals between requests to the same host
 MIN_HOSTS = 3  # with fewer, a slow host can't be told from a slow link of this one
 LATE_S = 0.25  # many round trips between data centres
+MAX_ALLOWANCE_S = 0.5  # callers abandon answers and streams that pause for much longer
+LOOP_DELAY_S = 1.0  # for how long a delay of the event loop counts
 
 
 class HostDelay:
@@ -21,6 +23,8 @@
     def __init__(self) -> None:
         # When the last reply of each host came, and how long it took, in seconds.
         self._last_reply_by_host: dict[str, tuple[float, float]] = {}
+        self._loop_delay_s = 0.0
+        self._loop_delayed_until_s = float("-inf")
 
     def record_reply(self, host: str, reply_time_s: float) -> None:
         """Record a reply, in time or late.
@@ -30,15 +34,36 @@
         """
         self._last_reply_by_host[host] = (now(), reply_time_s)
 
+    def record_loop_delay(self, delay_s: float) -> None:
+        """Record the longest delay of the event loop in a short interval.
+
+        :param delay_s: the delay in seconds.
+        """
+        if delay_s >= self._loop_delay_s or now() >= self._loop_delayed_until_s:
+            self._loop_delay_s = delay_s
+            self._loop_delayed_until_s = now() + LOOP_DELAY_S
+
+    def allowance_s(self) -> float:
+        """Return by how much longer to wait for servers, in seconds."""
+        return min(self.seconds(), MAX_ALLOWANCE_S)
+
     def seconds(self) -> float:
-        """Return the estimate in seconds; 0 if too few hosts replied recently."""
+        """Return the estimate in seconds.
+
+        If too few hosts replied recently, only the event loop's delay is known.
+        """
         cutoff_s = now() - RECENT_S
         recent = [
             reply_time_s
             for received_s, reply_time_s in self._last_reply_by_host.values()
             if received_s > cutoff_s
         ]
-        return statistics.median_low(recent) if len(recent) >= MIN_HOSTS else 0.0
+        loop_delay_s = (
+            0.0 if now() >= self._loop_delayed_until_s else self._loop_delay_s
+        )
+        if len(recent) < MIN_HOSTS:
+            return loop_delay_s
+        return max(loop_delay_s, statistics.median_low(recent))
 
     @property
     def is_late(self) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/host_delay/tests/host_delay.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/host_delay/tests/host_delay.feature
@@ -24,3 +24,16 @@
     When the replies take 0.6 0.7 0.8 s
     And 6.0 s pass
     Then the delay is 0 s, and the host is in time
+
+  # Guards against a host with few others that takes its own delay for theirs.
+  Scenario: The delay of the event loop counts for a second
+    Given replies that take 0.003 s
+    When the event loop is late by 0.4 s
+    Then the delay is 0.4 s, and the host is late
+    When 1.5 s pass
+    Then the delay is 0 s, and the host is in time
+
+  # Guards against waits that last longer than callers wait for an answer.
+  Scenario: Timeouts are longer by half a second at most
+    Given replies that take 2.0 2.0 2.0 s
+    Then timeouts are longer by 0.5 s
--- a/packages/almondfield-daemon/src/almondfield_daemon/host_delay/tests/steps/host_delay_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/host_delay/tests/steps/host_delay_steps.py
@@ -40,3 +40,19 @@
         return context.host_delay.seconds(), context.host_delay.is_late
 
     assert run(context, query()) == (seconds, state == "late")
+
+
+@when("the event loop is late by {seconds:g} s")
+def step_impl(context, seconds):
+    async def main():
+        context.host_delay.record_loop_delay(seconds)
+
+    run(context, main())
+
+
+@then("timeouts are longer by {seconds:g} s")
+def step_impl(context, seconds):
+    async def query():
+        return context.host_delay.allowance_s()
+
+    assert run(context, query()) == seconds
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/server_record.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/server_record.py
@@ -15,12 +15,14 @@
     :ivar in_flight: requests of this router that are in flight at the server.
     :ivar uncached_tokens: uncached prompt tokens of those whose answer has not begun.
     :ivar failures: number of failures since the last success.
+    :ivar timeouts: number of timeouts since then that were not counted as failures.
     """
 
     def __init__(self) -> None:
         self.in_flight = 0
         self.uncached_tokens = 0
         self.failures = 0
+        self.timeouts = 0
         self._backoff_until_s = float("-inf")
         self._running = 0
         self._waiting = 0
@@ -58,6 +60,7 @@
     def record_success(self) -> None:
         """Record a complete answer, which ends the back-off."""
         self.failures = 0
+        self.timeouts = 0
         self._backoff_until_s = float("-inf")
 
     def record_failure(self) -> None:
