Truncate a torn write that ends inside the mark of a frame

Cause: a power loss may leave zeros behind the first bytes of the last write. Where they begin at the fourth byte, the mark of the frame reads as another version of the format, and the voter refuses its folder: it is missing beside the disks that were lost.

Change: only a digit after the prefix names another version; anything else is a torn write, which is cut.

Result: the new scenario loses the end or the start of a write at every length.

--- a/packages/almondfield-control/src/almondfield_control/storage/records.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/records.py
@@ -69,11 +69,10 @@
 def _check_version(name: str, data: bytes, offset: int) -> None:
     # Treated as a torn tail, it would be truncated and the voter's votes lost.
     magic = data[offset : offset + len(_MAGIC)]
-    if (
-        magic == _MAGIC
-        or len(magic) < len(_MAGIC)
-        or not magic.startswith(_MAGIC_PREFIX)
-    ):
+    has_prefix = magic.startswith(_MAGIC_PREFIX)
+    # In a torn write, zeros may follow the prefix.
+    has_version = has_prefix and magic.removeprefix(_MAGIC_PREFIX).isdigit()
+    if magic == _MAGIC or not has_version:
         return
     finding = Finding(
         place=f"{name}: offset {offset}",
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/storage_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/storage_steps.py
@@ -51,6 +51,26 @@
         assert disk.file_by_name[name] == before
 
 
+@when(
+    "the host loses power in the next write, and its end or start is zero, "
+    "at every length"
+)
+@in_loop
+async def step_impl(context):
+    (name,) = context.disk.file_by_name
+    before = context.disk.file_by_name[name]
+    await context.journal.write(entries=LATER_ENTRIES)
+    frame = context.disk.file_by_name[name].removeprefix(before)
+    context.recovered = []
+    for length in range(1, len(frame)):
+        zeros = bytes(length)
+        for torn in (frame[:-length] + zeros, zeros + frame[length:]):
+            disk = FakeDisk(random.Random(1))
+            disk.file_by_name = {name: before + torn}
+            context.recovered.append(await Journal(disk).recover())
+            assert disk.file_by_name[name] == before
+
+
 @then("each recovery returns the 3 entries")
 @then("the recovery returns the 3 entries")
 @in_loop
--- a/packages/almondfield-control/src/almondfield_control/tests/storage.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/storage.feature
@@ -5,6 +5,12 @@
     When the host crashes in the middle of the next write, at every length
     Then each recovery returns the 3 entries
 
+  # Guards against LOST: a voter refuses its folder after a power loss in a write.
+  Scenario: a last write of which the end or the start is missing is truncated
+    Given a journal with 3 synced entries on a disk
+    When the host loses power in the next write, and its end or start is zero, at every length
+    Then each recovery returns the 3 entries
+
   Scenario: a flipped byte before intact records is reported with its offset
     Given a journal with 3 synced entries on a disk
     When a byte in the middle of the file is flipped
