Let a learner grant votes, as its promotion may be committed without it

After a loss of power on all hosts, two of them with their disks, no leader comes back, and no configuration is read or served.

Cause: a learner whose promotion the others have committed may not hold that entry when the power fails. A candidate lists it as a voter and needs its vote, but it refused, since its own log lists it as a learner. With 5 voters, of which 2 lost their disks, 3 votes are needed and 2 were given. The class of fault: a member decides by its own, older view of the membership what the requester's newer view asks of it.

Change: a learner grants votes like a voter. Candidates request votes only from the voters of their own log, the term and the vote are synced before the reply, and a candidate whose log is behind gets none, so that a removed or an emptied member gives no vote that counts.

--- a/packages/almondfield-control/src/almondfield_control/consensus/election.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/election.py
@@ -140,8 +140,7 @@
         replica = self._replica
         if not replica.is_recipient(request.cluster_id, request.to_voter):
             return None
-        if not replica.is_voter:
-            return VoteReply(replica.hard_state.term, False)
+        # Its own log may not hold its promotion yet, which the others have committed.
         if replica.has_recent_leader() and not request.hand_over:
             return VoteReply(replica.hard_state.term, False)
         if request.pre_vote:
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing_fleet.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing_fleet.py
@@ -22,9 +22,9 @@
 class PublishingFleet:
     """Hosts c1, c2, ... of which the first few are seeds, and routers r1, r2, ..."""
 
-    def __init__(self, hosts, seeds, may_form=True, lost_disks=1):
-        self.rng = random.Random(1)
-        self.network = InMemoryNetwork()
+    def __init__(self, hosts, seeds, may_form=True, lost_disks=1, seed=1):
+        self.rng = random.Random(seed)
+        self.network = InMemoryNetwork(seed)
         self.hosts = [f"c{number + 1}" for number in range(hosts)]
         self.seeds = tuple(self.hosts[:seeds])
         self.policy = GroupPolicy(may_form, True, 2 * lost_disks + 1)
@@ -38,7 +38,7 @@
 
     def start(self, host, may_form=None):
         """Start a control host."""
-        disk = self.disk_by_host.setdefault(host, FakeDisk(self.rng))
+        disk = self.open_disk(host)
         peers = self.network.peers(host)
         policy = self.policy
         if may_form is not None:
@@ -54,13 +54,26 @@
 
         leader = LeaderClient(peers, control_hosts, ATTEMPT_S, True)
         publisher = TablePublisher(
-            replica, peers, leader, lambda: tuple(self.subscription_by_router)
+            replica, peers, leader, lambda: self.known_routers(host)
         )
         publisher.register_handlers()
         self.replica_by_host[host] = replica
         self.publisher_by_host[host] = publisher
         self.task_by_host[host] = asyncio.ensure_future(replica.run())
 
+    def open_disk(self, host):
+        """Return the disk of a control host that starts."""
+        return self.disk_by_host.setdefault(host, FakeDisk(self.rng))
+
+    def cut_power(self, host, wipe):
+        """Let a host's disk lose unsynced data, or all data if wiped."""
+        disk = self.disk_by_host[host]
+        disk.wipe() if wipe else disk.crash()
+
+    def known_routers(self, host):
+        """Return the routers that a control host notifies."""
+        return tuple(self.subscription_by_router)
+
     def start_router(self, router):
         """Start a router that is configured with the seeds."""
         peers = self.network.peers(router)
@@ -78,8 +91,7 @@
     async def stop(self, host, wipe=False):
         """Stop a control host, which loses unsynced data, or all data if wiped."""
         self.network.stop(host)
-        disk = self.disk_by_host[host]
-        disk.wipe() if wipe else disk.crash()
+        self.cut_power(host, wipe)
         task = self.task_by_host.pop(host)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
