Ask to join again where the entry that added a host is lost

What operators saw: nothing yet; found by the new tests. A host that joined the control group never votes after a loss of power, and nothing reports it.

Cause: the entry that adds a learner is written by the learner itself before it is committed. If the leader and the other voters lose it with their power, the learner still finds itself among the members of its own log, waits for a leader and never asks again; the next leader doesn't know it. A voter that lost its disk would stay unreplaced in the same way.

Change: a learner that no leader has contacted for an election time asks to join.

--- a/packages/almondfield-control/src/almondfield_control/consensus/formation.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -63,6 +63,9 @@
                 self.waiting_for = ""
                 if replica.role is Role.UNFORMED:
                     replica.become_follower_or_learner()
+                if replica.role is Role.LEARNER and not replica.has_recent_leader():
+                    # The entry that added it may be lost with an earlier leader.
+                    self._request_to_join()
             elif replica.hard_state.formed:
                 self._request_to_join()
             else:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/tests/power_loss.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/tests/power_loss.feature
@@ -70,6 +70,19 @@
       | 5     | 2     |
       | 9     | 2     |
 
+  # Guards against a host that never votes: the entry that added it was lost, but is in
+  # its own log, so that it waited for a leader that doesn't know it.
+  Scenario Outline: <hosts> control hosts lose power and <disks> disks while a host that joins installs a snapshot
+    When <hosts> control hosts lose power and <disks> disks while a host that joins installs a snapshot, with seeds <first> to <last>
+    Then each fleet returned what it acknowledged and served again
+
+    Examples:
+      | hosts | disks | first | last |
+      | 3     | 1     | 9     | 20   |
+      | 5     | 1     | 9     | 17   |
+      | 5     | 2     | 1     | 5    |
+      | 9     | 2     | 15    | 18   |
+
   # Guards against LOST: a second power loss takes the same disks before their hosts vote again.
   Scenario Outline: <hosts> control hosts lose power and <disks> disks while the group recovers
     When <hosts> control hosts lose power and <disks> disks while the group recovers, with seeds 1 to 5
