Merge the servers of a hello's late reply

Cause: a hello counts its 0.9 s from when it is queued, but it waits in the queue for the connection to a control host that is back. Its reply, with the server that leaves, then came after the time-out and was dropped; the next hello asked again a second later, and a router with replies over 0.9 s never heard of it. The class of fault: a time-out that starts before the message is sent, and drops what is still true.

Change: the servers of a late reply are merged, which keeps the newest announcement of each whatever the order. A late reply still doesn't show that its host answers in time.

Why this works: the chain from the acknowledgement to a router is now a new connection (1.0 to 1.3 s after the one before), the handshake (one round trip) and one hello (one round trip, and 0.1 s between two hellos): 2.54 s with replies of 0.57 s at the very worst, 1.4 s with fast ones. Before, a hello interval of 1 s came on top.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/fleet.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/fleet.feature
@@ -36,6 +36,16 @@
     And 1.0 s pass
     Then neither "r1" nor "r2" uses "s"
 
+  # Guards against DRAIN: a late reply that lists a leaving server is dropped.
+  Scenario: A router whose replies come after its next hello stops using a leaving server
+    Given "s" announces itself at "c1" with sequence 1
+    And messages to and from "r1" take 0.5 to 0.6 s
+    And 2.0 s pass
+    When all control hosts restart
+    And "s" announces at "c1" that it leaves with sequence 2
+    And 2.5 s pass
+    Then neither "r1" nor "r2" uses "s"
+
   Scenario: A server that restarts under its name is used again
     Given "s" announces itself at "c1" with sequence 9
     And "s" deletes itself at "c1"
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/steps/fleet_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/steps/fleet_steps.py
@@ -26,9 +26,9 @@
     return replace(announcement, **({"born_ms": 1000} | changes))
 
 
-async def start_control(context, host):
+async def start_control(context, host, incarnation=1):
     peers = context.network.peers(host)
-    control = FleetControl(peers, 1, lambda: CONTROL_HOSTS, random.Random(1))
+    control = FleetControl(peers, incarnation, lambda: CONTROL_HOSTS, random.Random(1))
     control.register_handlers()
     context.control_by_host[host] = control
     context.task_by_host[host] = asyncio.ensure_future(control.run())
@@ -132,6 +132,21 @@
     context.network.isolate(host)
 
 
+@given('messages to and from "{host}" take {least:g} to {most:g} s')
+def step_impl(context, host, least, most):
+    context.network.delay_s_by_host[host] = (least, most)
+
+
+@when("all control hosts restart")
+def step_impl(context):
+    async def restart():
+        for host in CONTROL_HOSTS:
+            context.task_by_host[host].cancel()
+            await start_control(context, host, incarnation=2)
+
+    run(context, restart())
+
+
 @when("the partition heals")
 def step_impl(context):
     context.network.heal()
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -174,7 +174,14 @@
                 board_start=reply.board_start,
                 board_version=reply.board_version,
             )
-        match await self._peers.request(host, hello, HELLO_TIMEOUT_S):
+
+        def on_late(reply: object) -> None:
+            # Its servers may have left long ago. It doesn't show that the host answers
+            # in time, and a newer reply may have been processed.
+            if isinstance(reply, HelloReply) and reply.servers is not None:
+                self._merge(reply.servers, host)
+
+        match await self._peers.request(host, hello, HELLO_TIMEOUT_S, on_late):
             case Ok(HelloReply() as reply):
                 self._process_reply(host, reply)
             case _:
