Let a backend server go whose head is longer than its limit

What callers saw: a server that sends header fields without end after a proper status line made the router's process grow by 560 MB in 5 s (749 MB in a pool of engines, one field without end 27 MB; measured from outside on loopback, not by a run of this change), until the deadline ended the request.

Cause: the parser does not limit a head, and the connection kept every header field, also of interim responses, until the head was complete; only time ended it. Limits existed for what callers send, none for what backend servers send.

Change: no more bytes are parsed for a head than [answers] max_head_bytes allows, counted from the first byte of the answer, with interim responses and empty lines; a connection that needs more is closed at once. The request is a lost answer: it goes on at another server where the route allows, and else its caller gets 502, in listed deployments too. A malformed answer closes its connection at once as well. The new section [answers] is the same type for both kinds of daemon, with one check.

Why this works: the count depends on the bytes alone, not on the parser's callbacks or on how the answer is split into packets.

--- a/packages/almondfield-core/src/almondfield_core/settings/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from almondfield_core.settings.checking import check_settings
 from almondfield_core.settings.core import (
+    AnswerSettings,
     DaemonSettings,
     HostSettings,
     LimitSettings,
@@ -22,6 +23,7 @@
 
 __all__ = [
     "FLEET_TIMING",
+    "AnswerSettings",
     "DaemonSettings",
     "FleetRole",
     "FleetSettings",
--- a/packages/almondfield-core/src/almondfield_core/settings/checking.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/checking.py
@@ -4,11 +4,12 @@
 import ipaddress
 from collections import Counter
 from collections.abc import Iterator
+from typing import Any
 
 from almondfield_core.findings import Finding, format_value
 from almondfield_core.settings.core import DaemonSettings, HostSettings
 
-__all__ = ["check_settings"]
+__all__ = ["check_positive", "check_settings"]
 
 ALLOWED_VOTER_COUNTS = (1, 3, 5)
 MAX_PORT = 65_535
@@ -32,6 +33,19 @@
     return tuple(finding.within(place) for check in checks for finding in check)
 
 
+def check_positive(section: str, values: Any) -> Iterator[Finding]:
+    """Return a finding for each number of a section that is not above 0.
+
+    :param section: path of the section.
+    :param values: the section.
+    """
+    for item in dataclasses.fields(values):
+        value = getattr(values, item.name)
+        if value <= 0:
+            path = f"{section}.{item.name}"
+            yield Finding(path, f"is {value}", "a number above 0")
+
+
 def _check_hosts(hosts: tuple[HostSettings, ...]) -> Iterator[Finding]:
     for index, host in enumerate(hosts):
         yield from _check_host(f"hosts[{index}]", host)
@@ -103,13 +117,8 @@
 
 
 def _check_sections(settings: DaemonSettings) -> Iterator[Finding]:
-    for section in ("timing", "limits", "orders"):
-        values = getattr(settings, section)
-        for item in dataclasses.fields(values):
-            value = getattr(values, item.name)
-            if value <= 0:
-                path = f"{section}.{item.name}"
-                yield Finding(path, f"is {value}", "a number above 0")
+    for section in ("timing", "limits", "answers", "orders"):
+        yield from check_positive(section, getattr(settings, section))
     if settings.limits.retry_budget_share > 1:
         value = settings.limits.retry_budget_share
         yield Finding("limits.retry_budget_share", f"is {value}", "at most 1")
--- a/packages/almondfield-core/src/almondfield_core/settings/core.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/core.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 __all__ = [
+    "AnswerSettings",
     "DaemonSettings",
     "HostSettings",
     "LimitSettings",
@@ -103,6 +104,20 @@
     )
 
 
+@dataclass(frozen=True)
+class AnswerSettings:
+    """Limits on the answers of backend servers; a longer answer counts as lost.
+
+    None limits a body as a whole.
+    """
+
+    max_head_bytes: int = item(
+        "Largest head of an answer, with the interim responses before it.",
+        "bytes",
+        default=32 * 1024,
+    )
+
+
 @dataclass(frozen=True)
 class OrderSettings:
     """Orders to backend servers to load models or to change roles."""
@@ -156,6 +171,9 @@
     limits: LimitSettings = item(
         "Limits on sizes, queues and retries.", default=LimitSettings()
     )
+    answers: AnswerSettings = item(
+        "Limits on the answers of backend servers.", default=AnswerSettings()
+    )
     orders: OrderSettings = item("Orders to backend servers.", default=OrderSettings())
     sharing_policy: SharingPolicy = item(
         "How slots are shared between teams.", default=SharingPolicy.FAIR_SHARE
--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -9,7 +9,9 @@
 from result import Result
 
 from almondfield_core.findings import Finding, format_value
+from almondfield_core.settings.checking import check_positive
 from almondfield_core.settings.core import (
+    AnswerSettings,
     DaemonSettings,
     HostSettings,
     SecuritySettings,
@@ -105,6 +107,9 @@
         "s",
         default=4.0,
     )
+    answers: AnswerSettings = item(
+        "Limits on the answers of backend servers.", default=AnswerSettings()
+    )
 
     @property
     def seeds(self) -> tuple[str, ...]:
@@ -141,6 +146,7 @@
             security=SecuritySettings("", "", ""),
             data_folder=self.data_folder,
             timing=FLEET_TIMING,
+            answers=self.answers,
         )
 
 
@@ -180,6 +186,7 @@
     for name in ("grace_s", "revocation_s", "address_lifetime_s", "retry_window_s"):
         if getattr(settings, name) <= 0:
             yield Finding(name, f"is {getattr(settings, name)}", "a number above 0")
+    yield from check_positive("answers", settings.answers)
 
 
 def _check_ip(place: str, text: str) -> Iterator[Finding]:
--- a/packages/almondfield-core/src/almondfield_core/settings/tests/fleet_settings.feature
+++ b/packages/almondfield-core/src/almondfield_core/settings/tests/fleet_settings.feature
@@ -26,8 +26,16 @@
       | ready_address     | "10.0.0.9:99999"     | ready_address     |
       | grace_s           | 0                    | grace_s           |
       | grace_s           | "8"                  | grace_s           |
+      | answers           | {max_head_bytes = 0} | answers.max_head_bytes |
+      | answers           | {max_head_bytes = "a"} | answers.max_head_bytes |
       | no_such_item      | 1                    | no_such_item      |
 
+  Scenario: The limits on answers are those of code shared with listed hosts
+    Given the settings of a router
+    When item answers has the value {max_head_bytes = 4096}
+    Then they are read without findings
+    And the shared settings limit a head to 4096 bytes
+
   Scenario: A control host needs a data folder
     Given the settings of a control host
     When item data_folder has the value ""
--- a/packages/almondfield-core/src/almondfield_core/settings/tests/settings.feature
+++ b/packages/almondfield-core/src/almondfield_core/settings/tests/settings.feature
@@ -24,6 +24,7 @@
       | heartbeat_s = 0.2    | heartbeat_s = 0        | timing.heartbeat_s          | is 0.0                             | a number above 0          |
       | heartbeat_s = 0.2    | heartbeat_s = 'often'  | timing.heartbeat_s          | is 'often'                         | a number                  |
       | heartbeat_s = 0.2    | heartbeat_s = 1.5      | timing.heartbeat_s          | is 1.5                             | less than silence_s, 1.0  |
+      | max_head_bytes = 8192 | max_head_bytes = 0    | answers.max_head_bytes      | is 0                               | a number above 0          |
       | operator_token_file = 'o' | operator_token_file = '' | security.operator_token_file | is empty                     | the name of a file        |
       | sharing_policy = 'fair-share' | sharing_policy = 'fare' | sharing_policy      | is 'fare'                          | fair-share, first-come, per-router |
 
--- a/packages/almondfield-core/src/almondfield_core/settings/tests/steps/fleet_settings_steps.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/tests/steps/fleet_settings_steps.py
@@ -75,3 +75,9 @@
     assert isinstance(outcome, Err), outcome
     texts = [str(finding) for finding in outcome.err_value]
     assert any(place in text for text in texts), texts
+
+
+@then("the shared settings limit a head to {count:d} bytes")
+def step_impl(context, count):
+    shared = context.loaded.ok_value.daemon_settings()
+    assert shared.answers.max_head_bytes == count, shared.answers
--- a/packages/almondfield-core/src/almondfield_core/settings/tests/steps/settings_steps.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/tests/steps/settings_steps.py
@@ -44,6 +44,8 @@
 fleet_secret_file = 'f'
 [timing]
 heartbeat_s = 0.2
+[answers]
+max_head_bytes = 8192
 """
 SECRET_BY_STATE = {
     "is empty": b"",
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -6,9 +6,10 @@
 
 import httptools
 
+from almondfield_core.settings import AnswerSettings
 from almondfield_daemon.router.calls import Framing, Header
 
-__all__ = ["BackendConnection", "ConnectionCutError"]
+__all__ = ["AnswerTooLongError", "BackendConnection", "ConnectionCutError"]
 
 HIGH_WATER_BYTES = 256 * 1024
 SMALL_BODY_BYTES = 16 * 1024
@@ -19,14 +20,21 @@
     """Raised when an answer ends before it is complete or violates the protocol."""
 
 
+class AnswerTooLongError(ConnectionCutError):
+    """Raised when a part of an answer is longer than its limit."""
+
+
 class BackendConnection(asyncio.Protocol):
     """Carries one request and its answer at a time.
 
     Only the task that sent a request reads its answer. Bytes that belong to no
     request make the connection unusable.
+
+    :param limits: limits on the answers.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: AnswerSettings) -> None:
+        self._limits = limits
         self.status = 0
         self.headers: list[Header] = []
         self.head_complete = False
@@ -38,6 +46,8 @@
         self._waiter: asyncio.Future[None] | None = None
         self._writable: asyncio.Future[None] | None = None
         self._failure: str = ""
+        self._error_type: type[ConnectionCutError] = ConnectionCutError
+        self._head_bytes = 0
         self._keep_alive = False
         self._expects_body = True
         self._answered = False
@@ -79,6 +89,7 @@
     async def wait_head(self) -> None:
         """Wait until the status and headers of the answer are received.
 
+        :raises AnswerTooLongError: if the head is longer than its limit.
         :raises ConnectionCutError: if the connection is lost before that.
         """
         while not self.head_complete:
@@ -124,12 +135,12 @@
             self._transport.abort()
             return
         self._answered = True
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.fail("the server switched protocols")
-        except httptools.HttpParserError as error:
-            self.fail(f"malformed answer: {error}")
+        if not self.head_complete:
+            data = self._parse_head(data)
+        if data:
+            self._parse(data)
+        if self._failure:
+            self._transport.abort()
         if self._buffered_bytes > HIGH_WATER_BYTES:
             self._transport.pause_reading()
         self._wake()
@@ -204,6 +215,7 @@
         self.status = 0
         self.headers = []
         self.head_complete = False
+        self._head_bytes = 0
         self.complete = False
         self._answered = False
         self._keep_alive = False
@@ -211,6 +223,30 @@
         self._expects_body = method != b"HEAD"
         self._parser = httptools.HttpResponseParser(self)
 
+    def _parse_head(self, data: bytes) -> bytes:
+        """Parse no more bytes than a head may have; return those after them."""
+        left_bytes = self._limits.max_head_bytes - self._head_bytes
+        part = data[:left_bytes]
+        self._head_bytes += len(part)
+        self._parse(part)
+        if self.head_complete or len(data) <= left_bytes:
+            return data[left_bytes:]
+        self._fail_too_long("a head", self._limits.max_head_bytes)
+        return b""
+
+    def _parse(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.fail("the server switched protocols")
+        except httptools.HttpParserError as error:
+            self.fail(f"malformed answer: {error}")
+
+    def _fail_too_long(self, part: str, limit_bytes: int) -> None:
+        if not self._failure:
+            self._error_type = AnswerTooLongError
+        self.fail(f"{part} is longer than {limit_bytes} bytes")
+
     def _take_buffered(self) -> bytes:
         if len(self._parts) == 1:
             data = self._parts.popleft()
@@ -224,7 +260,7 @@
 
     def _raise_if_failed(self) -> None:
         if self._failure and not self.complete:
-            raise ConnectionCutError(self._failure)
+            raise self._error_type(self._failure)
 
     async def _wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -11,6 +11,7 @@
 from almondfield_core.tables import Timeouts
 from almondfield_daemon.backend.connection import (
     BODILESS_STATUSES,
+    AnswerTooLongError,
     BackendConnection,
     ConnectionCutError,
 )
@@ -126,7 +127,7 @@
         connection = self._pool.take(call.address) if call.pooled else None
         reused = connection is not None
         if connection is None:
-            match await _connect(call.address, call.timeouts):
+            match await self._connect(call.address, call.timeouts):
                 case Ok(opened):
                     connection = opened
                 case Err(failure):
@@ -148,6 +149,26 @@
         finally:
             self._pool.close()
 
+    async def _connect(
+        self, address: str, timeouts: Timeouts
+    ) -> Result[BackendConnection, CallFailure]:
+        """Return a new connection."""
+        host, _, port = address.rpartition(":")
+        limits = self._settings.answers
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeouts.connect_s):
+                _, connection = await loop.create_connection(
+                    lambda: BackendConnection(limits), host.strip("[]"), int(port)
+                )
+        except TimeoutError:
+            reason = f"{address}: no connection within {timeouts.connect_s} s"
+            return Err(CallFailure(ServerFailure.CONNECT, False, reason))
+        except (OSError, ValueError) as error:
+            reason = f"{address}: {error}"
+            return Err(CallFailure(ServerFailure.CONNECT, False, reason))
+        return Ok(connection)
+
     async def _exchange(
         self, connection: BackendConnection, call: BackendCall
     ) -> CallFailure | None:
@@ -158,6 +179,8 @@
                     call.method.encode(), encode_head(call), call.body
                 )
                 await connection.wait_head()
+        except AnswerTooLongError as error:
+            return CallFailure(ServerFailure.STREAM, True, str(error))
         except ConnectionCutError as error:
             return CallFailure(ServerFailure.FIRST_BYTE, True, str(error))
         except TimeoutError:
@@ -188,23 +211,3 @@
         return True
     names = {name.lower() for name, _ in connection.headers}
     return call.expects_events and b"content-type" not in names
-
-
-async def _connect(
-    address: str, timeouts: Timeouts
-) -> Result[BackendConnection, CallFailure]:
-    """Return a new connection."""
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(timeouts.connect_s):
-            _, connection = await loop.create_connection(
-                BackendConnection, host.strip("[]"), int(port)
-            )
-    except TimeoutError:
-        reason = f"{address}: no connection within {timeouts.connect_s} s"
-        return Err(CallFailure(ServerFailure.CONNECT, False, reason))
-    except (OSError, ValueError) as error:
-        reason = f"{address}: {error}"
-        return Err(CallFailure(ServerFailure.CONNECT, False, reason))
-    return Ok(connection)
--- a/tools/make_reference.py
+++ b/tools/make_reference.py
@@ -48,7 +48,8 @@
     yield "TOML file. Messages between its hosts are not authenticated with a secret,"
     yield "so the network between them must be private."
     for section, items in group_items(list_items(FleetSettings)).items():
-        yield from render_section(section or "Top level", items)
+        title = f"`[{section}]`" if section else "Top level"
+        yield from render_section(title, items)
 
 
 def render_tables():
