Let a backend server go that sends chunk framing without end

What callers saw: nothing until their deadline. A server that sends a chunk extension, a chunk size or a trailer without end keeps its connection, its slot and the caller until the deadline, while its bytes are read and dropped; one trailer field is kept whole by the parser.

Cause: the parser limits neither, and the connection counted only bytes of the body. The same class as heads without end: a part of an answer that only its sender ends.

Change: the bytes parsed since the last byte of the body are counted in chunked answers, in pieces so short that a body byte in a piece can't hide much more framing than [answers] max_framing_bytes: framing up to the limit always passes, and none over twice the limit. The answer is cut as at any lost connection: continued at another server where the route allows, else 502, or broken off once it has begun. Bytes after a chunked answer, in the same packet, make the connection unusable, and a connection that has failed parses nothing more.

Why this works: a hypothesis test feeds heads and trailers around both limits in any packets.

--- a/packages/almondfield-core/src/almondfield_core/settings/core.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/core.py
@@ -116,6 +116,12 @@
         "bytes",
         default=32 * 1024,
     )
+    max_framing_bytes: int = item(
+        "Longest chunk-size line or trailer section that is always accepted; up to"
+        " twice the length may be.",
+        "bytes",
+        default=16 * 1024,
+    )
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -48,6 +48,7 @@
         self._failure: str = ""
         self._error_type: type[ConnectionCutError] = ConnectionCutError
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._keep_alive = False
         self._expects_body = True
         self._answered = False
@@ -130,14 +131,16 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; called by the event loop."""
-        if self._parser is None or self.complete:
+        if self._parser is None or self.complete or self._failure:
             self.fail("bytes that belong to no request")
             self._transport.abort()
             return
         self._answered = True
-        if not self.head_complete:
+        while data and not self.head_complete and not self._failure:
             data = self._parse_head(data)
-        if data:
+        if self.framing is Framing.CHUNKS:
+            self._parse_chunks(data)
+        elif data:
             self._parse(data)
         if self._failure:
             self._transport.abort()
@@ -203,6 +206,7 @@
         if self.complete:
             self.fail("the answer has a body where none is allowed")
             return
+        self._framing_bytes = 0
         self._parts.append(part)
         self._buffered_bytes += len(part)
 
@@ -216,6 +220,7 @@
         self.headers = []
         self.head_complete = False
         self._head_bytes = 0
+        self._framing_bytes = 0
         self.complete = False
         self._answered = False
         self._keep_alive = False
@@ -224,15 +229,38 @@
         self._parser = httptools.HttpResponseParser(self)
 
     def _parse_head(self, data: bytes) -> bytes:
-        """Parse no more bytes than a head may have; return those after them."""
-        left_bytes = self._limits.max_head_bytes - self._head_bytes
-        part = data[:left_bytes]
-        self._head_bytes += len(part)
-        self._parse(part)
-        if self.head_complete or len(data) <= left_bytes:
-            return data[left_bytes:]
-        self._fail_too_long("a head", self._limits.max_head_bytes)
-        return b""
+        """Parse a part of a head, no longer than allowed; return the bytes after it."""
+        limits = self._limits
+        left_bytes = limits.max_head_bytes - self._head_bytes
+        if not left_bytes:
+            self._fail_too_long("a head", limits.max_head_bytes)
+            return b""
+        # The piece may end after the head, where framing begins.
+        piece = data[: min(left_bytes, limits.max_framing_bytes)]
+        self._head_bytes += len(piece)
+        self._parse(piece)
+        return data[len(piece) :]
+
+    def _parse_chunks(self, data: bytes) -> None:
+        """Parse a part of a chunked body in pieces no longer than framing may be.
+
+        A piece that has bytes of the body starts the count of framing anew.
+        """
+        limit_bytes = self._limits.max_framing_bytes
+        start = 0
+        while start < len(data):
+            piece = data[start : start + limit_bytes + 1 - self._framing_bytes]
+            start += len(piece)
+            self._framing_bytes += len(piece)
+            self._parse(piece)
+            if self.complete:
+                break
+            if self._framing_bytes > limit_bytes:
+                part = "a chunk-size line or trailer section"
+                self._fail_too_long(part, limit_bytes)
+                return
+        if start < len(data):
+            self.fail("bytes that belong to no request")
 
     def _parse(self, data: bytes) -> None:
         try:
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/answers_without_end.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/answers_without_end.feature
@@ -38,6 +38,58 @@
     When a request is sent to it
     Then the failure names the limit and is told to callers as 502
 
+  # Guards against a chunk or a trailer without end, which no timeout between two parts of
+  # a body ends if the router waits for the whole answer.
+  Scenario Outline: A server that sends framing of chunks without end is let go
+    Given a server that sends "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n<start>" and then "<piece>" without end
+    When a request is sent to it
+    Then the result is cut "<body>"
+    And the server was let go after at most 4 times 4096 bytes
+
+    Examples:
+      | start                | piece                            | body  |
+      | 5;                   | aaaaaaaaaaaaaaaaaaaaaaaa         |       |
+      | 5\r\nhello\r\n5;a=b  | aaaaaaaaaaaaaaaaaaaaaaaa         | hello |
+      | 5\r\nhello\r\n0;     | aaaaaaaaaaaaaaaaaaaaaaaa         | hello |
+      | 0                    | 0                                |       |
+      | 5\r\nhello\r\n0\r\n  | X-A: aaaaaaaaaaaaaaaaaaaaaaaa\r\n  | hello |
+      | 0\r\nX-A:            | aaaaaaaaaaaaaaaaaaaaaaaa         |       |
+
+  Scenario Outline: Framing of chunks is limited however it is split into packets
+    Given a server that sends <framing> of <size> bytes in pieces of <piece> bytes
+    When a request is sent to it
+    Then the result is <result>
+
+    Examples:
+      | framing                 | size | piece | result   |
+      | two chunk-size lines    | 4096 | 1000  | complete |
+      | two chunk-size lines    | 4096 | 20000 | complete |
+      | two chunk-size lines    | 8200 | 1000  | cut      |
+      | two chunk-size lines    | 8200 | 20000 | cut      |
+      | a trailer section       | 4096 | 1000  | complete |
+      | a trailer section       | 4096 | 20000 | complete |
+      | a trailer section       | 8200 | 1000  | cut      |
+      | a trailer section       | 8200 | 20000 | cut      |
+      | many short chunks       | 9000 | 1000  | complete |
+      | many short chunks       | 9000 | 20000 | complete |
+
+  # Guards against a count of framing that depends on the packets, or that never ends.
+  Scenario: The limits on heads and framing hold for any packets
+    Then heads of 90 to 110 bytes and trailers of 30 to 90 bytes are limited in any packets
+
+  Scenario Outline: A body that is longer than every limit is passed on
+    Given a server that answers 1000000 bytes framed by <framing>
+    When a POST is sent whose answer may end with the connection
+    Then the result is complete
+    And the same bytes are returned
+
+    Examples:
+      | framing    |
+      | length     |
+      | one chunk  |
+      | chunks     |
+      | connection |
+
   # Guards against bytes that belong to no request and are read without end.
   Scenario Outline: A server that sends without end where no answer is due is let go
     Given a server that sends "<start>" and then "<piece>" without end
@@ -49,6 +101,7 @@
       | start                                      | piece            |
       | HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n | aaaaaaaaaaaaaaaa |
       | HTTP/1.1 204 OK\r\n\r\n                      | aaaaaaaaaaaaaaaa |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n | aaaaaaaaaaaaaaaa |
       | HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n | \r\n             |
 
   Scenario: A server that sends without end on an idle connection is let go
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/answers_without_end_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/answers_without_end_steps.py
@@ -1,9 +1,16 @@
 """Steps of answers_without_end.feature: a scripted server that sends without end."""
 
 import asyncio
+import itertools
+import random
 
 from behave import given, then, when
+from hypothesis import given as given_values
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
 
+from almondfield_core.settings import AnswerSettings
+from almondfield_daemon.backend.connection import BackendConnection
 from almondfield_daemon.backend.tests.endless import (
     LIMITS,
     EndlessSender,
@@ -26,6 +33,16 @@
 }
 
 
+class FakeTransport:
+    """A transport that does nothing."""
+
+    def abort(self):
+        """Close the connection."""
+
+    def write(self, data):
+        """Send bytes."""
+
+
 def start_endless(context, beginning, piece, needs_end=False):
     """Start a server that sends a beginning, and then a piece without end."""
     piece *= -(-PIECE_BYTES // len(piece))
@@ -42,6 +59,19 @@
     start(context, script)
 
 
+def start_in_pieces(context, data, piece):
+    """Start a server that sends an answer in pieces of some bytes."""
+
+    async def script(server, reader, writer):
+        await server.request(reader)
+        for first in range(0, len(data), piece):
+            writer.write(data[first : first + piece])
+            await writer.drain()
+            await asyncio.sleep(0.001)
+
+    start(context, script)
+
+
 @given('a server that sends "{beginning}" and then "{piece}" without end')
 def step_impl(context, beginning, piece):
     start_endless(context, unescape(beginning), unescape(piece))
@@ -66,15 +96,44 @@
     head = INTERIM_BY_NAME[interim] + OK_STATUS_LINE + b"Content-Length: 5\r\nX: "
     head += b"a" * (size - len(head) - 4) + b"\r\n\r\n"
     assert len(head) == size
-    data = head + b"hello"
-
-    async def script(server, reader, writer):
-        await server.request(reader)
-        for first in range(0, len(data), piece):
-            writer.write(data[first : first + piece])
-            await asyncio.sleep(0.001)
-
-    start(context, script)
+    start_in_pieces(context, head + b"hello", piece)
+
+
+def framed(framing, size):
+    """Return a chunked body with framing of about some bytes before "hello"."""
+    match framing:
+        case "two chunk-size lines":
+            extension = b";" + b"a" * (size - len(b"\r\n5;\r\n"))
+            return 2 * (b"5" + extension + b"\r\nhello\r\n") + b"0\r\n\r\n"
+        case "a trailer section":
+            value = b"a" * (size - len(b"\r\n0\r\nX: \r\n\r\n"))
+            return b"5\r\nhello\r\n0\r\nX: " + value + b"\r\n\r\n"
+        case "many short chunks":
+            return size // 5 * b"1\r\na\r\n" + b"0\r\n\r\n"
+
+
+@given("a server that sends {framing} of {size:d} bytes in pieces of {piece:d} bytes")
+def step_impl(context, framing, size, piece):
+    data = OK_STATUS_LINE + b"Transfer-Encoding: chunked\r\n\r\n"
+    start_in_pieces(context, data + framed(framing, size), piece)
+
+
+@given("a server that answers {size:d} bytes framed by {framing}")
+def step_impl(context, size, framing):
+    body = context.body = random.Random(1).randbytes(size)
+    match framing:
+        case "length":
+            data = b"Content-Length: %d\r\n\r\n%b" % (size, body)
+        case "one chunk":
+            data = b"%x\r\n%b\r\n0\r\n\r\n" % (size, body)
+            data = b"Transfer-Encoding: chunked\r\n\r\n" + data
+        case "chunks":
+            parts = [body[first : first + 100] for first in range(0, size, 100)]
+            data = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+            data = b"Transfer-Encoding: chunked\r\n\r\n" + data + b"0\r\n\r\n"
+        case "connection":
+            data = b"\r\n" + body
+    start_in_pieces(context, OK_STATUS_LINE + data, size)
 
 
 async def send_and_wait(context, **options):
@@ -139,3 +198,44 @@
     assert outcome == "unknown", context.result
     assert str(LIMITS.max_head_bytes) in failure.reason, failure
     assert from_call_failure(failure).status == status, failure
+
+
+async def receive(data, cuts):
+    """Return a connection that has received an answer in packets."""
+    connection = BackendConnection(AnswerSettings(100, 40))
+    connection.connection_made(FakeTransport())
+    await connection.send(b"GET", b"", b"")
+    for first, last in itertools.pairwise((0, *sorted(cuts), len(data))):
+        connection.data_received(data[first:last])
+    return connection
+
+
+@then(
+    "heads of 90 to 110 bytes and trailers of 30 to 90 bytes are limited in any packets"
+)
+def step_impl(context):
+    start = OK_STATUS_LINE + b"Transfer-Encoding: chunked\r\nX: "
+
+    @hypothesis_settings(derandomize=True, max_examples=1000, deadline=None)
+    @given_values(
+        st.integers(90, 110),
+        st.integers(30, 90),
+        st.sampled_from((b"", b"\r\n", b"x", OK_STATUS_LINE)),
+        st.lists(st.integers(0, 210), max_size=30),
+    )
+    def check(head_bytes, trailer_bytes, rest, cuts):
+        head = start + b"a" * (head_bytes - len(start) - 4) + b"\r\n\r\n"
+        value = b"a" * (trailer_bytes - len(b"\r\n0\r\nX: \r\n\r\n"))
+        data = head + b"5\r\nhello\r\n0\r\nX: " + value + b"\r\n\r\n" + rest
+        cuts = [min(cut, len(data)) for cut in cuts]
+        connection = context.loop.run_until_complete(receive(data, cuts))
+        case = (head_bytes, trailer_bytes, rest, cuts, connection._failure)
+        assert connection.head_complete == (head_bytes <= 100), case
+        if head_bytes <= 100 and trailer_bytes <= 40:
+            assert connection.complete, case
+        if trailer_bytes > 81:
+            assert not connection.complete, case
+        if rest.strip() or not connection.complete:
+            assert connection._failure, case
+
+    check()
