Let a backend server go that sends an event without end

What callers saw: nothing, or a stream that never goes on, until their deadline. An event without end was held up to 256 KiB and then passed on in parts, as a stream that can't be resumed any more, and the search for its end began anew with each chunk.

Cause: the bound on an event only chose between holding and passing on; nothing took an event that exceeds it for a failure of the server. The same class as heads without end.

Change: an event above [answers] max_event_bytes, complete or not, cuts the stream where the connection's answer is read, so the same holds for forwarded, resumed and stored streams; it goes on at another server where the route allows. The bodies of failures and of other types are no event streams and pass as before. The searches for the end of an event begin at the last bytes of the chunk before.

Why this works: a hypothesis test shows that events up to the limit are found in any chunks, and that an event above it cuts the stream before any part of it is passed on.

--- a/packages/almondfield-core/src/almondfield_core/settings/core.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/core.py
@@ -122,6 +122,11 @@
         "bytes",
         default=16 * 1024,
     )
+    max_event_bytes: int = item(
+        "Largest event of an event stream, with the lines of comments before it.",
+        "bytes",
+        default=256 * 1024,
+    )
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -37,10 +37,15 @@
     :param connection: the connection that carries the answer.
     :param call: the call that is answered.
     :param pool: receives the connection once the answer is complete.
+    :param max_event_bytes: limit on one event of an event stream, in bytes.
     """
 
     def __init__(
-        self, connection: BackendConnection, call: BackendCall, pool: ConnectionPool
+        self,
+        connection: BackendConnection,
+        call: BackendCall,
+        pool: ConnectionPool,
+        max_event_bytes: int,
     ) -> None:
         self._connection = connection
         self._call = call
@@ -48,13 +53,17 @@
         self.status = connection.status
         self.headers: tuple[Header, ...] = end_to_end(connection.headers)
         self.framing = connection.framing
-        self._boundary = EventBoundary() if _is_event_stream(connection, call) else None
+        self._max_event_bytes = max_event_bytes
+        self._boundary = None
+        if _is_event_stream(connection, call):
+            self._boundary = EventBoundary(max_event_bytes)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Return the chunks of the body as they arrive, unchanged byte for byte.
 
         :raises AnswerCutError: if the body ends before it is complete, an event stream
-            ends inside an event, or no data arrives within the pool's chunk timeout.
+            ends inside an event or has one that is larger than its limit, or no data
+            arrives within the pool's chunk timeout.
         """
         connection = self._connection
         chunk_s = self._call.timeouts.chunk_s
@@ -71,6 +80,11 @@
                     return
                 if self._boundary is not None:
                     self._boundary.feed(chunk)
+                    if self._boundary.is_oversized:
+                        reason = (
+                            f"an event is larger than {self._max_event_bytes} bytes"
+                        )
+                        raise AnswerCutError(ServerFailure.STREAM, reason)
                 yield chunk
         except ConnectionCutError as error:
             raise AnswerCutError(ServerFailure.STREAM, str(error)) from error
@@ -140,7 +154,8 @@
         if failure is not None:
             connection.close()
             return Err(replace(failure, stale=reused and connection.is_unanswered))
-        return Ok(HttpAnswer(connection, call, self._pool))
+        max_event_bytes = self._settings.answers.max_event_bytes
+        return Ok(HttpAnswer(connection, call, self._pool, max_event_bytes))
 
     async def run(self) -> None:
         """Wait until cancelled, then close every pooled connection."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/answers_without_end.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/answers_without_end.feature
@@ -73,6 +73,41 @@
       | many short chunks       | 9000 | 1000  | complete |
       | many short chunks       | 9000 | 20000 | complete |
 
+  # Guards against an event without end, which routers hold until it is complete.
+  Scenario Outline: A server that sends an event without end is let go
+    Given a server that sends "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n<start>" and then "<piece>" without end
+    When a request is sent to it whose answer may end with the connection
+    Then the result is cut
+    And the server was let go after at most 4 times 16384 bytes
+
+    Examples:
+      | start                                              | piece                |
+      | \r\ndata: a\n\n                                    | data: aaaaaaaaa\n    |
+      | \r\ndata:                                          | aaaaaaaaaaaaaaaa     |
+      | \r\n                                               | : comment\n          |
+      | \r\n                                               | data: aaaaaaaaa\r\n  |
+      | Content-Length: 99999999\r\n\r\n                   | aaaaaaaaaaaaaaaa     |
+      | Transfer-Encoding: chunked\r\n\r\n                 | 8\r\naaaaaaaa\r\n    |
+
+  Scenario Outline: An event is limited however it is split into packets
+    Given a server that sends events of 100, <size> and 100 bytes in pieces of <piece> bytes
+    When a request is sent to it whose answer may end with the connection
+    Then the result is <result>
+
+    Examples:
+      | size  | piece  | result   |
+      | 16384 | 1000   | complete |
+      | 16384 | 100    | complete |
+      | 16384 | 100000 | complete |
+      | 16385 | 1000   | cut      |
+      | 16385 | 100    | cut      |
+      | 16385 | 100000 | cut      |
+
+  Scenario: A long stream of short events is passed on
+    Given a server that sends 1000 events of 1000 bytes
+    When a request is sent to it whose answer may end with the connection
+    Then the result is complete
+
   # Guards against a count of framing that depends on the packets, or that never ends.
   Scenario: The limits on heads and framing hold for any packets
     Then heads of 90 to 110 bytes and trailers of 30 to 90 bytes are limited in any packets
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/endless.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/endless.py
@@ -12,7 +12,9 @@
 MAX_SENT_BYTES = 4 * 1024 * 1024
 # Little is sent that the client has not read.
 SEND_BUFFER_BYTES = 4096
-LIMITS = AnswerSettings(max_head_bytes=8192, max_framing_bytes=4096)
+LIMITS = AnswerSettings(
+    max_head_bytes=8192, max_framing_bytes=4096, max_event_bytes=16384
+)
 
 
 def limited_backends():
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/answers_without_end_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/answers_without_end_steps.py
@@ -118,6 +118,31 @@
     start_in_pieces(context, data + framed(framing, size), piece)
 
 
+def event(size):
+    """Return an event of some bytes."""
+    return b"data: " + b"a" * (size - len(b"data: \n\n")) + b"\n\n"
+
+
+def start_event_stream(context, sizes, piece):
+    """Start a server that sends events of some sizes, framed by the connection."""
+    events = b"".join(event(size) for size in sizes)
+    head = OK_STATUS_LINE + b"Content-Type: text/event-stream\r\n\r\n"
+    start_in_pieces(context, head + events, piece)
+
+
+@given(
+    "a server that sends events of {before:d}, {size:d} and {after:d} bytes in pieces "
+    "of {piece:d} bytes"
+)
+def step_impl(context, before, size, after, piece):
+    start_event_stream(context, (before, size, after), piece)
+
+
+@given("a server that sends {count:d} events of {size:d} bytes")
+def step_impl(context, count, size):
+    start_event_stream(context, count * [size], 100_000)
+
+
 @given("a server that answers {size:d} bytes framed by {framing}")
 def step_impl(context, size, framing):
     body = context.body = random.Random(1).randbytes(size)
@@ -150,6 +175,12 @@
     context.result = context.loop.run_until_complete(send_and_wait(context))
 
 
+@when("a request is sent to it whose answer may end with the connection")
+def step_impl(context):
+    sent = send_and_wait(context, may_end_by_close=True)
+    context.result = context.loop.run_until_complete(sent)
+
+
 @when("a pooled request is sent to it")
 def step_impl(context):
     sent = send_and_wait(context, pooled=True)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -99,6 +99,7 @@
             self._servers,
             self._origins,
             self._make_retry_window,
+            settings.answers.max_event_bytes,
             metrics.observe,
         )
         max_buffered_bytes = int(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -30,6 +30,7 @@
     :param servers: chooses servers.
     :param origins: knows where streams began.
     :param make_window: returns a new retry budget for one pool.
+    :param max_event_bytes: limit on one event of a stream, in bytes.
     :param observe: called with the report of each request that ended.
     """
 
@@ -39,6 +40,7 @@
         servers: ServerSelector,
         origins: StreamOrigins,
         make_window: Callable[[], RetryWindow],
+        max_event_bytes: int,
         observe: Callable[[RequestReport], None] = lambda report: None,
     ) -> None:
         self._observe = observe
@@ -46,6 +48,7 @@
         self._servers = servers
         self._origins = origins
         self._make_window = make_window
+        self._max_event_bytes = max_event_bytes
         self._window_by_pool: dict[str, RetryWindow] = {}
 
     async def serve(
@@ -85,7 +88,13 @@
     def _make_run(self, request: ForwardRequest, sink: ResponseSink) -> RequestRun:
         window = self._window(request.pool)
         return RequestRun(
-            request, self._attempts, self._servers, self._origins, window, sink
+            request,
+            self._attempts,
+            self._servers,
+            self._origins,
+            window,
+            sink,
+            self._max_event_bytes,
         )
 
     def _window(self, pool: str) -> RetryWindow:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -29,11 +29,7 @@
     Unavailable,
 )
 from almondfield_daemon.forwarding.take_up import make_origin
-from almondfield_daemon.router.calls import (
-    AnswerCutError,
-    BackendAnswer,
-    Header,
-)
+from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer, Header
 from almondfield_daemon.router.events import EventTracker
 from almondfield_daemon.router.problems import Outcome, Problem
 from almondfield_daemon.scheduling import EngineAssignment
@@ -61,6 +57,7 @@
     :param origins: knows where streams began.
     :param window: retry budget of the pool.
     :param sink: receives the answer.
+    :param max_event_bytes: limit on one event of a stream, in bytes.
 
     :ivar sent: attempts of which a byte may have been sent.
     :ivar may_have_run: whether a server may have run the request.
@@ -88,7 +85,9 @@
         origins: StreamOrigins,
         window: RetryWindow,
         sink: ResponseSink,
+        max_event_bytes: int,
     ) -> None:
+        self._max_event_bytes = max_event_bytes
         self._request = request
         self._attempts = attempts
         self._servers = servers
@@ -164,7 +163,7 @@
             return None
 
     async def _serve_stream(self) -> Problem | None:
-        tracker = EventTracker()
+        tracker = EventTracker(self._max_event_bytes)
         while True:
             match await self._next_answer():
                 case Problem() as problem:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -14,6 +14,7 @@
     Prompt,
     PromptPart,
 )
+from almondfield_core.settings import AnswerSettings
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding import (
     AttemptSender,
@@ -82,6 +83,7 @@
             selector,
             context.origins,
             lambda: RetryWindow(WINDOW_S, SHARE, SLACK, lambda: context.routers),
+            AnswerSettings().max_event_bytes,
         )
 
     run(context, make())
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/core.py
@@ -42,7 +42,11 @@
         self._index = PlanIndex()
         self._claims = ClaimManager(control)
         self._dispatcher = Dispatcher(
-            slots, backends, self._plan, settings.limits.retry_budget_share
+            slots,
+            backends,
+            self._plan,
+            settings.limits.retry_budget_share,
+            settings.answers.max_event_bytes,
         )
         self._draining = False
         self._running = 0
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/dispatch.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/dispatch.py
@@ -55,6 +55,7 @@
     :param backends: sends requests to backend servers.
     :param replan: returns the plan of a request under the newest tables.
     :param retry_share: highest long-term ratio of retries to requests.
+    :param max_event_bytes: limit on one event of an event stream, in bytes.
     """
 
     def __init__(
@@ -63,7 +64,9 @@
         backends: Backends,
         replan: Callable[[CallerRequest], Result[Plan, Problem]],
         retry_share: float,
+        max_event_bytes: int,
     ) -> None:
+        self._max_event_bytes = max_event_bytes
         self._slots = slots
         self._backends = backends
         self._replan = replan
@@ -166,7 +169,7 @@
             resume_call = replace(call, headers=headers + (header,), pooled=False)
             return await self._backends.send(resume_call)
 
-        return ResumingAnswer(answer, resume)
+        return ResumingAnswer(answer, resume, self._max_event_bytes)
 
     def _may_retry(self, plan: Plan, failures: list[CallFailure]) -> bool:
         if failures[-1].may_have_run and not plan.repeatable:
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/events.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/events.py
@@ -8,7 +8,6 @@
 __all__ = ["EventBoundary", "EventTracker", "has_event_stream_type"]
 
 EVENT_STREAM_TYPE = b"text/event-stream"
-MAX_EVENT_BYTES = 256 * 1024
 # A carriage return at the end may belong to a CRLF whose line feed is yet to arrive.
 LINE_END = rb"(?:\r\n|\n|\r(?!\n|\Z))"
 EVENT_END = re.compile(LINE_END + LINE_END)
@@ -23,11 +22,16 @@
 class EventBoundary:
     """Determines whether a stream ends inside an event.
 
+    :param max_event_bytes: limit on one event, in bytes.
+
     :ivar has_events: whether the stream has had an event, or a comment like one.
+    :ivar is_oversized: whether an event, complete or not, is larger than the limit.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_event_bytes: int) -> None:
+        self._max_event_bytes = max_event_bytes
         self.has_events = False
+        self.is_oversized = False
         self._rest = b""  # what follows the last blank line
 
     @property
@@ -44,13 +48,21 @@
         :param chunk: the bytes.
         """
         data = self._rest + chunk
-        ends = [match.end() for match in BLANK_LINE.finditer(data)]
-        if not ends:
-            self._rest = data[-MAX_EVENT_BYTES:]
-            return
-        self.has_events = True
-        # The line feed of a last CRLF may be yet to arrive.
-        self._rest = data[ends[-1] :] or data[-1:]
+        start = 0
+        # A blank line may begin with the last line end of the earlier bytes.
+        for match in BLANK_LINE.finditer(data, max(0, len(self._rest) - 2)):
+            self._check_size(match.end() - start)
+            start = match.end()
+        self._check_size(len(data) - start)
+        self.has_events = self.has_events or start > 0
+        self._rest = data[start:]
+        if start == len(data) and data.endswith(b"\r"):
+            # The line feed of a last CRLF may be yet to arrive.
+            self._rest = b"\r"
+
+    def _check_size(self, size: int) -> None:
+        if size > self._max_event_bytes:
+            self.is_oversized = True
 
 
 def has_event_stream_type(headers: Iterable[Header]) -> bool:
@@ -67,11 +79,16 @@
 class EventTracker:
     """Splits a stream at event boundaries and tracks the identifier of the last event.
 
+    A body without events is passed on in parts that are larger than the limit.
+
+    :param max_event_bytes: limit on one event, in bytes.
+
     :ivar last_id: identifier of the last complete event; None if the stream cannot
         be resumed after it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_event_bytes: int) -> None:
+        self._max_event_bytes = max_event_bytes
         self.last_id: bytes | None = None
         self._partial = b""
         self._oversized = False
@@ -92,13 +109,14 @@
         data = self._partial + chunk
         complete_events = []
         start = 0
-        for end in EVENT_END.finditer(data):
+        # The end of an event may begin with up to three earlier bytes.
+        for end in EVENT_END.finditer(data, max(0, len(self._partial) - 3)):
             event = data[start : end.end()]
             start = end.end()
             if self._record(event):
                 complete_events.append(event)
         self._partial = data[start:]
-        if len(self._partial) > MAX_EVENT_BYTES:
+        if len(self._partial) > self._max_event_bytes:
             self._oversized = True
             self.last_id = None
             complete_events.append(self.take_remainder())
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/resume.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/resume.py
@@ -32,13 +32,16 @@
     :param answer: the answer as first received.
     :param resume: requests the events after the given identifier from the same
         server, on a new connection.
+    :param max_event_bytes: limit on one event, in bytes.
     """
 
     def __init__(
         self,
         answer: BackendAnswer,
         resume: Callable[[bytes], Awaitable[Result[BackendAnswer, CallFailure]]],
+        max_event_bytes: int,
     ) -> None:
+        self._max_event_bytes = max_event_bytes
         self.status = answer.status
         self.headers = answer.headers
         self.framing = answer.framing
@@ -50,7 +53,7 @@
 
         :raises AnswerCutError: if the stream cannot be resumed.
         """
-        tracker = EventTracker()
+        tracker = EventTracker(self._max_event_bytes)
         tries = 0
         while True:
             try:
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/events.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/events.feature
@@ -1,5 +1,10 @@
 Feature: The end of an event is found in any line ends and chunks
 
+  # Guards against an event that one part of a router limits and another passes on in parts.
+  Scenario: Events up to the limit are split alike, however the stream is split into chunks
+    Then events of 1 to 40 bytes with any line ends are found in any chunks
+    And a stream with an event of more than 40 bytes is oversized in any chunks
+
   Scenario Outline: Whether a stream ends inside an event
     When a stream "<stream>" ends
     Then it ends <where>, however it is split into chunks
