Let a backend server go whose refusal goes on without end

What callers saw: nothing. A server that refuses a request, or says that it is another server's, and sends a body without end, is read for 0.5 s at the speed of the link, for each refusal, before another server is asked.

Cause: the rest of a refusal was read so that its connection can be used again, limited by time only.

Change: the connection counts the bytes of its answer, with head and framing; a refusal with more than [answers] max_discarded_bytes of them is closed. The status decides as before.

Why this works: the count is of bytes received, so chunks with little body in much framing count, too.

--- a/packages/almondfield-core/src/almondfield_core/settings/core.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/core.py
@@ -127,6 +127,11 @@
         "bytes",
         default=256 * 1024,
     )
+    max_discarded_bytes: int = item(
+        "Most bytes of a refusal that are received to use its connection again.",
+        "bytes",
+        default=64 * 1024,
+    )
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -31,6 +31,8 @@
     request make the connection unusable.
 
     :param limits: limits on the answers.
+
+    :ivar received_bytes: bytes of the answer so far, with its head and framing.
     """
 
     def __init__(self, limits: AnswerSettings) -> None:
@@ -39,6 +41,7 @@
         self.headers: list[Header] = []
         self.head_complete = False
         self.complete = False
+        self.received_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._parts: deque[bytes] = deque()
@@ -136,6 +139,7 @@
             self._transport.abort()
             return
         self._answered = True
+        self.received_bytes += len(data)
         while data and not self.head_complete and not self._failure:
             data = self._parse_head(data)
         if self.framing is Framing.CHUNKS:
@@ -222,6 +226,7 @@
         self._head_bytes = 0
         self._framing_bytes = 0
         self.complete = False
+        self.received_bytes = 0
         self._answered = False
         self._keep_alive = False
         self.framing = Framing.CONNECTION
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -92,6 +92,11 @@
             stall.stop()
             self._finish(complete)
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes received so far; 0 once the answer is read or closed."""
+        return self._connection.received_bytes if self._connection is not None else 0
+
     def close(self) -> None:
         """Close the connection, which signals the server to stop."""
         self._finish(complete=False)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -92,7 +92,9 @@
         self._servers = ServerSelector(
             self.view, placement, settings.data_centre, engines
         )
-        attempts = AttemptSender(self._backends, codec)
+        attempts = AttemptSender(
+            self._backends, codec, settings.answers.max_discarded_bytes
+        )
         metrics = RouterMetrics()
         forwarder = Forwarder(
             attempts,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
@@ -1,6 +1,7 @@
 """Sends a request to one backend server and returns the outcome."""
 
 import asyncio
+from contextlib import aclosing
 
 from result import Err, Ok
 
@@ -39,9 +40,13 @@
 
     :param backends: sends requests.
     :param codec: reads and writes headers.
+    :param max_discarded_bytes: most bytes of a refusal that are received.
     """
 
-    def __init__(self, backends: Backends, codec: HeaderCodec) -> None:
+    def __init__(
+        self, backends: Backends, codec: HeaderCodec, max_discarded_bytes: int
+    ) -> None:
+        self._max_discarded_bytes = max_discarded_bytes
         self._backends = backends
         self._codec = codec
 
@@ -109,10 +114,10 @@
             answer.close()
             return AnswerLost("the answer belongs to another request")
         if answer.status == MISDIRECTED_STATUS:
-            await _discard_body(answer)
+            await self._discard_body(answer)
             return Misdirected()
         if metadata.was_not_run:
-            await _discard_body(answer)
+            await self._discard_body(answer)
             return NotExecuted(answer.status)
         is_named = bool(metadata.request_id)
         if answer.status in SUCCESS_STATUSES and not (is_named and metadata.is_signed):
@@ -123,18 +128,21 @@
             return AnswerLost("the answer has a content encoding")
         return Answered(answer, metadata)
 
-
-async def _discard_body(answer: BackendAnswer) -> None:
-    """Read a short answer to its end, so that its connection can be reused."""
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            async for _ in answer.chunks():
-                pass
-    except (TimeoutError, AnswerCutError):
-        # The status decides the outcome; only the connection can't be reused.
-        pass
-    finally:
-        answer.close()
+    async def _discard_body(self, answer: BackendAnswer) -> None:
+        """Read a short answer to its end, so that its connection can be reused."""
+        try:
+            async with (
+                asyncio.timeout(CONNECT_TIMEOUT_S),
+                aclosing(answer.chunks()) as chunks,
+            ):
+                async for _ in chunks:
+                    if answer.received_bytes > self._max_discarded_bytes:
+                        break
+        except (TimeoutError, AnswerCutError):
+            # The status decides the outcome; only the connection can't be reused.
+            pass
+        finally:
+            answer.close()
 
 
 def _timeouts(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -51,6 +51,7 @@
         self._silence_s = silence_s
         self.status = status
         self.framing = Framing.CHUNKS
+        self.received_bytes = 0
         self.headers = (
             (b"metadata", metadata),
             (b"content-type", b"text/event-stream"),
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -77,7 +77,11 @@
             "east",
             context.engines,
         )
-        attempts = AttemptSender(FakeBackends(context.servers), FakeCodec())
+        attempts = AttemptSender(
+            FakeBackends(context.servers),
+            FakeCodec(),
+            AnswerSettings().max_discarded_bytes,
+        )
         context.forwarder = Forwarder(
             attempts,
             selector,
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
@@ -108,6 +108,10 @@
     def framing(self) -> Framing:
         """Return how the answer states where its body ends."""
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes received so far, with the head and the framing."""
+
     def chunks(self) -> AsyncIterator[bytes]:
         """Return the chunks of the body as they arrive.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/resume.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/resume.py
@@ -48,6 +48,11 @@
         self._answer = answer
         self._resume = resume
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes received so far of the newest answer."""
+        return self._answer.received_bytes
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Return the stream, each event complete and exactly once.
 
