Send orders over the connections that limit answers

What operators saw: nothing in the tests before. A backend server that answers an order with header fields without end filled the router's memory for the 2 s that an order may take; one field without end raised a ValueError that the sender did not expect, and that nothing turned into an unanswered order.

Cause: orders had a client of their own, whose heads have no limit but that of one line. Two clients for one interface: only one of them had been hardened.

Change: orders are sent through the port to backend servers, with its limits; the body of the answer is not read.

Why this works: every answer of a backend server is now parsed by one connection.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/endless.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/endless.py
@@ -30,7 +30,7 @@
         self.is_let_go = False
         self.done = asyncio.Event()
 
-    async def send(self, reader, writer, piece):
+    async def send(self, writer, piece):
         """Send the piece until the connection is closed."""
         connection = writer.get_extra_info("socket")
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
@@ -42,7 +42,6 @@
                 # The client, on the same event loop, reads.
                 await asyncio.sleep(0)
                 self.sent_bytes += len(piece)
-            await reader.read()
         except ConnectionError:
             self.is_let_go = True
         finally:
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/answers_without_end_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/answers_without_end_steps.py
@@ -54,7 +54,7 @@
         await writer.drain()
         if needs_end:
             await server.late_answer_due.wait()
-        await sender.send(reader, writer, piece)
+        await sender.send(writer, piece)
 
     start(context, script)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/sender.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/sender.feature
@@ -29,3 +29,16 @@
     Given no backend server
     When an order to load "writing" with fencing number 7 is sent
     Then the outcome is OrderUnanswered
+
+  # Guards against a reply to an order that grows in memory until the order's timeout.
+  Scenario Outline: A server that answers an order without end is let go
+    Given a backend server that answers orders with <part> without end
+    When an order to load "writing" with fencing number 7 is sent
+    Then the outcome is <outcome>
+    And the server was let go after at most 4 times 32768 bytes
+
+    Examples:
+      | part             | outcome         |
+      | header fields    | OrderUnanswered |
+      | one header field | OrderUnanswered |
+      | a body           | OrderAccepted   |
--- a/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/steps/sender_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/orders/tests/steps/sender_steps.py
@@ -5,9 +5,18 @@
 
 from behave import given, then, when
 
+from almondfield_daemon.backend import HttpBackends
+from almondfield_daemon.backend.tests.endless import EndlessSender
 from almondfield_daemon.orders import FencedOrder, HttpOrderSender, LoadModel
+from almondfield_daemon.router.tests.fakes import settings
 from almondfield_testing import run
 
+ENDLESS_BY_PART = {
+    "header fields": (b"", b"X-A: aaaaaaaaaa\r\n"),
+    "one header field": (b"X-A: ", b"aaaaaaaaaaaaaaaa"),
+    "a body": (b"\r\n", b"aaaaaaaaaaaaaaaa"),
+}
+
 
 def serve(context, answer):
     context.requests = []
@@ -54,6 +63,18 @@
     serve(context, answer)
 
 
+@given("a backend server that answers orders with {part} without end")
+def step_impl(context, part):
+    beginning, piece = ENDLESS_BY_PART[part]
+    sender = context.sender = EndlessSender()
+
+    async def answer(writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n" + beginning)
+        await sender.send(writer, piece * 64)
+
+    serve(context, answer)
+
+
 @given("no backend server")
 def step_impl(context):
     async def answer(writer):
@@ -67,7 +88,8 @@
 @when('an order to load "{model}" with fencing number {fencing:d} is sent')
 def step_impl(context, model, fencing):
     order = FencedOrder("engine-1", context.address, LoadModel(model), fencing)
-    context.outcome = run(context, HttpOrderSender("secret").send(order))
+    sender = HttpOrderSender(HttpBackends(settings()), "secret")
+    context.outcome = run(context, sender.send(order))
 
 
 @then("the outcome is {name}")
@@ -82,3 +104,11 @@
     assert f"authorization: bearer {token}" in lines
     assert body["fencing"] == fencing
     assert (body["order"], body["model"]) == ("load-model", "writing"), body
+
+
+@then("the server was let go after at most {factor:d} times {limit:d} bytes")
+def step_impl(context, factor, limit):
+    sender = context.sender
+    run(context, sender.done.wait())
+    assert sender.is_let_go, sender.sent_bytes
+    assert sender.sent_bytes <= factor * limit, sender.sent_bytes
--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
@@ -54,7 +54,7 @@
         self.router = Router(
             view, self.share, self.control.control, self.backends, settings
         )
-        sender = HttpOrderSender(secrets.backend_token)
+        sender = HttpOrderSender(self.backends, secrets.backend_token)
         control = self.control.control
         self.orders = Orders(
             self.peers, view, control, self.membership, sender, settings
