--- a/packages/almondfield-core/src/almondfield_core/settings/core.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/core.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 __all__ = [
+    "AnswerSettings",
     "DaemonSettings",
     "HostSettings",
     "LimitSettings",
@@ -103,6 +104,36 @@
     )
 
 
+@dataclass(frozen=True)
+class AnswerSettings:
+    """Limits on the answers of backend servers; a longer answer counts as lost.
+
+    None limits a body as a whole.
+    """
+
+    max_head_bytes: int = item(
+        "Largest head of an answer, with the interim responses before it.",
+        "bytes",
+        default=32 * 1024,
+    )
+    max_framing_bytes: int = item(
+        "Longest chunk-size line or trailer section that is always accepted; up to"
+        " twice the length may be.",
+        "bytes",
+        default=16 * 1024,
+    )
+    max_event_bytes: int = item(
+        "Largest event of an event stream, with the lines of comments before it.",
+        "bytes",
+        default=256 * 1024,
+    )
+    max_discarded_bytes: int = item(
+        "Most bytes of a refusal that are received to use its connection again.",
+        "bytes",
+        default=64 * 1024,
+    )
+
+
 @dataclass(frozen=True)
 class OrderSettings:
     """Orders to backend servers to load models or to change roles."""
@@ -156,6 +187,9 @@
     limits: LimitSettings = item(
         "Limits on sizes, queues and retries.", default=LimitSettings()
     )
+    answers: AnswerSettings = item(
+        "Limits on the answers of backend servers.", default=AnswerSettings()
+    )
     orders: OrderSettings = item("Orders to backend servers.", default=OrderSettings())
     sharing_policy: SharingPolicy = item(
         "How slots are shared between teams.", default=SharingPolicy.FAIR_SHARE
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -6,9 +6,10 @@
 
 import httptools
 
+from almondfield_core.settings import AnswerSettings
 from almondfield_daemon.router.calls import Framing, Header
 
-__all__ = ["BackendConnection", "ConnectionCutError"]
+__all__ = ["AnswerTooLongError", "BackendConnection", "ConnectionCutError"]
 
 HIGH_WATER_BYTES = 256 * 1024
 SMALL_BODY_BYTES = 16 * 1024
@@ -19,18 +20,28 @@
     """Raised when an answer ends before it is complete or violates the protocol."""
 
 
+class AnswerTooLongError(ConnectionCutError):
+    """Raised when a part of an answer is longer than its limit."""
+
+
 class BackendConnection(asyncio.Protocol):
     """Carries one request and its answer at a time.
 
     Only the task that sent a request reads its answer. Bytes that belong to no
     request make the connection unusable.
+
+    :param limits: limits on the answers.
+
+    :ivar received_bytes: bytes of the answer so far, with its head and framing.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: AnswerSettings) -> None:
+        self._limits = limits
         self.status = 0
         self.headers: list[Header] = []
         self.head_complete = False
         self.complete = False
+        self.received_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._parts: deque[bytes] = deque()
@@ -38,6 +49,9 @@
         self._waiter: asyncio.Future[None] | None = None
         self._writable: asyncio.Future[None] | None = None
         self._failure: str = ""
+        self._error_type: type[ConnectionCutError] = ConnectionCutError
+        self._head_bytes = 0
+        self._framing_bytes = 0
         self._keep_alive = False
         self._expects_body = True
         self._answered = False
@@ -79,6 +93,7 @@
     async def wait_head(self) -> None:
         """Wait until the status and headers of the answer are received.
 
+        :raises AnswerTooLongError: if the head is longer than its limit.
         :raises ConnectionCutError: if the connection is lost before that.
         """
         while not self.head_complete:
@@ -119,17 +134,20 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; called by the event loop."""
-        if self._parser is None or self.complete:
+        if self._parser is None or self.complete or self._failure:
             self.fail("bytes that belong to no request")
             self._transport.abort()
             return
         self._answered = True
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.fail("the server switched protocols")
-        except httptools.HttpParserError as error:
-            self.fail(f"malformed answer: {error}")
+        self.received_bytes += len(data)
+        while data and not self.head_complete and not self._failure:
+            data = self._parse_head(data)
+        if self.framing is Framing.CHUNKS:
+            self._parse_chunks(data)
+        elif data:
+            self._parse(data)
+        if self._failure:
+            self._transport.abort()
         if self._buffered_bytes > HIGH_WATER_BYTES:
             self._transport.pause_reading()
         self._wake()
@@ -192,6 +210,7 @@
         if self.complete:
             self.fail("the answer has a body where none is allowed")
             return
+        self._framing_bytes = 0
         self._parts.append(part)
         self._buffered_bytes += len(part)
 
@@ -204,13 +223,63 @@
         self.status = 0
         self.headers = []
         self.head_complete = False
+        self._head_bytes = 0
+        self._framing_bytes = 0
         self.complete = False
+        self.received_bytes = 0
         self._answered = False
         self._keep_alive = False
         self.framing = Framing.CONNECTION
         self._expects_body = method != b"HEAD"
         self._parser = httptools.HttpResponseParser(self)
 
+    def _parse_head(self, data: bytes) -> bytes:
+        """Parse a part of a head, no longer than allowed; return the bytes after it."""
+        limits = self._limits
+        left_bytes = limits.max_head_bytes - self._head_bytes
+        if not left_bytes:
+            self._fail_too_long("a head", limits.max_head_bytes)
+            return b""
+        # The piece may end after the head, where framing begins.
+        piece = data[: min(left_bytes, limits.max_framing_bytes)]
+        self._head_bytes += len(piece)
+        self._parse(piece)
+        return data[len(piece) :]
+
+    def _parse_chunks(self, data: bytes) -> None:
+        """Parse a part of a chunked body in pieces no longer than framing may be.
+
+        A piece that has bytes of the body starts the count of framing anew.
+        """
+        limit_bytes = self._limits.max_framing_bytes
+        start = 0
+        while start < len(data):
+            piece = data[start : start + limit_bytes + 1 - self._framing_bytes]
+            start += len(piece)
+            self._framing_bytes += len(piece)
+            self._parse(piece)
+            if self.complete:
+                break
+            if self._framing_bytes > limit_bytes:
+                part = "a chunk-size line or trailer section"
+                self._fail_too_long(part, limit_bytes)
+                return
+        if start < len(data):
+            self.fail("bytes that belong to no request")
+
+    def _parse(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.fail("the server switched protocols")
+        except httptools.HttpParserError as error:
+            self.fail(f"malformed answer: {error}")
+
+    def _fail_too_long(self, part: str, limit_bytes: int) -> None:
+        if not self._failure:
+            self._error_type = AnswerTooLongError
+        self.fail(f"{part} is longer than {limit_bytes} bytes")
+
     def _take_buffered(self) -> bytes:
         if len(self._parts) == 1:
             data = self._parts.popleft()
@@ -224,7 +293,7 @@
 
     def _raise_if_failed(self) -> None:
         if self._failure and not self.complete:
-            raise ConnectionCutError(self._failure)
+            raise self._error_type(self._failure)
 
     async def _wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -12,6 +12,7 @@
 from almondfield_core.tables import Timeouts
 from almondfield_daemon.backend.connection import (
     BODILESS_STATUSES,
+    AnswerTooLongError,
     BackendConnection,
     ConnectionCutError,
 )
@@ -37,10 +38,15 @@
     :param connection: the connection that carries the answer.
     :param call: the call that is answered.
     :param pool: receives the connection once the answer is complete.
+    :param max_event_bytes: limit on one event of an event stream, in bytes.
     """
 
     def __init__(
-        self, connection: BackendConnection, call: BackendCall, pool: ConnectionPool
+        self,
+        connection: BackendConnection,
+        call: BackendCall,
+        pool: ConnectionPool,
+        max_event_bytes: int,
     ) -> None:
         self._connection = connection
         self._call = call
@@ -48,13 +54,17 @@
         self.status = connection.status
         self.headers: tuple[Header, ...] = end_to_end(connection.headers)
         self.framing = connection.framing
-        self._boundary = EventBoundary() if _is_event_stream(connection, call) else None
+        self._max_event_bytes = max_event_bytes
+        self._boundary = None
+        if _is_event_stream(connection, call):
+            self._boundary = EventBoundary(max_event_bytes)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Return the chunks of the body as they arrive, unchanged byte for byte.
 
         :raises AnswerCutError: if the body ends before it is complete, an event stream
-            ends inside an event, or no data arrives within the pool's chunk timeout.
+            ends inside an event or has one that is larger than its limit, or no data
+            arrives within the pool's chunk timeout.
         """
         connection = self._connection
         chunk_s = self._call.timeouts.chunk_s
@@ -77,6 +87,11 @@
                     return
                 if self._boundary is not None:
                     self._boundary.feed(chunk)
+                    if self._boundary.is_oversized:
+                        reason = (
+                            f"an event is larger than {self._max_event_bytes} bytes"
+                        )
+                        raise AnswerCutError(ServerFailure.STREAM, reason)
                 yield chunk
         except ConnectionCutError as error:
             failure = ServerFailure.STREAM
@@ -85,6 +100,11 @@
             stall.stop()
             self._finish(complete)
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes received so far; 0 once the answer is read or closed."""
+        return self._connection.received_bytes if self._connection is not None else 0
+
     def close(self) -> None:
         """Close the connection, which signals the server to stop."""
         self._finish(complete=False)
@@ -134,7 +154,7 @@
         connection = self._pool.take(call.address) if call.pooled else None
         reused = connection is not None
         if connection is None:
-            match await _connect(call.address, call.timeouts):
+            match await self._connect(call.address, call.timeouts):
                 case Ok(opened):
                     connection = opened
                 case Err(failure):
@@ -149,7 +169,8 @@
         if failure is not None:
             connection.close()
             return Err(replace(failure, stale=reused and connection.is_unanswered))
-        return Ok(HttpAnswer(connection, call, self._pool))
+        max_event_bytes = self._settings.answers.max_event_bytes
+        return Ok(HttpAnswer(connection, call, self._pool, max_event_bytes))
 
     async def run(self) -> None:
         """Wait until cancelled, then close every pooled connection."""
@@ -158,6 +179,27 @@
         finally:
             self._pool.close()
 
+    async def _connect(
+        self, address: str, timeouts: Timeouts
+    ) -> Result[BackendConnection, CallFailure]:
+        """Return a new connection."""
+        host, _, port = address.rpartition(":")
+        limits = self._settings.answers
+        loop = asyncio.get_running_loop()
+        try:
+            async with ArrivalTimeout(timeouts.connect_s):
+                _, connection = await loop.create_connection(
+                    lambda: BackendConnection(limits), host.strip("[]"), int(port)
+                )
+        except TimeoutError:
+            reason = f"{address}: no connection within {timeouts.connect_s} s"
+            failure = ServerFailure.CONNECT
+            return Err(CallFailure(failure, False, reason, timed_out=True))
+        except (OSError, ValueError) as error:
+            reason = f"{address}: {error}"
+            return Err(CallFailure(ServerFailure.CONNECT, False, reason))
+        return Ok(connection)
+
     async def _exchange(
         self, connection: BackendConnection, call: BackendCall
     ) -> CallFailure | None:
@@ -168,6 +210,8 @@
                     call.method.encode(), encode_head(call), call.body
                 )
                 await connection.wait_head()
+        except AnswerTooLongError as error:
+            return CallFailure(ServerFailure.STREAM, True, str(error))
         except ConnectionCutError as error:
             return CallFailure(ServerFailure.FIRST_BYTE, True, str(error))
         except TimeoutError:
@@ -199,24 +243,3 @@
         return True
     names = {name.lower() for name, _ in connection.headers}
     return call.expects_events and b"content-type" not in names
-
-
-async def _connect(
-    address: str, timeouts: Timeouts
-) -> Result[BackendConnection, CallFailure]:
-    """Return a new connection."""
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    try:
-        async with ArrivalTimeout(timeouts.connect_s):
-            _, connection = await loop.create_connection(
-                BackendConnection, host.strip("[]"), int(port)
-            )
-    except TimeoutError:
-        reason = f"{address}: no connection within {timeouts.connect_s} s"
-        failure = ServerFailure.CONNECT
-        return Err(CallFailure(failure, False, reason, timed_out=True))
-    except (OSError, ValueError) as error:
-        reason = f"{address}: {error}"
-        return Err(CallFailure(ServerFailure.CONNECT, False, reason))
-    return Ok(connection)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -104,13 +104,19 @@
             self.host_delay,
             self._counts,
         )
-        attempts = AttemptSender(self._backends, codec, self.host_delay)
+        attempts = AttemptSender(
+            self._backends,
+            codec,
+            self.host_delay,
+            settings.answers.max_discarded_bytes,
+        )
         self._metrics = RouterMetrics()
         forwarder = Forwarder(
             attempts,
             self._servers,
             self._origins,
             self._make_retry_window,
+            settings.answers.max_event_bytes,
             self._observe,
             self._observe_refusal,
         )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -15,6 +15,7 @@
     Prompt,
     PromptPart,
 )
+from almondfield_core.settings import AnswerSettings
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding import (
     AttemptSender,
@@ -83,12 +84,18 @@
             context.host_delay,
         )
         context.backends = FakeBackends(context.servers)
-        attempts = AttemptSender(context.backends, FakeCodec(), context.host_delay)
+        attempts = AttemptSender(
+            context.backends,
+            FakeCodec(),
+            context.host_delay,
+            AnswerSettings().max_discarded_bytes,
+        )
         context.forwarder = Forwarder(
             attempts,
             selector,
             context.origins,
             lambda: RetryWindow(WINDOW_S, SHARE, SLACK, lambda: context.routers),
+            AnswerSettings().max_event_bytes,
         )
 
     run(context, make())
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/resume.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/resume.py
@@ -32,25 +32,33 @@
     :param answer: the answer as first received.
     :param resume: requests the events after the given identifier from the same
         server, on a new connection.
+    :param max_event_bytes: limit on one event, in bytes.
     """
 
     def __init__(
         self,
         answer: BackendAnswer,
         resume: Callable[[bytes], Awaitable[Result[BackendAnswer, CallFailure]]],
+        max_event_bytes: int,
     ) -> None:
+        self._max_event_bytes = max_event_bytes
         self.status = answer.status
         self.headers = answer.headers
         self.framing = answer.framing
         self._answer = answer
         self._resume = resume
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes received so far of the newest answer."""
+        return self._answer.received_bytes
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Return the stream, each event complete and exactly once.
 
         :raises AnswerCutError: if the stream cannot be resumed.
         """
-        tracker = EventTracker()
+        tracker = EventTracker(self._max_event_bytes)
         tries = 0
         while True:
             try:
