--- a/packages/almondfield-control/src/almondfield_control/storage/core.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/core.py
@@ -1,7 +1,7 @@
 """Journal of one voter: hard state, log entries and snapshots."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 import eliot
@@ -116,9 +116,13 @@
 
 @dataclass(frozen=True)
 class _PendingWrites:
-    """Writes that wait for the next sync, and their waiters."""
+    """Writes that wait for the next sync, in the order of their numbers.
 
-    batches: list[_WriteBatch] = field(default_factory=list)
+    :ivar batch_by_number: the writes.
+    :ivar waiters: futures of those that have not failed yet.
+    """
+
+    batch_by_number: dict[int, _WriteBatch] = field(default_factory=dict)
     waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
 
@@ -133,6 +137,7 @@
         self._name = ""
         self._size = 0
         self._pending = _PendingWrites()
+        self._next_number = 0
         self._wake = asyncio.Event()
         self._lock = asyncio.Lock()
         self._failure: Finding | None = None
@@ -183,7 +188,9 @@
             is retried before any later one, so that the journal has no gap.
         """
         waiter = asyncio.get_running_loop().create_future()
-        self._pending.batches.append(_WriteBatch(hard_state, cut_after, entries))
+        batch = _WriteBatch(hard_state, cut_after, entries)
+        self._pending.batch_by_number[self._next_number] = batch
+        self._next_number += 1
         self._pending.waiters.append(waiter)
         self._wake.set()
         return waiter
@@ -208,6 +215,7 @@
         :raises StorageError: if the write failed.
         """
         pending, self._pending = self._pending, _PendingWrites()
+        first_later_number = self._next_number
         async with self._lock:
             try:
                 await self._replace(
@@ -215,9 +223,13 @@
                 )
             except OSError as error:
                 failure = self._record_failure(error)
-                self._pending.batches[:0] = pending.batches
+                self._put_back(pending)
                 _resolve_waiters(pending.waiters, failure)
                 raise failure from error
+            # A write that was under way may have failed since, and waits to be retried.
+            for number in tuple(self._pending.batch_by_number):
+                if number < first_later_number:
+                    del self._pending.batch_by_number[number]
         _resolve_waiters(pending.waiters, None)
 
     async def _replace(
@@ -240,21 +252,27 @@
         await self._remove_others(await self._disk.names())
 
     async def _write(self, pending: _PendingWrites) -> None:
-        if not pending.batches:
+        if not pending.batch_by_number:
             return
-        data = _pack_frame(tuple(pending.batches))
+        data = _pack_frame(tuple(pending.batch_by_number.values()))
         try:
             if self._failure is not None:
                 await self._disk.truncate(self._name, self._size)
             await self._disk.append(self._name, data)
         except OSError as error:
             _resolve_waiters(pending.waiters, self._record_failure(error))
-            self._pending.batches[:0] = pending.batches
+            self._put_back(pending)
             return
         self._size += len(data)
         self._failure = None
         _resolve_waiters(pending.waiters, None)
 
+    def _put_back(self, failed: _PendingWrites) -> None:
+        """Let failed writes be retried, each at its place in the order of the calls."""
+        merged = failed.batch_by_number | self._pending.batch_by_number
+        batch_by_number = {number: merged[number] for number in sorted(merged)}
+        self._pending = replace(self._pending, batch_by_number=batch_by_number)
+
     def _record_failure(self, error: OSError) -> StorageError:
         previous = self._failure
         self._failure = Finding(
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/storage_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/storage_steps.py
@@ -1,6 +1,7 @@
 """Steps of storage.feature."""
 
 import asyncio
+import errno
 import random
 import tempfile
 from pathlib import Path
@@ -12,6 +13,7 @@
 from almondfield_control.commands import NoOperation, entry_of
 from almondfield_control.errors import DamageError, StorageError
 from almondfield_control.storage import FolderDisk, HardState, Journal
+from almondfield_control.storage.core import RETRY_INTERVAL_S
 from almondfield_core.findings import FindingsError
 
 HARD_STATE = HardState("id", "group", True, (), 4, "id")
@@ -150,6 +152,34 @@
         raise AssertionError("the write did not fail")
 
 
+@when("a write of 2 entries fails once, while a snapshot of 2 entries waits for it")
+@in_loop
+async def step_impl(context):
+    disk = context.disk
+    append = disk.append
+
+    async def fail_once(name, data):
+        await asyncio.sleep(disk.sync_s)
+        disk.append = append
+        raise OSError(errno.EIO, "input/output error")
+
+    disk.append = fail_once
+    written = context.journal.write(entries=LATER_ENTRIES)
+    await asyncio.sleep(disk.sync_s / 2)
+    entries = (*ENTRIES[2:], *LATER_ENTRIES)
+    await context.journal.compact(HARD_STATE, 2, 1, b"state", entries)
+    assert isinstance(written.exception(), StorageError)
+    await asyncio.sleep(2 * RETRY_INTERVAL_S)
+
+
+@then("recovery returns entries 3 to 5 after the snapshot")
+@in_loop
+async def step_impl(context):
+    recovered = await Journal(context.disk).recover()
+    assert recovered.base_index == 2
+    assert recovered.entries == (*ENTRIES[2:], *LATER_ENTRIES), recovered.entries
+
+
 @then("a second use of a real data folder is refused")
 def step_impl(context):
     with tempfile.TemporaryDirectory() as folder:
--- a/packages/almondfield-control/src/almondfield_control/tests/storage.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/storage.feature
@@ -31,6 +31,13 @@
     When the host crashes while a snapshot is written
     Then the recovery returns the 3 entries
 
+  # Guards against LOST: entries stand twice in the journal, and all after them at a wrong
+  # index, where a write fails while a snapshot waits for it.
+  Scenario: a write that fails before a snapshot is not repeated after it
+    Given a journal with 3 synced entries on a disk
+    When a write of 2 entries fails once, while a snapshot of 2 entries waits for it
+    Then recovery returns entries 3 to 5 after the snapshot
+
   Scenario: a folder that another process uses is refused
     Then a second use of a real data folder is refused
 
