--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -24,6 +24,7 @@
 
 HELLO_INTERVAL_S = 1.0  # callers cache a router's address for about 2 s
 HELLO_TIMEOUT_S = 0.9  # ends before the next hello
+MAX_UNANSWERED = 10  # of one host; the earliest show that messages were lost
 HEARTBEAT_TIMEOUT_S = 3.0  # three hellos without a reply
 
 
@@ -184,14 +185,16 @@
 
         def on_late(reply: object) -> None:
             if isinstance(reply, HelloReply):
-                self._unanswered_s_by_host[host].discard(sent_s)
+                self._unanswered_s_by_host.get(host, set()).discard(sent_s)
                 self._process_reply(host, reply, sent_s)
 
         match await self._peers.request(host, hello, HELLO_TIMEOUT_S, on_late):
             case Ok(HelloReply() as reply):
                 self._process_reply(host, reply, sent_s)
             case _:
-                self._unanswered_s_by_host.setdefault(host, set()).add(sent_s)
+                unanswered_s = self._unanswered_s_by_host.setdefault(host, set())
+                if len(unanswered_s) < MAX_UNANSWERED:
+                    unanswered_s.add(sent_s)
 
     def _process_reply(self, host: str, reply: HelloReply, sent_s: float) -> None:
         last = self._last_reply_by_host.get(host)
