--- a/packages/almondfield-daemon/src/almondfield_daemon/host_delay/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/host_delay/core.py
@@ -17,7 +17,7 @@
     """Delay between the arrival of messages at this host and their handling.
 
     If the replies of most hosts take long, the cause is this host: its event loop is
-    busy, or its link is full. Time-outs of single hosts then show nothing about them.
+    busy, or its link is full. Timeouts of single hosts then show nothing about them.
     """
 
     def __init__(self) -> None:
@@ -67,5 +67,5 @@
 
     @property
     def is_late(self) -> bool:
-        """Return whether time-outs of other hosts are probably caused by this host."""
+        """Return whether timeouts of other hosts are probably caused by this host."""
         return self.seconds() >= LATE_S
