Obey servers that leave, or ask for time, with their answers

Callers lost nothing so far, but a server that had said in its answers that it leaves still got 9 to 60 requests in 3 s from the same router, and one that refused with a retry time got 15 to 63 within it: neither header was read.

ServerNotices decides, for one start of a server and without any other host, whether a router may send it work: none after it has said that it leaves, none until its retry time has passed, then one request at a time until it answers. Selection, the scheduler's exclusions, retries and resumed streams use it, and it is asked again right before a request is sent. If no server takes work, the request is refused at once with the time until one does. A grant whose request isn't sent is taken back.

--- a/bench/refusal_cost.py
+++ b/bench/refusal_cost.py
@@ -23,6 +23,7 @@
     ServerPool,
     TeamKeys,
 )
+from almondfield_core.settings import AnswerSettings
 from almondfield_core.tables import hash_key
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding import (
@@ -31,8 +32,10 @@
     RetryWindow,
     ServerSelector,
 )
+from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.logs import LineLog
 from almondfield_daemon.scheduling.messages import EngineRefusal
+from almondfield_daemon.server_notices import ServerNotices
 from almondfield_daemon.serving import HttpListener, bind
 from almondfield_fairshare.prefix_placement import Placement
 from almondfield_platform.headers import PlatformHeaders
@@ -128,10 +131,20 @@
     log = LineLog(os.open(os.devnull, os.O_WRONLY), "h")
     eliot.add_destinations(log)
     selector = ServerSelector(
-        _StubView(), Placement(random.Random(1)), "east", _StubEngines()
+        _StubView(),
+        Placement(random.Random(1)),
+        "east",
+        _StubEngines(),
+        HostDelay(),
+        ServerNotices(),
     )
+    max_event_bytes = AnswerSettings().max_event_bytes
     forwarder = Forwarder(
-        None, selector, None, lambda: RetryWindow(10.0, 0.2, 50.0, lambda: 66)
+        None,
+        selector,
+        None,
+        lambda: RetryWindow(10.0, 0.2, 50.0, lambda: 66),
+        max_event_bytes,
     )
     endpoint = ForwardEndpoint(
         forwarder, _StubSubscription(), PlatformHeaders(), MAX_HELD_BYTES
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -7,6 +7,7 @@
 import httptools
 
 from almondfield_core.settings import AnswerSettings
+from almondfield_daemon.loop_delay import latest_arrival_s
 from almondfield_daemon.router.calls import Framing, Header
 
 __all__ = ["AnswerTooLongError", "BackendConnection", "ConnectionCutError"]
@@ -33,6 +34,8 @@
     :param limits: limits on the answers.
 
     :ivar received_bytes: bytes of the answer so far, with its head and framing.
+    :ivar head_received_s: latest time at which the head of the answer can have arrived,
+        in seconds of the loop's clock.
     """
 
     def __init__(self, limits: AnswerSettings) -> None:
@@ -42,6 +45,7 @@
         self.head_complete = False
         self.complete = False
         self.received_bytes = 0
+        self.head_received_s = 0.0
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._parts: deque[bytes] = deque()
@@ -200,6 +204,7 @@
             return
         self.status = status
         self.head_complete = True
+        self.head_received_s = latest_arrival_s()
         self._keep_alive = self._parser.should_keep_alive()
         if not self._expects_body or status in BODILESS_STATUSES:
             self.complete = True
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -54,6 +54,7 @@
         self.status = connection.status
         self.headers: tuple[Header, ...] = end_to_end(connection.headers)
         self.framing = connection.framing
+        self.received_s = connection.head_received_s
         self._max_event_bytes = max_event_bytes
         self._boundary = None
         if _is_event_stream(connection, call):
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a fleet daemon, and the page that serves them."""
 
 from collections import Counter as Counts
+from collections.abc import Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from starlette.applications import Starlette
@@ -10,6 +11,7 @@
 
 from almondfield_daemon.fleet import FleetControl
 from almondfield_daemon.forwarding import RequestReport
+from almondfield_daemon.server_notices import NoticeKind
 
 __all__ = ["ControlMetrics", "LoopMetrics", "RouterMetrics", "build_metrics_app"]
 
@@ -21,10 +23,19 @@
 
 
 class RouterMetrics:
-    """Counters and latency histograms of the requests of one router."""
+    """Counters and latency histograms of the requests of one router.
 
-    def __init__(self) -> None:
+    :param notice_count_by_kind: notices of backend servers since the start.
+    """
+
+    def __init__(self, notice_count_by_kind: Mapping[NoticeKind, int]) -> None:
         self.registry = Registry()
+        self._notice_count_by_kind = notice_count_by_kind
+        self._notices = Counter(
+            "almondfield_server_notices_total",
+            "Answers of backend servers that say what further work they take, by kind",
+            registry=self.registry,
+        )
         self._refusals: Counts[tuple[str, int]] = Counts()
         self._requests = Counter(
             "almondfield_requests_total",
@@ -71,7 +82,9 @@
         self._refusals[(route, status)] += 1
 
     def refresh(self) -> None:
-        """Add the refusals to the counter of requests."""
+        """Update the counters of notices and refusals."""
+        for kind, count in self._notice_count_by_kind.items():
+            self._notices.set({"notice": kind.value}, count)
         # An addition to a counter takes longer than the refusal of a request.
         refusals, self._refusals = self._refusals, Counts()
         for (route, status), count in refusals.items():
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -26,6 +26,7 @@
     log_request_counts,
 )
 from almondfield_daemon.scheduling import EngineClient
+from almondfield_daemon.server_notices import ServerNotices
 from almondfield_daemon.streams import OriginClient
 from almondfield_fairshare.prefix_placement import Placement
 
@@ -96,12 +97,14 @@
             self.incarnation * MAX_ATTEMPTS_PER_MS,
         )
         self._counts = RequestCounts()
+        notices = ServerNotices()
         self._servers = ServerSelector(
             self.view,
             placement,
             settings.data_centre,
             engines,
             self.host_delay,
+            notices,
             self._counts,
         )
         attempts = AttemptSender(
@@ -110,7 +113,7 @@
             self.host_delay,
             settings.answers.max_discarded_bytes,
         )
-        self._metrics = RouterMetrics()
+        self._metrics = RouterMetrics(notices.count_by_kind)
         forwarder = Forwarder(
             attempts,
             self._servers,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
@@ -11,6 +11,7 @@
     Misdirected,
     NotExecuted,
     Unsent,
+    Withheld,
 )
 
 __all__ = ["log_attempt"]
@@ -43,7 +44,7 @@
             return f"not run: refused with {status}"
         case Misdirected():
             return "not run: another server has the address"
-        case Unsent(reason):
+        case Unsent(reason) | Withheld(reason):
             return f"not run: {reason}"
         case AnswerLost(reason):
             return f"unknown: {reason}"
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
@@ -20,6 +20,7 @@
     Misdirected,
     NotExecuted,
     Unsent,
+    Withheld,
 )
 from almondfield_daemon.forwarding.ports import HeaderCodec
 from almondfield_daemon.host_delay import HostDelay
@@ -31,6 +32,7 @@
     Backends,
     Header,
 )
+from almondfield_daemon.server_notices import ServerClosedError
 
 __all__ = ["AttemptSender"]
 
@@ -66,7 +68,7 @@
         last_event_id: str,
         answer_timeout_s: float,
         chunk_timeout_s: float,
-        check_caller: Callable[[], None] = lambda: None,
+        check: Callable[[], None] = lambda: None,
     ) -> Attempt:
         """Return the outcome of one attempt, once the head of the answer has arrived.
 
@@ -75,12 +77,16 @@
         :param last_event_id: last event that the caller received; empty for none.
         :param answer_timeout_s: timeout for the head of the answer, in seconds.
         :param chunk_timeout_s: timeout for each further part of the answer, in seconds.
-        :param check_caller: called right before the request is sent; raises an error if
-            the caller has left.
+        :param check: called right before the request is sent; raises an error if the
+            caller has left or the server takes no work any more.
         """
         timeouts = self._timeouts(request, answer_timeout_s, chunk_timeout_s)
-        call = self._call(request, server, last_event_id, timeouts, check_caller)
-        match await self._backends.send(call):
+        call = self._call(request, server, last_event_id, timeouts, check)
+        try:
+            result = await self._backends.send(call)
+        except ServerClosedError as error:
+            return Withheld(str(error))
+        match result:
             case Err(failure) if not failure.may_have_run:
                 return Unsent(failure.reason, failure.timed_out)
             case Err(failure):
@@ -96,7 +102,7 @@
         server: FleetServer,
         last_event_id: str,
         timeouts: Timeouts,
-        check_caller: Callable[[], None],
+        check: Callable[[], None],
     ) -> BackendCall:
         headers = tuple(
             header
@@ -105,7 +111,7 @@
         )
 
         def prepare_headers() -> tuple[Header, ...]:
-            check_caller()
+            check()
             remaining_s = max(0.0, request.until_s - now())
             metadata = CallMetadata(
                 server.name, remaining_s, request.team, last_event_id
@@ -141,7 +147,7 @@
     async def _classify(
         self, request: ForwardRequest, answer: BackendAnswer
     ) -> Attempt:
-        metadata = self._codec.read_answer(answer.headers)
+        metadata = self._codec.read_answer(answer.status, answer.headers)
         if metadata.request_id not in ("", request.metadata.request_id):
             answer.close()
             return AnswerLost("the answer belongs to another request")
@@ -150,7 +156,7 @@
             return Misdirected()
         if metadata.was_not_run:
             await self._discard_body(answer)
-            return NotExecuted(answer.status)
+            return NotExecuted(answer.status, metadata, answer.received_s)
         is_named = bool(metadata.request_id)
         if answer.status in SUCCESS_STATUSES and not (is_named and metadata.is_signed):
             answer.close()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
@@ -22,6 +22,7 @@
     NO_SCHEDULER = "no-scheduler"  # none answered in time; the router's limit is used
     NO_SERVER = "no-server"
     NO_VERSION = "no-version"
+    CLOSED = "closed"  # all servers have said that they take no work now
 
 
 class RequestCounts:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
@@ -4,6 +4,7 @@
 
 from almondfield_core.routing import Prompt, RouteRule
 from almondfield_daemon.router.calls import Header
+from almondfield_daemon.server_notices import ServerNotice
 
 __all__ = [
     "AnswerMetadata",
@@ -81,6 +82,7 @@
     :ivar was_not_run: whether the server reported that it did not run the request.
     :ivar is_encoded: whether a content encoding changed the bytes of its body.
     :ivar load: load of the server; None if it reported none.
+    :ivar notices: what the server says about further work.
     """
 
     request_id: str = ""
@@ -88,6 +90,7 @@
     was_not_run: bool = False
     is_encoded: bool = False
     load: ServerLoad | None = None
+    notices: tuple[ServerNotice, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
@@ -13,6 +13,7 @@
     "Misdirected",
     "NotExecuted",
     "Unsent",
+    "Withheld",
 ]
 
 
@@ -33,9 +34,13 @@
     """The server reported that it did not run the request.
 
     :ivar status: status of its answer.
+    :ivar metadata: metadata from its headers.
+    :ivar received_s: when its head was received, in seconds of the loop's clock.
     """
 
     status: int
+    metadata: AnswerMetadata
+    received_s: float
 
 
 @dataclass(frozen=True)
@@ -55,6 +60,16 @@
     timed_out: bool = False
 
 
+@dataclass(frozen=True)
+class Withheld:
+    """No byte of the request was sent, as the server takes no work any more.
+
+    :ivar reason: description of the reason.
+    """
+
+    reason: str
+
+
 @dataclass(frozen=True)
 class AnswerLost:
     """No usable answer arrived; the request may have run.
@@ -69,5 +84,5 @@
     timed_out: bool = False
 
 
-FailedAttempt = NotExecuted | Misdirected | Unsent | AnswerLost
+FailedAttempt = NotExecuted | Misdirected | Unsent | Withheld | AnswerLost
 Attempt = Answered | FailedAttempt
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/ports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/ports.py
@@ -36,9 +36,10 @@
         :param metadata: metadata that the router adds.
         """
 
-    def read_answer(self, headers: tuple[Header, ...]) -> AnswerMetadata:
-        """Return the metadata in an answer's headers.
+    def read_answer(self, status: int, headers: tuple[Header, ...]) -> AnswerMetadata:
+        """Return the metadata in an answer's head.
 
+        :param status: HTTP status.
         :param headers: headers as received.
         """
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -10,6 +10,10 @@
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding.answers import read_body, stream_headers
 from almondfield_daemon.forwarding.attempt_log import log_attempt
+from almondfield_daemon.forwarding.attempt_timeouts import (
+    AttemptTimeouts,
+    attempt_timeouts,
+)
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import RetryWindow
 from almondfield_daemon.forwarding.messages import ForwardRequest
@@ -17,14 +21,16 @@
     Answered,
     AnswerLost,
     Attempt,
+    FailedAttempt,
     Misdirected,
     NotExecuted,
     Unsent,
+    Withheld,
 )
 from almondfield_daemon.forwarding.ports import ResponseSink, StreamOrigins
+from almondfield_daemon.forwarding.selected_server import SelectedServer
 from almondfield_daemon.forwarding.servers import (
     RETRY_AFTER_S,
-    SelectedServer,
     ServerSelector,
     Unavailable,
 )
@@ -38,10 +44,6 @@
 
 MAX_UNSENT_ATTEMPTS = 4  # attempts without a sent byte before the caller is refused
 MIN_REMAINING_S = 0.02  # less is too short for a backend server to answer
-MIN_ANSWER_TIMEOUT_S = 0.3  # several round trips and a short request
-# An answer slower than this multiple of the target is more likely lost than late.
-LATENCY_TARGETS_PER_ATTEMPT = 3.0
-STREAM_CHUNK_TIMEOUT_S = 1.4  # callers abandon a stalled stream after 2 s or more
 
 
 class StreamBrokenError(AlmondfieldError):
@@ -253,10 +255,14 @@
             match outcome:
                 case Answered():
                     self.framing = outcome.answer.framing
-                    selected.record_load(outcome.metadata.load)
+                    selected.record_answer(
+                        outcome.metadata,
+                        outcome.answer.received_s,
+                        self._request.metadata.request_id,
+                    )
                     return selected, outcome
                 case _:
-                    selected.end(was_refused=isinstance(outcome, NotExecuted))
+                    self._end_attempt(selected, outcome)
                     problem = self._handle_failure(selected, outcome)
                     if problem is not None:
                         return problem
@@ -265,6 +271,7 @@
         may_have_run = self.may_have_run
         if self.first_attempt_s is None:
             self.first_attempt_s = now() - self._request.arrived_s
+        timeouts = self._timeouts(selected)
         # A cancellation or timeout during the attempt leaves it unknown whether it ran.
         self.may_have_run = True
         try:
@@ -272,21 +279,38 @@
                 self._request,
                 selected.server,
                 self._last_event_id,
-                self._answer_timeout_s(selected),
-                self._chunk_timeout_s(),
-                self._sink.check_caller,
+                timeouts.answer_s,
+                timeouts.chunk_s,
+                lambda: self._check_before_sending(selected),
             )
         except BaseException:
             selected.end()
             raise
-        if isinstance(outcome, Unsent | NotExecuted | Misdirected):
+        if isinstance(outcome, Unsent | Withheld | NotExecuted | Misdirected):
             self.may_have_run = may_have_run
-        if not isinstance(outcome, Unsent):
+        if not isinstance(outcome, Unsent | Withheld):
             self.sent += 1
         if not isinstance(outcome, Answered):
             log_attempt(self._request, selected.server, outcome)
         return outcome
 
+    def _check_before_sending(self, selected: SelectedServer) -> None:
+        self._sink.check_caller()
+        selected.check_notices()
+
+    def _end_attempt(self, selected: SelectedServer, outcome: FailedAttempt) -> None:
+        match outcome:
+            case NotExecuted(_, metadata, received_s):
+                request_id = self._request.metadata.request_id
+                selected.record_answer(
+                    metadata, received_s, request_id, was_refused=True
+                )
+                selected.end(was_refused=True)
+            case Withheld():
+                selected.end(was_sent=False)
+            case _:
+                selected.end()
+
     def _handle_failure(
         self, selected: SelectedServer, outcome: Attempt
     ) -> Problem | None:
@@ -300,13 +324,20 @@
                 if self._unsent_attempts < MAX_UNSENT_ATTEMPTS:
                     return None
                 return self._refusal(reason)
+            case Withheld(reason):
+                self._unsent_attempts += 1
+                if self._unsent_attempts < MAX_UNSENT_ATTEMPTS:
+                    return None
+                return self._refusal(reason, self._retry_after_s())
             case Misdirected():
                 self._servers.exclude_misdirected(selected)
                 detail = "another server has the address"
                 return None if self._may_send_again() else self._refusal(detail)
             case NotExecuted(status):
+                if self._may_send_again():
+                    return None
                 detail = f"the server refused with {status}"
-                return None if self._may_send_again() else self._refusal(detail)
+                return self._refusal(detail, self._retry_after_s())
             case AnswerLost(reason=reason, is_timeout=is_timeout):
                 if self._record_loss(selected, outcome):
                     return None
@@ -340,24 +371,15 @@
     def _remaining_s(self) -> float:
         return self._request.until_s - now()
 
-    def _chunk_timeout_s(self) -> float:
-        """Return the timeout for the next part of an answer, in seconds."""
-        route = self._request.route
-        is_last = self.sent + 1 >= route.max_attempts
-        if is_last or not route.is_resumable or not self._window.allows_repeat():
-            return self._remaining_s()
-        return STREAM_CHUNK_TIMEOUT_S
-
-    def _answer_timeout_s(self, selected: SelectedServer) -> float:
-        """Return the timeout for the head of an answer, in seconds."""
-        route = self._request.route
-        if route.kind is RequestKind.STREAMING:
-            return self._chunk_timeout_s() + selected.time_to_first_token_s
-        is_last = self.sent + 1 >= route.max_attempts
-        if route.kind is not RequestKind.IDEMPOTENT or is_last:
-            return self._remaining_s()
-        timeout_s = LATENCY_TARGETS_PER_ATTEMPT * route.latency_target_s
-        return max(MIN_ANSWER_TIMEOUT_S, timeout_s)
+    def _timeouts(self, selected: SelectedServer) -> AttemptTimeouts:
+        is_last = self.sent + 1 >= self._request.route.max_attempts
+        return attempt_timeouts(
+            self._request.route,
+            self._remaining_s(),
+            may_repeat=not is_last and self._window.allows_repeat(),
+            is_last=is_last,
+            time_to_first_token_s=selected.time_to_first_token_s,
+        )
 
     def _refusal(self, detail: str, retry_after_s: float = RETRY_AFTER_S) -> Problem:
         """Return the problem of a request that no server accepted.
@@ -368,6 +390,9 @@
             return self._no_answer(detail, is_timeout=False)
         return Problem(503, "no-capacity", detail, retry_after_s=retry_after_s)
 
+    def _retry_after_s(self) -> float:
+        return self._servers.retry_after_s(self._request, self.stream_version)
+
     def _no_answer(self, detail: str, is_timeout: bool) -> Problem:
         if not self.may_have_run and not is_timeout:
             return self._refusal(detail)
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -0,0 +1,138 @@
+"""The server that is selected for one attempt, and what is recorded of it."""
+
+import eliot
+
+from almondfield_daemon.fleet import FleetServer
+from almondfield_daemon.forwarding.messages import AnswerMetadata
+from almondfield_daemon.host_delay import HostDelay
+from almondfield_daemon.scheduling import EngineAssignment
+from almondfield_daemon.server_notices import ServerNotices, ServerStart
+from almondfield_fairshare.prefix_placement import InFlightRequest, Placement
+
+__all__ = ["SelectedServer", "server_start"]
+
+SLOW_PREFILL_TOKENS_PER_S = 20_000.0  # half the rate of large engines
+
+
+def server_start(server: FleetServer) -> ServerStart:
+    """Return the start of a server, by which notices and addresses are kept.
+
+    :param server: the server.
+    """
+    return ServerStart(server.name, server.born_ms)
+
+
+class SelectedServer:
+    """The server selected for one attempt.
+
+    :param server: the server.
+    :param placement: holds the load record of the server.
+    :param in_flight: the attempt's share of that load.
+    :param host_delay: delay of this host.
+    :param notices: what servers said about further work.
+    :param assignment: the assignment to a model engine, reported to the scheduler; None
+        for other servers.
+    """
+
+    def __init__(
+        self,
+        server: FleetServer,
+        placement: Placement,
+        in_flight: InFlightRequest,
+        host_delay: HostDelay,
+        notices: ServerNotices,
+        assignment: EngineAssignment | None = None,
+    ) -> None:
+        self.server = server
+        self._start = server_start(server)
+        self._notices = notices
+        self._trial = notices.begin_trial(self._start)
+        self._host_delay = host_delay
+        self._placement = placement
+        self._in_flight = in_flight
+        self.assignment = assignment
+
+    @property
+    def time_to_first_token_s(self) -> float:
+        """Return the wait and prefill time of a slow engine, in seconds."""
+        if self.assignment is None:
+            return 0.0
+        wait_s = self.assignment.wait_s or 0.0
+        return wait_s + self.assignment.uncached_tokens / SLOW_PREFILL_TOKENS_PER_S
+
+    def check_notices(self) -> None:
+        """Return if the server still takes the request.
+
+        :raises ServerClosedError: if it takes no work any more.
+        """
+        self._notices.check(self._start, self._trial)
+
+    def record_answer(
+        self,
+        metadata: AnswerMetadata,
+        received_s: float,
+        request_id: str,
+        was_refused: bool = False,
+    ) -> None:
+        """Record what the head of the server's answer says about the server.
+
+        :param metadata: metadata from the head.
+        :param received_s: when it was received, in seconds of the loop's clock.
+        :param request_id: the request that it answers.
+        :param was_refused: whether the server refused the request.
+        """
+        self._notices.record_answer(
+            self._start, metadata.notices, was_refused, received_s, request_id
+        )
+        load = metadata.load
+        if load is not None and not was_refused:
+            record = self._placement.record(self.server.name)
+            record.record_load(load.running, load.waiting)
+
+    def begin_answer(self) -> None:
+        """Record that prefill has finished."""
+        self._in_flight.begin_answer()
+        if self.assignment is not None:
+            self.assignment.begin_answer()
+
+    def record_success(self) -> None:
+        """Record a complete answer."""
+        self._placement.record(self.server.name).record_success()
+
+    def record_failure(self, reason: str, timed_out: bool = False) -> None:
+        """Record that the server gave no answer of its own.
+
+        :param reason: description of the failure.
+        :param timed_out: whether it did not answer within a timeout. While this host
+            itself is late, one timeout in a row shows nothing.
+        """
+        record = self._placement.record(self.server.name)
+        if timed_out and self._host_delay.is_late and not record.timeouts:
+            record.timeouts += 1
+            eliot.log_message(
+                "server:timeout-ignored",
+                server=self.server.name,
+                reason=reason,
+                host_delay_ms=round(self._host_delay.seconds() * 1000, 1),
+            )
+            return
+        was_avoided = record.is_avoided
+        record.record_failure()
+        if not was_avoided:
+            eliot.log_message(
+                "server:avoided",
+                server=self.server.name,
+                failures=record.failures,
+                reason=reason,
+            )
+
+    def end(self, was_refused: bool = False, was_sent: bool = True) -> None:
+        """Record the end of the attempt.
+
+        :param was_refused: whether the server refused it because it was full.
+        :param was_sent: whether a byte of the request may have been sent.
+        """
+        self._in_flight.end()
+        self._notices.end_trial(self._start, self._trial)
+        if self.assignment is not None:
+            self.assignment.end(was_refused, was_sent)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -1,25 +1,26 @@
 """Selects backend servers for requests and tracks their load."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-import eliot
-
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.forwarding.counts import RefusalCause, RequestCounts
-from almondfield_daemon.forwarding.messages import ForwardRequest, ServerLoad
+from almondfield_daemon.forwarding.messages import ForwardRequest
+from almondfield_daemon.forwarding.selected_server import SelectedServer, server_start
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.scheduling import EngineAssignment, EngineClient
 from almondfield_daemon.scheduling.messages import EngineRefusal
+from almondfield_daemon.server_notices import ServerNotices
 from almondfield_fairshare.engines import PromptRequest
-from almondfield_fairshare.prefix_placement import Candidate, InFlightRequest, Placement
+from almondfield_fairshare.prefix_placement import Candidate, Placement
 
-__all__ = ["RETRY_AFTER_S", "SelectedServer", "ServerSelector", "Unavailable"]
+__all__ = ["RETRY_AFTER_S", "ServerSelector", "Unavailable"]
 
 # Concurrent prefills per server, over all routers; more would start too late.
 LOCAL_PREFILLS_PER_SERVER = 2
+MIN_RETRY_AFTER_S = 0.05  # about the duration of the request that a server tries first
 RETRY_AFTER_S = 0.3  # about as long as a failed server is avoided
-SLOW_PREFILL_TOKENS_PER_S = 20_000.0  # half the rate of large engines
 
 
 @dataclass(frozen=True)
@@ -36,95 +37,6 @@
     retry_after_s: float = RETRY_AFTER_S
 
 
-class SelectedServer:
-    """The server selected for one attempt.
-
-    :param server: the server.
-    :param placement: holds the load record of the server.
-    :param in_flight: the attempt's share of that load.
-    :param host_delay: delay of this host.
-    :param assignment: the assignment to a model engine, reported to the scheduler; None
-        for other servers.
-    """
-
-    def __init__(
-        self,
-        server: FleetServer,
-        placement: Placement,
-        in_flight: InFlightRequest,
-        host_delay: HostDelay,
-        assignment: EngineAssignment | None = None,
-    ) -> None:
-        self.server = server
-        self._host_delay = host_delay
-        self._placement = placement
-        self._in_flight = in_flight
-        self.assignment = assignment
-
-    @property
-    def time_to_first_token_s(self) -> float:
-        """Return the wait and prefill time of a slow engine, in seconds."""
-        if self.assignment is None:
-            return 0.0
-        wait_s = self.assignment.wait_s or 0.0
-        return wait_s + self.assignment.uncached_tokens / SLOW_PREFILL_TOKENS_PER_S
-
-    def record_load(self, load: ServerLoad | None) -> None:
-        """Record the load that the server reported.
-
-        :param load: the load; None if the server reported none.
-        """
-        if load is not None:
-            record = self._placement.record(self.server.name)
-            record.record_load(load.running, load.waiting)
-
-    def begin_answer(self) -> None:
-        """Record that prefill has finished."""
-        self._in_flight.begin_answer()
-        if self.assignment is not None:
-            self.assignment.begin_answer()
-
-    def record_success(self) -> None:
-        """Record a complete answer."""
-        self._placement.record(self.server.name).record_success()
-
-    def record_failure(self, reason: str, timed_out: bool = False) -> None:
-        """Record that the server gave no answer of its own.
-
-        :param reason: description of the failure.
-        :param timed_out: whether it did not answer within a timeout. While this host
-            itself is late, one timeout in a row shows nothing.
-        """
-        record = self._placement.record(self.server.name)
-        if timed_out and self._host_delay.is_late and not record.timeouts:
-            record.timeouts += 1
-            eliot.log_message(
-                "server:timeout-ignored",
-                server=self.server.name,
-                reason=reason,
-                host_delay_ms=round(self._host_delay.seconds() * 1000, 1),
-            )
-            return
-        was_avoided = record.is_avoided
-        record.record_failure()
-        if not was_avoided:
-            eliot.log_message(
-                "server:avoided",
-                server=self.server.name,
-                failures=record.failures,
-                reason=reason,
-            )
-
-    def end(self, was_refused: bool = False) -> None:
-        """Record the end of the attempt.
-
-        :param was_refused: whether the server refused it because it was full.
-        """
-        self._in_flight.end()
-        if self.assignment is not None:
-            self.assignment.end(was_refused)
-
-
 class ServerSelector:
     """Selects servers of the fleet for this router's requests.
 
@@ -133,6 +45,7 @@
     :param data_centre: data centre of this router.
     :param engines: client of the scheduler of model engines.
     :param host_delay: delay of this host.
+    :param notices: what servers said about further work.
     :param counts: counts refusals.
     """
 
@@ -143,9 +56,11 @@
         data_centre: str,
         engines: EngineClient,
         host_delay: HostDelay,
+        notices: ServerNotices,
         counts: RequestCounts | None = None,
     ) -> None:
         self._host_delay = host_delay
+        self._notices = notices
         self._counts = counts or RequestCounts()
         self._engines = engines
         self._view = view
@@ -194,6 +109,9 @@
         version: str | None,
     ) -> SelectedServer | Unavailable:
         servers = self._usable(request.pool, version)
+        closed = self._closed(request.pool, version)
+        if closed is not None:
+            return closed
         if version is not None and not servers:
             detail = f"no server of version {version!r} takes work now"
             return Unavailable(detail, RefusalCause.NO_VERSION)
@@ -238,9 +156,13 @@
                         self._placement,
                         in_flight,
                         self._host_delay,
+                        self._notices,
                         assignment,
                     )
-                assignment.end()
+                assignment.end(was_sent=False)
+                closed = self._closed(request.pool, version)
+                if closed is not None:
+                    return closed
         return self._choose_locally(request, servers, tried)
 
     def _choose_locally(
@@ -272,7 +194,12 @@
                 request.pool, server.name, prompt.unshared_tokens
             )
         return SelectedServer(
-            server, self._placement, in_flight, self._host_delay, assignment
+            server,
+            self._placement,
+            in_flight,
+            self._host_delay,
+            self._notices,
+            assignment,
         )
 
     def _is_prefill_limit_reached(self, servers: tuple[FleetServer, ...]) -> bool:
@@ -300,7 +227,7 @@
 
         :param selected: the selected server.
         """
-        self._misdirected.add((selected.server.name, selected.server.born_ms))
+        self._misdirected.add(server_start(selected.server))
 
     def drop_removed_servers(self, pools: Iterable[str]) -> None:
         """Drop the records of servers that left the fleet.
@@ -309,18 +236,51 @@
         """
         servers = [s for pool in pools for s in self._view.servers(pool)]
         self._placement.retain(server.name for server in servers)
-        starts = {(server.name, server.born_ms) for server in servers}
+        starts = {server_start(server) for server in servers}
         self._misdirected &= starts
+        self._notices.retain(starts)
+
+    def retry_after_s(self, request: ForwardRequest, version: str | None) -> float:
+        """Return when a refused request may be accepted, in seconds from now.
+
+        :param request: the request.
+        :param version: software version that the server must have; None for any.
+        """
+        servers = self._reachable(request.pool, version)
+        wait_s = self._notices.wait_s(server_start(server) for server in servers)
+        return RETRY_AFTER_S if wait_s == math.inf else max(RETRY_AFTER_S, wait_s)
+
+    def _usable(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
+        """Return the servers of a pool that may get a request now."""
+        return tuple(
+            server
+            for server in self._reachable(pool, version)
+            if self._notices.accepts(server_start(server))
+        )
+
+    def _closed(self, pool: str, version: str | None) -> Unavailable | None:
+        """Return a refusal if all servers have said that they take no work now."""
+        servers = self._reachable(pool, version)
+        starts = [server_start(server) for server in servers]
+        if not starts or any(self._notices.accepts(start) for start in starts):
+            return None
+        wait_s = self._notices.wait_s(starts)
+        if wait_s == math.inf:
+            detail = "all backend servers of the pool leave"
+            return Unavailable(detail, RefusalCause.CLOSED)
+        detail = f"no backend server of the pool takes work for {wait_s:.3f} s"
+        retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
+        return Unavailable(detail, RefusalCause.CLOSED, retry_after_s)
 
-    def _usable(self, pool: str, version: str | None = None) -> tuple[FleetServer, ...]:
-        """Return the servers of a pool that may get a request.
+    def _reachable(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
+        """Return the servers of a pool that run, whether or not they take work now.
 
         A server without recent announcements may have restarted with another version.
         """
         servers = tuple(
             server
             for server in self._view.servers(pool)
-            if (server.name, server.born_ms) not in self._misdirected
+            if server_start(server) not in self._misdirected
         )
         if version is None:
             return servers
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -36,7 +36,7 @@
             (b"last-event-id", metadata.last_event_id.encode()),
         )
 
-    def read_answer(self, headers):
+    def read_answer(self, status, headers):
         """Return the metadata that the fake answer has as a header."""
         return dict(headers)[b"metadata"]
 
@@ -53,6 +53,7 @@
         self.status = status
         self.framing = Framing.CHUNKS
         self.received_bytes = 0
+        self.received_s = asyncio.get_running_loop().time()
         self.headers = (
             (b"metadata", metadata),
             (b"content-type", b"text/event-stream"),
@@ -89,6 +90,7 @@
     def __init__(self, name):
         self.name = name
         self.failure = ""
+        self.notices = ()
         self.received = []
         self.closed_s = None
 
@@ -100,12 +102,12 @@
         headers = dict(call.headers)
         last_event_id = headers[b"last-event-id"].decode()
         self.received.append(ReceivedCall(float(headers[b"remaining"]), last_event_id))
-        metadata = AnswerMetadata(request_id, is_signed=True)
+        metadata = AnswerMetadata(request_id, is_signed=True, notices=self.notices)
         first = int(last_event_id or 0) + 1
         events = [event(number) for number in range(first, EVENTS + 1)]
         match self.failure:
             case "reports that it did not run it":
-                not_run = AnswerMetadata(request_id, was_not_run=True)
+                not_run = replace(metadata, is_signed=False, was_not_run=True)
                 return Ok(FakeAnswer(503, not_run, [], False, self))
             case "lost its address to another":
                 return Ok(FakeAnswer(421, metadata, [], False, self))
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -44,6 +44,7 @@
     serve,
 )
 from almondfield_daemon.host_delay import HostDelay
+from almondfield_daemon.server_notices import ServerNotices
 from almondfield_daemon.streams import StreamOrigin
 from almondfield_fairshare.prefix_placement import Placement
 from almondfield_testing import run
@@ -82,6 +83,7 @@
             "east",
             context.engines,
             context.host_delay,
+            ServerNotices(),
         )
         context.backends = FakeBackends(context.servers)
         attempts = AttemptSender(
--- a/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/__init__.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/__init__.py
@@ -6,6 +6,7 @@
     Arrival,
     ArrivalTracker,
     arrival_of,
+    latest_arrival_s,
 )
 from almondfield_daemon.loop_delay.core import IterationTimes, LongestDelay
 from almondfield_daemon.loop_delay.monitor import LoopMonitor
@@ -19,4 +20,5 @@
     "LongestDelay",
     "LoopMonitor",
     "arrival_of",
+    "latest_arrival_s",
 ]
--- a/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/arrivals.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/arrivals.py
@@ -1,13 +1,22 @@
 """Bounds of the time at which requests arrived in the socket of their connection."""
 
+import asyncio
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
+from almondfield_core.clock import now
 from almondfield_daemon.loop_delay.core import IterationTimes
 
-__all__ = ["ARRIVAL_KEY", "AcceptTimes", "Arrival", "ArrivalTracker", "arrival_of"]
+__all__ = [
+    "ARRIVAL_KEY",
+    "AcceptTimes",
+    "Arrival",
+    "ArrivalTracker",
+    "arrival_of",
+    "latest_arrival_s",
+]
 
 ARRIVAL_KEY = "arrival"  # in the state of an ASGI scope
 # asyncio makes the protocol one iteration after it accepts the connection, and reads
@@ -99,6 +108,19 @@
         return Arrival(earliest_s, latest_s, is_first)
 
 
+def latest_arrival_s() -> float:
+    """Return the latest time at which bytes arrived that are being read now.
+
+    :returns: seconds of the loop's clock; the time of the call if the event loop
+        records no iterations.
+    """
+    iterations = getattr(asyncio.get_running_loop(), "iterations", None)
+    if iterations is None:
+        return now()
+    _, latest_s = iterations.ready_between()
+    return latest_s
+
+
 def arrival_of(state: Mapping[str, Any]) -> Arrival | None:
     """Return when a request arrived; None if that was not recorded.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
@@ -117,6 +117,10 @@
     def framing(self) -> Framing:
         """Return how the answer states where its body ends."""
 
+    @property
+    def received_s(self) -> float:
+        """Return when the head was received, in seconds of the loop's clock."""
+
     @property
     def received_bytes(self) -> int:
         """Return the bytes received so far, with the head and the framing."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -84,14 +84,17 @@
             self._item = replace(self._item, unread_tokens=0)
             self._reports.begin_answer(self._item)
 
-    def end(self, was_refused: bool = False) -> None:
+    def end(self, was_refused: bool = False, was_sent: bool = True) -> None:
         """Record that the attempt is over.
 
         :param was_refused: whether the server refused it as full.
+        :param was_sent: whether a byte of it may have been sent.
         """
         if not self._ended:
             self._ended = True
-            self._reports.end(replace(self._item, was_refused=was_refused))
+            server = self._item.server if was_sent else ""
+            item = replace(self._item, server=server, was_refused=was_refused)
+            self._reports.end(item)
 
 
 class EngineClient:
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
@@ -77,7 +77,8 @@
 
     :ivar number: number of the attempt at its router.
     :ivar pool: name of the pool.
-    :ivar server: the server; empty if no admission arrived in time.
+    :ivar server: the server; empty if no admission arrived in time, or nothing was
+        sent after it.
     :ivar unread_tokens: prompt tokens left to prefill; 0 once the answer has begun.
     :ivar was_refused: whether the server refused it as full.
     """
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
@@ -23,6 +23,7 @@
 from almondfield_daemon.forwarding.tests.fakes import FakeView
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.scheduling import EngineClient
+from almondfield_daemon.server_notices import ServerNotices
 from almondfield_fairshare.engines.tests.standins import StandInEngine
 from almondfield_fairshare.prefix_placement import Placement
 from almondfield_testing import run
@@ -73,7 +74,12 @@
         for host in hosts:
             client = EngineClient(context.network.peers(host), lambda: context.leader)
             self.selector_by_host[host] = ServerSelector(
-                view, Placement(random.Random(1)), "east", client, HostDelay()
+                view,
+                Placement(random.Random(1)),
+                "east",
+                client,
+                HostDelay(),
+                ServerNotices(),
             )
 
     def request(self, team):
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/__init__.py
@@ -0,0 +1,27 @@
+"""What backend servers say in their answers about further work, and its effect."""
+
+from almondfield_daemon.server_notices.core import (
+    MAX_RETRY_AFTER_S,
+    ServerClosedError,
+    ServerNotices,
+    ServerStart,
+)
+from almondfield_daemon.server_notices.notices import (
+    InvalidRetryAfter,
+    Leaving,
+    NoticeKind,
+    RetryAfter,
+    ServerNotice,
+)
+
+__all__ = [
+    "MAX_RETRY_AFTER_S",
+    "InvalidRetryAfter",
+    "Leaving",
+    "NoticeKind",
+    "RetryAfter",
+    "ServerClosedError",
+    "ServerNotice",
+    "ServerNotices",
+    "ServerStart",
+]
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/notices.py
@@ -0,0 +1,48 @@
+"""Notices that a backend server gives with an answer."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+__all__ = [
+    "InvalidRetryAfter",
+    "Leaving",
+    "NoticeKind",
+    "RetryAfter",
+    "ServerNotice",
+]
+
+
+class NoticeKind(StrEnum):
+    """Kind of a notice, for counts."""
+
+    LEAVING = "leaving"
+    RETRY_AFTER = "retry-after"
+    INVALID_RETRY_AFTER = "invalid-retry-after"
+
+
+@dataclass(frozen=True)
+class Leaving:
+    """The server shuts down and takes no further work."""
+
+
+@dataclass(frozen=True)
+class RetryAfter:
+    """The server refused a request and takes no work of this router for a while.
+
+    :ivar seconds: how long, from its answer.
+    """
+
+    seconds: float
+
+
+@dataclass(frozen=True)
+class InvalidRetryAfter:
+    """The server refused a request and gave a time that can't be read.
+
+    :ivar text: the value as received.
+    """
+
+    text: str
+
+
+ServerNotice = Leaving | RetryAfter | InvalidRetryAfter
