Share what engines can do, and know callers that return by their prompts

Three quarters of the refusals came from a held refusal for the team's share, hardly one because engines were full.

What they can do beyond the nominal rate went to nobody above its share. Now shares are of 0.85 of what the engines would do if they were always busy, if that is more. - A fifth of the answers went to callers that had come back after a refusal, too late for their target, while first requests of the same team were refused. Returning callers were to be known by deadlines below the typical one, but the deadlines of first tries differ by up to 15 % here, so none was. A late request of a team that has had 0.8 of its share is refused unless engines are mostly idle, and it counts neither as a sign of full engines nor of a team that lacks its share (which had cut the capacity down to the nominal rate).

Ruled out: waits at engines (median 0 to 31 ms), time to first event (median 302 ms at 8,000 to 20,000 tokens), requests refused as no room (96 of 2,230 in the log).

--- a/bench/refusal_cost.py
+++ b/bench/refusal_cost.py
@@ -88,7 +88,7 @@
 
 
 class _StubEngines:
-    def held_refusal(self, pool, team):
+    def held_refusal(self, pool, team, prompt):
         return REFUSAL
 
 
--- a/packages/almondfield-core/src/almondfield_core/routing/prompt.py
+++ b/packages/almondfield-core/src/almondfield_core/routing/prompt.py
@@ -44,3 +44,13 @@
     def shared_part(self) -> str:
         """Return the ID of the last part that others may share; empty for none."""
         return self.parts[-2].part_id if len(self.parts) > 1 else ""
+
+    @property
+    def identifier(self) -> str:
+        """Return what tells a prompt from others and is the same if it is sent again.
+
+        Prompts of one session may have the last part in common, but differ in length.
+        """
+        if not self.parts:
+            return ""
+        return f"{self.parts[-1].part_id}:{self.input_tokens}"
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -5,7 +5,7 @@
 
 from result import Err, Ok
 
-from almondfield_core.routing import RequestKind, RouteRule
+from almondfield_core.routing import Prompt, RequestKind, RouteRule
 from almondfield_daemon.edge.bodies import CallerDisconnectedError
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import RetryWindow
@@ -56,14 +56,17 @@
         self._max_event_bytes = max_event_bytes
         self._window_by_pool: dict[str, RetryWindow] = {}
 
-    def held_refusal(self, route: RouteRule, pool: str, team: str) -> Problem | None:
+    def held_refusal(
+        self, route: RouteRule, pool: str, team: str, prompt: Prompt
+    ) -> Problem | None:
         """Return a refusal of a team's prompts that still holds; None for none.
 
         :param route: route of a request with a prompt.
         :param pool: pool of the request.
         :param team: team of the request.
+        :param prompt: its prompt.
         """
-        held = self._servers.held_refusal(pool, team)
+        held = self._servers.held_refusal(pool, team, prompt)
         if held is None:
             return None
         self._window(pool).record_request()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
@@ -136,7 +136,7 @@
         if not has_prompt or metadata.takes_up_stream:
             return None
         return self._forwarder.held_refusal(
-            accepted.route, accepted.pool, accepted.team
+            accepted.route, accepted.pool, accepted.team, metadata.prompt
         )
 
     def _read(self, head: RequestHead) -> Result[_AcceptedHead, Problem]:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
@@ -36,6 +36,8 @@
         none.
     :ivar input_tokens: length of its prompt in tokens; 0 without one.
     :ivar unread_tokens: uncached tokens by the scheduler's estimate; None without one.
+    :ivar deadline_ms: how long the caller waits, in milliseconds; None if it sent no
+        deadline.
     :ivar waited_ms: how long the caller had waited before, in milliseconds.
     :ivar unread_least_ms: lower bound of the time in the socket before the handler
         started, in milliseconds; None where that is unknown.
@@ -71,6 +73,7 @@
     shared_part: str
     input_tokens: int
     unread_tokens: int | None
+    deadline_ms: float | None
     waited_ms: float
     unread_least_ms: float | None
     unread_most_ms: float | None
@@ -96,6 +99,7 @@
     :param error: why the answer was truncated; empty for a complete answer.
     """
     prompt = request.metadata.prompt
+    deadline_s = request.metadata.deadline_s
     assignment = run.assignment
     wait_s = assignment.wait_s if assignment else None
     first_attempt_s = run.first_attempt_s
@@ -117,6 +121,7 @@
         shared_part=prompt.shared_part if prompt else "",
         input_tokens=prompt.input_tokens if prompt else 0,
         unread_tokens=assignment.uncached_tokens if assignment else None,
+        deadline_ms=None if deadline_s is None else round(deadline_s * 1000, 1),
         waited_ms=round(request.waited_s * 1000, 1),
         **unread_fields(request.unread),
         predicted_wait_ms=None if wait_s is None else round(wait_s * 1000, 1),
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from almondfield_core.routing import Prompt
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.forwarding.counts import RefusalCause, RequestCounts
 from almondfield_daemon.forwarding.messages import ForwardRequest
@@ -69,14 +70,15 @@
         # (name, start) of servers whose address now belongs to another server.
         self._misdirected: set[tuple[str, int]] = set()
 
-    def held_refusal(self, pool: str, team: str) -> Unavailable | None:
+    def held_refusal(self, pool: str, team: str, prompt: Prompt) -> Unavailable | None:
         """Return a refusal of a team's prompts that still holds; None for none.
 
         :param pool: name of a pool of engines.
         :param team: name of the team, whose next request asks the scheduler if None is
             returned.
+        :param prompt: prompt of the request.
         """
-        held = self._engines.held_refusal(pool, team)
+        held = self._engines.held_refusal(pool, team, prompt)
         if held is None:
             return None
         self._counts.record_refusal(team, RefusalCause.HELD_SHARE)
@@ -120,7 +122,7 @@
             return self._choose_locally(request, servers, tried)
         is_repeat = has_lost_server or request.takes_up_stream
         if not request.is_checked and not is_repeat:
-            held = self._engines.held_refusal(request.pool, request.team)
+            held = self._engines.held_refusal(request.pool, request.team, prompt)
             if held is not None:
                 return _unavailable(held, RefusalCause.HELD_SHARE)
         excluded = tried | self._avoided_servers(servers)
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -140,7 +140,9 @@
             if len(self._server_by_part) > MAX_KNOWN_PARTS:
                 self._server_by_part.popitem(last=False)
 
-    def held_refusal(self, pool: str, team: str) -> EngineRefusal | None:
+    def held_refusal(
+        self, pool: str, team: str, prompt: Prompt
+    ) -> EngineRefusal | None:
         """Return a recent refusal that still holds for a team above its share.
 
         Without it, a team that sends far more than its share to one router takes all of
@@ -150,6 +152,8 @@
 
         :param pool: name of the pool.
         :param team: name of the team.
+        :param prompt: prompt of the request; the scheduler is told of its refusal, so
+            that it knows the caller if it returns.
         """
         held = self._held_refusal_by_team.get((pool, team))
         if held is None:
@@ -164,6 +168,7 @@
             held = replace(held, asked_until_s=now() + wait_s)
             self._held_refusal_by_team[(pool, team)] = held
             return None
+        self._reports.add_held(pool, prompt.identifier)
         refusal = held.refusal
         earliest_s = max(REFUSAL_HOLD_S, held.asked_until_s - now())
         retry_after_s = max(earliest_s, refusal.retry_after_s - age_s)
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
@@ -11,6 +11,7 @@
     "EngineRefusal",
     "EngineReply",
     "EngineRequest",
+    "HeldPrompt",
     "NotScheduling",
 ]
 
@@ -57,12 +58,15 @@
     :ivar is_over_share: whether the team has exceeded its fair share.
     :ivar wait_s: shortest predicted wait, in seconds.
     :ivar scheduler_start: identifier of this start of the scheduler.
+    :ivar is_late: whether it was refused because its caller had returned too late to be
+        answered in time.
     """
 
     retry_after_s: float
     is_over_share: bool
     wait_s: float
     scheduler_start: int
+    is_late: bool = False
 
 
 @wire_message("not-scheduling")
@@ -90,6 +94,18 @@
     was_refused: bool = False
 
 
+@dataclass(frozen=True)
+class HeldPrompt:
+    """A prompt that a router refused without asking the scheduler.
+
+    :ivar pool: name of the pool.
+    :ivar prompt_id: identifier of the prompt.
+    """
+
+    pool: str
+    prompt_id: str
+
+
 @wire_message("engine-progress")
 @dataclass(frozen=True)
 class EngineProgress:
@@ -99,9 +115,11 @@
     :ivar ended: attempts that are over.
     :ivar in_flight: all attempts, for a scheduler that has just started; else empty.
     :ivar snapshot: numbers of all attempts, at intervals; else None.
+    :ivar held: prompts that the router refused by itself.
     """
 
     begun: tuple[EngineInFlight, ...] = ()
     ended: tuple[EngineInFlight, ...] = ()
     in_flight: tuple[EngineInFlight, ...] = ()
     snapshot: AttemptSnapshot | None = None
+    held: tuple[HeldPrompt, ...] = ()
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/reports.py
@@ -4,13 +4,19 @@
 
 from almondfield_core.clock import now
 from almondfield_core.ports import Peers
-from almondfield_daemon.scheduling.messages import EngineInFlight, EngineProgress
+from almondfield_daemon.scheduling.messages import (
+    EngineInFlight,
+    EngineProgress,
+    HeldPrompt,
+)
 from almondfield_fairshare.engines import AttemptSnapshot
 
 __all__ = ["AttemptReports"]
 
 REPORT_DELAY_S = 0.02  # batches reports; a fraction of the prefill time of a prompt
 SNAPSHOT_INTERVAL_S = 1.0  # while attempts change
+HELD_REPORT_DELAY_S = 0.2  # callers return after about a second
+MAX_HELD_PROMPTS = 200  # in one report
 MAX_UNREPORTED = 1000  # reports held back while no scheduler is known
 
 
@@ -33,6 +39,7 @@
         self._in_flight_by_number: dict[int, EngineInFlight] = {}
         self._begun: list[EngineInFlight] = []
         self._ended: list[EngineInFlight] = []
+        self._held: list[HeldPrompt] = []
         self.scheduler_host = ""
         self._scheduler_start = 0
         self._report_timer: asyncio.TimerHandle | None = None
@@ -101,21 +108,37 @@
         self._ended.append(item)
         self._schedule_report()
 
-    def _schedule_report(self) -> None:
-        if self._report_timer is None:
-            loop = asyncio.get_running_loop()
-            self._report_timer = loop.call_later(REPORT_DELAY_S, self._send_report)
+    def add_held(self, pool: str, prompt_id: str) -> None:
+        """Report a prompt that this router refused without asking the scheduler.
+
+        :param pool: name of the pool.
+        :param prompt_id: identifier of the prompt; empty for none.
+        """
+        if prompt_id and len(self._held) < MAX_HELD_PROMPTS:
+            self._held.append(HeldPrompt(pool, prompt_id))
+            self._schedule_report(HELD_REPORT_DELAY_S)
+
+    def _schedule_report(self, delay_s: float = REPORT_DELAY_S) -> None:
+        loop = asyncio.get_running_loop()
+        if self._report_timer is not None:
+            if self._report_timer.when() <= loop.time() + delay_s:
+                return
+            self._report_timer.cancel()
+        self._report_timer = loop.call_later(delay_s, self._send_report)
 
     def _send_report(self) -> None:
         self._report_timer = None
         if not self.scheduler_host:
             del self._begun[:-MAX_UNREPORTED], self._ended[:-MAX_UNREPORTED]
+            self._held.clear()
             return
         begun, ended = tuple(self._begun), tuple(self._ended)
         self._begun.clear()
         self._ended.clear()
+        held = tuple(self._held)
+        self._held.clear()
         snapshot = self._take_snapshot_if_due()
-        progress = EngineProgress(begun, ended, snapshot=snapshot)
+        progress = EngineProgress(begun, ended, snapshot=snapshot, held=held)
         self._peers.send(self.scheduler_host, progress)
 
     def _take_snapshot_if_due(self) -> AttemptSnapshot | None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -80,7 +80,7 @@
     def _log_load(pool: str, scheduler: EngineScheduler) -> None:
         load = scheduler.collect_load()
         teams = scheduler.collect_team_loads(MAX_TEAMS)
-        refused = load.refused_full + load.refused_over_share
+        refused = load.refused_full + load.refused_over_share + load.refused_late
         if load.admitted or refused:
             eliot.log_message("scheduler:load", pool=pool, **asdict(load))
         if refused:
@@ -107,8 +107,10 @@
         match scheduler.decide(attempt, message.request, table.limits.work_per_s):
             case Admitted(server, uncached_tokens, wait_s):
                 return EngineReply(server, uncached_tokens, wait_s, self._start)
-            case Refused(retry_after_s, is_over_share, wait_s):
-                return EngineRefusal(retry_after_s, is_over_share, wait_s, self._start)
+            case Refused(retry_after_s, is_over_share, wait_s, is_late):
+                return EngineRefusal(
+                    retry_after_s, is_over_share, wait_s, self._start, is_late
+                )
 
     async def _on_progress(self, sender: str, progress: EngineProgress) -> None:
         table = self._publisher.table
@@ -126,6 +128,8 @@
             self._scheduler(item.pool, table).end(
                 attempt, item.was_refused, was_sent=bool(item.server)
             )
+        for item in progress.held:
+            self._scheduler(item.pool, table).record_refused(item.prompt_id)
         if progress.snapshot is not None:
             for scheduler in self._scheduler_by_pool.values():
                 scheduler.reconcile(sender, progress.snapshot)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -9,6 +9,7 @@
 
 import math
 from collections.abc import Iterable
+from dataclasses import replace
 from typing import NamedTuple
 
 from almondfield_core.clock import now
@@ -17,6 +18,7 @@
 from almondfield_fairshare.engines.engine import Engine
 from almondfield_fairshare.engines.load import BusyShare, DecisionCounts, EngineLoad
 from almondfield_fairshare.engines.prefix_cache import PrefixBlock, prefix_blocks
+from almondfield_fairshare.engines.refused_prompts import RefusedPrompts
 from almondfield_fairshare.engines.requests import (
     Admitted,
     AttemptId,
@@ -36,7 +38,7 @@
 REPEATED_PREFILL_WEIGHT = 0.8  # of the time for tokens cached elsewhere
 WAIT_SHARE = 0.6  # of the strictest latency target; the rest is for prefill
 REPEAT_MAX_WAIT_S = 1.2  # callers abandon a stream after a 2 s pause, prefill included
-LATE_REQUEST_USAGE = 0.8  # above it, a team's late requests get a wait limit of 0
+LATE_REQUEST_USAGE = 0.8  # above it, a team's late requests are refused
 MIN_IDLE_SHARE = 0.6  # below it, engines are idle only between two prompts
 LOW_USAGE = 0.7  # below this part of its fair share, a team may wait longer
 LOW_USAGE_WAIT_FACTOR = 1.3  # of the wait limit
@@ -79,6 +81,7 @@
         self._attempts = AttemptTable()
         self._busy_share = BusyShare()
         self._counts = DecisionCounts()
+        self._refused_prompts = RefusedPrompts()
         self._strictest_target_s = float("inf")
 
     def set_servers(self, servers: Iterable[EngineServer]) -> None:
@@ -107,6 +110,8 @@
         :param work_per_s: work that all engines do per second, for the teams' shares.
         """
         prompt = request.prompt
+        known_wait_s = self._refused_prompts.waited_s(prompt.identifier)
+        request = replace(request, waited_s=max(request.waited_s, known_wait_s))
         work = prompt.input_tokens + OUTPUT_TOKEN_WEIGHT * _output_tokens(prompt)
         if not request.is_repeat:
             self._shares.record_demand(request.team, work)
@@ -132,10 +137,11 @@
         blocks = prefix_blocks(prompt)
         estimates = _estimates(engines, request, blocks)
         min_uncached_tokens = min(estimate.uncached_tokens for estimate in estimates)
-        if usage > LATE_REQUEST_USAGE and _is_late(request, estimates):
-            # Leave the team's share to requests that can still meet their target.
-            max_wait_s = min(max_wait_s, 0.0)
-        min_limit_s = 0.0 if _are_mostly_idle(estimates) else -math.inf
+        are_idle = _are_mostly_idle(estimates)
+        is_late = (
+            usage > LATE_REQUEST_USAGE and not are_idle and _is_late(request, estimates)
+        )
+        min_limit_s = 0.0 if are_idle else -math.inf
         repeated_prefill_weight = REPEATED_PREFILL_WEIGHT * (1 - spare_capacity)
         limits_s = [
             max(
@@ -153,9 +159,10 @@
         has_capacity = any(
             e.wait_s <= limit_s for e, limit_s in zip(estimates, limits_s)
         )
-        if must_yield or not has_capacity:
+        # A late request leaves the team's share to those that can meet their target.
+        if is_late or must_yield or not has_capacity:
             wait_s = min(estimate.wait_s for estimate in estimates)
-            return self._refuse(request.team, wait_s, max_wait_s, usage)
+            return self._refuse(request, wait_s, max_wait_s, usage, is_late)
         # The request is admitted: choose the engine with the lowest total cost.
         max_limit_s = CACHED_WAIT_FACTOR * max(base_max_wait_s, max_wait_s)
         chosen = min(
@@ -165,6 +172,7 @@
         chosen.engine.send(
             attempt, blocks, chosen.uncached_tokens, _output_tokens(prompt)
         )
+        self._refused_prompts.remove(prompt.identifier)
         name = chosen.engine.server.name
         grant = self._shares.record_grant(request.team, work)
         self._attempts.put(attempt, InFlightAttempt(name, grant))
@@ -172,6 +180,13 @@
         self._counts.add("unread_tokens", chosen.uncached_tokens)
         return Admitted(name, chosen.uncached_tokens, chosen.wait_s)
 
+    def record_refused(self, prompt_id: str) -> None:
+        """Record that a prompt was refused, by this scheduler or by a router.
+
+        :param prompt_id: identifier of the prompt.
+        """
+        self._refused_prompts.record(prompt_id)
+
     def begin_answer(self, attempt: AttemptId, server: str) -> None:
         """Record that the answer to a request has begun.
 
@@ -292,13 +307,25 @@
         return WAIT_SHARE * self._strictest_target_s
 
     def _refuse(
-        self, team: str, wait_s: float, max_wait_s: float, usage: float
+        self,
+        request: PromptRequest,
+        wait_s: float,
+        max_wait_s: float,
+        usage: float,
+        is_late: bool,
     ) -> Refused:
-        self._shares.record_refusal(team, usage)
+        team = request.team
+        self.record_refused(request.prompt.identifier)
         retry_s = max(MIN_RETRY_S, wait_s - max_wait_s)
         if usage > 1:
             # The team's past usage leaves the window at an even rate.
             retry_s = max(retry_s, self._window_s * (1 - 1 / usage))
+        if is_late:
+            # It shows neither a full engine nor a team that lacks a part of its share.
+            self._counts.add_for(team, "refused_late")
+            return Refused(retry_s, usage > 1, wait_s, is_late=True)
+        self._shares.record_refusal(team, usage)
+        if usage > 1:
             self._counts.add_for(team, "refused_over_share")
         else:
             self._shares.record_saturation()
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
@@ -24,6 +24,8 @@
     :ivar unread_tokens: uncached prompt tokens of the admitted requests.
     :ivar refused_full: requests refused because the engines were full.
     :ivar refused_over_share: requests refused because their team exceeded its share.
+    :ivar refused_late: requests of callers that returned too late to be answered in
+        time, refused in favour of first requests of their team.
     :ivar longest_wait_s: longest predicted wait at an engine now, in seconds.
     """
 
@@ -35,6 +37,7 @@
     unread_tokens: int = 0
     refused_full: int = 0
     refused_over_share: int = 0
+    refused_late: int = 0
     longest_wait_s: float = 0.0
 
 
@@ -49,6 +52,7 @@
     :ivar unsent: admitted requests that their routers did not send.
     :ivar refused_full: requests refused because the engines were full.
     :ivar refused_over_share: requests refused because it exceeded its share.
+    :ivar refused_late: requests refused because their callers returned too late.
     """
 
     team: str
@@ -58,6 +62,7 @@
     unsent: int = 0
     refused_full: int = 0
     refused_over_share: int = 0
+    refused_late: int = 0
 
 
 class DecisionCounts:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
@@ -12,6 +12,8 @@
 
 SATURATION_S = 1.0  # engines count as saturated this long after a refusal
 REFUSAL_S = 0.5  # long enough for several requests of an overloading team
+USABLE_BUSY_SHARE = 0.85  # above it, waits grow beyond the latency targets
+MIN_MEASURED_BUSY_SHARE = 0.5  # less work doesn't show what the engines can do
 YIELD_RATIO = 1.5  # of the usages of two teams; smaller differences even out
 
 
@@ -186,14 +188,27 @@
         """
         if work_per_s <= 0:
             return 0.0
-        capacity = work_per_s * self._window_s
-        if now() < self._saturated_until_s and busy_share > 0:
-            # Extrapolate the granted work to engines that are busy all the time.
-            capacity = min(capacity, self._granted.total() / busy_share)
-        fair_share = self._fair_share(capacity)
+        fair_share = self._fair_share(self._capacity(work_per_s, busy_share))
         granted = self._granted_by_team.get(team)
         return (granted.total() if granted else 0.0) / fair_share
 
+    def _capacity(self, work_per_s: float, busy_share: float) -> float:
+        """Return the work that the engines can do in a window.
+
+        The nominal rate is an estimate for a usual mix of prompts. Engines that do more
+        are shared by what they can do; those that refuse prompts may do less.
+        """
+        nominal = work_per_s * self._window_s
+        granted = self._granted.total()
+        # Extrapolate the granted work to engines that are busy for longer.
+        if busy_share >= MIN_MEASURED_BUSY_SHARE:
+            usable = USABLE_BUSY_SHARE * granted / busy_share
+            if usable >= nominal:
+                return usable
+        if now() < self._saturated_until_s and busy_share > 0:
+            return min(nominal, granted / busy_share)
+        return nominal
+
     def _fair_share(self, capacity: float) -> float:
         """Return the largest work that one team may have in a window."""
         demands = sorted(item.total() for item in self._demand_by_team.values())
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
@@ -118,6 +118,40 @@
     Then at least 0.9 of the answers to "flood" began within 0.8 s of the first try
     And the engines were busy for at least 0.85 of the time
 
+  # Guards against a team above its share whose answers go to callers that come back: they
+  # are too late, and take the place of those that could be answered in time.
+  Scenario: Callers that return to a busy fleet are known, whatever their deadlines are
+    Given 6 engines
+    And callers that retry once, at the retry time of the refusal
+    And callers whose deadlines differ
+    When team "flood" requests 5.0 times the engines' capacity beside 3 small teams
+    Then at least 0.9 of the answers to "flood" began within 0.8 s of the first try
+    And the engines were busy for at least 0.85 of the time
+
+  Scenario: A caller that returns to idle engines is admitted
+    Given 6 engines
+    And a team whose share is 2 requests in the window
+    When a request is refused and comes back 1.0 s later to idle engines
+    Then it is admitted at "engine-0"
+
+  # Guards against hot teams that are refused beside engines which could do twice as much
+  # as the nominal rate says.
+  Scenario: Hot teams share what the engines can do, not only the nominal rate
+    Given 6 engines whose nominal rate is 0.5 of what they can do
+    When 3 teams request 0.5 times the engines' capacity each beside 3 small teams for 20 s
+    Then the engines were busy for at least 0.9 of the time
+    And at least 0.9 of the answers began within 0.8 s
+    And each small team had at least 0.95 of its requests admitted
+    And no hot team got more than 1.25 times the work of another
+
+  # Guards against one estimate of the engines' rate that takes the share of the others.
+  Scenario: A nominal rate above what the engines can do does not let one team take all
+    Given 6 engines whose nominal rate is 1.5 of what they can do
+    When 3 teams request 0.5 times the engines' capacity each beside 3 small teams for 20 s
+    Then at least 0.9 of the answers began within 0.8 s
+    And each small team had at least 0.9 of its requests admitted
+    And no hot team got more than 1.25 times the work of another
+
   Scenario: A late request of a team within its share is admitted
     Given 2 engines
     When a request that has waited 3.0 s arrives
