--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -10,12 +10,19 @@
 import math
 from collections.abc import Iterable
 from dataclasses import replace
-from typing import NamedTuple
 
 from almondfield_core.clock import now
 from almondfield_core.routing import Prompt
 from almondfield_fairshare.engines.attempts import AttemptTable, InFlightAttempt
 from almondfield_fairshare.engines.engine import Engine
+from almondfield_fairshare.engines.estimates import (
+    CACHED_WAIT_FACTOR,
+    Estimate,
+    are_mostly_idle,
+    estimate_engines,
+    is_late_everywhere,
+    wait_limit_s,
+)
 from almondfield_fairshare.engines.load import BusyShare, DecisionCounts, EngineLoad
 from almondfield_fairshare.engines.prefix_cache import PrefixBlock, prefix_blocks
 from almondfield_fairshare.engines.refused_prompts import RefusedPrompts
@@ -28,18 +35,16 @@
     PromptRequest,
     Refused,
 )
-from almondfield_fairshare.engines.shares import TeamLoad, TeamShares
+from almondfield_fairshare.engines.shares import Grant, TeamLoad, TeamShares
 
 __all__ = ["EngineScheduler"]
 
 OUTPUT_TOKEN_WEIGHT = 2.0  # work of an output token in prompt tokens
 PREFILL_WEIGHT = 2.0  # a repeated prefill also evicts other cache entries
-CACHED_WAIT_FACTOR = 1.25  # of the wait limit, where most of a prompt is cached
 REPEATED_PREFILL_WEIGHT = 0.8  # of the time for tokens cached elsewhere
 WAIT_SHARE = 0.6  # of the strictest latency target; the rest is for prefill
 REPEAT_MAX_WAIT_S = 1.2  # callers abandon a stream after a 2 s pause, prefill included
 LATE_REQUEST_USAGE = 0.8  # above it, a team's late requests are refused
-MIN_IDLE_SHARE = 0.6  # below it, engines are idle only between two prompts
 LOW_USAGE = 0.7  # below this part of its fair share, a team may wait longer
 LOW_USAGE_WAIT_FACTOR = 1.3  # of the wait limit
 OVER_SHARE_WAIT_FACTOR = 0.25  # above its share, a team gets idle capacity only
@@ -48,24 +53,6 @@
 HIGH_BUSY_SHARE = 0.8  # above it, waits grow steeply
 MIN_RETRY_S = 0.1  # a fraction of the prefill time of one prompt
 TARGET_DECAY = 0.999  # the strictest target decays over about 1000 requests
-SLOT_PENALTY_S = 0.05  # added wait per request beyond an engine's slots
-
-
-class _Estimate(NamedTuple):
-    """Predicted cost of a request at one engine.
-
-    :ivar engine: the engine.
-    :ivar wait_s: predicted wait before prefill, in seconds.
-    :ivar uncached_tokens: prompt tokens that the engine has to prefill.
-    :ivar prefill_s: predicted prefill time in seconds.
-    """
-
-    # A named tuple is cheap to create; every decision creates one for each engine.
-
-    engine: Engine
-    wait_s: float
-    uncached_tokens: int
-    prefill_s: float
 
 
 class EngineScheduler:
@@ -110,8 +97,7 @@
         :param work_per_s: work that all engines do per second, for the teams' shares.
         """
         prompt = request.prompt
-        known_wait_s = self._refused_prompts.waited_s(prompt.identifier)
-        request = replace(request, waited_s=max(request.waited_s, known_wait_s))
+        request = self._with_known_wait(request)
         work = prompt.input_tokens + OUTPUT_TOKEN_WEIGHT * _output_tokens(prompt)
         if not request.is_repeat:
             self._shares.record_demand(request.team, work)
@@ -135,18 +121,20 @@
         if not engines:
             return Refused(MIN_RETRY_S, False, 0.0)
         blocks = prefix_blocks(prompt)
-        estimates = _estimates(engines, request, blocks)
+        estimates = estimate_engines(engines, request, blocks)
         min_uncached_tokens = min(estimate.uncached_tokens for estimate in estimates)
-        are_idle = _are_mostly_idle(estimates)
+        are_idle = are_mostly_idle(estimates)
         is_late = (
-            usage > LATE_REQUEST_USAGE and not are_idle and _is_late(request, estimates)
+            usage > LATE_REQUEST_USAGE
+            and not are_idle
+            and is_late_everywhere(request, estimates)
         )
         min_limit_s = 0.0 if are_idle else -math.inf
         repeated_prefill_weight = REPEATED_PREFILL_WEIGHT * (1 - spare_capacity)
         limits_s = [
             max(
                 min_limit_s,
-                _wait_limit_s(
+                wait_limit_s(
                     estimate, min_uncached_tokens, max_wait_s, repeated_prefill_weight
                 ),
             )
@@ -169,16 +157,31 @@
             (e for e in estimates if e.wait_s <= max_limit_s),
             key=lambda e: e.wait_s + PREFILL_WEIGHT * e.prefill_s,
         )
-        chosen.engine.send(
-            attempt, blocks, chosen.uncached_tokens, _output_tokens(prompt)
-        )
-        self._refused_prompts.remove(prompt.identifier)
-        name = chosen.engine.server.name
         grant = self._shares.record_grant(request.team, work)
-        self._attempts.put(attempt, InFlightAttempt(name, grant))
+        self._send(attempt, prompt, chosen, blocks, grant)
         self._counts.add_for(request.team, "admitted")
         self._counts.add("unread_tokens", chosen.uncached_tokens)
-        return Admitted(name, chosen.uncached_tokens, chosen.wait_s)
+        server = chosen.engine.server.name
+        return Admitted(server, chosen.uncached_tokens, chosen.wait_s)
+
+    def _with_known_wait(self, request: PromptRequest) -> PromptRequest:
+        """Return a request with the longest known wait of its caller."""
+        known_s = self._refused_prompts.waited_s(request.prompt.identifier)
+        return replace(request, waited_s=max(request.waited_s, known_s))
+
+    def _send(
+        self,
+        attempt: AttemptId,
+        prompt: Prompt,
+        estimate: Estimate,
+        blocks: tuple[PrefixBlock, ...],
+        grant: Grant,
+    ) -> None:
+        """Count an admitted request as sent to the engine of an estimate."""
+        engine = estimate.engine
+        engine.send(attempt, blocks, estimate.uncached_tokens, _output_tokens(prompt))
+        self._attempts.put(attempt, InFlightAttempt(engine.server.name, grant))
+        self._refused_prompts.remove(prompt.identifier)
 
     def record_refused(self, prompt_id: str) -> None:
         """Record that a prompt was refused, by this scheduler or by a router.
@@ -333,53 +336,6 @@
         return Refused(retry_s, usage > 1, wait_s)
 
 
-def _estimates(
-    engines: list[Engine], request: PromptRequest, blocks: tuple[PrefixBlock, ...]
-) -> list[_Estimate]:
-    """Return the predicted cost of a request at each engine."""
-    at_s = now()
-    input_tokens = request.prompt.input_tokens
-    estimates = []
-    for engine in engines:
-        uncached = max(1, input_tokens - engine.cached_tokens(blocks))
-        estimate = _Estimate(
-            engine, _wait_s(engine, at_s), uncached, uncached / engine.prefill_rate
-        )
-        estimates.append(estimate)
-    is_uncached = all(
-        estimate.uncached_tokens >= input_tokens for estimate in estimates
-    )
-    if not is_uncached or not blocks:
-        return estimates
-    # No cache model has the prompt, as after a restart of the scheduler: assume that
-    # the server of the router's hint has its shared parts cached.
-    unshared_tokens = max(1, request.prompt.unshared_tokens)
-    return [
-        estimate._replace(
-            uncached_tokens=unshared_tokens,
-            prefill_s=unshared_tokens / estimate.engine.prefill_rate,
-        )
-        if estimate.engine.server.name == request.hint
-        else estimate
-        for estimate in estimates
-    ]
-
-
-def _are_mostly_idle(estimates: list[_Estimate]) -> bool:
-    """Return whether enough engines are idle for any of them to prefill any prompt."""
-    idle = sum(estimate.wait_s <= 0 for estimate in estimates)
-    return idle >= MIN_IDLE_SHARE * len(estimates)
-
-
-def _is_late(request: PromptRequest, estimates: list[_Estimate]) -> bool:
-    """Return whether no engine can begin the answer within the latency target."""
-    target_s = request.latency_target_s
-    if request.is_repeat or target_s <= 0:
-        return False
-    soonest_s = min(estimate.wait_s + estimate.prefill_s for estimate in estimates)
-    return request.waited_s > 0 and request.waited_s + soonest_s > target_s
-
-
 def _spare_capacity(busy_share: float) -> float:
     """Return the engines' spare capacity, from 0 (none) to 1."""
     load_level = (busy_share - LOW_BUSY_SHARE) / (HIGH_BUSY_SHARE - LOW_BUSY_SHARE)
@@ -396,30 +352,5 @@
     return base_max_wait_s
 
 
-def _wait_limit_s(
-    estimate: _Estimate,
-    min_uncached_tokens: int,
-    max_wait_s: float,
-    repeated_prefill_weight: float,
-) -> float:
-    """Return the wait limit at one engine, in seconds.
-
-    The limit is lower where another engine has more of the prompt cached: time spent
-    on a repeated prefill is lost to other prompts.
-    """
-    repeated_prefill_s = (
-        estimate.uncached_tokens - min_uncached_tokens
-    ) / estimate.engine.prefill_rate
-    return (
-        CACHED_WAIT_FACTOR * max_wait_s - repeated_prefill_weight * repeated_prefill_s
-    )
-
-
-def _wait_s(engine: Engine, at_s: float) -> float:
-    wait_s = engine.wait_s(at_s)
-    beyond = engine.in_flight + 1 - engine.server.slots
-    return wait_s + SLOT_PENALTY_S * beyond if beyond > 0 else wait_s
-
-
 def _output_tokens(prompt: Prompt) -> int:
     return prompt.likely_output_tokens or prompt.max_output_tokens
