--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -67,6 +67,7 @@
         self._engine_by_name: dict[str, Engine] = {}
         self._attempts = AttemptTable()
         self._busy_share = BusyShare()
+        self._used_slots = BusyShare()
         self._counts = DecisionCounts()
         self._refused_prompts = RefusedPrompts()
         self._strictest_target_s = float("inf")
@@ -102,7 +103,8 @@
         if not request.is_repeat:
             self._shares.record_demand(request.team, work)
         self._update_busy_share()
-        usage = self._shares.usage(request.team, work_per_s, self._busy_share.value())
+        used_share = max(self._busy_share.value(), self._used_slots.value())
+        usage = self._shares.usage(request.team, work_per_s, used_share)
         base_max_wait_s = self._base_max_wait_s(request)
         # A team above its share must not cause repeated prefills.
         spare_capacity = (
@@ -298,8 +300,9 @@
 
     def _update_busy_share(self) -> None:
         engines = self._engine_by_name.values()
-        busy = sum(engine.is_prefilling for engine in engines)
-        self._busy_share.record(busy / max(1, len(engines)))
+        count = max(1, len(engines))
+        self._busy_share.record(sum(e.is_prefilling for e in engines) / count)
+        self._used_slots.record(sum(e.used_slot_share for e in engines) / count)
 
     def _base_max_wait_s(self, request: PromptRequest) -> float:
         """Return the wait limit for teams within their fair share, in seconds."""
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
@@ -64,6 +64,11 @@
         """Return the number of requests that wait or run."""
         return len(self._waiting_by_attempt) + len(self._began_s_by_attempt)
 
+    @property
+    def used_slot_share(self) -> float:
+        """Return the share of the engine's slots that are in use, at most 1."""
+        return min(1.0, self.in_flight / max(1, self.server.slots))
+
     def cached_tokens(self, blocks: tuple[PrefixBlock, ...]) -> int:
         """Return how many tokens of a prompt are cached.
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
@@ -12,8 +12,8 @@
 
 SATURATION_S = 1.0  # engines count as saturated this long after a refusal
 REFUSAL_S = 0.5  # long enough for several requests of an overloading team
-USABLE_BUSY_SHARE = 0.85  # above it, waits grow beyond the latency targets
-MIN_MEASURED_BUSY_SHARE = 0.5  # less work doesn't show what the engines can do
+USABLE_SHARE = 0.85  # of the engines; above it, waits grow beyond the latency targets
+MIN_MEASURED_SHARE = 0.5  # less work doesn't show what the engines can do
 YIELD_RATIO = 1.5  # of the usages of two teams; smaller differences even out
 
 
@@ -179,20 +179,21 @@
         refusals = self._refusal_by_team.items()
         self._refusal_by_team = {t: item for t, item in refusals if item[0] > at_s}
 
-    def usage(self, team: str, work_per_s: float, busy_share: float) -> float:
+    def usage(self, team: str, work_per_s: float, used_share: float) -> float:
         """Return the fraction of its fair share that a team has used; it may exceed 1.
 
         :param team: name of the team.
         :param work_per_s: work that all engines do per second; 0 if not known.
-        :param busy_share: recent fraction of the time in which the engines were busy.
+        :param used_share: recent part of the engines' scarcer resource that was in use:
+            of the time to prefill prompts, or of their slots.
         """
         if work_per_s <= 0:
             return 0.0
-        fair_share = self._fair_share(self._capacity(work_per_s, busy_share))
+        fair_share = self._fair_share(self._capacity(work_per_s, used_share))
         granted = self._granted_by_team.get(team)
         return (granted.total() if granted else 0.0) / fair_share
 
-    def _capacity(self, work_per_s: float, busy_share: float) -> float:
+    def _capacity(self, work_per_s: float, used_share: float) -> float:
         """Return the work that the engines can do in a window.
 
         The nominal rate is an estimate for a usual mix of prompts. Engines that do more
@@ -200,13 +201,13 @@
         """
         nominal = work_per_s * self._window_s
         granted = self._granted.total()
-        # Extrapolate the granted work to engines that are busy for longer.
-        if busy_share >= MIN_MEASURED_BUSY_SHARE:
-            usable = USABLE_BUSY_SHARE * granted / busy_share
+        # Extrapolate the granted work to engines that are used more.
+        if used_share >= MIN_MEASURED_SHARE:
+            usable = USABLE_SHARE * granted / used_share
             if usable >= nominal:
                 return usable
-        if now() < self._saturated_until_s and busy_share > 0:
-            return min(nominal, granted / busy_share)
+        if now() < self._saturated_until_s and used_share > 0:
+            return min(nominal, granted / used_share)
         return nominal
 
     def _fair_share(self, capacity: float) -> float:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
@@ -144,6 +144,15 @@
     And each small team had at least 0.95 of its requests admitted
     And no hot team got more than 1.25 times the work of another
 
+  # Guards against hot teams that are given what engines could prefill, while their slots are
+  # taken by long answers: everyone's prompts then wait for a slot.
+  Scenario: Hot teams share what the slots allow where answers are long
+    Given 6 engines with 12 slots, whose nominal rate is what they allow for answers of 3 s
+    When 3 teams request 1.0 times what the slots allow beside 3 small teams for 20 s
+    Then at least 0.9 of the answers began within 0.8 s
+    And each small team had at least 0.9 of its requests admitted
+    And no hot team got more than 1.25 times the work of another
+
   # Guards against one estimate of the engines' rate that takes the share of the others.
   Scenario: A nominal rate above what the engines can do does not let one team take all
     Given 6 engines whose nominal rate is 1.5 of what they can do
