Keep notices of servers that have left the list of their pool

A change of the configuration can take a pool away for a moment, and what its servers had said was forgotten with it. Notices are kept as long as the fleet knows the server.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -240,7 +240,8 @@
         self._placement.retain(server.name for server in servers)
         starts = {server_start(server) for server in servers}
         self._misdirected &= starts
-        self._notices.retain(starts)
+        # A server may leave the pool's list before all its answers have come.
+        self._notices.retain(server_start(s) for s in self._view.all_servers())
 
     def retry_after_s(self, request: ForwardRequest, version: str | None) -> float:
         """Return when a refused request may be accepted, in seconds from now.
