--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -14,7 +14,7 @@
 from almondfield_daemon.scheduling.messages import EngineRefusal
 from almondfield_daemon.server_notices import ServerNotices
 from almondfield_fairshare.engines import PromptRequest
-from almondfield_fairshare.prefix_placement import Candidate, Placement
+from almondfield_fairshare.prefix_placement import Candidate, InFlightRequest, Placement
 
 __all__ = ["RETRY_AFTER_S", "ServerSelector", "Unavailable"]
 
@@ -153,14 +153,7 @@
                     self._engines.record_server(prompt, server.name)
                     candidate = self._candidate(server, frozenset())
                     in_flight = self._placement.start(candidate, prompt)
-                    return SelectedServer(
-                        server,
-                        self._placement,
-                        in_flight,
-                        self._host_delay,
-                        self._notices,
-                        assignment,
-                    )
+                    return self._select(server, in_flight, assignment)
                 assignment.end(was_sent=False)
                 closed = self._closed(request.pool, version)
                 if closed is not None:
@@ -195,6 +188,14 @@
             assignment = self._engines.assign(
                 request.pool, server.name, prompt.unshared_tokens
             )
+        return self._select(server, in_flight, assignment)
+
+    def _select(
+        self,
+        server: FleetServer,
+        in_flight: InFlightRequest,
+        assignment: EngineAssignment | None,
+    ) -> SelectedServer:
         return SelectedServer(
             server,
             self._placement,
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
@@ -58,15 +58,12 @@
     :ivar is_over_share: whether the team has exceeded its fair share.
     :ivar wait_s: shortest predicted wait, in seconds.
     :ivar scheduler_start: identifier of this start of the scheduler.
-    :ivar is_late: whether it was refused because its caller had returned too late to be
-        answered in time.
     """
 
     retry_after_s: float
     is_over_share: bool
     wait_s: float
     scheduler_start: int
-    is_late: bool = False
 
 
 @wire_message("not-scheduling")
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -107,10 +107,8 @@
         match scheduler.decide(attempt, message.request, table.limits.work_per_s):
             case Admitted(server, uncached_tokens, wait_s):
                 return EngineReply(server, uncached_tokens, wait_s, self._start)
-            case Refused(retry_after_s, is_over_share, wait_s, is_late):
-                return EngineRefusal(
-                    retry_after_s, is_over_share, wait_s, self._start, is_late
-                )
+            case Refused(retry_after_s, is_over_share, wait_s):
+                return EngineRefusal(retry_after_s, is_over_share, wait_s, self._start)
 
     async def _on_progress(self, sender: str, progress: EngineProgress) -> None:
         table = self._publisher.table
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -329,7 +329,7 @@
         if is_late:
             # It shows neither a full engine nor a team that lacks a part of its share.
             self._counts.add_for(team, "refused_late")
-            return Refused(retry_s, usage > 1, wait_s, is_late=True)
+            return Refused(retry_s, usage > 1, wait_s)
         self._shares.record_refusal(team, usage)
         if usage > 1:
             self._counts.add_for(team, "refused_over_share")
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
@@ -101,14 +101,11 @@
     :ivar retry_after_s: time after which a retry may succeed, in seconds.
     :ivar is_over_share: whether the team has exceeded its fair share.
     :ivar wait_s: shortest predicted wait, in seconds.
-    :ivar is_late: whether it was refused because its caller had returned too late to be
-        answered in time.
     """
 
     retry_after_s: float
     is_over_share: bool
     wait_s: float
-    is_late: bool = False
 
 
 Decision = Admitted | Refused
