Log which attempts the router ended because of silence

The line of a failed attempt named the reason only in words, and the line of the request had the last refusal as its cause: whether the router or the server ended an answer that then nobody took over couldn't be counted. attempt:failed has was_silent, request:ended has silent_attempts. forwarding: 109 passed, 0 failed.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
@@ -34,10 +34,20 @@
         server_sequence=server.sequence,
         server_version=server.version,
         outcome=_describe(outcome),
+        was_silent=_was_silent(outcome),
         after_ms=round((now() - request.arrived_s) * 1000, 1),
     )
 
 
+def _was_silent(outcome: FailedAttempt) -> bool:
+    """Return whether this router ended the attempt, as the server sent nothing."""
+    match outcome:
+        case Unsent(timed_out=True) | AnswerLost(timed_out=True):
+            return True
+        case _:
+            return False
+
+
 def _describe(outcome: FailedAttempt) -> str:
     match outcome:
         case NotExecuted(status):
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
@@ -30,6 +30,8 @@
         stream; empty for none.
     :ivar attempts: attempts of which a byte may have been sent, without one that ended
         with the caller's connection.
+    :ivar silent_attempts: attempts at requests that may have run which this router
+        ended because their servers sent nothing for some time.
     :ivar first_attempt_ms: time to the start of the first attempt, in milliseconds;
         None without one.
     :ivar shared_part: last part of its prompt that other prompts may share; empty for
@@ -69,6 +71,7 @@
     last_event_id: str
     first_request_id: str
     attempts: int
+    silent_attempts: int
     first_attempt_ms: float | None
     shared_part: str
     input_tokens: int
@@ -115,6 +118,7 @@
         last_event_id=request.metadata.last_event_id,
         first_request_id=request.metadata.first_request_id,
         attempts=run.sent,
+        silent_attempts=run.silent_attempts,
         first_attempt_ms=(
             None if first_attempt_s is None else round(first_attempt_s * 1000, 1)
         ),
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -62,6 +62,8 @@
     :param max_event_bytes: limit on one event of a stream, in bytes.
 
     :ivar sent: attempts of which a byte may have been sent.
+    :ivar silent_attempts: attempts that this router ended because their servers sent
+        nothing for some time.
     :ivar may_have_run: whether a server may have run the request.
     :ivar is_started: whether a part of the answer was sent to the caller.
     :ivar status: status sent to the caller; 0 before.
@@ -99,6 +101,7 @@
         self._has_lost_server = False
         self._last_event_id = request.metadata.last_event_id
         self.sent = 0
+        self.silent_attempts = 0
         self.may_have_run = False
         self.is_started = False
         self.status = 0
@@ -356,6 +359,7 @@
         self.may_have_run = True
         self._has_lost_server = True
         self._tried |= {selected.server.name}
+        self.silent_attempts += lost.timed_out
         selected.record_failure(lost.reason, lost.timed_out)
         return self._may_repeat()
 
