Test that a server's silence ends no answer that nothing replaces

A router ends a stream after 1.4 s and an idempotent attempt after three latency targets without a byte, before it knows of another server. Where none takes the request, a stream whose server pauses for 1.9 s is broken off, and an idempotent request gets 502.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -1,6 +1,7 @@
 """Fake backend servers, header codec and caller in memory."""
 
 import asyncio
+import re
 from dataclasses import dataclass, replace
 
 from result import Err, Ok
@@ -76,12 +77,34 @@
         self._server.closed_s = asyncio.get_running_loop().time()
 
 
+class SilentAnswer(FakeAnswer):
+    """An answer whose server is silent amid its events, and then goes on."""
+
+    def __init__(self, metadata, before, after, server, chunk_s):
+        super().__init__(200, metadata, before, False, server)
+        self._after = after
+        self._chunk_s = chunk_s
+
+    async def chunks(self):
+        """Yield the events before the silence and those after it."""
+        async for chunk in super().chunks():
+            yield chunk
+        silence_s = self._server.remaining_silence_s()
+        await asyncio.sleep(min(silence_s, self._chunk_s))
+        if silence_s > self._chunk_s:
+            raise AnswerCutError(ServerFailure.STREAM, "silent", timed_out=True)
+        for chunk in self._after:
+            await asyncio.sleep(0.001)
+            yield chunk
+
+
 @dataclass(frozen=True)
 class ReceivedCall:
     """A request as a server received it."""
 
     remaining_s: float
     last_event_id: str
+    received_s: float
 
 
 class FakeServer:
@@ -93,6 +116,15 @@
         self.notices = ()
         self.received = []
         self.closed_s = None
+        self._silent_until_s = None
+
+    def remaining_silence_s(self):
+        """Return how long the server is still silent, from its first silence on."""
+        now_s = asyncio.get_running_loop().time()
+        if self._silent_until_s is None:
+            seconds = re.fullmatch(r"is silent for (\S+) s .*", self.failure)[1]
+            self._silent_until_s = now_s + float(seconds)
+        return max(0.0, self._silent_until_s - now_s)
 
     async def answer(self, call, request_id):
         """Return the outcome of one call."""
@@ -101,7 +133,9 @@
             return Err(CallFailure(ServerFailure.CONNECT, False, "refused"))
         headers = dict(call.headers)
         last_event_id = headers[b"last-event-id"].decode()
-        self.received.append(ReceivedCall(float(headers[b"remaining"]), last_event_id))
+        remaining_s = float(headers[b"remaining"])
+        received_s = asyncio.get_running_loop().time()
+        self.received.append(ReceivedCall(remaining_s, last_event_id, received_s))
         metadata = AnswerMetadata(request_id, is_signed=True, notices=self.notices)
         first = int(last_event_id or 0) + 1
         events = [event(number) for number in range(first, EVENTS + 1)]
@@ -133,9 +167,23 @@
             case "answers after 1.0 s":
                 answer = FakeAnswer(200, metadata, events, False, self)
                 return await self._answer_late(call, answer)
+            case failure if failure.startswith("is silent"):
+                return await self._answer_silently(call, metadata, events)
             case _:
                 return Ok(FakeAnswer(200, metadata, events, False, self))
 
+    async def _answer_silently(self, call, metadata, events):
+        if self.failure.endswith("before its answer"):
+            answer = FakeAnswer(200, metadata, events, False, self)
+            return await self._answer_late(call, answer, self.remaining_silence_s())
+        if len(self.received) > 1:
+            answer = SilentAnswer(metadata, [], events, self, call.timeouts.chunk_s)
+            return Ok(answer)
+        last = re.fullmatch(r".* after event (\d+)", self.failure)
+        count = int(last[1]) if last else 0
+        before, after = events[:count], events[count:]
+        return Ok(SilentAnswer(metadata, before, after, self, call.timeouts.chunk_s))
+
     async def _never_answer(self, call):
         return await self._answer_late(call, None, SILENCE_S)
 
@@ -217,6 +265,8 @@
         self.requests = []
         self.on_request = lambda: None
         self.assignment = None
+        # Decisions in turn, with their delays in seconds; the last one stays.
+        self.decisions = []
 
     def held_refusal(self, pool, team, prompt):
         """Return None: no refusal is held."""
@@ -225,6 +275,11 @@
         """Record a request, and return the assignment that the scenario gives."""
         self.requests.append(request)
         self.on_request()
+        if self.decisions:
+            index = min(len(self.requests), len(self.decisions)) - 1
+            decision, delay_s = self.decisions[index]
+            await asyncio.sleep(delay_s)
+            return decision
         return self.assignment
 
     def record_server(self, prompt, server):
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -12,3 +12,91 @@
       | failure          | what       | count |
       | never answers    | silent     | 1     |
       | loses its answer | not silent | 0     |
+
+  # Guards against streams that are broken off because their sound server pauses.
+  Scenario Outline: A stream goes on at its silent server where no other can take it over
+    Given a "resumable" route with 2 attempts and <servers> servers
+    And <circumstance>
+    And the first server is silent for 1.9 s <when>
+    When a request is served
+    Then 1 servers received it
+    And the caller gets 200
+    And the first server is not avoided
+
+    Examples:
+      | servers | circumstance                      | when                   |
+      | 1       | nothing else                      | after event 3          |
+      | 1       | nothing else                      | before its first event |
+      | 1       | nothing else                      | before its answer      |
+      | 3       | 1000 routers share the budget     | after event 3          |
+      | 3       | the servers have versions "a b b" | after event 3          |
+      | 3       | the other servers are avoided     | after event 3          |
+      | 3       | the other servers are avoided     | before its first event |
+      | 3       | the other servers are avoided     | before its answer      |
+
+  # Guards against streams that are broken off as the server that takes over is full.
+  Scenario Outline: A stream goes back to its silent server if all others are full
+    Given a "resumable" route with <attempts> attempts and 3 servers
+    And the other servers refuse as full
+    And the first server is silent for 1.9 s <when>
+    When a request is served
+    Then the caller gets 200
+
+    Examples:
+      | attempts | when                   |
+      | 2        | after event 3          |
+      | 2        | before its first event |
+      | 2        | before its answer      |
+      | 3        | after event 3          |
+
+  # Guards against streams that are broken off because the scheduler has no room elsewhere.
+  Scenario: A stream goes on at its silent engine if the scheduler refuses another one
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the scheduler assigns the first server and then refuses
+    And the first server is silent for 1.9 s after event 3
+    When a request with a prompt is served
+    Then 1 servers received it
+    And the caller gets 200
+    And the scheduler was asked 2 to 3 times
+
+  # Guards against answers of sound servers that are given up for nothing.
+  Scenario Outline: An idempotent request waits for its silent server if none can take it over
+    Given a "idempotent" route with 2 attempts and <servers> servers
+    And <circumstance>
+    And the first server is silent for 1.9 s before its answer
+    When a request is served
+    Then the caller gets 200
+
+    Examples:
+      | servers | circumstance                  |
+      | 1       | nothing else                  |
+      | 3       | 1000 routers share the budget |
+      | 3       | the other servers are avoided |
+      | 3       | the other servers refuse as full |
+
+  # Guards against work at two servers, and against places that are kept for nothing.
+  Scenario: A server that goes on while another one is sought keeps its stream
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the scheduler assigns the first server, and the second after 0.6 s
+    And the first server is silent for 1.9 s after event 3
+    When a request with a prompt is served
+    Then 1 servers received it
+    And the caller gets 200
+    And no server counts the request as in flight
+
+  # Guards against a stream that runs at two servers at once.
+  Scenario: A stream that another server takes over is closed at its silent server first
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the first server is silent for 3 s after event 3
+    When a request is served
+    Then the caller gets 200
+    And the first server is avoided
+    And the second server received it after the first was closed
+
+  # Guards against a dead server that gets all requests, as nobody takes them over.
+  Scenario: A server that is silent until the deadline is avoided
+    Given a "resumable" route with 2 attempts and 1 servers
+    And the first server never answers
+    When a request is served
+    Then the caller gets 504 unknown
+    And the first server is avoided
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -1,11 +1,19 @@
 """Steps of silence.feature."""
 
+from dataclasses import replace
+
 import eliot
-from behave import then, when
+from behave import given, then, when
 
+from almondfield_core.routing import Prompt, PromptPart
+from almondfield_daemon.forwarding.tests.fakes import make_assignment
 from almondfield_daemon.forwarding.tests.requests import serve
+from almondfield_daemon.scheduling.messages import EngineRefusal
 from almondfield_testing import run
 
+FAILURES = 4  # after which a server is avoided for as long as requests last
+REFUSAL = EngineRefusal(0.1, False, 0.5, 1)
+
 
 def line_of(context, kind):
     """Return the only log line of a kind."""
@@ -13,6 +21,66 @@
     return line
 
 
+@given("nothing else")
+def step_impl(context):
+    pass
+
+
+@given("the other servers refuse as full")
+def step_impl(context):
+    for server in context.servers[1:]:
+        server.failure = "reports that it did not run it"
+
+
+@given("the other servers are avoided")
+def step_impl(context):
+    async def record_failures():
+        for server in context.servers[1:]:
+            record = context.placement.record(server.name)
+            for _ in range(FAILURES):
+                record.record_failure()
+
+    run(context, record_failures())
+
+
+@given("the scheduler assigns the first server and then refuses")
+def step_impl(context):
+    context.engines.decisions = [(make_assignment("s0"), 0.0), (REFUSAL, 0.0)]
+
+
+@given("the scheduler assigns the first server, and the second after {seconds:g} s")
+def step_impl(context, seconds):
+    first, second = make_assignment("s0"), make_assignment("s1")
+    context.engines.decisions = [(first, 0.0), (second, seconds)]
+
+
+@when("a request with a prompt is served")
+def step_impl(context):
+    context.route = replace(context.route, has_prompt=True)
+    parts = (PromptPart("s", 10), PromptPart("o", 10))
+    context.served = run(context, serve(context, prompt=Prompt("m", 20, 5, parts)))
+
+
+@then("the scheduler was asked {least:d} to {most:d} times")
+def step_impl(context, least, most):
+    requests = context.engines.requests
+    assert least <= len(requests) <= most, requests
+
+
+@then("no server counts the request as in flight")
+def step_impl(context):
+    for server in context.servers:
+        assert context.placement.record(server.name).in_flight == 0, server.name
+
+
+@then("the second server received it after the first was closed")
+def step_impl(context):
+    first, second = context.servers[:2]
+    (call,) = second.received
+    assert call.last_event_id == "3", call
+    assert first.closed_s <= call.received_s, (first.closed_s, call)
+
+
 @when("a request is served and logged")
 def step_impl(context):
     context.messages = []
