End no answer because of silence before another server takes it over

What callers saw: the connection closed in the middle of an answer, or an idempotent request got 502, while its sound server sent nothing for a second or two and then went on.

Cause: the limits on silence were timeouts of the connection. After 1.4 s (three latency targets for an idempotent request) the attempt was over; only then did the router look for another server. With none of the version, none with room or no other at all, the answer had been given up for nothing. The retry budget was looked at when the attempt began, not when its server was silent.

Change: silence beyond the limit starts a search. The wait ends only once a server is selected (for engines: assigned by the scheduler) that isn't avoided and still announces itself, with attempts, retry budget and time left. The search is repeated after 0.3, 0.6, 1.2 s and so on. If the server goes on first, the search is cancelled and a place that was assigned is given back. The old connection is closed before the request is sent on. Whether a server is full shows only when it is asked, so a hand-over takes two repeats from the budget: if all others refuse, the request goes back to the server it left, which is no further server; otherwise the second repeat is given back. Only the deadline ends a wait otherwise. A server is recorded as failed when it was replaced, or when the deadline or the caller ended a wait for it beyond the limit.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
@@ -23,6 +23,7 @@
     Withheld,
 )
 from almondfield_daemon.forwarding.ports import HeaderCodec
+from almondfield_daemon.forwarding.silence_watch import SilenceWatch
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.router.calls import (
     SUCCESS_STATUSES,
@@ -66,24 +67,27 @@
         request: ForwardRequest,
         server: FleetServer,
         last_event_id: str,
-        answer_timeout_s: float,
-        chunk_timeout_s: float,
-        check: Callable[[], None] = lambda: None,
+        watch: SilenceWatch,
+        check: Callable[[], None],
     ) -> Attempt:
         """Return the outcome of one attempt, once the head of the answer has arrived.
 
         :param request: the request.
         :param server: the server.
         :param last_event_id: last event that the caller received; empty for none.
-        :param answer_timeout_s: timeout for the head of the answer, in seconds.
-        :param chunk_timeout_s: timeout for each further part of the answer, in seconds.
+        :param watch: watches the wait for the head of the answer.
         :param check: called right before the request is sent; raises an error if the
             caller has left or the server takes no work any more.
         """
-        timeouts = self._timeouts(request, answer_timeout_s, chunk_timeout_s)
-        call = self._call(request, server, last_event_id, timeouts, check)
+
+        def check_and_begin() -> None:
+            check()
+            watch.begin()
+
+        call = self._call(request, server, last_event_id, check_and_begin)
         try:
             result = await self._backends.send(call)
+            watch.end()
         except ServerClosedError as error:
             return Withheld(str(error))
         match result:
@@ -101,7 +105,6 @@
         request: ForwardRequest,
         server: FleetServer,
         last_event_id: str,
-        timeouts: Timeouts,
         check: Callable[[], None],
     ) -> BackendCall:
         headers = tuple(
@@ -126,22 +129,21 @@
             headers=(),
             prepare_headers=prepare_headers,
             body=request.body,
-            timeouts=timeouts,
+            timeouts=self._timeouts(request),
             pooled=_may_share_connection(request),
             authority=value_by_name.get(b"host", b""),
             may_end_by_close=True,
             expects_events=request.route.kind is RequestKind.STREAMING,
         )
 
-    def _timeouts(
-        self, request: ForwardRequest, answer_timeout_s: float, chunk_timeout_s: float
-    ) -> Timeouts:
+    def _timeouts(self, request: ForwardRequest) -> Timeouts:
+        """Return timeouts by which only the deadline ends an attempt that was sent."""
         remaining_s = max(0.0, request.until_s - now())
         delay_s = self._host_delay.allowance_s()
         return Timeouts(
             connect_s=min(CONNECT_TIMEOUT_S + delay_s, remaining_s),
-            first_byte_s=min(answer_timeout_s + delay_s, remaining_s),
-            chunk_s=min(chunk_timeout_s + delay_s, remaining_s),
+            first_byte_s=remaining_s,
+            chunk_s=remaining_s,
         )
 
     async def _classify(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/budget.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/budget.py
@@ -38,19 +38,33 @@
         self._drop_expired()
         self._request_times_s.append(now())
 
-    def try_spend(self) -> bool:
-        """Return whether one more repeat is allowed, and count it."""
-        if not self.allows_repeat():
+    def try_spend(self, count: int = 1) -> bool:
+        """Return whether some more repeats are allowed, and count them.
+
+        :param count: number of repeats.
+        """
+        if not self.allows_repeats(count):
             return False
-        self._repeat_times_s.append(now())
+        self._repeat_times_s.extend([now()] * count)
         return True
 
-    def allows_repeat(self) -> bool:
-        """Return whether one more repeat is allowed."""
+    def refund(self, spent_s: float) -> None:
+        """Take back a repeat that was counted and not sent.
+
+        :param spent_s: when it was counted, in seconds of the loop's clock.
+        """
+        if spent_s in self._repeat_times_s:
+            self._repeat_times_s.remove(spent_s)
+
+    def allows_repeats(self, count: int = 1) -> bool:
+        """Return whether some more repeats are allowed.
+
+        :param count: number of repeats.
+        """
         self._drop_expired()
         allowed = self._share * len(self._request_times_s)
         allowed += self._slack / max(1, self._routers())
-        return len(self._repeat_times_s) + 1 <= SAFETY_FACTOR * allowed
+        return len(self._repeat_times_s) + count <= SAFETY_FACTOR * allowed
 
     def _drop_expired(self) -> None:
         oldest_s = now() - self._window_s
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
@@ -0,0 +1,162 @@
+"""Hands a request over from a silent server to another one, and back if need be."""
+
+from collections.abc import Awaitable, Callable
+
+import eliot
+
+from almondfield_core.clock import now
+from almondfield_daemon.forwarding.budget import RetryWindow
+from almondfield_daemon.forwarding.messages import ForwardRequest
+from almondfield_daemon.forwarding.selected_server import SelectedServer
+from almondfield_daemon.forwarding.servers import ServerSelector, Unavailable
+from almondfield_daemon.forwarding.silence_watch import SilenceWatch
+
+__all__ = ["MIN_REMAINING_S", "HandOver"]
+
+MIN_REMAINING_S = 0.02  # less is too short for a backend server to answer
+# One to the server that takes over, one back if it refuses.
+REPEATS_PER_HAND_OVER = 2
+
+
+class HandOver:
+    """The hand-over of one request between servers.
+
+    A silent server loses its request only to a server that was selected for it, within
+    the retry budget. Whether that server is full shows only when it is asked. If it
+    and all others refuse, the request goes back: the silent server may have been sound,
+    and is no further server for the limit on attempts.
+
+    :param request: the request.
+    :param servers: chooses servers.
+    :param window: retry budget of the pool.
+    """
+
+    def __init__(
+        self, request: ForwardRequest, servers: ServerSelector, window: RetryWindow
+    ) -> None:
+        self._request = request
+        self._servers = servers
+        self._window = window
+        self._next: SelectedServer | None = None
+        # The server to go back to, and when the repeat for that was counted.
+        self._left_server = ""
+        self._reserved_s = 0.0
+        self._is_returning = False
+
+    @property
+    def is_secured(self) -> bool:
+        """Return whether a server has been selected that takes the request over."""
+        return self._next is not None
+
+    def watch(
+        self,
+        selected: SelectedServer,
+        limit_s: float,
+        choose: Callable[[], Awaitable[SelectedServer | Unavailable]],
+        can_go_on: Callable[[], bool],
+    ) -> SilenceWatch:
+        """Return what watches the waits for a server.
+
+        :param selected: the server.
+        :param limit_s: longest silence that starts no search, in seconds.
+        :param choose: returns a server for the next attempt, or why there is none.
+        :param can_go_on: returns whether another answer can go on from what the caller
+            has got.
+        """
+        is_logged = False
+
+        async def find() -> SelectedServer | None:
+            nonlocal is_logged
+            if can_go_on():
+                found = await self._find(choose)
+            else:
+                found = "the events that were sent have no numbers"
+            if isinstance(found, SelectedServer):
+                return found
+            if not is_logged:
+                is_logged = True
+                self._log_wait(selected, found)
+            return None
+
+        def on_found(found: SelectedServer) -> None:
+            self._next = found
+            self._left_server = selected.server.name
+
+        return SilenceWatch(
+            limit_s + selected.delay_allowance_s,
+            find,
+            on_found,
+            lambda reason: selected.record_failure(reason, timed_out=True),
+        )
+
+    async def choose(
+        self, tried: frozenset[str], has_lost_server: bool, version: str | None
+    ) -> SelectedServer | Unavailable:
+        """Return the server for the next attempt, or why there is none.
+
+        :param tried: names of servers that failed or refused the request.
+        :param has_lost_server: whether one of them failed without a refusal.
+        :param version: software version that the server must have; None for any.
+        """
+        if self._next is not None:
+            selected, self._next = self._next, None
+            return selected
+        if self._is_returning:
+            self._is_returning = False
+            left, self._left_server = self._left_server, ""
+            return await self._servers.choose_again(self._request, left, version)
+        return await self._servers.choose(
+            self._request, tried, has_lost_server, version
+        )
+
+    def try_return(self) -> bool:
+        """Return whether the next attempt goes back to the server that was silent.
+
+        To be called once all others have refused the request.
+        """
+        remaining_s = self._request.until_s - now()
+        if not self._left_server or remaining_s < MIN_REMAINING_S:
+            return False
+        self._is_returning = True
+        return True
+
+    def settle(self) -> None:
+        """Record that a server may run the request, so that it doesn't go back."""
+        if self._left_server and not self.is_secured:
+            self._left_server = ""
+            self._window.refund(self._reserved_s)
+
+    def close(self) -> None:
+        """Give back what is kept for a request that has ended."""
+        if self._next is not None:
+            selected, self._next = self._next, None
+            selected.end(was_sent=False)
+        self.settle()
+
+    async def _find(
+        self, choose: Callable[[], Awaitable[SelectedServer | Unavailable]]
+    ) -> SelectedServer | str:
+        """Return a server that takes the request over, or why there is none."""
+        if not self._window.allows_repeats(REPEATS_PER_HAND_OVER):
+            return "the retry budget is used up"
+        found = await choose()
+        if isinstance(found, Unavailable):
+            return found.detail
+        remaining_s = self._request.until_s - now()
+        if remaining_s < max(MIN_REMAINING_S, found.time_to_first_token_s):
+            found.end(was_sent=False)
+            return "too little time is left for another server"
+        if not self._window.try_spend(REPEATS_PER_HAND_OVER):
+            found.end(was_sent=False)
+            return "the retry budget is used up"
+        self._reserved_s = now()
+        return found
+
+    def _log_wait(self, selected: SelectedServer, reason: str) -> None:
+        eliot.log_message(
+            "attempt:waits",
+            request_id=self._request.metadata.request_id,
+            server=selected.server.name,
+            reason=reason,
+            after_ms=round((now() - self._request.arrived_s) * 1000, 1),
+        )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -10,12 +10,9 @@
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding.answers import read_body, stream_headers
 from almondfield_daemon.forwarding.attempt_log import log_attempt
-from almondfield_daemon.forwarding.attempt_timeouts import (
-    AttemptTimeouts,
-    attempt_timeouts,
-)
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import RetryWindow
+from almondfield_daemon.forwarding.hand_over import MIN_REMAINING_S, HandOver
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.outcomes import (
     Answered,
@@ -34,6 +31,11 @@
     ServerSelector,
     Unavailable,
 )
+from almondfield_daemon.forwarding.silence_limits import (
+    SilenceLimits,
+    silence_limits,
+)
+from almondfield_daemon.forwarding.silence_watch import SilenceWatch
 from almondfield_daemon.forwarding.take_up import make_origin
 from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer, Header
 from almondfield_daemon.router.events import EventTracker
@@ -43,7 +45,6 @@
 __all__ = ["RequestRun", "StreamBrokenError"]
 
 MAX_UNSENT_ATTEMPTS = 4  # attempts without a sent byte before the caller is refused
-MIN_REMAINING_S = 0.02  # less is too short for a backend server to answer
 
 
 class StreamBrokenError(AlmondfieldError):
@@ -89,13 +90,15 @@
         sink: ResponseSink,
         max_event_bytes: int,
     ) -> None:
-        self._max_event_bytes = max_event_bytes
         self._request = request
         self._attempts = attempts
         self._servers = servers
         self._origins = origins
         self._window = window
         self._sink = sink
+        self._hand_over = HandOver(request, servers, window)
+        self._tracker = EventTracker(max_event_bytes)
+        self._limits = SilenceLimits()
         self._unsent_attempts = 0
         self._tried: frozenset[str] = frozenset()
         self._has_lost_server = False
@@ -121,9 +124,12 @@
 
         :raises StreamBrokenError: if a partly sent answer can't be completed.
         """
-        if self._request.route.kind is RequestKind.STREAMING:
-            return await self._serve_stream()
-        return await self._serve_buffered()
+        try:
+            if self._request.route.kind is RequestKind.STREAMING:
+                return await self._serve_stream()
+            return await self._serve_buffered()
+        finally:
+            self._hand_over.close()
 
     async def _serve_buffered(self) -> Problem | None:
         """Send an answer once it is complete; a truncated one can be replaced."""
@@ -167,7 +173,7 @@
             return None
 
     async def _serve_stream(self) -> Problem | None:
-        tracker = EventTracker(self._max_event_bytes)
+        tracker = self._tracker
         while True:
             match await self._next_answer():
                 case Problem() as problem:
@@ -181,7 +187,8 @@
                     raise AnswerCutError(
                         ServerFailure.STREAM, f"the stream has status {answer.status}"
                     )
-                await self._forward_events(answer, selected, tracker)
+                async with self._watch(selected, self._limits.chunk_s) as watch:
+                    await self._forward_events(answer, selected, watch)
                 selected.record_success()
                 return None
             except AnswerCutError as error:
@@ -190,8 +197,7 @@
                 tracker.restart()
                 if tracker.last_id is not None:
                     self._last_event_id = tracker.last_id.decode("latin-1")
-                can_continue = not self.is_started or tracker.last_id is not None
-                if self._record_truncation(selected, error) and can_continue:
+                if self._record_truncation(selected, error) and self._can_go_on():
                     continue
                 if self.is_started:
                     raise StreamBrokenError(str(error)) from None
@@ -206,12 +212,19 @@
             return answer.status != 200
         return answer.status >= 500 and self._request.route.is_resumable
 
+    def _can_go_on(self) -> bool:
+        """Return whether another answer can go on where this one has ended."""
+        return not self.is_started or self._tracker.last_id is not None
+
     async def _forward_events(
-        self, answer: BackendAnswer, selected: SelectedServer, tracker: EventTracker
+        self, answer: BackendAnswer, selected: SelectedServer, watch: SilenceWatch
     ) -> None:
         """Send complete events as they arrive."""
         headers = stream_headers(answer)
+        tracker = self._tracker
+        watch.begin()
         async for chunk in answer.chunks():
+            watch.end()
             events = tracker.feed(chunk)
             if events:
                 selected.begin_answer()
@@ -219,6 +232,8 @@
                 await self._start(answer.status, headers)
                 self._record_event()
                 await self._sink.send(events)
+            watch.begin()
+        watch.end()
         await self._start(answer.status, headers)
         self.unfinished_bytes = tracker.unfinished_bytes
         rest = tracker.take_remainder()
@@ -246,10 +261,12 @@
                 return self._no_answer(
                     "the deadline passed before the answer was complete", True
                 )
-            selected = await self._servers.choose(
-                self._request, self._tried, self._has_lost_server, self.stream_version
+            selected = await self._hand_over.choose(
+                self._tried, self._has_lost_server, self.stream_version
             )
             if isinstance(selected, Unavailable):
+                if self._hand_over.try_return():
+                    continue
                 return self._refusal(selected.detail, selected.retry_after_s)
             self.server_name = selected.server.name
             self.server_version = selected.server.version
@@ -257,6 +274,7 @@
             outcome = await self._attempt(selected)
             match outcome:
                 case Answered():
+                    self._hand_over.settle()
                     self.framing = outcome.answer.framing
                     selected.record_answer(
                         outcome.metadata,
@@ -267,25 +285,32 @@
                 case _:
                     self._end_attempt(selected, outcome)
                     problem = self._handle_failure(selected, outcome)
-                    if problem is not None:
+                    if problem is not None and not self._hand_over.try_return():
                         return problem
 
     async def _attempt(self, selected: SelectedServer) -> Attempt:
         may_have_run = self.may_have_run
         if self.first_attempt_s is None:
             self.first_attempt_s = now() - self._request.arrived_s
-        timeouts = self._timeouts(selected)
+        is_last = self.sent + 1 >= self._request.route.max_attempts
+        self._limits = silence_limits(
+            self._request.route,
+            is_last=is_last,
+            time_to_first_token_s=selected.time_to_first_token_s,
+        )
         # A cancellation or timeout during the attempt leaves it unknown whether it ran.
         self.may_have_run = True
         try:
-            outcome = await self._attempts.send(
-                self._request,
-                selected.server,
-                self._last_event_id,
-                timeouts.answer_s,
-                timeouts.chunk_s,
-                lambda: self._check_before_sending(selected),
-            )
+            async with self._watch(selected, self._limits.answer_s) as watch:
+                outcome = await self._attempts.send(
+                    self._request,
+                    selected.server,
+                    self._last_event_id,
+                    watch,
+                    lambda: self._check_before_sending(selected),
+                )
+        except AnswerCutError as error:
+            outcome = AnswerLost(str(error), timed_out=error.timed_out)
         except BaseException:
             selected.end()
             raise
@@ -297,6 +322,16 @@
             log_attempt(self._request, selected.server, outcome)
         return outcome
 
+    def _watch(self, selected: SelectedServer, limit_s: float) -> SilenceWatch:
+        tried = self._tried | {selected.server.name}
+
+        async def choose() -> SelectedServer | Unavailable:
+            return await self._servers.choose_replacement(
+                self._request, tried, self.stream_version
+            )
+
+        return self._hand_over.watch(selected, limit_s, choose, self._can_go_on)
+
     def _check_before_sending(self, selected: SelectedServer) -> None:
         self._sink.check_caller()
         selected.check_notices()
@@ -358,6 +393,7 @@
         """Return whether the request may be sent again after a lost answer."""
         self.may_have_run = True
         self._has_lost_server = True
+        self._hand_over.settle()
         self._tried |= {selected.server.name}
         self.silent_attempts += lost.timed_out
         selected.record_failure(lost.reason, lost.timed_out)
@@ -365,6 +401,8 @@
 
     def _may_repeat(self) -> bool:
         """Return whether a request that may have run may be sent again now."""
+        if self._hand_over.is_secured:
+            return True
         return self._request.route.may_run_again and self._may_send_again()
 
     def _may_send_again(self) -> bool:
@@ -375,16 +413,6 @@
     def _remaining_s(self) -> float:
         return self._request.until_s - now()
 
-    def _timeouts(self, selected: SelectedServer) -> AttemptTimeouts:
-        is_last = self.sent + 1 >= self._request.route.max_attempts
-        return attempt_timeouts(
-            self._request.route,
-            self._remaining_s(),
-            may_repeat=not is_last and self._window.allows_repeat(),
-            is_last=is_last,
-            time_to_first_token_s=selected.time_to_first_token_s,
-        )
-
     def _refusal(self, detail: str, retry_after_s: float = RETRY_AFTER_S) -> Problem:
         """Return the problem of a request that no server accepted.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -60,6 +60,11 @@
         wait_s = self.assignment.wait_s or 0.0
         return wait_s + self.assignment.uncached_tokens / SLOW_PREFILL_TOKENS_PER_S
 
+    @property
+    def delay_allowance_s(self) -> float:
+        """Return by how much longer to wait as this host is late, in seconds."""
+        return self._host_delay.allowance_s()
+
     def check_notices(self) -> None:
         """Return if the server still takes the request.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -103,12 +103,46 @@
             self._counts.record_refusal(request.team, selected.cause)
         return selected
 
+    async def choose_replacement(
+        self, request: ForwardRequest, tried: frozenset[str], version: str | None
+    ) -> SelectedServer | Unavailable:
+        """Return a sound server that takes over from a silent one, or why none does.
+
+        The request isn't refused if there is none.
+
+        :param request: the request.
+        :param tried: names of servers that have had the request.
+        :param version: software version that the server must have; None for any.
+        """
+        servers = self._usable(request.pool, version)
+        excluded = tried | self._view.unresponsive_servers()
+        excluded |= self._avoided_servers(servers, may_be_all=True)
+        return await self._choose(request, excluded, True, version)
+
+    async def choose_again(
+        self, request: ForwardRequest, name: str, version: str | None
+    ) -> SelectedServer | Unavailable:
+        """Return a server that has had the request, or why it gets no more.
+
+        :param request: the request.
+        :param name: name of the server.
+        :param version: software version that the server must have; None for any.
+        """
+        names = frozenset(server.name for server in self._view.servers(request.pool))
+        selected = await self._choose(
+            request, names - {name}, True, version, may_be_avoided=True
+        )
+        if isinstance(selected, Unavailable):
+            self._counts.record_refusal(request.team, selected.cause)
+        return selected
+
     async def _choose(
         self,
         request: ForwardRequest,
         tried: frozenset[str],
         has_lost_server: bool,
         version: str | None,
+        may_be_avoided: bool = False,
     ) -> SelectedServer | Unavailable:
         servers = self._usable(request.pool, version)
         closed = self._closed(request.pool, version)
@@ -125,7 +159,9 @@
             held = self._engines.held_refusal(request.pool, request.team, prompt)
             if held is not None:
                 return _unavailable(held, RefusalCause.HELD_SHARE)
-        excluded = tried | self._avoided_servers(servers)
+        excluded = tried
+        if not may_be_avoided:
+            excluded |= self._avoided_servers(servers)
         excluded |= self._view.unusable_servers(request.pool)
         names = frozenset(server.name for server in servers)
         excluded |= frozenset(
@@ -216,14 +252,17 @@
         )
         return prefilling >= max(1, round(limit))
 
-    def _avoided_servers(self, servers: tuple[FleetServer, ...]) -> frozenset[str]:
-        """Return servers that the scheduler must not choose; none if all failed."""
+    def _avoided_servers(
+        self, servers: tuple[FleetServer, ...], may_be_all: bool = False
+    ) -> frozenset[str]:
+        """Return servers that must not be chosen; none if all failed, or all then."""
         avoided = frozenset(
             server.name
             for server in servers
             if self._placement.record(server.name).is_avoided
         )
-        return avoided if len(avoided) < len(servers) else frozenset()
+        is_any_left = len(avoided) < len(servers)
+        return avoided if is_any_left or may_be_all else frozenset()
 
     def exclude_misdirected(self, selected: SelectedServer) -> None:
         """Stop using a server whose address now belongs to another one.
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -92,6 +92,22 @@
     Then the caller gets 200
     And the first server is avoided
     And the second server received it after the first was closed
+    And 34 of 35 repeats are left
+
+  # Guards against places that are kept for callers that have left.
+  Scenario Outline: A caller that leaves while its server is silent leaves nothing behind
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the scheduler assigns the first server, and the second after <delay> s
+    And the first server is silent for 3 s after event 3
+    When a caller with a prompt leaves after <left> s
+    Then 1 servers received it
+    And no server counts the request as in flight
+
+    Examples:
+      | delay | left |
+      | 0.6   | 1.2  |
+      | 0.6   | 1.7  |
+      | 0.6   | 2.0  |
 
   # Guards against a dead server that gets all requests, as nobody takes them over.
   Scenario: A server that is silent until the deadline is avoided
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -1,5 +1,7 @@
 """Steps of silence.feature."""
 
+import asyncio
+from contextlib import suppress
 from dataclasses import replace
 
 import eliot
@@ -61,6 +63,28 @@
     context.served = run(context, serve(context, prompt=Prompt("m", 20, 5, parts)))
 
 
+@when("a caller with a prompt leaves after {seconds:g} s")
+def step_impl(context, seconds):
+    context.route = replace(context.route, has_prompt=True)
+    parts = (PromptPart("s", 10), PromptPart("o", 10))
+
+    async def leave():
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await serve(context, prompt=Prompt("m", 20, 5, parts))
+
+    run(context, leave())
+
+
+@then("{count:d} of 35 repeats are left")
+def step_impl(context, count):
+    async def count_left():
+        window = context.forwarder._window("p")
+        return sum(window.allows_repeats(number) for number in range(1, 100))
+
+    assert run(context, count_left()) == count
+
+
 @then("the scheduler was asked {least:d} to {most:d} times")
 def step_impl(context, least, most):
     requests = context.engines.requests
