Derive how long a silent server keeps a stream from its callers

Callers abandon a silent stream after the longest of 2 s, four latency targets and eight targets for the pause between events. A fixed limit of 1.4 s moved streams of slower routes to other servers, with another prefill, although their callers would have waited for the sound one. The limit is 0.7 of that time, 1.4 s at least; the rest is for another server to begin. Before: 4 of the 7 rows of the new scenario failed (two servers for a silence of 2.1 s where callers wait for 3.2 s). Now forwarding: 139 passed, 0 failed; silence, streams and versions of platform: 44 passed, 0 failed. What this costs where servers are dead isn't measured: their streams go on later.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_limits.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_limits.py
@@ -5,12 +5,16 @@
 
 from almondfield_core.routing import RequestKind, RouteRule
 
-__all__ = ["SilenceLimits", "silence_limits"]
+__all__ = ["SilenceLimits", "silence_limits", "stream_patience_s"]
 
 MIN_ANSWER_LIMIT_S = 0.3  # several round trips and a short request
 # An answer slower than this multiple of the target is more likely lost than late.
 LATENCY_TARGETS_PER_ATTEMPT = 3.0
-STREAM_LIMIT_S = 1.4  # callers abandon a stalled stream after 2 s or more
+# Callers abandon a silent stream after the longest of these.
+MIN_STREAM_PATIENCE_S = 2.0
+LATENCY_TARGETS_OF_PATIENCE = 4.0
+EVENT_GAP_TARGETS_OF_PATIENCE = 8.0
+STREAM_LIMIT_SHARE = 0.7  # the rest is for the first event of another server
 
 
 @dataclass(frozen=True)
@@ -37,6 +41,19 @@
     if is_last or not route.may_run_again:
         return SilenceLimits()
     if route.kind is RequestKind.STREAMING:
-        return SilenceLimits(STREAM_LIMIT_S + time_to_first_token_s, STREAM_LIMIT_S)
+        chunk_s = STREAM_LIMIT_SHARE * stream_patience_s(route)
+        return SilenceLimits(chunk_s + time_to_first_token_s, chunk_s)
     answer_s = LATENCY_TARGETS_PER_ATTEMPT * route.latency_target_s
     return SilenceLimits(max(MIN_ANSWER_LIMIT_S, answer_s))
+
+
+def stream_patience_s(route: RouteRule) -> float:
+    """Return how long callers wait for the next event of a stream, in seconds.
+
+    :param route: rule of the stream.
+    """
+    return max(
+        MIN_STREAM_PATIENCE_S,
+        LATENCY_TARGETS_OF_PATIENCE * route.latency_target_s,
+        EVENT_GAP_TARGETS_OF_PATIENCE * route.event_gap_target_s,
+    )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -84,6 +84,27 @@
     And the caller gets 200
     And no server counts the request as in flight
 
+  # Guards against streams that lose their sound server long before their callers leave,
+  # and against ones that wait for a silent server until they do.
+  Scenario Outline: How long a silent server keeps a stream depends on its callers
+    Given a "resumable" route with 2 attempts and 3 servers
+    And targets of <target> s to the first event and <gap> s between events
+    And the first server is silent for <silence> s <when>
+    When a request is served
+    Then <servers> servers received it
+    And the caller gets 200
+    And the answer took at most <longest> s
+
+    Examples:
+      | target | gap | silence | when                   | servers | longest |
+      | 0.3    | 0.1 | 1.3     | after event 3          | 1       | 1.4     |
+      | 0.3    | 0.1 | 3.0     | after event 3          | 2       | 1.5     |
+      | 0.8    | 0.1 | 2.1     | after event 3          | 1       | 2.2     |
+      | 0.8    | 0.1 | 2.1     | before its first event | 1       | 2.2     |
+      | 0.8    | 0.1 | 2.1     | before its answer      | 1       | 2.2     |
+      | 0.3    | 0.4 | 2.1     | after event 3          | 1       | 2.2     |
+      | 0.8    | 0.1 | 3.5     | after event 3          | 2       | 2.4     |
+
   # Guards against a stream that runs at two servers at once.
   Scenario: A stream that another server takes over is closed at its silent server first
     Given a "resumable" route with 2 attempts and 3 servers
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -28,6 +28,13 @@
     pass
 
 
+@given("targets of {target:g} s to the first event and {gap:g} s between events")
+def step_impl(context, target, gap):
+    context.route = replace(
+        context.route, latency_target_s=target, event_gap_target_s=gap
+    )
+
+
 @given("the other servers refuse as full")
 def step_impl(context):
     for server in context.servers[1:]:
