--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_limits.py
@@ -0,0 +1,59 @@
+"""How long a server may be silent before another one is sought for its request."""
+
+import math
+from dataclasses import dataclass
+
+from almondfield_core.routing import RequestKind, RouteRule
+
+__all__ = ["SilenceLimits", "silence_limits", "stream_patience_s"]
+
+MIN_ANSWER_LIMIT_S = 0.3  # several round trips and a short request
+# An answer slower than this multiple of the target is more likely lost than late.
+LATENCY_TARGETS_PER_ATTEMPT = 3.0
+# Callers abandon a silent stream after the longest of these.
+MIN_STREAM_PATIENCE_S = 2.0
+LATENCY_TARGETS_OF_PATIENCE = 4.0
+EVENT_GAP_TARGETS_OF_PATIENCE = 8.0
+STREAM_LIMIT_SHARE = 0.7  # the rest is for the first event of another server
+
+
+@dataclass(frozen=True)
+class SilenceLimits:
+    """Limits on the silence of a server; infinity where no other may be asked.
+
+    :ivar answer_s: limit until the head of the answer, in seconds.
+    :ivar chunk_s: limit before each further part of the answer, in seconds.
+    """
+
+    answer_s: float = math.inf
+    chunk_s: float = math.inf
+
+
+def silence_limits(
+    route: RouteRule, *, is_last: bool, time_to_first_token_s: float
+) -> SilenceLimits:
+    """Return the limits of an attempt.
+
+    :param route: rule of the request.
+    :param is_last: whether the limit on attempts allows no other one.
+    :param time_to_first_token_s: wait and prefill time of a slow engine, in seconds.
+    """
+    if is_last or not route.may_run_again:
+        return SilenceLimits()
+    if route.kind is RequestKind.STREAMING:
+        chunk_s = STREAM_LIMIT_SHARE * stream_patience_s(route)
+        return SilenceLimits(chunk_s + time_to_first_token_s, chunk_s)
+    answer_s = LATENCY_TARGETS_PER_ATTEMPT * route.latency_target_s
+    return SilenceLimits(max(MIN_ANSWER_LIMIT_S, answer_s))
+
+
+def stream_patience_s(route: RouteRule) -> float:
+    """Return how long callers wait for the next event of a stream, in seconds.
+
+    :param route: rule of the stream.
+    """
+    return max(
+        MIN_STREAM_PATIENCE_S,
+        LATENCY_TARGETS_OF_PATIENCE * route.latency_target_s,
+        EVENT_GAP_TARGETS_OF_PATIENCE * route.event_gap_target_s,
+    )
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -0,0 +1,139 @@
+Feature: A server's silence ends an answer only where another server takes it over
+
+  # Guards against logs in which a silent server can't be told from one that broke off.
+  Scenario Outline: The log tells whether the router or the server ended an attempt
+    Given a "idempotent" route with 2 attempts and 3 servers
+    And the first server <failure>
+    When a request is served and logged
+    Then the line of the failed attempt says that the server was <what>
+    And the line of the request has <count> silent attempts
+
+    Examples:
+      | failure          | what       | count |
+      | never answers    | silent     | 1     |
+      | loses its answer | not silent | 0     |
+
+  # Guards against streams that are broken off because their sound server pauses.
+  Scenario Outline: A stream goes on at its silent server where no other can take it over
+    Given a "resumable" route with 2 attempts and <servers> servers
+    And <circumstance>
+    And the first server is silent for 1.9 s <when>
+    When a request is served
+    Then 1 servers received it
+    And the caller gets 200
+    And the first server is not avoided
+
+    Examples:
+      | servers | circumstance                      | when                   |
+      | 1       | nothing else                      | after event 3          |
+      | 1       | nothing else                      | before its first event |
+      | 1       | nothing else                      | before its answer      |
+      | 3       | 1000 routers share the budget     | after event 3          |
+      | 3       | the servers have versions "a b b" | after event 3          |
+      | 3       | the other servers are avoided     | after event 3          |
+      | 3       | the other servers are avoided     | before its first event |
+      | 3       | the other servers are avoided     | before its answer      |
+
+  # Guards against streams that are broken off as the server that takes over is full.
+  Scenario Outline: A stream goes back to its silent server if all others are full
+    Given a "resumable" route with <attempts> attempts and 3 servers
+    And the other servers refuse as full
+    And the first server is silent for 1.9 s <when>
+    When a request is served
+    Then the caller gets 200
+
+    Examples:
+      | attempts | when                   |
+      | 2        | after event 3          |
+      | 2        | before its first event |
+      | 2        | before its answer      |
+      | 3        | after event 3          |
+
+  # Guards against streams that are broken off because the scheduler has no room elsewhere.
+  Scenario: A stream goes on at its silent engine if the scheduler refuses another one
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the scheduler assigns the first server and then refuses
+    And the first server is silent for 1.9 s after event 3
+    When a request with a prompt is served
+    Then 1 servers received it
+    And the caller gets 200
+    And the scheduler was asked 2 to 3 times
+
+  # Guards against answers of sound servers that are given up for nothing.
+  Scenario Outline: An idempotent request waits for its silent server if none can take it over
+    Given a "idempotent" route with 2 attempts and <servers> servers
+    And <circumstance>
+    And the first server is silent for 1.9 s before its answer
+    When a request is served
+    Then the caller gets 200
+
+    Examples:
+      | servers | circumstance                  |
+      | 1       | nothing else                  |
+      | 3       | 1000 routers share the budget |
+      | 3       | the other servers are avoided |
+      | 3       | the other servers refuse as full |
+
+  # Guards against work at two servers, and against places that are kept for nothing.
+  Scenario: A server that goes on while another one is sought keeps its stream
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the scheduler assigns the first server, and the second after 0.6 s
+    And the first server is silent for 1.9 s after event 3
+    When a request with a prompt is served
+    Then 1 servers received it
+    And the caller gets 200
+    And no server counts the request as in flight
+
+  # Guards against streams that lose their sound server long before their callers leave,
+  # and against ones that wait for a silent server until they do.
+  Scenario Outline: How long a silent server keeps a stream depends on its callers
+    Given a "resumable" route with 2 attempts and 3 servers
+    And targets of <target> s to the first event and <gap> s between events
+    And the first server is silent for <silence> s <when>
+    When a request is served
+    Then <servers> servers received it
+    And the caller gets 200
+    And the answer took at most <longest> s
+
+    Examples:
+      | target | gap | silence | when                   | servers | longest |
+      | 0.3    | 0.1 | 1.3     | after event 3          | 1       | 1.4     |
+      | 0.3    | 0.1 | 3.0     | after event 3          | 2       | 1.5     |
+      | 0.8    | 0.1 | 2.1     | after event 3          | 1       | 2.2     |
+      | 0.8    | 0.1 | 2.1     | before its first event | 1       | 2.2     |
+      | 0.8    | 0.1 | 2.1     | before its answer      | 1       | 2.2     |
+      | 0.3    | 0.4 | 2.1     | after event 3          | 1       | 2.2     |
+      | 0.8    | 0.1 | 3.5     | after event 3          | 2       | 2.4     |
+
+  # Guards against a stream that runs at two servers at once.
+  Scenario: A stream that another server takes over is closed at its silent server first
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the first server is silent for 3 s after event 3
+    When a request is served
+    Then the caller gets 200
+    And the first server is avoided
+    And the second server received it after the first was closed
+    And 34 of 35 repeats are left
+
+  # Guards against places that are kept for callers that have left.
+  Scenario Outline: A caller that leaves while its server is silent leaves nothing behind
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the scheduler assigns the first server, and the second after <delay> s
+    And the first server is silent for 3 s after event 3
+    When a caller with a prompt leaves after <left> s
+    Then 1 servers received it
+    And no server counts the request as in flight
+
+    Examples:
+      | delay | left |
+      | 0.6   | 1.2  |
+      | 0.6   | 1.7  |
+      | 0.6   | 2.0  |
+
+  # Guards against a dead server that gets all requests, as nobody takes them over.
+  Scenario: A server that is silent until the deadline is avoided
+    Given a "resumable" route with 2 attempts and 1 servers
+    And the first server never answers
+    When a request is served
+    Then the caller gets 504 unknown
+    And the first server is avoided
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -0,0 +1,133 @@
+"""Steps of silence.feature."""
+
+import asyncio
+from contextlib import suppress
+from dataclasses import replace
+
+import eliot
+from behave import given, then, when
+
+from almondfield_core.routing import Prompt, PromptPart
+from almondfield_daemon.forwarding.tests.fakes import make_assignment
+from almondfield_daemon.forwarding.tests.requests import serve
+from almondfield_daemon.scheduling.messages import EngineRefusal
+from almondfield_testing import run
+
+FAILURES = 4  # after which a server is avoided for as long as requests last
+REFUSAL = EngineRefusal(0.1, False, 0.5, 1)
+
+
+def line_of(context, kind):
+    """Return the only log line of a kind."""
+    (line,) = [m for m in context.messages if m["message_type"] == kind]
+    return line
+
+
+@given("nothing else")
+def step_impl(context):
+    pass
+
+
+@given("targets of {target:g} s to the first event and {gap:g} s between events")
+def step_impl(context, target, gap):
+    context.route = replace(
+        context.route, latency_target_s=target, event_gap_target_s=gap
+    )
+
+
+@given("the other servers refuse as full")
+def step_impl(context):
+    for server in context.servers[1:]:
+        server.failure = "reports that it did not run it"
+
+
+@given("the other servers are avoided")
+def step_impl(context):
+    async def record_failures():
+        for server in context.servers[1:]:
+            record = context.placement.record(server.name)
+            for _ in range(FAILURES):
+                record.record_failure()
+
+    run(context, record_failures())
+
+
+@given("the scheduler assigns the first server and then refuses")
+def step_impl(context):
+    context.engines.decisions = [(make_assignment("s0"), 0.0), (REFUSAL, 0.0)]
+
+
+@given("the scheduler assigns the first server, and the second after {seconds:g} s")
+def step_impl(context, seconds):
+    first, second = make_assignment("s0"), make_assignment("s1")
+    context.engines.decisions = [(first, 0.0), (second, seconds)]
+
+
+@when("a request with a prompt is served")
+def step_impl(context):
+    context.route = replace(context.route, has_prompt=True)
+    parts = (PromptPart("s", 10), PromptPart("o", 10))
+    context.served = run(context, serve(context, prompt=Prompt("m", 20, 5, parts)))
+
+
+@when("a caller with a prompt leaves after {seconds:g} s")
+def step_impl(context, seconds):
+    context.route = replace(context.route, has_prompt=True)
+    parts = (PromptPart("s", 10), PromptPart("o", 10))
+
+    async def leave():
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await serve(context, prompt=Prompt("m", 20, 5, parts))
+
+    run(context, leave())
+
+
+@then("{count:d} of 35 repeats are left")
+def step_impl(context, count):
+    async def count_left():
+        window = context.forwarder._window("p")
+        return sum(window.allows_repeats(number) for number in range(1, 100))
+
+    assert run(context, count_left()) == count
+
+
+@then("the scheduler was asked {least:d} to {most:d} times")
+def step_impl(context, least, most):
+    requests = context.engines.requests
+    assert least <= len(requests) <= most, requests
+
+
+@then("no server counts the request as in flight")
+def step_impl(context):
+    for server in context.servers:
+        assert context.placement.record(server.name).in_flight == 0, server.name
+
+
+@then("the second server received it after the first was closed")
+def step_impl(context):
+    first, second = context.servers[:2]
+    (call,) = second.received
+    assert call.last_event_id == "3", call
+    assert first.closed_s <= call.received_s, (first.closed_s, call)
+
+
+@when("a request is served and logged")
+def step_impl(context):
+    context.messages = []
+    eliot.add_destinations(context.messages.append)
+    context.add_cleanup(eliot.remove_destination, context.messages.append)
+    context.messages.clear()  # eliot delivers older lines to its first destination
+    context.served = run(context, serve(context))
+
+
+@then("the line of the failed attempt says that the server was {what}")
+def step_impl(context, what):
+    line = line_of(context, "attempt:failed")
+    assert line["was_silent"] == (what == "silent"), line
+
+
+@then("the line of the request has {count:d} silent attempts")
+def step_impl(context, count):
+    line = line_of(context, "request:ended")
+    assert line["silent_attempts"] == count, line
