Log refusals that are sent before a body is read

A request that its route accepts, but whose body is too long, too slow or without memory, left no line: only request:counts had its number. Since the connection closes with bytes unread, its caller may see a reset instead of the answer, and nothing told such a request from one that never came.

They are logged as request:refused, with the request's id and the time since its arrival. 107 scenarios of forwarding pass.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -148,6 +148,7 @@
                 request = replace(request, body=body)
             case Err(problem):
                 self._counts.record_refusal(request.team, problem.kind)
+                _log_unread(request, problem)
                 await self._send_problem(sink, problem, close=True)
                 return
         async with CallerWatch(receive, sink.connection) as watch:
@@ -239,6 +240,21 @@
             self._watch.stall.end()
 
 
+def _log_unread(request: ForwardRequest, problem: Problem) -> None:
+    """Log a refusal that is sent before the body is read to its end."""
+    eliot.log_message(
+        "request:refused",
+        request_id=request.metadata.request_id,
+        route=request.route.name,
+        team=request.team,
+        status=problem.status,
+        cause=problem.detail,
+        table_version=request.table_version,
+        after_ms=round((now() - request.arrived_s) * 1000, 1),
+        **unread_fields(request.unread),
+    )
+
+
 def _read_head(scope: Any) -> RequestHead:
     return RequestHead(
         method=scope["method"],
