Wait for callers that still write before closing their connection

Callers saw a failed write in place of an answer: the router refuses a body that is too long (413), without memory (503), late (408), or refused by its head and long, and a malformed or oversized head (400, 431), before it has read it, most of all where a change makes the largest body smaller than what callers send. A caller that gives up at the failed write has neither an answer nor a refusal (LOST).

Cause: the connection was closed at once after such an answer. The kernel answers bytes that are unread, or that come later, with a reset.

Now a close while a request is still coming ends the output after the answer and discards what comes, until the caller closes, or after 2 s of silence, 10 s, or 64 MiB; after 0.1 s once the listener stops. It is in the transport that everything closes by, so that control hosts, readiness checks, operators' interfaces and the connections that callers ask to close are covered as well. Nothing of the body is kept, no request is counted. A refusal that waits for a body is sent when the listener stops, and nothing is written after an answer that ended the connection.

--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/lingering.py
@@ -0,0 +1,111 @@
+"""Close of connections whose callers still write."""
+
+import asyncio
+from collections.abc import Callable
+
+from almondfield_core.clock import now
+
+__all__ = ["LingeringTransport"]
+
+LINGER_IDLE_S = 2.0  # a packet lost on the way is sent again within this time
+LINGER_S = 10.0  # far less than callers may take for a head or a body
+STOP_LINGER_S = 0.1  # a stopping process has a small part of its grace period left
+MAX_DISCARDED_BYTES = 64 * 1024 * 1024
+
+
+class LingeringTransport:
+    """Transport whose close waits for a caller that still writes its request.
+
+    A close with unread bytes, or before further bytes arrive, resets the connection:
+    the caller's write fails, and its answer may be discarded. Here the close ends the
+    output after the answer, and discards what arrives until the caller closes too,
+    within limits on the time and on the bytes.
+
+    :param transport: transport of the connection.
+    :param is_unread: returns whether bytes of a request may still arrive.
+    :param on_linger: called when the close begins to wait.
+    """
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        is_unread: Callable[[], bool],
+        on_linger: Callable[[], None],
+    ) -> None:
+        self.write = transport.write
+        self.abort = transport.abort
+        self.get_extra_info = transport.get_extra_info
+        self._transport = transport
+        self._is_unread = is_unread
+        self._on_linger = on_linger
+        self._max_linger_s = LINGER_S
+        self._until_s = 0.0
+        self._received_s = 0.0
+        self._discarded_bytes = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self.is_lingering = False
+
+    def is_closing(self) -> bool:
+        """Return whether the connection is closed or its close waits."""
+        return self.is_lingering or self._transport.is_closing()
+
+    def close(self) -> None:
+        """Close the connection, or wait if its caller may still write."""
+        if self._is_unread():
+            self.linger()
+        else:
+            self.close_at_once()
+
+    def close_at_once(self) -> None:
+        """Close the connection without waiting for its caller."""
+        if not self.is_closing():
+            self._transport.close()
+
+    def linger(self) -> None:
+        """End the output and wait for the caller's end of the connection."""
+        if self.is_closing():
+            return
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            self._transport.abort()
+            return
+        self.is_lingering = True
+        self._received_s = now()
+        self._until_s = now() + self._max_linger_s
+        self._transport.resume_reading()
+        self._on_linger()
+        self._check_time()
+
+    def discard(self, data: bytes) -> None:
+        """Discard what the caller has written meanwhile.
+
+        :param data: the bytes.
+        """
+        self._received_s = now()
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._transport.abort()
+
+    def shorten_linger(self) -> None:
+        """Wait less from now on, as the process stops."""
+        self._max_linger_s = STOP_LINGER_S
+        if self.is_lingering:
+            self._until_s = min(self._until_s, now() + STOP_LINGER_S)
+            self._check_time()
+
+    def stop(self) -> None:
+        """Stop waiting, as the connection is closed."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _check_time(self) -> None:
+        self.stop()
+        end_s = min(self._until_s, self._received_s + LINGER_IDLE_S)
+        if now() >= end_s:
+            self._transport.abort()
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(end_s, self._check_time)
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -11,6 +11,7 @@
 from almondfield_daemon.loop_delay import ARRIVAL_KEY, AcceptTimes, ArrivalTracker
 from almondfield_daemon.serving.connection import CONNECTION_KEY, CallerConnection
 from almondfield_daemon.serving.gate import Gate, HeadRefusal, RequestHead
+from almondfield_daemon.serving.lingering import LingeringTransport
 
 __all__ = ["make_protocol"]
 
@@ -41,6 +42,7 @@
         self._refusal: HeadRefusal | None = None
         self._refused_bytes = 0
         self._is_discarding = False
+        self._is_request_read = True
         self._arrivals = ArrivalTracker(
             getattr(self.loop, "iterations", None), self.accepts
         )
@@ -49,7 +51,10 @@
         type(self).accepted += 1
         # The base class would look up both addresses, which no application uses.
         self.connections.add(self)
-        self.transport = transport
+        # Whatever closes the connection does so by this transport.
+        self.transport = LingeringTransport(
+            transport, self._has_unread_request, self._drop_request
+        )
         self.flow = FlowControl(transport)
         self.scheme = "http"
         self._connection = CallerConnection(transport)
@@ -57,9 +62,27 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._stop_head_timer()
+        self.transport.stop()
         self._close_connection()
         super().connection_lost(exc)
 
+    def shutdown(self) -> None:
+        self.transport.shorten_linger()
+        if self._refusal is not None:
+            self._send_refusal(closes_connection=True)
+        super().shutdown()
+
+    def _has_unread_request(self) -> bool:
+        return not self._is_request_read or bool(self.pipeline)
+
+    def _drop_request(self) -> None:
+        """Free the body that was read, and end an application that reads on."""
+        self._stop_head_timer()
+        if self.cycle is not None:
+            self.cycle.body.clear()
+            self.cycle.disconnected = not self.cycle.response_complete
+            self.cycle.message_event.set()
+
     def _close_connection(self) -> None:
         if self.cycle is not None and not self.cycle.response_complete:
             # The application may return without an answer from now on.
@@ -71,6 +94,7 @@
         super().eof_received()
 
     def on_message_begin(self) -> None:
+        self._is_request_read = False
         self._in_head = True
         self._head_bytes = 0
         self._start_head_timer()
@@ -104,6 +128,7 @@
             self._send_refusal(closes_connection=True)
 
     def on_message_complete(self) -> None:
+        self._is_request_read = True
         if self._is_discarding:
             return
         if self._refusal is None:
@@ -145,6 +170,9 @@
         )
 
     def data_received(self, data: bytes) -> None:
+        if self.transport.is_lingering:
+            self.transport.discard(data)
+            return
         super().data_received(data)
         if not self._in_head or self.transport.is_closing():
             return
@@ -157,6 +185,8 @@
         self._refuse(BAD_REQUEST, "malformed-request", msg)
 
     def _refuse(self, status: str, kind: str, detail: str) -> None:
+        if self.transport.is_closing():
+            return
         problem = {"error": kind, "detail": detail, "outcome": "not-run"}
         body = msgspec.json.encode(problem)
         head = (
@@ -167,7 +197,7 @@
             "connection: close\r\n\r\n"
         )
         self.transport.write(head.encode() + body)
-        self.transport.close()
+        self.transport.linger()
 
     def _start_head_timer(self) -> None:
         if self._head_timer is None:
@@ -183,7 +213,7 @@
     def _close_on_head_timeout(self) -> None:
         # A client that sends its head very slowly must not occupy a connection.
         self._head_timer = None
-        self.transport.close()
+        self.transport.close_at_once()
 
 
 def make_protocol(
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
@@ -25,3 +25,27 @@
       | an oversized head           | all at once        | 431    |
       | a body that nobody reads    | slowly             | 404    |
       | a body that nobody reads    | at once in chunks  | 404    |
+
+  # Guards against a second answer, written after the end of the output.
+  Scenario: A body that is malformed after its refusal gets no second answer
+    When a caller sends a refused request whose body is too long and then malformed
+    Then it gets the whole answer 503 after it has written everything
+
+  # Guards against callers that hold connections, and a stopping process, without bound.
+  Scenario Outline: A connection that is to close doesn't wait without bound
+    Given the wait for a caller ends after <limit>
+    When a caller's body is too long, and it <behaviour> without reading
+    Then its connection is closed by the listener
+
+    Examples:
+      | limit             | behaviour                     |
+      | 0.1 s of silence  | falls silent                  |
+      | 0.3 s in all      | writes on slowly without end  |
+      | 1000000 bytes     | writes on quickly without end |
+      | the listener ends | writes on slowly without end  |
+
+  # Guards against bodies of refused requests that stay in memory.
+  Scenario: Nothing is held of what a caller writes after its answer
+    Given the wait for a caller ends after 1000000 bytes
+    When a caller's body is answered unread, and it writes 500000 bytes without reading
+    Then the listener holds none of them
