Decide on the largest body when a request's head is read

A request was accepted by its head, and then refused with 413 by a smaller limit that a change had brought before its handler started: one iteration of the event loop later, longer behind a busy one. The router had said nothing against it when it took it.

The limit is now part of the request, as its route and team are.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -140,7 +140,7 @@
         sink: "_AsgiSink",
         held: BodyReservation,
     ) -> None:
-        limit = self._subscription.index.table.limits.max_body_bytes
+        limit = request.max_body_bytes
         declared = int(dict(request.headers).get(b"content-length", b"0"))
         match await read_body(receive, declared, limit, held.reserve):
             case Ok(body):
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
@@ -188,6 +188,7 @@
             waited_s=self._deadlines.waited_s(route.name, metadata.deadline_s),
             until_s=arrived_s + min(route.timeout_s, deadline_s),
             unread=unread,
+            max_body_bytes=self._subscription.index.table.limits.max_body_bytes,
         )
 
     def _route(self, head: RequestHead) -> Result[RouteRule, Problem]:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from almondfield_core.routing import Prompt, RouteRule
+from almondfield_core.routing import Prompt, RequestLimits, RouteRule
 from almondfield_daemon.router.calls import Header
 from almondfield_daemon.server_notices import ServerNotice
 
@@ -130,6 +130,8 @@
         has to go on; None for other requests.
     :ivar is_checked: whether held refusals were considered when its head was read.
     :ivar unread: how long it was in the socket before; None where that is unknown.
+    :ivar max_body_bytes: largest body, by the table that was in force when its head was
+        read.
     """
 
     method: str
@@ -147,6 +149,7 @@
     stream_version: str | None = None
     is_checked: bool = False
     unread: UnreadTime | None = None
+    max_body_bytes: int = RequestLimits.max_body_bytes
 
     @property
     def takes_up_stream(self) -> bool:
