Finish the answer to a whole request whatever bytes follow it

A whole request got no answer, or half of one with a 400 or 431 in it, if malformed or oversized bytes, or a part of a head that didn't come to its end in time, followed it on its connection: these closed the connection at once, whatever was being answered on it.

The listener now discards what follows, finishes the answer and closes after it.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -173,6 +173,8 @@
         if self.transport.is_lingering:
             self.transport.discard(data)
             return
+        if self._is_discarding:
+            return
         super().data_received(data)
         if not self._in_head or self.transport.is_closing():
             return
@@ -185,7 +187,7 @@
         self._refuse(BAD_REQUEST, "malformed-request", msg)
 
     def _refuse(self, status: str, kind: str, detail: str) -> None:
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self._closes_after_answer():
             return
         problem = {"error": kind, "detail": detail, "outcome": "not-run"}
         body = msgspec.json.encode(problem)
@@ -213,7 +215,22 @@
     def _close_on_head_timeout(self) -> None:
         # A client that sends its head very slowly must not occupy a connection.
         self._head_timer = None
-        self.transport.close_at_once()
+        if not self._closes_after_answer():
+            self.transport.close_at_once()
+
+    def _closes_after_answer(self) -> bool:
+        """Discard all input and close after the answer to a request that was read.
+
+        :returns: whether there is such an answer; nothing changes otherwise.
+        """
+        cycle = self.cycle
+        if cycle is None or cycle.response_complete or cycle.more_body:
+            return False
+        cycle.keep_alive = False
+        self._is_discarding = True
+        self._is_request_read = False
+        self._stop_head_timer()
+        return True
 
 
 def make_protocol(
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
@@ -49,3 +49,21 @@
     Given the wait for a caller ends after 1000000 bytes
     When a caller's body is answered unread, and it writes 500000 bytes without reading
     Then the listener holds none of them
+
+  # Guards against LOST: an answer under way was cut as bytes behind its request were
+  # malformed, too many, or came too slowly.
+  Scenario Outline: A whole request gets its whole answer whatever follows it
+    Given the head of a request may take 0.1 s
+    When a caller sends a request that is answered after 0.4 s, and then <bytes>
+    Then it gets the whole answer 200 after it has written everything
+
+    Examples:
+      | bytes                |
+      | a malformed head     |
+      | an oversized head    |
+      | a part of a head     |
+
+  # Guards against a stop that closes the connection of a refusal that waits for a body.
+  Scenario: A refused request gets its refusal when the listener stops amid its body
+    When the listener stops while a refused request's body is on its way
+    Then it gets the whole answer 503 after it has written everything
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
@@ -21,6 +21,7 @@
 MAX_BODY_BYTES = 10_000
 LONG_S = 1000.0
 PAUSE_S = 0.005
+ANSWER_AFTER_S = 0.4
 PART = b"x" * 4096
 CLOSE = {"connection": "close"}
 START_BY_REQUEST = {
@@ -56,6 +57,9 @@
         body = await read_body(receive, 0, limit, lambda _: has_memory)
         problem = body.unwrap_err()
         answer = PlainTextResponse(problem.detail, problem.status, headers=CLOSE)
+    elif scope["path"] == "/later":
+        await asyncio.sleep(ANSWER_AFTER_S)
+        answer = PlainTextResponse("hello")
     else:
         answer = PlainTextResponse("not found", 404)
     await answer(scope, receive, send)
@@ -183,3 +187,49 @@
 
     context.loop.run_until_complete(wait())
     assert not connection.cycle.body, len(connection.cycle.body)
+
+
+@given("the head of a request may take {seconds:g} s")
+def step_impl(context, seconds):
+    context.listener._protocol.head_timeout_s = seconds
+
+
+FOLLOWING_BYTES = {
+    "a malformed head": b"malformed\r\n\r\n",
+    "an oversized head": b"GET / HTTP/1.1\r\nx: " + b"y" * 1_000_000,
+    "a part of a head": b"GET / HTTP/1.1\r\nx: ",
+}
+
+
+@when("a caller sends a request that is answered after 0.4 s, and then {following}")
+def step_impl(context, following):
+    # As the answer keeps the connection, the caller reads up to its end.
+    request = b"GET /later HTTP/1.1\r\nhost: a\r\n\r\n"
+    parts = [request, FOLLOWING_BYTES[following]]
+    caller = write_then_read(context.address, parts, PAUSE_S)
+    context.answer = context.loop.run_until_complete(caller)
+
+
+def refused_body(size):
+    """Return the parts of a refused request with a body of some bytes."""
+    start = START_BY_REQUEST["a long body that is refused"]
+    head = start + b"content-length: %d\r\n\r\n" % size
+    return [head] + [b"x" * 100] * (size // 100)
+
+
+@when("a caller sends a long body that is refused, slowly and below the limit")
+def step_impl(context):
+    caller = write_then_read(context.address, refused_body(3000), 2 * PAUSE_S)
+    context.answer = context.loop.run_until_complete(caller)
+
+
+@when("the listener stops while a refused request's body is on its way")
+def step_impl(context):
+    async def stop():
+        parts = refused_body(1000)
+        caller = asyncio.create_task(write_then_read(context.address, parts, PAUSE_S))
+        await asyncio.sleep(2 * PAUSE_S)
+        await asyncio.gather(context.listener.stop(), caller)
+        return caller.result()
+
+    context.answer = context.loop.run_until_complete(stop())
