Send a refusal whose body comes too slowly

A request that is refused by its head gets its answer after its body. If the body took longer than a head may (30 s), the connection was closed without the answer.

It is sent then, and the connection closes once the caller has closed it.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -215,7 +215,9 @@
     def _close_on_head_timeout(self) -> None:
         # A client that sends its head very slowly must not occupy a connection.
         self._head_timer = None
-        if not self._closes_after_answer():
+        if self._refusal is not None:
+            self._send_refusal(closes_connection=True)
+        elif not self._closes_after_answer():
             self.transport.close_at_once()
 
     def _closes_after_answer(self) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
@@ -63,6 +63,12 @@
       | an oversized head    |
       | a part of a head     |
 
+  # Guards against a refusal that is never sent as the body comes too slowly.
+  Scenario: A refused request whose body comes too slowly gets its refusal
+    Given the head of a request may take 0.1 s
+    When a caller sends a long body that is refused, slowly and below the limit
+    Then it gets the whole answer 503 after it has written everything
+
   # Guards against a stop that closes the connection of a refusal that waits for a body.
   Scenario: A refused request gets its refusal when the listener stops amid its body
     When the listener stops while a refused request's body is on its way
