Split the module of a request's attempts

The answer to the caller and its times are in delivery.py, the router's own error answers in own_answers.py, and a selected server records the end of a failed attempt itself.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -133,7 +133,7 @@
         return window
 
     def _handle_timeout(self, run: RequestRun) -> Problem:
-        if run.is_started:
+        if run.delivery.is_started:
             raise StreamBrokenError(
                 "the deadline passed while the answer was sent"
             ) from None
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -1,6 +1,5 @@
 """Runs the attempts of one request and sends an answer to the caller."""
 
-from collections.abc import AsyncIterator
 from contextlib import aclosing
 
 from almondfield_core.clock import now
@@ -12,18 +11,19 @@
 from almondfield_daemon.forwarding.attempt_log import log_attempt
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import RetryWindow
+from almondfield_daemon.forwarding.delivery import AnswerDelivery
 from almondfield_daemon.forwarding.hand_over import MIN_REMAINING_S, HandOver
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.outcomes import (
     Answered,
     AnswerLost,
     Attempt,
-    FailedAttempt,
     Misdirected,
     NotExecuted,
     Unsent,
     Withheld,
 )
+from almondfield_daemon.forwarding.own_answers import no_answer, refusal
 from almondfield_daemon.forwarding.ports import ResponseSink, StreamOrigins
 from almondfield_daemon.forwarding.selected_server import SelectedServer
 from almondfield_daemon.forwarding.servers import (
@@ -39,7 +39,7 @@
 from almondfield_daemon.forwarding.take_up import make_origin
 from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer, Header
 from almondfield_daemon.router.events import EventTracker
-from almondfield_daemon.router.problems import Outcome, Problem
+from almondfield_daemon.router.problems import Problem
 from almondfield_daemon.scheduling import EngineAssignment
 
 __all__ = ["RequestRun", "StreamBrokenError"]
@@ -62,15 +62,12 @@
     :param sink: receives the answer.
     :param max_event_bytes: limit on one event of a stream, in bytes.
 
+    :ivar delivery: the answer to the caller.
     :ivar sent: attempts of which a byte may have been sent.
     :ivar silent_attempts: attempts that this router ended because their servers sent
         nothing for some time.
     :ivar may_have_run: whether a server may have run the request.
-    :ivar is_started: whether a part of the answer was sent to the caller.
-    :ivar status: status sent to the caller; 0 before.
     :ivar first_attempt_s: seconds from arrival to the first attempt; None before.
-    :ivar first_part_s: seconds from arrival to the start of the answer; 0 before.
-    :ivar longest_gap_s: longest pause between two events of a stream, in seconds.
     :ivar framing: how the last answer states where its body ends; empty before.
     :ivar unfinished_bytes: bytes after the last complete event of the last answer.
     :ivar stream_version: version at which the stream has to go on; None before its
@@ -95,7 +92,7 @@
         self._servers = servers
         self._origins = origins
         self._window = window
-        self._sink = sink
+        self.delivery = AnswerDelivery(sink, request.arrived_s)
         self._hand_over = HandOver(request, servers, window)
         self._tracker = EventTracker(max_event_bytes)
         self._limits = SilenceLimits()
@@ -106,12 +103,7 @@
         self.sent = 0
         self.silent_attempts = 0
         self.may_have_run = False
-        self.is_started = False
-        self.status = 0
         self.first_attempt_s: float | None = None
-        self.first_part_s = 0.0
-        self.longest_gap_s = 0.0
-        self._last_event_s: float | None = None
         self.framing = ""
         self.unfinished_bytes = 0
         self.stream_version = request.stream_version
@@ -139,7 +131,7 @@
                 case Problem() as problem:
                     if failed_answer is None:
                         return problem
-                    await self._deliver(*failed_answer)
+                    await self.delivery.send_whole(*failed_answer)
                     return None
                 case (SelectedServer() as selected, Answered(answer)):
                     pass
@@ -147,17 +139,19 @@
                 async with aclosing(answer.chunks()) as chunks:
                     body, is_complete = await read_body(chunks)
                     if not is_complete:
-                        await self._deliver_large(answer, body, chunks)
+                        await self.delivery.send_large(
+                            answer.status, answer.headers, body, chunks
+                        )
                         selected.record_success()
                         return None
             except AnswerCutError as error:
-                if self.is_started:
+                if self.delivery.is_started:
                     raise StreamBrokenError(str(error)) from None
                 if self._record_truncation(selected, error):
                     continue
                 if failed_answer is None:
                     return self._no_answer(str(error), is_timeout=False)
-                await self._deliver(*failed_answer)
+                await self.delivery.send_whole(*failed_answer)
                 return None
             finally:
                 answer.close()
@@ -169,7 +163,7 @@
                 failed_answer = complete
                 self._tried |= {selected.server.name}
                 continue
-            await self._deliver(*complete)
+            await self.delivery.send_whole(*complete)
             return None
 
     async def _serve_stream(self) -> Problem | None:
@@ -177,7 +171,7 @@
         while True:
             match await self._next_answer():
                 case Problem() as problem:
-                    if self.is_started:
+                    if self.delivery.is_started:
                         raise StreamBrokenError(problem.detail)
                     return problem
                 case (SelectedServer() as selected, Answered(answer)):
@@ -199,7 +193,7 @@
                     self._last_event_id = tracker.last_id.decode("latin-1")
                 if self._record_truncation(selected, error) and self._can_go_on():
                     continue
-                if self.is_started:
+                if self.delivery.is_started:
                     raise StreamBrokenError(str(error)) from None
                 return self._no_answer(str(error), is_timeout=False)
             finally:
@@ -208,13 +202,13 @@
 
     def _is_replaceable(self, answer: BackendAnswer) -> bool:
         """Return whether an answer is a failure that a retry may replace."""
-        if self.is_started:
+        if self.delivery.is_started:
             return answer.status != 200
         return answer.status >= 500 and self._request.route.is_resumable
 
     def _can_go_on(self) -> bool:
         """Return whether another answer can go on where this one has ended."""
-        return not self.is_started or self._tracker.last_id is not None
+        return not self.delivery.is_started or self._tracker.last_id is not None
 
     async def _forward_events(
         self, answer: BackendAnswer, selected: SelectedServer, watch: SilenceWatch
@@ -229,31 +223,21 @@
             if events:
                 selected.begin_answer()
                 self._record_origin(selected.server)
-                await self._start(answer.status, headers)
-                self._record_event()
-                await self._sink.send(events)
+                await self.delivery.start(answer.status, headers)
+                await self.delivery.send_events(events)
             watch.begin()
         watch.end()
-        await self._start(answer.status, headers)
+        await self.delivery.start(answer.status, headers)
         self.unfinished_bytes = tracker.unfinished_bytes
-        rest = tracker.take_remainder()
-        if rest:
-            await self._sink.send(rest)
-        await self._sink.finish()
+        await self.delivery.finish(tracker.take_remainder())
 
     def _record_origin(self, server: FleetServer) -> None:
         """Record where the stream began, before its caller has an event."""
-        if not self.is_started:
+        if not self.delivery.is_started:
             self.stream_version = server.version
             if self._request.route.is_resumable:
                 self._origins.record(make_origin(self._request, server))
 
-    def _record_event(self) -> None:
-        event_s = now()
-        if self._last_event_s is not None:
-            self.longest_gap_s = max(self.longest_gap_s, event_s - self._last_event_s)
-        self._last_event_s = event_s
-
     async def _next_answer(self) -> Problem | tuple[SelectedServer, Answered]:
         """Return a server's answer, or the problem to send instead."""
         while True:
@@ -283,7 +267,7 @@
                     )
                     return selected, outcome
                 case _:
-                    self._end_attempt(selected, outcome)
+                    selected.end_failed(outcome, self._request.metadata.request_id)
                     problem = self._handle_failure(selected, outcome)
                     if problem is not None and not self._hand_over.try_return():
                         return problem
@@ -333,22 +317,9 @@
         return self._hand_over.watch(selected, limit_s, choose, self._can_go_on)
 
     def _check_before_sending(self, selected: SelectedServer) -> None:
-        self._sink.check_caller()
+        self.delivery.check_caller()
         selected.check_notices()
 
-    def _end_attempt(self, selected: SelectedServer, outcome: FailedAttempt) -> None:
-        match outcome:
-            case NotExecuted(_, metadata, received_s):
-                request_id = self._request.metadata.request_id
-                selected.record_answer(
-                    metadata, received_s, request_id, was_refused=True
-                )
-                selected.end(was_refused=True)
-            case Withheld():
-                selected.end(was_sent=False)
-            case _:
-                selected.end()
-
     def _handle_failure(
         self, selected: SelectedServer, outcome: Attempt
     ) -> Problem | None:
@@ -414,43 +385,10 @@
         return self._request.until_s - now()
 
     def _refusal(self, detail: str, retry_after_s: float = RETRY_AFTER_S) -> Problem:
-        """Return the problem of a request that no server accepted.
+        return refusal(detail, self.may_have_run, retry_after_s)
 
-        An earlier attempt that may have run makes the outcome unknown instead.
-        """
-        if self.may_have_run:
-            return self._no_answer(detail, is_timeout=False)
-        return Problem(503, "no-capacity", detail, retry_after_s=retry_after_s)
+    def _no_answer(self, detail: str, is_timeout: bool) -> Problem:
+        return no_answer(detail, self.may_have_run, is_timeout)
 
     def _retry_after_s(self) -> float:
         return self._servers.retry_after_s(self._request, self.stream_version)
-
-    def _no_answer(self, detail: str, is_timeout: bool) -> Problem:
-        if not self.may_have_run and not is_timeout:
-            return self._refusal(detail)
-        outcome = Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
-        status = 504 if is_timeout else 502
-        return Problem(status, "no-answer", detail, outcome)
-
-    async def _deliver(
-        self, status: int, headers: tuple[Header, ...], body: bytes
-    ) -> None:
-        await self._start(status, headers)
-        await self._sink.send(body)
-        await self._sink.finish()
-
-    async def _deliver_large(
-        self, answer: BackendAnswer, beginning: bytes, rest: AsyncIterator[bytes]
-    ) -> None:
-        await self._start(answer.status, answer.headers)
-        await self._sink.send(beginning)
-        async for part in rest:
-            await self._sink.send(part)
-        await self._sink.finish()
-
-    async def _start(self, status: int, headers: tuple[Header, ...]) -> None:
-        if not self.is_started:
-            self.is_started = True
-            self.status = status
-            self.first_part_s = now() - self._request.arrived_s
-            await self._sink.start(status, headers)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -4,6 +4,11 @@
 
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding.messages import AnswerMetadata
+from almondfield_daemon.forwarding.outcomes import (
+    FailedAttempt,
+    NotExecuted,
+    Withheld,
+)
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.scheduling import EngineAssignment
 from almondfield_daemon.server_notices import ServerNotices, ServerStart
@@ -131,6 +136,21 @@
                 reason=reason,
             )
 
+    def end_failed(self, outcome: FailedAttempt, request_id: str) -> None:
+        """Record the end of an attempt without a usable answer.
+
+        :param outcome: outcome of the attempt.
+        :param request_id: the request.
+        """
+        match outcome:
+            case NotExecuted(_, metadata, received_s):
+                self.record_answer(metadata, received_s, request_id, was_refused=True)
+                self.end(was_refused=True)
+            case Withheld():
+                self.end(was_sent=False)
+            case _:
+                self.end()
+
     def end(self, was_refused: bool = False, was_sent: bool = True) -> None:
         """Record the end of the attempt.
 
