Go back to a silent server also if the one that takes over fails at once

A hand-over takes the request from a server that may be sound. Where the next one answered with an error, lost its answer or answered something else, and no attempt was left, the stream was broken off or the caller got 502, although the first server would have gone on. Such a request goes back like one that is refused, with the repeat that the hand-over has taken from the budget, once, and until the next server's answer has begun.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
@@ -22,9 +22,9 @@
     """The hand-over of one request between servers.
 
     A silent server loses its request only to a server that was selected for it, within
-    the retry budget. Whether that server is full shows only when it is asked. If it
-    and all others refuse, the request goes back: the silent server may have been sound,
-    and is no further server for the limit on attempts.
+    the retry budget. Whether that server is full or fails shows only when it is asked.
+    If it has no answer, nor has any other, the request goes back: the silent server may
+    have been sound, and is no further server for the limit on attempts.
 
     :param request: the request.
     :param servers: chooses servers.
@@ -112,7 +112,7 @@
     def try_return(self) -> bool:
         """Return whether the next attempt goes back to the server that was silent.
 
-        To be called once all others have refused the request.
+        To be called once no other server may have the request.
         """
         remaining_s = self._request.until_s - now()
         if not self._left_server or remaining_s < MIN_REMAINING_S:
@@ -121,7 +121,7 @@
         return True
 
     def settle(self) -> None:
-        """Record that a server may run the request, so that it doesn't go back."""
+        """Record that a server answers the request, so that it doesn't go back."""
         if self._left_server and not self.is_secured:
             self._left_server = ""
             self._window.refund(self._reserved_s)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -44,6 +44,7 @@
 
 __all__ = ["RequestRun", "StreamBrokenError"]
 
+FIRST_ERROR_STATUS = 500
 MAX_UNSENT_ATTEMPTS = 4  # attempts without a sent byte before the caller is refused
 
 
@@ -158,7 +159,7 @@
                 selected.end()
             selected.record_success()
             complete = (answer.status, answer.headers, body)
-            is_failure = answer.status >= 500
+            is_failure = answer.status >= FIRST_ERROR_STATUS
             if is_failure and self._may_repeat():
                 failed_answer = complete
                 self._tried |= {selected.server.name}
@@ -204,7 +205,7 @@
         """Return whether an answer is a failure that a retry may replace."""
         if self.delivery.is_started:
             return answer.status != 200
-        return answer.status >= 500 and self._request.route.is_resumable
+        return answer.status >= FIRST_ERROR_STATUS and self._request.route.is_resumable
 
     def _can_go_on(self) -> bool:
         """Return whether another answer can go on where this one has ended."""
@@ -258,7 +259,8 @@
             outcome = await self._attempt(selected)
             match outcome:
                 case Answered():
-                    self._hand_over.settle()
+                    if outcome.answer.status < FIRST_ERROR_STATUS:
+                        self._hand_over.settle()
                     self.framing = outcome.answer.framing
                     selected.record_answer(
                         outcome.metadata,
@@ -364,11 +366,10 @@
         """Return whether the request may be sent again after a lost answer."""
         self.may_have_run = True
         self._has_lost_server = True
-        self._hand_over.settle()
         self._tried |= {selected.server.name}
         self.silent_attempts += lost.timed_out
         selected.record_failure(lost.reason, lost.timed_out)
-        return self._may_repeat()
+        return self._may_repeat() or self._hand_over.try_return()
 
     def _may_repeat(self) -> bool:
         """Return whether a request that may have run may be sent again now."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -49,6 +49,23 @@
       | 2        | before its answer      |
       | 3        | after event 3          |
 
+  # Guards against requests that are lost as the server that takes over fails at once.
+  Scenario Outline: A request goes back to its silent server if the next one fails at once
+    Given a "<kind>" route with 2 attempts and 2 servers
+    And the second server <failure>
+    And the first server is silent for 1.9 s <when>
+    When a request is served
+    Then the caller gets 200
+
+    Examples:
+      | kind       | failure                   | when              |
+      | resumable  | fails with 500            | after event 3     |
+      | resumable  | loses its answer          | after event 3     |
+      | resumable  | refuses the connection    | after event 3     |
+      | resumable  | answers without signature | before its answer |
+      | idempotent | loses its answer          | before its answer |
+      | idempotent | refuses the connection    | before its answer |
+
   # Guards against streams that are broken off because the scheduler has no room elsewhere.
   Scenario: A stream goes on at its silent engine if the scheduler refuses another one
     Given a "resumable" route with 2 attempts and 3 servers
