Deliver answers whole that wait in a buffer while their caller still writes

The wait for a caller that still writes ended with an abort, which discards what the caller hasn't read: an answer larger than the kernel's buffers was cut after 2 s of silence. It ends with the usual close, which sends the rest first.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/lingering.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/lingering.py
@@ -69,7 +69,7 @@
             self._transport.write_eof()
         except OSError:
             # The caller has reset the connection.
-            self._transport.abort()
+            self._transport.close()
             return
         self.is_lingering = True
         self._received_s = now()
@@ -86,7 +86,7 @@
         self._received_s = now()
         self._discarded_bytes += len(data)
         if self._discarded_bytes > MAX_DISCARDED_BYTES:
-            self._transport.abort()
+            self._transport.close()
 
     def shorten_linger(self) -> None:
         """Wait less from now on, as the process stops."""
@@ -105,7 +105,7 @@
         self.stop()
         end_s = min(self._until_s, self._received_s + LINGER_IDLE_S)
         if now() >= end_s:
-            self._transport.abort()
+            self._transport.close()
             return
         loop = asyncio.get_running_loop()
         self._timer = loop.call_at(end_s, self._check_time)
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
@@ -44,6 +44,12 @@
       | 1000000 bytes     | writes on quickly without end |
       | the listener ends | writes on slowly without end  |
 
+  # Guards against an answer that is cut as its caller reads it later than the limits.
+  Scenario: A large answer is whole though its caller reads it late
+    Given the wait for a caller ends after 0.1 s of silence
+    When a caller whose body is on its way reads an answer of 20000000 bytes after 0.3 s
+    Then the answer is whole
+
   # Guards against bodies of refused requests that stay in memory.
   Scenario: Nothing is held of what a caller writes after its answer
     Given the wait for a caller ends after 1000000 bytes
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
@@ -22,6 +22,7 @@
 LONG_S = 1000.0
 PAUSE_S = 0.005
 ANSWER_AFTER_S = 0.4
+LARGE_ANSWER_BYTES = 20_000_000
 PART = b"x" * 4096
 CLOSE = {"connection": "close"}
 START_BY_REQUEST = {
@@ -60,6 +61,8 @@
     elif scope["path"] == "/later":
         await asyncio.sleep(ANSWER_AFTER_S)
         answer = PlainTextResponse("hello")
+    elif scope["path"] == "/large":
+        answer = PlainTextResponse("x" * LARGE_ANSWER_BYTES)
     else:
         answer = PlainTextResponse("not found", 404)
     await answer(scope, receive, send)
@@ -233,3 +236,27 @@
         return caller.result()
 
     context.answer = context.loop.run_until_complete(stop())
+
+
+@when(
+    "a caller whose body is on its way reads an answer of {size:d} bytes after "
+    "{seconds:g} s"
+)
+def step_impl(context, size, seconds):
+    head = b"POST /large HTTP/1.1\r\nconnection: close\r\ncontent-length: 10\r\n\r\n"
+
+    async def exchange():
+        reader, writer = await asyncio.open_connection(*context.address)
+        context.add_cleanup(writer.close)
+        writer.write(head)
+        await asyncio.sleep(seconds)
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            await reader.readuntil(b"\r\n\r\n")
+            context.large_body = await reader.read()
+
+    context.loop.run_until_complete(exchange())
+
+
+@then("the answer is whole")
+def step_impl(context):
+    assert len(context.large_body) == LARGE_ANSWER_BYTES, len(context.large_body)
