Log how the wait for a caller that still writes ended

An answer that its caller has had time to read couldn't be told in the logs from one that was cut by the close of its connection. connection:lingered has who ended the connection, after which time, and how many bytes came meanwhile.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/lingering.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/lingering.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+import eliot
+
 from almondfield_core.clock import now
 
 __all__ = ["LingeringTransport"]
@@ -40,7 +42,9 @@
         self._on_linger = on_linger
         self._max_linger_s = LINGER_S
         self._until_s = 0.0
+        self._began_s = 0.0
         self._received_s = 0.0
+        self._ended_by = "caller"
         self._discarded_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         self.is_lingering = False
@@ -72,7 +76,7 @@
             self._transport.close()
             return
         self.is_lingering = True
-        self._received_s = now()
+        self._began_s = self._received_s = now()
         self._until_s = now() + self._max_linger_s
         self._transport.resume_reading()
         self._on_linger()
@@ -86,7 +90,7 @@
         self._received_s = now()
         self._discarded_bytes += len(data)
         if self._discarded_bytes > MAX_DISCARDED_BYTES:
-            self._transport.close()
+            self._end("bytes")
 
     def shorten_linger(self) -> None:
         """Wait less from now on, as the process stops."""
@@ -95,17 +99,36 @@
             self._until_s = min(self._until_s, now() + STOP_LINGER_S)
             self._check_time()
 
-    def stop(self) -> None:
-        """Stop waiting, as the connection is closed."""
+    def record_end(self, error: Exception | None) -> None:
+        """Stop waiting, as the connection is closed, and log how the wait ended.
+
+        :param error: error of the connection; None for a proper end.
+        """
+        self._stop_timer()
+        if self.is_lingering:
+            eliot.log_message(
+                "connection:lingered",
+                ended_by=self._ended_by if error is None else "reset",
+                after_ms=round((now() - self._began_s) * 1000, 1),
+                discarded_bytes=self._discarded_bytes,
+            )
+
+    def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
+    def _end(self, reason: str) -> None:
+        self._ended_by = reason
+        self._transport.close()
+
     def _check_time(self) -> None:
-        self.stop()
+        self._stop_timer()
         end_s = min(self._until_s, self._received_s + LINGER_IDLE_S)
-        if now() >= end_s:
-            self._transport.close()
-            return
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(end_s, self._check_time)
+        if now() < end_s:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(end_s, self._check_time)
+        elif end_s < self._until_s:
+            self._end("silence")
+        else:
+            self._end("stop" if self._max_linger_s == STOP_LINGER_S else "time")
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -62,7 +62,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._stop_head_timer()
-        self.transport.stop()
+        self.transport.record_end(exc)
         self._close_connection()
         super().connection_lost(exc)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
@@ -79,3 +79,19 @@
   Scenario: A refused request gets its refusal when the listener stops amid its body
     When the listener stops while a refused request's body is on its way
     Then it gets the whole answer 503 after it has written everything
+
+  # Guards against logs that don't tell an answer that was read from one that was cut.
+  Scenario Outline: The log tells how the wait for a caller ended
+    Given the wait for a caller ends after <limit>
+    When a caller's body is too long, and it <behaviour> without reading
+    Then its connection is closed by the listener
+    And the log says that the wait was ended by "<end>"
+
+    Examples:
+      | limit             | behaviour                     | end     |
+      | 0.1 s of silence  | falls silent                  | silence |
+      | 0.3 s in all      | writes on slowly without end  | time    |
+      | 1000000 bytes     | writes on quickly without end | bytes   |
+      | the listener ends | writes on slowly without end  | stop    |
+      | 30 s in all       | closes the connection         | caller  |
+      | 30 s in all       | resets the connection         | reset   |
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
@@ -1,9 +1,12 @@
 """Steps of lingering.feature."""
 
 import asyncio
+import socket
+import struct
 from contextlib import suppress
 from unittest import mock
 
+import eliot
 from behave import given, then, when
 from starlette.responses import PlainTextResponse
 
@@ -73,6 +76,9 @@
     listener = bind(LOCALHOST, 0)
     context.address = listener.getsockname()
     context.listener = HttpListener(answer_early, listener, MAX_HEAD_BYTES, PathGate())
+    context.lines = []
+    eliot.add_destinations(context.lines.append)
+    context.add_cleanup(eliot.remove_destination, context.lines.append)
     run = context.loop.run_until_complete
     run(context.listener.start())
     context.add_cleanup(lambda: run(context.listener.stop()))
@@ -134,6 +140,17 @@
             await asyncio.sleep(0 if quickly else PAUSE_S)
 
 
+def end(writer, behaviour):
+    """Close or reset a caller's connection."""
+    if behaviour.startswith("closes"):
+        writer.write_eof()
+    else:
+        linger = struct.pack("ii", 1, 0)
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+
 def connections(context):
     """Return the listener's open connections."""
     return context.listener._server.server_state.connections
@@ -160,6 +177,8 @@
                 writer.write(b"x" * 1000)
             await writer.drain()
             return
+        if "the connection" in behaviour:
+            end(writer, behaviour)
         writing = asyncio.create_task(write_on(writer, behaviour))
         if context.stops:
             await context.listener.stop()
@@ -260,3 +279,11 @@
 @then("the answer is whole")
 def step_impl(context):
     assert len(context.large_body) == LARGE_ANSWER_BYTES, len(context.large_body)
+
+
+@then('the log says that the wait was ended by "{end}"')
+def step_impl(context, end):
+    lines = [
+        line for line in context.lines if line["message_type"] == "connection:lingered"
+    ]
+    assert [line["ended_by"] for line in lines] == [end], lines
