Answer requests that lie in their socket when the listener stops

Callers got a reset and no answer for a request that came on an idle kept connection just as a process stopped: the stop closes idle connections at once, without reading them.

The other features of platform weren't run on it.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/connection.py
@@ -36,21 +36,26 @@
 
     def is_closed(self) -> bool:
         """Return whether the caller has closed, by what the kernel has received."""
-        self._is_closed = self._is_closed or self._is_end_readable()
+        self._is_closed = self._is_closed or self._peek() == b""
         return self._is_closed
 
-    def _is_end_readable(self) -> bool:
+    def has_unread(self) -> bool:
+        """Return whether bytes lie in the socket that nobody has read."""
+        return bool(self._peek())
+
+    def _peek(self) -> bytes | None:
+        """Return a byte that can be read, empty at the end; None if none has come."""
         owner = self._transport.get_extra_info("socket")
         if owner is None or owner.fileno() < 0:
-            return True
+            return b""
         # The socket object of a transport has no method to receive.
         peeked = socket.socket(owner.family, owner.type, owner.proto, owner.fileno())
         try:
-            return not peeked.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            return peeked.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
+            return b""
         finally:
             peeked.detach()
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/lingering.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/lingering.py
@@ -7,7 +7,7 @@
 
 from almondfield_core.clock import now
 
-__all__ = ["LingeringTransport"]
+__all__ = ["STOP_LINGER_S", "LingeringTransport"]
 
 LINGER_IDLE_S = 2.0  # a packet lost on the way is sent again within this time
 LINGER_S = 10.0  # far less than callers may take for a head or a body
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -11,7 +11,7 @@
 from almondfield_daemon.loop_delay import ARRIVAL_KEY, AcceptTimes, ArrivalTracker
 from almondfield_daemon.serving.connection import CONNECTION_KEY, CallerConnection
 from almondfield_daemon.serving.gate import Gate, HeadRefusal, RequestHead
-from almondfield_daemon.serving.lingering import LingeringTransport
+from almondfield_daemon.serving.lingering import STOP_LINGER_S, LingeringTransport
 
 __all__ = ["make_protocol"]
 
@@ -43,6 +43,7 @@
         self._refused_bytes = 0
         self._is_discarding = False
         self._is_request_read = True
+        self._is_stopping = False
         self._arrivals = ArrivalTracker(
             getattr(self.loop, "iterations", None), self.accepts
         )
@@ -70,6 +71,13 @@
         self.transport.shorten_linger()
         if self._refusal is not None:
             self._send_refusal(closes_connection=True)
+        is_idle = self.cycle is None or self.cycle.response_complete
+        if is_idle and self._is_request_read and self._connection.has_unread():
+            # A request that has come is answered; the connection closes after it.
+            self._is_stopping = True
+            self._stop_head_timer()
+            self._start_head_timer(STOP_LINGER_S)
+            return
         super().shutdown()
 
     def _has_unread_request(self) -> bool:
@@ -116,6 +124,8 @@
             return
         self._stop_head_timer()
         super().on_headers_complete()
+        if self._is_stopping:
+            self.cycle.keep_alive = False
 
     def on_body(self, body: bytes) -> None:
         if self._is_discarding:
@@ -134,7 +144,8 @@
         if self._refusal is None:
             super().on_message_complete()
             return
-        closes = self._refusal.closes_connection or not self.parser.should_keep_alive()
+        closes = self._refusal.closes_connection or self._is_stopping
+        closes = closes or not self.parser.should_keep_alive()
         self._send_refusal(closes)
 
     def _check_head(self) -> HeadRefusal | None:
@@ -201,10 +212,10 @@
         self.transport.write(head.encode() + body)
         self.transport.linger()
 
-    def _start_head_timer(self) -> None:
+    def _start_head_timer(self, timeout_s: float | None = None) -> None:
         if self._head_timer is None:
             self._head_timer = self.loop.call_later(
-                self.head_timeout_s, self._close_on_head_timeout
+                timeout_s or self.head_timeout_s, self._close_on_head_timeout
             )
 
     def _stop_head_timer(self) -> None:
