Test take-ups whose origin is wrong, expired or inferred from too little

Callers of a system like ours got streams joined from two software versions. Nine scenarios on the paused clock fail on the current code, each on one way to that here: a report that comes after the announcement of a restart, a control host that missed it, an origin that expires between two take-ups, versions that the asked hosts missed, and streams older than the history of 20 s. Three more pass and guard against refusing take-ups whose version is certain.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/take_up_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/take_up_steps.py
@@ -58,6 +58,13 @@
     assert context.origins.recorded == []
 
 
+@then('attempts "{attempts}" are recorded in pool "{pool}" at version "{version}"')
+def step_impl(context, attempts, pool, version):
+    origins = context.origins.recorded
+    assert sorted(item.request_id for item in origins) == sorted(attempts.split())
+    assert {(item.pool, item.version) for item in origins} == {(pool, version)}
+
+
 @then('servers "{names}" received it')
 def step_impl(context, names):
     received = [server.name for server in context.servers for _ in server.received]
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/take_up.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/take_up.feature
@@ -56,6 +56,14 @@
       | p     | v1      |        | pool "p" got it at server "s0"             |
       | p q   | v1      |        | the caller gets 503 not-run within 0.01 s  |
 
+  # Guards against an origin that expires while its caller takes the stream up again and again.
+  Scenario: The origin of a stream that is taken up is recorded for its first attempt again
+    Given a "resumable" route with 2 attempts and 2 servers
+    And the servers have versions "v2 v1"
+    And stream "a" began in pool "p" at version "v1"
+    When a request that takes up stream "a" after event 4 is served
+    Then attempts "r a" are recorded in pool "p" at version "v1"
+
   Scenario: A server without recent announcements gets no stream that is taken up
     Given a "resumable" route with 2 attempts and 2 servers
     And the servers have versions "v1 v1"
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/steps/streams_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/steps/streams_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from almondfield_core.clock import now
+from almondfield_core.routing import PoolShare, RequestKind, RouteRule
 from almondfield_daemon.fleet import (
     FleetControl,
     FleetServer,
@@ -15,6 +16,8 @@
     ServerPhase,
 )
 from almondfield_daemon.fleet.messages import RouterHello
+from almondfield_daemon.forwarding.messages import ForwardRequest, RequestMetadata
+from almondfield_daemon.forwarding.take_up import locate_stream
 from almondfield_daemon.streams import (
     OriginClient,
     OriginService,
@@ -241,6 +244,65 @@
     assert found == version, found
 
 
+@then("router {router} doesn't know where any of these {count:d} streams began")
+def step_impl(context, router, count):
+    streams = [f"many-{number}" for number in range(count)]
+    found = [run(context, find(context, router, stream))[0] for stream in streams]
+    assert found == [None] * count, found
+
+
+def locate(context, router, timeout_s, waited_s):
+    """Return what a router decides on taking up an unknown stream of a route."""
+    route = RouteRule(
+        name="route",
+        domain="d",
+        path_prefix="/",
+        kind=RequestKind.STREAMING,
+        shares=(PoolShare(POOL),),
+        timeout_s=timeout_s,
+        latency_target_s=1.0,
+        max_attempts=1,
+        is_resumable=True,
+    )
+
+    async def ask():
+        request = ForwardRequest(
+            method="POST",
+            target=b"/",
+            headers=(),
+            metadata=RequestMetadata("r", 4.0, "", "3", "unknown"),
+            route=route,
+            pool=POOL,
+            table_version=1,
+            team="",
+            arrived_s=now(),
+            until_s=now() + 4.0,
+            waited_s=waited_s,
+        )
+        return await locate_stream(request, context.fleet.host_by_name[router].origins)
+
+    return run(context, ask())
+
+
+@then(
+    'router {router} takes up at "{version}" the unknown stream of a {timeout:g} s '
+    "route after {waited:g} s"
+)
+def step_impl(context, router, version, timeout, waited):
+    located = locate(context, router, timeout, waited)
+    assert located.unwrap().stream_version == version, located
+
+
+@then(
+    "router {router} refuses to take up the unknown stream of a {timeout:g} s "
+    "route after {waited:g} s"
+)
+def step_impl(context, router, timeout, waited):
+    located = locate(context, router, timeout, waited)
+    assert located.is_err(), located
+    assert located.unwrap_err().status == 503, located
+
+
 @then('router {router} finds that stream "" began at "{version}"')
 def step_impl(context, router, version):
     found, _ = run(context, find(context, router, ""))
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/streams.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/streams.feature
@@ -113,6 +113,84 @@
       | 2.0     | r2     | doesn't know where stream "a" began |
       | 6.0     | r2     | finds that stream "a" began at "v1" |
 
+  # Guards against a late report that brings a doubtful origin back, as its router hears of
+  # the restart after the control hosts did.
+  Scenario: A report that comes after the announcement of a restart isn't kept
+    When router r1 is cut off from "c1"
+    And the server of "v1" is announced with a later start and version "v3"
+    And 0.05 s pass
+    And stream "a" begins at "v1" at router r1
+    And router r1 is killed
+    Then router r2 doesn't know where stream "a" began
+
+  # Guards against a control host that missed a restart and still answers with its origins.
+  Scenario: A router that knows of a restart doesn't trust a control host that doesn't
+    When 20 streams begin at "v1" at router r1
+    And control hosts "c5" are cut off from the others
+    And the server of "v1" is announced with a later start and version "v3"
+    And 0.05 s pass
+    And router r1 is killed
+    Then router r2 doesn't know where any of these 20 streams began
+
+  # Guards against an origin that expires between the tries of a caller without a deadline.
+  Scenario: An origin is kept longer when its stream is taken up
+    When stream "a" begins at "v1" at router r1
+    And 10.0 s pass
+    And stream "a" begins at "v1" at router r2
+    And router r2 restarts
+    And 8.0 s pass
+    Then router r2 finds that stream "a" began at "v1"
+
+  # Guards against a version that the router missed, and all control hosts forgot.
+  Scenario: A version that came and left while the router was cut off leaves doubt
+    When all servers of "v2" leave
+    And 30.0 s pass
+    And router r2 is cut off
+    And a server of "v3" is announced to "c1"
+    And stream "a" begins at "v3" at router r1
+    And all servers of "v3" leave
+    And router r1 is killed
+    And control hosts "c1 c2 c3 c4 c5" restart
+    And the cut heals
+    And 1.5 s pass
+    Then router r2 doesn't know where stream "a" began
+
+  # Guards against a version that the only old control host missed, and the others forgot.
+  Scenario: A version that came and left while a control host was cut off leaves doubt
+    When all servers of "v2" leave
+    And 30.0 s pass
+    And control hosts "c5" are cut off from the others
+    And router r1 is cut off from "c5"
+    And a server of "v3" is announced to "c1"
+    And stream "a" begins at "v3" at router r1
+    And all servers of "v3" leave
+    And router r1 is killed
+    And control hosts "c1 c2 c3 c4" restart
+    And router r2 restarts
+    Then router r2 doesn't know where stream "a" began
+
+  # Guards against take-ups that are refused though their version is certain.
+  Scenario: A majority of control hosts that have been up tells the only version
+    When all servers of "v2" leave
+    And 30.0 s pass
+    And control hosts "c1 c2" restart
+    And router r2 restarts
+    Then router r2 finds that stream "x" began at "v1"
+
+  # Guards against a version that left before the history begins, but began the stream.
+  Scenario Outline: The history looks back as far as a stream may have begun
+    When all servers of "v2" leave
+    And <seconds> s pass
+    Then router r2 <outcome> the unknown stream of a <timeout> s route after <waited> s
+
+    Examples:
+      | seconds | timeout | waited | outcome              |
+      | 30.0    | 5.0     | 0.0    | takes up at "v1"     |
+      | 30.0    | 25.0    | 0.0    | refuses to take up   |
+      | 60.0    | 25.0    | 0.0    | takes up at "v1"     |
+      | 30.0    | 5.0     | 35.0   | refuses to take up   |
+      | 200.0   | 100.0   | 0.0    | refuses to take up   |
+
   Scenario: An origin is dropped once its caller has given up
     When stream "a" begins at "v1" at router r1
     And 18.0 s pass
