Distrust origins of streams whose server restarted meanwhile, whoever reports them

Callers would get a stream joined from two versions: a server restarts under its name with another version, and its stream is recorded with the old one.

Cause: hosts dropped such origins when they heard of the restart, and that once. A report of a router that hadn't heard of it came afterwards and was kept; a control host that was cut off from the others kept its origins and answered with them.

Origins carry their age and the start of their server as the router knew it. A host that knows a later start with another version takes no origin that may have begun after it, neither into its table nor from a reply. An origin that names a later start than the host knows is kept.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/take_up.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/take_up.py
@@ -53,6 +53,7 @@
         server=server.name,
         version=server.version,
         keep_s=keep_s,
+        born_ms=server.born_ms,
     )
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/client.py
@@ -97,6 +97,7 @@
             return known
         hosts = self._responsive_hosts()
         replies: list[OriginReply] = []
+        doubtful: StreamOrigin | None = None
         query = OriginQuery(request_id, pool)
         tasks = [asyncio.create_task(self._query(host, query)) for host in hosts]
         try:
@@ -105,11 +106,21 @@
                 if reply is None:
                     continue
                 if reply.origin is not None:
-                    return reply.origin
+                    if not self._table.is_doubtful(reply.origin):
+                        return reply.origin
+                    doubtful = reply.origin
                 replies.append(reply)
         finally:
             for task in tasks:
                 task.cancel()
+        if doubtful is not None:
+            eliot.log_message(
+                "stream:origin-doubtful",
+                first_request_id=query.request_id,
+                server=doubtful.server,
+                version=doubtful.version,
+            )
+            return None
         return self._infer(query, replies)
 
     async def _query(self, host: str, query: OriginQuery) -> OriginReply | None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/core.py
@@ -1,6 +1,7 @@
 """Table of the origins of recent streams."""
 
 import heapq
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
@@ -22,12 +23,12 @@
     """An origin in the table.
 
     :ivar origin: the origin.
-    :ivar recorded_s: when it was recorded, in seconds of the loop's clock.
+    :ivar began_s: when the stream began, in seconds of the loop's clock.
     :ivar expires_s: when it is dropped, in seconds of the loop's clock.
     """
 
     origin: StreamOrigin
-    recorded_s: float
+    began_s: float
     expires_s: float
 
 
@@ -38,27 +39,43 @@
         self._entry_by_request: dict[str, _Entry] = {}
         self._expiries: list[tuple[float, str]] = []
         self._server_by_name: dict[str, FleetServer] = {}
+        # Since when each server is known with its present version.
+        self._known_since_s_by_name: dict[str, float] = {}
         self._is_full = False
 
     def __len__(self) -> int:
         return len(self._entry_by_request)
 
     def put(self, origin: StreamOrigin) -> None:
-        """Record an origin; the first one of an attempt is kept.
+        """Record an origin; the first one of an attempt is kept, a doubtful one isn't.
 
         :param origin: the origin.
         """
         self._drop_expired()
         if origin.request_id in self._entry_by_request:
             return
+        if self.is_doubtful(origin):
+            return
         if len(self._entry_by_request) >= MAX_ORIGINS:
             self._drop_oldest()
-        recorded_s = now()
-        expires_s = recorded_s + min(origin.keep_s, MAX_KEEP_S)
-        entry = _Entry(origin, recorded_s, expires_s)
+        expires_s = now() + min(origin.keep_s, MAX_KEEP_S)
+        entry = _Entry(origin, now() - origin.age_s, expires_s)
         self._entry_by_request[origin.request_id] = entry
         heapq.heappush(self._expiries, (expires_s, origin.request_id))
 
+    def put_all(self, origins: Iterable[StreamOrigin]) -> None:
+        """Record the origins that a router reports.
+
+        :param origins: the origins.
+        """
+        doubtful: Counter[tuple[str, str]] = Counter()
+        for origin in origins:
+            if self.is_doubtful(origin):
+                doubtful[origin.server, origin.version] += 1
+            self.put(origin)
+        for (server, version), count in doubtful.items():
+            _log_dropped(server, version, count)
+
     def get(self, request_id: str) -> StreamOrigin | None:
         """Return the origin of a stream; None if it isn't known.
 
@@ -66,15 +83,28 @@
         """
         self._drop_expired()
         entry = self._entry_by_request.get(request_id)
-        return entry.origin if entry else None
+        return _current_origin(entry) if entry else None
 
     def origins(self) -> tuple[StreamOrigin, ...]:
-        """Return all origins, each with the time for which it is still kept."""
+        """Return all origins, each with its age and the time it is still kept for."""
         self._drop_expired()
-        return tuple(
-            replace(entry.origin, keep_s=entry.expires_s - now())
-            for entry in self._entry_by_request.values()
-        )
+        return tuple(map(_current_origin, self._entry_by_request.values()))
+
+    def is_doubtful(self, origin: StreamOrigin) -> bool:
+        """Return whether another version of its server may have begun the stream.
+
+        The router that recorded it may not have heard of the server's restart.
+
+        :param origin: the origin, with its present age.
+        """
+        server = self._server_by_name.get(origin.server)
+        if server is None or server.version == origin.version:
+            return False
+        if origin.born_ms > server.born_ms:
+            # This host hasn't heard of the restart yet.
+            return False
+        known_since_s = self._known_since_s_by_name[server.name]
+        return now() - origin.age_s > known_since_s - UNCONFIRMED_S
 
     def update_servers(self, servers: Iterable[FleetServer]) -> None:
         """Drop origins that a late announcement of a restart makes doubtful.
@@ -85,29 +115,28 @@
         :param servers: all known servers.
         """
         before = self._server_by_name
+        since_s_by_name = self._known_since_s_by_name
         self._server_by_name = {server.name: server for server in servers}
+        self._known_since_s_by_name = {}
         for name, server in self._server_by_name.items():
-            known = before.get(name, server)
-            if known.version != server.version:
-                self._drop_unconfirmed(known)
-
-    def _drop_unconfirmed(self, server: FleetServer) -> None:
-        confirmed_s = now() - UNCONFIRMED_S
+            known = before.get(name)
+            if known is not None and known.version == server.version:
+                self._known_since_s_by_name[name] = since_s_by_name[name]
+                continue
+            self._known_since_s_by_name[name] = now()
+            if known is not None:
+                self._drop_doubtful(known)
+
+    def _drop_doubtful(self, server: FleetServer) -> None:
         doubtful = [
             request_id
             for request_id, entry in self._entry_by_request.items()
             if entry.origin.server == server.name
-            and entry.origin.version == server.version
-            and entry.recorded_s > confirmed_s
+            and self.is_doubtful(_current_origin(entry))
         ]
         for request_id in doubtful:
             del self._entry_by_request[request_id]
-        eliot.log_message(
-            "stream:origins-dropped",
-            server=server.name,
-            version=server.version,
-            count=len(doubtful),
-        )
+        _log_dropped(server.name, server.version, len(doubtful))
 
     def _drop_expired(self) -> None:
         at_s = now()
@@ -123,3 +152,14 @@
         if not self._is_full:
             self._is_full = True
             eliot.log_message("stream:origins-full", limit=MAX_ORIGINS)
+
+
+def _current_origin(entry: _Entry) -> StreamOrigin:
+    keep_s = entry.expires_s - now()
+    return replace(entry.origin, keep_s=keep_s, age_s=now() - entry.began_s)
+
+
+def _log_dropped(server: str, version: str, count: int) -> None:
+    eliot.log_message(
+        "stream:origins-dropped", server=server, version=version, count=count
+    )
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/messages.py
@@ -16,6 +16,9 @@
     :ivar server: name of that server.
     :ivar version: version of its software.
     :ivar keep_s: seconds for which the caller may still take the stream up.
+    :ivar age_s: seconds since that event.
+    :ivar born_ms: latest start of that server which the router knew then, in
+        milliseconds since 1970.
     """
 
     request_id: str
@@ -23,6 +26,8 @@
     server: str
     version: str
     keep_s: float
+    age_s: float = 0.0
+    born_ms: int = 0
 
 
 @wire_message("origin-report")
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/service.py
@@ -38,8 +38,7 @@
         self._history.update(servers)
 
     async def _on_report(self, sender: str, report: OriginReport) -> None:
-        for origin in report.origins:
-            self._table.put(origin)
+        self._table.put_all(report.origins)
 
     async def _on_query(self, sender: str, query: OriginQuery) -> OriginReply:
         return OriginReply(
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/steps/streams_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/steps/streams_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from contextlib import suppress
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -343,20 +344,36 @@
     assert kept is not None
 
 
-@when('{count:d} streams begin at "{version}" at router {router}')
-def step_impl(context, count, version, router):
+def begin_streams(context, count, router, origin):
     async def begin():
-        server = context.fleet.server_by_version[version]
         for number in range(count):
-            stream = f"many-{number}"
-            origin = StreamOrigin(stream, POOL, server.name, version, KEEP_S)
-            context.fleet.host_by_name[router].origins.record(origin)
+            named = replace(origin, request_id=f"many-{number}")
+            context.fleet.host_by_name[router].origins.record(named)
         await asyncio.sleep(0.05)
 
     context.stream_count = count
     run(context, begin())
 
 
+@when('{count:d} streams begin at "{version}" at router {router}')
+def step_impl(context, count, version, router):
+    server = context.fleet.server_by_version[version]
+    origin = StreamOrigin("", POOL, server.name, version, KEEP_S)
+    begin_streams(context, count, router, origin)
+
+
+@when(
+    '{count:d} streams begin at the restarted server of "{version}" at router {router}'
+)
+def step_impl(context, count, version, router):
+    server = context.fleet.server_by_version[version]
+    born_ms = server.born_ms
+    origin = StreamOrigin(
+        "", POOL, server.name, server.version, KEEP_S, born_ms=born_ms
+    )
+    begin_streams(context, count, router, origin)
+
+
 @then("{copies:d} control hosts keep each of them, and never {leader}")
 def step_impl(context, copies, leader):
     async def keepers(stream):
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/streams.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/streams.feature
@@ -132,6 +132,14 @@
     And router r1 is killed
     Then router r2 doesn't know where any of these 20 streams began
 
+  # Guards against a control host that distrusts a router which heard of a restart earlier.
+  Scenario: An origin that names a later start of its server than the control host knows is kept
+    When control hosts "c5" are cut off from the others
+    And the server of "v1" is announced with a later start and version "v3"
+    And 0.05 s pass
+    And 20 streams begin at the restarted server of "v1" at router r1
+    Then 2 control hosts keep each of them, and never c3
+
   # Guards against an origin that expires between the tries of a caller without a deadline.
   Scenario: An origin is kept longer when its stream is taken up
     When stream "a" begins at "v1" at router r1
