Keep the origin of a stream for as long as its caller takes it up

A caller that takes the same stream up over several kills names the attempt that brought its first event each time. Callers would get the rest from another version once that attempt's origin had expired and its version had left.

Cause: a take-up recorded its origin under its own attempt only, so the first one was dropped after the deadline of the first attempt; without a deadline, after the route's timeout. The version was then inferred from the last 20 s.

A take-up is recorded for the attempt that began the stream, too, and a further record of an attempt lets the first one be kept for longer.

Evidence: one scenario of streams.feature and one of take_up.feature failed before (the origin wasn't known; only the later attempt was recorded) and pass; 30 and 108 pass there.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -34,7 +34,7 @@
     ServerSelector,
     Unavailable,
 )
-from almondfield_daemon.forwarding.take_up import make_origin
+from almondfield_daemon.forwarding.take_up import make_origins
 from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer, Header
 from almondfield_daemon.router.events import EventTracker
 from almondfield_daemon.router.problems import Outcome, Problem
@@ -228,7 +228,8 @@
         if not self.is_started:
             self.stream_version = server.version
             if self._request.route.is_resumable:
-                self._origins.record(make_origin(self._request, server))
+                for origin in make_origins(self._request, server):
+                    self._origins.record(origin)
 
     def _record_event(self) -> None:
         event_s = now()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/take_up.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/take_up.py
@@ -12,7 +12,7 @@
 from almondfield_daemon.router.problems import Problem
 from almondfield_daemon.streams import StreamOrigin
 
-__all__ = ["locate_stream", "make_origin"]
+__all__ = ["locate_stream", "make_origins"]
 
 KEEP_MARGIN_S = 2.0  # callers' clocks, and the way of their last try
 
@@ -39,21 +39,32 @@
     return Ok(replace(request, pool=origin.pool, stream_version=origin.version))
 
 
-def make_origin(request: ForwardRequest, server: FleetServer) -> StreamOrigin:
-    """Return the origin of a stream whose first event a server has sent.
+def make_origins(
+    request: ForwardRequest, server: FleetServer
+) -> tuple[StreamOrigin, ...]:
+    """Return what to record of a stream whose first event a server has sent.
+
+    If the request takes the stream up, that is recorded for the attempt that began it
+    too, as the caller names that one again.
 
     :param request: the request.
     :param server: the server.
     """
-    deadline_s = request.metadata.deadline_s or request.route.timeout_s
+    metadata = request.metadata
+    deadline_s = metadata.deadline_s or request.route.timeout_s
     keep_s = request.arrived_s + deadline_s - now() + KEEP_MARGIN_S
-    return StreamOrigin(
-        request_id=request.metadata.request_id,
-        pool=request.pool,
-        server=server.name,
-        version=server.version,
-        keep_s=keep_s,
-        born_ms=server.born_ms,
+    request_ids = (metadata.request_id, metadata.first_request_id)
+    return tuple(
+        StreamOrigin(
+            request_id=request_id,
+            pool=request.pool,
+            server=server.name,
+            version=server.version,
+            keep_s=keep_s,
+            born_ms=server.born_ms,
+        )
+        for request_id in dict.fromkeys(request_ids)
+        if request_id
     )
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/core.py
@@ -49,17 +49,22 @@
     def put(self, origin: StreamOrigin) -> None:
         """Record an origin; the first one of an attempt is kept, a doubtful one isn't.
 
+        A further one of the same attempt lets the first one be kept for longer.
+
         :param origin: the origin.
         """
         self._drop_expired()
-        if origin.request_id in self._entry_by_request:
-            return
         if self.is_doubtful(origin):
             return
-        if len(self._entry_by_request) >= MAX_ORIGINS:
-            self._drop_oldest()
         expires_s = now() + min(origin.keep_s, MAX_KEEP_S)
         entry = _Entry(origin, now() - origin.age_s, expires_s)
+        known = self._entry_by_request.get(origin.request_id)
+        if known is not None:
+            if known.expires_s >= expires_s:
+                return
+            entry = replace(known, expires_s=expires_s)
+        elif len(self._entry_by_request) >= MAX_ORIGINS:
+            self._drop_oldest()
         self._entry_by_request[origin.request_id] = entry
         heapq.heappush(self._expiries, (expires_s, origin.request_id))
 
