Infer a stream's version only from a majority of control hosts that have been up

Callers would get a stream joined from two versions: one came, began streams and left while a router or a control host was cut off, and the hosts that knew of it restarted.

Cause: an unknown stream went on at the only known version if a majority replied and any host, the asking router included, had been up for 20 s. That host may have been cut off in these 20 s, while the others had forgotten what they knew.

The hosts that have been up must be a majority of the control group themselves. The router's own time doesn't count; the versions that it knows do.

A majority of up hosts beside two that restarted still tells the version. After most control hosts restarted, streams of unknown origin are refused for 20 s where a router that stayed up answered before.

--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/client.py
@@ -86,7 +86,8 @@
         """Return where a stream began; None if that isn't known.
 
         The origin of an unknown stream is known all the same if only one version
-        served in its pool recently, as a majority of the control group confirms.
+        served in its pool recently, as a majority of the control group confirms whose
+        hosts have been up for that time.
 
         :param request_id: the caller's attempt that brought the first event; empty if
             the caller named none.
@@ -137,10 +138,10 @@
         versions = self._history.versions(query.pool).union(
             *(reply.versions for reply in replies)
         )
-        has_majority = 2 * len(replies) > len(self._control_hosts())
-        is_complete = self._history.is_complete
-        is_complete = is_complete or any(reply.is_complete for reply in replies)
-        is_certain = has_majority and is_complete and len(versions) == 1
+        complete = sum(reply.is_complete for reply in replies)
+        # A router, or a host alone, may have been cut off while others knew more.
+        is_complete = 2 * complete > len(self._control_hosts())
+        is_certain = is_complete and len(versions) == 1
         eliot.log_message(
             "stream:origin-unknown",
             first_request_id=query.request_id,
