Look back for versions as far as the stream that is taken up may have begun

Callers would get a stream joined from two versions: it began at a version whose servers left more than 20 s before it is taken up, and its origin isn't known.

Cause: the versions that may have begun an unknown stream were those of the last 20 s, whatever the timeout of its route.

The query says how far to look back: twice the route's timeout, or what the caller has waited by its deadline, at least 20 s. Hosts remember versions for 120 s, and aren't complete for longer times. Nothing changes on routes with timeouts up to 10 s.

The fake of the port in forwarding's tests takes the new argument. Streams of unknown origin are refused for longer after a release or a restart of the control group on routes with longer timeouts.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/ports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/ports.py
@@ -85,10 +85,13 @@
         :param origin: the origin.
         """
 
-    async def find(self, request_id: str, pool: str) -> StreamOrigin | None:
+    async def find(
+        self, request_id: str, pool: str, lookback_s: float
+    ) -> StreamOrigin | None:
         """Return where a stream began; None if that isn't known.
 
         :param request_id: the caller's attempt that brought the first event; empty if
             the caller named none.
         :param pool: pool that the stream probably began in.
+        :param lookback_s: longest time since the stream may have begun, in seconds.
         """
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/take_up.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/take_up.py
@@ -31,7 +31,7 @@
         return Err(
             _refusal("it isn't known which of the route's pools began the stream")
         )
-    origin = await origins.find(first_request_id, request.pool)
+    origin = await origins.find(first_request_id, request.pool, _lookback_s(request))
     if origin is None:
         return Err(_refusal("it isn't known which version began the stream"))
     if origin.pool not in pools:
@@ -68,5 +68,13 @@
     )
 
 
+def _lookback_s(request: ForwardRequest) -> float:
+    """Return the longest time since the stream of a request may have begun.
+
+    It may have run for the route's timeout, and broken off as long ago.
+    """
+    return max(2 * request.route.timeout_s, request.waited_s + KEEP_MARGIN_S)
+
+
 def _refusal(detail: str) -> Problem:
     return Problem(503, "unknown-origin", detail, retry_after_s=RETRY_AFTER_S)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -249,7 +249,7 @@
         """Record an origin."""
         self.recorded.append(origin)
 
-    async def find(self, request_id, pool):
+    async def find(self, request_id, pool, lookback_s):
         """Return the origin of a stream."""
         return self.origin_by_request.get(request_id)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/client.py
@@ -17,7 +17,7 @@
     OriginReport,
     StreamOrigin,
 )
-from almondfield_daemon.streams.versions import VersionHistory
+from almondfield_daemon.streams.versions import MIN_LOOKBACK_S, VersionHistory
 
 __all__ = ["OriginClient"]
 
@@ -82,7 +82,9 @@
         self._table.update_servers(servers)
         self._history.update(servers)
 
-    async def find(self, request_id: str, pool: str) -> StreamOrigin | None:
+    async def find(
+        self, request_id: str, pool: str, lookback_s: float = MIN_LOOKBACK_S
+    ) -> StreamOrigin | None:
         """Return where a stream began; None if that isn't known.
 
         The origin of an unknown stream is known all the same if only one version
@@ -92,6 +94,7 @@
         :param request_id: the caller's attempt that brought the first event; empty if
             the caller named none.
         :param pool: pool that the stream probably began in.
+        :param lookback_s: longest time since the stream may have begun, in seconds.
         """
         known = self._table.get(request_id)
         if known is not None:
@@ -99,7 +102,7 @@
         hosts = self._responsive_hosts()
         replies: list[OriginReply] = []
         doubtful: StreamOrigin | None = None
-        query = OriginQuery(request_id, pool)
+        query = OriginQuery(request_id, pool, max(lookback_s, MIN_LOOKBACK_S))
         tasks = [asyncio.create_task(self._query(host, query)) for host in hosts]
         try:
             for task in asyncio.as_completed(tasks):
@@ -135,9 +138,8 @@
         self, query: OriginQuery, replies: list[OriginReply]
     ) -> StreamOrigin | None:
         """Return the only version that can have begun a stream, if there is one."""
-        versions = self._history.versions(query.pool).union(
-            *(reply.versions for reply in replies)
-        )
+        known = self._history.versions(query.pool, query.lookback_s)
+        versions = known.union(*(reply.versions for reply in replies))
         complete = sum(reply.is_complete for reply in replies)
         # A router, or a host alone, may have been cut off while others knew more.
         is_complete = 2 * complete > len(self._control_hosts())
@@ -148,6 +150,7 @@
             pool=query.pool,
             replies=len(replies),
             versions=sorted(versions),
+            lookback_s=round(query.lookback_s, 3),
             is_complete=is_complete,
             outcome="only version" if is_certain else "refused",
         )
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/messages.py
@@ -49,10 +49,12 @@
     :ivar request_id: the caller's attempt that brought the first event; empty if the
         caller named none.
     :ivar pool: pool that the stream probably began in.
+    :ivar lookback_s: longest time since the stream may have begun, in seconds.
     """
 
     request_id: str
     pool: str
+    lookback_s: float = 20.0
 
 
 @wire_message("origin-reply")
@@ -61,8 +63,9 @@
     """Reply to an :class:`OriginQuery`.
 
     :ivar origin: the origin; None if this host doesn't know it.
-    :ivar versions: versions that served in the pool recently, as this host knows.
-    :ivar is_complete: whether this host has been up for as long as it looks back.
+    :ivar versions: versions that served in the pool within that time, as this host
+        knows.
+    :ivar is_complete: whether this host has been up for that time, and keeps it.
     """
 
     origin: StreamOrigin | None
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/service.py
@@ -43,6 +43,6 @@
     async def _on_query(self, sender: str, query: OriginQuery) -> OriginReply:
         return OriginReply(
             self._table.get(query.request_id),
-            tuple(self._history.versions(query.pool)),
-            self._history.is_complete,
+            tuple(self._history.versions(query.pool, query.lookback_s)),
+            self._history.is_complete(query.lookback_s),
         )
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/versions.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/versions.py
@@ -5,9 +5,10 @@
 from almondfield_core.clock import now
 from almondfield_daemon.fleet import FleetServer, ServerPhase
 
-__all__ = ["VersionHistory"]
+__all__ = ["MAX_LOOKBACK_S", "MIN_LOOKBACK_S", "VersionHistory"]
 
-HISTORY_S = 20.0  # longer than callers wait for a stream
+MIN_LOOKBACK_S = 20.0  # longer than most callers wait for a stream
+MAX_LOOKBACK_S = 120.0
 
 
 class VersionHistory:
@@ -18,10 +19,12 @@
         self._serving: frozenset[tuple[str, str]] = frozenset()
         self._last_seen_s: dict[tuple[str, str], float] = {}
 
-    @property
-    def is_complete(self) -> bool:
-        """Return whether the history reaches as far back as it is asked for."""
-        return now() - self._started_s >= HISTORY_S
+    def is_complete(self, lookback_s: float) -> bool:
+        """Return whether the history reaches as far back as it is asked for.
+
+        :param lookback_s: seconds to look back.
+        """
+        return min(now() - self._started_s, MAX_LOOKBACK_S) >= lookback_s
 
     def update(self, servers: Iterable[FleetServer]) -> None:
         """Record the servers that are known now.
@@ -37,13 +40,23 @@
             self._last_seen_s[key] = now()
         self._serving = serving
 
-    def versions(self, pool: str) -> frozenset[str]:
-        """Return the versions that served in a pool within ``HISTORY_S``.
+    def versions(self, pool: str, lookback_s: float) -> frozenset[str]:
+        """Return the versions that served in a pool recently.
 
         :param pool: name of the pool.
+        :param lookback_s: seconds to look back.
         """
-        cutoff_s = now() - HISTORY_S
+        self._drop_old()
+        cutoff_s = now() - lookback_s
+        return frozenset(
+            version
+            for (name, version), last_seen_s in self._last_seen_s.items()
+            if name == pool
+            and (last_seen_s >= cutoff_s or (name, version) in self._serving)
+        )
+
+    def _drop_old(self) -> None:
+        cutoff_s = now() - MAX_LOOKBACK_S
         for key, last_seen_s in list(self._last_seen_s.items()):
             if key not in self._serving and last_seen_s < cutoff_s:
                 del self._last_seen_s[key]
-        return frozenset(version for name, version in self._last_seen_s if name == pool)
