--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/take_up_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/take_up_steps.py
@@ -1,15 +1,18 @@
 """Steps of take_up.feature."""
 
+import asyncio
 from dataclasses import replace
 
 from behave import given, then, when
 
 from almondfield_core.routing import PoolShare, Prompt, PromptPart
-from almondfield_daemon.forwarding.tests.fakes import make_assignment
+from almondfield_daemon.forwarding.tests.fakes import event, make_assignment
 from almondfield_daemon.forwarding.tests.requests import serve
 from almondfield_daemon.streams import StreamOrigin
 from almondfield_testing import run
 
+CHANGE_S = 0.0005  # a server's first event comes after 0.001 s
+
 
 def set_versions(context, versions):
     pairs = zip(context.view.fleet_servers, versions.split())
@@ -40,6 +43,40 @@
     context.view.unresponsive = frozenset((name,))
 
 
+def change_versions_after(context, delay_s, versions):
+    """Let the versions change some time after the next server was chosen."""
+    choose = context.placement.choose
+
+    def choose_and_change(*arguments):
+        context.placement.choose = choose
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, set_versions, context, versions)
+        return choose(*arguments)
+
+    context.placement.choose = choose_and_change
+
+
+@given('while the router connects, the versions change to "{versions}"')
+def step_impl(context, versions):
+    context.backends.connect_s = 2 * CHANGE_S
+    change_versions_after(context, CHANGE_S, versions)
+
+
+@given('before the first event, the versions change to "{versions}"')
+def step_impl(context, versions):
+    change_versions_after(context, CHANGE_S, versions)
+
+
+@then('the caller has events {first:d} to {last:d}, each once, from server "{name}"')
+def step_impl(context, first, last, name):
+    problem, sink, error, _ = context.served
+    assert (problem, error) == (None, None), context.served
+    expected = b"".join(event(number) for number in range(first, last + 1))
+    assert sink.body == expected, sink.body
+    assert context.servers[-1].name == name
+    assert context.servers[-1].received[0].last_event_id == str(first - 1)
+
+
 @when('a request that takes up stream "{stream}" after event {number:d} is served')
 def step_impl(context, stream, number):
     served = serve(context, last_event_id=str(number), first_request_id=stream)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/take_up.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/take_up.feature
@@ -94,3 +94,30 @@
       | versions | received |
       | v1 v1 v2 | s0       |
       | v2 v1 v2 | s1       |
+
+  # Guards against events of a server whose restart with another version is announced after
+  # it was chosen for a stream of its old version.
+  Scenario Outline: A server that turns out to have another version brings no event of a stream
+    Given a "resumable" route with 2 attempts and 2 servers
+    And the servers have versions "v1 v1"
+    And stream "a" began in pool "p" at version "v1"
+    And <moment> the versions change to "v2 v1"
+    When a request that takes up stream "a" after event 4 is served
+    Then servers "<received>" received it
+    And the caller has events 5 to 6, each once, from server "s1"
+
+    Examples:
+      | moment                     | received |
+      | while the router connects, | s1       |
+      | before the first event,    | s0 s1    |
+
+  # Guards against a stream that goes on at the version which its server had before a restart.
+  Scenario: A stream whose server restarted with another version before its first event ends there
+    Given a "resumable" route with 3 attempts and 2 servers
+    And the servers have versions "v1 v1"
+    And the first server truncates its answer
+    And before the first event, the versions change to "v2 v1"
+    When a request is served
+    Then servers "s0" received it
+    And the answer is not marked as complete
+    And the recorded origins are ""
