Check a server's version again right before its part of a stream begins

Callers would get a stream joined from two versions: the server that was chosen for it restarts under its name with another version, and the restart is announced while the router connects or waits for the first event.

Cause: the version of a server was compared when it was chosen only. A stream that it took up went on at the new version; one that it began was bound to the old one.

A stream that is bound to a version isn't sent to a server that is known to have restarted with another one, and takes no event of it; another server gets the rest. A stream that such a server begins is delivered, but its origin isn't recorded, and no other server goes on with it.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -39,11 +39,13 @@
 from almondfield_daemon.router.events import EventTracker
 from almondfield_daemon.router.problems import Outcome, Problem
 from almondfield_daemon.scheduling import EngineAssignment
+from almondfield_daemon.server_notices import ServerClosedError
 
 __all__ = ["RequestRun", "StreamBrokenError"]
 
 MAX_UNSENT_ATTEMPTS = 4  # attempts without a sent byte before the caller is refused
 MIN_REMAINING_S = 0.02  # less is too short for a backend server to answer
+WRONG_VERSION = "the server restarted with another version"
 
 
 class StreamBrokenError(AlmondfieldError):
@@ -109,6 +111,7 @@
         self.framing = ""
         self.unfinished_bytes = 0
         self.stream_version = request.stream_version
+        self._is_version_known = True
         self.server_name = ""
         self.server_version = ""
         self.assignment: EngineAssignment | None = None
@@ -187,7 +190,9 @@
                 tracker.restart()
                 if tracker.last_id is not None:
                     self._last_event_id = tracker.last_id.decode("latin-1")
-                can_continue = not self.is_started or tracker.last_id is not None
+                can_continue = not self.is_started or (
+                    tracker.last_id is not None and self._is_version_known
+                )
                 if self._record_truncation(selected, error) and can_continue:
                     continue
                 if self.is_started:
@@ -208,9 +213,13 @@
     ) -> None:
         """Send complete events as they arrive."""
         headers = stream_headers(answer)
+        has_events = False
         async for chunk in answer.chunks():
+            if not has_events and self._has_wrong_version(selected.server):
+                raise AnswerCutError(ServerFailure.STREAM, WRONG_VERSION)
             events = tracker.feed(chunk)
             if events:
+                has_events = True
                 selected.begin_answer()
                 self._record_origin(selected.server)
                 await self._start(answer.status, headers)
@@ -227,10 +236,18 @@
         """Record where the stream began, before its caller has an event."""
         if not self.is_started:
             self.stream_version = server.version
-            if self._request.route.is_resumable:
+            has_changed = self._servers.has_changed_version(self._request.pool, server)
+            self._is_version_known = not has_changed
+            if self._request.route.is_resumable and not has_changed:
                 for origin in make_origins(self._request, server):
                     self._origins.record(origin)
 
+    def _has_wrong_version(self, server: FleetServer) -> bool:
+        """Return whether a server can't go on with the stream after a restart."""
+        return self.stream_version is not None and self._servers.has_changed_version(
+            self._request.pool, server
+        )
+
     def _record_event(self) -> None:
         event_s = now()
         if self._last_event_s is not None:
@@ -298,6 +315,8 @@
     def _check_before_sending(self, selected: SelectedServer) -> None:
         self._sink.check_caller()
         selected.check_notices()
+        if self._has_wrong_version(selected.server):
+            raise ServerClosedError(WRONG_VERSION)
 
     def _end_attempt(self, selected: SelectedServer, outcome: FailedAttempt) -> None:
         match outcome:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -244,6 +244,17 @@
         # A server may leave the pool's list before all its answers have come.
         self._notices.retain(server_start(s) for s in self._view.all_servers())
 
+    def has_changed_version(self, pool: str, server: FleetServer) -> bool:
+        """Return whether a server has restarted with another version since its choice.
+
+        :param pool: name of its pool.
+        :param server: the server as it was when it was chosen.
+        """
+        return any(
+            known.name == server.name and known.version != server.version
+            for known in self._view.servers(pool)
+        )
+
     def retry_after_s(self, request: ForwardRequest, version: str | None) -> float:
         """Return when a refused request may be accepted, in seconds from now.
 
