--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -36,16 +36,18 @@
     silence_limits,
 )
 from almondfield_daemon.forwarding.silence_watch import SilenceWatch
-from almondfield_daemon.forwarding.take_up import make_origin
+from almondfield_daemon.forwarding.take_up import make_origins
 from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer, Header
 from almondfield_daemon.router.events import EventTracker
 from almondfield_daemon.router.problems import Problem
 from almondfield_daemon.scheduling import EngineAssignment
+from almondfield_daemon.server_notices import ServerClosedError
 
 __all__ = ["RequestRun", "StreamBrokenError"]
 
 FIRST_ERROR_STATUS = 500
 MAX_UNSENT_ATTEMPTS = 4  # attempts without a sent byte before the caller is refused
+WRONG_VERSION = "the server restarted with another version"
 
 
 class StreamBrokenError(AlmondfieldError):
@@ -108,6 +110,7 @@
         self.framing = ""
         self.unfinished_bytes = 0
         self.stream_version = request.stream_version
+        self._is_version_known = True
         self.server_name = ""
         self.server_version = ""
         self.assignment: EngineAssignment | None = None
@@ -209,7 +212,9 @@
 
     def _can_go_on(self) -> bool:
         """Return whether another answer can go on where this one has ended."""
-        return not self.delivery.is_started or self._tracker.last_id is not None
+        if not self.delivery.is_started:
+            return True
+        return self._is_version_known and self._tracker.last_id is not None
 
     async def _forward_events(
         self, answer: BackendAnswer, selected: SelectedServer, watch: SilenceWatch
@@ -217,11 +222,15 @@
         """Send complete events as they arrive."""
         headers = stream_headers(answer)
         tracker = self._tracker
+        has_events = False
         watch.begin()
         async for chunk in answer.chunks():
             watch.end()
+            if not has_events and self._has_wrong_version(selected.server):
+                raise AnswerCutError(ServerFailure.STREAM, WRONG_VERSION)
             events = tracker.feed(chunk)
             if events:
+                has_events = True
                 selected.begin_answer()
                 self._record_origin(selected.server)
                 await self.delivery.start(answer.status, headers)
@@ -236,8 +245,17 @@
         """Record where the stream began, before its caller has an event."""
         if not self.delivery.is_started:
             self.stream_version = server.version
-            if self._request.route.is_resumable:
-                self._origins.record(make_origin(self._request, server))
+            has_changed = self._servers.has_changed_version(self._request.pool, server)
+            self._is_version_known = not has_changed
+            if self._request.route.is_resumable and not has_changed:
+                for origin in make_origins(self._request, server):
+                    self._origins.record(origin)
+
+    def _has_wrong_version(self, server: FleetServer) -> bool:
+        """Return whether a server can't go on with the stream after a restart."""
+        return self.stream_version is not None and self._servers.has_changed_version(
+            self._request.pool, server
+        )
 
     async def _next_answer(self) -> Problem | tuple[SelectedServer, Answered]:
         """Return a server's answer, or the problem to send instead."""
@@ -321,6 +339,8 @@
     def _check_before_sending(self, selected: SelectedServer) -> None:
         self.delivery.check_caller()
         selected.check_notices()
+        if self._has_wrong_version(selected.server):
+            raise ServerClosedError(WRONG_VERSION)
 
     def _handle_failure(
         self, selected: SelectedServer, outcome: Attempt
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/client.py
@@ -17,7 +17,7 @@
     OriginReport,
     StreamOrigin,
 )
-from almondfield_daemon.streams.versions import VersionHistory
+from almondfield_daemon.streams.versions import MIN_LOOKBACK_S, VersionHistory
 
 __all__ = ["OriginClient"]
 
@@ -82,22 +82,27 @@
         self._table.update_servers(servers)
         self._history.update(servers)
 
-    async def find(self, request_id: str, pool: str) -> StreamOrigin | None:
+    async def find(
+        self, request_id: str, pool: str, lookback_s: float = MIN_LOOKBACK_S
+    ) -> StreamOrigin | None:
         """Return where a stream began; None if that isn't known.
 
         The origin of an unknown stream is known all the same if only one version
-        served in its pool recently, as a majority of the control group confirms.
+        served in its pool recently, as a majority of the control group confirms whose
+        hosts have been up for that time.
 
         :param request_id: the caller's attempt that brought the first event; empty if
             the caller named none.
         :param pool: pool that the stream probably began in.
+        :param lookback_s: longest time since the stream may have begun, in seconds.
         """
         known = self._table.get(request_id)
         if known is not None:
             return known
         hosts = self._responsive_hosts()
         replies: list[OriginReply] = []
-        query = OriginQuery(request_id, pool)
+        doubtful: StreamOrigin | None = None
+        query = OriginQuery(request_id, pool, max(lookback_s, MIN_LOOKBACK_S))
         tasks = [asyncio.create_task(self._query(host, query)) for host in hosts]
         try:
             for task in asyncio.as_completed(tasks):
@@ -105,11 +110,21 @@
                 if reply is None:
                     continue
                 if reply.origin is not None:
-                    return reply.origin
+                    if not self._table.is_doubtful(reply.origin):
+                        return reply.origin
+                    doubtful = reply.origin
                 replies.append(reply)
         finally:
             for task in tasks:
                 task.cancel()
+        if doubtful is not None:
+            eliot.log_message(
+                "stream:origin-doubtful",
+                first_request_id=query.request_id,
+                server=doubtful.server,
+                version=doubtful.version,
+            )
+            return None
         return self._infer(query, replies)
 
     async def _query(self, host: str, query: OriginQuery) -> OriginReply | None:
@@ -123,19 +138,19 @@
         self, query: OriginQuery, replies: list[OriginReply]
     ) -> StreamOrigin | None:
         """Return the only version that can have begun a stream, if there is one."""
-        versions = self._history.versions(query.pool).union(
-            *(reply.versions for reply in replies)
-        )
-        has_majority = 2 * len(replies) > len(self._control_hosts())
-        is_complete = self._history.is_complete
-        is_complete = is_complete or any(reply.is_complete for reply in replies)
-        is_certain = has_majority and is_complete and len(versions) == 1
+        known = self._history.versions(query.pool, query.lookback_s)
+        versions = known.union(*(reply.versions for reply in replies))
+        complete = sum(reply.is_complete for reply in replies)
+        # A router, or a host alone, may have been cut off while others knew more.
+        is_complete = 2 * complete > len(self._control_hosts())
+        is_certain = is_complete and len(versions) == 1
         eliot.log_message(
             "stream:origin-unknown",
             first_request_id=query.request_id,
             pool=query.pool,
             replies=len(replies),
             versions=sorted(versions),
+            lookback_s=round(query.lookback_s, 3),
             is_complete=is_complete,
             outcome="only version" if is_certain else "refused",
         )
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/messages.py
@@ -16,6 +16,9 @@
     :ivar server: name of that server.
     :ivar version: version of its software.
     :ivar keep_s: seconds for which the caller may still take the stream up.
+    :ivar age_s: seconds since that event.
+    :ivar born_ms: latest start of that server which the router knew then, in
+        milliseconds since 1970.
     """
 
     request_id: str
@@ -23,6 +26,8 @@
     server: str
     version: str
     keep_s: float
+    age_s: float = 0.0
+    born_ms: int = 0
 
 
 @wire_message("origin-report")
@@ -44,10 +49,12 @@
     :ivar request_id: the caller's attempt that brought the first event; empty if the
         caller named none.
     :ivar pool: pool that the stream probably began in.
+    :ivar lookback_s: longest time since the stream may have begun, in seconds.
     """
 
     request_id: str
     pool: str
+    lookback_s: float = 20.0
 
 
 @wire_message("origin-reply")
@@ -56,8 +63,9 @@
     """Reply to an :class:`OriginQuery`.
 
     :ivar origin: the origin; None if this host doesn't know it.
-    :ivar versions: versions that served in the pool recently, as this host knows.
-    :ivar is_complete: whether this host has been up for as long as it looks back.
+    :ivar versions: versions that served in the pool within that time, as this host
+        knows.
+    :ivar is_complete: whether this host has been up for that time, and keeps it.
     """
 
     origin: StreamOrigin | None
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/service.py
@@ -38,12 +38,11 @@
         self._history.update(servers)
 
     async def _on_report(self, sender: str, report: OriginReport) -> None:
-        for origin in report.origins:
-            self._table.put(origin)
+        self._table.put_all(report.origins)
 
     async def _on_query(self, sender: str, query: OriginQuery) -> OriginReply:
         return OriginReply(
             self._table.get(query.request_id),
-            tuple(self._history.versions(query.pool)),
-            self._history.is_complete,
+            tuple(self._history.versions(query.pool, query.lookback_s)),
+            self._history.is_complete(query.lookback_s),
         )
