Log the prompt's parts of a failed attempt, and whether its server cut it

Broken-off attempts look alike in the record of the incident: the line tells neither the parts of the prompt nor whether the server, a time-out or the caller ended the attempt, nor how long after the first event. attempt:failed has is_cut, begun_ms and prompt_parts now. An idle connection that is closed while a request is on its way isn't a cut.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -36,6 +36,8 @@
     :ivar received_bytes: bytes of the answer so far, with its head and framing.
     :ivar head_received_s: latest time at which the head of the answer can have arrived,
         in seconds of the loop's clock.
+    :ivar is_cut: whether the server closed or reset the connection, before anything
+        else failed.
     """
 
     def __init__(self, limits: AnswerSettings) -> None:
@@ -46,6 +48,7 @@
         self.complete = False
         self.received_bytes = 0
         self.head_received_s = 0.0
+        self.is_cut = False
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._parts: deque[bytes] = deque()
@@ -164,12 +167,12 @@
         is_end = self.head_complete and self.framing is Framing.CONNECTION
         if is_end and not self._failure:
             self.complete = True
-        self.fail("the server closed the connection")
+        self._fail_by_server("the server closed the connection")
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Wake the waiting tasks; called by the event loop."""
-        self.fail(f"connection lost: {error}")
+        self._fail_by_server(f"connection lost: {error}")
         self.resume_writing()
 
     def pause_writing(self) -> None:
@@ -280,6 +283,10 @@
         except httptools.HttpParserError as error:
             self.fail(f"malformed answer: {error}")
 
+    def _fail_by_server(self, reason: str) -> None:
+        self.is_cut = self.is_cut or not self._failure
+        self.fail(reason)
+
     def _fail_too_long(self, part: str, limit_bytes: int) -> None:
         if not self._failure:
             self._error_type = AnswerTooLongError
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from almondfield_core.clock import ArrivalTimeout
+from almondfield_core.clock import ArrivalTimeout, now
 from almondfield_core.messages import ServerFailure
 from almondfield_core.settings import DaemonSettings
 from almondfield_core.tables import Timeouts
@@ -31,6 +31,9 @@
 
 __all__ = ["HttpAnswer", "HttpBackends"]
 
+# The end of an idle connection crosses a request on its way within a round trip.
+IDLE_CLOSE_S = 0.1
+
 
 class HttpAnswer:
     """An answer that is read from its connection.
@@ -96,7 +99,8 @@
                 yield chunk
         except ConnectionCutError as error:
             failure = ServerFailure.STREAM
-            raise AnswerCutError(failure, str(error), timed_out) from error
+            is_cut = connection.is_cut
+            raise AnswerCutError(failure, str(error), timed_out, is_cut) from error
         finally:
             stall.stop()
             self._finish(complete)
@@ -120,10 +124,11 @@
             return
         if boundary.is_inside_event:
             reason = f"the stream ended inside an event; framed by {self.framing}"
-            raise AnswerCutError(ServerFailure.STREAM, reason)
+            is_cut = self.framing is Framing.CONNECTION
+            raise AnswerCutError(ServerFailure.STREAM, reason, is_cut=is_cut)
         if self.framing is Framing.CONNECTION and not boundary.has_events:
             reason = "the connection ended before the first event"
-            raise AnswerCutError(ServerFailure.STREAM, reason)
+            raise AnswerCutError(ServerFailure.STREAM, reason, is_cut=True)
 
     def _finish(self, complete: bool) -> None:
         if self._connection is None:
@@ -160,6 +165,7 @@
                     connection = opened
                 case Err(failure):
                     return Err(failure)
+        sent_s = now()
         try:
             if call.prepare_headers is not None:
                 call = replace(call, headers=call.prepare_headers())
@@ -169,7 +175,10 @@
             raise
         if failure is not None:
             connection.close()
-            return Err(replace(failure, stale=reused and connection.is_unanswered))
+            stale = reused and connection.is_unanswered
+            was_idle = stale and now() - sent_s < IDLE_CLOSE_S
+            is_cut = failure.is_cut and not was_idle
+            return Err(replace(failure, stale=stale, is_cut=is_cut))
         max_event_bytes = self._settings.answers.max_event_bytes
         return Ok(HttpAnswer(connection, call, self._pool, max_event_bytes))
 
@@ -214,7 +223,9 @@
         except AnswerTooLongError as error:
             return CallFailure(ServerFailure.STREAM, True, str(error))
         except ConnectionCutError as error:
-            return CallFailure(ServerFailure.FIRST_BYTE, True, str(error))
+            failure = ServerFailure.FIRST_BYTE
+            is_cut = connection.is_cut
+            return CallFailure(failure, True, str(error), is_cut=is_cut)
         except TimeoutError:
             reason = f"no answer within {first_byte_s} s"
             failure = ServerFailure.FIRST_BYTE
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
@@ -16,16 +16,25 @@
 
 __all__ = ["log_attempt"]
 
+MAX_LOGGED_PARTS = 16  # of one prompt
+
 
 def log_attempt(
-    request: ForwardRequest, server: FleetServer, outcome: FailedAttempt
+    request: ForwardRequest,
+    server: FleetServer,
+    outcome: FailedAttempt,
+    began_s: float | None = None,
 ) -> None:
     """Log an attempt without a usable answer.
 
     :param request: the request.
     :param server: the server that the request was sent to.
     :param outcome: outcome of the attempt.
+    :param began_s: when its answer began, in seconds of the loop's clock; None if it
+        hasn't.
     """
+    prompt = request.metadata.prompt
+    parts = prompt.parts if prompt else ()
     eliot.log_message(
         "attempt:failed",
         request_id=request.metadata.request_id,
@@ -34,6 +43,9 @@
         server_sequence=server.sequence,
         server_version=server.version,
         outcome=_describe(outcome),
+        is_cut=isinstance(outcome, AnswerLost) and outcome.is_cut,
+        begun_ms=None if began_s is None else round((now() - began_s) * 1000, 1),
+        prompt_parts=[part.part_id for part in parts[:MAX_LOGGED_PARTS]],
         after_ms=round((now() - request.arrived_s) * 1000, 1),
     )
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
@@ -92,7 +92,9 @@
             case Err(failure):
                 is_timeout = failure.failure is ServerFailure.FIRST_BYTE
                 is_timeout = is_timeout and now() >= request.until_s
-                return AnswerLost(failure.reason, is_timeout, failure.timed_out)
+                return AnswerLost(
+                    failure.reason, is_timeout, failure.timed_out, failure.is_cut
+                )
             case Ok(answer):
                 return await self._classify(request, answer)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
@@ -77,11 +77,13 @@
     :ivar reason: description of the failure.
     :ivar is_timeout: whether the deadline passed before an answer arrived.
     :ivar timed_out: whether the server did not answer within a timeout.
+    :ivar is_cut: whether the server closed or reset the connection.
     """
 
     reason: str
     is_timeout: bool = False
     timed_out: bool = False
+    is_cut: bool = False
 
 
 FailedAttempt = NotExecuted | Misdirected | Unsent | Withheld | AnswerLost
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -347,8 +347,8 @@
         self, selected: SelectedServer, error: AnswerCutError
     ) -> bool:
         """Return whether the request may be sent again after a truncated answer."""
-        lost = AnswerLost(str(error), timed_out=error.timed_out)
-        log_attempt(self._request, selected.server, lost)
+        lost = AnswerLost(str(error), timed_out=error.timed_out, is_cut=error.is_cut)
+        log_attempt(self._request, selected.server, lost, selected.began_s)
         return self._record_loss(selected, lost)
 
     def _record_loss(self, selected: SelectedServer, lost: AnswerLost) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -2,6 +2,7 @@
 
 import eliot
 
+from almondfield_core.clock import now
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding.messages import AnswerMetadata
 from almondfield_daemon.host_delay import HostDelay
@@ -32,6 +33,9 @@
     :param notices: what servers said about further work.
     :param assignment: the assignment to a model engine, reported to the scheduler; None
         for other servers.
+
+    :ivar began_s: when the first event of its answer arrived, in seconds of the loop's
+        clock; None before.
     """
 
     def __init__(
@@ -51,6 +55,7 @@
         self._placement = placement
         self._in_flight = in_flight
         self.assignment = assignment
+        self.began_s: float | None = None
 
     @property
     def time_to_first_token_s(self) -> float:
@@ -90,7 +95,9 @@
             record.record_load(load.running, load.waiting)
 
     def begin_answer(self) -> None:
-        """Record that prefill has finished."""
+        """Record that prefill has finished, or that the answer goes on."""
+        if self.began_s is None:
+            self.began_s = now()
         self._in_flight.begin_answer()
         if self.assignment is not None:
             self.assignment.begin_answer()
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
@@ -41,14 +41,20 @@
     :param failure: kind of the failure.
     :param reason: description of the failure.
     :param timed_out: whether nothing arrived within a timeout.
+    :param is_cut: whether the server closed or reset the connection.
     """
 
     def __init__(
-        self, failure: ServerFailure, reason: str, timed_out: bool = False
+        self,
+        failure: ServerFailure,
+        reason: str,
+        timed_out: bool = False,
+        is_cut: bool = False,
     ) -> None:
         super().__init__(reason)
         self.failure = failure
         self.timed_out = timed_out
+        self.is_cut = is_cut
 
 
 @dataclass(frozen=True)
@@ -93,6 +99,8 @@
     :ivar stale: whether a pooled connection was closed before the first byte of the
         answer, as happens when the server closes an idle connection.
     :ivar timed_out: whether nothing arrived within a timeout.
+    :ivar is_cut: whether the server closed or reset the connection amid the request;
+        not for an idle connection that was closed meanwhile.
     """
 
     failure: ServerFailure
@@ -100,6 +108,7 @@
     reason: str
     stale: bool = False
     timed_out: bool = False
+    is_cut: bool = False
 
 
 class BackendAnswer(Protocol):
