Quarantine parts of prompts under which servers end one after the other

What callers saw: requests of one kind ended one server after the other, also with repeats, at any router; sound requests failed with them or found no server.

Cause: the end of a server was taken for a fault of that server only. Nothing remembered what a server was answering when it ended, so each router sent the request again to the next server, and the next request with the same part came at a router that knew nothing.

Change: a router reports an attempt that the server cut before, or within 1 s after, the first event, with the parts of its prompt that no answer has shown to be sound in the last 30 s. Control hosts put the reports of all routers together: parts under which three servers ended at three moments (or five at two) are quarantined at all routers, for 300 s and twice as long each further time. Parts that were seen only together are refused only together, so a first part that all requests share isn't blamed. A sound answer clears a part everywhere. Routers that reach no control host decide by themselves; hosts that restart learn from the others. Refusals are immediate, as not run, before the scheduler is asked, for first attempts, repeats, resumed and taken-up streams alike.

Why it works: a part that crashes servers never has a sound answer, whatever else the request holds, and is in every crash; what ends with a server by chance is answered soundly elsewhere, or explained by the part that is in all of its crashes.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -13,6 +13,7 @@
 from almondfield_daemon.fleet import FleetControl
 from almondfield_daemon.fleet_daemon.core import FleetHost
 from almondfield_daemon.fleet_daemon.metrics import ControlMetrics
+from almondfield_daemon.quarantine import QuarantineService
 from almondfield_daemon.scheduling import EngineService
 from almondfield_daemon.streams import OriginService
 
@@ -62,7 +63,11 @@
             lambda: rng.getrandbits(SCHEDULER_START_BITS),
         )
         self._origins = OriginService(self.peers, self.fleet)
-        self.serve_metrics(ControlMetrics(self.fleet))
+        self._quarantine = QuarantineService(
+            self.peers, self.fleet.routers.hosts, self._members
+        )
+        count = self._quarantine.table.quarantined_count
+        self.serve_metrics(ControlMetrics(self.fleet, count))
 
     def background_coroutines(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return the coroutines that run until shutdown, besides the peer messaging."""
@@ -70,6 +75,7 @@
         self.fleet.register_handlers()
         self._engines.register_handlers()
         self._origins.register_handlers()
+        self._quarantine.register_handlers()
         return (self._replica.run(), self.fleet.run(), self._engines.run())
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
@@ -1,7 +1,7 @@
 """Metrics of a fleet daemon, and the page that serves them."""
 
 from collections import Counter as Counts
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from starlette.applications import Starlette
@@ -26,10 +26,17 @@
     """Counters and latency histograms of the requests of one router.
 
     :param notice_count_by_kind: notices of backend servers since the start.
+    :param quarantines: returns the number of quarantines of prompt parts.
     """
 
-    def __init__(self, notice_count_by_kind: Mapping[NoticeKind, int]) -> None:
+    def __init__(
+        self,
+        notice_count_by_kind: Mapping[NoticeKind, int],
+        quarantines: Callable[[], int] = lambda: 0,
+    ) -> None:
         self.registry = Registry()
+        self._quarantines = quarantines
+        self._quarantined = _quarantine_gauge(self.registry)
         self._notice_count_by_kind = notice_count_by_kind
         self._notices = Counter(
             "almondfield_server_notices_total",
@@ -82,7 +89,8 @@
         self._refusals[(route, status)] += 1
 
     def refresh(self) -> None:
-        """Update the counters of notices and refusals."""
+        """Update the gauge of quarantines and the counters of notices and refusals."""
+        self._quarantined.set({}, self._quarantines())
         for kind, count in self._notice_count_by_kind.items():
             self._notices.set({"notice": kind.value}, count)
         # An addition to a counter takes longer than the refusal of a request.
@@ -95,10 +103,15 @@
     """Gauges of the routers and backend servers that one control host tracks.
 
     :param fleet: routers and backend servers.
+    :param quarantines: returns the number of quarantines of prompt parts.
     """
 
-    def __init__(self, fleet: FleetControl) -> None:
+    def __init__(
+        self, fleet: FleetControl, quarantines: Callable[[], int] = lambda: 0
+    ) -> None:
         self.registry = Registry()
+        self._quarantines = quarantines
+        self._quarantined = _quarantine_gauge(self.registry)
         self._fleet = fleet
         self._routers = Gauge(
             "almondfield_routers", "Routers heard lately", registry=self.registry
@@ -109,6 +122,7 @@
 
     def refresh(self) -> None:
         """Update the gauges."""
+        self._quarantined.set({}, self._quarantines())
         self._routers.set({}, len(self._fleet.routers.hosts()))
         count_by_phase: dict[str, int] = {}
         for server in self._fleet.servers():
@@ -140,6 +154,14 @@
         self._delay_s.observe({}, delay_s)
 
 
+def _quarantine_gauge(registry: Registry) -> Gauge:
+    return Gauge(
+        "almondfield_quarantined_parts",
+        "Quarantines of prompt parts under which backend servers ended",
+        registry=registry,
+    )
+
+
 def build_metrics_app(metrics: RouterMetrics | ControlMetrics) -> Starlette:
     """Return the ASGI app of the metrics page.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -25,6 +25,7 @@
     ServerSelector,
     log_request_counts,
 )
+from almondfield_daemon.quarantine import QuarantineClient
 from almondfield_daemon.scheduling import EngineClient
 from almondfield_daemon.server_notices import ServerNotices
 from almondfield_daemon.streams import OriginClient
@@ -96,6 +97,9 @@
             lambda: leader.last_leader,
             self.incarnation * MAX_ATTEMPTS_PER_MS,
         )
+        self._quarantine = QuarantineClient(
+            self.peers, self.view.control_hosts, self.view.responsive_control_hosts
+        )
         self._counts = RequestCounts()
         notices = ServerNotices()
         self._servers = ServerSelector(
@@ -106,6 +110,7 @@
             self.host_delay,
             notices,
             self._counts,
+            self._quarantine,
         )
         attempts = AttemptSender(
             self._backends,
@@ -113,7 +118,9 @@
             self.host_delay,
             settings.answers.max_discarded_bytes,
         )
-        self._metrics = RouterMetrics(notices.count_by_kind)
+        self._metrics = RouterMetrics(
+            notices.count_by_kind, self._quarantine.table.quarantined_count
+        )
         forwarder = Forwarder(
             attempts,
             self._servers,
@@ -148,6 +155,7 @@
 
     def background_coroutines(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return the coroutines that run until shutdown, besides the peer messaging."""
+        self._quarantine.register_handlers()
         return (
             self.view.run(),
             self.subscription.run(),
@@ -211,3 +219,4 @@
 
     def _on_control_return(self, host: str) -> None:
         self._origins.report_all(host)
+        self._quarantine.sync(host)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -17,7 +17,7 @@
     make_report,
 )
 from almondfield_daemon.forwarding.run import RequestRun, StreamBrokenError
-from almondfield_daemon.forwarding.servers import ServerSelector
+from almondfield_daemon.forwarding.servers import ServerSelector, Unavailable
 from almondfield_daemon.forwarding.take_up import locate_stream
 from almondfield_daemon.router.problems import Outcome, Problem
 
@@ -56,6 +56,19 @@
         self._max_event_bytes = max_event_bytes
         self._window_by_pool: dict[str, RetryWindow] = {}
 
+    def quarantine_refusal(
+        self, route: RouteRule, pool: str, team: str, prompt: Prompt
+    ) -> Problem | None:
+        """Return the refusal of a prompt that holds a quarantined part, or None.
+
+        :param route: route of a request with a prompt.
+        :param pool: pool of the request.
+        :param team: team of the request.
+        :param prompt: its prompt.
+        """
+        refused = self._servers.quarantine_refusal(team, prompt)
+        return self._refuse(route, pool, team, refused)
+
     def held_refusal(
         self, route: RouteRule, pool: str, team: str, prompt: Prompt
     ) -> Problem | None:
@@ -67,11 +80,16 @@
         :param prompt: its prompt.
         """
         held = self._servers.held_refusal(pool, team, prompt)
-        if held is None:
+        return self._refuse(route, pool, team, held)
+
+    def _refuse(
+        self, route: RouteRule, pool: str, team: str, refused: Unavailable | None
+    ) -> Problem | None:
+        if refused is None:
             return None
         self._window(pool).record_request()
         problem = Problem(
-            503, "no-capacity", held.detail, retry_after_s=held.retry_after_s
+            503, "no-capacity", refused.detail, retry_after_s=refused.retry_after_s
         )
         self._observe_refusal(route.name, team, problem.status)
         return problem
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
@@ -132,12 +132,15 @@
 
     def _held_refusal(self, accepted: _AcceptedHead) -> Problem | None:
         metadata = accepted.metadata
-        has_prompt = accepted.route.has_prompt and metadata.prompt is not None
-        if not has_prompt or metadata.takes_up_stream:
+        if metadata.prompt is None:
             return None
-        return self._forwarder.held_refusal(
-            accepted.route, accepted.pool, accepted.team, metadata.prompt
-        )
+        fields = (accepted.route, accepted.pool, accepted.team, metadata.prompt)
+        refused = self._forwarder.quarantine_refusal(*fields)
+        if refused is not None:
+            return refused
+        if not accepted.route.has_prompt or metadata.takes_up_stream:
+            return None
+        return self._forwarder.held_refusal(*fields)
 
     def _read(self, head: RequestHead) -> Result[_AcceptedHead, Problem]:
         """Return what is known of a request by its head, or why it is refused."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -139,7 +139,7 @@
                     body, is_complete = await read_body(chunks)
                     if not is_complete:
                         await self._deliver_large(answer, body, chunks)
-                        selected.record_success()
+                        selected.record_success(answer)
                         return None
             except AnswerCutError as error:
                 if self.is_started:
@@ -153,7 +153,7 @@
             finally:
                 answer.close()
                 selected.end()
-            selected.record_success()
+            selected.record_success(answer)
             complete = (answer.status, answer.headers, body)
             is_failure = answer.status >= 500
             if is_failure and self._may_repeat():
@@ -179,7 +179,7 @@
                         ServerFailure.STREAM, f"the stream has status {answer.status}"
                     )
                 await self._forward_events(answer, selected, tracker)
-                selected.record_success()
+                selected.record_success(answer, selected.began_s is not None)
                 return None
             except AnswerCutError as error:
                 answer.close()
@@ -356,7 +356,7 @@
         self.may_have_run = True
         self._has_lost_server = True
         self._tried |= {selected.server.name}
-        selected.record_failure(lost.reason, lost.timed_out)
+        selected.record_failure(lost.reason, lost.timed_out, lost.is_cut)
         return self._may_repeat()
 
     def _may_repeat(self) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -3,9 +3,16 @@
 import eliot
 
 from almondfield_core.clock import now
+from almondfield_core.routing import Prompt
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding.messages import AnswerMetadata
 from almondfield_daemon.host_delay import HostDelay
+from almondfield_daemon.quarantine import (
+    BEGIN_WINDOW_S,
+    NoQuarantine,
+    PromptQuarantine,
+)
+from almondfield_daemon.router.calls import SUCCESS_STATUSES, BackendAnswer, Framing
 from almondfield_daemon.scheduling import EngineAssignment
 from almondfield_daemon.server_notices import ServerNotices, ServerStart
 from almondfield_fairshare.prefix_placement import InFlightRequest, Placement
@@ -33,6 +40,8 @@
     :param notices: what servers said about further work.
     :param assignment: the assignment to a model engine, reported to the scheduler; None
         for other servers.
+    :param quarantine: learns from the attempt whether its prompt is sound.
+    :param prompt: the prompt; None for other requests.
 
     :ivar began_s: when the first event of its answer arrived, in seconds of the loop's
         clock; None before.
@@ -46,7 +55,12 @@
         host_delay: HostDelay,
         notices: ServerNotices,
         assignment: EngineAssignment | None = None,
+        quarantine: PromptQuarantine | None = None,
+        prompt: Prompt | None = None,
     ) -> None:
+        self._quarantine = quarantine or NoQuarantine()
+        self._prompt = prompt
+        self._is_sound = False
         self.server = server
         self._start = server_start(server)
         self._notices = notices
@@ -89,6 +103,7 @@
         self._notices.record_answer(
             self._start, metadata.notices, was_refused, received_s, request_id
         )
+        self._quarantine.record_alive(self._start)
         load = metadata.load
         if load is not None and not was_refused:
             record = self._placement.record(self.server.name)
@@ -98,21 +113,43 @@
         """Record that prefill has finished, or that the answer goes on."""
         if self.began_s is None:
             self.began_s = now()
+        elif not self._is_sound and now() - self.began_s >= BEGIN_WINDOW_S:
+            self._record_sound()
         self._in_flight.begin_answer()
         if self.assignment is not None:
             self.assignment.begin_answer()
 
-    def record_success(self) -> None:
-        """Record a complete answer."""
-        self._placement.record(self.server.name).record_success()
+    def record_success(self, answer: BackendAnswer, has_begun: bool = True) -> None:
+        """Record a complete answer.
 
-    def record_failure(self, reason: str, timed_out: bool = False) -> None:
+        :param answer: the answer.
+        :param has_begun: whether the server wrote anything of what was asked for.
+        """
+        self._placement.record(self.server.name).record_success()
+        if self._is_sound or not has_begun or answer.status not in SUCCESS_STATUSES:
+            return
+        if answer.framing is Framing.CONNECTION:
+            # It may have been cut where it ended.
+            self._quarantine.record_unproven(self._start, self._prompt)
+        else:
+            self._record_sound()
+
+    def _record_sound(self) -> None:
+        self._is_sound = True
+        self._quarantine.record_sound(self._prompt)
+
+    def record_failure(
+        self, reason: str, timed_out: bool = False, is_cut: bool = False
+    ) -> None:
         """Record that the server gave no answer of its own.
 
         :param reason: description of the failure.
         :param timed_out: whether it did not answer within a timeout. While this host
             itself is late, one timeout in a row shows nothing.
+        :param is_cut: whether it closed or reset the connection amid the request.
         """
+        if is_cut and (self.began_s is None or now() - self.began_s < BEGIN_WINDOW_S):
+            self._quarantine.record_crash(self._start, self._prompt)
         record = self._placement.record(self.server.name)
         if timed_out and self._host_delay.is_late and not record.timeouts:
             record.timeouts += 1
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -10,6 +10,7 @@
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.selected_server import SelectedServer, server_start
 from almondfield_daemon.host_delay import HostDelay
+from almondfield_daemon.quarantine import NoQuarantine, PromptQuarantine
 from almondfield_daemon.scheduling import EngineAssignment, EngineClient
 from almondfield_daemon.scheduling.messages import EngineRefusal
 from almondfield_daemon.server_notices import ServerNotices
@@ -48,6 +49,7 @@
     :param host_delay: delay of this host.
     :param notices: what servers said about further work.
     :param counts: counts refusals.
+    :param quarantine: knows prompts under which servers ended.
     """
 
     def __init__(
@@ -59,7 +61,9 @@
         host_delay: HostDelay,
         notices: ServerNotices,
         counts: RequestCounts | None = None,
+        quarantine: PromptQuarantine | None = None,
     ) -> None:
+        self._quarantine = quarantine or NoQuarantine()
         self._host_delay = host_delay
         self._notices = notices
         self._counts = counts or RequestCounts()
@@ -70,6 +74,17 @@
         # (name, start) of servers whose address now belongs to another server.
         self._misdirected: set[tuple[str, int]] = set()
 
+    def quarantine_refusal(self, team: str, prompt: Prompt) -> Unavailable | None:
+        """Return the refusal of a prompt that holds a quarantined part, or None.
+
+        :param team: name of the team.
+        :param prompt: prompt of the request.
+        """
+        refused = self._quarantined(prompt)
+        if refused is not None:
+            self._counts.record_refusal(team, refused.cause)
+        return refused
+
     def held_refusal(self, pool: str, team: str, prompt: Prompt) -> Unavailable | None:
         """Return a refusal of a team's prompts that still holds; None for none.
 
@@ -110,6 +125,9 @@
         has_lost_server: bool,
         version: str | None,
     ) -> SelectedServer | Unavailable:
+        quarantined = self._quarantined(request.metadata.prompt)
+        if quarantined is not None:
+            return quarantined
         servers = self._usable(request.pool, version)
         closed = self._closed(request.pool, version)
         if closed is not None:
@@ -142,7 +160,12 @@
             waited_s=request.waited_s,
         )
         assignment = await self._engines.request_engine(request.pool, engine_request)
-        # The view may have changed while the scheduler decided.
+        # Quarantines and the view may have changed while the scheduler decided.
+        quarantined = self._quarantined(prompt)
+        if quarantined is not None:
+            if isinstance(assignment, EngineAssignment):
+                assignment.end(was_sent=False)
+            return quarantined
         servers = self._usable(request.pool, version)
         match assignment:
             case EngineRefusal() as refusal:
@@ -153,7 +176,7 @@
                     self._engines.record_server(prompt, server.name)
                     candidate = self._candidate(server, frozenset())
                     in_flight = self._placement.start(candidate, prompt)
-                    return self._select(server, in_flight, assignment)
+                    return self._select(request, server, in_flight, assignment)
                 assignment.end(was_sent=False)
                 closed = self._closed(request.pool, version)
                 if closed is not None:
@@ -188,10 +211,11 @@
             assignment = self._engines.assign(
                 request.pool, server.name, prompt.unshared_tokens
             )
-        return self._select(server, in_flight, assignment)
+        return self._select(request, server, in_flight, assignment)
 
     def _select(
         self,
+        request: ForwardRequest,
         server: FleetServer,
         in_flight: InFlightRequest,
         assignment: EngineAssignment | None,
@@ -203,8 +227,18 @@
             self._host_delay,
             self._notices,
             assignment,
+            self._quarantine,
+            request.metadata.prompt,
         )
 
+    def _quarantined(self, prompt: Prompt | None) -> Unavailable | None:
+        """Return a refusal if servers ended under a part of the prompt."""
+        left_s = self._quarantine.left_s(prompt)
+        if left_s <= 0:
+            return None
+        detail = "servers ended under a part of the prompt"
+        return Unavailable(detail, RefusalCause.QUARANTINE, left_s)
+
     def _is_prefill_limit_reached(self, servers: tuple[FleetServer, ...]) -> bool:
         """Return whether this router has used its share of concurrent prefills."""
         prefilling = sum(
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/__init__.py
@@ -0,0 +1,21 @@
+"""Quarantine of prompt parts under which backend servers ended."""
+
+from almondfield_daemon.quarantine.client import QuarantineClient
+from almondfield_daemon.quarantine.core import QuarantineTable
+from almondfield_daemon.quarantine.messages import Quarantine
+from almondfield_daemon.quarantine.parts import (
+    BEGIN_WINDOW_S,
+    NoQuarantine,
+    PromptQuarantine,
+)
+from almondfield_daemon.quarantine.service import QuarantineService
+
+__all__ = [
+    "BEGIN_WINDOW_S",
+    "NoQuarantine",
+    "PromptQuarantine",
+    "Quarantine",
+    "QuarantineClient",
+    "QuarantineService",
+    "QuarantineTable",
+]
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/core.py
@@ -0,0 +1,278 @@
+"""Decides which parts of prompts are quarantined.
+
+A part is to blame if servers ended under it one after the other, and no answer on a
+prompt that holds it was sound since. What ends with a server by chance is not blamed:
+sound requests share parts that are answered soundly elsewhere, and a part explains the
+crashes of the servers that ended under it for all others.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import eliot
+
+from almondfield_core.clock import now
+from almondfield_daemon.quarantine.crashes import (
+    CrashEvidence,
+    are_enough,
+)
+from almondfield_daemon.quarantine.messages import Quarantine
+from almondfield_daemon.quarantine.parts import SoundParts
+from almondfield_daemon.server_notices import ServerStart
+
+__all__ = ["QuarantineTable"]
+
+QUARANTINE_S = 300.0
+MAX_QUARANTINE_S = 3600.0
+PROBATION_S = 3600.0
+MAX_QUARANTINES = 100
+CRASHES_TO_NARROW = 2  # one more may be a server that ended by chance
+MAX_LOGGED_SERVERS = 8
+
+
+@dataclass
+class _Entry:
+    """Parts that are quarantined, or on probation after that.
+
+    :ivar until_s: when the quarantine ends, in seconds of the loop's clock.
+    :ivar number: how often the parts have been quarantined.
+    :ivar crashes: starts of servers that ended under the parts.
+    :ivar is_over: whether the end of the quarantine has been logged.
+    """
+
+    until_s: float
+    number: int
+    crashes: int
+    is_over: bool = False
+
+
+class QuarantineTable:
+    """Quarantined parts, and what they and others are judged by, at one host."""
+
+    def __init__(self) -> None:
+        self._sound = SoundParts()
+        self._evidence = CrashEvidence()
+        self._entry_by_parts: dict[frozenset[str], _Entry] = {}
+        self._renewed: list[frozenset[str]] = []
+
+    @property
+    def suspect_count(self) -> int:
+        """Return the number of parts under which servers ended lately."""
+        return len(self._evidence)
+
+    @property
+    def sound_count(self) -> int:
+        """Return the number of parts that are remembered as sound."""
+        return len(self._sound)
+
+    def quarantined_count(self) -> int:
+        """Return the number of quarantines that hold now."""
+        return sum(entry.until_s > now() for entry in self._entry_by_parts.values())
+
+    def left_s(self, parts: Iterable[str]) -> float:
+        """Return the seconds for which a prompt is still refused; 0 if it isn't.
+
+        :param parts: parts of the prompt.
+        """
+        if not self._entry_by_parts:
+            return 0.0
+        held = frozenset(parts)
+        until_s = [
+            entry.until_s for key, entry in self._entry_by_parts.items() if key <= held
+        ]
+        return max(0.0, max(until_s, default=0.0) - now())
+
+    def unsound(self, parts: Iterable[str]) -> tuple[str, ...]:
+        """Return those of some parts that aren't known as sound.
+
+        :param parts: the parts.
+        """
+        return tuple(part for part in parts if part not in self._sound)
+
+    def record_crash(self, start: ServerStart, parts: Iterable[str]) -> None:
+        """Record that a server ended while it began to answer a prompt.
+
+        :param start: the start of the server.
+        :param parts: parts of the prompt.
+        """
+        suspects = self.unsound(parts)
+        held = frozenset(suspects)
+        for key, entry in self._entry_by_parts.items():
+            if key <= held and entry.until_s <= now():
+                entry.number += 1
+                entry.crashes += 1
+                entry.until_s = now() + _duration_s(entry.number)
+                entry.is_over = False
+                self._renewed.append(key)
+        self._evidence.record(start, suspects)
+
+    def record_sound(self, parts: Iterable[str]) -> tuple[str, ...]:
+        """Record a sound answer, and return the parts that it clears.
+
+        :param parts: parts of its prompt.
+        """
+        parts = tuple(parts)
+        self._sound.record(parts)
+        cleared = {part for part in parts if self._evidence.drop(part)}
+        if self._entry_by_parts:
+            cleared |= self._release(frozenset(parts))
+        return tuple(sorted(cleared))
+
+    def decide(self, *, may_blame: bool = True) -> tuple[Quarantine, ...]:
+        """Return the new quarantines that the recorded crashes justify.
+
+        :param may_blame: whether parts may be blamed that weren't blamed before.
+        """
+        self._evidence.expire()
+        decided, self._renewed = self._renewed, []
+        if may_blame:
+            decided += self._narrow()
+            decided += self._blame()
+        return self._report(decided)
+
+    def merge(
+        self, quarantines: Iterable[Quarantine]
+    ) -> tuple[tuple[Quarantine, ...], tuple[str, ...]]:
+        """Return which quarantines of another host are new, and their sound parts.
+
+        :param quarantines: the quarantines.
+        """
+        merged = []
+        contradicted: set[str] = set()
+        for item in quarantines:
+            key = frozenset(self.unsound(item.parts))
+            contradicted |= set(item.parts) - key
+            entry = _Entry(now() + item.left_s, item.number, item.crashes)
+            if key and self._put(key, entry):
+                merged.append(key)
+        return self._report(merged), tuple(sorted(contradicted))
+
+    def quarantines(self) -> tuple[Quarantine, ...]:
+        """Return all quarantines, and those that are over but on probation."""
+        return tuple(self._describe(key) for key in self._entry_by_parts)
+
+    def expire(self) -> None:
+        """Log quarantines that are over, and drop those whose probation is."""
+        for key, entry in list(self._entry_by_parts.items()):
+            if entry.until_s <= now() and not entry.is_over:
+                entry.is_over = True
+                eliot.log_message(
+                    "part:expired", parts=sorted(key), number=entry.number
+                )
+            if entry.until_s + PROBATION_S <= now():
+                del self._entry_by_parts[key]
+
+    def _blame(self) -> list[frozenset[str]]:
+        """Quarantine parts whose crashes no quarantined part explains."""
+        blamed = []
+        explained = {
+            start
+            for key in self._entry_by_parts
+            for part in key
+            for start in self._evidence.starts(part)
+        }
+        while True:
+            parts, crash_s_by_start = self._most_blamed(explained)
+            if not parts:
+                break
+            crashes = len(crash_s_by_start)
+            until_s = now() + QUARANTINE_S
+            if self._put(parts, _Entry(until_s, 1, crashes)):
+                blamed.append(parts)
+            explained |= crash_s_by_start.keys()
+        return blamed
+
+    def _narrow(self) -> list[frozenset[str]]:
+        """Replace parts under which fewer servers ended than under their fellows."""
+        narrowed = []
+        for key, entry in list(self._entry_by_parts.items()):
+            count_by_part = {part: len(self._evidence.starts(part)) for part in key}
+            most = max(count_by_part.values())
+            rest = frozenset(p for p, count in count_by_part.items() if count == most)
+            if rest < key and most >= entry.crashes + CRASHES_TO_NARROW:
+                del self._entry_by_parts[key]
+                entry.crashes = most
+                if self._put(rest, entry):
+                    narrowed.append(rest)
+        return narrowed
+
+    def _most_blamed(
+        self, explained: set[ServerStart]
+    ) -> tuple[frozenset[str], dict[ServerStart, float]]:
+        """Return the parts under which most servers ended; none if too few did."""
+        most: dict[ServerStart, float] = {}
+        for _, crash_s_by_start in self._evidence.items(explained):
+            if len(crash_s_by_start) > len(most):
+                most = crash_s_by_start if are_enough(crash_s_by_start) else most
+        if not most:
+            return frozenset(), {}
+        parts = frozenset(
+            part
+            for part, crash_s_by_start in self._evidence.items(explained)
+            if crash_s_by_start.keys() == most.keys()
+        )
+        return parts, most
+
+    def _put(self, key: frozenset[str], entry: _Entry) -> bool:
+        """Record a quarantine, and return whether it says more than what is known."""
+        known = self._entry_by_parts.get(key)
+        if known is not None:
+            if known.number >= entry.number:
+                return False
+        elif any(other < key for other in self._entry_by_parts):
+            return False
+        for other in list(self._entry_by_parts):
+            if key < other:
+                del self._entry_by_parts[other]
+        if known is None and len(self._entry_by_parts) >= MAX_QUARANTINES:
+            oldest = next(iter(self._entry_by_parts))
+            del self._entry_by_parts[oldest]
+            eliot.log_message(
+                "part:dropped", parts=sorted(oldest), limit=MAX_QUARANTINES
+            )
+        self._entry_by_parts[key] = entry
+        return True
+
+    def _release(self, sound: frozenset[str]) -> set[str]:
+        """Take sound parts out of the quarantines, and return them."""
+        released: set[str] = set()
+        for key, entry in list(self._entry_by_parts.items()):
+            if not key & sound:
+                continue
+            released |= key & sound
+            del self._entry_by_parts[key]
+            rest = key - sound
+            if rest:
+                self._put(rest, entry)
+            eliot.log_message(
+                "part:cleared", parts=sorted(key & sound), still=sorted(rest)
+            )
+        return released
+
+    def _report(self, keys: list[frozenset[str]]) -> tuple[Quarantine, ...]:
+        """Log and return quarantines, without those that others have replaced."""
+        left = [key for key in dict.fromkeys(keys) if key in self._entry_by_parts]
+        for key in left:
+            self._log_quarantine(key)
+        return tuple(self._describe(key) for key in left)
+
+    def _describe(self, key: frozenset[str]) -> Quarantine:
+        entry = self._entry_by_parts[key]
+        left_s = max(0.0, entry.until_s - now())
+        return Quarantine(tuple(sorted(key)), left_s, entry.number, entry.crashes)
+
+    def _log_quarantine(self, key: frozenset[str]) -> None:
+        entry = self._entry_by_parts[key]
+        starts = {start for part in key for start in self._evidence.starts(part)}
+        eliot.log_message(
+            "part:quarantined",
+            parts=sorted(key),
+            servers=sorted(start.name for start in starts)[:MAX_LOGGED_SERVERS],
+            crashes=entry.crashes,
+            number=entry.number,
+            left_s=round(max(0.0, entry.until_s - now()), 1),
+        )
+
+
+def _duration_s(number: int) -> float:
+    return min(MAX_QUARANTINE_S, QUARANTINE_S * 2 ** min(number - 1, 10))
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/messages.py
@@ -0,0 +1,82 @@
+"""Messages between routers and control hosts about parts that crash servers."""
+
+from dataclasses import dataclass
+
+from almondfield_core.wire import wire_message
+
+__all__ = [
+    "CrashReport",
+    "Quarantine",
+    "QuarantineSync",
+    "QuarantineUpdate",
+    "SoundReport",
+]
+
+
+@dataclass(frozen=True)
+class Quarantine:
+    """Parts of prompts that are refused where a prompt holds all of them.
+
+    There are several as long as no crash and no sound answer has told them apart.
+
+    :ivar parts: the parts, sorted.
+    :ivar left_s: seconds until it ends; 0 once it is over and the parts are on
+        probation.
+    :ivar number: how often the parts have been quarantined.
+    :ivar crashes: starts of servers that ended under the parts, as far as known.
+    """
+
+    parts: tuple[str, ...]
+    left_s: float
+    number: int
+    crashes: int
+
+
+@wire_message("crash-report")
+@dataclass(frozen=True)
+class CrashReport:
+    """A server that ended while it began to answer a prompt, told by a router.
+
+    :ivar server: name of the server.
+    :ivar born_ms: its start, in milliseconds since 1970.
+    :ivar parts: parts of the prompt but the last, without those known as sound.
+    """
+
+    server: str
+    born_ms: int
+    parts: tuple[str, ...]
+
+
+@wire_message("sound-report")
+@dataclass(frozen=True)
+class SoundReport:
+    """Parts of a prompt that was answered soundly, told by a router.
+
+    :ivar parts: the parts.
+    """
+
+    parts: tuple[str, ...]
+
+
+@wire_message("quarantine-update")
+@dataclass(frozen=True)
+class QuarantineUpdate:
+    """What a host has learned about quarantined parts.
+
+    :ivar quarantines: quarantines, new ones or all.
+    :ivar sound_parts: parts that were found to be sound.
+    """
+
+    quarantines: tuple[Quarantine, ...] = ()
+    sound_parts: tuple[str, ...] = ()
+
+
+@wire_message("quarantine-sync")
+@dataclass(frozen=True)
+class QuarantineSync:
+    """All quarantines of a router; the reply is those of the control host.
+
+    :ivar quarantines: the quarantines.
+    """
+
+    quarantines: tuple[Quarantine, ...]
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
@@ -0,0 +1,136 @@
+Feature: A part of prompts that ends servers is quarantined at all routers
+
+  Background:
+    Given control hosts c1 to c3 and routers r1 to r3
+
+  # Guards against BUDGET: each router alone sees too few ends of servers.
+  Scenario: Three servers that end under one part at several routers quarantine it everywhere
+    Given prompt "c t1" was answered soundly at router r1
+    When servers end 0.3 s apart under "c bad o1" at r1, "bad c o2" at r2 and "c t1 bad o3" at r3
+    Then after 0.3 s all routers refuse "c bad o4" for 290 to 300 s
+    And all routers accept "c t1 o5" and "bad"
+
+  # Guards against LOST: sound requests share all the parts but one.
+  Scenario: A first part that all requests share isn't blamed, though nobody knows it as sound
+    When servers end 0.3 s apart under "c bad o1" at r1, "c bad o2" at r2 and "c bad o3" at r1
+    Then after 0.3 s all routers refuse "c bad o4" for 290 to 300 s
+    And all routers accept "c t1 o5"
+    When prompt "c t1 o6" is answered soundly at router r3
+    Then after 0.3 s all routers refuse "d bad o7" for 290 to 300 s
+    And all routers accept "c t1 o8"
+
+  # Guards against BUDGET: a part beside another one that is never seen without it.
+  Scenario: Parts that are blamed together are told apart by two further servers
+    When servers end 0.3 s apart under "c bad o1" at r1, "c bad o2" at r2 and "c bad o3" at r1
+    And servers end 0.3 s apart under "d bad o4" at r1, "d bad o5" at r2
+    Then after 0.3 s all routers refuse "e bad o6" for 250 to 300 s
+    And all routers accept "c t1 o7"
+
+  # Guards against LOST: a server ends with all that it runs, sound prompts among them.
+  Scenario: Sound prompts that end with the servers aren't blamed
+    When server s1 ends under "c bad o1" at r1, "c x o2" at r2 and "c y o3" at r3
+    And 0.3 s pass
+    And server s2 ends under "c bad o1" at r1, "c x o2" at r2 and "c y o3" at r3
+    And 0.3 s pass
+    And server s3 ends under "c bad o4" at r3, "c z o5" at r2 and "c y o3" at r3
+    And 0.3 s pass
+    And server s4 ends under "c bad o4" at r3 and "c z o5" at r2
+    And 0.3 s pass
+    And server s5 ends under "c bad o6" at r2 and "d x o2" at r2
+    Then after 0.3 s all routers refuse "c bad o9" for 290 to 300 s
+    And all routers accept "d x o9", "c x o2", "c y o3" and "c z o5"
+
+  # Guards against LOST: many servers end at once, by a power failure for instance.
+  Scenario Outline: Servers that end <gap> s apart by another cause quarantine nothing
+    Given prompt "<sound>" was answered soundly at router r2
+    When servers end <gap> s apart under "c t o1" at r1, "c t o2" at r2, "c t o3" at r3, "c t o4" at r1 and "c t o5" at r1
+    Then after 0.3 s all routers accept "c t o6"
+
+    Examples:
+      | gap  | sound |
+      | 0.0  | z o   |
+      | 0.3  | c t o |
+
+  Scenario: One server that ends under many prompts is one crash
+    When server s1 ends under "c t o1" at r1, "c t o2" at r2, "c t o3" at r3, "c t o4" at r1 and "c t o5" at r1
+    Then after 0.3 s all routers accept "c t o6"
+
+  # Guards against LOST: a wrong verdict that nothing ends.
+  Scenario: A wrong verdict is cleared everywhere by one sound answer that was running
+    When servers end 0.3 s apart under "c t o1" at r1, "c t o2" at r2 and "c t o3" at r3
+    Then after 0.3 s all routers refuse "c t o4" for 290 to 300 s
+    When prompt "c t o5" is answered soundly at router r2
+    Then after 0.3 s all routers accept "c t o6"
+
+  # Guards against BUDGET: what a restarted or cut-off host has forgotten or missed.
+  Scenario Outline: Routers still refuse the part after <event>
+    When servers end 0.3 s apart under "c bad o1" at r1, "c bad o2" at r2 and "c bad o3" at r1
+    And 0.5 s pass
+    And <event>
+    And 2.5 s pass
+    Then after 0.0 s all routers refuse "c bad o4" for 280 to 300 s
+
+    Examples:
+      | event                                     |
+      | hosts "r2" restart                        |
+      | hosts "c1 c2 c3" restart                  |
+      | hosts "c1 c2 c3 r1" restart               |
+      | hosts "c1 c2 c3 r1 r2" restart            |
+
+  Scenario: A router that reaches no control host decides by itself, and tells the others later
+    Given router r1 is cut off
+    When 3.5 s pass
+    And servers end 0.3 s apart under "c bad o1" at r1, "c bad o2" at r1 and "c bad o3" at r1
+    And 5 s pass
+    Then router r1 refuses "c bad o4"
+    And router r2 accepts "c bad o4"
+    When the cut heals
+    And 2.5 s pass
+    Then after 0.0 s all routers refuse "c bad o4" for 280 to 300 s
+
+  Scenario: A router that was cut off while others decided learns it after the cut
+    Given router r3 is cut off
+    When servers end 0.3 s apart under "c bad o1" at r1, "c bad o2" at r2 and "c bad o3" at r1
+    And 5 s pass
+    Then router r3 accepts "c bad o4"
+    When the cut heals
+    And 2.5 s pass
+    Then after 0.0 s all routers refuse "c bad o4" for 280 to 300 s
+
+  # Guards against BUDGET: a part that is tried again as often as when it was unknown.
+  Scenario: After a quarantine one further crash renews it for twice the time
+    When servers end 0.3 s apart under "c bad o1" at r1, "c bad o2" at r2 and "c bad o3" at r1
+    And 302 s pass
+    Then after 0.0 s all routers accept "c bad o4"
+    When server s9 ends under "c bad o5" at r2
+    Then after 0.3 s all routers refuse "c bad o6" for 590 to 600 s
+
+  Scenario: A part that is answered soundly after its quarantine is trusted again
+    When servers end 0.3 s apart under "c bad o1" at r1, "c bad o2" at r2 and "c bad o3" at r1
+    And 302 s pass
+    And prompt "c bad o4" is answered soundly at router r3
+    And 60 s pass
+    And server s9 ends under "c bad o5" at r2
+    Then after 0.3 s all routers accept "c bad o6"
+
+  Scenario: Crashes that are long past don't count
+    When servers end 40 s apart under "c bad o1" at r1, "c bad o2" at r2 and "c bad o3" at r1
+    Then after 0.3 s all routers accept "c bad o4"
+
+  # Guards against BUDGET and LOST: answers without framing look whole where a server ends.
+  Scenario: Answers that end with their connection are sound once the server is heard again
+    When an answer on "c t o1" at r1 by server s1 ends with its connection, and s1 answers 0.5 s later
+    And servers end 0.3 s apart under "c t o2" at r1, "c t o3" at r2 and "c t o4" at r3
+    Then after 0.3 s all routers accept "c t o5"
+
+  Scenario: Servers that are never heard again after such answers ended under them
+    When an answer on "c bad o1" at r1 by server s1 ends with its connection, and s1 ends 0.1 s later
+    And an answer on "c bad o2" at r2 by server s2 ends with its connection, and s2 ends 0.1 s later
+    And an answer on "c bad o3" at r1 by server s3 ends with its connection, and s3 ends 0.1 s later
+    Then after 0.3 s all routers refuse "c bad o4" for 290 to 300 s
+    And all routers accept "c t o5"
+
+  # Guards against a table that callers can make grow without end.
+  Scenario: Tables keep their bounds
+    Then a table of 6000 suspected, 30000 sound and 150 quarantined parts keeps 5000, 20000 and 100
+    And parts of 70000 characters are kept in at most 64
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
@@ -0,0 +1,254 @@
+"""Steps of quarantine.feature, on a paused clock and a network in memory."""
+
+import asyncio
+import random
+import re
+from contextlib import suppress
+from itertools import count
+
+from behave import given, then, when
+
+from almondfield_core.routing import Prompt, PromptPart
+from almondfield_daemon.fleet import FleetControl, FleetView, RouterState
+from almondfield_daemon.fleet.messages import RouterHello
+from almondfield_daemon.quarantine import (
+    Quarantine,
+    QuarantineClient,
+    QuarantineService,
+    QuarantineTable,
+)
+from almondfield_daemon.quarantine.parts import shared_parts
+from almondfield_daemon.server_notices import ServerStart
+from almondfield_testing import InMemoryNetwork, run
+
+CONTROL_HOSTS = ("c1", "c2", "c3")
+ROUTERS = ("r1", "r2", "r3")
+
+
+def prompt(text):
+    """Return a prompt from its parts."""
+    parts = tuple(PromptPart(part, 10) for part in text.split())
+    return Prompt("m", 10 * len(parts), 5, parts)
+
+
+def read_places(text):
+    """Return prompts and routers of a text like '"a b" at r1 and "c" at r2'."""
+    return re.findall(r'"([^"]*)" at (r\d)', text)
+
+
+class Host:
+    """A control host or a router, with its task."""
+
+    def __init__(self, network, name, incarnation):
+        peers = network.peers(name)
+        if name in CONTROL_HOSTS:
+            rng = random.Random(1)
+            self.fleet = FleetControl(peers, incarnation, lambda: CONTROL_HOSTS, rng)
+            self.quarantine = QuarantineService(
+                peers, self.fleet.routers.hosts, lambda: CONTROL_HOSTS
+            )
+            self.fleet.register_handlers()
+        else:
+            hello = RouterHello("east", "region", f"{name}:80", RouterState.READY)
+            self.fleet = FleetView(
+                peers,
+                hello,
+                CONTROL_HOSTS,
+                lambda: None,
+                lambda host: self.quarantine.sync(host),
+            )
+            self.quarantine = QuarantineClient(
+                peers, self.fleet.control_hosts, self.fleet.responsive_control_hosts
+            )
+        self.quarantine.register_handlers()
+        self.task = asyncio.ensure_future(self.fleet.run())
+
+
+class Fleet:
+    """Hosts in memory."""
+
+    def __init__(self):
+        self.network = InMemoryNetwork()
+        self.host_by_name = {}
+        self.starts = 0
+
+    def start(self, name):
+        """Start a host with empty memory."""
+        self.starts += 1
+        self.host_by_name[name] = Host(self.network, name, self.starts)
+
+    async def restart(self, names):
+        """End hosts at once, and start them again with empty memory."""
+        for name in names:
+            host = self.host_by_name.pop(name)
+            host.task.cancel()
+            with suppress(asyncio.CancelledError):
+                await host.task
+            self.network.stop(name)
+        for name in names:
+            self.start(name)
+
+
+@given("control hosts c1 to c3 and routers r1 to r3")
+def step_impl(context):
+    async def start():
+        context.fleet = Fleet()
+        context.server_numbers = count()
+        for name in (*CONTROL_HOSTS, *ROUTERS):
+            context.fleet.start(name)
+        await asyncio.sleep(2.5)
+
+    run(context, start())
+
+
+def client(context, router):
+    return context.fleet.host_by_name[router].quarantine
+
+
+@given('prompt "{text}" was answered soundly at router {router}')
+@when('prompt "{text}" is answered soundly at router {router}')
+def step_impl(context, text, router):
+    async def record():
+        client(context, router).record_sound(prompt(text))
+
+    run(context, record())
+
+
+@when("servers end {gap_s:g} s apart under {places}")
+def step_impl(context, gap_s, places):
+    async def end():
+        for text, router in read_places(places):
+            start = ServerStart(f"server-{next(context.server_numbers)}", 1)
+            client(context, router).record_crash(start, prompt(text))
+            await asyncio.sleep(gap_s)
+
+    run(context, end())
+
+
+@when("server {name} ends under {places}")
+def step_impl(context, name, places):
+    async def end():
+        for text, router in read_places(places):
+            client(context, router).record_crash(ServerStart(name, 1), prompt(text))
+
+    run(context, end())
+
+
+@when(
+    'an answer on "{text}" at {router} by server {name} ends with its connection, and '
+    "{same} answers {seconds:g} s later"
+)
+def step_impl(context, text, router, name, same, seconds):
+    async def answer():
+        start = ServerStart(name, 1)
+        client(context, router).record_unproven(start, prompt(text))
+        await asyncio.sleep(seconds)
+        client(context, router).record_alive(start)
+
+    run(context, answer())
+
+
+@when(
+    'an answer on "{text}" at {router} by server {name} ends with its connection, and '
+    "{same} ends {seconds:g} s later"
+)
+def step_impl(context, text, router, name, same, seconds):
+    async def answer():
+        start = ServerStart(name, 1)
+        client(context, router).record_unproven(start, prompt(text))
+        await asyncio.sleep(seconds)
+        client(context, router).record_crash(start, prompt("other"))
+        await asyncio.sleep(0.2)
+
+    run(context, answer())
+
+
+@when("{seconds:g} s pass")
+def step_impl(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@when('hosts "{names}" restart')
+def step_impl(context, names):
+    run(context, context.fleet.restart(names.split()))
+
+
+@given("router {name} is cut off")
+def step_impl(context, name):
+    context.fleet.network.isolate(name)
+
+
+@when("the cut heals")
+def step_impl(context):
+    context.fleet.network.heal()
+
+
+async def left_s(context, router, text):
+    return client(context, router).left_s(prompt(text))
+
+
+@then('after {seconds:g} s all routers refuse "{text}" for {least_s:g} to {most_s:g} s')
+def step_impl(context, seconds, text, least_s, most_s):
+    run(context, asyncio.sleep(seconds))
+    for router in ROUTERS:
+        seen_s = run(context, left_s(context, router, text))
+        assert least_s <= seen_s <= most_s, (router, seen_s)
+
+
+def check_accepted(context, texts):
+    for text in re.findall(r'"([^"]*)"', texts):
+        for router in ROUTERS:
+            seen_s = run(context, left_s(context, router, text))
+            assert seen_s == 0, (router, text, seen_s)
+
+
+@then("after {seconds:g} s all routers accept {texts}")
+def step_impl(context, seconds, texts):
+    run(context, asyncio.sleep(seconds))
+    check_accepted(context, texts)
+
+
+@then("all routers accept {texts}")
+def step_impl(context, texts):
+    check_accepted(context, texts)
+
+
+@then('router {router} refuses "{text}"')
+def step_impl(context, router, text):
+    assert run(context, left_s(context, router, text)) > 0
+
+
+@then('router {router} accepts "{text}"')
+def step_impl(context, router, text):
+    assert run(context, left_s(context, router, text)) == 0
+
+
+@then(
+    "a table of {suspected:d} suspected, {sound:d} sound and {quarantined:d} "
+    "quarantined parts keeps {most_suspected:d}, {most_sound:d} and "
+    "{most_quarantined:d}"
+)
+def step_impl(
+    context, suspected, sound, quarantined, most_suspected, most_sound, most_quarantined
+):
+    async def fill():
+        table = QuarantineTable()
+        start = ServerStart("s", 1)
+        table.record_crash(start, [f"suspect-{n}" for n in range(suspected)])
+        table.record_sound([f"sound-{n}" for n in range(sound)])
+        for number in range(quarantined):
+            table.merge([Quarantine((f"bad-{number}",), 300.0, 1, 3)])
+        newest = table.left_s([f"bad-{quarantined - 1}"])
+        counts = (table.suspect_count, table.sound_count, table.quarantined_count())
+        return counts, newest
+
+    counts, newest = run(context, fill())
+    assert counts == (most_suspected, most_sound, most_quarantined), counts
+    assert newest > 0, newest
+
+
+@then("parts of {length:d} characters are kept in at most {most:d}")
+def step_impl(context, length, most):
+    kept = shared_parts(prompt(f"{'a' * length} {'b' * length} {'a' * length}b own"))
+    assert len(kept) == 3, kept
+    assert max(len(part) for part in kept) <= most, kept
