--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/core.py
@@ -17,7 +17,7 @@
     are_enough,
 )
 from almondfield_daemon.quarantine.messages import Quarantine
-from almondfield_daemon.quarantine.parts import SoundParts
+from almondfield_daemon.quarantine.parts import MAX_PARTS, SoundParts
 from almondfield_daemon.server_notices import ServerStart
 
 __all__ = ["QuarantineTable"]
@@ -177,7 +177,9 @@
                 break
             crashes = len(crash_s_by_start)
             until_s = now() + QUARANTINE_S
-            if self._put(parts, _Entry(until_s, 1, crashes)):
+            # No prompt holds more parts: these were seen at several prompts.
+            is_possible = len(parts) <= MAX_PARTS
+            if is_possible and self._put(parts, _Entry(until_s, 1, crashes)):
                 blamed.append(parts)
             explained |= crash_s_by_start.keys()
         return blamed
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/crashes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/crashes.py
@@ -16,7 +16,7 @@
 CRASHES_TO_QUARANTINE = 3  # each at another moment
 CRASHES_OF_TWO_MOMENTS = 5  # as above, but at two moments only
 MAX_SUSPECTS = 5000
-MAX_STARTS_PER_PART = 64
+MAX_STARTS_PER_PART = 32
 STARTS_TO_LOG = 2
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/parts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/parts.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "BEGIN_WINDOW_S",
+    "MAX_PARTS",
     "NoQuarantine",
     "PromptQuarantine",
     "SoundParts",
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
@@ -134,3 +134,4 @@
   Scenario: Tables keep their bounds
     Then a table of 6000 suspected, 30000 sound and 150 quarantined parts keeps 5000, 20000 and 100
     And parts of 70000 characters are kept in at most 64
+    And 300 parts that are blamed together, more than a prompt may hold, quarantine nothing
