Take answers that end with their connection as crashes where the server is gone

An answer without length or chunks that a server cuts just after a whole event looks whole, so its prompt was never suspected unless the server cut another attempt within 0.3 s. A server that is found gone (it accepts no connection, or cuts an attempt) within 2 s of such an answer, without having answered anything since, has ended under it.

The scenario of servers that accept no connection fails with the 0.3 s of before.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -319,6 +319,8 @@
         match outcome:
             case Unsent(reason, timed_out):
                 selected.record_failure(reason, timed_out)
+                if not timed_out:
+                    selected.record_gone()
                 self._has_lost_server = True
                 self._unsent_attempts += 1
                 if self._unsent_attempts < MAX_UNSENT_ATTEMPTS:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -170,6 +170,10 @@
                 reason=reason,
             )
 
+    def record_gone(self) -> None:
+        """Record that the server accepts no connection."""
+        self._quarantine.record_gone(self._start)
+
     def end(self, was_refused: bool = False, was_sent: bool = True) -> None:
         """Record the end of the attempt.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/crashes.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/crashes.feature
@@ -46,6 +46,19 @@
       | streaming  |
       | idempotent |
 
+  Scenario Outline: A server that <behaviour>
+    Given a "streaming" route with 1 attempts and 1 servers
+    And a record of crashes and sound answers
+    And the only server <behaviour>
+    When a prompt is served
+    Then 0 crashes and 0 sound answers are recorded
+    And <gone> servers are recorded as gone
+
+    Examples:
+      | behaviour                   | gone |
+      | accepts no connection       | 1    |
+      | times out at its connection | 0    |
+
   # Guards against BUDGET: repeats, resumed and taken-up streams that aren't held back.
   Scenario Outline: A request whose part is quarantined is refused before anything is asked
     Given a "<kind>" route with 3 attempts and 2 servers
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/crashes_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/crashes_steps.py
@@ -25,6 +25,7 @@
         self.crashes = []
         self.sound = []
         self.unproven = []
+        self.gone = []
         self.on_crash = lambda: None
 
     def left_s(self, prompt):
@@ -47,6 +48,10 @@
     def record_alive(self, start):
         """Do nothing."""
 
+    def record_gone(self, start):
+        """Record a server that accepts no connection."""
+        self.gone.append(start.name)
+
 
 class TimedAnswer(FakeAnswer):
     """An answer whose last event comes later, or that is cut instead."""
@@ -107,6 +112,11 @@
             return Ok(TimedAnswer(metadata, server, events, status=500))
         case "answers whole, without an event":
             return Ok(TimedAnswer(metadata, server, []))
+        case "accepts no connection":
+            return Err(CallFailure(ServerFailure.CONNECT, False, "refused"))
+        case "times out at its connection":
+            failure = ServerFailure.CONNECT
+            return Err(CallFailure(failure, False, "late", timed_out=True))
         case "refuses":
             not_run = replace(metadata, is_signed=False, was_not_run=True)
             return Ok(TimedAnswer(not_run, server, [], status=503))
@@ -174,6 +184,11 @@
     assert all(prompt is PROMPT for prompt in recorded), recorded
 
 
+@then("{count:d} servers are recorded as gone")
+def step_impl(context, count):
+    assert len(set(context.quarantine.gone)) == count, context.quarantine.gone
+
+
 @then("{count:d} unproven answers are recorded")
 def step_impl(context, count):
     assert len(context.quarantine.unproven) == count, context.quarantine.unproven
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/client.py
@@ -64,12 +64,8 @@
         :param start: the start of the server.
         :param prompt: the prompt; None for none.
         """
-        for parts in (shared_parts(prompt), *self._unproven.take_all(start)):
-            suspects = self.table.unsound(parts)
-            if suspects:
-                self.table.record_crash(start, suspects)
-                self.table.decide_soon()
-                self._send_all(CrashReport(start.name, start.born_ms, suspects))
+        self._record_crash(start, shared_parts(prompt))
+        self.record_gone(start)
 
     def record_sound(self, prompt: Prompt | None) -> None:
         """Record that a prompt was answered soundly, and report what this clears.
@@ -96,6 +92,21 @@
         for parts in self._unproven.take_outlived(start):
             self._record_sound(parts)
 
+    def record_gone(self, start: ServerStart) -> None:
+        """Record that a server accepts no connection, or has cut an attempt.
+
+        :param start: the start of the server.
+        """
+        for parts in self._unproven.take_all(start):
+            self._record_crash(start, parts)
+
+    def _record_crash(self, start: ServerStart, parts: tuple[str, ...]) -> None:
+        suspects = self.table.unsound(parts)
+        if suspects:
+            self.table.record_crash(start, suspects)
+            self.table.decide_soon()
+            self._send_all(CrashReport(start.name, start.born_ms, suspects))
+
     def _record_sound(self, parts: tuple[str, ...]) -> None:
         cleared = self.table.record_sound(parts)
         if cleared:
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/parts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/parts.py
@@ -63,6 +63,12 @@
         :param start: the start of the server.
         """
 
+    def record_gone(self, start: ServerStart) -> None:
+        """Record that a server accepts no connection.
+
+        :param start: the start of the server.
+        """
+
 
 class NoQuarantine:
     """Refuses no prompt; implements the ``PromptQuarantine`` port."""
@@ -83,6 +89,9 @@
     def record_alive(self, start: ServerStart) -> None:
         """Do nothing."""
 
+    def record_gone(self, start: ServerStart) -> None:
+        """Do nothing."""
+
 
 class SoundParts:
     """Parts that were answered soundly in the last ``SOUND_MEMORY_S``."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
@@ -130,6 +130,13 @@
     Then after 0.3 s all routers refuse "c bad o4" for 290 to 300 s
     And all routers accept "c t o5"
 
+  Scenario: Servers that accept no connection after such answers ended under them
+    When an answer on "c bad o1" at r1 by server s1 ends with its connection, and s1 is gone 1.5 s later
+    And an answer on "c bad o2" at r2 by server s2 ends with its connection, and s2 is gone 1.5 s later
+    And an answer on "c bad o3" at r1 by server s3 ends with its connection, and s3 is gone 1.5 s later
+    Then after 0.3 s all routers refuse "c bad o4" for 290 to 300 s
+    And all routers accept "c t o5"
+
   # Guards against a table that callers can make grow without end.
   Scenario: Tables keep their bounds
     Then a table of 6000 suspected, 30000 sound and 150 quarantined parts keeps 5000, 20000 and 100
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
@@ -163,6 +163,20 @@
     run(context, answer())
 
 
+@when(
+    'an answer on "{text}" at {router} by server {name} ends with its connection, and '
+    "{same} is gone {seconds:g} s later"
+)
+def step_impl(context, text, router, name, same, seconds):
+    async def answer():
+        start = ServerStart(name, 1)
+        client(context, router).record_unproven(start, prompt(text))
+        await asyncio.sleep(seconds)
+        client(context, router).record_gone(start)
+
+    run(context, answer())
+
+
 @when("{seconds:g} s pass")
 def step_impl(context, seconds):
     run(context, asyncio.sleep(seconds))
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/unproven.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/unproven.py
@@ -9,6 +9,7 @@
 
 # A server that still answers this long after the end of an answer has outlived it.
 OUTLIVED_S = 0.3
+GONE_WITHIN_S = 2.0  # until the next request meets a server that has ended
 MAX_STARTS = 1000
 MAX_ANSWERS_PER_START = 64
 
@@ -53,5 +54,5 @@
         :param start: the start of a server that has ended.
         """
         answers = self._answers_by_start.pop(start, [])
-        cutoff_s = now() - OUTLIVED_S
+        cutoff_s = now() - GONE_WITHIN_S
         return [parts for ended_s, parts in answers if ended_s > cutoff_s]
