--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -146,7 +146,7 @@
                         await self.delivery.send_large(
                             answer.status, answer.headers, body, chunks
                         )
-                        selected.record_success()
+                        selected.record_success(answer)
                         return None
             except AnswerCutError as error:
                 if self.delivery.is_started:
@@ -160,7 +160,7 @@
             finally:
                 answer.close()
                 selected.end()
-            selected.record_success()
+            selected.record_success(answer)
             complete = (answer.status, answer.headers, body)
             is_failure = answer.status >= FIRST_ERROR_STATUS
             if is_failure and self._may_repeat():
@@ -187,7 +187,7 @@
                     )
                 async with self._watch(selected, self._limits.chunk_s) as watch:
                     await self._forward_events(answer, selected, watch)
-                selected.record_success()
+                selected.record_success(answer, selected.began_s is not None)
                 return None
             except AnswerCutError as error:
                 answer.close()
@@ -350,6 +350,8 @@
         match outcome:
             case Unsent(reason, timed_out):
                 selected.record_failure(reason, timed_out)
+                if not timed_out:
+                    selected.record_gone()
                 self._has_lost_server = True
                 self._unsent_attempts += 1
                 if self._unsent_attempts < MAX_UNSENT_ATTEMPTS:
@@ -378,8 +380,8 @@
         self, selected: SelectedServer, error: AnswerCutError
     ) -> bool:
         """Return whether the request may be sent again after a truncated answer."""
-        lost = AnswerLost(str(error), timed_out=error.timed_out)
-        log_attempt(self._request, selected.server, lost)
+        lost = AnswerLost(str(error), timed_out=error.timed_out, is_cut=error.is_cut)
+        log_attempt(self._request, selected.server, lost, selected.began_s)
         return self._record_loss(selected, lost)
 
     def _record_loss(self, selected: SelectedServer, lost: AnswerLost) -> bool:
@@ -388,7 +390,7 @@
         self._has_lost_server = True
         self._tried |= {selected.server.name}
         self.silent_attempts += lost.timed_out
-        selected.record_failure(lost.reason, lost.timed_out)
+        selected.record_failure(lost.reason, lost.timed_out, lost.is_cut)
         return self._may_repeat() or self._hand_over.try_return()
 
     def _may_repeat(self) -> bool:
