--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_watch.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_watch.py
@@ -56,7 +56,7 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        reason = f"silent for {self._limit_s:.3f} s"
+        reason = f"silent for over {self._limit_s:.3f} s"
         is_silent = self._search is not None
         self.end()
         if self._stall is not None:
