--- a/packages/almondfield-control/src/almondfield_control/tests/storage.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/storage.feature
@@ -56,3 +56,10 @@
     And 20 seconds pass
     And h4 submits change "later" at its current revision
     Then change "later" is accepted
+
+  # Guards against acknowledged entries that leave a disk, as an older snapshot of the
+  # member replaces the leader's newer one.
+  Scenario: a compaction that begins while a snapshot is installed doesn't undo it
+    Given a member with 3 entries on a slow disk
+    When it installs a snapshot of 9 entries, and compacts its own 3 meanwhile
+    Then recovery returns the snapshot of 9 entries
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -137,3 +137,40 @@
     When a request is served
     Then the caller gets 504 unknown
     And the first server is avoided
+
+  # Guards against streams that end as their sound server, left while it was silent, isn't
+  # asked again although no other one has taken them over.
+  Scenario Outline: A stream goes back to its silent server although <circumstance>
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the other servers refuse as full
+    And the first server is silent for 1.9 s after event 3
+    When a stream is served and <circumstance>
+    Then the caller gets 200
+
+    Examples:
+      | circumstance                                       |
+      | its announcements stop meanwhile                   |
+      | the scheduler has no room when it is to go back    |
+
+  # Guards against streams of sound silent servers that end at the server that takes over.
+  Scenario Outline: A stream of a silent server outlives the failure of the next server
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the second and third server <failure>
+    And the first server is silent for 1.9 s after event 3
+    When a request is served
+    Then the caller gets 200
+
+    Examples:
+      | failure           |
+      | fails with 500    |
+      | loses its answer  |
+      | never answers     |
+
+  # Guards against a retry budget that is used up by repeats that were never sent.
+  Scenario: The repeat that a hand-over keeps is given back on a clock that goes on
+    Given a "resumable" route with 2 attempts and 3 servers
+    And each look at the clock takes 1 us
+    And the first server is silent for 3 s after event 3
+    When a request is served
+    Then the caller gets 200
+    And 34 of 35 repeats are left
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -1,13 +1,17 @@
 """Steps of silence.feature."""
 
 import asyncio
+import itertools
 from contextlib import suppress
 from dataclasses import replace
+from unittest import mock
 
 import eliot
 from behave import given, then, when
 
+from almondfield_core import clock
 from almondfield_core.routing import Prompt, PromptPart
+from almondfield_daemon.forwarding import budget, hand_over
 from almondfield_daemon.forwarding.tests.fakes import make_assignment
 from almondfield_daemon.forwarding.tests.requests import serve
 from almondfield_daemon.scheduling.messages import EngineRefusal
@@ -131,3 +135,41 @@
 def step_impl(context, count):
     line = line_of(context, "request:ended")
     assert line["silent_attempts"] == count, line
+
+
+@given("the second and third server {failure}")
+def step_impl(context, failure):
+    for server in context.servers[1:]:
+        server.failure = failure
+
+
+@given("each look at the clock takes 1 us")
+def step_impl(context):
+    looks = itertools.count()
+
+    def moving_now():
+        return clock.now() + 1e-6 * next(looks)
+
+    for module in (budget, hand_over):
+        patch = mock.patch.object(module, "now", moving_now)
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+
+@when("a stream is served and its announcements stop meanwhile")
+def step_impl(context):
+    def stop_announcements():
+        context.view.unresponsive = frozenset(("s0",))
+
+    async def serve_meanwhile():
+        asyncio.get_running_loop().call_later(1.0, stop_announcements)
+        return await serve(context)
+
+    context.served = run(context, serve_meanwhile())
+
+
+@when("a stream is served and the scheduler has no room when it is to go back")
+def step_impl(context):
+    first, second = make_assignment("s0"), make_assignment("s1")
+    context.engines.decisions = [(first, 0.0), (second, 0.0), (REFUSAL, 0.0)]
+    context.execute_steps("When a request with a prompt is served")
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
@@ -62,6 +62,7 @@
       | a malformed head     |
       | an oversized head    |
       | a part of a head     |
+      | a malformed body     |
 
   # Guards against a refusal that is never sent as the body comes too slowly.
   Scenario: A refused request whose body comes too slowly gets its refusal
@@ -73,3 +74,16 @@
   Scenario: A refused request gets its refusal when the listener stops amid its body
     When the listener stops while a refused request's body is on its way
     Then it gets the whole answer 503 after it has written everything
+
+  # Guards against answers that are cut while their callers read them, as the wait for
+  # the rest of another request ends first.
+  Scenario Outline: A large answer reaches a caller that reads it slowly
+    Given the wait for a caller ends after <limit>
+    When a caller sends a request with a large answer and <bytes>, and reads after 0.4 s
+    Then it gets the whole answer 200 after it has written everything
+
+    Examples:
+      | limit            | bytes            |
+      | 1000000 bytes    | a malformed head |
+      | 0.1 s of silence | a malformed head |
+      | 0.2 s in all     | a malformed head |
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
@@ -60,6 +60,9 @@
     elif scope["path"] == "/later":
         await asyncio.sleep(ANSWER_AFTER_S)
         answer = PlainTextResponse("hello")
+    elif scope["path"] == "/large":
+        await asyncio.sleep(PAUSE_S)
+        answer = PlainTextResponse("x" * LARGE_BYTES)
     else:
         answer = PlainTextResponse("not found", 404)
     await answer(scope, receive, send)
@@ -198,6 +201,8 @@
     "a malformed head": b"malformed\r\n\r\n",
     "an oversized head": b"GET / HTTP/1.1\r\nx: " + b"y" * 1_000_000,
     "a part of a head": b"GET / HTTP/1.1\r\nx: ",
+    "a malformed body": b"POST / HTTP/1.1\r\nhost: a\r\n"
+    b"transfer-encoding: chunked\r\n\r\nmalformed\r\n",
 }
 
 
@@ -233,3 +238,13 @@
         return caller.result()
 
     context.answer = context.loop.run_until_complete(stop())
+
+
+@when(
+    "a caller sends a request with a large answer and {following}, "
+    "and reads after 0.4 s"
+)
+def step_impl(context, following):
+    parts = [b"GET /large HTTP/1.1\r\nhost: a\r\n\r\n" + FOLLOWING_BYTES[following]]
+    caller = write_then_read(context.address, parts, ANSWER_AFTER_S)
+    context.answer = context.loop.run_until_complete(caller)
