--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -150,6 +150,7 @@
     Examples:
       | circumstance                                       |
       | its announcements stop meanwhile                   |
+      | it says meanwhile that it leaves                   |
       | the scheduler has no room when it is to go back    |
 
   # Guards against streams of sound silent servers that end at the server that takes over.
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -173,3 +173,17 @@
     first, second = make_assignment("s0"), make_assignment("s1")
     context.engines.decisions = [(first, 0.0), (second, 0.0), (REFUSAL, 0.0)]
     context.execute_steps("When a request with a prompt is served")
+
+
+@when("a stream is served and it says meanwhile that it leaves")
+def step_impl(context):
+    def leave():
+        # A view lists no server that is draining.
+        servers = context.view.fleet_servers
+        context.view.fleet_servers = tuple(s for s in servers if s.name != "s0")
+
+    async def serve_meanwhile():
+        asyncio.get_running_loop().call_later(1.0, leave)
+        return await serve(context)
+
+    context.served = run(context, serve_meanwhile())
