--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
@@ -66,6 +66,9 @@
         answer = PlainTextResponse("hello")
     elif scope["path"] == "/large":
         answer = PlainTextResponse("x" * LARGE_ANSWER_BYTES)
+    elif scope["path"] == "/large-later":
+        await asyncio.sleep(PAUSE_S)
+        answer = PlainTextResponse("x" * LARGE_BYTES)
     else:
         answer = PlainTextResponse("not found", 404)
     await answer(scope, receive, send)
@@ -220,6 +223,8 @@
     "a malformed head": b"malformed\r\n\r\n",
     "an oversized head": b"GET / HTTP/1.1\r\nx: " + b"y" * 1_000_000,
     "a part of a head": b"GET / HTTP/1.1\r\nx: ",
+    "a malformed body": b"POST / HTTP/1.1\r\nhost: a\r\n"
+    b"transfer-encoding: chunked\r\n\r\nmalformed\r\n",
 }
 
 
@@ -287,3 +292,15 @@
         line for line in context.lines if line["message_type"] == "connection:lingered"
     ]
     assert [line["ended_by"] for line in lines] == [end], lines
+
+
+@when(
+    "a caller sends a request with a large answer and {following}, "
+    "and reads after 0.4 s"
+)
+def step_impl(context, following):
+    parts = [
+        b"GET /large-later HTTP/1.1\r\nhost: a\r\n\r\n" + FOLLOWING_BYTES[following]
+    ]
+    caller = write_then_read(context.address, parts, ANSWER_AFTER_S)
+    context.answer = context.loop.run_until_complete(caller)
