Go back to a silent server without asking for admission again

Callers saw streams cut although their server was sound: it was silent for a while, the server that was selected in its place refused as full, and the first one wasn't asked again where control hosts had reported it as unresponsive meanwhile, or the scheduler had no room.

Cause: the way back was a choice like that of any server, so that all filters for new requests held for it. A request that has just been admitted at a server needs no second admission there. Now the way back takes the server by its name, without the scheduler, and for RESTART_S after it was left without regard to announcements. What the server says of itself still holds: one that leaves or has refused with a time gets no request, and a quarantined prompt is still refused.

The repeat that a hand-over keeps for the way back was given back by its time, read from the clock a second time, which equals none in the window on a clock that goes on. The retry window now gives out the repeats that it counts, and one is given back by itself.

No existing scenario is changed.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/budget.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/budget.py
@@ -2,14 +2,25 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from almondfield_core.clock import now
 
-__all__ = ["RetryWindow"]
+__all__ = ["Repeat", "RetryWindow"]
 
 SAFETY_FACTOR = 0.7  # the rest covers routers that are starting or not yet counted
 
 
+@dataclass(frozen=True, eq=False)
+class Repeat:
+    """A repeat that was counted; equal only to itself.
+
+    :ivar spent_s: when it was counted, in seconds of the loop's clock.
+    """
+
+    spent_s: float
+
+
 class RetryWindow:
     """One router's part of a pool's retry budget, over a sliding window.
 
@@ -31,30 +42,36 @@
         self._slack = slack
         self._routers = routers
         self._request_times_s: deque[float] = deque()
-        self._repeat_times_s: deque[float] = deque()
+        self._repeats: deque[Repeat] = deque()
 
     def record_request(self) -> None:
         """Count a caller's request."""
         self._drop_expired()
         self._request_times_s.append(now())
 
-    def try_spend(self, count: int = 1) -> bool:
-        """Return whether some more repeats are allowed, and count them.
+    def try_spend(self) -> bool:
+        """Return whether another repeat is allowed, and count it."""
+        return bool(self.reserve(1))
+
+    def reserve(self, count: int) -> tuple[Repeat, ...]:
+        """Return some more repeats, which are counted; none unless all are allowed.
 
         :param count: number of repeats.
         """
         if not self.allows_repeats(count):
-            return False
-        self._repeat_times_s.extend([now()] * count)
-        return True
+            return ()
+        spent_s = now()
+        repeats = tuple(Repeat(spent_s) for _ in range(count))
+        self._repeats.extend(repeats)
+        return repeats
 
-    def refund(self, spent_s: float) -> None:
+    def refund(self, repeat: Repeat) -> None:
         """Take back a repeat that was counted and not sent.
 
-        :param spent_s: when it was counted, in seconds of the loop's clock.
+        :param repeat: the repeat; it may have left the window.
         """
-        if spent_s in self._repeat_times_s:
-            self._repeat_times_s.remove(spent_s)
+        if repeat in self._repeats:
+            self._repeats.remove(repeat)
 
     def allows_repeats(self, count: int = 1) -> bool:
         """Return whether some more repeats are allowed.
@@ -64,10 +81,11 @@
         self._drop_expired()
         allowed = self._share * len(self._request_times_s)
         allowed += self._slack / max(1, self._routers())
-        return len(self._repeat_times_s) + count <= SAFETY_FACTOR * allowed
+        return len(self._repeats) + count <= SAFETY_FACTOR * allowed
 
     def _drop_expired(self) -> None:
         oldest_s = now() - self._window_s
-        for times_s in (self._request_times_s, self._repeat_times_s):
-            while times_s and times_s[0] < oldest_s:
-                times_s.popleft()
+        while self._request_times_s and self._request_times_s[0] < oldest_s:
+            self._request_times_s.popleft()
+        while self._repeats and self._repeats[0].spent_s < oldest_s:
+            self._repeats.popleft()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -17,8 +17,9 @@
     make_report,
 )
 from almondfield_daemon.forwarding.run import RequestRun, StreamBrokenError
-from almondfield_daemon.forwarding.servers import ServerSelector, Unavailable
+from almondfield_daemon.forwarding.servers import ServerSelector
 from almondfield_daemon.forwarding.take_up import locate_stream
+from almondfield_daemon.forwarding.unavailable import Unavailable
 from almondfield_daemon.router.problems import Outcome, Problem
 
 __all__ = ["Forwarder"]
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
@@ -5,15 +5,17 @@
 import eliot
 
 from almondfield_core.clock import now
-from almondfield_daemon.forwarding.budget import RetryWindow
+from almondfield_daemon.forwarding.budget import Repeat, RetryWindow
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.selected_server import SelectedServer
-from almondfield_daemon.forwarding.servers import ServerSelector, Unavailable
+from almondfield_daemon.forwarding.servers import ServerSelector
 from almondfield_daemon.forwarding.silence_watch import SilenceWatch
+from almondfield_daemon.forwarding.unavailable import Unavailable
 
 __all__ = ["MIN_REMAINING_S", "HandOver"]
 
 MIN_REMAINING_S = 0.02  # less is too short for a backend server to answer
+RESTART_S = 0.5  # a server takes longer to end and start again
 # One to the server that takes over, one back if it refuses.
 REPEATS_PER_HAND_OVER = 2
 
@@ -38,9 +40,10 @@
         self._servers = servers
         self._window = window
         self._next: SelectedServer | None = None
-        # The server to go back to, and when the repeat for that was counted.
+        # The server to go back to, since when, and the repeat that is kept for that.
         self._left_server = ""
-        self._reserved_s = 0.0
+        self._left_s = 0.0
+        self._reserved: Repeat | None = None
         self._is_returning = False
 
     @property
@@ -81,6 +84,7 @@
         def on_found(found: SelectedServer) -> None:
             self._next = found
             self._left_server = selected.server.name
+            self._left_s = now()
 
         return SilenceWatch(
             limit_s + selected.delay_allowance_s,
@@ -104,7 +108,10 @@
         if self._is_returning:
             self._is_returning = False
             left, self._left_server = self._left_server, ""
-            return await self._servers.choose_again(self._request, left, version)
+            is_just_left = now() - self._left_s < RESTART_S
+            return self._servers.choose_again(
+                self._request, left, version, is_just_left
+            )
         return await self._servers.choose(
             self._request, tried, has_lost_server, version
         )
@@ -124,7 +131,9 @@
         """Record that a server answers the request, so that it doesn't go back."""
         if self._left_server and not self.is_secured:
             self._left_server = ""
-            self._window.refund(self._reserved_s)
+            if self._reserved is not None:
+                self._window.refund(self._reserved)
+                self._reserved = None
 
     def close(self) -> None:
         """Give back what is kept for a request that has ended."""
@@ -146,10 +155,11 @@
         if remaining_s < max(MIN_REMAINING_S, found.time_to_first_token_s):
             found.end(was_sent=False)
             return "too little time is left for another server"
-        if not self._window.try_spend(REPEATS_PER_HAND_OVER):
+        repeats = self._window.reserve(REPEATS_PER_HAND_OVER)
+        if not repeats:
             found.end(was_sent=False)
             return "the retry budget is used up"
-        self._reserved_s = now()
+        self._reserved = repeats[-1]
         return found
 
     def _log_wait(self, selected: SelectedServer, reason: str) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/own_answers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/own_answers.py
@@ -1,6 +1,6 @@
 """Error answers of the router itself to requests that it couldn't serve."""
 
-from almondfield_daemon.forwarding.servers import RETRY_AFTER_S
+from almondfield_daemon.forwarding.unavailable import RETRY_AFTER_S
 from almondfield_daemon.router.problems import Outcome, Problem
 
 __all__ = ["no_answer", "refusal"]
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -26,17 +26,14 @@
 from almondfield_daemon.forwarding.own_answers import no_answer, refusal
 from almondfield_daemon.forwarding.ports import ResponseSink, StreamOrigins
 from almondfield_daemon.forwarding.selected_server import SelectedServer
-from almondfield_daemon.forwarding.servers import (
-    RETRY_AFTER_S,
-    ServerSelector,
-    Unavailable,
-)
+from almondfield_daemon.forwarding.servers import ServerSelector
 from almondfield_daemon.forwarding.silence_limits import (
     SilenceLimits,
     silence_limits,
 )
 from almondfield_daemon.forwarding.silence_watch import SilenceWatch
 from almondfield_daemon.forwarding.take_up import make_origins
+from almondfield_daemon.forwarding.unavailable import RETRY_AFTER_S, Unavailable
 from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer, Header
 from almondfield_daemon.router.events import EventTracker
 from almondfield_daemon.router.problems import Problem
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -2,13 +2,17 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from almondfield_core.routing import Prompt
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.forwarding.counts import RefusalCause, RequestCounts
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.selected_server import SelectedServer, server_start
+from almondfield_daemon.forwarding.unavailable import (
+    RETRY_AFTER_S,
+    Unavailable,
+    describe_refusal,
+)
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.quarantine import NoQuarantine, PromptQuarantine
 from almondfield_daemon.scheduling import EngineAssignment, EngineClient
@@ -17,26 +21,11 @@
 from almondfield_fairshare.engines import PromptRequest
 from almondfield_fairshare.prefix_placement import Candidate, InFlightRequest, Placement
 
-__all__ = ["RETRY_AFTER_S", "ServerSelector", "Unavailable"]
+__all__ = ["ServerSelector"]
 
 # Concurrent prefills per server, over all routers; more would start too late.
 LOCAL_PREFILLS_PER_SERVER = 2
 MIN_RETRY_AFTER_S = 0.05  # about the duration of the request that a server tries first
-RETRY_AFTER_S = 0.3  # about as long as a failed server is avoided
-
-
-@dataclass(frozen=True)
-class Unavailable:
-    """The reason why no server accepts a request now.
-
-    :ivar detail: description of the reason.
-    :ivar cause: the kind of reason, for the counts.
-    :ivar retry_after_s: seconds after which a retry may succeed.
-    """
-
-    detail: str
-    cause: RefusalCause
-    retry_after_s: float = RETRY_AFTER_S
 
 
 class ServerSelector:
@@ -97,7 +86,7 @@
         if held is None:
             return None
         self._counts.record_refusal(team, RefusalCause.HELD_SHARE)
-        return _unavailable(held, RefusalCause.HELD_SHARE)
+        return describe_refusal(held, RefusalCause.HELD_SHARE)
 
     async def choose(
         self,
@@ -134,22 +123,35 @@
         excluded |= self._avoided_servers(servers, may_be_all=True)
         return await self._choose(request, excluded, True, version)
 
-    async def choose_again(
-        self, request: ForwardRequest, name: str, version: str | None
+    def choose_again(
+        self,
+        request: ForwardRequest,
+        name: str,
+        version: str | None,
+        is_just_left: bool,
     ) -> SelectedServer | Unavailable:
         """Return a server that has had the request, or why it gets no more.
 
+        The request was admitted there, so the scheduler isn't asked again. A server
+        that leaves or takes no work gets no request, though.
+
         :param request: the request.
         :param name: name of the server.
         :param version: software version that the server must have; None for any.
+        :param is_just_left: whether its connection was open a moment ago, so that it
+            hasn't restarted even if it isn't announced.
         """
-        names = frozenset(server.name for server in self._view.servers(request.pool))
-        selected = await self._choose(
-            request, names - {name}, True, version, may_be_avoided=True
-        )
-        if isinstance(selected, Unavailable):
-            self._counts.record_refusal(request.team, selected.cause)
-        return selected
+        known = self._running if is_just_left else self._reachable
+        refused = self._quarantined(request.metadata.prompt)
+        if refused is None:
+            for server in known(request.pool, version):
+                is_open = self._notices.accepts(server_start(server))
+                if server.name == name and is_open:
+                    return self._select_locally(request, server)
+            detail = f"the silent server {name!r} takes no work any more"
+            refused = Unavailable(detail, RefusalCause.NO_SERVER)
+        self._counts.record_refusal(request.team, refused.cause)
+        return refused
 
     async def _choose(
         self,
@@ -157,7 +159,6 @@
         tried: frozenset[str],
         has_lost_server: bool,
         version: str | None,
-        may_be_avoided: bool = False,
     ) -> SelectedServer | Unavailable:
         quarantined = self._quarantined(request.metadata.prompt)
         if quarantined is not None:
@@ -176,10 +177,8 @@
         if not request.is_checked and not is_repeat:
             held = self._engines.held_refusal(request.pool, request.team, prompt)
             if held is not None:
-                return _unavailable(held, RefusalCause.HELD_SHARE)
-        excluded = tried
-        if not may_be_avoided:
-            excluded |= self._avoided_servers(servers)
+                return describe_refusal(held, RefusalCause.HELD_SHARE)
+        excluded = tried | self._avoided_servers(servers)
         excluded |= self._view.unusable_servers(request.pool)
         names = frozenset(server.name for server in servers)
         excluded |= frozenset(
@@ -205,7 +204,7 @@
         servers = self._usable(request.pool, version)
         match assignment:
             case EngineRefusal() as refusal:
-                return _unavailable(refusal)
+                return describe_refusal(refusal)
             case EngineAssignment():
                 server = next((s for s in servers if s.name == assignment.server), None)
                 if server is not None:
@@ -240,7 +239,14 @@
             detail = "no backend server of the pool takes work now"
             return Unavailable(detail, RefusalCause.NO_SERVER)
         server = next(item for item in servers if item.name == chosen.name)
-        in_flight = self._placement.start(chosen, prompt)
+        return self._select_locally(request, server)
+
+    def _select_locally(
+        self, request: ForwardRequest, server: FleetServer
+    ) -> SelectedServer:
+        prompt = request.metadata.prompt if request.route.has_prompt else None
+        candidate = self._candidate(server, frozenset())
+        in_flight = self._placement.start(candidate, prompt)
         assignment = None
         if prompt is not None:
             self._engines.record_server(prompt, server.name)
@@ -365,18 +371,19 @@
 
         A server without recent announcements may have restarted with another version.
         """
-        servers = tuple(
-            server
-            for server in self._view.servers(pool)
-            if server_start(server) not in self._misdirected
-        )
+        servers = self._running(pool, version)
         if version is None:
             return servers
         unresponsive = self._view.unresponsive_servers()
+        return tuple(server for server in servers if server.name not in unresponsive)
+
+    def _running(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
+        """Return the servers of a pool that run as far as is known, silent or not."""
         return tuple(
             server
-            for server in servers
-            if server.version == version and server.name not in unresponsive
+            for server in self._view.servers(pool)
+            if server_start(server) not in self._misdirected
+            and version in (None, server.version)
         )
 
     def _candidate(
@@ -388,12 +395,3 @@
             is_local=server.data_centre == self._data_centre,
             is_unresponsive=server.name in unresponsive,
         )
-
-
-def _unavailable(
-    refusal: EngineRefusal, over_share: RefusalCause = RefusalCause.SHARE
-) -> Unavailable:
-    reason = "the team has had its share" if refusal.is_over_share else "no room"
-    cause = over_share if refusal.is_over_share else RefusalCause.NO_ROOM
-    detail = f"{reason}; the shortest wait is {refusal.wait_s:.3f} s"
-    return Unavailable(detail, cause, refusal.retry_after_s)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/take_up.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/take_up.py
@@ -8,7 +8,7 @@
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.ports import StreamOrigins
-from almondfield_daemon.forwarding.servers import RETRY_AFTER_S
+from almondfield_daemon.forwarding.unavailable import RETRY_AFTER_S
 from almondfield_daemon.router.problems import Problem
 from almondfield_daemon.streams import StreamOrigin
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -147,6 +147,9 @@
                 return Ok(FakeAnswer(421, metadata, [], False, self))
             case "loses its answer":
                 return Err(CallFailure(ServerFailure.FIRST_BYTE, True, "reset"))
+            case "loses its answer after 1.0 s":
+                await asyncio.sleep(1.0)
+                return Err(CallFailure(ServerFailure.FIRST_BYTE, True, "reset"))
             case "answers without signature":
                 unsigned = AnswerMetadata(request_id)
                 return Ok(FakeAnswer(200, unsigned, events, False, self))
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -170,6 +170,20 @@
       | it says meanwhile that it leaves                   |
       | the scheduler has no room when it is to go back    |
 
+  # Guards against streams that go on at another version: a server that was left long ago
+  # may have restarted if it isn't announced.
+  Scenario Outline: A stream goes back to a server without announcements only at once
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the second and third server <failure>
+    And the first server is silent for 1.9 s after event 3
+    When a stream is served and its announcements stop meanwhile
+    Then the first server received it <count> times
+
+    Examples:
+      | failure                       | count |
+      | loses its answer              | 2     |
+      | loses its answer after 1.0 s  | 1     |
+
   # Guards against streams of sound silent servers that end at the server that takes over.
   Scenario Outline: A stream of a silent server outlives the failure of the next server
     Given a "resumable" route with 2 attempts and 3 servers
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -168,6 +168,11 @@
     context.served = run(context, serve_meanwhile())
 
 
+@then("the first server received it {count:d} times")
+def step_impl(context, count):
+    assert len(context.servers[0].received) == count, context.servers[0].received
+
+
 @when("a stream is served and the scheduler has no room when it is to go back")
 def step_impl(context):
     first, second = make_assignment("s0"), make_assignment("s1")
