--- a/packages/almondfield-control/src/almondfield_control/consensus/snapshots.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/snapshots.py
@@ -1,5 +1,6 @@
 """Snapshots: log compaction, and transfer to members that are far behind."""
 
+import asyncio
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -46,6 +47,7 @@
     :param replica: the member whose log is compacted.
 
     :ivar latest: the newest snapshot; index 0 for none.
+    :ivar lock: held from the decision to write a snapshot until the log follows it.
     """
 
     def __init__(self, replica: "Replica") -> None:
@@ -53,6 +55,7 @@
         self._applied_bytes = 0
         self._is_compacting = False
         self.latest = Snapshot()
+        self.lock = asyncio.Lock()
 
     def record_applied(self, body: bytes) -> None:
         """Count an applied entry; compact in the background once the limit is reached.
@@ -70,26 +73,29 @@
         self._applied_bytes = 0
         index = replica.commit_index
         term = replica.log.term_at(index)
-        snapshot = Snapshot(index, term, await encode_image(replica.state.image()))
-        if replica.log.base_index > index:
-            # A snapshot from the leader has replaced this state in the meantime.
-            self._is_compacting = False
-            return
-        entries = replica.log.entries_after(index)
-        last_index = replica.log.last_index
         try:
-            await replica.journal.compact(
-                replica.hard_state, index, term, snapshot.data, entries
-            )
+            data = await encode_image(replica.state.image())
+            async with self.lock:
+                await self._replace_by(Snapshot(index, term, data))
         except StorageError:
             return
         finally:
             self._is_compacting = False
+
+    async def _replace_by(self, snapshot: Snapshot) -> None:
+        if self.latest.index >= snapshot.index:
+            # A snapshot from the leader has replaced this state in the meantime.
+            return
+        replica = self._replica
+        entries = replica.log.entries_after(snapshot.index)
+        last_index = replica.log.last_index
+        await replica.journal.compact(
+            replica.hard_state, snapshot.index, snapshot.term, snapshot.data, entries
+        )
         if entries:
             replica.mark_durable(last_index, entries[-1].term)
-        if snapshot.index > self.latest.index:
-            self.latest = snapshot
-        base = max(replica.log.base_index, index - TRAILING_ENTRIES)
+        self.latest = snapshot
+        base = max(replica.log.base_index, snapshot.index - TRAILING_ENTRIES)
         replica.log.compact_to(base)
 
 
@@ -145,23 +151,31 @@
         return SnapshotReply(term, chunk.total if installed else 0, installed)
 
     async def _install(self, snapshot: Snapshot) -> bool:
-        replica = self._replica
         self.installing = True
         try:
             state = ControlState.restore(await decode_image(snapshot.data))
-            if snapshot.index <= replica.commit_index:
-                return True
-            suffix = ()
-            if replica.log.term_at(snapshot.index) == snapshot.term:
-                suffix = replica.log.entries_after(snapshot.index)
-            await replica.journal.compact(
-                replica.hard_state, snapshot.index, snapshot.term, snapshot.data, suffix
-            )
+            async with self._replica.snapshots.lock:
+                await self._replace_by(snapshot, state)
         except StorageError:
             return False
         finally:
             self.installing = False
+        return True
+
+    async def _replace_by(self, snapshot: Snapshot, state: ControlState) -> None:
+        replica = self._replica
+        if snapshot.index <= replica.commit_index:
+            return
+        suffix = ()
+        if replica.log.term_at(snapshot.index) == snapshot.term:
+            suffix = replica.log.entries_after(snapshot.index)
+        await replica.journal.compact(
+            replica.hard_state, snapshot.index, snapshot.term, snapshot.data, suffix
+        )
+        if snapshot.index <= replica.commit_index:
+            # Entries of the own log were committed meanwhile; the state is newer.
+            replica.snapshots.latest = snapshot
+            return
         log = ReplicatedLog(snapshot.index, snapshot.term, state.members)
         log.append(suffix)
         replica.install(snapshot, state, log)
-        return True
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/snapshot_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/snapshot_steps.py
@@ -55,6 +55,19 @@
 
 @given("a member with {count:d} entries on a slow disk")
 def step_impl(context, count):
+    make_member(context, count, count)
+
+
+@given(
+    "a member with {count:d} entries on a slow disk, {committed:d} of them committed"
+)
+def step_impl(context, count, committed):
+    make_member(context, count, committed)
+
+
+def make_member(context, count, committed):
+    """Make a member with some entries, of which the first are committed."""
+
     async def make():
         context.disk = FakeDisk(random.Random(1))
         journal = Journal(context.disk)
@@ -67,8 +80,8 @@
             journal=journal,
             log=log,
             hard_state=hard_state,
-            commit_index=count,
-            state=state_after(count),
+            commit_index=committed,
+            state=state_after(committed),
             tasks=[],
         )
         context.member.snapshots = SnapshotStore(context.member)
@@ -78,23 +91,43 @@
 
 @when("it installs a snapshot of 9 entries, and compacts its own 3 meanwhile")
 def step_impl(context):
-    async def install():
-        member = context.member
-        data = await encode_image(state_after(INSTALLED_INDEX).image())
-        snapshot = Snapshot(INSTALLED_INDEX, TERM, data)
-        chunk = SnapshotChunk(
-            "c", "a", TERM, INSTALLED_INDEX, TERM, len(data), snapshot.checksum, 0, data
-        )
-        receiver = SnapshotReceiver(member)
-        installing = asyncio.create_task(receiver.receive(chunk))
-        await asyncio.sleep(SLOW_SYNC_S / 2)
+    def compact(member):
         # An append that was received before commits an entry now.
         member.snapshots.record_applied(bytes(MIN_COMPACT_BYTES))
-        reply = await installing
-        assert reply.installed, reply
-        await asyncio.gather(*member.tasks, return_exceptions=True)
 
-    run(context, install())
+    run(context, install_while(context.member, compact))
+
+
+@when("it installs a snapshot of 9 entries, and commits its 12 meanwhile")
+def step_impl(context):
+    def commit(member):
+        # A heartbeat, which carries no entries, tells that they are committed.
+        member.commit_index = 12
+        member.state = state_after(12)
+
+    run(context, install_while(context.member, commit))
+
+
+async def install_while(member, act):
+    """Install a snapshot, and let the member act while it is written."""
+    data = await encode_image(state_after(INSTALLED_INDEX).image())
+    snapshot = Snapshot(INSTALLED_INDEX, TERM, data)
+    chunk = SnapshotChunk(
+        "c", "a", TERM, INSTALLED_INDEX, TERM, len(data), snapshot.checksum, 0, data
+    )
+    receiver = SnapshotReceiver(member)
+    installing = asyncio.create_task(receiver.receive(chunk))
+    await asyncio.sleep(SLOW_SYNC_S / 2)
+    act(member)
+    reply = await installing
+    assert reply.installed, reply
+    await asyncio.gather(*member.tasks, return_exceptions=True)
+
+
+@then("it still has its {count:d} entries committed")
+def step_impl(context, count):
+    assert context.member.commit_index == count, context.member.commit_index
+    assert context.member.log.last_index == count, context.member.log.last_index
 
 
 @then("recovery returns the snapshot of 9 entries")
--- a/packages/almondfield-control/src/almondfield_control/tests/storage.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/storage.feature
@@ -63,3 +63,11 @@
     Given a member with 3 entries on a slow disk
     When it installs a snapshot of 9 entries, and compacts its own 3 meanwhile
     Then recovery returns the snapshot of 9 entries
+
+  # Guards against a state that goes back behind entries that were applied, as the check
+  # for a newer state comes only before the wait for the disk.
+  Scenario: entries committed while a snapshot is installed stay applied
+    Given a member with 12 entries on a slow disk, 3 of them committed
+    When it installs a snapshot of 9 entries, and commits its 12 meanwhile
+    Then it still has its 12 entries committed
+    And recovery returns the snapshot of 9 entries
