Begin the limits on a caller that still writes once its answer is sent

A caller that wrote on while its answer waited for it was cut: with a limit of 0.2 s, an answer of 20 MB to a caller that wrote for 0.6 s and then read ended with a reset. A caller that read nothing kept its answer in memory, and its connection, for any time.

Cause: the limits on the time ran from the end of the output, while the answer was still in the write buffer. At the limit the transport was closed, which sends the buffer but reads no more: what the caller wrote later lay unread in the socket, and the close that followed the buffer reset the connection with the rest of the answer in the kernel. Nothing bounded the time in which the buffer is sent.

Now input is discarded until the write buffer is empty, and LINGER_IDLE_S and LINGER_S begin then. Before, the answer must make progress within UNREAD_S (30 s), or it is discarded; connection:lingered has this end as "unread". The bound holds too once the limit on the bytes has closed the transport. What is left: the limits don't see what is still in the kernel's buffer.

Evidence: the 4 new scenarios failed on the old code (with a constant UNREAD_S that it didn't use): the answer wasn't whole and ended in a reset, and 3 connections were open after 30 s.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/lingering.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/lingering.py
@@ -11,6 +11,8 @@
 
 LINGER_IDLE_S = 2.0  # a packet lost on the way is sent again within this time
 LINGER_S = 10.0  # far less than callers may take for a head or a body
+UNREAD_S = 30.0  # callers may pause while they handle a part of an answer
+OUTPUT_CHECK_S = 0.1
 STOP_LINGER_S = 0.1  # a stopping process has a small part of its grace period left
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 
@@ -21,7 +23,8 @@
     A close with unread bytes, or before further bytes arrive, resets the connection:
     the caller's write fails, and its answer may be discarded. Here the close ends the
     output after the answer, and discards what arrives until the caller closes too,
-    within limits on the time and on the bytes.
+    within limits on the time and on the bytes. The limits on the time begin once the
+    answer has left the write buffer; before, a caller must read on.
 
     :param transport: transport of the connection.
     :param is_unread: returns whether bytes of a request may still arrive.
@@ -44,6 +47,9 @@
         self._until_s = 0.0
         self._began_s = 0.0
         self._received_s = 0.0
+        self._is_output_sent = False
+        self._buffered_bytes = 0
+        self._sent_s = 0.0
         self._ended_by = "caller"
         self._discarded_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -76,8 +82,8 @@
             self._transport.close()
             return
         self.is_lingering = True
-        self._began_s = self._received_s = now()
-        self._until_s = now() + self._max_linger_s
+        self._began_s = self._sent_s = now()
+        self._buffered_bytes = self._transport.get_write_buffer_size()
         self._transport.resume_reading()
         self._on_linger()
         self._check_time()
@@ -90,6 +96,7 @@
         self._received_s = now()
         self._discarded_bytes += len(data)
         if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            # What is still buffered is sent; the timer runs on until it is.
             self._end("bytes")
 
     def shorten_linger(self) -> None:
@@ -124,11 +131,34 @@
 
     def _check_time(self) -> None:
         self._stop_timer()
+        buffered_bytes = self._transport.get_write_buffer_size()
+        if buffered_bytes:
+            self._check_output(buffered_bytes)
+            return
+        if not self._is_output_sent:
+            self._is_output_sent = True
+            self._received_s = now()
+            self._until_s = now() + self._max_linger_s
         end_s = min(self._until_s, self._received_s + LINGER_IDLE_S)
         if now() < end_s:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(end_s, self._check_time)
+            self._start_timer(end_s)
         elif end_s < self._until_s:
             self._end("silence")
         else:
             self._end("stop" if self._max_linger_s == STOP_LINGER_S else "time")
+
+    def _check_output(self, buffered_bytes: int) -> None:
+        """Wait on while the caller reads; discard the rest if it has stopped to."""
+        if buffered_bytes < self._buffered_bytes:
+            self._buffered_bytes = buffered_bytes
+            self._sent_s = now()
+        end_s = self._sent_s + UNREAD_S
+        if now() < end_s:
+            self._start_timer(min(end_s, now() + OUTPUT_CHECK_S))
+        else:
+            self._ended_by = "unread"
+            self._transport.abort()
+
+    def _start_timer(self, at_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(at_s, self._check_time)
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
@@ -109,3 +109,23 @@
       | 1000000 bytes    | a malformed head |
       | 0.1 s of silence | a malformed head |
       | 0.2 s in all     | a malformed head |
+
+  # Guards against an answer that is cut by the reset of a close, as its caller still
+  # writes when the wait ends, and has read only a part of it.
+  Scenario: A large answer is whole though its caller writes on for longer than the limit
+    Given the wait for a caller ends after 0.2 s in all
+    When a caller writes a long body for 0.6 s before it reads its large answer
+    Then it gets the whole answer 200 after it has written everything
+
+  # Guards against answers that stay in memory for callers that never read them.
+  Scenario Outline: A caller that reads nothing of its answer doesn't keep it
+    Given the wait for a caller ends after <limit>
+    When a caller reads nothing of its large answer and <behaviour>
+    Then its connection is closed by the listener
+    And the log says that the wait was ended by "unread"
+
+    Examples:
+      | limit            | behaviour                     |
+      | 0.2 s unread     | falls silent                  |
+      | 0.2 s unread     | writes on slowly without end  |
+      | 0.2 s unread     | writes on quickly without end |
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
@@ -117,6 +117,7 @@
     limits = {
         "LINGER_IDLE_S": LONG_S,
         "LINGER_S": LONG_S,
+        "UNREAD_S": LONG_S,
         "MAX_DISCARDED_BYTES": 10**15,
     }
     amount, _, unit = limit.partition(" ")
@@ -126,6 +127,9 @@
             limits["LINGER_IDLE_S"] = float(amount)
         case "s in all":
             limits["LINGER_S"] = float(amount)
+        case "s unread":
+            limits["UNREAD_S"] = float(amount)
+            limits["MAX_DISCARDED_BYTES"] = 10**6
         case "bytes":
             limits["MAX_DISCARDED_BYTES"] = int(amount)
     patch = mock.patch.multiple(lingering, **limits)
@@ -304,3 +308,31 @@
     ]
     caller = write_then_read(context.address, parts, ANSWER_AFTER_S)
     context.answer = context.loop.run_until_complete(caller)
+
+
+LARGE_START = b"POST /large HTTP/1.1\r\nconnection: close\r\n"
+
+
+@when("a caller writes a long body for 0.6 s before it reads its large answer")
+def step_impl(context):
+    head = LARGE_START + b"content-length: %d\r\n\r\n" % (60 * len(PART))
+    caller = write_then_read(context.address, [head] + 60 * [PART], 2 * PAUSE_S)
+    context.answer = context.loop.run_until_complete(caller)
+
+
+@when("a caller reads nothing of its large answer and {behaviour}")
+def step_impl(context, behaviour):
+    async def write():
+        _, writer = await asyncio.open_connection(*context.address)
+        context.add_cleanup(writer.transport.abort)
+        writer.transport.pause_reading()
+        writer.write(LARGE_START + b"content-length: 1000000000\r\n\r\n")
+        await asyncio.sleep(PAUSE_S)
+        assert connections(context)
+        writing = asyncio.create_task(write_on(writer, behaviour))
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while connections(context):
+                await asyncio.sleep(PAUSE_S)
+        writing.cancel()
+
+    context.loop.run_until_complete(write())
