Give the request that runs its answer where the one behind it is malformed

A caller that sent a second request on the same connection, with a malformed body, got the 400 of the second in place of the answer to the first, marked as not run although the first request was running.

Cause: _refuse, _drop_request and _close_connection looked at self.cycle, which is the newest request; the one that runs may be an older one, and others wait in the pipeline. The newest isn't whole, so the 400 was written at once. For the same reason only the newest request was told that its caller was gone: an application that waited for more of its request ran on without end.

The protocol now records which request runs. A malformed request that waits is dropped, and the connection closes after the answer to the last whole one before it. The end of the connection and the release of bodies reach the running request and all that wait.

The step that closes the caller's side takes several requests now.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -6,7 +6,10 @@
 import httptools
 import msgspec
 from uvicorn.protocols.http.flow_control import FlowControl
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 from almondfield_daemon.loop_delay import ARRIVAL_KEY, AcceptTimes, ArrivalTracker
 from almondfield_daemon.serving.connection import CONNECTION_KEY, CallerConnection
@@ -36,6 +39,8 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
+        # The base class's cycle is of the newest request, which may wait for this one.
+        self._running: RequestResponseCycle | None = None
         self._head_bytes = 0
         self._in_head = True
         self._head_timer: asyncio.TimerHandle | None = None
@@ -66,6 +71,8 @@
         self.transport.record_end(exc)
         self._close_connection()
         super().connection_lost(exc)
+        for cycle in self._cycles():
+            cycle.message_event.set()
 
     def shutdown(self) -> None:
         self.transport.shorten_linger()
@@ -80,21 +87,30 @@
             return
         super().shutdown()
 
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        self._running = cycle
+        super()._start_asgi_task(cycle, app)
+
+    def _cycles(self) -> tuple[RequestResponseCycle, ...]:
+        """Return the requests of the connection: those that wait, newest first."""
+        waiting = tuple(cycle for cycle, _ in self.pipeline)
+        return waiting if self._running is None else (*waiting, self._running)
+
     def _has_unread_request(self) -> bool:
         return not self._is_request_read or bool(self.pipeline)
 
     def _drop_request(self) -> None:
         """Free the body that was read, and end an application that reads on."""
         self._stop_head_timer()
-        if self.cycle is not None:
-            self.cycle.body.clear()
-            self.cycle.disconnected = not self.cycle.response_complete
-            self.cycle.message_event.set()
+        for cycle in self._cycles():
+            cycle.body.clear()
+            cycle.disconnected = not cycle.response_complete
+            cycle.message_event.set()
 
     def _close_connection(self) -> None:
-        if self.cycle is not None and not self.cycle.response_complete:
+        for cycle in self._cycles():
             # The application may return without an answer from now on.
-            self.cycle.disconnected = True
+            cycle.disconnected = cycle.disconnected or not cycle.response_complete
         self._connection.close()
 
     def eof_received(self) -> None:
@@ -232,14 +248,22 @@
             self.transport.close_at_once()
 
     def _closes_after_answer(self) -> bool:
-        """Discard all input and close after the answer to a request that was read.
+        """Discard all input and close after the answers to requests that were read.
 
         :returns: whether there is such an answer; nothing changes otherwise.
         """
-        cycle = self.cycle
-        if cycle is None or cycle.response_complete or cycle.more_body:
+        whole = [
+            cycle
+            for cycle in self._cycles()
+            if not (cycle.response_complete or cycle.more_body)
+        ]
+        if not whole:
             return False
-        cycle.keep_alive = False
+        if self.pipeline and self.pipeline[0][0].more_body:
+            # The newest request isn't whole and never will be.
+            self.pipeline.popleft()
+        self.cycle = whole[0]
+        self.cycle.keep_alive = False
         self._is_discarding = True
         self._is_request_read = False
         self._stop_head_timer()
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/serving_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/serving_steps.py
@@ -166,6 +166,9 @@
 REQUEST_BY_NAME = {
     "accepted": post("/", b""),
     "accepted and slow": post("/slow", b""),
+    "accepted and waiting": post("/wait", b""),
+    "malformed": b"POST / HTTP/1.1\r\nhost: a\r\n"
+    b"transfer-encoding: chunked\r\n\r\nmalformed\r\n",
     "refused": post("/no/", b""),
     "refused to close": post("/no/?close", b""),
     "refused with 5 bytes": post("/no/", b"12345"),
@@ -178,6 +181,7 @@
 @given("a listener whose gate refuses paths below /no/, and bodies of at most 10 bytes")
 def step_impl(context):
     context.received = 0
+    context.told = ""
     context.lines = []
     handler = logging.Handler()
     handler.setLevel(logging.WARNING)
@@ -192,6 +196,9 @@
             await receive()
             async with CallerWatch(receive, connection_of(scope)):
                 await asyncio.sleep(LONG_S)
+        if scope["path"] == "/wait":
+            await receive()
+            context.told = (await receive())["type"]
         await PlainTextResponse("hello")(scope, receive, send)
 
     async def guarded(scope, receive, send):
@@ -230,9 +237,15 @@
     context.loop.run_until_complete(exchange(context, data))
 
 
-@when('a client sends "{name}" and closes its side of the connection')
-def step_impl(context, name):
-    context.loop.run_until_complete(exchange(context, REQUEST_BY_NAME[name], True))
+@when('a client sends "{names}" and closes its side of the connection')
+def step_impl(context, names):
+    data = b"".join(REQUEST_BY_NAME[name] for name in names.split(", "))
+    context.loop.run_until_complete(exchange(context, data, True))
+
+
+@then('the application has been told "{told}"')
+def step_impl(context, told):
+    assert context.told == told, context.told
 
 
 @then("it gets answers with {statuses} and nothing else")
