Look at a prompt's parts once for a crash, and not at all without quarantines

Each request asked three times whether its prompt is quarantined, and its parts were listed each time before the empty table was seen; a crash filtered the sound parts out twice. The client looks first whether there are quarantines, and the table returns the suspects that it records.

--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/client.py
@@ -56,6 +56,9 @@
 
         :param prompt: the prompt; None for none.
         """
+        # Asked several times for each request, nearly always without a quarantine.
+        if not self.table.has_quarantines:
+            return 0.0
         return self.table.left_s(shared_parts(prompt))
 
     def record_crash(self, start: ServerStart, prompt: Prompt | None) -> None:
@@ -101,9 +104,8 @@
             self._record_crash(start, parts)
 
     def _record_crash(self, start: ServerStart, parts: tuple[str, ...]) -> None:
-        suspects = self.table.unsound(parts)
+        suspects = self.table.record_crash(start, parts)
         if suspects:
-            self.table.record_crash(start, suspects)
             self.table.decide_soon()
             self._send_all(CrashReport(start.name, start.born_ms, suspects))
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/core.py
@@ -55,6 +55,11 @@
         self._entry_by_parts: dict[frozenset[str], _Entry] = {}
         self._renewed: list[frozenset[str]] = []
 
+    @property
+    def has_quarantines(self) -> bool:
+        """Return whether there are quarantines, those on probation included."""
+        return bool(self._entry_by_parts)
+
     @property
     def suspect_count(self) -> int:
         """Return the number of parts under which servers ended lately."""
@@ -74,28 +79,19 @@
 
         :param parts: parts of the prompt.
         """
-        if not self._entry_by_parts:
-            return 0.0
         held = frozenset(parts)
         until_s = [
             entry.until_s for key, entry in self._entry_by_parts.items() if key <= held
         ]
         return max(0.0, max(until_s, default=0.0) - now())
 
-    def unsound(self, parts: Iterable[str]) -> tuple[str, ...]:
-        """Return those of some parts that aren't known as sound.
-
-        :param parts: the parts.
-        """
-        return tuple(part for part in parts if part not in self._sound)
-
-    def record_crash(self, start: ServerStart, parts: Iterable[str]) -> None:
-        """Record that a server ended while it began to answer a prompt.
+    def record_crash(self, start: ServerStart, parts: Iterable[str]) -> tuple[str, ...]:
+        """Record that a server ended under a prompt, and return the suspect parts.
 
         :param start: the start of the server.
         :param parts: parts of the prompt.
         """
-        suspects = self.unsound(parts)
+        suspects = self._unsound(parts)
         held = frozenset(suspects)
         for key, entry in self._entry_by_parts.items():
             if key <= held and entry.until_s <= now():
@@ -105,6 +101,7 @@
                 entry.is_over = False
                 self._renewed.append(key)
         self._evidence.record(start, suspects)
+        return suspects
 
     def record_sound(self, parts: Iterable[str]) -> tuple[str, ...]:
         """Record a sound answer, and return the parts that it clears.
@@ -140,7 +137,7 @@
         merged = []
         contradicted: set[str] = set()
         for item in quarantines:
-            key = frozenset(self.unsound(item.parts))
+            key = frozenset(self._unsound(item.parts))
             contradicted |= set(item.parts) - key
             entry = _Entry(now() + item.left_s, item.number, item.crashes)
             if key and self._put(key, entry):
@@ -162,6 +159,9 @@
             if entry.until_s + PROBATION_S <= now():
                 del self._entry_by_parts[key]
 
+    def _unsound(self, parts: Iterable[str]) -> tuple[str, ...]:
+        return tuple(part for part in parts if part not in self._sound)
+
     def _blame(self) -> list[frozenset[str]]:
         """Quarantine parts whose crashes no quarantined part explains."""
         blamed = []
