Start an attempt at a selected server in one place

The branch of an engine that the scheduler chose, and the choice by the router itself, each recorded the server of the prompt and counted the request as in flight. Both do so in one function now.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -19,7 +19,7 @@
 from almondfield_daemon.scheduling.messages import EngineRefusal
 from almondfield_daemon.server_notices import ServerNotices
 from almondfield_fairshare.engines import PromptRequest
-from almondfield_fairshare.prefix_placement import Candidate, InFlightRequest, Placement
+from almondfield_fairshare.prefix_placement import Candidate, Placement
 
 __all__ = ["ServerSelector"]
 
@@ -208,10 +208,7 @@
             case EngineAssignment():
                 server = next((s for s in servers if s.name == assignment.server), None)
                 if server is not None:
-                    self._engines.record_server(prompt, server.name)
-                    candidate = self._candidate(server, frozenset())
-                    in_flight = self._placement.start(candidate, prompt)
-                    return self._select(request, server, in_flight, assignment)
+                    return self._select(request, server, assignment)
                 assignment.end(was_sent=False)
                 closed = self._closed(request.pool, version)
                 if closed is not None:
@@ -245,27 +242,27 @@
         self, request: ForwardRequest, server: FleetServer
     ) -> SelectedServer:
         prompt = request.metadata.prompt if request.route.has_prompt else None
-        candidate = self._candidate(server, frozenset())
-        in_flight = self._placement.start(candidate, prompt)
         assignment = None
         if prompt is not None:
-            self._engines.record_server(prompt, server.name)
             assignment = self._engines.assign(
                 request.pool, server.name, prompt.unshared_tokens
             )
-        return self._select(request, server, in_flight, assignment)
+        return self._select(request, server, assignment)
 
     def _select(
         self,
         request: ForwardRequest,
         server: FleetServer,
-        in_flight: InFlightRequest,
         assignment: EngineAssignment | None,
     ) -> SelectedServer:
+        prompt = request.metadata.prompt if request.route.has_prompt else None
+        if prompt is not None:
+            self._engines.record_server(prompt, server.name)
+        candidate = self._candidate(server, frozenset())
         return SelectedServer(
             server,
             self._placement,
-            in_flight,
+            self._placement.start(candidate, prompt),
             self._host_delay,
             self._notices,
             assignment,
