Ask once for the refusals that are known by a request's head

Quarantined prompts and held refusals went through twin functions of the forwarder, whose order the intake knew. One function asks for both.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -19,7 +19,6 @@
 from almondfield_daemon.forwarding.run import RequestRun, StreamBrokenError
 from almondfield_daemon.forwarding.servers import ServerSelector
 from almondfield_daemon.forwarding.take_up import locate_stream
-from almondfield_daemon.forwarding.unavailable import Unavailable
 from almondfield_daemon.router.problems import Outcome, Problem
 
 __all__ = ["Forwarder"]
@@ -57,35 +56,28 @@
         self._max_event_bytes = max_event_bytes
         self._window_by_pool: dict[str, RetryWindow] = {}
 
-    def quarantine_refusal(
-        self, route: RouteRule, pool: str, team: str, prompt: Prompt
+    def known_refusal(
+        self,
+        route: RouteRule,
+        pool: str,
+        team: str,
+        prompt: Prompt,
+        is_scheduled: bool,
     ) -> Problem | None:
-        """Return the refusal of a prompt that holds a quarantined part, or None.
-
-        :param route: route of a request with a prompt.
-        :param pool: pool of the request.
-        :param team: team of the request.
-        :param prompt: its prompt.
-        """
-        refused = self._servers.quarantine_refusal(team, prompt)
-        return self._refuse(route, pool, team, refused)
+        """Return a refusal that is certain before the body is read; None for none.
 
-    def held_refusal(
-        self, route: RouteRule, pool: str, team: str, prompt: Prompt
-    ) -> Problem | None:
-        """Return a refusal of a team's prompts that still holds; None for none.
+        Either the prompt holds a quarantined part, or a refusal of the team's prompts
+        still holds.
 
         :param route: route of a request with a prompt.
         :param pool: pool of the request.
         :param team: team of the request.
         :param prompt: its prompt.
+        :param is_scheduled: whether the scheduler may refuse it for the team's share.
         """
-        held = self._servers.held_refusal(pool, team, prompt)
-        return self._refuse(route, pool, team, held)
-
-    def _refuse(
-        self, route: RouteRule, pool: str, team: str, refused: Unavailable | None
-    ) -> Problem | None:
+        refused = self._servers.quarantine_refusal(team, prompt)
+        if refused is None and is_scheduled:
+            refused = self._servers.held_refusal(pool, team, prompt)
         if refused is None:
             return None
         self._window(pool).record_request()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
@@ -96,7 +96,7 @@
         """Return the refusal of a request; None to pass it to the endpoint."""
         match self._read(head):
             case Ok(accepted):
-                problem = self._held_refusal(accepted)
+                problem = self._known_refusal(accepted)
                 if problem is None:
                     request = self._make_request(head, accepted)
                     head.state[REQUEST_KEY] = replace(request, is_checked=True)
@@ -130,17 +130,14 @@
             **unread_fields(_unread_time(head)),
         )
 
-    def _held_refusal(self, accepted: _AcceptedHead) -> Problem | None:
-        metadata = accepted.metadata
+    def _known_refusal(self, accepted: _AcceptedHead) -> Problem | None:
+        metadata, route = accepted.metadata, accepted.route
         if metadata.prompt is None:
             return None
-        fields = (accepted.route, accepted.pool, accepted.team, metadata.prompt)
-        refused = self._forwarder.quarantine_refusal(*fields)
-        if refused is not None:
-            return refused
-        if not accepted.route.has_prompt or metadata.takes_up_stream:
-            return None
-        return self._forwarder.held_refusal(*fields)
+        is_scheduled = route.has_prompt and not metadata.takes_up_stream
+        return self._forwarder.known_refusal(
+            route, accepted.pool, accepted.team, metadata.prompt, is_scheduled
+        )
 
     def _read(self, head: RequestHead) -> Result[_AcceptedHead, Problem]:
         """Return what is known of a request by its head, or why it is refused."""
