Freeze the records of quarantines and suspects

They were the only data classes of the product that were changed in place; the tables replace them now. Nothing is decided otherwise: 52 scenarios of quarantine and fleet_daemon, and the 4 with real hosts in crashing_prompts.feature, pass.

--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/core.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import eliot
 
@@ -30,7 +30,7 @@
 MAX_LOGGED_SERVERS = 8
 
 
-@dataclass
+@dataclass(frozen=True)
 class _Entry:
     """Parts that are quarantined, or on probation after that.
 
@@ -95,10 +95,10 @@
         held = frozenset(suspects)
         for key, entry in self._entry_by_parts.items():
             if key <= held and entry.until_s <= now():
-                entry.number += 1
-                entry.crashes += 1
-                entry.until_s = now() + _duration_s(entry.number)
-                entry.is_over = False
+                number = entry.number + 1
+                until_s = now() + _duration_s(number)
+                renewed = _Entry(until_s, number, entry.crashes + 1)
+                self._entry_by_parts[key] = renewed
                 self._renewed.append(key)
         self._evidence.record(start, suspects)
         return suspects
@@ -152,7 +152,7 @@
         """Log quarantines that are over, and drop those whose probation is."""
         for key, entry in list(self._entry_by_parts.items()):
             if entry.until_s <= now() and not entry.is_over:
-                entry.is_over = True
+                self._entry_by_parts[key] = replace(entry, is_over=True)
                 eliot.log_message(
                     "part:expired", parts=sorted(key), number=entry.number
                 )
@@ -191,8 +191,7 @@
             rest = frozenset(p for p, count in count_by_part.items() if count == most)
             if rest < key and most >= entry.crashes + CRASHES_TO_NARROW:
                 del self._entry_by_parts[key]
-                entry.crashes = most
-                if self._put(rest, entry):
+                if self._put(rest, replace(entry, crashes=most)):
                     narrowed.append(rest)
         return narrowed
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/crashes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/crashes.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Collection, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import eliot
 
@@ -21,7 +21,7 @@
 STARTS_TO_LOG = 2
 
 
-@dataclass
+@dataclass(frozen=True)
 class _Suspect:
     """A part under which servers ended.
 
@@ -54,9 +54,10 @@
         """
         prompt = frozenset(parts)
         for part in parts:
-            suspect = self._suspect_by_part.setdefault(part, _Suspect({}, prompt))
+            suspect = self._suspect_by_part.get(part, _Suspect({}, prompt))
+            companions = suspect.companions & prompt
+            self._suspect_by_part[part] = replace(suspect, companions=companions)
             self._suspect_by_part.move_to_end(part)
-            suspect.companions &= prompt
             _record_start(part, suspect.crash_s_by_start, start)
         while len(self._suspect_by_part) > MAX_SUSPECTS:
             self._suspect_by_part.popitem(last=False)
