Give back the repeats of a hand-over whose caller leaves as a server is found

Callers that left at the moment at which another server was found for their silent one each cost two repeats of the retry budget, so that later requests waited for silent servers, or were refused, within a budget that was not used.

Cause: the search takes the repeats, but what the search had found was dropped with its place at the server only. Now a search returns a Replacement, which holds the server and its repeats and is dropped with both. The repeat for the way back is kept only once the wait has ended for the replacement; before, it was kept by a search whose result nobody took.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
@@ -7,6 +7,7 @@
 from almondfield_core.clock import now
 from almondfield_daemon.forwarding.budget import Repeat, RetryWindow
 from almondfield_daemon.forwarding.messages import ForwardRequest
+from almondfield_daemon.forwarding.replacement import Replacement
 from almondfield_daemon.forwarding.selected_server import SelectedServer
 from almondfield_daemon.forwarding.servers import ServerSelector
 from almondfield_daemon.forwarding.silence_watch import SilenceWatch
@@ -39,7 +40,7 @@
         self._request = request
         self._servers = servers
         self._window = window
-        self._next: SelectedServer | None = None
+        self._next: Replacement | None = None
         # The server to go back to, since when, and the repeat that is kept for that.
         self._left_server = ""
         self._left_s = 0.0
@@ -68,21 +69,22 @@
         """
         is_logged = False
 
-        async def find() -> SelectedServer | None:
+        async def find() -> Replacement | None:
             nonlocal is_logged
             if can_go_on():
                 found = await self._find(choose)
             else:
                 found = "the events that were sent have no numbers"
-            if isinstance(found, SelectedServer):
+            if isinstance(found, Replacement):
                 return found
             if not is_logged:
                 is_logged = True
                 self._log_wait(selected, found)
             return None
 
-        def on_found(found: SelectedServer) -> None:
+        def on_found(found: Replacement) -> None:
             self._next = found
+            self._reserved = found.repeats[-1]
             self._left_server = selected.server.name
             self._left_s = now()
 
@@ -103,8 +105,8 @@
         :param version: software version that the server must have; None for any.
         """
         if self._next is not None:
-            selected, self._next = self._next, None
-            return selected
+            found, self._next = self._next, None
+            return found.selected
         if self._is_returning:
             self._is_returning = False
             left, self._left_server = self._left_server, ""
@@ -138,13 +140,13 @@
     def close(self) -> None:
         """Give back what is kept for a request that has ended."""
         if self._next is not None:
-            selected, self._next = self._next, None
-            selected.end(was_sent=False)
+            found, self._next = self._next, None
+            found.drop()
         self.settle()
 
     async def _find(
         self, choose: Callable[[], Awaitable[SelectedServer | Unavailable]]
-    ) -> SelectedServer | str:
+    ) -> Replacement | str:
         """Return a server that takes the request over, or why there is none."""
         if not self._window.allows_repeats(REPEATS_PER_HAND_OVER):
             return "the retry budget is used up"
@@ -159,8 +161,7 @@
         if not repeats:
             found.end(was_sent=False)
             return "the retry budget is used up"
-        self._reserved = repeats[-1]
-        return found
+        return Replacement(found, self._window, repeats)
 
     def _log_wait(self, selected: SelectedServer, reason: str) -> None:
         eliot.log_message(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_watch.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_watch.py
@@ -6,7 +6,7 @@
 from types import TracebackType
 
 from almondfield_core.messages import ServerFailure
-from almondfield_daemon.forwarding.selected_server import SelectedServer
+from almondfield_daemon.forwarding.replacement import Replacement
 from almondfield_daemon.router.calls import AnswerCutError
 from almondfield_daemon.router.stall import StallTimer
 
@@ -24,7 +24,7 @@
 
     :param limit_s: longest silence that starts no search, in seconds; may be infinite.
     :param find: returns a server that takes the request over; None for none. It keeps
-        a place there only if it returns.
+        a place there and repeats only if it returns.
     :param on_found: called with that server when the wait ends.
     :param on_given_up: called with the reason if the task is cancelled by others while
         the server is silent.
@@ -33,8 +33,8 @@
     def __init__(
         self,
         limit_s: float,
-        find: Callable[[], Awaitable[SelectedServer | None]],
-        on_found: Callable[[SelectedServer], None],
+        find: Callable[[], Awaitable[Replacement | None]],
+        on_found: Callable[[Replacement], None],
         on_given_up: Callable[[str], None],
     ) -> None:
         self._limit_s = limit_s
@@ -43,7 +43,7 @@
         self._on_given_up = on_given_up
         self._stall: StallTimer | None = None
         self._search: asyncio.Task[None] | None = None
-        self._found: SelectedServer | None = None
+        self._found: Replacement | None = None
 
     async def __aenter__(self) -> "SilenceWatch":
         self._task = asyncio.current_task()
@@ -68,7 +68,7 @@
             if self._task.uncancel() <= self._cancelling and is_cancelled:
                 self._on_found(found)
                 raise AnswerCutError(ServerFailure.STREAM, reason, True) from None
-            found.end(was_sent=False)
+            found.drop()
         if is_silent and is_cancelled:
             self._on_given_up(reason)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -206,3 +206,14 @@
     When a request is served
     Then the caller gets 200
     And 34 of 35 repeats are left
+
+  # Guards against a retry budget that is used up by callers that leave: a server is
+  # found for a silent one in the same step of the event loop.
+  Scenario: A caller that leaves as another server is found costs no repeat
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the scheduler assigns the first server, and the second after 0 s
+    And the first server is silent for 3 s after event 3
+    When a caller with a prompt leaves as the scheduler decides again
+    Then 1 servers received it
+    And no server counts the request as in flight
+    And 35 of 35 repeats are left
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -87,13 +87,34 @@
     run(context, leave())
 
 
+@when("a caller with a prompt leaves as the scheduler decides again")
+def step_impl(context):
+    context.route = replace(context.route, has_prompt=True)
+    parts = (PromptPart("s", 10), PromptPart("o", 10))
+
+    async def leave():
+        served = asyncio.ensure_future(serve(context, prompt=Prompt("m", 20, 5, parts)))
+
+        def on_request():
+            if len(context.engines.requests) > 1:
+                # It runs before the search that the request belongs to goes on.
+                asyncio.get_running_loop().call_soon(served.cancel)
+
+        context.engines.on_request = on_request
+        await asyncio.wait([served])
+        assert served.cancelled()
+
+    run(context, leave())
+
+
 @then("{count:d} of 35 repeats are left")
 def step_impl(context, count):
     async def count_left():
         window = context.forwarder._window("p")
         return sum(window.allows_repeats(number) for number in range(1, 100))
 
-    assert run(context, count_left()) == count
+    left = run(context, count_left())
+    assert left == count, left
 
 
 @then("the scheduler was asked {least:d} to {most:d} times")
