Keep a way back for each hand-over of a request

A request whose second server was silent as well was handed over once more. That overwrote the repeat that was kept for the way back to the first server, without giving it back, so that each such request cost one repeat too many of the retry budget; and it forgot the first server, to which the request could go back.

Now the servers that were left are a list, each with its repeat. The request goes back to the one that was left first, which has had the longest time to end its silence; all repeats are given back once a server answers or the request ends.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
@@ -1,6 +1,7 @@
 """Hands a request over from a silent server to another one, and back if need be."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import eliot
 
@@ -21,6 +22,20 @@
 REPEATS_PER_HAND_OVER = 2
 
 
+@dataclass(frozen=True)
+class _LeftServer:
+    """A silent server that was left, to which the request may go back.
+
+    :ivar name: its name.
+    :ivar left_s: when it was left, in seconds of the loop's clock.
+    :ivar repeat: the repeat that is kept for the way back.
+    """
+
+    name: str
+    left_s: float
+    repeat: Repeat
+
+
 class HandOver:
     """The hand-over of one request between servers.
 
@@ -41,10 +56,8 @@
         self._servers = servers
         self._window = window
         self._next: Replacement | None = None
-        # The server to go back to, since when, and the repeat that is kept for that.
-        self._left_server = ""
-        self._left_s = 0.0
-        self._reserved: Repeat | None = None
+        # In the order in which they were left; none once a server has answered.
+        self._left: list[_LeftServer] = []
         self._is_returning = False
 
     @property
@@ -84,9 +97,8 @@
 
         def on_found(found: Replacement) -> None:
             self._next = found
-            self._reserved = found.repeats[-1]
-            self._left_server = selected.server.name
-            self._left_s = now()
+            left = _LeftServer(selected.server.name, now(), found.repeats[-1])
+            self._left.append(left)
 
         return SilenceWatch(
             limit_s + selected.delay_allowance_s,
@@ -109,10 +121,10 @@
             return found.selected
         if self._is_returning:
             self._is_returning = False
-            left, self._left_server = self._left_server, ""
-            is_just_left = now() - self._left_s < RESTART_S
+            left = self._left.pop(0)
+            is_just_left = now() - left.left_s < RESTART_S
             return self._servers.choose_again(
-                self._request, left, version, is_just_left
+                self._request, left.name, version, is_just_left
             )
         return await self._servers.choose(
             self._request, tried, has_lost_server, version
@@ -124,18 +136,16 @@
         To be called once no other server may have the request.
         """
         remaining_s = self._request.until_s - now()
-        if not self._left_server or remaining_s < MIN_REMAINING_S:
+        if not self._left or remaining_s < MIN_REMAINING_S:
             return False
         self._is_returning = True
         return True
 
     def settle(self) -> None:
         """Record that a server answers the request, so that it doesn't go back."""
-        if self._left_server and not self.is_secured:
-            self._left_server = ""
-            if self._reserved is not None:
-                self._window.refund(self._reserved)
-                self._reserved = None
+        for left in self._left:
+            self._window.refund(left.repeat)
+        self._left.clear()
 
     def close(self) -> None:
         """Give back what is kept for a request that has ended."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -217,3 +217,13 @@
     Then 1 servers received it
     And no server counts the request as in flight
     And 35 of 35 repeats are left
+
+  # Guards against a retry budget that is used up by the repeats that are kept for ways
+  # back: a further hand-over must not forget the one that is kept already.
+  Scenario: Two hand-overs of one request keep no repeat once a server answers
+    Given a "resumable" route with 3 attempts and 3 servers
+    And the second server never answers
+    And the first server is silent for 4 s after event 3
+    When a request is served
+    Then the caller gets 200
+    And 33 of 35 repeats are left
