Give back the repeat of a way back that can't be taken

Where the server to go back to takes no work any more, the repeat that was kept for it was lost: the way back counted as taken once it was tried. Callers saw nothing of it but the smaller retry budget. Now it is given back if the server isn't selected.

Seen before: "A way back that can't be taken costs no repeat" failed, as 33 of 35 repeats were left where 34 should be.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
@@ -123,9 +123,12 @@
             self._is_returning = False
             left = self._left.pop(0)
             is_just_left = now() - left.left_s < RESTART_S
-            return self._servers.choose_again(
+            selected = self._servers.choose_again(
                 self._request, left.name, version, is_just_left
             )
+            if isinstance(selected, Unavailable):
+                self._window.refund(left.repeat)
+            return selected
         return await self._servers.choose(
             self._request, tried, has_lost_server, version
         )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -227,3 +227,12 @@
     When a request is served
     Then the caller gets 200
     And 33 of 35 repeats are left
+
+  # Guards against the same where the server to go back to takes no work any more.
+  Scenario: A way back that can't be taken costs no repeat
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the second and third server loses its answer after 1.0 s
+    And the first server is silent for 1.9 s after event 3
+    When a stream is served and its announcements stop meanwhile
+    Then the first server received it 1 times
+    And 34 of 35 repeats are left
