--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/known_servers.py
@@ -0,0 +1,124 @@
+"""The servers of the fleet as one router knows them."""
+
+import math
+from collections.abc import Iterable
+
+from almondfield_daemon.fleet import FleetServer, FleetView
+from almondfield_daemon.forwarding.counts import RefusalCause
+from almondfield_daemon.forwarding.selected_server import server_start
+from almondfield_daemon.forwarding.unavailable import Unavailable
+from almondfield_daemon.server_notices import ServerNotices, ServerStart
+
+__all__ = ["KnownServers"]
+
+MIN_RETRY_AFTER_S = 0.05  # about the duration of the request that a server tries first
+
+
+class KnownServers:
+    """The servers that may get a request, as far as this router knows.
+
+    :param view: known servers.
+    :param notices: what servers said about further work.
+    """
+
+    def __init__(self, view: FleetView, notices: ServerNotices) -> None:
+        self._view = view
+        self._notices = notices
+        # Servers whose address now belongs to another server.
+        self._misdirected: set[ServerStart] = set()
+
+    def usable(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
+        """Return the servers of a pool that may get a request now.
+
+        :param pool: name of the pool.
+        :param version: software version that the server must have; None for any.
+        """
+        return tuple(
+            server
+            for server in self.reachable(pool, version)
+            if self._notices.accepts(server_start(server))
+        )
+
+    def closed(self, pool: str, version: str | None) -> Unavailable | None:
+        """Return a refusal if all servers have said that they take no work now.
+
+        :param pool: name of the pool.
+        :param version: software version that the server must have; None for any.
+        """
+        servers = self.reachable(pool, version)
+        starts = [server_start(server) for server in servers]
+        if not starts or any(self._notices.accepts(start) for start in starts):
+            return None
+        wait_s = self._notices.wait_s(starts)
+        if wait_s == math.inf:
+            detail = "all backend servers of the pool leave"
+            return Unavailable(detail, RefusalCause.CLOSED)
+        detail = f"no backend server of the pool takes work for {wait_s:.3f} s"
+        retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
+        return Unavailable(detail, RefusalCause.CLOSED, retry_after_s)
+
+    def reachable(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
+        """Return the servers of a pool that run, whether or not they take work now.
+
+        A server without recent announcements may have restarted with another version.
+
+        :param pool: name of the pool.
+        :param version: software version that the server must have; None for any.
+        """
+        servers = self.running(pool, version)
+        if version is None:
+            return servers
+        unresponsive = self._view.unresponsive_servers()
+        return tuple(server for server in servers if server.name not in unresponsive)
+
+    def running(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
+        """Return the servers of a pool that run as far as is known, silent or not.
+
+        :param pool: name of the pool.
+        :param version: software version that the server must have; None for any.
+        """
+        return tuple(
+            server
+            for server in self._view.servers(pool)
+            if server_start(server) not in self._misdirected
+            and version in (None, server.version)
+        )
+
+    def wait_s(self, pool: str, version: str | None) -> float:
+        """Return the time until the first server of a pool takes work, in seconds.
+
+        :param pool: name of the pool.
+        :param version: software version that the server must have; None for any.
+        :returns: 0 if one takes work now; infinity if all leave or there is none.
+        """
+        servers = self.reachable(pool, version)
+        return self._notices.wait_s(server_start(server) for server in servers)
+
+    def has_changed_version(self, pool: str, server: FleetServer) -> bool:
+        """Return whether a server has restarted with another version since its choice.
+
+        :param pool: name of its pool.
+        :param server: the server as it was when it was chosen.
+        """
+        return any(
+            known.name == server.name and known.version != server.version
+            for known in self._view.servers(pool)
+        )
+
+    def exclude_misdirected(self, server: FleetServer) -> None:
+        """Stop using a server whose address now belongs to another one.
+
+        :param server: the server.
+        """
+        self._misdirected.add(server_start(server))
+
+    def retain(self, pools: Iterable[str]) -> tuple[FleetServer, ...]:
+        """Drop the records of servers that left the fleet; return those that take work.
+
+        :param pools: names of all pools.
+        """
+        servers = tuple(s for pool in pools for s in self._view.servers(pool))
+        self._misdirected &= {server_start(server) for server in servers}
+        # A server may leave the pool's list before all its answers have come.
+        self._notices.retain(server_start(s) for s in self._view.all_servers())
+        return servers
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -6,6 +6,7 @@
 from almondfield_core.routing import Prompt
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.forwarding.counts import RefusalCause, RequestCounts
+from almondfield_daemon.forwarding.known_servers import KnownServers
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.selected_server import SelectedServer, server_start
 from almondfield_daemon.forwarding.unavailable import (
@@ -25,7 +26,6 @@
 
 # Concurrent prefills per server, over all routers; more would start too late.
 LOCAL_PREFILLS_PER_SERVER = 2
-MIN_RETRY_AFTER_S = 0.05  # about the duration of the request that a server tries first
 
 
 class ServerSelector:
@@ -60,8 +60,7 @@
         self._view = view
         self._placement = placement
         self._data_centre = data_centre
-        # (name, start) of servers whose address now belongs to another server.
-        self._misdirected: set[tuple[str, int]] = set()
+        self._known = KnownServers(view, notices)
 
     def quarantine_refusal(self, team: str, prompt: Prompt) -> Unavailable | None:
         """Return the refusal of a prompt that holds a quarantined part, or None.
@@ -118,7 +117,7 @@
         :param tried: names of servers that have had the request.
         :param version: software version that the server must have; None for any.
         """
-        servers = self._usable(request.pool, version)
+        servers = self._known.usable(request.pool, version)
         excluded = tried | self._view.unresponsive_servers()
         excluded |= self._avoided_servers(servers, may_be_all=True)
         return await self._choose(request, excluded, True, version)
@@ -141,7 +140,7 @@
         :param is_just_left: whether its connection was open a moment ago, so that it
             hasn't restarted even if it isn't announced.
         """
-        known = self._running if is_just_left else self._reachable
+        known = self._known.running if is_just_left else self._known.reachable
         refused = self._quarantined(request.metadata.prompt)
         if refused is None:
             for server in known(request.pool, version):
@@ -163,8 +162,8 @@
         quarantined = self._quarantined(request.metadata.prompt)
         if quarantined is not None:
             return quarantined
-        servers = self._usable(request.pool, version)
-        closed = self._closed(request.pool, version)
+        servers = self._known.usable(request.pool, version)
+        closed = self._known.closed(request.pool, version)
         if closed is not None:
             return closed
         if version is not None and not servers:
@@ -201,7 +200,7 @@
             if isinstance(assignment, EngineAssignment):
                 assignment.end(was_sent=False)
             return quarantined
-        servers = self._usable(request.pool, version)
+        servers = self._known.usable(request.pool, version)
         match assignment:
             case EngineRefusal() as refusal:
                 return describe_refusal(refusal)
@@ -210,7 +209,7 @@
                 if server is not None:
                     return self._select(request, server, assignment)
                 assignment.end(was_sent=False)
-                closed = self._closed(request.pool, version)
+                closed = self._known.closed(request.pool, version)
                 if closed is not None:
                     return closed
         return self._choose_locally(request, servers, tried)
@@ -306,19 +305,14 @@
 
         :param selected: the selected server.
         """
-        self._misdirected.add(server_start(selected.server))
+        self._known.exclude_misdirected(selected.server)
 
     def drop_removed_servers(self, pools: Iterable[str]) -> None:
         """Drop the records of servers that left the fleet.
 
         :param pools: names of all pools.
         """
-        servers = [s for pool in pools for s in self._view.servers(pool)]
-        self._placement.retain(server.name for server in servers)
-        starts = {server_start(server) for server in servers}
-        self._misdirected &= starts
-        # A server may leave the pool's list before all its answers have come.
-        self._notices.retain(server_start(s) for s in self._view.all_servers())
+        self._placement.retain(server.name for server in self._known.retain(pools))
 
     def has_changed_version(self, pool: str, server: FleetServer) -> bool:
         """Return whether a server has restarted with another version since its choice.
@@ -326,10 +320,7 @@
         :param pool: name of its pool.
         :param server: the server as it was when it was chosen.
         """
-        return any(
-            known.name == server.name and known.version != server.version
-            for known in self._view.servers(pool)
-        )
+        return self._known.has_changed_version(pool, server)
 
     def retry_after_s(self, request: ForwardRequest, version: str | None) -> float:
         """Return when a refused request may be accepted, in seconds from now.
@@ -337,52 +328,9 @@
         :param request: the request.
         :param version: software version that the server must have; None for any.
         """
-        servers = self._reachable(request.pool, version)
-        wait_s = self._notices.wait_s(server_start(server) for server in servers)
+        wait_s = self._known.wait_s(request.pool, version)
         return RETRY_AFTER_S if wait_s == math.inf else max(RETRY_AFTER_S, wait_s)
 
-    def _usable(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
-        """Return the servers of a pool that may get a request now."""
-        return tuple(
-            server
-            for server in self._reachable(pool, version)
-            if self._notices.accepts(server_start(server))
-        )
-
-    def _closed(self, pool: str, version: str | None) -> Unavailable | None:
-        """Return a refusal if all servers have said that they take no work now."""
-        servers = self._reachable(pool, version)
-        starts = [server_start(server) for server in servers]
-        if not starts or any(self._notices.accepts(start) for start in starts):
-            return None
-        wait_s = self._notices.wait_s(starts)
-        if wait_s == math.inf:
-            detail = "all backend servers of the pool leave"
-            return Unavailable(detail, RefusalCause.CLOSED)
-        detail = f"no backend server of the pool takes work for {wait_s:.3f} s"
-        retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
-        return Unavailable(detail, RefusalCause.CLOSED, retry_after_s)
-
-    def _reachable(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
-        """Return the servers of a pool that run, whether or not they take work now.
-
-        A server without recent announcements may have restarted with another version.
-        """
-        servers = self._running(pool, version)
-        if version is None:
-            return servers
-        unresponsive = self._view.unresponsive_servers()
-        return tuple(server for server in servers if server.name not in unresponsive)
-
-    def _running(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
-        """Return the servers of a pool that run as far as is known, silent or not."""
-        return tuple(
-            server
-            for server in self._view.servers(pool)
-            if server_start(server) not in self._misdirected
-            and version in (None, server.version)
-        )
-
     def _candidate(
         self, server: FleetServer, unresponsive: frozenset[str]
     ) -> Candidate:
