Watch the server that takes a request over, and go back if it is silent

Callers saw a stream that stopped for good, and 504 for other requests, although the server that had it first was sound: it was silent for 1.9 s, the next server never answered, and the request waited there until its deadline.

Cause: the last attempt that the limit on attempts allows was not watched, as no further server may be asked then. But the server that was left is no further one, and its repeat of the budget is kept.

Change: until a server answers, the next one is watched too. If it is silent beyond its limit, a new server is sought if attempts are left; otherwise, or if there is none, the request goes back to the server that was left first. That is a hand-over like any other: it needs the repeat for the way to the silent server, its connection is closed before the other is asked, and a server that leaves gets nothing. Each server is gone back to once, so requests don't go to and fro. A server that takes over a stream gets less time, as its caller has waited for 0.7 of its patience already: the time to the first token and the greater of the latency target and 0.7 of the rest. The way back after silence needs a server that is announced; the 0.5 s without announcements hold after a failure only.

No existing scenario is changed.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
@@ -1,14 +1,13 @@
 """Hands a request over from a silent server to another one, and back if need be."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import eliot
 
 from almondfield_core.clock import now
-from almondfield_daemon.forwarding.budget import Repeat, RetryWindow
+from almondfield_daemon.forwarding.budget import RetryWindow
 from almondfield_daemon.forwarding.messages import ForwardRequest
-from almondfield_daemon.forwarding.replacement import Replacement
+from almondfield_daemon.forwarding.replacement import LeftServer, Replacement
 from almondfield_daemon.forwarding.selected_server import SelectedServer
 from almondfield_daemon.forwarding.servers import ServerSelector
 from almondfield_daemon.forwarding.silence_watch import SilenceWatch
@@ -22,27 +21,14 @@
 REPEATS_PER_HAND_OVER = 2
 
 
-@dataclass(frozen=True)
-class _LeftServer:
-    """A silent server that was left, to which the request may go back.
-
-    :ivar name: its name.
-    :ivar left_s: when it was left, in seconds of the loop's clock.
-    :ivar repeat: the repeat that is kept for the way back.
-    """
-
-    name: str
-    left_s: float
-    repeat: Repeat
-
-
 class HandOver:
     """The hand-over of one request between servers.
 
     A silent server loses its request only to a server that was selected for it, within
-    the retry budget. Whether that server is full or fails shows only when it is asked.
-    If it has no answer, nor has any other, the request goes back: the silent server may
-    have been sound, and is no further server for the limit on attempts.
+    the retry budget. Whether that server is full, fails or is silent as well shows only
+    when it is asked. If it has no answer, nor has any other, the request goes back to
+    the servers that were left, to each one once: they may have been sound, and are no
+    further servers for the limit on attempts.
 
     :param request: the request.
     :param servers: chooses servers.
@@ -57,8 +43,20 @@
         self._window = window
         self._next: Replacement | None = None
         # In the order in which they were left; none once a server has answered.
-        self._left: list[_LeftServer] = []
+        self._left: list[LeftServer] = []
+        self._gone_back: set[str] = set()
         self._is_returning = False
+        self._is_at_new_server = False
+
+    @property
+    def can_go_back(self) -> bool:
+        """Return whether a server was left that may get the request again."""
+        return bool(self._left)
+
+    @property
+    def takes_over(self) -> bool:
+        """Return whether the last chosen server takes over from one that was left."""
+        return self.can_go_back and self._is_at_new_server
 
     @property
     def is_secured(self) -> bool:
@@ -69,14 +67,18 @@
         self,
         selected: SelectedServer,
         limit_s: float,
-        choose: Callable[[], Awaitable[SelectedServer | Unavailable]],
+        choose: Callable[[], Awaitable[SelectedServer | Unavailable]] | None,
+        choose_again: Callable[[str], SelectedServer | Unavailable],
         can_go_on: Callable[[], bool],
     ) -> SilenceWatch:
         """Return what watches the waits for a server.
 
         :param selected: the server.
         :param limit_s: longest silence that starts no search, in seconds.
-        :param choose: returns a server for the next attempt, or why there is none.
+        :param choose: returns a new server for the next attempt, or why there is none;
+            None if the limit on attempts allows no new one.
+        :param choose_again: returns a server that was left, by its name, or why it gets
+            the request no more.
         :param can_go_on: returns whether another answer can go on from what the caller
             has got.
         """
@@ -86,6 +88,8 @@
             nonlocal is_logged
             if can_go_on():
                 found = await self._find(choose)
+                if isinstance(found, str):
+                    found = self._find_left(selected, choose_again) or found
             else:
                 found = "the events that were sent have no numbers"
             if isinstance(found, Replacement):
@@ -97,8 +101,9 @@
 
         def on_found(found: Replacement) -> None:
             self._next = found
-            left = _LeftServer(selected.server.name, now(), found.repeats[-1])
-            self._left.append(left)
+            if found.repeats:
+                left = LeftServer(selected.server.name, now(), found.repeats[-1])
+                self._left.append(left)
 
         return SilenceWatch(
             limit_s + selected.delay_allowance_s,
@@ -118,16 +123,22 @@
         """
         if self._next is not None:
             found, self._next = self._next, None
+            self._is_at_new_server = found.left is None
+            if found.left is not None:
+                self._record_return(found.left)
             return found.selected
+        self._is_at_new_server = not self._is_returning
         if self._is_returning:
             self._is_returning = False
-            left = self._left.pop(0)
+            left = self._left[0]
+            self._record_return(left)
             is_just_left = now() - left.left_s < RESTART_S
             selected = self._servers.choose_again(
                 self._request, left.name, version, is_just_left
             )
             if isinstance(selected, Unavailable):
                 self._window.refund(left.repeat)
+                self._servers.record_refusal(self._request.team, selected)
             return selected
         return await self._servers.choose(
             self._request, tried, has_lost_server, version
@@ -158,16 +169,17 @@
         self.settle()
 
     async def _find(
-        self, choose: Callable[[], Awaitable[SelectedServer | Unavailable]]
+        self, choose: Callable[[], Awaitable[SelectedServer | Unavailable]] | None
     ) -> Replacement | str:
-        """Return a server that takes the request over, or why there is none."""
+        """Return a new server that takes the request over, or why there is none."""
+        if choose is None:
+            return "the limit on attempts is reached"
         if not self._window.allows_repeats(REPEATS_PER_HAND_OVER):
             return "the retry budget is used up"
         found = await choose()
         if isinstance(found, Unavailable):
             return found.detail
-        remaining_s = self._request.until_s - now()
-        if remaining_s < max(MIN_REMAINING_S, found.time_to_first_token_s):
+        if not self._has_time(found):
             found.end(was_sent=False)
             return "too little time is left for another server"
         repeats = self._window.reserve(REPEATS_PER_HAND_OVER)
@@ -176,6 +188,37 @@
             return "the retry budget is used up"
         return Replacement(found, self._window, repeats)
 
+    def _find_left(
+        self,
+        selected: SelectedServer,
+        choose_again: Callable[[str], SelectedServer | Unavailable],
+    ) -> Replacement | None:
+        """Return a server that was left, if the request may go back there now.
+
+        The silent server gets a way back in turn, but for one that has had its own.
+        """
+        count = 0 if selected.server.name in self._gone_back else 1
+        if count and not self._window.allows_repeats(count):
+            return None
+        for left in self._left:
+            found = choose_again(left.name)
+            if isinstance(found, Unavailable):
+                continue
+            if self._has_time(found):
+                repeats = self._window.reserve(count)
+                return Replacement(found, self._window, repeats, left)
+            found.end(was_sent=False)
+        return None
+
+    def _record_return(self, left: LeftServer) -> None:
+        self._left.remove(left)
+        self._gone_back.add(left.name)
+
+    def _has_time(self, found: SelectedServer) -> bool:
+        """Return whether a server may answer before the deadline."""
+        remaining_s = self._request.until_s - now()
+        return remaining_s >= max(MIN_REMAINING_S, found.time_to_first_token_s)
+
     def _log_wait(self, selected: SelectedServer, reason: str) -> None:
         eliot.log_message(
             "attempt:waits",
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -96,6 +96,7 @@
         self._hand_over = HandOver(request, servers, window)
         self._tracker = EventTracker(max_event_bytes)
         self._limits = SilenceLimits()
+        self._is_last = False
         self._unsent_attempts = 0
         self._tried: frozenset[str] = frozenset()
         self._has_lost_server = False
@@ -293,10 +294,11 @@
         may_have_run = self.may_have_run
         if self.first_attempt_s is None:
             self.first_attempt_s = now() - self._request.arrived_s
-        is_last = self.sent + 1 >= self._request.route.max_attempts
+        self._is_last = self.sent + 1 >= self._request.route.max_attempts
         self._limits = silence_limits(
             self._request.route,
-            is_last=is_last,
+            is_last=self._is_last and not self._hand_over.can_go_back,
+            takes_over=self._hand_over.takes_over,
             time_to_first_token_s=selected.time_to_first_token_s,
         )
         # A cancellation or timeout during the attempt leaves it unknown whether it ran.
@@ -331,7 +333,18 @@
                 self._request, tried, self.stream_version
             )
 
-        return self._hand_over.watch(selected, limit_s, choose, self._can_go_on)
+        def choose_again(name: str) -> SelectedServer | Unavailable:
+            return self._servers.choose_again(
+                self._request, name, self.stream_version, is_just_left=False
+            )
+
+        return self._hand_over.watch(
+            selected,
+            limit_s,
+            None if self._is_last else choose,
+            choose_again,
+            self._can_go_on,
+        )
 
     def _check_before_sending(self, selected: SelectedServer) -> None:
         self.delivery.check_caller()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -103,7 +103,7 @@
         """
         selected = await self._choose(request, tried, has_lost_server, version)
         if isinstance(selected, Unavailable):
-            self._counts.record_refusal(request.team, selected.cause)
+            self.record_refusal(request.team, selected)
         return selected
 
     async def choose_replacement(
@@ -132,7 +132,8 @@
         """Return a server that has had the request, or why it gets no more.
 
         The request was admitted there, so the scheduler isn't asked again. A server
-        that leaves or takes no work gets no request, though.
+        that leaves or takes no work gets no request, though. The request isn't refused
+        for that yet.
 
         :param request: the request.
         :param name: name of the server.
@@ -140,17 +141,24 @@
         :param is_just_left: whether its connection was open a moment ago, so that it
             hasn't restarted even if it isn't announced.
         """
+        quarantined = self._quarantined(request.metadata.prompt)
+        if quarantined is not None:
+            return quarantined
         known = self._known.running if is_just_left else self._known.reachable
-        refused = self._quarantined(request.metadata.prompt)
-        if refused is None:
-            for server in known(request.pool, version):
-                is_open = self._notices.accepts(server_start(server))
-                if server.name == name and is_open:
-                    return self._select_locally(request, server)
-            detail = f"the silent server {name!r} takes no work any more"
-            refused = Unavailable(detail, RefusalCause.NO_SERVER)
-        self._counts.record_refusal(request.team, refused.cause)
-        return refused
+        for server in known(request.pool, version):
+            is_open = self._notices.accepts(server_start(server))
+            if server.name == name and is_open:
+                return self._select_locally(request, server)
+        detail = f"the silent server {name!r} takes no work any more"
+        return Unavailable(detail, RefusalCause.NO_SERVER)
+
+    def record_refusal(self, team: str, refused: Unavailable) -> None:
+        """Count the refusal of a request.
+
+        :param team: name of the team.
+        :param refused: why no server accepts the request.
+        """
+        self._counts.record_refusal(team, refused.cause)
 
     async def _choose(
         self,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_limits.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_limits.py
@@ -15,6 +15,8 @@
 LATENCY_TARGETS_OF_PATIENCE = 4.0
 EVENT_GAP_TARGETS_OF_PATIENCE = 8.0
 STREAM_LIMIT_SHARE = 0.7  # the rest is for the first event of another server
+# The same share of that rest, for a server that takes over.
+TAKE_OVER_LIMIT_SHARE = STREAM_LIMIT_SHARE * (1 - STREAM_LIMIT_SHARE)
 
 
 @dataclass(frozen=True)
@@ -30,19 +32,30 @@
 
 
 def silence_limits(
-    route: RouteRule, *, is_last: bool, time_to_first_token_s: float
+    route: RouteRule,
+    *,
+    is_last: bool,
+    takes_over: bool,
+    time_to_first_token_s: float,
 ) -> SilenceLimits:
     """Return the limits of an attempt.
 
     :param route: rule of the request.
-    :param is_last: whether the limit on attempts allows no other one.
+    :param is_last: whether neither another server nor one that was left may be asked.
+    :param takes_over: whether the caller of a stream has waited for a silent server
+        before, so that less of its patience is left.
     :param time_to_first_token_s: wait and prefill time of a slow engine, in seconds.
     """
     if is_last or not route.may_run_again:
         return SilenceLimits()
     if route.kind is RequestKind.STREAMING:
-        chunk_s = STREAM_LIMIT_SHARE * stream_patience_s(route)
-        return SilenceLimits(chunk_s + time_to_first_token_s, chunk_s)
+        patience_s = stream_patience_s(route)
+        chunk_s = STREAM_LIMIT_SHARE * patience_s
+        answer_s = chunk_s
+        if takes_over:
+            # A sound server begins within the target.
+            answer_s = max(route.latency_target_s, TAKE_OVER_LIMIT_SHARE * patience_s)
+        return SilenceLimits(answer_s + time_to_first_token_s, chunk_s)
     answer_s = LATENCY_TARGETS_PER_ATTEMPT * route.latency_target_s
     return SilenceLimits(max(MIN_ANSWER_LIMIT_S, answer_s))
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -236,3 +236,55 @@
     When a stream is served and its announcements stop meanwhile
     Then the first server received it 1 times
     And 34 of 35 repeats are left
+
+  # Guards against requests that wait at a silent next server until their deadline, or
+  # beyond the time after which callers leave, and against work at two servers at once.
+  Scenario: A stream whose next server is silent as well goes back before its caller leaves
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the second and third server never answers
+    And the first server is silent for 1.9 s after event 3
+    When a request is served
+    Then the caller gets 200
+    And the answer took at most 1.95 s
+    And 3 servers received it
+    And the first server received it again after the second was closed
+    And 33 of 35 repeats are left
+
+  # Guards against the same for requests that aren't streams.
+  Scenario: An idempotent request goes back from a next server that is silent as well
+    Given a "idempotent" route with 2 attempts and 3 servers
+    And the second and third server never answers
+    And the first server is silent for 1.9 s before its answer
+    When a request is served
+    Then the caller gets 200
+    And 3 servers received it
+
+  # Guards against a way back that gives up a sound silent server for a dead one.
+  Scenario: A stream goes on at its next server if the one it went back to stays silent
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the first server never answers
+    And the second server is silent for 1.9 s before its answer
+    When a request is served
+    Then the caller gets 200
+    And 4 servers received it
+
+  # Guards against requests that go to and fro between silent servers.
+  Scenario: A request goes back to each silent server once
+    Given a "resumable" route with 2 attempts and 3 servers
+    And every server never answers
+    When a request is served
+    Then the caller gets 504 unknown
+    And 4 servers received it
+    And the first server received it 2 times
+    And the second server received it 2 times
+    And 32 of 35 repeats are left
+
+  # Guards against ways back that the retry budget doesn't allow.
+  Scenario: A stream goes back from its next silent server only within the retry budget
+    Given a "resumable" route with 2 attempts and 3 servers
+    And 15 routers share the budget
+    And the second and third server never answers
+    And the first server is silent for 1.9 s after event 3
+    When a request is served
+    Then the first server received it 1 times
+    And the second server received it 1 times
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -194,6 +194,19 @@
     assert len(context.servers[0].received) == count, context.servers[0].received
 
 
+@then("the second server received it {count:d} times")
+def step_impl(context, count):
+    assert len(context.servers[1].received) == count, context.servers[1].received
+
+
+@then("the first server received it again after the second was closed")
+def step_impl(context):
+    first, second = context.servers[:2]
+    _, call = first.received
+    assert call.last_event_id == "3", call
+    assert second.closed_s <= call.received_s, (second.closed_s, call)
+
+
 @when("a stream is served and the scheduler has no room when it is to go back")
 def step_impl(context):
     first, second = make_assignment("s0"), make_assignment("s1")
