End a hand-over with the first event of the next server, not with its head

Callers saw streams cut at their deadline, or got 504, though the server that had been left for its silence was sound: the next one sent the head of an answer and nothing more. An idempotent request got 502 if the next answer was cut in its body.

Cause: the way back was given up when the head of the next answer arrived. A server sends that before it has anything of the answer.

Change: the way back is kept until the first event of a stream, or until the body of another answer is complete. From head to first event a server that takes over is waited for as long as for its head; then the usual limit between events holds, and none where no new server may be asked, as before.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -1,5 +1,6 @@
 """Runs the attempts of one request and sends an answer to the caller."""
 
+import math
 from contextlib import aclosing
 
 from almondfield_core.clock import now
@@ -141,6 +142,7 @@
                 async with aclosing(answer.chunks()) as chunks:
                     body, is_complete = await read_body(chunks)
                     if not is_complete:
+                        self._hand_over.settle()
                         await self.delivery.send_large(
                             answer.status, answer.headers, body, chunks
                         )
@@ -161,6 +163,8 @@
             selected.record_success(answer)
             complete = (answer.status, answer.headers, body)
             is_failure = answer.status >= FIRST_ERROR_STATUS
+            if not is_failure:
+                self._hand_over.settle()
             if is_failure and self._may_repeat():
                 failed_answer = complete
                 self._tried |= {selected.server.name}
@@ -183,7 +187,7 @@
                     raise AnswerCutError(
                         ServerFailure.STREAM, f"the stream has status {answer.status}"
                     )
-                async with self._watch(selected, self._limits.chunk_s) as watch:
+                async with self._watch(selected, self._limits.first_event_s) as watch:
                     await self._forward_events(answer, selected, watch)
                 selected.record_success(answer, selected.began_s is not None)
                 return None
@@ -228,7 +232,9 @@
                 raise AnswerCutError(ServerFailure.STREAM, WRONG_VERSION)
             events = tracker.feed(chunk)
             if events:
-                has_events = True
+                if not has_events:
+                    has_events = True
+                    self._settle(selected, watch)
                 selected.begin_answer()
                 self._record_origin(selected.server)
                 await self.delivery.start(answer.status, headers)
@@ -239,6 +245,12 @@
         self.unfinished_bytes = tracker.unfinished_bytes
         await self.delivery.finish(tracker.take_remainder())
 
+    def _settle(self, selected: SelectedServer, watch: SilenceWatch) -> None:
+        """Record that a server has sent an event, so that the stream stays there."""
+        self._hand_over.settle()
+        limit_s = math.inf if self._is_last else self._limits.chunk_s
+        watch.set_limit(limit_s + selected.delay_allowance_s)
+
     def _record_origin(self, server: FleetServer) -> None:
         """Record where the stream began, before its caller has an event."""
         if not self.delivery.is_started:
@@ -275,8 +287,6 @@
             outcome = await self._attempt(selected)
             match outcome:
                 case Answered():
-                    if outcome.answer.status < FIRST_ERROR_STATUS:
-                        self._hand_over.settle()
                     self.framing = outcome.answer.framing
                     selected.record_answer(
                         outcome.metadata,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_limits.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_limits.py
@@ -24,10 +24,13 @@
     """Limits on the silence of a server; infinity where no other may be asked.
 
     :ivar answer_s: limit until the head of the answer, in seconds.
-    :ivar chunk_s: limit before each further part of the answer, in seconds.
+    :ivar first_event_s: limit between the head and the first event, in seconds.
+    :ivar chunk_s: limit before each further part of the answer, in seconds; it holds
+        only if there is a new server.
     """
 
     answer_s: float = math.inf
+    first_event_s: float = math.inf
     chunk_s: float = math.inf
 
 
@@ -51,11 +54,12 @@
     if route.kind is RequestKind.STREAMING:
         patience_s = stream_patience_s(route)
         chunk_s = STREAM_LIMIT_SHARE * patience_s
-        answer_s = chunk_s
         if takes_over:
             # A sound server begins within the target.
-            answer_s = max(route.latency_target_s, TAKE_OVER_LIMIT_SHARE * patience_s)
-        return SilenceLimits(answer_s + time_to_first_token_s, chunk_s)
+            begin_s = max(route.latency_target_s, TAKE_OVER_LIMIT_SHARE * patience_s)
+            begin_s += time_to_first_token_s
+            return SilenceLimits(begin_s, begin_s, chunk_s)
+        return SilenceLimits(chunk_s + time_to_first_token_s, chunk_s, chunk_s)
     answer_s = LATENCY_TARGETS_PER_ATTEMPT * route.latency_target_s
     return SilenceLimits(max(MIN_ANSWER_LIMIT_S, answer_s))
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_watch.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_watch.py
@@ -72,6 +72,19 @@
         if is_silent and is_cancelled:
             self._on_given_up(reason)
 
+    def set_limit(self, limit_s: float) -> None:
+        """Change the limit for the waits that begin from now on.
+
+        :param limit_s: longest silence that starts no search, in seconds; may be
+            infinite.
+        """
+        if limit_s == self._limit_s:
+            return
+        self._limit_s = limit_s
+        if self._stall is not None:
+            self._stall.stop()
+            self._stall = None
+
     def begin(self) -> None:
         """Record that the server is waited for."""
         if self._limit_s == math.inf:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -65,6 +65,7 @@
       | resumable  | answers without signature | before its answer |
       | idempotent | loses its answer          | before its answer |
       | idempotent | refuses the connection    | before its answer |
+      | idempotent | truncates its answer      | before its answer |
 
   # Guards against streams that are broken off because the scheduler has no room elsewhere.
   Scenario: A stream goes on at its silent engine if the scheduler refuses another one
@@ -288,3 +289,30 @@
     When a request is served
     Then the first server received it 1 times
     And the second server received it 1 times
+
+  # Guards against streams that wait for a next server whose answer begins and has no event.
+  Scenario Outline: A stream goes back from a next server that sends the head of its answer only
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the second and third server is silent for 9 s before its first event
+    And the first server is silent for 1.9 s <when>
+    When a request is served
+    Then the caller gets 200
+    And the answer took at most 1.95 s
+    And 3 servers received it
+    And 33 of 35 repeats are left
+
+    Examples:
+      | when                   |
+      | after event 3          |
+      | before its first event |
+      | before its answer      |
+
+  # Guards against a limit for a server that takes over which cuts the stream that it sends.
+  Scenario: A server that has taken a stream over is waited for like any other
+    Given a "resumable" route with 3 attempts and 3 servers
+    And the first server is silent for 9 s after event 3
+    And the second server is silent for 1.3 s after event 1
+    When a request is served
+    Then the caller gets 200
+    And 2 servers received it
+    And 34 of 35 repeats are left
