Leave no silent server that can't be gone back to

Callers saw streams cut, or got 502, though their server was sound: it was silent, the server that was selected in its place refused as full, and the first one had begun to leave. In its place it would have finished them.

Cause: a server was left for another one without regard to whether the request could come back. A request that reaches a server too late after it is known to leave breaks the users' rule DRAIN, whenever it was taken from its caller, and a router doesn't know when that time began: it knows that a server leaves, not when this was acknowledged. So there is no way back to such a server.

Change: a silent server that takes no new work keeps its request: one that leaves, or that has refused others for a time. This is looked at before another server is sought and again once one is found. It goes on serving for a while, and its end closes the connection, after which the request is sent on as before. One that is unresponsive is left all the same, and so is one that has restarted, which may have lost the request. The price: a server that leaves and is dead, but announces itself, keeps its requests until the end of its connection or their deadline.

No existing scenario is changed.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
@@ -19,6 +19,7 @@
 RESTART_S = 0.5  # a server takes longer to end and start again
 # One to the server that takes over, one back if it refuses.
 REPEATS_PER_HAND_OVER = 2
+LEAVING_REASON = "the silent server takes no new work, so there is no way back"
 
 
 class HandOver:
@@ -84,14 +85,22 @@
         """
         is_logged = False
 
+        def may_be_left() -> bool:
+            return self._servers.may_be_left(self._request.pool, selected)
+
         async def find() -> Replacement | None:
             nonlocal is_logged
-            if can_go_on():
+            if not can_go_on():
+                found = "the events that were sent have no numbers"
+            elif not may_be_left():
+                found = LEAVING_REASON
+            else:
                 found = await self._find(choose)
                 if isinstance(found, str):
                     found = self._find_left(selected, choose_again) or found
-            else:
-                found = "the events that were sent have no numbers"
+                elif not may_be_left():
+                    found.drop()
+                    found = LEAVING_REASON
             if isinstance(found, Replacement):
                 return found
             if not is_logged:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/known_servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/known_servers.py
@@ -5,7 +5,7 @@
 
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.forwarding.counts import RefusalCause
-from almondfield_daemon.forwarding.selected_server import server_start
+from almondfield_daemon.forwarding.selected_server import SelectedServer, server_start
 from almondfield_daemon.forwarding.unavailable import Unavailable
 from almondfield_daemon.server_notices import ServerNotices, ServerStart
 
@@ -105,6 +105,24 @@
             for known in self._view.servers(pool)
         )
 
+    def may_be_left(self, pool: str, selected: SelectedServer) -> bool:
+        """Return whether a silent server may lose its request to another one.
+
+        One that takes no new work couldn't get it back, but may finish it. One that is
+        unresponsive or has restarted may have lost it.
+
+        :param pool: name of the server's pool.
+        :param selected: the server, selected for the request.
+        """
+        server = selected.server
+        if server.name in self._view.unresponsive_servers():
+            return True
+        for known in self._view.servers(pool):
+            if known.name == server.name:
+                has_restarted = server_start(known) != server_start(server)
+                return has_restarted or selected.takes_work()
+        return False
+
     def exclude_misdirected(self, server: FleetServer) -> None:
         """Stop using a server whose address now belongs to another one.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -19,7 +19,11 @@
 )
 from almondfield_daemon.router.calls import SUCCESS_STATUSES, BackendAnswer, Framing
 from almondfield_daemon.scheduling import EngineAssignment
-from almondfield_daemon.server_notices import ServerNotices, ServerStart
+from almondfield_daemon.server_notices import (
+    ServerClosedError,
+    ServerNotices,
+    ServerStart,
+)
 from almondfield_fairshare.prefix_placement import InFlightRequest, Placement
 
 __all__ = ["SelectedServer", "server_start"]
@@ -96,6 +100,16 @@
         """
         self._notices.check(self._start, self._trial)
 
+    def takes_work(self) -> bool:
+        """Return whether the server may get this request again once it has ended."""
+        if self._notices.accepts(self._start):
+            return True
+        try:
+            self.check_notices()
+        except ServerClosedError:
+            return False
+        return True
+
     def record_answer(
         self,
         metadata: AnswerMetadata,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -122,6 +122,14 @@
         excluded |= self._avoided_servers(servers, may_be_all=True)
         return await self._choose(request, excluded, True, version)
 
+    def may_be_left(self, pool: str, selected: SelectedServer) -> bool:
+        """Return whether a silent server may lose its request to another one.
+
+        :param pool: name of the server's pool.
+        :param selected: the server, selected for the request.
+        """
+        return self._known.may_be_left(pool, selected)
+
     def choose_again(
         self,
         request: ForwardRequest,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -316,3 +316,60 @@
     Then the caller gets 200
     And 2 servers received it
     And 34 of 35 repeats are left
+
+  # Guards against streams that are cut at servers which take over and turn out to be full:
+  # a server that leaves finishes its streams, but gets no request any more.
+  Scenario Outline: A stream stays at its silent server while that one takes no new work
+    Given a "resumable" route with 2 attempts and 3 servers
+    And <others>
+    And answers of the first server say that it leaves
+    And the first server is silent for 1.9 s <when>
+    When a request is served
+    Then the caller gets 200
+    And 1 servers received it
+    And the first server is not avoided
+
+    Examples:
+      | others                           | when                   |
+      | nothing else                     | after event 3          |
+      | the other servers refuse as full | after event 3          |
+      | the other servers refuse as full | before its first event |
+
+  # Guards against the same where the server begins to leave while the scheduler decides.
+  Scenario: A stream stays at a silent server that leaves while another one is sought
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the other servers refuse as full
+    And the scheduler assigns the first server, and the second after 0.3 s
+    And the first server is silent for 1.9 s after event 3
+    When a stream with a prompt is served and its server leaves after 1.5 s
+    Then the caller gets 200
+    And 1 servers received it
+    And no server counts the request as in flight
+    And 35 of 35 repeats are left
+
+  # Guards against the same for a server that a hand-over goes to.
+  Scenario: A stream stays at its next server while that one takes no new work
+    Given a "resumable" route with 3 attempts and 3 servers
+    And answers of the second server say that it leaves
+    And the second server is silent for 1.9 s before its first event
+    And the first server never answers
+    When a request is served
+    Then the caller gets 200
+    And 2 servers received it
+
+  # Guards against streams that wait for a dead server because it was about to leave.
+  Scenario: A stream is taken from a silent server that leaves and is unresponsive
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the first server is silent for 9 s after event 3
+    When a stream is served and the first server leaves and is unresponsive
+    Then the caller gets 200
+    And 2 servers received it
+
+  # Guards against streams that stay at a silent server because they are its trial.
+  Scenario: A stream is taken from a silent server that tries it after a refusal
+    Given a "resumable" route with 2 attempts and 3 servers
+    And an earlier request was refused for 0.1 s by the first server
+    And the first server is silent for 9 s after event 3
+    When a request is served
+    Then the caller gets 200
+    And 2 servers received it
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -15,6 +15,7 @@
 from almondfield_daemon.forwarding.tests.fakes import make_assignment
 from almondfield_daemon.forwarding.tests.requests import serve
 from almondfield_daemon.scheduling.messages import EngineRefusal
+from almondfield_daemon.server_notices import RetryAfter, ServerStart
 from almondfield_testing import run
 
 FAILURES = 4  # after which a server is avoided for as long as requests last
@@ -214,12 +215,54 @@
     context.execute_steps("When a request with a prompt is served")
 
 
+def remove_first_server(context):
+    """Take the first server from the view, which lists no server that is draining."""
+    servers = context.view.fleet_servers
+    context.view.fleet_servers = tuple(s for s in servers if s.name != "s0")
+
+
+@given("an earlier request was refused for {seconds:g} s by the first server")
+def step_impl(context, seconds):
+    async def refuse():
+        start = ServerStart("s0", context.view.fleet_servers[0].born_ms)
+        notices = context.forwarder._servers._notices
+        refused = (RetryAfter(seconds),)
+        notices.record_answer(start, refused, True, clock.now(), "earlier")
+        await asyncio.sleep(2 * seconds)
+
+    run(context, refuse())
+
+
+@when("a stream with a prompt is served and its server leaves after {seconds:g} s")
+def step_impl(context, seconds):
+    context.route = replace(context.route, has_prompt=True)
+    parts = (PromptPart("s", 10), PromptPart("o", 10))
+
+    async def serve_meanwhile():
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, remove_first_server, context)
+        return await serve(context, prompt=Prompt("m", 20, 5, parts))
+
+    context.served = run(context, serve_meanwhile())
+
+
+@when("a stream is served and the first server leaves and is unresponsive")
+def step_impl(context):
+    def leave():
+        remove_first_server(context)
+        context.view.unresponsive = frozenset(("s0",))
+
+    async def serve_meanwhile():
+        asyncio.get_running_loop().call_later(1.0, leave)
+        return await serve(context)
+
+    context.served = run(context, serve_meanwhile())
+
+
 @when("a stream is served and it says meanwhile that it leaves")
 def step_impl(context):
     def leave():
-        # A view lists no server that is draining.
-        servers = context.view.fleet_servers
-        context.view.fleet_servers = tuple(s for s in servers if s.name != "s0")
+        remove_first_server(context)
 
     async def serve_meanwhile():
         asyncio.get_running_loop().call_later(1.0, leave)
