--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
@@ -114,7 +114,7 @@
         pool=request.pool,
         server=run.server_name,
         server_version=run.server_version,
-        stream_version=run.stream_version,
+        stream_version=run.progress.version,
         last_event_id=request.metadata.last_event_id,
         first_request_id=request.metadata.first_request_id,
         attempts=run.sent,
@@ -135,7 +135,7 @@
         total_ms=round((now() - request.arrived_s) * 1000, 1),
         longest_gap_ms=round(run.delivery.longest_gap_s * 1000, 1),
         framing=run.framing,
-        unfinished_bytes=run.unfinished_bytes,
+        unfinished_bytes=run.progress.unfinished_bytes,
     )
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -2,13 +2,13 @@
 
 import math
 from contextlib import aclosing
+from functools import partial
 
 from almondfield_core.clock import now
 from almondfield_core.findings import AlmondfieldError
 from almondfield_core.messages import ServerFailure
 from almondfield_core.routing import RequestKind
-from almondfield_daemon.fleet import FleetServer
-from almondfield_daemon.forwarding.answers import read_body, stream_headers
+from almondfield_daemon.forwarding.answers import read_body
 from almondfield_daemon.forwarding.attempt_log import log_attempt
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import RetryWindow
@@ -33,10 +33,12 @@
     silence_limits,
 )
 from almondfield_daemon.forwarding.silence_watch import SilenceWatch
-from almondfield_daemon.forwarding.take_up import make_origins
+from almondfield_daemon.forwarding.stream_progress import (
+    WRONG_VERSION,
+    StreamProgress,
+)
 from almondfield_daemon.forwarding.unavailable import RETRY_AFTER_S, Unavailable
 from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer, Header
-from almondfield_daemon.router.events import EventTracker
 from almondfield_daemon.router.problems import Problem
 from almondfield_daemon.scheduling import EngineAssignment
 from almondfield_daemon.server_notices import ServerClosedError
@@ -45,7 +47,6 @@
 
 FIRST_ERROR_STATUS = 500
 MAX_UNSENT_ATTEMPTS = 4  # attempts without a sent byte before the caller is refused
-WRONG_VERSION = "the server restarted with another version"
 
 
 class StreamBrokenError(AlmondfieldError):
@@ -64,15 +65,13 @@
     :param max_event_bytes: limit on one event of a stream, in bytes.
 
     :ivar delivery: the answer to the caller.
+    :ivar progress: how far the caller of a stream has got.
     :ivar sent: attempts of which a byte may have been sent.
     :ivar silent_attempts: attempts that this router ended because their servers sent
         nothing for some time.
     :ivar may_have_run: whether a server may have run the request.
     :ivar first_attempt_s: seconds from arrival to the first attempt; None before.
     :ivar framing: how the last answer states where its body ends; empty before.
-    :ivar unfinished_bytes: bytes after the last complete event of the last answer.
-    :ivar stream_version: version at which the stream has to go on; None before its
-        first event.
     :ivar server_name: server of the last attempt; empty before the first.
     :ivar server_version: software version of that server.
     :ivar assignment: the last attempt's assignment to a model engine; None otherwise.
@@ -91,25 +90,22 @@
         self._request = request
         self._attempts = attempts
         self._servers = servers
-        self._origins = origins
         self._window = window
         self.delivery = AnswerDelivery(sink, request.arrived_s)
         self._hand_over = HandOver(request, servers, window)
-        self._tracker = EventTracker(max_event_bytes)
+        self.progress = StreamProgress(
+            request, servers, origins, self.delivery, max_event_bytes
+        )
         self._limits = SilenceLimits()
         self._is_last = False
         self._unsent_attempts = 0
         self._tried: frozenset[str] = frozenset()
         self._has_lost_server = False
-        self._last_event_id = request.metadata.last_event_id
         self.sent = 0
         self.silent_attempts = 0
         self.may_have_run = False
         self.first_attempt_s: float | None = None
         self.framing = ""
-        self.unfinished_bytes = 0
-        self.stream_version = request.stream_version
-        self._is_version_known = True
         self.server_name = ""
         self.server_version = ""
         self.assignment: EngineAssignment | None = None
@@ -173,7 +169,6 @@
             return None
 
     async def _serve_stream(self) -> Problem | None:
-        tracker = self._tracker
         while True:
             match await self._next_answer():
                 case Problem() as problem:
@@ -188,16 +183,15 @@
                         ServerFailure.STREAM, f"the stream has status {answer.status}"
                     )
                 async with self._watch(selected, self._limits.first_event_s) as watch:
-                    await self._forward_events(answer, selected, watch)
+                    settle = partial(self._settle, selected, watch)
+                    await self.progress.forward(answer, selected, watch, settle)
                 selected.record_success(answer, selected.began_s is not None)
                 return None
             except AnswerCutError as error:
                 answer.close()
-                self.unfinished_bytes = tracker.unfinished_bytes
-                tracker.restart()
-                if tracker.last_id is not None:
-                    self._last_event_id = tracker.last_id.decode("latin-1")
-                if self._record_truncation(selected, error) and self._can_go_on():
+                self.progress.cut()
+                may_repeat = self._record_truncation(selected, error)
+                if may_repeat and self.progress.can_go_on():
                     continue
                 if self.delivery.is_started:
                     raise StreamBrokenError(str(error)) from None
@@ -212,61 +206,12 @@
             return answer.status != 200
         return answer.status >= FIRST_ERROR_STATUS and self._request.route.is_resumable
 
-    def _can_go_on(self) -> bool:
-        """Return whether another answer can go on where this one has ended."""
-        if not self.delivery.is_started:
-            return True
-        return self._is_version_known and self._tracker.last_id is not None
-
-    async def _forward_events(
-        self, answer: BackendAnswer, selected: SelectedServer, watch: SilenceWatch
-    ) -> None:
-        """Send complete events as they arrive."""
-        headers = stream_headers(answer)
-        tracker = self._tracker
-        has_events = False
-        watch.begin()
-        async for chunk in answer.chunks():
-            watch.end()
-            if not has_events and self._has_wrong_version(selected.server):
-                raise AnswerCutError(ServerFailure.STREAM, WRONG_VERSION)
-            events = tracker.feed(chunk)
-            if events:
-                if not has_events:
-                    has_events = True
-                    self._settle(selected, watch)
-                selected.begin_answer()
-                self._record_origin(selected.server)
-                await self.delivery.start(answer.status, headers)
-                await self.delivery.send_events(events)
-            watch.begin()
-        watch.end()
-        await self.delivery.start(answer.status, headers)
-        self.unfinished_bytes = tracker.unfinished_bytes
-        await self.delivery.finish(tracker.take_remainder())
-
     def _settle(self, selected: SelectedServer, watch: SilenceWatch) -> None:
         """Record that a server has sent an event, so that the stream stays there."""
         self._hand_over.settle()
         limit_s = math.inf if self._is_last else self._limits.chunk_s
         watch.set_limit(limit_s + selected.delay_allowance_s)
 
-    def _record_origin(self, server: FleetServer) -> None:
-        """Record where the stream began, before its caller has an event."""
-        if not self.delivery.is_started:
-            self.stream_version = server.version
-            has_changed = self._servers.has_changed_version(self._request.pool, server)
-            self._is_version_known = not has_changed
-            if self._request.route.is_resumable and not has_changed:
-                for origin in make_origins(self._request, server):
-                    self._origins.record(origin)
-
-    def _has_wrong_version(self, server: FleetServer) -> bool:
-        """Return whether a server can't go on with the stream after a restart."""
-        return self.stream_version is not None and self._servers.has_changed_version(
-            self._request.pool, server
-        )
-
     async def _next_answer(self) -> Problem | tuple[SelectedServer, Answered]:
         """Return a server's answer, or the problem to send instead."""
         while True:
@@ -275,7 +220,7 @@
                     "the deadline passed before the answer was complete", True
                 )
             selected = await self._hand_over.choose(
-                self._tried, self._has_lost_server, self.stream_version
+                self._tried, self._has_lost_server, self.progress.version
             )
             if isinstance(selected, Unavailable):
                 if self._hand_over.try_return():
@@ -318,7 +263,7 @@
                 outcome = await self._attempts.send(
                     self._request,
                     selected.server,
-                    self._last_event_id,
+                    self.progress.last_event_id,
                     watch,
                     lambda: self._check_before_sending(selected),
                 )
@@ -340,12 +285,12 @@
 
         async def choose() -> SelectedServer | Unavailable:
             return await self._servers.choose_replacement(
-                self._request, tried, self.stream_version
+                self._request, tried, self.progress.version
             )
 
         def choose_again(name: str) -> SelectedServer | Unavailable:
             return self._servers.choose_again(
-                self._request, name, self.stream_version, is_just_left=False
+                self._request, name, self.progress.version, is_just_left=False
             )
 
         return self._hand_over.watch(
@@ -353,13 +298,13 @@
             limit_s,
             None if self._is_last else choose,
             choose_again,
-            self._can_go_on,
+            self.progress.can_go_on,
         )
 
     def _check_before_sending(self, selected: SelectedServer) -> None:
         self.delivery.check_caller()
         selected.check_notices()
-        if self._has_wrong_version(selected.server):
+        if self.progress.has_wrong_version(selected.server):
             raise ServerClosedError(WRONG_VERSION)
 
     def _handle_failure(
@@ -434,4 +379,4 @@
         return no_answer(detail, self.may_have_run, is_timeout)
 
     def _retry_after_s(self) -> float:
-        return self._servers.retry_after_s(self._request, self.stream_version)
+        return self._servers.retry_after_s(self._request, self.progress.version)
