--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
@@ -85,22 +85,12 @@
         """
         is_logged = False
 
-        def may_be_left() -> bool:
-            return self._servers.may_be_left(self._request.pool, selected)
-
         async def find() -> Replacement | None:
             nonlocal is_logged
-            if not can_go_on():
-                found = "the events that were sent have no numbers"
-            elif not may_be_left():
-                found = LEAVING_REASON
+            if can_go_on():
+                found = await self._find(selected, choose, choose_again)
             else:
-                found = await self._find(choose)
-                if isinstance(found, str):
-                    found = self._find_left(selected, choose_again) or found
-                elif not may_be_left():
-                    found.drop()
-                    found = LEAVING_REASON
+                found = "the events that were sent have no numbers"
             if isinstance(found, Replacement):
                 return found
             if not is_logged:
@@ -178,6 +168,24 @@
         self.settle()
 
     async def _find(
+        self,
+        selected: SelectedServer,
+        choose: Callable[[], Awaitable[SelectedServer | Unavailable]] | None,
+        choose_again: Callable[[str], SelectedServer | Unavailable],
+    ) -> Replacement | str:
+        """Return a server that takes the request over, or why there is none."""
+        if not self._servers.may_be_left(self._request.pool, selected):
+            return LEAVING_REASON
+        found = await self._find_new(choose)
+        if isinstance(found, str):
+            return self._find_left(selected, choose_again) or found
+        # The silent server may have begun to leave while the scheduler decided.
+        if not self._servers.may_be_left(self._request.pool, selected):
+            found.drop()
+            return LEAVING_REASON
+        return found
+
+    async def _find_new(
         self, choose: Callable[[], Awaitable[SelectedServer | Unavailable]] | None
     ) -> Replacement | str:
         """Return a new server that takes the request over, or why there is none."""
