Give back repeats that are counted and not sent

A request that might be repeated cost a repeat of the retry budget also if no other server took it, or if the next one refused the connection and the request went back to its silent server. Callers saw nothing of it but the smaller budget.

Cause: a repeat was counted when the decision for another attempt fell, and nobody held it from then to the sending. Now the run holds it: it is sent with the next attempt that a server may have got, or given back when the request ends. An attempt that is cancelled counts as sent.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/budget.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/budget.py
@@ -6,7 +6,7 @@
 
 from almondfield_core.clock import now
 
-__all__ = ["Repeat", "RetryWindow"]
+__all__ = ["PendingRepeat", "Repeat", "RetryWindow"]
 
 SAFETY_FACTOR = 0.7  # the rest covers routers that are starting or not yet counted
 
@@ -49,10 +49,6 @@
         self._drop_expired()
         self._request_times_s.append(now())
 
-    def try_spend(self) -> bool:
-        """Return whether another repeat is allowed, and count it."""
-        return bool(self.reserve(1))
-
     def reserve(self, count: int) -> tuple[Repeat, ...]:
         """Return some more repeats, which are counted; none unless all are allowed.
 
@@ -89,3 +85,38 @@
             self._request_times_s.popleft()
         while self._repeats and self._repeats[0].spent_s < oldest_s:
             self._repeats.popleft()
+
+
+class PendingRepeat:
+    """The repeat that is counted for the next attempt of a request, until it is sent.
+
+    :param window: retry budget of the pool.
+    """
+
+    def __init__(self, window: RetryWindow) -> None:
+        self._window = window
+        self._repeat: Repeat | None = None
+
+    def try_spend(self) -> bool:
+        """Return whether another attempt is allowed, and count it once."""
+        if self._repeat is None:
+            self._repeat = next(iter(self._window.reserve(1)), None)
+        return self._repeat is not None
+
+    def replace(self, repeat: Repeat) -> None:
+        """Use another repeat, which is counted already, for the next attempt.
+
+        :param repeat: the repeat.
+        """
+        self.drop()
+        self._repeat = repeat
+
+    def record_sent(self) -> None:
+        """Record that a server may have got the attempt."""
+        self._repeat = None
+
+    def drop(self) -> None:
+        """Give back the repeat, if there is one, as it isn't sent."""
+        if self._repeat is not None:
+            self._window.refund(self._repeat)
+            self._repeat = None
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
@@ -5,7 +5,7 @@
 import eliot
 
 from almondfield_core.clock import now
-from almondfield_daemon.forwarding.budget import RetryWindow
+from almondfield_daemon.forwarding.budget import PendingRepeat, RetryWindow
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.replacement import LeftServer, Replacement
 from almondfield_daemon.forwarding.selected_server import SelectedServer
@@ -34,11 +34,17 @@
     :param request: the request.
     :param servers: chooses servers.
     :param window: retry budget of the pool.
+    :param pending: gets the repeat for the next attempt.
     """
 
     def __init__(
-        self, request: ForwardRequest, servers: ServerSelector, window: RetryWindow
+        self,
+        request: ForwardRequest,
+        servers: ServerSelector,
+        window: RetryWindow,
+        pending: PendingRepeat,
     ) -> None:
+        self._pending = pending
         self._request = request
         self._servers = servers
         self._window = window
@@ -123,7 +129,10 @@
         if self._next is not None:
             found, self._next = self._next, None
             self._is_at_new_server = found.left is None
-            if found.left is not None:
+            if found.left is None:
+                self._pending.replace(found.repeats[0])
+            else:
+                self._pending.replace(found.left.repeat)
                 self._record_return(found.left)
             return found.selected
         self._is_at_new_server = not self._is_returning
@@ -138,6 +147,8 @@
             if isinstance(selected, Unavailable):
                 self._window.refund(left.repeat)
                 self._servers.record_refusal(self._request.team, selected)
+            else:
+                self._pending.replace(left.repeat)
             return selected
         return await self._servers.choose(
             self._request, tried, has_lost_server, version
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -11,7 +11,7 @@
 from almondfield_daemon.forwarding.answers import read_body
 from almondfield_daemon.forwarding.attempt_log import log_attempt
 from almondfield_daemon.forwarding.attempts import AttemptSender
-from almondfield_daemon.forwarding.budget import RetryWindow
+from almondfield_daemon.forwarding.budget import PendingRepeat, RetryWindow
 from almondfield_daemon.forwarding.delivery import AnswerDelivery
 from almondfield_daemon.forwarding.hand_over import MIN_REMAINING_S, HandOver
 from almondfield_daemon.forwarding.messages import ForwardRequest
@@ -90,9 +90,9 @@
         self._request = request
         self._attempts = attempts
         self._servers = servers
-        self._window = window
+        self._pending = PendingRepeat(window)
         self.delivery = AnswerDelivery(sink, request.arrived_s)
-        self._hand_over = HandOver(request, servers, window)
+        self._hand_over = HandOver(request, servers, window, self._pending)
         self.progress = StreamProgress(
             request, servers, origins, self.delivery, max_event_bytes
         )
@@ -121,6 +121,7 @@
             return await self._serve_buffered()
         finally:
             self._hand_over.close()
+            self._pending.drop()
 
     async def _serve_buffered(self) -> Problem | None:
         """Send an answer once it is complete; a truncated one can be replaced."""
@@ -270,11 +271,13 @@
         except AnswerCutError as error:
             outcome = AnswerLost(str(error), timed_out=error.timed_out)
         except BaseException:
+            self._pending.record_sent()
             selected.end()
             raise
         if isinstance(outcome, Unsent | Withheld | NotExecuted | Misdirected):
             self.may_have_run = may_have_run
         if not isinstance(outcome, Unsent | Withheld):
+            self._pending.record_sent()
             self.sent += 1
         if not isinstance(outcome, Answered):
             log_attempt(self._request, selected.server, outcome)
@@ -367,7 +370,7 @@
     def _may_send_again(self) -> bool:
         if self.sent >= self._request.route.max_attempts:
             return False
-        return self._remaining_s() >= MIN_REMAINING_S and self._window.try_spend()
+        return self._remaining_s() >= MIN_REMAINING_S and self._pending.try_spend()
 
     def _remaining_s(self) -> float:
         return self._request.until_s - now()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -373,3 +373,27 @@
     When a request is served
     Then the caller gets 200
     And 2 servers received it
+
+  # Guards against a retry budget that is used up by repeats for which there is no server
+  # or that no server gets.
+  Scenario Outline: A repeat that is counted and not sent is given back
+    Given a "<kind>" route with <attempts> attempts and <servers> servers
+    And the second server refuses the connection
+    And the first server <failure>
+    When a request is served
+    Then <left> of 35 repeats are left
+
+    Examples:
+      | kind       | attempts | servers | failure                               | left |
+      | resumable  | 2        | 2       | loses its answer                      | 35   |
+      | idempotent | 2        | 2       | fails with 500                        | 35   |
+      | resumable  | 2        | 2       | is silent for 1.9 s after event 3     | 34   |
+      | idempotent | 2        | 2       | is silent for 1.9 s before its answer | 34   |
+      | resumable  | 2        | 3       | loses its answer                      | 34   |
+      | resumable  | 2        | 3       | is silent for 9 s after event 3       | 34   |
+
+  # Guards against repeats that are sent without being counted or counted without being
+  # sent, and against requests that go to too many servers, whatever servers do.
+  Scenario: Repeats are counted as servers get them, whatever the servers do
+    When 300 requests meet servers that fail at random
+    Then none of them broke a limit
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 from contextlib import suppress
 from dataclasses import replace
 from unittest import mock
@@ -21,6 +22,21 @@
 FAILURES = 4  # after which a server is avoided for as long as requests last
 REFUSAL = EngineRefusal(0.1, False, 0.5, 1)
 
+RANDOM_FAILURES = (
+    "is silent for 1.5 s after event 3",
+    "is silent for 1.9 s before its first event",
+    "is silent for 1.9 s before its answer",
+    "is silent for 9 s after event 1",
+    "never answers",
+    "loses its answer",
+    "loses its answer after 1.0 s",
+    "fails with 500",
+    "reports that it did not run it",
+    "truncates its answer",
+    "refuses the connection",
+    "answers without signature",
+)
+
 
 def line_of(context, kind):
     """Return the only log line of a kind."""
@@ -233,6 +249,68 @@
     run(context, refuse())
 
 
+def broken_limits(context):
+    """Return the limits that the only request of a scenario has broken."""
+    servers = [
+        server.name
+        for server in context.servers
+        for call in server.received
+        if call is not None
+    ]
+
+    async def count_repeats():
+        window = context.forwarder._window("p")
+        return len(window._repeats)
+
+    most = context.route.max_attempts
+    repeats = max(0, len(servers) - 1)
+    limits = {
+        "repeats": run(context, count_repeats()) == repeats,
+        "servers": len(set(servers)) <= most,
+        "attempts": len(servers) <= 2 * most,
+        "places": not any(
+            context.placement.record(server.name).in_flight
+            for server in context.servers
+        ),
+    }
+    return [name for name, is_kept in limits.items() if not is_kept]
+
+
+@when("{count:d} requests meet servers that fail at random")
+def step_impl(context, count):
+    context.broken = {}
+    for seed in range(count):
+        generator = random.Random(seed)
+        kind = generator.choice(("resumable", "idempotent"))
+        attempts, servers = generator.choice((1, 2, 3)), generator.choice((1, 2, 3, 4))
+        routers = generator.choice((1, 1, 15, 20))
+        context.execute_steps(
+            f'''
+            Given a "{kind}" route with {attempts} attempts and {servers} servers
+            And {routers} routers share the budget
+            '''
+        )
+        for server in context.servers:
+            if generator.random() < 0.9:
+                server.failure = generator.choice(RANDOM_FAILURES)
+        leaves_s = generator.choice((None, None, 1.4, 1.402, 1.6, 3.0))
+
+        async def leave(seconds=leaves_s):
+            with suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    await serve(context)
+
+        run(context, leave())
+        broken = broken_limits(context)
+        if broken:
+            context.broken[seed] = broken
+
+
+@then("none of them broke a limit")
+def step_impl(context):
+    assert not context.broken, context.broken
+
+
 @when("a stream with a prompt is served and its server leaves after {seconds:g} s")
 def step_impl(context, seconds):
     context.route = replace(context.route, has_prompt=True)
