Leave no silent server that begins to leave while the scheduler decides

A server that took a request over was silent as well, and began to leave while the scheduler was asked for a new one. If the scheduler had no room, the request went back to the server that was left before, with a repeat for a way back that there was no longer: callers got 504 though the server that leaves would have answered.

Cause: whether the server may be left was looked at again only if a new server was found. Now it is looked at in both cases. The repeat for this way back must also have been counted, should the budget have shrunk since it was looked at.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
@@ -188,12 +188,13 @@
         if not self._servers.may_be_left(self._request.pool, selected):
             return LEAVING_REASON
         found = await self._find_new(choose)
-        if isinstance(found, str):
-            return self._find_left(selected, choose_again) or found
         # The silent server may have begun to leave while the scheduler decided.
         if not self._servers.may_be_left(self._request.pool, selected):
-            found.drop()
+            if isinstance(found, Replacement):
+                found.drop()
             return LEAVING_REASON
+        if isinstance(found, str):
+            return self._find_left(selected, choose_again) or found
         return found
 
     async def _find_new(
@@ -234,7 +235,8 @@
                 continue
             if self._has_time(found):
                 repeats = self._window.reserve(count)
-                return Replacement(found, self._window, repeats, left)
+                if len(repeats) == count:
+                    return Replacement(found, self._window, repeats, left)
             found.end(was_sent=False)
         return None
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -357,6 +357,17 @@
     Then the caller gets 200
     And 2 servers received it
 
+  # Guards against the same where the next server begins to leave while the scheduler
+  # decides, and then has no room.
+  Scenario: A stream stays at its next server that leaves while another one is sought
+    Given a "resumable" route with 3 attempts and 3 servers
+    And the scheduler assigns the first and the second server, and refuses after 0.3 s
+    And the second server is silent for 1.9 s before its answer
+    And the first server never answers
+    When a stream with a prompt is served and its next server leaves after 1.9 s
+    Then the caller gets 200
+    And 2 servers received it
+
   # Guards against streams that wait for a dead server because it was about to leave.
   Scenario: A stream is taken from a silent server that leaves and is unresponsive
     Given a "resumable" route with 2 attempts and 3 servers
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -84,6 +84,15 @@
     context.engines.decisions = [(first, 0.0), (second, seconds)]
 
 
+@given(
+    "the scheduler assigns the first and the second server, and refuses after "
+    "{seconds:g} s"
+)
+def step_impl(context, seconds):
+    first, second = make_assignment("s0"), make_assignment("s1")
+    context.engines.decisions = [(first, 0.0), (second, 0.0), (REFUSAL, seconds)]
+
+
 @when("a request with a prompt is served")
 def step_impl(context):
     context.route = replace(context.route, has_prompt=True)
@@ -231,10 +240,10 @@
     context.execute_steps("When a request with a prompt is served")
 
 
-def remove_first_server(context):
-    """Take the first server from the view, which lists no server that is draining."""
+def remove_server(context, name):
+    """Take a server from the view, which lists no server that is draining."""
     servers = context.view.fleet_servers
-    context.view.fleet_servers = tuple(s for s in servers if s.name != "s0")
+    context.view.fleet_servers = tuple(s for s in servers if s.name != name)
 
 
 @given("an earlier request was refused for {seconds:g} s by the first server")
@@ -311,23 +320,33 @@
     assert not context.broken, context.broken
 
 
-@when("a stream with a prompt is served and its server leaves after {seconds:g} s")
-def step_impl(context, seconds):
+def serve_while_leaving(context, name, seconds):
+    """Serve a stream with a prompt while a server leaves after some seconds."""
     context.route = replace(context.route, has_prompt=True)
     parts = (PromptPart("s", 10), PromptPart("o", 10))
 
     async def serve_meanwhile():
         loop = asyncio.get_running_loop()
-        loop.call_later(seconds, remove_first_server, context)
+        loop.call_later(seconds, remove_server, context, name)
         return await serve(context, prompt=Prompt("m", 20, 5, parts))
 
     context.served = run(context, serve_meanwhile())
 
 
+@when("a stream with a prompt is served and its server leaves after {seconds:g} s")
+def step_impl(context, seconds):
+    serve_while_leaving(context, "s0", seconds)
+
+
+@when("a stream with a prompt is served and its next server leaves after {seconds:g} s")
+def step_impl(context, seconds):
+    serve_while_leaving(context, "s1", seconds)
+
+
 @when("a stream is served and the first server leaves and is unresponsive")
 def step_impl(context):
     def leave():
-        remove_first_server(context)
+        remove_server(context, "s0")
         context.view.unresponsive = frozenset(("s0",))
 
     async def serve_meanwhile():
@@ -340,7 +359,7 @@
 @when("a stream is served and it says meanwhile that it leaves")
 def step_impl(context):
     def leave():
-        remove_first_server(context)
+        remove_server(context, "s0")
 
     async def serve_meanwhile():
         asyncio.get_running_loop().call_later(1.0, leave)
