Go back to a silent server also if the next one answers a request with an error

Callers of idempotent requests got the 500 of the server that had taken over from a silent one, though the silent one was sound and would have answered.

Cause: a whole answer with an error was replaced only by a repeat that the limit on attempts allows; the kept way back was not looked at, as it is for streams. If no way back can be taken, the caller still gets the error that was answered.

Seen before: a new row of "A request goes back to its silent server if the next one fails at once" (idempotent, fails with 500) failed: the caller got 500.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -162,7 +162,7 @@
             is_failure = answer.status >= FIRST_ERROR_STATUS
             if not is_failure:
                 self._hand_over.settle()
-            if is_failure and self._may_repeat():
+            if is_failure and (self._may_repeat() or self._hand_over.try_return()):
                 failed_answer = complete
                 self._tried |= {selected.server.name}
                 continue
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -66,6 +66,7 @@
       | idempotent | loses its answer          | before its answer |
       | idempotent | refuses the connection    | before its answer |
       | idempotent | truncates its answer      | before its answer |
+      | idempotent | fails with 500            | before its answer |
 
   # Guards against streams that are broken off because the scheduler has no room elsewhere.
   Scenario: A stream goes on at its silent engine if the scheduler refuses another one
