--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -65,6 +65,8 @@
       | resumable  | answers without signature | before its answer |
       | idempotent | loses its answer          | before its answer |
       | idempotent | refuses the connection    | before its answer |
+      | idempotent | truncates its answer      | before its answer |
+      | idempotent | fails with 500            | before its answer |
 
   # Guards against streams that are broken off because the scheduler has no room elsewhere.
   Scenario: A stream goes on at its silent engine if the scheduler refuses another one
@@ -206,3 +208,204 @@
     When a request is served
     Then the caller gets 200
     And 34 of 35 repeats are left
+
+  # Guards against a retry budget that is used up by callers that leave: a server is
+  # found for a silent one in the same step of the event loop.
+  Scenario: A caller that leaves as another server is found costs no repeat
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the scheduler assigns the first server, and the second after 0 s
+    And the first server is silent for 3 s after event 3
+    When a caller with a prompt leaves as the scheduler decides again
+    Then 1 servers received it
+    And no server counts the request as in flight
+    And 35 of 35 repeats are left
+
+  # Guards against a retry budget that is used up by the repeats that are kept for ways
+  # back: a further hand-over must not forget the one that is kept already.
+  Scenario: Two hand-overs of one request keep no repeat once a server answers
+    Given a "resumable" route with 3 attempts and 3 servers
+    And the second server never answers
+    And the first server is silent for 4 s after event 3
+    When a request is served
+    Then the caller gets 200
+    And 33 of 35 repeats are left
+
+  # Guards against the same where the server to go back to takes no work any more.
+  Scenario: A way back that can't be taken costs no repeat
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the second and third server loses its answer after 1.0 s
+    And the first server is silent for 1.9 s after event 3
+    When a stream is served and its announcements stop meanwhile
+    Then the first server received it 1 times
+    And 34 of 35 repeats are left
+
+  # Guards against requests that wait at a silent next server until their deadline, or
+  # beyond the time after which callers leave, and against work at two servers at once.
+  Scenario: A stream whose next server is silent as well goes back before its caller leaves
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the second and third server never answers
+    And the first server is silent for 1.9 s after event 3
+    When a request is served
+    Then the caller gets 200
+    And the answer took at most 1.95 s
+    And 3 servers received it
+    And the first server received it again after the second was closed
+    And 33 of 35 repeats are left
+
+  # Guards against the same for requests that aren't streams.
+  Scenario: An idempotent request goes back from a next server that is silent as well
+    Given a "idempotent" route with 2 attempts and 3 servers
+    And the second and third server never answers
+    And the first server is silent for 1.9 s before its answer
+    When a request is served
+    Then the caller gets 200
+    And 3 servers received it
+
+  # Guards against a way back that gives up a sound silent server for a dead one.
+  Scenario: A stream goes on at its next server if the one it went back to stays silent
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the first server never answers
+    And the second server is silent for 1.9 s before its answer
+    When a request is served
+    Then the caller gets 200
+    And 4 servers received it
+
+  # Guards against requests that go to and fro between silent servers.
+  Scenario: A request goes back to each silent server once
+    Given a "resumable" route with 2 attempts and 3 servers
+    And every server never answers
+    When a request is served
+    Then the caller gets 504 unknown
+    And 4 servers received it
+    And the first server received it 2 times
+    And the second server received it 2 times
+    And 32 of 35 repeats are left
+
+  # Guards against ways back that the retry budget doesn't allow.
+  Scenario: A stream goes back from its next silent server only within the retry budget
+    Given a "resumable" route with 2 attempts and 3 servers
+    And 15 routers share the budget
+    And the second and third server never answers
+    And the first server is silent for 1.9 s after event 3
+    When a request is served
+    Then the first server received it 1 times
+    And the second server received it 1 times
+
+  # Guards against streams that wait for a next server whose answer begins and has no event.
+  Scenario Outline: A stream goes back from a next server that sends the head of its answer only
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the second and third server is silent for 9 s before its first event
+    And the first server is silent for 1.9 s <when>
+    When a request is served
+    Then the caller gets 200
+    And the answer took at most 1.95 s
+    And 3 servers received it
+    And 33 of 35 repeats are left
+
+    Examples:
+      | when                   |
+      | after event 3          |
+      | before its first event |
+      | before its answer      |
+
+  # Guards against a limit for a server that takes over which cuts the stream that it sends.
+  Scenario: A server that has taken a stream over is waited for like any other
+    Given a "resumable" route with 3 attempts and 3 servers
+    And the first server is silent for 9 s after event 3
+    And the second server is silent for 1.3 s after event 1
+    When a request is served
+    Then the caller gets 200
+    And 2 servers received it
+    And 34 of 35 repeats are left
+
+  # Guards against streams that are cut at servers which take over and turn out to be full:
+  # a server that leaves finishes its streams, but gets no request any more.
+  Scenario Outline: A stream stays at its silent server while that one takes no new work
+    Given a "resumable" route with 2 attempts and 3 servers
+    And <others>
+    And answers of the first server say that it leaves
+    And the first server is silent for 1.9 s <when>
+    When a request is served
+    Then the caller gets 200
+    And 1 servers received it
+    And the first server is not avoided
+
+    Examples:
+      | others                           | when                   |
+      | nothing else                     | after event 3          |
+      | the other servers refuse as full | after event 3          |
+      | the other servers refuse as full | before its first event |
+
+  # Guards against the same where the server begins to leave while the scheduler decides.
+  Scenario: A stream stays at a silent server that leaves while another one is sought
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the other servers refuse as full
+    And the scheduler assigns the first server, and the second after 0.3 s
+    And the first server is silent for 1.9 s after event 3
+    When a stream with a prompt is served and its server leaves after 1.5 s
+    Then the caller gets 200
+    And 1 servers received it
+    And no server counts the request as in flight
+    And 35 of 35 repeats are left
+
+  # Guards against the same for a server that a hand-over goes to.
+  Scenario: A stream stays at its next server while that one takes no new work
+    Given a "resumable" route with 3 attempts and 3 servers
+    And answers of the second server say that it leaves
+    And the second server is silent for 1.9 s before its first event
+    And the first server never answers
+    When a request is served
+    Then the caller gets 200
+    And 2 servers received it
+
+  # Guards against the same where the next server begins to leave while the scheduler
+  # decides, and then has no room.
+  Scenario: A stream stays at its next server that leaves while another one is sought
+    Given a "resumable" route with 3 attempts and 3 servers
+    And the scheduler assigns the first and the second server, and refuses after 0.3 s
+    And the second server is silent for 1.9 s before its answer
+    And the first server never answers
+    When a stream with a prompt is served and its next server leaves after 1.9 s
+    Then the caller gets 200
+    And 2 servers received it
+
+  # Guards against streams that wait for a dead server because it was about to leave.
+  Scenario: A stream is taken from a silent server that leaves and is unresponsive
+    Given a "resumable" route with 2 attempts and 3 servers
+    And the first server is silent for 9 s after event 3
+    When a stream is served and the first server leaves and is unresponsive
+    Then the caller gets 200
+    And 2 servers received it
+
+  # Guards against streams that stay at a silent server because they are its trial.
+  Scenario: A stream is taken from a silent server that tries it after a refusal
+    Given a "resumable" route with 2 attempts and 3 servers
+    And an earlier request was refused for 0.1 s by the first server
+    And the first server is silent for 9 s after event 3
+    When a request is served
+    Then the caller gets 200
+    And 2 servers received it
+
+  # Guards against a retry budget that is used up by repeats for which there is no server
+  # or that no server gets.
+  Scenario Outline: A repeat that is counted and not sent is given back
+    Given a "<kind>" route with <attempts> attempts and <servers> servers
+    And the second server refuses the connection
+    And the first server <failure>
+    When a request is served
+    Then <left> of 35 repeats are left
+
+    Examples:
+      | kind       | attempts | servers | failure                               | left |
+      | resumable  | 2        | 2       | loses its answer                      | 35   |
+      | idempotent | 2        | 2       | fails with 500                        | 35   |
+      | resumable  | 2        | 2       | is silent for 1.9 s after event 3     | 34   |
+      | idempotent | 2        | 2       | is silent for 1.9 s before its answer | 34   |
+      | resumable  | 2        | 3       | loses its answer                      | 34   |
+      | resumable  | 2        | 3       | is silent for 9 s after event 3       | 34   |
+
+  # Guards against repeats that are sent without being counted or counted without being
+  # sent, and against requests that go to too many servers, whatever servers do.
+  Scenario: Repeats are counted as servers get them, whatever the servers do
+    When 300 requests meet servers that fail at random
+    Then none of them broke a limit
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 from contextlib import suppress
 from dataclasses import replace
 from unittest import mock
@@ -15,11 +16,27 @@
 from almondfield_daemon.forwarding.tests.fakes import make_assignment
 from almondfield_daemon.forwarding.tests.requests import serve
 from almondfield_daemon.scheduling.messages import EngineRefusal
+from almondfield_daemon.server_notices import RetryAfter, ServerStart
 from almondfield_testing import run
 
 FAILURES = 4  # after which a server is avoided for as long as requests last
 REFUSAL = EngineRefusal(0.1, False, 0.5, 1)
 
+RANDOM_FAILURES = (
+    "is silent for 1.5 s after event 3",
+    "is silent for 1.9 s before its first event",
+    "is silent for 1.9 s before its answer",
+    "is silent for 9 s after event 1",
+    "never answers",
+    "loses its answer",
+    "loses its answer after 1.0 s",
+    "fails with 500",
+    "reports that it did not run it",
+    "truncates its answer",
+    "refuses the connection",
+    "answers without signature",
+)
+
 
 def line_of(context, kind):
     """Return the only log line of a kind."""
@@ -67,6 +84,15 @@
     context.engines.decisions = [(first, 0.0), (second, seconds)]
 
 
+@given(
+    "the scheduler assigns the first and the second server, and refuses after "
+    "{seconds:g} s"
+)
+def step_impl(context, seconds):
+    first, second = make_assignment("s0"), make_assignment("s1")
+    context.engines.decisions = [(first, 0.0), (second, 0.0), (REFUSAL, seconds)]
+
+
 @when("a request with a prompt is served")
 def step_impl(context):
     context.route = replace(context.route, has_prompt=True)
@@ -87,13 +113,34 @@
     run(context, leave())
 
 
+@when("a caller with a prompt leaves as the scheduler decides again")
+def step_impl(context):
+    context.route = replace(context.route, has_prompt=True)
+    parts = (PromptPart("s", 10), PromptPart("o", 10))
+
+    async def leave():
+        served = asyncio.ensure_future(serve(context, prompt=Prompt("m", 20, 5, parts)))
+
+        def on_request():
+            if len(context.engines.requests) > 1:
+                # It runs before the search that the request belongs to goes on.
+                asyncio.get_running_loop().call_soon(served.cancel)
+
+        context.engines.on_request = on_request
+        await asyncio.wait([served])
+        assert served.cancelled()
+
+    run(context, leave())
+
+
 @then("{count:d} of 35 repeats are left")
 def step_impl(context, count):
     async def count_left():
         window = context.forwarder._window("p")
         return sum(window.allows_repeats(number) for number in range(1, 100))
 
-    assert run(context, count_left()) == count
+    left = run(context, count_left())
+    assert left == count, left
 
 
 @then("the scheduler was asked {least:d} to {most:d} times")
@@ -173,6 +220,19 @@
     assert len(context.servers[0].received) == count, context.servers[0].received
 
 
+@then("the second server received it {count:d} times")
+def step_impl(context, count):
+    assert len(context.servers[1].received) == count, context.servers[1].received
+
+
+@then("the first server received it again after the second was closed")
+def step_impl(context):
+    first, second = context.servers[:2]
+    _, call = first.received
+    assert call.last_event_id == "3", call
+    assert second.closed_s <= call.received_s, (second.closed_s, call)
+
+
 @when("a stream is served and the scheduler has no room when it is to go back")
 def step_impl(context):
     first, second = make_assignment("s0"), make_assignment("s1")
@@ -180,12 +240,126 @@
     context.execute_steps("When a request with a prompt is served")
 
 
+def remove_server(context, name):
+    """Take a server from the view, which lists no server that is draining."""
+    servers = context.view.fleet_servers
+    context.view.fleet_servers = tuple(s for s in servers if s.name != name)
+
+
+@given("an earlier request was refused for {seconds:g} s by the first server")
+def step_impl(context, seconds):
+    async def refuse():
+        start = ServerStart("s0", context.view.fleet_servers[0].born_ms)
+        notices = context.forwarder._servers._notices
+        refused = (RetryAfter(seconds),)
+        notices.record_answer(start, refused, True, clock.now(), "earlier")
+        await asyncio.sleep(2 * seconds)
+
+    run(context, refuse())
+
+
+def broken_limits(context):
+    """Return the limits that the only request of a scenario has broken."""
+    servers = [
+        server.name
+        for server in context.servers
+        for call in server.received
+        if call is not None
+    ]
+
+    async def count_repeats():
+        window = context.forwarder._window("p")
+        return len(window._repeats)
+
+    most = context.route.max_attempts
+    repeats = max(0, len(servers) - 1)
+    limits = {
+        "repeats": run(context, count_repeats()) == repeats,
+        "servers": len(set(servers)) <= most,
+        "attempts": len(servers) <= 2 * most,
+        "places": not any(
+            context.placement.record(server.name).in_flight
+            for server in context.servers
+        ),
+    }
+    return [name for name, is_kept in limits.items() if not is_kept]
+
+
+@when("{count:d} requests meet servers that fail at random")
+def step_impl(context, count):
+    context.broken = {}
+    for seed in range(count):
+        generator = random.Random(seed)
+        kind = generator.choice(("resumable", "idempotent"))
+        attempts, servers = generator.choice((1, 2, 3)), generator.choice((1, 2, 3, 4))
+        routers = generator.choice((1, 1, 15, 20))
+        context.execute_steps(
+            f'''
+            Given a "{kind}" route with {attempts} attempts and {servers} servers
+            And {routers} routers share the budget
+            '''
+        )
+        for server in context.servers:
+            if generator.random() < 0.9:
+                server.failure = generator.choice(RANDOM_FAILURES)
+        leaves_s = generator.choice((None, None, 1.4, 1.402, 1.6, 3.0))
+
+        async def leave(seconds=leaves_s):
+            with suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    await serve(context)
+
+        run(context, leave())
+        broken = broken_limits(context)
+        if broken:
+            context.broken[seed] = broken
+
+
+@then("none of them broke a limit")
+def step_impl(context):
+    assert not context.broken, context.broken
+
+
+def serve_while_leaving(context, name, seconds):
+    """Serve a stream with a prompt while a server leaves after some seconds."""
+    context.route = replace(context.route, has_prompt=True)
+    parts = (PromptPart("s", 10), PromptPart("o", 10))
+
+    async def serve_meanwhile():
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, remove_server, context, name)
+        return await serve(context, prompt=Prompt("m", 20, 5, parts))
+
+    context.served = run(context, serve_meanwhile())
+
+
+@when("a stream with a prompt is served and its server leaves after {seconds:g} s")
+def step_impl(context, seconds):
+    serve_while_leaving(context, "s0", seconds)
+
+
+@when("a stream with a prompt is served and its next server leaves after {seconds:g} s")
+def step_impl(context, seconds):
+    serve_while_leaving(context, "s1", seconds)
+
+
+@when("a stream is served and the first server leaves and is unresponsive")
+def step_impl(context):
+    def leave():
+        remove_server(context, "s0")
+        context.view.unresponsive = frozenset(("s0",))
+
+    async def serve_meanwhile():
+        asyncio.get_running_loop().call_later(1.0, leave)
+        return await serve(context)
+
+    context.served = run(context, serve_meanwhile())
+
+
 @when("a stream is served and it says meanwhile that it leaves")
 def step_impl(context):
     def leave():
-        # A view lists no server that is draining.
-        servers = context.view.fleet_servers
-        context.view.fleet_servers = tuple(s for s in servers if s.name != "s0")
+        remove_server(context, "s0")
 
     async def serve_meanwhile():
         asyncio.get_running_loop().call_later(1.0, leave)
