--- a/packages/almondfield-control/src/almondfield_control/tests/steps/storage_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/storage_steps.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import errno
+import os
 import random
 import tempfile
+from contextlib import suppress
 from pathlib import Path
 
 from behave import given, then, when
@@ -172,6 +174,84 @@
     await asyncio.sleep(2 * RETRY_INTERVAL_S)
 
 
+def let_fail_once(disk, operation, error_number):
+    """Let the next call of one operation of a disk fail after it was performed."""
+    perform = getattr(disk, operation)
+
+    async def fail(*arguments):
+        setattr(disk, operation, perform)
+        await perform(*arguments)
+        raise OSError(error_number, os.strerror(error_number))
+
+    setattr(disk, operation, fail)
+
+
+@when("a snapshot covers a write of 2 entries, and no old file can be removed")
+@in_loop
+async def step_impl(context):
+    async def fail(name):
+        raise OSError(errno.EIO, "input/output error")
+
+    context.disk.remove = fail
+    written = context.journal.write(entries=LATER_ENTRIES)
+    entries = (*ENTRIES[2:], *LATER_ENTRIES)
+    with suppress(StorageError):
+        await context.journal.compact(HARD_STATE, 2, 1, b"state", entries)
+    with suppress(StorageError):
+        await written
+    await asyncio.sleep(2 * RETRY_INTERVAL_S)
+    del context.disk.remove
+
+
+@when("the sync of the folder fails once the journal of a snapshot has its name")
+@in_loop
+async def step_impl(context):
+    replace = context.disk.replace
+
+    async def replace_snapshot(name, data):
+        await replace(name, data)
+        context.disk.replace = replace
+        let_fail_once(context.disk, "replace", errno.EIO)
+
+    context.disk.replace = replace_snapshot
+    try:
+        await context.journal.compact(HARD_STATE, 2, 1, b"state", ENTRIES[2:])
+    except StorageError:
+        return
+    raise AssertionError("the write did not fail")
+
+
+@when("2 more entries are synced")
+@in_loop
+async def step_impl(context):
+    await context.journal.write(entries=LATER_ENTRIES)
+
+
+@then("the recovery returns all {count:d} entries")
+@in_loop
+async def step_impl(context, count):
+    recovered = await Journal(context.disk).recover()
+    expected = (*ENTRIES, *LATER_ENTRIES)[:count]
+    assert recovered.base_index == 0, recovered
+    assert recovered.entries == expected, recovered.entries
+
+
+@when("the disk has no space for a snapshot, and has space again later")
+@in_loop
+async def step_impl(context):
+    context.disk.free_bytes = 0
+    with suppress(StorageError):
+        await context.journal.compact(HARD_STATE, 3, 1, b"state", ())
+    assert context.journal.failure is not None
+    context.disk.free_bytes = None
+    await asyncio.sleep(2 * RETRY_INTERVAL_S)
+
+
+@then("the journal reports no failure")
+def step_impl(context):
+    assert context.journal.failure is None, context.journal.failure
+
+
 @then("recovery returns entries 3 to 5 after the snapshot")
 @in_loop
 async def step_impl(context):
--- a/packages/almondfield-control/src/almondfield_control/tests/storage.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/storage.feature
@@ -38,6 +38,28 @@
     When a write of 2 entries fails once, while a snapshot of 2 entries waits for it
     Then recovery returns entries 3 to 5 after the snapshot
 
+  # Guards against LOST: as above, where old files can't be removed after a snapshot.
+  Scenario: writes that a snapshot covers are not repeated if old files stay
+    Given a journal with 3 synced entries on a disk
+    When a snapshot covers a write of 2 entries, and no old file can be removed
+    Then recovery returns entries 3 to 5 after the snapshot
+
+  # Guards against LOST: a restart reads the journal of a snapshot that was given up, which
+  # lacks what was synced since.
+  Scenario: entries that are synced after a failed snapshot are kept
+    Given a journal with 3 synced entries on a disk
+    When the sync of the folder fails once the journal of a snapshot has its name
+    And 2 more entries are synced
+    Then the recovery returns all 5 entries
+
+  # Guards against a voter that takes no changes any more: its journal counts as failing
+  # until a write succeeds, and a leader whose journal fails makes none.
+  Scenario: a snapshot that failed once doesn't keep the journal from working again
+    Given a journal with 3 synced entries on a disk
+    When the disk has no space for a snapshot, and has space again later
+    Then the journal reports no failure
+    And the recovery returns all 3 entries
+
   Scenario: a folder that another process uses is refused
     Then a second use of a real data folder is refused
 
