--- a/packages/almondfield-control/src/almondfield_control/storage/core.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/core.py
@@ -249,7 +249,12 @@
         self._name = name
         self._size = len(data)
         self._failure = None
-        await self._remove_others(await self._disk.names())
+        # The new journal is in force: a failure from here on must not repeat writes.
+        try:
+            await self._remove_others(await self._disk.names())
+        except OSError as error:
+            # The next snapshot, or the next start, removes them.
+            eliot.log_message("control:old-files-stay", reason=str(error))
 
     async def _write(self, pending: _PendingWrites) -> None:
         if not pending.batch_by_number:
