--- a/packages/almondfield-control/src/almondfield_control/storage/core.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/core.py
@@ -164,7 +164,10 @@
         return recovered
 
     async def run(self) -> None:
-        """Write the pending batches, retrying after a failure, until cancelled."""
+        """Write the pending batches, retrying after a failure, until cancelled.
+
+        A failure ends with a write that succeeds, if need be one without a batch.
+        """
         while True:
             await self._wake.wait()
             self._wake.clear()
@@ -226,6 +229,7 @@
             except OSError as error:
                 failure = self._record_failure(error)
                 self._put_back(pending)
+                self._wake.set()
                 _resolve_waiters(pending.waiters, failure)
                 raise failure from error
             # A write that was under way may have failed since, and waits to be retried.
@@ -261,7 +265,7 @@
             eliot.log_message("control:old-files-stay", reason=str(error))
 
     async def _write(self, pending: _PendingWrites) -> None:
-        if not pending.batch_by_number:
+        if not pending.batch_by_number and self._failure is None:
             return
         data = _pack_frame(tuple(pending.batch_by_number.values()))
         try:
