--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -248,18 +248,23 @@
         )
 
     def install(
-        self, snapshot: Snapshot, state: ControlState, log: ReplicatedLog
+        self,
+        snapshot: Snapshot,
+        state: ControlState,
+        log: ReplicatedLog,
+        durable_index: int,
     ) -> None:
         """Replace state and log by a durable snapshot.
 
         :param snapshot: the snapshot.
         :param state: the state decoded from it.
         :param log: the entries after it.
+        :param durable_index: last entry that is synced.
         """
         self.state = state
         self.log = log
         self.commit_index = snapshot.index
-        self.durable_index = log.last_index
+        self.durable_index = durable_index
         self.snapshots.latest = snapshot
         self.become_follower_or_learner()
 
--- a/packages/almondfield-control/src/almondfield_control/consensus/snapshots.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/snapshots.py
@@ -166,16 +166,19 @@
         replica = self._replica
         if snapshot.index <= replica.commit_index:
             return
-        suffix = ()
-        if replica.log.term_at(snapshot.index) == snapshot.term:
-            suffix = replica.log.entries_after(snapshot.index)
+        holds_entry = replica.log.term_at(snapshot.index) == snapshot.term
+        entries = replica.log.entries_after(snapshot.index) if holds_entry else ()
         await replica.journal.compact(
-            replica.hard_state, snapshot.index, snapshot.term, snapshot.data, suffix
+            replica.hard_state, snapshot.index, snapshot.term, snapshot.data, entries
         )
         if snapshot.index <= replica.commit_index:
             # Entries of the own log were committed meanwhile; the state is newer.
             replica.snapshots.latest = snapshot
             return
+        durable_index = snapshot.index + len(entries)
+        if holds_entry:
+            # A member that was elected meanwhile has appended entries.
+            entries = replica.log.entries_after(snapshot.index)
         log = ReplicatedLog(snapshot.index, snapshot.term, state.members)
-        log.append(suffix)
-        replica.install(snapshot, state, log)
+        log.append(entries)
+        replica.install(snapshot, state, log, durable_index)
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/snapshot_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/snapshot_steps.py
@@ -34,8 +34,9 @@
     def mark_durable(self, index, term):
         pass
 
-    def install(self, snapshot, state, log):
+    def install(self, snapshot, state, log, durable_index):
         self.state, self.log = state, log
+        self.durable_index = durable_index
         self.commit_index = snapshot.index
         self.snapshots.latest = snapshot
 
@@ -108,6 +109,22 @@
     run(context, install_while(context.member, commit))
 
 
+@when("it installs a snapshot of 9 entries, and appends entry 13 as leader meanwhile")
+def step_impl(context):
+    def append(member):
+        entry = entries(13)[-1]
+        member.log.append((entry,))
+        member.journal.write(entries=(entry,))
+
+    async def install():
+        writing = asyncio.create_task(context.member.journal.run())
+        await install_while(context.member, append)
+        await asyncio.sleep(2 * SLOW_SYNC_S)
+        writing.cancel()
+
+    run(context, install())
+
+
 async def install_while(member, act):
     """Install a snapshot, and let the member act while it is written."""
     data = await encode_image(state_after(INSTALLED_INDEX).image())
@@ -134,3 +151,20 @@
 def step_impl(context):
     recovered = run(context, Journal(context.disk).recover())
     assert recovered.base_index == INSTALLED_INDEX, recovered
+
+
+@then(
+    "its log ends with entry {index:d}, and entries up to {durable:d} count as synced"
+)
+def step_impl(context, index, durable):
+    member = context.member
+    assert member.log.last_index == index, member.log.last_index
+    # The write of what was appended meanwhile counts once it has ended.
+    assert member.durable_index == durable, member.durable_index
+
+
+@then("recovery returns the snapshot of 9 entries and entries up to {last:d}")
+def step_impl(context, last):
+    recovered = run(context, Journal(context.disk).recover())
+    assert recovered.base_index == INSTALLED_INDEX, recovered
+    assert recovered.entries == entries(last)[INSTALLED_INDEX:], recovered.entries
--- a/packages/almondfield-control/src/almondfield_control/tests/storage.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/storage.feature
@@ -97,3 +97,11 @@
     When it installs a snapshot of 9 entries, and commits its 12 meanwhile
     Then it still has its 12 entries committed
     And recovery returns the snapshot of 9 entries
+
+  # Guards against two entries of one term at one index, as a member that was elected in
+  # the meantime appends entries that the installed log lacks.
+  Scenario: entries that are appended while a snapshot is installed stay in the log
+    Given a member with 12 entries on a slow disk, 3 of them committed
+    When it installs a snapshot of 9 entries, and appends entry 13 as leader meanwhile
+    Then its log ends with entry 13, and entries up to 12 count as synced
+    And recovery returns the snapshot of 9 entries and entries up to 13
