--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/lingering.feature
@@ -129,3 +129,14 @@
       | 0.2 s unread     | falls silent                  |
       | 0.2 s unread     | writes on slowly without end  |
       | 0.2 s unread     | writes on quickly without end |
+
+  # Guards against an answer that is cut by the reset of a close, as a request that crosses
+  # the close lies unread.
+  Scenario Outline: An answer that ends its connection is whole though a request crosses it
+    When a caller sends a second request <moment>
+    Then it gets the whole answer 200 after it has written everything
+
+    Examples:
+      | moment                                       |
+      | while its large last answer is sent          |
+      | that lies unread as its last answer is sent  |
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/lingering_steps.py
@@ -64,6 +64,11 @@
     elif scope["path"] == "/later":
         await asyncio.sleep(ANSWER_AFTER_S)
         answer = PlainTextResponse("hello")
+    elif scope["path"] == "/later-last":
+        await asyncio.sleep(ANSWER_AFTER_S)
+        answer = PlainTextResponse("hello", headers=CLOSE)
+    elif scope["path"] == "/large-last":
+        answer = PlainTextResponse("x" * LARGE_BYTES, headers=CLOSE)
     elif scope["path"] == "/large":
         answer = PlainTextResponse("x" * LARGE_ANSWER_BYTES)
     elif scope["path"] == "/large-later":
@@ -336,3 +341,28 @@
         writing.cancel()
 
     context.loop.run_until_complete(write())
+
+
+LATER = b"GET /later HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+@when("a caller sends a second request while its large last answer is sent")
+def step_impl(context):
+    first = b"GET /large-last HTTP/1.1\r\nhost: a\r\n\r\n"
+    caller = write_then_read(context.address, [first, LATER], ANSWER_AFTER_S)
+    context.answer = context.loop.run_until_complete(caller)
+
+
+@when("a caller sends a second request that lies unread as its last answer is sent")
+def step_impl(context):
+    async def cross():
+        first = b"GET /later-last HTTP/1.1\r\nhost: a\r\n\r\n"
+        parts = [first, LATER]
+        pause_s = ANSWER_AFTER_S / 2
+        caller = asyncio.create_task(write_then_read(context.address, parts, pause_s))
+        await asyncio.sleep(pause_s / 2)
+        (connection,) = connections(context)
+        connection.flow.pause_reading()  # as if the loop were busy until the answer
+        return await caller
+
+    context.answer = context.loop.run_until_complete(cross())
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/stopping.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/stopping.feature
@@ -7,3 +7,18 @@
     And a caller that has had an answer on a connection that it keeps
     When the caller sends a request and the listener stops before it reads it
     Then the caller gets a whole answer
+
+  # Guards against a planned stop that closes the connection of a request of which the
+  # rest lies in the socket.
+  Scenario: A request whose head is half read as the listener stops gets an answer
+    Given a listener that allows heads of 1024 bytes
+    And a caller that has had an answer on a connection that it keeps
+    When half a head is read, and the rest comes as the listener stops
+    Then the caller gets a whole answer
+
+  # Guards against a reset of a request that comes as its connection has been idle for long.
+  Scenario: A request that comes as its idle connection is to be closed gets an answer
+    Given a listener that allows heads of 1024 bytes
+    And a caller that has had an answer on a connection that it keeps
+    When the caller sends a request in the moment in which the idle time is over
+    Then the caller gets a whole answer
