Split the question for unanswered requests from the close after them

_closes_after_answer acted and asked at once, and the test for an idle connection stood in two places.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -74,12 +74,16 @@
         for cycle in self._cycles():
             cycle.message_event.set()
 
+    @property
+    def _is_idle(self) -> bool:
+        """Return whether no request waits for its answer."""
+        return self.cycle is None or self.cycle.response_complete
+
     def shutdown(self) -> None:
         self.transport.shorten_linger()
         if self._refusal is not None:
             self._send_refusal(closes_connection=True)
-        is_idle = self.cycle is None or self.cycle.response_complete
-        if is_idle and self._is_request_read and self._connection.has_unread():
+        if self._is_idle and self._is_request_read and self._connection.has_unread():
             # A request that has come is answered; the connection closes after it.
             self._is_stopping = True
             self._stop_head_timer()
@@ -166,8 +170,7 @@
 
     def _check_head(self) -> HeadRefusal | None:
         """Return the refusal of a request that is decided by its head."""
-        is_idle = self.cycle is None or self.cycle.response_complete
-        if self.gate is None or not is_idle or self.expect_100_continue:
+        if self.gate is None or not self._is_idle or self.expect_100_continue:
             return None
         if self.transport.is_closing():
             return None
@@ -214,7 +217,11 @@
         self._refuse(BAD_REQUEST, "malformed-request", msg)
 
     def _refuse(self, status: str, kind: str, detail: str) -> None:
-        if self.transport.is_closing() or self._closes_after_answer():
+        if self.transport.is_closing():
+            return
+        unanswered = self._unanswered_requests()
+        if unanswered:
+            self._close_after_answers(unanswered)
             return
         problem = {"error": kind, "detail": detail, "outcome": "not-run"}
         body = msgspec.json.encode(problem)
@@ -244,30 +251,36 @@
         self._head_timer = None
         if self._refusal is not None:
             self._send_refusal(closes_connection=True)
-        elif not self._closes_after_answer():
+            return
+        unanswered = self._unanswered_requests()
+        if unanswered:
+            self._close_after_answers(unanswered)
+        else:
             self.transport.close_at_once()
 
-    def _closes_after_answer(self) -> bool:
-        """Discard all input and close after the answers to requests that were read.
-
-        :returns: whether there is such an answer; nothing changes otherwise.
-        """
-        whole = [
+    def _unanswered_requests(self) -> tuple[RequestResponseCycle, ...]:
+        """Return the whole requests that wait for their answers, newest first."""
+        return tuple(
             cycle
             for cycle in self._cycles()
             if not (cycle.response_complete or cycle.more_body)
-        ]
-        if not whole:
-            return False
+        )
+
+    def _close_after_answers(
+        self, unanswered: tuple[RequestResponseCycle, ...]
+    ) -> None:
+        """Discard all input from now on and close after the answers.
+
+        :param unanswered: the whole requests that wait for them, newest first.
+        """
         if self.pipeline and self.pipeline[0][0].more_body:
             # The newest request isn't whole and never will be.
             self.pipeline.popleft()
-        self.cycle = whole[0]
+        self.cycle = unanswered[0]
         self.cycle.keep_alive = False
         self._is_discarding = True
         self._is_request_read = False
         self._stop_head_timer()
-        return True
 
 
 def make_protocol(
