Wait at the close for callers whose next request crosses it

An answer that ends its connection, as those of a stopping router do, was followed by a reset if another request had come meanwhile. On loopback the answer had arrived by then; what is still on its way is discarded.

Cause: the close waited only for the rest of requests that had been begun to be read. Bytes of a further one that lie in the socket, or come while the answer leaves the write buffer, reset the connection all the same.

Change: the close also waits if bytes lie unread or the answer is still buffered, within the same limits.

Evidence: both examples of "an answer that ends its connection is whole though a request crosses it" end in a reset without the change.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/lingering.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/lingering.py
@@ -27,7 +27,7 @@
     answer has left the write buffer; before, a caller must read on.
 
     :param transport: transport of the connection.
-    :param is_unread: returns whether bytes of a request may still arrive.
+    :param is_unread: returns whether bytes of a request lie unread or may still arrive.
     :param on_linger: called when the close begins to wait.
     """
 
@@ -60,8 +60,11 @@
         return self.is_lingering or self._transport.is_closing()
 
     def close(self) -> None:
-        """Close the connection, or wait if its caller may still write."""
-        if self._is_unread():
+        """Close the connection, or wait if its caller may still write.
+
+        While an answer is sent, the caller may write another request.
+        """
+        if self._transport.get_write_buffer_size() or self._is_unread():
             self.linger()
         else:
             self.close_at_once()
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -101,7 +101,9 @@
         return waiting if self._running is None else (*waiting, self._running)
 
     def _has_unread_request(self) -> bool:
-        return not self._is_request_read or bool(self.pipeline)
+        if not self._is_request_read or self.pipeline:
+            return True
+        return self._connection.has_unread()
 
     def _drop_request(self) -> None:
         """Free the body that was read, and end an application that reads on."""
