Wait for the rest of a head that is half read when the listener stops

A planned stop closed the connection of a request of which the router had read a part of the head, and discarded the rest, though that lay in the socket.

Cause: only requests of which nothing was read were waited for.

Evidence: "a request whose head is half read as the listener stops gets an answer" fails without the change.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -83,7 +83,7 @@
         self.transport.shorten_linger()
         if self._refusal is not None:
             self._send_refusal(closes_connection=True)
-        if self._is_idle and self._is_request_read and self._connection.has_unread():
+        if self._is_idle and self._has_begun_request():
             # A request that has come is answered; the connection closes after it.
             self._is_stopping = True
             self._stop_head_timer()
@@ -100,6 +100,12 @@
         waiting = tuple(cycle for cycle, _ in self.pipeline)
         return waiting if self._running is None else (*waiting, self._running)
 
+    def _has_begun_request(self) -> bool:
+        """Return whether a part of a request has come whose head isn't read yet."""
+        if self._is_request_read:
+            return self._connection.has_unread()
+        return self._in_head
+
     def _has_unread_request(self) -> bool:
         if not self._is_request_read or self.pipeline:
             return True
