Answer a request that comes as its idle connection is to be closed

A request that lay in its socket when the idle time of its connection was over got a reset.

Cause: the end of the idle time closed without a look at what had come.

Change: the connection stays if bytes lie unread; the limit on the time of a head holds.

Evidence: "a request that comes as its idle connection is to be closed gets an answer" fails without the change.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -91,6 +91,13 @@
             return
         super().shutdown()
 
+    def timeout_keep_alive_handler(self) -> None:
+        if self._connection.has_unread():
+            # The loop reads the request next.
+            self._start_head_timer()
+            return
+        super().timeout_keep_alive_handler()
+
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         self._running = cycle
         super()._start_asgi_task(cycle, app)
