--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/stopping_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/stopping_steps.py
@@ -1,6 +1,8 @@
 """Steps of stopping.feature."""
 
 import asyncio
+import socket
+import time
 from contextlib import suppress
 
 from behave import given, then, when
@@ -72,3 +74,47 @@
 def step_impl(context):
     assert context.answer.startswith(b"HTTP/1.1 "), context.answer
     assert context.answer.endswith(b"hello"), context.answer
+
+
+@when(
+    "{count:d} callers have connected and sent a request {iterations:d} iterations "
+    "before it stops"
+)
+def step_impl(context, count, iterations):
+    callers = [
+        socket.create_connection((LOCALHOST, context.port)) for _ in range(count)
+    ]
+    for caller in callers:
+        context.add_cleanup(caller.close)
+        caller.sendall(REQUEST)
+        caller.setblocking(False)
+
+    async def read(caller):
+        answer = b""
+        with suppress(ConnectionError):
+            while part := await asyncio.get_running_loop().sock_recv(caller, 65536):
+                answer += part
+        return answer
+
+    async def stop():
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        began_s = time.monotonic()
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            stopping = asyncio.create_task(context.listener.stop())
+            context.answers = await asyncio.gather(*map(read, callers))
+            await stopping
+        context.stop_s = time.monotonic() - began_s
+
+    context.loop.run_until_complete(stop())
+
+
+@then("each of them gets a whole answer")
+def step_impl(context):
+    whole = [answer.endswith(b"hello") for answer in context.answers]
+    assert all(whole), f"{sum(whole)} of {len(whole)}"
+
+
+@then("the listener has stopped within {seconds:g} s")
+def step_impl(context, seconds):
+    assert context.stop_s < seconds, context.stop_s
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/stopping.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/stopping.feature
@@ -22,3 +22,20 @@
     And a caller that has had an answer on a connection that it keeps
     When the caller sends a request in the moment in which the idle time is over
     Then the caller gets a whole answer
+
+  # Guards against a planned stop that resets requests on connections which the kernel has
+  # accepted and the loop hasn't, or which the loop has accepted a moment ago.
+  Scenario Outline: Requests on new connections as the listener stops get answers
+    Given a listener that allows heads of 1024 bytes
+    When <count> callers have connected and sent a request <iterations> before it stops
+    Then each of them gets a whole answer
+    And the listener has stopped within 5 s
+
+    Examples:
+      | count | iterations   |
+      | 1     | 0 iterations |
+      | 1     | 1 iterations |
+      | 1     | 2 iterations |
+      | 1     | 3 iterations |
+      | 100   | 0 iterations |
+      | 100   | 2 iterations |
