Take in the connections that wait before a listener stops

A planned stop resets the connections that the kernel holds for the listener. One that the loop has just accepted isn't told of the stop: it is kept as long as its caller likes, which holds up the stop until the process is killed.

Cause: the stop closed the listening socket and told the connections that were made by then. asyncio makes a connection some iterations of the loop after it has accepted it.

Change: a stop first lets the loop accept as many connections as may wait, then takes the listening socket from the loop, and goes on once all that were accepted are made.

Evidence: 3 of 6 examples of "requests on new connections as the listener stops get answers" fail without the change (no end within 30 s) and pass with it.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections.abc import Iterator
 
@@ -18,6 +19,7 @@
 BACKLOG = 2048
 # So that the other work of the event loop goes on while many callers connect at once.
 ACCEPTS_PER_ITERATION = 16
+CONNECT_ITERATIONS = 3  # of the event loop, until an accepted connection can be read
 KEEP_ALIVE_S = 75
 HEAD_TIMEOUT_S = 30.0
 
@@ -130,5 +132,20 @@
         """Return once running requests have finished and connections are closed."""
         if self._task is None:
             return
-        self._server.exit_requested.set()
+        if not self._server.exit_requested.is_set():
+            await self._accept_waiting()
+            self._server.exit_requested.set()
         await self._task
+
+    async def _accept_waiting(self) -> None:
+        """Accept the connections that wait, and no others.
+
+        The stop resets what waits to be accepted, and a connection that is made after
+        it would not be told of it.
+        """
+        for _ in range(math.ceil(self._backlog / ACCEPTS_PER_ITERATION)):
+            await asyncio.sleep(0)
+        if not self._task.done():
+            asyncio.get_running_loop().remove_reader(self._listener)
+        for _ in range(CONNECT_ITERATIONS):
+            await asyncio.sleep(0)
