--- a/packages/almondfield-control/src/almondfield_control/storage/core.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/core.py
@@ -42,7 +42,7 @@
         """Replace a file atomically: write a temporary file, sync, rename, sync."""
 
     async def remove(self, name: str) -> None:
-        """Remove a file."""
+        """Remove a file if it is there, and sync the folder."""
 
     def close(self) -> None:
         """Release the lock on the folder."""
@@ -136,6 +136,8 @@
         self._disk = disk
         self._name = ""
         self._size = 0
+        # A journal that was given up; it may be on the disk, where a restart reads it.
+        self._given_up_name = ""
         self._pending = _PendingWrites()
         self._next_number = 0
         self._wake = asyncio.Event()
@@ -162,7 +164,10 @@
         return recovered
 
     async def run(self) -> None:
-        """Write the pending batches, retrying after a failure, until cancelled."""
+        """Write the pending batches, retrying after a failure, until cancelled.
+
+        A failure ends with a write that succeeds, if need be one without a batch.
+        """
         while True:
             await self._wake.wait()
             self._wake.clear()
@@ -224,6 +229,7 @@
             except OSError as error:
                 failure = self._record_failure(error)
                 self._put_back(pending)
+                self._wake.set()
                 _resolve_waiters(pending.waiters, failure)
                 raise failure from error
             # A write that was under way may have failed since, and waits to be retried.
@@ -245,17 +251,27 @@
         data = _pack_frame(header) + _pack_frame(
             (_WriteBatch(hard_state, None, entries),)
         )
+        self._given_up_name = name
         await self._disk.replace(name, data)
+        self._given_up_name = ""
         self._name = name
         self._size = len(data)
         self._failure = None
-        await self._remove_others(await self._disk.names())
+        # The new journal is in force: a failure from here on must not repeat writes.
+        try:
+            await self._remove_others(await self._disk.names())
+        except OSError as error:
+            # The next snapshot, or the next start, removes them.
+            eliot.log_message("control:old-files-stay", reason=str(error))
 
     async def _write(self, pending: _PendingWrites) -> None:
-        if not pending.batch_by_number:
+        if not pending.batch_by_number and self._failure is None:
             return
         data = _pack_frame(tuple(pending.batch_by_number.values()))
         try:
+            if self._given_up_name:
+                await self._disk.remove(self._given_up_name)
+                self._given_up_name = ""
             if self._failure is not None:
                 await self._disk.truncate(self._name, self._size)
             await self._disk.append(self._name, data)
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/storage_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/storage_steps.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import errno
+import os
 import random
 import tempfile
+from contextlib import suppress
 from pathlib import Path
+from unittest import mock
 
 from behave import given, then, when
 from control_fleet import in_loop
 from fake_disk import FakeDisk
+from fake_folder import FakeFolder, open_folder, replace_system_calls
 
 from almondfield_control.commands import NoOperation, entry_of
 from almondfield_control.errors import DamageError, StorageError
@@ -18,6 +22,7 @@
 
 HARD_STATE = HardState("id", "group", True, (), 4, "id")
 ENTRIES = tuple(entry_of(index, 1, 1e9, NoOperation()) for index in (1, 2, 3))
+ROUNDING_S = 1e-6  # the paused clock may end a sync this much before its time
 LATER_ENTRIES = tuple(entry_of(index, 1, 1e9, NoOperation()) for index in (4, 5))
 
 
@@ -172,6 +177,122 @@
     await asyncio.sleep(2 * RETRY_INTERVAL_S)
 
 
+def let_fail_once(disk, operation, error_number):
+    """Let the next call of one operation of a disk fail after it was performed."""
+    perform = getattr(disk, operation)
+
+    async def fail(*arguments):
+        setattr(disk, operation, perform)
+        await perform(*arguments)
+        raise OSError(error_number, os.strerror(error_number))
+
+    setattr(disk, operation, fail)
+
+
+@when("a snapshot covers a write of 2 entries, and no old file can be removed")
+@in_loop
+async def step_impl(context):
+    async def fail(name):
+        raise OSError(errno.EIO, "input/output error")
+
+    context.disk.remove = fail
+    written = context.journal.write(entries=LATER_ENTRIES)
+    entries = (*ENTRIES[2:], *LATER_ENTRIES)
+    with suppress(StorageError):
+        await context.journal.compact(HARD_STATE, 2, 1, b"state", entries)
+    with suppress(StorageError):
+        await written
+    await asyncio.sleep(2 * RETRY_INTERVAL_S)
+    del context.disk.remove
+
+
+@when("the sync of the folder fails once the journal of a snapshot has its name")
+@in_loop
+async def step_impl(context):
+    replace = context.disk.replace
+
+    async def replace_snapshot(name, data):
+        await replace(name, data)
+        context.disk.replace = replace
+        let_fail_once(context.disk, "replace", errno.EIO)
+
+    context.disk.replace = replace_snapshot
+    try:
+        await context.journal.compact(HARD_STATE, 2, 1, b"state", ENTRIES[2:])
+    except StorageError:
+        return
+    raise AssertionError("the write did not fail")
+
+
+async def lose_power_after_failure(seed):
+    """Return what a power loss leaves after a failed sync and 2 more entries."""
+    folder = FakeFolder(random.Random(seed))
+    disk = open_folder(folder)
+    journal, task = await write_journal(disk)
+    outcomes = iter((None, OSError(errno.EIO, "input/output error")))
+    fails_once = mock.patch.object(disk, "_sync_folder", side_effect=outcomes)
+    with fails_once, suppress(StorageError):
+        await journal.compact(HARD_STATE, 2, 1, b"state", ENTRIES[2:])
+    assert journal.failure is not None
+    await journal.write(entries=LATER_ENTRIES)
+    await asyncio.sleep(ROUNDING_S)
+    folder.lose_power()
+    task.cancel()
+    return await Journal(open_folder(folder)).recover()
+
+
+@when(
+    "the power is lost after 2 entries were synced behind such a failure, "
+    "{count:d} times"
+)
+@in_loop
+async def step_impl(context, count):
+    replace_system_calls(context)
+    context.recovered = [await lose_power_after_failure(seed) for seed in range(count)]
+
+
+@when("2 more entries are synced")
+@in_loop
+async def step_impl(context):
+    await context.journal.write(entries=LATER_ENTRIES)
+
+
+@then("the recovery returns all {count:d} entries")
+@in_loop
+async def step_impl(context, count):
+    check_entries(await Journal(context.disk).recover(), count)
+
+
+@then("each recovery returns all {count:d} entries")
+def step_impl(context, count):
+    assert context.recovered
+    for recovered in context.recovered:
+        check_entries(recovered, count)
+
+
+def check_entries(recovered, count):
+    """Check that a folder holds the first entries, and no snapshot."""
+    expected = (*ENTRIES, *LATER_ENTRIES)[:count]
+    assert recovered.base_index == 0, recovered
+    assert recovered.entries == expected, recovered.entries
+
+
+@when("the disk has no space for a snapshot, and has space again later")
+@in_loop
+async def step_impl(context):
+    context.disk.free_bytes = 0
+    with suppress(StorageError):
+        await context.journal.compact(HARD_STATE, 3, 1, b"state", ())
+    assert context.journal.failure is not None
+    context.disk.free_bytes = None
+    await asyncio.sleep(2 * RETRY_INTERVAL_S)
+
+
+@then("the journal reports no failure")
+def step_impl(context):
+    assert context.journal.failure is None, context.journal.failure
+
+
 @then("recovery returns entries 3 to 5 after the snapshot")
 @in_loop
 async def step_impl(context):
