Show where the way back to a silent server is given up too early

The way back to a silent server ends with the head of the next answer: a body that is cut before its first part, a 404 to a resumed stream, or a 500 to a request then ends it. Nothing is fixed here.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -165,6 +165,10 @@
                 return Ok(FakeAnswer(200, metadata, parts, True, self, silence_s))
             case "fails with 500":
                 return Ok(FakeAnswer(500, metadata, [b"failed"], False, self))
+            case "answers with 404":
+                return Ok(FakeAnswer(404, metadata, [b"unknown"], False, self))
+            case "cuts its answer after the head":
+                return Ok(FakeAnswer(200, metadata, [], True, self))
             case "never answers":
                 return await self._never_answer(call)
             case "answers after 1.0 s":
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -65,6 +65,7 @@
       | resumable  | answers without signature | before its answer |
       | idempotent | loses its answer          | before its answer |
       | idempotent | refuses the connection    | before its answer |
+      | idempotent | fails with 500            | before its answer |
 
   # Guards against streams that are broken off because the scheduler has no room elsewhere.
   Scenario: A stream goes on at its silent engine if the scheduler refuses another one
@@ -197,6 +198,22 @@
       | fails with 500    |
       | loses its answer  |
       | never answers     |
+      | answers with 404  |
+
+  # Guards against requests whose way back is given up at the head of an answer, the body
+  # of which never comes.
+  Scenario Outline: A request goes back to its silent server if the next answer is cut
+    Given a "<kind>" route with 2 attempts and 3 servers
+    And the second and third server cuts its answer after the head
+    And the first server is silent for 1.9 s <when>
+    When a request is served
+    Then the caller gets 200
+
+    Examples:
+      | kind       | when              |
+      | resumable  | after event 3     |
+      | resumable  | before its answer |
+      | idempotent | before its answer |
 
   # Guards against a retry budget that is used up by repeats that were never sent.
   Scenario: The repeat that a hand-over keeps is given back on a clock that goes on
