Keep the way back to a silent server until a part of the next answer has come

A stream or an idempotent request was cut, or answered 502, although its silent server would have finished it.

Cause: the way back was given up, and its repeat given back, at the head of the next answer. A body that was cut before its first part, or a status other than 200 for a resumed stream, then found no way back. The head was taken for the answer.

Change: the way back ends with the first event that is forwarded, or with the body of another answer, up to what is held in memory.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -139,6 +139,8 @@
             try:
                 async with aclosing(answer.chunks()) as chunks:
                     body, is_complete = await read_body(chunks)
+                    if answer.status < FIRST_ERROR_STATUS:
+                        self._hand_over.settle()
                     if not is_complete:
                         await self.delivery.send_large(
                             answer.status, answer.headers, body, chunks
@@ -228,6 +230,7 @@
             events = tracker.feed(chunk)
             if events:
                 has_events = True
+                self._hand_over.settle()
                 selected.begin_answer()
                 self._record_origin(selected.server)
                 await self.delivery.start(answer.status, headers)
@@ -274,8 +277,6 @@
             outcome = await self._attempt(selected)
             match outcome:
                 case Answered():
-                    if outcome.answer.status < FIRST_ERROR_STATUS:
-                        self._hand_over.settle()
                     self.framing = outcome.answer.framing
                     selected.record_answer(
                         outcome.metadata,
