--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -223,3 +223,11 @@
     When a request is served
     Then the caller gets 200
     And 34 of 35 repeats are left
+
+  # Guards against a server's answer that is given up for one that never comes.
+  Scenario: A failed answer that is held reaches its caller if no other one comes
+    Given a "idempotent" route with 2 attempts and 2 servers
+    And the first server fails with 500
+    And the second server never answers
+    When a request is served
+    Then the caller gets 500
