Send the answer that is held if no other one comes before the deadline

What callers saw: 504 of the router in place of the 500 that a server had answered, where the request was sent once more and the next server stayed silent.

Cause: a server's failure is held while another attempt may have a better answer; the deadline ended the request without a look at it.

Change: the held answer is part of the request's run, and is sent at the deadline too.

Evidence: "a failed answer that is held reaches its caller if no other one comes" fails without the change.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -111,7 +111,8 @@
                 if problem is None:
                     problem = await run.serve()
         except TimeoutError:
-            problem = self._handle_timeout(run)
+            if not await run.send_failed_answer():
+                problem = self._handle_timeout(run)
         except (
             StreamBrokenError,
             CallerDisconnectedError,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -99,6 +99,8 @@
         self._unsent_attempts = 0
         self._tried: frozenset[str] = frozenset()
         self._has_lost_server = False
+        # An answer with a failure, to be sent unless another attempt has a better one.
+        self._failed_answer: tuple[int, tuple[Header, ...], bytes] | None = None
         self._last_event_id = request.metadata.last_event_id
         self.sent = 0
         self.silent_attempts = 0
@@ -126,14 +128,10 @@
 
     async def _serve_buffered(self) -> Problem | None:
         """Send an answer once it is complete; a truncated one can be replaced."""
-        failed_answer: tuple[int, tuple[Header, ...], bytes] | None = None
         while True:
             match await self._next_answer():
                 case Problem() as problem:
-                    if failed_answer is None:
-                        return problem
-                    await self.delivery.send_whole(*failed_answer)
-                    return None
+                    return None if await self.send_failed_answer() else problem
                 case (SelectedServer() as selected, Answered(answer)):
                     pass
             try:
@@ -152,10 +150,9 @@
                     raise StreamBrokenError(str(error)) from None
                 if self._record_truncation(selected, error):
                     continue
-                if failed_answer is None:
-                    return self._no_answer(str(error), is_timeout=False)
-                await self.delivery.send_whole(*failed_answer)
-                return None
+                if await self.send_failed_answer():
+                    return None
+                return self._no_answer(str(error), is_timeout=False)
             finally:
                 answer.close()
                 selected.end()
@@ -163,12 +160,19 @@
             complete = (answer.status, answer.headers, body)
             is_failure = answer.status >= FIRST_ERROR_STATUS
             if is_failure and self._may_repeat():
-                failed_answer = complete
+                self._failed_answer = complete
                 self._tried |= {selected.server.name}
                 continue
             await self.delivery.send_whole(*complete)
             return None
 
+    async def send_failed_answer(self) -> bool:
+        """Return whether a failure that a server answered was kept and is sent now."""
+        if self._failed_answer is None or self.delivery.is_started:
+            return False
+        await self.delivery.send_whole(*self._failed_answer)
+        return True
+
     async def _serve_stream(self) -> Problem | None:
         tracker = self._tracker
         while True:
