Go back to a silent server if the next one answers a request with a failure

An idempotent request whose silent server was sound got the 500 of the server that had taken it over.

Cause: the way back was asked for after lost and refused answers and after failed streams, but not after a failure that is an answer of its own.

Change: it is asked for there as well; the failure is held meanwhile, and sent if the silent server has no better answer.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -159,7 +159,7 @@
             selected.record_success(answer)
             complete = (answer.status, answer.headers, body)
             is_failure = answer.status >= FIRST_ERROR_STATUS
-            if is_failure and self._may_repeat():
+            if is_failure and (self._may_repeat() or self._hand_over.try_return()):
                 self._failed_answer = complete
                 self._tried |= {selected.server.name}
                 continue
