--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -199,6 +199,22 @@
       | fails with 500    |
       | loses its answer  |
       | never answers     |
+      | answers with 404  |
+
+  # Guards against requests whose way back is given up at the head of an answer, the body
+  # of which never comes.
+  Scenario Outline: A request goes back to its silent server if the next answer is cut
+    Given a "<kind>" route with 2 attempts and 3 servers
+    And the second and third server cuts its answer after the head
+    And the first server is silent for 1.9 s <when>
+    When a request is served
+    Then the caller gets 200
+
+    Examples:
+      | kind       | when              |
+      | resumable  | after event 3     |
+      | resumable  | before its answer |
+      | idempotent | before its answer |
 
   # Guards against a retry budget that is used up by repeats that were never sent.
   Scenario: The repeat that a hand-over keeps is given back on a clock that goes on
@@ -409,3 +425,11 @@
   Scenario: Repeats are counted as servers get them, whatever the servers do
     When 300 requests meet servers that fail at random
     Then none of them broke a limit
+
+  # Guards against a server's answer that is given up for one that never comes.
+  Scenario: A failed answer that is held reaches its caller if no other one comes
+    Given a "idempotent" route with 2 attempts and 2 servers
+    And the first server fails with 500
+    And the second server never answers
+    When a request is served
+    Then the caller gets 500
