Add a failing test of answers that looked whole where others see their server end

A server that crashes under a part may end an answer without length or chunks just after a whole event. Only the router that sent the prompt could charge it, if it met the dead server itself within 2 s. With few requests a router it doesn't, while sound prompts that end inside an event are charged: a shared part is blamed instead of the bad one.

--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
@@ -156,6 +156,20 @@
     Then after 0.3 s all routers refuse "c bad o4" for 290 to 300 s
     And all routers accept "c t o5"
 
+  # Guards against BUDGET: the router that sent an answer which looked whole may not ask its
+  # server again in time, while others see at once that the server has ended.
+  Scenario Outline: An answer that looked whole is charged where another router sees that its server <end>
+    When an answer on "c bad o1" at r1 by server s1 looks whole, and s1 <end> at r2
+    And an answer on "c bad o2" at r2 by server s2 looks whole, and s2 <end> at r3
+    And an answer on "c bad o3" at r1 by server s3 looks whole, and s3 <end> at r2
+    Then after 0.3 s all routers refuse "c bad o4" for 290 to 300 s
+    And all routers accept "c t1 o5"
+
+    Examples:
+      | end     |
+      | ended   |
+      | is gone |
+
   # Guards against a table that callers can make grow without end.
   Scenario: Tables keep their bounds
     Then a table of 6000 suspected, 30000 sound and 150 quarantined parts keeps 5000, 20000 and 100
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
@@ -177,6 +177,25 @@
     run(context, answer())
 
 
+@when(
+    'an answer on "{text}" at {router} by server {name} looks whole, and {same} {end} '
+    "at {other}"
+)
+def step_impl(context, text, router, name, same, end, other):
+    async def answer():
+        start = ServerStart(name, 1)
+        client(context, router).record_unproven(start, prompt(text))
+        await asyncio.sleep(0.1)
+        match end:
+            case "ended":
+                client(context, other).record_crash(start, prompt(f"c {name} own"))
+            case "is gone":
+                client(context, other).record_gone(start)
+        await asyncio.sleep(0.2)
+
+    run(context, answer())
+
+
 @when("{seconds:g} s pass")
 def step_impl(context, seconds):
     run(context, asyncio.sleep(seconds))
