Tell all routers that a server has ended, for answers that looked whole

What callers saw: with answers that end with their connection, requests with a bad part reached servers without end, and sound requests were refused instead. Cause: an answer that is cut just after a whole event looks whole. It was charged to its prompt only if the same router met the dead server within 2 s. Why it works: the first router that sees the end of a start of a server tells the control hosts, which tell all routers once; each charges the answers that it holds of that start.

--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/client.py
@@ -12,11 +12,12 @@
     Quarantine,
     QuarantineSync,
     QuarantineUpdate,
+    ServerEndReport,
     SoundReport,
 )
 from almondfield_daemon.quarantine.parts import shared_parts
 from almondfield_daemon.quarantine.settling import SettlingTable
-from almondfield_daemon.quarantine.unproven import UnprovenAnswers
+from almondfield_daemon.quarantine.unproven import EndedStarts, UnprovenAnswers
 from almondfield_daemon.server_notices import ServerStart
 
 __all__ = ["QuarantineClient"]
@@ -45,11 +46,13 @@
         self._control_hosts = control_hosts
         self._syncs: set[asyncio.Task[None]] = set()
         self._unproven = UnprovenAnswers()
+        self._ended = EndedStarts()
         self.table = SettlingTable(self._tell_decided, lambda: not responsive_hosts())
 
     def register_handlers(self) -> None:
         """Register the handler of messages."""
         self._peers.register_handler(QuarantineUpdate, self._on_update)
+        self._peers.register_handler(ServerEndReport, self._on_end)
 
     def left_s(self, prompt: Prompt | None) -> float:
         """Return the seconds for which a prompt is still refused; 0 if it isn't.
@@ -100,6 +103,16 @@
 
         :param start: the start of the server.
         """
+        if self._ended.add(start):
+            self._send_all(ServerEndReport(start.name, start.born_ms))
+        self._charge_unproven(start)
+
+    async def _on_end(self, sender: str, report: ServerEndReport) -> None:
+        start = ServerStart(report.server, report.born_ms)
+        self._ended.add(start)
+        self._charge_unproven(start)
+
+    def _charge_unproven(self, start: ServerStart) -> None:
         for parts in self._unproven.take_all(start):
             self._record_crash(start, parts)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/messages.py
@@ -9,6 +9,7 @@
     "Quarantine",
     "QuarantineSync",
     "QuarantineUpdate",
+    "ServerEndReport",
     "SoundReport",
 ]
 
@@ -47,6 +48,19 @@
     parts: tuple[str, ...]
 
 
+@wire_message("server-end-report")
+@dataclass(frozen=True)
+class ServerEndReport:
+    """A server that has ended, told by a router, and by a control host to all routers.
+
+    :ivar server: name of the server.
+    :ivar born_ms: its start, in milliseconds since 1970.
+    """
+
+    server: str
+    born_ms: int
+
+
 @wire_message("sound-report")
 @dataclass(frozen=True)
 class SoundReport:
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/service.py
@@ -8,9 +8,11 @@
     Quarantine,
     QuarantineSync,
     QuarantineUpdate,
+    ServerEndReport,
     SoundReport,
 )
 from almondfield_daemon.quarantine.settling import SettlingTable
+from almondfield_daemon.quarantine.unproven import EndedStarts
 from almondfield_daemon.server_notices import ServerStart
 
 __all__ = ["QuarantineService"]
@@ -36,12 +38,14 @@
         self._peers = peers
         self._routers = routers
         self._control_hosts = control_hosts
+        self._ended = EndedStarts()
         self.table = SettlingTable(self._tell_decided)
 
     def register_handlers(self) -> None:
         """Register the handlers of messages."""
         self._peers.register_handler(CrashReport, self._on_crash)
         self._peers.register_handler(SoundReport, self._on_sound)
+        self._peers.register_handler(ServerEndReport, self._on_end)
         self._peers.register_handler(QuarantineUpdate, self._on_update)
         self._peers.register_handler(QuarantineSync, self._on_sync)
 
@@ -53,6 +57,12 @@
     async def _on_sound(self, sender: str, report: SoundReport) -> None:
         self._record_sound(report.parts)
 
+    async def _on_end(self, sender: str, report: ServerEndReport) -> None:
+        if self._ended.add(ServerStart(report.server, report.born_ms)):
+            for host in self._routers():
+                if host != sender:
+                    self._peers.send(host, report)
+
     async def _on_update(self, sender: str, update: QuarantineUpdate) -> None:
         self._merge(update)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/unproven.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/unproven.py
@@ -5,7 +5,7 @@
 from almondfield_core.clock import now
 from almondfield_daemon.server_notices import ServerStart
 
-__all__ = ["UnprovenAnswers"]
+__all__ = ["EndedStarts", "UnprovenAnswers"]
 
 # A server that still answers this long after the end of an answer has outlived it.
 OUTLIVED_S = 0.3
@@ -56,3 +56,22 @@
         answers = self._answers_by_start.pop(start, [])
         cutoff_s = now() - GONE_WITHIN_S
         return [parts for ended_s, parts in answers if ended_s > cutoff_s]
+
+
+class EndedStarts:
+    """The starts of servers that ended last."""
+
+    def __init__(self) -> None:
+        self._starts: OrderedDict[ServerStart, None] = OrderedDict()
+
+    def add(self, start: ServerStart) -> bool:
+        """Record that a server has ended, and return whether that is new.
+
+        :param start: the start of the server.
+        """
+        if start in self._starts:
+            return False
+        self._starts[start] = None
+        if len(self._starts) > MAX_STARTS:
+            self._starts.popitem(last=False)
+        return True
