Add a failing test of a bad part that was blamed in two groups

With c in two groups, {c, x} and {c, y}, two further servers that end under c alone make the decision raise KeyError at every control host, and no router is told.

--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
@@ -53,6 +53,19 @@
     Then after 0.3 s all routers refuse "d bad o9" for 290 to 300 s
     And all routers accept "c x o8" and "c z o5"
 
+  # Guards against BUDGET: a decision that fails when the part to blame is in two groups, as the
+  # narrower quarantine replaces both.
+  Scenario: A part that was blamed in two groups is refused with any other after two further servers
+    When server s1 ends under "c x o1" at r1 and "c y o2" at r2
+    And 0.3 s pass
+    And server s2 ends under "c x o1" at r1 and "c y o2" at r2
+    And 0.3 s pass
+    And server s3 ends under "c x o3" at r3 and "c y o4" at r2
+    And 0.3 s pass
+    And servers end 0.3 s apart under "c p o5" at r1 and "c q o6" at r2
+    Then after 0.3 s all routers refuse "c z o7" for 290 to 300 s
+    And all routers accept "x", "p o8" and "q o9"
+
   # Guards against BUDGET: requests with the part share nothing else.
   Scenario: A part that comes with others each time is refused with any other
     When servers end 0.3 s apart under "c bad o1" at r1, "d bad o2" at r2 and "bad e o3" at r1
