Go on deciding where a narrower quarantine has replaced others

What callers saw: a part that was blamed in two groups still passed with any other part; in the second place, a request whose sound answer clears two quarantines that share the part to blame fails on it. Cause: both loops change the quarantines that they go over a copy of. A narrower quarantine replaces all that hold it, and the loop deletes those once more (KeyError). Why it works: what has been replaced is passed over; the narrower one says what it said.

--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/core.py
@@ -186,6 +186,8 @@
         """Replace parts under which fewer servers ended than under their fellows."""
         narrowed = []
         for key, entry in list(self._entry_by_parts.items()):
+            if key not in self._entry_by_parts:
+                continue  # a narrower quarantine has replaced it
             count_by_part = {part: len(self._evidence.starts(part)) for part in key}
             most = max(count_by_part.values())
             rest = frozenset(p for p, count in count_by_part.items() if count == most)
@@ -244,7 +246,7 @@
         """Take sound parts out of the quarantines, and return them."""
         released: set[str] = set()
         for key, entry in list(self._entry_by_parts.items()):
-            if not key & sound:
+            if not key & sound or key not in self._entry_by_parts:
                 continue
             released |= key & sound
             del self._entry_by_parts[key]
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
@@ -183,6 +183,11 @@
       | ended   |
       | is gone |
 
+  # Guards against a request that fails on its own sound answer, as two quarantines with the part
+  # to blame leave the same rest.
+  Scenario: A sound answer takes its parts out of two quarantines at once
+    Then a table with the quarantines "c bad" and "t bad" that learns of a sound "c t o" keeps "bad"
+
   # Guards against a table that callers can make grow without end.
   Scenario: Tables keep their bounds
     Then a table of 6000 suspected, 30000 sound and 150 quarantined parts keeps 5000, 20000 and 100
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
@@ -256,6 +256,22 @@
     assert run(context, left_s(context, router, text)) == 0
 
 
+@then(
+    'a table with the quarantines "{one}" and "{two}" that learns of a sound "{text}" '
+    'keeps "{rest}"'
+)
+def step_impl(context, one, two, text, rest):
+    async def learn():
+        table = QuarantineTable()
+        for parts in (one, two):
+            table.merge([Quarantine(tuple(parts.split()), 300.0, 1, 3)])
+        table.record_sound(shared_parts(prompt(text)))
+        return [" ".join(item.parts) for item in table.quarantines()]
+
+    kept = run(context, learn())
+    assert kept == [rest], kept
+
+
 @then(
     "a table of {suspected:d} suspected, {sound:d} sound and {quarantined:d} "
     "quarantined parts keeps {most_suspected:d}, {most_sound:d} and "
