Add a failing test of a part that was sound before it ended servers

A part that was answered soundly within the last 30 s at a router isn't suspected there, whatever ends under it. The scenario fails: seven servers end and nothing is refused. By the users' rule at most three requests reach servers later than some seconds after the fifth crash; seven leaves one for those that are on their way.

--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
@@ -183,6 +183,18 @@
       | ended   |
       | is gone |
 
+  # Guards against BUDGET: a part that was in use before it began to end servers.
+  Scenario: A part that was sound before is quarantined after seven ends without a sound answer
+    Given prompt "c bad o1" was answered soundly at router r1
+    And prompt "c bad o2" was answered soundly at router r2
+    And prompt "c t1 o3" was answered soundly at router r3
+    When servers end 0.3 s apart under "c bad o4" at r1, "c bad o5" at r2 and "c bad o6" at r1
+    And prompt "c t1 o7" is answered soundly at router r1
+    And prompt "c t1 o8" is answered soundly at router r2
+    And servers end 0.3 s apart under "c bad o9" at r1, "c bad o10" at r2, "c bad o11" at r3 and "c bad o12" at r1
+    Then after 0.3 s all routers refuse "d bad o13" for 290 to 300 s
+    And all routers accept "c t1 o14"
+
   # Guards against a request that fails on its own sound answer, as two quarantines with the part
   # to blame leave the same rest.
   Scenario: A sound answer takes its parts out of two quarantines at once
