--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
@@ -53,6 +53,19 @@
     Then after 0.3 s all routers refuse "d bad o9" for 290 to 300 s
     And all routers accept "c x o8" and "c z o5"
 
+  # Guards against BUDGET: a decision that fails when the part to blame is in two groups, as the
+  # narrower quarantine replaces both.
+  Scenario: A part that was blamed in two groups is refused with any other after two further servers
+    When server s1 ends under "c x o1" at r1 and "c y o2" at r2
+    And 0.3 s pass
+    And server s2 ends under "c x o1" at r1 and "c y o2" at r2
+    And 0.3 s pass
+    And server s3 ends under "c x o3" at r3 and "c y o4" at r2
+    And 0.3 s pass
+    And servers end 0.3 s apart under "c p o5" at r1 and "c q o6" at r2
+    Then after 0.3 s all routers refuse "c z o7" for 290 to 300 s
+    And all routers accept "x", "p o8" and "q o9"
+
   # Guards against BUDGET: requests with the part share nothing else.
   Scenario: A part that comes with others each time is refused with any other
     When servers end 0.3 s apart under "c bad o1" at r1, "d bad o2" at r2 and "bad e o3" at r1
@@ -156,6 +169,37 @@
     Then after 0.3 s all routers refuse "c bad o4" for 290 to 300 s
     And all routers accept "c t o5"
 
+  # Guards against BUDGET: the router that sent an answer which looked whole may not ask its
+  # server again in time, while others see at once that the server has ended.
+  Scenario Outline: An answer that looked whole is charged where another router sees that its server <end>
+    When an answer on "c bad o1" at r1 by server s1 looks whole, and s1 <end> at r2
+    And an answer on "c bad o2" at r2 by server s2 looks whole, and s2 <end> at r3
+    And an answer on "c bad o3" at r1 by server s3 looks whole, and s3 <end> at r2
+    Then after 0.3 s all routers refuse "c bad o4" for 290 to 300 s
+    And all routers accept "c t1 o5"
+
+    Examples:
+      | end     |
+      | ended   |
+      | is gone |
+
+  # Guards against BUDGET: a part that was in use before it began to end servers.
+  Scenario: A part that was sound before is quarantined after seven ends without a sound answer
+    Given prompt "c bad o1" was answered soundly at router r1
+    And prompt "c bad o2" was answered soundly at router r2
+    And prompt "c t1 o3" was answered soundly at router r3
+    When servers end 0.3 s apart under "c bad o4" at r1, "c bad o5" at r2 and "c bad o6" at r1
+    And prompt "c t1 o7" is answered soundly at router r1
+    And prompt "c t1 o8" is answered soundly at router r2
+    And servers end 0.3 s apart under "c bad o9" at r1, "c bad o10" at r2, "c bad o11" at r3 and "c bad o12" at r1
+    Then after 0.3 s all routers refuse "d bad o13" for 290 to 300 s
+    And all routers accept "c t1 o14"
+
+  # Guards against a request that fails on its own sound answer, as two quarantines with the part
+  # to blame leave the same rest.
+  Scenario: A sound answer takes its parts out of two quarantines at once
+    Then a table with the quarantines "c bad" and "t bad" that learns of a sound "c t o" keeps "bad"
+
   # Guards against a table that callers can make grow without end.
   Scenario: Tables keep their bounds
     Then a table of 6000 suspected, 30000 sound and 150 quarantined parts keeps 5000, 20000 and 100
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
@@ -177,6 +177,25 @@
     run(context, answer())
 
 
+@when(
+    'an answer on "{text}" at {router} by server {name} looks whole, and {same} {end} '
+    "at {other}"
+)
+def step_impl(context, text, router, name, same, end, other):
+    async def answer():
+        start = ServerStart(name, 1)
+        client(context, router).record_unproven(start, prompt(text))
+        await asyncio.sleep(0.1)
+        match end:
+            case "ended":
+                client(context, other).record_crash(start, prompt(f"c {name} own"))
+            case "is gone":
+                client(context, other).record_gone(start)
+        await asyncio.sleep(0.2)
+
+    run(context, answer())
+
+
 @when("{seconds:g} s pass")
 def step_impl(context, seconds):
     run(context, asyncio.sleep(seconds))
@@ -237,6 +256,22 @@
     assert run(context, left_s(context, router, text)) == 0
 
 
+@then(
+    'a table with the quarantines "{one}" and "{two}" that learns of a sound "{text}" '
+    'keeps "{rest}"'
+)
+def step_impl(context, one, two, text, rest):
+    async def learn():
+        table = QuarantineTable()
+        for parts in (one, two):
+            table.merge([Quarantine(tuple(parts.split()), 300.0, 1, 3)])
+        table.record_sound(shared_parts(prompt(text)))
+        return [" ".join(item.parts) for item in table.quarantines()]
+
+    kept = run(context, learn())
+    assert kept == [rest], kept
+
+
 @then(
     "a table of {suspected:d} suspected, {sound:d} sound and {quarantined:d} "
     "quarantined parts keeps {most_suspected:d}, {most_sound:d} and "
