Let the limits on silence say where no new server may be asked

Whether the limit between events holds for the last attempt was decided in two places: silence_limits gave one, and the run replaced it by infinity. Now silence_limits is told both facts (no new server, a way back) and each of its limits is what holds.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -1,6 +1,5 @@
 """Runs the attempts of one request and sends an answer to the caller."""
 
-import math
 from contextlib import aclosing
 from functools import partial
 
@@ -214,8 +213,7 @@
     def _settle(self, selected: SelectedServer, watch: SilenceWatch) -> None:
         """Record that a server has sent an event, so that the stream stays there."""
         self._hand_over.settle()
-        limit_s = math.inf if self._is_last else self._limits.chunk_s
-        watch.set_limit(limit_s + selected.delay_allowance_s)
+        watch.set_limit(self._limits.chunk_s + selected.delay_allowance_s)
 
     async def _next_answer(self) -> Problem | tuple[SelectedServer, Answered]:
         """Return a server's answer, or the problem to send instead."""
@@ -257,7 +255,8 @@
         self._is_last = self.sent + 1 >= self._request.route.max_attempts
         self._limits = silence_limits(
             self._request.route,
-            is_last=self._is_last and not self._hand_over.can_go_back,
+            is_last=self._is_last,
+            can_go_back=self._hand_over.can_go_back,
             takes_over=self._hand_over.takes_over,
             time_to_first_token_s=selected.time_to_first_token_s,
         )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_limits.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_limits.py
@@ -25,8 +25,7 @@
 
     :ivar answer_s: limit until the head of the answer, in seconds.
     :ivar first_event_s: limit between the head and the first event, in seconds.
-    :ivar chunk_s: limit before each further part of the answer, in seconds; it holds
-        only if there is a new server.
+    :ivar chunk_s: limit before each further part of the answer, in seconds.
     """
 
     answer_s: float = math.inf
@@ -38,28 +37,32 @@
     route: RouteRule,
     *,
     is_last: bool,
+    can_go_back: bool,
     takes_over: bool,
     time_to_first_token_s: float,
 ) -> SilenceLimits:
     """Return the limits of an attempt.
 
     :param route: rule of the request.
-    :param is_last: whether neither another server nor one that was left may be asked.
+    :param is_last: whether no new server may be asked after it.
+    :param can_go_back: whether the request may go back to a server that was left, until
+        this one answers.
     :param takes_over: whether the caller of a stream has waited for a silent server
         before, so that less of its patience is left.
     :param time_to_first_token_s: wait and prefill time of a slow engine, in seconds.
     """
-    if is_last or not route.may_run_again:
+    if not route.may_run_again or (is_last and not can_go_back):
         return SilenceLimits()
     if route.kind is RequestKind.STREAMING:
         patience_s = stream_patience_s(route)
-        chunk_s = STREAM_LIMIT_SHARE * patience_s
+        part_s = STREAM_LIMIT_SHARE * patience_s
+        chunk_s = math.inf if is_last else part_s
         if takes_over:
             # A sound server begins within the target.
             begin_s = max(route.latency_target_s, TAKE_OVER_LIMIT_SHARE * patience_s)
             begin_s += time_to_first_token_s
             return SilenceLimits(begin_s, begin_s, chunk_s)
-        return SilenceLimits(chunk_s + time_to_first_token_s, chunk_s, chunk_s)
+        return SilenceLimits(part_s + time_to_first_token_s, part_s, chunk_s)
     answer_s = LATENCY_TARGETS_PER_ATTEMPT * route.latency_target_s
     return SilenceLimits(max(MIN_ANSWER_LIMIT_S, answer_s))
 
