Log how late a stop was learned of, and what it leaves running

The logs didn't tell who ended a stream in its middle: daemon:draining says how long ago the signal may have come, router:drained how many requests run when a stopping router no longer waits, and request:failed which request an unexpected error ended, and whether its answer had begun. The time of the signal comes from the times of the loop's iterations.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -11,6 +11,7 @@
 from starlette.types import ASGIApp
 
 from almondfield_control.node.leader_client import LeaderClient
+from almondfield_core.clock import now
 from almondfield_core.settings import FleetSettings, load_fleet_settings
 from almondfield_daemon.fleet_daemon.metrics import (
     ControlMetrics,
@@ -18,6 +19,7 @@
     RouterMetrics,
     build_metrics_app,
 )
+from almondfield_daemon.fleet_daemon.stop_signal import StopSignal
 from almondfield_daemon.fleet_daemon.usage import log_usage
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.loop_delay import LoopMonitor
@@ -117,10 +119,10 @@
         """
         raise NotImplementedError
 
-    async def run_until(self, stop: asyncio.Event) -> None:
+    async def run_until(self, stop: StopSignal) -> None:
         """Start the daemon; return after a graceful shutdown.
 
-        :param stop: event that requests the shutdown.
+        :param stop: requests the shutdown.
         :raises Exception: if a background coroutine fails; the exception it raised.
         """
         coroutines = (
@@ -146,7 +148,10 @@
         )
         for task in done & set(self._tasks):
             task.result()
-        eliot.log_message("daemon:draining")
+        # A coroutine that returned requests the shutdown too.
+        stop.set()
+        late_ms = round((now() - stop.requested_s) * MILLISECONDS, 1)
+        eliot.log_message("daemon:draining", late_ms=late_ms)
         await self.drain()
         await self._close()
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -6,6 +6,8 @@
 from pathlib import Path
 from typing import Any
 
+import eliot
+
 from almondfield_control.publishing import TableSubscription
 from almondfield_core.clock import now
 from almondfield_core.settings import FleetSettings
@@ -45,6 +47,7 @@
 CALLER_BACKLOG = 128
 MAX_ATTEMPTS_PER_MS = 1000  # far above what one router makes
 BYTES_PER_MB = 1_000_000
+MS_PER_S = 1000
 
 
 class RouterHost(FleetHost):
@@ -185,6 +188,12 @@
         self._endpoint.refuse_new()
         while self._endpoint.running and now() - start_s < DRAIN_FRACTION * grace_s:
             await asyncio.sleep(STATE_CHECK_INTERVAL_S)
+        eliot.log_message(
+            "router:drained",
+            running=self._endpoint.running,
+            connections=self._listener.connection_count(),
+            after_ms=round((now() - start_s) * MS_PER_S, 1),
+        )
 
     async def _update_state(self) -> None:
         """Report this router as ready while the lease of its routing table is valid."""
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/stop_signal.py
@@ -0,0 +1,40 @@
+"""The request to shut a daemon down, and when it came."""
+
+import asyncio
+
+from almondfield_core.clock import now
+
+__all__ = ["StopSignal"]
+
+# The event loop calls the handler of a signal one iteration after it finds the signal.
+FOUND_ITERATIONS_AGO = 1
+
+
+class StopSignal(asyncio.Event):
+    """Event that requests the shutdown of a daemon; set by the handler of a signal.
+
+    A busy event loop learns of a signal late, but its sender counts the grace period
+    of the shutdown from when it sent the signal.
+
+    :ivar requested_s: earliest time at which the signal can have come, in seconds of
+        the loop's clock; None before.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.requested_s: float | None = None
+
+    def set(self) -> None:
+        """Record the request, and wake all tasks that wait for it."""
+        if self.requested_s is None:
+            self.requested_s = _earliest_s()
+        super().set()
+
+
+def _earliest_s() -> float:
+    """Return the earliest time at which a signal can have come that is handled now."""
+    iterations = getattr(asyncio.get_running_loop(), "iterations", None)
+    if iterations is None:
+        return now()
+    earliest_s, _ = iterations.ready_between(FOUND_ITERATIONS_AGO)
+    return earliest_s
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -97,6 +97,11 @@
             pass
         except Exception:
             eliot.write_traceback()
+            eliot.log_message(
+                "request:failed",
+                request_id=sink.request_id,
+                is_started=sink.is_started,
+            )
             problem = Problem(500, "internal", "unexpected failure", Outcome.UNKNOWN)
             with suppress(RuntimeError):
                 await self._send_problem(sink, problem, close=True)
@@ -119,6 +124,7 @@
                     self.intake.record_refusal(head, problem)
                     await self._refuse(receive, sink, problem)
                     return
+        sink.request_id = request.metadata.request_id
         held = BodyReservation(self._budget, request.team)
         try:
             await self._read_and_serve(request, receive, sink, held)
@@ -186,6 +192,9 @@
     :param send: ASGI send callable.
     :param is_closing: returns whether the connection is closed after the answer.
     :param connection: the caller's connection; None if the listener records none.
+
+    :ivar request_id: the request that is answered; empty until its head is read.
+    :ivar is_started: whether a part of the answer was sent.
     """
 
     def __init__(
@@ -195,6 +204,8 @@
         connection: CallerConnection | None,
     ) -> None:
         self.connection = connection
+        self.request_id = ""
+        self.is_started = False
         self._send = send
         self._is_closing = is_closing
         self._closes_connection = False
@@ -220,6 +231,7 @@
         """Send status and headers."""
         if self._closes_connection or self._is_closing():
             headers = (*headers, (b"connection", b"close"))
+        self.is_started = True
         message = {"type": "http.response.start", "status": status}
         await self._send(message | {"headers": list(headers)})
 
