Count the grace period of a stop from its signal, and check requests by the clock

Callers see a stream or an answer that is cut as the process of a stopping router is killed at the end of its grace period. The class of fault: a time counted from when one learns of an event, not from the event.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -82,7 +82,7 @@
         """Replace the seeds after a reload of the settings."""
         self._replica.configured = seeds
 
-    async def drain(self) -> None:
+    async def drain(self, requested_s: float) -> None:
         """Return once leadership is handed over, or the hand-over timed out."""
         if self._replica.is_leader:
             await self._replica.leadership.transfer_leadership(HAND_OVER_TIMEOUT_S)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -108,8 +108,11 @@
         """Return the coroutines that run until shutdown, besides the peer messaging."""
         raise NotImplementedError
 
-    async def drain(self) -> None:
-        """Return once the daemon can stop without loss."""
+    async def drain(self, requested_s: float) -> None:
+        """Return once the daemon can stop without loss.
+
+        :param requested_s: when its grace period began, in seconds of the loop's clock.
+        """
         raise NotImplementedError
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -152,7 +155,7 @@
         stop.set()
         late_ms = round((now() - stop.requested_s) * MILLISECONDS, 1)
         eliot.log_message("daemon:draining", late_ms=late_ms)
-        await self.drain()
+        await self.drain(stop.requested_s)
         await self._close()
 
     def reload(self) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -176,23 +176,23 @@
         """Replace the seeds after a reload of the settings."""
         self.view.set_seeds(seeds)
 
-    async def drain(self) -> None:
+    async def drain(self, requested_s: float) -> None:
         """Return once all requests have ended or the grace period is nearly over."""
-        start_s = now()
         grace_s = self.settings.grace_s
+        accept_all_until_s = requested_s + ACCEPT_ALL_FRACTION * grace_s
+        drain_until_s = requested_s + DRAIN_FRACTION * grace_s
         self.view.set_state(RouterState.DRAINING)
-        self._endpoint.close_connections()
-        await asyncio.sleep(ACCEPT_STREAMS_FRACTION * grace_s)
-        self._endpoint.refuse_streams()
-        await asyncio.sleep((ACCEPT_ALL_FRACTION - ACCEPT_STREAMS_FRACTION) * grace_s)
-        self._endpoint.refuse_new()
-        while self._endpoint.running and now() - start_s < DRAIN_FRACTION * grace_s:
+        self._endpoint.drain(
+            requested_s + ACCEPT_STREAMS_FRACTION * grace_s, accept_all_until_s
+        )
+        await asyncio.sleep(max(0.0, accept_all_until_s - now()))
+        while self._endpoint.running and now() < drain_until_s:
             await asyncio.sleep(STATE_CHECK_INTERVAL_S)
         eliot.log_message(
             "router:drained",
             running=self._endpoint.running,
             connections=self._listener.connection_count(),
-            after_ms=round((now() - start_s) * MS_PER_S, 1),
+            after_ms=round((now() - requested_s) * MS_PER_S, 1),
         )
 
     async def _update_state(self) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -62,9 +62,18 @@
         self._max_connections = 0
         self.running = 0
 
-    def close_connections(self) -> None:
-        """Close the caller's connection after each answer from now on."""
+    def drain(self, accept_streams_until_s: float, accept_all_until_s: float) -> None:
+        """Take in requests only for some time, and close connections after answers.
+
+        Running requests continue.
+
+        :param accept_streams_until_s: when streaming requests begin to be refused, in
+            seconds of the loop's clock.
+        :param accept_all_until_s: when all other requests begin to be refused.
+        """
         self._is_closing = True
+        self.intake.accept_streams_until_s = accept_streams_until_s
+        self.intake.accept_all_until_s = accept_all_until_s
 
     def limit_connections(self, count: Callable[[], int], limit: int) -> None:
         """Close a caller's connection after its answer while too many are open.
@@ -78,14 +87,6 @@
         self._connection_count = count
         self._max_connections = limit
 
-    def refuse_streams(self) -> None:
-        """Refuse new streaming requests; running requests continue."""
-        self.intake.refuses_streams = True
-
-    def refuse_new(self) -> None:
-        """Refuse new requests; running requests continue."""
-        self.intake.refuses_all = True
-
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
         self.running += 1
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
@@ -5,6 +5,7 @@
 """
 
 import http
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -71,8 +72,10 @@
     :param counts: counts refusals.
     :param must_close: returns whether connections close after their answers.
 
-    :ivar refuses_streams: whether new streaming requests are refused.
-    :ivar refuses_all: whether all new requests are refused.
+    :ivar accept_streams_until_s: when new streaming requests begin to be refused, in
+        seconds of the loop's clock. It is a time, not a flag that a timer sets: a busy
+        loop reads what has come meanwhile before it runs the timer.
+    :ivar accept_all_until_s: when all new requests begin to be refused.
     """
 
     def __init__(
@@ -89,8 +92,8 @@
         self._counts = counts
         self._must_close = must_close
         self._deadlines = TypicalDeadlines()
-        self.refuses_streams = False
-        self.refuses_all = False
+        self.accept_streams_until_s = math.inf
+        self.accept_all_until_s = math.inf
 
     def check(self, head: RequestHead) -> HeadRefusal | None:
         """Return the refusal of a request; None to pass it to the endpoint."""
@@ -144,7 +147,7 @@
         index = self._subscription.index
         if not index.table.version:
             return Err(_not_ready("this router has no routing table yet"))
-        if self.refuses_all:
+        if now() >= self.accept_all_until_s:
             return Err(_draining())
         headers = list(head.headers)
         too_large = check_headers(headers, index.table.limits.max_header_bytes)
@@ -214,7 +217,8 @@
                 detail = f"the request was not read for up to {unread.most_s:.3f} s"
                 retry_after_s = LATE_RETRY_AFTER_S
                 return Problem(503, "late", detail, retry_after_s=retry_after_s)
-        if self.refuses_streams and route.kind is RequestKind.STREAMING:
+        is_stream = route.kind is RequestKind.STREAMING
+        if is_stream and now() >= self.accept_streams_until_s:
             return _draining()
         return None
 
