Check whether a stopping router still takes a request in after its body

Callers see an answer that is cut at the end of the grace period although their request was sent late in it: it was taken in by the time of its head, and its body came seconds later. The decision was made before what it decides on was there.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -153,9 +153,16 @@
             case Ok(body):
                 self._counts.record_body(len(body))
                 request = replace(request, body=body)
+                # The body may have taken long.
+                late = self.intake.drain_refusal(request.route)
+                if late is not None:
+                    self._counts.record_refusal(request.team, late.kind)
+                    _log_body_refusal(request, late)
+                    await self._send_problem(sink, late, close=False)
+                    return
             case Err(problem):
                 self._counts.record_refusal(request.team, problem.kind)
-                _log_unread(request, problem)
+                _log_body_refusal(request, problem)
                 await self._send_problem(sink, problem, close=True)
                 return
         async with CallerWatch(receive, sink.connection) as watch:
@@ -253,8 +260,8 @@
             self._watch.stall.end()
 
 
-def _log_unread(request: ForwardRequest, problem: Problem) -> None:
-    """Log a refusal that is sent before the body is read to its end."""
+def _log_body_refusal(request: ForwardRequest, problem: Problem) -> None:
+    """Log a refusal that comes while the body is read, or right after it."""
     eliot.log_message(
         "request:refused",
         request_id=request.metadata.request_id,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
@@ -115,6 +115,15 @@
         """
         return self._read(head).map(lambda item: self._make_request(head, item))
 
+    def drain_refusal(self, route: RouteRule) -> Problem | None:
+        """Return the refusal of a request that comes too late in a stop, or None.
+
+        :param route: the rule that the request matches.
+        """
+        is_stream = route.kind is RequestKind.STREAMING
+        until_s = self.accept_streams_until_s if is_stream else self.accept_all_until_s
+        return _draining() if now() >= until_s else None
+
     def record_refusal(self, head: RequestHead, problem: Problem) -> None:
         """Count and log the refusal of a request that wasn't accepted.
 
@@ -217,10 +226,7 @@
                 detail = f"the request was not read for up to {unread.most_s:.3f} s"
                 retry_after_s = LATE_RETRY_AFTER_S
                 return Problem(503, "late", detail, retry_after_s=retry_after_s)
-        is_stream = route.kind is RequestKind.STREAMING
-        if is_stream and now() >= self.accept_streams_until_s:
-            return _draining()
-        return None
+        return self.drain_refusal(route)
 
     def _team(self, metadata: RequestMetadata, is_public: bool) -> Result[str, Problem]:
         """Return the caller's team; empty if the request needs no team."""
