Find the signal of a stop that came while its process was paused

The signal interrupts the wait for descriptors, which then ends by its timeout without finding the signal; the next iteration finds it, and seemed to have begun after the pause.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/stop_signal.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/stop_signal.py
@@ -6,8 +6,9 @@
 
 __all__ = ["StopSignal"]
 
-# The event loop calls the handler of a signal one iteration after it finds the signal.
-FOUND_ITERATIONS_AGO = 1
+# The event loop calls a signal's handler one iteration after it finds the signal, which
+# may have interrupted the wait of the iteration before.
+CAME_ITERATIONS_AGO = 2
 
 
 class StopSignal(asyncio.Event):
@@ -36,5 +37,5 @@
     iterations = getattr(asyncio.get_running_loop(), "iterations", None)
     if iterations is None:
         return now()
-    earliest_s, _ = iterations.ready_between(FOUND_ITERATIONS_AGO)
+    earliest_s, _ = iterations.ready_between(CAME_ITERATIONS_AGO)
     return earliest_s
--- a/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/core.py
@@ -6,7 +6,7 @@
 __all__ = ["LATE_S", "IterationTimes", "LongestDelay"]
 
 LATE_S = 0.25  # a quarter of the time that callers wait for a request to be read
-KEPT_ITERATIONS = 2
+KEPT_ITERATIONS = 3
 MIN_WAIT_S = 0.001  # a selector that returns sooner found descriptors ready
 TIMER_ERROR_S = 0.02
 
