--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -62,9 +62,18 @@
         self._max_connections = 0
         self.running = 0
 
-    def close_connections(self) -> None:
-        """Close the caller's connection after each answer from now on."""
+    def drain(self, accept_streams_until_s: float, accept_all_until_s: float) -> None:
+        """Take in requests only for some time, and close connections after answers.
+
+        Running requests continue.
+
+        :param accept_streams_until_s: when streaming requests begin to be refused, in
+            seconds of the loop's clock.
+        :param accept_all_until_s: when all other requests begin to be refused.
+        """
         self._is_closing = True
+        self.intake.accept_streams_until_s = accept_streams_until_s
+        self.intake.accept_all_until_s = accept_all_until_s
 
     def limit_connections(self, count: Callable[[], int], limit: int) -> None:
         """Close a caller's connection after its answer while too many are open.
@@ -78,14 +87,6 @@
         self._connection_count = count
         self._max_connections = limit
 
-    def refuse_streams(self) -> None:
-        """Refuse new streaming requests; running requests continue."""
-        self.intake.refuses_streams = True
-
-    def refuse_new(self) -> None:
-        """Refuse new requests; running requests continue."""
-        self.intake.refuses_all = True
-
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
         self.running += 1
@@ -97,6 +98,11 @@
             pass
         except Exception:
             eliot.write_traceback()
+            eliot.log_message(
+                "request:failed",
+                request_id=sink.request_id,
+                is_started=sink.is_started,
+            )
             problem = Problem(500, "internal", "unexpected failure", Outcome.UNKNOWN)
             with suppress(RuntimeError):
                 await self._send_problem(sink, problem, close=True)
@@ -119,6 +125,7 @@
                     self.intake.record_refusal(head, problem)
                     await self._refuse(receive, sink, problem)
                     return
+        sink.request_id = request.metadata.request_id
         held = BodyReservation(self._budget, request.team)
         try:
             await self._read_and_serve(request, receive, sink, held)
@@ -146,9 +153,16 @@
             case Ok(body):
                 self._counts.record_body(len(body))
                 request = replace(request, body=body)
+                # The body may have taken long.
+                late = self.intake.drain_refusal(request.route)
+                if late is not None:
+                    self._counts.record_refusal(request.team, late.kind)
+                    _log_body_refusal(request, late)
+                    await self._send_problem(sink, late, close=False)
+                    return
             case Err(problem):
                 self._counts.record_refusal(request.team, problem.kind)
-                _log_unread(request, problem)
+                _log_body_refusal(request, problem)
                 await self._send_problem(sink, problem, close=True)
                 return
         async with CallerWatch(receive, sink.connection) as watch:
@@ -186,6 +200,9 @@
     :param send: ASGI send callable.
     :param is_closing: returns whether the connection is closed after the answer.
     :param connection: the caller's connection; None if the listener records none.
+
+    :ivar request_id: the request that is answered; empty until its head is read.
+    :ivar is_started: whether a part of the answer was sent.
     """
 
     def __init__(
@@ -195,6 +212,8 @@
         connection: CallerConnection | None,
     ) -> None:
         self.connection = connection
+        self.request_id = ""
+        self.is_started = False
         self._send = send
         self._is_closing = is_closing
         self._closes_connection = False
@@ -220,6 +239,7 @@
         """Send status and headers."""
         if self._closes_connection or self._is_closing():
             headers = (*headers, (b"connection", b"close"))
+        self.is_started = True
         message = {"type": "http.response.start", "status": status}
         await self._send(message | {"headers": list(headers)})
 
@@ -240,8 +260,8 @@
             self._watch.stall.end()
 
 
-def _log_unread(request: ForwardRequest, problem: Problem) -> None:
-    """Log a refusal that is sent before the body is read to its end."""
+def _log_body_refusal(request: ForwardRequest, problem: Problem) -> None:
+    """Log a refusal that comes while the body is read, or right after it."""
     eliot.log_message(
         "request:refused",
         request_id=request.metadata.request_id,
