Add failing tests of odd records from outside

- one reply or message that can't be encoded, one address that can't be connected to, or one unexpected error in a loop ends the whole host;
- a server told of by another host isn't checked at all.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/fleet.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/fleet.feature
@@ -166,3 +166,39 @@
     And 6.0 s pass
     Then "r1" hears 3 control hosts
     And "r1" counts 2 routers
+
+  # Guards against a host that ends because of an error in one round of a loop.
+  Scenario: A control host that gets an unexpected error between announcements goes on
+    Given "t" announces itself at "c1" with sequence 1
+    And 20.0 s pass
+    And the next change of servers at "c1" raises an error
+    When 20.0 s pass
+    And "s" announces itself at "c1" with sequence 1
+    And 0.1 s pass
+    Then "r1" and "r2" use "s"
+    And "c1" still runs
+
+  # Guards against a router that ends because of an error in what one reply says.
+  Scenario: A router that gets an unexpected error from a reply goes on
+    Given the next change of servers at "r1" raises an error
+    And "r1" is isolated from all hosts
+    And "t" announces itself at "c1" with sequence 1
+    And 1.0 s pass
+    When the partition heals
+    And 3.0 s pass
+    And "s" announces itself at "c1" with sequence 1
+    And 0.1 s pass
+    Then "r1" and "r2" use "s"
+    And "r1" still runs
+
+  # Guards against an odd entry that a host of another build passes on, and against a
+  # whole list that is lost with it.
+  Scenario: A server that another host tells of and that cannot be used is left out alone
+    When "c2" tells "c1" and "r1" of a sound server "s" and of servers with
+      | name  | address         | slots |
+      | odd-1 | 127.0.0.1:99999 | 8     |
+      | odd-2 | 127.0.0.1:80    | 0     |
+      | o d d | 127.0.0.1:80    | 8     |
+    And 1.5 s pass
+    Then "r1" and "r2" use "s"
+    And no host lists a server whose name begins with "o"
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/steps/fleet_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/steps/fleet_steps.py
@@ -13,7 +13,7 @@
     RouterState,
     ServerPhase,
 )
-from almondfield_daemon.fleet.messages import RouterHello
+from almondfield_daemon.fleet.messages import RouterHello, ServerUpdate
 from almondfield_daemon.fleet.registry import ServerRegistry
 from almondfield_testing import InMemoryNetwork, run
 
@@ -40,7 +40,14 @@
     hello = RouterHello("east", "region", f"{host}:80", RouterState.STARTING)
     peers = context.network.peers(host)
     returned = context.returned_by_host[host] = []
-    view = FleetView(peers, hello, CONTROL_HOSTS[:1], lambda: None, returned.append)
+    calls = []
+    failing = context.failing_routers
+
+    def on_change():
+        if host in failing:
+            raise_at_first(calls)
+
+    view = FleetView(peers, hello, CONTROL_HOSTS[:1], on_change, returned.append)
     context.view_by_host[host] = view
     context.task_by_host[host] = asyncio.ensure_future(view.run())
 
@@ -76,6 +83,7 @@
     context.control_by_host = {}
     context.view_by_host = {}
     context.returned_by_host = {}
+    context.failing_routers = set()
     context.task_by_host = {}
 
     async def start():
@@ -132,6 +140,7 @@
     partition(context, host, (a, b))
 
 
+@given('"{host}" is isolated from all hosts')
 @when('"{host}" is isolated from all hosts')
 def step_impl(context, host):
     context.network.isolate(host)
@@ -302,3 +311,47 @@
     # The first reply of a control host counts, too.
     returned = context.returned_by_host[host].count(control) - 1
     assert returned == {"never": 0, "once": 1}[times], returned
+
+
+def raise_at_first(calls):
+    calls.append(1)
+    if len(calls) == 1:
+        raise RuntimeError("unexpected")
+
+
+@given('the next change of servers at "{host}" raises an error')
+def step_impl(context, host):
+    if host in context.control_by_host:
+        calls = []
+        callbacks = context.control_by_host[host].server_change_callbacks
+        callbacks.append(lambda: raise_at_first(calls))
+    else:
+        context.failing_routers.add(host)
+
+
+@then('"{host}" still runs')
+def step_impl(context, host):
+    assert not context.task_by_host[host].done(), context.task_by_host[host]
+
+
+@when('"{sender}" tells "{a}" and "{b}" of a sound server "{name}" and of servers with')
+def step_impl(context, sender, a, b, name):
+    odd = tuple(
+        server(row["name"], 1, address=row["address"], slots=int(row["slots"]))
+        for row in context.table
+    )
+    update = ServerUpdate((*odd[:1], server(name, 1), *odd[1:]))
+
+    async def tell():
+        for host in (a, b):
+            context.network.peers_by_host[sender].send(host, update)
+
+    run(context, tell())
+
+
+@then('no host lists a server whose name begins with "{start}"')
+def step_impl(context, start):
+    listed = [s for view in context.view_by_host.values() for s in view.all_servers()]
+    for control in context.control_by_host.values():
+        listed += control.servers()
+    assert not [item.name for item in listed if item.name.startswith(start)]
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/fakes.py
@@ -9,6 +9,7 @@
 NO_SECRETS = SecuritySettings("", "", "")
 SECRET = b"fleet"
 DELAY_S = 0.002
+BEYOND_64_BITS = 2**64
 
 
 class MemoryConnection:
@@ -57,6 +58,8 @@
 
     def dial(self, address):
         target = address.partition(":")[0]
+        if target in self.network.invalid_targets:
+            raise ValueError(f"invalid address {address!r}")
         connection = MemoryConnection(self.network, self.host, target)
         self.network.connections.append(connection)
         return connection
@@ -73,6 +76,7 @@
         self.frames_by_path = {}
         self.connections = []
         self.broken_paths = set()
+        self.invalid_targets = set()
         self.rejects_frames = False
         self.delay_s = DELAY_S
 
@@ -88,10 +92,13 @@
         self.incarnation = incarnation
         self.handled = []
         self.failing_reports = set()
+        self.oversized_replies = set()
         self.task = None
 
     async def handle(self, sender, report):
         if report.number in self.failing_reports:
             raise RuntimeError(f"report {report.number} from {sender}")
         self.handled.append(report.number)
+        if report.number in self.oversized_replies:
+            return SlotGrant(report.pool, report.epoch, BEYOND_64_BITS, 1.0, False)
         return SlotGrant(report.pool, report.epoch, report.number, 1.0, False)
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
@@ -117,6 +117,31 @@
     Then there is no reply
     And "a" sends report 4 to "b" and gets grant 4
 
+  # Guards against hosts that end by themselves: a reply that can't be encoded failed
+  # outside of what catches the errors of handlers, in a task that all messages need.
+  Scenario: A reply that cannot be encoded affects only this reply
+    Given the handler of "b" replies to report 3 with a number beyond 64 bits
+    When "a" sends report 3 to "b" and awaits the reply
+    Then there is no reply
+    And "b" counts drops for "can't be encoded"
+    And "a" sends report 4 to "b" and gets grant 4
+
+  # Guards against hosts that stop in the middle of telling others.
+  Scenario: A message that cannot be encoded fails as if its host were not reached
+    When "a" sends a report with a number beyond 64 bits to "b" and awaits the reply
+    Then there is no reply
+    And "a" counts drops for "can't be encoded"
+    When "a" sends a report with a number beyond 64 bits to "b"
+    Then "a" sends report 4 to "b" and gets grant 4
+
+  # Guards against hosts that end by themselves because of a host that they are told of.
+  Scenario: A host that cannot be connected to affects only its own link
+    Given connections to "odd" raise an error
+    When "b" hears of a host "odd" and sends it a report
+    And 1.0 s pass
+    Then "a" sends report 4 to "b" and gets grant 4
+    And "b" sends report 5 to "a" and gets grant 5
+
   Scenario: An unused path carries no heartbeats
     When "a" sends report 5 to "b" and awaits the reply
     And 25.0 s pass
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
@@ -8,9 +8,15 @@
 from hypothesis import settings, strategies
 
 from almondfield_core.messages import AnnouncementRelay, DemandReport
+from almondfield_core.settings import HostSettings
 from almondfield_daemon.peers import Frame
 from almondfield_daemon.peers.frames import FrameSeal
-from almondfield_daemon.peers.tests.fakes import SECRET, MemoryNetwork, Node
+from almondfield_daemon.peers.tests.fakes import (
+    BEYOND_64_BITS,
+    SECRET,
+    MemoryNetwork,
+    Node,
+)
 from almondfield_testing import run
 
 
@@ -89,6 +95,42 @@
     context.nodes["b"].failing_reports.add(number)
 
 
+@given('the handler of "b" replies to report {number:d} with a number beyond 64 bits')
+def step_impl(context, number):
+    context.nodes["b"].oversized_replies.add(number)
+
+
+@when(
+    '"{name}" sends a report with a number beyond 64 bits to "{target}" and awaits '
+    "the reply"
+)
+def step_impl(context, name, target):
+    context.reply = request_reply(context, name, target, BEYOND_64_BITS)
+
+
+@when('"{name}" sends a report with a number beyond 64 bits to "{target}"')
+def step_impl(context, name, target):
+    async def send():
+        context.nodes[name].peers.send(target, report(BEYOND_64_BITS))
+
+    run(context, send())
+
+
+@given('connections to "{target}" raise an error')
+def step_impl(context, target):
+    context.network.invalid_targets.add(target)
+
+
+@when('"{name}" hears of a host "{target}" and sends it a report')
+def step_impl(context, name, target):
+    async def send():
+        peers = context.nodes[name].peers
+        peers.add_host(HostSettings(target, "dc", target))
+        peers.send(target, report(1))
+
+    run(context, send())
+
+
 def restart(context, name, step):
     old = context.nodes[name]
 
@@ -264,9 +306,9 @@
     return context.nodes[name].peers.is_reachable(target)
 
 
-@then('"b" counts drops for "{reason}"')
-def step_impl(context, reason):
-    assert drop_counts(context, "b").get(reason, 0) >= 1, drop_counts(context, "b")
+@then('"{name}" counts drops for "{reason}"')
+def step_impl(context, name, reason):
+    assert drop_counts(context, name).get(reason, 0) >= 1, drop_counts(context, name)
 
 
 @then('"a" keeps at most {maximum:d} messages for "b", including the request')
