Drop a message that can't be encoded, alone

Seen by callers: after one announcement with a whole number beyond 64 bits, a control host ended by itself, and changes and callers were answered 503.

Cause: the reply of a handler was encoded outside of what catches the handler's errors, in the task that handles all messages of one sender. Its failure ended the task group of all messages, and with it the host. The class of fault: an error of one message is handled where all messages pass.

Change: encode_message raises WireError for what MessagePack has no form for. The sender drops that message, counts it and logs peer:message-dropped with its kind, receiver and reason; a request gets an error at once, a reply isn't sent. Decoding and replying are inside of what catches a handler's errors. A body that is nested too deeply counts as malformed.

--- a/packages/almondfield-core/src/almondfield_core/wire/core.py
+++ b/packages/almondfield-core/src/almondfield_core/wire/core.py
@@ -18,7 +18,7 @@
 
 
 class WireError(AlmondfieldError):
-    """Raised for a message that has no kind or cannot be decoded."""
+    """Raised for a message that has no kind or cannot be encoded or decoded."""
 
 
 def wire_message(kind: str) -> Callable[[type[MessageT]], type[MessageT]]:
@@ -54,8 +54,13 @@
     """Return a registered message as MessagePack.
 
     :param message: instance of a registered data class.
+    :raises WireError: if MessagePack has no form for one of its values, such as a whole
+        number beyond 64 bits.
     """
-    return _encoder.encode(message)
+    try:
+        return _encoder.encode(message)
+    except (OverflowError, RecursionError, TypeError, ValueError) as error:
+        raise WireError(f"{type(message).__name__}: {error}") from error
 
 
 def decode_message(kind: str, body: bytes) -> Result[Any, WireError]:
@@ -69,5 +74,5 @@
         return Err(WireError(f"unknown message kind {kind!r}"))
     try:
         return Ok(decoder.decode(body))
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
         return Err(WireError(f"message {kind!r}: {error}"))
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
@@ -12,7 +12,12 @@
 from almondfield_core.clock import ArrivalTimeout, PeriodicTimer, now
 from almondfield_core.ports import LinkFailure
 from almondfield_core.settings import DaemonSettings, HostSettings
-from almondfield_core.wire import decode_message, encode_message, kind_of
+from almondfield_core.wire import (
+    WireError,
+    decode_message,
+    encode_message,
+    kind_of,
+)
 from almondfield_daemon.peers.frames import Envelope, Frame, FrameSeal, Purpose
 from almondfield_daemon.peers.inbox import Inbox
 from almondfield_daemon.peers.link import OutgoingLink
@@ -25,6 +30,8 @@
 HEARTBEATS_PER_CHECK = 3
 MAX_LATE_REQUESTS = 1000  # without a timely reply; some seconds of a busy router
 MS_PER_S = 1000
+UNKNOWN_HOST = "unknown host"
+UNENCODABLE = "can't be encoded"
 
 Handler = Callable[[str, Any], Awaitable[Any]]
 
@@ -127,8 +134,9 @@
         reply = asyncio.get_running_loop().create_future()
         self._reply_by_tag[tag] = reply
         try:
-            if not self._post(to, message, Purpose.REQUEST, tag):
-                return Err(LinkFailure(to, "unknown host"))
+            problem = self._post(to, message, Purpose.REQUEST, tag)
+            if problem:
+                return Err(LinkFailure(to, problem))
             async with ArrivalTimeout(timeout_s):
                 message = await reply
             self._on_reply(to, now() - sent_s)
@@ -207,22 +215,32 @@
     def _inboxes(self) -> tuple[Inbox, ...]:
         return tuple(self._inbox_by_host.values())
 
-    def _post(self, to: str, message: object, purpose: Purpose, tag: int) -> bool:
+    def _post(self, to: str, message: object, purpose: Purpose, tag: int) -> str:
+        """Queue a message; return why it is dropped, or nothing if it isn't."""
         if to == self.host:
             # Messages to this host are frozen data, so they need no encoding or copy.
             envelope = Envelope(kind_of(type(message)), message, purpose, tag)
             self._deliver_locally(envelope)
-            return True
+            return ""
         link = self._link(to)
         if link is None:
-            self._counters.count_dropped("unknown host")
-            return False
+            return self._drop(UNKNOWN_HOST)
         kind = kind_of(type(message))
-        with self._counters.measure(kind):
-            body = encode_message(message)
+        try:
+            with self._counters.measure(kind):
+                body = encode_message(message)
+        except WireError as error:
+            eliot.log_message(
+                "peer:message-dropped", kind=kind, peer_host=to, reason=str(error)
+            )
+            return self._drop(UNENCODABLE)
         self._counters.count_sent(kind, len(body))
         link.post(Envelope(kind, body, purpose, tag))
-        return True
+        return ""
+
+    def _drop(self, reason: str) -> str:
+        self._counters.count_dropped(reason)
+        return reason
 
     def _cancel_request(self, to: str, tag: int, reply: asyncio.Future[Any]) -> None:
         link = self._link_by_host.get(to)
@@ -357,16 +375,15 @@
         if handler is None:
             self._counters.count_dropped("no handler")
             return
-        message = self._decode(envelope)
-        if message is None:
-            return
         try:
+            message = self._decode(envelope)
+            if message is None:
+                return
             reply = await self._counters.measure_handler(
                 envelope.kind, handler(sender, message)
             )
+            if reply is not None and envelope.purpose is Purpose.REQUEST:
+                self._post(sender, reply, Purpose.REPLY, envelope.tag)
         except Exception:
             # An error in one handler must not stop messages of every other kind.
             eliot.write_traceback()
-            return
-        if reply is not None and envelope.purpose is Purpose.REQUEST:
-            self._post(sender, reply, Purpose.REPLY, envelope.tag)
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/frames.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/frames.py
@@ -120,7 +120,12 @@
             return Err(FrameError("the frame is not sealed with the fleet secret"))
         try:
             return Ok(self._decoder.decode(_decompress(payload)))
-        except (msgspec.DecodeError, msgspec.ValidationError, zlib.error) as error:
+        except (
+            msgspec.DecodeError,
+            RecursionError,
+            UnicodeDecodeError,
+            zlib.error,
+        ) as error:
             return Err(FrameError(f"malformed frame: {error}"))
 
     def _digest(self, payload: bytes) -> bytes:
