Keep the links to other hosts when one can't be used

Seen: a host that is told of another one whose address can't be dialled, for example by a build that names it differently, ends all its messages and then itself. Found by looking for the cause of the control hosts that ended: the links to all hosts run in one task group, whose first error ends all of them.

Change: a link that fails logs peer:link-error with its address and reason, closes its connection and tries again after a second.

--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/link.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/link.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import deque
 
+import eliot
+
 from almondfield_core.clock import PeriodicTimer, now
 from almondfield_core.settings import HostSettings, TimingSettings
 from almondfield_daemon.peers.frames import Envelope, Frame, FrameSeal, Purpose
@@ -16,6 +18,7 @@
 MAX_FRAME_ENVELOPES = 256
 MAX_FRAME_BYTES = 256 * 1024
 SEND_RETRY_S = 0.02
+ERROR_RETRY_S = 1.0
 IDLE_TIMEOUT_S = 10.0
 
 
@@ -121,10 +124,26 @@
         try:
             while True:
                 await self._wait_until_due()
-                await self._send_frame()
+                try:
+                    await self._send_frame()
+                except Exception as error:
+                    # For example an address that can't be dialled. The links to other
+                    # hosts run in the same task group.
+                    self._log_error(error)
+                    self._close()
+                    await asyncio.sleep(ERROR_RETRY_S)
         finally:
             self._close()
 
+    def _log_error(self, error: Exception) -> None:
+        eliot.log_message(
+            "peer:link-error",
+            peer_host=self.target.name,
+            address=self.target.address,
+            port=self.target.peer_port,
+            reason=repr(error),
+        )
+
     async def _wait_until_due(self) -> None:
         if self._queue and self.path.is_inbound_alive:
             return
