Let loops go on after an unexpected error in one round

Seen: an error in one round of a loop (relay of announcements, hello of a router, clean-up of a scheduler, renewal of a lease, check of links, counts) ended the loop, and FleetHost ends the host with it. Found by looking at each task that ends a host for the cause of the control hosts that ended.

Change: contain_errors logs loop:error with what failed and why, and the traceback; the next round follows as usual. One callback for changed servers or one late reply that fails no longer keeps the others from theirs. The replicated log stays as it is: a member whose disk fails, or that can't apply an entry, has to stop.

--- a/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
@@ -13,6 +13,7 @@
     TableNotice,
 )
 from almondfield_core.clock import now
+from almondfield_core.containment import contain_errors
 from almondfield_core.ports import Peers
 from almondfield_core.routing import RoutingIndex, RoutingTable
 
@@ -68,7 +69,9 @@
         self._peers.register_handler(TableNotice, self._on_notice)
         while True:
             self._wake.clear()
-            is_renewed = await self._renew()
+            is_renewed = False
+            with contain_errors("renewal of the table's lease"):
+                is_renewed = await self._renew()
             self._log_freshness_change()
             try:
                 async with asyncio.timeout(
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from almondfield_core.containment import contain_errors
 from almondfield_core.ports import Peers
 from almondfield_daemon.fleet.change_log import log_changes
 from almondfield_daemon.fleet.messages import (
@@ -62,15 +63,17 @@
         """Relay announcements to the other control hosts until cancelled."""
         while True:
             await asyncio.sleep(RELAY_INTERVAL_S)
-            self._report_changes(self._registry.expire(), "silence")
-            # Sent again each time: a partitioned control host misses the first update.
-            not_serving = self._registry.not_serving()
-            pending = (*not_serving, *self._pending_by_name.values())
-            self._pending_by_name.clear()
-            if pending:
-                self._notify_control_hosts(
-                    ServerUpdate(pending[:MAX_SERVERS_PER_UPDATE])
-                )
+            with contain_errors("relay of announcements"):
+                self._relay()
+
+    def _relay(self) -> None:
+        self._report_changes(self._registry.expire(), "silence")
+        # Sent again each time: a partitioned control host misses the first update.
+        not_serving = self._registry.not_serving()
+        pending = (*not_serving, *self._pending_by_name.values())
+        self._pending_by_name.clear()
+        if pending:
+            self._notify_control_hosts(ServerUpdate(pending[:MAX_SERVERS_PER_UPDATE]))
 
     def announce(self, server: FleetServer) -> None:
         """Merge an announcement of a server; notify routers of a change at once.
@@ -99,7 +102,9 @@
         log_changes(changed, cause)
         if changed:
             for callback in self.server_change_callbacks:
-                callback()
+                # The routers have to be notified all the same.
+                with contain_errors("change of servers"):
+                    callback()
 
     def _notify_all(self, update: ServerUpdate) -> None:
         self._notify_control_hosts(update)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -8,6 +8,7 @@
 from result import Ok
 
 from almondfield_core.clock import now
+from almondfield_core.containment import contain_errors
 from almondfield_core.ports import Peers
 from almondfield_daemon.fleet.change_log import log_changes
 from almondfield_daemon.fleet.messages import (
@@ -172,6 +173,10 @@
             self._mark_unresponsive_hosts()
 
     async def _send_hello(self, host: str) -> None:
+        with contain_errors("hello"):
+            await self._exchange_hello(host)
+
+    async def _exchange_hello(self, host: str) -> None:
         last = self._last_reply_by_host.get(host)
         hello = self._hello
         if last is not None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
@@ -7,6 +7,8 @@
 
 import eliot
 
+from almondfield_core.containment import contain_errors
+
 __all__ = ["RefusalCause", "RequestCounts", "log_request_counts"]
 
 COUNT_INTERVAL_S = 1.0
@@ -98,13 +100,14 @@
     before = accepted()
     while True:
         await asyncio.sleep(COUNT_INTERVAL_S)
-        fields = counts.collect()
         before, accepted_before = accepted(), before
-        if fields["requests"] or before > accepted_before:
-            eliot.log_message(
-                "request:counts",
-                connections=connections(),
-                accepted=before - accepted_before,
-                running=running(),
-                **fields,
-            )
+        with contain_errors("counts of requests"):
+            fields = counts.collect()
+            if fields["requests"] or before > accepted_before:
+                eliot.log_message(
+                    "request:counts",
+                    connections=connections(),
+                    accepted=before - accepted_before,
+                    running=running(),
+                    **fields,
+                )
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from almondfield_core.clock import ArrivalTimeout, PeriodicTimer, now
+from almondfield_core.containment import contain_errors
 from almondfield_core.ports import LinkFailure
 from almondfield_core.settings import DaemonSettings, HostSettings
 from almondfield_core.wire import (
@@ -210,7 +211,8 @@
         while True:
             await check_timer.wait()
             for host in self._monitored_hosts:
-                self.is_reachable(host)
+                with contain_errors("check of links"):
+                    self.is_reachable(host)
 
     def _inboxes(self) -> tuple[Inbox, ...]:
         return tuple(self._inbox_by_host.values())
@@ -352,7 +354,9 @@
         eliot.log_message("peer:late-reply", kind=envelope.kind, after_ms=after_ms)
         message = None if late.on_late is None else self._decode(envelope)
         if message is not None:
-            late.on_late(message)
+            # The other messages of the frame follow.
+            with contain_errors("late reply"):
+                late.on_late(message)
 
     def _decode(self, envelope: Envelope) -> Any:
         if not isinstance(envelope.body, bytes):
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -7,6 +7,7 @@
 import eliot
 
 from almondfield_control.publishing import TablePublisher
+from almondfield_core.containment import contain_errors
 from almondfield_core.ports import Peers
 from almondfield_core.routing import RoutingTable
 from almondfield_daemon.fleet import FleetControl, FleetServer, ServerPhase
@@ -71,10 +72,16 @@
             await asyncio.sleep(CLEAN_UP_INTERVAL_S)
             before, routers = routers, frozenset(self._fleet.routers.hosts())
             for pool, scheduler in self._scheduler_by_pool.items():
-                self._log_load(pool, scheduler)
-                scheduler.remove_expired()
-                for router in before - routers:
-                    scheduler.remove_router(router)
+                with contain_errors("clean-up of a scheduler"):
+                    self._clean_up(pool, scheduler, before - routers)
+
+    def _clean_up(
+        self, pool: str, scheduler: EngineScheduler, lost_routers: frozenset[str]
+    ) -> None:
+        self._log_load(pool, scheduler)
+        scheduler.remove_expired()
+        for router in lost_routers:
+            scheduler.remove_router(router)
 
     @staticmethod
     def _log_load(pool: str, scheduler: EngineScheduler) -> None:
