Refuse announcements with whole numbers that can't be sent on

Seen by callers: one announcement with slots, born or sequence beyond 64 bits was merged and answered 500; the control host ended at the next hello of a router. The writer calls the next control host after a 500, so that each one ended in turn: with two control hosts both did. No message carries the entry from one control host to another.

Cause: JSON has whole numbers of any size, MessagePack those of 64 bits, and the announcement was kept before it was known whether it can be sent on.

The registry of servers makes the same check on what other hosts tell, ignores only the wrong server, and logs server:ignored with the source and the findings.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
@@ -5,8 +5,10 @@
 from collections.abc import Callable
 
 from almondfield_core.containment import contain_errors
+from almondfield_core.findings import Finding
 from almondfield_core.ports import Peers
 from almondfield_daemon.fleet.change_log import log_changes
+from almondfield_daemon.fleet.checking import check_server
 from almondfield_daemon.fleet.messages import (
     FleetServer,
     HelloReply,
@@ -75,17 +77,23 @@
         if pending:
             self._notify_control_hosts(ServerUpdate(pending[:MAX_SERVERS_PER_UPDATE]))
 
-    def announce(self, server: FleetServer) -> None:
+    def announce(self, server: FleetServer) -> tuple[Finding, ...]:
         """Merge an announcement of a server; notify routers of a change at once.
 
         :param server: the announcement.
+        :returns: a finding for each value that can't be used; the announcement is then
+            refused.
         """
-        changed = self._registry.merge((server,))
+        findings = check_server(server)
+        if findings:
+            return findings
+        changed = self._registry.merge((server,), "announcement")
         if not changed:
             self._pending_by_name[server.name] = server
-            return
+            return ()
         self._report_changes(changed, "announced")
         self._notify_all(ServerUpdate(changed))
+        return ()
 
     def mark_gone(self, name: str) -> bool:
         """Mark a server as gone; return whether it is registered.
@@ -130,7 +138,7 @@
         )
 
     async def _on_update(self, sender: str, update: ServerUpdate) -> None:
-        changed = self._registry.merge(update.servers)
+        changed = self._registry.merge(update.servers, sender)
         self._report_changes(changed, f"told by {sender}")
         not_serving = [s for s in changed if s.phase is not ServerPhase.SERVING]
         if not_serving:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/registry.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/registry.py
@@ -3,7 +3,10 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
+import eliot
+
 from almondfield_core.clock import now
+from almondfield_daemon.fleet.checking import check_server
 from almondfield_daemon.fleet.messages import FleetServer, ServerPhase
 
 __all__ = ["ServerRegistry"]
@@ -41,12 +44,17 @@
         """
         return self._server_by_name.get(name)
 
-    def merge(self, servers: Iterable[FleetServer]) -> tuple[FleetServer, ...]:
+    def merge(
+        self, servers: Iterable[FleetServer], source: str = ""
+    ) -> tuple[FleetServer, ...]:
         """Merge announcements; return the servers whose change concerns routers.
 
+        An announcement with values that can't be used is ignored, and only this one.
+
         :param servers: announcements, in any order.
+        :param source: where they come from, for the log.
         """
-        changed = [item for server in servers for item in self._merge(server)]
+        changed = [item for server in servers for item in self._merge(server, source)]
         if changed:
             self.version += 1
         return tuple(changed)
@@ -100,10 +108,15 @@
                 expired.append(replace(server, phase=ServerPhase.GONE))
         return self.merge(expired)
 
-    def _merge(self, server: FleetServer) -> list[FleetServer]:
+    def _merge(self, server: FleetServer, source: str) -> list[FleetServer]:
         known = self._server_by_name.get(server.name)
         if known is not None and not _is_newer(server, known):
             return []
+        findings = check_server(server)
+        if findings:
+            texts = [str(finding) for finding in findings]
+            eliot.log_message("server:ignored", source=source, findings=texts)
+            return []
         changed = []
         if server.phase is not ServerPhase.GONE:
             owner = self._address_owner(server)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -223,7 +223,7 @@
         self._merge(update.servers, sender)
 
     def _merge(self, servers: tuple[FleetServer, ...], sender: str) -> None:
-        changed = self._registry.merge(servers)
+        changed = self._registry.merge(servers, sender)
         log_changes(changed, f"told by {sender}")
         if changed:
             self._on_change()
