Refuse announcements of addresses that can't be connected to

Seen by callers: while an entry with a port beyond 65535 was listed, 15 of 30 requests got 500, though sound servers were there. asyncio raises OverflowError for such a port, which wasn't taken for a failed connection.

A connection that can't be opened for this reason counts as one that failed, so that another server gets the request.

--- a/packages/almondfield-core/src/almondfield_core/findings/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/findings/__init__.py
@@ -14,6 +14,7 @@
     MIN_INTEGER,
     Integer,
     PositiveInteger,
+    check_address,
     check_number,
 )
 
@@ -26,6 +27,7 @@
     "Integer",
     "PositiveInteger",
     "StructuringError",
+    "check_address",
     "check_number",
     "format_value",
     "read_checked",
--- a/packages/almondfield-core/src/almondfield_core/findings/values.py
+++ b/packages/almondfield-core/src/almondfield_core/findings/values.py
@@ -1,5 +1,6 @@
 """Types and checks of values that come from other programs."""
 
+import re
 from collections.abc import Iterator
 from typing import Annotated
 
@@ -8,8 +9,17 @@
 from almondfield_core.findings.core import Finding
 from almondfield_core.findings.structuring import INTEGER_LIMIT, format_value
 
-__all__ = ["MAX_INTEGER", "MIN_INTEGER", "Integer", "PositiveInteger", "check_number"]
-
+__all__ = [
+    "MAX_INTEGER",
+    "MIN_INTEGER",
+    "Integer",
+    "PositiveInteger",
+    "check_address",
+    "check_number",
+]
+
+MAX_PORT = 65_535
+ADDRESS = re.compile(r"(?:\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9.-]+):([0-9]{1,5})")
 MIN_INTEGER = -INTEGER_LIMIT
 MAX_INTEGER = INTEGER_LIMIT - 1
 
@@ -30,3 +40,15 @@
     """
     if not minimum <= number <= maximum:
         yield Finding(place, f"is {format_value(number)}", f"{minimum} to {maximum}")
+
+
+def check_address(place: str, address: str) -> Iterator[Finding]:
+    """Yield a finding if no connection can be made to an address.
+
+    :param place: place of the address.
+    :param address: the address, ``host:port``.
+    """
+    match = ADDRESS.fullmatch(address)
+    if match is None or not 1 <= int(match[1]) <= MAX_PORT:
+        allowed = f"host:port with a port of 1 to {MAX_PORT}"
+        yield Finding(place, f"is {format_value(address)}", allowed)
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -205,7 +205,7 @@
             reason = f"{address}: no connection within {timeouts.connect_s} s"
             failure = ServerFailure.CONNECT
             return Err(CallFailure(failure, False, reason, timed_out=True))
-        except (OSError, ValueError) as error:
+        except (OSError, OverflowError, ValueError) as error:
             reason = f"{address}: {error}"
             return Err(CallFailure(ServerFailure.CONNECT, False, reason))
         return Ok(connection)
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/announcement_checks.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/announcement_checks.py
@@ -1,16 +1,12 @@
 """Validates announcements of backend servers."""
 
-import re
-
-from almondfield_core.findings import Finding
+from almondfield_core.findings import Finding, check_address
 from almondfield_core.messages import ServerAnnouncement
 
 __all__ = ["check_announcement"]
 
 MAX_NAME_CHARACTERS = 255
 MAX_SLOTS = 100_000
-MAX_PORT = 65_535
-ADDRESS = re.compile(r"(?:\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9.-]+):([0-9]{1,5})")
 
 
 def check_announcement(announcement: ServerAnnouncement) -> tuple[Finding, ...]:
@@ -21,7 +17,7 @@
     findings = [
         *_check_name("name", announcement.name),
         *_check_name("data_centre", announcement.data_centre),
-        *_check_address(announcement.address),
+        *check_address("address", announcement.address),
         *_check_count("slots", announcement.slots, 1, MAX_SLOTS),
         *_check_count("busy", announcement.busy, 0, MAX_SLOTS),
     ]
@@ -38,13 +34,6 @@
     return [Finding(field, f"{name[:MAX_NAME_CHARACTERS]!r}", allowed)]
 
 
-def _check_address(address: str) -> list[Finding]:
-    match = ADDRESS.fullmatch(address)
-    if match and 0 < int(match[1]) <= MAX_PORT:
-        return []
-    return [Finding("address", f"{address!r}", "host:port")]
-
-
 def _check_count(field: str, count: int, minimum: int, maximum: int) -> list[Finding]:
     if minimum <= count <= maximum:
         return []
