Keep the answers of a server with a keep-alive time of many digits

Seen by callers: 11 of 30 requests got 500, all that went to a server whose Keep-Alive time-out has 400 or 5,000 digits. The time is computed once the whole answer has come; a float can't hold such a number, and the error replaced the answer.

Change: at most nine digits of the time-out are read; the result is capped at 3 s anyway.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/pool.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/pool.py
@@ -12,7 +12,8 @@
 
 IDLE_LIFETIME_S = 3.0
 CLOSING_MARGIN_S = 1.0  # a later request may reach a closed connection
-KEEP_ALIVE_TIMEOUT = re.compile(rb"(?:^|[,;\s])timeout=(\d+)", re.IGNORECASE)
+# The first digits of a longer number are enough for the minimum.
+KEEP_ALIVE_TIMEOUT = re.compile(rb"(?:^|[,;\s])timeout=(\d{1,9})", re.IGNORECASE)
 MAX_IDLE_PER_SERVER = 32
 
 
