Refuse tables with team names that no header can hold

Found by looking for the cause of the refused identifiers: a router also writes the team's name into a header of each request. A name beyond Latin-1 can't be written there, and one with a line end would add header lines.

Change: check_routing_table has a finding for such a name, so that the change is answered 400.

Two examples of the routing feature failed before (23 passed, 2 failed) and pass now; what callers would have got wasn't measured. Features of core: 95 passed, 0 failed.

--- a/packages/almondfield-core/src/almondfield_core/routing/checking.py
+++ b/packages/almondfield-core/src/almondfield_core/routing/checking.py
@@ -1,12 +1,16 @@
 """Checks a routing table and reports every problem with it."""
 
+import re
 from collections.abc import Iterator
 
-from almondfield_core.findings import Finding
+from almondfield_core.findings import Finding, format_value
 from almondfield_core.routing.core import RouteRule, RoutingTable
 
 __all__ = ["check_routing_table"]
 
+# Requests name their team in a header; without a name, the header is left out.
+TEAM_NAME = re.compile(r"[\x20-\x7e\xa0-\xff]*")
+
 
 def check_routing_table(table: RoutingTable) -> tuple[Finding, ...]:
     """Return a finding for each rule that the table breaks.
@@ -74,6 +78,10 @@
     team_by_key_hash: dict[str, str] = {}
     names: set[str] = set()
     for index, team in enumerate(table.teams):
+        if TEAM_NAME.fullmatch(team.team) is None:
+            allowed = "characters of Latin-1 but control characters"
+            problem = f"is {format_value(team.team)}"
+            yield Finding(f"teams[{index}].team", problem, allowed)
         if team.team in names:
             problem = f"{team.team!r} is repeated"
             yield Finding(f"teams[{index}].team", problem, "one row per team")
--- a/packages/almondfield-core/src/almondfield_core/routing/tests/routing.feature
+++ b/packages/almondfield-core/src/almondfield_core/routing/tests/routing.feature
@@ -37,6 +37,8 @@
       | a route is repeated                  | routes[1]                 |
       | two teams share a key                | teams[1].key_hashes[0]    |
       | a team is repeated                   | teams[1].team             |
+      | a team's name has a line end         | teams[0].team             |
+      | a team's name is beyond Latin-1      | teams[0].team             |
       | a pool is repeated                   | pools[1].name             |
 
   Scenario: All findings are reported together
--- a/packages/almondfield-core/src/almondfield_core/routing/tests/steps/routing_steps.py
+++ b/packages/almondfield-core/src/almondfield_core/routing/tests/steps/routing_steps.py
@@ -58,6 +58,17 @@
     context.routing = replace(context.routing, version=0)
 
 
+@when("a team's name has a line end")
+def step_impl(context):
+    teams = (TeamKeys("t\r\nforged: 1", ("k",)),)
+    context.routing = replace(context.routing, teams=teams)
+
+
+@when("a team's name is beyond Latin-1")
+def step_impl(context):
+    context.routing = replace(context.routing, teams=(TeamKeys("\u4f60", ("k",)),))
+
+
 @when("a route has timeout 0")
 def step_impl(context):
     change_route(context, timeout_s=0.0)
