Bound the incarnation in announcements of listed deployments

Found by looking for the same cause at the other interface for announcements: an incarnation beyond 64 bits was accepted with 202, though it can't be relayed to schedulers, and a body nested too deeply failed inside of the app.

Change: the incarnation is checked like the other numbers, by the same function; deep nesting counts as unreadable. Both are answered 400.

--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/announcement_checks.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/announcement_checks.py
@@ -1,6 +1,6 @@
 """Validates announcements of backend servers."""
 
-from almondfield_core.findings import Finding, check_address
+from almondfield_core.findings import Finding, check_address, check_number
 from almondfield_core.messages import ServerAnnouncement
 
 __all__ = ["check_announcement"]
@@ -14,17 +14,14 @@
 
     :param announcement: the decoded announcement.
     """
-    findings = [
+    return (
         *_check_name("name", announcement.name),
         *_check_name("data_centre", announcement.data_centre),
         *check_address("address", announcement.address),
-        *_check_count("slots", announcement.slots, 1, MAX_SLOTS),
-        *_check_count("busy", announcement.busy, 0, MAX_SLOTS),
-    ]
-    if announcement.incarnation < 0:
-        problem = f"{announcement.incarnation}"
-        findings.append(Finding("incarnation", problem, "0 or more"))
-    return tuple(findings)
+        *check_number("slots", announcement.slots, 1, MAX_SLOTS),
+        *check_number("busy", announcement.busy, 0, MAX_SLOTS),
+        *check_number("incarnation", announcement.incarnation, 0),
+    )
 
 
 def _check_name(field: str, name: str) -> list[Finding]:
@@ -32,9 +29,3 @@
         return []
     allowed = f"1 to {MAX_NAME_CHARACTERS} printable characters"
     return [Finding(field, f"{name[:MAX_NAME_CHARACTERS]!r}", allowed)]
-
-
-def _check_count(field: str, count: int, minimum: int, maximum: int) -> list[Finding]:
-    if minimum <= count <= maximum:
-        return []
-    return [Finding(field, f"{count}", f"{minimum} to {maximum}")]
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/announcements.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/announcements.py
@@ -68,7 +68,7 @@
                     announcement = self._decoder.decode(body)
         except CallerDisconnectedError:
             return permanent_problem(400, "body", "the body ended early")
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
             return permanent_problem(400, "announcement", str(error))
         findings = check_announcement(announcement)
         if findings:
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/announcements.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/announcements.feature
@@ -21,6 +21,8 @@
       | with an unknown kind | 400    | announcement   |
       | with no slots        | 400    | announcement   |
       | with no port         | 400    | announcement   |
+      | with a large number  | 400    | announcement   |
+      | nested deeply        | 400    | announcement   |
       | truncated            | 400    | announcement   |
 
   Scenario: Any invalid announcement gets a typed error
--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/steps/announcement_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/tests/steps/announcement_steps.py
@@ -52,7 +52,11 @@
             announced["slots"] = 0
         case "with no port":
             announced["address"] = "127.0.0.1"
+        case "with a large number":
+            announced["incarnation"] = 10**30
     body = msgspec.json.encode(announced)
+    if variant == "nested deeply":
+        body = b'{"x":' + b"[" * 50_000
     body = body[:50] if variant == "truncated" else body
     context.reply = announce(context, context.fixture, body, headers)
 
