Take the servers of a reply though its other effects fail

Found while reviewing the containment of errors: a router records a reply before it tells other parts that the control host has returned. If that failed, the servers of the reply were dropped, and the next hello said that the router has them, so that they weren't sent again.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/fleet.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/fleet.feature
@@ -191,6 +191,18 @@
     Then "r1" and "r2" use "s"
     And "r1" still runs
 
+  # Guards against servers that a router never learns of, as it has confirmed their list.
+  Scenario: A router that gets an error as a control host returns learns of all servers
+    Given the next return of a control host at "r1" raises an error
+    And "r1" is isolated from all hosts
+    And "s" announces itself at "c1" with sequence 1
+    And all control hosts but "c1" are isolated from all hosts
+    And 4.0 s pass
+    When the partition to "c1" heals
+    And 2.5 s pass
+    Then "r1" and "r2" use "s"
+    And "r1" still runs
+
   # Guards against an odd entry that a host of another build passes on, and against a
   # whole list that is lost with it.
   Scenario: A server that another host tells of and that cannot be used is left out alone
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/steps/fleet_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/steps/fleet_steps.py
@@ -47,7 +47,13 @@
         if host in failing:
             raise_at_first(calls)
 
-    view = FleetView(peers, hello, CONTROL_HOSTS[:1], on_change, returned.append)
+    def on_control_return(control):
+        if host in context.failing_at_return:
+            context.failing_at_return.discard(host)
+            raise RuntimeError("unexpected")
+        returned.append(control)
+
+    view = FleetView(peers, hello, CONTROL_HOSTS[:1], on_change, on_control_return)
     context.view_by_host[host] = view
     context.task_by_host[host] = asyncio.ensure_future(view.run())
 
@@ -84,6 +90,7 @@
     context.view_by_host = {}
     context.returned_by_host = {}
     context.failing_routers = set()
+    context.failing_at_return = set()
     context.task_by_host = {}
 
     async def start():
@@ -329,6 +336,26 @@
         context.failing_routers.add(host)
 
 
+@given('the next return of a control host at "{host}" raises an error')
+def step_impl(context, host):
+    context.failing_at_return.add(host)
+
+
+@given('all control hosts but "{host}" are isolated from all hosts')
+def step_impl(context, host):
+    for other in CONTROL_HOSTS:
+        if other != host:
+            context.network.isolate(other)
+
+
+@when('the partition to "{host}" heals')
+def step_impl(context, host):
+    cut = context.network.cut_links
+    context.network.cut_links = {
+        link for link in cut if host not in link or set(link) & {"c2", "c3"}
+    }
+
+
 @then('"{host}" still runs')
 def step_impl(context, host):
     assert not context.task_by_host[host].done(), context.task_by_host[host]
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -215,7 +215,9 @@
         lost_s = {other_s for other_s in unanswered_s if other_s < sent_s}
         unanswered_s -= lost_s
         if has_restarted or lost_s:
-            self._on_control_return(host)
+            # The servers of the reply count all the same: they aren't sent again.
+            with contain_errors("return of a control host"):
+                self._on_control_return(host)
         if reply.servers is not None:
             self._merge(reply.servers, host)
 
