Check a server that others tell of only where it changed

A control host hears of most announcements of the fleet from the others, nearly all of which have but a newer number; those aren't checked again.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/registry.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/registry.py
@@ -112,7 +112,9 @@
         known = self._server_by_name.get(server.name)
         if known is not None and not _is_newer(server, known):
             return []
-        findings = check_server(server)
+        concerns_routers = known is None or _concerns_routers(server, known)
+        # What doesn't concern them is a newer number of a server that was checked.
+        findings = check_server(server) if concerns_routers else ()
         if findings:
             texts = [str(finding) for finding in findings]
             eliot.log_message("server:ignored", source=source, findings=texts)
@@ -128,7 +130,7 @@
                 self._put(gone)
                 changed.append(gone)
         self._put(server)
-        if known is None or _concerns_routers(server, known):
+        if concerns_routers:
             changed.append(server)
         return changed
 
