--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/announcement_checks.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/announcement_checks.py
@@ -1,16 +1,12 @@
 """Validates announcements of backend servers."""
 
-import re
-
-from almondfield_core.findings import Finding
+from almondfield_core.findings import Finding, check_address, check_number
 from almondfield_core.messages import ServerAnnouncement
 
 __all__ = ["check_announcement"]
 
 MAX_NAME_CHARACTERS = 255
 MAX_SLOTS = 100_000
-MAX_PORT = 65_535
-ADDRESS = re.compile(r"(?:\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9.-]+):([0-9]{1,5})")
 
 
 def check_announcement(announcement: ServerAnnouncement) -> tuple[Finding, ...]:
@@ -18,17 +14,14 @@
 
     :param announcement: the decoded announcement.
     """
-    findings = [
+    return (
         *_check_name("name", announcement.name),
         *_check_name("data_centre", announcement.data_centre),
-        *_check_address(announcement.address),
-        *_check_count("slots", announcement.slots, 1, MAX_SLOTS),
-        *_check_count("busy", announcement.busy, 0, MAX_SLOTS),
-    ]
-    if announcement.incarnation < 0:
-        problem = f"{announcement.incarnation}"
-        findings.append(Finding("incarnation", problem, "0 or more"))
-    return tuple(findings)
+        *check_address("address", announcement.address),
+        *check_number("slots", announcement.slots, 1, MAX_SLOTS),
+        *check_number("busy", announcement.busy, 0, MAX_SLOTS),
+        *check_number("incarnation", announcement.incarnation, 0),
+    )
 
 
 def _check_name(field: str, name: str) -> list[Finding]:
@@ -36,16 +29,3 @@
         return []
     allowed = f"1 to {MAX_NAME_CHARACTERS} printable characters"
     return [Finding(field, f"{name[:MAX_NAME_CHARACTERS]!r}", allowed)]
-
-
-def _check_address(address: str) -> list[Finding]:
-    match = ADDRESS.fullmatch(address)
-    if match and 0 < int(match[1]) <= MAX_PORT:
-        return []
-    return [Finding("address", f"{address!r}", "host:port")]
-
-
-def _check_count(field: str, count: int, minimum: int, maximum: int) -> list[Finding]:
-    if minimum <= count <= maximum:
-        return []
-    return [Finding(field, f"{count}", f"{minimum} to {maximum}")]
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -8,6 +8,7 @@
 from result import Ok
 
 from almondfield_core.clock import now
+from almondfield_core.containment import contain_errors
 from almondfield_core.ports import Peers
 from almondfield_daemon.fleet.change_log import log_changes
 from almondfield_daemon.fleet.messages import (
@@ -172,6 +173,10 @@
             self._mark_unresponsive_hosts()
 
     async def _send_hello(self, host: str) -> None:
+        with contain_errors("hello"):
+            await self._exchange_hello(host)
+
+    async def _exchange_hello(self, host: str) -> None:
         last = self._last_reply_by_host.get(host)
         hello = self._hello
         if last is not None:
@@ -210,7 +215,9 @@
         lost_s = {other_s for other_s in unanswered_s if other_s < sent_s}
         unanswered_s -= lost_s
         if has_restarted or lost_s:
-            self._on_control_return(host)
+            # The servers of the reply count all the same: they aren't sent again.
+            with contain_errors("return of a control host"):
+                self._on_control_return(host)
         if reply.servers is not None:
             self._merge(reply.servers, host)
 
@@ -218,7 +225,7 @@
         self._merge(update.servers, sender)
 
     def _merge(self, servers: tuple[FleetServer, ...], sender: str) -> None:
-        changed = self._registry.merge(servers)
+        changed = self._registry.merge(servers, sender)
         log_changes(changed, f"told by {sender}")
         if changed:
             self._on_change()
