Log the digests of a failed attempt's request, and cuts of idle connections

Two hypotheses of docs/incidents/2026-12-crashing-requests.md can't be told apart by the logs: whether the attempts under which servers end belong to requests that are alike, and whether those that aren't recorded as cut were on kept connections. attempt:failed gets request_digests (method, domain, path, query, team, body; and with the prompt) and is_idle_cut.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -177,8 +177,13 @@
             connection.close()
             stale = reused and connection.is_unanswered
             was_idle = stale and now() - sent_s < IDLE_CLOSE_S
-            is_cut = failure.is_cut and not was_idle
-            return Err(replace(failure, stale=stale, is_cut=is_cut))
+            failure = replace(
+                failure,
+                stale=stale,
+                is_cut=failure.is_cut and not was_idle,
+                is_idle_cut=failure.is_cut and was_idle,
+            )
+            return Err(failure)
         max_event_bytes = self._settings.answers.max_event_bytes
         return Ok(HttpAnswer(connection, call, self._pool, max_event_bytes))
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
@@ -45,8 +45,10 @@
         outcome=_describe(outcome),
         was_silent=_was_silent(outcome),
         is_cut=isinstance(outcome, AnswerLost) and outcome.is_cut,
+        is_idle_cut=isinstance(outcome, AnswerLost) and outcome.is_idle_cut,
         begun_ms=None if began_s is None else round((now() - began_s) * 1000, 1),
         prompt_parts=[part.part_id for part in parts[:MAX_LOGGED_PARTS]],
+        request_digests=list(request.digests),
         after_ms=round((now() - request.arrived_s) * 1000, 1),
     )
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
@@ -97,7 +97,11 @@
                 is_timeout = failure.failure is ServerFailure.FIRST_BYTE
                 is_timeout = is_timeout and now() >= request.until_s
                 return AnswerLost(
-                    failure.reason, is_timeout, failure.timed_out, failure.is_cut
+                    failure.reason,
+                    is_timeout,
+                    failure.timed_out,
+                    failure.is_cut,
+                    failure.is_idle_cut,
                 )
             case Ok(answer):
                 return await self._classify(request, answer)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
@@ -1,8 +1,10 @@
 """Data classes of a request that a router forwards."""
 
 from dataclasses import dataclass
+from functools import cached_property
 
 from almondfield_core.routing import Prompt, RequestLimits, RouteRule
+from almondfield_daemon.quarantine import request_digests
 from almondfield_daemon.router.calls import Header
 from almondfield_daemon.server_notices import ServerNotice
 
@@ -155,3 +157,15 @@
     def takes_up_stream(self) -> bool:
         """Return whether the caller has events of the stream already."""
         return self.metadata.takes_up_stream
+
+    @cached_property
+    def digests(self) -> tuple[str, ...]:
+        """Return the digests by which the whole request is recognised."""
+        return request_digests(
+            self.method,
+            self.route.domain,
+            self.target,
+            self.team,
+            self.body,
+            self.metadata.prompt,
+        )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
@@ -78,12 +78,14 @@
     :ivar is_timeout: whether the deadline passed before an answer arrived.
     :ivar timed_out: whether the server did not answer within a timeout.
     :ivar is_cut: whether the server closed or reset the connection.
+    :ivar is_idle_cut: whether it did so on a pooled connection that may have been idle.
     """
 
     reason: str
     is_timeout: bool = False
     timed_out: bool = False
     is_cut: bool = False
+    is_idle_cut: bool = False
 
 
 FailedAttempt = NotExecuted | Misdirected | Unsent | Withheld | AnswerLost
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/__init__.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/__init__.py
@@ -2,6 +2,7 @@
 
 from almondfield_daemon.quarantine.client import QuarantineClient
 from almondfield_daemon.quarantine.core import QuarantineTable
+from almondfield_daemon.quarantine.digests import request_digests
 from almondfield_daemon.quarantine.messages import Quarantine
 from almondfield_daemon.quarantine.parts import (
     BEGIN_WINDOW_S,
@@ -18,4 +19,5 @@
     "QuarantineClient",
     "QuarantineService",
     "QuarantineTable",
+    "request_digests",
 ]
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
@@ -101,6 +101,8 @@
     :ivar timed_out: whether nothing arrived within a timeout.
     :ivar is_cut: whether the server closed or reset the connection amid the request;
         not for an idle connection that was closed meanwhile.
+    :ivar is_idle_cut: whether it closed or reset a pooled connection so soon that the
+        connection may have been idle for the server.
     """
 
     failure: ServerFailure
@@ -109,6 +111,7 @@
     stale: bool = False
     timed_out: bool = False
     is_cut: bool = False
+    is_idle_cut: bool = False
 
 
 class BackendAnswer(Protocol):
