--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
@@ -23,7 +23,7 @@
     NO_SERVER = "no-server"
     NO_VERSION = "no-version"
     CLOSED = "closed"  # all servers have said that they take no work now
-    QUARANTINE = "quarantine"  # servers ended under a part of the prompt
+    QUARANTINE = "quarantine"  # servers ended under the request or a part of it
 
 
 class RequestCounts:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
@@ -4,7 +4,7 @@
 from functools import cached_property
 
 from almondfield_core.routing import Prompt, RequestLimits, RouteRule
-from almondfield_daemon.quarantine import request_digests
+from almondfield_daemon.quarantine import request_digests, shared_parts
 from almondfield_daemon.router.calls import Header
 from almondfield_daemon.server_notices import ServerNotice
 
@@ -169,3 +169,13 @@
             self.body,
             self.metadata.prompt,
         )
+
+    @cached_property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the parts of its prompt that others may share."""
+        return shared_parts(self.metadata.prompt)
+
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Return all by which the request may be quarantined."""
+        return self.shared_parts + self.digests
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -143,9 +143,10 @@
                         selected.record_success(answer)
                         return None
             except AnswerCutError as error:
+                may_repeat = self._record_truncation(selected, error)
                 if self.delivery.is_started:
                     raise StreamBrokenError(str(error)) from None
-                if self._record_truncation(selected, error):
+                if may_repeat:
                     continue
                 if await self.send_failed_answer():
                     return None
@@ -361,7 +362,9 @@
         self._has_lost_server = True
         self._tried |= {selected.server.name}
         self.silent_attempts += lost.timed_out
-        selected.record_failure(lost.reason, lost.timed_out, lost.is_cut)
+        if lost.is_cut:
+            selected.record_cut()
+        selected.record_failure(lost.reason, lost.timed_out)
         return self._may_repeat() or self._hand_over.try_return()
 
     def _may_repeat(self) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -3,7 +3,6 @@
 import eliot
 
 from almondfield_core.clock import now
-from almondfield_core.routing import Prompt
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding.messages import AnswerMetadata
 from almondfield_daemon.forwarding.outcomes import (
@@ -15,7 +14,7 @@
 from almondfield_daemon.quarantine import (
     BEGIN_WINDOW_S,
     NoQuarantine,
-    PromptQuarantine,
+    RequestQuarantine,
 )
 from almondfield_daemon.router.calls import SUCCESS_STATUSES, BackendAnswer, Framing
 from almondfield_daemon.scheduling import EngineAssignment
@@ -28,6 +27,7 @@
 
 __all__ = ["SelectedServer", "server_start"]
 
+FIRST_ERROR_STATUS = 500
 SLOW_PREFILL_TOKENS_PER_S = 20_000.0  # half the rate of large engines
 
 
@@ -49,8 +49,9 @@
     :param notices: what servers said about further work.
     :param assignment: the assignment to a model engine, reported to the scheduler; None
         for other servers.
-    :param quarantine: learns from the attempt whether its prompt is sound.
-    :param prompt: the prompt; None for other requests.
+    :param quarantine: learns from the attempt whether its request is sound.
+    :param shared_parts: parts of its prompt that other prompts may share.
+    :param digests: digests of the whole request.
 
     :ivar began_s: when the first event of its answer arrived, in seconds of the loop's
         clock; None before.
@@ -64,12 +65,15 @@
         host_delay: HostDelay,
         notices: ServerNotices,
         assignment: EngineAssignment | None = None,
-        quarantine: PromptQuarantine | None = None,
-        prompt: Prompt | None = None,
+        quarantine: RequestQuarantine | None = None,
+        shared_parts: tuple[str, ...] = (),
+        digests: tuple[str, ...] = (),
     ) -> None:
         self._quarantine = quarantine or NoQuarantine()
-        self._prompt = prompt
-        self._is_sound = False
+        self._shared_parts = shared_parts
+        self._digests = digests
+        self._selected_s = now()
+        self._has_gone_on = False
         self.server = server
         self._start = server_start(server)
         self._notices = notices
@@ -137,8 +141,9 @@
         """Record that prefill has finished, or that the answer goes on."""
         if self.began_s is None:
             self.began_s = now()
-        elif not self._is_sound and now() - self.began_s >= BEGIN_WINDOW_S:
-            self._record_sound()
+        elif not self._has_gone_on and now() - self.began_s >= BEGIN_WINDOW_S:
+            self._has_gone_on = True
+            self._quarantine.record_sound(self._shared_parts)
         self._in_flight.begin_answer()
         if self.assignment is not None:
             self.assignment.begin_answer()
@@ -150,30 +155,43 @@
         :param has_begun: whether the server wrote anything of what was asked for.
         """
         self._placement.record(self.server.name).record_success()
-        if self._is_sound or not has_begun or answer.status not in SUCCESS_STATUSES:
+        if not has_begun or answer.status >= FIRST_ERROR_STATUS:
             return
+        parts = self._digests
+        if answer.status in SUCCESS_STATUSES and not self._has_gone_on:
+            parts += self._shared_parts
         if answer.framing is Framing.CONNECTION:
             # It may have been cut where it ended.
-            self._quarantine.record_unproven(self._start, self._prompt)
+            self._quarantine.record_unproven(self._start, parts, self._ran_s())
         else:
-            self._record_sound()
+            self._quarantine.record_sound(parts)
 
-    def _record_sound(self) -> None:
-        self._is_sound = True
-        self._quarantine.record_sound(self._prompt)
+    def record_cut(self, is_idle: bool = False) -> None:
+        """Record that the server closed or reset the connection amid the request.
 
-    def record_failure(
-        self, reason: str, timed_out: bool = False, is_cut: bool = False
-    ) -> None:
+        :param is_idle: whether the connection may have been idle for the server.
+        """
+        parts = self._digests
+        if self.began_s is None or now() - self.began_s < BEGIN_WINDOW_S:
+            parts += self._shared_parts
+        if is_idle:
+            address = self.server.address
+            self._quarantine.record_doubtful_cut(
+                self._start, address, parts, self._ran_s()
+            )
+        else:
+            self._quarantine.record_crash(self._start, parts, self._ran_s())
+
+    def _ran_s(self) -> float:
+        return now() - self._selected_s
+
+    def record_failure(self, reason: str, timed_out: bool = False) -> None:
         """Record that the server gave no answer of its own.
 
         :param reason: description of the failure.
         :param timed_out: whether it did not answer within a timeout. While this host
             itself is late, one timeout in a row shows nothing.
-        :param is_cut: whether it closed or reset the connection amid the request.
         """
-        if is_cut and (self.began_s is None or now() - self.began_s < BEGIN_WINDOW_S):
-            self._quarantine.record_crash(self._start, self._prompt)
         record = self._placement.record(self.server.name)
         if timed_out and self._host_delay.is_late and not record.timeouts:
             record.timeouts += 1
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -15,7 +15,11 @@
     describe_refusal,
 )
 from almondfield_daemon.host_delay import HostDelay
-from almondfield_daemon.quarantine import NoQuarantine, PromptQuarantine
+from almondfield_daemon.quarantine import (
+    NoQuarantine,
+    RequestQuarantine,
+    shared_parts,
+)
 from almondfield_daemon.scheduling import EngineAssignment, EngineClient
 from almondfield_daemon.scheduling.messages import EngineRefusal
 from almondfield_daemon.server_notices import ServerNotices
@@ -38,7 +42,7 @@
     :param host_delay: delay of this host.
     :param notices: what servers said about further work.
     :param counts: counts refusals.
-    :param quarantine: knows prompts under which servers ended.
+    :param quarantine: knows requests under which servers ended.
     """
 
     def __init__(
@@ -50,7 +54,7 @@
         host_delay: HostDelay,
         notices: ServerNotices,
         counts: RequestCounts | None = None,
-        quarantine: PromptQuarantine | None = None,
+        quarantine: RequestQuarantine | None = None,
     ) -> None:
         self._quarantine = quarantine or NoQuarantine()
         self._host_delay = host_delay
@@ -68,7 +72,7 @@
         :param team: name of the team.
         :param prompt: prompt of the request.
         """
-        refused = self._quarantined(prompt)
+        refused = self._quarantined(shared_parts(prompt))
         if refused is not None:
             self._counts.record_refusal(team, refused.cause)
         return refused
@@ -149,7 +153,7 @@
         :param is_just_left: whether its connection was open a moment ago, so that it
             hasn't restarted even if it isn't announced.
         """
-        quarantined = self._quarantined(request.metadata.prompt)
+        quarantined = self._quarantined(request.parts)
         if quarantined is not None:
             return quarantined
         known = self._known.running if is_just_left else self._known.reachable
@@ -175,7 +179,7 @@
         has_lost_server: bool,
         version: str | None,
     ) -> SelectedServer | Unavailable:
-        quarantined = self._quarantined(request.metadata.prompt)
+        quarantined = self._quarantined(request.parts)
         if quarantined is not None:
             return quarantined
         servers = self._known.usable(request.pool, version)
@@ -211,7 +215,7 @@
         )
         assignment = await self._engines.request_engine(request.pool, engine_request)
         # Quarantines and the view may have changed while the scheduler decided.
-        quarantined = self._quarantined(prompt)
+        quarantined = self._quarantined(request.parts)
         if quarantined is not None:
             if isinstance(assignment, EngineAssignment):
                 assignment.end(was_sent=False)
@@ -282,15 +286,16 @@
             self._notices,
             assignment,
             self._quarantine,
-            request.metadata.prompt,
+            request.shared_parts,
+            request.digests,
         )
 
-    def _quarantined(self, prompt: Prompt | None) -> Unavailable | None:
-        """Return a refusal if servers ended under a part of the prompt."""
-        left_s = self._quarantine.left_s(prompt)
+    def _quarantined(self, parts: tuple[str, ...]) -> Unavailable | None:
+        """Return a refusal if servers ended under a request with these parts."""
+        left_s = self._quarantine.left_s(parts)
         if left_s <= 0:
             return None
-        detail = "servers ended under a part of the prompt"
+        detail = "servers ended under the request or a part of its prompt"
         return Unavailable(detail, RefusalCause.QUARANTINE, left_s)
 
     def _is_prefill_limit_reached(self, servers: tuple[FleetServer, ...]) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/crashes.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/crashes.feature
@@ -32,6 +32,39 @@
       | idempotent | answers whole, framed by the connection | 0       | 0     |
       | idempotent | answers whole, with status 500          | 0       | 0     |
 
+  # Guards against BUDGET and LOST: a whole request that ends servers isn't found, or a sound one is
+  # blamed. A stream that goes on proves nothing of its request before its end.
+  Scenario Outline: A whole <kind> request whose server <behaviour>
+    Given a "<kind>" route with 1 attempts and 1 servers
+    And a record of crashes and sound answers
+    And the only server <behaviour>
+    When a request without a prompt is served
+    Then <crashes> crashes and <sound> sound answers of the whole request are recorded
+
+    Examples: streams
+      | kind      | behaviour                                   | crashes | sound |
+      | streaming | answers whole                               | 0       | 1     |
+      | streaming | ends before the head                        | 1       | 0     |
+      | streaming | ends 0.5 s after the first event            | 1       | 0     |
+      | streaming | ends 1.5 s after the first event            | 1       | 0     |
+      | streaming | times out before the head                   | 0       | 0     |
+      | streaming | answers for 1.5 s, framed by the connection | 0       | 0     |
+      | streaming | answers whole, without an event             | 0       | 0     |
+      | streaming | refuses                                     | 0       | 0     |
+
+    Examples: other answers
+      | kind           | behaviour                               | crashes | sound |
+      | idempotent     | answers whole                           | 0       | 1     |
+      | non-idempotent | answers whole                           | 0       | 1     |
+      | idempotent     | ends before the head                    | 1       | 0     |
+      | non-idempotent | ends before the head                    | 1       | 0     |
+      | idempotent     | ends before the first event             | 1       | 0     |
+      | idempotent     | ends late in a large answer             | 1       | 0     |
+      | idempotent     | answers whole, framed by the connection | 0       | 0     |
+      | idempotent     | answers whole, with status 500          | 0       | 0     |
+      | idempotent     | answers whole, with status 404          | 0       | 1     |
+      | idempotent     | closes an idle connection               | 0       | 0     |
+
   # Guards against BUDGET: an answer that a server cuts where it seems to end, taken as sound.
   Scenario Outline: A <kind> answer that ends with its connection waits for its proof
     Given a "<kind>" route with 1 attempts and 1 servers
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/crashes_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/crashes_steps.py
@@ -9,41 +9,64 @@
 from almondfield_core.messages import ServerFailure
 from almondfield_core.routing import Prompt, PromptPart
 from almondfield_daemon.forwarding import AnswerMetadata
+from almondfield_daemon.forwarding.answers import MAX_HELD_BODY_BYTES
 from almondfield_daemon.forwarding.tests.fakes import FakeAnswer, event
 from almondfield_daemon.forwarding.tests.requests import serve
+from almondfield_daemon.quarantine import request_digests
 from almondfield_daemon.router.calls import AnswerCutError, CallFailure, Framing
 from almondfield_testing import run
 
 PROMPT = Prompt("m", 20, 5, (PromptPart("s", 10), PromptPart("o", 10)))
 
 
+SHARED_PART = "s"
+
+
 class RecordingQuarantine:
-    """The ``PromptQuarantine`` port, with what it was told."""
+    """The ``RequestQuarantine`` port, with what it was told of the shared part.
+
+    :ivar own_crashes: digests of whole requests under which a server ended.
+    :ivar own_sound: digests of whole requests that were answered soundly.
+    """
 
     def __init__(self):
         self.seconds = 0.0
         self.crashes = []
         self.sound = []
+        self.own_crashes = []
+        self.own_sound = []
         self.unproven = []
         self.gone = []
+        self.doubtful = []
         self.on_crash = lambda: None
 
-    def left_s(self, prompt):
-        """Return the same time for all prompts."""
-        return self.seconds if prompt is not None else 0.0
+    def left_s(self, parts):
+        """Return the same time for all requests with the shared part."""
+        return self.seconds if SHARED_PART in parts else 0.0
 
-    def record_crash(self, start, prompt):
+    def record_crash(self, start, parts, ran_s):
         """Record a crash."""
-        self.crashes.append((start, prompt))
+        self.own_crashes.append([part for part in parts if part != SHARED_PART])
+        if SHARED_PART in parts:
+            self.crashes.append(parts)
         self.on_crash()
 
-    def record_sound(self, prompt):
+    def record_doubtful_cut(self, start, address, parts, ran_s):
+        """Record the end of a connection that may have been idle."""
+        self.doubtful.append((address, parts))
+
+    def record_sound(self, parts):
         """Record a sound answer."""
-        self.sound.append(prompt)
+        own = [part for part in parts if part != SHARED_PART]
+        if own:
+            self.own_sound.append(own)
+        if SHARED_PART in parts:
+            self.sound.append(parts)
 
-    def record_unproven(self, start, prompt):
+    def record_unproven(self, start, parts, ran_s):
         """Record an answer that ended with its connection."""
-        self.unproven.append(prompt)
+        if SHARED_PART in parts:
+            self.unproven.append(parts)
 
     def record_alive(self, start):
         """Do nothing."""
@@ -110,6 +133,14 @@
             return Ok(answer)
         case "answers whole, with status 500":
             return Ok(TimedAnswer(metadata, server, events, status=500))
+        case "answers whole, with status 404":
+            return Ok(TimedAnswer(metadata, server, events, status=404))
+        case "ends late in a large answer":
+            large = [b"a" * MAX_HELD_BODY_BYTES, b"a"]
+            return Ok(TimedAnswer(metadata, server, large, error=cut))
+        case "closes an idle connection":
+            failure = ServerFailure.FIRST_BYTE
+            return Err(CallFailure(failure, True, "cut", stale=True, is_idle_cut=True))
         case "answers whole, without an event":
             return Ok(TimedAnswer(metadata, server, []))
         case "accepts no connection":
@@ -168,6 +199,11 @@
     context.served = run(context, serve(context, prompt=PROMPT))
 
 
+@when("a request without a prompt is served")
+def step_impl(context):
+    context.served = run(context, serve(context))
+
+
 @when("a taken-up prompt is served")
 def step_impl(context):
     context.route = replace(context.route, has_prompt=True)
@@ -180,8 +216,25 @@
     quarantine = context.quarantine
     assert len(quarantine.crashes) == crashes, quarantine.crashes
     assert len(quarantine.sound) == sound, quarantine.sound
-    recorded = [*quarantine.sound, *(prompt for _, prompt in quarantine.crashes)]
-    assert all(prompt is PROMPT for prompt in recorded), recorded
+
+
+@then(
+    "{crashes:d} crashes and {sound:d} sound answers of the whole request are recorded"
+)
+def step_impl(context, crashes, sound):
+    quarantine = context.quarantine
+    assert len(quarantine.own_crashes) == crashes, quarantine.own_crashes
+    assert len(quarantine.own_sound) == sound, quarantine.own_sound
+    recorded = [*quarantine.own_crashes, *quarantine.own_sound]
+    expected = [request_digests("POST", "d", b"/", "", b"", None)] * len(recorded)
+    assert recorded == [list(item) for item in expected], recorded
+
+
+@then("{count:d} doubtful cuts are recorded with all parts of the request")
+def step_impl(context, count):
+    digests = request_digests("POST", "d", b"/", "", b"", PROMPT)
+    recorded = [set(parts) for _, parts in context.quarantine.doubtful]
+    assert recorded == [{SHARED_PART, *digests}] * count, recorded
 
 
 @then("{count:d} servers are recorded as gone")
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/__init__.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/__init__.py
@@ -1,4 +1,4 @@
-"""Quarantine of prompt parts under which backend servers ended."""
+"""Quarantine of requests and prompt parts under which backend servers ended."""
 
 from almondfield_daemon.quarantine.client import QuarantineClient
 from almondfield_daemon.quarantine.core import QuarantineTable
@@ -7,17 +7,19 @@
 from almondfield_daemon.quarantine.parts import (
     BEGIN_WINDOW_S,
     NoQuarantine,
-    PromptQuarantine,
+    RequestQuarantine,
+    shared_parts,
 )
 from almondfield_daemon.quarantine.service import QuarantineService
 
 __all__ = [
     "BEGIN_WINDOW_S",
     "NoQuarantine",
-    "PromptQuarantine",
     "Quarantine",
     "QuarantineClient",
     "QuarantineService",
     "QuarantineTable",
+    "RequestQuarantine",
     "request_digests",
+    "shared_parts",
 ]
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/client.py
@@ -1,12 +1,13 @@
-"""A router's client for the quarantine of prompt parts."""
+"""A router's client for the quarantine of parts of requests."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 from result import Ok
 
+from almondfield_core.clock import now
 from almondfield_core.ports import Peers
-from almondfield_core.routing import Prompt
 from almondfield_daemon.quarantine.messages import (
     CrashReport,
     Quarantine,
@@ -15,18 +16,26 @@
     ServerEndReport,
     SoundReport,
 )
-from almondfield_daemon.quarantine.parts import shared_parts
 from almondfield_daemon.quarantine.settling import SettlingTable
-from almondfield_daemon.quarantine.unproven import EndedStarts, UnprovenAnswers
+from almondfield_daemon.quarantine.unproven import (
+    EndedStarts,
+    UnprovenAnswer,
+    UnprovenAnswers,
+)
 from almondfield_daemon.server_notices import ServerStart
 
 __all__ = ["QuarantineClient"]
 
 SYNC_TIMEOUT_S = 0.9  # another sync follows the next time that the host returns
+PROBE_AFTER_S = 0.05  # a process that ends may close its connections first
+
+
+async def _accepts_all(address: str) -> bool:
+    return True
 
 
 class QuarantineClient:
-    """Keeps this router's quarantines; implements the ``PromptQuarantine`` port.
+    """Keeps this router's quarantines; implements the ``RequestQuarantine`` port.
 
     Control hosts decide by what all routers have seen. A router that reaches none
     decides by what it has seen itself, which may blame parts that others know better.
@@ -34,6 +43,8 @@
     :param peers: messages to the other hosts.
     :param control_hosts: returns the hosts of the control group.
     :param responsive_hosts: returns those of them that answered recently.
+    :param accepts_connection: returns whether an address accepts a connection, or might
+        do so.
     """
 
     def __init__(
@@ -41,10 +52,12 @@
         peers: Peers,
         control_hosts: Callable[[], tuple[str, ...]],
         responsive_hosts: Callable[[], tuple[str, ...]],
+        accepts_connection: Callable[[str], Awaitable[bool]] = _accepts_all,
     ) -> None:
+        self._accepts_connection = accepts_connection
         self._peers = peers
         self._control_hosts = control_hosts
-        self._syncs: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._unproven = UnprovenAnswers()
         self._ended = EndedStarts()
         self.table = SettlingTable(self._tell_decided, lambda: not responsive_hosts())
@@ -54,49 +67,77 @@
         self._peers.register_handler(QuarantineUpdate, self._on_update)
         self._peers.register_handler(ServerEndReport, self._on_end)
 
-    def left_s(self, prompt: Prompt | None) -> float:
-        """Return the seconds for which a prompt is still refused; 0 if it isn't.
+    def left_s(self, parts: tuple[str, ...]) -> float:
+        """Return the seconds for which a request is still refused; 0 if it isn't.
 
-        :param prompt: the prompt; None for none.
+        :param parts: parts of the request.
         """
         # Asked several times for each request, nearly always without a quarantine.
         if not self.table.has_quarantines:
             return 0.0
-        return self.table.left_s(shared_parts(prompt))
+        return self.table.left_s(parts)
 
-    def record_crash(self, start: ServerStart, prompt: Prompt | None) -> None:
-        """Record and report that a server ended while it began to answer a prompt.
+    def record_crash(
+        self, start: ServerStart, parts: tuple[str, ...], ran_s: float
+    ) -> None:
+        """Record and report that a server ended under a request.
 
         :param start: the start of the server.
-        :param prompt: the prompt; None for none.
+        :param parts: parts of the request that may be to blame.
+        :param ran_s: seconds from the choice of the server to its end.
         """
-        self._record_crash(start, shared_parts(prompt))
+        self._record_crash(start, parts, ran_s)
         self.record_gone(start)
 
-    def record_sound(self, prompt: Prompt | None) -> None:
-        """Record that a prompt was answered soundly, and report what this clears.
+    def record_doubtful_cut(
+        self, start: ServerStart, address: str, parts: tuple[str, ...], ran_s: float
+    ) -> None:
+        """Record that a server ended under a request, or closed an idle connection.
+
+        It has ended if this or another router finds it gone.
 
-        :param prompt: the prompt; None for none.
+        :param start: the start of the server.
+        :param address: its address.
+        :param parts: parts of the request.
+        :param ran_s: seconds from the choice of the server to the cut.
         """
-        self._record_sound(shared_parts(prompt))
+        if start in self._ended:
+            self._record_crash(start, parts, ran_s)
+            return
+        cut = UnprovenAnswer(now(), parts, ran_s, looks_whole=False)
+        self._unproven.put(start, cut)
+        self._start_task(self._probe(start, address))
+
+    def record_sound(self, parts: tuple[str, ...]) -> None:
+        """Record that a request was answered soundly, and report what this clears.
+
+        :param parts: parts of the request that this clears.
+        """
+        cleared = self.table.record_sound(parts)
+        if cleared:
+            self._send_all(SoundReport(cleared))
 
-    def record_unproven(self, start: ServerStart, prompt: Prompt | None) -> None:
+    def record_unproven(
+        self, start: ServerStart, parts: tuple[str, ...], ran_s: float
+    ) -> None:
         """Record an answer that ended with its connection, or was cut there.
 
         :param start: the start of the server.
-        :param prompt: the prompt; None for none.
+        :param parts: parts of the request.
+        :param ran_s: seconds from the choice of the server to the end.
         """
-        parts = shared_parts(prompt)
         if parts:
-            self._unproven.put(start, parts)
+            answer = UnprovenAnswer(now(), parts, ran_s, looks_whole=True)
+            self._unproven.put(start, answer)
 
     def record_alive(self, start: ServerStart) -> None:
         """Record that a server answers, which proves answers that it has outlived.
 
         :param start: the start of the server.
         """
-        for parts in self._unproven.take_outlived(start):
-            self._record_sound(parts)
+        for answer in self._unproven.take_outlived(start):
+            if answer.looks_whole:
+                self.record_sound(answer.parts)
 
     def record_gone(self, start: ServerStart) -> None:
         """Record that a server accepts no connection, or has cut an attempt.
@@ -107,34 +148,45 @@
             self._send_all(ServerEndReport(start.name, start.born_ms))
         self._charge_unproven(start)
 
+    async def _probe(self, start: ServerStart, address: str) -> None:
+        await asyncio.sleep(PROBE_AFTER_S)
+        if start not in self._ended and not await self._accepts_connection(address):
+            self.record_gone(start)
+
     async def _on_end(self, sender: str, report: ServerEndReport) -> None:
         start = ServerStart(report.server, report.born_ms)
         self._ended.add(start)
         self._charge_unproven(start)
 
     def _charge_unproven(self, start: ServerStart) -> None:
-        for parts in self._unproven.take_all(start):
-            self._record_crash(start, parts)
+        for answer in self._unproven.take_all(start):
+            ago_s = now() - answer.ended_s
+            self._record_crash(start, answer.parts, answer.ran_s, ago_s)
 
-    def _record_crash(self, start: ServerStart, parts: tuple[str, ...]) -> None:
-        suspects = self.table.record_crash(start, parts)
+    def _record_crash(
+        self,
+        start: ServerStart,
+        parts: tuple[str, ...],
+        ran_s: float,
+        ago_s: float = 0.0,
+    ) -> None:
+        suspects = self.table.record_crash(start, parts, ran_s, ago_s)
         if suspects:
             self.table.decide_soon()
-            self._send_all(CrashReport(start.name, start.born_ms, suspects))
-
-    def _record_sound(self, parts: tuple[str, ...]) -> None:
-        cleared = self.table.record_sound(parts)
-        if cleared:
-            self._send_all(SoundReport(cleared))
+            report = CrashReport(start.name, start.born_ms, suspects, ran_s, ago_s)
+            self._send_all(report)
 
     def sync(self, host: str) -> None:
         """Exchange all quarantines with a control host that may have lost them.
 
         :param host: a host that replies again, or has restarted.
         """
-        task = asyncio.get_running_loop().create_task(self._sync(host))
-        self._syncs.add(task)
-        task.add_done_callback(self._syncs.discard)
+        self._start_task(self._sync(host))
+
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _sync(self, host: str) -> None:
         message = QuarantineSync(self.table.quarantines())
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/core.py
@@ -1,9 +1,10 @@
-"""Decides which parts of prompts are quarantined.
+"""Decides which parts of requests are quarantined.
 
-A part is to blame if servers ended under it one after the other, and no answer on a
-prompt that holds it was sound since. What ends with a server by chance is not blamed:
-sound requests share parts that are answered soundly elsewhere, and a part explains the
-crashes of the servers that ended under it for all others.
+A part of a prompt, or the digest of a whole request, is to blame if servers ended under
+it one after the other, and no answer to a request that holds it was sound since. What
+ends with a server by chance is not blamed: sound requests share parts that are answered
+soundly elsewhere, and a part explains the crashes of the servers that ended under it
+for all others.
 """
 
 from collections.abc import Iterable
@@ -13,6 +14,7 @@
 
 from almondfield_core.clock import now
 from almondfield_daemon.quarantine.crashes import (
+    Crash,
     CrashEvidence,
     are_enough,
 )
@@ -75,9 +77,9 @@
         return sum(entry.until_s > now() for entry in self._entry_by_parts.values())
 
     def left_s(self, parts: Iterable[str]) -> float:
-        """Return the seconds for which a prompt is still refused; 0 if it isn't.
+        """Return the seconds for which a request is still refused; 0 if it isn't.
 
-        :param parts: parts of the prompt.
+        :param parts: parts of the request.
         """
         held = frozenset(parts)
         until_s = [
@@ -85,11 +87,19 @@
         ]
         return max(0.0, max(until_s, default=0.0) - now())
 
-    def record_crash(self, start: ServerStart, parts: Iterable[str]) -> tuple[str, ...]:
-        """Record that a server ended under a prompt, and return the suspect parts.
+    def record_crash(
+        self,
+        start: ServerStart,
+        parts: Iterable[str],
+        ran_s: float = 0.0,
+        ago_s: float = 0.0,
+    ) -> tuple[str, ...]:
+        """Record that a server ended under a request, and return the suspect parts.
 
         :param start: the start of the server.
-        :param parts: parts of the prompt.
+        :param parts: parts of the request.
+        :param ran_s: seconds from the choice of the server to its end.
+        :param ago_s: seconds since then.
         """
         suspects = self._unsound(parts)
         held = frozenset(suspects)
@@ -100,13 +110,13 @@
                 renewed = _Entry(until_s, number, entry.crashes + 1)
                 self._entry_by_parts[key] = renewed
                 self._renewed.append(key)
-        self._evidence.record(start, suspects)
+        self._evidence.record(start, suspects, ran_s, ago_s)
         return suspects
 
     def record_sound(self, parts: Iterable[str]) -> tuple[str, ...]:
         """Record a sound answer, and return the parts that it clears.
 
-        :param parts: parts of its prompt.
+        :param parts: parts of its request.
         """
         parts = tuple(parts)
         self._sound.record(parts)
@@ -172,14 +182,14 @@
             for start in self._evidence.starts(part)
         }
         while True:
-            crash_s_by_start = self._most_crashes(explained)
-            if not crash_s_by_start:
+            crash_by_start = self._most_crashes(explained)
+            if not crash_by_start:
                 break
-            for parts in self._blamed_groups(crash_s_by_start, explained):
-                entry = _Entry(now() + QUARANTINE_S, 1, len(crash_s_by_start))
+            for parts in self._blamed_groups(crash_by_start, explained):
+                entry = _Entry(now() + QUARANTINE_S, 1, len(crash_by_start))
                 if self._put(parts, entry):
                     blamed.append(parts)
-            explained |= crash_s_by_start.keys()
+            explained |= crash_by_start.keys()
         return blamed
 
     def _narrow(self) -> list[frozenset[str]]:
@@ -197,26 +207,26 @@
                     narrowed.append(rest)
         return narrowed
 
-    def _most_crashes(self, explained: set[ServerStart]) -> dict[ServerStart, float]:
+    def _most_crashes(self, explained: set[ServerStart]) -> dict[ServerStart, Crash]:
         """Return the crashes of a part that has most; none if they are too few."""
-        most: dict[ServerStart, float] = {}
-        for _, crash_s_by_start in self._evidence.items(explained):
-            if len(crash_s_by_start) > len(most) and are_enough(crash_s_by_start):
-                most = crash_s_by_start
+        most: dict[ServerStart, Crash] = {}
+        for _, crash_by_start in self._evidence.items(explained):
+            if len(crash_by_start) > len(most) and are_enough(crash_by_start):
+                most = crash_by_start
         return most
 
     def _blamed_groups(
-        self, crash_s_by_start: dict[ServerStart, float], explained: set[ServerStart]
+        self, crash_by_start: dict[ServerStart, Crash], explained: set[ServerStart]
     ) -> list[frozenset[str]]:
-        """Return the parts that were in all of some crashes, grouped by prompts.
+        """Return the parts that were in all of some crashes, grouped by requests.
 
-        Parts that were always together are one group. One that was in prompts of
+        Parts that were always together are one group. One that was in requests of
         several groups is no group of its own.
         """
         tied = {
             part
             for part, other in self._evidence.items(explained)
-            if other.keys() == crash_s_by_start.keys()
+            if other.keys() == crash_by_start.keys()
         }
         companions = {self._evidence.companions(part) for part in tied}
         groups = {parts & tied for parts in companions}
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/crashes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/crashes.py
@@ -1,4 +1,4 @@
-"""Which servers ended under which parts of prompts."""
+"""Which servers ended under which parts of requests."""
 
 from collections import OrderedDict
 from collections.abc import Collection, Iterator
@@ -7,13 +7,15 @@
 import eliot
 
 from almondfield_core.clock import now
+from almondfield_daemon.quarantine.digests import is_digest
 from almondfield_daemon.server_notices import ServerStart
 
-__all__ = ["CrashEvidence", "are_enough"]
+__all__ = ["Crash", "CrashEvidence", "are_enough"]
 
 CRASH_MEMORY_S = 60.0
 # Servers that end within this time may end by a common cause, such as a power failure.
 SAME_MOMENT_S = 0.1
+REPORT_JITTER_S = 0.02  # between two reports to one host
 CRASHES_TO_QUARANTINE = 3  # each at another moment
 CRASHES_OF_TWO_MOMENTS = 5  # as above, but at two moments only
 MAX_SUSPECTS = 5000
@@ -21,15 +23,28 @@
 STARTS_TO_LOG = 2
 
 
+@dataclass(frozen=True)
+class Crash:
+    """The end of a server under a part.
+
+    :ivar at_s: when it ended, in seconds of the loop's clock.
+    :ivar follows: whether the request was sent to it once the server before had ended
+        under the same request, so that no common cause ended both at once.
+    """
+
+    at_s: float
+    follows: bool = False
+
+
 @dataclass(frozen=True)
 class _Suspect:
     """A part under which servers ended.
 
-    :ivar crash_s_by_start: when which servers ended, in seconds of the loop's clock.
-    :ivar companions: parts that were in each prompt with the part, itself included.
+    :ivar crash_by_start: the ends of servers, in the order of their reports.
+    :ivar companions: parts that were in each request with the part, itself included.
     """
 
-    crash_s_by_start: dict[ServerStart, float]
+    crash_by_start: dict[ServerStart, Crash]
     companions: frozenset[str]
 
 
@@ -46,19 +61,32 @@
     def __len__(self) -> int:
         return len(self._suspect_by_part)
 
-    def record(self, start: ServerStart, parts: Collection[str]) -> None:
-        """Record that a server ended under a prompt.
+    def record(
+        self,
+        start: ServerStart,
+        parts: Collection[str],
+        ran_s: float = 0.0,
+        ago_s: float = 0.0,
+    ) -> None:
+        """Record that a server ended under a request.
 
         :param start: the start of the server.
-        :param parts: parts of the prompt that may be to blame.
+        :param parts: parts of the request that may be to blame.
+        :param ran_s: seconds from the choice of the server to its end.
+        :param ago_s: seconds since then.
         """
-        prompt = frozenset(parts)
+        request = frozenset(parts)
+        ended_s = now() - ago_s
         for part in parts:
-            suspect = self._suspect_by_part.get(part, _Suspect({}, prompt))
-            companions = suspect.companions & prompt
+            suspect = self._suspect_by_part.get(part, _Suspect({}, request))
+            companions = suspect.companions & request
             self._suspect_by_part[part] = replace(suspect, companions=companions)
             self._suspect_by_part.move_to_end(part)
-            _record_start(part, suspect.crash_s_by_start, start)
+            crash_by_start = suspect.crash_by_start
+            if start not in crash_by_start:
+                # A prompt's part is in many requests, which may run at the same time.
+                sent_s = ended_s - ran_s if is_digest(part) else float("-inf")
+                _record_start(part, crash_by_start, start, sent_s, ended_s)
         while len(self._suspect_by_part) > MAX_SUSPECTS:
             self._suspect_by_part.popitem(last=False)
             if not self._is_full:
@@ -72,16 +100,16 @@
         """
         return self._suspect_by_part.pop(part, None) is not None
 
-    def starts(self, part: str) -> dict[ServerStart, float]:
-        """Return when which servers ended under a part, in order.
+    def starts(self, part: str) -> dict[ServerStart, Crash]:
+        """Return which servers ended under a part, in order.
 
         :param part: the part.
         """
         suspect = self._suspect_by_part.get(part)
-        return suspect.crash_s_by_start if suspect else {}
+        return suspect.crash_by_start if suspect else {}
 
     def companions(self, part: str) -> frozenset[str]:
-        """Return the parts that were in each prompt with a part, itself included.
+        """Return the parts that were in each request with a part, itself included.
 
         :param part: a part under which servers ended.
         """
@@ -89,56 +117,63 @@
 
     def items(
         self, excluded: Collection[ServerStart]
-    ) -> Iterator[tuple[str, dict[ServerStart, float]]]:
-        """Return the parts, each with when which servers ended under it.
+    ) -> Iterator[tuple[str, dict[ServerStart, Crash]]]:
+        """Return the parts, each with the servers that ended under it.
 
         :param excluded: starts that are left out.
         """
         for part, suspect in self._suspect_by_part.items():
-            starts = suspect.crash_s_by_start
-            yield part, {s: at_s for s, at_s in starts.items() if s not in excluded}
+            crash_by_start = suspect.crash_by_start
+            yield (
+                part,
+                {s: crash for s, crash in crash_by_start.items() if s not in excluded},
+            )
 
     def expire(self) -> None:
         """Drop crashes that are older than ``CRASH_MEMORY_S``."""
         cutoff_s = now() - CRASH_MEMORY_S
         for part, suspect in list(self._suspect_by_part.items()):
-            for start, at_s in list(suspect.crash_s_by_start.items()):
-                if at_s <= cutoff_s:
-                    del suspect.crash_s_by_start[start]
-            if not suspect.crash_s_by_start:
+            for start, crash in list(suspect.crash_by_start.items()):
+                if crash.at_s <= cutoff_s:
+                    del suspect.crash_by_start[start]
+            if not suspect.crash_by_start:
                 del self._suspect_by_part[part]
         self._is_full = self._is_full and len(self._suspect_by_part) >= MAX_SUSPECTS
 
 
 def _record_start(
-    part: str, crash_s_by_start: dict[ServerStart, float], start: ServerStart
+    part: str,
+    crash_by_start: dict[ServerStart, Crash],
+    start: ServerStart,
+    sent_s: float,
+    ended_s: float,
 ) -> None:
-    if start in crash_s_by_start:
-        return
-    crash_s_by_start[start] = now()
-    if len(crash_s_by_start) > MAX_STARTS_PER_PART:
-        del crash_s_by_start[next(iter(crash_s_by_start))]
-    if len(crash_s_by_start) == STARTS_TO_LOG:
-        servers = [start.name for start in crash_s_by_start]
+    last_s = max((crash.at_s for crash in crash_by_start.values()), default=None)
+    follows = last_s is not None and sent_s >= last_s - REPORT_JITTER_S
+    crash_by_start[start] = Crash(ended_s, follows)
+    if len(crash_by_start) > MAX_STARTS_PER_PART:
+        del crash_by_start[next(iter(crash_by_start))]
+    if len(crash_by_start) == STARTS_TO_LOG:
+        servers = [start.name for start in crash_by_start]
         eliot.log_message("part:suspected", part=part, servers=servers)
 
 
-def are_enough(crash_s_by_start: dict[ServerStart, float]) -> bool:
+def are_enough(crash_by_start: dict[ServerStart, Crash]) -> bool:
     """Return whether so many servers ended under a part that it is to blame.
 
-    :param crash_s_by_start: when which servers ended, in seconds of the loop's clock.
+    :param crash_by_start: the ends of servers.
     """
-    moments = _count_moments(crash_s_by_start)
+    moments = _count_moments(crash_by_start)
     if moments == 2:
-        return len(crash_s_by_start) >= CRASHES_OF_TWO_MOMENTS
+        return len(crash_by_start) >= CRASHES_OF_TWO_MOMENTS
     return moments >= CRASHES_TO_QUARANTINE
 
 
-def _count_moments(crash_s_by_start: dict[ServerStart, float]) -> int:
+def _count_moments(crash_by_start: dict[ServerStart, Crash]) -> int:
     count = 0
     last_s = float("-inf")
-    for at_s in sorted(crash_s_by_start.values()):
-        if at_s - last_s >= SAME_MOMENT_S:
+    for crash in sorted(crash_by_start.values(), key=lambda crash: crash.at_s):
+        if crash.follows or crash.at_s - last_s >= SAME_MOMENT_S:
             count += 1
-            last_s = at_s
+            last_s = crash.at_s
     return count
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/digests.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/digests.py
@@ -2,12 +2,53 @@
 
 import xxhash
 
+from almondfield_core.clock import now
 from almondfield_core.routing import Prompt
 
-__all__ = ["is_digest", "request_digests"]
+__all__ = ["SoundDigests", "is_digest", "request_digests"]
 
 # The identifiers of prompt parts hold no colon.
 PREFIX = "request:"
+GENERATION_S = 15.0
+MAX_PER_GENERATION = 20_000
+
+
+class SoundDigests:
+    """Digests of requests that were answered soundly in the last 15 to 30 s.
+
+    They are kept as hashes in two generations, the older of which is dropped whole.
+    Where there are too many, they are kept for a shorter time.
+    """
+
+    def __init__(self) -> None:
+        self._newer: set[int] = set()
+        self._older: set[int] = set()
+        self._turned_s = float("-inf")
+
+    def __len__(self) -> int:
+        return len(self._newer) + len(self._older)
+
+    def __contains__(self, digest: str) -> bool:
+        self._turn()
+        key = hash(digest)
+        return key in self._newer or key in self._older
+
+    def add(self, digest: str) -> None:
+        """Record a sound answer.
+
+        :param digest: the digest of its request.
+        """
+        self._turn()
+        self._newer.add(hash(digest))
+
+    def _turn(self) -> None:
+        """Begin a new generation if the newer one is old or full."""
+        age_s = now() - self._turned_s
+        if age_s < GENERATION_S and len(self._newer) < MAX_PER_GENERATION:
+            return
+        self._older = self._newer if age_s < 2 * GENERATION_S else set()
+        self._newer = set()
+        self._turned_s = now()
 
 
 def is_digest(part: str) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/messages.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True)
 class Quarantine:
-    """Parts of prompts that are refused where a prompt holds all of them.
+    """Parts of requests, which are refused where a request holds all of them.
 
     There are several as long as no crash and no sound answer has told them apart.
 
@@ -36,16 +36,21 @@
 @wire_message("crash-report")
 @dataclass(frozen=True)
 class CrashReport:
-    """A server that ended while it began to answer a prompt, told by a router.
+    """A server that ended under a request, told by a router.
 
     :ivar server: name of the server.
     :ivar born_ms: its start, in milliseconds since 1970.
-    :ivar parts: parts of the prompt but the last, without those known as sound.
+    :ivar parts: parts of the request, without those known as sound: all parts of its
+        prompt but the last, and digests of the whole request.
+    :ivar ran_s: seconds from the choice of the server to its end.
+    :ivar ago_s: seconds since then.
     """
 
     server: str
     born_ms: int
     parts: tuple[str, ...]
+    ran_s: float = 0.0
+    ago_s: float = 0.0
 
 
 @wire_message("server-end-report")
@@ -64,7 +69,7 @@
 @wire_message("sound-report")
 @dataclass(frozen=True)
 class SoundReport:
-    """Parts of a prompt that was answered soundly, told by a router.
+    """Parts of a request that was answered soundly, told by a router.
 
     :ivar parts: the parts.
     """
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/service.py
@@ -1,4 +1,4 @@
-"""A control host's service for the quarantine of prompt parts."""
+"""A control host's service for the quarantine of parts of requests."""
 
 from collections.abc import Callable
 
@@ -51,7 +51,7 @@
 
     async def _on_crash(self, sender: str, report: CrashReport) -> None:
         start = ServerStart(report.server, report.born_ms)
-        self.table.record_crash(start, report.parts)
+        self.table.record_crash(start, report.parts, report.ran_s, report.ago_s)
         self.table.decide_soon()
 
     async def _on_sound(self, sender: str, report: SoundReport) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
@@ -183,6 +183,88 @@
       | ended   |
       | is gone |
 
+  # Guards against BUDGET: a request without a prompt comes again at any router.
+  Scenario: Three servers that end under one whole request quarantine it everywhere
+    When servers end 0.3 s apart under "@bad" at r1, "@bad" at r2 and "@bad" at r3
+    Then after 0.3 s all routers refuse "@bad" for 290 to 300 s
+    And all routers accept "@other"
+
+  # Guards against BUDGET: servers of a small pool that end one after the other within the time of
+  # a power failure, so that the verdict comes only when all have started again.
+  Scenario Outline: Servers that end <gap> s apart, <ran> s after they got the request
+    When servers end <gap> s apart, <ran> s after they were chosen, under <places>
+    Then after 0.3 s all routers <do> "<request>"
+
+    Examples: each got it once the one before had ended
+      | gap  | ran  | places                                      | do     | request |
+      | 0.05 | 0.05 | "@bad" at r1, "@bad" at r1 and "@bad" at r1 | refuse | @bad    |
+      | 0.05 | 0.04 | "@bad" at r1, "@bad" at r2 and "@bad" at r3 | refuse | @bad    |
+
+    Examples: all had it when the first one ended, or only a part of it
+      | gap  | ran  | places                                        | do     | request |
+      | 0.02 | 0.5  | "@x" at r1, "@x" at r2, "@x" at r3 and "@x" at r1 | accept | @x |
+      | 0.03 | 0.02 | "c t o1" at r1, "c t o2" at r1 and "c t o3" at r1 | accept | c t o4 |
+
+  # Guards against LOST: a sound request that is so frequent that it runs on each server that ends.
+  Scenario: A whole request that was sound at one router is cleared at all
+    Given request "@hot" was answered soundly at router r2
+    When servers end 0.3 s apart under "@hot" at r1, "@hot" at r3 and "@hot" at r1
+    Then after 0.3 s all routers accept "@hot"
+
+  Scenario: Sound requests that end with the servers aren't blamed
+    Given request "@hot" was answered soundly at router r2
+    When server s1 ends under "@bad" at r1, "@x" at r2 and "@hot" at r3
+    And 0.3 s pass
+    And server s2 ends under "@bad" at r1, "@x" at r2 and "@hot" at r3
+    And 0.3 s pass
+    And server s3 ends under "@bad" at r2, "@y" at r1 and "@hot" at r2
+    Then after 0.3 s all routers refuse "@bad" for 290 to 300 s
+    And all routers accept "@x", "@y" and "@hot"
+
+  # Guards against BUDGET and LOST: a request with a prompt whose shared parts are sound elsewhere,
+  # or always come with it.
+  Scenario: A whole request with a prompt of its own each time is refused, and its parts go on
+    When servers end 0.3 s apart under "@bad c t o1" at r1, "@bad c t o2" at r2 and "@bad c t o3" at r1
+    Then after 0.3 s all routers refuse "@bad c t o4" for 290 to 300 s
+    And all routers accept "@other c t o5"
+    When request "@other c t o6" is answered soundly at router r3
+    Then after 0.3 s all routers refuse "@bad d t o7" for 290 to 300 s
+
+  Scenario: A prompt among requests that are alike otherwise is refused alone
+    Given request "@same c t o1" was answered soundly at router r1
+    And request "@same c t o2" was answered soundly at router r2
+    When servers end 0.3 s apart under "@same c t bad" at r1, "@same c t bad" at r2 and "@same c t bad" at r1
+    Then after 0.3 s all routers refuse "@same c t bad" for 290 to 300 s
+    And all routers accept "@same c t o3" and "@other c t bad"
+
+  Scenario: A part of prompts is found in requests that are alike otherwise
+    Given request "@same c t o1" was answered soundly at router r1
+    And request "@same c t o2" was answered soundly at router r2
+    When servers end 0.3 s apart under "@same c bad o3" at r1, "@same c bad o4" at r2 and "@same c bad o5" at r1
+    Then after 0.3 s all routers refuse "@other d bad o6" for 290 to 300 s
+    And all routers accept "@same c t o7"
+
+  Scenario Outline: Routers still refuse a whole request after hosts "<hosts>" restart
+    When servers end 0.3 s apart under "@bad" at r1, "@bad" at r2 and "@bad" at r1
+    And 0.5 s pass
+    And hosts "<hosts>" restart
+    And 2.5 s pass
+    Then after 0.0 s all routers refuse "@bad" for 280 to 300 s
+
+    Examples:
+      | hosts    |
+      | r2       |
+      | c1 c2 c3 |
+
+  # Guards against BUDGET: a request that is tried again as often as when it was unknown.
+  Scenario: After the quarantine of a whole request one further crash renews it
+    When servers end 0.3 s apart under "@bad" at r1, "@bad" at r2 and "@bad" at r1
+    And 302 s pass
+    Then after 0.0 s all routers accept "@bad"
+    When server s9 ends under "@bad" at r2
+    Then router r2 refuses "@bad"
+    And after 0.3 s all routers refuse "@bad" for 590 to 600 s
+
   # Guards against BUDGET: a part that was in use before it began to end servers.
   Scenario: A part that was sound before is quarantined after seven ends without a sound answer
     Given prompt "c bad o1" was answered soundly at router r1
@@ -204,3 +286,7 @@
   Scenario: Tables keep their bounds
     Then a table of 6000 suspected, 30000 sound and 150 quarantined parts keeps 5000, 20000 and 100
     And parts of 70000 characters are kept in at most 64
+    And a table of 100 sound parts and 100000 sound requests keeps all parts and 20000 to 40000 requests
+
+  Scenario: A sound request is remembered for 15 to 30 s
+    Then a table remembers a sound request after 14 s, beside others, but not after 31 s
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
@@ -16,8 +16,9 @@
     QuarantineClient,
     QuarantineService,
     QuarantineTable,
+    request_digests,
 )
-from almondfield_daemon.quarantine.parts import shared_parts
+from almondfield_daemon.quarantine.parts import SoundParts, shared_parts
 from almondfield_daemon.server_notices import ServerStart
 from almondfield_testing import InMemoryNetwork, run
 
@@ -31,15 +32,31 @@
     return Prompt("m", 10 * len(parts), 5, parts)
 
 
+def parts_of(text):
+    """Return the parts of a request like "@path a b own", or those of a prompt."""
+    if not text.startswith("@"):
+        return shared_parts(prompt(text))
+    path, _, rest = text.partition(" ")
+    item = prompt(rest) if rest else None
+    return shared_parts(item) + request_digests(
+        "GET", "d", path.encode(), "", b"", item
+    )
+
+
 def read_places(text):
     """Return prompts and routers of a text like '"a b" at r1 and "c" at r2'."""
     return re.findall(r'"([^"]*)" at (r\d)', text)
 
 
+def address_of(start):
+    """Return the address of a server."""
+    return f"{start.name}:80"
+
+
 class Host:
     """A control host or a router, with its task."""
 
-    def __init__(self, network, name, incarnation):
+    def __init__(self, network, name, incarnation, accepts_connection):
         peers = network.peers(name)
         if name in CONTROL_HOSTS:
             rng = random.Random(1)
@@ -58,7 +75,10 @@
                 lambda host: self.quarantine.sync(host),
             )
             self.quarantine = QuarantineClient(
-                peers, self.fleet.control_hosts, self.fleet.responsive_control_hosts
+                peers,
+                self.fleet.control_hosts,
+                self.fleet.responsive_control_hosts,
+                accepts_connection,
             )
         self.quarantine.register_handlers()
         self.task = asyncio.ensure_future(self.fleet.run())
@@ -71,11 +91,18 @@
         self.network = InMemoryNetwork()
         self.host_by_name = {}
         self.starts = 0
+        self.gone_addresses = set()
 
     def start(self, name):
         """Start a host with empty memory."""
         self.starts += 1
-        self.host_by_name[name] = Host(self.network, name, self.starts)
+        self.host_by_name[name] = Host(
+            self.network, name, self.starts, self.accepts_connection
+        )
+
+    async def accepts_connection(self, address):
+        """Return whether a server listens at an address."""
+        return address not in self.gone_addresses
 
     async def restart(self, names):
         """End hosts at once, and start them again with empty memory."""
@@ -105,11 +132,13 @@
     return context.fleet.host_by_name[router].quarantine
 
 
+@given('request "{text}" was answered soundly at router {router}')
+@when('request "{text}" is answered soundly at router {router}')
 @given('prompt "{text}" was answered soundly at router {router}')
 @when('prompt "{text}" is answered soundly at router {router}')
 def step_impl(context, text, router):
     async def record():
-        client(context, router).record_sound(prompt(text))
+        client(context, router).record_sound(parts_of(text))
 
     run(context, record())
 
@@ -119,17 +148,63 @@
     async def end():
         for text, router in read_places(places):
             start = ServerStart(f"server-{next(context.server_numbers)}", 1)
-            client(context, router).record_crash(start, prompt(text))
+            client(context, router).record_crash(start, parts_of(text), 0.0)
             await asyncio.sleep(gap_s)
 
     run(context, end())
 
 
+@when(
+    "servers end {gap_s:g} s apart, {ran_s:g} s after they were chosen, under {places}"
+)
+def step_impl(context, gap_s, ran_s, places):
+    async def end():
+        for text, router in read_places(places):
+            start = ServerStart(f"server-{next(context.server_numbers)}", 1)
+            client(context, router).record_crash(start, parts_of(text), ran_s)
+            await asyncio.sleep(gap_s)
+
+    run(context, end())
+
+
+@given("servers that cut connections and {state}")
+def step_impl(context, state):
+    context.state = state
+
+
+@when(
+    "connections are cut {gap_s:g} s apart, {ran_s:g} s after servers were chosen, "
+    "under {places}"
+)
+def step_impl(context, gap_s, ran_s, places):
+    async def cut():
+        starts = []
+        for text, router in read_places(places):
+            start = ServerStart(f"server-{next(context.server_numbers)}", 1)
+            starts.append(start)
+            address = address_of(start)
+            if context.state == "accept no connection":
+                context.fleet.gone_addresses.add(address)
+            client(context, router).record_doubtful_cut(
+                start, address, parts_of(text), ran_s
+            )
+            await asyncio.sleep(gap_s)
+        # One request meets all of them at once.
+        for start in starts:
+            if context.state == "are found gone at router r3":
+                client(context, "r3").record_gone(start)
+            elif context.state == "go on":
+                client(context, "r1").record_alive(start)
+
+    run(context, cut())
+
+
 @when("server {name} ends under {places}")
 def step_impl(context, name, places):
     async def end():
         for text, router in read_places(places):
-            client(context, router).record_crash(ServerStart(name, 1), prompt(text))
+            start = ServerStart(name, 1)
+            client(context, router).record_crash(start, parts_of(text), 0.0)
 
     run(context, end())
 
@@ -141,7 +216,7 @@
 def step_impl(context, text, router, name, same, seconds):
     async def answer():
         start = ServerStart(name, 1)
-        client(context, router).record_unproven(start, prompt(text))
+        client(context, router).record_unproven(start, parts_of(text), 0.0)
         await asyncio.sleep(seconds)
         client(context, router).record_alive(start)
 
@@ -155,9 +230,9 @@
 def step_impl(context, text, router, name, same, seconds):
     async def answer():
         start = ServerStart(name, 1)
-        client(context, router).record_unproven(start, prompt(text))
+        client(context, router).record_unproven(start, parts_of(text), 0.0)
         await asyncio.sleep(seconds)
-        client(context, router).record_crash(start, prompt("other"))
+        client(context, router).record_crash(start, parts_of("other"), 0.0)
         await asyncio.sleep(0.2)
 
     run(context, answer())
@@ -170,7 +245,7 @@
 def step_impl(context, text, router, name, same, seconds):
     async def answer():
         start = ServerStart(name, 1)
-        client(context, router).record_unproven(start, prompt(text))
+        client(context, router).record_unproven(start, parts_of(text), 0.0)
         await asyncio.sleep(seconds)
         client(context, router).record_gone(start)
 
@@ -184,11 +259,12 @@
 def step_impl(context, text, router, name, same, end, other):
     async def answer():
         start = ServerStart(name, 1)
-        client(context, router).record_unproven(start, prompt(text))
+        client(context, router).record_unproven(start, parts_of(text), 0.0)
         await asyncio.sleep(0.1)
         match end:
             case "ended":
-                client(context, other).record_crash(start, prompt(f"c {name} own"))
+                parts = parts_of(f"c {name} own")
+                client(context, other).record_crash(start, parts, 0.0)
             case "is gone":
                 client(context, other).record_gone(start)
         await asyncio.sleep(0.2)
@@ -217,7 +293,7 @@
 
 
 async def left_s(context, router, text):
-    return client(context, router).left_s(prompt(text))
+    return client(context, router).left_s(parts_of(text))
 
 
 @then('after {seconds:g} s all routers refuse "{text}" for {least_s:g} to {most_s:g} s')
@@ -235,6 +311,13 @@
             assert seen_s == 0, (router, text, seen_s)
 
 
+@then('after {seconds:g} s all routers refuse "{text}"')
+def step_impl(context, seconds, text):
+    run(context, asyncio.sleep(seconds))
+    for router in ROUTERS:
+        assert run(context, left_s(context, router, text)) > 0, router
+
+
 @then("after {seconds:g} s all routers accept {texts}")
 def step_impl(context, seconds, texts):
     run(context, asyncio.sleep(seconds))
@@ -301,3 +384,42 @@
     kept = shared_parts(prompt(f"{'a' * length} {'b' * length} {'a' * length}b own"))
     assert len(kept) == 3, kept
     assert max(len(part) for part in kept) <= most, kept
+
+
+@then(
+    "a table of {parts:d} sound parts and {requests:d} sound requests keeps all parts "
+    "and {least:d} to {most:d} requests"
+)
+def step_impl(context, parts, requests, least, most):
+    async def fill():
+        sound = SoundParts()
+        names = [f"part-{number}" for number in range(parts)]
+        sound.record(names)
+        for number in range(requests):
+            sound.record(parts_of(f"@{number}"))
+        return all(name in sound for name in names), len(sound) - parts
+
+    keeps_all, count = run(context, fill())
+    assert keeps_all
+    assert least <= count <= most, count
+
+
+@then(
+    "a table remembers a sound request after {known_s:g} s, beside others, but not "
+    "after {forgotten_s:g} s"
+)
+def step_impl(context, known_s, forgotten_s):
+    async def remember():
+        sound = SoundParts()
+        digest = parts_of("@x")
+        await asyncio.sleep(20.0)
+        sound.record(parts_of("@y"))
+        await asyncio.sleep(10.0)
+        sound.record(digest)
+        await asyncio.sleep(known_s)
+        sound.record(parts_of("@z"))
+        is_known = digest[0] in sound
+        await asyncio.sleep(forgotten_s - known_s)
+        return is_known, digest[0] in sound
+
+    assert run(context, remember()) == (True, False)
