Take the end of a server on a kept connection for a crash once it is gone

The router tries a connection to the server 50 ms later; if it is refused, or this or another router finds the server gone within 2 s, the attempt is charged with the end, at the time of the cut. A server that accepts the connection or answers has only closed it.

The new scenarios of quarantine.feature, crashes.feature and cut_answers.feature fail before.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -33,6 +33,7 @@
 
 # The end of an idle connection crosses a request on its way within a round trip.
 IDLE_CLOSE_S = 0.1
+PROBE_TIMEOUT_S = 0.5
 
 
 class HttpAnswer:
@@ -187,6 +188,19 @@
         max_event_bytes = self._settings.answers.max_event_bytes
         return Ok(HttpAnswer(connection, call, self._pool, max_event_bytes))
 
+    async def accepts_connection(self, address: str) -> bool:
+        """Return whether a server accepts a connection, or might do so.
+
+        :param address: ``host:port`` of the server.
+        """
+        timeouts = Timeouts(PROBE_TIMEOUT_S, PROBE_TIMEOUT_S, PROBE_TIMEOUT_S)
+        match await self._connect(address, timeouts):
+            case Ok(connection):
+                connection.close()
+                return True
+            case Err(failure):
+                return failure.timed_out
+
     async def run(self) -> None:
         """Wait until cancelled, then close every pooled connection."""
         try:
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/cut_answers.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/cut_answers.feature
@@ -26,8 +26,20 @@
     Given a cutting server that closes its open connection <seconds> s after the second request
     When 2 pooled POSTs are sent to it
     Then the server <has> cut it
+    And it <may> have been idle
 
     Examples:
-      | seconds | has    |
-      | 0.0     | hasn't |
-      | 0.2     | has    |
+      | seconds | has    | may    |
+      | 0.0     | hasn't | may    |
+      | 0.05    | hasn't | may    |
+      | 0.2     | has    | cannot |
+
+  # Guards against BUDGET: the end of a server that nobody finds.
+  Scenario Outline: A server that <behaviour> at its address
+    Given an address where a server <behaviour>
+    Then it <accepts> a connection, as far as known
+
+    Examples:
+      | behaviour                 | accepts        |
+      | listens                   | accepts        |
+      | has ended                 | doesn't accept |
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/cut_answers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/cut_answers_steps.py
@@ -123,3 +123,29 @@
 def step_impl(context):
     assert context.failure is not None
     assert not context.failure.is_cut, vars(context.failure)
+
+
+@then("it {may} have been idle")
+def step_impl(context, may):
+    assert context.failure.is_idle_cut == (may == "may"), vars(context.failure)
+
+
+@given("an address where a server {behaviour}")
+def step_impl(context, behaviour):
+    async def listen():
+        listener = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        if behaviour == "has ended":
+            listener.close()
+            await listener.wait_closed()
+        context.listener = listener
+        return f"127.0.0.1:{port}"
+
+    context.address = run(context, listen())
+
+
+@then("it {accepts} a connection, as far as known")
+def step_impl(context, accepts):
+    seen = run(context, HttpBackends(settings()).accepts_connection(context.address))
+    context.listener.close()
+    assert seen == (accepts == "accepts"), seen
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -98,7 +98,10 @@
             self.incarnation * MAX_ATTEMPTS_PER_MS,
         )
         self._quarantine = QuarantineClient(
-            self.peers, self.view.control_hosts, self.view.responsive_control_hosts
+            self.peers,
+            self.view.control_hosts,
+            self.view.responsive_control_hosts,
+            self._backends.accepts_connection,
         )
         self._counts = RequestCounts()
         notices = ServerNotices()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -362,8 +362,8 @@
         self._has_lost_server = True
         self._tried |= {selected.server.name}
         self.silent_attempts += lost.timed_out
-        if lost.is_cut:
-            selected.record_cut()
+        if lost.is_cut or lost.is_idle_cut:
+            selected.record_cut(lost.is_idle_cut)
         selected.record_failure(lost.reason, lost.timed_out)
         return self._may_repeat() or self._hand_over.try_return()
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/crashes.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/crashes.feature
@@ -65,6 +65,15 @@
       | idempotent     | answers whole, with status 404          | 0       | 1     |
       | idempotent     | closes an idle connection               | 0       | 0     |
 
+  # Guards against BUDGET: the end of a server taken for the end of an idle connection.
+  Scenario: A connection that may have been idle is left to be proven
+    Given a "idempotent" route with 1 attempts and 1 servers
+    And a record of crashes and sound answers
+    And the only server closes an idle connection
+    When a prompt is served
+    Then 0 crashes and 0 sound answers are recorded
+    And 1 doubtful cuts are recorded with all parts of the request
+
   # Guards against BUDGET: an answer that a server cuts where it seems to end, taken as sound.
   Scenario Outline: A <kind> answer that ends with its connection waits for its proof
     Given a "<kind>" route with 1 attempts and 1 servers
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
@@ -265,6 +265,19 @@
     Then router r2 refuses "@bad"
     And after 0.3 s all routers refuse "@bad" for 590 to 600 s
 
+  # Guards against BUDGET: a server that ends soon after it got a request on a kept connection looks
+  # like one that closes an idle connection.
+  Scenario Outline: Connections that may have been idle are cut, and the servers <state>
+    Given servers that cut connections and <state>
+    When connections are cut 0.3 s apart, 0.05 s after servers were chosen, under "@bad" at r1, "@bad" at r2 and "@bad" at r1
+    Then after 0.5 s all routers <do> "@bad"
+
+    Examples:
+      | state                        | do     |
+      | accept no connection         | refuse |
+      | go on                        | accept |
+      | are found gone at router r3  | refuse |
+
   # Guards against BUDGET: a part that was in use before it began to end servers.
   Scenario: A part that was sound before is quarantined after seven ends without a sound answer
     Given prompt "c bad o1" was answered soundly at router r1
