--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
@@ -157,7 +157,7 @@
 def _quarantine_gauge(registry: Registry) -> Gauge:
     return Gauge(
         "almondfield_quarantined_parts",
-        "Quarantines of prompt parts under which backend servers ended",
+        "Quarantines of requests and prompt parts under which backend servers ended",
         registry=registry,
     )
 
