Try one connection to a server for all its doubtful cuts together

Requests whose kept connections a server closes at the same moment each tried a connection of their own to it. The new scenario of quarantine.feature fails before (3 tries).

--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/client.py
@@ -60,6 +60,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._unproven = UnprovenAnswers()
         self._ended = EndedStarts()
+        self._probed: set[ServerStart] = set()
         self.table = SettlingTable(self._tell_decided, lambda: not responsive_hosts())
 
     def register_handlers(self) -> None:
@@ -106,7 +107,9 @@
             return
         cut = UnprovenAnswer(now(), parts, ran_s, looks_whole=False)
         self._unproven.put(start, cut)
-        self._start_task(self._probe(start, address))
+        if start not in self._probed:
+            self._probed.add(start)
+            self._start_task(self._probe(start, address))
 
     def record_sound(self, parts: tuple[str, ...]) -> None:
         """Record that a request was answered soundly, and report what this clears.
@@ -149,9 +152,12 @@
         self._charge_unproven(start)
 
     async def _probe(self, start: ServerStart, address: str) -> None:
-        await asyncio.sleep(PROBE_AFTER_S)
-        if start not in self._ended and not await self._accepts_connection(address):
-            self.record_gone(start)
+        try:
+            await asyncio.sleep(PROBE_AFTER_S)
+            if start not in self._ended and not await self._accepts_connection(address):
+                self.record_gone(start)
+        finally:
+            self._probed.discard(start)
 
     async def _on_end(self, sender: str, report: ServerEndReport) -> None:
         start = ServerStart(report.server, report.born_ms)
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
@@ -278,6 +278,12 @@
       | go on                        | accept |
       | are found gone at router r3  | refuse |
 
+  # Guards against a burst of connections to a server that has just ended.
+  Scenario: Connections of one server that are cut together cost one attempt to connect
+    Given servers that cut connections and accept no connection
+    When server s1 cuts the connections of "@a" at r1, "@b" at r1 and "@c" at r1
+    Then after 0.5 s it was tried to connect to s1 once
+
   # Guards against BUDGET: a part that was in use before it began to end servers.
   Scenario: A part that was sound before is quarantined after seven ends without a sound answer
     Given prompt "c bad o1" was answered soundly at router r1
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
@@ -92,6 +92,7 @@
         self.host_by_name = {}
         self.starts = 0
         self.gone_addresses = set()
+        self.tried_addresses = []
 
     def start(self, name):
         """Start a host with empty memory."""
@@ -102,6 +103,7 @@
 
     async def accepts_connection(self, address):
         """Return whether a server listens at an address."""
+        self.tried_addresses.append(address)
         return address not in self.gone_addresses
 
     async def restart(self, names):
@@ -199,6 +201,26 @@
     run(context, cut())
 
 
+@when("server {name} cuts the connections of {places}")
+def step_impl(context, name, places):
+    async def cut():
+        start = ServerStart(name, 1)
+        context.fleet.gone_addresses.add(address_of(start))
+        for text, router in read_places(places):
+            client(context, router).record_doubtful_cut(
+                start, address_of(start), parts_of(text), 0.05
+            )
+
+    run(context, cut())
+
+
+@then("after {seconds:g} s it was tried to connect to {name} once")
+def step_impl(context, seconds, name):
+    run(context, asyncio.sleep(seconds))
+    tried = context.fleet.tried_addresses
+    assert tried == [address_of(ServerStart(name, 1))], tried
+
+
 @when("server {name} ends under {places}")
 def step_impl(context, name, places):
     async def end():
