Leave parts with fewer than three ends of servers out of decisions

Each request that a server cuts is a suspect with a digest of its own for 60 s, so that a storm of resets fills the table, and each decision, up to ten a second, went through all of it.

Decisions and the dropping of old crashes now go through suspects under which three servers have ended, in the same order as before, and through the oldest others.

--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/crashes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/crashes.py
@@ -56,6 +56,9 @@
 
     def __init__(self) -> None:
         self._suspect_by_part: OrderedDict[str, _Suspect] = OrderedDict()
+        # Suspects under which enough servers ended, in the same order. All others, one
+        # for each request that was cut, are left out of decisions.
+        self._repeated: OrderedDict[str, None] = OrderedDict()
         self._is_full = False
 
     def __len__(self) -> int:
@@ -83,12 +86,16 @@
             self._suspect_by_part[part] = replace(suspect, companions=companions)
             self._suspect_by_part.move_to_end(part)
             crash_by_start = suspect.crash_by_start
+            _expire_starts(crash_by_start)
             if start not in crash_by_start:
                 # A prompt's part is in many requests, which may run at the same time.
                 sent_s = ended_s - ran_s if is_digest(part) else float("-inf")
                 _record_start(part, crash_by_start, start, sent_s, ended_s)
+            if len(crash_by_start) >= CRASHES_TO_QUARANTINE:
+                self._repeated[part] = None
+                self._repeated.move_to_end(part)
         while len(self._suspect_by_part) > MAX_SUSPECTS:
-            self._suspect_by_part.popitem(last=False)
+            self.drop(next(iter(self._suspect_by_part)))
             if not self._is_full:
                 self._is_full = True
                 eliot.log_message("part:suspects-full", limit=MAX_SUSPECTS)
@@ -98,6 +105,7 @@
 
         :param part: the part.
         """
+        self._repeated.pop(part, None)
         return self._suspect_by_part.pop(part, None) is not None
 
     def starts(self, part: str) -> dict[ServerStart, Crash]:
@@ -118,29 +126,42 @@
     def items(
         self, excluded: Collection[ServerStart]
     ) -> Iterator[tuple[str, dict[ServerStart, Crash]]]:
-        """Return the parts, each with the servers that ended under it.
+        """Return the parts that may be to blame, with the ends of servers under them.
 
         :param excluded: starts that are left out.
         """
-        for part, suspect in self._suspect_by_part.items():
-            crash_by_start = suspect.crash_by_start
+        for part in self._repeated:
+            crash_by_start = self._suspect_by_part[part].crash_by_start
             yield (
                 part,
                 {s: crash for s, crash in crash_by_start.items() if s not in excluded},
             )
 
     def expire(self) -> None:
-        """Drop crashes that are older than ``CRASH_MEMORY_S``."""
+        """Drop parts without a crash in the last ``CRASH_MEMORY_S``."""
         cutoff_s = now() - CRASH_MEMORY_S
-        for part, suspect in list(self._suspect_by_part.items()):
-            for start, crash in list(suspect.crash_by_start.items()):
-                if crash.at_s <= cutoff_s:
-                    del suspect.crash_by_start[start]
-            if not suspect.crash_by_start:
-                del self._suspect_by_part[part]
+        for part in list(self._repeated):
+            crash_by_start = self._suspect_by_part[part].crash_by_start
+            _expire_starts(crash_by_start)
+            if len(crash_by_start) < CRASHES_TO_QUARANTINE:
+                del self._repeated[part]
+        while self._suspect_by_part:
+            part, suspect = next(iter(self._suspect_by_part.items()))
+            crashes = suspect.crash_by_start.values()
+            if any(crash.at_s > cutoff_s for crash in crashes):
+                break
+            self.drop(part)
         self._is_full = self._is_full and len(self._suspect_by_part) >= MAX_SUSPECTS
 
 
+def _expire_starts(crash_by_start: dict[ServerStart, Crash]) -> None:
+    """Drop crashes that are older than ``CRASH_MEMORY_S``."""
+    cutoff_s = now() - CRASH_MEMORY_S
+    for start, crash in list(crash_by_start.items()):
+        if crash.at_s <= cutoff_s:
+            del crash_by_start[start]
+
+
 def _record_start(
     part: str,
     crash_by_start: dict[ServerStart, Crash],
