--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -33,6 +33,7 @@
 
 # The end of an idle connection crosses a request on its way within a round trip.
 IDLE_CLOSE_S = 0.1
+PROBE_TIMEOUT_S = 0.5
 
 
 class HttpAnswer:
@@ -177,11 +178,29 @@
             connection.close()
             stale = reused and connection.is_unanswered
             was_idle = stale and now() - sent_s < IDLE_CLOSE_S
-            is_cut = failure.is_cut and not was_idle
-            return Err(replace(failure, stale=stale, is_cut=is_cut))
+            failure = replace(
+                failure,
+                stale=stale,
+                is_cut=failure.is_cut and not was_idle,
+                is_idle_cut=failure.is_cut and was_idle,
+            )
+            return Err(failure)
         max_event_bytes = self._settings.answers.max_event_bytes
         return Ok(HttpAnswer(connection, call, self._pool, max_event_bytes))
 
+    async def accepts_connection(self, address: str) -> bool:
+        """Return whether a server accepts a connection, or might do so.
+
+        :param address: ``host:port`` of the server.
+        """
+        timeouts = Timeouts(PROBE_TIMEOUT_S, PROBE_TIMEOUT_S, PROBE_TIMEOUT_S)
+        match await self._connect(address, timeouts):
+            case Ok(connection):
+                connection.close()
+                return True
+            case Err(failure):
+                return failure.timed_out
+
     async def run(self) -> None:
         """Wait until cancelled, then close every pooled connection."""
         try:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
@@ -1,8 +1,10 @@
 """Data classes of a request that a router forwards."""
 
 from dataclasses import dataclass
+from functools import cached_property
 
 from almondfield_core.routing import Prompt, RequestLimits, RouteRule
+from almondfield_daemon.quarantine import request_digests, shared_parts
 from almondfield_daemon.router.calls import Header
 from almondfield_daemon.server_notices import ServerNotice
 
@@ -155,3 +157,25 @@
     def takes_up_stream(self) -> bool:
         """Return whether the caller has events of the stream already."""
         return self.metadata.takes_up_stream
+
+    @cached_property
+    def digests(self) -> tuple[str, ...]:
+        """Return the digests by which the whole request is recognised."""
+        return request_digests(
+            self.method,
+            self.route.domain,
+            self.target,
+            self.team,
+            self.body,
+            self.metadata.prompt,
+        )
+
+    @cached_property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the parts of its prompt that others may share."""
+        return shared_parts(self.metadata.prompt)
+
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Return all by which the request may be quarantined."""
+        return self.shared_parts + self.digests
