Log what answers a request that goes on with a stream

The logs couldn't tell by which status, type and framing an answer went on with a stream. The line stream:resumed tells them.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
@@ -6,6 +6,7 @@
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.outcomes import (
+    Answered,
     AnswerLost,
     FailedAttempt,
     Misdirected,
@@ -13,8 +14,9 @@
     Unsent,
     Withheld,
 )
+from almondfield_daemon.router.events import find_header
 
-__all__ = ["log_attempt"]
+__all__ = ["log_attempt", "log_resumed_stream"]
 
 MAX_LOGGED_PARTS = 16  # of one prompt
 
@@ -51,6 +53,31 @@
     )
 
 
+def log_resumed_stream(
+    request: ForwardRequest, server: FleetServer, last_event_id: str, answered: Answered
+) -> None:
+    """Log the head of an answer to a request that goes on with a stream.
+
+    :param request: the request.
+    :param server: the server that answered.
+    :param last_event_id: last event that the caller has; empty if unknown.
+    :param answered: the answer.
+    """
+    answer = answered.answer
+    content_type = find_header(answer.headers, b"content-type")
+    eliot.log_message(
+        "stream:resumed",
+        request_id=request.metadata.request_id,
+        server=server.name,
+        last_event_id=last_event_id,
+        status=answer.status,
+        content_type=None if content_type is None else content_type.decode("latin-1"),
+        is_encoded=answered.metadata.is_encoded,
+        framing=answer.framing,
+        after_ms=round((now() - request.arrived_s) * 1000, 1),
+    )
+
+
 def _was_silent(outcome: FailedAttempt) -> bool:
     """Return whether this router ended the attempt, as the server sent nothing."""
     match outcome:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -8,7 +8,10 @@
 from almondfield_core.messages import ServerFailure
 from almondfield_core.routing import RequestKind
 from almondfield_daemon.forwarding.answers import read_body
-from almondfield_daemon.forwarding.attempt_log import log_attempt
+from almondfield_daemon.forwarding.attempt_log import (
+    log_attempt,
+    log_resumed_stream,
+)
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import PendingRepeat, RetryWindow
 from almondfield_daemon.forwarding.delivery import AnswerDelivery
@@ -179,8 +182,8 @@
                     if self.delivery.is_started:
                         raise StreamBrokenError(problem.detail)
                     return problem
-                case (SelectedServer() as selected, Answered(answer)):
-                    pass
+                case (SelectedServer() as selected, Answered(answer) as answered):
+                    self._log_resumed(selected, answered)
             try:
                 if self._is_replaceable(answer):
                     raise AnswerCutError(
@@ -204,6 +207,12 @@
                 answer.close()
                 selected.end()
 
+    def _log_resumed(self, selected: SelectedServer, answered: Answered) -> None:
+        if self.delivery.is_started or self._request.takes_up_stream:
+            last_event_id = self.progress.last_event_id
+            server = selected.server
+            log_resumed_stream(self._request, server, last_event_id, answered)
+
     def _is_replaceable(self, answer: BackendAnswer) -> bool:
         """Return whether an answer is a failure that a retry may replace."""
         if self.delivery.is_started:
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/events.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/events.py
@@ -5,7 +5,7 @@
 
 from almondfield_daemon.router.calls import Header
 
-__all__ = ["EventBoundary", "EventTracker", "has_event_stream_type"]
+__all__ = ["EventBoundary", "EventTracker", "find_header", "has_event_stream_type"]
 
 EVENT_STREAM_TYPE = b"text/event-stream"
 # A carriage return at the end may belong to a CRLF whose line feed is yet to arrive.
@@ -70,12 +70,21 @@
 
     :param headers: headers as received.
     """
-    value_by_name = {name.lower(): value for name, value in headers}
-    content_type = value_by_name.get(b"content-type", b"")
+    content_type = find_header(headers, b"content-type") or b""
     media_type, _, _ = content_type.partition(b";")
     return media_type.strip().lower() == EVENT_STREAM_TYPE
 
 
+def find_header(headers: Iterable[Header], name: bytes) -> bytes | None:
+    """Return the value of a header, the last one if there are several; None if absent.
+
+    :param headers: headers as received.
+    :param name: its name in lower case.
+    """
+    values = [value for other, value in headers if other.lower() == name]
+    return values[-1] if values else None
+
+
 class EventTracker:
     """Splits a stream at event boundaries and tracks the identifier of the last event.
 
