--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/resume.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/resume.feature
@@ -29,6 +29,23 @@
     Then the answer is cut
     And every slot is released
 
+  # Guards against an error's text that joins a stream at the same server, and against a
+  # stream that ends as if it were complete.
+  Scenario Outline: A cut is reported if the resume request gets something else than the rest
+    Given a stream of 3 events is cut after 20 bytes
+    And the server sends <parts> to the resume request
+    When a POST is served
+    Then the answer is cut
+    And every slot is released
+
+    Examples:
+      | parts                        |
+      | no event                     |
+      | an error's text              |
+      | an error's text, and event 2 |
+      | event 3                      |
+      | a comment                    |
+
   Scenario: A stream that makes no progress is abandoned
     Given every stream is cut after its first event
     When a POST is served
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/steps/router_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/steps/router_steps.py
@@ -171,6 +171,18 @@
     context.fixture.backends.answers[1] = FakeAnswer((b"gone",), status=status)
 
 
+@given("the server sends {what} to the resume request")
+def step_impl(context, what):
+    parts = {
+        "no event": (),
+        "an error's text": (b"overloaded\n\n",),
+        "an error's text, and event 2": (b"overloaded\n\n", *EVENTS[1:]),
+        "event 3": EVENTS[2:],
+        "a comment": (b": overloaded\n\n",),
+    }[what]
+    context.fixture.backends.answers[1] = stream(*parts)
+
+
 @given("every stream is cut after its first event")
 def step_impl(context):
     cut = stream(EVENTS[0], ServerFailure.STREAM)
