Let only the events that are due join a stream that has begun

What callers saw: the text of an error, or a head, in the middle of a stream that had broken off, or such a stream framed as complete before its last event.

Cause: an answer to a resumed request was joined by its status alone; type and events were not looked at, text without a blank line was sent as the remainder, and the end was judged by the last answer, which ended between events as it had none. Class of fault: an answer is taken for the continuation of another one because it answers the request for it.

Change: router/joining.py decides it once, for a router that resumes a stream at another server or at the same one and for a caller's take-up. Before the first byte: status 200, the type of an event stream or none, no content encoding, the request's identifier, the signature, the version. Then each event has to follow the last one (the next number, unless the stream itself has shown gaps), and other bytes than events and comments are refused. Comments are held until the first event has come. An answer without an event completes no stream. What was refused counts as an answer that was cut: another server may go on, otherwise the caller's answer breaks off.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -26,7 +26,8 @@
     Framing,
     Header,
 )
-from almondfield_daemon.router.events import EventBoundary, has_event_stream_type
+from almondfield_daemon.router.event_types import has_event_stream_type
+from almondfield_daemon.router.events import EventBoundary
 from almondfield_daemon.router.stall import StallTimer
 
 __all__ = ["HttpAnswer", "HttpBackends"]
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempt_log.py
@@ -14,7 +14,7 @@
     Unsent,
     Withheld,
 )
-from almondfield_daemon.router.events import find_header
+from almondfield_daemon.router.event_types import find_header
 
 __all__ = ["log_attempt", "log_resumed_stream"]
 
@@ -54,7 +54,11 @@
 
 
 def log_resumed_stream(
-    request: ForwardRequest, server: FleetServer, last_event_id: str, answered: Answered
+    request: ForwardRequest,
+    server: FleetServer,
+    last_event_id: str,
+    answered: Answered,
+    obstacle: str,
 ) -> None:
     """Log the head of an answer to a request that goes on with a stream.
 
@@ -62,6 +66,7 @@
     :param server: the server that answered.
     :param last_event_id: last event that the caller has; empty if unknown.
     :param answered: the answer.
+    :param obstacle: why it may not go on with the stream; empty if it may.
     """
     answer = answered.answer
     content_type = find_header(answer.headers, b"content-type")
@@ -74,6 +79,7 @@
         content_type=None if content_type is None else content_type.decode("latin-1"),
         is_encoded=answered.metadata.is_encoded,
         framing=answer.framing,
+        obstacle=obstacle,
         after_ms=round((now() - request.arrived_s) * 1000, 1),
     )
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -5,13 +5,9 @@
 
 from almondfield_core.clock import now
 from almondfield_core.findings import AlmondfieldError
-from almondfield_core.messages import ServerFailure
 from almondfield_core.routing import RequestKind
 from almondfield_daemon.forwarding.answers import read_body
-from almondfield_daemon.forwarding.attempt_log import (
-    log_attempt,
-    log_resumed_stream,
-)
+from almondfield_daemon.forwarding.attempt_log import log_attempt
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import PendingRepeat, RetryWindow
 from almondfield_daemon.forwarding.delivery import AnswerDelivery
@@ -40,7 +36,7 @@
     StreamProgress,
 )
 from almondfield_daemon.forwarding.unavailable import RETRY_AFTER_S, Unavailable
-from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer, Header
+from almondfield_daemon.router.calls import AnswerCutError, Header
 from almondfield_daemon.router.problems import Problem
 from almondfield_daemon.scheduling import EngineAssignment
 from almondfield_daemon.server_notices import ServerClosedError
@@ -183,15 +179,12 @@
                         raise StreamBrokenError(problem.detail)
                     return problem
                 case (SelectedServer() as selected, Answered(answer) as answered):
-                    self._log_resumed(selected, answered)
+                    pass
             try:
-                if self._is_replaceable(answer):
-                    raise AnswerCutError(
-                        ServerFailure.STREAM, f"the stream has status {answer.status}"
-                    )
+                self.progress.check_head(answered, selected.server)
                 async with self._watch(selected, self._limits.first_event_s) as watch:
                     settle = partial(self._settle, selected, watch)
-                    await self.progress.forward(answer, selected, watch, settle)
+                    await self.progress.forward(answered, selected, watch, settle)
                 selected.record_success(answer, selected.began_s is not None)
                 return None
             except AnswerCutError as error:
@@ -207,18 +200,6 @@
                 answer.close()
                 selected.end()
 
-    def _log_resumed(self, selected: SelectedServer, answered: Answered) -> None:
-        if self.delivery.is_started or self._request.takes_up_stream:
-            last_event_id = self.progress.last_event_id
-            server = selected.server
-            log_resumed_stream(self._request, server, last_event_id, answered)
-
-    def _is_replaceable(self, answer: BackendAnswer) -> bool:
-        """Return whether an answer is a failure that a retry may replace."""
-        if self.delivery.is_started:
-            return answer.status != 200
-        return answer.status >= FIRST_ERROR_STATUS and self._request.route.is_resumable
-
     def _settle(self, selected: SelectedServer, watch: SilenceWatch) -> None:
         """Record that a server has sent an event, so that the stream stays there."""
         self._hand_over.settle()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stream_progress.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stream_progress.py
@@ -5,18 +5,26 @@
 from almondfield_core.messages import ServerFailure
 from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding.answers import stream_headers
+from almondfield_daemon.forwarding.attempt_log import log_resumed_stream
 from almondfield_daemon.forwarding.delivery import AnswerDelivery
 from almondfield_daemon.forwarding.messages import ForwardRequest
+from almondfield_daemon.forwarding.outcomes import Answered
 from almondfield_daemon.forwarding.ports import StreamOrigins
 from almondfield_daemon.forwarding.selected_server import SelectedServer
 from almondfield_daemon.forwarding.servers import ServerSelector
 from almondfield_daemon.forwarding.silence_watch import SilenceWatch
 from almondfield_daemon.forwarding.take_up import make_origins
-from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer
+from almondfield_daemon.router.calls import SUCCESS_STATUSES, AnswerCutError
 from almondfield_daemon.router.events import EventTracker
+from almondfield_daemon.router.joining import (
+    AnswerHead,
+    StreamPosition,
+    find_obstacle,
+)
 
 __all__ = ["WRONG_VERSION", "StreamProgress"]
 
+FIRST_ERROR_STATUS = 500
 WRONG_VERSION = "the server restarted with another version"
 
 
@@ -47,7 +55,11 @@
         self._servers = servers
         self._origins = origins
         self._delivery = delivery
-        self._tracker = EventTracker(max_event_bytes)
+        self._max_event_bytes = max_event_bytes
+        position = None
+        if request.takes_up_stream:
+            position = StreamPosition(request.metadata.last_event_id.encode("latin-1"))
+        self._tracker = EventTracker(max_event_bytes, position)
         self._is_version_known = True
         self.version = request.stream_version
         self.last_event_id = request.metadata.last_event_id
@@ -68,29 +80,52 @@
             self._request.pool, server
         )
 
+    def check_head(self, answered: Answered, server: FleetServer) -> None:
+        """Return if an answer may be sent to the caller, as far as its head tells.
+
+        :param answered: the answer.
+        :param server: its server.
+        :raises AnswerCutError: if it can't be used; another one may replace it.
+        """
+        status = answered.answer.status
+        if self._goes_on(answered):
+            obstacle = self._find_obstacle(answered, server)
+            log_resumed_stream(
+                self._request, server, self.last_event_id, answered, obstacle
+            )
+            if obstacle:
+                raise AnswerCutError(ServerFailure.STREAM, obstacle)
+        elif status >= FIRST_ERROR_STATUS and self._request.route.is_resumable:
+            reason = f"the stream has status {status}"
+            raise AnswerCutError(ServerFailure.STREAM, reason)
+
     async def forward(
         self,
-        answer: BackendAnswer,
+        answered: Answered,
         selected: SelectedServer,
         watch: SilenceWatch,
         on_first_event: Callable[[], None],
     ) -> None:
         """Send complete events as they arrive.
 
-        :param answer: the answer of a server.
+        :param answered: the answer of a server.
         :param selected: the server.
         :param watch: watches the waits for it.
         :param on_first_event: called when the first event of this answer has arrived.
         :raises AnswerCutError: if the answer ends early or can't be used.
         """
+        answer = answered.answer
         headers = stream_headers(answer)
         tracker = self._tracker
+        if self._request.takes_up_stream and not self._goes_on(answered):
+            # A failure is an answer of its own, and no part of the stream.
+            tracker = EventTracker(self._max_event_bytes)
         has_events = False
         watch.begin()
         async for chunk in answer.chunks():
             watch.end()
-            if not has_events and self.has_wrong_version(selected.server):
-                raise AnswerCutError(ServerFailure.STREAM, WRONG_VERSION)
+            if not has_events and tracker.has_begun:
+                _raise_if(self._find_obstacle(answered, selected.server))
             events = tracker.feed(chunk)
             if events:
                 if not has_events:
@@ -100,11 +135,14 @@
                 self._record_origin(selected.server)
                 await self._delivery.start(answer.status, headers)
                 await self._delivery.send_events(events)
+            _raise_if(tracker.obstacle)
             watch.begin()
         watch.end()
-        await self._delivery.start(answer.status, headers)
         self.unfinished_bytes = tracker.unfinished_bytes
-        await self._delivery.finish(tracker.take_remainder())
+        rest = tracker.finish()
+        _raise_if(tracker.obstacle)
+        await self._delivery.start(answer.status, headers)
+        await self._delivery.finish(rest)
 
     def cut(self) -> None:
         """Record that an answer has ended early."""
@@ -114,6 +152,30 @@
         if tracker.last_id is not None:
             self.last_event_id = tracker.last_id.decode("latin-1")
 
+    def _goes_on(self, answered: Answered) -> bool:
+        """Return whether the bytes of an answer are to follow earlier events.
+
+        A caller that takes a stream up gets a failure as it is.
+        """
+        if self._delivery.is_started:
+            return True
+        is_success = answered.answer.status in SUCCESS_STATUSES
+        return self._request.takes_up_stream and is_success
+
+    def _find_obstacle(self, answered: Answered, server: FleetServer) -> str:
+        """Return why an answer may not go on with the stream; empty if it may."""
+        answer, metadata = answered.answer, answered.metadata
+        return find_obstacle(
+            AnswerHead(
+                status=answer.status,
+                headers=answer.headers,
+                is_encoded=metadata.is_encoded,
+                names_request=metadata.request_id == self._request.metadata.request_id,
+                is_signed=metadata.is_signed,
+                has_wrong_version=self.has_wrong_version(server),
+            )
+        )
+
     def _record_origin(self, server: FleetServer) -> None:
         """Record where the stream began, before its caller has an event."""
         if not self._delivery.is_started:
@@ -123,3 +185,9 @@
             if self._request.route.is_resumable and not has_changed:
                 for origin in make_origins(self._request, server):
                     self._origins.record(origin)
+
+
+def _raise_if(obstacle: str) -> None:
+    """Raise an error if an answer can't go on with a stream."""
+    if obstacle:
+        raise AnswerCutError(ServerFailure.STREAM, obstacle)
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/events.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/events.py
@@ -1,13 +1,11 @@
 """Finds complete server-sent events in a byte stream."""
 
 import re
-from collections.abc import Iterable
 
-from almondfield_daemon.router.calls import Header
+from almondfield_daemon.router.joining import JoinGuard, StreamPosition
 
-__all__ = ["EventBoundary", "EventTracker", "find_header", "has_event_stream_type"]
+__all__ = ["EventBoundary", "EventTracker"]
 
-EVENT_STREAM_TYPE = b"text/event-stream"
 # A carriage return at the end may belong to a CRLF whose line feed is yet to arrive.
 LINE_END = rb"(?:\r\n|\n|\r(?!\n|\Z))"
 EVENT_END = re.compile(LINE_END + LINE_END)
@@ -65,43 +63,38 @@
             self.is_oversized = True
 
 
-def has_event_stream_type(headers: Iterable[Header]) -> bool:
-    """Return whether an answer with these headers is an event stream.
-
-    :param headers: headers as received.
-    """
-    content_type = find_header(headers, b"content-type") or b""
-    media_type, _, _ = content_type.partition(b";")
-    return media_type.strip().lower() == EVENT_STREAM_TYPE
-
-
-def find_header(headers: Iterable[Header], name: bytes) -> bytes | None:
-    """Return the value of a header, the last one if there are several; None if absent.
-
-    :param headers: headers as received.
-    :param name: its name in lower case.
-    """
-    values = [value for other, value in headers if other.lower() == name]
-    return values[-1] if values else None
-
-
 class EventTracker:
     """Splits a stream at event boundaries and tracks the identifier of the last event.
 
-    A body without events is passed on in parts that are larger than the limit.
+    A body without events is passed on in parts that are larger than the limit. Only
+    what goes on with it joins a stream that has begun.
 
     :param max_event_bytes: limit on one event, in bytes.
+    :param position: where the stream has to go on; None if it has not begun.
 
     :ivar last_id: identifier of the last complete event; None if the stream cannot
         be resumed after it.
     """
 
-    def __init__(self, max_event_bytes: int) -> None:
+    def __init__(
+        self, max_event_bytes: int, position: StreamPosition | None = None
+    ) -> None:
         self._max_event_bytes = max_event_bytes
         self.last_id: bytes | None = None
         self._partial = b""
         self._oversized = False
-        self._skip_id: bytes | None = None
+        self._position = position
+        self._guard = self._make_guard()
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether this answer has to go on with events of an earlier one."""
+        return self._guard is not None
+
+    @property
+    def obstacle(self) -> str:
+        """Return why this answer can't go on with the stream; empty if it does."""
+        return self._guard.obstacle if self._guard is not None else ""
 
     @property
     def unfinished_bytes(self) -> int:
@@ -122,18 +115,20 @@
         for end in EVENT_END.finditer(data, max(0, len(self._partial) - 3)):
             event = data[start : end.end()]
             start = end.end()
-            if self._record(event):
-                complete_events.append(event)
+            complete_events.append(self._admit(event))
         self._partial = data[start:]
         if len(self._partial) > self._max_event_bytes:
-            self._oversized = True
-            self.last_id = None
-            complete_events.append(self.take_remainder())
+            complete_events.append(self._give_up_events())
         return b"".join(complete_events)
 
-    def take_remainder(self) -> bytes:
+    def finish(self) -> bytes:
         """Return the bytes after the last complete event, at the end of the stream."""
         rest, self._partial = self._partial, b""
+        if self._guard is None:
+            return rest
+        if rest:
+            rest = self._admit(rest)
+        self._guard.end()
         return rest
 
     def restart(self) -> None:
@@ -142,15 +137,31 @@
         The stream may also repeat the last complete event, which is then skipped.
         """
         self._partial = b""
-        self._skip_id = self.last_id
-
-    def _record(self, event: bytes) -> bool:
-        """Record an event's identifier and return whether to deliver the event."""
-        if not EVENT_DATA.search(event):
-            return True
-        ids = EVENT_ID.findall(event)
-        skip_id, self._skip_id = self._skip_id, None
-        if ids and ids[-1] == skip_id:
-            return False
-        self.last_id = ids[-1] if ids and ids[-1] else None
-        return True
+        self._guard = self._make_guard()
+
+    def _make_guard(self) -> JoinGuard | None:
+        if self._position is None:
+            return None
+        return JoinGuard(self._position, self._max_event_bytes)
+
+    def _give_up_events(self) -> bytes:
+        """Return bytes that are larger than an event may be."""
+        rest, self._partial = self._partial, b""
+        if self._guard is not None:
+            self._guard.obstacle = f"no event within {self._max_event_bytes} bytes"
+            return b""
+        self._oversized = True
+        self.last_id = None
+        return rest
+
+    def _admit(self, block: bytes) -> bytes:
+        """Record an event's identifier and return what to deliver."""
+        if self._guard is not None:
+            block = self._guard.admit(block)
+        if EVENT_DATA.search(block):
+            ids = EVENT_ID.findall(block)
+            self.last_id = ids[-1] if ids and ids[-1] else None
+            if self.last_id is not None:
+                position = self._position or StreamPosition(b"")
+                self._position = position.after(self.last_id)
+        return block
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/resume.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/resume.py
@@ -5,14 +5,16 @@
 
 from result import Err, Ok, Result
 
+from almondfield_core.messages import ServerFailure
 from almondfield_daemon.router.calls import AnswerCutError, BackendAnswer, CallFailure
-from almondfield_daemon.router.events import EventTracker, has_event_stream_type
+from almondfield_daemon.router.event_types import find_header, has_event_stream_type
+from almondfield_daemon.router.events import EventTracker
+from almondfield_daemon.router.joining import AnswerHead, find_obstacle
 
 __all__ = ["ResumingAnswer", "can_resume"]
 
 MAX_RESUMES_WITHOUT_PROGRESS = 3
 RESUME_DELAY_S = 0.1
-UNRESUMABLE_HEADERS = (b"content-length", b"content-encoding")
 
 
 def can_resume(answer: BackendAnswer) -> bool:
@@ -20,10 +22,15 @@
 
     :param answer: the answer.
     """
-    names = {name.lower() for name, _ in answer.headers}
-    if any(name in names for name in UNRESUMABLE_HEADERS):
+    if find_header(answer.headers, b"content-length") is not None:
         return False
-    return answer.status == 200 and has_event_stream_type(answer.headers)
+    is_encoded = find_header(answer.headers, b"content-encoding") is not None
+    head = AnswerHead(answer.status, answer.headers, is_encoded)
+    return has_event_stream_type(answer.headers) and not find_obstacle(head)
+
+
+class _NotJoinedError(AnswerCutError):
+    """Raised if an answer does not go on with the stream."""
 
 
 class ResumingAnswer:
@@ -67,10 +74,15 @@
                     if events:
                         tries = 0
                         yield events
-                rest = tracker.take_remainder()
+                    _check_joined(tracker)
+                rest = tracker.finish()
                 if rest:
                     yield rest
+                _check_joined(tracker)
                 return
+            except _NotJoinedError:
+                self._answer.close()
+                raise
             except AnswerCutError as error:
                 tries += 1
                 await self._reconnect(tracker, tries, error)
@@ -98,3 +110,8 @@
                 case Err(_):
                     tries += 1
         raise error
+
+
+def _check_joined(tracker: EventTracker) -> None:
+    if tracker.obstacle:
+        raise _NotJoinedError(ServerFailure.STREAM, tracker.obstacle)
