--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -52,6 +52,7 @@
     def __init__(self, status, metadata, chunks, is_truncated, server, silence_s=0.0):
         self._silence_s = silence_s
         self.status = status
+        self.is_first = True
         self.framing = Framing.CHUNKS
         self.received_bytes = 0
         self.received_s = asyncio.get_running_loop().time()
@@ -143,6 +144,16 @@
             case "reports that it did not run it":
                 not_run = replace(metadata, is_signed=False, was_not_run=True)
                 return Ok(FakeAnswer(503, not_run, [], False, self))
+            case "refuses without a name, on a kept connection":
+                return Ok(self._unnamed(503, was_not_run=True, is_first=False))
+            case "refuses without a name, on a new connection":
+                return Ok(self._unnamed(503, was_not_run=True, is_first=True))
+            case "has moved without a name, on a kept connection":
+                return Ok(self._unnamed(421, was_not_run=False, is_first=False))
+            case "has moved without a name, on a new connection":
+                return Ok(self._unnamed(421, was_not_run=False, is_first=True))
+            case "fails without a name, on a kept connection":
+                return Ok(self._unnamed(500, was_not_run=False, is_first=False))
             case "lost its address to another":
                 return Ok(FakeAnswer(421, metadata, [], False, self))
             case "loses its answer":
@@ -179,6 +190,13 @@
             case _:
                 return Ok(FakeAnswer(200, metadata, events, False, self))
 
+    def _unnamed(self, status, was_not_run, is_first):
+        """Return an answer that names no request."""
+        metadata = AnswerMetadata(was_not_run=was_not_run)
+        answer = FakeAnswer(status, metadata, [b"failed"], False, self)
+        answer.is_first = is_first
+        return answer
+
     async def _answer_silently(self, call, metadata, events):
         if self.failure.endswith("before its answer"):
             answer = FakeAnswer(200, metadata, events, False, self)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/forwarding.feature
@@ -50,6 +50,21 @@
     When a request is served
     Then the caller gets 502 unknown
 
+  # Guards against an earlier answer on a kept connection that is taken for the next one.
+  Scenario Outline: An answer without a name counts only on a connection of its own
+    Given a "idempotent" route with 2 attempts and 2 servers
+    And every server <answer>
+    When a request is served
+    Then the caller gets <outcome>
+
+    Examples:
+      | answer                                         | outcome     |
+      | refuses without a name, on a kept connection   | 502 unknown |
+      | refuses without a name, on a new connection    | 503 not-run |
+      | has moved without a name, on a kept connection | 502 unknown |
+      | has moved without a name, on a new connection  | 503 not-run |
+      | fails without a name, on a kept connection     | 502 unknown |
+
   Scenario: Every server refuses
     Given a "non-idempotent" route with 3 attempts and 3 servers
     And every server reports that it did not run it
