Believe answers that name no request only on connections of their own

What callers saw: 503, not run, for idempotent requests and resumable streams that a server ran, where the server had written an earlier refusal without an identifier once more (REFUSED).

Cause: an answer that names another request is given up, but one that names none was taken for the answer of whichever request waits on the connection. Class of fault: an answer is matched to its request by the connection alone, although the connection had others before.

Change: an answer without an identifier counts only if it is the first of its connection; on a kept one the request may have run. This holds for refusals, moved addresses and failures.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -43,6 +43,7 @@
     :param call: the call that is answered.
     :param pool: receives the connection once the answer is complete.
     :param max_event_bytes: limit on one event of an event stream, in bytes.
+    :param is_first: whether the connection carried no answer before.
     """
 
     def __init__(
@@ -51,7 +52,9 @@
         call: BackendCall,
         pool: ConnectionPool,
         max_event_bytes: int,
+        is_first: bool = True,
     ) -> None:
+        self.is_first = is_first
         self._connection = connection
         self._call = call
         self._pool = pool
@@ -181,7 +184,7 @@
             is_cut = failure.is_cut and not was_idle
             return Err(replace(failure, stale=stale, is_cut=is_cut))
         max_event_bytes = self._settings.answers.max_event_bytes
-        return Ok(HttpAnswer(connection, call, self._pool, max_event_bytes))
+        return Ok(HttpAnswer(connection, call, self._pool, max_event_bytes, not reused))
 
     async def run(self) -> None:
         """Wait until cancelled, then close every pooled connection."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
@@ -152,6 +152,9 @@
         self, request: ForwardRequest, answer: BackendAnswer
     ) -> Attempt:
         metadata = self._codec.read_answer(answer.status, answer.headers)
+        if not metadata.request_id and not answer.is_first:
+            answer.close()
+            return AnswerLost("the answer names no request, on a kept connection")
         if metadata.request_id not in ("", request.metadata.request_id):
             answer.close()
             return AnswerLost("the answer belongs to another request")
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
@@ -126,6 +126,13 @@
     def framing(self) -> Framing:
         """Return how the answer states where its body ends."""
 
+    @property
+    def is_first(self) -> bool:
+        """Return whether its connection carried no answer before.
+
+        Another answer may be a repetition of an earlier one.
+        """
+
     @property
     def received_s(self) -> float:
         """Return when the head was received, in seconds of the loop's clock."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/resume.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/resume.py
@@ -55,6 +55,11 @@
         self._answer = answer
         self._resume = resume
 
+    @property
+    def is_first(self) -> bool:
+        """Return whether the newest answer is the first one of its connection."""
+        return self._answer.is_first
+
     @property
     def received_bytes(self) -> int:
         """Return the bytes received so far of the newest answer."""
