Send repeats on new connections

What callers saw: 502 for idempotent requests and resumable streams whose two servers had each written an earlier refusal once more, though the second server ran the request to a good end.

Cause: the repeat took a kept connection as well, on which the same thing, or the end of an idle connection, makes its outcome unknown once more; with the attempts used up, the caller gets 502.

Change: once an attempt may have run, further attempts get connections of their own. Attempts after refusals share connections as before, so that full servers cost no further connections.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
@@ -69,6 +69,7 @@
         last_event_id: str,
         watch: SilenceWatch,
         check: Callable[[], None],
+        is_repeat: bool,
     ) -> Attempt:
         """Return the outcome of one attempt, once the head of the answer has arrived.
 
@@ -78,13 +79,14 @@
         :param watch: watches the wait for the head of the answer.
         :param check: called right before the request is sent; raises an error if the
             caller has left or the server takes no work any more.
+        :param is_repeat: whether an earlier attempt may have run.
         """
 
         def check_and_begin() -> None:
             check()
             watch.begin()
 
-        call = self._call(request, server, last_event_id, check_and_begin)
+        call = self._call(request, server, last_event_id, check_and_begin, is_repeat)
         try:
             result = await self._backends.send(call)
             watch.end()
@@ -108,6 +110,7 @@
         server: FleetServer,
         last_event_id: str,
         check: Callable[[], None],
+        is_repeat: bool,
     ) -> BackendCall:
         headers = tuple(
             header
@@ -132,7 +135,7 @@
             prepare_headers=prepare_headers,
             body=request.body,
             timeouts=self._timeouts(request),
-            pooled=_may_share_connection(request),
+            pooled=_may_share_connection(request, is_repeat),
             authority=value_by_name.get(b"host", b""),
             may_end_by_close=True,
             expects_events=request.route.kind is RequestKind.STREAMING,
@@ -190,10 +193,11 @@
             answer.close()
 
 
-def _may_share_connection(request: ForwardRequest) -> bool:
+def _may_share_connection(request: ForwardRequest, is_repeat: bool) -> bool:
     """Return whether a pooled connection may carry the request.
 
-    If the server closes an idle connection while the request is sent, it is unknown
-    whether the request ran.
+    If the server closes an idle connection while the request is sent, or repeats an
+    earlier answer, it is unknown whether the request ran. A repeat, which may be the
+    last one, is spared that.
     """
-    return request.route.may_run_again
+    return request.route.may_run_again and not is_repeat
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -260,6 +260,7 @@
                     self.progress.last_event_id,
                     watch,
                     lambda: self._check_before_sending(selected),
+                    is_repeat=may_have_run,
                 )
         except AnswerCutError as error:
             outcome = AnswerLost(str(error), timed_out=error.timed_out)
