Let streams that are taken up without a last event begin with any event

A caller that names the attempt which began a stream, but no last event, gets the stream from its beginning; an event without an identifier would have been refused there.

Change: where no last event is known, the first event may have any identifier or none; bytes that are no event, other types and answers without events are refused as before.

Evidence: 3 scenarios more in joining.feature, among them a stream without type and events.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/joining.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/joining.feature
@@ -75,17 +75,17 @@
     Then each caller has events 3 to 6 and a complete answer
 
     Examples:
-      | answer                             |
-      | an error's text as JSON            |
-      | an error's text as events          |
-      | an error's text before the events  |
-      | a head before the events           |
-      | an event without a number          |
-      | events from 4 on                   |
-      | events from 1 on                   |
-      | no events                          |
-      | a comment                          |
-      | the right events with status 201   |
+      | answer                            |
+      | an error's text as JSON           |
+      | an error's text as events         |
+      | an error's text before the events |
+      | a head before the events          |
+      | an event without a number         |
+      | events from 4 on                  |
+      | events from 1 on                  |
+      | no events                         |
+      | a comment                         |
+      | the right events with status 201  |
 
   Scenario Outline: Streams whose numbers don't follow each other go on where that can't be told
     Given a "resumable" route with 2 attempts and 2 servers
@@ -93,10 +93,22 @@
     Then its caller has the numbers <numbers> and an answer that <ends>
 
     Examples:
-      | first | next  | numbers   | ends        |
+      | first | next  | numbers     | ends        |
       | 10 20 | 30 40 | 10 20 30 40 | is complete |
-      | 10 20 | 15 30 | 10 20     | breaks off  |
-      | 10 20 | 30 25 | 10 20 30  | breaks off  |
-      | a b   | c d   | a b c d   | is complete |
-      | 7 8   | 10 11 | 7 8       | breaks off  |
-      | 7     | 8 9   | 7 8 9     | is complete |
+      | 10 20 | 15 30 | 10 20       | breaks off  |
+      | 10 20 | 30 25 | 10 20 30    | breaks off  |
+      | a b   | c d   | a b c d     | is complete |
+      | 7 8   | 10 11 | 7 8         | breaks off  |
+      | 7     | 8 9   | 7 8 9       | is complete |
+
+  # A caller that names no last event gets the stream from its beginning.
+  Scenario Outline: A stream that is taken up without its last event begins with any event
+    Given a "resumable" route with 2 attempts and 2 servers
+    When callers take streams up after no event, and each server answers with <answer>
+    Then <outcome>
+
+    Examples:
+      | answer                  | outcome                                             |
+      | events from 1 on        | each caller has events 1 to 6 and a complete answer |
+      | an error's text as JSON | each caller gets 502 and no byte of a stream        |
+      | no events               | each caller gets 502 and no byte of a stream        |
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/joining_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/joining_steps.py
@@ -12,28 +12,26 @@
     half_event,
 )
 from almondfield_daemon.forwarding.tests.requests import serve
+from almondfield_daemon.streams import StreamOrigin
 from almondfield_testing import run
 
 # What the first server sends after event 2, with the identifier of event 3 and without.
 BREAKS = (b"", half_event(3), b"i", b"id: 3\ndata: x\n", b": comment\n")
 
 
-def begin_steps(context):
-    """Return the steps of the background as a function that starts them anew."""
-
-    def begin(attempts, count):
-        context.execute_steps(
-            f'Given a "resumable" route with {attempts} attempts and {count} servers'
-        )
-
-    return begin
+def start_anew(context, server_count):
+    """Start with a new route and new servers, each of which may be asked once."""
+    context.execute_steps(
+        f'Given a "resumable" route with {server_count} attempts '
+        f"and {server_count} servers"
+    )
 
 
 def serve_broken(context, server_count, is_split):
     """Serve streams that break off in each way; keep what their callers got."""
     context.served = []
     for rest in BREAKS:
-        begin_steps(context)(server_count, server_count)
+        start_anew(context, server_count)
         follow(context.servers[0], Script(events(1, 2) + rest, is_cut=True))
         follow(context.servers[1], context.script, is_split)
         served = run(context, serve(context))
@@ -61,24 +59,29 @@
     context.script = SCRIPT_BY_NAME[answer]
     context.served = []
     for is_split in (False, True):
-        begin_steps(context)(2, 2)
+        start_anew(context, 2)
         for server in context.servers:
             follow(server, context.script, is_split)
         context.served.append(run(context, serve(context, last_event_id="2")))
 
 
+@when("callers take streams up after no event, and each server answers with {answer}")
+def step_impl(context, answer):
+    start_anew(context, 2)
+    context.origins.origin_by_request["a"] = StreamOrigin("a", "p", "s0", "", 0.0)
+    for server in context.servers:
+        follow(server, SCRIPT_BY_NAME[answer])
+    context.served = [run(context, serve(context, first_request_id="a"))]
+
+
 @when("callers take streams up after event 2, and the second server is sound")
 def step_impl(context):
-    begin_steps(context)(2, 2)
+    start_anew(context, 2)
     follow(context.servers[0], context.script)
     context.served = [run(context, serve(context, last_event_id="2"))]
     assert context.servers[1].received[0].last_event_id == "2"
 
 
-def received_ids(body):
-    return re.findall(rb"^id: (\w+)$", body, re.MULTILINE)
-
-
 @then("each caller has events {first:d} to {last:d} and {ends}")
 def step_impl(context, first, last, ends):
     is_complete = ends == "a complete answer"
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/joining.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/joining.py
@@ -188,10 +188,10 @@
 
 def _is_due(position: StreamPosition, event_id: bytes, is_first: bool) -> bool:
     """Return whether an event may be the next one."""
-    if not event_id:
-        return not is_first
     if not position.last_id:
         return True
+    if not event_id:
+        return not is_first
     last, number = _number(position.last_id), _number(event_id)
     if last is None and number is None:
         return event_id != position.last_id
