--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -26,7 +26,8 @@
     Framing,
     Header,
 )
-from almondfield_daemon.router.events import EventBoundary, has_event_stream_type
+from almondfield_daemon.router.event_types import has_event_stream_type
+from almondfield_daemon.router.events import EventBoundary
 from almondfield_daemon.router.stall import StallTimer
 
 __all__ = ["HttpAnswer", "HttpBackends"]
@@ -43,6 +44,7 @@
     :param call: the call that is answered.
     :param pool: receives the connection once the answer is complete.
     :param max_event_bytes: limit on one event of an event stream, in bytes.
+    :param is_first: whether the connection carried no answer before.
     """
 
     def __init__(
@@ -51,7 +53,9 @@
         call: BackendCall,
         pool: ConnectionPool,
         max_event_bytes: int,
+        is_first: bool = True,
     ) -> None:
+        self.is_first = is_first
         self._connection = connection
         self._call = call
         self._pool = pool
@@ -186,7 +190,7 @@
             )
             return Err(failure)
         max_event_bytes = self._settings.answers.max_event_bytes
-        return Ok(HttpAnswer(connection, call, self._pool, max_event_bytes))
+        return Ok(HttpAnswer(connection, call, self._pool, max_event_bytes, not reused))
 
     async def accepts_connection(self, address: str) -> bool:
         """Return whether a server accepts a connection, or might do so.
