Complete streams that broke off after their last event by answers without events

Cause: the change refused each answer without an event, wherever the stream had broken off.

Change: an answer without an event is refused where a further event is known to be due: a part of it came before the stream broke off, or a caller takes the stream up. Otherwise its end is the end of the stream, as before.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stream_progress.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stream_progress.py
@@ -58,7 +58,9 @@
         self._max_event_bytes = max_event_bytes
         position = None
         if request.takes_up_stream:
-            position = StreamPosition(request.metadata.last_event_id.encode("latin-1"))
+            # The caller misses an event, or it would not ask for the rest.
+            last_id = request.metadata.last_event_id.encode("latin-1")
+            position = StreamPosition(last_id, is_event_due=True)
         self._tracker = EventTracker(max_event_bytes, position)
         self._is_version_known = True
         self.version = request.stream_version
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/joining.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/joining.feature
@@ -25,18 +25,39 @@
       | an event with a word as its number |
       | events from 4 on                   |
       | events from 1 on                   |
-      | event 2 again and no other         |
       | event 2 again and events from 4 on |
-      | no events                          |
-      | no events and no type              |
-      | a comment                          |
-      | a part of a comment                |
-      | blank lines                        |
       | the right events with status 201   |
       | status 204                         |
       | status 404                         |
       | the right events, encoded          |
 
+  # Guards against a stream that ends as complete although a part of its next event came.
+  Scenario Outline: An answer without a further event doesn't complete a stream inside an event
+    Given a "resumable" route with 2 attempts and 2 servers
+    When streams break off inside event 3, and go on with <answer>
+    Then each caller has events 1 to 2 and an answer that breaks off
+    When streams break off alike, and a third server may go on
+    Then each caller has events 1 to 6 and a complete answer
+
+    Examples:
+      | answer                     |
+      | event 2 again and no other |
+      | no events                  |
+      | no events and no type      |
+      | a comment                  |
+      | a part of a comment        |
+      | blank lines                |
+
+  Scenario Outline: A stream that broke off after its last event is completed by one without events
+    Given a "resumable" route with 2 attempts and 2 servers
+    When streams break off after event 2, and go on with <answer>
+    Then each caller has events 1 to 2 and a complete answer
+
+    Examples:
+      | answer                     |
+      | event 2 again and no other |
+      | no events                  |
+
   # Guards against what follows the first event of a joined answer unchecked.
   Scenario Outline: A joined answer stops at the first bytes that don't go on with the stream
     Given a "resumable" route with 2 attempts and 2 servers
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/events.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/events.py
@@ -1,8 +1,9 @@
 """Finds complete server-sent events in a byte stream."""
 
 import re
+from dataclasses import replace
 
-from almondfield_daemon.router.joining import JoinGuard, StreamPosition
+from almondfield_daemon.router.joining import JoinGuard, StreamPosition, begins_event
 
 __all__ = ["EventBoundary", "EventTracker"]
 
@@ -136,6 +137,8 @@
 
         The stream may also repeat the last complete event, which is then skipped.
         """
+        if self._position is not None and begins_event(self._partial):
+            self._position = replace(self._position, is_event_due=True)
         self._partial = b""
         self._guard = self._make_guard()
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/joining.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/joining.py
@@ -5,12 +5,12 @@
 """
 
 import re
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from almondfield_daemon.router.calls import Header
 from almondfield_daemon.router.event_types import EVENT_STREAM_TYPE, media_type
 
-__all__ = ["AnswerHead", "JoinGuard", "StreamPosition", "find_obstacle"]
+__all__ = ["AnswerHead", "JoinGuard", "StreamPosition", "begins_event", "find_obstacle"]
 
 MAX_SHOWN_BYTES = 40  # of bytes that are no event, in error messages
 MAX_DIGITS = 18
@@ -47,10 +47,12 @@
     :ivar last_id: identifier of the last event that the caller has; empty if unknown.
     :ivar is_consecutive: whether the identifiers so far have no gaps, as far as they
         are numbers.
+    :ivar is_event_due: whether the stream is known to have a further event.
     """
 
     last_id: bytes
     is_consecutive: bool = True
+    is_event_due: bool = False
 
     def after(self, event_id: bytes) -> "StreamPosition":
         """Return the position after the next event.
@@ -62,7 +64,7 @@
         last, number = _number(self.last_id), _number(event_id)
         has_gap = last is not None and number is not None and number != last + 1
         is_consecutive = self.is_consecutive and not has_gap
-        return replace(self, last_id=event_id, is_consecutive=is_consecutive)
+        return StreamPosition(event_id, is_consecutive)
 
 
 @dataclass(frozen=True)
@@ -90,6 +92,20 @@
     line: bytes
 
 
+def begins_event(data: bytes) -> bool:
+    """Return whether the bytes at which a stream broke off belong to a further event.
+
+    :param data: the bytes after the last event.
+    """
+    lines = LINE_END.split(data)
+    for line in lines:
+        if line and not line.startswith(b":"):
+            names = (b"data:", b"event:", b"id:")
+            is_part = any(name.startswith(line) for name in names)
+            return is_part or FIELD.fullmatch(line) is not None
+    return False
+
+
 def find_obstacle(head: AnswerHead) -> str:
     """Return why an answer may not go on with a stream; empty if its head allows it.
 
@@ -159,11 +175,14 @@
                 return self._admit_event(event_id, block)
 
     def end(self) -> None:
-        """Record the end of the answer, which must have had an event.
+        """Record the end of the answer.
 
-        A stream that broke off isn't over because its next server has nothing to say.
+        A stream that broke off inside an event isn't over because its next server has
+        nothing to say.
         """
-        if not self.obstacle and not self._has_event:
+        if self.obstacle or self._has_event:
+            return
+        if self.position.is_event_due:
             self.obstacle = f"the answer has no event after {self.position.last_id!r}"
 
     def _admit_event(self, event_id: bytes, block: bytes) -> bytes:
