Show that a change waits for the next one after its write failed once

A voter whose write failed writes the entry again, but counts it as synced only with the next entry: where the leader's own copy is needed for the quorum, the operator gets no acknowledgement, and the change isn't in force though it is on the disk.

--- a/packages/almondfield-control/src/almondfield_control/tests/storage.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/storage.feature
@@ -83,6 +83,14 @@
     And h4 submits change "later" at its current revision
     Then change "later" is accepted
 
+  # Guards against a change that waits for the next one: the entry whose write failed once,
+  # and was written again, doesn't count as synced at its leader.
+  Scenario: an entry whose write failed once is committed when it is written again
+    Given a fleet of 2 hosts with 1 voters
+    When the voter's next write fails once, as it appends an entry
+    And 3 seconds pass
+    Then the entry is committed, and no other one follows it
+
   # Guards against acknowledged entries that leave a disk, as an older snapshot of the
   # member replaces the leader's newer one.
   Scenario: a compaction that begins while a snapshot is installed doesn't undo it
