Count an entry as synced when a write that failed is repeated

It matters where the leader's copy is needed for the quorum. The class of fault: a state is recorded by the attempt, not by its outcome.

The scenario fails before, with the entry not committed after 3 s.

--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -20,7 +20,7 @@
 from almondfield_control.consensus.snapshots import Snapshot, SnapshotStore
 from almondfield_control.errors import StorageError
 from almondfield_control.state import ControlState, decode_image
-from almondfield_control.storage import Disk, HardState, Journal
+from almondfield_control.storage import RETRY_INTERVAL_S, Disk, HardState, Journal
 from almondfield_core.clock import WallClock, now
 from almondfield_core.messages import ControlUnavailable
 from almondfield_core.ports import Peers
@@ -337,7 +337,9 @@
         try:
             await written
         except StorageError:
-            return
+            # The journal writes it again before any later write.
+            while self.journal.failure is not None:
+                await asyncio.sleep(RETRY_INTERVAL_S)
         self.mark_durable(entry.index, entry.term)
         if self.leadership is not None:
             self.leadership.advance_commit_index()
--- a/packages/almondfield-control/src/almondfield_control/storage/core.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/core.py
@@ -12,7 +12,14 @@
 from almondfield_control.storage.records import encode_frame, read_frames
 from almondfield_core.findings import Finding
 
-__all__ = ["Disk", "HardState", "Journal", "Recovered", "encode_initial_journal"]
+__all__ = [
+    "RETRY_INTERVAL_S",
+    "Disk",
+    "HardState",
+    "Journal",
+    "Recovered",
+    "encode_initial_journal",
+]
 
 _JOURNAL_PREFIX = "journal-"
 _SNAPSHOT_PREFIX = "snapshot-"
