Show that data which comes as another server is found is dropped

A silent server that goes on in the iteration of the event loop in which the scheduler's reply arrives loses its stream: its data has been read, but the task that waits for it is cancelled before it runs. The request runs a second time, and the caller waits for another server.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/silence.feature
@@ -433,3 +433,12 @@
     And the second server never answers
     When a request is served
     Then the caller gets 500
+
+  # Guards against an answer that is dropped, and a request that runs twice, as the silent
+  # server goes on in the iteration of the event loop in which another one is found.
+  Scenario: A server whose data comes in the iteration in which another one is found keeps its stream
+    Given a "resumable" route with 2 attempts and 3 servers
+    When a prompt's silent server goes on right after the scheduler has found another one
+    Then 1 servers received it
+    And the caller gets 200
+    And no server counts the request as in flight
