Keep a request at its silent server if its data has come as another is found

Callers wait for a second server, and the request runs twice, though the first one has gone on: the search that had found another server cancelled the task that waits for the first, whose data had been read in the same iteration of the event loop. The class of fault: a step that can't be taken back is taken before what it depends on is looked at.

The search now waits for a timer of the loop after it has found a server. Timers are handled after the data of their iteration, so the task that waits runs first and cancels the search, which gives its place and repeats back.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_watch.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_watch.py
@@ -13,6 +13,7 @@
 __all__ = ["SilenceWatch"]
 
 SEARCH_INTERVAL_S = 0.3  # doubles after each search; many servers may be silent
+ARRIVED_S = 1e-6  # a sleep of 0 sets no timer
 
 
 class SilenceWatch:
@@ -110,9 +111,24 @@
         while True:
             found = await self._find()
             if found is not None:
+                await self._await_arrived(found)
                 # The task is still in its wait: the end of a wait cancels this search.
                 self._found = found
                 self._task.cancel()
                 return
             await asyncio.sleep(interval_s)
             interval_s *= 2
+
+    async def _await_arrived(self, found: Replacement) -> None:
+        """Return after the tasks have run whose data had been read.
+
+        A timer is handled after the data that comes in its iteration, so that what
+        waits for the data runs first, and then cancels this search.
+
+        :param found: dropped if this is cancelled.
+        """
+        try:
+            await asyncio.sleep(ARRIVED_S)
+        except asyncio.CancelledError:
+            found.drop()
+            raise
