Show that a blank line behind an answer ends the limit on idle time

The HTTP library ends the timer of an idle connection with any bytes, and starts it only after an answer, so that a caller which sends a blank line keeps its connection without bound.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/stopping.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/stopping.feature
@@ -39,3 +39,11 @@
       | 1     | 3 iterations |
       | 100   | 0 iterations |
       | 100   | 2 iterations |
+
+  # Guards against connections that are kept without bound, as the bytes behind an answer
+  # end the limit on their idle time.
+  Scenario: A blank line behind an answer doesn't end the limit on idle time
+    Given a listener that allows heads of 1024 bytes
+    And a caller that has had an answer on a connection that it keeps
+    When the caller sends a blank line after an answer, and idle connections are closed after 0.3 s
+    Then the connection is closed within 2 s
