Let the idle time of a connection go on after a blank line

A caller that sends a blank line behind an answer kept its connection without bound: the HTTP library ends the timer with any bytes and starts it only after an answer. The timer now goes on, with its old end, after bytes that begin no request. The scenario fails before, with the connection open 2 s later; the folder serving: 71 passed, 0 failed.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -220,14 +220,30 @@
             return
         if self._is_discarding:
             return
+        idle_timer = self.timeout_keep_alive_task
         super().data_received(data)
-        if not self._in_head or self.transport.is_closing():
+        if self.transport.is_closing():
+            return
+        if not self._in_head:
+            self._keep_idle_timer(idle_timer)
             return
         self._head_bytes += len(data)
         if self._head_bytes > self.max_head_bytes:
             allowed = f"at most {self.max_head_bytes} bytes"
             self._refuse(HEADERS_TOO_LARGE, "headers-too-large", allowed)
 
+    def _keep_idle_timer(self, timer: asyncio.TimerHandle | None) -> None:
+        """Let the idle time go on after bytes that begin no request, as a blank line.
+
+        :param timer: the timer that ran before the bytes came; None for none.
+        """
+        is_waiting = self._is_idle and self._is_request_read
+        if timer is None or not is_waiting or self.timeout_keep_alive_task is not None:
+            return
+        self.timeout_keep_alive_task = self.loop.call_at(
+            timer.when(), self.timeout_keep_alive_handler
+        )
+
     def send_400_response(self, msg: str) -> None:
         self._refuse(BAD_REQUEST, "malformed-request", msg)
 
