Show that a late event loop uses connections that were idle for too long

An idle connection to a server is closed by a timer, 1 s before its server may close it. A loop that is busy for longer reads requests before it runs the timer, and sends them on connections that their servers have closed.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/backend.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/backend.feature
@@ -113,3 +113,10 @@
     Given a server that echoes the body
     When a POST of 3000000 bytes is sent
     Then the same bytes are returned
+
+  # Guards against a request on a connection that its server has closed meanwhile: a busy
+  # event loop takes it before it runs the timer that would close it.
+  Scenario: A connection that was idle for too long isn't used in a late event loop
+    Given a pool with a connection that may be idle for 3 s
+    When the event loop takes a connection 4 s later, before it has run any timer
+    Then it gets none, and the connection is closed
