Check the idle time of a connection to a server when it is taken

A request of a router that is late was sent on a connection which its server had closed, or was about to, and cost a repeat or, without attempts left, the answer: only a timer ended the idle time, and a busy event loop reads requests before it runs timers.

The pool now compares the clock with the timer's time as well. The scenario fails before, with a connection that may be idle for 3 s used after 4 s.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/pool.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/pool.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
+from almondfield_core.clock import now
 from almondfield_daemon.backend.connection import BackendConnection
 from almondfield_daemon.router.calls import Header
 
@@ -33,7 +34,8 @@
         while idle:
             connection, expiry = idle.pop()
             expiry.cancel()
-            if connection.reusable:
+            # A late event loop may come here before it runs the timer.
+            if connection.reusable and now() < expiry.when():
                 return connection
             connection.close()
         return None
