Take in no stream later than 3 s after a stop begins

Callers of a router with a long grace period see a stream cut at its end that was sent later than 3 s after the signal (LOST excuses only earlier ones): streams were taken in for 0.3 of the period, however long it is, 3.6 s of 12 s. Callers that ask for addresses know by 3 s that the router has left, so that the longer time gains nothing. The class of fault: a share of a setting where the target is a fixed time.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -38,6 +38,7 @@
 LEASE_FRACTION = 0.8  # of the revocation time; the rest covers clock drift
 STATE_CHECK_INTERVAL_S = 0.1  # a fraction of the hello interval
 ACCEPT_STREAMS_FRACTION = 0.3  # of the grace period; most streams end in the rest
+MAX_ACCEPT_STREAMS_S = 3.0  # callers know by then that this router has left
 ACCEPT_ALL_FRACTION = 0.6  # of the grace period; callers may cache the address
 DRAIN_FRACTION = 0.93  # of the grace period; the rest is for the process to exit
 CALLER_DESCRIPTOR_FRACTION = 0.5  # the rest is for servers, hosts and new connections
@@ -182,12 +183,11 @@
     async def drain(self, requested_s: float) -> None:
         """Return once all requests have ended or the grace period is nearly over."""
         grace_s = self.settings.grace_s
+        accept_streams_s = min(ACCEPT_STREAMS_FRACTION * grace_s, MAX_ACCEPT_STREAMS_S)
         accept_all_until_s = requested_s + ACCEPT_ALL_FRACTION * grace_s
         drain_until_s = requested_s + DRAIN_FRACTION * grace_s
         self.view.set_state(RouterState.DRAINING)
-        self._endpoint.drain(
-            requested_s + ACCEPT_STREAMS_FRACTION * grace_s, accept_all_until_s
-        )
+        self._endpoint.drain(requested_s + accept_streams_s, accept_all_until_s)
         await asyncio.sleep(max(0.0, accept_all_until_s - now()))
         while self._endpoint.running and now() < drain_until_s:
             await asyncio.sleep(STATE_CHECK_INTERVAL_S)
