Name the first error status once, and check only the version until an event comes

FIRST_ERROR_STATUS stood in three modules and the text on a wrong version in two; each stands once now, in router/calls.py and router/joining.py. Until the first event of a joined answer, each chunk had its whole head checked again, of which only the server's version can change; only that is checked.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -31,19 +31,20 @@
     silence_limits,
 )
 from almondfield_daemon.forwarding.silence_watch import SilenceWatch
-from almondfield_daemon.forwarding.stream_progress import (
-    WRONG_VERSION,
-    StreamProgress,
-)
+from almondfield_daemon.forwarding.stream_progress import StreamProgress
 from almondfield_daemon.forwarding.unavailable import RETRY_AFTER_S, Unavailable
-from almondfield_daemon.router.calls import AnswerCutError, Header
+from almondfield_daemon.router.calls import (
+    FIRST_ERROR_STATUS,
+    AnswerCutError,
+    Header,
+)
+from almondfield_daemon.router.joining import WRONG_VERSION
 from almondfield_daemon.router.problems import Problem
 from almondfield_daemon.scheduling import EngineAssignment
 from almondfield_daemon.server_notices import ServerClosedError
 
 __all__ = ["RequestRun", "StreamBrokenError"]
 
-FIRST_ERROR_STATUS = 500
 MAX_UNSENT_ATTEMPTS = 4  # attempts without a sent byte before the caller is refused
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -16,7 +16,12 @@
     NoQuarantine,
     RequestQuarantine,
 )
-from almondfield_daemon.router.calls import SUCCESS_STATUSES, BackendAnswer, Framing
+from almondfield_daemon.router.calls import (
+    FIRST_ERROR_STATUS,
+    SUCCESS_STATUSES,
+    BackendAnswer,
+    Framing,
+)
 from almondfield_daemon.scheduling import EngineAssignment
 from almondfield_daemon.server_notices import (
     ServerClosedError,
@@ -27,7 +32,6 @@
 
 __all__ = ["SelectedServer", "server_start"]
 
-FIRST_ERROR_STATUS = 500
 SLOW_PREFILL_TOKENS_PER_S = 20_000.0  # half the rate of large engines
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stream_progress.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stream_progress.py
@@ -14,18 +14,20 @@
 from almondfield_daemon.forwarding.servers import ServerSelector
 from almondfield_daemon.forwarding.silence_watch import SilenceWatch
 from almondfield_daemon.forwarding.take_up import make_origins
-from almondfield_daemon.router.calls import SUCCESS_STATUSES, AnswerCutError
+from almondfield_daemon.router.calls import (
+    FIRST_ERROR_STATUS,
+    SUCCESS_STATUSES,
+    AnswerCutError,
+)
 from almondfield_daemon.router.events import EventTracker
 from almondfield_daemon.router.joining import (
+    WRONG_VERSION,
     AnswerHead,
     StreamPosition,
     find_obstacle,
 )
 
-__all__ = ["WRONG_VERSION", "StreamProgress"]
-
-FIRST_ERROR_STATUS = 500
-WRONG_VERSION = "the server restarted with another version"
+__all__ = ["StreamProgress"]
 
 
 class StreamProgress:
@@ -126,8 +128,9 @@
         watch.begin()
         async for chunk in answer.chunks():
             watch.end()
-            if not has_events and tracker.has_begun:
-                _raise_if(self._find_obstacle(answered, selected.server))
+            awaits_join = tracker.has_begun and not has_events
+            if awaits_join and self.has_wrong_version(selected.server):
+                raise AnswerCutError(ServerFailure.STREAM, WRONG_VERSION)
             events = tracker.feed(chunk)
             if events:
                 if not has_events:
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
@@ -12,6 +12,7 @@
 from almondfield_core.tables import Timeouts
 
 __all__ = [
+    "FIRST_ERROR_STATUS",
     "SUCCESS_STATUSES",
     "AnswerCutError",
     "BackendAnswer",
@@ -25,6 +26,7 @@
 Header = tuple[bytes, bytes]
 
 SUCCESS_STATUSES = range(200, 300)
+FIRST_ERROR_STATUS = 500
 
 
 class Framing(StrEnum):
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/joining.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/joining.py
@@ -10,8 +10,16 @@
 from almondfield_daemon.router.calls import Header
 from almondfield_daemon.router.event_types import EVENT_STREAM_TYPE, media_type
 
-__all__ = ["AnswerHead", "JoinGuard", "StreamPosition", "begins_event", "find_obstacle"]
-
+__all__ = [
+    "WRONG_VERSION",
+    "AnswerHead",
+    "JoinGuard",
+    "StreamPosition",
+    "begins_event",
+    "find_obstacle",
+]
+
+WRONG_VERSION = "the server restarted with another version"
 MAX_SHOWN_BYTES = 40  # of bytes that are no event, in error messages
 MAX_DIGITS = 18
 LINE_END = re.compile(rb"\r\n|\n|\r")
@@ -124,7 +132,7 @@
         case AnswerHead(is_encoded=True):
             return "the answer has a content encoding"
         case AnswerHead(has_wrong_version=True):
-            return "the server restarted with another version"
+            return WRONG_VERSION
         case _ if content_type not in (None, EVENT_STREAM_TYPE):
             name = content_type.decode("latin-1")
             return f"the answer has type {name!r}; a stream goes on with events"
