Answer what outlasts a planned stop, and don't begin what would

Callers of a router that is told to stop lost requests that it had taken in late in its grace period and passed on: the kill at its end cut them without an answer, among them requests that may not be repeated (LOST).

Cause: the end of the grace period was compared with nothing but the drain's own wait. Requests ran on to their deadlines, the listener waited for them without a limit, and what was taken in didn't depend on how long requests of a route take. The class of fault: a limit that is known to one part and isn't a limit of the work it bounds.

StopLimits holds the times of a stop, and every wait of a request is limited by them: at 0.93 of the period what was sent to a server is told 502, unknown, and what wasn't 503, not run, as is a body that hasn't come. A request whose route's latest requests (the 95th percentile of 64) take longer than is left isn't begun, nor is a repeat. Listeners stop beside each other, and cancel what still runs at 0.97 of the period.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -87,8 +87,8 @@
         if self._replica.is_leader:
             await self._replica.leadership.transfer_leadership(HAND_OVER_TIMEOUT_S)
 
-    async def _close(self) -> None:
-        await super()._close()
+    async def _close(self, until_s: float) -> None:
+        await super()._close(until_s)
         self._disk.close()
 
     def _members(self) -> tuple[str, ...]:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -29,6 +29,7 @@
 __all__ = ["FleetHost"]
 
 MILLISECONDS = 1000
+EXIT_FRACTION = 0.97  # of the grace period, after which a process is killed
 MAX_HEAD_BYTES = 64 * 1024  # more than any routing table allows
 LEADER_ATTEMPT_S = 0.4  # covers many round trips, and the shortest election
 NO_SECRET = b""
@@ -156,7 +157,7 @@
         late_ms = round((now() - stop.requested_s) * MILLISECONDS, 1)
         eliot.log_message("daemon:draining", late_ms=late_ms)
         await self.drain(stop.requested_s)
-        await self._close()
+        await self._close(stop.requested_s + EXIT_FRACTION * self.settings.grace_s)
 
     def reload(self) -> None:
         """Reload the settings; only the seeds may change while the daemon runs."""
@@ -172,9 +173,15 @@
                     findings=[str(finding) for finding in findings],
                 )
 
-    async def _close(self) -> None:
-        for listener in self._listeners:
-            await listener.stop()
+    async def _close(self, until_s: float) -> None:
+        """Stop all parts.
+
+        :param until_s: when requests that still run are cancelled, in seconds of the
+            loop's clock.
+        """
+        within_s = max(0.0, until_s - now())
+        stopping = (listener.stop(within_s) for listener in self._listeners)
+        await asyncio.gather(*stopping)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -27,6 +27,7 @@
     ServerSelector,
     log_request_counts,
 )
+from almondfield_daemon.forwarding.stop_limits import StopPlan
 from almondfield_daemon.quarantine import QuarantineClient
 from almondfield_daemon.scheduling import EngineClient
 from almondfield_daemon.server_notices import ServerNotices
@@ -40,7 +41,8 @@
 ACCEPT_STREAMS_FRACTION = 0.3  # of the grace period; most streams end in the rest
 MAX_ACCEPT_STREAMS_S = 3.0  # callers know by then that this router has left
 ACCEPT_ALL_FRACTION = 0.6  # of the grace period; callers may cache the address
-DRAIN_FRACTION = 0.93  # of the grace period; the rest is for the process to exit
+# Of the grace period; the rest is for last answers and for the process to exit.
+DRAIN_FRACTION = 0.93
 CALLER_DESCRIPTOR_FRACTION = 0.5  # the rest is for servers, hosts and new connections
 BODY_MEMORY_FRACTION = 0.2  # the process uses a sixth, other buffers the rest
 # Some iterations of a busy event loop accept as many. A caller whose connection would
@@ -184,13 +186,17 @@
         """Return once all requests have ended or the grace period is nearly over."""
         grace_s = self.settings.grace_s
         accept_streams_s = min(ACCEPT_STREAMS_FRACTION * grace_s, MAX_ACCEPT_STREAMS_S)
-        accept_all_until_s = requested_s + ACCEPT_ALL_FRACTION * grace_s
-        drain_until_s = requested_s + DRAIN_FRACTION * grace_s
+        plan = StopPlan(
+            accept_streams_until_s=requested_s + accept_streams_s,
+            accept_all_until_s=requested_s + ACCEPT_ALL_FRACTION * grace_s,
+            end_s=requested_s + DRAIN_FRACTION * grace_s,
+        )
         self.view.set_state(RouterState.DRAINING)
-        self._endpoint.drain(requested_s + accept_streams_s, accept_all_until_s)
-        await asyncio.sleep(max(0.0, accept_all_until_s - now()))
-        while self._endpoint.running and now() < drain_until_s:
-            await asyncio.sleep(STATE_CHECK_INTERVAL_S)
+        self._endpoint.drain(plan)
+        await asyncio.sleep(max(0.0, plan.accept_all_until_s - now()))
+        while self._endpoint.running and now() < plan.end_s:
+            wait_s = min(STATE_CHECK_INTERVAL_S, plan.end_s - now())
+            await asyncio.sleep(max(0.0, wait_s))
         eliot.log_message(
             "router:drained",
             running=self._endpoint.running,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -5,11 +5,13 @@
 
 from result import Err, Ok
 
+from almondfield_core.clock import now
 from almondfield_core.routing import Prompt, RequestKind, RouteRule
 from almondfield_daemon.edge.bodies import CallerDisconnectedError
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import RetryWindow
 from almondfield_daemon.forwarding.messages import ForwardRequest
+from almondfield_daemon.forwarding.own_answers import no_answer
 from almondfield_daemon.forwarding.ports import ResponseSink, StreamOrigins
 from almondfield_daemon.forwarding.reports import (
     RequestReport,
@@ -18,6 +20,7 @@
 )
 from almondfield_daemon.forwarding.run import RequestRun, StreamBrokenError
 from almondfield_daemon.forwarding.servers import ServerSelector
+from almondfield_daemon.forwarding.stop_limits import StopLimits, draining
 from almondfield_daemon.forwarding.take_up import locate_stream
 from almondfield_daemon.router.problems import Outcome, Problem
 
@@ -35,6 +38,8 @@
     :param observe: called with the report of each request that ended.
     :param observe_refusal: called with route, team and status of each request that was
         refused by its head.
+
+    :ivar stop_limits: limits on requests while the router stops.
     """
 
     def __init__(
@@ -55,6 +60,7 @@
         self._make_window = make_window
         self._max_event_bytes = max_event_bytes
         self._window_by_pool: dict[str, RetryWindow] = {}
+        self.stop_limits = StopLimits()
 
     def known_refusal(
         self,
@@ -101,7 +107,7 @@
         problem = None
         error = ""
         try:
-            async with asyncio.timeout_at(request.until_s):
+            async with self.stop_limits.limit(request.until_s):
                 if _takes_up_stream(request):
                     match await locate_stream(request, self._origins):
                         case Ok(located):
@@ -110,9 +116,12 @@
                             pass
                 if problem is None:
                     problem = await run.serve()
+            if run.sent and problem is None:
+                duration_s = now() - request.arrived_s
+                self.stop_limits.record_duration(request.route.name, duration_s)
         except TimeoutError:
             if not await run.send_failed_answer():
-                problem = self._handle_timeout(run)
+                problem = self._handle_timeout(request, run)
         except (
             StreamBrokenError,
             CallerDisconnectedError,
@@ -136,6 +145,7 @@
             window,
             sink,
             self._max_event_bytes,
+            self.stop_limits,
         )
 
     def _window(self, pool: str) -> RetryWindow:
@@ -144,11 +154,15 @@
             window = self._window_by_pool[pool] = self._make_window()
         return window
 
-    def _handle_timeout(self, run: RequestRun) -> Problem:
+    def _handle_timeout(self, request: ForwardRequest, run: RequestRun) -> Problem:
+        is_stop = now() < request.until_s
         if run.delivery.is_started:
-            raise StreamBrokenError(
-                "the deadline passed while the answer was sent"
-            ) from None
+            passed = "the router stopped" if is_stop else "the deadline passed"
+            raise StreamBrokenError(f"{passed} while the answer was sent") from None
+        if is_stop and not run.may_have_run:
+            return draining()
+        if is_stop:
+            return no_answer("the router stopped before the answer", True, False)
         detail = "no answer before the caller's deadline or the route's timeout"
         outcome = Outcome.UNKNOWN if run.may_have_run else Outcome.NOT_RUN
         return Problem(504, "timeout", detail, outcome)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import eliot
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from almondfield_control.publishing import TableSubscription
 from almondfield_core.clock import now
@@ -24,6 +24,7 @@
 from almondfield_daemon.forwarding.ports import HeaderCodec
 from almondfield_daemon.forwarding.reports import unread_fields
 from almondfield_daemon.forwarding.run import StreamBrokenError
+from almondfield_daemon.forwarding.stop_limits import StopPlan, draining
 from almondfield_daemon.router.calls import Header
 from almondfield_daemon.router.problems import Outcome, Problem
 from almondfield_daemon.serving import CallerConnection, RequestHead, connection_of
@@ -62,18 +63,13 @@
         self._max_connections = 0
         self.running = 0
 
-    def drain(self, accept_streams_until_s: float, accept_all_until_s: float) -> None:
+    def drain(self, plan: StopPlan) -> None:
         """Take in requests only for some time, and close connections after answers.
 
-        Running requests continue.
-
-        :param accept_streams_until_s: when streaming requests begin to be refused, in
-            seconds of the loop's clock.
-        :param accept_all_until_s: when all other requests begin to be refused.
+        :param plan: the times of the stop; running requests continue up to its end.
         """
         self._is_closing = True
-        self.intake.accept_streams_until_s = accept_streams_until_s
-        self.intake.accept_all_until_s = accept_all_until_s
+        self._forwarder.stop_limits.begin(plan)
 
     def limit_connections(self, count: Callable[[], int], limit: int) -> None:
         """Close a caller's connection after its answer while too many are open.
@@ -147,14 +143,12 @@
         sink: "_AsgiSink",
         held: BodyReservation,
     ) -> None:
-        limit = request.max_body_bytes
-        declared = int(dict(request.headers).get(b"content-length", b"0"))
-        match await read_body(receive, declared, limit, held.reserve):
+        match await self._read_body(request, receive, held):
             case Ok(body):
                 self._counts.record_body(len(body))
                 request = replace(request, body=body)
                 # The body may have taken long.
-                late = self.intake.drain_refusal(request.route)
+                late = self._forwarder.stop_limits.refusal(request.route)
                 if late is not None:
                     self._counts.record_refusal(request.team, late.kind)
                     _log_body_refusal(request, late)
@@ -171,6 +165,18 @@
             if problem is not None:
                 await self._send_problem(sink, problem, close=False)
 
+    async def _read_body(
+        self, request: ForwardRequest, receive: Any, held: BodyReservation
+    ) -> Result[bytes, Problem]:
+        """Return the whole body of a request, or why it isn't read to its end."""
+        declared = int(dict(request.headers).get(b"content-length", b"0"))
+        limit = request.max_body_bytes
+        try:
+            async with self._forwarder.stop_limits.limit():
+                return await read_body(receive, declared, limit, held.reserve)
+        except TimeoutError:
+            return Err(draining())
+
     async def _refuse(self, receive: Any, sink: "_AsgiSink", problem: Problem) -> None:
         """Send an error answer after reading the body.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
@@ -35,6 +35,7 @@
     :param servers: chooses servers.
     :param window: retry budget of the pool.
     :param pending: gets the repeat for the next attempt.
+    :param remaining_s: returns how long the request may still take, in seconds.
     """
 
     def __init__(
@@ -43,7 +44,9 @@
         servers: ServerSelector,
         window: RetryWindow,
         pending: PendingRepeat,
+        remaining_s: Callable[[], float],
     ) -> None:
+        self._remaining_s = remaining_s
         self._pending = pending
         self._request = request
         self._servers = servers
@@ -159,8 +162,7 @@
 
         To be called once no other server may have the request.
         """
-        remaining_s = self._request.until_s - now()
-        if not self._left or remaining_s < MIN_REMAINING_S:
+        if not self._left or self._remaining_s() < MIN_REMAINING_S:
             return False
         self._is_returning = True
         return True
@@ -246,8 +248,8 @@
 
     def _has_time(self, found: SelectedServer) -> bool:
         """Return whether a server may answer before the deadline."""
-        remaining_s = self._request.until_s - now()
-        return remaining_s >= max(MIN_REMAINING_S, found.time_to_first_token_s)
+        least_s = max(MIN_REMAINING_S, found.time_to_first_token_s)
+        return self._remaining_s() >= least_s
 
     def _log_wait(self, selected: SelectedServer, reason: str) -> None:
         eliot.log_message(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
@@ -5,7 +5,6 @@
 """
 
 import http
-import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -14,7 +13,7 @@
 
 from almondfield_control.publishing import TableSubscription
 from almondfield_core.clock import now
-from almondfield_core.routing import RequestKind, RouteRule
+from almondfield_core.routing import RouteRule
 from almondfield_core.tables import hash_key
 from almondfield_daemon.edge.bodies import check_headers
 from almondfield_daemon.forwarding.core import Forwarder
@@ -28,6 +27,7 @@
 from almondfield_daemon.forwarding.ports import HeaderCodec
 from almondfield_daemon.forwarding.reports import unread_fields
 from almondfield_daemon.forwarding.split import choose_pool
+from almondfield_daemon.forwarding.stop_limits import draining
 from almondfield_daemon.loop_delay import arrival_of
 from almondfield_daemon.router.problems import Problem, permanent_problem
 from almondfield_daemon.serving import HeadRefusal, RequestHead
@@ -36,7 +36,6 @@
 
 REQUEST_KEY = "request"  # in the state of an ASGI scope
 STALE_RETRY_AFTER_S = 0.5
-DRAINING_RETRY_AFTER_S = 0.05  # other routers accept the request at once
 LATE_RETRY_AFTER_S = 0.1  # other routers are probably in time
 MAX_DEADLINE_S = 3600.0
 # Callers give up a request that may run again if it isn't read for this time, or for
@@ -71,11 +70,6 @@
     :param codec: reads and writes headers.
     :param counts: counts refusals.
     :param must_close: returns whether connections close after their answers.
-
-    :ivar accept_streams_until_s: when new streaming requests begin to be refused, in
-        seconds of the loop's clock. It is a time, not a flag that a timer sets: a busy
-        loop reads what has come meanwhile before it runs the timer.
-    :ivar accept_all_until_s: when all new requests begin to be refused.
     """
 
     def __init__(
@@ -92,8 +86,7 @@
         self._counts = counts
         self._must_close = must_close
         self._deadlines = TypicalDeadlines()
-        self.accept_streams_until_s = math.inf
-        self.accept_all_until_s = math.inf
+        self._stop_limits = forwarder.stop_limits
 
     def check(self, head: RequestHead) -> HeadRefusal | None:
         """Return the refusal of a request; None to pass it to the endpoint."""
@@ -115,15 +108,6 @@
         """
         return self._read(head).map(lambda item: self._make_request(head, item))
 
-    def drain_refusal(self, route: RouteRule) -> Problem | None:
-        """Return the refusal of a request that comes too late in a stop, or None.
-
-        :param route: the rule that the request matches.
-        """
-        is_stream = route.kind is RequestKind.STREAMING
-        until_s = self.accept_streams_until_s if is_stream else self.accept_all_until_s
-        return _draining() if now() >= until_s else None
-
     def record_refusal(self, head: RequestHead, problem: Problem) -> None:
         """Count and log the refusal of a request that wasn't accepted.
 
@@ -156,8 +140,8 @@
         index = self._subscription.index
         if not index.table.version:
             return Err(_not_ready("this router has no routing table yet"))
-        if now() >= self.accept_all_until_s:
-            return Err(_draining())
+        if now() >= self._stop_limits.plan.accept_all_until_s:
+            return Err(draining())
         headers = list(head.headers)
         too_large = check_headers(headers, index.table.limits.max_header_bytes)
         if too_large is not None:
@@ -226,7 +210,7 @@
                 detail = f"the request was not read for up to {unread.most_s:.3f} s"
                 retry_after_s = LATE_RETRY_AFTER_S
                 return Problem(503, "late", detail, retry_after_s=retry_after_s)
-        return self.drain_refusal(route)
+        return self._stop_limits.refusal(route)
 
     def _team(self, metadata: RequestMetadata, is_public: bool) -> Result[str, Problem]:
         """Return the caller's team; empty if the request needs no team."""
@@ -272,8 +256,3 @@
 
 def _not_ready(detail: str) -> Problem:
     return Problem(503, "not-ready", detail, retry_after_s=STALE_RETRY_AFTER_S)
-
-
-def _draining() -> Problem:
-    detail = "this router is shutting down"
-    return Problem(503, "draining", detail, retry_after_s=DRAINING_RETRY_AFTER_S)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -31,6 +31,7 @@
     silence_limits,
 )
 from almondfield_daemon.forwarding.silence_watch import SilenceWatch
+from almondfield_daemon.forwarding.stop_limits import StopLimits, draining
 from almondfield_daemon.forwarding.stream_progress import StreamProgress
 from almondfield_daemon.forwarding.unavailable import RETRY_AFTER_S, Unavailable
 from almondfield_daemon.router.calls import (
@@ -62,6 +63,7 @@
     :param window: retry budget of the pool.
     :param sink: receives the answer.
     :param max_event_bytes: limit on one event of a stream, in bytes.
+    :param stop_limits: limits on requests while the router stops.
 
     :ivar delivery: the answer to the caller.
     :ivar progress: how far the caller of a stream has got.
@@ -85,13 +87,17 @@
         window: RetryWindow,
         sink: ResponseSink,
         max_event_bytes: int,
+        stop_limits: StopLimits,
     ) -> None:
         self._request = request
+        self._stop_limits = stop_limits
         self._attempts = attempts
         self._servers = servers
         self._pending = PendingRepeat(window)
         self.delivery = AnswerDelivery(sink, request.arrived_s)
-        self._hand_over = HandOver(request, servers, window, self._pending)
+        self._hand_over = HandOver(
+            request, servers, window, self._pending, self._remaining_s
+        )
         self.progress = StreamProgress(
             request, servers, origins, self.delivery, max_event_bytes
         )
@@ -214,6 +220,8 @@
                 return self._no_answer(
                     "the deadline passed before the answer was complete", True
                 )
+            if not self.sent and not self._allows_attempt():
+                return draining()
             selected = await self._hand_over.choose(
                 self._tried, self._has_lost_server, self.progress.version
             )
@@ -366,12 +374,15 @@
         return self._request.route.may_run_again and self._may_send_again()
 
     def _may_send_again(self) -> bool:
-        if self.sent >= self._request.route.max_attempts:
+        if self.sent >= self._request.route.max_attempts or not self._allows_attempt():
             return False
         return self._remaining_s() >= MIN_REMAINING_S and self._pending.try_spend()
 
+    def _allows_attempt(self) -> bool:
+        return self._stop_limits.allows_attempt(self._request.route)
+
     def _remaining_s(self) -> float:
-        return self._request.until_s - now()
+        return self._stop_limits.remaining_s(self._request.until_s)
 
     def _refusal(self, detail: str, retry_after_s: float = RETRY_AFTER_S) -> Problem:
         return refusal(detail, self.may_have_run, retry_after_s)
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -128,11 +128,16 @@
         """Return the number of connections accepted since the start."""
         return self._protocol.accepted
 
-    async def stop(self) -> None:
-        """Return once running requests have finished and connections are closed."""
+    async def stop(self, within_s: float | None = None) -> None:
+        """Return once running requests have finished and connections are closed.
+
+        :param within_s: time after which requests that still run are cancelled, in
+            seconds; None for no limit.
+        """
         if self._task is None:
             return
         if not self._server.exit_requested.is_set():
+            self._server.config.timeout_graceful_shutdown = within_s
             await self._accept_waiting()
             self._server.exit_requested.set()
         await self._task
