Refuse what a busy router reads together with its signal to stop

Callers of a router whose event loop was busy as its signal came lost requests that may not run twice: read in the iteration in which the loop found the signal, they passed every check before the handler ran, however late in the grace period they had come, and the end of the period cut them.

Cause: a request was compared with the stop only as its head and body were read. Now the handler of the signal sets the limits itself, in place of the task that it wakes, and a request is compared once more right before it is first sent, when its connection is there. So what waited for a server or the scheduler for too long is refused as not run as well.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -109,6 +109,12 @@
         """Return the coroutines that run until shutdown, besides the peer messaging."""
         raise NotImplementedError
 
+    def begin_stop(self, requested_s: float) -> None:
+        """Limit at once what the daemon takes in, as its shutdown is requested.
+
+        :param requested_s: when its grace period began, in seconds of the loop's clock.
+        """
+
     async def drain(self, requested_s: float) -> None:
         """Return once the daemon can stop without loss.
 
@@ -129,6 +135,7 @@
         :param stop: requests the shutdown.
         :raises Exception: if a background coroutine fails; the exception it raised.
         """
+        stop.on_request(self.begin_stop)
         coroutines = (
             self.peers.run(),
             log_usage(),
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/stop_signal.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/stop_signal.py
@@ -1,6 +1,7 @@
 """The request to shut a daemon down, and when it came."""
 
 import asyncio
+from collections.abc import Callable
 
 from almondfield_core.clock import now
 
@@ -24,13 +25,23 @@
     def __init__(self) -> None:
         super().__init__()
         self.requested_s: float | None = None
+        self._callbacks: list[Callable[[float], None]] = []
 
     def set(self) -> None:
         """Record the request, and wake all tasks that wait for it."""
         if self.requested_s is None:
             self.requested_s = _earliest_s()
+            for callback in self._callbacks:
+                callback(self.requested_s)
         super().set()
 
+    def on_request(self, callback: Callable[[float], None]) -> None:
+        """Call a function at the first request, before any task learns of it.
+
+        :param callback: gets the time of the request.
+        """
+        self._callbacks.append(callback)
+
 
 def _earliest_s() -> float:
     """Return the earliest time at which a signal can have come that is handled now."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -220,7 +220,7 @@
                 return self._no_answer(
                     "the deadline passed before the answer was complete", True
                 )
-            if not self.sent and not self._allows_attempt():
+            if not self.sent and self._stop_limits.refusal(self._request.route):
                 return draining()
             selected = await self._hand_over.choose(
                 self._tried, self._has_lost_server, self.progress.version
@@ -310,6 +310,9 @@
 
     def _check_before_sending(self, selected: SelectedServer) -> None:
         self.delivery.check_caller()
+        if not self.sent and self._stop_limits.refusal(self._request.route):
+            # A stop was requested while the request waited.
+            raise ServerClosedError("this router is shutting down")
         selected.check_notices()
         if self.progress.has_wrong_version(selected.server):
             raise ServerClosedError(WRONG_VERSION)
@@ -374,13 +377,13 @@
         return self._request.route.may_run_again and self._may_send_again()
 
     def _may_send_again(self) -> bool:
-        if self.sent >= self._request.route.max_attempts or not self._allows_attempt():
+        route = self._request.route
+        if self.sent >= route.max_attempts:
+            return False
+        if not self._stop_limits.allows_attempt(route):
             return False
         return self._remaining_s() >= MIN_REMAINING_S and self._pending.try_spend()
 
-    def _allows_attempt(self) -> bool:
-        return self._stop_limits.allows_attempt(self._request.route)
-
     def _remaining_s(self) -> float:
         return self._stop_limits.remaining_s(self._request.until_s)
 
