End a stopping process before its grace period does

A router with requests that outlast its stop answered them at 0.93 of a grace period of 4 s, and its process was killed as it closed its connections: the listeners' close and the end of the process take some 0.3 s beside other processes. They are answered at 0.9.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -42,7 +42,7 @@
 MAX_ACCEPT_STREAMS_S = 3.0  # callers know by then that this router has left
 ACCEPT_ALL_FRACTION = 0.6  # of the grace period; callers may cache the address
 # Of the grace period; the rest is for last answers and for the process to exit.
-DRAIN_FRACTION = 0.93
+DRAIN_FRACTION = 0.9
 CALLER_DESCRIPTOR_FRACTION = 0.5  # the rest is for servers, hosts and new connections
 BODY_MEMORY_FRACTION = 0.2  # the process uses a sixth, other buffers the rest
 # Some iterations of a busy event loop accept as many. A caller whose connection would
