--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hand_over.py
@@ -11,6 +11,7 @@
 from almondfield_daemon.forwarding.selected_server import SelectedServer
 from almondfield_daemon.forwarding.servers import ServerSelector
 from almondfield_daemon.forwarding.silence_watch import SilenceWatch
+from almondfield_daemon.forwarding.stop_limits import StopLimits
 from almondfield_daemon.forwarding.unavailable import Unavailable
 
 __all__ = ["MIN_REMAINING_S", "HandOver"]
@@ -35,6 +36,7 @@
     :param servers: chooses servers.
     :param window: retry budget of the pool.
     :param pending: gets the repeat for the next attempt.
+    :param stop_limits: limits on requests while the router stops.
     """
 
     def __init__(
@@ -43,7 +45,9 @@
         servers: ServerSelector,
         window: RetryWindow,
         pending: PendingRepeat,
+        stop_limits: StopLimits,
     ) -> None:
+        self._stop_limits = stop_limits
         self._pending = pending
         self._request = request
         self._servers = servers
@@ -159,8 +163,7 @@
 
         To be called once no other server may have the request.
         """
-        remaining_s = self._request.until_s - now()
-        if not self._left or remaining_s < MIN_REMAINING_S:
+        if not self._left or self._remaining_s() < MIN_REMAINING_S:
             return False
         self._is_returning = True
         return True
@@ -245,9 +248,13 @@
         self._gone_back.add(left.name)
 
     def _has_time(self, found: SelectedServer) -> bool:
-        """Return whether a server may answer before the deadline."""
-        remaining_s = self._request.until_s - now()
-        return remaining_s >= max(MIN_REMAINING_S, found.time_to_first_token_s)
+        """Return whether a server may answer before the deadline and a stop's end."""
+        least_s = max(MIN_REMAINING_S, found.time_to_first_token_s)
+        allowed = self._stop_limits.allows_attempt(self._request.route)
+        return allowed and self._remaining_s() >= least_s
+
+    def _remaining_s(self) -> float:
+        return self._stop_limits.remaining_s(self._request.until_s)
 
     def _log_wait(self, selected: SelectedServer, reason: str) -> None:
         eliot.log_message(
