Stop a router also if it learns of its signal after a request's time is over

A router that learned of its signal late, as after a pause, didn't stop at all if one of its requests was just ending by its own time: the kill cut what ran (LOST).

Cause: the handler of the signal moves the ends of all running requests to the end of the stop. A timeout that has fired and whose block still releases what it holds can't be moved, and raises an error, before the tasks that wait for the signal are woken. Such timeouts are left alone.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stop_limits.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stop_limits.py
@@ -61,6 +61,9 @@
         """
         self.plan = plan
         for timeout in self._timeouts:
+            if timeout.expired():
+                # Its block ends already; a change of its time would raise an error.
+                continue
             if timeout.when() is None or timeout.when() > plan.end_s:
                 timeout.reschedule(plan.end_s)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/stops_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/stops_steps.py
@@ -57,3 +57,39 @@
         return limits.allows_attempt(route("idempotent", 1))
 
     assert run(context, ask()) == (allows == "allows")
+
+
+@given(
+    "a part of a request with {limit_s:g} s, which takes {release_s:g} s to release "
+    "what it holds"
+)
+def step_impl(context, limit_s, release_s):
+    async def part():
+        began_s = now()
+        try:
+            async with stop_limits(context).limit(began_s + limit_s):
+                try:
+                    await asyncio.sleep(2 * limit_s)
+                finally:
+                    await asyncio.sleep(release_s)
+        except TimeoutError:
+            return now() - began_s
+
+    context.part = part
+
+
+@when("a stop that ended after {end_s:g} s is learned of after {late_s:g} s")
+def step_impl(context, end_s, late_s):
+    async def stop():
+        part = asyncio.ensure_future(context.part())
+        end_of_stop_s = now() + end_s
+        await asyncio.sleep(late_s)
+        stop_limits(context).begin(StopPlan(end_s=end_of_stop_s))
+        return await part
+
+    context.took_s = run(context, stop())
+
+
+@then("the part ends with its timeout after {seconds:g} s")
+def step_impl(context, seconds):
+    assert context.took_s == seconds, context.took_s
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/stops.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/stops.feature
@@ -53,3 +53,10 @@
       | 0    | allows       |
       | 1    | allows       |
       | 2    | doesn't allow |
+
+  # Guards against LOST: a stop that was learned of late, after a pause of the process,
+  # failed on a request whose own time had just ended, and the process didn't stop.
+  Scenario: A stop that is learned of after its end leaves requests alone that end already
+    Given a part of a request with 1 s, which takes 0.5 s to release what it holds
+    When a stop that ended after 0.5 s is learned of after 1.2 s
+    Then the part ends with its timeout after 1.5 s
