Stop a daemon though a part that is told of its signal fails

An unexpected error in what the handler of the signal calls kept the daemon running to its kill, which cuts all requests (LOST): the event was set after the calls, and a second signal doesn't come. A signal that had come before the daemon began to listen for it would have left a router without an end of its grace period, so that it waits for ever; its start has no such moment now, but nothing says so.

The event is set first; an error is logged, and the other parts are told all the same. Who begins to listen after the signal is told at once. A router limits its requests before it tells other hosts, which may fail.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -192,8 +192,8 @@
             accept_all_until_s=requested_s + ACCEPT_ALL_FRACTION * grace_s,
             end_s=requested_s + DRAIN_FRACTION * grace_s,
         )
-        self.view.set_state(RouterState.DRAINING)
         self._endpoint.drain(self._stop_plan)
+        self.view.set_state(RouterState.DRAINING)
 
     async def drain(self, requested_s: float) -> None:
         """Return once all requests have ended or the grace period is nearly over."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/stop_signal.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/stop_signal.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from almondfield_core.clock import now
+from almondfield_core.containment import contain_errors
 
 __all__ = ["StopSignal"]
 
@@ -29,18 +30,27 @@
 
     def set(self) -> None:
         """Record the request, and wake all tasks that wait for it."""
+        super().set()
         if self.requested_s is None:
             self.requested_s = _earliest_s()
             for callback in self._callbacks:
-                callback(self.requested_s)
-        super().set()
+                self._call(callback)
 
     def on_request(self, callback: Callable[[float], None]) -> None:
-        """Call a function at the first request, before any task learns of it.
+        """Call a function at the first request, before any task goes on that waits.
+
+        After the request, it is called at once.
 
         :param callback: gets the time of the request.
         """
-        self._callbacks.append(callback)
+        if self.requested_s is None:
+            self._callbacks.append(callback)
+        else:
+            self._call(callback)
+
+    def _call(self, callback: Callable[[float], None]) -> None:
+        with contain_errors("stop"):
+            callback(self.requested_s)
 
 
 def _earliest_s() -> float:
