Refuse a request in a stop though its body is still awaited

A caller whose request was refused behind its head, as one that waits to be allowed to send its body, got 500 without an outcome as the router ended, or nothing: the refusal waited for the body, up to 60 s, and the listener cancelled it at 0.97 of the grace period.

Cause: the body of a request that is taken in is awaited within the limits of the stop only, that of a refused one wasn't. It is now, and the refusal goes out at the end.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -184,9 +184,12 @@
         """
         limit = self._subscription.index.table.limits.max_body_bytes
         try:
-            body = await read_body(receive, 0, limit, lambda count: True)
+            async with self._forwarder.stop_limits.limit():
+                body = await read_body(receive, 0, limit, lambda count: True)
         except CallerDisconnectedError:
             return
+        except TimeoutError:
+            body = Err(draining())
         self._counts.record_body(len(body.unwrap_or(b"")))
         await self._send_problem(sink, problem, close=body.is_err())
 
