Answer requests that a stopping router has read behind another one

A caller that sends requests at once on one connection lost the later ones in a planned stop: read whole as the first one ran, they got no answer, however long they had waited (LOST, though they weren't passed on).

Cause: a stopping router tells the caller with its next answer that the connection closes, and the close dropped what had been read behind. Now the connection closes after the answer to the last request that was read; each is compared with the stop as its turn comes. While too many connections are open they close as before, so that nobody keeps one by requests that never end.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 import eliot
@@ -86,7 +87,9 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
         self.running += 1
-        sink = _AsgiSink(send, self._must_close, connection_of(scope))
+        connection = connection_of(scope)
+        must_close = partial(self._must_close_after, connection)
+        sink = _AsgiSink(send, must_close, connection)
         try:
             await self._handle(scope, receive, sink)
         except StreamBrokenError:
@@ -108,6 +111,16 @@
     def _must_close(self) -> bool:
         return self._is_closing or self._connection_count() > self._max_connections
 
+    def _must_close_after(self, connection: CallerConnection | None) -> bool:
+        """Return whether a connection closes after the answer that begins now.
+
+        A stopping router first answers what it has read behind the request.
+        """
+        if self._connection_count() > self._max_connections:
+            return True
+        has_waiting = connection is not None and connection.has_waiting()
+        return self._is_closing and not has_waiting
+
     async def _handle(self, scope: Any, receive: Any, sink: "_AsgiSink") -> None:
         request = scope.get("state", {}).get(REQUEST_KEY)
         if request is None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/connection.py
@@ -21,12 +21,14 @@
 
     :ivar on_close: called once the protocol sees the end of the connection, but not for
         an end that :meth:`is_closed` finds.
+    :ivar has_waiting: returns whether a request was read behind the one that is served.
     """
 
     def __init__(self, transport: asyncio.Transport) -> None:
         self._transport = transport
         self._is_closed = False
         self.on_close: Callable[[], None] = lambda: None
+        self.has_waiting: Callable[[], bool] = lambda: False
 
     def close(self) -> None:
         """Record that the caller has closed the connection."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -64,6 +64,7 @@
         self.flow = FlowControl(transport)
         self.scheme = "http"
         self._connection = CallerConnection(transport)
+        self._connection.has_waiting = lambda: bool(self.pipeline)
         self._start_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
