Compare a request that a server refused with the stop once more as it is sent

In a planned stop, a request that its first server had refused could be sent to another one too late, as the way there took time, and was told at the end of the stop that it may have run: 502 "unknown", where 503 "not run" sends callers to another router. A request that may not be repeated was lost to its caller by it.

Cause: the comparison right before a request is sent held for first attempts only. It holds for each request that no server has run now; one that was sent before is compared with what its route usually takes, not with the time for new requests.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -31,7 +31,7 @@
     silence_limits,
 )
 from almondfield_daemon.forwarding.silence_watch import SilenceWatch
-from almondfield_daemon.forwarding.stop_limits import StopLimits, draining
+from almondfield_daemon.forwarding.stop_limits import StopLimits
 from almondfield_daemon.forwarding.stream_progress import StreamProgress
 from almondfield_daemon.forwarding.unavailable import RETRY_AFTER_S, Unavailable
 from almondfield_daemon.router.calls import (
@@ -218,8 +218,8 @@
                 return self._no_answer(
                     "the deadline passed before the answer was complete", True
                 )
-            if not self.sent and self._stop_limits.refusal(self._request.route):
-                return draining()
+            if refused := self._stop_refusal():
+                return refused
             selected = await self._hand_over.choose(
                 self._tried, self._has_lost_server, self.progress.version
             )
@@ -306,9 +306,8 @@
 
     def _check_before_sending(self, selected: SelectedServer) -> None:
         self.delivery.check_caller()
-        if not self.sent and self._stop_limits.refusal(self._request.route):
-            # A stop was requested while the request waited.
-            raise ServerClosedError("this router is shutting down")
+        if refused := self._stop_refusal():
+            raise ServerClosedError(refused.detail)
         selected.check_notices()
         if self.progress.has_wrong_version(selected.server):
             raise ServerClosedError(WRONG_VERSION)
@@ -382,6 +381,11 @@
             return False
         return self._remaining_s() >= MIN_REMAINING_S and self._pending.try_spend()
 
+    def _stop_refusal(self) -> Problem | None:
+        if self.may_have_run:
+            return None
+        return self._stop_limits.refusal(self._request.route, is_new=not self.sent)
+
     def _remaining_s(self) -> float:
         return self._stop_limits.remaining_s(self._request.until_s)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stop_limits.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stop_limits.py
@@ -89,17 +89,17 @@
         """
         return min(until_s, self.plan.end_s) - now()
 
-    def refusal(self, route: RouteRule) -> Problem | None:
+    def refusal(self, route: RouteRule, is_new: bool = True) -> Problem | None:
         """Return the refusal of a request that comes too late in a stop, or None.
 
         :param route: the rule that the request matches.
+        :param is_new: whether it wasn't sent to a server yet.
         """
         is_stream = route.kind is RequestKind.STREAMING
         plan = self.plan
         until_s = plan.accept_streams_until_s if is_stream else plan.accept_all_until_s
-        if now() >= until_s or not self.allows_attempt(route):
-            return draining()
-        return None
+        is_too_late = is_new and now() >= until_s
+        return draining() if is_too_late or not self.allows_attempt(route) else None
 
     def allows_attempt(self, route: RouteRule) -> bool:
         """Return whether an attempt that begins now usually ends before the stop does.
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/stops.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/stops.feature
@@ -28,6 +28,18 @@
     Then the caller gets 503 not-run
     And 0 servers received it
 
+  # Guards against "may have run" where a true "not run" sends callers to another router:
+  # a server refused the request, and the way to the next one took too long.
+  Scenario: A request that a server refused isn't sent to another one too late in a stop
+    Given a "non-idempotent" route with 2 attempts and 2 servers
+    And 10 requests of the route that took 0.5 s
+    And the first server reports that it did not run it
+    And the second server never answers
+    And connections take 0.4 s
+    When a request is served, and a stop that ends after 1.1 s is requested 0.1 s later
+    Then the caller gets 503 not-run
+    And 1 servers received it
+
   # Guards against repeats that the end of a stop cuts.
   Scenario Outline: A request is repeated in a stop only if repeats usually end before it
     Given a "idempotent" route with 2 attempts and 2 servers
