Leave out how long callers send their requests from what a route usually takes

A stopping router refused all requests of a route from its signal on if more than 1 in 20 of the route's callers had taken long to send their bodies, though work on the route is short: the usual time was counted from the head of a request, but compared with what is left once its body is read. It is counted from the end of the body now; the body's own time needs no estimate, as a request is compared again behind it.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -104,6 +104,7 @@
         """
         self._window(request.pool).record_request()
         run = self._make_run(request, sink)
+        began_s = now()
         problem = None
         error = ""
         try:
@@ -117,7 +118,7 @@
                 if problem is None:
                     problem = await run.serve()
             if run.sent and problem is None:
-                duration_s = now() - request.arrived_s
+                duration_s = now() - began_s
                 self.stop_limits.record_duration(request.route.name, duration_s)
         except TimeoutError:
             if not await run.send_failed_answer():
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stop_limits.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stop_limits.py
@@ -114,7 +114,7 @@
         """Record how long a request took that ended by itself.
 
         :param route: name of its route.
-        :param duration_s: time from its arrival to its end, in seconds.
+        :param duration_s: time from when it was read whole to its end, in seconds.
         """
         recent = self._recent_by_route.get(route)
         if recent is None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/stops_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/stops_steps.py
@@ -6,7 +6,13 @@
 
 from almondfield_core.clock import now
 from almondfield_daemon.forwarding.stop_limits import StopLimits, StopPlan
-from almondfield_daemon.forwarding.tests.requests import route, serve
+from almondfield_daemon.forwarding.tests.fakes import FakeSink
+from almondfield_daemon.forwarding.tests.requests import (
+    TIMEOUT_S,
+    make_request,
+    route,
+    serve,
+)
 from almondfield_testing import run
 
 
@@ -49,6 +55,17 @@
     context.served = run(context, serve_and_stop(context, end_s, after_s, 0.0))
 
 
+@when("{count:d} requests are served whose callers took {seconds:g} s to send them")
+def step_impl(context, count, seconds):
+    async def serve_late():
+        for _ in range(count):
+            request = make_request(context, TIMEOUT_S)
+            await asyncio.sleep(seconds)
+            assert await context.forwarder.serve(request, FakeSink()) is None
+
+    run(context, serve_late())
+
+
 @then("a stop that ends after {end_s:g} s {allows} another request")
 def step_impl(context, end_s, allows):
     async def ask():
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/stops.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/stops.feature
@@ -66,6 +66,13 @@
       | 1    | allows       |
       | 2    | doesn't allow |
 
+  # Guards against a stop that refuses requests which would end in time, as some callers
+  # of the route take long to send theirs.
+  Scenario: How long callers take to send their requests isn't part of the usual time
+    Given a "idempotent" route with 1 attempts and 1 servers
+    When 20 requests are served whose callers took 3 s to send them
+    Then a stop that ends after 1 s allows another request
+
   # Guards against LOST: a stop that was learned of late, after a pause of the process,
   # failed on a request whose own time had just ended, and the process didn't stop.
   Scenario: A stop that is learned of after its end leaves requests alone that end already
