Cancel what still runs when a listener's time to stop is over, not 0.1 s later

A listener that had 0.4 s to stop cancelled the requests that ran on after 0.5 s: the library sleeps for 0.1 s before it counts the time, and connections that wait are accepted first.

The time is counted from the call.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -9,6 +9,7 @@
 import uvicorn
 from starlette.types import ASGIApp
 
+from almondfield_core.clock import now
 from almondfield_core.findings import AlmondfieldError
 from almondfield_daemon.loop_delay import AcceptTimes
 from almondfield_daemon.serving.gate import Gate
@@ -22,6 +23,7 @@
 CONNECT_ITERATIONS = 3  # of the event loop, until an accepted connection can be read
 KEEP_ALIVE_S = 75
 HEAD_TIMEOUT_S = 30.0
+CLOSE_PAUSE_S = 0.1  # uvicorn sleeps as long before it counts the time of a stop
 
 
 class ListenError(AlmondfieldError):
@@ -137,8 +139,11 @@
         if self._task is None:
             return
         if not self._server.exit_requested.is_set():
-            self._server.config.timeout_graceful_shutdown = within_s
+            until_s = math.inf if within_s is None else now() + within_s
             await self._accept_waiting()
+            if until_s < math.inf:
+                left_s = max(0.0, until_s - now() - CLOSE_PAUSE_S)
+                self._server.config.timeout_graceful_shutdown = left_s
             self._server.exit_requested.set()
         await self._task
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/stopping_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/stopping_steps.py
@@ -7,10 +7,12 @@
 
 from behave import given, then, when
 
+from almondfield_daemon.serving import HttpListener, bind
 from almondfield_daemon.serving.tests.callers import ANSWER_TIMEOUT_S
 
 LOCALHOST = "127.0.0.1"
 REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+MAX_HEAD_BYTES = 1024
 HALF = len(REQUEST) // 2
 
 
@@ -26,6 +28,36 @@
     context.reader, context.writer = context.loop.run_until_complete(connect())
 
 
+@given("a listener whose requests run on for {seconds:g} s")
+def step_impl(context, seconds):
+    async def run_on(scope, receive, send):
+        await asyncio.sleep(seconds)
+
+    listener = bind(LOCALHOST, 0)
+    context.port = listener.getsockname()[1]
+    context.listener = HttpListener(run_on, listener, MAX_HEAD_BYTES)
+    context.loop.run_until_complete(context.listener.start())
+
+
+@when("a request runs, and the listener has to stop within {seconds:g} s")
+def step_impl(context, seconds):
+    async def stop():
+        _, writer = await asyncio.open_connection(LOCALHOST, context.port)
+        context.add_cleanup(writer.close)
+        writer.write(REQUEST)
+        await asyncio.sleep(0.1)
+        began_s = time.monotonic()
+        await context.listener.stop(seconds)
+        context.stop_s = time.monotonic() - began_s
+
+    context.loop.run_until_complete(stop())
+
+
+@then("it took at least {seconds:g} s less {margin_s:g} s")
+def step_impl(context, seconds, margin_s):
+    assert context.stop_s >= seconds - margin_s, context.stop_s
+
+
 @when("the caller sends a request and the listener stops before it reads it")
 def step_impl(context):
     async def stop():
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/stopping.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/stopping.feature
@@ -47,3 +47,16 @@
     And a caller that has had an answer on a connection that it keeps
     When the caller sends a blank line after an answer, and idle connections are closed after 0.3 s
     Then the connection is closed within 2 s
+
+  # Guards against LOST: a process whose listener took longer to stop than it may outlived
+  # its grace period, and the kill cut what it still wrote.
+  Scenario Outline: A listener stops within its time though a request would run on
+    Given a listener whose requests run on for 30 s
+    When a request runs, and the listener has to stop within <seconds> s
+    Then the listener has stopped within <most> s
+    And it took at least <seconds> s less 0.1 s
+
+    Examples:
+      | seconds | most |
+      | 0.4     | 0.49 |
+      | 0.2     | 0.29 |
