Keep to the grace period that a stop began with

A router whose settings were reloaded while it stopped, with a longer grace period, waited for a caller that reads nothing of its answer beyond the period it was told to stop with, up to the kill: the end of the listeners was taken from the settings as they were after the drain, the end of the requests from those at the signal. Both are of the signal now.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -163,8 +163,10 @@
         stop.set()
         late_ms = round((now() - stop.requested_s) * MILLISECONDS, 1)
         eliot.log_message("daemon:draining", late_ms=late_ms)
+        # A reload may change the settings meanwhile.
+        until_s = stop.requested_s + EXIT_FRACTION * self.settings.grace_s
         await self.drain(stop.requested_s)
-        await self._close(stop.requested_s + EXIT_FRACTION * self.settings.grace_s)
+        await self._close(until_s)
 
     def reload(self) -> None:
         """Reload the settings; only the seeds may change while the daemon runs."""
