--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/tests/steps/stop_signal_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/tests/steps/stop_signal_steps.py
@@ -48,6 +48,15 @@
     run(context, wait())
 
 
+@when("the signal comes again {seconds:g} s later")
+def step_impl(context, seconds):
+    async def set_again():
+        await asyncio.sleep(seconds)
+        context.stop.set()
+
+    run(context, set_again())
+
+
 @when("a part begins to listen for it")
 def step_impl(context):
     context.told_s = []
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/tests/stop_signal.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/tests/stop_signal.feature
@@ -15,3 +15,10 @@
     Given a signal to stop that has come
     When a part begins to listen for it
     Then the sound part was told once
+
+  # Guards against a grace period that begins anew with a second signal.
+  Scenario: A second signal changes nothing
+    Given a signal to stop, of which a part that fails and a sound one are told
+    When the signal comes
+    And the signal comes again 1 s later
+    Then the sound part was told once
