--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/stops.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/stops.feature
@@ -28,6 +28,18 @@
     Then the caller gets 503 not-run
     And 0 servers received it
 
+  # Guards against "may have run" where a true "not run" sends callers to another router:
+  # a server refused the request, and the way to the next one took too long.
+  Scenario: A request that a server refused isn't sent to another one too late in a stop
+    Given a "non-idempotent" route with 2 attempts and 2 servers
+    And 10 requests of the route that took 0.5 s
+    And the first server reports that it did not run it
+    And the second server never answers
+    And connections take 0.4 s
+    When a request is served, and a stop that ends after 1.1 s is requested 0.1 s later
+    Then the caller gets 503 not-run
+    And 1 servers received it
+
   # Guards against repeats that the end of a stop cuts.
   Scenario Outline: A request is repeated in a stop only if repeats usually end before it
     Given a "idempotent" route with 2 attempts and 2 servers
@@ -53,3 +65,17 @@
       | 0    | allows       |
       | 1    | allows       |
       | 2    | doesn't allow |
+
+  # Guards against a stop that refuses requests which would end in time, as some callers
+  # of the route take long to send theirs.
+  Scenario: How long callers take to send their requests isn't part of the usual time
+    Given a "idempotent" route with 1 attempts and 1 servers
+    When 20 requests are served whose callers took 3 s to send them
+    Then a stop that ends after 1 s allows another request
+
+  # Guards against LOST: a stop that was learned of late, after a pause of the process,
+  # failed on a request whose own time had just ended, and the process didn't stop.
+  Scenario: A stop that is learned of after its end leaves requests alone that end already
+    Given a part of a request with 1 s, which takes 0.5 s to release what it holds
+    When a stop that ended after 0.5 s is learned of after 1.2 s
+    Then the part ends with its timeout after 1.5 s
