Read what servers say about further work as the head of an answer arrives

Cause: a notice was recorded by the task that had sent the request, after the answer was found to belong to it and its body was read or given up after 0.5 s. So it was lost if the answer named no request on a kept connection or another request, if the caller left before the body came, and while the task still wrote a long body; it came 0.5 s late if the body didn't come. Class: what a message says about its sender depended on what became of the message.

Change: the connection hands over the head as it is parsed (`BackendCall.on_head`), and its notices are recorded there, but for 421, which another server sends. `record_answer` of the notices becomes `record` and `record_served`; `received_s` of an answer goes, as the head has it.

Test: requested_rest.feature of the platform, real sockets, a server that asks once for 1.5 s and then refuses without a time.

The steps of server_notices and silence call the two new functions in place of the one; the fake backends hand over heads as the real ones do.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import httptools
 
 from almondfield_core.settings import AnswerSettings
+from almondfield_daemon.backend.headers import end_to_end
 from almondfield_daemon.loop_delay import latest_arrival_s
-from almondfield_daemon.router.calls import Framing, Header
+from almondfield_daemon.router.calls import AnswerHead, Framing, Header
 
 __all__ = ["AnswerTooLongError", "BackendConnection", "ConnectionCutError"]
 
@@ -34,8 +35,6 @@
     :param limits: limits on the answers.
 
     :ivar received_bytes: bytes of the answer so far, with its head and framing.
-    :ivar head_received_s: latest time at which the head of the answer can have arrived,
-        in seconds of the loop's clock.
     :ivar is_cut: whether the server closed or reset the connection, before anything
         else failed.
     """
@@ -47,7 +46,6 @@
         self.head_complete = False
         self.complete = False
         self.received_bytes = 0
-        self.head_received_s = 0.0
         self.is_cut = False
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -60,6 +58,7 @@
         self._head_bytes = 0
         self._framing_bytes = 0
         self._keep_alive = False
+        self._on_head: Callable[[AnswerHead], None] | None = None
         self._expects_body = True
         self._answered = False
         self.framing = Framing.CONNECTION
@@ -79,14 +78,23 @@
         """Return whether the connection failed before the first byte of the answer."""
         return bool(self._failure) and not self._answered
 
-    async def send(self, method: bytes, head: bytes, body: bytes) -> None:
+    async def send(
+        self,
+        method: bytes,
+        head: bytes,
+        body: bytes,
+        on_head: Callable[[AnswerHead], None] | None = None,
+    ) -> None:
         """Send one request.
 
         :param method: HTTP method.
         :param head: request line and headers, up to the empty line.
         :param body: body; the head states its length.
+        :param on_head: called with the head of the answer as it arrives, which may be
+            before the request is sent completely; None for nothing.
         :raises ConnectionCutError: if the connection is lost while sending.
         """
+        self._on_head = on_head
         self._start_answer(method)
         if len(body) <= SMALL_BODY_BYTES:
             self._transport.write(head + body)
@@ -207,11 +215,13 @@
             return
         self.status = status
         self.head_complete = True
-        self.head_received_s = latest_arrival_s()
         self._keep_alive = self._parser.should_keep_alive()
         if not self._expects_body or status in BODILESS_STATUSES:
             self.complete = True
         self.framing = _read_framing(self.headers)
+        if self._on_head is not None:
+            headers = end_to_end(self.headers)
+            self._on_head(AnswerHead(status, headers, latest_arrival_s()))
 
     def on_body(self, part: bytes) -> None:
         """Buffer a part of the body; called by the parser."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -62,7 +62,6 @@
         self.status = connection.status
         self.headers: tuple[Header, ...] = end_to_end(connection.headers)
         self.framing = connection.framing
-        self.received_s = connection.head_received_s
         self._max_event_bytes = max_event_bytes
         self._boundary = None
         if _is_event_stream(connection, call):
@@ -240,7 +239,7 @@
         try:
             async with ArrivalTimeout(first_byte_s):
                 await connection.send(
-                    call.method.encode(), encode_head(call), call.body
+                    call.method.encode(), encode_head(call), call.body, call.on_head
                 )
                 await connection.wait_head()
         except AnswerTooLongError as error:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import aclosing
+from dataclasses import replace
 
 from result import Err, Ok
 
@@ -28,12 +29,13 @@
 from almondfield_daemon.router.calls import (
     SUCCESS_STATUSES,
     AnswerCutError,
+    AnswerHead,
     BackendAnswer,
     BackendCall,
     Backends,
     Header,
 )
-from almondfield_daemon.server_notices import ServerClosedError
+from almondfield_daemon.server_notices import ServerClosedError, ServerNotice
 
 __all__ = ["AttemptSender"]
 
@@ -69,6 +71,7 @@
         last_event_id: str,
         watch: SilenceWatch,
         check: Callable[[], None],
+        on_notices: Callable[[tuple[ServerNotice, ...], float], None],
         is_repeat: bool,
     ) -> Attempt:
         """Return the outcome of one attempt, once the head of the answer has arrived.
@@ -79,6 +82,8 @@
         :param watch: watches the wait for the head of the answer.
         :param check: called right before the request is sent; raises an error if the
             caller has left or the server takes no work any more.
+        :param on_notices: called with what the head of an answer says about further
+            work, and when it was received, whatever becomes of the answer.
         :param is_repeat: whether an earlier attempt may have run.
         """
 
@@ -86,7 +91,14 @@
             check()
             watch.begin()
 
+        def on_head(head: AnswerHead) -> None:
+            # Another server's answer says nothing about this one.
+            if head.status != MISDIRECTED_STATUS:
+                metadata = self._codec.read_answer(head.status, head.headers)
+                on_notices(metadata.notices, head.received_s)
+
         call = self._call(request, server, last_event_id, check_and_begin, is_repeat)
+        call = replace(call, on_head=on_head)
         try:
             result = await self._backends.send(call)
             watch.end()
@@ -170,7 +182,7 @@
             return Misdirected()
         if metadata.was_not_run:
             await self._discard_body(answer)
-            return NotExecuted(answer.status, metadata, answer.received_s)
+            return NotExecuted(answer.status, metadata)
         is_named = bool(metadata.request_id)
         if answer.status in SUCCESS_STATUSES and not (is_named and metadata.is_signed):
             answer.close()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
@@ -35,12 +35,10 @@
 
     :ivar status: status of its answer.
     :ivar metadata: metadata from its headers.
-    :ivar received_s: when its head was received, in seconds of the loop's clock.
     """
 
     status: int
     metadata: AnswerMetadata
-    received_s: float
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -90,6 +90,7 @@
         stop_limits: StopLimits,
     ) -> None:
         self._request = request
+        self._request_id = request.metadata.request_id
         self._stop_limits = stop_limits
         self._attempts = attempts
         self._servers = servers
@@ -234,14 +235,10 @@
             match outcome:
                 case Answered():
                     self.framing = outcome.answer.framing
-                    selected.record_answer(
-                        outcome.metadata,
-                        outcome.answer.received_s,
-                        self._request.metadata.request_id,
-                    )
+                    selected.record_answer(outcome.metadata)
                     return selected, outcome
                 case _:
-                    selected.end_failed(outcome, self._request.metadata.request_id)
+                    selected.end_failed(outcome)
                     problem = self._handle_failure(selected, outcome)
                     if problem is not None and not self._hand_over.try_return():
                         return problem
@@ -266,6 +263,7 @@
                     self.progress.last_event_id,
                     watch,
                     lambda: self._check_before_sending(selected),
+                    partial(selected.record_notices, self._request_id),
                     is_repeat=may_have_run,
                 )
         except AnswerCutError as error:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -25,6 +25,7 @@
 from almondfield_daemon.scheduling import EngineAssignment
 from almondfield_daemon.server_notices import (
     ServerClosedError,
+    ServerNotice,
     ServerNotices,
     ServerStart,
 )
@@ -118,23 +119,27 @@
             return False
         return True
 
+    def record_notices(
+        self, request_id: str, notices: tuple[ServerNotice, ...], received_s: float
+    ) -> None:
+        """Record what the head of an answer says about further work.
+
+        :param request_id: the request that was sent.
+        :param notices: the notices.
+        :param received_s: when the head was received, in seconds of the loop's clock.
+        """
+        self._notices.record(self._start, notices, received_s, request_id)
+
     def record_answer(
-        self,
-        metadata: AnswerMetadata,
-        received_s: float,
-        request_id: str,
-        was_refused: bool = False,
+        self, metadata: AnswerMetadata, was_refused: bool = False
     ) -> None:
-        """Record what the head of the server's answer says about the server.
+        """Record the head of the server's answer to this request.
 
         :param metadata: metadata from the head.
-        :param received_s: when it was received, in seconds of the loop's clock.
-        :param request_id: the request that it answers.
         :param was_refused: whether the server refused the request.
         """
-        self._notices.record_answer(
-            self._start, metadata.notices, was_refused, received_s, request_id
-        )
+        if not was_refused:
+            self._notices.record_served(self._start)
         self._quarantine.record_alive(self._start)
         load = metadata.load
         if load is not None and not was_refused:
@@ -220,15 +225,14 @@
         """Record that the server accepts no connection."""
         self._quarantine.record_gone(self._start)
 
-    def end_failed(self, outcome: FailedAttempt, request_id: str) -> None:
+    def end_failed(self, outcome: FailedAttempt) -> None:
         """Record the end of an attempt without a usable answer.
 
         :param outcome: outcome of the attempt.
-        :param request_id: the request.
         """
         match outcome:
-            case NotExecuted(_, metadata, received_s):
-                self.record_answer(metadata, received_s, request_id, was_refused=True)
+            case NotExecuted(_, metadata):
+                self.record_answer(metadata, was_refused=True)
                 self.end(was_refused=True)
             case Withheld():
                 self.end(was_sent=False)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -9,7 +9,12 @@
 from almondfield_core.messages import ServerFailure
 from almondfield_daemon.edge.bodies import CallerDisconnectedError
 from almondfield_daemon.forwarding import AnswerMetadata, RequestMetadata
-from almondfield_daemon.router.calls import AnswerCutError, CallFailure, Framing
+from almondfield_daemon.router.calls import (
+    AnswerCutError,
+    AnswerHead,
+    CallFailure,
+    Framing,
+)
 from almondfield_daemon.scheduling import EngineAssignment
 from almondfield_daemon.scheduling.messages import EngineInFlight
 
@@ -238,7 +243,11 @@
         server = self.server_by_address[call.address]
         await asyncio.sleep(self.connect_s)
         call = replace(call, headers=call.prepare_headers())
-        return await server.answer(call, self.request_id)
+        result = await server.answer(call, self.request_id)
+        if isinstance(result, Ok):
+            answer = result.ok_value
+            call.on_head(AnswerHead(answer.status, answer.headers, answer.received_s))
+        return result
 
 
 class FakeSink:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/silence_steps.py
@@ -252,7 +252,7 @@
         start = ServerStart("s0", context.view.fleet_servers[0].born_ms)
         notices = context.forwarder._servers._notices
         refused = (RetryAfter(seconds),)
-        notices.record_answer(start, refused, True, clock.now(), "earlier")
+        notices.record(start, refused, clock.now(), "earlier")
         await asyncio.sleep(2 * seconds)
 
     run(context, refuse())
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
@@ -15,6 +15,7 @@
     "FIRST_ERROR_STATUS",
     "SUCCESS_STATUSES",
     "AnswerCutError",
+    "AnswerHead",
     "BackendAnswer",
     "BackendCall",
     "Backends",
@@ -59,6 +60,21 @@
         self.is_cut = is_cut
 
 
+@dataclass(frozen=True)
+class AnswerHead:
+    """The head of an answer.
+
+    :ivar status: HTTP status.
+    :ivar headers: end-to-end headers, unchanged.
+    :ivar received_s: latest time at which it can have arrived, in seconds of the loop's
+        clock.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+    received_s: float
+
+
 @dataclass(frozen=True)
 class BackendCall:
     """One attempt to run a request on a backend server.
@@ -76,6 +92,8 @@
     :ivar expects_events: whether a success without a content type is an event stream.
     :ivar prepare_headers: returns the headers when the connection is there, instead of
         ``headers``; it may raise an error, and then nothing is sent. None to use them.
+    :ivar on_head: called with the head of the answer as it arrives, whether or not
+        the answer is used; None for nothing.
     """
 
     address: str
@@ -89,6 +107,7 @@
     may_end_by_close: bool = False
     expects_events: bool = False
     prepare_headers: Callable[[], tuple[Header, ...]] | None = None
+    on_head: Callable[[AnswerHead], None] | None = None
 
 
 @dataclass(frozen=True)
@@ -138,10 +157,6 @@
         Another answer may be a repetition of an earlier one.
         """
 
-    @property
-    def received_s(self) -> float:
-        """Return when the head was received, in seconds of the loop's clock."""
-
     @property
     def received_bytes(self) -> int:
         """Return the bytes received so far, with the head and the framing."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_notices/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/core.py
@@ -126,21 +126,19 @@
             return
         raise ServerClosedError(f"server {server.name} takes no work now")
 
-    def record_answer(
+    def record(
         self,
         server: ServerStart,
         notices: tuple[ServerNotice, ...],
-        was_refused: bool,
         received_s: float,
         request_id: str,
     ) -> None:
-        """Record an answer of a server.
+        """Record what an answer of a server says, even if the answer isn't used.
 
         :param server: the server.
         :param notices: what the answer says about further work.
-        :param was_refused: whether the server refused the request.
         :param received_s: when its head was received, in seconds of the loop's clock.
-        :param request_id: the request that it answers.
+        :param request_id: the request that was sent on its connection.
         """
         for notice in notices:
             match notice:
@@ -155,8 +153,16 @@
                     self._ignore(server, f"{seconds:.0f}", request_id)
                 case InvalidRetryAfter(text):
                     self._ignore(server, text, request_id)
-        if not was_refused:
-            self._open(server)
+
+    def record_served(self, server: ServerStart) -> None:
+        """End a closure whose time has passed, as the server answers a request.
+
+        :param server: the server.
+        """
+        closure = self._closure_by_start.get(server)
+        if closure is not None and closure.until_s <= now():
+            del self._closure_by_start[server]
+            eliot.log_message("server:open", server=server.name)
 
     def retain(self, servers: Iterable[ServerStart]) -> None:
         """Drop what is recorded of servers that aren't known any more.
@@ -192,13 +198,6 @@
                 ),
             )
 
-    def _open(self, server: ServerStart) -> None:
-        """End a closure whose time has passed, as the server answers."""
-        closure = self._closure_by_start.get(server)
-        if closure is not None and closure.until_s <= now():
-            del self._closure_by_start[server]
-            eliot.log_message("server:open", server=server.name)
-
     def _ignore(self, server: ServerStart, text: str, request_id: str) -> None:
         self.count_by_kind[NoticeKind.INVALID_RETRY_AFTER] += 1
         if server not in self._starts_with_invalid_time:
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_notices/tests/steps/notices_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/tests/steps/notices_steps.py
@@ -34,9 +34,10 @@
 
     async def main():
         received_s = now() - handled_after_s
-        context.notices.record_answer(
-            context.start_by_name[name], notices, was_refused, received_s, "r"
-        )
+        server = context.start_by_name[name]
+        context.notices.record(server, notices, received_s, "r")
+        if not was_refused:
+            context.notices.record_served(server)
 
     run(context, main())
 
