Hold a server's retry time until it ends, over its starts and absences

Cause: a retry time was kept for one start of a server (name and start time) and dropped with it. A server that has started again under its name answers before routers know the new start: its notice was recorded for the start before and was gone as soon as the new one was announced. The same with a server that was missing from the list for a moment. Class: a statement was kept under a key that its reader didn't know for certain yet.

Change: that a server leaves still holds for one start; a retry time is kept by the server's name until it ends, also while the server isn't known. Cost: a server that gives a time and then restarts is left alone until the time ends, an hour at most.

--- a/packages/almondfield-daemon/src/almondfield_daemon/server_notices/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/core.py
@@ -3,7 +3,9 @@
 A server that leaves gets no further work. A server that refused a request and gave a
 retry time gets none for that time; afterwards it gets one request, and more once it has
 answered that one. Neither is a failure of the server: its health is judged elsewhere.
-The notices hold for one start of a server and need no other host.
+That a server leaves holds for one start of it. A retry time holds until it ends, as a
+server that has started again may give it before its start is announced. No other host
+is needed.
 """
 
 import itertools
@@ -52,8 +54,7 @@
 class _Closure:
     """A server that takes no work, or one request at a time.
 
-    :ivar until_s: when it takes one request, in seconds of the loop's clock; infinity
-        for a server that leaves.
+    :ivar until_s: when it takes one request, in seconds of the loop's clock.
     :ivar trial: number of the request that it got after that time; 0 for none.
     """
 
@@ -69,7 +70,8 @@
 
     def __init__(self) -> None:
         self.count_by_kind: Counter[NoticeKind] = Counter()
-        self._closure_by_start: dict[ServerStart, _Closure] = {}
+        self._leaving: set[ServerStart] = set()
+        self._closure_by_name: dict[str, _Closure] = {}
         self._starts_with_invalid_time: set[ServerStart] = set()
         self._trial_numbers = itertools.count(1)
 
@@ -78,7 +80,9 @@
 
         :param server: the server.
         """
-        closure = self._closure_by_start.get(server)
+        if server in self._leaving:
+            return False
+        closure = self._closure_by_name.get(server.name)
         return closure is None or (closure.until_s <= now() and not closure.trial)
 
     def wait_s(self, servers: Iterable[ServerStart]) -> float:
@@ -97,11 +101,11 @@
 
         :param server: the server, which accepts a request.
         """
-        closure = self._closure_by_start.get(server)
+        closure = self._closure_by_name.get(server.name)
         if closure is None:
             return 0
         trial = next(self._trial_numbers)
-        self._closure_by_start[server] = replace(closure, trial=trial)
+        self._closure_by_name[server.name] = replace(closure, trial=trial)
         return trial
 
     def end_trial(self, server: ServerStart, trial: int) -> None:
@@ -110,9 +114,9 @@
         :param server: the server.
         :param trial: number of the request; a trial that was answered is ignored.
         """
-        closure = self._closure_by_start.get(server)
+        closure = self._closure_by_name.get(server.name)
         if closure is not None and trial and closure.trial == trial:
-            self._closure_by_start[server] = replace(closure, trial=0)
+            self._closure_by_name[server.name] = replace(closure, trial=0)
 
     def check(self, server: ServerStart, trial: int) -> None:
         """Return if a selected server still takes the request that is to be sent.
@@ -121,8 +125,9 @@
         :param trial: number of the request if it is a trial; 0 otherwise.
         :raises ServerClosedError: if another answer has closed the server meanwhile.
         """
-        closure = self._closure_by_start.get(server)
-        if closure is None or (trial and closure.trial == trial):
+        closure = self._closure_by_name.get(server.name)
+        is_open = closure is None or (trial and closure.trial == trial)
+        if is_open and server not in self._leaving:
             return
         raise ServerClosedError(f"server {server.name} takes no work now")
 
@@ -144,11 +149,10 @@
             match notice:
                 case Leaving():
                     self.count_by_kind[NoticeKind.LEAVING] += 1
-                    self._close(server, math.inf, "server:leaving", request_id)
+                    self._leave(server, request_id)
                 case RetryAfter(seconds) if seconds <= MAX_RETRY_AFTER_S:
                     self.count_by_kind[NoticeKind.RETRY_AFTER] += 1
-                    until_s = received_s + seconds
-                    self._close(server, until_s, "server:retry-after", request_id)
+                    self._close(server, received_s + seconds, request_id)
                 case RetryAfter(seconds):
                     self._ignore(server, f"{seconds:.0f}", request_id)
                 case InvalidRetryAfter(text):
@@ -159,44 +163,60 @@
 
         :param server: the server.
         """
-        closure = self._closure_by_start.get(server)
+        closure = self._closure_by_name.get(server.name)
         if closure is not None and closure.until_s <= now():
-            del self._closure_by_start[server]
+            del self._closure_by_name[server.name]
             eliot.log_message("server:open", server=server.name)
 
     def retain(self, servers: Iterable[ServerStart]) -> None:
         """Drop what is recorded of servers that aren't known any more.
 
+        A retry time that hasn't ended is kept, as its server may be back before.
+
         :param servers: the known servers.
         """
         known = frozenset(servers)
-        closures = self._closure_by_start.items()
-        self._closure_by_start = {s: c for s, c in closures if s in known}
+        names = {server.name for server in known}
+        self._leaving &= known
         self._starts_with_invalid_time &= known
+        self._closure_by_name = {
+            name: closure
+            for name, closure in self._closure_by_name.items()
+            if name in names or closure.until_s > now()
+        }
 
     def _wait_s(self, server: ServerStart) -> float:
-        closure = self._closure_by_start.get(server)
+        if server in self._leaving:
+            return math.inf
+        closure = self._closure_by_name.get(server.name)
         return 0.0 if closure is None else max(0.0, closure.until_s - now())
 
-    def _close(
-        self, server: ServerStart, until_s: float, event: str, request_id: str
-    ) -> None:
-        before = self._closure_by_start.get(server)
+    def _leave(self, server: ServerStart, request_id: str) -> None:
+        if server not in self._leaving:
+            self._leaving.add(server)
+            self._log("server:leaving", server, request_id, None)
+
+    def _close(self, server: ServerStart, until_s: float, request_id: str) -> None:
+        before = self._closure_by_name.get(server.name)
         if before is not None and before.until_s >= until_s:
             # An answer to an earlier request; the closure in force lasts longer.
             return
-        self._closure_by_start[server] = _Closure(until_s)
+        self._closure_by_name[server.name] = _Closure(until_s)
         is_extension = before is not None and before.until_s > now()
-        if not is_extension or until_s == math.inf:
-            eliot.log_message(
-                event,
-                server=server.name,
-                server_born_ms=server.born_ms,
-                request_id=request_id,
-                wait_ms=(
-                    None if until_s == math.inf else round((until_s - now()) * 1000, 1)
-                ),
-            )
+        if not is_extension:
+            wait_ms = round((until_s - now()) * 1000, 1)
+            self._log("server:retry-after", server, request_id, wait_ms)
+
+    def _log(
+        self, event: str, server: ServerStart, request_id: str, wait_ms: float | None
+    ) -> None:
+        eliot.log_message(
+            event,
+            server=server.name,
+            server_born_ms=server.born_ms,
+            request_id=request_id,
+            wait_ms=wait_ms,
+        )
 
     def _ignore(self, server: ServerStart, text: str, request_id: str) -> None:
         self.count_by_kind[NoticeKind.INVALID_RETRY_AFTER] += 1
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_notices/tests/notices.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/tests/notices.feature
@@ -122,6 +122,42 @@
       | "soon"      | soon   |
       | 3601 s      | 3601   |
 
+  # Guards against BUDGET: a server that has started again asks for time before its start
+  # is announced, and gets requests as soon as it is.
+  Scenario: A retry time holds when another start of the server becomes known
+    Given servers "s1" and "s2"
+    When "s1" refuses with a retry time of 3 s
+    And "s1" restarts
+    And 2.9 s pass
+    Then "s1" takes no work
+    When 0.1 s pass
+    And a request is selected for "s1"
+    Then "s1" takes no work
+    When "s1" restarts
+    And "s1" answers
+    Then "s1" takes work
+
+  # Guards against BUDGET: a server that is missing from the list for a moment gets
+  # requests as it is back.
+  Scenario: A retry time holds when the server is gone for a while
+    Given servers "s1" and "s2"
+    When "s1" refuses with a retry time of 3 s
+    And only "s2" is known
+    And 2.9 s pass
+    Then "s1" takes no work
+    When 0.1 s pass
+    And only "s2" is known
+    Then "s1" takes work
+
+  Scenario: A notice of leaving doesn't outlast the start that gave it, a retry time does
+    Given servers "s1" and "s2"
+    When "s1" refuses with a retry time of 3 s
+    And "s1" answers that it leaves
+    And "s1" restarts
+    Then "s1" takes no work
+    When 3 s pass
+    Then "s1" takes work
+
   Scenario: The shortest wait of several servers
     Given servers "s1" and "s2"
     When "s1" refuses with a retry time of 4 s
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_notices/tests/steps/notices_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/tests/steps/notices_steps.py
@@ -83,7 +83,8 @@
 
 @when('"{name}" restarts')
 def step_impl(context, name):
-    context.start_by_name[name] = ServerStart(name, 2)
+    start = context.start_by_name[name]
+    context.start_by_name[name] = ServerStart(name, start.born_ms + 1)
 
 
 @when("{seconds:g} s pass")
@@ -115,7 +116,10 @@
 
 @when('only "{name}" is known')
 def step_impl(context, name):
-    context.notices.retain([context.start_by_name[name]])
+    async def retain():
+        context.notices.retain([context.start_by_name[name]])
+
+    run(context, retain())
 
 
 def may_send(context):
