Return a refusal that comes before a long body is read at once

What callers saw: a request with a long body that a server refused before it had read the body, and whose connection stayed open, got no answer until its deadline; another server wasn't tried.

Cause: the sender waited until the body was written, and looked for the answer only then. A server that refuses and reads no further never lets it end. Class: a wait for one of two events that the other one makes pointless.

Change: an error status (from 400) ends the wait, and the connection isn't used again (RFC 9112, 9.5). Successes still wait until the body is sent.

Test: four scenarios of backend.feature (body of 8 MiB, 421, 500 and 503) failed before with "no answer within 1.0 s", or with the connection used on; two of requested_rest.feature failed, as the caller had no answer after 3 s.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -13,6 +13,8 @@
 
 __all__ = ["AnswerTooLongError", "BackendConnection", "ConnectionCutError"]
 
+# RFC 9112, 9.5: a client that gets one while it sends a body ceases to send it.
+ERROR_STATUS = 400
 HIGH_WATER_BYTES = 256 * 1024
 SMALL_BODY_BYTES = 16 * 1024
 BODILESS_STATUSES = (204, 304)
@@ -52,7 +54,7 @@
         self._parts: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
-        self._writable: asyncio.Future[None] | None = None
+        self._is_paused = False
         self._failure: str = ""
         self._error_type: type[ConnectionCutError] = ConnectionCutError
         self._head_bytes = 0
@@ -85,7 +87,7 @@
         body: bytes,
         on_head: Callable[[AnswerHead], None] | None = None,
     ) -> None:
-        """Send one request.
+        """Send one request, or as much as is sent before an error is answered.
 
         :param method: HTTP method.
         :param head: request line and headers, up to the empty line.
@@ -101,9 +103,11 @@
         else:
             self._transport.write(head)
             self._transport.write(body)
-        if self._writable is not None:
-            await self._writable
-        self._raise_if_failed()
+        while self._is_paused and not self._is_error():
+            self._raise_if_failed()
+            await self._wait()
+        if not self._is_error():
+            self._raise_if_failed()
 
     async def wait_head(self) -> None:
         """Wait until the status and headers of the answer are received.
@@ -185,13 +189,12 @@
 
     def pause_writing(self) -> None:
         """Pause the sender; called by the transport."""
-        self._writable = asyncio.get_running_loop().create_future()
+        self._is_paused = True
 
     def resume_writing(self) -> None:
         """Resume the sender; called by the transport."""
-        if self._writable is not None and not self._writable.done():
-            self._writable.set_result(None)
-        self._writable = None
+        self._is_paused = False
+        self._wake()
 
     def on_status(self, status: bytes) -> None:
         """Do nothing; called by the parser at the status line."""
@@ -237,6 +240,10 @@
         if self.head_complete:
             self.complete = True
 
+    def _is_error(self) -> bool:
+        """Return whether the head of an answer with an error is received."""
+        return self.head_complete and self.status >= ERROR_STATUS
+
     def _start_answer(self, method: bytes) -> None:
         self.status = 0
         self.headers = []
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/backend.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/backend.feature
@@ -105,6 +105,20 @@
     When 2 pooled requests are sent one after the other
     Then the second request failed as stale
 
+  # Guards against callers that wait until their deadline for a refusal that is there.
+  Scenario Outline: A refusal that comes before a long body is read is returned at once
+    Given a server that answers <status> and "hello" before it reads the body, and <then>
+    When a pooled POST with a body of 8 MiB is sent, then another with an empty body
+    Then the result is complete "hello"
+    And the other one got a connection of its own
+
+    Examples:
+      | status | then          |
+      | 503    | waits         |
+      | 421    | waits         |
+      | 500    | waits         |
+      | 503    | reads on late |
+
   Scenario: Closing an answer early closes its connection
     Given a server that streams without end
     When a POST is sent and its answer is closed after the first chunk
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/backend_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/backend_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from almondfield_core.tables import Timeouts
 from almondfield_daemon.backend import HttpBackends
 from almondfield_daemon.backend.pool import idle_lifetime_s
 from almondfield_daemon.backend.tests.scripted import (
@@ -22,6 +23,8 @@
 from almondfield_daemon.router import BackendCall
 from almondfield_daemon.router.tests.fakes import settings
 
+EARLY_TIMEOUT_S = 1.0
+
 
 @given('a server that answers "{head}" and "{body}" and closes')
 def step_impl(context, head, body):
@@ -151,6 +154,40 @@
     start(context, script)
 
 
+@given(
+    'a server that answers {status:d} and "hello" before it reads the body, and {then}'
+)
+def step_impl(context, status, then):
+    async def script(server, reader, writer):
+        server.heads.append(await reader.readuntil(b"\r\n\r\n"))
+        head = b"HTTP/1.1 %d X\r\nContent-Length: 5\r\n\r\n" % status
+        writer.write(head + b"hello")
+        await asyncio.sleep(0.05 if then == "reads on late" else EARLY_TIMEOUT_S)
+        await reader.read()
+
+    timeouts = Timeouts(LONG_TIMEOUTS.connect_s, EARLY_TIMEOUT_S, EARLY_TIMEOUT_S)
+    start(context, script, timeouts)
+
+
+@when(
+    "a pooled POST with a body of {size:d} MiB is sent, then another with an empty body"
+)
+def step_impl(context, size):
+    async def send_both():
+        backends = HttpBackends(settings())
+        body = bytes(size * 1024 * 1024)
+        first = await send(context, "POST", (), body, True, backends)
+        await send(context, "POST", (), b"", True, backends)
+        return first
+
+    context.result = context.loop.run_until_complete(send_both())
+
+
+@then("the other one got a connection of its own")
+def step_impl(context):
+    assert context.server.connections == 2, context.server.connections
+
+
 @when("a {method:w} is sent")
 def step_impl(context, method):
     context.result = context.loop.run_until_complete(send(context, method))
