--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -167,10 +167,10 @@
                 await asyncio.sleep(1.0)
                 return Err(CallFailure(ServerFailure.FIRST_BYTE, True, "reset"))
             case "answers without signature":
-                unsigned = AnswerMetadata(request_id)
+                unsigned = replace(metadata, is_signed=False)
                 return Ok(FakeAnswer(200, unsigned, events, False, self))
             case "answers another request":
-                other = AnswerMetadata("other", is_signed=True)
+                other = replace(metadata, request_id="other")
                 return Ok(FakeAnswer(200, other, events, False, self))
             case "truncates its answer":
                 parts = [*events[:TRUNCATED_AFTER_EVENTS], b"id: 4\nda"]
@@ -197,7 +197,7 @@
 
     def _unnamed(self, status, was_not_run, is_first):
         """Return an answer that names no request."""
-        metadata = AnswerMetadata(was_not_run=was_not_run)
+        metadata = AnswerMetadata(was_not_run=was_not_run, notices=self.notices)
         answer = FakeAnswer(status, metadata, [b"failed"], False, self)
         answer.is_first = is_first
         return answer
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/notices.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/notices.feature
@@ -36,6 +36,59 @@
       | streaming      | with prompts    |
       | resumable      | with prompts    |
 
+  # Guards against BUDGET: requests that were chosen for a server before it asked for time.
+  Scenario Outline: Nothing is sent amid a retry time by requests that wait for a connection
+    Given a "<kind>" route with 2 attempts and 3 servers
+    And connections take 0.4 s
+    And the first server reports that it did not run it
+    And answers of the first server give a retry time of 2 s
+    When 20 requests <prompt> are served in 1 s
+    Then the first server received 1 in all
+
+    Examples:
+      | kind           | prompt          |
+      | idempotent     | without prompts |
+      | non-idempotent | without prompts |
+      | resumable      | with prompts    |
+
+  # Guards against BUDGET: the first request after a retry time opens a server that asks again.
+  Scenario Outline: A server that asks again each time gets one request after each time
+    Given a "<kind>" route with 2 attempts and 3 servers
+    And the first server reports that it did not run it
+    And answers of the first server give a retry time of 0.5 s
+    When 120 requests <prompt> are served in 2.9 s
+    Then the first server received 6 in all
+
+    Examples:
+      | kind           | prompt          |
+      | idempotent     | without prompts |
+      | non-idempotent | without prompts |
+      | resumable      | with prompts    |
+
+  # Guards against BUDGET: an answer of no use for its request whose retry time is lost.
+  Scenario Outline: A retry time counts in an answer that <says>
+    Given a "<kind>" route with 2 attempts and 3 servers
+    And the first server <says>
+    And answers of the first server give a retry time of 2 s
+    When 36 requests <prompt> are served in 1.8 s
+    Then the first server received 1 in all
+
+    Examples:
+      | kind           | prompt          | says                                         |
+      | idempotent     | without prompts | answers another request                      |
+      | streaming      | with prompts    | answers another request                      |
+      | streaming      | with prompts    | answers without signature                    |
+      | idempotent     | without prompts | refuses without a name, on a kept connection |
+      | streaming      | with prompts    | refuses without a name, on a kept connection |
+
+  # Guards against a server that is left alone for what another one at its address says.
+  Scenario: An answer of another server at the address says nothing
+    Given a "idempotent" route with 2 attempts and 2 servers
+    And the first server lost its address to another
+    And answers of the first server give a retry time of 2 s
+    When a request is served
+    Then no notice was recorded
+
   # Guards against callers that wait, or return too early, while no server takes work.
   Scenario Outline: A request is refused at once if all servers gave a retry time
     Given a "<kind>" route with 3 attempts and 2 servers
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/notices_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/notices_steps.py
@@ -107,3 +107,9 @@
 def step_impl(context):
     excluded = context.engines.requests[-1].excluded
     assert set(excluded) == {context.servers[0].name}, excluded
+
+
+@then("no notice was recorded")
+def step_impl(context):
+    counts = context.forwarder._servers._notices.count_by_kind
+    assert not counts, counts
