--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -2,16 +2,19 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import httptools
 
 from almondfield_core.settings import AnswerSettings
+from almondfield_daemon.backend.headers import end_to_end
 from almondfield_daemon.loop_delay import latest_arrival_s
-from almondfield_daemon.router.calls import Framing, Header
+from almondfield_daemon.router.calls import AnswerHead, Framing, Header
 
 __all__ = ["AnswerTooLongError", "BackendConnection", "ConnectionCutError"]
 
+# RFC 9112, 9.5: a client that gets one while it sends a body ceases to send it.
+ERROR_STATUS = 400
 HIGH_WATER_BYTES = 256 * 1024
 SMALL_BODY_BYTES = 16 * 1024
 BODILESS_STATUSES = (204, 304)
@@ -34,8 +37,6 @@
     :param limits: limits on the answers.
 
     :ivar received_bytes: bytes of the answer so far, with its head and framing.
-    :ivar head_received_s: latest time at which the head of the answer can have arrived,
-        in seconds of the loop's clock.
     :ivar is_cut: whether the server closed or reset the connection, before anything
         else failed.
     """
@@ -47,19 +48,19 @@
         self.head_complete = False
         self.complete = False
         self.received_bytes = 0
-        self.head_received_s = 0.0
         self.is_cut = False
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._parts: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
-        self._writable: asyncio.Future[None] | None = None
+        self._is_paused = False
         self._failure: str = ""
         self._error_type: type[ConnectionCutError] = ConnectionCutError
         self._head_bytes = 0
         self._framing_bytes = 0
         self._keep_alive = False
+        self._on_head: Callable[[AnswerHead], None] | None = None
         self._expects_body = True
         self._answered = False
         self.framing = Framing.CONNECTION
@@ -79,23 +80,34 @@
         """Return whether the connection failed before the first byte of the answer."""
         return bool(self._failure) and not self._answered
 
-    async def send(self, method: bytes, head: bytes, body: bytes) -> None:
-        """Send one request.
+    async def send(
+        self,
+        method: bytes,
+        head: bytes,
+        body: bytes,
+        on_head: Callable[[AnswerHead], None] | None = None,
+    ) -> None:
+        """Send one request, or as much as is sent before an error is answered.
 
         :param method: HTTP method.
         :param head: request line and headers, up to the empty line.
         :param body: body; the head states its length.
+        :param on_head: called with the head of the answer as it arrives, which may be
+            before the request is sent completely; None for nothing.
         :raises ConnectionCutError: if the connection is lost while sending.
         """
+        self._on_head = on_head
         self._start_answer(method)
         if len(body) <= SMALL_BODY_BYTES:
             self._transport.write(head + body)
         else:
             self._transport.write(head)
             self._transport.write(body)
-        if self._writable is not None:
-            await self._writable
-        self._raise_if_failed()
+        while self._is_paused and not self._is_error():
+            self._raise_if_failed()
+            await self._wait()
+        if not self._is_error():
+            self._raise_if_failed()
 
     async def wait_head(self) -> None:
         """Wait until the status and headers of the answer are received.
@@ -177,13 +189,12 @@
 
     def pause_writing(self) -> None:
         """Pause the sender; called by the transport."""
-        self._writable = asyncio.get_running_loop().create_future()
+        self._is_paused = True
 
     def resume_writing(self) -> None:
         """Resume the sender; called by the transport."""
-        if self._writable is not None and not self._writable.done():
-            self._writable.set_result(None)
-        self._writable = None
+        self._is_paused = False
+        self._wake()
 
     def on_status(self, status: bytes) -> None:
         """Do nothing; called by the parser at the status line."""
@@ -207,11 +218,13 @@
             return
         self.status = status
         self.head_complete = True
-        self.head_received_s = latest_arrival_s()
         self._keep_alive = self._parser.should_keep_alive()
         if not self._expects_body or status in BODILESS_STATUSES:
             self.complete = True
         self.framing = _read_framing(self.headers)
+        if self._on_head is not None:
+            headers = end_to_end(self.headers)
+            self._on_head(AnswerHead(status, headers, latest_arrival_s()))
 
     def on_body(self, part: bytes) -> None:
         """Buffer a part of the body; called by the parser."""
@@ -227,6 +240,10 @@
         if self.head_complete:
             self.complete = True
 
+    def _is_error(self) -> bool:
+        """Return whether the head of an answer with an error is received."""
+        return self.head_complete and self.status >= ERROR_STATUS
+
     def _start_answer(self, method: bytes) -> None:
         self.status = 0
         self.headers = []
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -9,7 +9,12 @@
 from almondfield_core.messages import ServerFailure
 from almondfield_daemon.edge.bodies import CallerDisconnectedError
 from almondfield_daemon.forwarding import AnswerMetadata, RequestMetadata
-from almondfield_daemon.router.calls import AnswerCutError, CallFailure, Framing
+from almondfield_daemon.router.calls import (
+    AnswerCutError,
+    AnswerHead,
+    CallFailure,
+    Framing,
+)
 from almondfield_daemon.scheduling import EngineAssignment
 from almondfield_daemon.scheduling.messages import EngineInFlight
 
@@ -162,10 +167,10 @@
                 await asyncio.sleep(1.0)
                 return Err(CallFailure(ServerFailure.FIRST_BYTE, True, "reset"))
             case "answers without signature":
-                unsigned = AnswerMetadata(request_id)
+                unsigned = replace(metadata, is_signed=False)
                 return Ok(FakeAnswer(200, unsigned, events, False, self))
             case "answers another request":
-                other = AnswerMetadata("other", is_signed=True)
+                other = replace(metadata, request_id="other")
                 return Ok(FakeAnswer(200, other, events, False, self))
             case "truncates its answer":
                 parts = [*events[:TRUNCATED_AFTER_EVENTS], b"id: 4\nda"]
@@ -192,7 +197,7 @@
 
     def _unnamed(self, status, was_not_run, is_first):
         """Return an answer that names no request."""
-        metadata = AnswerMetadata(was_not_run=was_not_run)
+        metadata = AnswerMetadata(was_not_run=was_not_run, notices=self.notices)
         answer = FakeAnswer(status, metadata, [b"failed"], False, self)
         answer.is_first = is_first
         return answer
@@ -238,7 +243,11 @@
         server = self.server_by_address[call.address]
         await asyncio.sleep(self.connect_s)
         call = replace(call, headers=call.prepare_headers())
-        return await server.answer(call, self.request_id)
+        result = await server.answer(call, self.request_id)
+        if isinstance(result, Ok):
+            answer = result.ok_value
+            call.on_head(AnswerHead(answer.status, answer.headers, answer.received_s))
+        return result
 
 
 class FakeSink:
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_notices/tests/steps/notices_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/tests/steps/notices_steps.py
@@ -34,9 +34,10 @@
 
     async def main():
         received_s = now() - handled_after_s
-        context.notices.record_answer(
-            context.start_by_name[name], notices, was_refused, received_s, "r"
-        )
+        server = context.start_by_name[name]
+        context.notices.record(server, notices, received_s, "r")
+        if not was_refused:
+            context.notices.record_served(server)
 
     run(context, main())
 
@@ -82,7 +83,8 @@
 
 @when('"{name}" restarts')
 def step_impl(context, name):
-    context.start_by_name[name] = ServerStart(name, 2)
+    start = context.start_by_name[name]
+    context.start_by_name[name] = ServerStart(name, start.born_ms + 1)
 
 
 @when("{seconds:g} s pass")
@@ -114,7 +116,10 @@
 
 @when('only "{name}" is known')
 def step_impl(context, name):
-    context.notices.retain([context.start_by_name[name]])
+    async def retain():
+        context.notices.retain([context.start_by_name[name]])
+
+    run(context, retain())
 
 
 def may_send(context):
