Infer the version of no named stream while a control host may know more

Callers saw (told by other operators, shown here on the paused clock): a stream that began at a server of a new version was taken up at another router and went on at the old version.

Cause: a control host (c1), one router and the new version's servers are cut off from the other control hosts. The router that takes the stream up reaches the other four. None of them has the origin, as the report couldn't reach them, and each has been up for long enough and knows one version. A majority was taken for certain, though a version is known to a majority only once messages pass between control hosts.

Change: if the caller names its attempt, all control hosts have to reply, as the missing report shows that some host was out of touch. Callers that name none still go by a majority: a refusal would hold for as long as any control host is lost.

--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/client.py
@@ -89,7 +89,9 @@
 
         The origin of an unknown stream is known all the same if only one version
         served in its pool recently, as a majority of the control group confirms whose
-        hosts have been up for that time.
+        hosts have been up for that time. If the caller names its attempt, all hosts of
+        the group have to reply: the report of its origin is missing, so its router was
+        out of touch with them, and its server may have been so too.
 
         :param request_id: the caller's attempt that brought the first event; empty if
             the caller named none.
@@ -141,14 +143,18 @@
         known = self._history.versions(query.pool, query.lookback_s)
         versions = known.union(*(reply.versions for reply in replies))
         complete = sum(reply.is_complete for reply in replies)
+        hosts = len(self._control_hosts())
         # A router, or a host alone, may have been cut off while others knew more.
-        is_complete = 2 * complete > len(self._control_hosts())
+        is_complete = 2 * complete > hosts
+        if query.request_id:
+            is_complete = is_complete and len(replies) == hosts
         is_certain = is_complete and len(versions) == 1
         eliot.log_message(
             "stream:origin-unknown",
             first_request_id=query.request_id,
             pool=query.pool,
             replies=len(replies),
+            control_hosts=hosts,
             versions=sorted(versions),
             lookback_s=round(query.lookback_s, 3),
             is_complete=is_complete,
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/steps/streams_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/steps/streams_steps.py
@@ -199,6 +199,28 @@
     cut(context, name, [other for other in CONTROL_HOSTS if other != name])
 
 
+@when("no control host is heard by {name}")
+def step_impl(context, name):
+    for host in CONTROL_HOSTS:
+        context.fleet.network.cut(host, name)
+
+
+@when("no control host hears {name}")
+def step_impl(context, name):
+    for host in CONTROL_HOSTS:
+        context.fleet.network.cut(name, host)
+
+
+@when('"{name}" is not heard by {other}')
+def step_impl(context, name, other):
+    context.fleet.network.cut(name, other)
+
+
+@when('"{name}" does not hear {other}')
+def step_impl(context, name, other):
+    context.fleet.network.cut(other, name)
+
+
 @when("the cut heals")
 def step_impl(context):
     context.fleet.network.heal()
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/streams.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/streams.feature
@@ -177,6 +177,83 @@
     And router r2 restarts
     Then router r2 doesn't know where stream "a" began
 
+  # Guards against a version that a single control host knows, as it is cut off from the others.
+  Scenario Outline: A control host that is out of step leaves doubt
+    When all servers of "v2" leave
+    And 30.0 s pass
+    And control hosts "c1" are cut off from the others
+    And router r1 is cut off from "c2 c3 c4 c5"
+    And <cut>
+    And a server of "v3" is announced to "c1"
+    And stream "a" begins at "v3" at router r1
+    And router r1 is killed
+    And <seconds> s pass
+    Then router r2 doesn't know where stream "a" began
+
+    Examples:
+      | cut                             | seconds |
+      | router r2 is cut off from "c1"  | 0.1     |
+      | router r2 is cut off from "c1"  | 5.0     |
+      | "c1" is not heard by r2         | 0.1     |
+      | "c1" does not hear r2           | 0.1     |
+
+  # Guards against a version that only a control host knew which was cut off and then restarted.
+  Scenario: A control host that was out of step and then restarted leaves doubt
+    When all servers of "v2" leave
+    And 30.0 s pass
+    And control hosts "c1" are cut off from the others
+    And router r1 is cut off from "c2 c3 c4 c5"
+    And router r2 is cut off from "c1"
+    And a server of "v3" is announced to "c1"
+    And stream "a" begins at "v3" at router r1
+    And all servers of "v3" leave
+    And router r1 is killed
+    And control hosts "c1" restart
+    And the cut heals
+    And 1.5 s pass
+    Then router r2 doesn't know where stream "a" began
+
+  # Guards against the same for callers that name no attempt, beside a cut control host.
+  Scenario: A control host that is out of step leaves doubt about unnamed streams
+    When all servers of "v2" leave
+    And 30.0 s pass
+    And control hosts "c1" are cut off from the others
+    And router r1 is cut off from "c2 c3 c4 c5"
+    And router r2 is cut off from "c1"
+    And a server of "v3" is announced to "c1"
+    And stream "a" begins at "v3" at router r1
+    And router r1 is killed
+    Then router r2 doesn't know where stream "" began
+
+  # Guards against a version that is guessed as messages pass in one direction only.
+  Scenario Outline: A router that is cut one way leaves doubt, or the origin is found
+    When all servers of "v2" leave
+    And 30.0 s pass
+    And <cut>
+    And a server of "v3" is announced to "c1"
+    And stream "a" begins at "v3" at router r1
+    And router r1 is killed
+    And <seconds> s pass
+    Then router r2 <outcome>
+
+    Examples:
+      | cut                                   | seconds | outcome                             |
+      | no control host hears r1              | 0.1     | doesn't know where stream "a" began |
+      | no control host is heard by r1        | 0.1     | finds that stream "a" began at "v3" |
+      | no control host hears r2              | 0.1     | doesn't know where stream "a" began |
+      | no control host hears r2              | 5.0     | doesn't know where stream "a" began |
+      | no control host is heard by r2        | 0.1     | doesn't know where stream "a" began |
+      | no control host is heard by r2        | 5.0     | doesn't know where stream "a" began |
+
+  Scenario: A router that wasn't heard reports its streams once it is
+    When no control host hears r1
+    And stream "a" begins at "v2" at router r1
+    And 1.0 s pass
+    Then router r2 doesn't know where stream "a" began
+    When the cut heals
+    And 2.5 s pass
+    Then router r2 finds that stream "a" began at "v2"
+
   # Guards against take-ups that are refused though their version is certain.
   Scenario: A majority of control hosts that have been up tells the only version
     When all servers of "v2" leave
