--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/scripted.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/scripted.py
@@ -1,6 +1,8 @@
 """A scripted backend server on a free port, and calls to it."""
 
 import asyncio
+import socket
+import struct
 
 from result import Err, Ok
 
@@ -67,6 +69,14 @@
     context.address = context.server.address
 
 
+def end_at_once(writer):
+    """Reset a connection."""
+    linger = struct.pack("ii", 1, 0)
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def answer_once(data):
     """Return a script that answers one request."""
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/cut_answers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/tests/steps/cut_answers_steps.py
@@ -1,15 +1,17 @@
 """Steps of cut_answers.feature."""
 
 import asyncio
-import socket
-import struct
 
 from behave import given, then, when
 from result import Err, Ok
 
 from almondfield_core.tables import Timeouts
 from almondfield_daemon.backend import HttpBackends
-from almondfield_daemon.backend.tests.scripted import OK_STATUS_LINE, start
+from almondfield_daemon.backend.tests.scripted import (
+    OK_STATUS_LINE,
+    end_at_once,
+    start,
+)
 from almondfield_daemon.router import AnswerCutError, BackendCall
 from almondfield_daemon.router.tests.fakes import settings
 from almondfield_testing import run
@@ -33,14 +35,6 @@
 }
 
 
-def end_at_once(writer):
-    """Reset a connection."""
-    linger = struct.pack("ii", 1, 0)
-    connection = writer.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
-
-
 @given(
     "a cutting server that closes its open connection {seconds:g} s after the second "
     "request"
