--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/steps/streams_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/steps/streams_steps.py
@@ -332,6 +332,12 @@
     assert found == version, found
 
 
+@then('router {router} doesn\'t know where stream "" began')
+def step_impl(context, router):
+    found, _ = run(context, find(context, router, ""))
+    assert found is None, found
+
+
 @then('router {router} doesn\'t know where stream "{stream}" began')
 def step_impl(context, router, stream):
     found, _ = run(context, find(context, router, stream))
