Resume no stream at a router that no control host has answered for 4.5 s

Callers would see: a stream that a router resumes, or takes up, while it is cut off goes on at a server that restarted under its name with another version.

Cause: servers without recent announcements get no stream that is resumed, but a router learns which these are from control hosts only. One that hears none of them took all servers for responsive, for as long as the cut lasted.

Change: for requests bound to a version no server counts as reachable once no control host has replied to the router within the heartbeat timeout of servers, 4.5 s. New requests aren't concerned.

Evidence: three of the new scenarios fail without the check (5 and 10 s after the cut, and until it heals) and pass with it; two with one and with four of five control hosts gone pass before and after.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -19,6 +19,9 @@
     ServerPhase,
     ServerUpdate,
 )
+from almondfield_daemon.fleet.registry import (
+    HEARTBEAT_TIMEOUT_S as SERVER_HEARTBEAT_TIMEOUT_S,
+)
 from almondfield_daemon.fleet.registry import ServerRegistry
 
 __all__ = ["FleetView"]
@@ -152,6 +155,15 @@
             return frozenset()
         return frozenset.intersection(*reports)
 
+    def is_current(self) -> bool:
+        """Return whether a control host replied within the servers' heartbeat timeout.
+
+        A router that is cut off hears neither of restarts nor of silent servers.
+        """
+        cutoff_s = now() - SERVER_HEARTBEAT_TIMEOUT_S
+        replies = self._last_reply_by_host.values()
+        return any(item.received_s >= cutoff_s for item in replies)
+
     def set_state(self, state: RouterState) -> None:
         """Set the state of this router and report a change to control hosts at once.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/known_servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/known_servers.py
@@ -68,6 +68,8 @@
         servers = self.running(pool, version)
         if version is None:
             return servers
+        if not self._view.is_current():
+            return ()
         unresponsive = self._view.unresponsive_servers()
         return tuple(server for server in servers if server.name not in unresponsive)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -355,6 +355,10 @@
         """Return no servers."""
         return frozenset()
 
+    def is_current(self):
+        """Return whether a control host replied lately."""
+        return True
+
     def unresponsive_servers(self):
         """Return the servers without recent announcements."""
         return self.unresponsive
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/steps/streams_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/steps/streams_steps.py
@@ -17,8 +17,10 @@
     ServerPhase,
 )
 from almondfield_daemon.fleet.messages import RouterHello
+from almondfield_daemon.forwarding.known_servers import KnownServers
 from almondfield_daemon.forwarding.messages import ForwardRequest, RequestMetadata
 from almondfield_daemon.forwarding.take_up import locate_stream
+from almondfield_daemon.server_notices import ServerNotices
 from almondfield_daemon.streams import (
     OriginClient,
     OriginService,
@@ -419,3 +421,22 @@
         hosts = run(context, keepers(f"many-{number}"))
         assert len(hosts) == copies, hosts
         assert leader not in hosts, hosts
+
+
+async def find_usable(context, router, version):
+    """Return the servers at which a router may go on with streams of a version."""
+    view = context.fleet.host_by_name[router].fleet
+    known = KnownServers(view, ServerNotices())
+    return [server.name for server in known.usable(POOL, version)]
+
+
+@then('router {router} uses no server for streams of version "{version}"')
+def step_impl(context, router, version):
+    usable = run(context, find_usable(context, router, version))
+    assert usable == [], usable
+
+
+@then('router {router} uses server "{name}" for streams of version "{version}"')
+def step_impl(context, router, name, version):
+    usable = run(context, find_usable(context, router, version))
+    assert usable == [name], usable
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/streams.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/streams.feature
@@ -283,3 +283,36 @@
 
   Scenario: At 500 streams a second the table is bounded
     Then 60000 origins in 20.0 s leave the newest 30000
+
+  # Guards against events of two versions beside a router that is cut off: it hears neither
+  # of a restart under the same name nor of silent servers.
+  Scenario Outline: A router that is cut off goes on with no stream at servers it hears nothing of
+    When router r2 is cut off
+    And the server of "v1" is announced with a later start and version "v3"
+    And <seconds> s pass
+    Then router r2 uses no server for streams of version "v1"
+
+    Examples:
+      | seconds |
+      | 5.0     |
+      | 10.0    |
+
+  # Guards against streams that end though a control host tells which servers restarted.
+  Scenario Outline: A router in touch goes on with streams at servers of their version
+    When control hosts "<lost>" are cut off from the others
+    And router r2 is cut off from "<lost>"
+    And 10.0 s pass
+    Then router r2 uses server "s-v1" for streams of version "v1"
+
+    Examples:
+      | lost        |
+      | c2          |
+      | c2 c3 c4 c5 |
+
+  Scenario: A router goes on with streams once it is in touch again
+    When router r2 is cut off
+    And 10.0 s pass
+    Then router r2 uses no server for streams of version "v1"
+    When the cut heals
+    And 2.5 s pass
+    Then router r2 uses server "s-v1" for streams of version "v1"
