Find the time of a signal that another thread hands over

paused_stops.feature failed once beside other tests: the process took a signal that had come before its pause of 1 s for one of 0.3 ms ago. The end of its grace period is then late by the pause, and what it takes in is cut by the kill (LOST).

Cause: another thread of the process may take the signal, and the loop runs some iterations until that thread wakes it; three were looked at.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/stop_signal.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/stop_signal.py
@@ -10,7 +10,9 @@
 
 # The event loop calls a signal's handler one iteration after it finds the signal, which
 # may have interrupted the wait of the iteration before.
-CAME_ITERATIONS_AGO = 2
+LEAST_ITERATIONS = 3
+# Another thread may take the signal; the loop goes on until that thread wakes it.
+MAX_HANDING_OVER_S = 0.02
 
 
 class StopSignal(asyncio.Event):
@@ -58,5 +60,4 @@
     iterations = getattr(asyncio.get_running_loop(), "iterations", None)
     if iterations is None:
         return now()
-    earliest_s, _ = iterations.ready_between(CAME_ITERATIONS_AGO)
-    return earliest_s
+    return iterations.earliest_ready_s(now() - MAX_HANDING_OVER_S, LEAST_ITERATIONS)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/tests/steps/stop_signal_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/tests/steps/stop_signal_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from almondfield_daemon.fleet_daemon import StopSignal
+from almondfield_daemon.loop_delay import IterationTimes
 from almondfield_testing import run
 
 
@@ -77,3 +78,18 @@
 def step_impl(context):
     reasons = [message.get("reason", "") for message in context.messages]
     assert any("the part fails" in str(reason) for reason in reasons), context.messages
+
+
+@given("an event loop that was paused for 1 s, and ran some short iterations since")
+def step_impl(context):
+    context.iterations = IterationTimes(0.0)
+    # When the selector was called, its timeout, and when it returned.
+    waits = [(9.9, 0.1, 10.0), (10.0, 0.1, 11.0)]
+    waits += [(11.0 + n * 0.0002, 0, 11.0001 + n * 0.0002) for n in range(5)]
+    for called_s, timeout_s, returned_s in waits:
+        context.iterations.record(called_s, timeout_s, returned_s)
+
+
+@then("the earliest time of a signal that it finds now lies before the pause")
+def step_impl(context):
+    assert context.iterations.earliest_ready_s(11.0012 - 0.02, 3) == 10.0
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/tests/stop_signal.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/tests/stop_signal.feature
@@ -22,3 +22,9 @@
     When the signal comes
     And the signal comes again 1 s later
     Then the sound part was told once
+
+  # Guards against LOST: another thread took the signal of a paused process, and woke the
+  # loop some iterations after the pause, which was taken for the time of the signal.
+  Scenario: The time of a signal that another thread hands over lies before the pause
+    Given an event loop that was paused for 1 s, and ran some short iterations since
+    Then the earliest time of a signal that it finds now lies before the pause
--- a/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/loop_delay/core.py
@@ -6,7 +6,7 @@
 __all__ = ["LATE_S", "IterationTimes", "LongestDelay"]
 
 LATE_S = 0.25  # a quarter of the time that callers wait for a request to be read
-KEPT_ITERATIONS = 3
+KEPT_ITERATIONS = 64  # of a busy loop, those of some milliseconds
 MIN_WAIT_S = 0.001  # a selector that returns sooner found descriptors ready
 TIMER_ERROR_S = 0.02
 
@@ -78,6 +78,17 @@
         """
         return self._ready_s[-1 - iterations_ago]
 
+    def earliest_ready_s(self, since_s: float, least_iterations: int) -> float:
+        """Return the earliest time at which recent iterations can have become ready.
+
+        :param since_s: oldest end of a wait that counts, in seconds of its clock.
+        :param least_iterations: number of latest iterations that count in any case.
+        """
+        recent = list(self._ready_s)
+        latest = recent[-least_iterations:]
+        counted = [ready for ready in recent if ready[1] >= since_s]
+        return min(earliest_s for earliest_s, _ in (*latest, *counted))
+
     def take_longest(self) -> LongestDelay:
         """Return the longest delay since the last call of this method."""
         longest = LongestDelay(self._longest_s, self._late_count)
