Keep the delay of answers apart from the engines' prefill (SHORT)

Callers of the grown site were refused for their team's share while engines had time. The rate of an engine was measured from the admission of a prompt to the report of its first event, and an engine counted as busy as long as a report was due. Some 0.1 s of that is spent after the prefill, and more in routers and reports where processors are slow; the engine prefills the next prompts meanwhile.

The delay is now one estimate for the pool, the median of what answers take beyond predicted wait and prefill. Rates come from prompts that follow each other at an engine, or that are long. The wait limit is taken of what the delay leaves of the target. scheduler:load tells both.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -10,9 +10,11 @@
 import math
 from collections.abc import Iterable
 from dataclasses import replace
+from statistics import median
 
 from almondfield_core.clock import now
 from almondfield_core.routing import Prompt
+from almondfield_fairshare.engines.answer_delay import AnswerDelay
 from almondfield_fairshare.engines.attempts import AttemptTable, InFlightAttempt
 from almondfield_fairshare.engines.engine import Engine
 from almondfield_fairshare.engines.estimates import (
@@ -42,7 +44,8 @@
 OUTPUT_TOKEN_WEIGHT = 2.0  # work of an output token in prompt tokens
 PREFILL_WEIGHT = 2.0  # a repeated prefill also evicts other cache entries
 REPEATED_PREFILL_WEIGHT = 0.8  # of the time for tokens cached elsewhere
-WAIT_SHARE = 0.6  # of the strictest latency target; the rest is for prefill
+WAIT_SHARE = 0.6  # of the strictest latency target less the delay of answers
+MAX_DELAY_SHARE = 0.5  # of that target; without any wait, engines would be idle
 REPEAT_MAX_WAIT_S = 1.2  # callers abandon a stream after a 2 s pause, prefill included
 LATE_REQUEST_USAGE = 0.8  # above it, a team's late requests are refused
 LOW_USAGE = 0.7  # below this part of its fair share, a team may wait longer
@@ -65,6 +68,7 @@
         self._window_s = window_s
         self._shares = TeamShares(window_s)
         self._engine_by_name: dict[str, Engine] = {}
+        self._answer_delay = AnswerDelay()
         self._attempts = AttemptTable()
         self._busy_share = BusyShare()
         self._used_slots = BusyShare()
@@ -82,7 +86,7 @@
         for server in servers:
             engine = before.get(server.name)
             if engine is None or engine.server.started_ms != server.started_ms:
-                engine = Engine(server)
+                engine = Engine(server, self._answer_delay)
             self._engine_by_name[server.name] = engine
         self._attempts.retain(
             lambda name: self._engine_by_name.get(name) is before.get(name)
@@ -129,7 +133,7 @@
         is_late = (
             usage > LATE_REQUEST_USAGE
             and not are_idle
-            and is_late_everywhere(request, estimates)
+            and is_late_everywhere(request, estimates, self._answer_delay.seconds)
         )
         min_limit_s = 0.0 if are_idle else -math.inf
         repeated_prefill_weight = REPEATED_PREFILL_WEIGHT * (1 - spare_capacity)
@@ -288,6 +292,8 @@
             longest_wait_s=max(
                 (engine.wait_s(now()) for engine in engines), default=0.0
             ),
+            prefill_rate=median((e.prefill_rate for e in engines) if engines else [0]),
+            answer_delay_s=self._answer_delay.seconds,
             **self._counts.collect(),
         )
 
@@ -301,7 +307,8 @@
     def _update_busy_share(self) -> None:
         engines = self._engine_by_name.values()
         count = max(1, len(engines))
-        self._busy_share.record(sum(e.is_prefilling for e in engines) / count)
+        at_s = now()
+        self._busy_share.record(sum(e.is_prefilling(at_s) for e in engines) / count)
         self._used_slots.record(sum(e.used_slot_share for e in engines) / count)
 
     def _base_max_wait_s(self, request: PromptRequest) -> float:
@@ -310,7 +317,9 @@
         if target_s > 0:
             decayed_s = self._strictest_target_s / TARGET_DECAY
             self._strictest_target_s = min(target_s, decayed_s)
-        return WAIT_SHARE * self._strictest_target_s
+        target_s = self._strictest_target_s
+        delay_s = min(self._answer_delay.seconds, MAX_DELAY_SHARE * target_s)
+        return WAIT_SHARE * (target_s - delay_s)
 
     def _refuse(
         self,
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from almondfield_core.clock import now
+from almondfield_fairshare.engines.answer_delay import AnswerDelay
 from almondfield_fairshare.engines.prefix_cache import PrefixBlock, PrefixCache
 from almondfield_fairshare.engines.requests import AttemptId, EngineServer
 
@@ -14,7 +15,9 @@
 SAMPLE_DECAY = 0.95  # the rate averages about the last twenty prompts
 MIN_SAMPLE_TOKENS = 500  # shorter prompts measure overhead, not the rate
 ATTEMPT_LIFETIME_S = 20.0  # longer than callers wait for an answer
-OVERHEAD_S = 0.05  # round trips, and decode steps of running requests
+MIN_PREFILL_DELAYS = 2.0  # shorter prefills at an idle engine measure the delay
+MIN_DURATION_SHARE = 0.25  # of the expected one; shorter ones show a short delay
+TOLERANCE_S = 0.05  # delays vary by so much
 SHORT_DELAY_S = 0.2  # shorter delays say little about the engine's speed
 FULL_BACKOFF_S = 0.3  # some of the engine's requests end in this time
 
@@ -25,39 +28,47 @@
 
     :ivar uncached_tokens: tokens that the engine has to prefill.
     :ivar sent_s: when the prompt was sent, in seconds of the loop's clock.
+    :ivar wait_s: wait before its prefill as it was predicted then, in seconds.
     """
 
     uncached_tokens: int
     sent_s: float
+    wait_s: float
 
 
 class Engine:
     """Predicts when one engine begins to answer.
 
-    Prompts are prefilled in order of arrival; an answer begins when the prefill of its
-    prompt ends.
+    Prompts are prefilled in order of arrival; the first event of an answer is reported
+    some time after the prefill of its prompt, while the engine prefills others.
 
     :param server: the server, as it announced itself.
+    :param answer_delay: that time, over all engines of the pool.
 
     :ivar prefill_rate: prompt tokens prefilled per second while other requests run.
     """
 
-    def __init__(self, server: EngineServer) -> None:
+    def __init__(self, server: EngineServer, answer_delay: AnswerDelay) -> None:
         self.server = server
+        self._answer_delay = answer_delay
         self._prefix_cache = PrefixCache(server.cache_tokens)
         self._waiting_by_attempt: OrderedDict[AttemptId, _WaitingPrompt] = OrderedDict()
         self._began_s_by_attempt: dict[AttemptId, float] = {}
-        self._uncached_tokens = 0
-        self._prefill_since_s = now()
+        self._reported_s = now()  # the last time that a waiting prompt began or left
+        self._prefilled_s = now()  # when the prefill of that prompt ended
+        self._idle_from_s = now()  # when all waiting prompts are expected to be done
+        self._due_s = now()  # when the first answer is expected to have begun
         self._sampled_tokens = INITIAL_RATE
         self._sampled_s = 1.0
         self._backoff_until_s = float("-inf")
         self.prefill_rate = INITIAL_RATE
 
-    @property
-    def is_prefilling(self) -> bool:
-        """Return whether a prompt waits for prefill or is being prefilled."""
-        return bool(self._waiting_by_attempt)
+    def is_prefilling(self, at_s: float) -> bool:
+        """Return whether the engine is expected to prefill a prompt.
+
+        :param at_s: the current time, in seconds of the loop's clock.
+        """
+        return bool(self._waiting_by_attempt) and self._backlog_s(at_s) > 0
 
     @property
     def in_flight(self) -> int:
@@ -88,16 +99,19 @@
 
     def _backlog_s(self, at_s: float) -> float:
         """Return the predicted time to prefill all waiting prompts, in seconds."""
+        if at_s <= self._due_s:
+            return max(0.0, self._idle_from_s - at_s)
+        # The engine has slowed down: scale the remaining time in proportion.
         head = next(iter(self._waiting_by_attempt.values()))
-        elapsed_s = at_s - max(self._prefill_since_s, head.sent_s)
-        prefilled = min(head.uncached_tokens, elapsed_s * self.prefill_rate)
-        wait_s = (self._uncached_tokens - prefilled) / self.prefill_rate
-        expected_s = head.uncached_tokens / self.prefill_rate + OVERHEAD_S
-        if elapsed_s > expected_s:
-            # The engine has slowed down: scale the remaining time in proportion.
-            slowdown = (elapsed_s + SHORT_DELAY_S) / (expected_s + SHORT_DELAY_S)
-            wait_s = elapsed_s - expected_s + wait_s * slowdown
-        return wait_s
+        overdue_s = at_s - self._due_s
+        expected_s = self._due_s - max(self._prefilled_s, head.sent_s)
+        slowdown = 1 + overdue_s / (expected_s + SHORT_DELAY_S)
+        return overdue_s + self._remaining_s(head) * slowdown
+
+    def _remaining_s(self, head: _WaitingPrompt) -> float:
+        """Return the prefill time of all waiting prompts but the first, in seconds."""
+        tokens = sum(item.uncached_tokens for item in self._waiting_by_attempt.values())
+        return (tokens - head.uncached_tokens) / self.prefill_rate
 
     def send(
         self,
@@ -122,10 +136,12 @@
         :param attempt: identifier of the attempt.
         :param uncached_tokens: tokens that the engine has to prefill.
         """
-        if not self._waiting_by_attempt:
-            self._prefill_since_s = now()
-        self._waiting_by_attempt[attempt] = _WaitingPrompt(uncached_tokens, now())
-        self._uncached_tokens += uncached_tokens
+        wait_s = max(0.0, self._idle_from_s - now())
+        prompt = _WaitingPrompt(uncached_tokens, now(), wait_s)
+        self._waiting_by_attempt[attempt] = prompt
+        self._idle_from_s = now() + wait_s + uncached_tokens / self.prefill_rate
+        if len(self._waiting_by_attempt) == 1:
+            self._set_due(prompt)
 
     def begin_answer(self, attempt: AttemptId) -> None:
         """Record that the answer to a request has begun.
@@ -136,8 +152,8 @@
         if waiting is None:
             self._began_s_by_attempt.setdefault(attempt, now())
             return
-        self._update_rate(attempt, waiting)
-        self._dequeue(attempt)
+        self._record_prefill(attempt, waiting)
+        self._dequeue(attempt, now() - self._answer_delay.seconds)
         self._began_s_by_attempt[attempt] = now()
 
     def end(self, attempt: AttemptId, was_refused: bool = False) -> None:
@@ -150,10 +166,12 @@
             self._backoff_until_s = now() + FULL_BACKOFF_S
         waiting = self._waiting_by_attempt.get(attempt)
         if waiting is not None:
-            elapsed_s = now() - max(self._prefill_since_s, waiting.sent_s)
-            if elapsed_s > waiting.uncached_tokens / self.prefill_rate + OVERHEAD_S:
+            expected_s = waiting.uncached_tokens / self.prefill_rate + TOLERANCE_S
+            duration_s = self._prefill_duration_s(waiting)
+            is_first = next(iter(self._waiting_by_attempt)) == attempt
+            if is_first and duration_s > expected_s:
                 # The caller left during prefill, which took at least this long.
-                self._update_rate(attempt, waiting)
+                self._update_rate(waiting.uncached_tokens, duration_s)
         self.remove(attempt)
 
     def is_waiting(self, attempt: AttemptId) -> bool:
@@ -168,7 +186,7 @@
 
         :param attempt: identifier of the attempt.
         """
-        self._dequeue(attempt)
+        self._dequeue(attempt, now())
         self._began_s_by_attempt.pop(attempt, None)
 
     def expired_attempts(self) -> tuple[AttemptId, ...]:
@@ -180,20 +198,52 @@
         expired += [a for a, began_s in running if began_s < before_s]
         return tuple(expired)
 
-    def _update_rate(self, attempt: AttemptId, waiting: _WaitingPrompt) -> None:
-        """Update the prefill rate with the measured prefill of a prompt."""
-        since_s = max(self._prefill_since_s, waiting.sent_s)
-        duration_s = now() - since_s
-        is_first = next(iter(self._waiting_by_attempt)) == attempt
-        if is_first and waiting.uncached_tokens >= MIN_SAMPLE_TOKENS and duration_s > 0:
+    def _prefill_duration_s(self, waiting: _WaitingPrompt) -> float:
+        """Return how long a prefill took if its answer is reported as begun now."""
+        sent_s = waiting.sent_s + self._answer_delay.seconds
+        return now() - max(self._reported_s, sent_s)
+
+    def _record_prefill(self, attempt: AttemptId, waiting: _WaitingPrompt) -> None:
+        """Record the measured prefill of a prompt and the delay of its answer."""
+        if next(iter(self._waiting_by_attempt)) != attempt:
+            return
+        expected_s = waiting.uncached_tokens / self.prefill_rate
+        delay_s = self._answer_delay.seconds
+        was_queued = waiting.sent_s + delay_s <= self._reported_s
+        is_long = expected_s > MIN_PREFILL_DELAYS * delay_s
+        self._answer_delay.record(now() - waiting.sent_s - waiting.wait_s - expected_s)
+        if was_queued or is_long:
+            duration_s = self._prefill_duration_s(waiting)
+            duration_s = max(duration_s, MIN_DURATION_SHARE * expected_s)
+            self._update_rate(waiting.uncached_tokens, duration_s)
+
+    def _update_rate(self, tokens: int, duration_s: float) -> None:
+        if tokens >= MIN_SAMPLE_TOKENS:
             self._sampled_tokens *= SAMPLE_DECAY
             self._sampled_s *= SAMPLE_DECAY
-            self._sampled_tokens += waiting.uncached_tokens
+            self._sampled_tokens += tokens
             self._sampled_s += duration_s
             self.prefill_rate = max(MIN_RATE, self._sampled_tokens / self._sampled_s)
 
-    def _dequeue(self, attempt: AttemptId) -> None:
-        waiting = self._waiting_by_attempt.pop(attempt, None)
-        if waiting is not None:
-            self._uncached_tokens -= waiting.uncached_tokens
-            self._prefill_since_s = now()
+    def _dequeue(self, attempt: AttemptId, prefilled_s: float) -> None:
+        """Remove a waiting prompt.
+
+        :param attempt: identifier of the attempt.
+        :param prefilled_s: until when the engine was busy with it and those before.
+        """
+        if self._waiting_by_attempt.pop(attempt, None) is None:
+            return
+        self._reported_s = now()
+        self._prefilled_s = prefilled_s
+        self._idle_from_s = prefilled_s
+        for item in self._waiting_by_attempt.values():
+            begun_s = max(self._idle_from_s, item.sent_s)
+            self._idle_from_s = begun_s + item.uncached_tokens / self.prefill_rate
+        if self._waiting_by_attempt:
+            self._set_due(next(iter(self._waiting_by_attempt.values())))
+
+    def _set_due(self, head: _WaitingPrompt) -> None:
+        """Set when the answer to the first waiting prompt is expected to have begun."""
+        self._due_s = max(self._prefilled_s, head.sent_s)
+        self._due_s += head.uncached_tokens / self.prefill_rate
+        self._due_s += self._answer_delay.seconds + TOLERANCE_S
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/estimates.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/estimates.py
@@ -84,16 +84,20 @@
     return idle >= MIN_IDLE_SHARE * len(estimates)
 
 
-def is_late_everywhere(request: PromptRequest, estimates: list[Estimate]) -> bool:
+def is_late_everywhere(
+    request: PromptRequest, estimates: list[Estimate], answer_delay_s: float
+) -> bool:
     """Return whether no engine can begin the answer within the latency target.
 
     :param request: the request.
     :param estimates: costs at all engines that it may use.
+    :param answer_delay_s: time from the end of prefill to the first event, in seconds.
     """
     target_s = request.latency_target_s
     if request.is_repeat or target_s <= 0:
         return False
     soonest_s = min(estimate.wait_s + estimate.prefill_s for estimate in estimates)
+    soonest_s += answer_delay_s
     return request.waited_s > 0 and request.waited_s + soonest_s > target_s
 
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
@@ -27,6 +27,9 @@
     :ivar refused_late: requests of callers that returned too late to be answered in
         time, refused in favour of first requests of their team.
     :ivar longest_wait_s: longest predicted wait at an engine now, in seconds.
+    :ivar prefill_rate: median of the engines' prompt tokens per second.
+    :ivar answer_delay_s: time from the end of prefill to the report of the first event,
+        in seconds.
     """
 
     engines: int = 0
@@ -39,6 +42,8 @@
     refused_over_share: int = 0
     refused_late: int = 0
     longest_wait_s: float = 0.0
+    prefill_rate: float = 0.0
+    answer_delay_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
@@ -161,6 +161,31 @@
     And each small team had at least 0.9 of its requests admitted
     And no hot team got more than 1.25 times the work of another
 
+  # Guards against SHORT: the time that first events are on their way counted as prefill, so
+  # that idle engines were taken for busy ones and prompts were refused.
+  Scenario: Engines whose first events are long on their way are used as far as they can
+    Given 6 engines whose first events take 0.2 s beyond the prefill
+    When 8 teams request 1.5 times the engines' capacity in prompts of 1000 tokens for 20 s
+    Then the engines were busy for at least 0.85 of the time
+    And at least 0.9 of the answers began within 0.8 s
+
+  # Guards against prompts that wait for the whole target, without the delay after prefill.
+  Scenario: Prompts wait less where first events are long on their way
+    Given 6 engines whose first events take 0.2 s beyond the prefill
+    And callers with a latency target of 0.5 s
+    When 8 teams request 1.5 times the engines' capacity for 20 s
+    Then the engines were busy for at least 0.85 of the time
+    And at least 0.9 of the answers began within 0.5 s
+
+  # Guards against SHORT: teams shared what engines that seemed busy had done until then.
+  Scenario: Hot teams share all of the engines whose first events are long on their way
+    Given 6 engines whose first events take 0.2 s beyond the prefill
+    When 3 teams request 0.5 times the engines' capacity each beside 3 small teams for 20 s
+    Then the engines were busy for at least 0.85 of the time
+    And at least 0.9 of the answers began within 0.8 s
+    And each small team had at least 0.9 of its requests admitted
+    And no hot team got more than 1.25 times the work of another
+
   Scenario: A late request of a team within its share is admitted
     Given 2 engines
     When a request that has waited 3.0 s arrives
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/standins.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/standins.py
@@ -20,10 +20,12 @@
 class StandInEngine:
     """Prefills prompts in order of arrival, with least-recently-used caching.
 
-    A prompt takes one of its slots from its prefill to the end of its answer.
+    A prompt takes one of its slots from its prefill to the end of its answer. The next
+    prompts are prefilled while its first event is on the way.
     """
 
     def __init__(self, rate, capacity_tokens, slots=64):
+        self.first_event_delay_s = 0.0
         self.slots = asyncio.Semaphore(slots)
         self.rate = rate
         self.capacity_tokens = capacity_tokens
@@ -121,6 +123,7 @@
         try:
             async with asyncio.timeout(self.caller_timeout_s):
                 await engine.prefill(prompt)
+                await asyncio.sleep(engine.first_event_delay_s)
         except TimeoutError:
             self.callers_timed_out += 1
             self.scheduler.end(attempt)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -350,6 +350,35 @@
     run(context, workload.generate(seconds, streams))
 
 
+@given("{count:d} engines whose first events take {delay:g} s beyond the prefill")
+def step_impl(context, count, delay):
+    start(context, count)
+    for engine in context.workload.engine_by_name.values():
+        engine.first_event_delay_s = delay
+
+
+@when(
+    "{teams:d} teams request {times:g} times the engines' capacity in prompts of "
+    "{tokens:d} tokens for {seconds:g} s"
+)
+def step_impl(context, teams, times, tokens, seconds):
+    workload = context.workload
+    rate = prompts_per_s(workload, times) * UNIQUE_TOKENS / tokens / teams
+
+    def make_prompt():
+        prefix = f"prefix-{workload.rng.randrange(40)}"
+        return workload.prompt(prefix, tokens, OTHER_SHARED_TOKENS)
+
+    context.seconds = seconds
+    streams = [(f"team-{n}", rate, make_prompt) for n in range(teams)]
+    run(context, workload.generate(seconds, streams))
+
+
+@given("callers with a latency target of {target:g} s")
+def step_impl(context, target):
+    context.workload.target_s = target
+
+
 @given(
     "{count:d} engines with {slots:d} slots, whose nominal rate is what they allow for "
     "answers of {seconds:g} s"
