Let the delay of answers fall while no engine is idle (SHORT)

The estimate of the delay of answers could stay too high for good: queues are then longer than predicted by what it is too high, and the answers to queued prompts confirm it.

The new scenario fails with steps of one size (0.20 s, 0.15 s asked for).

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
@@ -211,7 +211,9 @@
         delay_s = self._answer_delay.seconds
         was_queued = waiting.sent_s + delay_s <= self._reported_s
         is_long = expected_s > MIN_PREFILL_DELAYS * delay_s
-        self._answer_delay.record(now() - waiting.sent_s - waiting.wait_s - expected_s)
+        self._answer_delay.record(
+            now() - waiting.sent_s - waiting.wait_s - expected_s, waiting.wait_s > 0
+        )
         if was_queued or is_long:
             duration_s = self._prefill_duration_s(waiting)
             duration_s = max(duration_s, MIN_DURATION_SHARE * expected_s)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/engines.feature
@@ -177,6 +177,11 @@
     Then the engines were busy for at least 0.85 of the time
     And at least 0.9 of the answers began within 0.5 s
 
+  # Guards against engines that are always full, whose answers confirm any estimate.
+  Scenario: An estimate of the delay that no idle engine confirms falls
+    When the delay of answers is 0.2 s, and those of 200 queued prompts vary around the estimate
+    Then the estimated delay is at most 0.15 s
+
   # Guards against SHORT: teams shared what engines that seemed busy had done until then.
   Scenario: Hot teams share all of the engines whose first events are long on their way
     Given 6 engines whose first events take 0.2 s beyond the prefill
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -13,6 +13,7 @@
     PromptRequest,
     Refused,
 )
+from almondfield_fairshare.engines.answer_delay import AnswerDelay
 from almondfield_fairshare.engines.tests.standins import OUTPUT_TOKEN_S, Workload
 from almondfield_testing import run
 
@@ -374,6 +375,25 @@
     run(context, workload.generate(seconds, streams))
 
 
+@when(
+    "the delay of answers is {delay:g} s, and those of {count:d} queued prompts vary "
+    "around the estimate"
+)
+def step_impl(context, delay, count):
+    context.answer_delay = AnswerDelay()
+    for _ in range(count):
+        context.answer_delay.record(delay, was_queued=False)
+    for number in range(count):
+        variation_s = 0.01 if number % 2 else -0.01
+        estimate_s = context.answer_delay.seconds
+        context.answer_delay.record(estimate_s + variation_s, was_queued=True)
+
+
+@then("the estimated delay is at most {delay:g} s")
+def step_impl(context, delay):
+    assert context.answer_delay.seconds <= delay, context.answer_delay.seconds
+
+
 @given("callers with a latency target of {target:g} s")
 def step_impl(context, target):
     context.workload.target_s = target
