--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/engines_steps.py
@@ -13,6 +13,7 @@
     PromptRequest,
     Refused,
 )
+from almondfield_fairshare.engines.answer_delay import AnswerDelay
 from almondfield_fairshare.engines.tests.standins import OUTPUT_TOKEN_S, Workload
 from almondfield_testing import run
 
@@ -350,6 +351,54 @@
     run(context, workload.generate(seconds, streams))
 
 
+@given("{count:d} engines whose first events take {delay:g} s beyond the prefill")
+def step_impl(context, count, delay):
+    start(context, count)
+    for engine in context.workload.engine_by_name.values():
+        engine.first_event_delay_s = delay
+
+
+@when(
+    "{teams:d} teams request {times:g} times the engines' capacity in prompts of "
+    "{tokens:d} tokens for {seconds:g} s"
+)
+def step_impl(context, teams, times, tokens, seconds):
+    workload = context.workload
+    rate = prompts_per_s(workload, times) * UNIQUE_TOKENS / tokens / teams
+
+    def make_prompt():
+        prefix = f"prefix-{workload.rng.randrange(40)}"
+        return workload.prompt(prefix, tokens, OTHER_SHARED_TOKENS)
+
+    context.seconds = seconds
+    streams = [(f"team-{n}", rate, make_prompt) for n in range(teams)]
+    run(context, workload.generate(seconds, streams))
+
+
+@when(
+    "the delay of answers is {delay:g} s, and those of {count:d} queued prompts vary "
+    "around the estimate"
+)
+def step_impl(context, delay, count):
+    context.answer_delay = AnswerDelay()
+    for _ in range(count):
+        context.answer_delay.record(delay, was_queued=False)
+    for number in range(count):
+        variation_s = 0.01 if number % 2 else -0.01
+        estimate_s = context.answer_delay.seconds
+        context.answer_delay.record(estimate_s + variation_s, was_queued=True)
+
+
+@then("the estimated delay is at most {delay:g} s")
+def step_impl(context, delay):
+    assert context.answer_delay.seconds <= delay, context.answer_delay.seconds
+
+
+@given("callers with a latency target of {target:g} s")
+def step_impl(context, target):
+    context.workload.target_s = target
+
+
 @given(
     "{count:d} engines with {slots:d} slots, whose nominal rate is what they allow for "
     "answers of {seconds:g} s"
