Keep the times of a stop in one place

A router held a copy of the plan that its StopLimits has. It reads that one now, and the constant for no stop is the plan's defaults. No behaviour changes.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -27,7 +27,7 @@
     ServerSelector,
     log_request_counts,
 )
-from almondfield_daemon.forwarding.stop_limits import NO_STOP, StopPlan
+from almondfield_daemon.forwarding.stop_limits import StopPlan
 from almondfield_daemon.quarantine import QuarantineClient
 from almondfield_daemon.scheduling import EngineClient
 from almondfield_daemon.server_notices import ServerNotices
@@ -155,7 +155,7 @@
         self._endpoint.limit_connections(
             self._listener.connection_count, max_connections
         )
-        self._stop_plan = NO_STOP
+        self._stop_limits = forwarder.stop_limits
         self.serve_metrics(self._metrics)
 
     @property
@@ -187,17 +187,17 @@
         """Limit which requests are taken in, and how long they may take."""
         grace_s = self.settings.grace_s
         accept_streams_s = min(ACCEPT_STREAMS_FRACTION * grace_s, MAX_ACCEPT_STREAMS_S)
-        self._stop_plan = StopPlan(
+        plan = StopPlan(
             accept_streams_until_s=requested_s + accept_streams_s,
             accept_all_until_s=requested_s + ACCEPT_ALL_FRACTION * grace_s,
             end_s=requested_s + DRAIN_FRACTION * grace_s,
         )
-        self._endpoint.drain(self._stop_plan)
+        self._endpoint.drain(plan)
         self.view.set_state(RouterState.DRAINING)
 
     async def drain(self, requested_s: float) -> None:
         """Return once all requests have ended or the grace period is nearly over."""
-        plan = self._stop_plan
+        plan = self._stop_limits.plan
         await asyncio.sleep(max(0.0, plan.accept_all_until_s - now()))
         while self._endpoint.running and now() < plan.end_s:
             wait_s = min(STATE_CHECK_INTERVAL_S, plan.end_s - now())
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stop_limits.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stop_limits.py
@@ -11,7 +11,7 @@
 from almondfield_core.routing import RequestKind, RouteRule
 from almondfield_daemon.router.problems import Problem
 
-__all__ = ["NO_STOP", "StopLimits", "StopPlan", "draining"]
+__all__ = ["StopLimits", "StopPlan", "draining"]
 
 RETRY_AFTER_S = 0.05  # other routers accept the request at once
 HISTORY_LENGTH = 64  # latest requests of a route that determine its usual time
@@ -36,9 +36,6 @@
     end_s: float = math.inf
 
 
-NO_STOP = StopPlan()
-
-
 class StopLimits:
     """Limits on the requests of one router while it stops; without a stop, none.
 
@@ -50,7 +47,7 @@
     """
 
     def __init__(self) -> None:
-        self.plan = NO_STOP
+        self.plan = StopPlan()  # no stop
         self._timeouts: set[asyncio.Timeout] = set()
         self._recent_by_route: dict[str, deque[float]] = {}
 
