Start and end the hosts in memory of two features by one class

The fleets of the streams' and the quarantine's tests had each their own start, kill, control host and router view. MemoryFleet and two functions serve both; the checks are untouched.

--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/fleet.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/fleet.py
@@ -1,13 +1,14 @@
 """Hosts in memory that exchange quarantines."""
 
 import asyncio
-import random
-from contextlib import suppress
+from functools import partial
 
-from almondfield_daemon.fleet import FleetControl, FleetView, RouterState
-from almondfield_daemon.fleet.messages import RouterHello
+from almondfield_daemon.fleet.tests.memory_fleet import (
+    MemoryFleet,
+    make_control,
+    make_view,
+)
 from almondfield_daemon.quarantine import QuarantineClient, QuarantineService
-from almondfield_testing import InMemoryNetwork
 
 __all__ = ["CONTROL_HOSTS", "Fleet"]
 
@@ -20,17 +21,15 @@
     def __init__(self, network, name, incarnation, accepts_connection):
         peers = network.peers(name)
         if name in CONTROL_HOSTS:
-            rng = random.Random(1)
-            self.fleet = FleetControl(peers, incarnation, lambda: CONTROL_HOSTS, rng)
+            self.fleet = make_control(peers, incarnation, CONTROL_HOSTS)
             self.quarantine = QuarantineService(
                 peers, self.fleet.routers.hosts, lambda: CONTROL_HOSTS
             )
             self.fleet.register_handlers()
         else:
-            hello = RouterHello("east", "region", f"{name}:80", RouterState.READY)
-            self.fleet = FleetView(
+            self.fleet = make_view(
                 peers,
-                hello,
+                name,
                 CONTROL_HOSTS,
                 lambda: None,
                 lambda host: self.quarantine.sync(host),
@@ -45,23 +44,14 @@
         self.task = asyncio.ensure_future(self.fleet.run())
 
 
-class Fleet:
-    """Hosts in memory."""
+class Fleet(MemoryFleet):
+    """Hosts in memory, and the addresses at which no server listens."""
 
     def __init__(self):
-        self.network = InMemoryNetwork()
-        self.host_by_name = {}
-        self.starts = 0
+        super().__init__(partial(Host, accepts_connection=self.accepts_connection))
         self.gone_addresses = set()
         self.tried_addresses = []
 
-    def start(self, name):
-        """Start a host with empty memory."""
-        self.starts += 1
-        self.host_by_name[name] = Host(
-            self.network, name, self.starts, self.accepts_connection
-        )
-
     async def accepts_connection(self, address):
         """Return whether a server listens at an address."""
         self.tried_addresses.append(address)
@@ -70,10 +60,6 @@
     async def restart(self, names):
         """End hosts at once, and start them again with empty memory."""
         for name in names:
-            host = self.host_by_name.pop(name)
-            host.task.cancel()
-            with suppress(asyncio.CancelledError):
-                await host.task
-            self.network.stop(name)
+            await self.kill(name)
         for name in names:
             self.start(name)
--- a/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/fleet.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/streams/tests/fleet.py
@@ -1,19 +1,14 @@
 """Hosts in memory that keep the origins of streams, and servers around them."""
 
 import asyncio
-import random
-from contextlib import suppress
 
-from almondfield_daemon.fleet import (
-    FleetControl,
-    FleetServer,
-    FleetView,
-    RouterState,
-    ServerPhase,
+from almondfield_daemon.fleet import FleetServer, ServerPhase
+from almondfield_daemon.fleet.tests.memory_fleet import (
+    MemoryFleet,
+    make_control,
+    make_view,
 )
-from almondfield_daemon.fleet.messages import RouterHello
 from almondfield_daemon.streams import OriginClient, OriginService
-from almondfield_testing import InMemoryNetwork
 
 CONTROL_HOSTS = ("c1", "c2", "c3", "c4", "c5")
 ROUTERS = ("r1", "r2")
@@ -28,16 +23,14 @@
     def __init__(self, network, name, incarnation):
         peers = network.peers(name)
         if name in CONTROL_HOSTS:
-            rng = random.Random(1)
-            self.fleet = FleetControl(peers, incarnation, lambda: CONTROL_HOSTS, rng)
+            self.fleet = make_control(peers, incarnation, CONTROL_HOSTS)
             self.origins = OriginService(peers, self.fleet)
             self.fleet.register_handlers()
             self.origins.register_handlers()
         else:
-            hello = RouterHello("east", "region", f"{name}:80", RouterState.READY)
-            self.fleet = FleetView(
+            self.fleet = make_view(
                 peers,
-                hello,
+                name,
                 CONTROL_HOSTS,
                 lambda: self.origins.update_servers(self.fleet.all_servers()),
                 lambda host: self.origins.report_all(host),
@@ -51,28 +44,13 @@
         self.task = asyncio.ensure_future(self.fleet.run())
 
 
-class Fleet:
+class Fleet(MemoryFleet):
     """Hosts in memory, and servers that announce themselves each second."""
 
     def __init__(self):
-        self.network = InMemoryNetwork()
-        self.host_by_name = {}
-        self.starts = 0
+        super().__init__(Host)
         self.server_by_version = {}
 
-    def start(self, name):
-        """Start a host with empty memory."""
-        self.starts += 1
-        self.host_by_name[name] = Host(self.network, name, self.starts)
-
-    async def kill(self, name):
-        """End a host."""
-        host = self.host_by_name.pop(name)
-        host.task.cancel()
-        with suppress(asyncio.CancelledError):
-            await host.task
-        self.network.stop(name)
-
     def announce(self, server, at="c1"):
         """Announce a server to a control host."""
         control = self.host_by_name[at]
