Let a control host start while its disk is full

Cause: the recovery of a data folder writes (it cuts a torn end off, removes old files, makes a new identity durable), and an error of the disk there ended the task. Beside it, the recovery counted as synced whatever it could read: after a failed sync that is in the system's memory only, and a loss of power takes it though the leader was told that it is held.

A member that can't sync answers heartbeats at once, so that its leader keeps the lease. A new identity takes part in nothing until it is kept. Old files are removed where possible. The folder itself is locked, as a full disk can't hold a new lock file.

--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -20,7 +20,13 @@
 from almondfield_control.consensus.snapshots import Snapshot, SnapshotStore
 from almondfield_control.errors import StorageError
 from almondfield_control.state import ControlState, decode_image
-from almondfield_control.storage import RETRY_INTERVAL_S, Disk, HardState, Journal
+from almondfield_control.storage import (
+    RETRY_INTERVAL_S,
+    Disk,
+    HardState,
+    Journal,
+    Recovered,
+)
 from almondfield_core.clock import WallClock, now
 from almondfield_core.messages import ControlUnavailable
 from almondfield_core.ports import Peers
@@ -301,13 +307,11 @@
         raise await self._failures.get()
 
     async def _recover(self) -> None:
-        recovered = await self.journal.recover()
+        recovered = await self._read_folder()
         self.leader_last_seen_at = now()
-        if recovered.hard is None:
-            await self.journal.compact(self.hard_state, 0, 0, b"", ())
-            self.synced_hard_state = self.hard_state
-            return
-        self.hard_state = self.synced_hard_state = recovered.hard
+        self.hard_state = recovered.hard
+        if recovered.is_synced:
+            self.synced_hard_state = recovered.hard
         members = recovered.hard.members
         if recovered.base_index:
             image = await decode_image(recovered.snapshot)
@@ -320,10 +324,28 @@
         self.log = ReplicatedLog(recovered.base_index, recovered.base_term, members)
         self.log.append(recovered.entries)
         self.commit_index = recovered.base_index
-        self.durable_index = self.log.last_index
+        self.durable_index = recovered.synced_index
         if self.hard_state.formed:
             self.become_follower_or_learner()
 
+    async def _read_folder(self) -> Recovered:
+        """Return the content of the folder, or a new identity once it is durable.
+
+        A disk that is full or fails is tried again. Until then the member takes part in
+        nothing, as nobody may know an identity that isn't kept.
+        """
+        while True:
+            try:
+                recovered = await self.journal.recover()
+                if recovered.hard is None:
+                    await self.journal.compact(self.hard_state, 0, 0, b"", ())
+                    return Recovered(self.hard_state, is_synced=True)
+            except StorageError:
+                # The journal has logged the reason.
+                await asyncio.sleep(RETRY_INTERVAL_S)
+                continue
+            return recovered
+
     def _register_handlers(self) -> None:
         self._follower.register_handlers()
         self.peers.register_handler(HandOver, self._on_hand_over)
--- a/packages/almondfield-control/src/almondfield_control/consensus/follower.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/follower.py
@@ -52,22 +52,40 @@
             hint = min(replica.log.last_index, request.previous_index - 1)
             return AppendReply(replica.hard_state.term, False, hint)
         if self._receiver.installing and request.entries:
-            return AppendReply(
-                replica.hard_state.term, False, replica.durable_index, True
-            )
+            return self._stalled_reply()
         last = request.previous_index + len(request.entries)
+        if self._cannot_sync(last) and not request.entries:
+            # Waiting for the next write would cost the leader its lease.
+            return self._stalled_reply()
         try:
             await self._store_entries(request)
         except StorageError:
-            return AppendReply(
-                replica.hard_state.term, False, replica.durable_index, True
-            )
+            return self._stalled_reply()
         if replica.hard_state.term != request.term:
             return AppendReply(replica.hard_state.term, False, 0)
         replica.commit(min(request.commit_index, last))
         disk_fails = replica.journal.failure is not None
         return AppendReply(replica.hard_state.term, True, last, disk_fails=disk_fails)
 
+    def _cannot_sync(self, last: int) -> bool:
+        """Return whether the log up to an entry isn't synced and the disk fails."""
+        replica = self._replica
+        is_synced = (
+            last <= replica.durable_index
+            and replica.hard_state == replica.synced_hard_state
+        )
+        return replica.journal.failure is not None and not is_synced
+
+    def _stalled_reply(self) -> AppendReply:
+        replica = self._replica
+        return AppendReply(
+            replica.hard_state.term,
+            False,
+            replica.durable_index,
+            stalled=True,
+            disk_fails=replica.journal.failure is not None,
+        )
+
     def _log_matches(self, request: AppendRequest) -> bool:
         replica = self._replica
         if request.previous_index < replica.log.base_index:
--- a/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
@@ -308,11 +308,11 @@
         return reply
 
     def _on_reply(self, progress: Progress, reply: AppendReply) -> None:
+        progress.disk_fails = reply.disk_fails
         if not reply.matched:
             progress.next_index = max(progress.match_index, reply.match_index) + 1
             progress.wake.set()
             return
-        progress.disk_fails = reply.disk_fails
         progress.match_index = max(progress.match_index, reply.match_index)
         progress.next_index = max(progress.next_index, progress.match_index + 1)
         self.advance_commit_index()
--- a/packages/almondfield-control/src/almondfield_control/consensus/snapshots.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/snapshots.py
@@ -132,7 +132,7 @@
         replica = self._replica
         term = replica.hard_state.term
         if chunk.last_index <= replica.commit_index:
-            return SnapshotReply(term, chunk.total, installed=True)
+            return await self._confirm(chunk)
         if self.installing:
             return SnapshotReply(term, 0)
         key = (chunk.last_index, chunk.last_term, chunk.total, chunk.checksum)
@@ -150,6 +150,19 @@
         installed = await self._install(snapshot)
         return SnapshotReply(term, chunk.total if installed else 0, installed)
 
+    async def _confirm(self, chunk: SnapshotChunk) -> SnapshotReply:
+        """Return the reply to a snapshot whose entries this member has applied.
+
+        After a start on a disk that fails, they may not be synced yet.
+        """
+        replica = self._replica
+        if chunk.last_index > replica.durable_index:
+            try:
+                await replica.journal.write()
+            except StorageError:
+                return SnapshotReply(replica.hard_state.term, 0)
+        return SnapshotReply(replica.hard_state.term, chunk.total, installed=True)
+
     async def _install(self, snapshot: Snapshot) -> bool:
         self.installing = True
         try:
--- a/packages/almondfield-control/src/almondfield_control/storage/core.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/core.py
@@ -5,25 +5,33 @@
 from typing import Protocol
 
 import eliot
-import msgspec
 
-from almondfield_control.commands import LogEntry, Member
+from almondfield_control.commands import LogEntry
 from almondfield_control.errors import DamageError, StorageError
-from almondfield_control.storage.records import encode_frame, read_frames
+from almondfield_control.storage.layout import (
+    JOURNAL_PREFIX,
+    SNAPSHOT_PREFIX,
+    HardState,
+    JournalHeader,
+    Recovered,
+    WriteBatch,
+    decode_journal,
+    decode_snapshot,
+    is_journal,
+    journal_name,
+    pack_frame,
+    snapshot_name,
+    unreadable_file,
+)
+from almondfield_control.storage.records import encode_frame
 from almondfield_core.findings import Finding
 
 __all__ = [
     "RETRY_INTERVAL_S",
     "Disk",
-    "HardState",
     "Journal",
-    "Recovered",
-    "encode_initial_journal",
 ]
 
-_JOURNAL_PREFIX = "journal-"
-_SNAPSHOT_PREFIX = "snapshot-"
-_SEQUENCE_DIGITS = 16
 RETRY_INTERVAL_S = 1.0
 
 
@@ -45,6 +53,15 @@
     async def truncate(self, name: str, size: int) -> None:
         """Truncate a file to a size in bytes and sync it."""
 
+    async def rewrite_end(self, name: str, offset: int, data: bytes) -> None:
+        """Write the end of a file once more, and sync the file and the folder.
+
+        :param name: name of the file.
+        :param offset: where the data begins in the file, in bytes.
+        :param data: what the file holds there; what follows is dropped.
+        :raises OSError: if that failed; the file may hold a part of what followed.
+        """
+
     async def replace(self, name: str, data: bytes) -> None:
         """Replace a file atomically: write a temporary file, sync, rename, sync."""
 
@@ -55,72 +72,6 @@
         """Release the lock on the folder."""
 
 
-@dataclass(frozen=True)
-class HardState:
-    """State that a voter must keep durably besides its log.
-
-    :ivar voter_id: random number of this data folder, in hexadecimal.
-    :ivar cluster_id: group that the voter belongs to; empty before it joins one.
-    :ivar formed: whether the voter has confirmation that the group exists.
-    :ivar members: first members of the group, as they were agreed.
-    :ivar term: newest term that the voter has seen.
-    :ivar voted_for: voter that it voted for in that term; empty for none.
-    """
-
-    voter_id: str
-    cluster_id: str = ""
-    formed: bool = False
-    members: tuple[Member, ...] = ()
-    term: int = 0
-    voted_for: str = ""
-
-
-@dataclass(frozen=True)
-class _WriteBatch:
-    """One synced write: a new hard state, a log truncation, entries to append.
-
-    :ivar hard: the hard state from now on; None if unchanged.
-    :ivar cut_after: entries after this index are dropped first; None to drop none.
-    :ivar entries: entries to append.
-    """
-
-    hard: HardState | None = None
-    cut_after: int | None = None
-    entries: tuple[LogEntry, ...] = ()
-
-
-@dataclass(frozen=True)
-class _JournalHeader:
-    """First frame of a journal file.
-
-    :ivar snapshot: name of the snapshot that the entries follow; empty for none.
-    :ivar base_index: last entry that the snapshot covers.
-    :ivar base_term: term of that entry.
-    """
-
-    snapshot: str
-    base_index: int
-    base_term: int
-
-
-@dataclass(frozen=True)
-class Recovered:
-    """Content of a data folder at startup.
-
-    :ivar hard: the hard state; None for an empty folder.
-    :ivar base_index: last entry that the snapshot covers; 0 without one.
-    :ivar base_term: term of that entry.
-    :ivar snapshot: the snapshot; empty without one.
-    :ivar entries: entries after it.
-    """
-
-    hard: HardState | None = None
-    base_index: int = 0
-    base_term: int = 0
-    snapshot: bytes = b""
-    entries: tuple[LogEntry, ...] = ()
-
-
 @dataclass(frozen=True)
 class _PendingWrites:
     """Writes that wait for the next sync, in the order of their numbers.
@@ -129,7 +80,7 @@
     :ivar waiters: futures of those that have not failed yet.
     """
 
-    batch_by_number: dict[int, _WriteBatch] = field(default_factory=dict)
+    batch_by_number: dict[int, WriteBatch] = field(default_factory=dict)
     waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
 
@@ -145,6 +96,8 @@
         self._size = 0
         # A journal that was given up; it may be on the disk, where a restart reads it.
         self._given_up_name = ""
+        # The last frame that an earlier process wrote, until it is surely synced.
+        self._unsynced_end = b""
         self._pending = _PendingWrites()
         self._next_number = 0
         self._wake = asyncio.Event()
@@ -157,18 +110,65 @@
         return self._failure
 
     async def recover(self) -> Recovered:
-        """Return the content of the folder, truncated to the last complete write.
+        """Return the content of the folder, up to the last complete write.
+
+        The end of the journal is made durable, at once or, where the disk fails, before
+        the next write.
 
         :raises DamageError: if a record is damaged.
+        :raises StorageError: if the folder can't be read; the call may be repeated.
         """
+        self._given_up_name = ""
+        try:
+            recovered = await self._read_folder()
+        except OSError as error:
+            raise self._record_failure(error) from error
+        if recovered.hard is None:
+            return recovered
+        try:
+            await self._rewrite_end()
+        except OSError as error:
+            self._record_failure(error)
+            self._wake.set()
+            return recovered
+        self._record_success()
+        await self._remove_others(recovered.snapshot_file)
+        synced_index = recovered.base_index + len(recovered.entries)
+        return replace(recovered, is_synced=True, synced_index=synced_index)
+
+    async def _read_folder(self) -> Recovered:
         names = await self._disk.names()
-        journals = sorted(name for name in names if _is_journal(name))
+        journals = sorted(name for name in names if is_journal(name))
         if not journals:
             return Recovered()
         self._name = journals[-1]
-        recovered = await self._read_journal(self._name)
-        await self._remove_others(names)
-        return recovered
+        data = await self._disk.read(self._name)
+        content = decode_journal(self._name, data)
+        snapshot_file = content.header.snapshot
+        snapshot = await self._read_snapshot(snapshot_file, names)
+        self._size = content.size
+        self._unsynced_end = data[content.last_frame_at : content.size]
+        return Recovered(
+            content.hard_state,
+            content.header.base_index,
+            content.header.base_term,
+            snapshot,
+            content.entries,
+            snapshot_file=snapshot_file,
+            synced_index=content.synced_index,
+        )
+
+    async def _rewrite_end(self) -> None:
+        """Make durable what an earlier process may have left unsynced.
+
+        That is at most the last frame, as each write follows a sync that succeeded, and
+        the names in the folder. A sync alone wouldn't do: after one that failed, the
+        system takes the data for written.
+        """
+        end = self._unsynced_end
+        if end:
+            await self._disk.rewrite_end(self._name, self._size - len(end), end)
+        self._unsynced_end = b""
 
     async def run(self) -> None:
         """Write the pending batches, retrying after a failure, until cancelled.
@@ -200,7 +200,7 @@
             is retried before any later one, so that the journal has no gap.
         """
         waiter = asyncio.get_running_loop().create_future()
-        batch = _WriteBatch(hard_state, cut_after, entries)
+        batch = WriteBatch(hard_state, cut_after, entries)
         self._pending.batch_by_number[self._next_number] = batch
         self._next_number += 1
         self._pending.waiters.append(waiter)
@@ -248,38 +248,35 @@
     async def _replace(
         self, hard_state, base_index, base_term, snapshot, entries
     ) -> None:
-        snapshot_name = ""
+        snapshot_file = ""
         if base_index:
-            snapshot_name = f"{_SNAPSHOT_PREFIX}{base_index:0{_SEQUENCE_DIGITS}d}"
-            await self._disk.replace(snapshot_name, encode_frame(snapshot))
-        sequence = int(self._name.removeprefix(_JOURNAL_PREFIX) or 0) + 1
-        name = f"{_JOURNAL_PREFIX}{sequence:0{_SEQUENCE_DIGITS}d}"
-        header = _JournalHeader(snapshot_name, base_index, base_term)
-        data = _pack_frame(header) + _pack_frame(
-            (_WriteBatch(hard_state, None, entries),)
-        )
+            snapshot_file = snapshot_name(base_index)
+            await self._disk.replace(snapshot_file, encode_frame(snapshot))
+        sequence = int(self._name.removeprefix(JOURNAL_PREFIX) or 0) + 1
+        name = journal_name(sequence)
+        header = JournalHeader(snapshot_file, base_index, base_term)
+        data = pack_frame(header) + pack_frame((WriteBatch(hard_state, None, entries),))
         self._given_up_name = name
         await self._disk.replace(name, data)
         self._given_up_name = ""
         self._name = name
         self._size = len(data)
-        self._failure = None
+        self._unsynced_end = b""
+        self._record_success()
         # The new journal is in force: a failure from here on must not repeat writes.
-        try:
-            await self._remove_others(await self._disk.names())
-        except OSError as error:
-            # The next snapshot, or the next start, removes them.
-            eliot.log_message("control:old-files-stay", reason=str(error))
+        await self._remove_others(snapshot_file)
 
     async def _write(self, pending: _PendingWrites) -> None:
         if not pending.batch_by_number and self._failure is None:
             return
-        data = _pack_frame(tuple(pending.batch_by_number.values()))
+        data = pack_frame(tuple(pending.batch_by_number.values()))
         try:
             if self._given_up_name:
                 await self._disk.remove(self._given_up_name)
                 self._given_up_name = ""
-            if self._failure is not None:
+            if self._unsynced_end:
+                await self._rewrite_end()
+            elif self._failure is not None:
                 await self._disk.truncate(self._name, self._size)
             await self._disk.append(self._name, data)
         except OSError as error:
@@ -287,7 +284,7 @@
             self._put_back(pending)
             return
         self._size += len(data)
-        self._failure = None
+        self._record_success()
         _resolve_waiters(pending.waiters, None)
 
     def _put_back(self, failed: _PendingWrites) -> None:
@@ -307,73 +304,29 @@
             eliot.log_message("control:write-failed", finding=str(self._failure))
         return StorageError(str(self._failure))
 
-    async def _read_journal(self, name: str) -> Recovered:
-        data = await self._disk.read(name)
-        hard_state: HardState | None = None
-        header: _JournalHeader | None = None
-        entries: list[LogEntry] = []
-        for frame in read_frames(name, data):
-            self._size = frame.end
-            if header is None:
-                header = msgspec.msgpack.decode(frame.body, type=_JournalHeader)
-                continue
-            for batch in _decode_batches(frame.body):
-                hard_state = batch.hard or hard_state
-                if batch.cut_after is not None:
-                    del entries[max(0, batch.cut_after - header.base_index) :]
-                entries.extend(batch.entries)
-        if header is None or hard_state is None:
-            raise DamageError((_unreadable_file(name),))
-        if self._size < len(data):
-            await self._disk.truncate(name, self._size)
-        snapshot = await self._read_snapshot(header.snapshot)
-        return Recovered(
-            hard_state, header.base_index, header.base_term, snapshot, tuple(entries)
-        )
+    def _record_success(self) -> None:
+        if self._failure is not None:
+            eliot.log_message("control:write-succeeds", file=self._name)
+        self._failure = None
 
-    async def _read_snapshot(self, name: str) -> bytes:
+    async def _read_snapshot(self, name: str, names: tuple[str, ...]) -> bytes:
         if not name:
             return b""
-        if name not in await self._disk.names():
-            raise DamageError((_unreadable_file(name),))
-        frames = list(read_frames(name, await self._disk.read(name)))
-        if len(frames) != 1:
-            raise DamageError((_unreadable_file(name),))
-        return frames[0].body
-
-    async def _remove_others(self, names: tuple[str, ...]) -> None:
-        header = msgspec.msgpack.decode(
-            next(read_frames(self._name, await self._disk.read(self._name))).body,
-            type=_JournalHeader,
-        )
-        for name in names:
-            is_storage_file = name.startswith((_JOURNAL_PREFIX, _SNAPSHOT_PREFIX))
-            if is_storage_file and name not in (self._name, header.snapshot):
-                await self._disk.remove(name)
+        if name not in names:
+            raise DamageError((unreadable_file(name),))
+        return decode_snapshot(name, await self._disk.read(name))
 
-
-def _is_journal(name: str) -> bool:
-    sequence = name.removeprefix(_JOURNAL_PREFIX)
-    return sequence != name and sequence.isdigit()
-
-
-def encode_initial_journal(hard_state: HardState) -> tuple[str, bytes]:
-    """Return the name and content of a journal with a hard state and no entries.
-
-    :param hard_state: the hard state.
-    """
-    name = f"{_JOURNAL_PREFIX}{1:0{_SEQUENCE_DIGITS}d}"
-    return name, _pack_frame(_JournalHeader("", 0, 0)) + _pack_frame(
-        (_WriteBatch(hard_state),)
-    )
-
-
-def _pack_frame(item: object) -> bytes:
-    return encode_frame(msgspec.msgpack.encode(item))
-
-
-def _decode_batches(body: bytes) -> tuple[_WriteBatch, ...]:
-    return msgspec.msgpack.decode(body, type=tuple[_WriteBatch, ...])
+    async def _remove_others(self, snapshot: str) -> None:
+        """Remove the files that the journal in force doesn't need, if possible."""
+        needed = (self._name, snapshot)
+        try:
+            for name in await self._disk.names():
+                is_storage_file = name.startswith((JOURNAL_PREFIX, SNAPSHOT_PREFIX))
+                if is_storage_file and name not in needed:
+                    await self._disk.remove(name)
+        except OSError as error:
+            # The next snapshot, or the next start, removes them.
+            eliot.log_message("control:old-files-stay", reason=str(error))
 
 
 def _resolve_waiters(
@@ -386,14 +339,3 @@
             waiter.set_result(None)
         else:
             waiter.set_exception(error)
-
-
-def _unreadable_file(name: str) -> Finding:
-    return Finding(
-        place=f"{name}: offset 0",
-        problem="the file cannot be read completely",
-        allowed=(
-            "empty the data folder; the host then rejoins as a new voter "
-            "once the others admit it"
-        ),
-    )
--- a/packages/almondfield-control/src/almondfield_control/storage/folder.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/folder.py
@@ -1,10 +1,13 @@
 """The disk port backed by a folder of the file system."""
 
 import asyncio
+import errno
 import fcntl
 import os
 from pathlib import Path
 
+import eliot
+
 from almondfield_core.findings import Finding, FindingsError
 
 __all__ = ["FolderDisk"]
@@ -12,6 +15,7 @@
 _LOCK_NAME = "lock"
 _TEMPORARY_SUFFIX = ".new"
 _FILE_MODE = 0o600
+_PASSING_ERRORS = (errno.ENOSPC, errno.EDQUOT, errno.EIO)
 
 
 class FolderDisk:
@@ -24,27 +28,39 @@
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
+        self._locks = [self._lock(folder, os.O_RDONLY | os.O_DIRECTORY)]
         try:
-            self._lock_descriptor = os.open(
-                folder / _LOCK_NAME, os.O_CREAT | os.O_RDWR, _FILE_MODE
-            )
+            # Earlier versions lock this file, which a full disk can't hold.
+            self._locks.append(self._lock(folder / _LOCK_NAME, os.O_CREAT | os.O_RDWR))
+        except OSError as error:
+            eliot.log_message("control:lock-file-missing", reason=str(error))
+        except FindingsError:
+            self.close()
+            raise
+
+    def _lock(self, path: Path, flags: int) -> int:
+        try:
+            descriptor = os.open(path, flags, _FILE_MODE)
         except OSError as error:
+            if error.errno in _PASSING_ERRORS and flags & os.O_CREAT:
+                raise
             finding = Finding(
-                f"data_folder: {folder}",
+                f"data_folder: {self._folder}",
                 f"cannot be used: {error.strerror}",
                 "an existing folder that the daemon may write",
             )
             raise FindingsError((finding,)) from None
         try:
-            fcntl.flock(self._lock_descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
-            os.close(self._lock_descriptor)
+            os.close(descriptor)
             finding = Finding(
-                f"data_folder: {folder}",
+                f"data_folder: {self._folder}",
                 "another process uses the folder",
                 "one daemon per data folder",
             )
             raise FindingsError((finding,)) from None
+        return descriptor
 
     async def names(self) -> tuple[str, ...]:
         """Return the names of all files."""
@@ -62,6 +78,10 @@
         """Truncate a file to a size in bytes and sync it."""
         await asyncio.to_thread(self._truncate, name, size)
 
+    async def rewrite_end(self, name: str, offset: int, data: bytes) -> None:
+        """Write the end of a file once more, and sync the file and the folder."""
+        await asyncio.to_thread(self._rewrite_end, name, offset, data)
+
     async def replace(self, name: str, data: bytes) -> None:
         """Replace a file atomically."""
         await asyncio.to_thread(self._replace, name, data)
@@ -72,7 +92,8 @@
 
     def close(self) -> None:
         """Release the lock on the folder."""
-        os.close(self._lock_descriptor)
+        while self._locks:
+            os.close(self._locks.pop())
 
     def _names(self) -> tuple[str, ...]:
         names = (path.name for path in self._folder.iterdir())
@@ -99,6 +120,17 @@
         finally:
             os.close(descriptor)
 
+    def _rewrite_end(self, name: str, offset: int, data: bytes) -> None:
+        descriptor = os.open(self._folder / name, os.O_WRONLY)
+        try:
+            os.lseek(descriptor, offset, os.SEEK_SET)
+            _write_all(descriptor, data)
+            os.ftruncate(descriptor, offset + len(data))
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        self._sync_folder()
+
     def _replace(self, name: str, data: bytes) -> None:
         temporary_path = self._folder / (name + _TEMPORARY_SUFFIX)
         flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
--- a/packages/almondfield-control/src/almondfield_control/tests/fake_disk.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/fake_disk.py
@@ -3,13 +3,18 @@
 import asyncio
 import errno
 
-from almondfield_control.storage.core import encode_initial_journal
+from almondfield_control.storage.layout import encode_initial_journal
 
 SYNC_S = 0.001
+WRITES = ("append", "truncate", "rewrite_end", "replace", "remove")
 
 
 class FakeDisk:
-    """The disk port; :meth:`crash` loses unsynced data."""
+    """The disk port; :meth:`crash` loses unsynced data.
+
+    :ivar refused: operations that fail before they have changed anything.
+    :ivar unsynced: operations that are performed, but fail to sync.
+    """
 
     def __init__(self, rng):
         self.rng = rng
@@ -18,6 +23,8 @@
         self.free_bytes = None
         self.sync_s = SYNC_S
         self.generation = 0
+        self.refused = ()
+        self.unsynced = ()
 
     async def names(self):
         return tuple(sorted(self.file_by_name))
@@ -27,25 +34,43 @@
 
     async def append(self, name, data):
         generation = self.generation
+        self._check_refused("append")
         self._reserve_space(name, data)
         self.unsynced_write = (name, data)
         await asyncio.sleep(self.sync_s)
         self._check_generation(generation)
         self.unsynced_write = None
         self.file_by_name[name] = self.file_by_name.get(name, b"") + data
+        self._check_synced("append")
 
     async def truncate(self, name, size):
+        self._check_refused("truncate")
         self.file_by_name[name] = self.file_by_name[name][:size]
+        self._check_synced("truncate")
+
+    async def rewrite_end(self, name, offset, data):
+        generation = self.generation
+        self._check_refused("rewrite_end")
+        await asyncio.sleep(self.sync_s)
+        self._check_generation(generation)
+        content = self.file_by_name[name]
+        assert content[offset:].startswith(data), name
+        self.file_by_name[name] = content[: offset + len(data)]
+        self._check_synced("rewrite_end")
 
     async def replace(self, name, data):
         generation = self.generation
+        self._check_refused("replace")
         self._reserve_space(name, data)
         await asyncio.sleep(self.sync_s)
         self._check_generation(generation)
         self.file_by_name[name] = bytes(data)
+        self._check_synced("replace")
 
     async def remove(self, name):
+        self._check_refused("remove")
         self.file_by_name.pop(name, None)
+        self._check_synced("remove")
 
     def close(self):
         pass
@@ -74,6 +99,14 @@
             raise OSError(errno.ENOSPC, "no space left on device")
         self.free_bytes -= len(data)
 
+    def _check_refused(self, operation):
+        if operation in self.refused:
+            raise OSError(errno.ENOSPC, "no space left on device")
+
+    def _check_synced(self, operation):
+        if operation in self.unsynced:
+            raise OSError(errno.EIO, "input/output error")
+
     def _check_generation(self, generation):
         if generation != self.generation:
             raise OSError(errno.EIO, "the host crashed")
--- a/packages/almondfield-control/src/almondfield_control/tests/fake_folder.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/fake_folder.py
@@ -24,12 +24,14 @@
     :ivar written: content that a process reads.
     :ivar synced: content that the last sync covered.
     :ivar unsynced: newer content that no sync covered; None if there is none.
+    :ivar position: where a descriptor writes, in bytes; None for the end.
     """
 
     def __init__(self):
         self.written = b""
         self.synced = b""
         self.unsynced = None
+        self.position = None
 
 
 @dataclass(frozen=True)
@@ -88,6 +90,8 @@
     :ivar inode_by_name: the files that a process sees.
     :ivar call_s: duration of the syncs of the current call in seconds.
     :ivar losses: number of power losses; calls made before one fail.
+    :ivar fails_to_sync: whether syncs of files fail; what one should have covered is
+        read back, and no later sync writes it.
     """
 
     def __init__(self, rng):
@@ -96,6 +100,7 @@
         self.inode_by_name = {}
         self.call_s = 0.0
         self.losses = 0
+        self.fails_to_sync = False
         self._synced_inode_by_name = {}
         self._unsynced_names = []
         self._under_way = deque()
@@ -135,6 +140,16 @@
         self.inode_by_name.clear()
         self._synced_inode_by_name.clear()
 
+    def fail_sync(self, inode):
+        """Fail a sync: the system takes the data for written from then on."""
+        self._under_way = deque(
+            item
+            for item in self._under_way
+            if not (isinstance(item[1], Write) and item[1].inode is inode)
+        )
+        inode.unsynced = None
+        raise OSError(errno.EIO, "input/output error")
+
     def _perform_due(self):
         while self._under_way and self._under_way[0][0] <= now():
             self._perform(self._under_way.popleft()[1])
@@ -229,6 +244,7 @@
     O_RDWR = os.O_RDWR
     O_TRUNC = os.O_TRUNC
     O_WRONLY = os.O_WRONLY
+    SEEK_SET = os.SEEK_SET
 
     def open(self, path, flags, mode=0):
         inode_by_name = path.folder.inode_by_name
@@ -236,13 +252,23 @@
             assert flags & os.O_CREAT, path.name
             inode_by_name[path.name] = Inode()
             path.folder.record(Link(path.name, inode_by_name[path.name]))
+        if path.name:
+            inode_by_name[path.name].position = None
         if flags & os.O_TRUNC:
             self.ftruncate(path, 0)
         return path
 
+    def lseek(self, path, offset, origin):
+        assert origin == os.SEEK_SET, origin
+        path.folder.inode_by_name[path.name].position = offset
+
     def write(self, path, data):
         inode = path.folder.inode_by_name[path.name]
-        self._write(path, inode.written + bytes(data))
+        start = len(inode.written) if inode.position is None else inode.position
+        end = start + len(data)
+        self._write(path, inode.written[:start] + bytes(data) + inode.written[end:])
+        if inode.position is not None:
+            inode.position = end
         return len(data)
 
     def ftruncate(self, path, size):
@@ -251,6 +277,8 @@
     def fsync(self, path):
         is_file = bool(path.name)
         inode = path.folder.inode_by_name[path.name] if is_file else None
+        if is_file and path.folder.fails_to_sync:
+            path.folder.fail_sync(inode)
         path.folder.record(SyncFile(inode) if is_file else SyncFolder())
 
     fdatasync = fsync
