Offer a group once the own disk holds it

Callers saw, in a test: no group for good. All processes run, and every change is refused until an operator empties folders.

Cause: the host that offers a group kept it in memory only where its disk was full, and offered it in its next round all the same. The others agreed and kept it. Restarted with room on its disk, the first host knows of no group; the others do, and it waits for empty folders: "formation was interrupted".

Now the offer is sent once the own write has succeeded, which is tried again in each round. So the others can't know a group that its first host may forget.

--- a/packages/almondfield-control/src/almondfield_control/consensus/formation.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -134,8 +134,11 @@
             members = [Member(replica.voter_id, replica.peers.host)]
             members += [Member(s.voter_id, host) for host, s in states.items()]
             cluster_id = f"{replica.rng.getrandbits(_CLUSTER_ID_BITS):016x}"
-            if not await self._adopt_group(cluster_id, tuple(members)):
-                return
+            self._agree(cluster_id, tuple(members))
+        if not await self._is_saved():
+            # Others would wait for a group that this host doesn't know after a restart.
+            self._set_waiting_for("a disk that can be written")
+            return
         offer = FormationOffer(
             replica.hard_state.cluster_id, replica.hard_state.members
         )
@@ -158,24 +161,26 @@
     async def _confirm_formation(self, offer: FormationOffer) -> None:
         replica = self._replica
         replica.hard_state = replace(replica.hard_state, formed=True)
-        try:
-            await replica.save()
-        except StorageError:
+        if not await self._is_saved():
             return
         replica.become_follower_or_learner()
         formed_offer = replace(offer, formed=True)
         others = [m.host for m in offer.members if m.host != replica.peers.host]
         await self._request_all(others, formed_offer)
 
-    async def _adopt_group(self, cluster_id: str, members: tuple[Member, ...]) -> bool:
+    def _agree(self, cluster_id: str, members: tuple[Member, ...]) -> None:
+        """Agree to a group; it counts once :meth:`_is_saved` returns true."""
         replica = self._replica
         replica.hard_state = replace(
             replica.hard_state, cluster_id=cluster_id, members=members
         )
         replica.state.members = members
         replica.log = ReplicatedLog(0, 0, members)
+
+    async def _is_saved(self) -> bool:
+        """Return whether the hard state is durable, writing it if it isn't."""
         try:
-            await replica.save()
+            await self._replica.save()
         except StorageError:
             return False
         return True
@@ -210,16 +215,12 @@
         replica = self._replica
         is_listed = any(m.voter_id == replica.voter_id for m in offer.members)
         is_joining = is_listed and not replica.hard_state.cluster_id
-        if is_joining and not await self._adopt_group(offer.cluster_id, offer.members):
-            return None
+        if is_joining:
+            self._agree(offer.cluster_id, offer.members)
         if replica.hard_state.cluster_id == offer.cluster_id and offer.formed:
             self.accept_group(offer.cluster_id)
-        try:
-            # A repeated offer may arrive while the first agreement is being synced.
-            await replica.save()
-        except StorageError:
-            return None
-        return self._formation_state()
+        # A repeated offer may arrive while the first agreement is being synced.
+        return self._formation_state() if await self._is_saved() else None
 
     def _formation_state(self) -> FormationState:
         hard_state = self._replica.hard_state
--- a/packages/almondfield-control/src/almondfield_control/tests/full_disks.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/full_disks.feature
@@ -90,6 +90,21 @@
       | h1   |
       | h2   |
 
+  # Guards against CONFIG: no group forms for good, as the host that offers it tells the
+  # others before its disk holds it, and restarts without it.
+  Scenario Outline: a group forms though the disk of <host> was full as it was offered
+    Given a fleet of 4 hosts with 3 voters on whose host <host> the disk takes no appends
+    When 4 seconds pass
+    And <host> crashes and its folder is intact
+    And the disk of <host> works again
+    And <host> starts
+    Then all hosts become ready
+
+    Examples:
+      | host |
+      | h1   |
+      | h3   |
+
   # Guards against LOST and CONFIG, as another operator told: disks full in turn, beside
   # restarts, and changes refused long after.
   Scenario Outline: disks that are full in turn leave nothing behind
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/full_disk_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/full_disk_steps.py
@@ -38,6 +38,17 @@
     context.fleet.start(*context.fleet.names)
 
 
+@given(
+    "a fleet of {hosts:d} hosts with {voters:d} voters on whose host {full} "
+    "the disk takes no appends"
+)
+@in_loop
+async def step_impl(context, hosts, voters, full):
+    context.fleet = Fleet(hosts, voters)
+    context.fleet.disk_by_host[full].refused = ("append",)
+    context.fleet.start(*context.fleet.names)
+
+
 @when("{host} crashes and its folder {state}")
 @in_loop
 async def step_impl(context, host, state):
