--- a/packages/almondfield-control/src/almondfield_control/consensus/follower.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/follower.py
@@ -50,7 +50,7 @@
         self._follow_leader(sender, request.term)
         if not self._log_matches(request):
             hint = min(replica.log.last_index, request.previous_index - 1)
-            return AppendReply(replica.hard_state.term, False, hint)
+            return self._reply(False, hint)
         if self._receiver.installing and request.entries:
             return self._stalled_reply()
         last = request.previous_index + len(request.entries)
@@ -64,8 +64,7 @@
         if replica.hard_state.term != request.term:
             return AppendReply(replica.hard_state.term, False, 0)
         replica.commit(min(request.commit_index, last))
-        disk_fails = replica.journal.failure is not None
-        return AppendReply(replica.hard_state.term, True, last, disk_fails=disk_fails)
+        return self._reply(True, last)
 
     def _cannot_sync(self, last: int) -> bool:
         """Return whether the log up to an entry isn't synced and the disk fails."""
@@ -77,14 +76,15 @@
         return replica.journal.failure is not None and not is_synced
 
     def _stalled_reply(self) -> AppendReply:
+        return self._reply(False, self._replica.durable_index, stalled=True)
+
+    def _reply(
+        self, matched: bool, match_index: int, stalled: bool = False
+    ) -> AppendReply:
         replica = self._replica
-        return AppendReply(
-            replica.hard_state.term,
-            False,
-            replica.durable_index,
-            stalled=True,
-            disk_fails=replica.journal.failure is not None,
-        )
+        disk_fails = replica.journal.failure is not None
+        term = replica.hard_state.term
+        return AppendReply(term, matched, match_index, stalled, disk_fails)
 
     def _log_matches(self, request: AppendRequest) -> bool:
         replica = self._replica
--- a/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
@@ -216,7 +216,11 @@
                 await progress.wake.wait()
                 continue
             if progress.next_index <= replica.log.base_index:
-                await self._send_snapshot(progress)
+                if progress.disk_fails:
+                    # It couldn't keep the snapshot; heartbeats tell when it can.
+                    await asyncio.sleep(self._heartbeat_s())
+                else:
+                    await self._send_snapshot(progress)
                 continue
             previous = progress.next_index - 1
             entries = replica.log.entries_after(previous, MAX_ENTRIES_PER_APPEND)
@@ -239,6 +243,9 @@
                 progress.next_index = progress.match_index + 1
                 self.advance_commit_index()
                 return
+            if reply.offset <= offset:
+                # It can't write at present, or is still writing the snapshot.
+                await asyncio.sleep(self._heartbeat_s())
             if reply.offset == 0 and offset > 0:
                 return
             offset = reply.offset
--- a/packages/almondfield-control/src/almondfield_control/tests/full_disks.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/full_disks.feature
@@ -132,6 +132,18 @@
     And the group reports that it tolerates 2 loss
     Then ten changes of h6 are accepted within 1 second each
 
+  # Guards against LOST and SHORT: a leader sends its snapshot over and over, as fast as
+  # the link allows, to a member whose disk is full.
+  Scenario: a snapshot for a member on a full disk is sent once a second at most
+    Given a fleet of 4 hosts with 3 voters
+    When h3 crashes and its folder is empty
+    And h4 makes 300 changes of 4000 bytes
+    And h3 starts and its disk is full once it has an identity
+    Then h3 receives a snapshot at most 6 times in 5 seconds
+    When the disk of h3 works again
+    And the group reports that it tolerates 1 loss
+    Then h3 received a snapshot and has the leader's state
+
   # Guards against LOST: a start counts entries as synced that a failed sync left in the
   # system's memory only, and a loss of power takes them.
   Scenario: what a start returns outlives a loss of power, though an earlier sync failed
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/full_disk_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/full_disk_steps.py
@@ -15,6 +15,7 @@
 from fake_folder import FakeFolder, open_folder, replace_system_calls
 
 from almondfield_control.commands import NoOperation, entry_of
+from almondfield_control.consensus.snapshots import SnapshotReceiver
 from almondfield_control.errors import StorageError
 from almondfield_control.storage import FolderDisk, HardState, Journal, folder
 from almondfield_core.findings import FindingsError
@@ -157,6 +158,32 @@
     assert outcome.is_ok(), outcome
 
 
+@when("{host} starts and its disk is full once it has an identity")
+@in_loop
+async def step_impl(context, host):
+    context.fleet.start(host)
+    disk = context.fleet.disk_by_host[host]
+    await context.fleet.wait_until(lambda: disk.file_by_name)
+    disk.refused = WRITES
+
+
+@then("{host} receives a snapshot at most {count:d} times in {seconds:d} seconds")
+@in_loop
+async def step_impl(context, host, count, seconds):
+    sizes = []
+    receive = SnapshotReceiver.receive
+
+    async def count_bytes(receiver, chunk):
+        sizes.append((len(chunk.data), chunk.total))
+        return await receive(receiver, chunk)
+
+    with mock.patch.object(SnapshotReceiver, "receive", count_bytes):
+        await asyncio.sleep(seconds)
+    assert sizes
+    times = sum(size for size, _ in sizes) / sizes[0][1]
+    assert times <= count, times
+
+
 @then("{host} reports that its disk is full")
 def step_impl(context, host):
     failure = context.fleet.node_by_host[host].replica.journal.failure
