Keep a host running while audit records can't be exported

Callers saw: nothing reported; the same cause as a start on a full disk. A host of the control group ends by itself as its disk is full during an export.

Cause: a write that failed in part was cut off at once, and the error of that, as of the reading at the start, ended the task and with it the host. Lines that a failed sync had left counted as exported.

Now an error of the disk is logged once and the export tried again each second; the last lines of the file, which are at most those of one write, are written again and synced before they count.

Evidence: "a disk that is full during the export ends no voter" with a part of the lines written fails before (OSError 28 out of ControlNode.run) and passes now; its second example, a failed sync, passed before as well. audit.feature: 4 scenarios passed, 0 failed.

--- a/packages/almondfield-control/src/almondfield_control/node/export.py
+++ b/packages/almondfield-control/src/almondfield_control/node/export.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import eliot
 import msgspec
 
 from almondfield_control.consensus import Replica
@@ -27,18 +28,32 @@
     def __init__(self, replica: Replica, disk: Disk) -> None:
         self._replica = replica
         self._disk = disk
-        self._exported = 0
+        self._exported: int | None = None
 
     async def run(self) -> None:
-        """Export until cancelled."""
-        self._exported = await self._last_revision()
+        """Export until cancelled; a disk that is full or fails is tried again."""
+        failure = ""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            while await self._export():
-                pass
+            try:
+                while await self._export():
+                    pass
+            except OSError as error:
+                # The file may end with a part of the records, or with unsynced ones.
+                self._exported = None
+                if str(error) != failure:
+                    eliot.log_message("audit:export-failed", reason=str(error))
+                failure = str(error)
+            else:
+                failure = ""
 
     async def _export(self) -> bool:
-        """Return whether records were written, so that more may be left to export."""
+        """Return whether records were written, so that more may be left to export.
+
+        :raises OSError: if the disk fails.
+        """
+        if self._exported is None:
+            self._exported = await self._last_revision()
         state = self._replica.state
         oldest_kept = state.tables.revision - KEPT_RECORDS
         changes = state.history(self._exported, MAX_RECORDS_PER_WRITE, oldest_kept)
@@ -46,24 +61,25 @@
             return False
         records = await audit_records_of(changes)
         lines = b"".join(msgspec.json.encode(record) + b"\n" for record in records)
-        try:
-            await self._disk.append(AUDIT_FILE, lines)
-        except OSError:
-            # A partial write may remain; its last complete line counts as exported.
-            self._exported = await self._last_revision()
-            return False
+        await self._disk.append(AUDIT_FILE, lines)
         self._exported = records[-1].revision
         return True
 
     async def _last_revision(self) -> int:
-        """Return the revision of the last complete line; truncate an incomplete one."""
+        """Return the revision of the last complete line, once that line is synced.
+
+        The lines of one write may be unsynced, as in the journal; an incomplete one is
+        dropped.
+
+        :raises OSError: if the disk fails.
+        """
         if AUDIT_FILE not in await self._disk.names():
             return 0
         data = await self._disk.read(AUDIT_FILE)
-        complete = data[: data.rfind(b"\n") + 1]
-        if len(complete) < len(data):
-            await self._disk.truncate(AUDIT_FILE, len(complete))
-        lines = complete.splitlines()
+        lines = data[: data.rfind(b"\n") + 1].splitlines(keepends=True)
+        end = b"".join(lines[-MAX_RECORDS_PER_WRITE:])
+        offset = sum(map(len, lines[:-MAX_RECORDS_PER_WRITE]))
+        await self._disk.rewrite_end(AUDIT_FILE, offset, end)
         if not lines:
             return 0
         return msgspec.json.decode(lines[-1], type=AuditRecord).revision
