Count only a head's own bytes where requests come without a pause

A caller that sends its next requests before it has the answers lost one of them: the listener closed its connection after the answer before it, or answered 431.

Cause: the bytes of a head that isn't complete are counted per read of the socket. A read of up to 256 KB holds the end of an earlier body as well, so a head of which a part came in the same read as a body of more than 64 KB was called too large.

A read that holds more than the head isn't counted; all later ones are, so that a head without end is still refused, at most one read later.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -42,6 +42,7 @@
         # The base class's cycle is of the newest request, which may wait for this one.
         self._running: RequestResponseCycle | None = None
         self._head_bytes = 0
+        self._heads_begun = 0  # in the bytes that are parsed now
         self._in_head = True
         self._head_timer: asyncio.TimerHandle | None = None
         self._refusal: HeadRefusal | None = None
@@ -141,6 +142,7 @@
         self._is_request_read = False
         self._in_head = True
         self._head_bytes = 0
+        self._heads_begun += 1
         self._start_head_timer()
         self._unset_keepalive_if_required()
         super().on_message_begin()
@@ -222,12 +224,17 @@
         if self._is_discarding:
             return
         idle_timer = self.timeout_keep_alive_task
+        is_behind_request = not self._is_request_read
+        self._heads_begun = 0
         super().data_received(data)
         if self.transport.is_closing():
             return
         if not self._in_head:
             self._keep_idle_timer(idle_timer)
             return
+        if self._heads_begun > 1 or (self._heads_begun and is_behind_request):
+            # The parser doesn't tell which bytes belong to earlier requests.
+            return
         self._head_bytes += len(data)
         if self._head_bytes > self.max_head_bytes:
             allowed = f"at most {self.max_head_bytes} bytes"
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/pipelining.feature
@@ -0,0 +1,24 @@
+Feature: Requests that come before the answer to an earlier one
+
+  Background:
+    Given a listener whose gate refuses paths below /no/, and bodies of at most 10 bytes
+
+  # Guards against LOST: the limit on heads counted the bytes of an earlier request that
+  # came in the same read, and a sound request behind a large body got no answer.
+  Scenario Outline: A head of which a part comes with an earlier body isn't called too large
+    When a client sends "<requests>" and a part of a head at once, and the rest later
+    Then it gets answers with <statuses> and nothing else
+    And its connection is open
+
+    Examples:
+      | requests                            | statuses    |
+      | accepted with 5000                  | 200 200     |
+      | accepted with 5000 in chunks        | 200 200     |
+      | accepted with 5000, accepted        | 200 200 200 |
+      | refused with 5 bytes, accepted with 5000 | 503 200 200 |
+
+  # Guards against heads without a limit behind an earlier request.
+  Scenario: An oversized head behind a body ends the connection after the answer
+    When a client sends "accepted with 5000" and a part of an oversized head at once, and the rest later
+    Then it gets answers with 200 431 and nothing else
+    And its connection is closed
