Answer what has come behind a body that is refused

Callers that send their next requests before they have the answers got neither an answer nor a refusal for whole requests, beside a change that makes the largest body smaller: the request whose body had become too long got 413, and its connection closed with all that had come behind it, also what the router had read long before. The same where a body found no memory, and after an unexpected error.

Cause: the endpoint closes the connection with each refusal of a body, since a part of the body may lie unread. Whether it does wasn't looked at.

Now the rest of a refused body is read and discarded first, for at most 1 s and 4 MiB, and the connection goes on if the body has ended by then. Otherwise it closes as before, and at once for a caller that waits for 100 Continue. A caller that writes a refused body slowly gets its refusal up to 1 s later. After an unexpected error the connection closes only if the body hasn't ended.

--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/bodies.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/bodies.py
@@ -14,11 +14,14 @@
     "BodyBudget",
     "BodyReservation",
     "CallerDisconnectedError",
+    "IncomingBody",
     "check_headers",
     "read_body",
 ]
 
 BODY_TIMEOUT_S = 60.0
+DISCARD_S = 1.0  # callers that write without pauses end within this time
+MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 
 
 class CallerDisconnectedError(AlmondfieldError):
@@ -94,6 +97,48 @@
             self._held_bytes = 0
 
 
+class IncomingBody:
+    """The ASGI receive callable of one request, which knows whether its body has ended.
+
+    :param receive: ASGI receive callable.
+    :param expects_continue: whether the caller waits for ``100 Continue`` before it
+        writes the body, which the first call sends.
+
+    :ivar is_ended: whether all of the body was received.
+    """
+
+    def __init__(self, receive: Any, expects_continue: bool) -> None:
+        self._receive = receive
+        self._is_requested = not expects_continue
+        self.is_ended = False
+
+    async def __call__(self) -> Any:
+        """Return the next ASGI message."""
+        self._is_requested = True
+        message = await self._receive()
+        self.is_ended = self.is_ended or not message.get("more_body", False)
+        return message
+
+    async def discard_rest(self) -> bool:
+        """Return whether the body has ended, once its rest is discarded within limits.
+
+        The connection then carries the requests behind this one; else it has to close.
+
+        :raises CallerDisconnectedError: if the caller disconnects before.
+        :raises TimeoutError: if the body takes too long.
+        """
+        size = 0
+        async with asyncio.timeout(DISCARD_S):
+            while self._is_requested and not self.is_ended:
+                message = await self()
+                if message["type"] == "http.disconnect":
+                    raise _disconnected()
+                size += len(message.get("body", b""))
+                if size > MAX_DISCARDED_BYTES:
+                    break
+        return self.is_ended
+
+
 def check_headers(headers: list[Header], limit_bytes: int) -> Problem | None:
     """Return the problem of an oversized header section; None for an allowed size.
 
@@ -141,9 +186,7 @@
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
-            raise CallerDisconnectedError(
-                "the caller disconnected before the end of its body"
-            )
+            raise _disconnected()
         part = message.get("body", b"")
         size += len(part)
         if size > limit_bytes:
@@ -156,6 +199,10 @@
             return Ok(b"".join(parts))
 
 
+def _disconnected() -> CallerDisconnectedError:
+    return CallerDisconnectedError("the caller disconnected before the end of its body")
+
+
 def _too_large(size: str, limit_bytes: int) -> Problem:
     detail = f"body of {size} bytes; allowed: {limit_bytes}"
     return permanent_problem(413, "body-too-large", detail)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -15,6 +15,7 @@
     BodyBudget,
     BodyReservation,
     CallerDisconnectedError,
+    IncomingBody,
     read_body,
 )
 from almondfield_daemon.edge.watch import CallerWatch
@@ -90,8 +91,9 @@
         connection = connection_of(scope)
         must_close = partial(self._must_close_after, connection)
         sink = _AsgiSink(send, must_close, connection)
+        body = IncomingBody(receive, _expects_continue(scope))
         try:
-            await self._handle(scope, receive, sink)
+            await self._handle(scope, body, sink)
         except StreamBrokenError:
             # Returning before the end of the answer closes the connection.
             pass
@@ -104,7 +106,7 @@
             )
             problem = Problem(500, "internal", "unexpected failure", Outcome.UNKNOWN)
             with suppress(RuntimeError):
-                await self._send_problem(sink, problem, close=True)
+                await self._send_problem(sink, problem, close=not body.is_ended)
         finally:
             self.running -= 1
 
@@ -121,7 +123,7 @@
         has_waiting = connection is not None and connection.has_waiting()
         return self._is_closing and not has_waiting
 
-    async def _handle(self, scope: Any, receive: Any, sink: "_AsgiSink") -> None:
+    async def _handle(self, scope: Any, body: IncomingBody, sink: "_AsgiSink") -> None:
         request = scope.get("state", {}).get(REQUEST_KEY)
         if request is None:
             # The listener passes a request on unchecked while another one is served on
@@ -132,12 +134,12 @@
                     pass
                 case Err(problem):
                     self.intake.record_refusal(head, problem)
-                    await self._refuse(receive, sink, problem)
+                    await self._refuse(body, sink, problem)
                     return
         sink.request_id = request.metadata.request_id
         held = BodyReservation(self._budget, request.team)
         try:
-            await self._read_and_serve(request, receive, sink, held)
+            await self._read_and_serve(request, body, sink, held)
         except CallerDisconnectedError as error:
             eliot.log_message(
                 "request:abandoned",
@@ -152,11 +154,11 @@
     async def _read_and_serve(
         self,
         request: ForwardRequest,
-        receive: Any,
+        incoming: IncomingBody,
         sink: "_AsgiSink",
         held: BodyReservation,
     ) -> None:
-        match await self._read_body(request, receive, held):
+        match await self._read_body(request, incoming, held):
             case Ok(body):
                 self._counts.record_body(len(body))
                 request = replace(request, body=body)
@@ -170,27 +172,39 @@
             case Err(problem):
                 self._counts.record_refusal(request.team, problem.kind)
                 _log_body_refusal(request, problem)
-                await self._send_problem(sink, problem, close=True)
+                is_ended = await self._discard_rest(incoming)
+                await self._send_problem(sink, problem, close=not is_ended)
                 return
-        async with CallerWatch(receive, sink.connection) as watch:
+        async with CallerWatch(incoming, sink.connection) as watch:
             sink.set_watch(watch)
             problem = await self._forwarder.serve(request, sink)
             if problem is not None:
                 await self._send_problem(sink, problem, close=False)
 
     async def _read_body(
-        self, request: ForwardRequest, receive: Any, held: BodyReservation
+        self, request: ForwardRequest, incoming: IncomingBody, held: BodyReservation
     ) -> Result[bytes, Problem]:
         """Return the whole body of a request, or why it isn't read to its end."""
         declared = int(dict(request.headers).get(b"content-length", b"0"))
         limit = request.max_body_bytes
         try:
             async with self._forwarder.stop_limits.limit():
-                return await read_body(receive, declared, limit, held.reserve)
+                return await read_body(incoming, declared, limit, held.reserve)
         except TimeoutError:
             return Err(draining())
 
-    async def _refuse(self, receive: Any, sink: "_AsgiSink", problem: Problem) -> None:
+    async def _discard_rest(self, incoming: IncomingBody) -> bool:
+        """Return whether a refused body has ended, so that the connection goes on."""
+        try:
+            async with self._forwarder.stop_limits.limit():
+                return await incoming.discard_rest()
+        except TimeoutError:
+            # The connection closes; the refusal is logged with its cause.
+            return False
+
+    async def _refuse(
+        self, incoming: IncomingBody, sink: "_AsgiSink", problem: Problem
+    ) -> None:
         """Send an error answer after reading the body.
 
         Closing the connection with unread data would reset it and lose the answer.
@@ -198,13 +212,14 @@
         limit = self._subscription.index.table.limits.max_body_bytes
         try:
             async with self._forwarder.stop_limits.limit():
-                body = await read_body(receive, 0, limit, lambda count: True)
+                body = await read_body(incoming, 0, limit, lambda count: True)
+            is_ended = await self._discard_rest(incoming)
         except CallerDisconnectedError:
             return
         except TimeoutError:
-            body = Err(draining())
+            body, is_ended = Err(draining()), False
         self._counts.record_body(len(body.unwrap_or(b"")))
-        await self._send_problem(sink, problem, close=body.is_err())
+        await self._send_problem(sink, problem, close=not is_ended)
 
     async def _send_problem(
         self, sink: "_AsgiSink", problem: Problem, close: bool
@@ -297,6 +312,11 @@
     )
 
 
+def _expects_continue(scope: Any) -> bool:
+    expect = dict(scope.get("headers", ())).get(b"expect", b"")
+    return expect.lower() == b"100-continue"
+
+
 def _read_head(scope: Any) -> RequestHead:
     return RequestHead(
         method=scope["method"],
