--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/reports.py
@@ -15,6 +15,7 @@
 
 REPORT_DELAY_S = 0.02  # batches reports; a fraction of the prefill time of a prompt
 SNAPSHOT_INTERVAL_S = 1.0  # while attempts change
+SNAPSHOTS_AFTER_S = 3.0  # after their last change; reports of it may be lost
 HELD_REPORT_DELAY_S = 0.2  # callers return after about a second
 MAX_HELD_PROMPTS = 200  # in one report
 MAX_UNREPORTED = 1000  # reports held back while no scheduler is known
@@ -23,8 +24,9 @@
 class AttemptReports:
     """Attempts of one router, and reports of their changes.
 
-    Reports are one-way messages that may be lost. While attempts change, one report a
-    second has a snapshot of all attempts, by which the scheduler corrects its own.
+    Reports are one-way messages that may be lost. While attempts change, and
+    for some seconds after, one report a second has a snapshot of all attempts, by which
+    the scheduler corrects its own.
 
     :param peers: messages to the other hosts.
     :param first_number: attempts have higher numbers than this.
@@ -45,6 +47,7 @@
         self._report_timer: asyncio.TimerHandle | None = None
         self._snapshot_timer: asyncio.TimerHandle | None = None
         self._snapshot_sent_s = float("-inf")
+        self._changed_s = float("-inf")
 
     @property
     def has_undecided(self) -> bool:
@@ -96,6 +99,7 @@
         if item.number in self._in_flight_by_number:
             self._in_flight_by_number[item.number] = item
         self._begun.append(item)
+        self._changed_s = now()
         self._schedule_report()
 
     def end(self, item: EngineInFlight) -> None:
@@ -106,6 +110,7 @@
         self._undecided.discard(item.number)
         self._in_flight_by_number.pop(item.number, None)
         self._ended.append(item)
+        self._changed_s = now()
         self._schedule_report()
 
     def add_held(self, pool: str, prompt_id: str) -> None:
@@ -143,13 +148,12 @@
 
     def _take_snapshot_if_due(self) -> AttemptSnapshot | None:
         """Return a snapshot if the last one is old; else make sure that one follows."""
-        due_s = self._snapshot_sent_s + SNAPSHOT_INTERVAL_S
-        if now() < due_s:
-            if self._snapshot_timer is None:
-                loop = asyncio.get_running_loop()
-                self._snapshot_timer = loop.call_at(due_s, self._send_snapshot)
+        if now() < self._snapshot_sent_s + SNAPSHOT_INTERVAL_S:
+            self._schedule_snapshot()
             return None
         self._snapshot_sent_s = now()
+        if now() < self._changed_s + SNAPSHOTS_AFTER_S:
+            self._schedule_snapshot()
         items = self._in_flight_by_number.values()
         return AttemptSnapshot(
             last_number=self._last_number,
@@ -160,7 +164,13 @@
             running=tuple(item.number for item in items if not item.unread_tokens),
         )
 
+    def _schedule_snapshot(self) -> None:
+        """Send a report when the next snapshot is due."""
+        if self._snapshot_timer is None:
+            due_s = self._snapshot_sent_s + SNAPSHOT_INTERVAL_S
+            loop = asyncio.get_running_loop()
+            self._snapshot_timer = loop.call_at(due_s, self._send_snapshot)
+
     def _send_snapshot(self) -> None:
         self._snapshot_timer = None
-        if now() - self._snapshot_sent_s >= SNAPSHOT_INTERVAL_S:
-            self._schedule_report()
+        self._schedule_report()
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
@@ -45,6 +45,18 @@
     When "c2" replaces "c1" as the leader
     Then prefix "t" goes to the same engine as before
 
+  # Guards against SHORT: engines counted as used for 20 s after a router's last reports,
+  # and the snapshot with them, were lost.
+  Scenario: The last reports of a router are lost
+    When "r1" requests 4 engines at once
+    And 0.1 s pass
+    And "c1" is partitioned
+    And every answer begins and ends
+    And 1.5 s pass
+    And the partition heals
+    And 1.2 s pass
+    Then "c1" has 0 requests in flight
+
   # Guards against engines that count as full for 20 s after routers were killed.
   Scenario: A restarted router's earlier requests are dropped
     When "r1" requests 10 engines at once
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
@@ -107,6 +107,7 @@
 
 
 @given('"{host}" is partitioned')
+@when('"{host}" is partitioned')
 def step_impl(context, host):
     context.network.isolate(host)
 
