Tell a new scheduler which engines have got which shared parts

Cause: a new scheduler had no memory of the engines but the hint of the router that asks, for parts which that router had sent itself, and the hint counts only while no engine is known to have the part. Other engines prefilled the parts again and evicted others for them.

Why it works: routers outlive the scheduler and record where they sent each shared part. A router that meets a new scheduler tells it of those of the last 30 s, 128 at most, the most recent one first. They count as the least recently used ones of an engine's cache, up to half of it, unless the engine has restarted. Of three new scenarios of the daemon, two fail where the message isn't sent: prefixes of one router go to other engines from another router, and the new leader knows of none. The third and those of the cache set the bounds.

The signature of EngineClient.record_server has grown by the pool and the server's start; a fake and one step of the tests follow it.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -276,7 +276,9 @@
     ) -> SelectedServer:
         prompt = request.metadata.prompt if request.route.has_prompt else None
         if prompt is not None:
-            self._engines.record_server(prompt, server.name)
+            self._engines.record_server(
+                request.pool, prompt, server.name, server.born_ms
+            )
         candidate = self._candidate(server, frozenset())
         return SelectedServer(
             server,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -316,7 +316,7 @@
             return decision
         return self.assignment
 
-    def record_server(self, prompt, server):
+    def record_server(self, pool, prompt, server, started_ms):
         """Do nothing."""
 
     def assign(self, pool, server, uncached_tokens):
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -1,6 +1,5 @@
 """Client of the engine scheduler: requests engines and reports on the attempts."""
 
-from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -12,10 +11,12 @@
 from almondfield_core.routing import Prompt
 from almondfield_daemon.scheduling.messages import (
     EngineInFlight,
+    EnginePrefixes,
     EngineRefusal,
     EngineReply,
     EngineRequest,
 )
+from almondfield_daemon.scheduling.prefixes import SentPrefixes
 from almondfield_daemon.scheduling.reports import AttemptReports
 from almondfield_fairshare.engines import PromptRequest
 
@@ -35,7 +36,6 @@
 ANSWERING_S = 1.0  # after its last reply, the scheduler counts as answering for so long
 FAILURE_BACKOFF_S = 0.3  # a fraction of the duration of an election
 MS_PER_S = 1000
-MAX_KNOWN_PARTS = 20_000  # shared prompt parts whose last server is recorded
 
 
 @dataclass(frozen=True)
@@ -118,27 +118,26 @@
         self._last_reply_s = float("-inf")
         self._reply_time_s = 0.0
         self._held_refusal_by_team: dict[tuple[str, str], _HeldRefusal] = {}
-        self._server_by_part: OrderedDict[str, str] = OrderedDict()
+        self._prefixes = SentPrefixes()
 
     def last_server(self, prompt: Prompt) -> str:
         """Return the server that last got a prompt's shared parts; empty for none.
 
         :param prompt: the prompt.
         """
-        return self._server_by_part.get(prompt.shared_part, "")
+        return self._prefixes.last_server(prompt)
 
-    def record_server(self, prompt: Prompt, server: str) -> None:
+    def record_server(
+        self, pool: str, prompt: Prompt, server: str, started_ms: int
+    ) -> None:
         """Record the server that a prompt was sent to.
 
+        :param pool: name of the pool.
         :param prompt: the prompt.
         :param server: name of the server.
+        :param started_ms: when the server started, in milliseconds since 1970.
         """
-        part = prompt.shared_part
-        if part:
-            self._server_by_part[part] = server
-            self._server_by_part.move_to_end(part)
-            if len(self._server_by_part) > MAX_KNOWN_PARTS:
-                self._server_by_part.popitem(last=False)
+        self._prefixes.record(pool, prompt, server, started_ms)
 
     def held_refusal(
         self, pool: str, team: str, prompt: Prompt
@@ -261,7 +260,17 @@
         if not self._is_reached:
             self._is_reached = True
             eliot.log_message("scheduler:reached", scheduler=host)
-        self._reports.set_scheduler(host, start)
+        if self._reports.set_scheduler(host, start):
+            self._send_prefixes(host)
+
+    def _send_prefixes(self, host: str) -> None:
+        """Tell a new scheduler what engines have got from this router."""
+        items = self._prefixes.recent()
+        if items:
+            self._peers.send(host, EnginePrefixes(items))
+            eliot.log_message(
+                "scheduler:told-prefixes", scheduler=host, prefixes=len(items)
+            )
 
     def _timeout_s(self, host: str, request: PromptRequest) -> float:
         """Return how long to wait for a decision, in seconds.
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
@@ -3,10 +3,12 @@
 from dataclasses import dataclass
 
 from almondfield_core.wire import wire_message
-from almondfield_fairshare.engines import AttemptSnapshot, PromptRequest
+from almondfield_fairshare.engines import AttemptSnapshot, PromptRequest, SentPrefix
 
 __all__ = [
     "EngineInFlight",
+    "EnginePrefix",
+    "EnginePrefixes",
     "EngineProgress",
     "EngineRefusal",
     "EngineReply",
@@ -120,3 +122,26 @@
     in_flight: tuple[EngineInFlight, ...] = ()
     snapshot: AttemptSnapshot | None = None
     held: tuple[HeldPrompt, ...] = ()
+
+
+@dataclass(frozen=True)
+class EnginePrefix:
+    """Shared parts of a prompt that a router sent to an engine of a pool.
+
+    :ivar pool: name of the pool.
+    :ivar sent: the parts and the engine.
+    """
+
+    pool: str
+    sent: SentPrefix
+
+
+@wire_message("engine-prefixes")
+@dataclass(frozen=True)
+class EnginePrefixes:
+    """Prefixes that engines have got from a router, for a scheduler that has started.
+
+    :ivar items: the prefixes, the most recent one first.
+    """
+
+    items: tuple[EnginePrefix, ...]
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/reports.py
@@ -54,14 +54,15 @@
         """Return whether an attempt has no engine yet."""
         return bool(self._undecided)
 
-    def set_scheduler(self, host: str, start: int) -> None:
+    def set_scheduler(self, host: str, start: int) -> bool:
         """Set the scheduler; a new one receives all attempts in flight.
 
         :param host: its host.
         :param start: identifier of its start.
+        :returns: whether it is a new one.
         """
         if (host, start) == (self.scheduler_host, self._scheduler_start):
-            return
+            return False
         self.scheduler_host, self._scheduler_start = host, start
         in_flight = tuple(self._in_flight_by_number.values())
         # This scheduler may have counted attempts as sent that have ended since.
@@ -69,6 +70,7 @@
         self._begun.clear()
         self._ended.clear()
         self._peers.send(host, progress)
+        return True
 
     def add_undecided(self) -> int:
         """Return the number of a new attempt that has no engine yet."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -12,6 +12,7 @@
 from almondfield_core.routing import RoutingTable
 from almondfield_daemon.fleet import FleetControl, FleetServer, ServerPhase
 from almondfield_daemon.scheduling.messages import (
+    EnginePrefixes,
     EngineProgress,
     EngineRefusal,
     EngineReply,
@@ -63,6 +64,7 @@
         """Register the handlers of messages and of server changes."""
         self._peers.register_handler(EngineRequest, self._on_request)
         self._peers.register_handler(EngineProgress, self._on_progress)
+        self._peers.register_handler(EnginePrefixes, self._on_prefixes)
         self._fleet.server_change_callbacks.append(self._update_servers)
 
     async def run(self) -> None:
@@ -139,6 +141,13 @@
             for scheduler in self._scheduler_by_pool.values():
                 scheduler.reconcile(sender, progress.snapshot)
 
+    async def _on_prefixes(self, sender: str, message: EnginePrefixes) -> None:
+        table = self._publisher.table
+        if not self._update_leadership() or table is None:
+            return
+        for item in message.items:
+            self._scheduler(item.pool, table).restore_prefix(item.sent)
+
     def _scheduler(self, pool: str, table: RoutingTable) -> EngineScheduler:
         scheduler = self._scheduler_by_pool.get(pool)
         if scheduler is None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
@@ -57,6 +57,32 @@
     And 1.2 s pass
     Then "c1" has 0 requests in flight
 
+  # Guards against SHORT: a new leader knew what engines have cached only from the router
+  # that asks, and let others prefill it again.
+  Scenario: A new leader knows from one router what engines have cached for the others
+    Given "r1" requested engines for 8 prefixes
+    When "c2" replaces "c1" as the leader
+    And "r1" requests an engine
+    And 0.1 s pass
+    Then each of the 8 prefixes goes to the same engine as before from "r2"
+
+  # Guards against SHORT in the same way, where the engine has restarted since.
+  Scenario: A new leader expects nothing at engines that have restarted
+    Given "r1" requested engines for 8 prefixes
+    When "e1" and "e2" restart
+    And "c2" replaces "c1" as the leader
+    And "r1" requests an engine
+    And 0.1 s pass
+    Then each of the 8 prefixes counts as uncached from "r2"
+
+  # Guards against links to a new leader that are full of what routers remember.
+  Scenario: A router tells a new leader a bounded number of prefixes
+    Given "r1" has sent 1000 prefixes
+    When "c2" replaces "c1" as the leader
+    And "r1" requests an engine
+    And 0.1 s pass
+    Then "c2" knows of 1 to 128 prefixes
+
   # Guards against engines that count as full for 20 s after routers were killed.
   Scenario: A restarted router's earlier requests are dropped
     When "r1" requests 10 engines at once
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
@@ -44,9 +44,47 @@
     return Prompt("m", 5000, 50, parts)
 
 
-async def request_engine(context, prefix, number):
+async def request_engine(context, prefix, number, client=None):
     request = PromptRequest("team", prompt(prefix, number), 0.8)
-    return await context.client.request_engine(POOL, request)
+    return await (client or context.client).request_engine(POOL, request)
+
+
+async def request_prefixes(context, count, client):
+    """Return the assignments of requests for some prefixes, two at a time."""
+    assignments = []
+    for number in range(0, count, 2):
+        pair = await asyncio.gather(
+            *(
+                request_engine(context, f"t{item}", item, client)
+                for item in (number, number + 1)
+            )
+        )
+        await asyncio.sleep(0.3)
+        for assignment in pair:
+            assignment.begin_answer()
+            assignment.end()
+        assignments += pair
+    return assignments
+
+
+def other_router(context):
+    peers = context.network.peers("r2")
+    return EngineClient(peers, lambda: context.leader)
+
+
+def announce_engines(context, born_ms, sequence):
+    for fleet in context.fleet_by_host.values():
+        for name in ("e1", "e2"):
+            server = FleetServer(
+                name,
+                POOL,
+                f"{name}:1",
+                "east",
+                64,
+                sequence=sequence,
+                born_ms=born_ms,
+            )
+            fleet.announce(server)
 
 
 def in_flight_count(context, host):
@@ -149,7 +187,8 @@
     async def repeat():
         for number in range(count):
             assignment = await request_engine(context, prefix, number)
-            context.client.record_server(prompt(prefix, number), assignment.server)
+            sent = prompt(prefix, number)
+            context.client.record_server(POOL, sent, assignment.server, 0)
             context.server = assignment.server
             assignment.begin_answer()
             await asyncio.sleep(0.5)
@@ -284,3 +323,65 @@
 def step_impl(context, prefix):
     assignment = run(context, request_engine(context, prefix, 100))
     assert assignment.server == context.server, (assignment.server, context.server)
+
+
+@given('"r1" requested engines for {count:d} prefixes')
+def step_impl(context, count):
+    async def request():
+        assignments = await request_prefixes(context, count, context.client)
+        for number, assignment in enumerate(assignments):
+            sent = prompt(f"t{number}", number)
+            context.client.record_server(POOL, sent, assignment.server, 0)
+        context.servers = [assignment.server for assignment in assignments]
+
+    run(context, request())
+
+
+@given('"r1" has sent {count:d} prefixes')
+def step_impl(context, count):
+    async def record():
+        for number in range(count):
+            sent = Prompt(
+                "m", 200, 5, (PromptPart(f"t{number}", 100), PromptPart("own", 100))
+            )
+            context.client.record_server(POOL, sent, "e1", 0)
+
+    run(context, record())
+
+
+@when('"e1" and "e2" restart')
+def step_impl(context):
+    async def announce():
+        announce_engines(context, 1000, 2)
+
+    run(context, announce())
+
+
+@then('each of the {count:d} prefixes goes to the same engine as before from "r2"')
+def step_impl(context, count):
+    client = other_router(context)
+    assignments = run(context, request_prefixes(context, count, client))
+    servers = [assignment.server for assignment in assignments]
+    assert len(set(context.servers)) == 2, context.servers
+    assert servers == context.servers, (servers, context.servers)
+
+
+@then('each of the {count:d} prefixes counts as uncached from "r2"')
+def step_impl(context, count):
+    client = other_router(context)
+    assignments = run(context, request_prefixes(context, count, client))
+    uncached = {assignment.uncached_tokens for assignment in assignments}
+    assert uncached == {5000}, uncached
+
+
+@then('"{host}" knows of {least:d} to {most:d} prefixes')
+def step_impl(context, host, least, most):
+    service = context.service_by_host[host]
+    engine = service._scheduler_by_pool[POOL]._engine_by_name["e1"]
+    known = [
+        number
+        for number in range(1000)
+        if engine.cached_tokens(((f"m/t{number}", 100),))
+    ]
+    assert least <= len(known) <= most, len(known)
+    assert known[-1] == 999, known[-1]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/__init__.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/__init__.py
@@ -12,6 +12,7 @@
     EngineServer,
     PromptRequest,
     Refused,
+    SentPrefix,
 )
 from almondfield_fairshare.engines.shares import TeamShares
 
@@ -27,6 +28,7 @@
     "PrefixCache",
     "PromptRequest",
     "Refused",
+    "SentPrefix",
     "TeamLoad",
     "TeamShares",
 ]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -36,6 +36,7 @@
     EngineServer,
     PromptRequest,
     Refused,
+    SentPrefix,
 )
 from almondfield_fairshare.engines.shares import Grant, TeamLoad, TeamShares
 
@@ -267,6 +268,16 @@
         else:
             engine.begin_answer(attempt)
 
+    def restore_prefix(self, sent: SentPrefix) -> None:
+        """Record shared parts that an engine got before this scheduler started.
+
+        :param sent: the parts, and the start of the engine that got them.
+        """
+        engine = self._engine_by_name.get(sent.server)
+        # A restarted engine has an empty cache.
+        if engine is not None and engine.server.started_ms == sent.started_ms:
+            engine.restore_prefix(prefix_blocks(sent.prefix))
+
     def remove_router(self, router: str) -> None:
         """Drop the requests of a router that is gone.
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
@@ -130,6 +130,13 @@
         self.enqueue(attempt, uncached_tokens)
         self._prefix_cache.add(blocks, output_tokens)
 
+    def restore_prefix(self, blocks: tuple[PrefixBlock, ...]) -> None:
+        """Record shared parts that were sent to the engine before.
+
+        :param blocks: their prefix blocks.
+        """
+        self._prefix_cache.restore(blocks)
+
     def enqueue(self, attempt: AttemptId, uncached_tokens: int) -> None:
         """Add a request whose answer has not begun to the prefill queue.
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/prefix_cache.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/prefix_cache.py
@@ -6,6 +6,8 @@
 
 __all__ = ["PrefixBlock", "PrefixCache", "prefix_blocks"]
 
+MAX_RESTORED_SHARE = 0.5  # of the capacity; unshared parts and answers have the rest
+
 PrefixBlock = tuple[str, int]
 """Key of a prompt prefix, and the number of tokens in its last part."""
 
@@ -64,3 +66,18 @@
         while self._cached_tokens > self._capacity_tokens:
             _, tokens = self._tokens_by_key.popitem(last=False)
             self._cached_tokens -= tokens
+
+    def restore(self, blocks: tuple[PrefixBlock, ...]) -> None:
+        """Record blocks that were cached before, as the least recently used ones.
+
+        :param blocks: prefix blocks of shared parts, from :func:`prefix_blocks`.
+        """
+        missing = [block for block in blocks if block[0] not in self._tokens_by_key]
+        total = self._cached_tokens + sum(tokens for _, tokens in missing)
+        if total > MAX_RESTORED_SHARE * self._capacity_tokens:
+            return
+        self._cached_tokens = total
+        # The first blocks count as used last, as later ones are useless without them.
+        for key, tokens in missing:
+            self._tokens_by_key[key] = tokens
+            self._tokens_by_key.move_to_end(key, last=False)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
@@ -13,6 +13,7 @@
     "EngineServer",
     "PromptRequest",
     "Refused",
+    "SentPrefix",
 ]
 
 
@@ -57,6 +58,20 @@
     cache_tokens: int
 
 
+@dataclass(frozen=True)
+class SentPrefix:
+    """Shared parts of a prompt that a router sent to an engine.
+
+    :ivar server: identifier of the server.
+    :ivar started_ms: when the server started, in milliseconds since 1970.
+    :ivar prefix: a prompt of the shared parts alone.
+    """
+
+    server: str
+    started_ms: int
+    prefix: Prompt
+
+
 @dataclass(frozen=True)
 class PromptRequest:
     """A request for an engine.
--- /dev/null
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/prefix_cache.feature
@@ -0,0 +1,22 @@
+Feature: The model of a cache takes up what routers report of an earlier scheduler's time
+
+  Background:
+    Given a cache of 1000 tokens
+
+  # Guards against a new scheduler that expects more at an engine than it can have cached.
+  Scenario: Restored prefixes take half of a cache at most
+    When prefixes "t0" to "t9" of 100 tokens are restored
+    Then "t0, t1, t2, t3, t4" are cached of "t0" to "t9"
+
+  # Guards against restored prefixes that displace what the new scheduler has sent itself.
+  Scenario: Restored prefixes are evicted first, the least recent one before the others
+    Given prompts "new0" to "new0" of 100 tokens are cached
+    When prefixes "t0" to "t3" of 100 tokens are restored
+    And prompts "own0" to "own7" of 100 tokens are cached
+    Then "t0" are cached of "t0" to "t3"
+    And "new0" are cached of "new0" to "new0"
+
+  Scenario: A prefix that several routers report counts once
+    When prefixes "t0" to "t3" of 100 tokens are restored
+    And prefixes "t0" to "t4" of 100 tokens are restored
+    Then "t0, t1, t2, t3, t4" are cached of "t0" to "t4"
