Let a backend server go whose stream has no event within a limit

What callers saw: one stream of blank lines without end made ten requests a second to another service wait up to 2.8 s or get 503; the stream's own caller waited for its deadline.

Cause: each blank line was an event of its own to both parsers of a stream, and all that one read returned (256 KiB) was handled in one turn of the event loop. 256 KiB of blank lines took 82 ms in the check of limits and 200 ms in the split into events; 2,946 ms in a stream that goes on with an earlier one, where each comment was appended to the bytes held so far. Nothing limited the bytes between two events.

`max_eventless_bytes` limits what comes between two events with data; a server that exceeds it is let go as with the other limits. Large pieces of a stream are handled 16 KiB at a time, and the event loop goes on in between. Held comments are kept as a list.

--- a/packages/almondfield-core/src/almondfield_core/settings/core.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/core.py
@@ -127,6 +127,12 @@
         "bytes",
         default=256 * 1024,
     )
+    max_eventless_bytes: int = item(
+        "Most bytes of an event stream between two events with data, such as comments"
+        " and blank lines.",
+        "bytes",
+        default=256 * 1024,
+    )
     max_discarded_bytes: int = item(
         "Most bytes of a refusal that are received to use its connection again.",
         "bytes",
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -8,7 +8,7 @@
 
 from almondfield_core.clock import ArrivalTimeout, now
 from almondfield_core.messages import ServerFailure
-from almondfield_core.settings import DaemonSettings
+from almondfield_core.settings import AnswerSettings, DaemonSettings
 from almondfield_core.tables import Timeouts
 from almondfield_daemon.backend.connection import (
     BODILESS_STATUSES,
@@ -35,6 +35,7 @@
 # The end of an idle connection crosses a request on its way within a round trip.
 IDLE_CLOSE_S = 0.1
 PROBE_TIMEOUT_S = 0.5
+PIECE_BYTES = 16 * 1024  # of an event stream, handled without a pause
 
 
 class HttpAnswer:
@@ -43,7 +44,7 @@
     :param connection: the connection that carries the answer.
     :param call: the call that is answered.
     :param pool: receives the connection once the answer is complete.
-    :param max_event_bytes: limit on one event of an event stream, in bytes.
+    :param limits: limits on answers.
     :param is_first: whether the connection carried no answer before.
     """
 
@@ -52,7 +53,7 @@
         connection: BackendConnection,
         call: BackendCall,
         pool: ConnectionPool,
-        max_event_bytes: int,
+        limits: AnswerSettings,
         is_first: bool = True,
     ) -> None:
         self.is_first = is_first
@@ -62,17 +63,23 @@
         self.status = connection.status
         self.headers: tuple[Header, ...] = end_to_end(connection.headers)
         self.framing = connection.framing
-        self._max_event_bytes = max_event_bytes
+        self._limits = limits
         self._boundary = None
         if _is_event_stream(connection, call):
-            self._boundary = EventBoundary(max_event_bytes)
+            self._boundary = EventBoundary(
+                limits.max_event_bytes, limits.max_eventless_bytes
+            )
+        self._is_split = self._boundary is not None or call.expects_events
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Return the chunks of the body as they arrive, unchanged byte for byte.
 
+        Events are work for each of those who handle a chunk, so that large chunks of
+        them are split.
+
         :raises AnswerCutError: if the body ends before it is complete, an event stream
-            ends inside an event or has one that is larger than its limit, or no data
-            arrives within the pool's chunk timeout.
+            ends inside an event or exceeds a limit, or no data arrives within the
+            pool's chunk timeout.
         """
         connection = self._connection
         chunk_s = self._call.timeouts.chunk_s
@@ -93,14 +100,15 @@
                     self._check_last_event()
                     complete = True
                     return
-                if self._boundary is not None:
-                    self._boundary.feed(chunk)
-                    if self._boundary.is_oversized:
-                        reason = (
-                            f"an event is larger than {self._max_event_bytes} bytes"
-                        )
-                        raise AnswerCutError(ServerFailure.STREAM, reason)
-                yield chunk
+                if not self._is_split:
+                    yield chunk
+                    continue
+                for start in range(0, len(chunk), PIECE_BYTES):
+                    if start:
+                        await asyncio.sleep(0)  # others go on between two pieces
+                    piece = chunk[start : start + PIECE_BYTES]
+                    self._check_events(piece)
+                    yield piece
         except ConnectionCutError as error:
             failure = ServerFailure.STREAM
             is_cut = connection.is_cut
@@ -118,6 +126,23 @@
         """Close the connection, which signals the server to stop."""
         self._finish(complete=False)
 
+    def _check_events(self, piece: bytes) -> None:
+        """Raise an error if an event stream exceeds a limit.
+
+        :raises AnswerCutError: if it does.
+        """
+        if self._boundary is None:
+            return
+        self._boundary.feed(piece)
+        reason = ""
+        if self._boundary.is_oversized:
+            reason = f"an event is larger than {self._limits.max_event_bytes} bytes"
+        elif self._boundary.is_eventless:
+            limit_bytes = self._limits.max_eventless_bytes
+            reason = f"no event with data within {limit_bytes} bytes"
+        if reason:
+            raise AnswerCutError(ServerFailure.STREAM, reason)
+
     def _check_last_event(self) -> None:
         """Raise an error if the framing ended before the last event did.
 
@@ -188,8 +213,8 @@
                 is_idle_cut=failure.is_cut and was_idle,
             )
             return Err(failure)
-        max_event_bytes = self._settings.answers.max_event_bytes
-        return Ok(HttpAnswer(connection, call, self._pool, max_event_bytes, not reused))
+        limits = self._settings.answers
+        return Ok(HttpAnswer(connection, call, self._pool, limits, not reused))
 
     async def accepts_connection(self, address: str) -> bool:
         """Return whether a server accepts a connection, or might do so.
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/events.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/events.py
@@ -1,5 +1,6 @@
 """Finds complete server-sent events in a byte stream."""
 
+import math
 import re
 from dataclasses import replace
 
@@ -9,28 +10,37 @@
 
 # A carriage return at the end may belong to a CRLF whose line feed is yet to arrive.
 LINE_END = rb"(?:\r\n|\n|\r(?!\n|\Z))"
-EVENT_END = re.compile(LINE_END + LINE_END)
+# A run of blank lines is one end, so that each of them costs next to nothing.
+EVENT_END = re.compile(LINE_END + rb"{2,}")
 EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 EVENT_DATA = re.compile(rb"(?:^|[\r\n])data[:\r\n]")
 # At the end of a stream, a carriage return ends its line.
 FINAL_LINE_END = rb"(?>\r\n|\n|\r)"
-BLANK_LINE = re.compile(FINAL_LINE_END + FINAL_LINE_END)
+BLANK_LINES = re.compile(FINAL_LINE_END + rb"{2,}")
 COMMENTS = re.compile(rb"(?::[^\r\n]*" + FINAL_LINE_END + rb")*\Z")
 
 
 class EventBoundary:
-    """Determines whether a stream ends inside an event.
+    """Determines whether a stream ends inside an event, and checks its limits.
 
     :param max_event_bytes: limit on one event, in bytes.
+    :param max_eventless_bytes: limit on what comes between two events with data, in
+        bytes.
 
     :ivar has_events: whether the stream has had an event, or a comment like one.
     :ivar is_oversized: whether an event, complete or not, is larger than the limit.
+    :ivar is_eventless: whether more than the limit came without data.
     """
 
-    def __init__(self, max_event_bytes: int) -> None:
+    def __init__(
+        self, max_event_bytes: int, max_eventless_bytes: float = math.inf
+    ) -> None:
         self._max_event_bytes = max_event_bytes
+        self._max_eventless_bytes = max_eventless_bytes
+        self._eventless_bytes = 0
         self.has_events = False
         self.is_oversized = False
+        self.is_eventless = False
         self._rest = b""  # what follows the last blank line
 
     @property
@@ -49,8 +59,9 @@
         data = self._rest + chunk
         start = 0
         # A blank line may begin with the last line end of the earlier bytes.
-        for match in BLANK_LINE.finditer(data, max(0, len(self._rest) - 2)):
+        for match in BLANK_LINES.finditer(data, max(0, len(self._rest) - 2)):
             self._check_size(match.end() - start)
+            self._check_data(data, start, match)
             start = match.end()
         self._check_size(len(data) - start)
         self.has_events = self.has_events or start > 0
@@ -58,11 +69,27 @@
         if start == len(data) and data.endswith(b"\r"):
             # The line feed of a last CRLF may be yet to arrive.
             self._rest = b"\r"
+            self._eventless_bytes -= 1  # counted with the next block
 
     def _check_size(self, size: int) -> None:
         if size > self._max_event_bytes:
             self.is_oversized = True
 
+    def _check_data(self, data: bytes, start: int, blank_lines: re.Match) -> None:
+        """Count the bytes since the last line of the last event with data.
+
+        :param data: bytes with a block of lines that ends with blank lines.
+        :param start: start of the block.
+        :param blank_lines: the blank lines, with the line end before them.
+        """
+        # The line end before the block shows that a line begins with it.
+        if EVENT_DATA.search(data, max(0, start - 1), blank_lines.end()):
+            self._eventless_bytes = 0
+            start = blank_lines.start()
+        self._eventless_bytes += blank_lines.end() - start
+        if self._eventless_bytes > self._max_eventless_bytes:
+            self.is_eventless = True
+
 
 class EventTracker:
     """Splits a stream at event boundaries and tracks the identifier of the last event.
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/joining.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/joining.py
@@ -158,7 +158,8 @@
         self.position = position
         self.obstacle = ""
         self._max_held_bytes = max_held_bytes
-        self._held = b""
+        self._held: list[bytes] = []
+        self._held_bytes = 0
         self._has_event = False
         self._has_repeated = False
 
@@ -204,12 +205,14 @@
             return b""
         self._has_event = True
         self.position = self.position.after(event_id)
-        held, self._held = self._held, b""
+        held = b"".join(self._held)
+        self._held.clear()
         return held + block
 
     def _hold(self, block: bytes) -> None:
-        self._held += block
-        if len(self._held) > self._max_held_bytes:
+        self._held.append(block)
+        self._held_bytes += len(block)
+        if self._held_bytes > self._max_held_bytes:
             self.obstacle = f"no event within {self._max_held_bytes} bytes"
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/events.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/events.feature
@@ -5,6 +5,18 @@
     Then events of 1 to 40 bytes with any line ends are found in any chunks
     And a stream with an event of more than 40 bytes is oversized in any chunks
 
+  # Guards against a server that keeps its caller, and a router busy, with bytes that are no events.
+  Scenario Outline: A stream that goes on without data is found out, however it is split into chunks
+    Then more than 40 bytes of "<text>" between two events are found in any chunks
+
+    Examples:
+      | text       |
+      | \n         |
+      | \r\n       |
+      | :\n\n      |
+      | id: 1\n\n  |
+      | : data\n\n |
+
   Scenario Outline: Whether a stream ends inside an event
     When a stream "<stream>" ends
     Then it ends <where>, however it is split into chunks
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/tests/steps/events_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/tests/steps/events_steps.py
@@ -94,3 +94,21 @@
         assert boundary.is_oversized == (length > 0), (events, cuts)
 
     check()
+
+
+@then('more than 40 bytes of "{text}" between two events are found in any chunks')
+def step_impl(context, text):
+    filler = text.replace("\\r", "\r").replace("\\n", "\n").encode()
+
+    @hypothesis_settings(derandomize=True, max_examples=300, deadline=None)
+    @given_values(st.integers(0, 60 // len(filler)), CUTS)
+    def check(count, cuts):
+        stream = b"data: a\n\n" + count * filler + b"data: a\n\n"
+        boundary = EventBoundary(MAX_EVENT_BYTES, 40)
+        for part in cut(3 * stream, cuts):
+            boundary.feed(part)
+        # The end of the event's last line and its blank line count as well.
+        is_longer = len(b"\n\n") + count * len(filler) > 40
+        assert boundary.is_eventless == is_longer, (count, cuts)
+
+    check()
