Answer what has come before a connection closes for being one too many

Callers that send their next requests before they have the answers lost them: a router with more than its number of connections closed each one after the next answer, with the requests that it had read behind it. A stopping router did so with requests that lay in the socket, as the listener reads no further one while one waits.

Cause: the decision to close knew the requests that wait in the listener only where the router stops, and never those that lie unread in the socket.

Now both count as come, and are answered first; with too many connections at most 16 more answers, so that a caller that always has one waiting doesn't keep its connection.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -33,6 +33,9 @@
 
 __all__ = ["ForwardEndpoint"]
 
+# A caller that always has a request waiting must not keep its connection.
+MAX_DEFERRED_CLOSES = 16
+
 
 class ForwardEndpoint:
     """ASGI app for callers' requests.
@@ -116,12 +119,16 @@
     def _must_close_after(self, connection: CallerConnection | None) -> bool:
         """Return whether a connection closes after the answer that begins now.
 
-        A stopping router first answers what it has read behind the request.
+        What has come behind the request is answered first.
         """
-        if self._connection_count() > self._max_connections:
+        if not self._must_close():
+            return False
+        if connection is None or not connection.has_waiting():
             return True
-        has_waiting = connection is not None and connection.has_waiting()
-        return self._is_closing and not has_waiting
+        if self._is_closing:
+            return False
+        connection.deferred_closes += 1
+        return connection.deferred_closes > MAX_DEFERRED_CLOSES
 
     async def _handle(self, scope: Any, body: IncomingBody, sink: "_AsgiSink") -> None:
         request = scope.get("state", {}).get(REQUEST_KEY)
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/connection.py
@@ -21,7 +21,9 @@
 
     :ivar on_close: called once the protocol sees the end of the connection, but not for
         an end that :meth:`is_closed` finds.
-    :ivar has_waiting: returns whether a request was read behind the one that is served.
+    :ivar has_waiting: returns whether a request has come behind the one that is served.
+    :ivar deferred_closes: number of answers after which the connection should have
+        closed and didn't, as a request had come behind them.
     """
 
     def __init__(self, transport: asyncio.Transport) -> None:
@@ -29,6 +31,7 @@
         self._is_closed = False
         self.on_close: Callable[[], None] = lambda: None
         self.has_waiting: Callable[[], bool] = lambda: False
+        self.deferred_closes = 0
 
     def close(self) -> None:
         """Record that the caller has closed the connection."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -65,7 +65,7 @@
         self.flow = FlowControl(transport)
         self.scheme = "http"
         self._connection = CallerConnection(transport)
-        self._connection.has_waiting = lambda: bool(self.pipeline)
+        self._connection.has_waiting = self._has_waiting
         self._start_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -109,6 +109,13 @@
         waiting = tuple(cycle for cycle, _ in self.pipeline)
         return waiting if self._running is None else (*waiting, self._running)
 
+    def _has_waiting(self) -> bool:
+        """Return whether a request has come behind the one that is served.
+
+        While one waits, no further one is read.
+        """
+        return bool(self.pipeline) or self._connection.has_unread()
+
     def _has_begun_request(self) -> bool:
         """Return whether a part of a request has come whose head isn't read yet."""
         if self._is_request_read:
