Keep whole prefixes only of the parts that are reported

A router remembers the server of 20,000 shared parts, and reports 128 of them to a new scheduler. Only these have the prefix with them now; the others are a name each, as before. What is reported is the same.

--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/prefixes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/prefixes.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import TypeVar
 
 from almondfield_core.clock import now
 from almondfield_core.routing import Prompt
@@ -10,6 +11,8 @@
 
 __all__ = ["SentPrefixes"]
 
+ItemT = TypeVar("ItemT")
+
 MAX_KNOWN_PARTS = 20_000  # shared prompt parts whose last server is recorded
 MAX_REPORTED = 128  # prefixes for a new scheduler; all routers report theirs at once
 MAX_REPORTED_AGE_S = 30.0  # other prompts have likely displaced older ones
@@ -31,7 +34,8 @@
     """The engine that last got each shared part from this router."""
 
     def __init__(self) -> None:
-        self._sent_by_part: OrderedDict[str, _Sent] = OrderedDict()
+        self._server_by_part: OrderedDict[str, str] = OrderedDict()
+        self._recent_by_part: OrderedDict[str, _Sent] = OrderedDict()
 
     def record(self, pool: str, prompt: Prompt, server: str, started_ms: int) -> None:
         """Record the server that a prompt was sent to.
@@ -47,25 +51,27 @@
         shared = prompt.parts[:-1]
         prefix = Prompt(prompt.model, sum(item.tokens for item in shared), 0, shared)
         sent = SentPrefix(server, started_ms, prefix)
-        self._sent_by_part[part] = _Sent(EnginePrefix(pool, sent), now())
-        self._sent_by_part.move_to_end(part)
-        if len(self._sent_by_part) > MAX_KNOWN_PARTS:
-            self._sent_by_part.popitem(last=False)
+        _put_last(self._server_by_part, part, server, MAX_KNOWN_PARTS)
+        recent = _Sent(EnginePrefix(pool, sent), now())
+        _put_last(self._recent_by_part, part, recent, MAX_REPORTED)
 
     def last_server(self, prompt: Prompt) -> str:
         """Return the server that last got a prompt's shared parts; empty for none.
 
         :param prompt: the prompt.
         """
-        sent = self._sent_by_part.get(prompt.shared_part)
-        return sent.item.sent.server if sent is not None else ""
+        return self._server_by_part.get(prompt.shared_part, "")
 
     def recent(self) -> tuple[EnginePrefix, ...]:
         """Return the prefixes for a new scheduler, the most recent one first."""
         since_s = now() - MAX_REPORTED_AGE_S
-        recent = []
-        for sent in reversed(self._sent_by_part.values()):
-            if sent.sent_s < since_s or len(recent) >= MAX_REPORTED:
-                break
-            recent.append(sent.item)
-        return tuple(recent)
+        recent = reversed(self._recent_by_part.values())
+        return tuple(sent.item for sent in recent if sent.sent_s >= since_s)
+
+
+def _put_last(items: OrderedDict[str, ItemT], key: str, item: ItemT, most: int) -> None:
+    """Put an item at the end, and drop the first one if there are too many."""
+    items[key] = item
+    items.move_to_end(key)
+    if len(items) > most:
+        items.popitem(last=False)
