Log how long a stream was slowed

A stream that sends more than its burst waits, which looks like a slow server to those who read the log. `request:ended` has `slowed_ms` now, also for streams that end while they wait.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/pacing.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/pacing.py
@@ -66,7 +66,9 @@
         self._allowed_bytes = allowed - size_bytes - event_count * limits.event_bytes
         if self._allowed_bytes >= 0:
             return
-        await self._pacing.wait(-self._allowed_bytes)
+        try:
+            await self._pacing.wait(-self._allowed_bytes)
+        finally:
+            self._counted_s = now()
+            self.waited_s += self._counted_s - began_s
         self._allowed_bytes = 0.0
-        self._counted_s = now()
-        self.waited_s += self._counted_s - began_s
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
@@ -56,6 +56,7 @@
     :ivar longest_gap_ms: longest pause between two events of a stream, in milliseconds.
     :ivar framing: how the last answer states where its body ends: "length", "chunks"
         or "connection"; empty without an answer.
+    :ivar slowed_ms: how long a stream waited as it had sent too much, in milliseconds.
     :ivar unfinished_bytes: bytes after the last complete event of a stream, at the end
         of its last answer.
     """
@@ -87,6 +88,7 @@
     first_ms: float
     total_ms: float
     longest_gap_ms: float
+    slowed_ms: float
     framing: str
     unfinished_bytes: int
 
@@ -134,6 +136,7 @@
         first_ms=round(run.delivery.first_part_s * 1000, 1),
         total_ms=round((now() - request.arrived_s) * 1000, 1),
         longest_gap_ms=round(run.delivery.longest_gap_s * 1000, 1),
+        slowed_ms=round(run.progress.slowed_s * 1000, 1),
         framing=run.framing,
         unfinished_bytes=run.progress.unfinished_bytes,
     )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stream_progress.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stream_progress.py
@@ -71,6 +71,11 @@
         self.last_event_id = request.metadata.last_event_id
         self.unfinished_bytes = 0
 
+    @property
+    def slowed_s(self) -> float:
+        """Return the seconds that the stream waited as it had sent too much."""
+        return self._pace.waited_s
+
     def can_go_on(self) -> bool:
         """Return whether another answer can go on where this one has ended."""
         if not self._delivery.is_started:
