--- a/packages/almondfield-control/src/almondfield_control/tests/steps/audit_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/audit_steps.py
@@ -31,6 +31,7 @@
 async def step_impl(context, host, failure):
     disk = context.fleet.disk_by_host[host]
     context.patchers = []
+    context.add_cleanup(mock.patch.stopall)
 
     def let_fail(operation):
         perform = getattr(disk, operation)
