Let no head time out that the listener itself doesn't read

A caller that sent many requests at once, with a head cut by the end of a read, lost the requests behind it: while one request took longer than heads may, the connection was marked to close after the answers to the whole ones.

Cause: the listener stops reading a connection on which requests wait, and the timer of a head that has begun ran on meanwhile, so that the caller was measured by what the listener hadn't read.

Now the timer begins anew while reading is paused. It is paused only while requests of the connection are in work or wait.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -291,6 +291,10 @@
         if self._refusal is not None:
             self._send_refusal(closes_connection=True)
             return
+        if self.flow.read_paused:
+            # The rest may have come, and is read after some answers.
+            self._start_head_timer()
+            return
         unanswered = self._unanswered_requests()
         if unanswered:
             self._close_after_answers(unanswered)
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/pipelining.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/pipelining.feature
@@ -22,3 +22,8 @@
     When a client sends "accepted with 5000" and a part of an oversized head at once, and the rest later
     Then it gets answers with 200 431 and nothing else
     And its connection is closed
+
+  # Guards against LOST: a head whose rest lies unread behind many requests comes too late.
+  Scenario: Many requests behind one that takes long all get answers
+    When a client sends a request that takes 0.5 s, and 12000 others without a pause, and heads have to come within 0.1 s
+    Then it gets 12001 answers
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/pipelining_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/pipelining_steps.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import time
+from unittest import mock
 
-from behave import when
+from behave import then, when
 
+from almondfield_daemon.serving.tests.steps import serving_steps
 from almondfield_daemon.serving.tests.steps.serving_steps import (
+    ANSWER_TIMEOUT_S,
     LOCALHOST,
     PAUSE_S,
     REQUEST_BY_NAME,
@@ -16,6 +19,7 @@
 BODY = b"x" * 5000  # longer than a head may be
 NEXT = post("/", b"")
 PART_BYTES = 10
+STATUS_LINE = b"HTTP/1.1 200 OK"
 OVERSIZED_HEAD = b"POST / HTTP/1.1\r\npad: " + b"y" * 4096  # it never ends
 BODY_REQUEST_BY_NAME = {
     "accepted with 5000": post("/", BODY),
@@ -57,3 +61,53 @@
 )
 def step_impl(context, names):
     send(context, names, OVERSIZED_HEAD)
+
+
+async def wait_for_sockets():
+    """Let the loop run; real sockets need real time."""
+    for _ in range(ROUNDS):
+        time.sleep(PAUSE_S)
+        await asyncio.sleep(0)
+
+
+def set_work(context, work_s):
+    """Set how long the application works on a slow request."""
+    patch = mock.patch.object(serving_steps, "LONG_S", work_s)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when(
+    "a client sends a request that takes {work_s:g} s, and {count:d} others without a "
+    "pause, and heads have to come within {head_s:g} s"
+)
+def step_impl(context, work_s, count, head_s):
+    set_work(context, work_s)
+
+    async def send_behind():
+        connection = await asyncio.open_connection(LOCALHOST, context.port)
+        context.reader, context.writer = connection
+        context.add_cleanup(context.writer.close)
+        await wait_for_sockets()
+        (protocol,) = context.listener._server.server_state.connections
+        protocol._stop_head_timer()
+        protocol.head_timeout_s = head_s
+        context.writer.write(REQUEST_BY_NAME["accepted and slow"] + count * NEXT)
+
+    context.loop.run_until_complete(send_behind())
+
+
+@then("it gets {count:d} answers")
+def step_impl(context, count):
+    async def receive():
+        answers = b""
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while answers.count(STATUS_LINE) < count:
+                data = await context.reader.read(65536)
+                if not data:
+                    break
+                answers += data
+        return answers.count(STATUS_LINE)
+
+    found = context.loop.run_until_complete(receive())
+    assert found == count, found
