Read no further requests while many wait on a connection

A caller that sends requests without a pause and doesn't read the answers filled a router's memory, and kept its event loop from other work.

Cause: the listener stops reading where a request waits behind another one, but each request that is served, and each that asks for its body, read on: one read of up to 256 KB for each. All that was read was parsed and kept.

Evidence: one caller that sent 8 MB of the shortest requests in 6 s to an application that takes 5 ms each: 187,153 waited, the process grew from 36 to 455 MB, and a timer was 0.65 s late. The new scenario fails before, with 24,932 that wait.

With more than 100 waiting requests nothing is read; each answer tries again. What one read brings is still parsed at once.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -1,6 +1,7 @@
 """HTTP protocol of the listeners; enforces limits before an application runs."""
 
 import asyncio
+from collections.abc import Collection
 from typing import Any
 
 import httptools
@@ -20,6 +21,28 @@
 
 BAD_REQUEST = "400 Bad Request"
 HEADERS_TOO_LARGE = "431 Request Header Fields Too Large"
+MAX_WAITING_REQUESTS = 100  # of a connection; with more, nothing is read from it
+
+
+class _PipelineFlow(FlowControl):
+    """Flow control that reads no further requests while many wait.
+
+    :param transport: transport of the connection.
+    :param waiting: the requests that wait.
+    """
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        waiting: Collection[tuple[RequestResponseCycle, Any]],
+    ) -> None:
+        super().__init__(transport)
+        self._waiting = waiting
+
+    def resume_reading(self) -> None:
+        """Read on, unless many requests wait; each answer tries again."""
+        if len(self._waiting) <= MAX_WAITING_REQUESTS:
+            super().resume_reading()
 
 
 class _LimitedProtocol(HttpToolsProtocol):
@@ -62,7 +85,7 @@
         self.transport = LingeringTransport(
             transport, self._has_unread_request, self._drop_request
         )
-        self.flow = FlowControl(transport)
+        self.flow = _PipelineFlow(transport, self.pipeline)
         self.scheme = "http"
         self._connection = CallerConnection(transport)
         self._connection.has_waiting = lambda: bool(self.pipeline)
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/pipelining.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/pipelining.feature
@@ -23,6 +23,12 @@
     Then it gets answers with 200 431 and nothing else
     And its connection is closed
 
+  # Guards against a caller that fills a router's memory with requests that wait: each
+  # request that was served read more of them.
+  Scenario: Few requests wait on a connection whose caller sends them without end
+    When a client sends 100000 requests that take 0.01 s each without a pause
+    Then at most 6000 requests wait
+
   # Guards against LOST: a head whose rest lies unread behind many requests comes too late.
   Scenario: Many requests behind one that takes long all get answers
     When a client sends a request that takes 0.5 s, and 12000 others without a pause, and heads have to come within 0.1 s
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/pipelining_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/pipelining_steps.py
@@ -19,6 +19,7 @@
 BODY = b"x" * 5000  # longer than a head may be
 NEXT = post("/", b"")
 PART_BYTES = 10
+SERVED = 50  # requests
 STATUS_LINE = b"HTTP/1.1 200 OK"
 OVERSIZED_HEAD = b"POST / HTTP/1.1\r\npad: " + b"y" * 4096  # it never ends
 BODY_REQUEST_BY_NAME = {
@@ -77,6 +78,19 @@
     context.add_cleanup(patch.stop)
 
 
+@when("a client sends {count:d} requests that take {work_s:g} s each without a pause")
+def step_impl(context, count, work_s):
+    set_work(context, work_s)
+
+    async def send():
+        _, writer = await asyncio.open_connection(LOCALHOST, context.port)
+        context.add_cleanup(writer.close)
+        writer.write(count * REQUEST_BY_NAME["accepted and slow"])
+        await asyncio.sleep(SERVED * work_s)
+
+    context.loop.run_until_complete(send())
+
+
 @when(
     "a client sends a request that takes {work_s:g} s, and {count:d} others without a "
     "pause, and heads have to come within {head_s:g} s"
@@ -97,6 +111,16 @@
     context.loop.run_until_complete(send_behind())
 
 
+@then("at most {count:d} requests wait")
+def step_impl(context, count):
+    (protocol,) = context.listener._server.server_state.connections
+    waiting = len(protocol.pipeline)
+    # The listener would wait for the end of the first request.
+    protocol.transport.abort()
+    context.loop.run_until_complete(wait_for_sockets())
+    assert 0 < waiting <= count, waiting
+
+
 @then("it gets {count:d} answers")
 def step_impl(context, count):
     async def receive():
