Free what a refused body holds before its rest is discarded

Other callers could be refused for lack of memory for up to 1 s longer than needed: since the rest of a refused body is discarded before the refusal is sent, the request kept its reservation all that time, just where memory had run out.

The parts are dropped with the refusal, so the reservation is released there.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -172,6 +172,7 @@
             case Err(problem):
                 self._counts.record_refusal(request.team, problem.kind)
                 _log_body_refusal(request, problem)
+                held.release()
                 is_ended = await self._discard_rest(incoming)
                 await self._send_problem(sink, problem, close=not is_ended)
                 return
