Answer what has come behind a long body that is refused by its head

A request to no route, without a key or beside a stop whose body was longer than bodies may be closed its connection as soon as the body was, and whole requests behind it got no answer.

Cause: the same as of a body that the endpoint refuses, in the other place: the listener discarded a body only up to the largest that is allowed.

Evidence: a body of 1,500,000 bytes to no route, where 1,000,000 are allowed, and a request behind it: 404 and the end of the connection; now 404 and 200. The new scenario fails before.

The listener now discards as many bytes more as the endpoint does, within the time that it gives such a body anyway.

--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/bodies.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/bodies.py
@@ -11,6 +11,7 @@
 from almondfield_daemon.router.problems import permanent_problem
 
 __all__ = [
+    "MAX_DISCARDED_BYTES",
     "BodyBudget",
     "BodyReservation",
     "CallerDisconnectedError",
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
@@ -15,7 +15,7 @@
 from almondfield_core.clock import now
 from almondfield_core.routing import RouteRule
 from almondfield_core.tables import hash_key
-from almondfield_daemon.edge.bodies import check_headers
+from almondfield_daemon.edge.bodies import MAX_DISCARDED_BYTES, check_headers
 from almondfield_daemon.forwarding.core import Forwarder
 from almondfield_daemon.forwarding.counts import RequestCounts
 from almondfield_daemon.forwarding.deadlines import TypicalDeadlines
@@ -240,7 +240,8 @@
         lines = b"".join(b"%b: %b\r\n" % header for header in headers)
         answer = b"HTTP/1.1 %d %b\r\n%b\r\n" % (problem.status, reason, lines)
         limits = self._subscription.index.table.limits
-        return HeadRefusal(answer, closes_connection, limits.max_body_bytes)
+        max_body_bytes = limits.max_body_bytes + MAX_DISCARDED_BYTES
+        return HeadRefusal(answer, closes_connection, max_body_bytes)
 
 
 def _unread_time(head: RequestHead) -> UnreadTime | None:
