Drop the fields behind a body in chunks

A caller filled a router's memory with trailer fields: they were kept as headers of its request, outside of the limits on heads and on bodies, and in time could be read as if its head had had them.

The new scenario fails before, with 10,002 headers.

No application uses these fields, and HTTP lets a receiver drop them.

Folders serving and edge 124 passed, 0 failed.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -174,6 +174,11 @@
             CONNECTION_KEY: self._connection,
         }
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        # Fields behind a body are no headers, and nothing limits their number.
+        if self._in_head:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         self._in_head = False
         if self._is_discarding:
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/pipelining.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/pipelining.feature
@@ -33,3 +33,10 @@
   Scenario: Many requests behind one that takes long all get answers
     When a client sends a request that takes 0.5 s, and 12000 others without a pause, and heads have to come within 0.1 s
     Then it gets 12001 answers
+
+  # Guards against a caller that fills a router's memory with fields behind a body, which
+  # were kept as headers of its request without a limit.
+  Scenario: Fields behind a body are no headers of a request
+    When a client sends a body with 10000 fields behind it
+    Then it gets answers with 200 and nothing else
+    And at most 3 headers are kept
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/pipelining_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/tests/steps/pipelining_steps.py
@@ -135,3 +135,17 @@
 
     found = context.loop.run_until_complete(receive())
     assert found == count, found
+
+
+@when("a client sends a body with {count:d} fields behind it")
+def step_impl(context, count):
+    request = BODY_REQUEST_BY_NAME["accepted with 5000 in chunks"]
+    fields = b"".join(b"pad-%d: y\r\n" % number for number in range(count))
+    data = request.removesuffix(b"\r\n") + fields + b"\r\n"
+    context.loop.run_until_complete(exchange(context, [data]))
+
+
+@then("at most {count:d} headers are kept")
+def step_impl(context, count):
+    (protocol,) = context.listener._server.server_state.connections
+    assert len(protocol.headers) <= count, len(protocol.headers)
