Log why a leader steps down, and how old its quorum was

Cause: control:steps-down named the term only, so that a lost lease, a newer term and a hand-over couldn't be told apart.

Change: it has the reason, and how long ago the newest request that a quorum answered was sent.

--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -35,6 +35,7 @@
 __all__ = ["Replica"]
 
 _VOTER_ID_BITS = 128
+MS_PER_S = 1000
 
 
 class Replica:
@@ -147,7 +148,7 @@
                 group.create_task(self._election.run())
                 group.create_task(self._raise_task_failure())
         finally:
-            self.step_down()
+            self.step_down("it stops")
 
     async def propose(self, command: Command) -> Result[object, ControlUnavailable]:
         """Return the outcome of a command once it is committed and applied.
@@ -175,15 +176,22 @@
         """
         if term > self.hard_state.term:
             self.hard_state = replace(self.hard_state, term=term, voted_for="")
-        self.step_down()
+        self.step_down(f"another host has term {term}")
 
-    def step_down(self) -> None:
-        """Give up leadership or candidacy."""
+    def step_down(self, reason: str) -> None:
+        """Give up leadership or candidacy.
+
+        :param reason: why, for the log.
+        """
         leadership, self.leadership = self.leadership, None
         if leadership is not None:
             leadership.stop()
             eliot.log_message(
-                "control:steps-down", host=self.peers.host, term=leadership.term
+                "control:steps-down",
+                host=self.peers.host,
+                term=leadership.term,
+                reason=reason,
+                quorum_age_ms=round(leadership.quorum_age_s() * MS_PER_S, 1),
             )
             self.leader_host = ""
         if self.role is not Role.UNFORMED:
--- a/packages/almondfield-control/src/almondfield_control/consensus/election.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/election.py
@@ -65,7 +65,7 @@
         try:
             await replica.save()
         except StorageError:
-            replica.step_down()
+            replica.step_down("its disk fails")
             return
         requested_at_by_voter = await self._collect_votes(
             pre_vote=False, hand_over=hand_over
@@ -78,7 +78,7 @@
         if requested_at_by_voter:
             replica.become_leader(requested_at_by_voter)
         else:
-            replica.step_down()
+            replica.step_down("it lost the election")
 
     async def _collect_votes(
         self, pre_vote: bool, hand_over: bool = False
--- a/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
@@ -34,6 +34,7 @@
 HEARTBEATS_PER_ELECTION = 4
 MAX_ENTRIES_PER_APPEND = 256
 MAX_UNCOMMITTED_ENTRIES = 4096
+LEASE_ENDED = "no quorum answered within its lease"
 
 
 class Leadership:
@@ -79,8 +80,21 @@
                 waiter.set_result(Err(ControlUnavailable("the leader stepped down")))
         self._waiter_by_index.clear()
 
+    def quorum_age_s(self) -> float:
+        """Return how long ago the newest request that a quorum answered was sent.
+
+        The value is in seconds.
+        """
+        return now() - self._quorum_seen_at()
+
     def lease_end(self) -> float:
         """Return the time before which no other leader can have been elected."""
+        timing = self._replica.timing
+        return self._quorum_seen_at() + timing.election_s * (
+            1 - 2 * timing.drift_margin
+        )
+
+    def _quorum_seen_at(self) -> float:
         replica = self._replica
         seen_at = [
             now()
@@ -89,9 +103,7 @@
             for member in replica.log.members
             if member.votes
         ]
-        quorum_seen_at = sorted(seen_at, reverse=True)[replica.quorum - 1]
-        timing = replica.timing
-        return quorum_seen_at + timing.election_s * (1 - 2 * timing.drift_margin)
+        return sorted(seen_at, reverse=True)[replica.quorum - 1]
 
     def has_lease(self) -> bool:
         """Return whether the leader's lease is valid now."""
@@ -134,7 +146,7 @@
             successor = None
         if replica.leadership is not self:
             return
-        replica.step_down()
+        replica.step_down("it hands over")
         if successor:
             cluster_id = replica.hard_state.cluster_id
             message = HandOver(cluster_id, successor.member.voter_id, self.term)
@@ -305,7 +317,7 @@
         if replica.leadership is not self or not isinstance(reply_result, Ok):
             return None
         if not self.has_lease():
-            replica.step_down()
+            replica.step_down(LEASE_ENDED)
             return None
         reply = reply_result.ok_value
         if reply.term > self.term:
@@ -335,7 +347,7 @@
         if index <= replica.commit_index or replica.log.term_at(index) != self.term:
             return
         if not self.has_lease():
-            replica.step_down()
+            replica.step_down(LEASE_ENDED)
             return
         replica.commit(index)
 
@@ -356,4 +368,4 @@
                 await self.transfer_leadership(self._replica.timing.election_s)
                 return
             await asyncio.sleep(max(0.001, self.lease_end() - now()))
-        self._replica.step_down()
+        self._replica.step_down(LEASE_ENDED)
--- a/packages/almondfield-control/src/almondfield_control/tests/control_group.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/control_group.feature
@@ -43,6 +43,15 @@
     And the other hosts had a leader within 3 seconds
     And its return does not change the leader
 
+  # Guards against leaders that follow each other without a line that says why.
+  Scenario: the log says why a leader stepped down
+    Given a fleet of 4 hosts with 3 voters
+    And the log is recorded
+    When the leader is isolated for 5 seconds
+    Then its log says that no quorum answered within its lease, for 0.5 to 0.7 seconds
+    When the leader hands over
+    Then its log says that it hands over
+
   Scenario: a voter that was isolated for long returns without a new election
     Given a fleet of 4 hosts with 3 voters
     When a follower is isolated for 600 seconds while changes are accepted
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/control_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/control_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import eliot
 from behave import given, then, when
 from control_fleet import Fleet, in_loop
 from result import Err, Ok
@@ -211,3 +212,33 @@
     await context.fleet.wait_until(
         lambda: leader() not in (None, context.former_host), milliseconds / 1000
     )
+
+
+@given("the log is recorded")
+def step_impl(context):
+    context.messages = []
+    eliot.add_destinations(context.messages.append)
+    context.add_cleanup(eliot.remove_destination, context.messages.append)
+
+
+def last_step_down(context):
+    """Return the newest log message of a leader that stepped down."""
+    kind = "control:steps-down"
+    return [m for m in context.messages if m["message_type"] == kind][-1]
+
+
+@then(
+    "its log says that no quorum answered within its lease, for {least:g} to {most:g} "
+    "seconds"
+)
+def step_impl(context, least, most):
+    message = last_step_down(context)
+    assert message["reason"] == "no quorum answered within its lease", message
+    assert least <= message["quorum_age_ms"] / 1000 <= most, message
+
+
+@then("its log says that it hands over")
+def step_impl(context):
+    message = last_step_down(context)
+    assert message["host"] == context.former_host, message
+    assert message["reason"] == "it hands over", message
