Hold what routers tell of engines that are not known yet

Cause: routers tell a new scheduler once which engine has which shared parts, with the first reply; reports on engines that hadn't announced themselves to it by then were dropped.

Change: they are held until the engine is known, 16,384 at most, and dropped if it has restarted.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -25,6 +25,7 @@
     is_late_everywhere,
     wait_limit_s,
 )
+from almondfield_fairshare.engines.held_prefixes import HeldPrefixes
 from almondfield_fairshare.engines.load import BusyShare, DecisionCounts, EngineLoad
 from almondfield_fairshare.engines.prefix_cache import PrefixBlock, prefix_blocks
 from almondfield_fairshare.engines.refused_prompts import RefusedPrompts
@@ -69,6 +70,7 @@
         self._window_s = window_s
         self._shares = TeamShares(window_s)
         self._engine_by_name: dict[str, Engine] = {}
+        self._held_prefixes = HeldPrefixes()
         self._answer_delay = AnswerDelay()
         self._attempts = AttemptTable()
         self._busy_share = BusyShare()
@@ -88,6 +90,8 @@
             engine = before.get(server.name)
             if engine is None or engine.server.started_ms != server.started_ms:
                 engine = Engine(server, self._answer_delay)
+                for sent in self._held_prefixes.take(server):
+                    engine.restore_prefix(prefix_blocks(sent.prefix))
             self._engine_by_name[server.name] = engine
         self._attempts.retain(
             lambda name: self._engine_by_name.get(name) is before.get(name)
@@ -274,8 +278,10 @@
         :param sent: the parts, and the start of the engine that got them.
         """
         engine = self._engine_by_name.get(sent.server)
-        # A restarted engine has an empty cache.
-        if engine is not None and engine.server.started_ms == sent.started_ms:
+        if engine is None:
+            self._held_prefixes.add(sent)
+        elif engine.server.started_ms == sent.started_ms:
+            # A restarted engine has an empty cache.
             engine.restore_prefix(prefix_blocks(sent.prefix))
 
     def remove_router(self, router: str) -> None:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/prefix_cache.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/prefix_cache.feature
@@ -20,3 +20,20 @@
     When prefixes "t0" to "t3" of 100 tokens are restored
     And prefixes "t0" to "t4" of 100 tokens are restored
     Then "t0, t1, t2, t3, t4" are cached of "t0" to "t4"
+
+  # Guards against SHORT: after a loss of power routers report before servers announce
+  # themselves, and what they told was dropped.
+  Scenario Outline: What is reported of an engine before it is known counts from then on
+    When a scheduler is told of prefix "t0" at an engine that started at <reported>
+    And the engine, which started at <started>, becomes known
+    Then the engine has <tokens> tokens of prefix "t0"
+
+    Examples:
+      | reported | started | tokens |
+      | 1000     | 1000    | 100    |
+      | 1000     | 2000    | 0      |
+
+  # Guards against memory that reports on engines which never come fill.
+  Scenario: Reports on engines that are not known are bounded
+    When a scheduler is told of 20000 prefixes at engines that do not come
+    Then it holds at most 16384 of them
