Raise no term after pre-votes if another member got the vote since

Cause: while messages are late, pre-votes take longer than another member's election. A candidate raised its term as soon as its pre-votes were in, though it had voted for another member or heard of a leader since; the newer term in its replies deposes that leader, and no vote is given for an election timeout after that.

Evidence: control:steps-down in: two leaders deposed by a newer term 0.05 and 0.07 s after they began.

Why it works: a vote or a leader's message is a promise for an election time; a campaign in that time can't win.

--- a/packages/almondfield-control/src/almondfield_control/consensus/election.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/election.py
@@ -57,6 +57,10 @@
             return
         if replica.role is not Role.FOLLOWER or not replica.is_voter:
             return
+        if replica.has_recent_leader() and not hand_over:
+            # During the pre-votes it voted for another member or heard of a leader,
+            # which a newer term would depose.
+            return
         term = replica.hard_state.term + 1
         replica.hard_state = replace(
             replica.hard_state, term=term, voted_for=replica.voter_id
--- a/packages/almondfield-control/src/almondfield_control/tests/control_group.feature
+++ b/packages/almondfield-control/src/almondfield_control/tests/control_group.feature
@@ -43,6 +43,24 @@
     And the other hosts had a leader within 3 seconds
     And its return does not change the leader
 
+  # Guards against SHORT: after a loss of power, a member whose pre-votes took long raised
+  # its term though it had voted for another one since, and so deposed the new leader.
+  Scenario Outline: the first leader stays though messages are late
+    Given the log is recorded
+    When a group of 9 voters starts, with messages that take 0.06 to 0.12 seconds, seed <seed>
+    Then the first leader stays for 3 seconds
+
+    Examples:
+      | seed |
+      | 0    |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+      | 7    |
+
   # Guards against leaders that follow each other without a line that says why.
   Scenario: the log says why a leader stepped down
     Given a fleet of 4 hosts with 3 voters
--- a/packages/almondfield-control/src/almondfield_control/tests/steps/control_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/tests/steps/control_steps.py
@@ -242,3 +242,27 @@
     message = last_step_down(context)
     assert message["host"] == context.former_host, message
     assert message["reason"] == "it hands over", message
+
+
+@when(
+    "a group of {voters:d} voters starts, with messages that take {least:g} to "
+    "{most:g} seconds, seed {seed:d}"
+)
+@in_loop
+async def step_impl(context, voters, least, most, seed):
+    fleet = context.fleet = Fleet(voters, voters, seed, delay_s=(least, most))
+    fleet.write_formed_group()
+    fleet.start(*fleet.names)
+    await fleet.wait_until(fleet.leader)
+
+
+@then("the first leader stays for {seconds:g} seconds")
+@in_loop
+async def step_impl(context, seconds):
+    await asyncio.sleep(seconds)
+    terms = [
+        message["term"]
+        for message in context.messages
+        if message["message_type"] == "control:leads"
+    ]
+    assert len(terms) == 1, terms
