--- a/packages/almondfield-core/src/almondfield_core/settings/core.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/core.py
@@ -152,7 +152,7 @@
     slowed_streams_bytes_per_s: int = item(
         "Rate of all streams of a router together that are beyond their bursts.",
         "bytes/s",
-        default=16 * 1024 * 1024,
+        default=4 * 1024 * 1024,
     )
     max_discarded_bytes: int = item(
         "Most bytes of a refusal that are received to use its connection again.",
