Choose a server without work for each server of the pool (FAIR)

The router was at its processor limit, so that replies waited in its sockets.

Cause: since notices of servers are obeyed, each decision asked for the notices of all servers of the pool, five times and more, beside filters over all known servers that were there before.

The registry keeps the servers of each pool until one of them changes, and a decision looks only at the few servers with notices, failures or work.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/registry.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/registry.py
@@ -1,7 +1,7 @@
 """Registry of backend servers, with the latest announcement of each."""
 
 from collections.abc import Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import eliot
 
@@ -9,7 +9,7 @@
 from almondfield_daemon.fleet.checking import check_server
 from almondfield_daemon.fleet.messages import FleetServer, ServerPhase
 
-__all__ = ["ServerRegistry"]
+__all__ = ["PoolServers", "ServerRegistry"]
 
 HEARTBEAT_TIMEOUT_S = 4.5  # announcements come about every second, some seconds late
 MAX_EXPIRY_GAP_S = 2.0
@@ -17,6 +17,18 @@
 GONE_RETENTION_S = 60.0  # outlasts the delay of a late announcement
 
 
+@dataclass(frozen=True)
+class PoolServers:
+    """The servers of one pool.
+
+    :ivar serving: those that take new work.
+    :ivar not_serving_names: names of those that leave or left recently.
+    """
+
+    serving: tuple[FleetServer, ...]
+    not_serving_names: frozenset[str]
+
+
 class ServerRegistry:
     """Backend servers by name, merged from announcements.
 
@@ -31,12 +43,24 @@
         self.version = 0
         self._server_by_name: dict[str, FleetServer] = {}
         self._last_seen_s_by_name: dict[str, float] = {}
+        # Routers ask several times for each request; announcements are far fewer.
+        self._servers_by_pool: dict[str, PoolServers] = {}
         self._expired_s: float | None = None
 
     def servers(self) -> tuple[FleetServer, ...]:
         """Return all servers, including those that left recently."""
         return tuple(self._server_by_name.values())
 
+    def pool(self, name: str) -> PoolServers:
+        """Return the servers of a pool.
+
+        :param name: name of the pool.
+        """
+        servers = self._servers_by_pool.get(name)
+        if servers is None:
+            servers = self._servers_by_pool[name] = self._select_pool(name)
+        return servers
+
     def get(self, name: str) -> FleetServer | None:
         """Return a server by its name, or None if it is not registered.
 
@@ -104,10 +128,17 @@
             is_gone = server.phase is ServerPhase.GONE
             if is_gone and now() - last_seen_s > GONE_RETENTION_S:
                 del self._server_by_name[name], self._last_seen_s_by_name[name]
+                self._servers_by_pool.clear()
             elif not is_gone and now() - last_seen_s > UNRESPONSIVE_EXPIRY_S:
                 expired.append(replace(server, phase=ServerPhase.GONE))
         return self.merge(expired)
 
+    def _select_pool(self, name: str) -> PoolServers:
+        servers = [s for s in self._server_by_name.values() if s.pool == name]
+        serving = [s for s in servers if s.phase is ServerPhase.SERVING]
+        others = [s for s in servers if s.phase is not ServerPhase.SERVING]
+        return PoolServers(tuple(serving), frozenset(s.name for s in others))
+
     def _merge(self, server: FleetServer, source: str) -> list[FleetServer]:
         known = self._server_by_name.get(server.name)
         if known is not None and not _is_newer(server, known):
@@ -145,6 +176,7 @@
 
     def _put(self, server: FleetServer) -> None:
         self._server_by_name[server.name] = server
+        self._servers_by_pool.clear()
         self._last_seen_s_by_name[server.name] = now()
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -16,7 +16,6 @@
     HelloReply,
     RouterHello,
     RouterState,
-    ServerPhase,
     ServerUpdate,
 )
 from almondfield_daemon.fleet.registry import (
@@ -131,22 +130,14 @@
 
         :param pool: name of the pool.
         """
-        return tuple(
-            server
-            for server in self._registry.servers()
-            if server.pool == pool and server.phase is ServerPhase.SERVING
-        )
+        return self._registry.pool(pool).serving
 
     def unusable_servers(self, pool: str) -> frozenset[str]:
         """Return the names of a pool's servers that take no new work.
 
         :param pool: name of the pool.
         """
-        return frozenset(
-            server.name
-            for server in self._registry.servers()
-            if server.pool == pool and server.phase is not ServerPhase.SERVING
-        )
+        return self._registry.pool(pool).not_serving_names
 
     def unresponsive_servers(self) -> frozenset[str]:
         """Return the servers that no responsive control host has seen recently."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/known_servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/known_servers.py
@@ -33,23 +33,44 @@
         :param pool: name of the pool.
         :param version: software version that the server must have; None for any.
         """
+        servers = self.reachable(pool, version)
+        # Most servers have no notices, and this is asked for each request.
+        noticed = self._notices.noticed_names()
+        if not noticed:
+            return servers
         return tuple(
-            server
-            for server in self.reachable(pool, version)
-            if self._notices.accepts(server_start(server))
+            [
+                server
+                for server in servers
+                if server.name not in noticed
+                or self._notices.accepts(server_start(server))
+            ]
         )
 
+    def unusable_names(
+        self, pool: str, usable: tuple[FleetServer, ...]
+    ) -> frozenset[str]:
+        """Return the names of a pool's servers that may get no request now.
+
+        :param pool: name of the pool.
+        :param usable: the servers that may get it.
+        """
+        not_serving = self._view.unusable_servers(pool)
+        servers = self._view.servers(pool)
+        if len(usable) == len(servers):
+            return not_serving
+        names = {server.name for server in servers}
+        return not_serving.union(names.difference([server.name for server in usable]))
+
     def closed(self, pool: str, version: str | None) -> Unavailable | None:
         """Return a refusal if all servers have said that they take no work now.
 
         :param pool: name of the pool.
         :param version: software version that the server must have; None for any.
         """
-        servers = self.reachable(pool, version)
-        starts = [server_start(server) for server in servers]
-        if not starts or any(self._notices.accepts(start) for start in starts):
+        if self.usable(pool, version) or not self.reachable(pool, version):
             return None
-        wait_s = self._notices.wait_s(starts)
+        wait_s = self.wait_s(pool, version)
         if wait_s == math.inf:
             detail = "all backend servers of the pool leave"
             return Unavailable(detail, RefusalCause.CLOSED)
@@ -79,11 +100,19 @@
         :param pool: name of the pool.
         :param version: software version that the server must have; None for any.
         """
+        servers = self._view.servers(pool)
+        if version is not None:
+            servers = tuple([s for s in servers if s.version == version])
+        if not self._misdirected:
+            return servers
+        names = {start.name for start in self._misdirected}
         return tuple(
-            server
-            for server in self._view.servers(pool)
-            if server_start(server) not in self._misdirected
-            and version in (None, server.version)
+            [
+                server
+                for server in servers
+                if server.name not in names
+                or server_start(server) not in self._misdirected
+            ]
         )
 
     def wait_s(self, pool: str, version: str | None) -> float:
@@ -103,8 +132,9 @@
         :param server: the server as it was when it was chosen.
         """
         return any(
-            known.name == server.name and known.version != server.version
+            known.version != server.version
             for known in self._view.servers(pool)
+            if known.name == server.name
         )
 
     def may_be_left(self, pool: str, selected: SelectedServer) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -198,13 +198,7 @@
             if held is not None:
                 return describe_refusal(held, RefusalCause.HELD_SHARE)
         excluded = tried | self._avoided_servers(servers)
-        excluded |= self._view.unusable_servers(request.pool)
-        names = frozenset(server.name for server in servers)
-        excluded |= frozenset(
-            server.name
-            for server in self._view.servers(request.pool)
-            if server.name not in names
-        )
+        excluded |= self._known.unusable_names(request.pool, servers)
         engine_request = PromptRequest(
             team=request.team,
             prompt=prompt,
@@ -241,14 +235,14 @@
         tried: frozenset[str],
     ) -> SelectedServer | Unavailable:
         """Return a server chosen from this router's own data, without the scheduler."""
-        unresponsive = self._view.unresponsive_servers()
-        candidates = tuple(self._candidate(server, unresponsive) for server in servers)
         prompt = request.metadata.prompt if request.route.has_prompt else None
         if prompt is not None and self._is_prefill_limit_reached(servers):
             return Unavailable(
                 "no scheduler answers in time and too many prompts wait for prefill",
                 RefusalCause.NO_SCHEDULER,
             )
+        unresponsive = self._view.unresponsive_servers()
+        candidates = tuple(self._candidate(server, unresponsive) for server in servers)
         hint = self._engines.last_server(prompt) if prompt else ""
         chosen = self._placement.choose(candidates, prompt, tried, hint)
         if chosen is None:
@@ -302,10 +296,8 @@
 
     def _is_prefill_limit_reached(self, servers: tuple[FleetServer, ...]) -> bool:
         """Return whether this router has used its share of concurrent prefills."""
-        prefilling = sum(
-            self._placement.record(server.name).uncached_tokens > 0
-            for server in servers
-        )
+        names = self._placement.prefilling_names()
+        prefilling = sum([server.name in names for server in servers])
         limit = (
             LOCAL_PREFILLS_PER_SERVER * len(servers) / max(1, self._view.router_count())
         )
@@ -315,11 +307,10 @@
         self, servers: tuple[FleetServer, ...], may_be_all: bool = False
     ) -> frozenset[str]:
         """Return servers that must not be chosen; none if all failed, or all then."""
-        avoided = frozenset(
-            server.name
-            for server in servers
-            if self._placement.record(server.name).is_avoided
-        )
+        failed = self._placement.avoided_names()
+        if not failed:
+            return failed
+        avoided = frozenset([s.name for s in servers if s.name in failed])
         is_any_left = len(avoided) < len(servers)
         return avoided if is_any_left or may_be_all else frozenset()
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_notices/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/core.py
@@ -75,6 +75,12 @@
         self._starts_with_invalid_time: set[ServerStart] = set()
         self._trial_numbers = itertools.count(1)
 
+    def noticed_names(self) -> frozenset[str]:
+        """Return the names of all servers that may take less work than others."""
+        return frozenset(self._closure_by_name).union(
+            [server.name for server in self._leaving]
+        )
+
     def accepts(self, server: ServerStart) -> bool:
         """Return whether a server may get a request now.
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/core.py
@@ -12,6 +12,7 @@
 
 import xxhash
 
+from almondfield_core.clock import now
 from almondfield_core.routing import Prompt
 from almondfield_fairshare.prefix_placement.server_record import ServerRecord
 
@@ -84,6 +85,17 @@
             record = self._record_by_name[name] = ServerRecord()
         return record
 
+    def avoided_names(self) -> frozenset[str]:
+        """Return the servers whose back-off after a failure still lasts."""
+        at_s = now()
+        records = self._record_by_name.items()
+        return frozenset([n for n, record in records if record.avoided_until_s > at_s])
+
+    def prefilling_names(self) -> frozenset[str]:
+        """Return the servers that prefill a prompt of this router."""
+        records = self._record_by_name.items()
+        return frozenset([n for n, record in records if record.uncached_tokens > 0])
+
     def retain(self, names: Iterable[str]) -> None:
         """Drop the records of idle servers that are not in use.
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/server_record.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/server_record.py
@@ -16,6 +16,8 @@
     :ivar uncached_tokens: uncached prompt tokens of those whose answer has not begun.
     :ivar failures: number of failures since the last success.
     :ivar timeouts: number of timeouts since then that were not counted as failures.
+    :ivar avoided_until_s: end of the back-off after a failure, in seconds of the loop's
+        clock.
     """
 
     def __init__(self) -> None:
@@ -23,7 +25,7 @@
         self.uncached_tokens = 0
         self.failures = 0
         self.timeouts = 0
-        self._backoff_until_s = float("-inf")
+        self.avoided_until_s = float("-inf")
         self._running = 0
         self._waiting = 0
         self._reported_s = float("-inf")
@@ -55,16 +57,16 @@
     @property
     def is_avoided(self) -> bool:
         """Return whether the back-off after a failure of the server still lasts."""
-        return now() < self._backoff_until_s
+        return now() < self.avoided_until_s
 
     def record_success(self) -> None:
         """Record a complete answer, which ends the back-off."""
         self.failures = 0
         self.timeouts = 0
-        self._backoff_until_s = float("-inf")
+        self.avoided_until_s = float("-inf")
 
     def record_failure(self) -> None:
         """Record a failure; each further one doubles the back-off, up to a limit."""
         self.failures += 1
         backoff_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2 ** (self.failures - 1))
-        self._backoff_until_s = now() + backoff_s
+        self.avoided_until_s = now() + backoff_s
