Look at each engine once for a scheduler's decision (FAIR)

An engine predicts its wait and its cached tokens in one call now, caches without the first part of a prompt aren't searched, list comprehensions take the place of generators, and the busy shares, which average over a second, are sampled each 10 ms and not with each decision.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -23,7 +23,7 @@
     are_mostly_idle,
     estimate_engines,
     is_late_everywhere,
-    wait_limit_s,
+    wait_limits_s,
 )
 from almondfield_fairshare.engines.held_prefixes import HeldPrefixes
 from almondfield_fairshare.engines.load import BusyShare, DecisionCounts, EngineLoad
@@ -57,6 +57,7 @@
 LOW_BUSY_SHARE = 0.5  # engines this busy have time for repeated prefills
 HIGH_BUSY_SHARE = 0.8  # above it, waits grow steeply
 MIN_RETRY_S = 0.1  # a fraction of the prefill time of one prompt
+SAMPLE_INTERVAL_S = 0.01  # a small part of the time constant of the busy shares
 TARGET_DECAY = 0.999  # the strictest target decays over about 1000 requests
 
 
@@ -75,6 +76,7 @@
         self._attempts = AttemptTable()
         self._busy_share = BusyShare()
         self._used_slots = BusyShare()
+        self._sampled_s = -math.inf
         self._counts = DecisionCounts()
         self._refused_prompts = RefusedPrompts()
         self._strictest_target_s = float("inf")
@@ -133,7 +135,6 @@
             return Refused(MIN_RETRY_S, False, 0.0)
         blocks = prefix_blocks(prompt)
         estimates = estimate_engines(engines, request, blocks)
-        min_uncached_tokens = min(estimate.uncached_tokens for estimate in estimates)
         are_idle = are_mostly_idle(estimates)
         is_late = (
             usage > LATE_REQUEST_USAGE
@@ -142,32 +143,24 @@
         )
         min_limit_s = 0.0 if are_idle else -math.inf
         repeated_prefill_weight = REPEATED_PREFILL_WEIGHT * (1 - spare_capacity)
-        limits_s = [
-            max(
-                min_limit_s,
-                wait_limit_s(
-                    estimate, min_uncached_tokens, max_wait_s, repeated_prefill_weight
-                ),
-            )
-            for estimate in estimates
-        ]
+        limits_s = wait_limits_s(estimates, max_wait_s, repeated_prefill_weight)
         # Spare capacity goes to the team with the lowest usage.
         must_yield = (
             usage > 1 and not request.is_repeat and self._shares.must_yield(usage)
         )
-        has_capacity = any(
-            e.wait_s <= limit_s for e, limit_s in zip(estimates, limits_s)
-        )
+        waits_s = [estimate.wait_s for estimate in estimates]
+        has_capacity = True in [
+            wait_s <= limit_s or wait_s <= min_limit_s
+            for wait_s, limit_s in zip(waits_s, limits_s)
+        ]
         # A late request leaves the team's share to those that can meet their target.
         if is_late or must_yield or not has_capacity:
-            wait_s = min(estimate.wait_s for estimate in estimates)
-            return self._refuse(request, wait_s, max_wait_s, usage, is_late)
+            return self._refuse(request, min(waits_s), max_wait_s, usage, is_late)
         # The request is admitted: choose the engine with the lowest total cost.
         max_limit_s = CACHED_WAIT_FACTOR * max(base_max_wait_s, max_wait_s)
-        chosen = min(
-            (e for e in estimates if e.wait_s <= max_limit_s),
-            key=lambda e: e.wait_s + PREFILL_WEIGHT * e.prefill_s,
-        )
+        affordable = [e for e in estimates if e.wait_s <= max_limit_s]
+        costs_s = [e.wait_s + PREFILL_WEIGHT * e.prefill_s for e in affordable]
+        chosen = affordable[costs_s.index(min(costs_s))]
         grant = self._shares.record_grant(request.team, work)
         self._send(attempt, prompt, chosen, blocks, grant)
         self._counts.add_for(request.team, "admitted")
@@ -322,9 +315,12 @@
         return self._shares.loads(count, self._counts.collect_by_team())
 
     def _update_busy_share(self) -> None:
+        at_s = now()
+        if at_s - self._sampled_s < SAMPLE_INTERVAL_S:
+            return
+        self._sampled_s = at_s
         engines = self._engine_by_name.values()
         count = max(1, len(engines))
-        at_s = now()
         self._busy_share.record(sum(e.is_prefilling(at_s) for e in engines) / count)
         self._used_slots.record(sum(e.used_slot_share for e in engines) / count)
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
@@ -19,6 +19,7 @@
 MIN_DURATION_SHARE = 0.25  # of the expected one; shorter ones show a short delay
 TOLERANCE_S = 0.05  # delays vary by so much
 SHORT_DELAY_S = 0.2  # shorter delays say little about the engine's speed
+SLOT_PENALTY_S = 0.05  # added wait per request beyond an engine's slots
 FULL_BACKOFF_S = 0.3  # some of the engine's requests end in this time
 
 
@@ -87,20 +88,40 @@
         """
         return self._prefix_cache.count_cached(blocks)
 
+    def predict(
+        self, at_s: float, blocks: tuple[PrefixBlock, ...]
+    ) -> tuple[float, int]:
+        """Return the predicted wait of a prompt in seconds, and its cached tokens.
+
+        The wait includes a penalty for each request beyond the engine's slots.
+
+        :param at_s: the current time, in seconds of the loop's clock.
+        :param blocks: prefix blocks of the prompt.
+        """
+        cache = self._prefix_cache
+        # Most engines have no part of a prompt, and many are idle.
+        has_part = blocks and blocks[0][0] in cache.tokens_by_key
+        cached = cache.count_cached(blocks) if has_part else 0
+        is_idle = not self._waiting_by_attempt and self._backoff_until_s <= at_s
+        wait_s = 0.0 if is_idle else self.wait_s(at_s)
+        beyond = self.in_flight + 1 - self.server.slots
+        if beyond > 0:
+            wait_s += SLOT_PENALTY_S * beyond
+        return wait_s, cached
+
     def wait_s(self, at_s: float) -> float:
         """Return the predicted wait of a new prompt before prefill, in seconds.
 
         :param at_s: the current time, in seconds of the loop's clock.
         """
         backoff_s = self._backoff_until_s - at_s
-        if not self._waiting_by_attempt:
-            return max(0.0, backoff_s)
-        return max(backoff_s, self._backlog_s(at_s))
+        backlog_s = self._backlog_s(at_s) if self._waiting_by_attempt else 0.0
+        return backlog_s if backlog_s > backoff_s else backoff_s
 
     def _backlog_s(self, at_s: float) -> float:
         """Return the predicted time to prefill all waiting prompts, in seconds."""
         if at_s <= self._due_s:
-            return max(0.0, self._idle_from_s - at_s)
+            return self._idle_from_s - at_s if self._idle_from_s > at_s else 0.0
         # The engine has slowed down: scale the remaining time in proportion.
         head = next(iter(self._waiting_by_attempt.values()))
         overdue_s = at_s - self._due_s
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/estimates.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/estimates.py
@@ -1,5 +1,6 @@
 """Predicted costs of a request at each engine."""
 
+from functools import partial
 from typing import NamedTuple
 
 from almondfield_core.clock import now
@@ -13,12 +14,11 @@
     "are_mostly_idle",
     "estimate_engines",
     "is_late_everywhere",
-    "wait_limit_s",
+    "wait_limits_s",
 ]
 
 CACHED_WAIT_FACTOR = 1.25  # of the wait limit, where most of a prompt is cached
 MIN_IDLE_SHARE = 0.6  # below it, engines are idle only between two prompts
-SLOT_PENALTY_S = 0.05  # added wait per request beyond an engine's slots
 
 
 class Estimate(NamedTuple):
@@ -30,14 +30,17 @@
     :ivar prefill_s: predicted prefill time in seconds.
     """
 
-    # A named tuple is cheap to create; every decision creates one for each engine.
-
     engine: Engine
     wait_s: float
     uncached_tokens: int
     prefill_s: float
 
 
+# Every decision creates an estimate for each engine. Below are list comprehensions in
+# place of generators, as each item of a generator costs as much as a call.
+_new_estimate = partial(tuple.__new__, Estimate)
+
+
 def estimate_engines(
     engines: list[Engine], request: PromptRequest, blocks: tuple[PrefixBlock, ...]
 ) -> list[Estimate]:
@@ -51,14 +54,11 @@
     input_tokens = request.prompt.input_tokens
     estimates = []
     for engine in engines:
-        uncached = max(1, input_tokens - engine.cached_tokens(blocks))
-        estimate = Estimate(
-            engine, _wait_s(engine, at_s), uncached, uncached / engine.prefill_rate
-        )
-        estimates.append(estimate)
-    is_uncached = all(
-        estimate.uncached_tokens >= input_tokens for estimate in estimates
-    )
+        wait_s, cached = engine.predict(at_s, blocks)
+        uncached = input_tokens - cached if cached < input_tokens else 1
+        prefill_s = uncached / engine.prefill_rate
+        estimates.append(_new_estimate((engine, wait_s, uncached, prefill_s)))
+    is_uncached = min([e.uncached_tokens for e in estimates]) >= input_tokens
     if not is_uncached or not blocks:
         return estimates
     # No cache model has the prompt, as after a restart of the scheduler: assume that
@@ -80,7 +80,7 @@
 
     :param estimates: costs at all engines that the request may use.
     """
-    idle = sum(estimate.wait_s <= 0 for estimate in estimates)
+    idle = sum([estimate.wait_s <= 0 for estimate in estimates])
     return idle >= MIN_IDLE_SHARE * len(estimates)
 
 
@@ -96,36 +96,30 @@
     target_s = request.latency_target_s
     if request.is_repeat or target_s <= 0:
         return False
-    soonest_s = min(estimate.wait_s + estimate.prefill_s for estimate in estimates)
-    soonest_s += answer_delay_s
-    return request.waited_s > 0 and request.waited_s + soonest_s > target_s
+    if request.waited_s <= 0:
+        return False
+    soonest_s = min([estimate.wait_s + estimate.prefill_s for estimate in estimates])
+    return request.waited_s + soonest_s + answer_delay_s > target_s
 
 
-def wait_limit_s(
-    estimate: Estimate,
-    min_uncached_tokens: int,
-    max_wait_s: float,
-    repeated_prefill_weight: float,
-) -> float:
-    """Return the wait limit at one engine, in seconds.
+def wait_limits_s(
+    estimates: list[Estimate], max_wait_s: float, repeated_prefill_weight: float
+) -> list[float]:
+    """Return the wait limit at each engine, in seconds.
 
     The limit is lower where another engine has more of the prompt cached: time spent
     on a repeated prefill is lost to other prompts.
 
-    :param estimate: cost at the engine.
-    :param min_uncached_tokens: fewest uncached tokens at any engine.
+    :param estimates: costs at the engines.
     :param max_wait_s: wait limit of the request's team, in seconds.
     :param repeated_prefill_weight: weight of the time of a repeated prefill.
     """
-    repeated_prefill_s = (
-        estimate.uncached_tokens - min_uncached_tokens
-    ) / estimate.engine.prefill_rate
-    return (
-        CACHED_WAIT_FACTOR * max_wait_s - repeated_prefill_weight * repeated_prefill_s
-    )
-
-
-def _wait_s(engine: Engine, at_s: float) -> float:
-    wait_s = engine.wait_s(at_s)
-    beyond = engine.in_flight + 1 - engine.server.slots
-    return wait_s + SLOT_PENALTY_S * beyond if beyond > 0 else wait_s
+    min_uncached = min([estimate.uncached_tokens for estimate in estimates])
+    longest_s = CACHED_WAIT_FACTOR * max_wait_s
+    return [
+        longest_s
+        - repeated_prefill_weight
+        * (estimate.uncached_tokens - min_uncached)
+        / estimate.engine.prefill_rate
+        for estimate in estimates
+    ]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/prefix_cache.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/prefix_cache.py
@@ -29,11 +29,13 @@
     """Prefix blocks in a cache with least-recently-used eviction.
 
     :param capacity_tokens: capacity of the cache in tokens.
+
+    :ivar tokens_by_key: number of tokens in the last part of each cached prefix.
     """
 
     def __init__(self, capacity_tokens: int) -> None:
         self._capacity_tokens = capacity_tokens
-        self._tokens_by_key: OrderedDict[str, int] = OrderedDict()
+        self.tokens_by_key: OrderedDict[str, int] = OrderedDict()
         self._cached_tokens = 0
 
     def count_cached(self, blocks: tuple[PrefixBlock, ...]) -> int:
@@ -43,7 +45,7 @@
         """
         cached = 0
         for key, tokens in blocks:
-            if key not in self._tokens_by_key:
+            if key not in self.tokens_by_key:
                 break
             cached += tokens
         return cached
@@ -60,11 +62,11 @@
         with_answer = (*blocks[:-1], (last, tokens + output_tokens))
         # The first blocks count as used last, as later ones are useless without them.
         for key, tokens in reversed(with_answer):
-            previous_tokens = self._tokens_by_key.pop(key, 0)
-            self._tokens_by_key[key] = max(previous_tokens, tokens)
+            previous_tokens = self.tokens_by_key.pop(key, 0)
+            self.tokens_by_key[key] = max(previous_tokens, tokens)
             self._cached_tokens += max(previous_tokens, tokens) - previous_tokens
         while self._cached_tokens > self._capacity_tokens:
-            _, tokens = self._tokens_by_key.popitem(last=False)
+            _, tokens = self.tokens_by_key.popitem(last=False)
             self._cached_tokens -= tokens
 
     def restore(self, blocks: tuple[PrefixBlock, ...]) -> None:
@@ -72,12 +74,12 @@
 
         :param blocks: prefix blocks of shared parts, from :func:`prefix_blocks`.
         """
-        missing = [block for block in blocks if block[0] not in self._tokens_by_key]
+        missing = [block for block in blocks if block[0] not in self.tokens_by_key]
         total = self._cached_tokens + sum(tokens for _, tokens in missing)
         if total > MAX_RESTORED_SHARE * self._capacity_tokens:
             return
         self._cached_tokens = total
         # The first blocks count as used last, as later ones are useless without them.
         for key, tokens in missing:
-            self._tokens_by_key[key] = tokens
-            self._tokens_by_key.move_to_end(key, last=False)
+            self.tokens_by_key[key] = tokens
+            self.tokens_by_key.move_to_end(key, last=False)
