--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
@@ -98,13 +98,13 @@
         :param at_s: the current time, in seconds of the loop's clock.
         :param blocks: prefix blocks of the prompt.
         """
-        cache = self._prefix_cache
         # Most engines have no part of a prompt, and many are idle.
-        has_part = blocks and blocks[0][0] in cache.tokens_by_key
-        cached = cache.count_cached(blocks) if has_part else 0
+        has_part = blocks and blocks[0][0] in self._prefix_cache.tokens_by_key
+        cached = self.cached_tokens(blocks) if has_part else 0
         is_idle = not self._waiting_by_attempt and self._backoff_until_s <= at_s
         wait_s = 0.0 if is_idle else self.wait_s(at_s)
-        beyond = self.in_flight + 1 - self.server.slots
+        in_flight = len(self._waiting_by_attempt) + len(self._began_s_by_attempt)
+        beyond = in_flight + 1 - self.server.slots
         if beyond > 0:
             wait_s += SLOT_PENALTY_S * beyond
         return wait_s, cached
