Take the time once for all teams' demands, and measure messages by a class

Cause: a decision asked the clock once for each team with demand, and each message between hosts passed three to five contexts made of generators, which cost more than the encoding that they measure.

--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/message_counters.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/message_counters.py
@@ -2,8 +2,7 @@
 
 import time
 import types
-from collections.abc import Awaitable, Generator, Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Generator
 from dataclasses import dataclass
 from typing import Any
 
@@ -67,6 +66,26 @@
         )
 
 
+class _Measurement:
+    """Adds the processor time of a block to the counters of a kind.
+
+    A class, as each message has several and a generator's costs more than most blocks.
+
+    :param counters: the counters.
+    """
+
+    __slots__ = ("_counters", "_started_s")
+
+    def __init__(self, counters: _KindCounters) -> None:
+        self._counters = counters
+
+    def __enter__(self) -> None:
+        self._started_s = time.thread_time()
+
+    def __exit__(self, *error: object) -> None:
+        self._counters.processor_s += time.thread_time() - self._started_s
+
+
 class MessageCounters:
     """Adds up messages, bytes and processor time by kind."""
 
@@ -102,17 +121,12 @@
         """
         self.dropped_by_reason[reason] = self.dropped_by_reason.get(reason, 0) + 1
 
-    @contextmanager
-    def measure(self, kind: str) -> Iterator[None]:
-        """Add the processor time of the block to a kind.
+    def measure(self, kind: str) -> _Measurement:
+        """Return a context that adds the processor time of its block to a kind.
 
         :param kind: kind of the message that the block processes.
         """
-        started_s = time.thread_time()
-        try:
-            yield
-        finally:
-            self._counters_for(kind).processor_s += time.thread_time() - started_s
+        return _Measurement(self._counters_for(kind))
 
     @types.coroutine
     def measure_handler(
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
@@ -66,12 +66,16 @@
             if self._items[index][0] < added_s:
                 return
 
-    def total(self) -> float:
-        """Return the work within the window."""
-        before_s = now() - self._window_s
-        while self._items and self._items[0][0] < before_s:
-            self._total -= self._items.popleft()[1]
-        return max(0.0, self._total)
+    def total(self, at_s: float | None = None) -> float:
+        """Return the work within the window.
+
+        :param at_s: the current time, in seconds of the loop's clock, if it is known.
+        """
+        before_s = (now() if at_s is None else at_s) - self._window_s
+        items = self._items
+        while items and items[0][0] < before_s:
+            self._total -= items.popleft()[1]
+        return self._total if self._total > 0 else 0.0
 
 
 class TeamShares:
@@ -212,7 +216,8 @@
 
     def _fair_share(self, capacity: float) -> float:
         """Return the largest work that one team may have in a window."""
-        demands = sorted(item.total() for item in self._demand_by_team.values())
+        at_s = now()
+        demands = sorted([item.total(at_s) for item in self._demand_by_team.values()])
         demands = [total for total in demands if total > 0]
         remaining = capacity
         for index, total in enumerate(demands):
