Refuse prompts that a busy router reads too late to pass them on in time

Cause: what a router takes in follows its delay only once requests lay unread for a second. Each iteration of its loop passes on all prompts that can be read, and a request takes eight iterations and more to be sent.

A prompt that lay unread for a sixteenth of its target is refused by its head now, as not run, unless no other prompt waits for the scheduler. The first scenario of late_intake.feature failed before.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
@@ -28,6 +28,7 @@
 from almondfield_daemon.forwarding.reports import unread_fields
 from almondfield_daemon.forwarding.split import choose_pool
 from almondfield_daemon.forwarding.stop_limits import draining
+from almondfield_daemon.forwarding.unavailable import LATE_RETRY_AFTER_S
 from almondfield_daemon.loop_delay import arrival_of
 from almondfield_daemon.router.problems import Problem, permanent_problem
 from almondfield_daemon.serving import HeadRefusal, RequestHead
@@ -36,7 +37,6 @@
 
 REQUEST_KEY = "request"  # in the state of an ASGI scope
 STALE_RETRY_AFTER_S = 0.5
-LATE_RETRY_AFTER_S = 0.1  # other routers are probably in time
 MAX_DEADLINE_S = 3600.0
 # Callers give up a request that may run again if it isn't read for this time, or for
 # this share of their deadline.
@@ -131,9 +131,14 @@
         if metadata.prompt is None:
             return None
         is_scheduled = route.has_prompt and not metadata.takes_up_stream
-        return self._forwarder.known_refusal(
+        problem = self._forwarder.known_refusal(
             route, accepted.pool, accepted.team, metadata.prompt, is_scheduled
         )
+        if problem is None and is_scheduled and accepted.unread is not None:
+            problem = self._forwarder.late_refusal(
+                route, accepted.pool, accepted.team, accepted.unread.least_s
+            )
+        return problem
 
     def _read(self, head: RequestHead) -> Result[_AcceptedHead, Problem]:
         """Return what is known of a request by its head, or why it is refused."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -10,6 +10,7 @@
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.selected_server import SelectedServer, server_start
 from almondfield_daemon.forwarding.unavailable import (
+    LATE_RETRY_AFTER_S,
     RETRY_AFTER_S,
     Unavailable,
     describe_refusal,
@@ -30,6 +31,9 @@
 
 # Concurrent prefills per server, over all routers; more would start too late.
 LOCAL_PREFILLS_PER_SERVER = 2
+# The event loop takes some eight iterations to send a request on, each as long as it
+# takes to read one; wait and prefill need the other half of the target.
+MAX_UNREAD_TARGET_SHARE = 1 / 16
 
 
 class ServerSelector:
@@ -91,6 +95,25 @@
         self._counts.record_refusal(team, RefusalCause.HELD_SHARE)
         return describe_refusal(held, RefusalCause.HELD_SHARE)
 
+    def late_refusal(
+        self, team: str, latency_target_s: float, unread_s: float
+    ) -> Unavailable | None:
+        """Return the refusal of a prompt that would get its server too late, or None.
+
+        A router that has more to do than it can reads requests late, and what follows
+        takes many times as long. One request at a time is passed on all the same.
+
+        :param team: name of the team.
+        :param latency_target_s: latency target of the route, in seconds; 0 for none.
+        :param unread_s: least time that the request was unread, in seconds.
+        """
+        is_late = unread_s > MAX_UNREAD_TARGET_SHARE * latency_target_s > 0
+        if not is_late or not self._engines.has_undecided:
+            return None
+        self._counts.record_refusal(team, RefusalCause.LATE)
+        detail = f"the request was not read for {unread_s:.3f} s"
+        return Unavailable(detail, RefusalCause.LATE, LATE_RETRY_AFTER_S)
+
     async def choose(
         self,
         request: ForwardRequest,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -297,6 +297,7 @@
 
     def __init__(self):
         self.requests = []
+        self.has_undecided = False
         self.on_request = lambda: None
         self.assignment = None
         # Decisions in turn, with their delays in seconds; the last one stays.
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/late_intake_steps.py
@@ -0,0 +1,138 @@
+"""Steps of late_intake.feature."""
+
+import random
+
+from behave import given, then, when
+from result import Ok
+
+from almondfield_core.clock import now
+from almondfield_core.routing import (
+    PoolShare,
+    Prompt,
+    PromptPart,
+    RequestKind,
+    RouteRule,
+    RoutingIndex,
+    RoutingTable,
+    ServerPool,
+)
+from almondfield_core.settings import AnswerSettings
+from almondfield_daemon.forwarding import (
+    ForwardEndpoint,
+    Forwarder,
+    RequestMetadata,
+    RetryWindow,
+    ServerSelector,
+)
+from almondfield_daemon.forwarding.tests.fakes import (
+    FakeCodec,
+    FakeEngines,
+    FakeOrigins,
+    FakeView,
+)
+from almondfield_daemon.host_delay import HostDelay
+from almondfield_daemon.loop_delay import ARRIVAL_KEY, Arrival
+from almondfield_daemon.server_notices import ServerNotices
+from almondfield_daemon.serving import RequestHead
+from almondfield_fairshare.prefix_placement import Placement
+from almondfield_testing import run
+
+PROMPT = Prompt("m", 20, 5, (PromptPart("s", 10), PromptPart("o", 10)))
+METADATA_BY_REQUEST = {
+    "a prompt": RequestMetadata("r", 4.0, prompt=PROMPT),
+    "a stream's take-up": RequestMetadata(
+        "r", 4.0, prompt=PROMPT, last_event_id="2", first_request_id="q"
+    ),
+    "another request": RequestMetadata("r", 4.0),
+}
+MAX_HELD_BYTES = 1_000_000
+
+
+class HeadCodec(FakeCodec):
+    """A codec that knows the metadata of the request and writes retry times."""
+
+    def __init__(self, metadata):
+        self.metadata = metadata
+
+    def read_request(self, headers):
+        """Return the metadata."""
+        return Ok(self.metadata)
+
+    def problem_headers(self, problem):
+        """Return the retry time."""
+        return ((b"retry-after", b"%.1f" % problem.retry_after_s),)
+
+
+class Subscription:
+    """The subscription to a table of one route."""
+
+    version = 1
+
+    def __init__(self, target_s):
+        route = RouteRule(
+            name="route",
+            domain="d",
+            path_prefix="/",
+            kind=RequestKind.STREAMING,
+            shares=(PoolShare("p"),),
+            timeout_s=4.0,
+            latency_target_s=target_s,
+            has_prompt=True,
+        )
+        pools = (ServerPool("p", 1),)
+        self.index = RoutingIndex(RoutingTable(1, routes=(route,), pools=pools))
+
+    def fresh_left_s(self):
+        """Return the time left of the lease."""
+        return 3.0
+
+
+@given("a router of a route with a target of {target_s:g} s, where {others}")
+def step_impl(context, target_s, others):
+    context.subscription = Subscription(target_s)
+    context.engines = FakeEngines()
+    context.engines.has_undecided = others == "another prompt waits"
+
+
+@when("{request} is read {late_s:g} s after it came")
+def step_impl(context, request, late_s):
+    async def check():
+        codec = HeadCodec(METADATA_BY_REQUEST[request])
+        selector = ServerSelector(
+            FakeView((), lambda: 1),
+            Placement(random.Random(1)),
+            "east",
+            context.engines,
+            HostDelay(),
+            ServerNotices(),
+        )
+        forwarder = Forwarder(
+            None,
+            selector,
+            FakeOrigins(),
+            lambda: RetryWindow(10.0, 0.2, 50.0, lambda: 1),
+            AnswerSettings(),
+        )
+        endpoint = ForwardEndpoint(
+            forwarder, context.subscription, codec, MAX_HELD_BYTES
+        )
+        came_s = now() - late_s
+        state = {ARRIVAL_KEY: Arrival(came_s, came_s, is_first=False)}
+        endpoint.limit_connections(lambda: 1, 10)
+        head = RequestHead("POST", b"/x", b"", ((b"host", b"d"),), state)
+        return endpoint.intake.check(head)
+
+    context.refusal = run(context, check())
+
+
+@then("the router passes it on")
+def step_impl(context):
+    assert context.refusal is None, context.refusal
+
+
+@then("the router refuses it, to be sent again in {seconds:g} s")
+def step_impl(context, seconds):
+    assert context.refusal is not None
+    lines = context.refusal.answer.split(b"\r\n")
+    assert lines[0].startswith(b"HTTP/1.1 503"), lines
+    assert b"retry-after: %.1f" % seconds in lines, lines
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -120,6 +120,11 @@
         self._held_refusal_by_team: dict[tuple[str, str], _HeldRefusal] = {}
         self._prefixes = SentPrefixes()
 
+    @property
+    def has_undecided(self) -> bool:
+        """Return whether a request waits for the scheduler's decision."""
+        return self._reports.has_undecided
+
     def last_server(self, prompt: Prompt) -> str:
         """Return the server that last got a prompt's shared parts; empty for none.
 
