--- a/bench/refusal_cost.py
+++ b/bench/refusal_cost.py
@@ -48,7 +48,9 @@
 REFUSAL = EngineRefusal(1.0, True, 0.1, 1)
 
 
-class _StubSubscription:
+class StubSubscription:
+    """The subscription to a table of one route."""
+
     def __init__(self):
         route = RouteRule(
             name="route",
@@ -71,6 +73,7 @@
         self.version = 1
 
     def fresh_left_s(self):
+        """Return the time left of the lease."""
         return 3.0
 
 
@@ -92,7 +95,8 @@
         return REFUSAL
 
 
-def _request(number, body_bytes):
+def make_request(number, body_bytes):
+    """Return a prompt with a body, as its caller sends it."""
     head = (
         f"POST /{number} HTTP/1.1\r\nhost: x\r\nattempt-id: {number:016x}\r\n"
         f"deadline-ms: 15000\r\ncredential: {KEY}\r\nmodel: m\r\n"
@@ -112,7 +116,7 @@
         for number in range(requests):
             if writer is None:
                 reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            writer.write(_request(caller * requests + number, body_bytes))
+            writer.write(make_request(caller * requests + number, body_bytes))
             head = await reader.readuntil(b"\r\n\r\n")
             refused += head.startswith(b"HTTP/1.1 503")
             if not keeps:
@@ -146,7 +150,7 @@
         AnswerSettings(),
     )
     endpoint = ForwardEndpoint(
-        forwarder, _StubSubscription(), PlatformHeaders(), MAX_HELD_BYTES
+        forwarder, StubSubscription(), PlatformHeaders(), MAX_HELD_BYTES
     )
     socket = bind("127.0.0.1", 0)
     listener = HttpListener(endpoint, socket, MAX_HEADER_BYTES)
