Measure a router's processor time in one place of the bench programs

refusal_cost.py and request_cost.py started callers and took the processor time with the same lines, chunk_cost.py and request_cost.py served streams with the same lines. measure_router, send_events and serve_connections have them now.

--- a/bench/chunk_cost.py
+++ b/bench/chunk_cost.py
@@ -57,19 +57,18 @@
         return 3.0
 
 
-def run_backend(ports, events, gap_s):
-    """Serve event streams, one event per gap."""
+async def send_events(writer, events, gap_s):
+    """Write the body of a stream in chunks, one event per gap, and close."""
+    for event in events:
+        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        await asyncio.sleep(gap_s)
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+    writer.close()
 
-    async def serve(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(HEAD)
-        for number in range(events):
-            event = EVENT % number
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-            await asyncio.sleep(gap_s)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        writer.close()
+
+def serve_connections(ports, serve):
+    """Serve the connections of a free port until the process ends; tell the port."""
 
     async def main():
         server = await asyncio.start_server(serve, "127.0.0.1", 0, backlog=1024)
@@ -79,6 +78,17 @@
     asyncio.run(main())
 
 
+def run_backend(ports, events, gap_s):
+    """Serve event streams, one event per gap."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD)
+        await send_events(writer, [EVENT % n for n in range(events)], gap_s)
+
+    serve_connections(ports, serve)
+
+
 def run_callers(done, port, streams):
     """Read streams to the end and report the total number of bytes."""
 
--- a/bench/refusal_cost.py
+++ b/bench/refusal_cost.py
@@ -130,10 +130,38 @@
     done.put(sum(asyncio.run(main())))
 
 
-async def measure(callers, requests, body_bytes, keeps):
-    """Return the router's processor seconds and the refused requests."""
+async def measure_router(endpoint, gate, run_callers, args):
+    """Return a router's processor seconds and what its callers report.
+
+    :param endpoint: the router's endpoint.
+    :param gate: decides on requests by their heads; None to pass all of them on.
+    :param run_callers: runs in a process of its own with a queue for its report, the
+        router's port and further arguments.
+    :param args: these arguments.
+    """
     log = LineLog(os.open(os.devnull, os.O_WRONLY), "h")
     eliot.add_destinations(log)
+    socket = bind("127.0.0.1", 0)
+    listener = HttpListener(endpoint, socket, MAX_HEADER_BYTES, gate)
+    await listener.start()
+    spawn = multiprocessing.get_context("spawn")
+    done = spawn.Queue()
+    port = socket.getsockname()[1]
+    process = spawn.Process(target=run_callers, args=(done, port, *args))
+    process.start()
+    processor_s = time.process_time()
+    while process.is_alive() and done.empty():
+        await asyncio.sleep(0.05)
+    processor_s = time.process_time() - processor_s
+    report = await asyncio.get_running_loop().run_in_executor(None, done.get)
+    process.join()
+    await listener.stop()
+    eliot.remove_destination(log)
+    return processor_s, report
+
+
+async def measure(callers, requests, body_bytes, keeps):
+    """Return the router's processor seconds and the refused requests."""
     selector = ServerSelector(
         _StubView(),
         Placement(random.Random(1)),
@@ -152,23 +180,8 @@
     endpoint = ForwardEndpoint(
         forwarder, StubSubscription(), PlatformHeaders(), MAX_HELD_BYTES
     )
-    socket = bind("127.0.0.1", 0)
-    listener = HttpListener(endpoint, socket, MAX_HEADER_BYTES)
-    await listener.start()
-    spawn = multiprocessing.get_context("spawn")
-    done = spawn.Queue()
-    args = (done, socket.getsockname()[1], callers, requests, body_bytes, keeps)
-    process = spawn.Process(target=run_callers, args=args)
-    process.start()
-    processor_s = time.process_time()
-    while process.is_alive() and done.empty():
-        await asyncio.sleep(0.05)
-    processor_s = time.process_time() - processor_s
-    refused = await asyncio.get_running_loop().run_in_executor(None, done.get)
-    process.join()
-    await listener.stop()
-    eliot.remove_destination(log)
-    return processor_s, refused
+    args = (callers, requests, body_bytes, keeps)
+    return await measure_router(endpoint, None, run_callers, args)
 
 
 def main(callers: int = 20, requests: int = 200, body_bytes: int = 17_000) -> None:
--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -7,12 +7,9 @@
 
 import asyncio
 import multiprocessing
-import os
 import random
-import time
 
 import cyclopts
-import eliot
 
 from almondfield_core.settings import (
     AnswerSettings,
@@ -31,21 +28,20 @@
     ServerSelector,
 )
 from almondfield_daemon.host_delay import HostDelay
-from almondfield_daemon.logs import LineLog
 from almondfield_daemon.scheduling import EngineAssignment
 from almondfield_daemon.scheduling.messages import EngineInFlight
 from almondfield_daemon.server_notices import ServerNotices
-from almondfield_daemon.serving import HttpListener, bind
 from almondfield_fairshare.prefix_placement import Placement
 from almondfield_platform.headers import PlatformHeaders
+from chunk_cost import send_events, serve_connections
 from refusal_cost import (
-    MAX_HEADER_BYTES,
     MAX_HELD_BYTES,
     POOL,
     REFUSAL,
     US_PER_S,
     StubSubscription,
     make_request,
+    measure_router,
 )
 
 EVENT = b"id: %d\ndata: %b\n\n"
@@ -107,20 +103,10 @@
             + value_by_name[b"attempt-id"]
             + b"\r\n\r\n"
         )
-        for number in range(events):
-            event = EVENT % (number + 1, EVENT_DATA)
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-            await asyncio.sleep(EVENT_GAP_S)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        writer.close()
+        items = [EVENT % (number + 1, EVENT_DATA) for number in range(events)]
+        await send_events(writer, items, EVENT_GAP_S)
 
-    async def main():
-        server = await asyncio.start_server(serve, "127.0.0.1", 0, backlog=1024)
-        ports.put(server.sockets[0].getsockname()[1])
-        await server.serve_forever()
-
-    asyncio.run(main())
+    serve_connections(ports, serve)
 
 
 def run_callers(done, port, callers, requests, body_bytes):
@@ -149,29 +135,16 @@
     """Return the router's processor seconds and the requests that were answered."""
     spawn = multiprocessing.get_context("spawn")
     loop = asyncio.get_running_loop()
-    ports, done = spawn.Queue(), spawn.Queue()
+    ports = spawn.Queue()
     backend = spawn.Process(target=run_backend, args=(ports, events))
     backend.start()
     address = f"127.0.0.1:{await loop.run_in_executor(None, ports.get)}"
-    log = LineLog(os.open(os.devnull, os.O_WRONLY), "h")
-    eliot.add_destinations(log)
     endpoint = _make_endpoint(servers, address, refuses)
-    socket = bind("127.0.0.1", 0)
-    listener = HttpListener(endpoint, socket, MAX_HEADER_BYTES, endpoint.intake)
-    await listener.start()
-    args = (done, socket.getsockname()[1], callers, requests, body_bytes)
-    process = spawn.Process(target=run_callers, args=args)
-    process.start()
-    processor_s = time.process_time()
-    while process.is_alive() and done.empty():
-        await asyncio.sleep(0.05)
-    processor_s = time.process_time() - processor_s
-    answered = await loop.run_in_executor(None, done.get)
-    process.join()
-    backend.terminate()
-    await listener.stop()
-    eliot.remove_destination(log)
-    return processor_s, answered
+    args = (callers, requests, body_bytes)
+    try:
+        return await measure_router(endpoint, endpoint.intake, run_callers, args)
+    finally:
+        backend.terminate()
 
 
 def _make_endpoint(count, address, refuses):
