Count calls, and make the prompt of the forwarding features, in one place

Two features counted calls with the same profile function, and four steps made the same prompt; late_intake made a route that requests.py makes.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/requests.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/requests.py
@@ -1,7 +1,13 @@
 """Routes and requests of the forwarding features."""
 
 from almondfield_core.clock import now
-from almondfield_core.routing import PoolShare, RequestKind, RouteRule
+from almondfield_core.routing import (
+    PoolShare,
+    Prompt,
+    PromptPart,
+    RequestKind,
+    RouteRule,
+)
 from almondfield_daemon.forwarding import RequestMetadata
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.run import StreamBrokenError
@@ -13,6 +19,7 @@
 SLACK = 50.0
 WINDOW_S = 10.0
 ONE_POOL = (PoolShare("p"),)
+PROMPT = Prompt("m", 20, 5, (PromptPart("s", 10), PromptPart("o", 10)))
 
 
 def route(kind, attempts, shares=ONE_POOL):
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/crashes_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/crashes_steps.py
@@ -7,18 +7,14 @@
 from result import Err, Ok
 
 from almondfield_core.messages import ServerFailure
-from almondfield_core.routing import Prompt, PromptPart
 from almondfield_daemon.forwarding import AnswerMetadata
 from almondfield_daemon.forwarding.answers import MAX_HELD_BODY_BYTES
 from almondfield_daemon.forwarding.tests.fakes import FakeAnswer, event
-from almondfield_daemon.forwarding.tests.requests import serve
+from almondfield_daemon.forwarding.tests.requests import PROMPT, serve
 from almondfield_daemon.quarantine import request_digests
 from almondfield_daemon.router.calls import AnswerCutError, CallFailure, Framing
 from almondfield_testing import run
 
-PROMPT = Prompt("m", 20, 5, (PromptPart("s", 10), PromptPart("o", 10)))
-
-
 SHARED_PART = "s"
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/decision_work_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/decision_work_steps.py
@@ -1,25 +1,23 @@
 """Steps of decision_work.feature."""
 
 import random
-import sys
+from collections import Counter
 from dataclasses import replace
 
 from behave import given, then, when
 
-from almondfield_core.routing import Prompt, PromptPart
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.fleet.messages import RouterHello, RouterState
 from almondfield_daemon.forwarding import ServerSelector
 from almondfield_daemon.forwarding.selected_server import SelectedServer
 from almondfield_daemon.forwarding.tests.fakes import FakeEngines, make_assignment
-from almondfield_daemon.forwarding.tests.requests import make_request, route
+from almondfield_daemon.forwarding.tests.requests import PROMPT, make_request, route
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.scheduling.messages import EngineRefusal
 from almondfield_daemon.server_notices import Leaving, ServerNotices, ServerStart
 from almondfield_fairshare.prefix_placement import Candidate, Placement
-from almondfield_testing import run
+from almondfield_testing import count_calls, run
 
-PROMPT = Prompt("m", 20, 5, (PromptPart("s", 10), PromptPart("o", 10)))
 ROUTERS_IN_A_RUSH = 50  # so many that a router may prefill few prompts of its own
 FIRST_OTHER = 10  # the servers before it may be chosen
 
@@ -47,7 +45,7 @@
 @when("a server is chosen for it among {few:d} and among {many:d} servers")
 def step_impl(context, few, many):
     context.route = replace(route("streaming", 2), has_prompt=True)
-    context.calls = [run(context, count_calls(context, n)) for n in (few, many)]
+    context.calls = [run(context, calls_among(context, n)) for n in (few, many)]
 
 
 @then("the router makes at most {factor:g} times as many calls among {many:d}")
@@ -56,7 +54,7 @@
     assert of_many <= factor * of_few, context.calls
 
 
-async def count_calls(context, count):
+async def calls_among(context, count):
     """Return the number of calls that one choice and its later checks make."""
     hello = RouterHello("east", "r", "127.0.0.1:1", RouterState.READY)
     view = FleetView(None, hello, (), lambda: None)
@@ -87,18 +85,10 @@
     request = make_request(context, 1.0, prompt=PROMPT)
     # The first choice creates records that later ones use.
     await selector.choose(request, frozenset())
-    calls = 0
-
-    def on_event(frame, event, argument):
-        nonlocal calls
-        calls += event in ("call", "c_call")
-
-    sys.setprofile(on_event)
-    try:
+    calls = Counter()
+    with count_calls(calls):
         selected = await selector.choose(request, frozenset())
         if isinstance(selected, SelectedServer):
             selector.has_changed_version("p", selected.server)
             selector.may_be_left("p", selected)
-    finally:
-        sys.setprofile(None)
-    return calls
+    return calls.total()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/late_intake_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/late_intake_steps.py
@@ -1,21 +1,13 @@
 """Steps of late_intake.feature."""
 
 import random
+from dataclasses import replace
 
 from behave import given, then, when
 from result import Ok
 
 from almondfield_core.clock import now
-from almondfield_core.routing import (
-    PoolShare,
-    Prompt,
-    PromptPart,
-    RequestKind,
-    RouteRule,
-    RoutingIndex,
-    RoutingTable,
-    ServerPool,
-)
+from almondfield_core.routing import RoutingIndex, RoutingTable, ServerPool
 from almondfield_core.settings import AnswerSettings
 from almondfield_daemon.forwarding import (
     ForwardEndpoint,
@@ -30,6 +22,7 @@
     FakeOrigins,
     FakeView,
 )
+from almondfield_daemon.forwarding.tests.requests import PROMPT, route
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.loop_delay import ARRIVAL_KEY, Arrival
 from almondfield_daemon.server_notices import ServerNotices
@@ -37,7 +30,6 @@
 from almondfield_fairshare.prefix_placement import Placement
 from almondfield_testing import run
 
-PROMPT = Prompt("m", 20, 5, (PromptPart("s", 10), PromptPart("o", 10)))
 METADATA_BY_REQUEST = {
     "a prompt": RequestMetadata("r", 4.0, prompt=PROMPT),
     "a stream's take-up": RequestMetadata(
@@ -69,18 +61,11 @@
     version = 1
 
     def __init__(self, target_s):
-        route = RouteRule(
-            name="route",
-            domain="d",
-            path_prefix="/",
-            kind=RequestKind.STREAMING,
-            shares=(PoolShare("p"),),
-            timeout_s=4.0,
-            latency_target_s=target_s,
-            has_prompt=True,
+        prompts = replace(
+            route("streaming", 2), has_prompt=True, latency_target_s=target_s
         )
         pools = (ServerPool("p", 1),)
-        self.index = RoutingIndex(RoutingTable(1, routes=(route,), pools=pools))
+        self.index = RoutingIndex(RoutingTable(1, routes=(prompts,), pools=pools))
 
     def fresh_left_s(self):
         """Return the time left of the lease."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/notices_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/notices_steps.py
@@ -6,13 +6,10 @@
 from behave import given, then, when
 
 from almondfield_core.clock import now
-from almondfield_core.routing import Prompt, PromptPart
-from almondfield_daemon.forwarding.tests.requests import serve
+from almondfield_daemon.forwarding.tests.requests import PROMPT, serve
 from almondfield_daemon.server_notices import Leaving, RetryAfter
 from almondfield_testing import run
 
-PROMPT = Prompt("m", 20, 5, (PromptPart("s", 10), PromptPart("o", 10)))
-
 
 def servers_of(context, which):
     """Return the servers that a step names."""
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/decision_work_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/decision_work_steps.py
@@ -1,7 +1,7 @@
 """Steps of decision_work.feature."""
 
 import asyncio
-import sys
+from collections import Counter
 
 from behave import given, then, when
 
@@ -12,7 +12,7 @@
     EngineServer,
     PromptRequest,
 )
-from almondfield_testing import run
+from almondfield_testing import count_calls, run
 
 SLOTS = 16
 CACHE_TOKENS = 400_000
@@ -51,25 +51,18 @@
 
 @when("the calls of {count:d} decisions on prompts are counted, {gap_ms:g} ms apart")
 def step_impl(context, count, gap_ms):
-    calls = 0
-
-    def on_event(frame, event, argument):
-        nonlocal calls
-        calls += event in ("call", "c_call")
+    calls = Counter()
 
     async def decide():
         for number in range(count):
             await asyncio.sleep(gap_ms / 1000)
             request = PromptRequest("team", prompt(number), 0.8)
             attempt = AttemptId("other", number)
-            sys.setprofile(on_event)
-            try:
+            with count_calls(calls):
                 context.scheduler.decide(attempt, request, context.engines * RATE)
-            finally:
-                sys.setprofile(None)
 
     run(context, decide())
-    context.calls = calls / count
+    context.calls = calls.total() / count
 
 
 @then("a decision makes at most {limit:d} calls for each engine")
--- a/tools/almondfield_testing/__init__.py
+++ b/tools/almondfield_testing/__init__.py
@@ -5,6 +5,7 @@
     InMemoryPeers,
     after_scenario,
     before_scenario,
+    count_calls,
     run,
 )
 
@@ -13,5 +14,6 @@
     "InMemoryPeers",
     "after_scenario",
     "before_scenario",
+    "count_calls",
     "run",
 ]
--- a/tools/almondfield_testing/core.py
+++ b/tools/almondfield_testing/core.py
@@ -6,7 +6,10 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+import sys
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import looptime
@@ -20,6 +23,7 @@
     "InMemoryPeers",
     "after_scenario",
     "before_scenario",
+    "count_calls",
     "run",
 ]
 
@@ -55,6 +59,26 @@
     return context.loop.run_until_complete(main())
 
 
+@contextmanager
+def count_calls(calls: Counter[str]) -> Iterator[None]:
+    """Count the calls of Python and built-in functions in the block.
+
+    Each item of a generator counts as a call, as it costs as much.
+
+    :param calls: counts by kind, to which those of the block are added.
+    """
+
+    def on_event(frame: Any, event: str, argument: Any) -> None:
+        if event in ("call", "c_call"):
+            calls[event] += 1
+
+    sys.setprofile(on_event)
+    try:
+        yield
+    finally:
+        sys.setprofile(None)
+
+
 class InMemoryNetwork:
     """Links that drop, delay, duplicate and reorder messages, and can be cut.
 
