Decide on a prompt by its head in one step

known_refusal and late_refusal were asked one after the other by the intake, and shared their counting by a third method; known_refusal asks for all three causes now, in the same order. Whether all servers are closed is asked only where none is usable: the answer is the same, and the servers aren't looked through twice. Two conditions are written plainly.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -24,7 +24,6 @@
 from almondfield_daemon.forwarding.servers import ServerSelector
 from almondfield_daemon.forwarding.stop_limits import StopLimits, draining
 from almondfield_daemon.forwarding.take_up import locate_stream
-from almondfield_daemon.forwarding.unavailable import Unavailable
 from almondfield_daemon.router.problems import Outcome, Problem
 
 __all__ = ["Forwarder"]
@@ -72,40 +71,26 @@
         team: str,
         prompt: Prompt,
         is_scheduled: bool,
+        unread_s: float,
     ) -> Problem | None:
         """Return a refusal that is certain before the body is read; None for none.
 
-        Either the prompt holds a quarantined part, or a refusal of the team's prompts
-        still holds.
+        The prompt holds a quarantined part, or a refusal of the team's prompts still
+        holds, or this router can't pass the prompt on in time.
 
         :param route: route of a request with a prompt.
         :param pool: pool of the request.
         :param team: team of the request.
         :param prompt: its prompt.
-        :param is_scheduled: whether the scheduler may refuse it for the team's share.
-        """
-        refused = self._servers.quarantine_refusal(team, prompt)
-        if refused is None and is_scheduled:
-            refused = self._servers.held_refusal(pool, team, prompt)
-        return self._refuse(route, pool, team, refused)
-
-    def late_refusal(
-        self, route: RouteRule, pool: str, team: str, unread_s: float
-    ) -> Problem | None:
-        """Return the refusal of a prompt that this router can't pass on in time.
-
-        :param route: route of the request.
-        :param pool: pool of the request.
-        :param team: team of the request.
+        :param is_scheduled: whether the scheduler decides on it.
         :param unread_s: least time that it was unread, in seconds.
         """
-        refused = self._servers.late_refusal(team, route.latency_target_s, unread_s)
-        return self._refuse(route, pool, team, refused)
-
-    def _refuse(
-        self, route: RouteRule, pool: str, team: str, refused: Unavailable | None
-    ) -> Problem | None:
-        """Return a refusal for the caller, and count it; None for none."""
+        servers = self._servers
+        refused = servers.quarantine_refusal(team, prompt)
+        if refused is None and is_scheduled:
+            refused = servers.held_refusal(pool, team, prompt)
+            target_s = route.latency_target_s
+            refused = refused or servers.late_refusal(team, target_s, unread_s)
         if refused is None:
             return None
         self._window(pool).record_request()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
@@ -131,14 +131,14 @@
         if metadata.prompt is None:
             return None
         is_scheduled = route.has_prompt and not metadata.takes_up_stream
-        problem = self._forwarder.known_refusal(
-            route, accepted.pool, accepted.team, metadata.prompt, is_scheduled
+        return self._forwarder.known_refusal(
+            route,
+            accepted.pool,
+            accepted.team,
+            metadata.prompt,
+            is_scheduled,
+            accepted.unread.least_s if accepted.unread else 0.0,
         )
-        if problem is None and is_scheduled and accepted.unread is not None:
-            problem = self._forwarder.late_refusal(
-                route, accepted.pool, accepted.team, accepted.unread.least_s
-            )
-        return problem
 
     def _read(self, head: RequestHead) -> Result[_AcceptedHead, Problem]:
         """Return what is known of a request by its head, or why it is refused."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -206,7 +206,7 @@
         if quarantined is not None:
             return quarantined
         servers = self._known.usable(request.pool, version)
-        closed = self._known.closed(request.pool, version)
+        closed = None if servers else self._known.closed(request.pool, version)
         if closed is not None:
             return closed
         if version is not None and not servers:
@@ -246,7 +246,7 @@
                 if server is not None:
                     return self._select(request, server, assignment)
                 assignment.end(was_sent=False)
-                closed = self._known.closed(request.pool, version)
+                closed = None if servers else self._known.closed(request.pool, version)
                 if closed is not None:
                     return closed
         return self._choose_locally(request, servers, tried)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -149,10 +149,12 @@
             usage > 1 and not request.is_repeat and self._shares.must_yield(usage)
         )
         waits_s = [estimate.wait_s for estimate in estimates]
-        has_capacity = True in [
-            wait_s <= limit_s or wait_s <= min_limit_s
-            for wait_s, limit_s in zip(waits_s, limits_s)
-        ]
+        has_capacity = any(
+            [
+                wait_s <= limit_s or wait_s <= min_limit_s
+                for wait_s, limit_s in zip(waits_s, limits_s)
+            ]
+        )
         # A late request leaves the team's share to those that can meet their target.
         if is_late or must_yield or not has_capacity:
             return self._refuse(request, min(waits_s), max_wait_s, usage, is_late)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/estimates.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/estimates.py
@@ -94,9 +94,7 @@
     :param answer_delay_s: time from the end of prefill to the first event, in seconds.
     """
     target_s = request.latency_target_s
-    if request.is_repeat or target_s <= 0:
-        return False
-    if request.waited_s <= 0:
+    if request.is_repeat or target_s <= 0 or request.waited_s <= 0:
         return False
     soonest_s = min([estimate.wait_s + estimate.prefill_s for estimate in estimates])
     return request.waited_s + soonest_s + answer_delay_s > target_s
