Let a scheduler's decision call only engines that hold a part of the prompt (FAIR)

A decision called each engine for its wait and its cached tokens and made an object of it, asked each team for its demand within the window, and sampled all engines by calls.

An engine keeps what decisions need in attributes, which change with its prompts. What changes with time alone is sampled each 10 ms. So a decision calls the engines that hold the first part of the prompt.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -19,11 +19,11 @@
 from almondfield_fairshare.engines.engine import Engine
 from almondfield_fairshare.engines.estimates import (
     CACHED_WAIT_FACTOR,
-    Estimate,
     are_mostly_idle,
+    costs_s,
     estimate_engines,
+    has_capacity,
     is_late_everywhere,
-    wait_limits_s,
 )
 from almondfield_fairshare.engines.held_prefixes import HeldPrefixes
 from almondfield_fairshare.engines.load import BusyShare, DecisionCounts, EngineLoad
@@ -113,7 +113,7 @@
         work = prompt.input_tokens + OUTPUT_TOKEN_WEIGHT * _output_tokens(prompt)
         if not request.is_repeat:
             self._shares.record_demand(request.team, work)
-        self._update_busy_share()
+        self._sample()
         used_share = max(self._busy_share.value(), self._used_slots.value())
         usage = self._shares.usage(request.team, work_per_s, used_share)
         base_max_wait_s = self._base_max_wait_s(request)
@@ -125,12 +125,7 @@
         if request.is_repeat:
             # The caller has waited already and may have received a part of the answer.
             max_wait_s = REPEAT_MAX_WAIT_S
-        excluded = frozenset(request.excluded)
-        engines = [
-            engine
-            for name, engine in self._engine_by_name.items()
-            if name not in excluded
-        ]
+        engines = self._usable_engines(request)
         if not engines:
             return Refused(MIN_RETRY_S, False, 0.0)
         blocks = prefix_blocks(prompt)
@@ -141,51 +136,63 @@
             and not are_idle
             and is_late_everywhere(request, estimates, self._answer_delay.seconds)
         )
-        min_limit_s = 0.0 if are_idle else -math.inf
         repeated_prefill_weight = REPEATED_PREFILL_WEIGHT * (1 - spare_capacity)
-        limits_s = wait_limits_s(estimates, max_wait_s, repeated_prefill_weight)
+        # While engines are mostly idle, any idle one may prefill any prompt.
+        is_admissible = are_idle or has_capacity(
+            estimates, max_wait_s, repeated_prefill_weight
+        )
         # Spare capacity goes to the team with the lowest usage.
         must_yield = (
             usage > 1 and not request.is_repeat and self._shares.must_yield(usage)
         )
-        waits_s = [estimate.wait_s for estimate in estimates]
-        has_capacity = any(
-            [
-                wait_s <= limit_s or wait_s <= min_limit_s
-                for wait_s, limit_s in zip(waits_s, limits_s)
-            ]
-        )
+        waits_s = estimates.waits_s
         # A late request leaves the team's share to those that can meet their target.
-        if is_late or must_yield or not has_capacity:
+        if is_late or must_yield or not is_admissible:
             return self._refuse(request, min(waits_s), max_wait_s, usage, is_late)
         # The request is admitted: choose the engine with the lowest total cost.
         max_limit_s = CACHED_WAIT_FACTOR * max(base_max_wait_s, max_wait_s)
-        affordable = [e for e in estimates if e.wait_s <= max_limit_s]
-        costs_s = [e.wait_s + PREFILL_WEIGHT * e.prefill_s for e in affordable]
-        chosen = affordable[costs_s.index(min(costs_s))]
+        affordable_costs_s = [
+            cost_s if wait_s <= max_limit_s else math.inf
+            for wait_s, cost_s in zip(
+                waits_s, costs_s(estimates, PREFILL_WEIGHT), strict=True
+            )
+        ]
+        chosen = affordable_costs_s.index(min(affordable_costs_s))
+        engine, uncached = engines[chosen], estimates.uncached_tokens[chosen]
         grant = self._shares.record_grant(request.team, work)
-        self._send(attempt, prompt, chosen, blocks, grant)
+        self._send(attempt, prompt, engine, uncached, blocks, grant)
         self._counts.add_for(request.team, "admitted")
-        self._counts.add("unread_tokens", chosen.uncached_tokens)
-        server = chosen.engine.server.name
-        return Admitted(server, chosen.uncached_tokens, chosen.wait_s)
+        self._counts.add("unread_tokens", uncached)
+        return Admitted(engine.server.name, uncached, waits_s[chosen])
+
+    def _usable_engines(self, request: PromptRequest) -> list[Engine]:
+        excluded = request.excluded
+        if not excluded:
+            return list(self._engine_by_name.values())
+        return [
+            engine
+            for name, engine in self._engine_by_name.items()
+            if name not in excluded
+        ]
 
     def _with_known_wait(self, request: PromptRequest) -> PromptRequest:
         """Return a request with the longest known wait of its caller."""
         known_s = self._refused_prompts.waited_s(request.prompt.identifier)
-        return replace(request, waited_s=max(request.waited_s, known_s))
+        if known_s <= request.waited_s:
+            return request
+        return replace(request, waited_s=known_s)
 
     def _send(
         self,
         attempt: AttemptId,
         prompt: Prompt,
-        estimate: Estimate,
+        engine: Engine,
+        uncached_tokens: int,
         blocks: tuple[PrefixBlock, ...],
         grant: Grant,
     ) -> None:
-        """Count an admitted request as sent to the engine of an estimate."""
-        engine = estimate.engine
-        engine.send(attempt, blocks, estimate.uncached_tokens, _output_tokens(prompt))
+        """Count an admitted request as sent to an engine."""
+        engine.send(attempt, blocks, uncached_tokens, _output_tokens(prompt))
         self._attempts.put(attempt, InFlightAttempt(engine.server.name, grant))
         self._refused_prompts.remove(prompt.identifier)
 
@@ -316,15 +323,21 @@
         """
         return self._shares.loads(count, self._counts.collect_by_team())
 
-    def _update_busy_share(self) -> None:
+    def _sample(self) -> None:
+        """Update what changes with time alone, at intervals."""
         at_s = now()
         if at_s - self._sampled_s < SAMPLE_INTERVAL_S:
             return
         self._sampled_s = at_s
+        self._shares.remove_expired(at_s)
         engines = self._engine_by_name.values()
+        overdue = [engine for engine in engines if engine.due_s < at_s]
+        for engine in overdue:
+            engine.refresh(at_s)
         count = max(1, len(engines))
-        self._busy_share.record(sum(e.is_prefilling(at_s) for e in engines) / count)
-        self._used_slots.record(sum(e.used_slot_share for e in engines) / count)
+        busy = sum([e.idle_from_s > at_s or e.due_s < at_s for e in engines])
+        self._busy_share.record(busy / count)
+        self._used_slots.record(sum([e.used_slot_share for e in engines]) / count)
 
     def _base_max_wait_s(self, request: PromptRequest) -> float:
         """Return the wait limit for teams within their fair share, in seconds."""
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
@@ -1,5 +1,6 @@
 """Model of one engine: its prefill queue, prefill rate and prefix cache."""
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 
@@ -46,7 +47,19 @@
     :param server: the server, as it announced itself.
     :param answer_delay: that time, over all engines of the pool.
 
+    Decisions look at many engines, so what they need is kept in attributes.
+
     :ivar prefill_rate: prompt tokens prefilled per second while other requests run.
+    :ivar ready_s: when the prefill of a new prompt is expected to begin, in seconds of
+        the loop's clock; an earlier time than now for an idle engine.
+    :ivar slot_wait_s: added wait of a new prompt if it is beyond the engine's slots, in
+        seconds.
+    :ivar used_slot_share: share of the engine's slots that are in use, at most 1.
+    :ivar idle_from_s: when all waiting prompts are expected to be prefilled, in seconds
+        of the loop's clock.
+    :ivar due_s: when the first answer is expected to have begun, in seconds of the
+        loop's clock; infinite if no prompt waits.
+    :ivar cached_parts: keys of the cached prefixes.
     """
 
     def __init__(self, server: EngineServer, answer_delay: AnswerDelay) -> None:
@@ -57,30 +70,31 @@
         self._began_s_by_attempt: dict[AttemptId, float] = {}
         self._reported_s = now()  # the last time that a waiting prompt began or left
         self._prefilled_s = now()  # when the prefill of that prompt ended
-        self._idle_from_s = now()  # when all waiting prompts are expected to be done
-        self._due_s = now()  # when the first answer is expected to have begun
         self._sampled_tokens = INITIAL_RATE
         self._sampled_s = 1.0
         self._backoff_until_s = float("-inf")
         self.prefill_rate = INITIAL_RATE
+        self.idle_from_s = now()
+        self.due_s = math.inf
+        self.cached_parts = self._prefix_cache.tokens_by_key.keys()
+        self.refresh(now())
 
-    def is_prefilling(self, at_s: float) -> bool:
-        """Return whether the engine is expected to prefill a prompt.
+    def refresh(self, at_s: float) -> None:
+        """Update the predicted wait, which rises while the engine is overdue.
 
         :param at_s: the current time, in seconds of the loop's clock.
         """
-        return bool(self._waiting_by_attempt) and self._backlog_s(at_s) > 0
+        self.ready_s = at_s + self.wait_s(at_s)
+        slots = max(1, self.server.slots)
+        self.used_slot_share = min(1.0, self.in_flight / slots)
+        beyond = max(0, self.in_flight + 1 - self.server.slots)
+        self.slot_wait_s = SLOT_PENALTY_S * beyond
 
     @property
     def in_flight(self) -> int:
         """Return the number of requests that wait or run."""
         return len(self._waiting_by_attempt) + len(self._began_s_by_attempt)
 
-    @property
-    def used_slot_share(self) -> float:
-        """Return the share of the engine's slots that are in use, at most 1."""
-        return min(1.0, self.in_flight / max(1, self.server.slots))
-
     def cached_tokens(self, blocks: tuple[PrefixBlock, ...]) -> int:
         """Return how many tokens of a prompt are cached.
 
@@ -88,27 +102,6 @@
         """
         return self._prefix_cache.count_cached(blocks)
 
-    def predict(
-        self, at_s: float, blocks: tuple[PrefixBlock, ...]
-    ) -> tuple[float, int]:
-        """Return the predicted wait of a prompt in seconds, and its cached tokens.
-
-        The wait includes a penalty for each request beyond the engine's slots.
-
-        :param at_s: the current time, in seconds of the loop's clock.
-        :param blocks: prefix blocks of the prompt.
-        """
-        # Most engines have no part of a prompt, and many are idle.
-        has_part = blocks and blocks[0][0] in self._prefix_cache.tokens_by_key
-        cached = self.cached_tokens(blocks) if has_part else 0
-        is_idle = not self._waiting_by_attempt and self._backoff_until_s <= at_s
-        wait_s = 0.0 if is_idle else self.wait_s(at_s)
-        in_flight = len(self._waiting_by_attempt) + len(self._began_s_by_attempt)
-        beyond = in_flight + 1 - self.server.slots
-        if beyond > 0:
-            wait_s += SLOT_PENALTY_S * beyond
-        return wait_s, cached
-
     def wait_s(self, at_s: float) -> float:
         """Return the predicted wait of a new prompt before prefill, in seconds.
 
@@ -120,12 +113,12 @@
 
     def _backlog_s(self, at_s: float) -> float:
         """Return the predicted time to prefill all waiting prompts, in seconds."""
-        if at_s <= self._due_s:
-            return self._idle_from_s - at_s if self._idle_from_s > at_s else 0.0
+        if at_s <= self.due_s:
+            return self.idle_from_s - at_s if self.idle_from_s > at_s else 0.0
         # The engine has slowed down: scale the remaining time in proportion.
         head = next(iter(self._waiting_by_attempt.values()))
-        overdue_s = at_s - self._due_s
-        expected_s = self._due_s - max(self._prefilled_s, head.sent_s)
+        overdue_s = at_s - self.due_s
+        expected_s = self.due_s - max(self._prefilled_s, head.sent_s)
         slowdown = 1 + overdue_s / (expected_s + SHORT_DELAY_S)
         return overdue_s + self._remaining_s(head) * slowdown
 
@@ -164,12 +157,13 @@
         :param attempt: identifier of the attempt.
         :param uncached_tokens: tokens that the engine has to prefill.
         """
-        wait_s = max(0.0, self._idle_from_s - now())
+        wait_s = max(0.0, self.idle_from_s - now())
         prompt = _WaitingPrompt(uncached_tokens, now(), wait_s)
         self._waiting_by_attempt[attempt] = prompt
-        self._idle_from_s = now() + wait_s + uncached_tokens / self.prefill_rate
+        self.idle_from_s = now() + wait_s + uncached_tokens / self.prefill_rate
         if len(self._waiting_by_attempt) == 1:
             self._set_due(prompt)
+        self.refresh(now())
 
     def begin_answer(self, attempt: AttemptId) -> None:
         """Record that the answer to a request has begun.
@@ -179,10 +173,11 @@
         waiting = self._waiting_by_attempt.get(attempt)
         if waiting is None:
             self._began_s_by_attempt.setdefault(attempt, now())
-            return
-        self._record_prefill(attempt, waiting)
-        self._dequeue(attempt, now() - self._answer_delay.seconds)
-        self._began_s_by_attempt[attempt] = now()
+        else:
+            self._record_prefill(attempt, waiting)
+            self._dequeue(attempt, now() - self._answer_delay.seconds)
+            self._began_s_by_attempt[attempt] = now()
+        self.refresh(now())
 
     def end(self, attempt: AttemptId, was_refused: bool = False) -> None:
         """Remove a request from the engine.
@@ -216,6 +211,7 @@
         """
         self._dequeue(attempt, now())
         self._began_s_by_attempt.pop(attempt, None)
+        self.refresh(now())
 
     def expired_attempts(self) -> tuple[AttemptId, ...]:
         """Return the identifiers of attempts past their lifetime, end unreported."""
@@ -265,15 +261,16 @@
             return
         self._reported_s = now()
         self._prefilled_s = prefilled_s
-        self._idle_from_s = prefilled_s
+        self.idle_from_s = prefilled_s
         for item in self._waiting_by_attempt.values():
-            begun_s = max(self._idle_from_s, item.sent_s)
-            self._idle_from_s = begun_s + item.uncached_tokens / self.prefill_rate
+            begun_s = max(self.idle_from_s, item.sent_s)
+            self.idle_from_s = begun_s + item.uncached_tokens / self.prefill_rate
+        self.due_s = math.inf
         if self._waiting_by_attempt:
             self._set_due(next(iter(self._waiting_by_attempt.values())))
 
     def _set_due(self, head: _WaitingPrompt) -> None:
         """Set when the answer to the first waiting prompt is expected to have begun."""
-        self._due_s = max(self._prefilled_s, head.sent_s)
-        self._due_s += head.uncached_tokens / self.prefill_rate
-        self._due_s += self._answer_delay.seconds + TOLERANCE_S
+        self.due_s = max(self._prefilled_s, head.sent_s)
+        self.due_s += head.uncached_tokens / self.prefill_rate
+        self.due_s += self._answer_delay.seconds + TOLERANCE_S
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/estimates.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/estimates.py
@@ -1,7 +1,6 @@
 """Predicted costs of a request at each engine."""
 
-from functools import partial
-from typing import NamedTuple
+from dataclasses import dataclass
 
 from almondfield_core.clock import now
 from almondfield_fairshare.engines.engine import Engine
@@ -10,40 +9,38 @@
 
 __all__ = [
     "CACHED_WAIT_FACTOR",
-    "Estimate",
+    "Estimates",
     "are_mostly_idle",
+    "costs_s",
     "estimate_engines",
+    "has_capacity",
     "is_late_everywhere",
-    "wait_limits_s",
 ]
 
 CACHED_WAIT_FACTOR = 1.25  # of the wait limit, where most of a prompt is cached
 MIN_IDLE_SHARE = 0.6  # below it, engines are idle only between two prompts
 
 
-class Estimate(NamedTuple):
-    """Predicted cost of a request at one engine.
+@dataclass(frozen=True)
+class Estimates:
+    """Predicted costs of a request at some engines, in lists of the same order.
 
-    :ivar engine: the engine.
-    :ivar wait_s: predicted wait before prefill, in seconds.
-    :ivar uncached_tokens: prompt tokens that the engine has to prefill.
-    :ivar prefill_s: predicted prefill time in seconds.
-    """
-
-    engine: Engine
-    wait_s: float
-    uncached_tokens: int
-    prefill_s: float
+    Every decision looks at each engine. Lists of numbers need no calls and no objects
+    for each of them.
 
+    :ivar engines: the engines, at least one.
+    :ivar waits_s: predicted waits before prefill, in seconds.
+    :ivar uncached_tokens: prompt tokens that each engine has to prefill.
+    """
 
-# Every decision creates an estimate for each engine. Below are list comprehensions in
-# place of generators, as each item of a generator costs as much as a call.
-_new_estimate = partial(tuple.__new__, Estimate)
+    engines: list[Engine]
+    waits_s: list[float]
+    uncached_tokens: list[int]
 
 
 def estimate_engines(
     engines: list[Engine], request: PromptRequest, blocks: tuple[PrefixBlock, ...]
-) -> list[Estimate]:
+) -> Estimates:
     """Return the predicted cost of a request at each engine.
 
     :param engines: the engines, at least one.
@@ -51,41 +48,39 @@
     :param blocks: prefix blocks of its prompt.
     """
     at_s = now()
-    input_tokens = request.prompt.input_tokens
-    estimates = []
-    for engine in engines:
-        wait_s, cached = engine.predict(at_s, blocks)
-        uncached = input_tokens - cached if cached < input_tokens else 1
-        prefill_s = uncached / engine.prefill_rate
-        estimates.append(_new_estimate((engine, wait_s, uncached, prefill_s)))
-    is_uncached = min([e.uncached_tokens for e in estimates]) >= input_tokens
-    if not is_uncached or not blocks:
-        return estimates
-    # No cache model has the prompt, as after a restart of the scheduler: assume that
-    # the server of the router's hint has its shared parts cached.
-    unshared_tokens = max(1, request.prompt.unshared_tokens)
-    return [
-        estimate._replace(
-            uncached_tokens=unshared_tokens,
-            prefill_s=unshared_tokens / estimate.engine.prefill_rate,
-        )
-        if estimate.engine.server.name == request.hint
-        else estimate
-        for estimate in estimates
+    waits_s = [
+        engine.slot_wait_s + (engine.ready_s - at_s if engine.ready_s > at_s else 0.0)
+        for engine in engines
     ]
-
-
-def are_mostly_idle(estimates: list[Estimate]) -> bool:
+    input_tokens = request.prompt.input_tokens
+    uncached_tokens = [input_tokens] * len(engines)
+    if blocks:
+        first = blocks[0][0]
+        holders = [i for i, e in enumerate(engines) if first in e.cached_parts]
+        for index in holders:
+            cached = engines[index].cached_tokens(blocks)
+            uncached_tokens[index] = max(1, input_tokens - cached)
+        if not holders:
+            # No cache model has the prompt, as after a restart of the scheduler: assume
+            # that the server of the router's hint has its shared parts cached.
+            unshared_tokens = max(1, request.prompt.unshared_tokens)
+            for index, engine in enumerate(engines):
+                if engine.server.name == request.hint:
+                    uncached_tokens[index] = unshared_tokens
+    return Estimates(engines, waits_s, uncached_tokens)
+
+
+def are_mostly_idle(estimates: Estimates) -> bool:
     """Return whether enough engines are idle for any of them to prefill any prompt.
 
     :param estimates: costs at all engines that the request may use.
     """
-    idle = sum([estimate.wait_s <= 0 for estimate in estimates])
-    return idle >= MIN_IDLE_SHARE * len(estimates)
+    idle = sum([wait_s <= 0 for wait_s in estimates.waits_s])
+    return idle >= MIN_IDLE_SHARE * len(estimates.waits_s)
 
 
 def is_late_everywhere(
-    request: PromptRequest, estimates: list[Estimate], answer_delay_s: float
+    request: PromptRequest, estimates: Estimates, answer_delay_s: float
 ) -> bool:
     """Return whether no engine can begin the answer within the latency target.
 
@@ -96,12 +91,45 @@
     target_s = request.latency_target_s
     if request.is_repeat or target_s <= 0 or request.waited_s <= 0:
         return False
-    soonest_s = min([estimate.wait_s + estimate.prefill_s for estimate in estimates])
+    soonest_s = min(costs_s(estimates, prefill_weight=1.0))
     return request.waited_s + soonest_s + answer_delay_s > target_s
 
 
-def wait_limits_s(
-    estimates: list[Estimate], max_wait_s: float, repeated_prefill_weight: float
+def costs_s(estimates: Estimates, prefill_weight: float) -> list[float]:
+    """Return the sum of wait and weighted prefill time at each engine, in seconds.
+
+    :param estimates: costs at the engines.
+    :param prefill_weight: weight of the prefill time.
+    """
+    return [
+        wait_s + prefill_weight * uncached / engine.prefill_rate
+        for engine, wait_s, uncached in zip(
+            estimates.engines,
+            estimates.waits_s,
+            estimates.uncached_tokens,
+            strict=True,
+        )
+    ]
+
+
+def has_capacity(
+    estimates: Estimates, max_wait_s: float, repeated_prefill_weight: float
+) -> bool:
+    """Return whether the wait at any engine is within its limit.
+
+    :param estimates: costs at the engines.
+    :param max_wait_s: wait limit of the request's team, in seconds.
+    :param repeated_prefill_weight: weight of the time of a repeated prefill.
+    """
+    if min(estimates.waits_s) > CACHED_WAIT_FACTOR * max_wait_s:
+        return False
+    limits_s = _wait_limits_s(estimates, max_wait_s, repeated_prefill_weight)
+    waits = zip(estimates.waits_s, limits_s, strict=True)
+    return any([wait_s <= limit_s for wait_s, limit_s in waits])
+
+
+def _wait_limits_s(
+    estimates: Estimates, max_wait_s: float, repeated_prefill_weight: float
 ) -> list[float]:
     """Return the wait limit at each engine, in seconds.
 
@@ -112,12 +140,12 @@
     :param max_wait_s: wait limit of the request's team, in seconds.
     :param repeated_prefill_weight: weight of the time of a repeated prefill.
     """
-    min_uncached = min([estimate.uncached_tokens for estimate in estimates])
+    min_uncached = min(estimates.uncached_tokens)
     longest_s = CACHED_WAIT_FACTOR * max_wait_s
     return [
         longest_s
-        - repeated_prefill_weight
-        * (estimate.uncached_tokens - min_uncached)
-        / estimate.engine.prefill_rate
-        for estimate in estimates
+        - repeated_prefill_weight * (uncached - min_uncached) / engine.prefill_rate
+        for engine, uncached in zip(
+            estimates.engines, estimates.uncached_tokens, strict=True
+        )
     ]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
@@ -35,12 +35,15 @@
     """Sum of work over a sliding window.
 
     :param window_s: length of the window in seconds.
+
+    :ivar work: the work, with what has left the window since the last call of
+        :meth:`total`.
     """
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
         self._items: deque[tuple[float, float]] = deque()
-        self._total = 0.0
+        self.work = 0.0
 
     def add(self, at_s: float, work: float) -> None:
         """Add work at a time, which is not before that of the last addition.
@@ -49,7 +52,7 @@
         :param work: the work.
         """
         self._items.append((at_s, work))
-        self._total += work
+        self.work += work
 
     def remove(self, added_s: float, work: float) -> None:
         """Remove work that was added at a time, unless the window has passed it.
@@ -61,7 +64,7 @@
         for index in range(len(self._items) - 1, -1, -1):
             if self._items[index] == (added_s, work):
                 del self._items[index]
-                self._total -= work
+                self.work -= work
                 return
             if self._items[index][0] < added_s:
                 return
@@ -74,8 +77,10 @@
         before_s = (now() if at_s is None else at_s) - self._window_s
         items = self._items
         while items and items[0][0] < before_s:
-            self._total -= items.popleft()[1]
-        return self._total if self._total > 0 else 0.0
+            self.work -= items.popleft()[1]
+        if not items:
+            self.work = 0.0  # sums of floats leave a small rest
+        return self.work
 
 
 class TeamShares:
@@ -173,6 +178,14 @@
         """Record that the engines are full: the granted work equals the capacity."""
         self._saturated_until_s = now() + SATURATION_S
 
+    def remove_expired(self, at_s: float) -> None:
+        """Drop demand that has left the window; shares count it until then.
+
+        :param at_s: the current time, in seconds of the loop's clock.
+        """
+        for demand in self._demand_by_team.values():
+            demand.total(at_s)
+
     def remove_idle(self) -> None:
         """Drop teams without work in the window, and expired refusals."""
         for sum_by_team in (self._demand_by_team, self._granted_by_team):
@@ -216,9 +229,8 @@
 
     def _fair_share(self, capacity: float) -> float:
         """Return the largest work that one team may have in a window."""
-        at_s = now()
-        demands = sorted([item.total(at_s) for item in self._demand_by_team.values()])
-        demands = [total for total in demands if total > 0]
+        demands = sorted([item.work for item in self._demand_by_team.values()])
+        demands = [work for work in demands if work > 0]
         remaining = capacity
         for index, total in enumerate(demands):
             even_share = remaining / (len(demands) - index)
