Share the decisions of a busy scheduler among teams, not routers (FAIR)

Cause: a scheduler that is asked for more prompts than its host can decide on answered all routers too late, so that hardly any decision was used. Each router then served the same few prompts by itself, two at a time, whatever its teams sent. The class: without a limit, work that comes too late is done all the same, and takes the place of work that would be in time.

Three of the six scenarios of busy_scheduler.feature failed before; the other three guard what must stay. Routers and schedulers of earlier versions work with later ones: new fields have defaults.

--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/asked_shares.py
@@ -0,0 +1,49 @@
+"""Parts of the teams' prompts that a router asks a busy scheduler for."""
+
+from collections import Counter
+from collections.abc import Mapping
+
+from almondfield_core.clock import now
+
+__all__ = ["AskedShares"]
+
+LIFETIME_S = 1.0  # without a newer reply; a busy scheduler updates them more often
+
+
+class AskedShares:
+    """Chooses the prompts in one pool that the scheduler is asked for."""
+
+    def __init__(self) -> None:
+        self._share_by_team: Mapping[str, float] = {}
+        self._received_s = float("-inf")
+        self._due_by_team: Counter[str] = Counter()
+        self._prompts_by_team: Counter[str] = Counter()
+
+    def record(self, share_by_team: Mapping[str, float]) -> None:
+        """Record what a reply of the scheduler says.
+
+        :param share_by_team: part of the prompts to ask for, of each team of which that
+            isn't all.
+        """
+        self._share_by_team = share_by_team
+        self._received_s = now()
+
+    def ask(self, team: str, is_repeat: bool) -> int:
+        """Return the prompts to tell the scheduler of if it is asked; 0 if it is not.
+
+        :param team: name of the team.
+        :param is_repeat: whether another attempt at the same request was made before;
+            it is always asked for.
+        """
+        share = 1.0
+        if now() - self._received_s < LIFETIME_S:
+            share = self._share_by_team.get(team, 1.0)
+        self._prompts_by_team[team] += 1
+        self._due_by_team[team] += share
+        if self._due_by_team[team] < 1 and not is_repeat:
+            return 0
+        # What is left counts for the next prompt of a team with a limit.
+        left = self._due_by_team.pop(team) - 1
+        if 0 < left < 1:
+            self._due_by_team[team] = left
+        return self._prompts_by_team.pop(team)
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -9,6 +9,7 @@
 from almondfield_core.clock import now
 from almondfield_core.ports import Peers
 from almondfield_core.routing import Prompt
+from almondfield_daemon.scheduling.asked_shares import AskedShares
 from almondfield_daemon.scheduling.messages import (
     EngineInFlight,
     EnginePrefixes,
@@ -119,6 +120,7 @@
         self._reply_time_s = 0.0
         self._held_refusal_by_team: dict[tuple[str, str], _HeldRefusal] = {}
         self._prefixes = SentPrefixes()
+        self._asked_shares = AskedShares()
 
     @property
     def has_undecided(self) -> bool:
@@ -196,10 +198,13 @@
         is_too_slow = self._reports.has_undecided and self._reply_time_s > timeout_s
         if not host or is_backing_off or is_too_slow:
             return None
+        prompts = self._asked_shares.ask(request.team, request.is_repeat)
+        if not prompts:
+            return None
         number = self._reports.add_undecided()
         request = replace(request, hint=self.last_server(request.prompt))
         sent_s = now()
-        message = EngineRequest(pool, number, request)
+        message = EngineRequest(pool, number, request, sent_s, prompts)
 
         def on_late(reply: object) -> None:
             self._record_late_reply(host, reply, sent_s)
@@ -214,14 +219,14 @@
         match answer:
             case Ok(EngineReply() as reply):
                 # First, as a new scheduler has this attempt and receives the others.
-                self._record_scheduler(host, reply.scheduler_start, sent_s)
+                self._record_scheduler(host, reply, sent_s)
                 self._hold_refusal(pool, request.team, reply, sent_s)
                 item = EngineInFlight(number, pool, reply.server, reply.unread_tokens)
                 self._reports.start(item)
                 return EngineAssignment(self._reports, item, reply.wait_s)
             case Ok(EngineRefusal() as refusal):
                 self._reports.remove_undecided(number)
-                self._record_scheduler(host, refusal.scheduler_start, sent_s)
+                self._record_scheduler(host, refusal, sent_s)
                 self._hold_refusal(pool, request.team, refusal, sent_s)
                 return refusal
             case _:
@@ -258,14 +263,18 @@
         self._reports.start(item)
         return EngineAssignment(self._reports, item)
 
-    def _record_scheduler(self, host: str, start: int, sent_s: float) -> None:
+    def _record_scheduler(
+        self, host: str, reply: EngineReply | EngineRefusal, sent_s: float
+    ) -> None:
         self._last_reply_s = now()
         decayed_s = REPLY_TIME_DECAY * self._reply_time_s
         self._reply_time_s = max(now() - sent_s, decayed_s)
         if not self._is_reached:
             self._is_reached = True
             eliot.log_message("scheduler:reached", scheduler=host)
-        if self._reports.set_scheduler(host, start):
+        if reply.asked_share_by_team is not None:
+            self._asked_shares.record(reply.asked_share_by_team)
+        if self._reports.set_scheduler(host, reply.scheduler_start):
             self._send_prefixes(host)
 
     def _send_prefixes(self, host: str) -> None:
@@ -296,7 +305,7 @@
         """Record that the scheduler answers; the attempt has been reported as over."""
         match reply:
             case EngineReply() | EngineRefusal() if host == self._leader():
-                self._record_scheduler(host, reply.scheduler_start, sent_s)
+                self._record_scheduler(host, reply, sent_s)
                 if host == self._unresponsive_host:
                     self._backoff_until_s = float("-inf")
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
@@ -26,11 +26,15 @@
     :ivar pool: name of the pool.
     :ivar number: number of the attempt at this router.
     :ivar request: the request that needs an engine.
+    :ivar sent_s: when it was sent, in seconds of the router's clock; 0 if not told.
+    :ivar prompts: prompts of the team since the last request for it, this one included.
     """
 
     pool: str
     number: int
     request: PromptRequest
+    sent_s: float = 0.0
+    prompts: int = 1
 
 
 @wire_message("engine-reply")
@@ -43,12 +47,15 @@
     :ivar wait_s: predicted wait before prefill, in seconds.
     :ivar scheduler_start: identifier of this start of the scheduler; if it changes, the
         scheduler has none of the earlier reports.
+    :ivar asked_share_by_team: part of the further prompts that the router asks for, of
+        each team of which that isn't all; None if it has not changed.
     """
 
     server: str
     unread_tokens: int
     wait_s: float
     scheduler_start: int
+    asked_share_by_team: dict[str, float] | None = None
 
 
 @wire_message("engine-refusal")
@@ -60,12 +67,15 @@
     :ivar is_over_share: whether the team has exceeded its fair share.
     :ivar wait_s: shortest predicted wait, in seconds.
     :ivar scheduler_start: identifier of this start of the scheduler.
+    :ivar asked_share_by_team: part of the further prompts that the router asks for, of
+        each team of which that isn't all; None if it has not changed.
     """
 
     retry_after_s: float
     is_over_share: bool
     wait_s: float
     scheduler_start: int
+    asked_share_by_team: dict[str, float] | None = None
 
 
 @wire_message("not-scheduling")
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -11,6 +11,7 @@
 from almondfield_core.ports import Peers
 from almondfield_core.routing import RoutingTable
 from almondfield_daemon.fleet import FleetControl, FleetServer, ServerPhase
+from almondfield_daemon.scheduling.busy_control import BusyControl
 from almondfield_daemon.scheduling.messages import (
     EnginePrefixes,
     EngineProgress,
@@ -59,6 +60,7 @@
         self._start = 0
         self._is_scheduling = False
         self._scheduler_by_pool: dict[str, EngineScheduler] = {}
+        self._busy_control = BusyControl()
 
     def register_handlers(self) -> None:
         """Register the handlers of messages and of server changes."""
@@ -73,6 +75,8 @@
         while True:
             await asyncio.sleep(CLEAN_UP_INTERVAL_S)
             before, routers = routers, frozenset(self._fleet.routers.hosts())
+            for router in before - routers:
+                self._busy_control.remove(router)
             for pool, scheduler in self._scheduler_by_pool.items():
                 with contain_errors("clean-up of a scheduler"):
                     self._clean_up(pool, scheduler, before - routers)
@@ -113,11 +117,15 @@
             return NotScheduling()
         attempt = AttemptId(sender, message.number)
         scheduler = self._scheduler(message.pool, table)
+        self._busy_control.record(sender, message)
+        shares = self._busy_control.changed_shares(sender)
         match scheduler.decide(attempt, message.request, table.limits.work_per_s):
             case Admitted(server, uncached_tokens, wait_s):
-                return EngineReply(server, uncached_tokens, wait_s, self._start)
+                return EngineReply(server, uncached_tokens, wait_s, self._start, shares)
             case Refused(retry_after_s, is_over_share, wait_s):
-                return EngineRefusal(retry_after_s, is_over_share, wait_s, self._start)
+                return EngineRefusal(
+                    retry_after_s, is_over_share, wait_s, self._start, shares
+                )
 
     async def _on_progress(self, sender: str, progress: EngineProgress) -> None:
         table = self._publisher.table
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/busy_scheduler_steps.py
@@ -0,0 +1,137 @@
+"""Steps of busy_scheduler.feature."""
+
+import asyncio
+from collections import Counter
+
+from behave import given, then, when
+
+from almondfield_core.clock import now
+from almondfield_daemon.forwarding.servers import Unavailable
+from almondfield_daemon.scheduling.messages import EngineRequest
+from almondfield_daemon.scheduling.tests.router_teams import RouterTeams
+from almondfield_testing import run
+
+MEASURED_S = 3.0
+
+
+class SlowDecisions:
+    """Handler that takes requests one after the other, as a busy event loop does.
+
+    :param handle: the handler of the scheduler.
+    """
+
+    def __init__(self, handle):
+        self._handle = handle
+        self._free_s = 0.0
+        self.per_s = 0.0
+
+    async def handle(self, sender, message):
+        """Handle a request once those before it are done."""
+        self._free_s = max(now(), self._free_s) + 1 / self.per_s
+        await asyncio.sleep(self._free_s - now())
+        return await self._handle(sender, message)
+
+
+class BusyTeams:
+    """Prompts of two teams: those sent, and those that the scheduler decided on.
+
+    :param teams: the routers and engines.
+    """
+
+    def __init__(self, teams):
+        self.teams = teams
+        self.asked_by_team = Counter()
+        self.used_decisions = 0
+        self._decided_s = []
+        self._sent_s = []
+
+    async def serve(self, team, host):
+        """Select an engine for one prompt and use it."""
+        request = self.teams.request(team)
+        prompt = request.metadata.prompt
+        work = prompt.input_tokens + 2 * prompt.max_output_tokens
+        self.asked_by_team[team] += work
+        self._sent_s.append(now())
+        sent_s = now()
+        selector = self.teams.selector_by_host[host]
+        selected = await selector.choose(request, frozenset())
+        if isinstance(selected, Unavailable):
+            is_decided = selected.cause.name != "NO_SCHEDULER"
+        else:
+            is_decided = selected.assignment.wait_s is not None
+        if is_decided:
+            self.used_decisions += 1
+            self._decided_s.append(sent_s)
+        if isinstance(selected, Unavailable):
+            return
+        await self.teams.engine_by_name[selected.server.name].prefill(prompt)
+        selected.begin_answer()
+        self.teams.work_by_team[team] += work
+        await asyncio.sleep(1.0)
+        selected.end()
+
+    async def generate(self, team, hosts, rate, seconds):
+        """Send the prompts of one team at random times."""
+        rng = self.teams.random
+        tasks = []
+        until_s = now() + seconds
+        while now() < until_s:
+            await asyncio.sleep(rng.expovariate(rate))
+            task = asyncio.ensure_future(self.serve(team, rng.choice(hosts)))
+            tasks.append(task)
+        await asyncio.gather(*tasks)
+
+    def decided_share(self, last_s):
+        """Return the part of the last seconds' prompts that was decided on."""
+        since_s = max(self._sent_s) - last_s
+        decided = sum(sent_s >= since_s for sent_s in self._decided_s)
+        return decided / sum(sent_s >= since_s for sent_s in self._sent_s)
+
+
+@given('"{host}" decides on at most {limit:g} prompts a second')
+@when('"{host}" decides on at most {limit:g} prompts a second')
+def step_impl(context, host, limit):
+    if not hasattr(context, "slow_decisions"):
+        service = context.service_by_host[host]
+        context.slow_decisions = SlowDecisions(service._on_request)
+        peers = context.network.peers_by_host[host]
+        peers.register_handler(EngineRequest, context.slow_decisions.handle)
+    context.slow_decisions.per_s = limit
+
+
+@when(
+    'team "{a}" sends {rate_a:g} prompts a second to "{router}" and team "{b}" '
+    "{rate_b:g} to {count:d} others for {seconds:g} s"
+)
+def step_impl(context, a, rate_a, router, b, rate_b, count, seconds):
+    others = [f"other-{number}" for number in range(count)]
+
+    async def generate():
+        if not hasattr(context, "busy_teams"):
+            context.busy_teams = BusyTeams(RouterTeams(context, [router, *others]))
+        await asyncio.gather(
+            context.busy_teams.generate(a, [router], rate_a, seconds),
+            context.busy_teams.generate(b, others, rate_b, seconds),
+        )
+
+    run(context, generate())
+    context.seconds = seconds
+
+
+@then('team "{team}" was given at least {share:g} of the work that it asked for')
+def step_impl(context, team, share):
+    asked = context.busy_teams.asked_by_team[team]
+    given_work = context.busy_teams.teams.work_by_team[team]
+    assert given_work >= share * asked, (given_work, asked)
+
+
+@then("at least {share:g} of its {limit:g} decisions a second were used")
+def step_impl(context, share, limit):
+    used = context.busy_teams.used_decisions
+    assert used >= share * limit * context.seconds, used
+
+
+@then("the scheduler decided on at least {share:g} of the prompts of the last 3 s")
+def step_impl(context, share):
+    decided = context.busy_teams.decided_share(MEASURED_S)
+    assert decided >= share, decided
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/__init__.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/__init__.py
@@ -1,6 +1,7 @@
 """Admission of prompts to model engines, and the choice of the engine."""
 
 from almondfield_fairshare.engines.core import EngineScheduler
+from almondfield_fairshare.engines.decision_limit import DecisionLimit
 from almondfield_fairshare.engines.engine import Engine
 from almondfield_fairshare.engines.load import EngineLoad, TeamLoad
 from almondfield_fairshare.engines.prefix_cache import PrefixCache
@@ -21,6 +22,7 @@
     "AttemptId",
     "AttemptSnapshot",
     "Decision",
+    "DecisionLimit",
     "Engine",
     "EngineLoad",
     "EngineScheduler",
