--- a/packages/almondfield-control/src/almondfield_control/publishing/core.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/core.py
@@ -83,6 +83,19 @@
         replica = self._replica
         return replica.is_leader and replica.leadership.has_committed
 
+    @property
+    def led_term(self) -> int | None:
+        """Return the term that this host leads; None if it leads none.
+
+        Unlike :attr:`is_leader`, it stays while the lease has run out and the host has
+        not stepped down, as happens if its event loop is late. Another host may lead
+        then, so this is for work that two hosts may do at the same time.
+        """
+        leadership = self._replica.leadership
+        if leadership is None or not leadership.has_committed:
+            return None
+        return leadership.term
+
     @property
     def table(self) -> RoutingTable | None:
         """Return the newest accepted table in this member's state, if any."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -58,7 +58,7 @@
         self._window_s = window_s
         self._make_start = make_start
         self._start = 0
-        self._is_scheduling = False
+        self._term: int | None = None
         self._scheduler_by_pool: dict[str, EngineScheduler] = {}
         self._busy_control = BusyControl()
 
@@ -101,13 +101,17 @@
             eliot.log_message("scheduler:teams", pool=pool, teams=items)
 
     def _update_leadership(self) -> bool:
-        """Return whether this host leads; a new leader starts with empty schedulers."""
-        leads = self._publisher.is_leader
-        if leads and not self._is_scheduling:
+        """Return whether this host leads; a new leader starts with empty schedulers.
+
+        A lease that has run out for a moment ends nothing, as two schedulers at the
+        same time do no harm that a new start wouldn't do.
+        """
+        term = self._publisher.led_term
+        if term is not None and term != self._term:
             self._scheduler_by_pool.clear()
             self._start = self._make_start()
-        self._is_scheduling = leads
-        return leads
+        self._term = term
+        return term is not None
 
     async def _on_request(
         self, sender: str, message: EngineRequest
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
@@ -107,3 +107,23 @@
     And "r1" requests an engine
     When "c2" replaces "c1" as the leader
     Then "r1" is assigned an engine again
+
+  # Guards against FAIR: a late scheduler lost all that it knew whenever its lease ran out
+  # for a moment, refused every prompt for a while and was told of all prefixes again.
+  Scenario: A scheduler whose lease runs out for a moment goes on
+    Given "r1" requested an engine for prefix "t" 3 times
+    When "r1" requests 10 engines at once
+    And the lease of "c1" has run out for 0.02 s
+    Then it is assigned to an engine
+    When "r1" requests an engine
+    And 0.1 s pass
+    Then "c1" has at least 12 requests in flight
+    And "r1" told the scheduler of its prefixes 0 times
+
+  # Guards against a scheduler that goes on with what it knew before another one led.
+  Scenario: A scheduler that leads in a later term is told anew
+    Given "r1" requested an engine for prefix "t" 3 times
+    When "c1" leads again in a later term
+    And "r1" requests an engine
+    And 0.1 s pass
+    Then "r1" told the scheduler of its prefixes 1 times
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
@@ -33,10 +33,26 @@
 
 @dataclass
 class FakePublisher:
-    """Stands in for the publisher of a host."""
+    """Stands in for the publisher of a host.
 
-    is_leader: bool
+    :ivar leads: whether the host leads.
+    :ivar has_lease: whether its lease is valid.
+    """
+
+    leads: bool
     table: RoutingTable = TABLE
+    has_lease: bool = True
+    term: int = 1
+
+    @property
+    def is_leader(self):
+        """Return whether the host leads with a valid lease."""
+        return self.leads and self.has_lease
+
+    @property
+    def led_term(self):
+        """Return the term that the host leads; None if it leads none."""
+        return self.term if self.leads else None
 
 
 def prompt(prefix, number):
@@ -210,8 +226,8 @@
 
 @when('"{new}" replaces "{old}" as the leader')
 def step_impl(context, new, old):
-    context.publisher_by_host[old].is_leader = False
-    context.publisher_by_host[new].is_leader = True
+    context.publisher_by_host[old].leads = False
+    context.publisher_by_host[new].leads = True
     context.leader = new
 
 
@@ -385,3 +401,27 @@
     ]
     assert least <= len(known) <= most, len(known)
     assert known[-1] == 999, known[-1]
+
+
+@when('the lease of "{host}" has run out for {seconds:g} s')
+def step_impl(context, host, seconds):
+    publisher = context.publisher_by_host[host]
+
+    async def lapse():
+        publisher.has_lease = False
+        context.assignment = await request_engine(context, "during", 900)
+        await asyncio.sleep(seconds)
+        publisher.has_lease = True
+
+    run(context, lapse())
+
+
+@when('"{host}" leads again in a later term')
+def step_impl(context, host):
+    context.publisher_by_host[host].term += 1
+
+
+@then('"r1" told the scheduler of its prefixes {count:d} times')
+def step_impl(context, count):
+    told = context.network.count_by_kind.get("engine-prefixes", 0)
+    assert told == count, told
