--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -80,12 +80,13 @@
     """Return 0 if scenarios passed and none failed outside KNOWN-RED.txt, else 1."""
     known_red = read_known_red()
     counts = Counter()
+    failed = []
     with ThreadPoolExecutor(WORKERS) as pool:
         for folder, results, output in pool.map(run_folder, find_folders(sys.argv[1:])):
             not_passed = [name for name, status in results if status != "passed"]
             unexpected = [name for name in not_passed if name not in known_red]
             counts["passed"] += len(results) - len(not_passed)
-            counts["failed"] += len(unexpected)
+            failed += [f"{folder.relative_to(ROOT)}: {name}" for name in unexpected]
             print(
                 f"{folder.relative_to(ROOT)}: {len(results)} run, "
                 f"{len(not_passed)} not passed"
@@ -94,8 +95,11 @@
                 print(f"  {'FAILED' if name in unexpected else 'known red'}: {name}")
             if unexpected:
                 print(output)
-    print(f"{counts['passed']} passed, {counts['failed']} failed")
-    return 1 if counts["failed"] or not counts["passed"] else 0
+    # Again, as the end of the output may be all that is kept of it.
+    for name in failed:
+        print(f"FAILED: {name}")
+    print(f"{counts['passed']} passed, {len(failed)} failed")
+    return 1 if failed or not counts["passed"] else 0
 
 
 if __name__ == "__main__":
