Limit a scheduler's prompts before its host loses the lead (FAIR)

The scheduler is late, has a limit, has none 0.1 s later though it is later still (148, 211 and 233 ms), and three leaders step down after 0.5 to 1 s with quorums 469 to 574 ms old.

Cause: what the scheduler can decide is estimated above what teams are known to send, as rates follow over half a second, so that no team was above its limit. It is now at most a part of what is known to be sent, while decisions are late. The limit begins at a delay of 0.05 s, not 0.1, and works a queue off in 0.5 s, not 1: the lease of a leader lasts 0.38 s.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/decision_limit.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/decision_limit.py
@@ -8,8 +8,8 @@
 __all__ = ["DecisionLimit"]
 
 INTERVAL_S = 0.1  # some dozen decisions of a large fleet
-MAX_DELAY_S = 0.1  # a part of the strictest latency target
-DRAIN_TIME_S = 1.0  # in which a queue of requests is worked off
+MAX_DELAY_S = 0.05  # a small part of the strictest latency target
+DRAIN_TIME_S = 0.5  # in which a queue of requests is worked off
 MIN_DRAIN_SHARE = 0.3  # of the decisions; routers need some to learn of the limit
 MIN_DECIDED_SHARE = 0.25  # of all prompts; a slow link looks like a busy host
 CAPACITY_DECAY = 0.95  # in an interval, if fewer decisions are made
@@ -74,8 +74,11 @@
             decayed_per_s = CAPACITY_DECAY * self._capacity_per_s
             self._capacity_per_s = max(decided_per_s, decayed_per_s)
             share = max(MIN_DRAIN_SHARE, 1 - delay_s / DRAIN_TIME_S)
-            least_per_s = MIN_DECIDED_SHARE * sum(self._rate_by_team.values())
-            self._total_per_s = max(share * self._capacity_per_s, least_per_s)
+            prompts_per_s = sum(self._rate_by_team.values())
+            self._total_per_s = max(
+                share * min(self._capacity_per_s, prompts_per_s),
+                MIN_DECIDED_SHARE * prompts_per_s,
+            )
         else:
             self._total_per_s *= INCREASE
         self.limit_per_s = self._limit_for(self._total_per_s)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/decision_limit_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/decision_limit_steps.py
@@ -7,7 +7,7 @@
 from almondfield_fairshare.engines import DecisionLimit
 from almondfield_testing import run
 
-ROUND_S = 0.1  # in which each team's prompts and the decisions are recorded
+ROUND_S = 0.125  # in which each team's prompts and the decisions are recorded
 
 
 @given('teams "a", "b" and "c" send {a:d}, {b:d} and {c:d} prompts a second')
@@ -21,7 +21,7 @@
 
 
 @when(
-    "{decisions:d} decisions a second are made for {seconds:d} s, each {delay_s:g} s"
+    "{decisions:d} decisions a second are made for {seconds:g} s, each {delay_s:g} s"
     " late"
 )
 def step_impl(context, decisions, seconds, delay_s):
@@ -61,8 +61,16 @@
     assert asked_share(context, team) <= share, context.limit.share_by_team()
 
 
+def asked_per_s(context):
+    rates = context.rate_by_team.items()
+    return round(sum(rate * asked_share(context, team) for team, rate in rates))
+
+
 @then("at least {least:d} prompts a second are asked for")
 def step_impl(context, least):
-    rates = context.rate_by_team.items()
-    asked = sum(rate * asked_share(context, team) for team, rate in rates)
-    assert round(asked) >= least, asked
+    assert asked_per_s(context) >= least, asked_per_s(context)
+
+
+@then("at most {most:d} prompts a second are asked for")
+def step_impl(context, most):
+    assert asked_per_s(context) <= most, asked_per_s(context)
