--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
@@ -128,3 +128,13 @@
     And 8.0 s pass
     Then every router holds version 2 with a fresh lease
     And router "r1" knows the leader at each moment of the next 3.0 s
+
+  # Guards against FAIR: work that two hosts may do at once ended with each moment in which
+  # a late host's lease had run out.
+  Scenario: A leader leads its term until it steps down, also without a lease
+    Given a formed group of 5 and 2 routers
+    And version 2 is published at "c1"
+    When the lease of the leader has run out
+    Then it doesn't count as the leader, but leads its term
+    When it steps down
+    Then it leads no term
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/asked_shares.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/asked_shares.py
@@ -1,6 +1,6 @@
 """Parts of the teams' prompts that a router asks a busy scheduler for."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Mapping
 
 from almondfield_core.clock import now
@@ -11,12 +11,16 @@
 
 
 class AskedShares:
-    """Chooses the prompts in one pool that the scheduler is asked for."""
+    """Chooses the prompts that the scheduler is asked for, by the teams' shares.
+
+    The limits are those of the scheduler's host, so that they hold for all pools.
+    """
 
     def __init__(self) -> None:
         self._share_by_team: Mapping[str, float] = {}
         self._received_s = float("-inf")
-        self._due_by_team: Counter[str] = Counter()
+        # How much of a request is due for each team; the next one is sent at 1.
+        self._due_by_team: defaultdict[str, float] = defaultdict(float)
         self._prompts_by_team: Counter[str] = Counter()
 
     def record(self, share_by_team: Mapping[str, float]) -> None:
@@ -42,7 +46,6 @@
         self._due_by_team[team] += share
         if self._due_by_team[team] < 1 and not is_repeat:
             return 0
-        # What is left counts for the next prompt of a team with a limit.
         left = self._due_by_team.pop(team) - 1
         if 0 < left < 1:
             self._due_by_team[team] = left
