Send messages to a late host several to a frame (FAIR)

Cause: a receiver takes the frames of its senders in turn. A busy host so handles as many frames of each, some 25 a second, and a router that sends a frame for each of 100 requests a second has its frames wait in buffers for seconds.

Frames to a host whose echoes are late, beyond a heartbeat, are now sent at intervals, which shrink while echoes are in time and stay while they are not.

--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/link.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/link.py
@@ -19,6 +19,10 @@
 MAX_FRAME_BYTES = 256 * 1024
 SEND_RETRY_S = 0.02
 ERROR_RETRY_S = 1.0
+LATE_ECHO_S = 0.1  # many round trips; without messages, beyond a heartbeat interval
+LATE_FRAME_INTERVAL_S = 0.15  # between two frames, while they are handled late
+MIN_FRAME_INTERVAL_S = 0.005  # shorter ones make no difference
+FRAME_INTERVAL_DECAY = 0.97  # with each frame, once they are handled in time
 IDLE_TIMEOUT_S = 10.0
 
 
@@ -58,6 +62,9 @@
         self._last_echo_request_s = -IDLE_TIMEOUT_S
         self._sink: FrameSink | None = None
         self._dialled_s = 0.0
+        self._heartbeat_s = timing.heartbeat_s
+        self._framed_s = -IDLE_TIMEOUT_S
+        self._interval_s = 0.0
 
     def post(self, envelope: Envelope) -> None:
         """Queue a message; a full queue drops its oldest one-way message first.
@@ -124,6 +131,7 @@
         try:
             while True:
                 await self._wait_until_due()
+                await self._wait_while_late()
                 try:
                     await self._send_frame()
                 except Exception as error:
@@ -158,6 +166,22 @@
             # Messages that other parts send at this heartbeat go in the same frame.
             await asyncio.sleep(0)
 
+    async def _wait_while_late(self) -> None:
+        """Wait between frames that the other host handles late.
+
+        A busy host handles as many frames of each sender, so that a sender of many
+        messages has few of them handled in time, unless a frame has several.
+        """
+        delay_s = self.path.echo_delay_s
+        if delay_s > self._heartbeat_s + LATE_ECHO_S:
+            self._interval_s = LATE_FRAME_INTERVAL_S
+        elif self._interval_s < MIN_FRAME_INTERVAL_S:
+            return
+        elif delay_s < LATE_ECHO_S:
+            self._interval_s *= FRAME_INTERVAL_DECAY
+        left_s = self._framed_s + self._interval_s - now()
+        await asyncio.sleep(max(0.0, left_s))
+
     async def _send_frame(self) -> None:
         self._redial_if_unresponsive()
         with self._counters.measure(FRAMES):
@@ -178,6 +202,7 @@
 
     def _next_frame(self) -> Frame:
         self._wake.clear()
+        self._framed_s = now()
         return Frame(
             sender=self._own_host.name,
             receiver=self.target.name,
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/path.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/path.py
@@ -68,6 +68,15 @@
         is_echo_due = oldest_unechoed_s < expired_before_s
         return (is_echo_due and not self.is_outbound_alive) or is_inbound_lost
 
+    @property
+    def echo_delay_s(self) -> float:
+        """Return how long the oldest frame without an echo has been on its way.
+
+        The value is in seconds; 0 if all frames were echoed. The other host echoes
+        frames with its next one, a heartbeat at the latest.
+        """
+        return now() - self._unechoed[0][1] if self._unechoed else 0.0
+
     def next_sequence(self) -> int:
         """Return the sequence of the next frame, and record when it was sent."""
         self._sequence += 1
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from almondfield_core.clock import now
 from almondfield_core.messages import SlotGrant
 from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
 from almondfield_daemon.peers import PynngPeers
@@ -25,7 +26,8 @@
         if self.network.rejects_frames:
             return False
         self.network.frames_by_path.setdefault(self.path, []).append(frame)
-        asyncio.get_running_loop().call_later(self.network.delay_s, self.arrive, frame)
+        delay_s = self.network.delay_s + self.network.queue_s(self.path)
+        asyncio.get_running_loop().call_later(delay_s, self.arrive, frame)
         return True
 
     def arrive(self, frame):
@@ -79,6 +81,18 @@
         self.invalid_targets = set()
         self.rejects_frames = False
         self.delay_s = DELAY_S
+        self.frames_per_s_by_path = {}
+        self.free_s_by_path = {}
+
+    def queue_s(self, path):
+        """Return how long a frame waits for those before it to be handled."""
+        frames_per_s = self.frames_per_s_by_path.get(path)
+        if frames_per_s is None:
+            return 0.0
+        at_s = now()
+        free_s = max(at_s, self.free_s_by_path.get(path, 0.0)) + 1 / frames_per_s
+        self.free_s_by_path[path] = free_s
+        return free_s - at_s
 
 
 class Node:
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
@@ -150,3 +150,16 @@
   Scenario: A used path without messages carries one heartbeat per interval and direction
     Given "a" and "b" have been connected for 2.0 s
     Then at most 14 frames go from "a" to "b" in 3.0 s
+
+  # Guards against FAIR: a busy scheduler handled as many frames of each router, so that one
+  # with many requests had its replies seconds late.
+  Scenario Outline: Requests to a host that handles few frames are answered in time
+    Given "b" handles at most <frames> frames of "a" a second
+    When "a" sends 100 requests a second to "b" for 10 s
+    Then at least 0.9 of the requests of the last 4 s were answered within 0.6 s
+
+    Examples:
+      | frames |
+      | 60     |
+      | 25     |
+      | 15     |
