Halve the interval of frames to a late host each second, not with each frame (FAIR)

A path with few frames would have kept the interval for many seconds after its host was late, a restarted host as well. The interval now halves each second while frames are handled in time, and a new connection has none. The new scenario asks that messages go at once 3 s after the host was late.

--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/link.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/link.py
@@ -22,7 +22,7 @@
 LATE_ECHO_S = 0.1  # many round trips; without messages, beyond a heartbeat interval
 LATE_FRAME_INTERVAL_S = 0.15  # between two frames, while they are handled late
 MIN_FRAME_INTERVAL_S = 0.005  # shorter ones make no difference
-FRAME_INTERVAL_DECAY = 0.97  # with each frame, once they are handled in time
+FRAME_INTERVAL_HALF_LIFE_S = 1.0  # while frames are handled in time
 IDLE_TIMEOUT_S = 10.0
 
 
@@ -178,7 +178,8 @@
         elif self._interval_s < MIN_FRAME_INTERVAL_S:
             return
         elif delay_s < LATE_ECHO_S:
-            self._interval_s *= FRAME_INTERVAL_DECAY
+            half_lives = (now() - self._framed_s) / FRAME_INTERVAL_HALF_LIFE_S
+            self._interval_s *= 0.5**half_lives
         left_s = self._framed_s + self._interval_s - now()
         await asyncio.sleep(max(0.0, left_s))
 
@@ -249,6 +250,7 @@
             self._sink.close()
             self._sink = None
         self.path.clear_unechoed()
+        self._interval_s = 0.0
 
     def _drop_one_way(self) -> None:
         # One-way messages queued during the outage describe an outdated state.
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
@@ -163,3 +163,12 @@
       | 60     |
       | 25     |
       | 15     |
+
+  # Guards against messages that wait once a host that was late handles them in time.
+  Scenario: Messages to a host that was late go at once soon after
+    Given "b" handles at most 15 frames of "a" a second
+    When "a" sends 100 requests a second to "b" for 4 s
+    And "b" handles at most 1000 frames of "a" a second
+    And 3.0 s pass
+    And "a" sends 20 requests a second to "b" for 6 s
+    Then at least 0.9 of the requests of the last 3 s were answered within 0.02 s
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
@@ -390,6 +390,7 @@
     assert seconds <= ages_ms[0] / 1000 < seconds + 0.1, ages_ms
 
 
+@when('"{target}" handles at most {count:g} frames of "{source}" a second')
 @given('"{target}" handles at most {count:g} frames of "{source}" a second')
 def step_impl(context, target, count, source):
     context.network.frames_per_s_by_path[source, target] = count
