Divide demand and decisions evenly in one place

The limit on a busy scheduler repeated the max-min division of the teams' shares. Both call even_share now.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/decision_limit.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/decision_limit.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from almondfield_core.clock import now
+from almondfield_fairshare.engines.even_share import even_share
 
 __all__ = ["DecisionLimit"]
 
@@ -25,12 +26,10 @@
     most of its decisions are of no use. Routers then ask for a part of a team's prompts
     only. The limit is the same for all teams, however many routers their callers use,
     so that teams with few prompts have all of them decided on.
-
-    :ivar limit_per_s: prompts of a team in a second; infinite while there is no limit.
     """
 
     def __init__(self) -> None:
-        self.limit_per_s = math.inf
+        self._limit_per_s = math.inf  # of each team
         self._total_per_s = math.inf
         self._capacity_per_s = 0.0
         self._updated_s = now()
@@ -54,7 +53,7 @@
 
     def share_by_team(self) -> dict[str, float]:
         """Return the part of the prompts to ask for, of each team above the limit."""
-        limit = self.limit_per_s
+        limit = self._limit_per_s
         rates = self._rate_by_team.items()
         return {team: limit / rate for team, rate in rates if rate > limit}
 
@@ -81,8 +80,9 @@
             )
         else:
             self._total_per_s *= INCREASE
-        self.limit_per_s = self._limit_for(self._total_per_s)
-        if self.limit_per_s == math.inf:
+        rates = self._rate_by_team.values()
+        self._limit_per_s = even_share(rates, self._total_per_s)
+        if self._limit_per_s == math.inf:
             self._total_per_s = math.inf
             self._capacity_per_s = 0.0
 
@@ -94,14 +94,3 @@
         self._prompts_by_team.clear()
         rates = self._rate_by_team.items()
         self._rate_by_team = {t: r for t, r in rates if r >= MIN_RATE_PER_S}
-
-    def _limit_for(self, total_per_s: float) -> float:
-        """Return the limit of each team for a limit of all; infinite for none."""
-        rates = sorted(self._rate_by_team.values())
-        left = total_per_s
-        for index, rate in enumerate(rates):
-            even = left / (len(rates) - index)
-            if rate > even:
-                return even
-            left -= rate
-        return math.inf
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/shares.py
@@ -1,11 +1,13 @@
 """Max-min fair shares of the engines' work among teams over a sliding window."""
 
+import math
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 from heapq import nlargest
 
 from almondfield_core.clock import now
+from almondfield_fairshare.engines.even_share import even_share
 from almondfield_fairshare.engines.load import TeamLoad
 
 __all__ = ["Grant", "TeamLoad", "TeamShares"]
@@ -229,13 +231,9 @@
 
     def _fair_share(self, capacity: float) -> float:
         """Return the largest work that one team may have in a window."""
-        demands = sorted([item.work for item in self._demand_by_team.values()])
-        demands = [work for work in demands if work > 0]
-        remaining = capacity
-        for index, total in enumerate(demands):
-            even_share = remaining / (len(demands) - index)
-            if total >= even_share:
-                return max(even_share, 1.0)
-            remaining -= total
-        # The demand is below the capacity: one team may use all that remains.
-        return max(remaining + (demands[-1] if demands else 0.0), 1.0)
+        demands = [item.work for item in self._demand_by_team.values()]
+        share = even_share(demands, capacity)
+        if share == math.inf:
+            # The demand is below the capacity: one team may use all that remains.
+            share = capacity - sum(demands) + max(demands, default=0.0)
+        return max(share, 1.0)
