Serve prompts of the scheduling features in one place, and split long step modules

The feature of a busy scheduler repeated how a prompt is prefilled and streamed; RouterTeams does both now.

--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/fakes.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from almondfield_core.clock import now
-from almondfield_core.messages import SlotGrant
+from almondfield_core.messages import DemandReport, SlotGrant
 from almondfield_core.settings import DaemonSettings, HostSettings, SecuritySettings
 from almondfield_daemon.peers import PynngPeers
 
@@ -13,6 +13,11 @@
 BEYOND_64_BITS = 2**64
 
 
+def report(number):
+    """Return a message that tests tell by its number."""
+    return DemandReport("writing", 1, 1, number, 0)
+
+
 class MemoryConnection:
     """An outbound connection that can be stalled."""
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/peers_steps.py
@@ -1,14 +1,12 @@
 """Steps of peers.feature."""
 
 import asyncio
-import math
 
 import eliot
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings, strategies
 
-from almondfield_core.clock import now
 from almondfield_core.messages import AnnouncementRelay, DemandReport
 from almondfield_core.settings import HostSettings
 from almondfield_daemon.peers import Frame
@@ -18,14 +16,11 @@
     SECRET,
     MemoryNetwork,
     Node,
+    report,
 )
 from almondfield_testing import run
 
 
-def report(number):
-    return DemandReport("writing", 1, 1, number, 0)
-
-
 def start(context, name, host_names=("a", "b"), incarnation=1):
     node = Node(context.network, name, host_names, incarnation)
 
@@ -388,43 +383,3 @@
     ]
     assert len(ages_ms) == 1, context.messages
     assert seconds <= ages_ms[0] / 1000 < seconds + 0.1, ages_ms
-
-
-@when('"{target}" handles at most {count:g} frames of "{source}" a second')
-@given('"{target}" handles at most {count:g} frames of "{source}" a second')
-def step_impl(context, target, count, source):
-    context.network.frames_per_s_by_path[source, target] = count
-
-
-@when('"{source}" sends {rate:d} requests a second to "{target}" for {seconds:d} s')
-def step_impl(context, source, rate, target, seconds):
-    context.reply_times_s = []
-    peers = context.nodes[source].peers
-
-    async def request(number):
-        sent_s = now()
-        reply = await peers.request(target, report(number), 4.0)
-        is_answered = reply.is_ok()
-        context.reply_times_s.append(
-            (sent_s, now() - sent_s if is_answered else math.inf)
-        )
-
-    async def send():
-        tasks = []
-        for number in range(rate * seconds):
-            tasks.append(asyncio.ensure_future(request(number)))
-            await asyncio.sleep(1 / rate)
-        await asyncio.gather(*tasks)
-
-    run(context, send())
-
-
-@then(
-    "at least {share:g} of the requests of the last {last_s:g} s were answered within"
-    " {limit_s:g} s"
-)
-def step_impl(context, share, last_s, limit_s):
-    since_s = max(sent_s for sent_s, _ in context.reply_times_s) - last_s
-    times_s = [time_s for sent_s, time_s in context.reply_times_s if sent_s >= since_s]
-    in_time = sum(time_s <= limit_s for time_s in times_s)
-    assert in_time >= share * len(times_s), sorted(times_s)[:: len(times_s) // 10]
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/router_teams.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/router_teams.py
@@ -19,13 +19,13 @@
 from almondfield_daemon.forwarding.tests.fakes import FakeView
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.scheduling import EngineClient
+from almondfield_daemon.scheduling.tests.fakes import POOL
 from almondfield_daemon.server_notices import ServerNotices
 from almondfield_fairshare.engines.tests.standins import StandInEngine
 from almondfield_fairshare.prefix_placement import Placement
 
-__all__ = ["POOL", "RouterTeams", "engine_server"]
+__all__ = ["RouterTeams", "engine_server", "work_of"]
 
-POOL = "pool"
 PREFILL_TOKENS_PER_S = 40_000.0
 CACHE_TOKENS = 600_000
 SHARED_TOKENS = 4000
@@ -50,6 +50,11 @@
     return FleetServer(name, POOL, f"{name}:1", "east", 64, sequence=1)
 
 
+def work_of(prompt):
+    """Return the work of a prompt and its answer, in tokens of the teams' shares."""
+    return prompt.input_tokens + 2 * prompt.max_output_tokens
+
+
 class RouterTeams:
     """Routers with real server selection, and the work that their teams get."""
 
@@ -105,15 +110,19 @@
     async def serve(self, team, host):
         """Select an engine for one request and use it."""
         request = self.request(team)
-        prompt = request.metadata.prompt
         selected = await self.selector_by_host[host].choose(request, frozenset())
         if isinstance(selected, Unavailable):
             self.refused_by_team[team] += 1
             self.retries_s.append(selected.retry_after_s)
             return
+        await self.use(selected, request)
+
+    async def use(self, selected, request):
+        """Prefill a request at its engine and stream its answer."""
+        prompt = request.metadata.prompt
         await self.engine_by_name[selected.server.name].prefill(prompt)
         selected.begin_answer()
-        self.work_by_team[team] += prompt.input_tokens + 2 * prompt.max_output_tokens
+        self.work_by_team[request.team] += work_of(prompt)
         await asyncio.sleep(STREAM_S)
         selected.end()
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/busy_scheduler_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/busy_scheduler_steps.py
@@ -6,9 +6,10 @@
 from behave import given, then, when
 
 from almondfield_core.clock import now
+from almondfield_daemon.forwarding.counts import RefusalCause
 from almondfield_daemon.forwarding.servers import Unavailable
 from almondfield_daemon.scheduling.messages import EngineRequest
-from almondfield_daemon.scheduling.tests.router_teams import RouterTeams
+from almondfield_daemon.scheduling.tests.router_teams import RouterTeams, work_of
 from almondfield_testing import run
 
 MEASURED_S = 3.0
@@ -41,34 +42,26 @@
     def __init__(self, teams):
         self.teams = teams
         self.asked_by_team = Counter()
-        self.used_decisions = 0
         self._decided_s = []
         self._sent_s = []
 
     async def serve(self, team, host):
         """Select an engine for one prompt and use it."""
         request = self.teams.request(team)
-        prompt = request.metadata.prompt
-        work = prompt.input_tokens + 2 * prompt.max_output_tokens
-        self.asked_by_team[team] += work
-        self._sent_s.append(now())
+        self.asked_by_team[team] += work_of(request.metadata.prompt)
         sent_s = now()
+        self._sent_s.append(sent_s)
         selector = self.teams.selector_by_host[host]
         selected = await selector.choose(request, frozenset())
-        if isinstance(selected, Unavailable):
-            is_decided = selected.cause.name != "NO_SCHEDULER"
+        is_refused = isinstance(selected, Unavailable)
+        if is_refused:
+            is_decided = selected.cause is not RefusalCause.NO_SCHEDULER
         else:
             is_decided = selected.assignment.wait_s is not None
         if is_decided:
-            self.used_decisions += 1
             self._decided_s.append(sent_s)
-        if isinstance(selected, Unavailable):
-            return
-        await self.teams.engine_by_name[selected.server.name].prefill(prompt)
-        selected.begin_answer()
-        self.teams.work_by_team[team] += work
-        await asyncio.sleep(1.0)
-        selected.end()
+        if not is_refused:
+            await self.teams.use(selected, request)
 
     async def generate(self, team, hosts, rate, seconds):
         """Send the prompts of one team at random times."""
@@ -81,6 +74,10 @@
             tasks.append(task)
         await asyncio.gather(*tasks)
 
+    def used_decisions(self):
+        """Return the number of prompts that were decided on."""
+        return len(self._decided_s)
+
     def decided_share(self, last_s):
         """Return the part of the last seconds' prompts that was decided on."""
         since_s = max(self._sent_s) - last_s
@@ -127,7 +124,7 @@
 
 @then("at least {share:g} of its {limit:g} decisions a second were used")
 def step_impl(context, share, limit):
-    used = context.busy_teams.used_decisions
+    used = context.busy_teams.used_decisions()
     assert used >= share * limit * context.seconds, used
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
@@ -3,56 +3,19 @@
 import asyncio
 import random
 from contextlib import suppress
-from dataclasses import dataclass
 
 from behave import given, then, when
 
 from almondfield_core.clock import now
-from almondfield_core.routing import (
-    EngineLimits,
-    Prompt,
-    PromptPart,
-    RequestLimits,
-    RoutingTable,
-    ServerPool,
-)
+from almondfield_core.routing import Prompt, PromptPart
 from almondfield_daemon.fleet import FleetControl, FleetServer
 from almondfield_daemon.scheduling import EngineAssignment, EngineClient, EngineService
 from almondfield_daemon.scheduling.messages import EngineRefusal
+from almondfield_daemon.scheduling.tests.fakes import POOL, FakePublisher
 from almondfield_fairshare.engines import PromptRequest
 from almondfield_testing import InMemoryNetwork, run
 
-POOL = "pool"
 HOSTS = ("c1", "c2")
-TABLE = RoutingTable(
-    version=1,
-    pools=(ServerPool(POOL, 100, engine=EngineLimits(64, 600_000)),),
-    limits=RequestLimits(work_per_s=80_000.0),
-)
-
-
-@dataclass
-class FakePublisher:
-    """Stands in for the publisher of a host.
-
-    :ivar leads: whether the host leads.
-    :ivar has_lease: whether its lease is valid.
-    """
-
-    leads: bool
-    table: RoutingTable = TABLE
-    has_lease: bool = True
-    term: int = 1
-
-    @property
-    def is_leader(self):
-        """Return whether the host leads with a valid lease."""
-        return self.leads and self.has_lease
-
-    @property
-    def led_term(self):
-        """Return the term that the host leads; None if it leads none."""
-        return self.term if self.leads else None
 
 
 def prompt(prefix, number):
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/slow_router_steps.py
@@ -6,11 +6,8 @@
 
 from almondfield_core.routing import RequestLimits
 from almondfield_daemon.forwarding.servers import SelectedServer
-from almondfield_daemon.scheduling.tests.router_teams import (
-    POOL,
-    RouterTeams,
-    engine_server,
-)
+from almondfield_daemon.scheduling.tests.fakes import POOL
+from almondfield_daemon.scheduling.tests.router_teams import RouterTeams, engine_server
 from almondfield_testing import run
 
 
