--- a/review/harness.py
+++ b/review/harness.py
@@ -104,9 +104,9 @@
         return self._process is not None and self._process.returncode is None
 
     @property
-    def exit_code(self):
-        """Return the exit code; None while it runs."""
-        return self._process.returncode
+    def pid(self):
+        """Return the process id; 0 before the first start."""
+        return self._process.pid if self._process is not None else 0
 
     def send(self, number):
         """Send a signal."""
@@ -503,12 +503,15 @@
     :param path: path of the request.
     :param name: begins the identifiers of its attempts.
     :param record: writes the record.
+
+    :ivar attempts: identifiers of its attempts.
     """
 
     def __init__(self, address, path, name, record):
         self.address = address
         self.path = path
         self.name = name
+        self.attempts = []
         self.events = []
         self.is_complete = False
         self._record = record
@@ -519,6 +522,7 @@
         until_s = time.monotonic() + deadline_s
         for number in range(attempts):
             request_id = f"{self.name}-{number}"
+            self.attempts.append(request_id)
             reply = await self._request(request_id, until_s - time.monotonic())
             self._record(f"{request_id} gets {reply}, {len(self.events)} events so far")
             if self.is_complete or time.monotonic() >= until_s:
