--- a/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
@@ -33,6 +33,9 @@
 
 HEARTBEATS_PER_ELECTION = 4
 MAX_ENTRIES_PER_APPEND = 256
+MAX_APPEND_BYTES = (
+    256 * 1024
+)  # a few milliseconds of the event loop; as snapshot chunks
 MAX_UNCOMMITTED_ENTRIES = 4096
 REPLY_ITERATIONS = 6  # of the loop, from a readable socket to the task of a reply
 LEASE_ENDED = "no quorum answered within its lease"
@@ -228,7 +231,7 @@
                 progress.wake.clear()
                 await progress.wake.wait()
                 continue
-            if progress.next_index <= replica.log.base_index:
+            if self._needs_snapshot(progress):
                 if progress.disk_fails:
                     # It couldn't keep the snapshot; heartbeats tell when it can.
                     await asyncio.sleep(self._heartbeat_s())
@@ -236,11 +239,30 @@
                     await self._send_snapshot(progress)
                 continue
             previous = progress.next_index - 1
-            entries = replica.log.entries_after(previous, MAX_ENTRIES_PER_APPEND)
+            entries = replica.log.next_entries(
+                previous, MAX_ENTRIES_PER_APPEND, MAX_APPEND_BYTES
+            )
             reply = await self._send_entries(progress, previous, entries)
             if reply is None or reply.stalled:
                 await asyncio.sleep(self._heartbeat_s())
 
+    def _needs_snapshot(self, progress: Progress) -> bool:
+        """Return whether a member gets the snapshot before any entries.
+
+        It does if the log no longer holds what it lacks, or if that is larger than the
+        snapshot, as with entries that each replace a large table.
+        """
+        replica = self._replica
+        previous = progress.next_index - 1
+        if previous < replica.log.base_index:
+            return True
+        if progress.disk_fails:
+            # Entries take less of its disk at a time.
+            return False
+        snapshot = replica.snapshots.latest
+        lacked_bytes = replica.log.bytes_between(previous, snapshot.index)
+        return lacked_bytes > max(len(snapshot.data), MAX_APPEND_BYTES)
+
     async def _send_snapshot(self, progress: Progress) -> None:
         snapshot = self._replica.snapshots.latest
         checksum = snapshot.checksum
--- a/packages/almondfield-control/src/almondfield_control/consensus/log.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/log.py
@@ -1,5 +1,7 @@
 """The replicated log in memory, after the last snapshot."""
 
+import itertools
+
 from almondfield_control.commands import (
     LogEntry,
     Member,
@@ -67,17 +69,37 @@
         """
         return self._entries[index - self.base_index - 1]
 
-    def entries_after(
-        self, index: int, limit: int | None = None
+    def entries_after(self, index: int) -> tuple[LogEntry, ...]:
+        """Return all entries after an index.
+
+        :param index: index in the log, not before the base.
+        """
+        return tuple(self._entries[index - self.base_index :])
+
+    def next_entries(
+        self, index: int, max_count: int, max_bytes: int
     ) -> tuple[LogEntry, ...]:
-        """Return the entries after an index.
+        """Return the first entries after an index, and at least one if there is any.
+
+        :param index: index in the log, not before the base.
+        :param max_count: maximum number of entries.
+        :param max_bytes: maximum size of their bodies; a larger entry comes alone.
+        """
+        start = index - self.base_index
+        candidates = self._entries[start : start + max_count]
+        sizes = itertools.accumulate(len(entry.body) for entry in candidates)
+        fitting = sum(1 for _ in itertools.takewhile(lambda n: n <= max_bytes, sizes))
+        return tuple(candidates[: max(1, fitting)])
+
+    def bytes_between(self, index: int, last_index: int) -> int:
+        """Return the size of the entries after an index, up to another one.
 
         :param index: index in the log, not before the base.
-        :param limit: maximum number of entries; None for all.
+        :param last_index: index of the last entry that counts.
         """
         start = index - self.base_index
-        stop = None if limit is None else start + limit
-        return tuple(self._entries[start:stop])
+        stop = last_index - self.base_index
+        return sum(len(entry.body) for entry in self._entries[start:stop])
 
     def append(self, entries: tuple[LogEntry, ...]) -> None:
         """Append entries that follow the last one.
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
@@ -138,3 +138,26 @@
     Then it doesn't count as the leader, but leads its term
     When it steps down
     Then it leads no term
+
+  # Guards against CONFIG: a member without entries got up to 256 of them in one message,
+  # of any size, which was dropped as too large and sent again for ever.
+  Scenario: A lost disk is replaced after many changes of a large table
+    Given a formed group of 3 and 0 routers
+    And messages of more than 32 MiB are lost
+    When versions 1 to 60 with documents of 800000 bytes are published at "c1"
+    And "c3" loses its disk and restarts, not allowed to form a group
+    And 6.0 s pass
+    Then all 3 hosts vote
+    And "c3" votes with its new identity
+    And "c3" holds version 60
+    And no message holds more than one entry of 800000 bytes
+
+  # Guards against CONFIG: as above, while the table is changed on.
+  Scenario: A lost disk is replaced while a large table is changed five times a second
+    Given a formed group of 5 and 0 routers
+    And messages of more than 32 MiB are lost
+    When versions 1 to 20 with documents of 800000 bytes are published at "c1"
+    And "c3" loses its disk, and restarts beside 40 more versions of that size
+    Then all 5 hosts vote
+    And "c3" votes with its new identity
+    And no message holds more than one entry of 800000 bytes
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
@@ -19,7 +19,15 @@
     encode_message,
     kind_of,
 )
-from almondfield_daemon.peers.frames import Envelope, Frame, FrameSeal, Purpose
+from almondfield_daemon.peers.frames import (
+    FRAME_OVERHEAD_BYTES,
+    MAX_MESSAGE_BYTES,
+    MAX_PAYLOAD_BYTES,
+    Envelope,
+    Frame,
+    FrameSeal,
+    Purpose,
+)
 from almondfield_daemon.peers.inbox import Inbox
 from almondfield_daemon.peers.link import OutgoingLink
 from almondfield_daemon.peers.message_counters import FRAMES, MessageCounters, PeerStats
@@ -27,12 +35,12 @@
 
 __all__ = ["PynngPeers"]
 
-FRAME_OVERHEAD_BYTES = 1024 * 1024
 HEARTBEATS_PER_CHECK = 3
 MAX_LATE_REQUESTS = 1000  # without a timely reply; some seconds of a busy router
 MS_PER_S = 1000
 UNKNOWN_HOST = "unknown host"
 UNENCODABLE = "can't be encoded"
+TOO_LARGE = "message too large"
 
 Handler = Callable[[str, Any], Awaitable[Any]]
 
@@ -83,7 +91,7 @@
         self._seal = FrameSeal(secret)
         self._counters = MessageCounters()
         self._sockets = sockets or PynngSockets(
-            settings.limits.max_tables_bytes + FRAME_OVERHEAD_BYTES
+            MAX_PAYLOAD_BYTES + FRAME_OVERHEAD_BYTES
         )
         self._host_by_name = {host.name: host for host in settings.hosts}
         self._own_host = self._host_by_name[settings.host]
@@ -236,6 +244,13 @@
                 "peer:message-dropped", kind=kind, peer_host=to, reason=str(error)
             )
             return self._drop(UNENCODABLE)
+        if len(body) > MAX_MESSAGE_BYTES:
+            # The other host would drop its frame as often as it is sent.
+            reason = f"{len(body)} bytes; at most {MAX_MESSAGE_BYTES}"
+            eliot.log_message(
+                "peer:message-dropped", kind=kind, peer_host=to, reason=reason
+            )
+            return self._drop(TOO_LARGE)
         self._counters.count_sent(kind, len(body))
         link.post(Envelope(kind, body, purpose, tag))
         return ""
@@ -292,6 +307,11 @@
                 self._process_frame(frame)
             case Err(error):
                 self._counters.count_dropped(str(error).partition(":")[0])
+                if error.is_sealed:
+                    # It is of a host of the fleet; others could fill the log.
+                    eliot.log_message(
+                        "peer:frame-dropped", reason=str(error), bytes=len(sealed)
+                    )
 
     def _process_frame(self, frame: Frame) -> None:
         if frame.receiver != self.host:
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/frames.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/frames.py
@@ -13,7 +13,16 @@
 from almondfield_core.findings import AlmondfieldError
 from almondfield_core.settings import HostSettings
 
-__all__ = ["Envelope", "Frame", "FrameError", "FrameSeal", "Purpose"]
+__all__ = [
+    "FRAME_OVERHEAD_BYTES",
+    "MAX_MESSAGE_BYTES",
+    "MAX_PAYLOAD_BYTES",
+    "Envelope",
+    "Frame",
+    "FrameError",
+    "FrameSeal",
+    "Purpose",
+]
 
 SEAL_BYTES = 16
 # Most frames are under 2 KB, so a small window and memory level are enough.
@@ -21,6 +30,8 @@
 MEMORY_LEVEL = 3
 COMPRESSION_LEVEL = 1
 MAX_PAYLOAD_BYTES = 32 * 1024 * 1024
+FRAME_OVERHEAD_BYTES = 1024 * 1024  # beside the largest message of a frame
+MAX_MESSAGE_BYTES = MAX_PAYLOAD_BYTES - FRAME_OVERHEAD_BYTES
 # Names that occur in most frames. Both ends need the same bytes, so changing them
 # changes the protocol.
 COMPRESSION_DICTIONARY = (
@@ -35,7 +46,15 @@
 
 
 class FrameError(AlmondfieldError):
-    """Raised for a frame with an invalid seal or a malformed payload."""
+    """Raised for a frame with an invalid seal or a malformed payload.
+
+    :param text: what is wrong.
+    :param is_sealed: whether the seal is valid.
+    """
+
+    def __init__(self, text: str, is_sealed: bool = True) -> None:
+        super().__init__(text)
+        self.is_sealed = is_sealed
 
 
 class Purpose(IntEnum):
@@ -117,9 +136,15 @@
         """
         seal, payload = sealed[:SEAL_BYTES], sealed[SEAL_BYTES:]
         if not hmac.compare_digest(seal, self._digest(payload)):
-            return Err(FrameError("the frame is not sealed with the fleet secret"))
+            text = "the frame is not sealed with the fleet secret"
+            return Err(FrameError(text, is_sealed=False))
         try:
-            return Ok(self._decoder.decode(_decompress(payload)))
+            content = _decompress(payload)
+            if len(content) > MAX_PAYLOAD_BYTES:
+                return Err(
+                    FrameError(f"frame too large: over {MAX_PAYLOAD_BYTES} bytes")
+                )
+            return Ok(self._decoder.decode(content))
         except (
             msgspec.DecodeError,
             RecursionError,
@@ -145,5 +170,6 @@
 
 
 def _decompress(payload: bytes) -> bytes:
+    """Return the content of a payload; more than the limit if it is larger."""
     decompressor = zlib.decompressobj(WINDOW_BITS, COMPRESSION_DICTIONARY)
-    return decompressor.decompress(payload, MAX_PAYLOAD_BYTES)
+    return decompressor.decompress(payload, MAX_PAYLOAD_BYTES + 1)
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
@@ -172,3 +172,11 @@
     And 3.0 s pass
     And "a" sends 20 requests a second to "b" for 6 s
     Then at least 0.9 of the requests of the last 3 s were answered within 0.02 s
+
+  # Guards against a message that its receiver drops and its sender repeats for ever, so
+  # that neither side says so.
+  Scenario: A message that fits in no frame is refused where it is sent
+    When "a" sends a report of 33 MiB to "b" and awaits the reply
+    Then the request fails with "message too large"
+    And "a" counts drops for "message too large"
+    And "a" sends report 5 to "b" and gets grant 5
--- a/tools/almondfield_testing/core.py
+++ b/tools/almondfield_testing/core.py
@@ -88,6 +88,8 @@
     :param repeat: fraction of messages that are delivered twice.
 
     :ivar delay_s_by_host: longer delays of the messages to and from some hosts.
+    :ivar max_message_bytes: larger messages are dropped; None for no limit.
+    :ivar largest_by_kind: size of the largest message of each kind in bytes.
     """
 
     def __init__(
@@ -106,6 +108,8 @@
         self.cut_links: set[tuple[str, str]] = set()
         self.bytes_by_kind: dict[str, int] = {}
         self.count_by_kind: dict[str, int] = {}
+        self.max_message_bytes: int | None = None
+        self.largest_by_kind: dict[str, int] = {}
 
     def peers(self, host: str) -> "InMemoryPeers":
         """Return the ``Peers`` port of a host; a second call restarts the host.
@@ -139,6 +143,9 @@
         """Deliver one message after a random delay, or drop it."""
         self.bytes_by_kind[kind] = self.bytes_by_kind.get(kind, 0) + len(body)
         self.count_by_kind[kind] = self.count_by_kind.get(kind, 0) + 1
+        self.largest_by_kind[kind] = max(self.largest_by_kind.get(kind, 0), len(body))
+        if self.max_message_bytes is not None and len(body) > self.max_message_bytes:
+            return
         if source != target and (source, target) in self.cut_links:
             return
         if source != target and self.random.random() < self.loss:
