Remove a lost voter before its successor votes, and count its silence over leaders (CONFIG)

What callers saw: after three control hosts had been replaced at other addresses, each while it led, and one disk was lost, the acknowledged configuration couldn't be read from any host, and requests with a key got 503 for good.

Cause: a successor voted at once, beside the host that it replaced. That one was removed only after 15 s of silence, which each new leader counted anew. Eight voters, five of which ran, lost their quorum with the disk; the wiped host needed a leader to be admitted.

Change: a successor votes once every voter responds; beside a voter that has been silent for 3 s, that one is removed first. Heartbeats tell silent voters, so that a new leader counts their silence on. On related paths: a voter that was removed while it was cut off asks to join (it stood for election for ever), and a learner whose host is lost is removed.

Why it works: while a group has a quorum, the others without the lost voter have one too, so each replacement ends within 3 s of the loss and leaves as many voters as before.

--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -17,7 +17,9 @@
 from almondfield_control.consensus.messages import HandOver, JoinRequest
 from almondfield_control.consensus.policy import GroupPolicy
 from almondfield_control.consensus.roles import Role, RoleMachine
+from almondfield_control.consensus.silence import SilenceReport
 from almondfield_control.consensus.snapshots import Snapshot, SnapshotStore
+from almondfield_control.consensus.tasks import BackgroundTasks
 from almondfield_control.errors import StorageError
 from almondfield_control.state import ControlState, decode_image
 from almondfield_control.storage import (
@@ -58,6 +60,7 @@
     :ivar leader_host: host of the leader; empty if it is not known.
     :ivar leader_last_seen_at: time of the last message from a leader or of the last
         vote given, on the event loop's clock in seconds.
+    :ivar silence_report: silent voters as the last leader told them.
     :ivar leadership: the leader's state for its term; None in other roles.
     """
 
@@ -85,13 +88,13 @@
         self.durable_index = 0
         self.leader_host = ""
         self.leader_last_seen_at = 0.0
+        self.silence_report = SilenceReport()
         self.leadership: Leadership | None = None
         self.on_apply: list[Callable[[LogEntry, object], None]] = []
         self.on_elected: list[Callable[[], None]] = []
         self._roles = RoleMachine()
         self.synced_hard_state = HardState("")
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._failures: asyncio.Queue[BaseException] = asyncio.Queue()
+        self._tasks = BackgroundTasks()
         self.snapshots = SnapshotStore(self)
         self._follower = Follower(self)
         self._formation = Formation(self)
@@ -146,7 +149,7 @@
                 group.create_task(self.journal.run())
                 group.create_task(self._formation.run())
                 group.create_task(self._election.run())
-                group.create_task(self._raise_task_failure())
+                group.create_task(self._tasks.raise_failure())
         finally:
             self.step_down("it stops")
 
@@ -297,22 +300,7 @@
 
         :param coroutine: coroutine that the task runs.
         """
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-        return task
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._failures.put_nowait(task.exception())
-
-    async def _raise_task_failure(self) -> None:
-        """Raise the first failure of a background task, which ends :meth:`run`.
-
-        A member must not go on with a part of its tasks missing.
-        """
-        raise await self._failures.get()
+        return self._tasks.spawn(coroutine)
 
     async def _recover(self) -> None:
         recovered = await self._read_folder()
--- a/packages/almondfield-control/src/almondfield_control/consensus/follower.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/follower.py
@@ -10,6 +10,7 @@
     SnapshotReply,
 )
 from almondfield_control.consensus.roles import Role
+from almondfield_control.consensus.silence import SilenceReport
 from almondfield_control.consensus.snapshots import SnapshotReceiver
 from almondfield_control.errors import StorageError
 from almondfield_core.clock import now
@@ -48,6 +49,9 @@
         if request.term < replica.hard_state.term:
             return AppendReply(replica.hard_state.term, False, 0)
         self._follow_leader(sender, request.term)
+        replica.silence_report = SilenceReport(
+            self._voter_on(sender), now(), request.silent_s_by_voter
+        )
         if not self._log_matches(request):
             hint = min(replica.log.last_index, request.previous_index - 1)
             return self._reply(False, hint)
@@ -99,6 +103,12 @@
         replica.leader_host = leader_host
         replica.leader_last_seen_at = now()
 
+    def _voter_on(self, host: str) -> str:
+        """Return the identity of the voter on a host; empty if the log has none."""
+        members = self._replica.log.members
+        voters = (m.voter_id for m in members if m.host == host and m.votes)
+        return next(voters, "")
+
     async def _store_entries(self, request: AppendRequest) -> None:
         replica = self._replica
         entries = self._new_entries(request.entries)
--- a/packages/almondfield-control/src/almondfield_control/consensus/formation.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -17,7 +17,7 @@
 )
 from almondfield_control.consensus.roles import Role
 from almondfield_control.errors import StorageError
-from almondfield_core.clock import PeriodicTimer
+from almondfield_core.clock import PeriodicTimer, now
 
 if TYPE_CHECKING:
     from almondfield_control.consensus.core import Replica
@@ -25,6 +25,7 @@
 __all__ = ["Formation"]
 
 HEARTBEATS_PER_CHECK = 2
+ELECTIONS_BEFORE_JOIN = 5  # without a leader; longer than most elections take
 REQUEST_TIMEOUT_S = 1.0
 _CLUSTER_ID_BITS = 64
 
@@ -63,8 +64,7 @@
                 self.waiting_for = ""
                 if replica.role is Role.UNFORMED:
                     replica.become_follower_or_learner()
-                if replica.role is Role.LEARNER and not replica.has_recent_leader():
-                    # The entry that added it may be lost with an earlier leader.
+                if self._may_have_been_removed():
                     self._request_to_join()
             elif replica.hard_state.formed:
                 self._request_to_join()
@@ -100,6 +100,20 @@
         members = self._replica.log.members
         return any(m.voter_id == self._replica.voter_id for m in members)
 
+    def _may_have_been_removed(self) -> bool:
+        """Return whether no leader counts this member, though its own log lists it.
+
+        The entry that added a learner may be lost with an earlier leader, and a voter
+        that was cut off may have been removed, which only the others' logs tell. A
+        leader that counts it drops its request.
+        """
+        replica = self._replica
+        if replica.role is Role.LEARNER:
+            return not replica.has_recent_leader()
+        limit_s = ELECTIONS_BEFORE_JOIN * replica.timing.election_s
+        is_led = replica.role is Role.LEADER
+        return not is_led and now() > replica.leader_last_seen_at + limit_s
+
     async def _try_to_form(self) -> None:
         replica = self._replica
         others = [host for host in replica.configured if host != replica.peers.host]
--- a/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
@@ -22,7 +22,10 @@
     SnapshotReply,
 )
 from almondfield_control.consensus.progress import Progress
-from almondfield_control.consensus.snapshots import CHUNK_BYTES, Snapshot
+from almondfield_control.consensus.snapshot_transfer import (
+    MAX_APPEND_BYTES,
+    SnapshotTransfer,
+)
 from almondfield_core.clock import PeriodicTimer, now
 from almondfield_core.messages import ControlUnavailable
 
@@ -33,9 +36,6 @@
 
 HEARTBEATS_PER_ELECTION = 4
 MAX_ENTRIES_PER_APPEND = 256
-MAX_APPEND_BYTES = (
-    256 * 1024
-)  # a few milliseconds of the event loop; as snapshot chunks
 MAX_UNCOMMITTED_ENTRIES = 4096
 REPLY_ITERATIONS = 6  # of the loop, from a readable socket to the task of a reply
 LEASE_ENDED = "no quorum answered within its lease"
@@ -60,6 +60,7 @@
         self._waiter_by_index: dict[int, asyncio.Future[object]] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._handing_over = False
+        self._transfer = SnapshotTransfer(replica, self)
         self.membership = Membership(replica, self)
 
     def start(self) -> None:
@@ -214,10 +215,12 @@
                 progress.member = member
 
     def _start_replication(self, member: Member) -> None:
+        replica = self._replica
         last_seen_at = self._requested_at_by_voter.get(member.voter_id, float("-inf"))
+        known_at = replica.silence_report.seen_at(member.voter_id, default=now())
         # The last entry is of this term: replicating it detects where logs diverge.
-        next_index = self._replica.log.last_index
-        progress = Progress(member, next_index, last_seen_at)
+        next_index = replica.log.last_index
+        progress = Progress(member, next_index, last_seen_at, known_at)
         self.progress_by_voter[member.voter_id] = progress
         progress.tasks = [
             asyncio.create_task(self._replicate(progress)),
@@ -231,12 +234,12 @@
                 progress.wake.clear()
                 await progress.wake.wait()
                 continue
-            if self._needs_snapshot(progress):
+            if self._transfer.is_due(progress):
                 if progress.disk_fails:
                     # It couldn't keep the snapshot; heartbeats tell when it can.
-                    await asyncio.sleep(self._heartbeat_s())
+                    await asyncio.sleep(self.heartbeat_s)
                 else:
-                    await self._send_snapshot(progress)
+                    await self._transfer.send(progress)
                 continue
             previous = progress.next_index - 1
             entries = replica.log.next_entries(
@@ -244,70 +247,27 @@
             )
             reply = await self._send_entries(progress, previous, entries)
             if reply is None or reply.stalled:
-                await asyncio.sleep(self._heartbeat_s())
-
-    def _needs_snapshot(self, progress: Progress) -> bool:
-        """Return whether a member gets the snapshot before any entries.
-
-        It does if the log no longer holds what it lacks, or if that is larger than the
-        snapshot, as with entries that each replace a large table.
-        """
-        replica = self._replica
-        previous = progress.next_index - 1
-        if previous < replica.log.base_index:
-            return True
-        if progress.disk_fails:
-            # Entries take less of its disk at a time.
-            return False
-        snapshot = replica.snapshots.latest
-        lacked_bytes = replica.log.bytes_between(previous, snapshot.index)
-        return lacked_bytes > max(len(snapshot.data), MAX_APPEND_BYTES)
-
-    async def _send_snapshot(self, progress: Progress) -> None:
-        snapshot = self._replica.snapshots.latest
-        checksum = snapshot.checksum
-        offset = 0
-        while self._replica.leadership is self:
-            chunk = self._chunk_of(snapshot, checksum, progress.member, offset)
-            reply = await self._request(progress, chunk)
-            if reply is None:
-                await asyncio.sleep(self._heartbeat_s())
-                continue
-            if reply.installed:
-                progress.match_index = max(progress.match_index, snapshot.index)
-                progress.next_index = progress.match_index + 1
-                self.advance_commit_index()
-                return
-            if reply.offset <= offset:
-                # It can't write at present, or is still writing the snapshot.
-                await asyncio.sleep(self._heartbeat_s())
-            if reply.offset == 0 and offset > 0:
-                return
-            offset = reply.offset
-
-    def _chunk_of(
-        self, snapshot: Snapshot, checksum: int, member: Member, offset: int
-    ) -> SnapshotChunk:
-        return SnapshotChunk(
-            cluster_id=self._replica.hard_state.cluster_id,
-            to_voter=member.voter_id,
-            term=self.term,
-            last_index=snapshot.index,
-            last_term=snapshot.term,
-            total=len(snapshot.data),
-            checksum=checksum,
-            offset=offset,
-            data=snapshot.data[offset : offset + CHUNK_BYTES],
-        )
+                await asyncio.sleep(self.heartbeat_s)
 
     async def _send_heartbeats(self, progress: Progress) -> None:
-        timer = PeriodicTimer(self._replica.peers.host, self._heartbeat_s())
+        timer = PeriodicTimer(self._replica.peers.host, self.heartbeat_s)
         while self._replica.leadership is self:
             previous = max(progress.match_index, self._replica.log.base_index)
             self._replica.spawn(self._send_entries(progress, previous, ()))
             await timer.wait()
 
-    def _heartbeat_s(self) -> float:
+    def _silent_s_by_voter(self) -> dict[str, float]:
+        limit_s = self._replica.timing.election_s
+        silent_s_by_voter = {
+            voter_id: now() - progress.silent_since
+            for voter_id, progress in self.progress_by_voter.items()
+            if progress.member.votes
+        }
+        return {v: s for v, s in silent_s_by_voter.items() if s > limit_s}
+
+    @property
+    def heartbeat_s(self) -> float:
+        """Return the interval of heartbeats in seconds."""
         return self._replica.timing.election_s / HEARTBEATS_PER_ELECTION
 
     async def _send_entries(
@@ -322,15 +282,21 @@
             previous_term=replica.log.term_at(previous),
             commit_index=replica.commit_index,
             entries=entries,
+            silent_s_by_voter=self._silent_s_by_voter(),
         )
-        reply = await self._request(progress, request)
+        reply = await self.request(progress, request)
         if reply is not None:
             self._on_reply(progress, reply)
         return reply
 
-    async def _request(
+    async def request(
         self, progress: Progress, request: AppendRequest | SnapshotChunk
     ) -> AppendReply | SnapshotReply | None:
+        """Return a member's reply; None if it doesn't come or this term has ended.
+
+        :param progress: progress of the member.
+        :param request: entries or a part of a snapshot.
+        """
         replica = self._replica
         sent_at = now()
         timeout_s = replica.timing.election_s
--- a/packages/almondfield-control/src/almondfield_control/consensus/membership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/membership.py
@@ -17,17 +17,19 @@
 __all__ = ["Membership"]
 
 CHECK_INTERVAL_S = 0.2
-REPLACE_SILENCE_S = 3.0
+REPLACE_SILENCE_S = 3.0  # a voter that returns later joins again as a learner
 REMOVE_SILENCE_S = 15.0  # longer than a restart or a network partition of seconds
+MIN_OBSERVATION_S = 1.0  # of a new leader itself; covers new connections
 
 
 class Membership:
     """Membership changes of one leader.
 
-    A learner that replaces the lost identity of its host is admitted in two changes:
-    the lost voter is removed, then the learner becomes a voter. Successive memberships
-    differ by one voter, so their quorums overlap. The removal comes first, so that a
-    second loss in between leaves a quorum.
+    A learner that replaces the lost identity of its host, or the voter of a lost host,
+    is admitted in two changes: the lost voter is removed, then the learner becomes a
+    voter. Successive memberships differ by one voter, so their quorums overlap. The
+    removal comes first, so that a second loss in between leaves a quorum, and so that
+    the voters don't come to outnumber the hosts that run.
 
     :param replica: the member that leads.
     :param leadership: leader state of its current term.
@@ -119,23 +121,56 @@
                 return
 
     def _adjust_to_hosts(self) -> None:
-        """Promote a caught-up learner of a new host; remove an unresponsive voter."""
+        """Admit a caught-up learner of a new host, or remove a lost member."""
         members = self._replica.log.members
-        for learner in members:
-            is_new = not learner.votes and not learner.replaces
-            if is_new and self._is_caught_up(learner):
-                self._start_change(self._members_promoting(learner))
-                return
-        voters = [m for m in members if m.votes]
-        if len(voters) <= self._replica.policy.min_voters:
+        learners = [m for m in members if not m.votes and not m.replaces]
+        admissible = next((m for m in learners if self._is_caught_up(m)), None)
+        if admissible is not None:
+            self._admit_of_new_host(admissible)
             return
-        for voter in voters:
-            remaining = tuple(m for m in members if m is not voter)
-            if self._is_unresponsive(voter, REMOVE_SILENCE_S) and self._has_quorum(
-                remaining
-            ):
-                self._start_change(remaining)
-                return
+        removable = self._removable_member()
+        if removable is not None:
+            self._start_change(tuple(m for m in members if m is not removable))
+
+    def _admit_of_new_host(self, learner: Member) -> None:
+        """Promote a learner once every voter responds, or in place of a lost one.
+
+        A voter added beside a lost one would raise the quorum, and would take the
+        place of the removal for good if further hosts are replaced.
+        """
+        members = self._replica.log.members
+        voters = [m for m in members if m.votes]
+        lost_voter = self._lost_voter(REPLACE_SILENCE_S)
+        has_too_few = len(voters) < self._replica.policy.min_voters
+        election_s = self._replica.timing.election_s
+        if lost_voter is not None and not has_too_few:
+            self._start_change(tuple(m for m in members if m is not lost_voter))
+        elif has_too_few or not any(self._is_silent(m, election_s) for m in voters):
+            self._start_change(self._members_promoting(learner))
+
+    def _removable_member(self) -> Member | None:
+        """Return a member whose host is lost, or None if there is none."""
+        members = self._replica.log.members
+        for learner in members:
+            if not learner.votes and self._is_unresponsive(learner, REMOVE_SILENCE_S):
+                return learner
+        voter_count = sum(m.votes for m in members)
+        if voter_count <= self._replica.policy.min_voters:
+            return None
+        return self._lost_voter(REMOVE_SILENCE_S)
+
+    def _lost_voter(self, silence_s: float) -> Member | None:
+        """Return an unresponsive voter without which there is a quorum, or None.
+
+        :param silence_s: silence from which on a voter counts as lost, in seconds.
+        """
+        members = self._replica.log.members
+        for voter in members:
+            if not voter.votes or not self._is_unresponsive(voter, silence_s):
+                continue
+            if self._has_quorum(tuple(m for m in members if m is not voter)):
+                return voter
+        return None
 
     def _start_change(self, members: tuple[Member, ...]) -> None:
         eliot.log_message(
@@ -166,12 +201,19 @@
     def _is_unresponsive(
         self, member: Member, silence_s: float = REPLACE_SILENCE_S
     ) -> bool:
+        """Return whether a member counts as lost after a silence.
+
+        :param member: the member.
+        :param silence_s: the silence in seconds, under this leader or earlier ones.
+        """
+        observed_s = now() - self._leadership.started_at
+        return observed_s > MIN_OBSERVATION_S and self._is_silent(member, silence_s)
+
+    def _is_silent(self, member: Member, silence_s: float) -> bool:
         if member.voter_id == self._replica.voter_id:
             return False
-        progress = self._leadership.progress_by_voter.get(member.voter_id)
-        last_seen_at = progress.last_seen_at if progress else float("-inf")
-        last_seen_at = max(last_seen_at, self._leadership.started_at)
-        return now() > last_seen_at + silence_s
+        progress = self._leadership.progress_by_voter[member.voter_id]
+        return now() > progress.silent_since + silence_s
 
     def _has_quorum(self, members: tuple[Member, ...]) -> bool:
         voters = [m for m in members if m.votes]
--- a/packages/almondfield-control/src/almondfield_control/consensus/messages.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/messages.py
@@ -1,6 +1,6 @@
 """Messages between members of the control group."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from almondfield_control.commands import LogEntry, Member
 from almondfield_core.wire import wire_message
@@ -70,6 +70,8 @@
     :ivar previous_term: term of that entry.
     :ivar commit_index: last entry that is committed.
     :ivar entries: the entries.
+    :ivar silent_s_by_voter: how long voters have been silent, by identity, in seconds;
+        voters that answered within an election timeout are left out.
     """
 
     cluster_id: str
@@ -79,6 +81,7 @@
     previous_term: int
     commit_index: int
     entries: tuple[LogEntry, ...] = ()
+    silent_s_by_voter: dict[str, float] = field(default_factory=dict)
 
 
 @wire_message("append-reply")
--- a/packages/almondfield-control/src/almondfield_control/consensus/policy.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/policy.py
@@ -13,8 +13,8 @@
         a new group.
     :ivar dynamic_membership: whether every host that requests to join becomes a
         voter and an unresponsive one is removed; else only the configured hosts vote.
-    :ivar min_voters: minimum number of voters: removals stop there, and no routing
-        table is accepted below it.
+    :ivar min_voters: minimum number of voters: a lost one is removed below it only for
+        a successor that holds the log, and no routing table is accepted below it.
     """
 
     may_form: bool = True
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
@@ -161,3 +161,61 @@
     Then all 5 hosts vote
     And "c3" votes with its new identity
     And no message holds more than one entry of 800000 bytes
+
+  # Guards against CONFIG: successors voted at once, the hosts that they replaced until 15 s
+  # of silence under one leader. Eight voters, of which five ran, had no quorum after a lost
+  # disk, and the host with the lost disk needed a leader to be admitted.
+  Scenario: Three leaders are replaced in turn, then a disk is lost
+    Given a formed group of 5 and 1 routers
+    And version 2 is published at "c1"
+    When the leader is replaced by "c6", then 7.0 s pass
+    Then only hosts that run vote
+    When the leader is replaced by "c7", then 7.0 s pass
+    Then only hosts that run vote
+    When the leader is replaced by "c8", then 4.0 s pass
+    Then only hosts that run vote
+    When a host that doesn't lead loses its disk and restarts
+    And 6.0 s pass
+    Then 5 hosts vote, each with its newest identity
+    And every router holds version 2 with a fresh lease
+
+  # Guards against CONFIG: as above, as the silence of a lost voter began anew with each
+  # leader.
+  Scenario: A lost host is replaced though the leader changes again and again
+    Given a formed group of 5 and 1 routers
+    When a host that doesn't lead is replaced by "c6"
+    And the leader restarts every 1.5 s, 2 times
+    And 1.5 s pass
+    Then only hosts that run vote
+
+  # Guards against CONFIG: a voter that is removed while it is cut off never learns that it
+  # isn't one any more, and takes no part for good.
+  Scenario: A voter that was replaced while it was cut off joins again
+    Given a formed group of 5 and 1 routers
+    When a host that doesn't lead is cut off, and "c6" starts
+    And 6.0 s pass
+    Then the host that was cut off doesn't vote
+    When it is connected again
+    And 4.0 s pass
+    Then 6 hosts vote, each with its newest identity
+
+  # Guards against a voter that is removed for a moment's silence: nothing is removed
+  # while no other host is there to vote in its place.
+  Scenario: A voter that is cut off for some seconds stays one
+    Given a formed group of 5 and 1 routers
+    When a host that doesn't lead is cut off
+    And 6.0 s pass
+    And it is connected again
+    And 1.0 s pass
+    Then 5 hosts vote, each with its newest identity
+
+  # Guards against a learner that stays a member for good after its host is lost.
+  Scenario: A host that is lost before it votes doesn't stay a member
+    Given a formed group of 5 and 1 routers
+    When a host that doesn't lead is cut off, and "c6" starts
+    And 2.0 s pass
+    And "c6" is permanently lost
+    And it is connected again
+    And 20.0 s pass
+    Then 5 hosts vote, each with its newest identity
+    And the group has 5 members
