Bound the log and the queued messages of a host in bytes of its memory

What callers saw: control hosts were ended for their memory (296 MB) one after another while a configuration of 2,800 routes was changed about five times a second, each again and again.

Nothing followed from the memory that the settings name.

More uncommitted entries are refused, certainly not done. Large replies to a silent host are dropped, so that they don't keep messages to others out.

--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -13,6 +13,7 @@
 from almondfield_control.consensus.follower import Follower
 from almondfield_control.consensus.formation import Formation
 from almondfield_control.consensus.leadership import Leadership
+from almondfield_control.consensus.limits import LogLimits
 from almondfield_control.consensus.log import ReplicatedLog
 from almondfield_control.consensus.messages import HandOver, JoinRequest
 from almondfield_control.consensus.policy import GroupPolicy
@@ -50,6 +51,7 @@
     :param wall_clock: calendar time for new entries.
     :param rng: source of identities and election timeouts.
     :param policy: rules for the members of the group.
+    :param limits: memory that the log may take.
 
     :ivar hard_state: the current hard state: identity, term and vote.
     :ivar synced_hard_state: the hard state that was last written durably.
@@ -73,8 +75,10 @@
         wall_clock: WallClock,
         rng: random.Random,
         policy: GroupPolicy | None = None,
+        limits: LogLimits | None = None,
     ) -> None:
         self.policy = policy or GroupPolicy()
+        self.limits = limits or LogLimits()
         self.peers = peers
         self.configured = configured
         self.timing = timing
--- a/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
@@ -176,7 +176,11 @@
             return "the leader is handing over"
         if replica.journal.failure is not None:
             return f"the leader cannot write: {replica.journal.failure}"
-        if replica.log.last_index - replica.commit_index >= MAX_UNCOMMITTED_ENTRIES:
+        first, last = replica.commit_index, replica.log.last_index
+        uncommitted_bytes = replica.log.bytes_between(first, last)
+        if uncommitted_bytes >= replica.limits.uncommitted_bytes:
+            return f"{uncommitted_bytes} bytes of uncommitted entries"
+        if last - first >= MAX_UNCOMMITTED_ENTRIES:
             return "too many uncommitted entries"
         return ""
 
--- a/packages/almondfield-control/src/almondfield_control/consensus/log.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/log.py
@@ -88,7 +88,7 @@
         start = index - self.base_index
         candidates = self._entries[start : start + max_count]
         sizes = itertools.accumulate(len(entry.body) for entry in candidates)
-        fitting = sum(1 for _ in itertools.takewhile(lambda n: n <= max_bytes, sizes))
+        fitting = sum(1 for _ in itertools.takewhile(max_bytes.__ge__, sizes))
         return tuple(candidates[: max(1, fitting)])
 
     def bytes_between(self, index: int, last_index: int) -> int:
@@ -101,6 +101,18 @@
         stop = last_index - self.base_index
         return sum(len(entry.body) for entry in self._entries[start:stop])
 
+    def retained_from(self, index: int, max_count: int, max_bytes: int) -> int:
+        """Return the base after which at most so many entries precede an entry.
+
+        :param index: last entry that a snapshot covers.
+        :param max_count: maximum number of entries up to it.
+        :param max_bytes: maximum size of these entries.
+        """
+        first = max(self.base_index, index - max_count)
+        covered = self._entries[first - self.base_index : index - self.base_index]
+        sizes = itertools.accumulate(len(entry.body) for entry in reversed(covered))
+        return index - sum(1 for _ in itertools.takewhile(max_bytes.__ge__, sizes))
+
     def append(self, entries: tuple[LogEntry, ...]) -> None:
         """Append entries that follow the last one.
 
--- a/packages/almondfield-control/src/almondfield_control/consensus/snapshots.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/snapshots.py
@@ -95,8 +95,11 @@
         if entries:
             replica.mark_durable(last_index, entries[-1].term)
         self.latest = snapshot
-        base = max(replica.log.base_index, snapshot.index - TRAILING_ENTRIES)
-        replica.log.compact_to(base)
+        replica.log.compact_to(
+            replica.log.retained_from(
+                snapshot.index, TRAILING_ENTRIES, replica.limits.retained_bytes
+            )
+        )
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
@@ -219,3 +219,19 @@
     And 20.0 s pass
     Then 5 hosts vote, each with its newest identity
     And the group has 5 members
+
+  # Guards against a fault of control hosts: they went over their memory, as 256 entries
+  # stayed in memory whatever their size.
+  Scenario: Changes of a large table leave a bounded log in memory
+    Given a formed group of 3 and 0 routers
+    When versions 1 to 80 with documents of 800000 bytes are published at "c1"
+    And 2.0 s pass
+    Then no control host holds more than 17 MiB of entries
+
+  # Guards against the same fault while no quorum answers: 4,096 entries of any size were
+  # accepted, though none could be committed.
+  Scenario: Changes that can't be committed are refused before they fill the memory
+    Given a formed group of 3 and 0 routers
+    When all other hosts are cut off, and 60 tables of 800000 bytes come at the leader
+    Then no control host holds more than 17 MiB of entries
+    And most of these tables were refused as certainly not published
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/large_table_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/large_table_steps.py
@@ -3,7 +3,10 @@
 import asyncio
 
 from behave import given, then, when
+from result import Err
 
+from almondfield_control.commands import PublishTable
+from almondfield_core.routing import RoutingTable
 from almondfield_testing import run
 
 BYTES_PER_MIB = 1024 * 1024
@@ -72,3 +75,40 @@
 def step_impl(context, size):
     largest = max(context.fleet.network.largest_by_kind.values())
     assert largest <= size + ENTRY_OVERHEAD_BYTES, largest
+
+
+@when(
+    "all other hosts are cut off, and {count:d} tables of {size:d} bytes come at the "
+    "leader"
+)
+def step_impl(context, count, size):
+    async def propose_tables():
+        fleet = context.fleet
+        leader = fleet.leader()
+        fleet.network.isolate(leader)
+        replica = fleet.replica_by_host[leader]
+        tables = [
+            PublishTable(RoutingTable(version), b"x" * size)
+            for version in range(1, count + 1)
+        ]
+        return await asyncio.gather(*map(replica.propose, tables))
+
+    context.outcomes = run(context, propose_tables())
+
+
+@then("no control host holds more than {size:d} MiB of entries")
+def step_impl(context, size):
+    for host, replica in context.fleet.replica_by_host.items():
+        log = replica.log
+        held = sum(len(entry.body) for entry in log.entries_after(log.base_index))
+        assert held <= size * BYTES_PER_MIB, (host, held)
+
+
+@then("most of these tables were refused as certainly not published")
+def step_impl(context):
+    refused = [
+        outcome
+        for outcome in context.outcomes
+        if isinstance(outcome, Err) and outcome.err_value.certainly_not_done
+    ]
+    assert len(refused) > len(context.outcomes) / 2, len(refused)
--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -23,6 +23,7 @@
 __all__ = ["FLEET_TIMING", "FleetRole", "FleetSettings", "load_fleet_settings"]
 
 MAX_PORT = 65_535
+BYTES_PER_MB = 1_000_000
 # Short, as callers wait while there is no leader, but long enough for a heartbeat to
 # arrive over links with a high delay.
 ELECTION_S = 0.4
@@ -111,6 +112,11 @@
         "Limits on the answers of backend servers.", default=AnswerSettings()
     )
 
+    @property
+    def memory_bytes(self) -> int:
+        """Return the memory that the daemon may use, in bytes."""
+        return self.memory_mb * BYTES_PER_MB
+
     @property
     def seeds(self) -> tuple[str, ...]:
         """Return the names of the control hosts in ``seed_addresses``."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Any
 
-from almondfield_control.consensus import GroupPolicy, Replica
+from almondfield_control.consensus import GroupPolicy, LogLimits, Replica
 from almondfield_control.publishing import TablePublisher
 from almondfield_control.storage import FolderDisk
 from almondfield_core.clock import WallClock, now
@@ -49,6 +49,7 @@
             WallClock(started_unix_s - now()),
             rng,
             GroupPolicy(settings.may_form, True, _min_voters(settings)),
+            LogLimits.of_memory(settings.memory_bytes),
         )
         leader = self.leader_client(self._members)
         self.fleet = FleetControl(self.peers, self.incarnation, self._members, rng)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -33,6 +33,7 @@
 MAX_HEAD_BYTES = 64 * 1024  # more than any routing table allows
 LEADER_ATTEMPT_S = 0.4  # covers many round trips, and the shortest election
 NO_SECRET = b""
+QUEUED_MEMORY_FRACTION = 1 / 16  # for messages sent, and as much for those received
 
 
 class FleetHost:
@@ -55,6 +56,7 @@
             self.incarnation,
             resolve_host=settings.host,
             on_reply=self.host_delay.record_reply,
+            max_queued_bytes=int(QUEUED_MEMORY_FRACTION * settings.memory_bytes),
         )
         self._settings_path = settings_path
         self._listeners: list[HttpListener] = []
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -49,7 +49,6 @@
 # wait longer connects to another router.
 CALLER_BACKLOG = 128
 MAX_ATTEMPTS_PER_MS = 1000  # far above what one router makes
-BYTES_PER_MB = 1_000_000
 MS_PER_S = 1000
 
 
@@ -139,9 +138,7 @@
             self._observe,
             self._observe_refusal,
         )
-        max_buffered_bytes = int(
-            BODY_MEMORY_FRACTION * settings.memory_mb * BYTES_PER_MB
-        )
+        max_buffered_bytes = int(BODY_MEMORY_FRACTION * settings.memory_bytes)
         self._endpoint = ForwardEndpoint(
             forwarder, self.subscription, codec, max_buffered_bytes, self._counts
         )
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
@@ -19,6 +19,7 @@
     encode_message,
     kind_of,
 )
+from almondfield_daemon.peers.envelope_queue import ByteBudget
 from almondfield_daemon.peers.frames import (
     FRAME_OVERHEAD_BYTES,
     MAX_MESSAGE_BYTES,
@@ -36,6 +37,7 @@
 __all__ = ["PynngPeers"]
 
 HEARTBEATS_PER_CHECK = 3
+MAX_QUEUED_BYTES = 32 * 1024 * 1024
 MAX_LATE_REQUESTS = 1000  # without a timely reply; some seconds of a busy router
 MS_PER_S = 1000
 UNKNOWN_HOST = "unknown host"
@@ -73,6 +75,8 @@
         nor an introduction of the host has them; None if such hosts are unknown.
     :param on_reply: called with the host of each reply, also of a late one, and the
         seconds since its request was sent.
+    :param max_queued_bytes: size of the large messages that wait to be sent, and of
+        those that wait for their handlers, in bytes.
     """
 
     def __init__(
@@ -83,9 +87,12 @@
         sockets: Sockets | None = None,
         resolve_host: Callable[[str], HostSettings] | None = None,
         on_reply: Callable[[str, float], None] = lambda host, reply_time_s: None,
+        max_queued_bytes: int = MAX_QUEUED_BYTES,
     ) -> None:
         self._resolve_host = resolve_host
         self._on_reply = on_reply
+        self._queued = ByteBudget(max_queued_bytes)
+        self._unhandled = ByteBudget(max_queued_bytes)
         self._settings = settings
         self._incarnation = incarnation
         self._seal = FrameSeal(secret)
@@ -281,6 +288,7 @@
             self._seal,
             self._counters,
             self._settings.timing,
+            self._queued,
         )
         self._link_by_host[host] = link
         if self._tasks is not None:
@@ -291,7 +299,9 @@
         inbox = self._inbox_by_host.get(host)
         if inbox is None:
             inbox = Inbox(
-                lambda envelope: self._dispatch(host, envelope), self._counters
+                lambda envelope: self._dispatch(host, envelope),
+                self._counters,
+                self._unhandled,
             )
             self._inbox_by_host[host] = inbox
             if self._tasks is not None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/inbox.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/inbox.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 
+from almondfield_daemon.peers.envelope_queue import ByteBudget, counted_bytes
 from almondfield_daemon.peers.frames import Envelope
 from almondfield_daemon.peers.message_counters import MessageCounters
 
@@ -17,11 +18,16 @@
 
     :param handle: called with one message at a time.
     :param counters: counts dropped messages.
+    :param budget: bytes of the waiting messages of all senders.
     """
 
     def __init__(
-        self, handle: Callable[[Envelope], Awaitable[None]], counters: MessageCounters
+        self,
+        handle: Callable[[Envelope], Awaitable[None]],
+        counters: MessageCounters,
+        budget: ByteBudget,
     ) -> None:
+        self._budget = budget
         self._handle = handle
         self._counters = counters
         self._queue: deque[Envelope] = deque()
@@ -32,9 +38,12 @@
 
         :param envelope: the message.
         """
-        if len(self._queue) >= MAX_INBOX_ENVELOPES:
+        size = counted_bytes(envelope)
+        has_room = not size or self._budget.has_room(size)
+        if len(self._queue) >= MAX_INBOX_ENVELOPES or not has_room:
             self._counters.count_dropped("inbox full")
             return
+        self._budget.used_bytes += size
         self._queue.append(envelope)
         self._wake.set()
 
@@ -44,4 +53,6 @@
             await self._wake.wait()
             self._wake.clear()
             while self._queue:
-                await self._handle(self._queue.popleft())
+                envelope = self._queue.popleft()
+                self._budget.used_bytes -= counted_bytes(envelope)
+                await self._handle(envelope)
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/link.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/link.py
@@ -1,20 +1,19 @@
 """Queue, connection and heartbeats of the link to one other host."""
 
 import asyncio
-from collections import deque
 
 import eliot
 
 from almondfield_core.clock import PeriodicTimer, now
 from almondfield_core.settings import HostSettings, TimingSettings
-from almondfield_daemon.peers.frames import Envelope, Frame, FrameSeal, Purpose
+from almondfield_daemon.peers.envelope_queue import ByteBudget, EnvelopeQueue
+from almondfield_daemon.peers.frames import Envelope, Frame, FrameSeal
 from almondfield_daemon.peers.message_counters import FRAMES, MessageCounters
 from almondfield_daemon.peers.path import Path
 from almondfield_daemon.peers.sockets import FrameSink, Sockets
 
 __all__ = ["OutgoingLink"]
 
-MAX_QUEUED_ENVELOPES = 4096
 MAX_FRAME_ENVELOPES = 256
 MAX_FRAME_BYTES = 256 * 1024
 SEND_RETRY_S = 0.02
@@ -36,6 +35,7 @@
     :param seal: encodes and authenticates frames.
     :param counters: counts the traffic.
     :param timing: heartbeat interval and heartbeat timeout.
+    :param budget: bytes of the queued messages to all hosts.
     """
 
     def __init__(
@@ -47,6 +47,7 @@
         seal: FrameSeal,
         counters: MessageCounters,
         timing: TimingSettings,
+        budget: ByteBudget,
     ) -> None:
         self.target = target
         self.path = Path(incarnation, timing.silence_s)
@@ -56,7 +57,9 @@
         self._seal = seal
         self._counters = counters
         self._heartbeat_timer = PeriodicTimer(own_host.name, timing.heartbeat_s)
-        self._queue: deque[Envelope] = deque()
+        self._queue = EnvelopeQueue(
+            budget, lambda: counters.count_dropped("queue full")
+        )
         self._wake = asyncio.Event()
         self._last_used_s = -IDLE_TIMEOUT_S
         self._last_echo_request_s = -IDLE_TIMEOUT_S
@@ -67,12 +70,10 @@
         self._interval_s = 0.0
 
     def post(self, envelope: Envelope) -> None:
-        """Queue a message; a full queue drops its oldest one-way message first.
+        """Queue a message, which may be dropped if the queue is full.
 
         :param envelope: the message.
         """
-        if len(self._queue) >= MAX_QUEUED_ENVELOPES:
-            self._drop_oldest()
         self._queue.append(envelope)
         self.mark_used()
         if self.path.is_inbound_alive:
@@ -83,10 +84,7 @@
 
         :param tag: tag of the request.
         """
-        for index, envelope in enumerate(self._queue):
-            if envelope.purpose is Purpose.REQUEST and envelope.tag == tag:
-                del self._queue[index]
-                return
+        self._queue.remove_request(tag)
 
     def set_target(self, target: HostSettings) -> None:
         """Replace the address of the other host and close the old connection.
@@ -157,6 +155,7 @@
             return
         if not self.is_active:
             self._close()
+            self._drop_outdated()
             await self._wake.wait()
             return
         try:
@@ -224,7 +223,7 @@
             # are for, so that no later one handles them. They wait until it is known.
             return ()
         while self._queue and len(dequeued) < MAX_FRAME_ENVELOPES:
-            size += len(self._queue[0].body)
+            size += self._queue.next_size
             if dequeued and size > MAX_FRAME_BYTES:
                 break
             dequeued.append(self._queue.popleft())
@@ -235,7 +234,7 @@
             return False
         self._counters.redials += 1
         self._close()
-        self._drop_one_way()
+        self._drop_outdated()
         self._dial()
         return True
 
@@ -252,17 +251,6 @@
         self.path.clear_unechoed()
         self._interval_s = 0.0
 
-    def _drop_one_way(self) -> None:
-        # One-way messages queued during the outage describe an outdated state.
-        kept = [e for e in self._queue if e.purpose is not Purpose.ONE_WAY]
-        for _ in range(len(self._queue) - len(kept)):
+    def _drop_outdated(self) -> None:
+        for _ in range(self._queue.drop_outdated()):
             self._counters.count_dropped("path silent")
-        self._queue = deque(kept)
-
-    def _drop_oldest(self) -> None:
-        self._counters.count_dropped("queue full")
-        for index, envelope in enumerate(self._queue):
-            if envelope.purpose is Purpose.ONE_WAY:
-                del self._queue[index]
-                return
-        self._queue.popleft()
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/peers.feature
@@ -180,3 +180,16 @@
     Then the request fails with "message too large"
     And "a" counts drops for "message too large"
     And "a" sends report 5 to "b" and gets grant 5
+
+  # Guards against a host that goes over its memory: 4,096 messages of any size waited for
+  # each other host.
+  Scenario: Large messages that wait for a silent host are bounded in bytes
+    Given connections accept no frames
+    When "a" sends report 1 to "b" as a request in the background
+    And "a" sends 100 one-way reports of 1 MiB to "b"
+    Then "a" counts drops for "queue full"
+    And "a" keeps at most 32 MiB for "b"
+    When connections accept frames again
+    And 12.0 s pass
+    Then "a" keeps at most 0 MiB for "b"
+    And "a" sends report 5 to "b" and gets grant 5
