Let a host that lost its disk join through the leader that addresses it (CONFIG)

Cause: a host with an empty folder asks the hosts that its settings name. Where those are gone, or are the host itself, it knows nobody. Its leader goes on addressing the lost identity, and the host drops these messages.

Change: a leader that addresses another identity of the host is one to ask. It admits the host as before: as a learner, in place of the lost identity.

Why it works: a leader addresses each member until it is removed, so it reaches the host whatever its settings name; what it says isn't used for anything but the request to join.

--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -64,6 +64,7 @@
         vote given, on the event loop's clock in seconds.
     :ivar silence_report: silent voters as the last leader told them.
     :ivar leadership: the leader's state for its term; None in other roles.
+    :ivar formation: how the member forms or joins a group.
     """
 
     def __init__(
@@ -101,7 +102,7 @@
         self._tasks = BackgroundTasks()
         self.snapshots = SnapshotStore(self)
         self._follower = Follower(self)
-        self._formation = Formation(self)
+        self.formation = Formation(self)
         self._election = Election(self)
 
     @property
@@ -122,7 +123,7 @@
     @property
     def waiting_for(self) -> str:
         """Return why this member belongs to no group yet; empty if it does."""
-        return self._formation.waiting_for
+        return self.formation.waiting_for
 
     @property
     def is_voter(self) -> bool:
@@ -151,7 +152,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.journal.run())
-                group.create_task(self._formation.run())
+                group.create_task(self.formation.run())
                 group.create_task(self._election.run())
                 group.create_task(self._tasks.raise_failure())
         finally:
@@ -297,7 +298,7 @@
         """
         if to_voter != self.voter_id or not self.hard_state.voter_id:
             return False
-        return self._formation.accept_group(cluster_id)
+        return self.formation.accept_group(cluster_id)
 
     def spawn(self, coroutine) -> asyncio.Task[None]:
         """Return a background task; its failure ends :meth:`run`.
@@ -350,7 +351,7 @@
         self._follower.register_handlers()
         self.peers.register_handler(HandOver, self._on_hand_over)
         self.peers.register_handler(JoinRequest, self._on_join)
-        self._formation.register_handlers()
+        self.formation.register_handlers()
         self._election.register_handlers()
 
     async def _await_durable(
--- a/packages/almondfield-control/src/almondfield_control/consensus/follower.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/follower.py
@@ -44,7 +44,7 @@
         self, sender: str, request: AppendRequest
     ) -> AppendReply | None:
         replica = self._replica
-        if not replica.is_recipient(request.cluster_id, request.to_voter):
+        if not self._is_addressed(sender, request):
             return None
         if request.term < replica.hard_state.term:
             return AppendReply(replica.hard_state.term, False, 0)
@@ -70,6 +70,16 @@
         replica.commit(min(request.commit_index, last))
         return self._reply(True, last)
 
+    def _is_addressed(
+        self, leader_host: str, message: AppendRequest | SnapshotChunk
+    ) -> bool:
+        """Return whether a leader's message is for this identity of the host."""
+        replica = self._replica
+        if replica.is_recipient(message.cluster_id, message.to_voter):
+            return True
+        replica.formation.record_leader(leader_host)
+        return False
+
     def _cannot_sync(self, last: int) -> bool:
         """Return whether the log up to an entry isn't synced and the disk fails."""
         replica = self._replica
@@ -148,7 +158,7 @@
         self, sender: str, chunk: SnapshotChunk
     ) -> SnapshotReply | None:
         replica = self._replica
-        if not replica.is_recipient(chunk.cluster_id, chunk.to_voter):
+        if not self._is_addressed(sender, chunk):
             return None
         if chunk.term < replica.hard_state.term:
             return SnapshotReply(replica.hard_state.term, 0)
--- a/packages/almondfield-control/src/almondfield_control/consensus/formation.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -46,6 +46,7 @@
     def __init__(self, replica: "Replica") -> None:
         self._replica = replica
         self.waiting_for = ""
+        self._heard_leader = ""
 
     def register_handlers(self) -> None:
         """Register the handlers of formation queries and offers."""
@@ -90,6 +91,16 @@
             replica.become_follower_or_learner()
         return True
 
+    def record_leader(self, host: str) -> None:
+        """Record a leader that addresses an earlier identity of this host.
+
+        A host that lost its disk may know no other host of its group, as its settings
+        may name hosts that are gone.
+
+        :param host: host of the leader.
+        """
+        self._heard_leader = host
+
     def _set_waiting_for(self, reason: str) -> None:
         if reason != self.waiting_for:
             host = self._replica.peers.host
@@ -120,7 +131,7 @@
         states = await self._request_all(others, FormationQuery(replica.voter_id))
         if replica.hard_state.formed:
             return
-        if any(state.formed for state in states.values()):
+        if self._heard_leader or any(state.formed for state in states.values()):
             self._request_to_join()
             return
         if not replica.policy.may_form:
@@ -216,8 +227,8 @@
         replica = self._replica
         self._set_waiting_for("the leader to add this host as a learner")
         members = {member.host for member in replica.log.members}
-        for host in members.union(replica.configured):
-            if host != replica.peers.host:
+        for host in members.union(replica.configured, [self._heard_leader]):
+            if host not in ("", replica.peers.host):
                 replica.peers.send(host, JoinRequest(replica.voter_id))
 
     async def _on_query(self, sender: str, query: FormationQuery) -> FormationState:
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
@@ -235,3 +235,13 @@
     When all other hosts are cut off, and 60 tables of 800000 bytes come at the leader
     Then no control host holds more than 17 MiB of entries
     And most of these tables were refused as certainly not published
+
+  # Guards against CONFIG: a host whose settings name only hosts that are gone, and itself,
+  # knows nobody to ask after it has lost its disk.
+  Scenario: A host that lost its disk joins again though all its seeds are gone
+    Given a formed group of 5 and 1 routers
+    When "c1" is replaced by "c6", whose seeds are "c3, c4, c5"
+    And "c2" is replaced by "c7", whose seeds are "c3, c4, c5"
+    And "c3" loses its disk and restarts with the seeds "c1, c2, c3"
+    And 6.0 s pass
+    Then 5 hosts vote, each with its newest identity
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/replaced_host_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/replaced_host_steps.py
@@ -8,6 +8,7 @@
 
 SUCCESSOR_DELAY_S = 1.0
 RESTART_S = 0.5
+REPLACED_S = 6.0  # until the successor votes
 
 
 def members(context):
@@ -54,6 +55,29 @@
     run(context, replace_follower())
 
 
+@when('"{host}" is replaced by "{successor}", whose seeds are "{seeds}"')
+def step_impl(context, host, successor, seeds):
+    async def replace_host():
+        fleet = context.fleet
+        fleet.seeds = tuple(seeds.split(", "))
+        await replace(fleet, host, successor)
+        await asyncio.sleep(REPLACED_S)
+
+    run(context, replace_host())
+
+
+@when('"{host}" loses its disk and restarts with the seeds "{seeds}"')
+def step_impl(context, host, seeds):
+    async def restart():
+        fleet = context.fleet
+        fleet.seeds = tuple(seeds.split(", "))
+        await fleet.stop(host, wipe=True)
+        await asyncio.sleep(RESTART_S)
+        fleet.start(host, may_form=False)
+
+    run(context, restart())
+
+
 @when("the leader restarts every {seconds:g} s, {times:d} times")
 def step_impl(context, seconds, times):
     async def restart():
