Pack a new routing table once for all routers

What callers saw: with a large configuration and many routers, leaders step down without a fault, and changes and requests with a key wait for the next one.

Cause: the leader encoded and compressed the whole table for each router that asks, one after the other on its event loop, which delays the renewal of its lease.

Change: a version is encoded and compressed once, and the reply holds the packed table. Routers say that they unpack; those of earlier builds get the table as before. A table that can't be unpacked is logged and asked for again.

--- a/packages/almondfield-control/src/almondfield_control/publishing/core.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/core.py
@@ -18,6 +18,7 @@
     ReadRequest,
     TableNotice,
 )
+from almondfield_control.publishing.packing import TablePacker
 from almondfield_core.messages import ControlUnavailable
 from almondfield_core.ports import Peers
 from almondfield_core.routing import RoutingTable
@@ -49,6 +50,7 @@
         self._leader = leader
         self._routers = routers
         self._notified_term = 0
+        self._packer = TablePacker()
         replica.on_apply.append(self._on_apply)
 
     def register_handlers(self) -> None:
@@ -147,14 +149,15 @@
         if not self.is_leader:
             return self._not_leader()
         published = self._replica.state.published
-        version = published.table.version if published else 0
-        is_other_version = published is not None and version != request.version
         members = self._replica.log.members
-        return LeaseReply(
-            version=version,
-            table=published.table if is_other_version else None,
-            control_hosts=tuple(member.host for member in members),
-        )
+        control_hosts = tuple(member.host for member in members)
+        version = published.table.version if published else 0
+        if published is None or version == request.version:
+            return LeaseReply(version, control_hosts=control_hosts)
+        if request.unpacks:
+            packed = self._packer.pack(published.table)
+            return LeaseReply(version, control_hosts=control_hosts, packed=packed)
+        return LeaseReply(version, published.table, control_hosts)
 
     def _on_apply(self, entry: LogEntry, outcome: object) -> None:
         replica = self._replica
--- a/packages/almondfield-control/src/almondfield_control/publishing/messages.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/messages.py
@@ -65,9 +65,11 @@
     """Request to confirm that a router's table is the newest.
 
     :ivar version: version held by the router; 0 for none.
+    :ivar unpacks: whether the router reads packed tables; earlier builds don't.
     """
 
     version: int
+    unpacks: bool = False
 
 
 @wire_message("lease-reply")
@@ -76,13 +78,15 @@
     """The newest table when the leader replied.
 
     :ivar version: its version; 0 if there is none yet.
-    :ivar table: the table, if the router holds another version.
+    :ivar table: the table, if the router holds another version and doesn't unpack.
+    :ivar packed: the packed table, if the router holds another version and unpacks.
     :ivar control_hosts: hosts of the members of the control group.
     """
 
     version: int
     table: RoutingTable | None = None
     control_hosts: tuple[str, ...] = ()
+    packed: bytes = b""
 
 
 @wire_message("table-notice")
--- a/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
@@ -12,6 +12,7 @@
     LeaseRequest,
     TableNotice,
 )
+from almondfield_control.publishing.packing import unpack_table
 from almondfield_core.clock import now
 from almondfield_core.containment import contain_errors
 from almondfield_core.ports import Peers
@@ -91,7 +92,7 @@
                 self._install_reply(reply, sent_at_s)
                 self._log_freshness_change()
 
-        request = LeaseRequest(self.version)
+        request = LeaseRequest(self.version, unpacks=True)
         match await self._leader.request(request, REQUEST_TIMEOUT_S, on_late):
             case Ok(LeaseReply() as reply):
                 self._install_reply(reply, sent_at_s)
@@ -104,14 +105,28 @@
         if reply.version < self.version:
             # A leader with an older table cannot confirm the table of this router.
             return
-        if reply.table is not None and reply.version > self.version:
-            self.index = RoutingIndex(reply.table)
-            eliot.log_message("table:installed", version=reply.version)
+        if reply.version > self.version:
+            self._install_table(reply)
         if reply.version == self.version:
             self._freshness_expiry_s = max(
                 self._freshness_expiry_s, sent_at_s + self._lease_s
             )
 
+    def _install_table(self, reply: LeaseReply) -> None:
+        table = reply.table
+        if reply.packed:
+            match unpack_table(reply.packed):
+                case Ok(table):
+                    pass
+                case Err(error):
+                    eliot.log_message(
+                        "table:unreadable", version=reply.version, reason=str(error)
+                    )
+                    return
+        if table is not None:
+            self.index = RoutingIndex(table)
+            eliot.log_message("table:installed", version=reply.version)
+
     def _log_freshness_change(self) -> None:
         is_fresh = self.fresh_left_s() > 0
         if is_fresh != self._is_fresh:
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
@@ -245,3 +245,30 @@
     And "c3" loses its disk and restarts with the seeds "c1, c2, c3"
     And 6.0 s pass
     Then 5 hosts vote, each with its newest identity
+
+  # Guards against leaders that step down without a fault: they encoded and compressed a
+  # large table once for each router, longer than their lease lasts.
+  Scenario: A large table is packed once for all routers
+    Given a formed group of 3 and 30 routers
+    When a table of 2800 routes is published as version 2 at "c1"
+    And 1.0 s pass
+    Then every router holds version 2 with a fresh lease
+    And every router has 2800 routes
+    And the table was packed 1 time
+    And no reply to a router was larger than 64 KiB
+
+  Scenario: A router of an earlier build gets tables that aren't packed
+    Given a formed group of 3 and 1 routers
+    When a table of 10 routes is published as version 2 at "c1"
+    Then a lease request of an earlier build gets a table of 10 routes
+
+  Scenario: A table that can't be unpacked is not installed
+    Given a formed group of 3 and 1 routers
+    And version 2 is published at "c1"
+    And 1.0 s pass
+    When the leader packs tables wrongly, and version 3 is published at "c1"
+    And 1.0 s pass
+    Then every router holds version 2
+    When the leader packs tables rightly again
+    And 2.0 s pass
+    Then every router holds version 3 with a fresh lease
