Bound the bodies of calls to a control host in bytes

Cause: the platform's calls read bodies to their end, whatever their size; the product's own operator interface has a limit.

Change: both read bodies in one place, up to a limit and for 30 s at most. More is refused with 413, the limit and the size.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -20,6 +20,7 @@
 __all__ = ["ControlHost"]
 
 HAND_OVER_TIMEOUT_S = 1.0  # a fraction of the grace period of a shutdown
+DOCUMENT_MEMORY_FRACTION = 1 / 32  # a log entry holds it twice, as sent and decoded
 SCHEDULER_START_BITS = 48
 MIN_SEEDS_OF_GROUP = 3  # smaller deployments list all their control hosts as seeds
 
@@ -33,12 +34,14 @@
 
     :ivar fleet: tracks routers and backend servers.
     :ivar publisher: publishes the routing table.
+    :ivar max_document_bytes: size of the largest routing table that operators may send.
     """
 
     def __init__(
         self, settings: FleetSettings, settings_path: Path, started_unix_s: float
     ) -> None:
         super().__init__(settings, settings_path, started_unix_s)
+        self.max_document_bytes = int(DOCUMENT_MEMORY_FRACTION * settings.memory_bytes)
         self._disk = FolderDisk(Path(settings.data_folder))
         rng = random.SystemRandom()
         self._replica = Replica(
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/coding.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/coding.py
@@ -6,7 +6,7 @@
 
 import msgspec
 from result import Err, Ok, Result
-from starlette.requests import ClientDisconnect, Request
+from starlette.requests import Request
 from starlette.responses import Response
 
 from almondfield_core.findings import AlmondfieldError, Finding, format_value, structure
@@ -16,6 +16,7 @@
     ControlUnavailable,
     VoterChangeFailed,
 )
+from almondfield_daemon.serving import read_content
 
 __all__ = [
     "RequestRefusedError",
@@ -30,7 +31,6 @@
 
 Check = Callable[[T], tuple[Finding, ...]]
 
-BODY_TIMEOUT_S = 30.0
 LARGE_BODY_BYTES = 64 * 1024
 RETRY_AFTER_S = 1
 MAX_QUERY_DIGITS = 18
@@ -96,7 +96,11 @@
     :param check: returns the findings for a decoded body; none if it is valid.
     :raises RequestRefusedError: if the body is invalid, incomplete, late or too large.
     """
-    content = await _read_content(request, max_bytes)
+    match await read_content(request, max_bytes):
+        case Ok(content):
+            pass
+        case Err(refused):
+            raise RequestRefusedError(refused.status, refused.finding)
     if len(content) > LARGE_BODY_BYTES:
         # Parsing in a thread keeps heartbeats and leases on time.
         return await asyncio.to_thread(_parse, content, body_type, check)
@@ -120,23 +124,6 @@
     return body
 
 
-async def _read_content(request: Request, max_bytes: int) -> bytes:
-    content = bytearray()
-    too_large = Finding("body", "is too large", f"{max_bytes} bytes")
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            async for chunk in request.stream():
-                content += chunk
-                if len(content) > max_bytes:
-                    raise RequestRefusedError(413, too_large)
-    except TimeoutError:
-        problem = f"did not arrive within {BODY_TIMEOUT_S} s"
-        raise RequestRefusedError(408, Finding("body", problem)) from None
-    except ClientDisconnect:
-        raise RequestRefusedError(400, Finding("body", "is incomplete")) from None
-    return bytes(content)
-
-
 def _decode_json(content: bytes) -> Result[Any, Finding]:
     try:
         return Ok(msgspec.json.decode(content))
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/__init__.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/__init__.py
@@ -1,5 +1,6 @@
 """HTTP listeners of the daemon."""
 
+from almondfield_daemon.serving.bodies import RefusedBody, read_content
 from almondfield_daemon.serving.connection import CallerConnection, connection_of
 from almondfield_daemon.serving.core import (
     BACKLOG,
@@ -16,7 +17,9 @@
     "HeadRefusal",
     "HttpListener",
     "ListenError",
+    "RefusedBody",
     "RequestHead",
     "bind",
     "connection_of",
+    "read_content",
 ]
