--- a/packages/almondfield-control/src/almondfield_control/consensus/formation.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -121,9 +121,10 @@
         replica = self._replica
         if replica.role is Role.LEARNER:
             return not replica.has_recent_leader()
+        if replica.role is Role.LEADER:
+            return False
         limit_s = ELECTIONS_BEFORE_JOIN * replica.timing.election_s
-        is_led = replica.role is Role.LEADER
-        return not is_led and now() > replica.leader_last_seen_at + limit_s
+        return now() > replica.leader_last_seen_at + limit_s
 
     async def _try_to_form(self) -> None:
         replica = self._replica
--- a/packages/almondfield-control/src/almondfield_control/consensus/membership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/membership.py
@@ -135,8 +135,8 @@
     def _admit_of_new_host(self, learner: Member) -> None:
         """Promote a learner once every voter responds, or in place of a lost one.
 
-        A voter added beside a lost one would raise the quorum, and would take the
-        place of the removal for good if further hosts are replaced.
+        A voter that is added beside a lost one raises the quorum. After several
+        replacements the hosts that run would be no more than a quorum.
         """
         members = self._replica.log.members
         voters = [m for m in members if m.votes]
--- a/packages/almondfield-control/src/almondfield_control/publishing/packing.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/packing.py
@@ -21,25 +21,25 @@
 
 
 class TablePacker:
-    """Packs routing tables, each version once.
+    """Packs routing tables, the same one only once.
 
     Encoding and compressing a large table takes the event loop longer than a heartbeat
     may wait if it is done for each router.
     """
 
     def __init__(self) -> None:
-        self._version = 0
+        self._table: RoutingTable | None = None
         self._packed = b""
 
     def pack(self, table: RoutingTable) -> bytes:
         """Return a table as compressed MessagePack.
 
-        :param table: a table, not older than those packed before.
+        :param table: the table.
         """
-        if table.version != self._version:
+        if table is not self._table:
             encoded = msgspec.msgpack.encode(table)
             self._packed = zlib.compress(encoded, COMPRESSION_LEVEL)
-            self._version = table.version
+            self._table = table
         return self._packed
 
 
