--- a/packages/almondfield-control/src/almondfield_control/consensus/log.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/log.py
@@ -102,7 +102,7 @@
         return sum(len(entry.body) for entry in self._entries[start:stop])
 
     def retained_from(self, index: int, max_count: int, max_bytes: int) -> int:
-        """Return the base after which at most so many entries precede an entry.
+        """Return the base that leaves a bounded number and size of covered entries.
 
         :param index: last entry that a snapshot covers.
         :param max_count: maximum number of entries up to it.
--- a/packages/almondfield-control/src/almondfield_control/consensus/membership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/membership.py
@@ -126,13 +126,13 @@
         learners = [m for m in members if not m.votes and not m.replaces]
         admissible = next((m for m in learners if self._is_caught_up(m)), None)
         if admissible is not None:
-            self._admit_of_new_host(admissible)
+            self._admit_new_host(admissible)
             return
         removable = self._removable_member()
         if removable is not None:
             self._start_change(tuple(m for m in members if m is not removable))
 
-    def _admit_of_new_host(self, learner: Member) -> None:
+    def _admit_new_host(self, learner: Member) -> None:
         """Promote a learner once every voter responds, or in place of a lost one.
 
         A voter that is added beside a lost one raises the quorum. After several
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/envelope_queue.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/envelope_queue.py
@@ -32,8 +32,9 @@
 class EnvelopeQueue:
     """Messages in the order in which they are sent.
 
-    A full queue drops its oldest one-way messages first, and a message that doesn't fit
-    even then. Their senders time out, or send a newer state.
+    A queue of too many messages drops its oldest one-way message first. One without
+    room for a large message drops its own large ones, oldest first, and if it has none,
+    that message. Requests that are dropped time out; one-way messages are sent anew.
 
     :param budget: bytes that this queue shares with others.
     :param on_drop: called for each message that is dropped.
