Use one piece of code for members without one, dropped messages and the leader's members

Found on reading the change once more: the membership without a member was built in four places, the log line of a dropped message in two, and the members in the leader's log were looked up in four places of the tests. Behaviour, bounds and assertions stay as they are.

--- a/packages/almondfield-control/src/almondfield_control/consensus/membership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/membership.py
@@ -115,7 +115,7 @@
             if lost_voter is None:
                 self._start_change(self._members_promoting(learner))
                 return
-            remaining = tuple(m for m in members if m is not lost_voter)
+            remaining = self._members_without(lost_voter)
             if self._is_unresponsive(lost_voter) and self._has_quorum(remaining):
                 self._start_change(remaining)
                 return
@@ -130,7 +130,7 @@
             return
         removable = self._removable_member()
         if removable is not None:
-            self._start_change(tuple(m for m in members if m is not removable))
+            self._start_change(self._members_without(removable))
 
     def _admit_new_host(self, learner: Member) -> None:
         """Promote a learner once every voter responds, or in place of a lost one.
@@ -144,7 +144,7 @@
         has_too_few = len(voters) < self._replica.policy.min_voters
         election_s = self._replica.timing.election_s
         if lost_voter is not None and not has_too_few:
-            self._start_change(tuple(m for m in members if m is not lost_voter))
+            self._start_change(self._members_without(lost_voter))
         elif has_too_few or not any(self._is_silent(m, election_s) for m in voters):
             self._start_change(self._members_promoting(learner))
 
@@ -164,11 +164,10 @@
 
         :param silence_s: silence from which on a voter counts as lost, in seconds.
         """
-        members = self._replica.log.members
-        for voter in members:
+        for voter in self._replica.log.members:
             if not voter.votes or not self._is_unresponsive(voter, silence_s):
                 continue
-            if self._has_quorum(tuple(m for m in members if m is not voter)):
+            if self._has_quorum(self._members_without(voter)):
                 return voter
         return None
 
@@ -188,6 +187,9 @@
         voter = replace(learner, votes=True, replaces="")
         return tuple(voter if m is learner else m for m in self._replica.log.members)
 
+    def _members_without(self, lost: Member) -> tuple[Member, ...]:
+        return tuple(m for m in self._replica.log.members if m is not lost)
+
     def _find_member(self, host: str, votes: bool) -> Member | None:
         members = self._replica.log.members
         return next((m for m in members if m.host == host and m.votes == votes), None)
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing_fleet.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing_fleet.py
@@ -103,13 +103,14 @@
         assert len(leaders) <= 1, leaders
         return leaders[0] if leaders else None
 
+    def members(self):
+        """Return the members in the leader's log; none without a leader."""
+        leader = self.leader()
+        return () if leader is None else self.replica_by_host[leader].log.members
+
     def voters(self):
         """Return the hosts of the voters in the leader's log."""
-        leader = self.leader()
-        if leader is None:
-            return set()
-        members = self.replica_by_host[leader].log.members
-        return {member.host for member in members if member.votes}
+        return {member.host for member in self.members() if member.votes}
 
     async def wait_until(self, condition, timeout_s):
         """Wait for a condition."""
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/replacement_history.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/replacement_history.py
@@ -162,12 +162,10 @@
 
     def _is_back(self, host, version):
         """Return whether a host votes and holds a version."""
-        leader = self.fleet.leader()
-        if leader is None:
-            return False
         replica = self.fleet.replica_by_host[host]
-        members = self.fleet.replica_by_host[leader].log.members
-        votes = any(m.voter_id == replica.voter_id and m.votes for m in members)
+        votes = any(
+            m.voter_id == replica.voter_id and m.votes for m in self.fleet.members()
+        )
         published = replica.state.published
         held = published.table.version if published else 0
         return votes and held >= version
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/large_table_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/large_table_steps.py
@@ -56,9 +56,7 @@
 @then('"{host}" votes with its new identity')
 def step_impl(context, host):
     async def query():
-        fleet = context.fleet
-        members = fleet.replica_by_host[fleet.leader()].log.members
-        return {member.voter_id for member in members if member.votes}
+        return {m.voter_id for m in context.fleet.members() if m.votes}
 
     voter_ids = run(context, query())
     assert context.fleet.replica_by_host[host].voter_id in voter_ids, voter_ids
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/replaced_host_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/replaced_host_steps.py
@@ -15,8 +15,7 @@
     """Return the members in the log of the leader."""
 
     async def query():
-        fleet = context.fleet
-        return fleet.replica_by_host[fleet.leader()].log.members
+        return context.fleet.members()
 
     return run(context, query())
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
@@ -247,21 +247,21 @@
             with self._counters.measure(kind):
                 body = encode_message(message)
         except WireError as error:
-            eliot.log_message(
-                "peer:message-dropped", kind=kind, peer_host=to, reason=str(error)
-            )
-            return self._drop(UNENCODABLE)
+            return self._drop_message(UNENCODABLE, kind, to, str(error))
         if len(body) > MAX_MESSAGE_BYTES:
             # The other host would drop its frame as often as it is sent.
-            reason = f"{len(body)} bytes; at most {MAX_MESSAGE_BYTES}"
-            eliot.log_message(
-                "peer:message-dropped", kind=kind, peer_host=to, reason=reason
-            )
-            return self._drop(TOO_LARGE)
+            detail = f"{len(body)} bytes; at most {MAX_MESSAGE_BYTES}"
+            return self._drop_message(TOO_LARGE, kind, to, detail)
         self._counters.count_sent(kind, len(body))
         link.post(Envelope(kind, body, purpose, tag))
         return ""
 
+    def _drop_message(self, reason: str, kind: str, to: str, detail: str) -> str:
+        eliot.log_message(
+            "peer:message-dropped", kind=kind, peer_host=to, reason=detail
+        )
+        return self._drop(reason)
+
     def _drop(self, reason: str) -> str:
         self._counters.count_dropped(reason)
         return reason
