Let a control group form whichever seeds restart during the first start

Cause: only the seed with the lowest name proposed a group and offered it, and only with may_form in the settings of that process, which the platform turns off for each later start. What decided was lost with the process. Ruled out: the disk (a seed that had agreed came back with the group in its folder and still waited) and the network (all hosts answered each other).

Change: the folder keeps the voters with which its host may form a group; the lowest-named of those that may form one proposes; each seed that agreed offers the group until all have agreed. A seed that learns from an answer that its group exists belongs to it at once. Where a folder was replaced while the group formed, the status of the others says that theirs must be emptied.

Why it works: a group needs the durable agreement of every seed, each agrees once, and a seed that has no folder can't have proposed.

--- a/packages/almondfield-control/src/almondfield_control/consensus/core.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/core.py
@@ -86,7 +86,10 @@
         self.wall_clock = wall_clock
         self.rng = rng
         self.journal = Journal(disk)
-        self.hard_state = HardState(f"{rng.getrandbits(_VOTER_ID_BITS):032x}")
+        self.hard_state = HardState(
+            f"{rng.getrandbits(_VOTER_ID_BITS):032x}",
+            may_form_with=configured if self.policy.may_form else (),
+        )
         self.log = ReplicatedLog(0, 0, ())
         self.state = ControlState()
         self.commit_index = 0
--- a/packages/almondfield-control/src/almondfield_control/consensus/formation.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -33,10 +33,12 @@
 class Formation:
     """Forms a group from empty data folders, or joins an existing group.
 
-    A group forms only while all configured voters respond and have empty folders. The
-    configured voter with the lowest host name offers the group. Each voter durably
-    agrees to one group only, and the group exists once all have agreed. A host with an
-    empty folder that finds an existing group joins it as a learner.
+    A group forms only while all configured voters respond and have empty folders. Of
+    those that may form it, the one with the lowest host name proposes the group. Each
+    voter durably agrees to one group only, and the group exists once all have agreed.
+    Every voter that agreed offers the group to the others until then, so that it forms
+    whichever of them restarts. A host with an empty folder that finds an existing group
+    joins it as a learner.
 
     :param replica: the member that forms or joins a group.
 
@@ -128,39 +130,75 @@
 
     async def _try_to_form(self) -> None:
         replica = self._replica
-        others = [host for host in replica.configured if host != replica.peers.host]
+        agreed_hosts = [member.host for member in replica.hard_state.members]
+        voters = agreed_hosts or replica.configured
+        others = [host for host in voters if host != replica.peers.host]
         states = await self._request_all(others, FormationQuery(replica.voter_id))
         if replica.hard_state.formed:
             return
-        if self._heard_leader or any(state.formed for state in states.values()):
+        groups = {state.cluster_id for state in states.values() if state.formed}
+        if groups and replica.hard_state.cluster_id in groups:
+            self.accept_group(replica.hard_state.cluster_id)
+        elif groups or self._heard_leader:
             self._request_to_join()
-            return
-        if not replica.policy.may_form:
+        elif replica.hard_state.cluster_id:
+            await self._offer()
+        elif self._can_propose(states):
+            self._propose(states)
+            await self._offer()
+
+    def _can_propose(self, states: dict[str, FormationState]) -> bool:
+        """Return whether this host proposes the group, recording why not otherwise.
+
+        A host that restarts before its folder exists may not form a group any more. The
+        next one then takes its place: without a folder, it can't have proposed any.
+
+        :param states: formation states of the other configured voters, by host.
+        """
+        replica = self._replica
+        may_form = {host for host, state in states.items() if state.may_form}
+        if self._may_form():
+            may_form.add(replica.peers.host)
+        missing = [
+            host
+            for host in replica.configured
+            if host not in states and host != replica.peers.host
+        ]
+        if not may_form:
             self._set_waiting_for("an existing group")
-            return
-        missing = [host for host in others if host not in states]
-        if missing:
+        elif missing:
             self._set_waiting_for(f"voters that do not respond: {', '.join(missing)}")
-            return
-        if replica.peers.host != min(replica.configured):
-            self._set_waiting_for(f"{min(replica.configured)} to offer the group")
-            return
-        await self._offer(states)
+        elif any(state.cluster_id for state in states.values()):
+            hosts = ", ".join(host for host, s in states.items() if s.cluster_id)
+            self._set_waiting_for(f"{hosts} to offer the group")
+        elif replica.peers.host != min(may_form):
+            self._set_waiting_for(f"{min(may_form)} to offer the group")
+        else:
+            return True
+        return False
+
+    def _may_form(self) -> bool:
+        """Return whether this configured voter may propose a group.
+
+        The folder keeps what the settings said as it was created: no group of the same
+        voters can exist without the agreement of this identity.
+        """
+        replica = self._replica
+        if replica.peers.host not in replica.configured:
+            return False
+        kept = replica.hard_state.may_form_with
+        return replica.policy.may_form or set(kept) == set(replica.configured)
+
+    def _propose(self, states: dict[str, FormationState]) -> None:
+        replica = self._replica
+        members = [Member(replica.voter_id, replica.peers.host)]
+        members += [Member(state.voter_id, host) for host, state in states.items()]
+        cluster_id = f"{replica.rng.getrandbits(_CLUSTER_ID_BITS):016x}"
+        self._agree(cluster_id, tuple(members))
 
-    async def _offer(self, states: dict[str, FormationState]) -> None:
+    async def _offer(self) -> None:
+        """Offer the group that this host agreed to; form it if all have agreed."""
         replica = self._replica
-        if not replica.hard_state.cluster_id:
-            hosts_in_group = [host for host, s in states.items() if s.cluster_id]
-            if hosts_in_group:
-                hosts = ", ".join(hosts_in_group)
-                self._set_waiting_for(
-                    f"empty data folders on {hosts}: formation was interrupted"
-                )
-                return
-            members = [Member(replica.voter_id, replica.peers.host)]
-            members += [Member(s.voter_id, host) for host, s in states.items()]
-            cluster_id = f"{replica.rng.getrandbits(_CLUSTER_ID_BITS):016x}"
-            self._agree(cluster_id, tuple(members))
         if not await self._is_saved():
             # Others would wait for a group that this host doesn't know after a restart.
             self._set_waiting_for("a disk that can be written")
@@ -168,21 +206,40 @@
         offer = FormationOffer(
             replica.hard_state.cluster_id, replica.hard_state.members
         )
-        replies = await self._request_all(list(states), offer)
+        expected = {m.host: m.voter_id for m in offer.members}
+        del expected[replica.peers.host]
+        replies = await self._request_all(list(expected), offer)
         agreed = {
             host: reply.voter_id
             for host, reply in replies.items()
             if reply.cluster_id == offer.cluster_id
         }
-        expected = {m.host: m.voter_id for m in offer.members}
-        del expected[replica.peers.host]
+        if replica.hard_state.formed:
+            return
         if agreed != expected:
-            not_agreed = ", ".join(host for host in expected if host not in agreed)
+            self._wait_for_agreement(expected, replies)
+            return
+        await self._confirm_formation(offer)
+
+    def _wait_for_agreement(
+        self, expected: dict[str, str], replies: dict[str, FormationState]
+    ) -> None:
+        """Record which hosts haven't agreed, and whether they still can.
+
+        :param expected: identities that the offer names, by host.
+        :param replies: replies to the offer, by host.
+        """
+        replaced = [h for h, reply in replies.items() if reply.voter_id != expected[h]]
+        if replaced:
             self._set_waiting_for(
-                f"agreement of {not_agreed or 'hosts with replaced folders'}"
+                "this data folder to be emptied: that of "
+                f"{', '.join(replaced)} was replaced while the group formed"
             )
             return
-        await self._confirm_formation(offer)
+        cluster_id = self._replica.hard_state.cluster_id
+        agreed = {h for h, reply in replies.items() if reply.cluster_id == cluster_id}
+        missing = [host for host in expected if host not in agreed]
+        self._set_waiting_for(f"agreement of {', '.join(missing)}")
 
     async def _confirm_formation(self, offer: FormationOffer) -> None:
         replica = self._replica
@@ -251,5 +308,8 @@
     def _formation_state(self) -> FormationState:
         hard_state = self._replica.hard_state
         return FormationState(
-            hard_state.voter_id, hard_state.cluster_id, hard_state.formed
+            hard_state.voter_id,
+            hard_state.cluster_id,
+            hard_state.formed,
+            self._may_form(),
         )
--- a/packages/almondfield-control/src/almondfield_control/consensus/messages.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/messages.py
@@ -195,11 +195,13 @@
     :ivar voter_id: identity stored in the data folder.
     :ivar cluster_id: group that the voter agreed to; empty for none.
     :ivar formed: whether the voter has confirmation that the group exists.
+    :ivar may_form: whether the voter may propose a group.
     """
 
     voter_id: str
     cluster_id: str
     formed: bool
+    may_form: bool = False
 
 
 @wire_message("join-request")
--- a/packages/almondfield-control/src/almondfield_control/storage/layout.py
+++ b/packages/almondfield-control/src/almondfield_control/storage/layout.py
@@ -44,6 +44,8 @@
     :ivar members: first members of the group, as they were agreed.
     :ivar term: newest term that the voter has seen.
     :ivar voted_for: voter that it voted for in that term; empty for none.
+    :ivar may_form_with: configured voters with which this folder's host may form a
+        group, as the settings of its first start allow; empty if they don't.
     """
 
     voter_id: str
@@ -52,6 +54,7 @@
     members: tuple[Member, ...] = ()
     term: int = 0
     voted_for: str = ""
+    may_form_with: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/spec/check.py
+++ b/spec/check.py
@@ -1,7 +1,8 @@
 """Model-checks every specification and each broken variant of it.
 
 Exits with 1 if a specification is violated within its bounds, a search does not
-finish, or no counterexample is found for a broken variant.
+finish, or no counterexample is found for a broken variant. Some cases search for states
+from which the specification's goal can't be reached any more.
 """
 
 import sys
@@ -9,7 +10,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from minicheck import check_safety
+from minicheck import check_liveness, check_safety
 
 sys.path.insert(0, str(Path(__file__).parent))
 
@@ -22,7 +23,7 @@
 __all__ = ["CASES", "Case", "Outcome", "check", "main"]
 
 MAX_STATES = 2_000_000
-MAX_STATES_BROKEN = 100_000
+MAX_STATES_BROKEN = 200_000
 
 
 @dataclass(frozen=True)
@@ -34,6 +35,8 @@
     :ivar bounds: arguments of ``build``.
     :ivar broken: whether a counterexample must be found.
     :ivar quick: whether the case is small enough to run with the tests.
+    :ivar reaches_goal: whether the goal must be reachable from each state, instead of
+        the invariants being checked.
     """
 
     name: str
@@ -41,6 +44,7 @@
     bounds: dict = field(default_factory=dict)
     broken: bool = False
     quick: bool = True
+    reaches_goal: bool = False
 
 
 @dataclass(frozen=True)
@@ -135,25 +139,44 @@
         {"lost_is_free": True},
         broken=True,
     ),
-    Case("formation", formation_protocol),
+    Case("formation", formation_protocol, {"wipes": 2}),
+    Case("formation, no restarts", formation_protocol, {"restarts": ()}),
+    Case("formation, three lost folders", formation_protocol, quick=False),
     Case(
         "formation, emptied folder forms again",
         formation_protocol,
-        {"emptied_may_form": True},
+        {"emptied_may_form": True, "restarts": ()},
         broken=True,
     ),
     Case(
         "formation, identity by host",
         formation_protocol,
-        {"agrees_by_host": True},
+        {"agrees_by_host": True, "wipes": 2, "restarts": ()},
         broken=True,
     ),
     Case(
         "formation, two of three form",
         formation_protocol,
-        {"quorum_forms": True},
+        {"quorum_forms": True, "wipes": 2, "restarts": ()},
         broken=True,
     ),
+    Case(
+        "formation is always possible",
+        formation_protocol,
+        {
+            "wipes": 2,
+            "wipes_while_forming": False,
+            "restarts_without_folder": (0, 1),
+        },
+        reaches_goal=True,
+    ),
+    Case(
+        "formation, only the first seed offers",
+        formation_protocol,
+        {"only_first_offers": True, "wipes": 0, "restarts": (0,)},
+        broken=True,
+        reaches_goal=True,
+    ),
 )
 
 
@@ -163,15 +186,22 @@
     :param case: the specification with its bounds.
     """
     started = time.perf_counter()
-    max_states = MAX_STATES_BROKEN if case.broken else MAX_STATES
-    result = check_safety(case.build(**case.bounds), max_states=max_states)
-    properties = result["properties"].values()
+    protocol = case.build(**case.bounds)
+    if case.reaches_goal:
+        result = check_liveness(protocol)
+        properties = [result]
+        is_exhaustive = result["holds"] is not None
+    else:
+        max_states = MAX_STATES_BROKEN if case.broken else MAX_STATES
+        result = check_safety(protocol, max_states=max_states)
+        properties = result["properties"].values()
+        is_exhaustive = result["exhaustive"]
     traces = [p["counterexample"] for p in properties if p["holds"] is False]
     shortest = min(traces, key=len, default=[])
     holds = all(p["holds"] is True for p in properties)
     return Outcome(
         states=result["reachable_states"],
-        as_expected=bool(traces) if case.broken else holds and result["exhaustive"],
+        as_expected=bool(traces) if case.broken else holds and is_exhaustive,
         trace=tuple(str(step["label"]) for step in shortest[1:]),
         seconds=time.perf_counter() - started,
     )
