Let no stream go on at a server that refused a connection until it is announced

A server crashed, was back 0.5 s later under its name as another version, and was announced 2 s after that.

Cause: the announcement of the ended process stayed the newest one, and the choice of a server, the check before the first event and the record of origins asked only that. Routers had found the port closed by then, but used it to blame prompts only. Ruled out: the record of origins, which knew that the streams had begun at v1.

Change: a start of a server that refused a connection is bound to no version until a later start is announced, or for 9 s. Control hosts tell all routers. Streams that begin at such a server get no origin. Failures to connect that aren't refusals (no descriptors, no route) no longer count as the end of a server.

Why it works: nothing listens where a process has ended, and whatever listens there afterwards is another process. 9 s cover a late announcement of the old one.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -220,6 +220,7 @@
         """Return whether a server accepts a connection, or might do so.
 
         :param address: ``host:port`` of the server.
+        :returns: False if the connection was refused.
         """
         timeouts = Timeouts(PROBE_TIMEOUT_S, PROBE_TIMEOUT_S, PROBE_TIMEOUT_S)
         match await self._connect(address, timeouts):
@@ -227,7 +228,7 @@
                 connection.close()
                 return True
             case Err(failure):
-                return failure.timed_out
+                return not failure.is_refused
 
     async def run(self) -> None:
         """Wait until cancelled, then close every pooled connection."""
@@ -253,8 +254,13 @@
             failure = ServerFailure.CONNECT
             return Err(CallFailure(failure, False, reason, timed_out=True))
         except (OSError, OverflowError, ValueError) as error:
-            reason = f"{address}: {error}"
-            return Err(CallFailure(ServerFailure.CONNECT, False, reason))
+            failure = CallFailure(
+                ServerFailure.CONNECT,
+                False,
+                f"{address}: {error}",
+                is_refused=isinstance(error, ConnectionRefusedError),
+            )
+            return Err(failure)
         return Ok(connection)
 
     async def _exchange(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
@@ -113,7 +113,7 @@
             return Withheld(str(error))
         match result:
             case Err(failure) if not failure.may_have_run:
-                return Unsent(failure.reason, failure.timed_out)
+                return Unsent(failure.reason, failure.timed_out, failure.is_refused)
             case Err(failure):
                 is_timeout = failure.failure is ServerFailure.FIRST_BYTE
                 is_timeout = is_timeout and now() >= request.until_s
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/known_servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/known_servers.py
@@ -7,6 +7,7 @@
 from almondfield_daemon.forwarding.counts import RefusalCause
 from almondfield_daemon.forwarding.selected_server import SelectedServer, server_start
 from almondfield_daemon.forwarding.unavailable import Unavailable
+from almondfield_daemon.quarantine import NoQuarantine, RequestQuarantine
 from almondfield_daemon.server_notices import ServerNotices, ServerStart
 
 __all__ = ["KnownServers"]
@@ -19,11 +20,18 @@
 
     :param view: known servers.
     :param notices: what servers said about further work.
+    :param quarantine: knows which servers refused connections.
     """
 
-    def __init__(self, view: FleetView, notices: ServerNotices) -> None:
+    def __init__(
+        self,
+        view: FleetView,
+        notices: ServerNotices,
+        quarantine: RequestQuarantine | None = None,
+    ) -> None:
         self._view = view
         self._notices = notices
+        self._quarantine = quarantine or NoQuarantine()
         # Servers whose address now belongs to another server.
         self._misdirected: set[ServerStart] = set()
 
@@ -97,12 +105,22 @@
     def running(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
         """Return the servers of a pool that run as far as is known, silent or not.
 
+        The version of a server that refused a connection is unknown until it is
+        announced again.
+
         :param pool: name of the pool.
         :param version: software version that the server must have; None for any.
         """
         servers = self._view.servers(pool)
         if version is not None:
-            servers = tuple([s for s in servers if s.version == version])
+            servers = tuple(
+                [
+                    server
+                    for server in servers
+                    if server.version == version
+                    and not self._quarantine.has_refused(server_start(server))
+                ]
+            )
         if not self._misdirected:
             return servers
         names = {start.name for start in self._misdirected}
@@ -125,12 +143,14 @@
         servers = self.reachable(pool, version)
         return self._notices.wait_s(server_start(server) for server in servers)
 
-    def has_changed_version(self, pool: str, server: FleetServer) -> bool:
-        """Return whether a server has restarted with another version since its choice.
+    def may_have_changed_version(self, pool: str, server: FleetServer) -> bool:
+        """Return whether a server may have restarted with another version.
 
         :param pool: name of its pool.
         :param server: the server as it was when it was chosen.
         """
+        if self._quarantine.has_refused(server_start(server)):
+            return True
         return any(
             known.version != server.version
             for known in self._view.servers(pool)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/outcomes.py
@@ -52,10 +52,12 @@
 
     :ivar reason: description of the failure.
     :ivar timed_out: whether the server did not answer within a timeout.
+    :ivar is_refused: whether no process listens at its address.
     """
 
     reason: str
     timed_out: bool = False
+    is_refused: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -317,10 +317,10 @@
         """Return the problem that ends the request; None for another attempt."""
         self._tried |= {selected.server.name}
         match outcome:
-            case Unsent(reason, timed_out):
+            case Unsent(reason, timed_out, is_refused):
                 selected.record_failure(reason, timed_out)
-                if not timed_out:
-                    selected.record_gone()
+                if is_refused:
+                    selected.record_refused()
                 self._has_lost_server = True
                 self._unsent_attempts += 1
                 if self._unsent_attempts < MAX_UNSENT_ATTEMPTS:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -184,12 +184,13 @@
         if self.began_s is None or now() - self.began_s < BEGIN_WINDOW_S:
             parts += self._shared_parts
         if is_idle:
-            address = self.server.address
             self._quarantine.record_doubtful_cut(
-                self._start, address, parts, self._ran_s()
+                self._start, self.server.address, parts, self._ran_s()
             )
         else:
-            self._quarantine.record_crash(self._start, parts, self._ran_s())
+            self._quarantine.record_crash(
+                self._start, self.server.address, parts, self._ran_s()
+            )
 
     def _ran_s(self) -> float:
         return now() - self._selected_s
@@ -221,9 +222,9 @@
                 reason=reason,
             )
 
-    def record_gone(self) -> None:
-        """Record that the server accepts no connection."""
-        self._quarantine.record_gone(self._start)
+    def record_refused(self) -> None:
+        """Record that the server refused a connection."""
+        self._quarantine.record_refused(self._start)
 
     def end_failed(self, outcome: FailedAttempt) -> None:
         """Record the end of an attempt without a usable answer.
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -68,7 +68,7 @@
         self._view = view
         self._placement = placement
         self._data_centre = data_centre
-        self._known = KnownServers(view, notices)
+        self._known = KnownServers(view, notices, self._quarantine)
 
     def quarantine_refusal(self, team: str, prompt: Prompt) -> Unavailable | None:
         """Return the refusal of a prompt that holds a quarantined part, or None.
@@ -351,13 +351,13 @@
         """
         self._placement.retain(server.name for server in self._known.retain(pools))
 
-    def has_changed_version(self, pool: str, server: FleetServer) -> bool:
-        """Return whether a server has restarted with another version since its choice.
+    def may_have_changed_version(self, pool: str, server: FleetServer) -> bool:
+        """Return whether a server may have restarted with another version.
 
         :param pool: name of its pool.
         :param server: the server as it was when it was chosen.
         """
-        return self._known.has_changed_version(pool, server)
+        return self._known.may_have_changed_version(pool, server)
 
     def retry_after_s(self, request: ForwardRequest, version: str | None) -> float:
         """Return when a refused request may be accepted, in seconds from now.
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stream_progress.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/stream_progress.py
@@ -83,11 +83,11 @@
         return self._is_version_known and self._tracker.last_id is not None
 
     def has_wrong_version(self, server: FleetServer) -> bool:
-        """Return whether a server can't go on with the stream after a restart.
+        """Return whether a server may have restarted, and can't go on with the stream.
 
         :param server: the server as it was when it was chosen.
         """
-        return self.version is not None and self._servers.has_changed_version(
+        return self.version is not None and self._servers.may_have_changed_version(
             self._request.pool, server
         )
 
@@ -193,7 +193,9 @@
         """Record where the stream began, before its caller has an event."""
         if not self._delivery.is_started:
             self.version = server.version
-            has_changed = self._servers.has_changed_version(self._request.pool, server)
+            has_changed = self._servers.may_have_changed_version(
+                self._request.pool, server
+            )
             self._is_version_known = not has_changed
             if self._request.route.is_resumable and not has_changed:
                 for origin in make_origins(self._request, server):
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/crashes.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/crashes.feature
@@ -97,9 +97,10 @@
     And <gone> servers are recorded as gone
 
     Examples:
-      | behaviour                   | gone |
-      | accepts no connection       | 1    |
-      | times out at its connection | 0    |
+      | behaviour                                               | gone |
+      | accepts no connection                                   | 1    |
+      | times out at its connection                             | 0    |
+      | can't be connected to, for a reason of the router's own | 0    |
 
   # Guards against BUDGET: repeats, resumed and taken-up streams that aren't held back.
   Scenario Outline: A request whose part is quarantined is refused before anything is asked
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -9,6 +9,7 @@
 from almondfield_core.messages import ServerFailure
 from almondfield_daemon.edge.bodies import CallerDisconnectedError
 from almondfield_daemon.forwarding import AnswerMetadata, RequestMetadata
+from almondfield_daemon.quarantine import NoQuarantine
 from almondfield_daemon.router.calls import (
     AnswerCutError,
     AnswerHead,
@@ -136,7 +137,8 @@
         """Return the outcome of one call."""
         if self.failure == "refuses the connection":
             self.received.append(None)
-            return Err(CallFailure(ServerFailure.CONNECT, False, "refused"))
+            failure = ServerFailure.CONNECT
+            return Err(CallFailure(failure, False, "refused", is_refused=True))
         headers = dict(call.headers)
         last_event_id = headers[b"last-event-id"].decode()
         remaining_s = float(headers[b"remaining"])
@@ -277,6 +279,21 @@
         self.is_complete = True
 
 
+class RefusalRecord(NoQuarantine):
+    """Refuses no request, and knows which servers refused connections."""
+
+    def __init__(self, refused):
+        self._refused = refused
+
+    def record_refused(self, start):
+        """Record that a server refused a connection."""
+        self._refused.add(start)
+
+    def has_refused(self, start):
+        """Return whether a server refused a connection lately."""
+        return start in self._refused
+
+
 class FakeReports:
     """Reports to no scheduler."""
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/crashes_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/crashes_steps.py
@@ -40,7 +40,7 @@
         """Return the same time for all requests with the shared part."""
         return self.seconds if SHARED_PART in parts else 0.0
 
-    def record_crash(self, start, parts, ran_s):
+    def record_crash(self, start, address, parts, ran_s):
         """Record a crash."""
         self.own_crashes.append([part for part in parts if part != SHARED_PART])
         if SHARED_PART in parts:
@@ -67,10 +67,14 @@
     def record_alive(self, start):
         """Do nothing."""
 
-    def record_gone(self, start):
-        """Record a server that accepts no connection."""
+    def record_refused(self, start):
+        """Record a server that refuses connections."""
         self.gone.append(start.name)
 
+    def has_refused(self, start):
+        """Return whether a server has refused a connection."""
+        return start.name in self.gone
+
 
 class TimedAnswer(FakeAnswer):
     """An answer whose last event comes later, or that is cut instead."""
@@ -140,7 +144,10 @@
         case "answers whole, without an event":
             return Ok(TimedAnswer(metadata, server, []))
         case "accepts no connection":
-            return Err(CallFailure(ServerFailure.CONNECT, False, "refused"))
+            failure = ServerFailure.CONNECT
+            return Err(CallFailure(failure, False, "refused", is_refused=True))
+        case "can't be connected to, for a reason of the router's own":
+            return Err(CallFailure(ServerFailure.CONNECT, False, "no descriptors"))
         case "times out at its connection":
             failure = ServerFailure.CONNECT
             return Err(CallFailure(failure, False, "late", timed_out=True))
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/decision_work_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/decision_work_steps.py
@@ -89,6 +89,6 @@
     with count_calls(calls):
         selected = await selector.choose(request, frozenset())
         if isinstance(selected, SelectedServer):
-            selector.has_changed_version("p", selected.server)
+            selector.may_have_changed_version("p", selected.server)
             selector.may_be_left("p", selected)
     return calls.total()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -34,6 +34,7 @@
     FakeServer,
     FakeSink,
     FakeView,
+    RefusalRecord,
 )
 from almondfield_daemon.forwarding.tests.requests import (
     SHARE,
@@ -44,6 +45,7 @@
     serve,
 )
 from almondfield_daemon.host_delay import HostDelay
+from almondfield_daemon.quarantine.refused import RefusedStarts
 from almondfield_daemon.server_notices import ServerNotices
 from almondfield_daemon.streams import StreamOrigin
 from almondfield_fairshare.prefix_placement import Placement
@@ -68,6 +70,7 @@
         for server in context.servers
     )
 
+    context.refused = RefusedStarts()
     context.engines = FakeEngines()
     context.host_delay = HostDelay()
     context.origins = FakeOrigins()
@@ -84,6 +87,7 @@
             context.engines,
             context.host_delay,
             ServerNotices(),
+            quarantine=RefusalRecord(context.refused),
         )
         context.backends = FakeBackends(context.servers)
         attempts = AttemptSender(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/take_up_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/take_up_steps.py
@@ -8,6 +8,7 @@
 from almondfield_core.routing import PoolShare, Prompt, PromptPart
 from almondfield_daemon.forwarding.tests.fakes import event, make_assignment
 from almondfield_daemon.forwarding.tests.requests import serve
+from almondfield_daemon.server_notices import ServerStart
 from almondfield_daemon.streams import StreamOrigin
 from almondfield_testing import run
 
@@ -43,17 +44,41 @@
     context.view.unresponsive = frozenset((name,))
 
 
-def change_versions_after(context, delay_s, versions):
-    """Let the versions change some time after the next server was chosen."""
+def call_after_choice(context, delay_s, function, *arguments):
+    """Call a function some time after the next server was chosen."""
     choose = context.placement.choose
 
-    def choose_and_change(*arguments):
+    def choose_and_call(*candidates):
         context.placement.choose = choose
         loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, set_versions, context, versions)
-        return choose(*arguments)
+        loop.call_later(delay_s, function, *arguments)
+        return choose(*candidates)
+
+    context.placement.choose = choose_and_call
+
+
+def change_versions_after(context, delay_s, versions):
+    """Let the versions change some time after the next server was chosen."""
+    call_after_choice(context, delay_s, set_versions, context, versions)
 
-    context.placement.choose = choose_and_change
+
+def record_refused(context, name):
+    """Record that a server refused a connection."""
+    context.refused.add(ServerStart(name, 0))
+
+
+@given('server "{name}" refused a connection {seconds:g} s ago')
+def step_impl(context, name, seconds):
+    async def refuse():
+        record_refused(context, name)
+        await asyncio.sleep(seconds)
+
+    run(context, refuse())
+
+
+@given('before the first event, server "{name}" refuses a connection of another router')
+def step_impl(context, name):
+    call_after_choice(context, CHANGE_S, record_refused, context, name)
 
 
 @given('while the router connects, the versions change to "{versions}"')
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/take_up.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/take_up.feature
@@ -121,3 +121,37 @@
     Then servers "s0" received it
     And the answer is not marked as complete
     And the recorded origins are ""
+
+  # Guards against a stream that goes on at another process than the one that was announced.
+  Scenario Outline: A server that refused a connection gets no stream that is taken up
+    Given a "resumable" route with 2 attempts and 2 servers
+    And the servers have versions "<versions>"
+    And stream "a" began in pool "p" at version "v1"
+    And server "s0" refused a connection <seconds> s ago
+    When a request that takes up stream "a" after event 4 is served
+    Then <outcome>
+
+    Examples:
+      | versions | seconds | outcome                                   |
+      | v1 v1    | 0.1     | pool "p" got it at server "s1"            |
+      | v1 v2    | 0.1     | the caller gets 503 not-run within 0.01 s |
+      | v1 v2    | 8.9     | the caller gets 503 not-run within 0.01 s |
+      | v1 v2    | 9.1     | pool "p" got it at server "s0"            |
+
+  Scenario: A stream that begins at a server that refused a connection binds to no version
+    Given a "resumable" route with 2 attempts and 1 servers
+    And the servers have versions "v1"
+    And server "s0" refused a connection 0.1 s ago
+    When a request is served
+    Then the recorded origins are ""
+    And the answer is marked as complete
+
+  # Guards against events of a server whose end is seen after it was chosen for a stream.
+  Scenario: A server that turns out to have refused a connection brings no event of a stream
+    Given a "resumable" route with 2 attempts and 2 servers
+    And the servers have versions "v1 v1"
+    And stream "a" began in pool "p" at version "v1"
+    And before the first event, server "s0" refuses a connection of another router
+    When a request that takes up stream "a" after event 4 is served
+    Then servers "s0 s1" received it
+    And the caller has events 5 to 6, each once, from server "s1"
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/client.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+import eliot
 from result import Ok
 
 from almondfield_core.clock import now
@@ -16,6 +17,7 @@
     ServerEndReport,
     SoundReport,
 )
+from almondfield_daemon.quarantine.refused import RefusedStarts
 from almondfield_daemon.quarantine.settling import SettlingTable
 from almondfield_daemon.quarantine.unproven import (
     EndedStarts,
@@ -60,6 +62,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._unproven = UnprovenAnswers()
         self._ended = EndedStarts()
+        self._refused = RefusedStarts()
         self._probed: set[ServerStart] = set()
         self.table = SettlingTable(self._tell_decided, lambda: not responsive_hosts())
 
@@ -79,16 +82,20 @@
         return self.table.left_s(parts)
 
     def record_crash(
-        self, start: ServerStart, parts: tuple[str, ...], ran_s: float
+        self, start: ServerStart, address: str, parts: tuple[str, ...], ran_s: float
     ) -> None:
         """Record and report that a server ended under a request.
 
         :param start: the start of the server.
+        :param address: its address.
         :param parts: parts of the request that may be to blame.
         :param ran_s: seconds from the choice of the server to its end.
         """
         self._record_crash(start, parts, ran_s)
-        self.record_gone(start)
+        if self._ended.add(start):
+            self._send_all(ServerEndReport(start.name, start.born_ms))
+        self._charge_unproven(start)
+        self._probe_soon(start, address)
 
     def record_doubtful_cut(
         self, start: ServerStart, address: str, parts: tuple[str, ...], ran_s: float
@@ -107,9 +114,7 @@
             return
         cut = UnprovenAnswer(now(), parts, ran_s, looks_whole=False)
         self._unproven.put(start, cut)
-        if start not in self._probed:
-            self._probed.add(start)
-            self._start_task(self._probe(start, address))
+        self._probe_soon(start, address)
 
     def record_sound(self, parts: tuple[str, ...]) -> None:
         """Record that a request was answered soundly, and report what this clears.
@@ -142,26 +147,47 @@
             if answer.looks_whole:
                 self.record_sound(answer.parts)
 
-    def record_gone(self, start: ServerStart) -> None:
-        """Record that a server accepts no connection, or has cut an attempt.
+    def record_refused(self, start: ServerStart) -> None:
+        """Record and report that a server refused a connection.
 
         :param start: the start of the server.
         """
-        if self._ended.add(start):
-            self._send_all(ServerEndReport(start.name, start.born_ms))
+        self._ended.add(start)
+        if self._refused.add(start):
+            eliot.log_message(
+                "server:refused", server=start.name, born_ms=start.born_ms
+            )
+            report = ServerEndReport(start.name, start.born_ms, is_refused=True)
+            self._send_all(report)
         self._charge_unproven(start)
 
+    def has_refused(self, start: ServerStart) -> bool:
+        """Return whether a server refused a connection of any router lately.
+
+        :param start: the start of the server, as it was announced.
+        """
+        return start in self._refused
+
+    def _probe_soon(self, start: ServerStart, address: str) -> None:
+        """Find out whether a server that cut a connection refuses another one."""
+        if start not in self._probed and start not in self._refused:
+            self._probed.add(start)
+            self._start_task(self._probe(start, address))
+
     async def _probe(self, start: ServerStart, address: str) -> None:
         try:
             await asyncio.sleep(PROBE_AFTER_S)
-            if start not in self._ended and not await self._accepts_connection(address):
-                self.record_gone(start)
+            if start in self._refused or await self._accepts_connection(address):
+                return
+            self.record_refused(start)
         finally:
             self._probed.discard(start)
 
     async def _on_end(self, sender: str, report: ServerEndReport) -> None:
         start = ServerStart(report.server, report.born_ms)
         self._ended.add(start)
+        if report.is_refused:
+            self._refused.add(start)
         self._charge_unproven(start)
 
     def _charge_unproven(self, start: ServerStart) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/messages.py
@@ -60,10 +60,13 @@
 
     :ivar server: name of the server.
     :ivar born_ms: its start, in milliseconds since 1970.
+    :ivar is_refused: whether it refused a connection; a request that was cut shows
+        less.
     """
 
     server: str
     born_ms: int
+    is_refused: bool = False
 
 
 @wire_message("sound-report")
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/parts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/parts.py
@@ -41,11 +41,12 @@
         """
 
     def record_crash(
-        self, start: ServerStart, parts: tuple[str, ...], ran_s: float
+        self, start: ServerStart, address: str, parts: tuple[str, ...], ran_s: float
     ) -> None:
         """Record that a server ended under a request.
 
         :param start: the start of the server.
+        :param address: its address.
         :param parts: parts of the request that may be to blame.
         :param ran_s: seconds from the choice of the server to its end.
         """
@@ -83,12 +84,21 @@
         :param start: the start of the server.
         """
 
-    def record_gone(self, start: ServerStart) -> None:
-        """Record that a server accepts no connection.
+    def record_refused(self, start: ServerStart) -> None:
+        """Record that a server refused a connection, so that its process has ended.
 
         :param start: the start of the server.
         """
 
+    def has_refused(self, start: ServerStart) -> bool:
+        """Return whether a server refused a connection of any router lately.
+
+        Another process, with another version of its software, may listen at its address
+        before it is announced.
+
+        :param start: the start of the server, as it was announced.
+        """
+
 
 class NoQuarantine:
     """Refuses no request; implements the ``RequestQuarantine`` port."""
@@ -98,7 +108,7 @@
         return 0.0
 
     def record_crash(
-        self, start: ServerStart, parts: tuple[str, ...], ran_s: float
+        self, start: ServerStart, address: str, parts: tuple[str, ...], ran_s: float
     ) -> None:
         """Do nothing."""
 
@@ -118,9 +128,13 @@
     def record_alive(self, start: ServerStart) -> None:
         """Do nothing."""
 
-    def record_gone(self, start: ServerStart) -> None:
+    def record_refused(self, start: ServerStart) -> None:
         """Do nothing."""
 
+    def has_refused(self, start: ServerStart) -> bool:
+        """Return False."""
+        return False
+
 
 class SoundParts:
     """Parts that were answered soundly lately.
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/service.py
@@ -11,6 +11,7 @@
     ServerEndReport,
     SoundReport,
 )
+from almondfield_daemon.quarantine.refused import RefusedStarts
 from almondfield_daemon.quarantine.settling import SettlingTable
 from almondfield_daemon.quarantine.unproven import EndedStarts
 from almondfield_daemon.server_notices import ServerStart
@@ -39,6 +40,7 @@
         self._routers = routers
         self._control_hosts = control_hosts
         self._ended = EndedStarts()
+        self._refused = RefusedStarts()
         self.table = SettlingTable(self._tell_decided)
 
     def register_handlers(self) -> None:
@@ -58,7 +60,11 @@
         self._record_sound(report.parts)
 
     async def _on_end(self, sender: str, report: ServerEndReport) -> None:
-        if self._ended.add(ServerStart(report.server, report.born_ms)):
+        start = ServerStart(report.server, report.born_ms)
+        has_news = self._ended.add(start)
+        if report.is_refused:
+            has_news = self._refused.add(start) or has_news
+        if has_news:
             for host in self._routers():
                 if host != sender:
                     self._peers.send(host, report)
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/quarantine.feature
@@ -284,6 +284,21 @@
     When server s1 cuts the connections of "@a" at r1, "@b" at r1 and "@c" at r1
     Then after 0.5 s it was tried to connect to s1 once
 
+  # Guards against ORDER: routers that send the rest of a stream to a server that one of them has
+  # found gone, as its next process may have another version.
+  Scenario Outline: All routers know for 9 s that a server <action>
+    Given servers that cut connections and <state>
+    When server s1 <action> at r1
+    Then after 0.3 s <who> that s1 may have restarted
+    And after 8.5 s <who> that s1 may have restarted
+    And after 0.5 s no router knows that s1 may have restarted
+
+    Examples:
+      | action               | state                | who              |
+      | refuses a connection | go on                | all routers know |
+      | ends under "a b"     | accept no connection | all routers know |
+      | ends under "a b"     | go on                | no router knows  |
+
   # Guards against BUDGET: a part that was in use before it began to end servers.
   Scenario: A part that was sound before is quarantined after seven ends without a sound answer
     Given prompt "c bad o1" was answered soundly at router r1
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/tests/steps/quarantine_steps.py
@@ -52,6 +52,7 @@
     async def start():
         context.fleet = Fleet()
         context.server_numbers = count()
+        context.state = ""
         for name in (*CONTROL_HOSTS, *ROUTERS):
             context.fleet.start(name)
         await asyncio.sleep(2.5)
@@ -79,7 +80,9 @@
     async def end():
         for text, router in read_places(places):
             start = ServerStart(f"server-{next(context.server_numbers)}", 1)
-            client(context, router).record_crash(start, parts_of(text), 0.0)
+            client(context, router).record_crash(
+                start, address_of(start), parts_of(text), 0.0
+            )
             await asyncio.sleep(gap_s)
 
     run(context, end())
@@ -92,7 +95,9 @@
     async def end():
         for text, router in read_places(places):
             start = ServerStart(f"server-{next(context.server_numbers)}", 1)
-            client(context, router).record_crash(start, parts_of(text), ran_s)
+            client(context, router).record_crash(
+                start, address_of(start), parts_of(text), ran_s
+            )
             await asyncio.sleep(gap_s)
 
     run(context, end())
@@ -123,7 +128,7 @@
         # One request meets all of them at once.
         for start in starts:
             if context.state == "are found gone at router r3":
-                client(context, "r3").record_gone(start)
+                client(context, "r3").record_refused(start)
             elif context.state == "go on":
                 client(context, "r1").record_alive(start)
 
@@ -155,7 +160,11 @@
     async def end():
         for text, router in read_places(places):
             start = ServerStart(name, 1)
-            client(context, router).record_crash(start, parts_of(text), 0.0)
+            if context.state == "accept no connection":
+                context.fleet.gone_addresses.add(address_of(start))
+            client(context, router).record_crash(
+                start, address_of(start), parts_of(text), 0.0
+            )
 
     run(context, end())
 
@@ -183,7 +192,9 @@
         start = ServerStart(name, 1)
         client(context, router).record_unproven(start, parts_of(text), 0.0)
         await asyncio.sleep(seconds)
-        client(context, router).record_crash(start, parts_of("other"), 0.0)
+        client(context, router).record_crash(
+            start, address_of(start), parts_of("other"), 0.0
+        )
         await asyncio.sleep(0.2)
 
     run(context, answer())
@@ -198,7 +209,7 @@
         start = ServerStart(name, 1)
         client(context, router).record_unproven(start, parts_of(text), 0.0)
         await asyncio.sleep(seconds)
-        client(context, router).record_gone(start)
+        client(context, router).record_refused(start)
 
     run(context, answer())
 
@@ -215,9 +226,11 @@
         match end:
             case "ended":
                 parts = parts_of(f"c {name} own")
-                client(context, other).record_crash(start, parts, 0.0)
+                client(context, other).record_crash(
+                    start, address_of(start), parts, 0.0
+                )
             case "is gone":
-                client(context, other).record_gone(start)
+                client(context, other).record_refused(start)
         await asyncio.sleep(0.2)
 
     run(context, answer())
@@ -374,3 +387,33 @@
         return is_known, digest[0] in sound
 
     assert run(context, remember()) == (True, False)
+
+
+def check_restart_known(context, seconds, name, is_known):
+    async def ask():
+        await asyncio.sleep(seconds)
+        start = ServerStart(name, 1)
+        return {
+            router: client(context, router).has_refused(start) for router in ROUTERS
+        }
+
+    known_by_router = run(context, ask())
+    assert set(known_by_router.values()) == {is_known}, known_by_router
+
+
+@when("server {name} refuses a connection at {router}")
+def step_impl(context, name, router):
+    async def refuse():
+        client(context, router).record_refused(ServerStart(name, 1))
+
+    run(context, refuse())
+
+
+@then("after {seconds:g} s all routers know that {name} may have restarted")
+def step_impl(context, seconds, name):
+    check_restart_known(context, seconds, name, True)
+
+
+@then("after {seconds:g} s no router knows that {name} may have restarted")
+def step_impl(context, seconds, name):
+    check_restart_known(context, seconds, name, False)
--- a/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router/calls.py
@@ -124,6 +124,8 @@
         not for an idle connection that was closed meanwhile.
     :ivar is_idle_cut: whether it closed or reset a pooled connection so soon that the
         connection may have been idle for the server.
+    :ivar is_refused: whether its host refused the connection, as no process listens at
+        the address.
     """
 
     failure: ServerFailure
@@ -133,6 +135,7 @@
     timed_out: bool = False
     is_cut: bool = False
     is_idle_cut: bool = False
+    is_refused: bool = False
 
 
 class BackendAnswer(Protocol):
