Specify that lost control hosts can always be replaced

The tests now also refuse two cases of one name, of which the later one would have hidden the other.

--- a/spec/check.py
+++ b/spec/check.py
@@ -19,6 +19,7 @@
 from freshness import freshness_protocol
 from grants import grants_protocol
 from log import log_protocol
+from membership import membership_protocol
 
 __all__ = ["CASES", "Case", "Outcome", "check", "main"]
 
@@ -177,6 +178,36 @@
         broken=True,
         reaches_goal=True,
     ),
+    *(
+        Case(
+            f"membership, {hosts} hosts, {losses} may be lost"
+            f"{', as planned' if is_planned else ''}"
+            f"{', the goal stays in reach' if reaches_goal else ''}",
+            membership_protocol,
+            {"hosts": hosts, "losses": losses, "is_planned": is_planned},
+            reaches_goal=reaches_goal,
+        )
+        for hosts, losses in ((3, 1), (5, 1), (5, 2), (9, 2))
+        for is_planned in (False, True)
+        for reaches_goal in (False, True)
+    ),
+    *(
+        Case(
+            "membership, a successor votes beside lost voters"
+            f"{', as planned' if is_planned else ''}",
+            membership_protocol,
+            {"successor_waits": False, "is_planned": is_planned},
+            broken=True,
+            reaches_goal=True,
+        )
+        for is_planned in (False, True)
+    ),
+    Case(
+        "membership, each leader counts silence anew",
+        membership_protocol,
+        {"silence_is_passed_on": False},
+        broken=True,
+    ),
 )
 
 
--- a/spec/tests/steps/model_steps.py
+++ b/spec/tests/steps/model_steps.py
@@ -14,7 +14,9 @@
     """Return the outcomes of the quick cases by the name of the case."""
     cases = [case for case in CASES if case.quick and case.broken == broken]
     assert len(cases) >= 3
-    return {case.name: check(case) for case in cases}
+    outcome_by_name = {case.name: check(case) for case in cases}
+    assert len(outcome_by_name) == len(cases), "two cases have one name"
+    return outcome_by_name
 
 
 @when("every quick specification that must hold is searched")
