Begin no second change of members before the first one is in the log

What could be seen: nothing yet by callers.

Cause: a change was appended by a task, one iteration of the loop after the check that none is under way, which looks at the log. Ruled out: a wrong silence of the wiped host; the log shows both changes at one moment.

Change: a change is appended in the call that decides it, and the log refuses a second one there. Why it works: the check and the append have no iteration between them.

--- a/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/leadership.py
@@ -123,16 +123,29 @@
     async def propose(self, command: Command) -> Result[object, ControlUnavailable]:
         """Return the outcome of a command once it is committed and applied.
 
+        :param command: the command.
+        """
+        match self.append_command(command):
+            case Ok(waiter):
+                return await waiter
+            case refused:
+                return refused
+
+    def append_command(
+        self, command: Command
+    ) -> Result[asyncio.Future[object], ControlUnavailable]:
+        """Append a command to the log at once, and return a future of its outcome.
+
         :param command: the command.
         """
         replica = self._replica
-        reason = self._refusal_reason()
+        reason = self._refusal_reason(command)
         if reason:
             return Err(ControlUnavailable(reason, certainly_not_done=True))
         waiter = asyncio.get_running_loop().create_future()
         self._waiter_by_index[replica.log.last_index + 1] = waiter
         self._append(command)
-        return await waiter
+        return Ok(waiter)
 
     async def transfer_leadership(self, timeout_s: float) -> None:
         """Transfer leadership to the most advanced voter; step down in any case.
@@ -170,10 +183,13 @@
         voters = [p for p in voters if not p.disk_fails] or voters
         return max(voters, key=lambda p: (p.match_index, p.last_seen_at), default=None)
 
-    def _refusal_reason(self) -> str:
+    def _refusal_reason(self, command: Command) -> str:
         replica = self._replica
         if self._handing_over:
             return "the leader is handing over"
+        if isinstance(command, MembershipChange) and not self.membership.may_change():
+            # Quorums of memberships that differ by two voters may not overlap.
+            return "another membership change is under way"
         if replica.journal.failure is not None:
             return f"the leader cannot write: {replica.journal.failure}"
         first, last = replica.commit_index, replica.log.last_index
--- a/packages/almondfield-control/src/almondfield_control/consensus/membership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/membership.py
@@ -43,9 +43,9 @@
         """Replace lost voters, and apply dynamic membership, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            if self._may_change():
+            if self.may_change():
                 self._replace_lost_voters()
-            if self._replica.policy.dynamic_membership and self._may_change():
+            if self._replica.policy.dynamic_membership and self.may_change():
                 self._adjust_to_hosts()
 
     def add_learner(self, voter_id: str, host: str) -> None:
@@ -55,7 +55,7 @@
         :param host: name of its host.
         """
         members = self._replica.log.members
-        if any(m.voter_id == voter_id for m in members) or not self._may_change():
+        if any(m.voter_id == voter_id for m in members) or not self.may_change():
             return
         members_on_host = [m for m in members if m.host == host]
         replaces = next((m.voter_id for m in members_on_host if m.votes), "")
@@ -94,8 +94,6 @@
     async def _propose_change(
         self, members: tuple[Member, ...], host: str
     ) -> Result[str, str]:
-        if not self._may_change():
-            return Err("another membership change is under way")
         match await self._leadership.propose(MembershipChange(members)):
             case Ok(_):
                 return Ok(host)
@@ -176,9 +174,13 @@
             "control:changes-members",
             members=[(m.host, m.voter_id, m.votes) for m in members],
         )
-        self._replica.spawn(self._leadership.propose(MembershipChange(members)))
+        # Appended at once, so that no other change is begun from the same members.
+        match self._leadership.append_command(MembershipChange(members)):
+            case Err(unavailable):
+                eliot.log_message("control:change-refused", reason=unavailable.reason)
 
-    def _may_change(self) -> bool:
+    def may_change(self) -> bool:
+        """Return whether no change is under way, as far as this leader can tell."""
         replica = self._replica
         committed = replica.log.members_index <= replica.commit_index
         return self._leadership.has_committed and committed
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing.feature
@@ -181,6 +181,14 @@
 
   # Guards against CONFIG: as above, as the silence of a lost voter began anew with each
   # leader.
+  # Guards against two changes of voters at once, after which two quorums may not overlap.
+  Scenario: A host that is replaced and one that lost its disk are replaced one after the other
+    Given a formed group of 5 and 2 routers
+    When a host that doesn't lead is replaced by "c6", while another one loses its disk
+    And 9.0 s pass
+    Then 5 hosts vote, each with its newest identity
+    And memberships have differed by one voter at most
+
   Scenario: A lost host is replaced though the leader changes again and again
     Given a formed group of 5 and 1 routers
     When a host that doesn't lead is replaced by "c6"
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing_fleet.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing_fleet.py
@@ -1,10 +1,12 @@
 """Control hosts formed from seeds, and routers, over an in-memory network."""
 
 import asyncio
+import itertools
 import random
 
 from result import Ok
 
+from almondfield_control.commands import MembershipChange, command_of
 from almondfield_control.consensus import GroupPolicy, Replica
 from almondfield_control.node.leader_client import LeaderClient
 from almondfield_control.publishing import TablePublisher, TableSubscription
@@ -12,6 +14,7 @@
 from almondfield_core.clock import WallClock, now
 from almondfield_core.routing import RoutingTable
 from almondfield_core.settings import FLEET_TIMING
+from almondfield_core.wire import kind_of
 from almondfield_testing import InMemoryNetwork
 
 LEASE_S = 4.0
@@ -35,6 +38,7 @@
         self.leader_client_by_router = {}
         self.task_by_host = {}
         self.published_versions = []
+        self.voter_ids_by_index = {}
 
     def start(self, host, may_form=None):
         """Start a control host."""
@@ -52,6 +56,7 @@
             member_hosts = [member.host for member in replica.log.members]
             return tuple(dict.fromkeys((*member_hosts, *self.seeds)))
 
+        replica.on_apply.append(self._record_membership)
         leader = LeaderClient(peers, control_hosts, ATTEMPT_S, True)
         publisher = TablePublisher(
             replica, peers, leader, lambda: self.known_routers(host)
@@ -61,6 +66,21 @@
         self.publisher_by_host[host] = publisher
         self.task_by_host[host] = asyncio.ensure_future(replica.run())
 
+    def _record_membership(self, entry, outcome):
+        if entry.kind == kind_of(MembershipChange):
+            members = command_of(entry).members
+            voter_ids = {member.voter_id for member in members if member.votes}
+            self.voter_ids_by_index[entry.index] = voter_ids
+
+    def membership_jumps(self):
+        """Return the indices of memberships that differ from the last by two voters."""
+        indices = sorted(self.voter_ids_by_index)
+        return [
+            index
+            for last, index in itertools.pairwise(indices)
+            if len(self.voter_ids_by_index[last] ^ self.voter_ids_by_index[index]) > 1
+        ]
+
     def open_disk(self, host):
         """Return the disk of a control host that starts."""
         return self.disk_by_host.setdefault(host, FakeDisk(self.rng))
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/replaced_host_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/replaced_host_steps.py
@@ -54,6 +54,25 @@
     run(context, replace_follower())
 
 
+@when(
+    'a host that doesn\'t lead is replaced by "{successor}", while another one loses '
+    "its disk"
+)
+def step_impl(context, successor):
+    async def lose_both():
+        fleet = context.fleet
+        lost = await find_host(fleet, leads=False)
+        await fleet.stop(lost)
+        wiped = await find_host(fleet, leads=False)
+        await fleet.stop(wiped, wipe=True)
+        await asyncio.sleep(RESTART_S)
+        fleet.start(wiped, may_form=False)
+        await asyncio.sleep(SUCCESSOR_DELAY_S)
+        fleet.start(successor, may_form=False)
+
+    run(context, lose_both())
+
+
 @when('"{host}" is replaced by "{successor}", whose seeds are "{seeds}"')
 def step_impl(context, host, successor, seeds):
     async def replace_host():
@@ -157,3 +176,9 @@
 @then("the group has {count:d} members")
 def step_impl(context, count):
     assert len(members(context)) == count, members(context)
+
+
+@then("memberships have differed by one voter at most")
+def step_impl(context):
+    jumps = context.fleet.membership_jumps()
+    assert not jumps, (jumps, context.fleet.voter_ids_by_index)
