Remove a lost voter above the minimum after 3 s, not 15 s

Cause: a lost voter above the minimum stayed one for 15 s, and raised the quorum of those that run. Now 3 s, as with a waiting successor; a voter that was cut off joins again by itself.

The histories also interrupt the first start, lose up to as many hosts at once as are to be borne, start successors first and have entries of up to 2 MB. Requests to join are sent in a fixed order, so that a seed gives one history.

--- a/packages/almondfield-control/src/almondfield_control/consensus/formation.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -284,8 +284,9 @@
     def _request_to_join(self) -> None:
         replica = self._replica
         self._set_waiting_for("the leader to add this host as a learner")
-        members = {member.host for member in replica.log.members}
-        for host in members.union(replica.configured, [self._heard_leader]):
+        members = [member.host for member in replica.log.members]
+        hosts = dict.fromkeys((*members, *replica.configured, self._heard_leader))
+        for host in hosts:
             if host not in ("", replica.peers.host):
                 replica.peers.send(host, JoinRequest(replica.voter_id))
 
--- a/packages/almondfield-control/src/almondfield_control/consensus/membership.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/membership.py
@@ -17,8 +17,8 @@
 __all__ = ["Membership"]
 
 CHECK_INTERVAL_S = 0.2
-REPLACE_SILENCE_S = 3.0  # a voter that returns later joins again as a learner
-REMOVE_SILENCE_S = 15.0  # longer than a restart or a network partition of seconds
+LOST_VOTER_S = 3.0  # a voter that returns later joins again as a learner
+LOST_LEARNER_S = 15.0  # longer than a restart or a network partition of seconds
 MIN_OBSERVATION_S = 1.0  # of a new leader itself; covers new connections
 
 
@@ -138,7 +138,7 @@
         """
         members = self._replica.log.members
         voters = [m for m in members if m.votes]
-        lost_voter = self._lost_voter(REPLACE_SILENCE_S)
+        lost_voter = self._lost_voter()
         has_too_few = len(voters) < self._replica.policy.min_voters
         election_s = self._replica.timing.election_s
         if lost_voter is not None and not has_too_few:
@@ -147,23 +147,24 @@
             self._start_change(self._members_promoting(learner))
 
     def _removable_member(self) -> Member | None:
-        """Return a member whose host is lost, or None if there is none."""
+        """Return a member whose host is lost, or None if there is none.
+
+        A lost voter above the minimum raises the quorum of those that run, and the next
+        losses, that the minimum bears, may leave none.
+        """
         members = self._replica.log.members
         for learner in members:
-            if not learner.votes and self._is_unresponsive(learner, REMOVE_SILENCE_S):
+            if not learner.votes and self._is_unresponsive(learner, LOST_LEARNER_S):
                 return learner
         voter_count = sum(m.votes for m in members)
         if voter_count <= self._replica.policy.min_voters:
             return None
-        return self._lost_voter(REMOVE_SILENCE_S)
+        return self._lost_voter()
 
-    def _lost_voter(self, silence_s: float) -> Member | None:
-        """Return an unresponsive voter without which there is a quorum, or None.
-
-        :param silence_s: silence from which on a voter counts as lost, in seconds.
-        """
+    def _lost_voter(self) -> Member | None:
+        """Return an unresponsive voter without which there is a quorum, or None."""
         for voter in self._replica.log.members:
-            if not voter.votes or not self._is_unresponsive(voter, silence_s):
+            if not voter.votes or not self._is_unresponsive(voter):
                 continue
             if self._has_quorum(self._members_without(voter)):
                 return voter
@@ -202,9 +203,7 @@
             return False
         return progress.match_index >= self._replica.commit_index
 
-    def _is_unresponsive(
-        self, member: Member, silence_s: float = REPLACE_SILENCE_S
-    ) -> bool:
+    def _is_unresponsive(self, member: Member, silence_s: float = LOST_VOTER_S) -> bool:
         """Return whether a member counts as lost after a silence.
 
         :param member: the member.
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/first_start.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/first_start.py
@@ -63,13 +63,17 @@
     :param kill_step_by_host: step of a host before which it is killed, once.
     :param seed: seed of the delays.
     :param wipe: whether the hosts that are killed lose their disks.
+    :param seeds: number of seeds.
+    :param lost_disks: number of lost disks that are to be borne at once.
 
     :ivar steps_by_host: steps that each host has taken.
     :ivar returned_at_s: when the last killed host started again, on the loop's clock.
     """
 
-    def __init__(self, kill_step_by_host, seed=1, wipe=False):
-        super().__init__(HOSTS, SEEDS, seed=seed)
+    def __init__(
+        self, kill_step_by_host, seed=1, wipe=False, seeds=SEEDS, lost_disks=1
+    ):
+        super().__init__(HOSTS, seeds, lost_disks=lost_disks, seed=seed)
         self.wipe = wipe
         self.network = SteppedNetwork(self, seed)
         self.kill_step_by_host = dict(kill_step_by_host)
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/replacement_history.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/replacement_history.py
@@ -1,4 +1,9 @@
-"""Seeded histories of a control group whose hosts are lost and replaced."""
+"""Seeded histories of a control group whose hosts are lost and replaced.
+
+In each, hosts are lost in turn: replaced at other addresses (with the successor started
+before or after), wiped, killed or cut off. What happens besides is told by a
+:class:`Plan`.
+"""
 
 import asyncio
 import random
@@ -6,23 +11,45 @@
 
 from result import Ok
 
-from almondfield_control.publishing.tests.publishing_fleet import PublishingFleet
+from almondfield_control.publishing.tests.first_start import FirstStart
 from almondfield_core.clock import now
 from almondfield_core.routing import RoutingTable
 
 HOSTS = 5
-SEEDS = 3
 LOSSES = 6
 FORMATION_S = 15.0
 CATCH_UP_S = 4.0
 SUCCESSOR_DELAY_S = 1.0
 UNDISTURBED_S = 2.0  # after faults beside a loss, before its host has to be back
+MAX_KILL_STEP = 40  # more than a host takes until a group forms
 DOCUMENT_BYTES = (100, 20_000, 400_000)
+LARGE_DOCUMENT_BYTES = 2_000_000
+LARGE_DOCUMENT_SHARE = 0.1
 PUBLISH_INTERVALS_S = (0.2, 0.5)
 PUBLISH_ATTEMPT_S = 0.6
 READ_ATTEMPTS = 30
 
 
+@dataclass(frozen=True)
+class Plan:
+    """What happens in a history besides single losses in turn.
+
+    :ivar seeds: number of seeds.
+    :ivar lost_disks: number of hosts that are lost at once, at most.
+    :ivar has_overlap: whether restarts and cuts come beside each loss.
+    :ivar is_interrupted: whether seeds are killed during the first start.
+    :ivar has_large_documents: whether some histories have entries of 2 MB.
+    :ivar kinds: how hosts are lost.
+    """
+
+    seeds: int = 3
+    lost_disks: int = 1
+    has_overlap: bool = False
+    is_interrupted: bool = False
+    has_large_documents: bool = False
+    kinds: tuple[str, ...] = ("replace", "wipe", "kill", "cut")
+
+
 @dataclass
 class Record:
     """Observations of one history.
@@ -32,6 +59,7 @@
     :ivar pauses_s: longest time without a commit around each loss, in seconds.
     :ivar unread: acknowledged versions that weren't read back.
     :ivar surplus: largest number of voters beyond the hosts that ran.
+    :ivar jumps: memberships that differed from the one before by two voters or more.
     """
 
     faults: list = field(default_factory=list)
@@ -39,30 +67,39 @@
     pauses_s: list = field(default_factory=list)
     unread: list = field(default_factory=list)
     surplus: int = 0
+    jumps: list = field(default_factory=list)
 
 
 class History:
     """One history.
 
     :param seed: seed of all choices.
-    :param has_overlap: whether restarts and cuts come beside each loss.
+    :param plan: what happens besides single losses.
     """
 
-    def __init__(self, seed, has_overlap):
+    def __init__(self, seed, plan):
         self.rng = random.Random(seed)
+        self.plan = plan
         self.record = Record()
-        self.fleet = PublishingFleet(HOSTS, SEEDS, seed=seed)
-        self.has_overlap = has_overlap
+        kills = {}
+        if plan.is_interrupted:
+            # The first write ends with the second step; without it a host that starts
+            # again may form no group.
+            first = [f"c{number + 1}" for number in range(plan.seeds)]
+            kills = {host: self.rng.randint(3, MAX_KILL_STEP) for host in first}
+        self.fleet = FirstStart(
+            kills, seed, seeds=plan.seeds, lost_disks=plan.lost_disks
+        )
         self.acknowledged = 0
         self.committed_at = 0.0
         self.longest_pause_s = 0.0
         self.host_count = HOSTS
+        self.failed_hosts = set()
 
     async def run(self):
         """Return the record of the history."""
         fleet = self.fleet
-        for host in fleet.hosts:
-            fleet.start(host)
+        await fleet.form()
         await fleet.wait_until(lambda: len(fleet.voters()) == HOSTS, FORMATION_S)
         self.committed_at = now()
         tasks = [
@@ -71,7 +108,7 @@
         ]
         for _ in range(LOSSES):
             await asyncio.sleep(self.rng.uniform(0.2, 1.2))
-            await self._lose_host()
+            await self._lose_hosts()
         for task in tasks:
             task.cancel()
         for outcome in await asyncio.gather(*tasks, return_exceptions=True):
@@ -79,22 +116,27 @@
                 raise outcome
         for host in list(fleet.replica_by_host):
             await fleet.stop(host)
+        self.record.jumps = fleet.membership_jumps()
         return self.record
 
-    async def _lose_host(self):
+    async def _lose_hosts(self):
         self.longest_pause_s = 0.0
-        host = self._choose_host()
-        kind = self.rng.choice(["replace", "wipe", "kill", "cut"])
-        self._note(kind, host)
-        returned = await self._lose(kind, host)
-        if self.has_overlap:
+        hosts = self._choose_hosts()
+        kinds = [self.rng.choice(self.plan.kinds) for _ in hosts]
+        for kind, host in zip(kinds, hosts):
+            self._note(kind, host)
+        losses = [self._lose(kind, host) for kind, host in zip(kinds, hosts)]
+        returned = await asyncio.gather(*losses)
+        if self.plan.has_overlap:
             await self._disturb()
             await asyncio.sleep(UNDISTURBED_S)
         acknowledged = self.acknowledged
         await asyncio.sleep(CATCH_UP_S)
-        self.record.pauses_s.append((self.longest_pause_s, self.record.faults[-2:]))
-        if not self._is_back(returned, acknowledged):
-            self.record.not_back.append((returned, self.record.faults[-2:]))
+        faults = self.record.faults[-len(hosts) - 1 :]
+        self.record.pauses_s.append((self.longest_pause_s, faults))
+        for host in returned:
+            if not self._is_back(host, acknowledged):
+                self.record.not_back.append((host, faults))
         await self._read_back()
 
     async def _lose(self, kind, host):
@@ -103,19 +145,30 @@
         match kind:
             case "replace":
                 self.host_count += 1
+                successor = f"c{self.host_count}"
                 await fleet.stop(host)
                 await asyncio.sleep(SUCCESSOR_DELAY_S)
-                fleet.seeds = tuple(
-                    self.rng.sample(sorted(fleet.replica_by_host), SEEDS)
-                )
-                host = f"c{self.host_count}"
-                fleet.start(host, may_form=False)
+                self._start_successor(successor)
+                host = successor
+            case "renew":
+                self.host_count += 1
+                successor = f"c{self.host_count}"
+                self._start_successor(successor)
+                await asyncio.sleep(CATCH_UP_S)
+                await fleet.stop(host)
+                host = successor
             case "wipe" | "kill":
                 await self._restart(host, self.rng.uniform(0.2, 1.2), kind == "wipe")
             case "cut":
                 await self._cut(host)
         return host
 
+    def _start_successor(self, host):
+        fleet = self.fleet
+        running = sorted(fleet.replica_by_host)
+        fleet.seeds = tuple(self.rng.sample(running, min(3, len(running))))
+        fleet.start(host, may_form=False)
+
     async def _disturb(self):
         """Let restarts or a cut come beside a loss; no further disk is lost."""
         kind = self.rng.choice(["none", "leader", "leaders", "all", "cut"])
@@ -151,11 +204,14 @@
         await asyncio.sleep(self.rng.uniform(1.0, 6.0))
         self.fleet.network.heal()
 
-    def _choose_host(self):
+    def _choose_hosts(self):
         leader = self.fleet.leader()
+        hosts = sorted(self.fleet.replica_by_host)
+        self.rng.shuffle(hosts)
         if leader is not None and self.rng.random() < 0.5:
-            return leader
-        return self.rng.choice(sorted(self.fleet.replica_by_host))
+            hosts.remove(leader)
+            hosts.insert(0, leader)
+        return hosts[: self.rng.randint(1, self.plan.lost_disks)]
 
     def _note(self, kind, host):
         self.record.faults.append((round(now(), 2), kind, host))
@@ -171,7 +227,10 @@
         return votes and held >= version
 
     async def _publish_versions(self):
-        document = b"x" * self.rng.choice(DOCUMENT_BYTES)
+        size = self.rng.choice(DOCUMENT_BYTES)
+        if self.plan.has_large_documents and self.rng.random() < LARGE_DOCUMENT_SHARE:
+            size = LARGE_DOCUMENT_BYTES
+        document = b"x" * size
         interval_s = self.rng.choice(PUBLISH_INTERVALS_S)
         version = 0
         while True:
@@ -185,12 +244,21 @@
             self.committed_at = now()
 
     async def _is_published(self, table, document):
-        hosts = sorted(self.fleet.replica_by_host)
+        # A host that is cut off can't publish; what is measured is the group.
+        hosts = [
+            h for h in sorted(self.fleet.replica_by_host) if h not in self.failed_hosts
+        ]
         if not hosts:
+            self.failed_hosts.clear()
             return False
-        publisher = self.fleet.publisher_by_host[self.rng.choice(hosts)]
+        host = self.rng.choice(hosts)
+        publisher = self.fleet.publisher_by_host[host]
         outcome = await publisher.publish(table, document, PUBLISH_ATTEMPT_S)
-        return isinstance(outcome, Ok)
+        if isinstance(outcome, Ok):
+            self.failed_hosts.clear()
+            return True
+        self.failed_hosts.add(host)
+        return False
 
     async def _watch(self):
         while True:
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/replacement_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/replacement_steps.py
@@ -2,18 +2,18 @@
 
 from behave import then, when
 
-from almondfield_control.publishing.tests.replacement_history import History
+from almondfield_control.publishing.tests.replacement_history import History, Plan
 from almondfield_testing import run
 
 
-def play(context, first, last, has_overlap):
+def play(context, first, last, plan):
     context.record_by_seed = {
-        seed: run(context, start(seed, has_overlap)) for seed in range(first, last + 1)
+        seed: run(context, start(seed, plan)) for seed in range(first, last + 1)
     }
 
 
-async def start(seed, has_overlap):
-    return await History(seed, has_overlap).run()
+async def start(seed, plan):
+    return await History(seed, plan).run()
 
 
 def failures(context, select):
@@ -26,14 +26,29 @@
     "{last:d}"
 )
 def step_impl(context, first, last):
-    play(context, first, last, has_overlap=False)
+    play(context, first, last, Plan())
 
 
 @when(
     "hosts are lost beside restarts and cuts of others with seeds {first:d} to {last:d}"
 )
 def step_impl(context, first, last):
-    play(context, first, last, has_overlap=True)
+    play(context, first, last, Plan(has_overlap=True))
+
+
+@when(
+    "hosts are lost after an interrupted first start, {losses:d} at once at most, "
+    "beside entries of up to 2 MB, with seeds {first:d} to {last:d}"
+)
+def step_impl(context, losses, first, last):
+    plan = Plan(
+        seeds=2 * losses + 1,
+        lost_disks=losses,
+        is_interrupted=True,
+        has_large_documents=True,
+        kinds=("replace", "renew", "wipe", "kill", "cut"),
+    )
+    play(context, first, last, plan)
 
 
 @then("each time a host that is back votes and holds the newest version in 4 s")
@@ -62,3 +77,9 @@
         context, lambda record: record.surplus if record.surplus > limit else 0
     )
     assert not found, found
+
+
+@then("memberships that follow each other differ by one voter at most")
+def step_impl(context):
+    found = failures(context, lambda record: record.jumps)
+    assert not found, found
