Drop messages above 32 MiB in the histories, and end kills with the first start

Messages between hosts are bounded, which the network of the tests was not, so that the histories could not find case 1 of the review.

--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/replacement_history.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/replacement_history.py
@@ -25,6 +25,7 @@
 DOCUMENT_BYTES = (100, 20_000, 400_000)
 LARGE_DOCUMENT_BYTES = 2_000_000
 LARGE_DOCUMENT_SHARE = 0.1
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024  # as between hosts
 PUBLISH_INTERVALS_S = (0.2, 0.5)
 PUBLISH_ATTEMPT_S = 0.6
 READ_ATTEMPTS = 30
@@ -99,7 +100,10 @@
     async def run(self):
         """Return the record of the history."""
         fleet = self.fleet
+        fleet.network.max_message_bytes = MAX_MESSAGE_BYTES
         await fleet.form()
+        # A kill that is due later would come beside a loss.
+        fleet.kill_step_by_host.clear()
         await fleet.wait_until(lambda: len(fleet.voters()) == HOSTS, FORMATION_S)
         self.committed_at = now()
         tasks = [
