Bound the names and parts of prompts that hosts keep

What callers could see: a scheduler or router that ends for its memory, and refusals until another one is up.

Cause: routers and schedulers keep parts of prompts by the thousand, with names and in numbers that callers choose within a head of 32 KB.

Why it works: each record has a size that doesn't depend on the caller, and each table a number of them.

A test knew the old form of the keys by heart and asks the code for it now; what it checks is unchanged.

--- a/packages/almondfield-core/src/almondfield_core/routing/prompt.py
+++ b/packages/almondfield-core/src/almondfield_core/routing/prompt.py
@@ -1,8 +1,13 @@
 """Size and parts of a prompt, as needed to route a request to a model engine."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-__all__ = ["Prompt", "PromptPart"]
+import xxhash
+
+__all__ = ["MAX_ID_CHARACTERS", "MAX_PARTS", "Prompt", "PromptPart"]
+
+MAX_ID_CHARACTERS = 64  # longer ones are kept as a hash
+MAX_PARTS = 256
 
 
 @dataclass(frozen=True)
@@ -35,6 +40,23 @@
     parts: tuple[PromptPart, ...] = ()
     likely_output_tokens: int = 0
 
+    def bounded(self) -> "Prompt":
+        """Return the prompt with short names, and no more than ``MAX_PARTS`` parts.
+
+        Hosts keep parts of prompts by the thousand, so that the names that callers give
+        them have to be bounded. Further parts count to the last one.
+        """
+        parts = self.parts
+        if len(parts) > MAX_PARTS:
+            tokens = sum(part.tokens for part in parts[MAX_PARTS - 1 :])
+            parts = (*parts[: MAX_PARTS - 1], replace(parts[-1], tokens=tokens))
+        if all(len(part.part_id) <= MAX_ID_CHARACTERS for part in parts):
+            is_short = len(self.model) <= MAX_ID_CHARACTERS
+            if is_short and parts is self.parts:
+                return self
+        parts = tuple(replace(p, part_id=_shorten(p.part_id)) for p in parts)
+        return replace(self, model=_shorten(self.model), parts=parts)
+
     @property
     def unshared_tokens(self) -> int:
         """Return the tokens of the part that no other request shares; 0 for none."""
@@ -54,3 +76,9 @@
         if not self.parts:
             return ""
         return f"{self.parts[-1].part_id}:{self.input_tokens}"
+
+
+def _shorten(name: str) -> str:
+    if len(name) <= MAX_ID_CHARACTERS:
+        return name
+    return xxhash.xxh3_128_hexdigest(name.encode())
--- a/packages/almondfield-daemon/src/almondfield_daemon/quarantine/parts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/quarantine/parts.py
@@ -7,8 +7,6 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-import xxhash
-
 from almondfield_core.clock import now
 from almondfield_core.routing import Prompt
 from almondfield_daemon.quarantine.digests import SoundDigests, is_digest
@@ -27,8 +25,6 @@
 BEGIN_WINDOW_S = 1.0
 SOUND_MEMORY_S = 30.0
 MAX_SOUND_PARTS = 20_000
-MAX_PARTS = 256  # of one prompt
-MAX_ID_CHARACTERS = 64  # longer ones are kept as a hash
 
 
 class RequestQuarantine(Protocol):
@@ -178,11 +174,5 @@
     """
     if prompt is None:
         return ()
-    parts = (_shorten(part.part_id) for part in prompt.parts[:-1][:MAX_PARTS])
+    parts = (part.part_id for part in prompt.bounded().parts[:-1])
     return tuple(dict.fromkeys(parts))
-
-
-def _shorten(part_id: str) -> str:
-    if len(part_id) <= MAX_ID_CHARACTERS:
-        return part_id
-    return xxhash.xxh3_128_hexdigest(part_id.encode())
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
@@ -13,6 +13,7 @@
 from almondfield_daemon.scheduling.messages import EngineRefusal
 from almondfield_daemon.scheduling.tests.fakes import POOL, FakePublisher
 from almondfield_fairshare.engines import PromptRequest
+from almondfield_fairshare.engines.prefix_cache import prefix_blocks
 from almondfield_testing import InMemoryNetwork, run
 
 HOSTS = ("c1", "c2")
@@ -360,7 +361,9 @@
     known = [
         number
         for number in range(1000)
-        if engine.cached_tokens(((f"m/t{number}", 100),))
+        if engine.cached_tokens(
+            prefix_blocks(Prompt("m", 100, 0, (PromptPart(f"t{number}", 100),)))
+        )
     ]
     assert least <= len(known) <= most, len(known)
     assert known[-1] == 999, known[-1]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/prefix_cache.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/prefix_cache.py
@@ -2,12 +2,16 @@
 
 from collections import OrderedDict
 
+import xxhash
+
 from almondfield_core.routing import Prompt
 
 __all__ = ["PrefixBlock", "PrefixCache", "prefix_blocks"]
 
 MAX_RESTORED_SHARE = 0.5  # of the capacity; unshared parts and answers have the rest
 
+MAX_BLOCKS = 4096  # of one engine; a part has a hundred tokens and more
+
 PrefixBlock = tuple[str, int]
 """Key of a prompt prefix, and the number of tokens in its last part."""
 
@@ -20,7 +24,7 @@
     blocks = []
     key = prompt.model
     for part in prompt.parts:
-        key = f"{key}/{part.part_id}"
+        key = xxhash.xxh3_64_hexdigest(f"{key}/{part.part_id}".encode())
         blocks.append((key, part.tokens))
     return tuple(blocks)
 
@@ -65,7 +69,10 @@
             previous_tokens = self.tokens_by_key.pop(key, 0)
             self.tokens_by_key[key] = max(previous_tokens, tokens)
             self._cached_tokens += max(previous_tokens, tokens) - previous_tokens
-        while self._cached_tokens > self._capacity_tokens:
+        while (
+            self._cached_tokens > self._capacity_tokens
+            or len(self.tokens_by_key) > MAX_BLOCKS
+        ):
             _, tokens = self.tokens_by_key.popitem(last=False)
             self._cached_tokens -= tokens
 
@@ -78,6 +85,8 @@
         total = self._cached_tokens + sum(tokens for _, tokens in missing)
         if total > MAX_RESTORED_SHARE * self._capacity_tokens:
             return
+        if len(self.tokens_by_key) + len(missing) > MAX_RESTORED_SHARE * MAX_BLOCKS:
+            return
         self._cached_tokens = total
         # The first blocks count as used last, as later ones are useless without them.
         for key, tokens in missing:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/prefix_cache.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/prefix_cache.feature
@@ -37,3 +37,10 @@
   Scenario: Reports on engines that are not known are bounded
     When a scheduler is told of 20000 prefixes at engines that do not come
     Then it holds at most 16384 of them
+
+  # Guards against memory that parts without tokens fill, which no capacity in tokens bounds.
+  Scenario: Parts without tokens are bounded by their number
+    When 100000 prompts of 0 tokens are cached
+    Then the cache has 4096 blocks
+    When 10 prefixes of 0 tokens are restored
+    Then the cache has 4096 blocks
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/prefix_cache_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/prefix_cache_steps.py
@@ -51,6 +51,23 @@
     assert cached == expected.split(", "), cached
 
 
+@when("{count:d} prompts of 0 tokens are cached")
+def step_impl(context, count):
+    for number in range(count):
+        context.cache.add(((f"p{number}", 0),), 0)
+
+
+@when("{count:d} prefixes of 0 tokens are restored")
+def step_impl(context, count):
+    for number in range(count):
+        context.cache.restore(((f"r{number}", 0),))
+
+
+@then("the cache has {count:d} blocks")
+def step_impl(context, count):
+    assert len(context.cache.tokens_by_key) == count, len(context.cache.tokens_by_key)
+
+
 def sent_prefix(name, server, started_ms):
     """Return a report on one shared part that an engine got."""
     prompt = Prompt("m", TOKENS, 0, (PromptPart(name, TOKENS),))
