Specify that two changes of members at once are unsafe

The search found the leader beginning two changes from the same members. spec/log.py took one change at a time for granted.

--- a/spec/check.py
+++ b/spec/check.py
@@ -89,6 +89,12 @@
         broken=True,
         quick=False,
     ),
+    Case(
+        "log, a change of members begins before the last one is committed",
+        log_protocol,
+        TWO_CANDIDATES | {"changes_overlap": True, "max_changes": 0},
+        broken=True,
+    ),
     Case("grants", grants_protocol),
     Case(
         "grants, grant outlives its lease",
--- a/spec/log.py
+++ b/spec/log.py
@@ -29,6 +29,7 @@
     candidates=IDENTITIES,
     identity_by_address=False,
     replace_in_one_step=False,
+    changes_overlap=False,
     vote_while_learning=False,
 ):
     """Return the protocol of the log within bounds.
@@ -38,6 +39,7 @@
     :param candidates: identities that may campaign.
     :param identity_by_address: broken: a wiped folder keeps its identity.
     :param replace_in_one_step: broken: one change removes and admits a voter.
+    :param changes_overlap: broken: a change begins before the last one is committed.
     :param vote_while_learning: broken: a member votes before it is admitted.
     """
 
@@ -50,7 +52,7 @@
             *_replications(state),
             *_commits(state),
             *_wipes(state, identity_by_address),
-            *_membership(state, replace_in_one_step),
+            *_membership(state, replace_in_one_step, changes_overlap),
         ]
 
     return Protocol(
@@ -250,7 +252,7 @@
         yield f"wipe({identity})", (after[0], identity, *after[2:])
 
 
-def _membership(state, replace_in_one_step):
+def _membership(state, replace_in_one_step, changes_overlap):
     if state[1] == NO_VOTE or state[0][SPARE] is None:
         return
     lost = state[1]
@@ -258,7 +260,9 @@
         if member.role != "leader":
             continue
         index = _committed(identity, member)
-        settled = index and not any(e[1] == "members" for e in member.log[index:])
+        settled = index and (
+            changes_overlap or not any(e[1] == "members" for e in member.log[index:])
+        )
         if not settled or member.match[SPARE] < index:
             continue
         voters = voters_of(member.log)
