Search memberships until lost voters outnumber the others

The search of spec/membership.py ended one lost voter beyond what is to be borne, so that the counterexample of planned replacements was where it ended, not a state without a quorum.

--- a/spec/membership.py
+++ b/spec/membership.py
@@ -60,9 +60,9 @@
         candidate=False,
         fields=FIELDS,
         initial=tuple(State(hosts, 0, 0, 0, 0, 0, True)),
-        # A group that is out of bounds already need not be searched further.
+        # With more lost voters there is no quorum for good; the search would not end.
         transitions=lambda values: (
-            transitions(State(*values)) if _lost(State(*values)) <= losses + 1 else []
+            transitions(State(*values)) if _lost(State(*values)) <= hosts + 1 else []
         ),
         invariants={
             "no more voters are lost than are to be borne": lambda d: (
