Compute agreements and steps of first starts once

Read again as a whole: the wait for an agreement filtered the replies that the offer had just filtered; the seeded first starts played the same undisturbed one three times for each seed; the histories stopped hosts by a loop of their own and knew the steps of a folder as a number; the check whether a prompt is short enough was spread over two conditions. Behaviour and what the tests check stay as they are.

--- a/packages/almondfield-control/src/almondfield_control/consensus/formation.py
+++ b/packages/almondfield-control/src/almondfield_control/consensus/formation.py
@@ -217,28 +217,24 @@
         if replica.hard_state.formed:
             return
         if agreed != expected:
-            self._wait_for_agreement(expected, replies)
+            replaced = [h for h, r in replies.items() if r.voter_id != expected[h]]
+            missing = [host for host in expected if host not in agreed]
+            self._wait_for_agreement(replaced, missing)
             return
         await self._confirm_formation(offer)
 
-    def _wait_for_agreement(
-        self, expected: dict[str, str], replies: dict[str, FormationState]
-    ) -> None:
+    def _wait_for_agreement(self, replaced: list[str], missing: list[str]) -> None:
         """Record which hosts haven't agreed, and whether they still can.
 
-        :param expected: identities that the offer names, by host.
-        :param replies: replies to the offer, by host.
+        :param replaced: hosts whose folders aren't those that the offer names.
+        :param missing: hosts that haven't agreed.
         """
-        replaced = [h for h, reply in replies.items() if reply.voter_id != expected[h]]
         if replaced:
             self._set_waiting_for(
                 "this data folder to be emptied: that of "
                 f"{', '.join(replaced)} was replaced while the group formed"
             )
             return
-        cluster_id = self._replica.hard_state.cluster_id
-        agreed = {h for h, reply in replies.items() if reply.cluster_id == cluster_id}
-        missing = [host for host in expected if host not in agreed]
         self._set_waiting_for(f"agreement of {', '.join(missing)}")
 
     async def _confirm_formation(self, offer: FormationOffer) -> None:
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/first_start.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/first_start.py
@@ -13,6 +13,8 @@
 SEEDS = 3
 RESTART_DELAY_S = 0.5
 FORMATION_TIMEOUT_S = 5.0
+# An empty folder is written, and its end recorded, in the first two steps of a host.
+FOLDER_STEPS = 2
 FORMATION_KINDS = ("formation-query", "formation-offer", "formation-state")
 
 
@@ -149,12 +151,12 @@
     waiting_for: tuple[str, ...]
 
 
-async def count_steps(host):
-    """Return how many steps a host takes until a group forms without a kill."""
+async def count_steps():
+    """Return how many steps hosts take until a group forms without a kill, by host."""
     fleet = FirstStart({})
     await fleet.form()
     await fleet.stop_all()
-    return fleet.steps_by_host[host]
+    return fleet.steps_by_host
 
 
 async def play_first_start(kill_step_by_host, seed=1, wipe=False):
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/replacement_history.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/replacement_history.py
@@ -11,7 +11,10 @@
 
 from result import Ok
 
-from almondfield_control.publishing.tests.first_start import FirstStart
+from almondfield_control.publishing.tests.first_start import (
+    FOLDER_STEPS,
+    FirstStart,
+)
 from almondfield_core.clock import now
 from almondfield_core.routing import RoutingTable
 
@@ -84,10 +87,11 @@
         self.record = Record()
         kills = {}
         if plan.is_interrupted:
-            # The first write ends with the second step; without it a host that starts
-            # again may form no group.
-            first = [f"c{number + 1}" for number in range(plan.seeds)]
-            kills = {host: self.rng.randint(3, MAX_KILL_STEP) for host in first}
+            # Without its folder a host that starts again may form no group.
+            kills = {
+                f"c{number + 1}": self.rng.randint(FOLDER_STEPS + 1, MAX_KILL_STEP)
+                for number in range(plan.seeds)
+            }
         self.fleet = FirstStart(
             kills, seed, seeds=plan.seeds, lost_disks=plan.lost_disks
         )
@@ -118,8 +122,7 @@
         for outcome in await asyncio.gather(*tasks, return_exceptions=True):
             if isinstance(outcome, Exception):
                 raise outcome
-        for host in list(fleet.replica_by_host):
-            await fleet.stop(host)
+        await fleet.stop_all()
         self.record.jumps = fleet.membership_jumps()
         return self.record
 
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/first_start_steps.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/steps/first_start_steps.py
@@ -5,17 +5,15 @@
 from behave import then, when
 
 from almondfield_control.publishing.tests.first_start import (
+    FOLDER_STEPS,
     count_steps,
     play_first_start,
 )
 from almondfield_testing import run
 
-# An empty folder is written, and its end recorded, in the first two steps of a host.
-FOLDER_STEPS = 2
-
 
 def play_each_step(context, host, wipe):
-    steps = run(context, count_steps(host))
+    steps = run(context, count_steps())[host]
     context.record_by_case = {
         step: run(context, play_first_start({host: step}, wipe=wipe))
         for step in range(1, steps + 1)
@@ -41,8 +39,9 @@
 
 async def _kill_all(seed):
     rng = random.Random(seed)
+    steps_by_host = await count_steps()
     kills = {
-        host: rng.randint(FOLDER_STEPS + 1, await count_steps(host))
+        host: rng.randint(FOLDER_STEPS + 1, steps_by_host[host])
         for host in ("c1", "c2", "c3")
     }
     return await play_first_start(kills, seed)
--- a/packages/almondfield-core/src/almondfield_core/routing/prompt.py
+++ b/packages/almondfield-core/src/almondfield_core/routing/prompt.py
@@ -47,13 +47,12 @@
         them have to be bounded. Further parts count to the last one.
         """
         parts = self.parts
+        names = (self.model, *[part.part_id for part in parts])
+        if len(parts) <= MAX_PARTS and max(map(len, names)) <= MAX_ID_CHARACTERS:
+            return self
         if len(parts) > MAX_PARTS:
             tokens = sum(part.tokens for part in parts[MAX_PARTS - 1 :])
             parts = (*parts[: MAX_PARTS - 1], replace(parts[-1], tokens=tokens))
-        if all(len(part.part_id) <= MAX_ID_CHARACTERS for part in parts):
-            is_short = len(self.model) <= MAX_ID_CHARACTERS
-            if is_short and parts is self.parts:
-                return self
         parts = tuple(replace(p, part_id=_shorten(p.part_id)) for p in parts)
         return replace(self, model=_shorten(self.model), parts=parts)
 
