Let killed and stopped control hosts of the tests end the same way

FirstStart.take_step wrote PublishingFleet.stop again, as it can't wait for the task that it is called from. Both call PublishingFleet.kill now, which returns the task. A host that stops leaves the fleet's running hosts before its task has ended, not after, at the same moment of the paused clock.

--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/first_start.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/first_start.py
@@ -94,11 +94,7 @@
         if self.steps_by_host[host] != self.kill_step_by_host.get(host):
             return True
         del self.kill_step_by_host[host]
-        self.network.stop(host)
-        self.cut_power(host, self.wipe)
-        task = self.task_by_host.pop(host)
-        task.cancel()
-        del self.replica_by_host[host]
+        task = self.kill(host, self.wipe)
         self._restarts.append(asyncio.ensure_future(self._restart(host, task)))
         return False
 
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing_fleet.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing_fleet.py
@@ -110,12 +110,16 @@
 
     async def stop(self, host, wipe=False):
         """Stop a control host, which loses unsynced data, or all data if wiped."""
+        await asyncio.gather(self.kill(host, wipe), return_exceptions=True)
+
+    def kill(self, host, wipe=False):
+        """End a control host as :meth:`stop` does; return its task, which ends soon."""
         self.network.stop(host)
         self.cut_power(host, wipe)
+        del self.replica_by_host[host]
         task = self.task_by_host.pop(host)
         task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-        del self.replica_by_host[host]
+        return task
 
     def leader(self):
         """Return the host that leads; None if there is none."""
