Divide what a busy scheduler does not decide on among teams, not routers

Cause: a scheduler that is short of processor time asks for a part of each team's prompts. Routers treated the others as without a scheduler: each began one at a time, whatever its teams sent, so that with 191 routers a team had as many as it has routers. They counted neither for their team nor at their engine. Change: replies say which part of the undecided prompts of a team routers may begin. Its rate is the same for all teams, follows the engines' spare time, and is 0 for a team that has had its share; routers refuse the others at once and report what they begin. Why it works: a bound of the fleet is divided by what it is for, the teams, by the one host that knows them all.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
@@ -22,6 +22,7 @@
     HELD_SHARE = "held-share"  # an earlier refusal for the share still held
     NO_ROOM = "no-room"  # the scheduler refused: the engines are full
     NO_SCHEDULER = "no-scheduler"  # none answered in time; the router's limit is used
+    BUSY_SCHEDULER = "busy-scheduler"  # it isn't asked; the team has had its part
     LATE = "late"  # the router reads prompts too late to pass them on in time
     NO_SERVER = "no-server"
     NO_VERSION = "no-version"
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
@@ -0,0 +1,149 @@
+"""Choice of a server from a router's own data, and what begins with it."""
+
+from almondfield_core.routing import Prompt
+from almondfield_daemon.fleet import FleetServer, FleetView
+from almondfield_daemon.forwarding.counts import RefusalCause
+from almondfield_daemon.forwarding.messages import ForwardRequest
+from almondfield_daemon.forwarding.selected_server import SelectedServer
+from almondfield_daemon.forwarding.unavailable import Unavailable
+from almondfield_daemon.host_delay import HostDelay
+from almondfield_daemon.quarantine import RequestQuarantine
+from almondfield_daemon.scheduling import EngineAssignment, EngineClient
+from almondfield_daemon.server_notices import ServerNotices
+from almondfield_fairshare.prefix_placement import Candidate, Placement
+
+__all__ = ["LocalChoice"]
+
+# Concurrent prefills per server, over all routers; more would start too late.
+LOCAL_PREFILLS_PER_SERVER = 2
+
+
+class LocalChoice:
+    """Chooses servers from this router's own data.
+
+    :param view: known servers and routers.
+    :param placement: chooses among the servers.
+    :param data_centre: data centre of this router.
+    :param engines: client of the scheduler of model engines.
+    :param host_delay: delay of this host.
+    :param notices: what servers said about further work.
+    :param quarantine: knows requests under which servers ended.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        placement: Placement,
+        data_centre: str,
+        engines: EngineClient,
+        host_delay: HostDelay,
+        notices: ServerNotices,
+        quarantine: RequestQuarantine,
+    ) -> None:
+        self._view = view
+        self._placement = placement
+        self._data_centre = data_centre
+        self._engines = engines
+        self._host_delay = host_delay
+        self._notices = notices
+        self._quarantine = quarantine
+
+    def choose(
+        self,
+        request: ForwardRequest,
+        servers: tuple[FleetServer, ...],
+        tried: frozenset[str],
+    ) -> SelectedServer | Unavailable:
+        """Return a server for the next attempt, or why there is none.
+
+        :param request: the request.
+        :param servers: servers that may get it.
+        :param tried: names of servers that failed or refused it.
+        """
+        prompt = _prompt(request)
+        unresponsive = self._view.unresponsive_servers()
+        candidates = tuple(self._candidate(server, unresponsive) for server in servers)
+        hint = self._engines.last_server(prompt) if prompt else ""
+        chosen = self._placement.choose(candidates, prompt, tried, hint)
+        if chosen is None:
+            detail = "no backend server of the pool takes work now"
+            return Unavailable(detail, RefusalCause.NO_SERVER)
+        server = next(item for item in servers if item.name == chosen.name)
+        if prompt is None:
+            return self.select(request, server)
+        assignment = self._engines.assign_unscheduled(
+            request.pool, server.name, request.team, prompt
+        )
+        return self.select(request, server, assignment)
+
+    def select_again(
+        self, request: ForwardRequest, server: FleetServer
+    ) -> SelectedServer:
+        """Return a server that has had the request, which was admitted there.
+
+        :param request: the request.
+        :param server: the server.
+        """
+        prompt = _prompt(request)
+        if prompt is None:
+            return self.select(request, server)
+        assignment = self._engines.assign_again(
+            request.pool, server.name, prompt.unshared_tokens
+        )
+        return self.select(request, server, assignment)
+
+    def select(
+        self,
+        request: ForwardRequest,
+        server: FleetServer,
+        assignment: EngineAssignment | None = None,
+    ) -> SelectedServer:
+        """Return a server as selected for one attempt, which counts as begun.
+
+        :param request: the request.
+        :param server: the server.
+        :param assignment: the assignment to a model engine; None for other servers.
+        """
+        prompt = _prompt(request)
+        if prompt is not None:
+            self._engines.record_server(
+                request.pool, prompt, server.name, server.born_ms
+            )
+        candidate = self._candidate(server, frozenset())
+        return SelectedServer(
+            server,
+            self._placement,
+            self._placement.start(candidate, prompt),
+            self._host_delay,
+            self._notices,
+            assignment,
+            self._quarantine,
+            request.shared_parts,
+            request.digests,
+        )
+
+    def is_prefill_limit_reached(self, servers: tuple[FleetServer, ...]) -> bool:
+        """Return whether this router has used its share of concurrent prefills.
+
+        :param servers: servers of the pool.
+        """
+        names = self._placement.prefilling_names()
+        prefilling = sum([server.name in names for server in servers])
+        limit = (
+            LOCAL_PREFILLS_PER_SERVER * len(servers) / max(1, self._view.router_count())
+        )
+        return prefilling >= max(1, round(limit))
+
+    def _candidate(
+        self, server: FleetServer, unresponsive: frozenset[str]
+    ) -> Candidate:
+        return Candidate(
+            name=server.name,
+            slots=server.slots,
+            is_local=server.data_centre == self._data_centre,
+            is_unresponsive=server.name in unresponsive,
+        )
+
+
+def _prompt(request: ForwardRequest) -> Prompt | None:
+    return request.metadata.prompt if request.route.has_prompt else None
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -7,6 +7,7 @@
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.forwarding.counts import RefusalCause, RequestCounts
 from almondfield_daemon.forwarding.known_servers import KnownServers
+from almondfield_daemon.forwarding.local_choice import LocalChoice
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.selected_server import SelectedServer, server_start
 from almondfield_daemon.forwarding.unavailable import (
@@ -22,15 +23,14 @@
     shared_parts,
 )
 from almondfield_daemon.scheduling import EngineAssignment, EngineClient
+from almondfield_daemon.scheduling.asked_shares import Refuse, SendUnscheduled
 from almondfield_daemon.scheduling.messages import EngineRefusal
 from almondfield_daemon.server_notices import ServerNotices
 from almondfield_fairshare.engines import PromptRequest
-from almondfield_fairshare.prefix_placement import Candidate, Placement
+from almondfield_fairshare.prefix_placement import Placement
 
 __all__ = ["ServerSelector"]
 
-# Concurrent prefills per server, over all routers; more would start too late.
-LOCAL_PREFILLS_PER_SERVER = 2
 # The event loop takes some eight iterations to send a request on, each as long as it
 # takes to read one; wait and prefill need the other half of the target.
 MAX_UNREAD_TARGET_SHARE = 1 / 16
@@ -61,13 +61,20 @@
         quarantine: RequestQuarantine | None = None,
     ) -> None:
         self._quarantine = quarantine or NoQuarantine()
-        self._host_delay = host_delay
         self._notices = notices
         self._counts = counts or RequestCounts()
         self._engines = engines
         self._view = view
         self._placement = placement
-        self._data_centre = data_centre
+        self._local = LocalChoice(
+            view,
+            placement,
+            data_centre,
+            engines,
+            host_delay,
+            notices,
+            self._quarantine,
+        )
         self._known = KnownServers(view, notices, self._quarantine)
 
     def quarantine_refusal(self, team: str, prompt: Prompt) -> Unavailable | None:
@@ -183,7 +190,7 @@
         for server in known(request.pool, version):
             is_open = self._notices.accepts(server_start(server))
             if server.name == name and is_open:
-                return self._select_locally(request, server)
+                return self._local.select_again(request, server)
         detail = f"the silent server {name!r} takes no work any more"
         return Unavailable(detail, RefusalCause.NO_SERVER)
 
@@ -241,10 +248,16 @@
         match assignment:
             case EngineRefusal() as refusal:
                 return describe_refusal(refusal)
+            case Refuse():
+                detail = "the scheduler is busy and the team has had its part of others"
+                return Unavailable(detail, RefusalCause.BUSY_SCHEDULER)
+            case SendUnscheduled():
+                # The scheduler limits these prompts for all routers together.
+                return self._local.choose(request, servers, tried)
             case EngineAssignment():
                 server = next((s for s in servers if s.name == assignment.server), None)
                 if server is not None:
-                    return self._select(request, server, assignment)
+                    return self._local.select(request, server, assignment)
                 assignment.end(was_sent=False)
                 closed = None if servers else self._known.closed(request.pool, version)
                 if closed is not None:
@@ -259,55 +272,12 @@
     ) -> SelectedServer | Unavailable:
         """Return a server chosen from this router's own data, without the scheduler."""
         prompt = request.metadata.prompt if request.route.has_prompt else None
-        if prompt is not None and self._is_prefill_limit_reached(servers):
+        if prompt is not None and self._local.is_prefill_limit_reached(servers):
             return Unavailable(
                 "no scheduler answers in time and too many prompts wait for prefill",
                 RefusalCause.NO_SCHEDULER,
             )
-        unresponsive = self._view.unresponsive_servers()
-        candidates = tuple(self._candidate(server, unresponsive) for server in servers)
-        hint = self._engines.last_server(prompt) if prompt else ""
-        chosen = self._placement.choose(candidates, prompt, tried, hint)
-        if chosen is None:
-            detail = "no backend server of the pool takes work now"
-            return Unavailable(detail, RefusalCause.NO_SERVER)
-        server = next(item for item in servers if item.name == chosen.name)
-        return self._select_locally(request, server)
-
-    def _select_locally(
-        self, request: ForwardRequest, server: FleetServer
-    ) -> SelectedServer:
-        prompt = request.metadata.prompt if request.route.has_prompt else None
-        assignment = None
-        if prompt is not None:
-            assignment = self._engines.assign(
-                request.pool, server.name, prompt.unshared_tokens
-            )
-        return self._select(request, server, assignment)
-
-    def _select(
-        self,
-        request: ForwardRequest,
-        server: FleetServer,
-        assignment: EngineAssignment | None,
-    ) -> SelectedServer:
-        prompt = request.metadata.prompt if request.route.has_prompt else None
-        if prompt is not None:
-            self._engines.record_server(
-                request.pool, prompt, server.name, server.born_ms
-            )
-        candidate = self._candidate(server, frozenset())
-        return SelectedServer(
-            server,
-            self._placement,
-            self._placement.start(candidate, prompt),
-            self._host_delay,
-            self._notices,
-            assignment,
-            self._quarantine,
-            request.shared_parts,
-            request.digests,
-        )
+        return self._local.choose(request, servers, tried)
 
     def _quarantined(self, parts: tuple[str, ...]) -> Unavailable | None:
         """Return a refusal if servers ended under a request with these parts."""
@@ -317,15 +287,6 @@
         detail = "servers ended under the request or a part of its prompt"
         return Unavailable(detail, RefusalCause.QUARANTINE, left_s)
 
-    def _is_prefill_limit_reached(self, servers: tuple[FleetServer, ...]) -> bool:
-        """Return whether this router has used its share of concurrent prefills."""
-        names = self._placement.prefilling_names()
-        prefilling = sum([server.name in names for server in servers])
-        limit = (
-            LOCAL_PREFILLS_PER_SERVER * len(servers) / max(1, self._view.router_count())
-        )
-        return prefilling >= max(1, round(limit))
-
     def _avoided_servers(
         self, servers: tuple[FleetServer, ...], may_be_all: bool = False
     ) -> frozenset[str]:
@@ -367,13 +328,3 @@
         """
         wait_s = self._known.wait_s(request.pool, version)
         return RETRY_AFTER_S if wait_s == math.inf else max(RETRY_AFTER_S, wait_s)
-
-    def _candidate(
-        self, server: FleetServer, unresponsive: frozenset[str]
-    ) -> Candidate:
-        return Candidate(
-            name=server.name,
-            slots=server.slots,
-            is_local=server.data_centre == self._data_centre,
-            is_unresponsive=server.name in unresponsive,
-        )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -337,7 +337,10 @@
     def record_server(self, pool, prompt, server, started_ms):
         """Do nothing."""
 
-    def assign(self, pool, server, uncached_tokens):
+    def assign_unscheduled(self, pool, server, team, prompt):
+        """Return None: no assignment is tracked."""
+
+    def assign_again(self, pool, server, uncached_tokens):
         """Return None: no assignment is tracked."""
 
     def last_server(self, prompt):
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/crashes_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/crashes_steps.py
@@ -161,6 +161,7 @@
 def step_impl(context):
     context.quarantine = RecordingQuarantine()
     context.forwarder._servers._quarantine = context.quarantine
+    context.forwarder._servers._local._quarantine = context.quarantine
 
 
 @given("the only server {behaviour}")
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -9,13 +9,19 @@
 from almondfield_core.clock import now
 from almondfield_core.ports import Peers
 from almondfield_core.routing import Prompt
-from almondfield_daemon.scheduling.asked_shares import AskedShares
+from almondfield_daemon.scheduling.asked_shares import (
+    Ask,
+    AskedShares,
+    Refuse,
+    SendUnscheduled,
+)
 from almondfield_daemon.scheduling.messages import (
     EngineInFlight,
     EnginePrefixes,
     EngineRefusal,
     EngineReply,
     EngineRequest,
+    UnscheduledPrompt,
 )
 from almondfield_daemon.scheduling.prefixes import SentPrefixes
 from almondfield_daemon.scheduling.reports import AttemptReports
@@ -79,6 +85,11 @@
         """Return the name of the server."""
         return self._item.server
 
+    @property
+    def number(self) -> int:
+        """Return the number of the attempt at this router."""
+        return self._item.number
+
     def begin_answer(self) -> None:
         """Record that the answer has begun."""
         if self._item.unread_tokens:
@@ -182,8 +193,11 @@
 
     async def request_engine(
         self, pool: str, request: PromptRequest
-    ) -> EngineAssignment | EngineRefusal | None:
-        """Return an assignment or a refusal; None if no scheduler decides in time.
+    ) -> EngineAssignment | EngineRefusal | SendUnscheduled | Refuse | None:
+        """Return the scheduler's decision; None if no scheduler decides in time.
+
+        A busy scheduler leaves some prompts to the router: these are sent to an engine
+        of its own choice, or refused.
 
         :param pool: name of the pool.
         :param request: the request; its hint is filled in here.
@@ -198,9 +212,26 @@
         is_too_slow = self._reports.has_undecided and self._reply_time_s > timeout_s
         if not host or is_backing_off or is_too_slow:
             return None
-        prompts = self._asked_shares.ask(request.team, request.is_repeat)
-        if not prompts:
-            return None
+        match self._asked_shares.decide(request.team, request.is_repeat):
+            case Ask(prompts):
+                return await self._ask(host, pool, request, prompts, timeout_s)
+            case undecided:
+                return undecided
+
+    async def _ask(
+        self,
+        host: str,
+        pool: str,
+        request: PromptRequest,
+        prompts: int,
+        timeout_s: float,
+    ) -> EngineAssignment | EngineRefusal | None:
+        """Return the decision of the scheduler; None if it takes too long.
+
+        :param host: host of the scheduler.
+        :param prompts: prompts of the team that the scheduler is told of.
+        :param timeout_s: how long to wait, in seconds.
+        """
         number = self._reports.add_undecided()
         request = replace(request, hint=self.last_server(request.prompt))
         sent_s = now()
@@ -251,9 +282,30 @@
                 if held is not None and held.received_s <= sent_s:
                     del self._held_refusal_by_team[(pool, team)]
 
-    def assign(self, pool: str, server: str, uncached_tokens: int) -> EngineAssignment:
+    def assign_unscheduled(
+        self, pool: str, server: str, team: str, prompt: Prompt
+    ) -> EngineAssignment:
         """Return an assignment that this router chose without a scheduler.
 
+        The scheduler is told, as the prompt counts for its team and its engine.
+
+        :param pool: name of the pool.
+        :param server: name of the server.
+        :param team: team of the caller.
+        :param prompt: the prompt.
+        """
+        assignment = self.assign_again(pool, server, prompt.unshared_tokens)
+        number = assignment.number
+        self._reports.add_unscheduled(
+            UnscheduledPrompt(number, pool, server, team, prompt)
+        )
+        return assignment
+
+    def assign_again(
+        self, pool: str, server: str, uncached_tokens: int
+    ) -> EngineAssignment:
+        """Return an assignment to a server that the request was admitted to before.
+
         :param pool: name of the pool.
         :param server: name of the server.
         :param uncached_tokens: prompt tokens that the server has to prefill.
@@ -272,8 +324,8 @@
         if not self._is_reached:
             self._is_reached = True
             eliot.log_message("scheduler:reached", scheduler=host)
-        if reply.asked_share_by_team is not None:
-            self._asked_shares.record(reply.asked_share_by_team)
+        if reply.shares_by_team is not None:
+            self._asked_shares.record(reply.shares_by_team)
         if self._reports.set_scheduler(host, reply.scheduler_start):
             self._send_prefixes(host)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
@@ -2,8 +2,14 @@
 
 from dataclasses import dataclass
 
+from almondfield_core.routing import Prompt
 from almondfield_core.wire import wire_message
-from almondfield_fairshare.engines import AttemptSnapshot, PromptRequest, SentPrefix
+from almondfield_fairshare.engines import (
+    AttemptSnapshot,
+    PromptRequest,
+    PromptShares,
+    SentPrefix,
+)
 
 __all__ = [
     "EngineInFlight",
@@ -15,6 +21,7 @@
     "EngineRequest",
     "HeldPrompt",
     "NotScheduling",
+    "UnscheduledPrompt",
 ]
 
 
@@ -47,15 +54,15 @@
     :ivar wait_s: predicted wait before prefill, in seconds.
     :ivar scheduler_start: identifier of this start of the scheduler; if it changes, the
         scheduler has none of the earlier reports.
-    :ivar asked_share_by_team: part of the further prompts that the router asks for, of
-        each team of which that isn't all; None if it has not changed.
+    :ivar shares_by_team: what the router does with further prompts, of each team of
+        which it doesn't ask for all; None if it has not changed.
     """
 
     server: str
     unread_tokens: int
     wait_s: float
     scheduler_start: int
-    asked_share_by_team: dict[str, float] | None = None
+    shares_by_team: dict[str, PromptShares] | None = None
 
 
 @wire_message("engine-refusal")
@@ -67,15 +74,15 @@
     :ivar is_over_share: whether the team has exceeded its fair share.
     :ivar wait_s: shortest predicted wait, in seconds.
     :ivar scheduler_start: identifier of this start of the scheduler.
-    :ivar asked_share_by_team: part of the further prompts that the router asks for, of
-        each team of which that isn't all; None if it has not changed.
+    :ivar shares_by_team: what the router does with further prompts, of each team of
+        which it doesn't ask for all; None if it has not changed.
     """
 
     retry_after_s: float
     is_over_share: bool
     wait_s: float
     scheduler_start: int
-    asked_share_by_team: dict[str, float] | None = None
+    shares_by_team: dict[str, PromptShares] | None = None
 
 
 @wire_message("not-scheduling")
@@ -115,6 +122,24 @@
     prompt_id: str
 
 
+@dataclass(frozen=True)
+class UnscheduledPrompt:
+    """A prompt that a router sent to an engine without a decision of the scheduler.
+
+    :ivar number: number of the attempt at the router.
+    :ivar pool: name of the pool.
+    :ivar server: the engine.
+    :ivar team: team of the caller.
+    :ivar prompt: the prompt.
+    """
+
+    number: int
+    pool: str
+    server: str
+    team: str
+    prompt: Prompt
+
+
 @wire_message("engine-progress")
 @dataclass(frozen=True)
 class EngineProgress:
@@ -125,6 +150,7 @@
     :ivar in_flight: all attempts, for a scheduler that has just started; else empty.
     :ivar snapshot: numbers of all attempts, at intervals; else None.
     :ivar held: prompts that the router refused by itself.
+    :ivar unscheduled: prompts that the router sent without a decision.
     """
 
     begun: tuple[EngineInFlight, ...] = ()
@@ -132,6 +158,7 @@
     in_flight: tuple[EngineInFlight, ...] = ()
     snapshot: AttemptSnapshot | None = None
     held: tuple[HeldPrompt, ...] = ()
+    unscheduled: tuple[UnscheduledPrompt, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/reports.py
@@ -8,6 +8,7 @@
     EngineInFlight,
     EngineProgress,
     HeldPrompt,
+    UnscheduledPrompt,
 )
 from almondfield_fairshare.engines import AttemptSnapshot
 
@@ -42,6 +43,7 @@
         self._begun: list[EngineInFlight] = []
         self._ended: list[EngineInFlight] = []
         self._held: list[HeldPrompt] = []
+        self._unscheduled: list[UnscheduledPrompt] = []
         self.scheduler_host = ""
         self._scheduler_start = 0
         self._report_timer: asyncio.TimerHandle | None = None
@@ -69,6 +71,7 @@
         progress = EngineProgress(ended=tuple(self._ended), in_flight=in_flight)
         self._begun.clear()
         self._ended.clear()
+        self._unscheduled.clear()  # those in flight are told
         self._peers.send(host, progress)
         return True
 
@@ -125,6 +128,15 @@
             self._held.append(HeldPrompt(pool, prompt_id))
             self._schedule_report(HELD_REPORT_DELAY_S)
 
+    def add_unscheduled(self, item: UnscheduledPrompt) -> None:
+        """Report a prompt that this router sent without a decision of the scheduler.
+
+        :param item: the prompt.
+        """
+        self._unscheduled.append(item)
+        self._changed_s = now()
+        self._schedule_report()
+
     def _schedule_report(self, delay_s: float = REPORT_DELAY_S) -> None:
         loop = asyncio.get_running_loop()
         if self._report_timer is not None:
@@ -138,14 +150,19 @@
         if not self.scheduler_host:
             del self._begun[:-MAX_UNREPORTED], self._ended[:-MAX_UNREPORTED]
             self._held.clear()
+            self._unscheduled.clear()
             return
         begun, ended = tuple(self._begun), tuple(self._ended)
         self._begun.clear()
         self._ended.clear()
         held = tuple(self._held)
         self._held.clear()
+        unscheduled = tuple(self._unscheduled)
+        self._unscheduled.clear()
         snapshot = self._take_snapshot_if_due()
-        progress = EngineProgress(begun, ended, snapshot=snapshot, held=held)
+        progress = EngineProgress(
+            begun, ended, snapshot=snapshot, held=held, unscheduled=unscheduled
+        )
         self._peers.send(self.scheduler_host, progress)
 
     def _take_snapshot_if_due(self) -> AttemptSnapshot | None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -60,7 +60,7 @@
         self._start = 0
         self._term: int | None = None
         self._scheduler_by_pool: dict[str, EngineScheduler] = {}
-        self._busy_control = BusyControl()
+        self._busy_control = BusyControl(self._used_share, self._is_over_share)
 
     def register_handlers(self) -> None:
         """Register the handlers of messages and of server changes."""
@@ -139,6 +139,11 @@
             attempt = AttemptId(sender, item.number)
             scheduler = self._scheduler(item.pool, table)
             scheduler.restore(attempt, item.server, item.unread_tokens)
+        for item in progress.unscheduled:
+            attempt = AttemptId(sender, item.number)
+            self._scheduler(item.pool, table).record_unscheduled(
+                attempt, item.team, item.prompt, item.server
+            )
         for item in progress.begun:
             attempt = AttemptId(sender, item.number)
             self._scheduler(item.pool, table).begin_answer(attempt, item.server)
@@ -160,6 +165,16 @@
         for item in message.items:
             self._scheduler(item.pool, table).restore_prefix(item.sent)
 
+    def _used_share(self) -> float:
+        """Return the part in use of the engines of the pool that uses the most."""
+        schedulers = self._scheduler_by_pool.values()
+        return max((item.used_share for item in schedulers), default=0.0)
+
+    def _is_over_share(self, team: str) -> bool:
+        """Return whether a team has had more than its share of any pool's engines."""
+        schedulers = self._scheduler_by_pool.values()
+        return any(item.usage(team) > 1 for item in schedulers)
+
     def _scheduler(self, pool: str, table: RoutingTable) -> EngineScheduler:
         scheduler = self._scheduler_by_pool.get(pool)
         if scheduler is None:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/__init__.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/__init__.py
@@ -12,10 +12,12 @@
     Decision,
     EngineServer,
     PromptRequest,
+    PromptShares,
     Refused,
     SentPrefix,
 )
 from almondfield_fairshare.engines.shares import TeamShares
+from almondfield_fairshare.engines.unscheduled_limit import UnscheduledLimit
 
 __all__ = [
     "Admitted",
@@ -29,8 +31,10 @@
     "EngineServer",
     "PrefixCache",
     "PromptRequest",
+    "PromptShares",
     "Refused",
     "SentPrefix",
     "TeamLoad",
     "TeamShares",
+    "UnscheduledLimit",
 ]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -40,22 +40,21 @@
     SentPrefix,
 )
 from almondfield_fairshare.engines.shares import Grant, TeamLoad, TeamShares
+from almondfield_fairshare.engines.team_limits import (
+    output_tokens,
+    spare_capacity,
+    team_max_wait_s,
+    work_tokens,
+)
 
 __all__ = ["EngineScheduler"]
 
-OUTPUT_TOKEN_WEIGHT = 2.0  # work of an output token in prompt tokens
 PREFILL_WEIGHT = 2.0  # a repeated prefill also evicts other cache entries
 REPEATED_PREFILL_WEIGHT = 0.8  # of the time for tokens cached elsewhere
 WAIT_SHARE = 0.6  # of the strictest latency target less the delay of answers
 MAX_DELAY_SHARE = 0.5  # of that target; without any wait, engines would be idle
 REPEAT_MAX_WAIT_S = 1.2  # callers abandon a stream after a 2 s pause, prefill included
 LATE_REQUEST_USAGE = 0.8  # above it, a team's late requests are refused
-LOW_USAGE = 0.7  # below this part of its fair share, a team may wait longer
-LOW_USAGE_WAIT_FACTOR = 1.3  # of the wait limit
-OVER_SHARE_WAIT_FACTOR = 0.25  # above its share, a team gets idle capacity only
-OVER_SHARE_RANGE = 0.5  # part of a share over which that wait limit falls to 0
-LOW_BUSY_SHARE = 0.5  # engines this busy have time for repeated prefills
-HIGH_BUSY_SHARE = 0.8  # above it, waits grow steeply
 MIN_RETRY_S = 0.1  # a fraction of the prefill time of one prompt
 SAMPLE_INTERVAL_S = 0.01  # a small part of the time constant of the busy shares
 TARGET_DECAY = 0.999  # the strictest target decays over about 1000 requests
@@ -80,6 +79,7 @@
         self._counts = DecisionCounts()
         self._refused_prompts = RefusedPrompts()
         self._strictest_target_s = float("inf")
+        self._work_per_s = 0.0
 
     def set_servers(self, servers: Iterable[EngineServer]) -> None:
         """Replace the set of engines; a restarted engine begins with an empty cache.
@@ -99,6 +99,18 @@
             lambda name: self._engine_by_name.get(name) is before.get(name)
         )
 
+    @property
+    def used_share(self) -> float:
+        """Return the recent part of the engines' scarcer resource that was in use."""
+        return max(self._busy_share.value(), self._used_slots.value())
+
+    def usage(self, team: str) -> float:
+        """Return the fraction of its fair share that a team has used.
+
+        :param team: name of the team.
+        """
+        return self._shares.usage(team, self._work_per_s, self.used_share)
+
     def decide(
         self, attempt: AttemptId, request: PromptRequest, work_per_s: float
     ) -> Decision:
@@ -110,18 +122,16 @@
         """
         prompt = request.prompt
         request = self._with_known_wait(request)
-        work = prompt.input_tokens + OUTPUT_TOKEN_WEIGHT * _output_tokens(prompt)
+        work = work_tokens(prompt)
         if not request.is_repeat:
             self._shares.record_demand(request.team, work)
         self._sample()
-        used_share = max(self._busy_share.value(), self._used_slots.value())
-        usage = self._shares.usage(request.team, work_per_s, used_share)
+        self._work_per_s = work_per_s
+        usage = self.usage(request.team)
         base_max_wait_s = self._base_max_wait_s(request)
         # A team above its share must not cause repeated prefills.
-        spare_capacity = (
-            _spare_capacity(self._busy_share.value()) if usage <= 1 else 0.0
-        )
-        max_wait_s = _team_max_wait_s(base_max_wait_s, usage)
+        spare = spare_capacity(self._busy_share.value()) if usage <= 1 else 0.0
+        max_wait_s = team_max_wait_s(base_max_wait_s, usage)
         if request.is_repeat:
             # The caller has waited already and may have received a part of the answer.
             max_wait_s = REPEAT_MAX_WAIT_S
@@ -136,7 +146,7 @@
             and not are_idle
             and is_late_everywhere(request, estimates, self._answer_delay.seconds)
         )
-        repeated_prefill_weight = REPEATED_PREFILL_WEIGHT * (1 - spare_capacity)
+        repeated_prefill_weight = REPEATED_PREFILL_WEIGHT * (1 - spare)
         # While engines are mostly idle, any idle one may prefill any prompt.
         is_admissible = are_idle or has_capacity(
             estimates, max_wait_s, repeated_prefill_weight
@@ -167,13 +177,8 @@
 
     def _usable_engines(self, request: PromptRequest) -> list[Engine]:
         excluded = request.excluded
-        if not excluded:
-            return list(self._engine_by_name.values())
-        return [
-            engine
-            for name, engine in self._engine_by_name.items()
-            if name not in excluded
-        ]
+        engines = self._engine_by_name.items()
+        return [engine for name, engine in engines if name not in excluded]
 
     def _with_known_wait(self, request: PromptRequest) -> PromptRequest:
         """Return a request with the longest known wait of its caller."""
@@ -192,7 +197,7 @@
         grant: Grant,
     ) -> None:
         """Count an admitted request as sent to an engine."""
-        engine.send(attempt, blocks, uncached_tokens, _output_tokens(prompt))
+        engine.send(attempt, blocks, uncached_tokens, output_tokens(prompt))
         self._attempts.put(attempt, InFlightAttempt(engine.server.name, grant))
         self._refused_prompts.remove(prompt.identifier)
 
@@ -258,6 +263,27 @@
             else:
                 self._attempts.pop(attempt)
 
+    def record_unscheduled(
+        self, attempt: AttemptId, team: str, prompt: Prompt, server: str
+    ) -> None:
+        """Record a prompt that its router sent without a decision.
+
+        :param attempt: identifier of the attempt.
+        :param team: team of the caller.
+        :param prompt: the prompt.
+        :param server: name of the engine.
+        """
+        engine = self._engine_by_name.get(server)
+        if engine is None:
+            return
+        work = work_tokens(prompt)
+        self._shares.record_demand(team, work)
+        grant = self._shares.record_grant(team, work)
+        blocks = prefix_blocks(prompt)
+        uncached_tokens = prompt.input_tokens - engine.cached_tokens(blocks)
+        self._send(attempt, prompt, engine, max(1, uncached_tokens), blocks, grant)
+        self._counts.add("unscheduled")
+
     def restore(self, attempt: AttemptId, server: str, uncached_tokens: int) -> None:
         """Record a request that was in flight before this scheduler started.
 
@@ -305,12 +331,11 @@
     def collect_load(self) -> EngineLoad:
         """Return the load since the previous call, and reset the counts."""
         engines = self._engine_by_name.values()
+        waits_s = [engine.wait_s(now()) for engine in engines]
         return EngineLoad(
             engines=len(engines),
             busy_share=self._busy_share.value(),
-            longest_wait_s=max(
-                (engine.wait_s(now()) for engine in engines), default=0.0
-            ),
+            longest_wait_s=max(waits_s, default=0.0),
             prefill_rate=median((e.prefill_rate for e in engines) if engines else [0]),
             answer_delay_s=self._answer_delay.seconds,
             **self._counts.collect(),
@@ -331,8 +356,7 @@
         self._sampled_s = at_s
         self._shares.remove_expired(at_s)
         engines = self._engine_by_name.values()
-        overdue = [engine for engine in engines if engine.due_s < at_s]
-        for engine in overdue:
+        for engine in [engine for engine in engines if engine.due_s < at_s]:
             engine.refresh(at_s)
         count = max(1, len(engines))
         busy = sum([e.idle_from_s > at_s or e.due_s < at_s for e in engines])
@@ -357,7 +381,6 @@
         usage: float,
         is_late: bool,
     ) -> Refused:
-        team = request.team
         self.record_refused(request.prompt.identifier)
         retry_s = max(MIN_RETRY_S, wait_s - max_wait_s)
         if usage > 1:
@@ -365,32 +388,12 @@
             retry_s = max(retry_s, self._window_s * (1 - 1 / usage))
         if is_late:
             # It shows neither a full engine nor a team that lacks a part of its share.
-            self._counts.add_for(team, "refused_late")
+            self._counts.add_for(request.team, "refused_late")
             return Refused(retry_s, usage > 1, wait_s)
-        self._shares.record_refusal(team, usage)
+        self._shares.record_refusal(request.team, usage)
         if usage > 1:
-            self._counts.add_for(team, "refused_over_share")
+            self._counts.add_for(request.team, "refused_over_share")
         else:
             self._shares.record_saturation()
-            self._counts.add_for(team, "refused_full")
+            self._counts.add_for(request.team, "refused_full")
         return Refused(retry_s, usage > 1, wait_s)
-
-
-def _spare_capacity(busy_share: float) -> float:
-    """Return the engines' spare capacity, from 0 (none) to 1."""
-    load_level = (busy_share - LOW_BUSY_SHARE) / (HIGH_BUSY_SHARE - LOW_BUSY_SHARE)
-    return min(1.0, max(0.0, 1 - load_level))
-
-
-def _team_max_wait_s(base_max_wait_s: float, usage: float) -> float:
-    """Return the wait limit for a team by its usage of its fair share, in seconds."""
-    if usage > 1:
-        left = max(0.0, 1 - (usage - 1) / OVER_SHARE_RANGE)
-        return OVER_SHARE_WAIT_FACTOR * base_max_wait_s * left
-    if usage < LOW_USAGE:
-        return LOW_USAGE_WAIT_FACTOR * base_max_wait_s
-    return base_max_wait_s
-
-
-def _output_tokens(prompt: Prompt) -> int:
-    return prompt.likely_output_tokens or prompt.max_output_tokens
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/decision_limit.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/decision_limit.py
@@ -57,6 +57,12 @@
         rates = self._rate_by_team.items()
         return {team: limit / rate for team, rate in rates if rate > limit}
 
+    def undecided_per_s_by_team(self) -> dict[str, float]:
+        """Return the prompts a second beyond the limit, of each team above it."""
+        limit = self._limit_per_s
+        rates = self._rate_by_team.items()
+        return {team: rate - limit for team, rate in rates if rate > limit}
+
     def update(self, delay_s: float) -> None:
         """Update the limit.
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
@@ -21,6 +21,7 @@
     :ivar unsent: admitted requests that their routers did not send.
     :ivar unreported: attempts that were over, or had begun, without a report that
         arrived.
+    :ivar unscheduled: prompts that routers sent without a decision.
     :ivar unread_tokens: uncached prompt tokens of the admitted requests.
     :ivar refused_full: requests refused because the engines were full.
     :ivar refused_over_share: requests refused because their team exceeded its share.
@@ -37,6 +38,7 @@
     admitted: int = 0
     unsent: int = 0
     unreported: int = 0
+    unscheduled: int = 0
     unread_tokens: int = 0
     refused_full: int = 0
     refused_over_share: int = 0
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/requests.py
@@ -12,6 +12,7 @@
     "Decision",
     "EngineServer",
     "PromptRequest",
+    "PromptShares",
     "Refused",
     "SentPrefix",
 ]
@@ -95,6 +96,19 @@
     hint: str = ""
 
 
+@dataclass(frozen=True)
+class PromptShares:
+    """What a router does with a team's prompts while the scheduler is busy.
+
+    :ivar asked: part of them that the scheduler decides on.
+    :ivar unscheduled: part of the others that the router sends to engines of its own
+        choice; it refuses the rest.
+    """
+
+    asked: float
+    unscheduled: float
+
+
 @dataclass(frozen=True)
 class Admitted:
     """Admission of a request, which is to be sent at once.
