Keep the limits that servers name for all routers together

Cause: nothing read the limit, and what servers say was kept by each router alone. Change: the leader of the control group keeps the limits. Its scheduler admits prompts within them, and other requests need a permit of it. Routers tell it what answers name, and hear of all limits with the replies to their hellos. Without a leader a router uses its even part. A limit ends with an answer that names none to a request sent later. Why it works: one host counts each request to such a server before it is sent.

--- a/bench/refusal_cost.py
+++ b/bench/refusal_cost.py
@@ -35,6 +35,7 @@
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.logs import LineLog
 from almondfield_daemon.scheduling.messages import EngineRefusal
+from almondfield_daemon.server_limits import ServerLimits
 from almondfield_daemon.server_notices import ServerNotices
 from almondfield_daemon.serving import HttpListener, bind
 from almondfield_fairshare.prefix_placement import Placement
@@ -169,6 +170,7 @@
         _StubEngines(),
         HostDelay(),
         ServerNotices(),
+        ServerLimits(None, lambda: "", lambda: 1),
     )
     forwarder = Forwarder(
         None,
--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -30,6 +30,7 @@
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.scheduling import EngineAssignment
 from almondfield_daemon.scheduling.messages import EngineInFlight
+from almondfield_daemon.server_limits import ServerLimits
 from almondfield_daemon.server_notices import ServerNotices
 from almondfield_fairshare.prefix_placement import Placement
 from almondfield_platform.headers import PlatformHeaders
@@ -162,6 +163,7 @@
         _StubEngines(servers, refuses),
         HostDelay(),
         ServerNotices(),
+        ServerLimits(None, lambda: "", lambda: 1),
     )
     host = HostSettings("h", "east", "127.0.0.1")
     settings = DaemonSettings("h", (host,), SecuritySettings("", "", ""))
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
@@ -18,6 +18,7 @@
 )
 from almondfield_daemon.fleet.registry import ServerRegistry
 from almondfield_daemon.fleet.routers import RouterDirectory
+from almondfield_daemon.server_limits import NamedLimit
 
 __all__ = ["FleetControl"]
 
@@ -35,6 +36,7 @@
 
     :ivar routers: routers, from their hellos.
     :ivar server_change_callbacks: callbacks for changes of the servers.
+    :ivar server_limits: returns the limits of servers that routers are told.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self._pending_by_name: dict[str, FleetServer] = {}
         self.routers = RouterDirectory(rng)
         self.server_change_callbacks: list[Callable[[], None]] = []
+        self.server_limits: Callable[[], tuple[NamedLimit, ...]] = tuple
 
     def servers(self) -> tuple[FleetServer, ...]:
         """Return all servers, including those that left recently."""
@@ -135,6 +138,7 @@
             silent=self._registry.unresponsive(),
             routers=len(self.routers.hosts()),
             control_hosts=self._control_hosts(),
+            limits=self.server_limits(),
         )
 
     async def _on_update(self, sender: str, update: ServerUpdate) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/messages.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from almondfield_core.wire import wire_message
+from almondfield_daemon.server_limits.messages import NamedLimit
 
 __all__ = [
     "FleetServer",
@@ -93,6 +94,7 @@
     :ivar silent: names of unresponsive servers, without a recent announcement.
     :ivar routers: number of routers that sent a hello recently.
     :ivar control_hosts: members of the control group.
+    :ivar limits: limits that servers named, if the host leads the control group.
     """
 
     board_start: int
@@ -101,6 +103,7 @@
     silent: tuple[str, ...] = ()
     routers: int = 1
     control_hosts: tuple[str, ...] = ()
+    limits: tuple[NamedLimit, ...] = ()
 
 
 @wire_message("server-news")
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -22,6 +22,7 @@
     HEARTBEAT_TIMEOUT_S as SERVER_HEARTBEAT_TIMEOUT_S,
 )
 from almondfield_daemon.fleet.registry import ServerRegistry
+from almondfield_daemon.server_limits import NamedLimit
 
 __all__ = ["FleetView"]
 
@@ -52,6 +53,7 @@
     :param on_change: called after the servers changed.
     :param on_control_return: called with a control host that replies again or has
         restarted.
+    :param on_limits: called with the limits of servers that a control host reports.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         seeds: tuple[str, ...],
         on_change: Callable[[], None],
         on_control_return: Callable[[str], None] = lambda host: None,
+        on_limits: Callable[[tuple[NamedLimit, ...]], None] = lambda limits: None,
     ) -> None:
         self._peers = peers
         self._hello = hello
@@ -68,6 +71,7 @@
         self._members: tuple[str, ...] = ()
         self._on_change = on_change
         self._on_control_return = on_control_return
+        self._on_limits = on_limits
         self._registry = ServerRegistry()
         self._last_reply_by_host: dict[str, _LastReply] = {}
         self._unresponsive_hosts: set[str] = set()
@@ -209,7 +213,7 @@
         if host in self._unresponsive_hosts or last is None:
             self._unresponsive_hosts.discard(host)
             eliot.log_message("control-host:reached", control_host=host)
-        without_servers = replace(reply, servers=None)
+        without_servers = replace(reply, servers=None, limits=())
         self._last_reply_by_host[host] = _LastReply(without_servers, now())
         self._last_router_count = self.router_count()
         has_restarted = last is None or last.reply.board_start != reply.board_start
@@ -223,6 +227,7 @@
                 self._on_control_return(host)
         if reply.servers is not None:
             self._merge(reply.servers, host)
+        self._on_limits(reply.limits)
 
     async def _on_update(self, sender: str, update: ServerUpdate) -> None:
         self._merge(update.servers, sender)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -15,6 +15,7 @@
 from almondfield_daemon.fleet_daemon.metrics import ControlMetrics
 from almondfield_daemon.quarantine import QuarantineService
 from almondfield_daemon.scheduling import EngineService
+from almondfield_daemon.server_limits import LimitService
 from almondfield_daemon.streams import OriginService
 
 __all__ = ["ControlHost"]
@@ -59,10 +60,13 @@
         self.publisher = TablePublisher(
             self._replica, self.peers, leader, self.fleet.routers.hosts
         )
+        self._limits = LimitService(self.peers, self.publisher)
+        self.fleet.server_limits = self._limits.limits
         self._engines = EngineService(
             self.peers,
             self.fleet,
             self.publisher,
+            self._limits,
             settings.share_window_s,
             lambda: rng.getrandbits(SCHEDULER_START_BITS),
         )
@@ -78,6 +82,7 @@
         self.publisher.register_handlers()
         self.fleet.register_handlers()
         self._engines.register_handlers()
+        self._limits.register_handlers()
         self._origins.register_handlers()
         self._quarantine.register_handlers()
         return (self._replica.run(), self.fleet.run(), self._engines.run())
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -30,6 +30,7 @@
 from almondfield_daemon.forwarding.stop_limits import StopPlan
 from almondfield_daemon.quarantine import QuarantineClient
 from almondfield_daemon.scheduling import EngineClient
+from almondfield_daemon.server_limits import ServerLimits
 from almondfield_daemon.server_notices import ServerNotices
 from almondfield_daemon.streams import OriginClient
 from almondfield_fairshare.prefix_placement import Placement
@@ -81,8 +82,12 @@
             settings.seeds,
             self._on_server_change,
             self._on_control_return,
+            lambda limits: self._limits.learn(limits),
         )
         leader = self.leader_client(self.view.control_hosts)
+        self._limits = ServerLimits(
+            self.peers, lambda: leader.last_leader, self.view.router_count
+        )
         self._origins = OriginClient(
             self.peers,
             self.view.control_hosts,
@@ -101,6 +106,7 @@
             self.peers,
             lambda: leader.last_leader,
             self.incarnation * MAX_ATTEMPTS_PER_MS,
+            self._limits.report_all,
         )
         self._quarantine = QuarantineClient(
             self.peers,
@@ -117,6 +123,7 @@
             engines,
             self.host_delay,
             notices,
+            self._limits,
             self._counts,
             self._quarantine,
         )
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
@@ -1,14 +1,17 @@
 """Choice of a server from a router's own data, and what begins with it."""
 
+from collections.abc import Iterable
+
 from almondfield_core.routing import Prompt
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.forwarding.counts import RefusalCause
 from almondfield_daemon.forwarding.messages import ForwardRequest
-from almondfield_daemon.forwarding.selected_server import SelectedServer
+from almondfield_daemon.forwarding.selected_server import SelectedServer, server_start
 from almondfield_daemon.forwarding.unavailable import Unavailable
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.quarantine import RequestQuarantine
 from almondfield_daemon.scheduling import EngineAssignment, EngineClient
+from almondfield_daemon.server_limits import ServerLimits
 from almondfield_daemon.server_notices import ServerNotices
 from almondfield_fairshare.prefix_placement import Candidate, Placement
 
@@ -27,6 +30,7 @@
     :param engines: client of the scheduler of model engines.
     :param host_delay: delay of this host.
     :param notices: what servers said about further work.
+    :param limits: permits for requests to servers that limit them.
     :param quarantine: knows requests under which servers ended.
     """
 
@@ -38,8 +42,10 @@
         engines: EngineClient,
         host_delay: HostDelay,
         notices: ServerNotices,
+        limits: ServerLimits,
         quarantine: RequestQuarantine,
     ) -> None:
+        self._limits = limits
         self._view = view
         self._placement = placement
         self._data_centre = data_centre
@@ -48,7 +54,7 @@
         self._notices = notices
         self._quarantine = quarantine
 
-    def choose(
+    async def choose(
         self,
         request: ForwardRequest,
         servers: tuple[FleetServer, ...],
@@ -60,21 +66,63 @@
         :param servers: servers that may get it.
         :param tried: names of servers that failed or refused it.
         """
+        open_servers = self._open(servers)
+        while True:
+            server = self._place(request, open_servers, tried)
+            if server is None:
+                return self._unavailable(servers)
+            if await self._limits.take(server_start(server)):
+                break
+            open_servers = self._open(s for s in open_servers if s is not server)
+        prompt = _prompt(request)
+        if prompt is None:
+            return self.select(request, server)
+        assignment = self._engines.assign_unscheduled(
+            request.pool, server.name, request.team, prompt
+        )
+        return self.select(request, server, assignment)
+
+    def _open(self, servers: Iterable[FleetServer]) -> tuple[FleetServer, ...]:
+        """Return the servers whose limits may allow a request."""
+        return tuple(
+            [
+                server
+                for server in servers
+                if self._limits.wait_s(server_start(server)) <= 0
+            ]
+        )
+
+    def _place(
+        self,
+        request: ForwardRequest,
+        servers: tuple[FleetServer, ...],
+        tried: frozenset[str],
+    ) -> FleetServer | None:
         prompt = _prompt(request)
         unresponsive = self._view.unresponsive_servers()
         candidates = tuple(self._candidate(server, unresponsive) for server in servers)
         hint = self._engines.last_server(prompt) if prompt else ""
         chosen = self._placement.choose(candidates, prompt, tried, hint)
         if chosen is None:
+            return None
+        return next(item for item in servers if item.name == chosen.name)
+
+    def _unavailable(self, servers: tuple[FleetServer, ...]) -> Unavailable:
+        """Return why none of some servers gets a request."""
+        waits_s = [self._limits.wait_s(server_start(server)) for server in servers]
+        wait_s = min([wait_s for wait_s in waits_s if wait_s > 0], default=0.0)
+        if wait_s <= 0:
             detail = "no backend server of the pool takes work now"
             return Unavailable(detail, RefusalCause.NO_SERVER)
-        server = next(item for item in servers if item.name == chosen.name)
-        if prompt is None:
-            return self.select(request, server)
-        assignment = self._engines.assign_unscheduled(
-            request.pool, server.name, request.team, prompt
-        )
-        return self.select(request, server, assignment)
+        detail = f"the servers' limits allow no request for {wait_s:.3f} s"
+        return Unavailable(detail, RefusalCause.LIMIT, wait_s)
+
+    def may_go_back(self, server: FleetServer) -> bool:
+        """Return whether a server may get a request again without a permit.
+
+        :param server: the server.
+        """
+        return not self._limits.is_limited(server_start(server))
 
     def select_again(
         self, request: ForwardRequest, server: FleetServer
@@ -116,6 +164,7 @@
             self._placement.start(candidate, prompt),
             self._host_delay,
             self._notices,
+            self._limits,
             assignment,
             self._quarantine,
             request.shared_parts,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -23,7 +23,9 @@
     Framing,
 )
 from almondfield_daemon.scheduling import EngineAssignment
+from almondfield_daemon.server_limits import ServerLimits
 from almondfield_daemon.server_notices import (
+    RequestLimit,
     ServerClosedError,
     ServerNotice,
     ServerNotices,
@@ -52,6 +54,7 @@
     :param in_flight: the attempt's share of that load.
     :param host_delay: delay of this host.
     :param notices: what servers said about further work.
+    :param limits: learns what servers take from all routers together.
     :param assignment: the assignment to a model engine, reported to the scheduler; None
         for other servers.
     :param quarantine: learns from the attempt whether its request is sound.
@@ -69,6 +72,7 @@
         in_flight: InFlightRequest,
         host_delay: HostDelay,
         notices: ServerNotices,
+        limits: ServerLimits,
         assignment: EngineAssignment | None = None,
         quarantine: RequestQuarantine | None = None,
         shared_parts: tuple[str, ...] = (),
@@ -82,6 +86,7 @@
         self.server = server
         self._start = server_start(server)
         self._notices = notices
+        self._limits = limits
         self._trial = notices.begin_trial(self._start)
         self._host_delay = host_delay
         self._placement = placement
@@ -129,6 +134,11 @@
         :param received_s: when the head was received, in seconds of the loop's clock.
         """
         self._notices.record(self._start, notices, received_s, request_id)
+        limits_per_s = [
+            notice.per_s for notice in notices if isinstance(notice, RequestLimit)
+        ]
+        per_s = min(limits_per_s, default=None)
+        self._limits.record(self._start, per_s, self._selected_s)
 
     def record_answer(
         self, metadata: AnswerMetadata, was_refused: bool = False
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -25,6 +25,7 @@
 from almondfield_daemon.scheduling import EngineAssignment, EngineClient
 from almondfield_daemon.scheduling.asked_shares import Refuse, SendUnscheduled
 from almondfield_daemon.scheduling.messages import EngineRefusal
+from almondfield_daemon.server_limits import ServerLimits
 from almondfield_daemon.server_notices import ServerNotices
 from almondfield_fairshare.engines import PromptRequest
 from almondfield_fairshare.prefix_placement import Placement
@@ -45,6 +46,7 @@
     :param engines: client of the scheduler of model engines.
     :param host_delay: delay of this host.
     :param notices: what servers said about further work.
+    :param limits: permits for requests to servers that limit them.
     :param counts: counts refusals.
     :param quarantine: knows requests under which servers ended.
     """
@@ -57,11 +59,13 @@
         engines: EngineClient,
         host_delay: HostDelay,
         notices: ServerNotices,
+        limits: ServerLimits,
         counts: RequestCounts | None = None,
         quarantine: RequestQuarantine | None = None,
     ) -> None:
         self._quarantine = quarantine or NoQuarantine()
         self._notices = notices
+        self._limits = limits
         self._counts = counts or RequestCounts()
         self._engines = engines
         self._view = view
@@ -73,6 +77,7 @@
             engines,
             host_delay,
             notices,
+            limits,
             self._quarantine,
         )
         self._known = KnownServers(view, notices, self._quarantine)
@@ -189,7 +194,7 @@
         known = self._known.running if is_just_left else self._known.reachable
         for server in known(request.pool, version):
             is_open = self._notices.accepts(server_start(server))
-            if server.name == name and is_open:
+            if server.name == name and is_open and self._local.may_go_back(server):
                 return self._local.select_again(request, server)
         detail = f"the silent server {name!r} takes no work any more"
         return Unavailable(detail, RefusalCause.NO_SERVER)
@@ -221,7 +226,7 @@
             return Unavailable(detail, RefusalCause.NO_VERSION)
         prompt = request.metadata.prompt if request.route.has_prompt else None
         if prompt is None:
-            return self._choose_locally(request, servers, tried)
+            return await self._choose_locally(request, servers, tried)
         is_repeat = has_lost_server or request.takes_up_stream
         if not request.is_checked and not is_repeat:
             held = self._engines.held_refusal(request.pool, request.team, prompt)
@@ -253,7 +258,7 @@
                 return Unavailable(detail, RefusalCause.BUSY_SCHEDULER)
             case SendUnscheduled():
                 # The scheduler limits these prompts for all routers together.
-                return self._local.choose(request, servers, tried)
+                return await self._local.choose(request, servers, tried)
             case EngineAssignment():
                 server = next((s for s in servers if s.name == assignment.server), None)
                 if server is not None:
@@ -262,9 +267,9 @@
                 closed = None if servers else self._known.closed(request.pool, version)
                 if closed is not None:
                     return closed
-        return self._choose_locally(request, servers, tried)
+        return await self._choose_locally(request, servers, tried)
 
-    def _choose_locally(
+    async def _choose_locally(
         self,
         request: ForwardRequest,
         servers: tuple[FleetServer, ...],
@@ -277,7 +282,7 @@
                 "no scheduler answers in time and too many prompts wait for prefill",
                 RefusalCause.NO_SCHEDULER,
             )
-        return self._local.choose(request, servers, tried)
+        return await self._local.choose(request, servers, tried)
 
     def _quarantined(self, parts: tuple[str, ...]) -> Unavailable | None:
         """Return a refusal if servers ended under a request with these parts."""
@@ -311,6 +316,7 @@
         :param pools: names of all pools.
         """
         self._placement.retain(server.name for server in self._known.retain(pools))
+        self._limits.retain(server_start(server) for server in self._view.all_servers())
 
     def may_have_changed_version(self, pool: str, server: FleetServer) -> bool:
         """Return whether a server may have restarted with another version.
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -348,6 +348,28 @@
         return ""
 
 
+class FakeLimits:
+    """Servers without limits, in place of a router's ``ServerLimits``."""
+
+    def is_limited(self, server):
+        """Return whether a request needs a permit."""
+        return False
+
+    def wait_s(self, server):
+        """Return the time until a permit may be had."""
+        return 0.0
+
+    async def take(self, server):
+        """Return whether a request may be sent."""
+        return True
+
+    def record(self, server, per_s, selected_s):
+        """Do nothing."""
+
+    def retain(self, servers):
+        """Do nothing."""
+
+
 class FakeOrigins:
     """Knows the origins of streams that began in one pool."""
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/decision_work_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/decision_work_steps.py
@@ -10,7 +10,11 @@
 from almondfield_daemon.fleet.messages import RouterHello, RouterState
 from almondfield_daemon.forwarding import ServerSelector
 from almondfield_daemon.forwarding.selected_server import SelectedServer
-from almondfield_daemon.forwarding.tests.fakes import FakeEngines, make_assignment
+from almondfield_daemon.forwarding.tests.fakes import (
+    FakeEngines,
+    FakeLimits,
+    make_assignment,
+)
 from almondfield_daemon.forwarding.tests.requests import PROMPT, make_request, route
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.scheduling.messages import EngineRefusal
@@ -81,7 +85,9 @@
         notices.record(start, (Leaving(),), 0.0, "r")
     for server in others[: context.failing]:
         placement.record(server.name).record_failure()
-    selector = ServerSelector(view, placement, "east", engines, HostDelay(), notices)
+    selector = ServerSelector(
+        view, placement, "east", engines, HostDelay(), notices, FakeLimits()
+    )
     request = make_request(context, 1.0, prompt=PROMPT)
     # The first choice creates records that later ones use.
     await selector.choose(request, frozenset())
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -30,6 +30,7 @@
     FakeBackends,
     FakeCodec,
     FakeEngines,
+    FakeLimits,
     FakeOrigins,
     FakeServer,
     FakeSink,
@@ -87,6 +88,7 @@
             context.engines,
             context.host_delay,
             ServerNotices(),
+            FakeLimits(),
             quarantine=RefusalRecord(context.refused),
         )
         context.backends = FakeBackends(context.servers)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/late_intake_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/late_intake_steps.py
@@ -19,6 +19,7 @@
 from almondfield_daemon.forwarding.tests.fakes import (
     FakeCodec,
     FakeEngines,
+    FakeLimits,
     FakeOrigins,
     FakeView,
 )
@@ -90,6 +91,7 @@
             context.engines,
             HostDelay(),
             ServerNotices(),
+            FakeLimits(),
         )
         forwarder = Forwarder(
             None,
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -116,11 +116,17 @@
     :param leader: returns the host that leads the control group; empty if unknown.
     :param first_number: attempts have higher numbers than this. It is above those of an
         earlier start of this router, so that a snapshot drops them at the scheduler.
+    :param on_new_scheduler: called with the host of a scheduler that has just started.
     """
 
     def __init__(
-        self, peers: Peers, leader: Callable[[], str], first_number: int = 0
+        self,
+        peers: Peers,
+        leader: Callable[[], str],
+        first_number: int = 0,
+        on_new_scheduler: Callable[[str], None] = lambda host: None,
     ) -> None:
+        self._on_new_scheduler = on_new_scheduler
         self._peers = peers
         self._leader = leader
         self._reports = AttemptReports(peers, first_number)
@@ -328,6 +334,7 @@
             self._asked_shares.record(reply.shares_by_team)
         if self._reports.set_scheduler(host, reply.scheduler_start):
             self._send_prefixes(host)
+            self._on_new_scheduler(host)
 
     def _send_prefixes(self, host: str) -> None:
         """Tell a new scheduler what engines have got from this router."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -20,6 +20,7 @@
     EngineRequest,
     NotScheduling,
 )
+from almondfield_daemon.server_limits import LimitService
 from almondfield_fairshare.engines import (
     Admitted,
     AttemptId,
@@ -40,6 +41,7 @@
     :param peers: messages to the other hosts.
     :param fleet: routers and backend servers.
     :param publisher: provides the routing table, and whether this host leads.
+    :param limits: limits of servers on all routers together.
     :param window_s: window of the teams' shares, in seconds.
     :param make_start: returns a unique identifier for each scheduler start.
     """
@@ -49,12 +51,14 @@
         peers: Peers,
         fleet: FleetControl,
         publisher: TablePublisher,
+        limits: LimitService,
         window_s: float,
         make_start: Callable[[], int],
     ) -> None:
         self._peers = peers
         self._fleet = fleet
         self._publisher = publisher
+        self._limits = limits
         self._window_s = window_s
         self._make_start = make_start
         self._start = 0
@@ -123,8 +127,10 @@
         scheduler = self._scheduler(message.pool, table)
         self._busy_control.record(sender, message)
         shares = self._busy_control.changed_shares(sender)
+        scheduler.closed_names = self._limits.closed_servers()
         match scheduler.decide(attempt, message.request, table.limits.work_per_s):
             case Admitted(server, uncached_tokens, wait_s):
+                self._limits.take(server)
                 return EngineReply(server, uncached_tokens, wait_s, self._start, shares)
             case Refused(retry_after_s, is_over_share, wait_s):
                 return EngineRefusal(
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/router_teams.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/router_teams.py
@@ -16,7 +16,7 @@
 from almondfield_daemon.forwarding import RequestMetadata, ServerSelector
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.servers import Unavailable
-from almondfield_daemon.forwarding.tests.fakes import FakeView
+from almondfield_daemon.forwarding.tests.fakes import FakeLimits, FakeView
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.scheduling import EngineClient
 from almondfield_daemon.scheduling.tests.fakes import POOL
@@ -82,6 +82,7 @@
                 client,
                 HostDelay(),
                 ServerNotices(),
+                FakeLimits(),
             )
 
     def request(self, team):
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
@@ -12,6 +12,7 @@
 from almondfield_daemon.scheduling import EngineAssignment, EngineClient, EngineService
 from almondfield_daemon.scheduling.messages import EngineRefusal
 from almondfield_daemon.scheduling.tests.fakes import POOL, FakePublisher
+from almondfield_daemon.server_limits import LimitService
 from almondfield_fairshare.engines import PromptRequest
 from almondfield_fairshare.engines.prefix_cache import prefix_blocks
 from almondfield_testing import InMemoryNetwork, run
@@ -94,6 +95,7 @@
                 peers,
                 fleet,
                 context.publisher_by_host[host],
+                LimitService(peers, context.publisher_by_host[host]),
                 4.0,
                 lambda: rng.getrandbits(48),
             )
--- /dev/null
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_limits/service.py
@@ -0,0 +1,143 @@
+"""Keeps the limits of servers for all routers, on the leading control host."""
+
+from dataclasses import dataclass
+
+import eliot
+
+from almondfield_control.publishing import TablePublisher
+from almondfield_core.clock import now
+from almondfield_core.ports import Peers
+from almondfield_daemon.server_limits.messages import (
+    KeepsNoLimits,
+    LimitReport,
+    NamedLimit,
+    Permit,
+    PermitRequest,
+)
+from almondfield_daemon.server_limits.rate_limit import RateLimit
+
+__all__ = ["LimitService"]
+
+LIFETIME_S = 3600.0  # of a limit that is not named again, as its server is gone
+MAX_SERVERS = 10_000
+
+
+@dataclass(frozen=True)
+class _KeptLimit:
+    """The limit of one start of a server.
+
+    :ivar born_ms: when the server started, in milliseconds since 1970.
+    :ivar per_s: requests a second; None after it ended.
+    :ivar said_s: when the server last said so, in seconds of the loop's clock.
+    :ivar rate: what is left of it.
+    """
+
+    born_ms: int
+    per_s: float | None
+    said_s: float
+    rate: RateLimit
+
+
+class LimitService:
+    """Shares the limits of servers among all routers while this host leads.
+
+    A limit that each router keeps alone would have to be divided by their number, and a
+    router may have all of a server's requests, or none. The leader gives a permit for
+    each request instead; an admission by its engine scheduler is one.
+
+    :param peers: messages to the other hosts.
+    :param publisher: says whether this host leads.
+    """
+
+    def __init__(self, peers: Peers, publisher: TablePublisher) -> None:
+        self._peers = peers
+        self._publisher = publisher
+        self._term: int | None = None
+        self._limit_by_server: dict[str, _KeptLimit] = {}
+
+    def register_handlers(self) -> None:
+        """Register the handlers of messages."""
+        self._peers.register_handler(LimitReport, self._on_report)
+        self._peers.register_handler(PermitRequest, self._on_request)
+
+    def limits(self) -> tuple[NamedLimit, ...]:
+        """Return the limits in force, for routers; none if this host does not lead."""
+        if not self._update_leadership():
+            return ()
+        return tuple(
+            NamedLimit(server, kept.born_ms, kept.per_s, now() - kept.said_s)
+            for server, kept in self._limit_by_server.items()
+            if kept.per_s is not None
+        )
+
+    def closed_servers(self) -> frozenset[str]:
+        """Return the names of servers that take no further request now."""
+        return frozenset(
+            [
+                server
+                for server, kept in self._limit_by_server.items()
+                if kept.per_s is not None and kept.rate.wait_s() > 0
+            ]
+        )
+
+    def take(self, server: str) -> None:
+        """Count a request that is sent to a server, if it has a limit.
+
+        :param server: name of the server.
+        """
+        kept = self._limit_by_server.get(server)
+        if kept is not None and kept.per_s is not None:
+            kept.rate.take()
+
+    def _update_leadership(self) -> bool:
+        """Return whether this host leads; a new leader is told the limits anew."""
+        term = self._publisher.led_term
+        if term != self._term:
+            self._limit_by_server.clear()
+        self._term = term
+        return term is not None
+
+    async def _on_report(self, sender: str, report: LimitReport) -> None:
+        if self._update_leadership():
+            for item in report.items:
+                self._record(item, sender)
+
+    async def _on_request(
+        self, sender: str, request: PermitRequest
+    ) -> Permit | KeepsNoLimits:
+        if not self._update_leadership():
+            return KeepsNoLimits()
+        self._record(request.limit, sender)
+        kept = self._limit_by_server.get(request.limit.server)
+        if kept is None or kept.per_s is None:
+            return Permit(is_granted=True, is_limited=False)
+        if kept.rate.take():
+            return Permit(is_granted=True)
+        return Permit(is_granted=False, wait_s=kept.rate.wait_s())
+
+    def _record(self, item: NamedLimit, sender: str) -> None:
+        said_s = now() - item.age_s
+        kept = self._limit_by_server.get(item.server)
+        if kept is not None and (kept.born_ms, kept.said_s) > (item.born_ms, said_s):
+            return
+        is_same_start = kept is not None and kept.born_ms == item.born_ms
+        if item.per_s is None and not is_same_start:
+            return
+        rate = kept.rate if kept is not None and is_same_start else RateLimit(0.0)
+        if item.per_s is not None:
+            rate.set_rate(item.per_s)
+        if kept is None or not is_same_start or kept.per_s != item.per_s:
+            self._remove_old()
+            eliot.log_message(
+                "server:limit", server=item.server, per_s=item.per_s, router=sender
+            )
+        limit = _KeptLimit(item.born_ms, item.per_s, said_s, rate)
+        self._limit_by_server[item.server] = limit
+
+    def _remove_old(self) -> None:
+        items = self._limit_by_server
+        before_s = now() - LIFETIME_S
+        for server in [s for s, kept in items.items() if kept.said_s < before_s]:
+            del items[server]
+        if len(items) >= MAX_SERVERS:
+            del items[min(items, key=lambda server: items[server].said_s)]
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_notices/__init__.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/__init__.py
@@ -7,18 +7,22 @@
     ServerStart,
 )
 from almondfield_daemon.server_notices.notices import (
+    InvalidRequestLimit,
     InvalidRetryAfter,
     Leaving,
     NoticeKind,
+    RequestLimit,
     RetryAfter,
     ServerNotice,
 )
 
 __all__ = [
     "MAX_RETRY_AFTER_S",
+    "InvalidRequestLimit",
     "InvalidRetryAfter",
     "Leaving",
     "NoticeKind",
+    "RequestLimit",
     "RetryAfter",
     "ServerClosedError",
     "ServerNotice",
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_notices/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/core.py
@@ -20,9 +20,11 @@
 from almondfield_core.clock import now
 from almondfield_core.findings import AlmondfieldError
 from almondfield_daemon.server_notices.notices import (
+    InvalidRequestLimit,
     InvalidRetryAfter,
     Leaving,
     NoticeKind,
+    RequestLimit,
     RetryAfter,
     ServerNotice,
 )
@@ -72,7 +74,8 @@
         self.count_by_kind: Counter[NoticeKind] = Counter()
         self._leaving: set[ServerStart] = set()
         self._closure_by_name: dict[str, _Closure] = {}
-        self._starts_with_invalid_time: set[ServerStart] = set()
+        # Events of ignored values that were logged, by start of a server.
+        self._ignored: set[tuple[str, ServerStart]] = set()
         self._trial_numbers = itertools.count(1)
 
     def noticed_names(self) -> frozenset[str]:
@@ -160,9 +163,21 @@
                     self.count_by_kind[NoticeKind.RETRY_AFTER] += 1
                     self._close(server, received_s + seconds, request_id)
                 case RetryAfter(seconds):
-                    self._ignore(server, f"{seconds:.0f}", request_id)
+                    self._ignore_retry_after(server, f"{seconds:.0f}", request_id)
                 case InvalidRetryAfter(text):
-                    self._ignore(server, text, request_id)
+                    self._ignore_retry_after(server, text, request_id)
+                case RequestLimit():
+                    # All routers together keep it; see server_limits.
+                    self.count_by_kind[NoticeKind.REQUEST_LIMIT] += 1
+                case InvalidRequestLimit(text):
+                    self.count_by_kind[NoticeKind.INVALID_REQUEST_LIMIT] += 1
+                    self._log_ignored(
+                        "server:limit-ignored",
+                        server,
+                        text,
+                        request_id,
+                        "a number of requests a second",
+                    )
 
     def record_served(self, server: ServerStart) -> None:
         """End a closure whose time has passed, as the server answers a request.
@@ -184,7 +199,7 @@
         known = frozenset(servers)
         names = {server.name for server in known}
         self._leaving &= known
-        self._starts_with_invalid_time &= known
+        self._ignored = {item for item in self._ignored if item[1] in known}
         self._closure_by_name = {
             name: closure
             for name, closure in self._closure_by_name.items()
@@ -224,14 +239,25 @@
             wait_ms=wait_ms,
         )
 
-    def _ignore(self, server: ServerStart, text: str, request_id: str) -> None:
+    def _ignore_retry_after(
+        self, server: ServerStart, text: str, request_id: str
+    ) -> None:
         self.count_by_kind[NoticeKind.INVALID_RETRY_AFTER] += 1
-        if server not in self._starts_with_invalid_time:
-            self._starts_with_invalid_time.add(server)
-            eliot.log_message(
-                "server:retry-after-ignored",
-                server=server.name,
-                request_id=request_id,
-                value=text[:MAX_LOGGED_CHARACTERS],
-                allowed=f"0 to {MAX_RETRY_AFTER_S:.0f} seconds",
-            )
+        allowed = f"0 to {MAX_RETRY_AFTER_S:.0f} seconds"
+        event = "server:retry-after-ignored"
+        self._log_ignored(event, server, text, request_id, allowed)
+
+    def _log_ignored(
+        self, event: str, server: ServerStart, text: str, request_id: str, allowed: str
+    ) -> None:
+        """Log a value that is ignored, once for each start of a server."""
+        if (event, server) in self._ignored:
+            return
+        self._ignored.add((event, server))
+        eliot.log_message(
+            event,
+            server=server.name,
+            request_id=request_id,
+            value=text[:MAX_LOGGED_CHARACTERS],
+            allowed=allowed,
+        )
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_notices/notices.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/notices.py
@@ -4,9 +4,11 @@
 from enum import StrEnum
 
 __all__ = [
+    "InvalidRequestLimit",
     "InvalidRetryAfter",
     "Leaving",
     "NoticeKind",
+    "RequestLimit",
     "RetryAfter",
     "ServerNotice",
 ]
@@ -18,6 +20,8 @@
     LEAVING = "leaving"
     RETRY_AFTER = "retry-after"
     INVALID_RETRY_AFTER = "invalid-retry-after"
+    REQUEST_LIMIT = "request-limit"
+    INVALID_REQUEST_LIMIT = "invalid-request-limit"
 
 
 @dataclass(frozen=True)
@@ -45,4 +49,26 @@
     text: str
 
 
-ServerNotice = Leaving | RetryAfter | InvalidRetryAfter
+@dataclass(frozen=True)
+class RequestLimit:
+    """The server takes so many requests from all routers together.
+
+    :ivar per_s: requests a second, for as long as its answers say so.
+    """
+
+    per_s: float
+
+
+@dataclass(frozen=True)
+class InvalidRequestLimit:
+    """The server named a limit that can't be read.
+
+    :ivar text: the value as received.
+    """
+
+    text: str
+
+
+ServerNotice = (
+    Leaving | RetryAfter | InvalidRetryAfter | RequestLimit | InvalidRequestLimit
+)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -10,7 +10,6 @@
 import math
 from collections.abc import Iterable
 from dataclasses import replace
-from statistics import median
 
 from almondfield_core.clock import now
 from almondfield_core.routing import Prompt
@@ -26,7 +25,12 @@
     is_late_everywhere,
 )
 from almondfield_fairshare.engines.held_prefixes import HeldPrefixes
-from almondfield_fairshare.engines.load import BusyShare, DecisionCounts, EngineLoad
+from almondfield_fairshare.engines.load import (
+    DecisionCounts,
+    EngineLoad,
+    UsedShare,
+    summarize_load,
+)
 from almondfield_fairshare.engines.prefix_cache import PrefixBlock, prefix_blocks
 from almondfield_fairshare.engines.refused_prompts import RefusedPrompts
 from almondfield_fairshare.engines.requests import (
@@ -64,6 +68,8 @@
     """Assigns each prompt to an engine, or refuses it.
 
     :param window_s: sliding window of the teams' shares, in seconds.
+
+    :ivar closed_names: engines that take no request now, which count as used.
     """
 
     def __init__(self, window_s: float) -> None:
@@ -73,13 +79,13 @@
         self._held_prefixes = HeldPrefixes()
         self._answer_delay = AnswerDelay()
         self._attempts = AttemptTable()
-        self._busy_share = BusyShare()
-        self._used_slots = BusyShare()
+        self._used_share = UsedShare()
         self._sampled_s = -math.inf
         self._counts = DecisionCounts()
         self._refused_prompts = RefusedPrompts()
         self._strictest_target_s = float("inf")
         self._work_per_s = 0.0
+        self.closed_names: frozenset[str] = frozenset()
 
     def set_servers(self, servers: Iterable[EngineServer]) -> None:
         """Replace the set of engines; a restarted engine begins with an empty cache.
@@ -102,7 +108,7 @@
     @property
     def used_share(self) -> float:
         """Return the recent part of the engines' scarcer resource that was in use."""
-        return max(self._busy_share.value(), self._used_slots.value())
+        return self._used_share.value()
 
     def usage(self, team: str) -> float:
         """Return the fraction of its fair share that a team has used.
@@ -130,7 +136,7 @@
         usage = self.usage(request.team)
         base_max_wait_s = self._base_max_wait_s(request)
         # A team above its share must not cause repeated prefills.
-        spare = spare_capacity(self._busy_share.value()) if usage <= 1 else 0.0
+        spare = spare_capacity(self._used_share.busy()) if usage <= 1 else 0.0
         max_wait_s = team_max_wait_s(base_max_wait_s, usage)
         if request.is_repeat:
             # The caller has waited already and may have received a part of the answer.
@@ -146,11 +152,9 @@
             and not are_idle
             and is_late_everywhere(request, estimates, self._answer_delay.seconds)
         )
-        repeated_prefill_weight = REPEATED_PREFILL_WEIGHT * (1 - spare)
+        repeat_weight = REPEATED_PREFILL_WEIGHT * (1 - spare)
         # While engines are mostly idle, any idle one may prefill any prompt.
-        is_admissible = are_idle or has_capacity(
-            estimates, max_wait_s, repeated_prefill_weight
-        )
+        is_admissible = are_idle or has_capacity(estimates, max_wait_s, repeat_weight)
         # Spare capacity goes to the team with the lowest usage.
         must_yield = (
             usage > 1 and not request.is_repeat and self._shares.must_yield(usage)
@@ -177,8 +181,11 @@
 
     def _usable_engines(self, request: PromptRequest) -> list[Engine]:
         excluded = request.excluded
-        engines = self._engine_by_name.items()
-        return [engine for name, engine in engines if name not in excluded]
+        return [e for e in self._open_engines() if e.server.name not in excluded]
+
+    def _open_engines(self) -> list[Engine]:
+        engines = self._engine_by_name.values()
+        return [e for e in engines if e.server.name not in self.closed_names]
 
     def _with_known_wait(self, request: PromptRequest) -> PromptRequest:
         """Return a request with the longest known wait of its caller."""
@@ -330,15 +337,11 @@
 
     def collect_load(self) -> EngineLoad:
         """Return the load since the previous call, and reset the counts."""
-        engines = self._engine_by_name.values()
-        waits_s = [engine.wait_s(now()) for engine in engines]
-        return EngineLoad(
-            engines=len(engines),
-            busy_share=self._busy_share.value(),
-            longest_wait_s=max(waits_s, default=0.0),
-            prefill_rate=median((e.prefill_rate for e in engines) if engines else [0]),
-            answer_delay_s=self._answer_delay.seconds,
-            **self._counts.collect(),
+        return summarize_load(
+            tuple(self._engine_by_name.values()),
+            self._used_share.busy(),
+            self._answer_delay.seconds,
+            self._counts.collect(),
         )
 
     def collect_team_loads(self, count: int) -> tuple[TeamLoad, ...]:
@@ -358,10 +361,7 @@
         engines = self._engine_by_name.values()
         for engine in [engine for engine in engines if engine.due_s < at_s]:
             engine.refresh(at_s)
-        count = max(1, len(engines))
-        busy = sum([e.idle_from_s > at_s or e.due_s < at_s for e in engines])
-        self._busy_share.record(busy / count)
-        self._used_slots.record(sum([e.used_slot_share for e in engines]) / count)
+        self._used_share.record(self._open_engines(), len(engines), at_s)
 
     def _base_max_wait_s(self, request: PromptRequest) -> float:
         """Return the wait limit for teams within their fair share, in seconds."""
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
@@ -2,11 +2,21 @@
 
 import math
 from collections import Counter
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from statistics import median
 
 from almondfield_core.clock import now
+from almondfield_fairshare.engines.engine import Engine
 
-__all__ = ["BusyShare", "DecisionCounts", "EngineLoad", "TeamLoad"]
+__all__ = [
+    "BusyShare",
+    "DecisionCounts",
+    "EngineLoad",
+    "TeamLoad",
+    "UsedShare",
+    "summarize_load",
+]
 
 TIME_CONSTANT_S = 1.0  # many prompts, but much shorter than the window of the shares
 
@@ -128,3 +138,57 @@
         """Return the recent mean fraction of engines that had prompts to prefill."""
         decay = math.exp((self._since_s - now()) / TIME_CONSTANT_S)
         return decay * self._share + (1 - decay) * self._current
+
+
+class UsedShare:
+    """Recent part of a group of engines that is in use."""
+
+    def __init__(self) -> None:
+        self._busy = BusyShare()
+        self._slots = BusyShare()
+
+    def record(self, open_engines: Sequence[Engine], count: int, at_s: float) -> None:
+        """Record what is in use from now on; engines that aren't open count as used.
+
+        :param open_engines: engines that take requests.
+        :param count: number of all engines.
+        :param at_s: the current time, in seconds of the loop's clock.
+        """
+        closed = count - len(open_engines)
+        busy = sum([e.idle_from_s > at_s or e.due_s < at_s for e in open_engines])
+        used = sum([engine.used_slot_share for engine in open_engines])
+        self._busy.record((busy + closed) / max(1, count))
+        self._slots.record((used + closed) / max(1, count))
+
+    def busy(self) -> float:
+        """Return the recent part of the time to prefill prompts that was used."""
+        return self._busy.value()
+
+    def value(self) -> float:
+        """Return the recent part in use of the time to prefill, or of the slots."""
+        return max(self._busy.value(), self._slots.value())
+
+
+def summarize_load(
+    engines: Sequence[Engine],
+    busy_share: float,
+    answer_delay_s: float,
+    counts: Mapping[str, int],
+) -> EngineLoad:
+    """Return the load of a group of engines.
+
+    :param engines: the engines.
+    :param busy_share: recent part of them that had prompts to prefill.
+    :param answer_delay_s: time from the end of prefill to the report of the first
+        event, in seconds.
+    :param counts: counts of decisions, by field.
+    """
+    at_s = now()
+    return EngineLoad(
+        engines=len(engines),
+        busy_share=busy_share,
+        longest_wait_s=max([engine.wait_s(at_s) for engine in engines], default=0.0),
+        prefill_rate=median([engine.prefill_rate for engine in engines] or [0.0]),
+        answer_delay_s=answer_delay_s,
+        **counts,
+    )
