--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
@@ -66,14 +66,16 @@
         :param servers: servers that may get it.
         :param tried: names of servers that failed or refused it.
         """
-        open_servers = self._open(servers)
+        open_servers = self._within_limits(servers)
         while True:
             server = self._place(request, open_servers, tried)
             if server is None:
                 return self._unavailable(servers)
             if await self._limits.take(server_start(server)):
                 break
-            open_servers = self._open(s for s in open_servers if s is not server)
+            open_servers = self._within_limits(
+                s for s in open_servers if s is not server
+            )
         prompt = _prompt(request)
         if prompt is None:
             return self.select(request, server)
@@ -82,7 +84,7 @@
         )
         return self.select(request, server, assignment)
 
-    def _open(self, servers: Iterable[FleetServer]) -> tuple[FleetServer, ...]:
+    def _within_limits(self, servers: Iterable[FleetServer]) -> tuple[FleetServer, ...]:
         """Return the servers whose limits may allow a request."""
         return tuple(
             [
