Give a retry time of 0.05 s or more where the servers' limits allow no request

Cause: the scenario for plain pools failed once: a wait below 5 ms was written as 0.00, which tells callers nothing. Change: the wait is 0.05 s at least. Result: 'Requests beyond the limits of all servers are refused at once' is the test.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
@@ -19,6 +19,7 @@
 
 # Concurrent prefills per server, over all routers; more would start too late.
 LOCAL_PREFILLS_PER_SERVER = 2
+MIN_RETRY_AFTER_S = 0.05  # shorter times are rounded to none
 
 
 class LocalChoice:
@@ -117,7 +118,7 @@
             detail = "no backend server of the pool takes work now"
             return Unavailable(detail, RefusalCause.NO_SERVER)
         detail = f"the servers' limits allow no request for {wait_s:.3f} s"
-        return Unavailable(detail, RefusalCause.LIMIT, wait_s)
+        return Unavailable(detail, RefusalCause.LIMIT, max(MIN_RETRY_AFTER_S, wait_s))
 
     def may_go_back(self, server: FleetServer) -> bool:
         """Return whether a server may get a request again without a permit.
