Let routers begin what a busy scheduler does not decide on while engines are idle

Cause: the rate of undecided prompts began at a twentieth of them, so that prompts were refused while engines had time to spare. Change: at least the part of the engines that is free is given to them at once. Result: a scenario of unscheduled_limit.feature fails before; large_fleet.feature and busy_scheduler.feature pass.

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/unscheduled_limit.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/unscheduled_limit.py
@@ -36,7 +36,8 @@
         if used_share > USABLE_SHARE:
             self._total_per_s *= DECREASE
         else:
-            least_per_s = MIN_SHARE * undecided_per_s
+            spare_share = 1 - used_share / USABLE_SHARE
+            least_per_s = max(MIN_SHARE, spare_share) * undecided_per_s
             self._total_per_s = max(least_per_s, INCREASE * self._total_per_s)
         self._total_per_s = min(self._total_per_s, undecided_per_s)
         rates = undecided_per_s_by_team.values()
