Look up the limit of a server's start in one place

Cause: five methods of a router's limits compared the start of a server by themselves, and the shares of a busy scheduler kept default dictionaries that no access needs. Change: one private method for the look-up; plain dictionaries. No behaviour changes.

--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/asked_shares.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/asked_shares.py
@@ -1,6 +1,6 @@
 """What a router does with the teams' prompts while the scheduler is busy."""
 
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -43,8 +43,8 @@
         self._shares_by_team: Mapping[str, PromptShares] = {}
         self._received_s = float("-inf")
         # How much of a prompt is due for each team; the next one is taken at 1.
-        self._asked_due_by_team: defaultdict[str, float] = defaultdict(float)
-        self._unscheduled_due_by_team: defaultdict[str, float] = defaultdict(float)
+        self._asked_due_by_team: dict[str, float] = {}
+        self._unscheduled_due_by_team: dict[str, float] = {}
         self._prompts_by_team: Counter[str] = Counter()
 
     def record(self, shares_by_team: Mapping[str, PromptShares]) -> None:
@@ -73,7 +73,7 @@
         return Refuse()
 
 
-def _is_due(due_by_team: defaultdict[str, float], team: str, share: float) -> bool:
+def _is_due(due_by_team: dict[str, float], team: str, share: float) -> bool:
     """Return whether a prompt is one of a team's share, and count it."""
     due = due_by_team.pop(team, 0.0) + share
     if due < 1:
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_limits/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_limits/client.py
@@ -68,17 +68,15 @@
 
         :param server: the server.
         """
-        known = self._known_by_name.get(server.name)
-        return known is not None and known.start == server
+        return self._known(server) is not None
 
     def wait_s(self, server: ServerStart) -> float:
         """Return the time until a permit may be had, in seconds; 0 if now.
 
         :param server: the server.
         """
-        if not self.is_limited(server):
-            return 0.0
-        return max(0.0, self._known_by_name[server.name].denied_until_s - now())
+        known = self._known(server)
+        return 0.0 if known is None else max(0.0, known.denied_until_s - now())
 
     def record(
         self, server: ServerStart, per_s: float | None, selected_s: float
@@ -92,19 +90,19 @@
         """
         if per_s is not None and per_s > MAX_LIMIT_PER_S:
             per_s = None
-        known = self._known_by_name.get(server.name)
-        if known is not None and known.start.born_ms > server.born_ms:
+        latest = self._known_by_name.get(server.name)
+        if latest is not None and latest.start.born_ms > server.born_ms:
             return
-        is_known = known is not None and known.start == server
+        known = self._known(server)
         if per_s is None:
-            if known is None or not is_known or selected_s <= known.said_s:
+            if known is None or selected_s <= known.said_s:
                 # It may have been answered before the limit was named.
                 return
             del self._known_by_name[server.name]
             self._send((NamedLimit(*server, None, now() - selected_s),))
             eliot.log_message("server:limit-ended", server=server.name)
             return
-        if known is None or not is_known:
+        if known is None:
             known = _KnownLimit(server, per_s, now())
         if known.per_s != per_s:
             known = replace(known, reported_s=float("-inf"), own_part=None)
@@ -143,8 +141,8 @@
 
         :param server: the server.
         """
-        known = self._known_by_name.get(server.name)
-        if known is None or known.start != server:
+        known = self._known(server)
+        if known is None:
             return True
         if known.denied_until_s > now():
             return False
@@ -165,9 +163,14 @@
         known = self._known_by_name.items()
         self._known_by_name = {n: item for n, item in known if item.start in starts}
 
-    def _apply(self, server: ServerStart, permit: Permit) -> bool:
+    def _known(self, server: ServerStart) -> _KnownLimit | None:
+        """Return the limit that a start of a server has named; None for none."""
         known = self._known_by_name.get(server.name)
-        if known is None or known.start != server:
+        return known if known is not None and known.start == server else None
+
+    def _apply(self, server: ServerStart, permit: Permit) -> bool:
+        known = self._known(server)
+        if known is None:
             return permit.is_granted
         if not permit.is_limited:
             del self._known_by_name[server.name]
@@ -180,8 +183,8 @@
 
     def _take_own_part(self, server: ServerStart) -> bool:
         """Return whether this router's even part of a limit allows a request."""
-        known = self._known_by_name.get(server.name)
-        if known is None or known.start != server:
+        known = self._known(server)
+        if known is None:
             return True
         part = known.own_part
         if part is None:
