--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
@@ -12,7 +12,7 @@
 __all__ = ["RefusalCause", "RequestCounts", "log_request_counts"]
 
 COUNT_INTERVAL_S = 1.0
-MAX_TEAMS = 3  # in one line; those with the most requests
+MAX_TEAMS = 8  # in one line; those with the most requests
 
 
 class RefusalCause(StrEnum):
@@ -21,7 +21,7 @@
     SHARE = "share"  # the scheduler refused: the team has had its share
     HELD_SHARE = "held-share"  # an earlier refusal for the share still held
     NO_ROOM = "no-room"  # the scheduler refused: the engines are full
-    NO_SCHEDULER = "no-scheduler"  # none answered in time; the router's limit is used
+    NO_SCHEDULER = "no-scheduler"  # none answered in time; the team has had its part
     BUSY_SCHEDULER = "busy-scheduler"  # it isn't asked; the team has had its part
     LATE = "late"  # the router reads prompts too late to pass them on in time
     NO_SERVER = "no-server"
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/counts_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/counts_steps.py
@@ -64,3 +64,19 @@
 @then("{count:d} lines are logged")
 def step_impl(context, count):
     assert len(context.messages) == count, context.messages
+
+
+@when(
+    'teams "{first:d}" to "{last:d}" are each refused as often as their number says '
+    'for "{cause}"'
+)
+def step_impl(context, first, last, cause):
+    for number in range(first, last + 1):
+        for _ in range(number):
+            context.counts.record_refusal(str(number), cause)
+
+
+@then('it names teams "{first:d}" to "{last:d}"')
+def step_impl(context, first, last):
+    named = [team["team"] for team in context.messages[0]["teams"]]
+    assert named == [str(number) for number in range(first, last - 1, -1)], named
