Let other tasks of a host run between the messages that it handles

Cause: each sender has a task that passes its messages on, and one iteration of the event loop handled all that had come from all senders; the replies that keep the lease are read once in an iteration, at most 64 frames. Change: ordinary messages take turns, 16 in an iteration, in the order of their senders' requests. Messages that are handled concurrently, those of the log and of elections among them, need no turn. Result: three of four scenarios of many_senders.feature fail before (1,000 messages in one iteration, a message of the log handled behind all of them); all pass.

--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/core.py
@@ -33,6 +33,7 @@
 from almondfield_daemon.peers.link import OutgoingLink
 from almondfield_daemon.peers.message_counters import FRAMES, MessageCounters, PeerStats
 from almondfield_daemon.peers.sockets import PynngSockets, Sockets
+from almondfield_daemon.peers.turns import HandlingTurns
 
 __all__ = ["PynngPeers"]
 
@@ -107,6 +108,7 @@
         self._inbox_by_host: dict[str, Inbox] = {}
         self._handler_by_kind: dict[str, Handler] = {}
         self._concurrent_kinds: set[str] = set()
+        self._turns = HandlingTurns()
         self._reply_by_tag: dict[int, asyncio.Future[Any]] = {}
         self._late_by_tag: OrderedDict[int, _LateRequest] = OrderedDict()
         self._next_tag = 0
@@ -302,6 +304,8 @@
                 lambda envelope: self._dispatch(host, envelope),
                 self._counters,
                 self._unhandled,
+                self._turns,
+                self._concurrent_kinds.__contains__,
             )
             self._inbox_by_host[host] = inbox
             if self._tasks is not None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/inbox.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/inbox.py
@@ -7,6 +7,7 @@
 from almondfield_daemon.peers.envelope_queue import ByteBudget, counted_bytes
 from almondfield_daemon.peers.frames import Envelope
 from almondfield_daemon.peers.message_counters import MessageCounters
+from almondfield_daemon.peers.turns import HandlingTurns
 
 __all__ = ["Inbox"]
 
@@ -19,6 +20,8 @@
     :param handle: called with one message at a time.
     :param counters: counts dropped messages.
     :param budget: bytes of the waiting messages of all senders.
+    :param turns: turns that the inboxes of all senders share.
+    :param is_urgent: returns whether a message of a kind needs no turn.
     """
 
     def __init__(
@@ -26,7 +29,11 @@
         handle: Callable[[Envelope], Awaitable[None]],
         counters: MessageCounters,
         budget: ByteBudget,
+        turns: HandlingTurns,
+        is_urgent: Callable[[str], bool],
     ) -> None:
+        self._turns = turns
+        self._is_urgent = is_urgent
         self._budget = budget
         self._handle = handle
         self._counters = counters
@@ -53,6 +60,8 @@
             await self._wake.wait()
             self._wake.clear()
             while self._queue:
+                if not self._is_urgent(self._queue[0].kind):
+                    await self._turns.take()
                 envelope = self._queue.popleft()
                 self._budget.used_bytes -= counted_bytes(envelope)
                 await self._handle(envelope)
