Divide what a late router passes on among its teams

A middling team whose callers come to the router of a flooding one was refused as often as that one. Cause: a router that reads prompts late passed on one at a time, of whichever team came first: a bound of the host that is divided by order of arrival, not by team. Change: a team that has had less than an even share of four fifths of what was passed on in the last second gets its prompts passed on, also while another one waits for a decision.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -27,7 +27,7 @@
 from almondfield_daemon.scheduling.messages import EngineRefusal
 from almondfield_daemon.server_limits import ServerLimits
 from almondfield_daemon.server_notices import ServerNotices
-from almondfield_fairshare.engines import PromptRequest
+from almondfield_fairshare.engines import IntakeShares, PromptRequest
 from almondfield_fairshare.prefix_placement import Placement
 
 __all__ = ["ServerSelector"]
@@ -81,6 +81,7 @@
             self._quarantine,
         )
         self._known = KnownServers(view, notices, self._quarantine)
+        self._intake_shares = IntakeShares()
 
     def quarantine_refusal(self, team: str, prompt: Prompt) -> Unavailable | None:
         """Return the refusal of a prompt that holds a quarantined part, or None.
@@ -113,14 +114,22 @@
         """Return the refusal of a prompt that would get its server too late, or None.
 
         A router that has more to do than it can reads requests late, and what follows
-        takes many times as long. One request at a time is passed on all the same.
+        takes many times as long. One request at a time is passed on all the same, and
+        those of teams that have had less than their share of the router.
 
         :param team: name of the team.
         :param latency_target_s: latency target of the route, in seconds; 0 for none.
         :param unread_s: least time that the request was unread, in seconds.
         """
+        self._intake_shares.record_read(team)
         is_late = unread_s > MAX_UNREAD_TARGET_SHARE * latency_target_s > 0
-        if not is_late or not self._engines.has_undecided:
+        may_pass_on = (
+            not is_late
+            or not self._engines.has_undecided
+            or self._intake_shares.is_below_share(team)
+        )
+        if may_pass_on:
+            self._intake_shares.record_passed_on(team)
             return None
         self._counts.record_refusal(team, RefusalCause.LATE)
         detail = f"the request was not read for {unread_s:.3f} s"
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/late_intake.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/late_intake.feature
@@ -14,3 +14,24 @@
       | no other prompt waits | a prompt             | 0.06 | passes it on                          |
       | another prompt waits  | a stream's take-up   | 0.06 | passes it on                          |
       | another prompt waits  | another request      | 0.06 | passes it on                          |
+
+  # Guards against FAIR: a late router passed on one prompt at a time, of whichever team came
+  # first, so that a middling team beside a flooding one was refused as often.
+  Scenario Outline: A middling team at a late router gets half of what it asks for
+    Given a router that passes on a prompt in 8 ms, and refuses one in 0.3 ms
+    When team "flood" sends <flood> prompts a second, <others> for 10 s
+    Then each of the others has half of its prompts passed on in each 6 s
+    And the router passes on at least <least> prompts a second
+
+    Examples:
+      | flood | others                                    | least |
+      | 400   | and "middling" 10                         | 80    |
+      | 400   | and "middling" 30                         | 80    |
+      | 1500  | and "middling" 10                         | 40    |
+      | 400   | and "first", "second" and "third" 10 each | 80    |
+
+  # Guards against a router that stays late, as what it passed on before counts as what it can.
+  Scenario: A late router with two flooding teams reads prompts in time again
+    Given a router that passes on a prompt in 8 ms, and refuses one in 0.3 ms
+    When team "flood" sends 400 prompts a second, and "other" 400 for 10 s
+    Then half of the prompts are read within 0.25 s
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/late_intake_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/late_intake_steps.py
@@ -1,6 +1,7 @@
 """Steps of late_intake.feature."""
 
 import random
+import re
 from dataclasses import replace
 
 from behave import given, then, when
@@ -23,6 +24,7 @@
     FakeOrigins,
     FakeView,
 )
+from almondfield_daemon.forwarding.tests.late_router import LateRouter
 from almondfield_daemon.forwarding.tests.requests import PROMPT, route
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.loop_delay import ARRIVAL_KEY, Arrival
@@ -39,6 +41,7 @@
     "another request": RequestMetadata("r", 4.0),
 }
 MAX_HELD_BYTES = 1_000_000
+WINDOW_S = 6
 
 
 class HeadCodec(FakeCodec):
@@ -123,3 +126,49 @@
     lines = context.refusal.answer.split(b"\r\n")
     assert lines[0].startswith(b"HTTP/1.1 503"), lines
     assert b"retry-after: %.1f" % seconds in lines, lines
+
+
+@given(
+    "a router that passes on a prompt in {passing:g} ms, and refuses one in {ms:g} ms"
+)
+def step_impl(context, passing, ms):
+    context.router = LateRouter(passing / 1000, ms / 1000)
+
+
+@when('team "{team}" sends {per_s:g} prompts a second, {others} for {seconds:d} s')
+def step_impl(context, team, per_s, others, seconds):
+    others_per_s = float(re.search(r"\d+", others)[0])
+    context.others = re.findall(r'"(\w+)"', others)
+    context.seconds = seconds
+    per_s_by_team = {team: per_s} | dict.fromkeys(context.others, others_per_s)
+    run(context, context.router.serve(per_s_by_team, seconds))
+
+
+def windows(context):
+    """Return the ranges of whole seconds that are compared."""
+    return [
+        range(first, first + WINDOW_S)
+        for first in range(context.seconds - WINDOW_S + 1)
+    ]
+
+
+@then("each of the others has half of its prompts passed on in each 6 s")
+def step_impl(context):
+    router = context.router
+    for team in context.others:
+        for window in windows(context):
+            read = sum(router.read_by_team[team][second] for second in window)
+            passed = sum(router.passed_by_team[team][second] for second in window)
+            assert passed >= read / 2 > 0, (team, window, passed, read)
+
+
+@then("the router passes on at least {least:g} prompts a second")
+def step_impl(context, least):
+    passed = sum(item.total() for item in context.router.passed_by_team.values())
+    assert passed >= least * context.seconds, passed
+
+
+@then("half of the prompts are read within {seconds:g} s")
+def step_impl(context, seconds):
+    unread_s = sorted(context.router.unread_s)
+    assert unread_s[len(unread_s) // 2] <= seconds, unread_s[len(unread_s) // 2]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/__init__.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/__init__.py
@@ -3,6 +3,7 @@
 from almondfield_fairshare.engines.core import EngineScheduler
 from almondfield_fairshare.engines.decision_limit import DecisionLimit
 from almondfield_fairshare.engines.engine import Engine
+from almondfield_fairshare.engines.intake_shares import IntakeShares
 from almondfield_fairshare.engines.load import EngineLoad, TeamLoad
 from almondfield_fairshare.engines.prefix_cache import PrefixCache
 from almondfield_fairshare.engines.requests import (
@@ -30,6 +31,7 @@
     "EngineLoad",
     "EngineScheduler",
     "EngineServer",
+    "IntakeShares",
     "PrefixCache",
     "PromptRequest",
     "PromptShares",
