Refuse prompts by their heads while no scheduler decides on them

Change: a prompt whose team has had its part is refused by its head, as one above its share is, if no scheduler is known, or it backs off or answers too late.

--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -71,6 +71,9 @@
     def held_refusal(self, pool, team, prompt):
         pass
 
+    def may_ask(self, latency_target_s):
+        return True
+
     def may_go_on(self, pool, team):
         return False
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -76,7 +76,8 @@
         """Return a refusal that is certain before the body is read; None for none.
 
         The prompt holds a quarantined part, or a refusal of the team's prompts still
-        holds, or this router can't pass the prompt on in time.
+        holds, or this router can't pass the prompt on in time, or no scheduler decides
+        on it and the team has had its part.
 
         :param route: route of a request with a prompt.
         :param pool: pool of the request.
@@ -91,6 +92,7 @@
             refused = servers.held_refusal(pool, team, prompt)
             target_s = route.latency_target_s
             refused = refused or servers.late_refusal(team, target_s, unread_s)
+            refused = refused or servers.unscheduled_refusal(pool, team, target_s)
         if refused is None:
             return None
         self._window(pool).record_request()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -35,6 +35,10 @@
 # The event loop takes some eight iterations to send a request on, each as long as it
 # takes to read one; wait and prefill need the other half of the target.
 MAX_UNREAD_TARGET_SHARE = 1 / 16
+NO_SCHEDULER = Unavailable(
+    "no scheduler answers in time, and the team has had its part",
+    RefusalCause.NO_SCHEDULER,
+)
 
 
 class ServerSelector:
@@ -135,6 +139,22 @@
         detail = f"the request was not read for {unread_s:.3f} s"
         return Unavailable(detail, RefusalCause.LATE, LATE_RETRY_AFTER_S)
 
+    def unscheduled_refusal(
+        self, pool: str, team: str, latency_target_s: float
+    ) -> Unavailable | None:
+        """Return the refusal of a prompt that no scheduler decides on, or None.
+
+        :param pool: name of a pool of engines.
+        :param team: name of the team.
+        :param latency_target_s: latency target of the route, in seconds; 0 for none.
+        """
+        if self._engines.may_ask(latency_target_s):
+            return None
+        if self._may_go_on(pool, team, self._known.usable(pool, None)):
+            return None
+        self._counts.record_refusal(team, RefusalCause.NO_SCHEDULER)
+        return NO_SCHEDULER
+
     async def choose(
         self,
         request: ForwardRequest,
@@ -286,18 +306,17 @@
     ) -> SelectedServer | Unavailable:
         """Return a server chosen from this router's own data, without the scheduler."""
         prompt = request.metadata.prompt if request.route.has_prompt else None
-        if prompt is not None and not self._may_go_on(request, servers):
-            return Unavailable(
-                "no scheduler answers in time, and the team has had its part",
-                RefusalCause.NO_SCHEDULER,
-            )
+        if prompt is not None and not self._may_go_on(
+            request.pool, request.team, servers
+        ):
+            return NO_SCHEDULER
         return await self._local.choose(request, servers, tried)
 
     def _may_go_on(
-        self, request: ForwardRequest, servers: tuple[FleetServer, ...]
+        self, pool: str, team: str, servers: tuple[FleetServer, ...]
     ) -> bool:
         """Return whether a prompt may begin without a scheduler."""
-        if self._engines.may_go_on(request.pool, request.team):
+        if self._engines.may_go_on(pool, team):
             return True
         return not self._local.is_prefill_limit_reached(servers)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -315,6 +315,7 @@
     def __init__(self):
         self.requests = []
         self.has_undecided = False
+        self.has_scheduler = True
         self.on_request = lambda: None
         self.assignment = None
         # Decisions in turn, with their delays in seconds; the last one stays.
@@ -323,6 +324,10 @@
     def held_refusal(self, pool, team, prompt):
         """Return None: no refusal is held."""
 
+    def may_ask(self, latency_target_s):
+        """Return whether there is a scheduler."""
+        return self.has_scheduler
+
     def may_go_on(self, pool, team):
         """Return False: no team had a prompt."""
         return False
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/late_intake.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/late_intake.feature
@@ -15,6 +15,22 @@
       | another prompt waits  | a stream's take-up   | 0.06 | passes it on                          |
       | another prompt waits  | another request      | 0.06 | passes it on                          |
 
+  # Guards against a late router: without a scheduler it read each prompt whole before it
+  # refused it.
+  Scenario Outline: A prompt that no scheduler decides on is refused by its head
+    Given a router of a route with a target of 0.8 s, where no other prompt waits
+    And <scheduler> decides, and <count> prompts are in prefill
+    When <request> is read 0.0 s after it came
+    Then the router <outcome>
+
+    Examples:
+      | scheduler    | count | request              | outcome                               |
+      | no scheduler | 2     | a prompt             | refuses it, to be sent again in 0.3 s |
+      | no scheduler | 0     | a prompt             | passes it on                          |
+      | no scheduler | 2     | a stream's take-up   | passes it on                          |
+      | no scheduler | 2     | another request      | passes it on                          |
+      | a scheduler  | 2     | a prompt             | passes it on                          |
+
   # Guards against FAIR: a late router passed on one prompt at a time, of whichever team came
   # first, so that a middling team beside a flooding one was refused as often.
   Scenario Outline: A middling team at a late router gets half of what it asks for
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/late_intake_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/late_intake_steps.py
@@ -10,6 +10,7 @@
 from almondfield_core.clock import now
 from almondfield_core.routing import RoutingIndex, RoutingTable, ServerPool
 from almondfield_core.settings import AnswerSettings
+from almondfield_daemon.fleet import FleetServer
 from almondfield_daemon.forwarding import (
     ForwardEndpoint,
     Forwarder,
@@ -30,7 +31,7 @@
 from almondfield_daemon.loop_delay import ARRIVAL_KEY, Arrival
 from almondfield_daemon.server_notices import ServerNotices
 from almondfield_daemon.serving import RequestHead
-from almondfield_fairshare.prefix_placement import Placement
+from almondfield_fairshare.prefix_placement import Candidate, Placement
 from almondfield_testing import run
 
 METADATA_BY_REQUEST = {
@@ -42,6 +43,8 @@
 }
 MAX_HELD_BYTES = 1_000_000
 WINDOW_S = 6
+ENGINES = 3
+ROUTERS = 191
 
 
 class HeadCodec(FakeCodec):
@@ -81,15 +84,29 @@
     context.subscription = Subscription(target_s)
     context.engines = FakeEngines()
     context.engines.has_undecided = others == "another prompt waits"
+    context.prefills = 0
+
+
+@given("{scheduler} decides, and {count:d} prompts are in prefill")
+def step_impl(context, scheduler, count):
+    context.engines.has_scheduler = scheduler == "a scheduler"
+    context.prefills = count
 
 
 @when("{request} is read {late_s:g} s after it came")
 def step_impl(context, request, late_s):
     async def check():
         codec = HeadCodec(METADATA_BY_REQUEST[request])
+        placement = Placement(random.Random(1))
+        servers = [
+            FleetServer(f"e{number}", "p", f"e{number}:1", "east", 4, sequence=1)
+            for number in range(ENGINES)
+        ]
+        for server in servers[: context.prefills]:
+            placement.start(Candidate(server.name, 4, True, False), PROMPT)
         selector = ServerSelector(
-            FakeView((), lambda: 1),
-            Placement(random.Random(1)),
+            FakeView(tuple(servers), lambda: ROUTERS),
+            placement,
             "east",
             context.engines,
             HostDelay(),
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -206,6 +206,23 @@
         """
         return self._pace.is_due(pool, team)
 
+    def may_ask(self, latency_target_s: float) -> bool:
+        """Return whether a scheduler is expected to decide on a prompt in time.
+
+        :param latency_target_s: latency target of its route, in seconds; 0 for none.
+        """
+        host = self._leader()
+        return self._may_ask(host, self._timeout_s(host, latency_target_s))
+
+    def _may_ask(self, host: str, timeout_s: float) -> bool:
+        is_backing_off = (
+            host == self._unresponsive_host and now() < self._backoff_until_s
+        )
+        # An admission that is certain to come late reserves an engine for nothing. One
+        # request at a time shows when replies come in time again.
+        is_too_slow = self._reports.has_undecided and self._reply_time_s > timeout_s
+        return bool(host) and not is_backing_off and not is_too_slow
+
     async def request_engine(
         self, pool: str, request: PromptRequest
     ) -> EngineAssignment | EngineRefusal | SendUnscheduled | Refuse | None:
@@ -218,14 +235,8 @@
         :param request: the request; its hint is filled in here.
         """
         host = self._leader()
-        is_backing_off = (
-            host == self._unresponsive_host and now() < self._backoff_until_s
-        )
-        timeout_s = self._timeout_s(host, request)
-        # An admission that is certain to come late reserves an engine for nothing. One
-        # request at a time shows when replies come in time again.
-        is_too_slow = self._reports.has_undecided and self._reply_time_s > timeout_s
-        if not host or is_backing_off or is_too_slow:
+        timeout_s = self._timeout_s(host, request.latency_target_s)
+        if not self._may_ask(host, timeout_s):
             return None
         match self._asked_shares.decide(request.team, request.is_repeat):
             case Ask(prompts):
@@ -356,7 +367,7 @@
                 "scheduler:told-prefixes", scheduler=host, prefixes=len(items)
             )
 
-    def _timeout_s(self, host: str, request: PromptRequest) -> float:
+    def _timeout_s(self, host: str, latency_target_s: float) -> float:
         """Return how long to wait for a decision, in seconds.
 
         While replies arrive, a late one means that this router or its link is busy. A
@@ -366,10 +377,10 @@
         is_answering = now() - self._last_reply_s < ANSWERING_S
         if host != self._reports.scheduler_host or not is_answering:
             return REQUEST_TIMEOUT_S
-        target_s = request.latency_target_s
         expected_s = REPLY_TIME_MARGIN * self._reply_time_s
-        expected_s = min(expected_s, MAX_WAIT_TARGETS * target_s)
-        return max(REQUEST_TIMEOUT_S, SLOW_TIMEOUT_SHARE * target_s, expected_s)
+        expected_s = min(expected_s, MAX_WAIT_TARGETS * latency_target_s)
+        slow_s = SLOW_TIMEOUT_SHARE * latency_target_s
+        return max(REQUEST_TIMEOUT_S, slow_s, expected_s)
 
     def _record_late_reply(self, host: str, reply: object, sent_s: float) -> None:
         """Record that the scheduler answers; the attempt has been reported as over."""
