Take no status outside 100 to 599 for an answer

Callers of a server that sent status 000, 001, 020, 099 or 199 waited for their whole deadline, or got status 200 with the foreign body before the answer's own; after 600 and 999 their connection was closed without an answer. Cause: whatever was below 200 was taken for an interim response, and a body was kept whichever head it followed; a status above 599 failed only where the caller's answer began. Change: such a status, and a body before the final head, fail the answer as a malformed head does.

--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -18,6 +18,10 @@
 HIGH_WATER_BYTES = 256 * 1024
 SMALL_BODY_BYTES = 16 * 1024
 BODILESS_STATUSES = (204, 304)
+# RFC 9110, 15: a status outside of these belongs to no class.
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
 
 
 class ConnectionCutError(ConnectionError):
@@ -214,7 +218,12 @@
     def on_headers_complete(self) -> None:
         """Store the status unless it is interim; called by the parser."""
         status = self._parser.get_status_code()
-        if status < 200 or self.head_complete:
+        if self._failure or self.head_complete:
+            return
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self.fail(f"status {status} is not in {MIN_STATUS} to {MAX_STATUS}")
+            return
+        if status < MIN_FINAL_STATUS:
             return
         self.status = status
         self.head_complete = True
@@ -228,7 +237,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Buffer a part of the body; called by the parser."""
-        if self.complete:
+        if self.complete or not self.head_complete:
             self.fail("the answer has a body where none is allowed")
             return
         self._framing_bytes = 0
