Take no status outside 200 to 599 for a response of a host

Cause: the command line took any status below 300 for a success, so that a host's 000 with the right body would have counted as one, and no other host was asked. Change: such a response is a failed attempt, which may have been accepted.

--- a/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
+++ b/packages/almondfield-cli/src/almondfield_cli/tests/cli.feature
@@ -162,3 +162,16 @@
       | HTTP/1.1 200 OK\r\ncontent-len                              | UNAVAILABLE |
       | nonsense\r\n\r\n                                            | UNAVAILABLE |
       | HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}              | FAILED      |
+
+  # Guards against a status that HTTP doesn't know, which counted as a success below 300.
+  Scenario Outline: A response of status <status> is a failed attempt
+    When a host responds to a status over HTTP with "HTTP/1.1 <status> X\r\ncontent-length: 2\r\n\r\n{}" and closes
+    Then it ends with UNAVAILABLE
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 199    |
+      | 600    |
+      | 999    |
--- a/packages/almondfield-cli/src/almondfield_cli/transport.py
+++ b/packages/almondfield-cli/src/almondfield_cli/transport.py
@@ -18,6 +18,9 @@
 ]
 
 MAX_CONNECT_S = 2.0
+# Statuses of final responses; others belong to no class of RFC 9110, 15.
+MIN_STATUS = 200
+MAX_STATUS = 599
 
 # aiosonic does not wrap errors of the stream and of its parser.
 _REQUEST_ERRORS = (
@@ -118,4 +121,8 @@
                 body = await response.content()
         except _REQUEST_ERRORS as error:
             return Err(FailedAttempt(host, str(error) or type(error).__name__))
-        return Ok(HttpResponse(host, response.status_code, body))
+        status = response.status_code
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            reason = f"HTTP status {status}; {MIN_STATUS} to {MAX_STATUS} are allowed"
+            return Err(FailedAttempt(host, reason))
+        return Ok(HttpResponse(host, status, body))
