Log which messages between hosts take a host's processor time

Cause: what a busy leader spends its processor time on couldn't be told from its logs. Change: the usage line, each 10 s, names the eight kinds of messages with the most. Result: a scenario of usage.feature fails before.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -140,7 +140,7 @@
         stop.on_request(self.begin_stop)
         coroutines = (
             self.peers.run(),
-            log_usage(),
+            log_usage(lambda: self.peers.stats().stats_by_kind),
             self._loop_monitor.run(),
             *self.background_coroutines(),
         )
