Let messages take turns in the order in which they came

Change: the queue whose first message came first gets turns for all of its messages that came before those of the others.

--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/inbox.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/inbox.py
@@ -61,9 +61,11 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
+            turns = 0
             while self._queue:
                 if not self._is_urgent(self._queue[0][0].kind):
-                    await self._turns.take()
+                    turns = turns or await self._turns.take(self._queue)
+                    turns -= 1
                 envelope, queued_s = self._queue.popleft()
                 self._budget.used_bytes -= counted_bytes(envelope)
                 await self._handle(envelope, now() - queued_s)
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/many_senders.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/many_senders.feature
@@ -24,6 +24,13 @@
     When the first of the others sends 500 reports to "b" at once, and then the others one
     Then "b" handled the other hosts' reports before it had handled 300
 
+  # Guards against FAIR: a busy host took the messages of its senders in turn, so that those of
+  # the router of a hot team waited for seconds while others were answered at once.
+  Scenario: The messages of a busy sender are handled before those that came later
+    Given 50 messages of one sender that came 1 s before those of 100 others
+    When all of them take turns
+    Then the 50 take theirs before 20 of the others
+
   # Guards against a scheduler that doesn't know how late it is.
   Scenario: A handler knows how long its message waited for it
     Given each report takes "b" 0.2 s
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/many_senders_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/tests/steps/many_senders_steps.py
@@ -1,11 +1,13 @@
 """Steps of many_senders.feature."""
 
 import asyncio
+from collections import deque
 
 from behave import given, then, when
 
 from almondfield_core.messages import AnnouncementRelay, DemandReport, SlotGrant
 from almondfield_daemon.peers.tests.fakes import MemoryNetwork, Node, report
+from almondfield_daemon.peers.turns import HandlingTurns
 from almondfield_testing import run
 
 SETTLING_S = 1.0
@@ -184,3 +186,43 @@
 def step_impl(context, first, second, third):
     waited_s = [round(seconds, 2) for seconds in context.receiver.waited_s]
     assert waited_s == [first, second, third], waited_s
+
+
+@given(
+    "{count:d} messages of one sender that came {seconds:g} s before those of "
+    "{others:d} others"
+)
+def step_impl(context, count, seconds, others):
+    context.received_s_by_sender = {
+        "busy": [0.0] * count,
+        **{f"other-{number}": [seconds] for number in range(others)},
+    }
+
+
+@when("all of them take turns")
+def step_impl(context):
+    context.order = []
+
+    async def take_all():
+        turns = HandlingTurns()
+
+        async def take(sender, received_s):
+            queue = deque((sender, item) for item in received_s)
+            count = 0
+            while queue:
+                count = count or await turns.take(queue)
+                count -= 1
+                context.order.append(queue.popleft()[0])
+
+        senders = context.received_s_by_sender.items()
+        await asyncio.gather(*(take(*item) for item in reversed(list(senders))))
+
+    run(context, take_all())
+
+
+@then("the {count:d} take theirs before {others:d} of the others")
+def step_impl(context, count, others):
+    expected = sum(map(len, context.received_s_by_sender.values()))
+    assert len(context.order) == expected, len(context.order)
+    last = [i for i, sender in enumerate(context.order) if sender == "busy"][-1]
+    assert last + 1 - count < others, last
--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/turns.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/turns.py
@@ -1,11 +1,15 @@
 """Turns that the handlers of messages take, so that other tasks run between them."""
 
 import asyncio
-from collections import deque
+import itertools
+import math
+from collections.abc import Sequence
+from heapq import heappop, heappush
+from typing import Any
 
 __all__ = ["HandlingTurns"]
 
-MAX_TURNS_PER_ITERATION = 16  # some milliseconds of a busy scheduler's decisions
+TURNS_PER_ITERATION = 16  # some milliseconds of a busy scheduler's decisions
 
 
 class HandlingTurns:
@@ -13,24 +17,33 @@
 
     Each sender has a task that passes its messages on. Without a bound, one iteration
     handles all that has come from all senders, and what keeps a lease, heartbeats and
-    replies of the control group, waits for as long.
+    replies of the control group, waits for as long. Messages take turns in the order in
+    which they came, not by sender, so that those of a busy sender wait no longer.
     """
 
     def __init__(self) -> None:
-        self._waiters: deque[asyncio.Future[None]] = deque()
-        self._left = MAX_TURNS_PER_ITERATION
+        # When the first message of a queue came, a number in place of the order of
+        # queues, the queue, and what is set to the number of its turns.
+        self._waiters: list[
+            tuple[float, int, Sequence[tuple[Any, float]], asyncio.Future[int]]
+        ] = []
+        self._numbers = itertools.count()
+        self._left = TURNS_PER_ITERATION
         self._is_scheduled = False
 
-    async def take(self) -> None:
-        """Return once it is the caller's turn; those who wait come in their order."""
+    async def take(self, queue: Sequence[tuple[Any, float]]) -> int:
+        """Return how many messages of a queue may be handled now, at least one.
+
+        :param queue: the messages of one sender, and when each came, in seconds of the
+            loop's clock; at least one.
+        """
+        self._schedule_refill()
         if self._left and not self._waiters:
             self._left -= 1
-            self._schedule_refill()
-            return
+            return 1
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters.append(waiter)
-        self._schedule_refill()
-        await waiter
+        heappush(self._waiters, (queue[0][1], next(self._numbers), queue, waiter))
+        return await waiter
 
     def _schedule_refill(self) -> None:
         if not self._is_scheduled:
@@ -40,11 +53,17 @@
     def _refill(self) -> None:
         """Give out the turns of the next iteration."""
         self._is_scheduled = False
-        self._left = MAX_TURNS_PER_ITERATION
+        self._left = TURNS_PER_ITERATION
         while self._left and self._waiters:
-            waiter = self._waiters.popleft()
-            if not waiter.done():  # it may have been cancelled
-                waiter.set_result(None)
-                self._left -= 1
-        if self._left < MAX_TURNS_PER_ITERATION:
+            _, _, queue, waiter = heappop(self._waiters)
+            if waiter.done():  # cancelled
+                continue
+            next_s = self._waiters[0][0] if self._waiters else math.inf
+            count = 1
+            most = min(self._left, len(queue))
+            while count < most and queue[count][1] <= next_s:
+                count += 1
+            waiter.set_result(count)
+            self._left -= count
+        if self._left < TURNS_PER_ITERATION:
             self._schedule_refill()
