Refuse what has waited too long for a busy scheduler without a decision

Change: a request that has waited for over half of its latency target is refused, to be sent again in 0.3 s; its work counts for the demand of its team, and it isn't counted as a decision that the host can make. Result: an outline of scheduling.feature; without the change the overdue request is assigned. 155 scenarios of scheduling, peers and engines pass.

--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/busy_control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/busy_control.py
@@ -38,14 +38,21 @@
         self._update_number = 0
         self._told_number_by_router: dict[str, int] = {}
 
-    def record(self, router: str, message: EngineRequest, waited_s: float) -> None:
+    def record(
+        self,
+        router: str,
+        message: EngineRequest,
+        waited_s: float,
+        is_decided: bool = True,
+    ) -> None:
         """Record a request that is handled now.
 
         :param router: host of the router that sent it.
         :param message: the request.
         :param waited_s: how long it waited for its handler, in seconds.
+        :param is_decided: whether it is decided on; it isn't if it is overdue.
         """
-        self._limit.record(message.request.team, message.prompts)
+        self._limit.record(message.request.team, message.prompts, is_decided)
         if message.sent_s:
             self._queue_delay.record(router, message.sent_s, waited_s)
         if self._limit.is_due:
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -26,11 +26,14 @@
     AttemptId,
     EngineScheduler,
     EngineServer,
+    PromptRequest,
     Refused,
 )
 
 __all__ = ["EngineService"]
 
+# Routers wait so long at first. What is left of the target is for wait and prefill.
+MAX_WAITED_SHARE = 0.5  # of the latency target
 CLEAN_UP_INTERVAL_S = 1.0  # also the interval of the scheduler:load log messages
 MAX_TEAMS = 5  # in one scheduler:teams message; those with the most demand
 
@@ -97,7 +100,8 @@
     def _log_load(pool: str, scheduler: EngineScheduler) -> None:
         load = scheduler.collect_load()
         teams = scheduler.collect_team_loads(MAX_TEAMS)
-        refused = load.refused_full + load.refused_over_share + load.refused_late
+        refused = load.refused_full + load.refused_over_share
+        refused += load.refused_late + load.refused_overdue
         if load.admitted or refused:
             eliot.log_message("scheduler:load", pool=pool, **asdict(load))
         if refused:
@@ -125,10 +129,17 @@
             return NotScheduling()
         attempt = AttemptId(sender, message.number)
         scheduler = self._scheduler(message.pool, table)
-        self._busy_control.record(sender, message, self._peers.handling_delay_s)
+        waited_s = self._peers.handling_delay_s
+        is_overdue = _is_overdue(message.request, waited_s)
+        self._busy_control.record(sender, message, waited_s, not is_overdue)
         shares = self._busy_control.changed_shares(sender)
         scheduler.closed_names = self._limits.closed_servers()
-        match scheduler.decide(attempt, message.request, table.limits.work_per_s):
+        if is_overdue:
+            decision = scheduler.refuse_overdue(message.request)
+        else:
+            work_per_s = table.limits.work_per_s
+            decision = scheduler.decide(attempt, message.request, work_per_s)
+        match decision:
             case Admitted(server, uncached_tokens, wait_s):
                 self._limits.take(server)
                 return EngineReply(server, uncached_tokens, wait_s, self._start, shares)
@@ -206,5 +217,14 @@
         ]
 
 
+def _is_overdue(request: PromptRequest, waited_s: float) -> bool:
+    """Return whether a request has waited so long that others come first.
+
+    The answer to a repeated one may have been delivered in part.
+    """
+    limit_s = MAX_WAITED_SHARE * request.latency_target_s
+    return waited_s > limit_s > 0 and not request.is_repeat
+
+
 def _engine(server: FleetServer, cache_tokens: int) -> EngineServer:
     return EngineServer(server.name, server.born_ms, server.slots, cache_tokens)
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
@@ -152,3 +152,19 @@
     And "r1" requests an engine
     And 0.1 s pass
     Then "r1" told the scheduler of its prefixes 1 times
+
+  # Guards against FAIR: a scheduler that is behind spent its time on requests whose routers no
+  # longer waited, so that each reply came seconds late.
+  Scenario Outline: <request> that has waited <waited> s for a scheduler
+    When "c1" handles <request> with a target of 0.8 s that has waited <waited> s
+    Then it is <outcome>
+
+    Examples:
+      | request   | waited | outcome                            |
+      | a request | 0.39   | assigned                           |
+      | a request | 0.41   | refused, to be sent again in 0.3 s |
+      | a repeat  | 0.41   | assigned                           |
+
+  Scenario: What a team asked for counts for its share though it waited too long
+    When "c1" handles a request with a target of 0.8 s that has waited 0.41 s
+    Then "c1" knows of a demand of 5100 tokens
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
@@ -393,3 +393,42 @@
 def step_impl(context, count):
     told = context.network.count_by_kind.get("engine-prefixes", 0)
     assert told == count, told
+
+
+@when(
+    '"{host}" handles {request} with a target of {target_s:g} s that has waited {s:g} s'
+)
+def step_impl(context, host, request, target_s, s):
+    context.network.peers_by_host[host].handling_delay_s = s
+
+    async def ask():
+        item = PromptRequest(
+            "team", prompt("t", 1), target_s, is_repeat=request == "a repeat"
+        )
+        return await context.client.request_engine(POOL, item)
+
+    context.decision = run(context, ask())
+
+
+@then("it is assigned")
+def step_impl(context):
+    assert isinstance(context.decision, EngineAssignment), context.decision
+
+
+@then("it is refused, to be sent again in {seconds:g} s")
+def step_impl(context, seconds):
+    assert isinstance(context.decision, EngineRefusal), context.decision
+    assert context.decision.retry_after_s == seconds, context.decision
+    assert not context.decision.is_over_share
+
+
+@then('"{host}" knows of a demand of {tokens:d} tokens')
+def step_impl(context, host, tokens):
+    scheduler = context.service_by_host[host]._scheduler_by_pool[POOL]
+
+    async def collect():
+        return scheduler.collect_team_loads(1)
+
+    (load,) = run(context, collect())
+    assert load.demand == tokens, load
+    assert load.refused_overdue == 1, load
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -60,6 +60,7 @@
 REPEAT_MAX_WAIT_S = 1.2  # callers abandon a stream after a 2 s pause, prefill included
 LATE_REQUEST_USAGE = 0.8  # above it, a team's late requests are refused
 MIN_RETRY_S = 0.1  # a fraction of the prefill time of one prompt
+OVERDUE_RETRY_S = 0.3  # in which a scheduler works off some hundred requests
 SAMPLE_INTERVAL_S = 0.01  # a small part of the time constant of the busy shares
 TARGET_DECAY = 0.999  # the strictest target decays over about 1000 requests
 
@@ -179,6 +180,16 @@
         self._counts.add("unread_tokens", uncached)
         return Admitted(engine.server.name, uncached, waits_s[chosen])
 
+    def refuse_overdue(self, request: PromptRequest) -> Refused:
+        """Return the refusal of a request that waited too long for a decision.
+
+        :param request: the request.
+        """
+        self._shares.record_demand(request.team, work_tokens(request.prompt))
+        self.record_refused(request.prompt.identifier)
+        self._counts.add_for(request.team, "refused_overdue")
+        return Refused(OVERDUE_RETRY_S, False, 0.0)
+
     def _usable_engines(self, request: PromptRequest) -> list[Engine]:
         excluded = request.excluded
         return [e for e in self._open_engines() if e.server.name not in excluded]
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/decision_limit.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/decision_limit.py
@@ -37,13 +37,14 @@
         self._prompts_by_team: Counter[str] = Counter()
         self._rate_by_team: dict[str, float] = {}
 
-    def record(self, team: str, prompts: int) -> None:
-        """Record a decision on one of a team's prompts.
+    def record(self, team: str, prompts: int, is_decided: bool = True) -> None:
+        """Record a request for a decision on one of a team's prompts.
 
         :param team: name of the team.
         :param prompts: its prompts since the router last asked for it.
+        :param is_decided: whether there is a decision.
         """
-        self._decisions += 1
+        self._decisions += is_decided
         self._prompts_by_team[team] += prompts
 
     @property
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
@@ -37,6 +37,7 @@
     :ivar refused_over_share: requests refused because their team exceeded its share.
     :ivar refused_late: requests of callers that returned too late to be answered in
         time, refused in favour of first requests of their team.
+    :ivar refused_overdue: requests that waited too long for a decision.
     :ivar longest_wait_s: longest predicted wait at an engine now, in seconds.
     :ivar prefill_rate: median of the engines' prompt tokens per second.
     :ivar answer_delay_s: time from the end of prefill to the report of the first event,
@@ -53,6 +54,7 @@
     refused_full: int = 0
     refused_over_share: int = 0
     refused_late: int = 0
+    refused_overdue: int = 0
     longest_wait_s: float = 0.0
     prefill_rate: float = 0.0
     answer_delay_s: float = 0.0
@@ -70,6 +72,7 @@
     :ivar refused_full: requests refused because the engines were full.
     :ivar refused_over_share: requests refused because it exceeded its share.
     :ivar refused_late: requests refused because their callers returned too late.
+    :ivar refused_overdue: requests refused because they waited too long for a decision.
     """
 
     team: str
@@ -80,6 +83,7 @@
     refused_full: int = 0
     refused_over_share: int = 0
     refused_late: int = 0
+    refused_overdue: int = 0
 
 
 class DecisionCounts:
