Keep no prompts of a router's intake that have left the window

Cause: found by reading again: the sums of what a router has read and passed on by team drop what has left their window only when they are asked for, which a router that is never late doesn't do; each prompt took memory for good. Change: recording a prompt asks for them. Result: a scenario of intake_shares.feature fails before (4,000 of 2,000 prompts' entries kept after 100 s, 42 allowed).

--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/intake_shares.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/intake_shares.py
@@ -38,6 +38,9 @@
         if counts is None:
             counts = self._team_by_name[team] = _Team()
         counts.read.add(now(), 1.0)
+        # Sums drop what has left the window only when they are asked for.
+        counts.read.total()
+        counts.passed_on.total()
 
     def record_passed_on(self, team: str) -> None:
         """Record that the prompt read last isn't refused for the router's delay.
