Give out turns anew only once they are used up

Cause: each message of an idle host had the loop iterate once more. Change: turns are given out anew when a message has to wait for one; at most 32 messages are handled between two runs of another task, as before.

--- a/packages/almondfield-daemon/src/almondfield_daemon/peers/turns.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/peers/turns.py
@@ -22,8 +22,8 @@
     """
 
     def __init__(self) -> None:
-        # When the first message of a queue came, a number in place of the order of
-        # queues, the queue, and what is set to the number of its turns.
+        # When the first message of a queue came, a number that decides between two
+        # such times, the queue, and what is set to the number of its turns.
         self._waiters: list[
             tuple[float, int, Sequence[tuple[Any, float]], asyncio.Future[int]]
         ] = []
@@ -37,12 +37,12 @@
         :param queue: the messages of one sender, and when each came, in seconds of the
             loop's clock; at least one.
         """
-        self._schedule_refill()
         if self._left and not self._waiters:
             self._left -= 1
             return 1
         waiter = asyncio.get_running_loop().create_future()
         heappush(self._waiters, (queue[0][1], next(self._numbers), queue, waiter))
+        self._schedule_refill()
         return await waiter
 
     def _schedule_refill(self) -> None:
@@ -65,5 +65,5 @@
                 count += 1
             waiter.set_result(count)
             self._left -= count
-        if self._left < TURNS_PER_ITERATION:
+        if self._waiters:
             self._schedule_refill()
