Evacuate data centres through the replicated log

Operators had no way to take the backend servers of a data centre out of use before work on it. POST and DELETE /v1/evacuations/ZONE now change a replicated record of each data centre; LeaseReply and TableNotice carry the result to the routers, which exclude its servers, also for requests that are assigned but not sent. The engine scheduler closes its engines and keeps their cache models.

--- a/packages/almondfield-control/src/almondfield_control/commands/__init__.py
+++ b/packages/almondfield-control/src/almondfield_control/commands/__init__.py
@@ -1,6 +1,7 @@
 """Commands that the control group replicates."""
 
 from almondfield_control.commands.core import (
+    ChangeEvacuation,
     ClaimKey,
     Command,
     FencingIssued,
@@ -18,6 +19,7 @@
 )
 
 __all__ = [
+    "ChangeEvacuation",
     "ClaimKey",
     "Command",
     "FencingIssued",
--- a/packages/almondfield-control/src/almondfield_control/commands/core.py
+++ b/packages/almondfield-control/src/almondfield_control/commands/core.py
@@ -12,6 +12,7 @@
 )
 
 __all__ = [
+    "ChangeEvacuation",
     "ClaimKey",
     "Command",
     "FencingIssued",
@@ -145,6 +146,26 @@
     document: bytes
 
 
+@wire_message("change-evacuation")
+@dataclass(frozen=True)
+class ChangeEvacuation:
+    """Begins or ends the evacuation of a data centre.
+
+    A message of a call may be delayed until after later calls. It changes nothing then,
+    as a command about the same data centre has an index above ``known_index``.
+
+    :ivar data_centre: the data centre.
+    :ivar in_force: whether it is to be evacuated.
+    :ivar requested_by: address of the operator.
+    :ivar known_index: an entry that was applied once the operator had called.
+    """
+
+    data_centre: str
+    in_force: bool
+    requested_by: str
+    known_index: int
+
+
 @wire_message("fencing-issued")
 @dataclass(frozen=True)
 class FencingIssued:
@@ -161,6 +182,7 @@
     | MarkClaimsLost
     | FencingIssued
     | PublishTable
+    | ChangeEvacuation
 )
 
 
--- /dev/null
+++ b/packages/almondfield-control/src/almondfield_control/evacuations/__init__.py
@@ -0,0 +1,7 @@
+"""Evacuations of data centres: requested by operators, obeyed by all hosts."""
+
+from almondfield_control.evacuations.client import EvacuationClient
+from almondfield_control.evacuations.service import EvacuationService
+from almondfield_control.evacuations.view import EvacuationView
+
+__all__ = ["EvacuationClient", "EvacuationService", "EvacuationView"]
--- a/packages/almondfield-control/src/almondfield_control/publishing/core.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/core.py
@@ -1,11 +1,17 @@
 """Publication of routing tables by the members of the control group."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 import eliot
 from result import Err, Ok, Result
 
-from almondfield_control.commands import LogEntry, NoOperation, PublishTable
+from almondfield_control.commands import (
+    ChangeEvacuation,
+    LogEntry,
+    NoOperation,
+    PublishTable,
+)
 from almondfield_control.consensus import Replica
 from almondfield_control.freshness import NotLeader
 from almondfield_control.node.leader_client import LeaderClient
@@ -27,6 +33,7 @@
 __all__ = ["TablePublisher"]
 
 PUBLISH_KIND = kind_of(PublishTable)
+EVACUATION_KIND = kind_of(ChangeEvacuation)
 
 
 class TablePublisher:
@@ -148,16 +155,21 @@
     ) -> LeaseReply | NotLeader:
         if not self.is_leader:
             return self._not_leader()
-        published = self._replica.state.published
+        state = self._replica.state
+        published = state.published
         members = self._replica.log.members
-        control_hosts = tuple(member.host for member in members)
         version = published.table.version if published else 0
+        reply = LeaseReply(
+            version,
+            control_hosts=tuple(member.host for member in members),
+            evacuated=tuple(state.evacuations.in_force),
+            evacuations_index=state.evacuations.index,
+        )
         if published is None or version == request.version:
-            return LeaseReply(version, control_hosts=control_hosts)
+            return reply
         if request.unpacks:
-            packed = self._packer.pack(published.table)
-            return LeaseReply(version, control_hosts=control_hosts, packed=packed)
-        return LeaseReply(version, published.table, control_hosts)
+            return replace(reply, packed=self._packer.pack(published.table))
+        return replace(reply, table=published.table)
 
     def _on_apply(self, entry: LogEntry, outcome: object) -> None:
         replica = self._replica
@@ -168,9 +180,14 @@
             eliot.log_message(
                 "table:accepted", version=version, entry=entry.index, term=entry.term
             )
+        evacuations_index = replica.state.evacuations.index
+        is_evacuation = (
+            entry.kind == EVACUATION_KIND and entry.index == evacuations_index
+        )
         leads = replica.is_leader and entry.term == replica.leadership.term
-        if leads and (is_table or entry.term != self._notified_term):
+        is_news = is_table or is_evacuation
+        if leads and (is_news or entry.term != self._notified_term):
             # Also sent once per term, so that routers without a leader find it.
             self._notified_term = entry.term
             for router in self._routers():
-                self._peers.send(router, TableNotice(version))
+                self._peers.send(router, TableNotice(version, evacuations_index))
--- a/packages/almondfield-control/src/almondfield_control/publishing/messages.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/messages.py
@@ -81,20 +81,26 @@
     :ivar table: the table, if the router holds another version and doesn't unpack.
     :ivar packed: the packed table, if the router holds another version and unpacks.
     :ivar control_hosts: hosts of the members of the control group.
+    :ivar evacuated: the evacuated data centres.
+    :ivar evacuations_index: log entry of the last change of them; 0 for none.
     """
 
     version: int
     table: RoutingTable | None = None
     control_hosts: tuple[str, ...] = ()
     packed: bytes = b""
+    evacuated: tuple[str, ...] = ()
+    evacuations_index: int = 0
 
 
 @wire_message("table-notice")
 @dataclass(frozen=True)
 class TableNotice:
-    """Notification that the sender leads, with the version of the table in force.
+    """Notification that the sender leads, with what is in force there.
 
-    :ivar version: the version; 0 if there is no table yet.
+    :ivar version: version of the table; 0 if there is none yet.
+    :ivar evacuations_index: log entry of the last change of evacuations; 0 for none.
     """
 
     version: int
+    evacuations_index: int = 0
--- a/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
@@ -1,4 +1,4 @@
-"""The routing table of one router and its freshness lease."""
+"""The routing table of one router, its freshness lease, and the evacuations."""
 
 import asyncio
 from collections.abc import Callable
@@ -6,6 +6,7 @@
 import eliot
 from result import Err, Ok
 
+from almondfield_control.evacuations.view import EvacuationView
 from almondfield_control.node.leader_client import LeaderClient
 from almondfield_control.publishing.messages import (
     LeaseReply,
@@ -38,6 +39,7 @@
     :param on_control_hosts: called with the hosts of the control group.
 
     :ivar index: the table, indexed by its keys.
+    :ivar evacuations: the evacuations, which are kept when the lease expires.
     """
 
     def __init__(
@@ -55,6 +57,11 @@
         self._is_fresh = False
         self._wake = asyncio.Event()
         self.index = RoutingIndex(RoutingTable())
+        self.evacuations = EvacuationView()
+
+    def evacuated_data_centres(self) -> frozenset[str]:
+        """Return the evacuated data centres, as of the newest known change."""
+        return self.evacuations.in_force
 
     @property
     def version(self) -> int:
@@ -102,6 +109,8 @@
 
     def _install_reply(self, reply: LeaseReply, sent_at_s: float) -> None:
         self._on_control_hosts(reply.control_hosts)
+        # Before the table, with which this router becomes ready.
+        self.evacuations.install(reply.evacuations_index, reply.evacuated)
         if reply.version < self.version:
             # A leader with an older table cannot confirm the table of this router.
             return
@@ -138,5 +147,10 @@
             )
 
     async def _on_notice(self, sender: str, notice: TableNotice) -> None:
-        if self._leader.set_leader(sender) or notice.version > self.version:
+        is_new_leader = self._leader.set_leader(sender)
+        is_news = (
+            notice.version > self.version
+            or notice.evacuations_index > self.evacuations.index
+        )
+        if is_new_leader or is_news:
             self._wake.set()
--- a/packages/almondfield-control/src/almondfield_control/state/core.py
+++ b/packages/almondfield-control/src/almondfield_control/state/core.py
@@ -3,6 +3,7 @@
 import itertools
 
 from almondfield_control.commands import (
+    ChangeEvacuation,
     ClaimKey,
     FencingIssued,
     LeasePool,
@@ -18,6 +19,7 @@
 )
 from almondfield_control.state.audit import AcceptedChange
 from almondfield_control.state.claims import ClaimTable
+from almondfield_control.state.evacuations import EvacuationTable
 from almondfield_control.state.image import StateHead, StateImage
 from almondfield_core.messages import (
     ChangeAccepted,
@@ -48,6 +50,7 @@
     :ivar fencing: last fencing number that was issued.
     :ivar members: members as of the last applied entry.
     :ivar published: the routing table in force; None before the first one.
+    :ivar evacuations: evacuations of data centres.
     """
 
     def __init__(self) -> None:
@@ -61,6 +64,7 @@
         self.fencing = 0
         self.members: tuple[Member, ...] = ()
         self.published: PublishTable | None = None
+        self.evacuations = EvacuationTable()
         self._audit_by_revision: dict[int, AcceptedChange] = {}
         self._revision_by_change_id: dict[str, int] = {}
         self._conflict_by_change_id: dict[str, ChangeConflict] = {}
@@ -90,6 +94,8 @@
                 return self.claims.mark_lost(command)
             case PublishTable() as command:
                 return self._publish(command)
+            case ChangeEvacuation() as command:
+                return self.evacuations.change(command, entry.index, self.unix_s)
             case FencingIssued():
                 self.fencing += 1
                 return self.fencing
@@ -144,6 +150,7 @@
             fencing=self.fencing,
             members=self.members,
             published=self.published,
+            evacuations=self.evacuations.records,
             revision_by_change_id=dict(self._revision_by_change_id),
         )
         return StateImage(
@@ -171,6 +178,7 @@
         state.fencing = head.fencing
         state.members = head.members
         state.published = head.published
+        state.evacuations = EvacuationTable(head.evacuations)
         state.leases_index = head.leases_index
         state._revision_by_change_id = dict(head.revision_by_change_id)
         state._audit_by_revision = {change.revision: change for change in image.audit}
--- a/packages/almondfield-control/src/almondfield_control/state/image.py
+++ b/packages/almondfield-control/src/almondfield_control/state/image.py
@@ -14,6 +14,7 @@
 from almondfield_control.commands import Member, PublishTable
 from almondfield_control.state.audit import AcceptedChange
 from almondfield_control.state.claims import ClaimRecord
+from almondfield_control.state.evacuations import EvacuationRecord
 from almondfield_core.messages import ChangeConflict, PoolLease
 from almondfield_core.tables import Pool, Route
 
@@ -37,6 +38,7 @@
     :ivar members: members as of the last applied entry.
     :ivar revision_by_change_id: revision created by each accepted change.
     :ivar published: the routing table in force; None before the first one.
+    :ivar evacuations: evacuations of data centres; none in snapshots of earlier builds.
     """
 
     index: int
@@ -49,6 +51,7 @@
     members: tuple[Member, ...]
     revision_by_change_id: dict[str, int]
     published: PublishTable | None = None
+    evacuations: tuple[EvacuationRecord, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-core/src/almondfield_core/messages/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/messages/__init__.py
@@ -20,6 +20,11 @@
     TableChange,
     VoterStatus,
 )
+from almondfield_core.messages.evacuations import (
+    Evacuation,
+    EvacuationChanged,
+    EvacuationList,
+)
 from almondfield_core.messages.operators import (
     DrainRequest,
     DrainStarted,
@@ -62,6 +67,9 @@
     "DemandReport",
     "DrainRequest",
     "DrainStarted",
+    "Evacuation",
+    "EvacuationChanged",
+    "EvacuationList",
     "FleetStatus",
     "InFlight",
     "InForce",
--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -108,6 +108,11 @@
         "s",
         default=4.0,
     )
+    region_by_data_centre: dict[str, str] = item(
+        "Region of each data centre of the deployment, by its name; if empty, the data "
+        "centres of known routers and backend servers are used.",
+        default_factory=dict,
+    )
     answers: AnswerSettings = item(
         "Limits on the answers of backend servers.", default=AnswerSettings()
     )
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
@@ -59,6 +59,12 @@
         """Return all servers, including those that left recently."""
         return self._registry.servers()
 
+    def data_centres(self) -> frozenset[str]:
+        """Return the data centres of the routers and servers that are known."""
+        return self.routers.data_centres().union(
+            [server.data_centre for server in self.servers()]
+        )
+
     def register_handlers(self) -> None:
         """Register the handlers of messages."""
         self._peers.register_handler(RouterHello, self._on_hello)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
@@ -54,6 +54,12 @@
         self._expire()
         return tuple(self._record_by_host)
 
+    def data_centres(self) -> frozenset[str]:
+        """Return the data centres of the routers that :meth:`hosts` returns."""
+        self._expire()
+        records = self._record_by_host.values()
+        return frozenset([item.hello.data_centre for item in records])
+
     def addresses(self, region: str, data_centre: str) -> tuple[str, ...]:
         """Return router addresses for a caller, in random order.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from almondfield_control.consensus import GroupPolicy, LogLimits, Replica
+from almondfield_control.evacuations import EvacuationClient, EvacuationService
 from almondfield_control.publishing import TablePublisher
 from almondfield_control.storage import FolderDisk
 from almondfield_core.clock import WallClock, now
@@ -23,6 +24,7 @@
 HAND_OVER_TIMEOUT_S = 1.0  # a fraction of the grace period of a shutdown
 DOCUMENT_MEMORY_FRACTION = 1 / 32  # a log entry holds it twice, as sent and decoded
 SCHEDULER_START_BITS = 48
+LEARNING_S = 3.0  # two announcements of each server
 MIN_SEEDS_OF_GROUP = 3  # smaller deployments list all their control hosts as seeds
 
 
@@ -35,6 +37,8 @@
 
     :ivar fleet: tracks routers and backend servers.
     :ivar publisher: publishes the routing table.
+    :ivar evacuations: begins, ends and lists evacuations of data centres.
+    :ivar evacuation_service: the evacuations in this host's state.
     :ivar max_document_bytes: size of the largest routing table that operators may send.
     """
 
@@ -45,12 +49,14 @@
         self.max_document_bytes = int(DOCUMENT_MEMORY_FRACTION * settings.memory_bytes)
         self._disk = FolderDisk(Path(settings.data_folder))
         rng = random.SystemRandom()
+        self._started_s = now()
+        wall_clock = WallClock(started_unix_s - now())
         self._replica = Replica(
             self.peers,
             self._disk,
             settings.seeds,
             settings.daemon_settings().timing,
-            WallClock(started_unix_s - now()),
+            wall_clock,
             rng,
             GroupPolicy(settings.may_form, True, _min_voters(settings)),
             LogLimits.of_memory(settings.memory_bytes),
@@ -60,6 +66,10 @@
         self.publisher = TablePublisher(
             self._replica, self.peers, leader, self.fleet.routers.hosts
         )
+        self.evacuations = EvacuationClient(leader)
+        self.evacuation_service = EvacuationService(
+            self._replica, self.peers, wall_clock
+        )
         self._limits = LimitService(self.peers, self.publisher)
         self.fleet.server_limits = self._limits.limits
         self._engines = EngineService(
@@ -69,17 +79,47 @@
             self._limits,
             settings.share_window_s,
             lambda: rng.getrandbits(SCHEDULER_START_BITS),
+            self.evacuated_data_centres,
         )
         self._origins = OriginService(self.peers, self.fleet)
         self._quarantine = QuarantineService(
             self.peers, self.fleet.routers.hosts, self._members
         )
         count = self._quarantine.table.quarantined_count
-        self.serve_metrics(ControlMetrics(self.fleet, count))
+        self.serve_metrics(
+            ControlMetrics(self.fleet, count, self.evacuated_data_centres)
+        )
+
+    def evacuated_data_centres(self) -> frozenset[str]:
+        """Return the evacuated data centres as of this host's applied state."""
+        return self.evacuation_service.evacuated_data_centres()
+
+    def knows_data_centre(self, name: str) -> bool:
+        """Return whether a data centre is known, now or from an earlier evacuation.
+
+        Without ``region_by_data_centre`` in the settings, the data centres of routers
+        and backend servers are known.
+
+        :param name: name of the data centre.
+        """
+        settings = self.settings
+        if name == settings.data_centre or name in settings.region_by_data_centre:
+            return True
+        if any(r.data_centre == name for r in self.evacuation_service.records()):
+            return True
+        if settings.region_by_data_centre:
+            return False
+        return name in self.fleet.data_centres()
+
+    def is_learning_data_centres(self) -> bool:
+        """Return whether routers and servers may still name further data centres."""
+        is_listed = bool(self.settings.region_by_data_centre)
+        return not is_listed and now() - self._started_s < LEARNING_S
 
     def background_coroutines(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return the coroutines that run until shutdown, besides the peer messaging."""
         self.publisher.register_handlers()
+        self.evacuation_service.register_handlers()
         self.fleet.register_handlers()
         self._engines.register_handlers()
         self._limits.register_handlers()
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
@@ -27,14 +27,18 @@
 
     :param notice_count_by_kind: notices of backend servers since the start.
     :param quarantines: returns the number of quarantines of prompt parts.
+    :param evacuated: returns the evacuated data centres.
     """
 
     def __init__(
         self,
         notice_count_by_kind: Mapping[NoticeKind, int],
         quarantines: Callable[[], int] = lambda: 0,
+        evacuated: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self.registry = Registry()
+        self._evacuated = evacuated
+        self._evacuations = _evacuation_gauge(self.registry)
         self._quarantines = quarantines
         self._quarantined = _quarantine_gauge(self.registry)
         self._notice_count_by_kind = notice_count_by_kind
@@ -91,6 +95,7 @@
     def refresh(self) -> None:
         """Update the gauge of quarantines and the counters of notices and refusals."""
         self._quarantined.set({}, self._quarantines())
+        self._evacuations.set({}, len(self._evacuated()))
         for kind, count in self._notice_count_by_kind.items():
             self._notices.set({"notice": kind.value}, count)
         # An addition to a counter takes longer than the refusal of a request.
@@ -104,12 +109,18 @@
 
     :param fleet: routers and backend servers.
     :param quarantines: returns the number of quarantines of prompt parts.
+    :param evacuated: returns the evacuated data centres.
     """
 
     def __init__(
-        self, fleet: FleetControl, quarantines: Callable[[], int] = lambda: 0
+        self,
+        fleet: FleetControl,
+        quarantines: Callable[[], int] = lambda: 0,
+        evacuated: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self.registry = Registry()
+        self._evacuated = evacuated
+        self._evacuations = _evacuation_gauge(self.registry)
         self._quarantines = quarantines
         self._quarantined = _quarantine_gauge(self.registry)
         self._fleet = fleet
@@ -123,6 +134,7 @@
     def refresh(self) -> None:
         """Update the gauges."""
         self._quarantined.set({}, self._quarantines())
+        self._evacuations.set({}, len(self._evacuated()))
         self._routers.set({}, len(self._fleet.routers.hosts()))
         count_by_phase: dict[str, int] = {}
         for server in self._fleet.servers():
@@ -154,6 +166,14 @@
         self._delay_s.observe({}, delay_s)
 
 
+def _evacuation_gauge(registry: Registry) -> Gauge:
+    return Gauge(
+        "almondfield_evacuated_data_centres",
+        "Evacuated data centres as this host knows them",
+        registry=registry,
+    )
+
+
 def _quarantine_gauge(registry: Registry) -> Gauge:
     return Gauge(
         "almondfield_quarantined_parts",
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -126,6 +126,7 @@
             self._limits,
             self._counts,
             self._quarantine,
+            self.evacuated_data_centres,
         )
         attempts = AttemptSender(
             self._backends,
@@ -134,7 +135,9 @@
             settings.answers.max_discarded_bytes,
         )
         self._metrics = RouterMetrics(
-            notices.count_by_kind, self._quarantine.table.quarantined_count
+            notices.count_by_kind,
+            self._quarantine.table.quarantined_count,
+            self.evacuated_data_centres,
         )
         forwarder = Forwarder(
             attempts,
@@ -162,6 +165,10 @@
         self._stop_limits = forwarder.stop_limits
         self.serve_metrics(self._metrics)
 
+    def evacuated_data_centres(self) -> frozenset[str]:
+        """Return the evacuated data centres, as of the newest known change."""
+        return self.subscription.evacuated_data_centres()
+
     @property
     def is_ready(self) -> bool:
         """Return whether this router is ready for callers."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -24,6 +24,7 @@
 from almondfield_daemon.forwarding.servers import ServerSelector
 from almondfield_daemon.forwarding.stop_limits import StopLimits, draining
 from almondfield_daemon.forwarding.take_up import locate_stream
+from almondfield_daemon.forwarding.unavailable import Unavailable
 from almondfield_daemon.router.problems import Outcome, Problem
 
 __all__ = ["Forwarder"]
@@ -93,6 +94,23 @@
             target_s = route.latency_target_s
             refused = refused or servers.late_refusal(team, target_s, unread_s)
             refused = refused or servers.unscheduled_refusal(pool, team, target_s)
+        return self._refuse_head(route, pool, team, refused)
+
+    def evacuation_refusal(
+        self, route: RouteRule, pool: str, team: str
+    ) -> Problem | None:
+        """Return a refusal if the servers of a pool are all evacuated; None otherwise.
+
+        :param route: route of a request that doesn't take a stream up.
+        :param pool: pool of the request.
+        :param team: team of the request.
+        """
+        refused = self._servers.evacuation_refusal(pool, team)
+        return self._refuse_head(route, pool, team, refused)
+
+    def _refuse_head(
+        self, route: RouteRule, pool: str, team: str, refused: Unavailable | None
+    ) -> Problem | None:
         if refused is None:
             return None
         self._window(pool).record_request()
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
@@ -28,6 +28,7 @@
     NO_VERSION = "no-version"
     CLOSED = "closed"  # all servers have said that they take no work now
     LIMIT = "limit"  # the servers' limits on all routers together are used up
+    EVACUATED = "evacuated"  # all servers are in evacuated data centres
     QUARANTINE = "quarantine"  # servers ended under the request or a part of it
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
@@ -128,6 +128,13 @@
 
     def _known_refusal(self, accepted: _AcceptedHead) -> Problem | None:
         metadata, route = accepted.metadata, accepted.route
+        if not metadata.takes_up_stream:
+            # The pool of a stream that is taken up isn't known yet.
+            evacuated = self._forwarder.evacuation_refusal(
+                route, accepted.pool, accepted.team
+            )
+            if evacuated is not None:
+                return evacuated
         if metadata.prompt is None:
             return None
         is_scheduled = route.has_prompt and not metadata.takes_up_stream
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/known_servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/known_servers.py
@@ -1,12 +1,15 @@
 """The servers of the fleet as one router knows them."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.forwarding.counts import RefusalCause
 from almondfield_daemon.forwarding.selected_server import SelectedServer, server_start
-from almondfield_daemon.forwarding.unavailable import Unavailable
+from almondfield_daemon.forwarding.unavailable import (
+    EVACUATED_RETRY_AFTER_S,
+    Unavailable,
+)
 from almondfield_daemon.quarantine import NoQuarantine, RequestQuarantine
 from almondfield_daemon.server_notices import ServerNotices, ServerStart
 
@@ -21,6 +24,7 @@
     :param view: known servers.
     :param notices: what servers said about further work.
     :param quarantine: knows which servers refused connections.
+    :param evacuated: returns the evacuated data centres, whose servers get no request.
     """
 
     def __init__(
@@ -28,7 +32,9 @@
         view: FleetView,
         notices: ServerNotices,
         quarantine: RequestQuarantine | None = None,
+        evacuated: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
+        self._evacuated = evacuated
         self._view = view
         self._notices = notices
         self._quarantine = quarantine or NoQuarantine()
@@ -76,6 +82,8 @@
         :param pool: name of the pool.
         :param version: software version that the server must have; None for any.
         """
+        if evacuated := self.evacuated(pool):
+            return evacuated
         if self.usable(pool, version) or not self.reachable(pool, version):
             return None
         wait_s = self.wait_s(pool, version)
@@ -86,6 +94,20 @@
         retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
         return Unavailable(detail, RefusalCause.CLOSED, retry_after_s)
 
+    def evacuated(self, pool: str) -> Unavailable | None:
+        """Return a refusal if all servers of a pool are in evacuated data centres.
+
+        :param pool: name of the pool.
+        """
+        evacuated = self._evacuated()
+        if not evacuated:
+            return None
+        servers = self._view.servers(pool)
+        if not servers or any([s.data_centre not in evacuated for s in servers]):
+            return None
+        detail = "the data centres of all backend servers of the pool are evacuated"
+        return Unavailable(detail, RefusalCause.EVACUATED, EVACUATED_RETRY_AFTER_S)
+
     def reachable(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
         """Return the servers of a pool that run, whether or not they take work now.
 
@@ -105,6 +127,8 @@
     def running(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
         """Return the servers of a pool that run as far as is known, silent or not.
 
+        Servers of evacuated data centres are left out, as they get no request.
+
         The version of a server that refused a connection is unknown until it is
         announced again.
 
@@ -112,6 +136,8 @@
         :param version: software version that the server must have; None for any.
         """
         servers = self._view.servers(pool)
+        if evacuated := self._evacuated():
+            servers = tuple([s for s in servers if s.data_centre not in evacuated])
         if version is not None:
             servers = tuple(
                 [
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
@@ -1,6 +1,6 @@
 """Choice of a server from a router's own data, and what begins with it."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from almondfield_core.routing import Prompt
 from almondfield_daemon.fleet import FleetServer, FleetView
@@ -33,6 +33,7 @@
     :param notices: what servers said about further work.
     :param limits: permits for requests to servers that limit them.
     :param quarantine: knows requests under which servers ended.
+    :param evacuated: returns the evacuated data centres.
     """
 
     def __init__(
@@ -45,7 +46,9 @@
         notices: ServerNotices,
         limits: ServerLimits,
         quarantine: RequestQuarantine,
+        evacuated: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
+        self._evacuated = evacuated
         self._limits = limits
         self._view = view
         self._placement = placement
@@ -172,6 +175,7 @@
             self._quarantine,
             request.shared_parts,
             request.digests,
+            self._evacuated,
         )
 
     def is_prefill_limit_reached(self, servers: tuple[FleetServer, ...]) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -1,5 +1,7 @@
 """The server that is selected for one attempt, and what is recorded of it."""
 
+from collections.abc import Callable
+
 import eliot
 
 from almondfield_core.clock import now
@@ -60,6 +62,7 @@
     :param quarantine: learns from the attempt whether its request is sound.
     :param shared_parts: parts of its prompt that other prompts may share.
     :param digests: digests of the whole request.
+    :param evacuated: returns the evacuated data centres, whose servers get no request.
 
     :ivar began_s: when the first event of its answer arrived, in seconds of the loop's
         clock; None before.
@@ -77,7 +80,9 @@
         quarantine: RequestQuarantine | None = None,
         shared_parts: tuple[str, ...] = (),
         digests: tuple[str, ...] = (),
+        evacuated: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
+        self._evacuated = evacuated
         self._quarantine = quarantine or NoQuarantine()
         self._shared_parts = shared_parts
         self._digests = digests
@@ -112,11 +117,15 @@
 
         :raises ServerClosedError: if it takes no work any more.
         """
+        if self._is_evacuated():
+            raise ServerClosedError(
+                f"data centre {self.server.data_centre!r} is evacuated"
+            )
         self._notices.check(self._start, self._trial)
 
     def takes_work(self) -> bool:
         """Return whether the server may get this request again once it has ended."""
-        if self._notices.accepts(self._start):
+        if self._notices.accepts(self._start) and not self._is_evacuated():
             return True
         try:
             self.check_notices()
@@ -124,6 +133,9 @@
             return False
         return True
 
+    def _is_evacuated(self) -> bool:
+        return self.server.data_centre in self._evacuated()
+
     def record_notices(
         self, request_id: str, notices: tuple[ServerNotice, ...], received_s: float
     ) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -1,7 +1,7 @@
 """Selects backend servers for requests and tracks their load."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from almondfield_core.routing import Prompt
 from almondfield_daemon.fleet import FleetServer, FleetView
@@ -53,6 +53,7 @@
     :param limits: permits for requests to servers that limit them.
     :param counts: counts refusals.
     :param quarantine: knows requests under which servers ended.
+    :param evacuated: returns the evacuated data centres, whose servers get no request.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         limits: ServerLimits,
         counts: RequestCounts | None = None,
         quarantine: RequestQuarantine | None = None,
+        evacuated: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self._quarantine = quarantine or NoQuarantine()
         self._notices = notices
@@ -83,8 +85,9 @@
             notices,
             limits,
             self._quarantine,
+            evacuated,
         )
-        self._known = KnownServers(view, notices, self._quarantine)
+        self._known = KnownServers(view, notices, self._quarantine, evacuated)
         self._intake_shares = IntakeShares()
 
     def quarantine_refusal(self, team: str, prompt: Prompt) -> Unavailable | None:
@@ -98,6 +101,17 @@
             self._counts.record_refusal(team, refused.cause)
         return refused
 
+    def evacuation_refusal(self, pool: str, team: str) -> Unavailable | None:
+        """Return a refusal if all servers of a pool are evacuated; None otherwise.
+
+        :param pool: name of the pool.
+        :param team: name of the team.
+        """
+        refused = self._known.evacuated(pool)
+        if refused is not None:
+            self._counts.record_refusal(team, refused.cause)
+        return refused
+
     def held_refusal(self, pool: str, team: str, prompt: Prompt) -> Unavailable | None:
         """Return a refusal of a team's prompts that still holds; None for none.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/unavailable.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/unavailable.py
@@ -5,9 +5,17 @@
 from almondfield_daemon.forwarding.counts import RefusalCause
 from almondfield_daemon.scheduling.messages import EngineRefusal
 
-__all__ = ["LATE_RETRY_AFTER_S", "RETRY_AFTER_S", "Unavailable", "describe_refusal"]
+__all__ = [
+    "EVACUATED_RETRY_AFTER_S",
+    "LATE_RETRY_AFTER_S",
+    "RETRY_AFTER_S",
+    "Unavailable",
+    "describe_refusal",
+]
 
 LATE_RETRY_AFTER_S = 0.1  # other routers are probably in time
+# Nobody knows when an evacuation ends, but routers learn of the end within this time.
+EVACUATED_RETRY_AFTER_S = 1.0
 RETRY_AFTER_S = 0.3  # about as long as a failed server is avoided
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -12,6 +12,7 @@
 from almondfield_core.routing import RoutingTable
 from almondfield_daemon.fleet import FleetControl, FleetServer, ServerPhase
 from almondfield_daemon.scheduling.busy_control import BusyControl
+from almondfield_daemon.scheduling.evacuated_engines import EvacuatedEngines
 from almondfield_daemon.scheduling.messages import (
     EnginePrefixes,
     EngineProgress,
@@ -35,6 +36,8 @@
 # Routers wait so long at first. What is left of the target is for wait and prefill.
 MAX_WAITED_SHARE = 0.5  # of the latency target
 CLEAN_UP_INTERVAL_S = 1.0  # also the interval of the scheduler:load log messages
+# Nobody knows when an evacuation ends, but routers learn of the end within this time.
+EVACUATED_RETRY_S = 1.0
 MAX_TEAMS = 5  # in one scheduler:teams message; those with the most demand
 
 
@@ -47,6 +50,7 @@
     :param limits: limits of servers on all routers together.
     :param window_s: window of the teams' shares, in seconds.
     :param make_start: returns a unique identifier for each scheduler start.
+    :param evacuated: returns the evacuated data centres, whose engines are closed.
     """
 
     def __init__(
@@ -57,7 +61,9 @@
         limits: LimitService,
         window_s: float,
         make_start: Callable[[], int],
+        evacuated: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
+        self._evacuated = EvacuatedEngines(evacuated, fleet.servers)
         self._peers = peers
         self._fleet = fleet
         self._publisher = publisher
@@ -133,8 +139,10 @@
         is_overdue = _is_overdue(message.request, waited_s)
         self._busy_control.record(sender, message, waited_s, not is_overdue)
         shares = self._busy_control.changed_shares(sender)
-        scheduler.closed_names = self._limits.closed_servers()
-        if is_overdue:
+        scheduler.closed_names = self._limits.closed_servers() | self._evacuated.names()
+        if self._evacuated.is_closed(message.pool):
+            decision = Refused(EVACUATED_RETRY_S, False, 0.0)
+        elif is_overdue:
             decision = scheduler.refuse_overdue(message.request)
         else:
             work_per_s = table.limits.work_per_s
@@ -201,6 +209,7 @@
         return scheduler
 
     def _update_servers(self) -> None:
+        self._evacuated.forget()
         table = self._publisher.table
         if table is None:
             return
