Test evacuations in the control group; keep why a broadcast was refused

A client without a known leader asks all hosts at once. It dropped their reasons, so a refusal for too few voters was reported as an unknown outcome. It now reports it as certainly not done if every host refused or doesn't lead.

--- a/packages/almondfield-control/src/almondfield_control/node/leader_client.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader_client.py
@@ -85,11 +85,12 @@
             target = self._target
             attempt_s = min(self._attempt_s, deadline - now())
             if self._broadcast and not self._leader_host:
-                maybe_done = True
-                reason = "no host leads"
-                reply = await self._request_all(message, attempt_s, on_late)
-                if reply is not None:
-                    return Ok(reply)
+                match await self._request_all(message, attempt_s, on_late):
+                    case Ok(reply):
+                        return Ok(reply)
+                    case Err(unavailable):
+                        maybe_done |= not unavailable.certainly_not_done
+                        reason = unavailable.reason
                 await asyncio.sleep(min(RETRY_DELAY_S, max(0.0, deadline - now())))
                 continue
             process_late = partial(self._process_late, target, on_late)
@@ -131,16 +132,25 @@
         message: object,
         attempt_s: float,
         on_late: Callable[[Any], None] | None,
-    ) -> Any | None:
-        """Return the leader's reply, or None if no host leads."""
+    ) -> Result[Any, ControlUnavailable]:
+        """Return the leader's reply, or why there is none."""
         targets = self._voters()
-        reply, named_leaders = await self._request_each(
+        reply, named_leaders, refusals = await self._request_each(
             targets, message, attempt_s, on_late
         )
         others = tuple(named_leaders.difference(targets, [""]))
         if reply is None and others:
-            reply, _ = await self._request_each(others, message, attempt_s, on_late)
-        return reply
+            reply, _, more_refusals = await self._request_each(
+                others, message, attempt_s, on_late
+            )
+            refusals += more_refusals
+        if reply is not None:
+            return Ok(reply)
+        is_not_done = all(item.certainly_not_done for item in refusals)
+        # Hosts that gave no reply don't say why; the leader may have.
+        reasons = [item.reason for item in refusals if item.certainly_not_done]
+        reason = reasons[0] if reasons else "no host leads"
+        return Err(ControlUnavailable(reason, certainly_not_done=is_not_done))
 
     async def _request_each(
         self,
@@ -148,8 +158,11 @@
         message: object,
         attempt_s: float,
         on_late: Callable[[Any], None] | None,
-    ) -> tuple[Any | None, set[str]]:
-        """Return the leader's reply, if any, and the leaders named by other hosts."""
+    ) -> tuple[Any | None, set[str], list[ControlUnavailable]]:
+        """Return the leader's reply, if any, named leaders, and why others gave none.
+
+        A host that doesn't lead has done nothing, and isn't among the last ones.
+        """
 
         async def request(host: str) -> tuple[str, Any]:
             process_late = partial(self._process_late, host, on_late)
@@ -157,21 +170,25 @@
             return host, answer
 
         named_leaders: set[str] = set()
+        refusals: list[ControlUnavailable] = []
         tasks = [asyncio.create_task(request(host)) for host in hosts]
         try:
             for task in asyncio.as_completed(tasks):
                 match await task:
                     case (_, Ok(NotLeader(leader_host))):
                         named_leaders.add(leader_host)
-                    case (_, Ok(ControlUnavailable()) | Err(_)):
-                        continue
+                    case (_, Ok(ControlUnavailable() as unavailable)):
+                        refusals.append(unavailable)
+                    case (host, Err(failure)):
+                        reason = f"{host}: {failure.reason}"
+                        refusals.append(ControlUnavailable(reason))
                     case (host, Ok(reply)):
                         self._record_leader(host)
-                        return reply, named_leaders
+                        return reply, named_leaders, refusals
         finally:
             for task in tasks:
                 task.cancel()
-        return None, named_leaders
+        return None, named_leaders, refusals
 
     def _select_target(self, leader_host: str, tried_host: str) -> None:
         """Select the named leader, or else the next voter, for the next attempt.
--- a/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing_fleet.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/tests/publishing_fleet.py
@@ -8,6 +8,7 @@
 
 from almondfield_control.commands import MembershipChange, command_of
 from almondfield_control.consensus import GroupPolicy, Replica
+from almondfield_control.evacuations import EvacuationClient, EvacuationService
 from almondfield_control.node.leader_client import LeaderClient
 from almondfield_control.publishing import TablePublisher, TableSubscription
 from almondfield_control.tests.fake_disk import FakeDisk
@@ -34,6 +35,8 @@
         self.disk_by_host = {}
         self.replica_by_host = {}
         self.publisher_by_host = {}
+        self.evacuations_by_host = {}
+        self.evacuation_client_by_host = {}
         self.subscription_by_router = {}
         self.leader_client_by_router = {}
         self.task_by_host = {}
@@ -48,8 +51,9 @@
         if may_form is not None:
             policy = GroupPolicy(may_form, True, policy.min_voters)
         rng = random.Random(self.rng.random())
+        wall_clock = WallClock(1e9)
         replica = Replica(
-            peers, disk, self.seeds, FLEET_TIMING, WallClock(1e9), rng, policy
+            peers, disk, self.seeds, FLEET_TIMING, wall_clock, rng, policy
         )
 
         def control_hosts():
@@ -62,6 +66,10 @@
             replica, peers, leader, lambda: self.known_routers(host)
         )
         publisher.register_handlers()
+        evacuations = EvacuationService(replica, peers, wall_clock)
+        evacuations.register_handlers()
+        self.evacuations_by_host[host] = evacuations
+        self.evacuation_client_by_host[host] = EvacuationClient(leader)
         self.replica_by_host[host] = replica
         self.publisher_by_host[host] = publisher
         self.task_by_host[host] = asyncio.ensure_future(replica.run())
