--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -71,6 +71,7 @@
         for server in context.servers
     )
 
+    context.evacuated = frozenset()
     context.refused = RefusedStarts()
     context.engines = FakeEngines()
     context.host_delay = HostDelay()
@@ -90,6 +91,7 @@
             ServerNotices(),
             FakeLimits(),
             quarantine=RefusalRecord(context.refused),
+            evacuated=lambda: context.evacuated,
         )
         context.backends = FakeBackends(context.servers)
         attempts = AttemptSender(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/late_intake_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/late_intake_steps.py
@@ -85,6 +85,7 @@
     context.engines = FakeEngines()
     context.engines.has_undecided = others == "another prompt waits"
     context.prefills = 0
+    context.evacuated = frozenset()
 
 
 @given("{scheduler} decides, and {count:d} prompts are in prefill")
@@ -112,6 +113,7 @@
             HostDelay(),
             ServerNotices(),
             FakeLimits(),
+            evacuated=lambda: context.evacuated,
         )
         forwarder = Forwarder(
             None,
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
@@ -80,6 +80,7 @@
 def step_impl(context):
     context.network = InMemoryNetwork()
     context.publisher_by_host = {host: FakePublisher(host == "c1") for host in HOSTS}
+    context.evacuated = frozenset()
     context.fleet_by_host = {}
     context.service_by_host = {}
     context.leader = "c1"
@@ -98,6 +99,7 @@
                 LimitService(peers, context.publisher_by_host[host]),
                 4.0,
                 lambda: rng.getrandbits(48),
+                lambda: context.evacuated,
             )
             service.register_handlers()
             context.fleet_by_host[host] = fleet
