--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/connection.py
@@ -33,6 +33,11 @@
         self.has_waiting: Callable[[], bool] = lambda: False
         self.deferred_closes = 0
 
+    def peer_host(self) -> str:
+        """Return the IP address of the caller; empty if it isn't known."""
+        peer = self._transport.get_extra_info("peername")
+        return str(peer[0]) if peer else ""
+
     def close(self) -> None:
         """Record that the caller has closed the connection."""
         if not self._is_closed:
