Give evacuations to operators: command line, operator interface, listed fleets

Hosts of a fleet from a list learn the evacuations with their leases, and relay the servers of an evacuated data centre as leaving.

--- a/packages/almondfield-cli/src/almondfield_cli/client.py
+++ b/packages/almondfield-cli/src/almondfield_cli/client.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass
 from typing import Any, TypeVar
+from urllib.parse import quote
 
 import msgspec
 from result import Err, Ok, Result
@@ -21,6 +22,8 @@
     ControlUnavailable,
     DrainRequest,
     DrainStarted,
+    EvacuationChanged,
+    EvacuationList,
     FleetStatus,
     InForce,
     OperatorError,
@@ -182,6 +185,23 @@
         """Return the router addresses that callers are given."""
         return await self._get("/v1/addresses", dict)
 
+    async def evacuations(self) -> Result[EvacuationList, ClientFailure]:
+        """Return the evacuations of data centres that are in force."""
+        return await self._get("/v1/evacuations", EvacuationList)
+
+    async def change_evacuation(
+        self, data_centre: str, in_force: bool
+    ) -> Result[EvacuationChanged, ClientFailure]:
+        """Begin or end the evacuation of a data centre; repeating a call is safe.
+
+        :param data_centre: name of the data centre.
+        :param in_force: whether it is to be evacuated.
+        """
+        path = f"/v1/evacuations/{quote(data_centre, safe='')}"
+        method = "POST" if in_force else "DELETE"
+        request = HttpRequest(method, path, timeout_s=self._timeout_s)
+        return _decode(await self._send(request), EvacuationChanged)
+
     async def drain(self, host: HostSettings) -> Result[DrainStarted, ClientFailure]:
         """Start the graceful shutdown of a host.
 
--- a/packages/almondfield-cli/src/almondfield_cli/main.py
+++ b/packages/almondfield-cli/src/almondfield_cli/main.py
@@ -6,6 +6,7 @@
 
 from cyclopts import App, CycloptsError
 
+from almondfield_cli.evacuation_commands import build_evacuations_app
 from almondfield_cli.exit_codes import ExitCode
 from almondfield_cli.host_commands import admit, drain, remove
 from almondfield_cli.local_commands import key, settings
@@ -39,6 +40,7 @@
     )
     for command in COMMANDS:
         app.command(command)
+    app.command(build_evacuations_app())
     return app
 
 
--- a/packages/almondfield-cli/src/almondfield_cli/options.py
+++ b/packages/almondfield-cli/src/almondfield_cli/options.py
@@ -64,8 +64,13 @@
         float, Parameter(help="Seconds to wait for the response of one host.")
     ] = DEFAULT_TIMEOUT_S
 
-    def connect(self) -> Result[OperatorClient, tuple[Finding, ...]]:
-        """Return a client, or the findings of all invalid options."""
+    def connect(
+        self, needs_token: bool = True
+    ) -> Result[OperatorClient, tuple[Finding, ...]]:
+        """Return a client, or the findings of all invalid options.
+
+        :param needs_token: whether the token may not be omitted.
+        """
         findings = [
             Finding("--host", f"is {format_value(host)}", "ADDRESS:PORT")
             for host in self.host
@@ -73,7 +78,7 @@
         ]
         if not 0 < self.timeout < 3600:
             findings.append(Finding("--timeout", f"is {self.timeout}", "above 0"))
-        token = self._read_token()
+        token = self._read_token(needs_token)
         if isinstance(token, Err):
             findings.append(token.err_value)
         if findings:
@@ -81,8 +86,10 @@
         transport = AiosonicTransport(token.unwrap())
         return Ok(OperatorClient(transport, self.host, self.timeout))
 
-    def _read_token(self) -> Result[str, Finding]:
+    def _read_token(self, is_needed: bool) -> Result[str, Finding]:
         if self.token_file is None:
+            if not is_needed:
+                return Ok("")
             return Err(Finding("--token-file", "is missing", "the name of a file"))
         return read_secret(self.token_file)
 
--- a/packages/almondfield-cli/src/almondfield_cli/output.py
+++ b/packages/almondfield-cli/src/almondfield_cli/output.py
@@ -24,6 +24,8 @@
     ChangeRefused,
     ControlUnavailable,
     DrainStarted,
+    EvacuationChanged,
+    EvacuationList,
     FleetStatus,
     InForce,
     OperatorError,
@@ -140,6 +142,17 @@
             return "\n".join(_describe_status(value))
         case DrainStarted():
             return f"{value.host} finishes its running requests and stops"
+        case EvacuationList(evacuations=()):
+            return "no data centre is evacuated"
+        case EvacuationList():
+            return "\n".join(_describe_evacuations(value))
+        case EvacuationChanged(in_force=True):
+            return (
+                f"{value.data_centre} is evacuated since "
+                f"{_format_time(value.changed_unix_s)}"
+            )
+        case EvacuationChanged():
+            return f"{value.data_centre} is not evacuated"
         case VoterChangeFailed():
             return f"{value.host}: {value.reason}; run `status` to see the voters"
         case VotersChanged(votes=True):
@@ -196,8 +209,18 @@
         yield f"finding   {finding}"
 
 
+def _describe_evacuations(listed: EvacuationList) -> Iterable[str]:
+    for item in listed.evacuations:
+        since = _format_time(item.since_unix_s)
+        yield f"{item.data_centre}  since {since}  requested by {item.requested_by}"
+
+
+def _format_time(unix_s: float) -> str:
+    return datetime.fromtimestamp(unix_s, UTC).isoformat(timespec="seconds")
+
+
 def _describe_record(record: AuditRecord) -> Iterable[str]:
-    when = datetime.fromtimestamp(record.unix_s, UTC).isoformat(timespec="seconds")
+    when = _format_time(record.unix_s)
     yield f"{record.revision}  {when}  {record.author}  {record.change_id}"
     for line in record.difference:
         yield f"    {line}"
--- a/packages/almondfield-control/src/almondfield_control/evacuations/__init__.py
+++ b/packages/almondfield-control/src/almondfield_control/evacuations/__init__.py
@@ -2,6 +2,5 @@
 
 from almondfield_control.evacuations.client import EvacuationClient
 from almondfield_control.evacuations.service import EvacuationService
-from almondfield_control.evacuations.view import EvacuationView
 
-__all__ = ["EvacuationClient", "EvacuationService", "EvacuationView"]
+__all__ = ["EvacuationClient", "EvacuationService"]
--- a/packages/almondfield-control/src/almondfield_control/evacuations/service.py
+++ b/packages/almondfield-control/src/almondfield_control/evacuations/service.py
@@ -12,10 +12,10 @@
     EvacuationsReply,
     EvacuationsRequest,
 )
-from almondfield_control.evacuations.view import log_evacuations
-from almondfield_control.freshness import NotLeader
+from almondfield_control.freshness import NotLeader, log_evacuations
 from almondfield_control.state import EvacuationRecord
 from almondfield_core.clock import WallClock, now
+from almondfield_core.containment import contain_errors
 from almondfield_core.messages import ControlUnavailable
 from almondfield_core.ports import Peers
 
@@ -128,4 +128,5 @@
             before, evacuations.in_force, evacuations.index, record_by_data_centre
         )
         for callback in self.change_callbacks:
-            callback()
+            with contain_errors("change of evacuations"):
+                callback()
--- a/packages/almondfield-control/src/almondfield_control/freshness/__init__.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/__init__.py
@@ -2,6 +2,10 @@
 
 from almondfield_control.freshness.core import HostLeases
 from almondfield_control.freshness.delta import TablesDelta
+from almondfield_control.freshness.evacuations import (
+    EvacuationView,
+    log_evacuations,
+)
 from almondfield_control.freshness.fallback import FallbackRenewal
 from almondfield_control.freshness.messages import (
     NotLeader,
@@ -13,6 +17,7 @@
 from almondfield_control.freshness.view import HostView
 
 __all__ = [
+    "EvacuationView",
     "FallbackRenewal",
     "HostLeases",
     "HostView",
@@ -22,4 +27,5 @@
     "RevisionNotice",
     "RevisionQueryHandler",
     "TablesDelta",
+    "log_evacuations",
 ]
--- a/packages/almondfield-control/src/almondfield_control/evacuations/view.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/evacuations.py
@@ -1,4 +1,4 @@
-"""Evacuations as one router knows them."""
+"""Evacuations of data centres as one host without a replica knows them."""
 
 from collections.abc import Iterable, Mapping
 
--- a/packages/almondfield-control/src/almondfield_control/freshness/messages.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/messages.py
@@ -53,6 +53,8 @@
     :ivar pool_leases: all pool leases; empty if the host has the newest.
     :ivar tables: the newest tables; None if the host has them or receives a delta.
     :ivar delta: difference from the host's tables to the newest; None if not used.
+    :ivar evacuated: the evacuated data centres.
+    :ivar evacuations_index: log entry of the last change of them; 0 for none.
     """
 
     term: int
@@ -63,6 +65,8 @@
     pool_leases: tuple[PoolLease, ...]
     tables: Tables | None = None
     delta: TablesDelta | None = None
+    evacuated: tuple[str, ...] = ()
+    evacuations_index: int = 0
 
 
 @wire_message("not-leader")
--- a/packages/almondfield-control/src/almondfield_control/freshness/view.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/view.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 
 from almondfield_control.freshness.delta import TablesDelta
+from almondfield_control.freshness.evacuations import EvacuationView
 from almondfield_core.clock import now
 from almondfield_core.messages import PoolLease
 from almondfield_core.tables import TableIndex, Tables
@@ -16,10 +17,13 @@
     """The ``TableView`` of one host; its revision never goes down.
 
     :param host: name of the host.
+
+    :ivar evacuations: evacuations of data centres.
     """
 
     def __init__(self, host: str) -> None:
         self._host = host
+        self.evacuations = EvacuationView()
         self._tables = Tables()
         # Built when the first delta after a replacement of the tables is applied.
         self._index: TableIndex | None = None
--- a/packages/almondfield-control/src/almondfield_control/node/client.py
+++ b/packages/almondfield-control/src/almondfield_control/node/client.py
@@ -6,6 +6,7 @@
 
 from almondfield_control.commands import ClaimKey, SettleClaim
 from almondfield_control.consensus import Replica
+from almondfield_control.evacuations import EvacuationClient
 from almondfield_control.node.batches import CommandBatcher
 from almondfield_control.node.leader_client import LeaderClient
 from almondfield_control.node.messages import (
@@ -27,6 +28,8 @@
     ClaimOutcome,
     ClaimRequest,
     ControlUnavailable,
+    Evacuation,
+    EvacuationChanged,
     FleetStatus,
     RowChange,
     StoredAnswer,
@@ -40,6 +43,7 @@
 CLAIM_TIMEOUT_S = 3.0
 SETTLE_TIMEOUT_S = 10.0
 READ_TIMEOUT_S = 5.0
+EVACUATION_TIMEOUT_S = 5.0
 VOTER_TIMEOUT_S = 30.0
 IN_FORCE_POLL_S = 0.1
 
@@ -71,6 +75,7 @@
         self._incarnation = incarnation
         self._replica = replica
         self._batcher = CommandBatcher(self.request)
+        self._evacuations = EvacuationClient(self)
 
     @property
     def is_leader(self) -> bool:
@@ -173,6 +178,23 @@
         reply = await self.request(FencingRequest(), READ_TIMEOUT_S)
         return reply.map(lambda item: item.number)
 
+    async def evacuations(self) -> Result[tuple[Evacuation, ...], ControlUnavailable]:
+        """Return the evacuations in force, confirmed by a quorum after this call."""
+        return await self._evacuations.evacuations(READ_TIMEOUT_S)
+
+    async def change_evacuation(
+        self, data_centre: str, in_force: bool, requested_by: str
+    ) -> Result[EvacuationChanged, ControlUnavailable]:
+        """Return the evacuation of a data centre once a quorum holds the change.
+
+        :param data_centre: the data centre.
+        :param in_force: whether it is to be evacuated.
+        :param requested_by: address of the operator.
+        """
+        return await self._evacuations.change(
+            data_centre, in_force, requested_by, EVACUATION_TIMEOUT_S
+        )
+
     async def change_voter(self, host: str, admit: bool) -> Result[str, str]:
         """Return the host once the membership change is committed.
 
--- a/packages/almondfield-control/src/almondfield_control/node/core.py
+++ b/packages/almondfield-control/src/almondfield_control/node/core.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from almondfield_control.consensus import Replica
+from almondfield_control.evacuations import EvacuationService
 from almondfield_control.freshness import (
     FallbackRenewal,
     HostView,
@@ -39,6 +40,7 @@
     :ivar freshness_left_s: seconds until the freshness lease of the tables expires.
     :ivar leader: host that last answered as the leader; else empty.
     :ivar waiting_for: reason why the member has not joined a group yet; else empty.
+    :ivar evacuated_data_centres: evacuated data centres as this host knows them.
     """
 
     role: str
@@ -49,6 +51,7 @@
     freshness_left_s: float
     leader: str
     waiting_for: str = ""
+    evacuated_data_centres: tuple[str, ...] = ()
 
 
 class ControlNode:
@@ -77,12 +80,14 @@
         self._view = HostView(peers.host)
         self._replica: Replica | None = None
         self._leader_service: LeaderService | None = None
+        self._evacuations: EvacuationService | None = None
         self._disk: Disk | None = None
         if peers.host in voters:
             self._disk = disk or FolderDisk(Path(settings.data_folder))
             rng = rng or random.SystemRandom()
             self._replica = Replica(peers, self._disk, voters, timing, wall_clock, rng)
             self._leader_service = LeaderService(self._replica, peers, timing, hosts)
+            self._evacuations = EvacuationService(self._replica, peers, wall_clock)
         self._client = ControlClient(
             peers, self._view, voters, incarnation, self._replica
         )
@@ -106,6 +111,10 @@
         """Return this host's member of the control group, if it has one."""
         return self._replica
 
+    def evacuated_data_centres(self) -> frozenset[str]:
+        """Return the evacuated data centres, as of the newest known change."""
+        return self._view.evacuations.in_force
+
     async def run(self) -> None:
         """Run the components until cancelled.
 
@@ -117,6 +126,7 @@
                 group.create_task(self._renewal.run())
                 if self._replica is not None:
                     self._leader_service.register_handlers()
+                    self._evacuations.register_handlers()
                     RevisionQueryHandler(self._replica).register_handlers()
                     group.create_task(self._replica.run())
                     group.create_task(self._leader_service.run())
@@ -159,4 +169,5 @@
             freshness_left_s=self._view.freshness_left_s(),
             leader=self._client.leader_host,
             waiting_for=replica.waiting_for if replica else "",
+            evacuated_data_centres=tuple(self.evacuated_data_centres()),
         )
--- a/packages/almondfield-control/src/almondfield_control/node/leader.py
+++ b/packages/almondfield-control/src/almondfield_control/node/leader.py
@@ -44,7 +44,7 @@
 from almondfield_control.node.rows import always_conflicting
 from almondfield_control.node.status import status_of
 from almondfield_control.pools import next_pool_lease
-from almondfield_control.state import audit_records_of
+from almondfield_control.state import EvacuationRecord, audit_records_of
 from almondfield_core.clock import now
 from almondfield_core.findings import Finding
 from almondfield_core.messages import (
@@ -160,7 +160,7 @@
         leadership = replica.leadership
         if leadership is not None and leadership.term != self._checked_term:
             self._wake.set()
-        if not isinstance(outcome, ChangeAccepted):
+        if not isinstance(outcome, ChangeAccepted | EvacuationRecord):
             return
         self._wake.set()
         if not replica.is_leader:
@@ -202,6 +202,8 @@
             pool_leases=leases,
             tables=full_tables,
             delta=delta,
+            evacuated=tuple(state.evacuations.in_force),
+            evacuations_index=state.evacuations.index,
         )
 
     def _updates_since(self, revision: int) -> tuple[Tables | None, TablesDelta | None]:
--- a/packages/almondfield-control/src/almondfield_control/node/renewal.py
+++ b/packages/almondfield-control/src/almondfield_control/node/renewal.py
@@ -87,6 +87,7 @@
 
     def _install_reply(self, reply: RenewalReply, sent_at: float) -> None:
         view = self._view
+        view.evacuations.install(reply.evacuations_index, reply.evacuated)
         if reply.tables is not None:
             view.install_tables(reply.tables)
         if reply.delta is not None:
--- a/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
+++ b/packages/almondfield-control/src/almondfield_control/publishing/subscription.py
@@ -6,7 +6,7 @@
 import eliot
 from result import Err, Ok
 
-from almondfield_control.evacuations.view import EvacuationView
+from almondfield_control.freshness import EvacuationView
 from almondfield_control.node.leader_client import LeaderClient
 from almondfield_control.publishing.messages import (
     LeaseReply,
--- a/packages/almondfield-core/src/almondfield_core/ports/core.py
+++ b/packages/almondfield-core/src/almondfield_core/ports/core.py
@@ -14,6 +14,8 @@
     ClaimOutcome,
     ClaimRequest,
     ControlUnavailable,
+    Evacuation,
+    EvacuationChanged,
     FleetStatus,
     NotRun,
     PoolLease,
@@ -191,6 +193,19 @@
     async def next_fencing(self) -> Result[int, ControlUnavailable]:
         """Return a fencing number greater than every one issued before."""
 
+    async def evacuations(self) -> Result[tuple[Evacuation, ...], ControlUnavailable]:
+        """Return the evacuations of data centres that are in force."""
+
+    async def change_evacuation(
+        self, data_centre: str, in_force: bool, requested_by: str
+    ) -> Result[EvacuationChanged, ControlUnavailable]:
+        """Return the evacuation of a data centre once a quorum holds the change.
+
+        :param data_centre: the data centre.
+        :param in_force: whether it is to be evacuated.
+        :param requested_by: address of the operator.
+        """
+
     @property
     def is_leader(self) -> bool:
         """Return whether this host leads the control group and its lease is valid."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/core.py
@@ -55,7 +55,12 @@
         self._own_host = next(h for h in settings.hosts if h.name == settings.host)
         self._holds = HoldDirectory()
         self._directory = HostDirectory(settings.host, settings.hosts, self._holds)
-        self._servers = ServerDirectory(settings.timing.server_silence_s, self._holds)
+        self._read_evacuated: Callable[[], frozenset[str]] = frozenset
+        self._servers = ServerDirectory(
+            settings.timing.server_silence_s,
+            self._holds,
+            lambda: self._read_evacuated(),
+        )
         self._outbox_by_host: dict[str, Outbox] = {}
         self._incarnation_by_neighbour: dict[str, int] = {}
         self._reachable_neighbours: frozenset[str] = frozenset()
@@ -75,6 +80,13 @@
         """
         self._read_spare_slots = read
 
+    def set_evacuated_source(self, read: Callable[[], frozenset[str]]) -> None:
+        """Set the source of the evacuated data centres.
+
+        :param read: returns the data centres whose servers get no new work.
+        """
+        self._read_evacuated = read
+
     async def run(self) -> None:
         """Monitor neighbours, send updates and relay announcements until cancelled."""
         async with asyncio.TaskGroup() as tasks:
@@ -196,6 +208,7 @@
 
     def _send_relays(self) -> None:
         self._servers.queue_hold_changes()
+        self._servers.queue_evacuation_changes()
         self._servers.queue_lease_changes(dict(self._view.lease_by_pool))
         for host, relay in self._servers.pop_relays():
             self._peers.send(host, relay)
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/servers.py
@@ -1,6 +1,6 @@
 """Backend servers that announce themselves to this host."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 from almondfield_core.clock import now
@@ -34,9 +34,18 @@
 
     :param silence_s: seconds without an announcement after which a server is removed.
     :param holds: servers that are excluded from new work.
+    :param evacuated: returns the evacuated data centres, whose servers are excluded
+        from new work too.
     """
 
-    def __init__(self, silence_s: float, holds: HoldDirectory) -> None:
+    def __init__(
+        self,
+        silence_s: float,
+        holds: HoldDirectory,
+        evacuated: Callable[[], frozenset[str]] = frozenset,
+    ) -> None:
+        self._evacuated = evacuated
+        self._relayed_evacuated: frozenset[str] = frozenset()
         self._silence_s = silence_s
         self._holds = holds
         self._server_by_name: dict[str, AnnouncedServer] = {}
@@ -84,6 +93,17 @@
             for pool in self._pools_by_server.get(server, ()):
                 self._unrelayed_by_pool.setdefault(pool, set()).add(server)
 
+    def queue_evacuation_changes(self) -> None:
+        """Queue the servers of data centres whose evacuation began or ended."""
+        before, self._relayed_evacuated = self._relayed_evacuated, self._evacuated()
+        changed = before ^ self._relayed_evacuated
+        if not changed:
+            return
+        for name, server in self._server_by_name.items():
+            if server.announcement.data_centre in changed:
+                for pool in self._pools_by_server.get(name, ()):
+                    self._unrelayed_by_pool.setdefault(pool, set()).add(name)
+
     def pop_relays(self) -> list[tuple[str, AnnouncementRelay]]:
         """Return and clear the queued relays of leased pools.
 
@@ -123,7 +143,11 @@
         self, pool: str, announcement: ServerAnnouncement
     ) -> ServerAnnouncement:
         selected = pool in self._pools_by_server.get(announcement.name, ())
-        if selected and not self._holds.is_held(announcement.name):
+        is_excluded = (
+            self._holds.is_held(announcement.name)
+            or announcement.data_centre in self._evacuated()
+        )
+        if selected and not is_excluded:
             return announcement
         # The state makes the scheduler assign it no new work.
         return replace(announcement, state=ServerState.LEAVING)
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/servers.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/servers.feature
@@ -20,6 +20,17 @@
     And 0.01 s pass
     Then the last received state of "engine-1" at "h1" is leaving
 
+  # Guards against schedulers that go on assigning work to an evacuated data centre.
+  Scenario: A server of an evacuated data centre gets no new work until the end
+    Given server "engine-1" announces itself for "writing"
+    And 0.3 s pass
+    When "north" is evacuated
+    And 0.3 s pass
+    Then the last received state of "engine-1" at "h1" is leaving
+    When the evacuation of "north" ends
+    And 0.3 s pass
+    Then the last received state of "engine-1" at "h1" is serving
+
   Scenario: An announcement of an earlier incarnation is ignored
     Given server "engine-1" announces itself for "writing" in incarnation 7
     When server "engine-1" announces itself for "writing" in incarnation 6
--- a/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/steps/servers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/membership/tests/steps/servers_steps.py
@@ -123,6 +123,16 @@
     assert load == {f"engine-{n}": context.last_load for n in range(1, 41)}, load
 
 
+@when('"{data_centre}" is evacuated')
+def step_impl(context, data_centre):
+    context.membership.set_evacuated_source(lambda: frozenset((data_centre,)))
+
+
+@when('the evacuation of "{data_centre}" ends')
+def step_impl(context, data_centre):
+    context.membership.set_evacuated_source(frozenset)
+
+
 @then('the last received state of "{name}" at "{host}" is leaving')
 def step_impl(context, host, name):
     states = [a.state for a in received_announcements(context, host) if a.name == name]
--- a/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/operator/core.py
@@ -13,11 +13,12 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from almondfield_core.findings import Finding
+from almondfield_core.findings import Finding, format_value
 from almondfield_core.messages import (
     ControlUnavailable,
     DrainRequest,
     DrainStarted,
+    EvacuationList,
     InForce,
     OperatorError,
     RowChange,
@@ -38,6 +39,7 @@
     read_query,
 )
 from almondfield_daemon.operator.node import OperatorNode
+from almondfield_daemon.serving import connection_of
 
 __all__ = ["OperatorNode", "build_operator_app"]
 
@@ -70,6 +72,17 @@
             Route("/v1/status", handlers.get_status),
             Route("/v1/hosts", handlers.get_hosts),
             Route("/v1/addresses", handlers.get_addresses),
+            Route("/v1/evacuations", handlers.get_evacuations),
+            Route(
+                "/v1/evacuations/{data_centre}",
+                handlers.post_evacuation,
+                methods=["POST"],
+            ),
+            Route(
+                "/v1/evacuations/{data_centre}",
+                handlers.delete_evacuation,
+                methods=["DELETE"],
+            ),
             Route("/v1/drain", handlers.post_drain, methods=["POST"]),
             Route("/v1/voters/admit", handlers.post_admit, methods=["POST"]),
             Route("/v1/voters/remove", handlers.post_remove, methods=["POST"]),
@@ -191,6 +204,38 @@
         """Return the host addresses that this host returns to callers."""
         return json_response(self._node.membership.addresses())
 
+    async def get_evacuations(self, request: Request) -> Response:
+        """Return the evacuations of data centres that are in force."""
+        return _outcome_response(
+            (await self._control.evacuations()).map(EvacuationList)
+        )
+
+    async def post_evacuation(self, request: Request) -> Response:
+        """Evacuate a data centre: its backend servers get no new work."""
+        return await self._change_evacuation(request, in_force=True)
+
+    async def delete_evacuation(self, request: Request) -> Response:
+        """End the evacuation of a data centre; one without any is acknowledged too."""
+        return await self._change_evacuation(request, in_force=False)
+
+    async def _change_evacuation(self, request: Request, in_force: bool) -> Response:
+        data_centre = request.path_params["data_centre"]
+        known = {host.data_centre for host in self._node.settings.hosts}
+        if data_centre not in known:
+            listed = (await self._control.evacuations()).unwrap_or(())
+            if all(item.data_centre != data_centre for item in listed):
+                problem = f"{format_value(data_centre)} is no data centre"
+                finding = Finding(
+                    "path: data_centre", problem, ", ".join(sorted(known))
+                )
+                raise RequestRefusedError(400, finding)
+        connection = connection_of(request.scope)
+        caller = connection.peer_host() if connection is not None else ""
+        outcome = await self._control.change_evacuation(data_centre, in_force, caller)
+        operation = "evacuation-start" if in_force else "evacuation-end"
+        _log(operation, outcome, data_centre=data_centre, caller=caller)
+        return _outcome_response(outcome)
+
     async def post_drain(self, request: Request) -> Response:
         """Start the graceful shutdown of this host."""
         drain_request = await read_body(request, DrainRequest, MAX_SMALL_BODY_BYTES)
--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
@@ -50,6 +50,7 @@
         self.schedulers = PoolSchedulers(self.peers, view, settings, incarnation)
         self.membership = Membership(self.peers, view, settings, incarnation)
         self.membership.set_spare_slots_source(self._spare_slots)
+        self.membership.set_evacuated_source(self.control.evacuated_data_centres)
         self.backends = HttpBackends(settings)
         self.router = Router(
             view, self.share, self.control.control, self.backends, settings
--- a/tools/almondfield_testing/operators.py
+++ b/tools/almondfield_testing/operators.py
@@ -12,6 +12,8 @@
     ChangeConflict,
     ChangeRefused,
     ControlUnavailable,
+    Evacuation,
+    EvacuationChanged,
     FleetStatus,
     RowChange,
     TableChange,
@@ -42,6 +44,7 @@
         self.answer_by_id: dict[str, ChangeAccepted] = {}
         self.unavailable: ControlUnavailable | None = None
         self.in_force = True
+        self.evacuation_by_data_centre: dict[str, Evacuation] = {}
         self.lease_by_pool = {}
         self.freshness_s = 3.0
 
@@ -115,6 +118,23 @@
             change.change_id, revision, winner.change_id, winner.author
         )
 
+    async def evacuations(self):
+        """Return the evacuations in force."""
+        if self.unavailable:
+            return Err(self.unavailable)
+        return Ok(tuple(self.evacuation_by_data_centre.values()))
+
+    async def change_evacuation(self, data_centre, in_force, requested_by):
+        """Begin or end an evacuation."""
+        if self.unavailable:
+            return Err(self.unavailable)
+        if in_force:
+            evacuation = Evacuation(data_centre, 0.0, "192.0.2.1")
+            self.evacuation_by_data_centre.setdefault(data_centre, evacuation)
+        else:
+            self.evacuation_by_data_centre.pop(data_centre, None)
+        return Ok(EvacuationChanged(data_centre, in_force, 0.0, "192.0.2.1"))
+
     async def wait_in_force(self, revision: int, timeout_s: float):
         """Return whether a revision came into force within the timeout."""
         if self.unavailable:
