--- a/packages/almondfield-core/src/almondfield_core/settings/tests/fleet_settings.feature
+++ b/packages/almondfield-core/src/almondfield_core/settings/tests/fleet_settings.feature
@@ -28,6 +28,8 @@
       | grace_s           | "8"                  | grace_s           |
       | answers           | {max_head_bytes = 0} | answers.max_head_bytes |
       | answers           | {max_head_bytes = "a"} | answers.max_head_bytes |
+      | region_by_data_centre | {"a" = 1}        | region_by_data_centre |
+      | region_by_data_centre | ["a"]            | region_by_data_centre |
       | no_such_item      | 1                    | no_such_item      |
 
   Scenario: The limits on answers are those of code shared with listed hosts
@@ -36,6 +38,11 @@
     Then they are read without findings
     And the shared settings limit a head to 4096 bytes
 
+  Scenario: The data centres of the deployment are listed with their regions
+    Given the settings of a control host
+    When item region_by_data_centre has the value {"east" = "north", "b.c" = "south"}
+    Then they are read without findings
+
   Scenario: A control host needs a data folder
     Given the settings of a control host
     When item data_folder has the value ""
