Name the known data centres in the refusal of an unknown one

The finding listed none where the settings list none. Tried with the command against a running control host; evacuations.feature of the platform passes.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -94,22 +94,18 @@
         """Return the evacuated data centres as of this host's applied state."""
         return self.evacuation_service.evacuated_data_centres()
 
-    def knows_data_centre(self, name: str) -> bool:
-        """Return whether a data centre is known, now or from an earlier evacuation.
+    def data_centres(self) -> frozenset[str]:
+        """Return the data centres that are known, now or from an earlier evacuation.
 
         Without ``region_by_data_centre`` in the settings, the data centres of routers
         and backend servers are known.
-
-        :param name: name of the data centre.
         """
-        settings = self.settings
-        if name == settings.data_centre or name in settings.region_by_data_centre:
-            return True
-        if any(r.data_centre == name for r in self.evacuation_service.records()):
-            return True
-        if settings.region_by_data_centre:
-            return False
-        return name in self.fleet.data_centres()
+        listed = self.settings.region_by_data_centre
+        records = self.evacuation_service.records()
+        return frozenset(listed or self.fleet.data_centres()) | {
+            self.settings.data_centre,
+            *(record.data_centre for record in records),
+        }
 
     def is_learning_data_centres(self) -> bool:
         """Return whether routers and servers may still name further data centres."""
