--- a/tools/almondfield_testing/__init__.py
+++ b/tools/almondfield_testing/__init__.py
@@ -6,6 +6,7 @@
     after_scenario,
     before_scenario,
     count_calls,
+    in_loop,
     run,
 )
 
@@ -15,5 +16,6 @@
     "after_scenario",
     "before_scenario",
     "count_calls",
+    "in_loop",
     "run",
 ]
--- a/tools/almondfield_testing/core.py
+++ b/tools/almondfield_testing/core.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import random
 import sys
 from collections import Counter
@@ -59,6 +60,19 @@
     return context.loop.run_until_complete(main())
 
 
+def in_loop(step: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+    """Return an async step as a function that runs it in the scenario's event loop.
+
+    :param step: the step.
+    """
+
+    @functools.wraps(step)
+    def run_step(context: Any, **arguments: Any) -> None:
+        run(context, step(context, **arguments))
+
+    return run_step
+
+
 @contextmanager
 def count_calls(calls: Counter[str]) -> Iterator[None]:
     """Count the calls of Python and built-in functions in the block.
