Name routers to callers by their size and load

Cause: the directory named all near routers in random order. Callers of one team choose alike: on the second deployment one router had 255 of their connections after 0.93 s, its neighbours 1 to 4. Sizes of routers (0.387 to 1.29 cores) had no effect.

Change: hellos of routers carry cores (settings cpu_share and cpu_cores), open caller connections, requests in work and the delay of the event loop; a rise by much is reported before the next hello, at most every 0.4 s. Where sizes differ or a router was overloaded within 300 s, an answer names up to 8 routers, drawn by the caller's name with probabilities by size and level. Overloaded routers are left out for 7 s or more and return in steps. Fleets of up to 10 routers and equal, unloaded routers get the answers of before. A directory that hears no router names those heard within 6 s, none after that (20 s before).

--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -23,6 +23,7 @@
 __all__ = ["FLEET_TIMING", "FleetRole", "FleetSettings", "load_fleet_settings"]
 
 MAX_PORT = 65_535
+MAX_CORES = 1024
 BYTES_PER_MB = 1_000_000
 # Short, as callers wait while there is no leader, but long enough for a heartbeat to
 # arrive over links with a high delay.
@@ -84,6 +85,13 @@
     max_descriptors: int = item(
         "Descriptors that the daemon may have open.", default=1024
     )
+    cpu_share: float = item(
+        "Share of each of its processor cores that the daemon may use; 0 if not told.",
+        default=0.0,
+    )
+    cpu_cores: float = item(
+        "Processor cores that the daemon may use; 0 if not told.", default=0.0
+    )
     grace_s: float = item(
         "Time from the stop signal until the daemon is killed.", "s", default=8.0
     )
@@ -117,6 +125,11 @@
         """Return the memory that the daemon may use, in bytes."""
         return self.memory_mb * BYTES_PER_MB
 
+    @property
+    def cores(self) -> float:
+        """Return the processor cores' worth that the daemon may use; 0 if not told."""
+        return self.cpu_share * self.cpu_cores
+
     @property
     def seeds(self) -> tuple[str, ...]:
         """Return the names of the control hosts in ``seed_addresses``."""
@@ -192,6 +205,10 @@
     for name in ("grace_s", "revocation_s", "address_lifetime_s", "retry_window_s"):
         if getattr(settings, name) <= 0:
             yield Finding(name, f"is {getattr(settings, name)}", "a number above 0")
+    for name in ("cpu_share", "cpu_cores"):
+        if not 0 <= getattr(settings, name) <= MAX_CORES:
+            value = getattr(settings, name)
+            yield Finding(name, f"is {value}", f"0 to {MAX_CORES}")
     yield from check_positive("answers", settings.answers)
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/messages.py
@@ -72,6 +72,10 @@
     :ivar board_start: incarnation of the control host whose registry the router
         holds; 0 before the first reply.
     :ivar board_version: version of the registry that the router holds.
+    :ivar cores: processor cores that the router may use; 0 if it doesn't tell.
+    :ivar connections: open connections of callers.
+    :ivar running: requests in work.
+    :ivar loop_delay_s: longest recent delay of its event loop, in seconds.
     """
 
     data_centre: str
@@ -80,6 +84,10 @@
     state: RouterState
     board_start: int = 0
     board_version: int = 0
+    cores: float = 0.0
+    connections: int = 0
+    running: int = 0
+    loop_delay_s: float = 0.0
 
 
 @wire_message("hello-reply")
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
@@ -7,12 +7,21 @@
 
 from almondfield_core.clock import now
 from almondfield_daemon.fleet.messages import RouterHello, RouterState
+from almondfield_daemon.router_addresses import (
+    AddressChooser,
+    Candidate,
+    RouterLoad,
+    clamp_load,
+)
 
 __all__ = ["RouterDirectory"]
 
 HEARTBEAT_TIMEOUT_S = 2.5  # two hello intervals and some delay
 EXPIRY_S = 20.0  # longer than callers cache an address
-MAX_ADDRESSES = 64  # callers accept no more
+# The shortest time in which a lost host must have been noticed, and 3 s: a router that
+# ended earlier must not be named.
+FALLBACK_S = 6.0
+EVALUATION_INTERVAL_S = 0.25  # of 191 routers with early reports, some a millisecond
 MIN_IN_DATA_CENTRE = 2  # with one router, its failure leaves callers without any
 
 
@@ -21,10 +30,14 @@
     """The last hello of a router.
 
     :ivar hello: the hello.
+    :ivar load: the load that it reports, within bounds.
+    :ivar odd_items: items of the load that were out of bounds.
     :ivar last_seen_s: when it was received, in seconds of the loop's clock.
     """
 
     hello: RouterHello
+    load: RouterLoad
+    odd_items: tuple[str, ...]
     last_seen_s: float
 
 
@@ -35,8 +48,9 @@
     """
 
     def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+        self._chooser = AddressChooser(rng)
         self._record_by_host: dict[str, _RouterRecord] = {}
+        self._evaluated_s = float("-inf")
 
     def record(self, host: str, hello: RouterHello) -> None:
         """Record a hello of a router.
@@ -47,43 +61,89 @@
         known = self._record_by_host.get(host)
         if known is None or known.hello.state != hello.state:
             eliot.log_message("router:heard", router=host, state=hello.state.value)
-        self._record_by_host[host] = _RouterRecord(hello, now())
+        reported = RouterLoad(
+            hello.cores, hello.connections, hello.running, hello.loop_delay_s
+        )
+        load, odd_items = clamp_load(reported)
+        if odd_items and (known is None or known.odd_items != odd_items):
+            values = {name: repr(vars(reported)[name]) for name in odd_items}
+            eliot.log_message("router:odd-report", router=host, values=values)
+        self._record_by_host[host] = _RouterRecord(hello, load, odd_items, now())
+        self._evaluate_loads()
 
     def hosts(self) -> tuple[str, ...]:
         """Return the hosts whose routers sent a hello within ``EXPIRY_S``."""
         self._expire()
         return tuple(self._record_by_host)
 
-    def addresses(self, region: str, data_centre: str) -> tuple[str, ...]:
+    def left_out_count(self) -> int:
+        """Return the number of routers that are left out as they are overloaded."""
+        return self._chooser.levels.left_out_count()
+
+    def left_out_total(self) -> int:
+        """Return how often a router was left out since the start."""
+        return self._chooser.levels.left_out_total
+
+    def addresses(
+        self, region: str, data_centre: str, caller: str = ""
+    ) -> tuple[str, ...]:
         """Return router addresses for a caller, in random order.
 
         The routers are those of the caller's data centre. If it has too few, they are
-        those of the region, or all if the region has none.
+        those of the region, or all if the region has none. Where their sizes differ or
+        some are overloaded, only a few of them are named.
 
         :param region: region of the caller.
         :param data_centre: data centre of the caller.
+        :param caller: name of the caller; empty if nothing is known about it.
         """
         self._expire()
-        ready = [
-            item
-            for item in self._record_by_host.values()
-            if item.hello.state is RouterState.READY
-        ]
-        recent = [
-            item for item in ready if now() - item.last_seen_s < HEARTBEAT_TIMEOUT_S
-        ]
         # If no router has sent a recent hello, this host is probably partitioned.
-        usable = [item.hello for item in recent or ready]
-        near = [hello for hello in usable if hello.data_centre == data_centre]
+        usable = self._ready(HEARTBEAT_TIMEOUT_S) or self._ready(FALLBACK_S)
+        near = {
+            host: item
+            for host, item in usable.items()
+            if item.hello.data_centre == data_centre
+        }
         if len(near) < MIN_IN_DATA_CENTRE:
-            in_region = [hello for hello in usable if hello.region == region]
+            in_region = {
+                host: item
+                for host, item in usable.items()
+                if item.hello.region == region
+            }
             near = in_region or usable
-        self._rng.shuffle(near)
-        return tuple(hello.caller_address for hello in near[:MAX_ADDRESSES])
+        candidates = [
+            Candidate(host, item.hello.caller_address, item.load)
+            for host, item in near.items()
+        ]
+        return self._chooser.choose(candidates, len(usable), caller)
+
+    def _ready(self, within_s: float) -> dict[str, _RouterRecord]:
+        """Return the ready routers whose last hello came within a time."""
+        return {
+            host: item
+            for host, item in self._record_by_host.items()
+            if item.hello.state is RouterState.READY
+            and now() - item.last_seen_s < within_s
+        }
+
+    def _evaluate_loads(self) -> None:
+        """Evaluate the reports of all data centres, at most once in an interval."""
+        if now() - self._evaluated_s < EVALUATION_INTERVAL_S:
+            return
+        self._evaluated_s = now()
+        ready = self._ready(HEARTBEAT_TIMEOUT_S)
+        loads_by_centre: dict[str, dict[str, RouterLoad]] = {}
+        for host, item in ready.items():
+            loads = loads_by_centre.setdefault(item.hello.data_centre, {})
+            loads[host] = item.load
+        for loads in loads_by_centre.values():
+            self._chooser.evaluate(loads, len(ready))
 
     def _expire(self) -> None:
         cutoff_s = now() - EXPIRY_S
         for host, item in list(self._record_by_host.items()):
             if item.last_seen_s < cutoff_s:
                 del self._record_by_host[host]
+                self._chooser.levels.forget(host)
                 eliot.log_message("router:lost", router=host)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -22,12 +22,14 @@
     HEARTBEAT_TIMEOUT_S as SERVER_HEARTBEAT_TIMEOUT_S,
 )
 from almondfield_daemon.fleet.registry import ServerRegistry
+from almondfield_daemon.router_addresses import EarlyReports, RouterLoad
 from almondfield_daemon.server_limits import NamedLimit
 
 __all__ = ["FleetView"]
 
 HELLO_INTERVAL_S = 1.0  # callers cache a router's address for about 2 s
 HELLO_TIMEOUT_S = 0.9  # ends before the next hello
+LOAD_CHECK_INTERVAL_S = 0.2  # a fraction of the hello interval
 MAX_UNANSWERED = 10  # of one host; the earliest show that messages were lost
 HEARTBEAT_TIMEOUT_S = 3.0  # three hellos without a reply
 
@@ -54,6 +56,7 @@
     :param on_control_return: called with a control host that replies again or has
         restarted.
     :param on_limits: called with the limits of servers that a control host reports.
+    :param load: returns the size and load of this router.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         on_change: Callable[[], None],
         on_control_return: Callable[[str], None] = lambda host: None,
         on_limits: Callable[[tuple[NamedLimit, ...]], None] = lambda limits: None,
+        load: Callable[[], RouterLoad] = RouterLoad,
     ) -> None:
         self._peers = peers
         self._hello = hello
@@ -72,6 +76,8 @@
         self._on_change = on_change
         self._on_control_return = on_control_return
         self._on_limits = on_limits
+        self._load = load
+        self._early_reports = EarlyReports()
         self._registry = ServerRegistry()
         self._last_reply_by_host: dict[str, _LastReply] = {}
         self._unresponsive_hosts: set[str] = set()
@@ -166,26 +172,42 @@
         """
         if state is not self._hello.state:
             self._hello = replace(self._hello, state=state)
-            for host in self.control_hosts():
-                self._peers.send(host, self._hello)
+            self._tell_control_hosts(self._load())
 
     async def run(self) -> None:
         """Send hellos to all control hosts until cancelled."""
         self._peers.register_handler(ServerUpdate, self._on_update)
         while True:
+            load = self._load()
+            self._early_reports.record_hello(load)
             async with asyncio.TaskGroup() as group:
                 for host in self.control_hosts():
-                    group.create_task(self._send_hello(host))
+                    group.create_task(self._send_hello(host, load))
                 group.create_task(asyncio.sleep(HELLO_INTERVAL_S))
+                group.create_task(self._report_early())
             self._mark_unresponsive_hosts()
 
-    async def _send_hello(self, host: str) -> None:
+    async def _report_early(self) -> None:
+        """Report a load that rises by much before the next hello."""
+        for _ in range(int(HELLO_INTERVAL_S / LOAD_CHECK_INTERVAL_S) - 1):
+            await asyncio.sleep(LOAD_CHECK_INTERVAL_S)
+            with contain_errors("early report of the load"):
+                load = self._load()
+                if self._early_reports.take(load):
+                    self._tell_control_hosts(load)
+
+    def _tell_control_hosts(self, load: RouterLoad) -> None:
+        hello = _with_load(self._hello, load)
+        for host in self.control_hosts():
+            self._peers.send(host, hello)
+
+    async def _send_hello(self, host: str, load: RouterLoad) -> None:
         with contain_errors("hello"):
-            await self._exchange_hello(host)
+            await self._exchange_hello(host, load)
 
-    async def _exchange_hello(self, host: str) -> None:
+    async def _exchange_hello(self, host: str, load: RouterLoad) -> None:
         last = self._last_reply_by_host.get(host)
-        hello = self._hello
+        hello = _with_load(self._hello, load)
         if last is not None:
             reply = last.reply
             hello = replace(
@@ -255,3 +277,13 @@
                 continue
             self._unresponsive_hosts.add(host)
             eliot.log_message("control-host:lost", control_host=host)
+
+
+def _with_load(hello: RouterHello, load: RouterLoad) -> RouterHello:
+    return replace(
+        hello,
+        cores=load.cores,
+        connections=load.connections,
+        running=load.running,
+        loop_delay_s=load.loop_delay_s,
+    )
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
@@ -116,6 +116,16 @@
         self._routers = Gauge(
             "almondfield_routers", "Routers heard lately", registry=self.registry
         )
+        self._left_out = Gauge(
+            "almondfield_routers_left_out",
+            "Overloaded routers that this host does not name to callers now",
+            registry=self.registry,
+        )
+        self._left_out_total = Counter(
+            "almondfield_router_overloads_total",
+            "Times that a router was left out as it was overloaded",
+            registry=self.registry,
+        )
         self._servers = Gauge(
             "almondfield_servers", "Backend servers by phase", registry=self.registry
         )
@@ -123,7 +133,10 @@
     def refresh(self) -> None:
         """Update the gauges."""
         self._quarantined.set({}, self._quarantines())
-        self._routers.set({}, len(self._fleet.routers.hosts()))
+        routers = self._fleet.routers
+        self._routers.set({}, len(routers.hosts()))
+        self._left_out.set({}, routers.left_out_count())
+        self._left_out_total.set({}, routers.left_out_total())
         count_by_phase: dict[str, int] = {}
         for server in self._fleet.servers():
             phase = server.phase.value
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -29,6 +29,7 @@
 )
 from almondfield_daemon.forwarding.stop_limits import StopPlan
 from almondfield_daemon.quarantine import QuarantineClient
+from almondfield_daemon.router_addresses import RouterLoad
 from almondfield_daemon.scheduling import EngineClient
 from almondfield_daemon.server_limits import ServerLimits
 from almondfield_daemon.server_notices import ServerNotices
@@ -83,6 +84,7 @@
             self._on_server_change,
             self._on_control_return,
             lambda limits: self._limits.learn(limits),
+            self._read_load,
         )
         leader = self.leader_client(self.view.control_hosts)
         self._limits = ServerLimits(
@@ -223,6 +225,14 @@
                 self.view.set_state(state)
             await asyncio.sleep(STATE_CHECK_INTERVAL_S)
 
+    def _read_load(self) -> RouterLoad:
+        return RouterLoad(
+            cores=self.settings.cores,
+            connections=self._listener.connection_count(),
+            running=self._endpoint.running,
+            loop_delay_s=self.host_delay.loop_delay_s,
+        )
+
     def _observe(self, report: RequestReport) -> None:
         self._metrics.observe(report)
         self._counts.record_answer(report.team, report.status)
--- a/packages/almondfield-daemon/src/almondfield_daemon/host_delay/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/host_delay/core.py
@@ -43,6 +43,11 @@
             self._loop_delay_s = delay_s
             self._loop_delayed_until_s = now() + LOOP_DELAY_S
 
+    @property
+    def loop_delay_s(self) -> float:
+        """Return the longest recent delay of the event loop, in seconds."""
+        return 0.0 if now() >= self._loop_delayed_until_s else self._loop_delay_s
+
     def allowance_s(self) -> float:
         """Return by how much longer to wait for servers, in seconds."""
         return min(self.seconds(), MAX_ALLOWANCE_S)
@@ -58,12 +63,9 @@
             for received_s, reply_time_s in self._last_reply_by_host.values()
             if received_s > cutoff_s
         ]
-        loop_delay_s = (
-            0.0 if now() >= self._loop_delayed_until_s else self._loop_delay_s
-        )
         if len(recent) < MIN_HOSTS:
-            return loop_delay_s
-        return max(loop_delay_s, statistics.median_low(recent))
+            return self.loop_delay_s
+        return max(self.loop_delay_s, statistics.median_low(recent))
 
     @property
     def is_late(self) -> bool:
