Test left-out routers, early reports and the bound on departed routers

Cause: the core had a model of callers only. A router overloaded by its delay alone limited all answers to 8 names, which gave up connections for nothing, and a report that showed one late iteration could count until the next hello.

Change: answers name a few routers only where sizes differ or connections are far above the mean; a router that is only late is left out alone. Delays count after 2.1 s. Fewer default records and one reading of the clock for each evaluation.

--- a/packages/almondfield-core/src/almondfield_core/settings/tests/fleet_settings.feature
+++ b/packages/almondfield-core/src/almondfield_core/settings/tests/fleet_settings.feature
@@ -26,6 +26,9 @@
       | ready_address     | "10.0.0.9:99999"     | ready_address     |
       | grace_s           | 0                    | grace_s           |
       | grace_s           | "8"                  | grace_s           |
+      | cpu_share         | -0.5                 | cpu_share         |
+      | cpu_cores         | inf                  | cpu_cores         |
+      | cpu_cores         | "2"                  | cpu_cores         |
       | answers           | {max_head_bytes = 0} | answers.max_head_bytes |
       | answers           | {max_head_bytes = "a"} | answers.max_head_bytes |
       | no_such_item      | 1                    | no_such_item      |
@@ -36,6 +39,19 @@
     Then they are read without findings
     And the shared settings limit a head to 4096 bytes
 
+  # The deployment's template has no way to multiply its two values.
+  Scenario Outline: The cores are told by two values
+    Given the settings of a router
+    When item cpu_share has the value <share>
+    And item cpu_cores has the value <count>
+    Then they are read without findings
+    And the router may use <cores> cores
+
+    Examples:
+      | share | count | cores |
+      | 0.25  | 2     | 0.5   |
+      | 0     | 2     | 0     |
+
   Scenario: A control host needs a data folder
     Given the settings of a control host
     When item data_folder has the value ""
--- a/packages/almondfield-core/src/almondfield_core/settings/tests/steps/fleet_settings_steps.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/tests/steps/fleet_settings_steps.py
@@ -66,6 +66,11 @@
     assert context.loaded.ok_value.seeds == tuple(seeds.split(", "))
 
 
+@then("the router may use {cores:g} cores")
+def step_impl(context, cores):
+    assert context.loaded.ok_value.cores == cores
+
+
 @then('a finding names "{place}"')
 def step_impl(context, place):
     if context.items is None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
@@ -21,7 +21,7 @@
 # The shortest time in which a lost host must have been noticed, and 3 s: a router that
 # ended earlier must not be named.
 FALLBACK_S = 6.0
-EVALUATION_INTERVAL_S = 0.25  # of 191 routers with early reports, some a millisecond
+EVALUATION_INTERVAL_S = 0.25  # a fraction of the hello interval
 MIN_IN_DATA_CENTRE = 2  # with one router, its failure leaves callers without any
 
 
@@ -120,11 +120,11 @@
 
     def _ready(self, within_s: float) -> dict[str, _RouterRecord]:
         """Return the ready routers whose last hello came within a time."""
+        cutoff_s = now() - within_s
         return {
             host: item
             for host, item in self._record_by_host.items()
-            if item.hello.state is RouterState.READY
-            and now() - item.last_seen_s < within_s
+            if item.hello.state is RouterState.READY and item.last_seen_s > cutoff_s
         }
 
     def _evaluate_loads(self) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/steps/fleet_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/tests/steps/fleet_steps.py
@@ -15,6 +15,7 @@
 )
 from almondfield_daemon.fleet.messages import RouterHello, ServerUpdate
 from almondfield_daemon.fleet.registry import ServerRegistry
+from almondfield_daemon.router_addresses import RouterLoad
 from almondfield_testing import InMemoryNetwork, run
 
 CONTROL_HOSTS = ("c1", "c2", "c3")
@@ -53,7 +54,14 @@
             raise RuntimeError("unexpected")
         returned.append(control)
 
-    view = FleetView(peers, hello, CONTROL_HOSTS[:1], on_change, on_control_return)
+    view = FleetView(
+        peers,
+        hello,
+        CONTROL_HOSTS[:1],
+        on_change,
+        on_control_return,
+        load=lambda: RouterLoad(0.5, context.connections_by_host.get(host, 0)),
+    )
     context.view_by_host[host] = view
     context.task_by_host[host] = asyncio.ensure_future(view.run())
 
@@ -89,6 +97,7 @@
     context.control_by_host = {}
     context.view_by_host = {}
     context.returned_by_host = {}
+    context.connections_by_host = {}
     context.failing_routers = set()
     context.failing_at_return = set()
     context.task_by_host = {}
@@ -248,6 +257,57 @@
     assert set(run(context, query())) == expected
 
 
+@then('callers in "{data_centre}" get no address from "{control}"')
+def step_impl(context, data_centre, control):
+    async def query():
+        return context.control_by_host[control].routers.addresses("region", data_centre)
+
+    assert run(context, query()) == ()
+
+
+def record_connections(context, host):
+    """Keep the connections that "c1" hears of from now on."""
+    routers = context.control_by_host["c1"].routers
+    record = routers.record
+    context.heard = []
+
+    def record_hello(sender, hello):
+        if sender == host:
+            context.heard.append(hello.connections)
+        record(sender, hello)
+
+    routers.record = record_hello
+
+
+@when('"{host}" gets {count:d} connections')
+def step_impl(context, host, count):
+    record_connections(context, host)
+    context.connections_by_host[host] = count
+
+
+@when('the connections of "{host}" double every {interval_s:g} s for {seconds:g} s')
+def step_impl(context, host, interval_s, seconds):
+    record_connections(context, host)
+    for number in range(round(seconds / interval_s)):
+        context.connections_by_host[host] = 2**number
+        run(context, asyncio.sleep(interval_s))
+
+
+@then('"c1" has heard of "{counts}" connections of "{host}"')
+def step_impl(context, counts, host):
+    assert context.heard == [int(counts)], context.heard
+
+
+@then('"c1" has heard of "" connections of "{host}"')
+def step_impl(context, host):
+    assert context.heard == [], context.heard
+
+
+@then('"c1" has heard of {least:d} to {most:d} numbers of connections of "{host}"')
+def step_impl(context, least, most, host):
+    assert least <= len(context.heard) <= most, context.heard
+
+
 @when('messages to and from "{host}" take {least:g} to {most:g} s')
 def step_impl(context, host, least, most):
     context.network.delay_s_by_host[host] = (least, most)
--- a/packages/almondfield-daemon/src/almondfield_daemon/router_addresses/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router_addresses/core.py
@@ -12,7 +12,7 @@
 from almondfield_daemon.router_addresses.callers import CallerRates
 from almondfield_daemon.router_addresses.levels import MIN_NAMED, LoadLevels, sizes
 from almondfield_daemon.router_addresses.reports import RouterLoad
-from almondfield_daemon.router_addresses.sampling import draw
+from almondfield_daemon.router_addresses.sampling import draw, thin
 
 __all__ = ["MAX_ADDRESSES", "AddressChooser", "Candidate"]
 
@@ -63,6 +63,9 @@
         """
         if fleet_size > SMALL_FLEET:
             self.levels.evaluate(load_by_router)
+            return
+        for router in load_by_router:
+            self.levels.forget(router)
 
     def choose(
         self, near: Sequence[Candidate], fleet_size: int, caller: str
@@ -75,39 +78,51 @@
             if nothing is known about it.
         """
         weight_by_router = _weights(near)
-        if fleet_size <= SMALL_FLEET or not self._must_limit(near, weight_by_router):
+        level_by_router = {item.router: self.levels.level(item.router) for item in near}
+        names_few = self._names_few(weight_by_router)
+        is_reduced = names_few or any(level < 1 for level in level_by_router.values())
+        if fleet_size <= SMALL_FLEET or not is_reduced:
             addresses = [item.address for item in near]
             self._rng.shuffle(addresses)
             return tuple(addresses[:MAX_ADDRESSES])
-        weight_by_address = {
-            item.address: weight_by_router[item.router] * level
-            for item in near
-            if (level := self.levels.level(item.router)) > 0
-        }
-        if len(weight_by_address) < MIN_NAMED:
-            weight_by_address = {
-                item.address: weight_by_router[item.router] for item in near
-            }
+        available = [item for item in near if level_by_router[item.router] > 0]
+        if len(available) < MIN_NAMED:
+            available = list(near)
+            level_by_router = dict.fromkeys(level_by_router, 1.0)
         is_shared = self._rates.is_shared(caller)
         key = str(self._rng.random()) if is_shared else caller
-        count = int(NAMED_FRACTION * len(weight_by_address))
-        count = min(max(count, MIN_NAMED), MAX_NAMED, len(weight_by_address))
-        addresses = list(draw(weight_by_address, count, key, not is_shared))
+        if names_few:
+            count = min(int(NAMED_FRACTION * len(available)), MAX_NAMED)
+            count = min(max(count, MIN_NAMED), len(available))
+            weight_by_address = {
+                item.address: weight_by_router[item.router]
+                * level_by_router[item.router]
+                for item in available
+            }
+            addresses = list(draw(weight_by_address, count, key, not is_shared))
+        else:
+            # Only the routers that return are missing from some answers.
+            thinned = thin(
+                {item.address: level_by_router[item.router] for item in available}, key
+            )
+            everyone = tuple(item.address for item in available)
+            addresses = list(thinned if len(thinned) >= MIN_NAMED else everyone)
         self._rng.shuffle(addresses)
-        return tuple(addresses)
+        return tuple(addresses[:MAX_ADDRESSES])
 
-    def _must_limit(
-        self, near: Sequence[Candidate], weight_by_router: Mapping[str, float]
-    ) -> bool:
+    def _names_few(self, weight_by_router: Mapping[str, float]) -> bool:
+        """Return whether an answer names only a few routers."""
         weights = weight_by_router.values()
         if weights and max(weights) > EQUAL_RATIO * min(weights):
             return True
-        return any(self.levels.is_limited(item.router) for item in near)
+        return any(self.levels.is_crowded(router) for router in weight_by_router)
 
 
 def _weights(near: Sequence[Candidate]) -> dict[str, float]:
+    """Return the sizes of routers in relation to the median."""
     size_by_router = sizes({item.router: item.load for item in near})
     if not size_by_router:
         return {}
-    most = MAX_SIZE_RATIO * statistics.median(size_by_router.values())
-    return {router: min(size, most) for router, size in size_by_router.items()}
+    middle = statistics.median(size_by_router.values())
+    most = MAX_SIZE_RATIO * middle
+    return {router: min(size, most) / middle for router, size in size_by_router.items()}
--- a/packages/almondfield-daemon/src/almondfield_daemon/router_addresses/levels.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router_addresses/levels.py
@@ -18,9 +18,11 @@
 OVERLOAD_FACTOR = 3.0
 MIN_CONNECTIONS = 64
 LATE_FACTOR = 3.0  # to the median: where all are late, leaving some out doesn't help
-# Longer than the interval between two hellos: a single late iteration is no overload,
-# and when traffic starts everywhere, the first report isn't compared with old ones.
+# Longer than the interval between two hellos: when traffic starts everywhere, the first
+# report must not be compared with old ones of the others.
 OVERLOADED_FOR_S = 1.1
+# A single late iteration is reported for 1 s, and the report counts until the next one.
+LATE_FOR_S = 2.1
 RECOVERED_FRACTION = 0.5  # of the connections that count as overload
 # Callers keep answers for up to 6 s, and the report of the result takes another 1 s:
 # sooner, the effect of the last step isn't seen yet.
@@ -32,8 +34,8 @@
 MIN_RUNNING = 8  # fewer requests are not a load
 LEVELS = (0.0, 0.25, 0.5, 1.0)
 # A router stays below the level at which it was overloaded for this time, and the names
-# stay limited for as long after its return: callers who choose alike would otherwise
-# meet there again at once.
+# stay few for as long after its return: callers who choose alike would otherwise meet
+# there again at once.
 LIMITED_S = 300.0
 MS_PER_S = 1000
 
@@ -48,6 +50,7 @@
     :ivar overloaded_level: level at which it was overloaded last.
     :ivar capped_until_s: until when it stays below that level, in seconds of the
         loop's clock.
+    :ivar is_crowded: whether connections, not only its delay, showed the overload.
     :ivar over_since_s: since when its reports show overload; None if the last one
         doesn't.
     :ivar idle_connections: connections that stayed open while it was left out.
@@ -58,10 +61,14 @@
     out_s: float = 0.0
     overloaded_level: float = 1.0
     capped_until_s: float = float("-inf")
+    is_crowded: bool = False
     over_since_s: float | None = None
     idle_connections: int = 0
 
 
+_UNKNOWN = _Record()
+
+
 @dataclass(frozen=True)
 class _Total:
     """Load of the routers that are named, or the part of it that suits one size.
@@ -77,30 +84,17 @@
     running: float
     usual_delay_s: float
 
-    def without(self, size: float, load: RouterLoad) -> "_Total":
-        """Return the load of the others.
-
-        :param size: size of a router that is named.
-        :param load: its load.
-        """
-        return replace(
-            self,
-            size=self.size - size,
-            connections=self.connections - load.connections,
-            running=self.running - load.running,
-        )
-
-    def scaled(self, size: float) -> "_Total":
+    def part(self, size: float) -> "_Total":
         """Return the load that a router of some size would have.
 
         :param size: its size.
         """
         factor = size / self.size
-        return replace(
-            self,
-            size=size,
-            connections=factor * self.connections,
-            running=factor * self.running,
+        return _Total(
+            size,
+            factor * self.connections,
+            factor * self.running,
+            self.usual_delay_s,
         )
 
 
@@ -125,12 +119,14 @@
         """Return the number of routers that are left out."""
         return sum(item.level == 0 for item in self._record_by_router.values())
 
-    def is_limited(self, router: str) -> bool:
-        """Return whether a router is below its weight, or was so recently.
+    def is_crowded(self, router: str) -> bool:
+        """Return whether a router has, or recently had, far too many connections.
 
         :param router: name of its host.
         """
         record = self._record(router)
+        if not record.is_crowded:
+            return False
         return record.level < 1 or now() - record.since_s < LIMITED_S
 
     def forget(self, router: str) -> None:
@@ -164,11 +160,18 @@
         for router, load in load_by_router.items():
             record = self._record(router)
             size = size_by_router[router]
-            others = total if record.level == 0 else total.without(size, load)
-            record = self._evaluate(router, load, others.scaled(size), spare > 0)
-            if record.level == 0 and self.level(router) > 0:
-                spare -= 1
-            self._record_by_router[router] = record
+            others = total
+            if record.level > 0:
+                others = _Total(
+                    total.size - size,
+                    total.connections - load.connections,
+                    total.running - load.running,
+                    total.usual_delay_s,
+                )
+            new = self._evaluate(router, load, others.part(size), spare > 0)
+            spare -= new.level == 0 < record.level
+            if new is not record:
+                self._record_by_router[router] = new
 
     def _evaluate(
         self, router: str, load: RouterLoad, usual: "_Total", may_leave_out: bool
@@ -186,9 +189,11 @@
         used = load.connections - idle
         is_late = load.loop_delay_s >= max(LATE_S, LATE_FACTOR * usual.usual_delay_s)
         over_since_s = None
-        if is_late or used > limit:
+        is_crowded = used > limit
+        if is_late or is_crowded:
             over_since_s = now() if record.over_since_s is None else record.over_since_s
-        record = replace(record, over_since_s=over_since_s, idle_connections=idle)
+        if (over_since_s, idle) != (record.over_since_s, record.idle_connections):
+            record = replace(record, over_since_s=over_since_s, idle_connections=idle)
         level_s = now() - record.since_s
         if record.level == 0:
             if level_s < record.out_s or is_late:
@@ -201,7 +206,9 @@
                 return self._return(router, record, load, idle=load.connections)
             return record
         if over_since_s is not None:
-            if may_leave_out and now() - over_since_s >= OVERLOADED_FOR_S:
+            least_s = OVERLOADED_FOR_S if is_crowded else LATE_FOR_S
+            if may_leave_out and now() - over_since_s >= least_s:
+                record = replace(record, is_crowded=record.is_crowded or is_crowded)
                 return self._leave_out(router, record, load, usual.connections)
             return record
         if record.level < 1 and level_s >= STEP_S:
@@ -213,7 +220,7 @@
         return record
 
     def _record(self, router: str) -> _Record:
-        return self._record_by_router.get(router, _Record())
+        return self._record_by_router.get(router, _UNKNOWN)
 
     def _leave_out(
         self, router: str, record: _Record, load: RouterLoad, expected: float
--- a/packages/almondfield-daemon/src/almondfield_daemon/router_addresses/sampling.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/router_addresses/sampling.py
@@ -3,7 +3,7 @@
 import hashlib
 from collections.abc import Mapping
 
-__all__ = ["draw"]
+__all__ = ["draw", "thin"]
 
 BISECTIONS = 20  # to a millionth
 HASH_BYTES = 8
@@ -41,6 +41,19 @@
     return tuple(sorted(weight_by_address, key=rank)[:count])
 
 
+def thin(probability_by_address: Mapping[str, float], key: str) -> tuple[str, ...]:
+    """Return each address with its own probability, the same ones for the same key.
+
+    :param probability_by_address: probabilities of the addresses.
+    :param key: what the choice depends on.
+    """
+    return tuple(
+        address
+        for address, probability in probability_by_address.items()
+        if _uniform(key, address) < probability
+    )
+
+
 def _inclusion_probabilities(
     weight_by_address: Mapping[str, float], count: int
 ) -> dict[str, float]:
