--- a/packages/almondfield-core/src/almondfield_core/settings/tests/fleet_settings.feature
+++ b/packages/almondfield-core/src/almondfield_core/settings/tests/fleet_settings.feature
@@ -26,6 +26,9 @@
       | ready_address     | "10.0.0.9:99999"     | ready_address     |
       | grace_s           | 0                    | grace_s           |
       | grace_s           | "8"                  | grace_s           |
+      | cpu_share         | -0.5                 | cpu_share         |
+      | cpu_cores         | inf                  | cpu_cores         |
+      | cpu_cores         | "2"                  | cpu_cores         |
       | answers           | {max_head_bytes = 0} | answers.max_head_bytes |
       | answers           | {max_head_bytes = "a"} | answers.max_head_bytes |
       | region_by_data_centre | {"a" = 1}        | region_by_data_centre |
@@ -43,6 +46,19 @@
     When item region_by_data_centre has the value {"east" = "north", "b.c" = "south"}
     Then they are read without findings
 
+  # The deployment's template has no way to multiply its two values.
+  Scenario Outline: The cores are told by two values
+    Given the settings of a router
+    When item cpu_share has the value <share>
+    And item cpu_cores has the value <count>
+    Then they are read without findings
+    And the router may use <cores> cores
+
+    Examples:
+      | share | count | cores |
+      | 0.25  | 2     | 0.5   |
+      | 0     | 2     | 0     |
+
   Scenario: A control host needs a data folder
     Given the settings of a control host
     When item data_folder has the value ""
