--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
@@ -6,6 +6,7 @@
 import eliot
 
 from almondfield_core.clock import now
+from almondfield_core.containment import contain_errors
 from almondfield_daemon.fleet.messages import RouterHello, RouterState
 from almondfield_daemon.router_addresses import (
     AddressChooser,
@@ -69,7 +70,9 @@
             values = {name: repr(vars(reported)[name]) for name in odd_items}
             eliot.log_message("router:odd-report", router=host, values=values)
         self._record_by_host[host] = _RouterRecord(hello, load, odd_items, now())
-        self._evaluate_loads()
+        # The router needs its reply all the same.
+        with contain_errors("evaluation of routers"):
+            self._evaluate_loads()
 
     def hosts(self) -> tuple[str, ...]:
         """Return the hosts whose routers sent a hello within ``EXPIRY_S``."""
