Weigh what servers report of their speed in the choice of a server

Servers of the new deployments report how long work takes at this moment as a fourth figure of Server-Load, and such reports were dropped whole. Routers weigh the load of plain servers by it, and report it of engines with EngineProgress. The scheduler predicts waits and prefill times with it and takes it out of the samples of the prefill rate. A new engine begins at the usual rate of its pool, and the time of engines counts by their rate when teams' shares are worked out.

--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
@@ -68,11 +68,14 @@
     :ivar running: requests that are running.
     :ivar waiting: requests that wait for a slot.
     :ivar slots: requests that it can run concurrently.
+    :ivar slowdown: time that work takes on its machine at this moment, as a multiple of
+        the usual time; None if it reported none.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -152,9 +152,17 @@
             self._notices.record_served(self._start)
         self._quarantine.record_alive(self._start)
         load = metadata.load
-        if load is not None and not was_refused:
-            record = self._placement.record(self.server.name)
+        if load is None:
+            return
+        record = self._placement.record(self.server.name)
+        if not was_refused:
             record.record_load(load.running, load.waiting)
+        if load.slowdown is not None:
+            is_new = record.record_slowdown(self._start.born_ms, load.slowdown)
+            if self.assignment is not None:
+                self.assignment.report_slowdown(
+                    self._start.born_ms, load.slowdown, is_new
+                )
 
     def begin_answer(self) -> None:
         """Record that prefill has finished, or that the answer goes on."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -101,6 +101,16 @@
             self._item = replace(self._item, unread_tokens=0)
             self._reports.begin_answer(self._item)
 
+    def report_slowdown(self, started_ms: int, slowdown: float, is_new: bool) -> None:
+        """Report what the server says of its speed.
+
+        :param started_ms: start of the server, in milliseconds since 1970.
+        :param slowdown: time that work takes now, as a multiple of the usual time.
+        :param is_new: whether its last report was another one.
+        """
+        item = self._item
+        self._reports.add_slowdown(item.pool, item.server, started_ms, slowdown, is_new)
+
     def end(self, was_refused: bool = False, was_sent: bool = True) -> None:
         """Record that the attempt is over.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/messages.py
@@ -19,6 +19,7 @@
     "EngineRefusal",
     "EngineReply",
     "EngineRequest",
+    "EngineSlowdown",
     "HeldPrompt",
     "NotScheduling",
     "UnscheduledPrompt",
@@ -140,6 +141,24 @@
     prompt: Prompt
 
 
+@dataclass(frozen=True)
+class EngineSlowdown:
+    """What an engine reported of its speed.
+
+    :ivar pool: name of the pool.
+    :ivar server: the engine.
+    :ivar started_ms: start of the engine, in milliseconds since 1970.
+    :ivar slowdown: time that work takes now, as a multiple of the usual time.
+    :ivar age_s: time since the report, in seconds.
+    """
+
+    pool: str
+    server: str
+    started_ms: int
+    slowdown: float
+    age_s: float
+
+
 @wire_message("engine-progress")
 @dataclass(frozen=True)
 class EngineProgress:
@@ -151,6 +170,7 @@
     :ivar snapshot: numbers of all attempts, at intervals; else None.
     :ivar held: prompts that the router refused by itself.
     :ivar unscheduled: prompts that the router sent without a decision.
+    :ivar slowdowns: latest reports of engines on their speed.
     """
 
     begun: tuple[EngineInFlight, ...] = ()
@@ -159,6 +179,7 @@
     snapshot: AttemptSnapshot | None = None
     held: tuple[HeldPrompt, ...] = ()
     unscheduled: tuple[UnscheduledPrompt, ...] = ()
+    slowdowns: tuple[EngineSlowdown, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/reports.py
@@ -1,12 +1,14 @@
 """Reports of a router on its attempts at engines, for the scheduler."""
 
 import asyncio
+from dataclasses import dataclass
 
 from almondfield_core.clock import now
 from almondfield_core.ports import Peers
 from almondfield_daemon.scheduling.messages import (
     EngineInFlight,
     EngineProgress,
+    EngineSlowdown,
     HeldPrompt,
     UnscheduledPrompt,
 )
@@ -19,9 +21,25 @@
 SNAPSHOTS_AFTER_S = 3.0  # after their last change; reports of it may be lost
 HELD_REPORT_DELAY_S = 0.2  # callers return after about a second
 MAX_HELD_PROMPTS = 200  # in one report
+SLOWDOWN_REPORT_DELAY_S = 0.1  # a sixth of the time that a slowdown lasts
+MAX_SLOWDOWNS = 100  # in one report; more engines than a router has answers of in 0.1 s
 MAX_UNREPORTED = 1000  # reports held back while no scheduler is known
 
 
+@dataclass(frozen=True)
+class _Slowdown:
+    """What an engine reported of its speed.
+
+    :ivar started_ms: start of the engine, in milliseconds since 1970.
+    :ivar slowdown: time that work takes, as a multiple of the usual time.
+    :ivar received_s: when it was received, in seconds of the loop's clock.
+    """
+
+    started_ms: int
+    slowdown: float
+    received_s: float
+
+
 class AttemptReports:
     """Attempts of one router, and reports of their changes.
 
@@ -44,6 +62,7 @@
         self._ended: list[EngineInFlight] = []
         self._held: list[HeldPrompt] = []
         self._unscheduled: list[UnscheduledPrompt] = []
+        self._slowdown_by_server: dict[tuple[str, str], _Slowdown] = {}
         self.scheduler_host = ""
         self._scheduler_start = 0
         self._report_timer: asyncio.TimerHandle | None = None
@@ -145,6 +164,35 @@
         self._changed_s = now()
         self._schedule_report()
 
+    def add_slowdown(
+        self, pool: str, server: str, started_ms: int, slowdown: float, is_new: bool
+    ) -> None:
+        """Report what an engine says of its speed.
+
+        :param pool: name of the pool.
+        :param server: the engine.
+        :param started_ms: start of the engine, in milliseconds since 1970.
+        :param slowdown: time that work takes now, as a multiple of the usual time.
+        :param is_new: whether its last report was another one. Other reports are only
+            sent with what else there is to tell.
+        """
+        key = (pool, server)
+        items = self._slowdown_by_server
+        if key in items or len(items) < MAX_SLOWDOWNS:
+            items[key] = _Slowdown(started_ms, slowdown, now())
+        if is_new:
+            self._schedule_report(SLOWDOWN_REPORT_DELAY_S)
+
+    def _take_slowdowns(self) -> tuple[EngineSlowdown, ...]:
+        items, self._slowdown_by_server = self._slowdown_by_server, {}
+        at_s = now()
+        return tuple(
+            EngineSlowdown(
+                pool, server, item.started_ms, item.slowdown, at_s - item.received_s
+            )
+            for (pool, server), item in items.items()
+        )
+
     def _schedule_report(self, delay_s: float = REPORT_DELAY_S) -> None:
         loop = asyncio.get_running_loop()
         if self._report_timer is not None:
@@ -159,6 +207,7 @@
             del self._begun[:-MAX_UNREPORTED], self._ended[:-MAX_UNREPORTED]
             self._held.clear()
             self._unscheduled.clear()
+            self._slowdown_by_server.clear()
             return
         begun, ended = tuple(self._begun), tuple(self._ended)
         self._begun.clear()
@@ -169,7 +218,12 @@
         self._unscheduled.clear()
         snapshot = self._take_snapshot_if_due()
         progress = EngineProgress(
-            begun, ended, snapshot=snapshot, held=held, unscheduled=unscheduled
+            begun,
+            ended,
+            snapshot=snapshot,
+            held=held,
+            unscheduled=unscheduled,
+            slowdowns=self._take_slowdowns(),
         )
         self._peers.send(self.scheduler_host, progress)
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -7,6 +7,7 @@
 import eliot
 
 from almondfield_control.publishing import TablePublisher
+from almondfield_core.clock import now
 from almondfield_core.containment import contain_errors
 from almondfield_core.ports import Peers
 from almondfield_core.routing import RoutingTable
@@ -18,6 +19,7 @@
     EngineRefusal,
     EngineReply,
     EngineRequest,
+    EngineSlowdown,
     NotScheduling,
 )
 from almondfield_daemon.server_limits import LimitService
@@ -35,6 +37,7 @@
 # Routers wait so long at first. What is left of the target is for wait and prefill.
 MAX_WAITED_SHARE = 0.5  # of the latency target
 CLEAN_UP_INTERVAL_S = 1.0  # also the interval of the scheduler:load log messages
+MAX_SLOWDOWN_AGE_S = 1.0  # older reports say nothing about an engine's speed
 MAX_TEAMS = 5  # in one scheduler:teams message; those with the most demand
 
 
@@ -161,6 +164,8 @@
             self._scheduler(item.pool, table).record_unscheduled(
                 attempt, item.team, item.prompt, item.server
             )
+        # First, as the samples of begun answers depend on it.
+        self._record_slowdowns(progress.slowdowns, table)
         for item in progress.begun:
             attempt = AttemptId(sender, item.number)
             self._scheduler(item.pool, table).begin_answer(attempt, item.server)
@@ -175,6 +180,20 @@
             for scheduler in self._scheduler_by_pool.values():
                 scheduler.reconcile(sender, progress.snapshot)
 
+    def _record_slowdowns(
+        self, items: tuple[EngineSlowdown, ...], table: RoutingTable
+    ) -> None:
+        received_s = now() - self._peers.handling_delay_s
+        for item in items:
+            if not 0 <= item.age_s <= MAX_SLOWDOWN_AGE_S:
+                continue
+            self._scheduler(item.pool, table).pool.record_slowdown(
+                item.server,
+                item.started_ms,
+                item.slowdown,
+                received_s - item.age_s,
+            )
+
     async def _on_prefixes(self, sender: str, message: EnginePrefixes) -> None:
         table = self._publisher.table
         if not self._update_leadership() or table is None:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -13,7 +13,6 @@
 
 from almondfield_core.clock import now
 from almondfield_core.routing import Prompt
-from almondfield_fairshare.engines.answer_delay import AnswerDelay
 from almondfield_fairshare.engines.attempts import AttemptTable, InFlightAttempt
 from almondfield_fairshare.engines.engine import Engine
 from almondfield_fairshare.engines.estimates import (
@@ -24,13 +23,13 @@
     has_capacity,
     is_late_everywhere,
 )
-from almondfield_fairshare.engines.held_prefixes import HeldPrefixes
 from almondfield_fairshare.engines.load import (
     DecisionCounts,
     EngineLoad,
     UsedShare,
     summarize_load,
 )
+from almondfield_fairshare.engines.pool import EnginePool
 from almondfield_fairshare.engines.prefix_cache import PrefixBlock, prefix_blocks
 from almondfield_fairshare.engines.refused_prompts import RefusedPrompts
 from almondfield_fairshare.engines.requests import (
@@ -70,15 +69,15 @@
 
     :param window_s: sliding window of the teams' shares, in seconds.
 
+    :ivar pool: the engines.
     :ivar closed_names: engines that take no request now, which count as used.
     """
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
         self._shares = TeamShares(window_s)
-        self._engine_by_name: dict[str, Engine] = {}
-        self._held_prefixes = HeldPrefixes()
-        self._answer_delay = AnswerDelay()
+        self.pool = EnginePool()
+        self._answer_delay = self.pool.answer_delay
         self._attempts = AttemptTable()
         self._used_share = UsedShare()
         self._sampled_s = -math.inf
@@ -88,23 +87,19 @@
         self._work_per_s = 0.0
         self.closed_names: frozenset[str] = frozenset()
 
+    @property
+    def _engine_by_name(self) -> dict[str, Engine]:
+        return self.pool.engine_by_name
+
     def set_servers(self, servers: Iterable[EngineServer]) -> None:
-        """Replace the set of engines; a restarted engine begins with an empty cache.
+        """Replace the set of engines; a restarted engine begins anew.
 
         :param servers: engines that accept new work.
         """
         before = self._engine_by_name
-        self._engine_by_name = {}
-        for server in servers:
-            engine = before.get(server.name)
-            if engine is None or engine.server.started_ms != server.started_ms:
-                engine = Engine(server, self._answer_delay)
-                for sent in self._held_prefixes.take(server):
-                    engine.restore_prefix(prefix_blocks(sent.prefix))
-            self._engine_by_name[server.name] = engine
-        self._attempts.retain(
-            lambda name: self._engine_by_name.get(name) is before.get(name)
-        )
+        self.pool.set_servers(servers)
+        after = self._engine_by_name
+        self._attempts.retain(lambda name: after.get(name) is before.get(name))
 
     @property
     def used_share(self) -> float:
@@ -323,12 +318,7 @@
 
         :param sent: the parts, and the start of the engine that got them.
         """
-        engine = self._engine_by_name.get(sent.server)
-        if engine is None:
-            self._held_prefixes.add(sent)
-        elif engine.server.started_ms == sent.started_ms:
-            # A restarted engine has an empty cache.
-            engine.restore_prefix(prefix_blocks(sent.prefix))
+        self.pool.restore_prefix(sent)
 
     def remove_router(self, router: str) -> None:
         """Drop the requests of a router that is gone.
@@ -370,9 +360,10 @@
         self._sampled_s = at_s
         self._shares.remove_expired(at_s)
         engines = self._engine_by_name.values()
-        for engine in [engine for engine in engines if engine.due_s < at_s]:
+        changing = [e for e in engines if e.is_slowed or e.due_s < at_s]
+        for engine in changing:
             engine.refresh(at_s)
-        self._used_share.record(self._open_engines(), len(engines), at_s)
+        self._used_share.record(self._open_engines(), engines, at_s)
 
     def _base_max_wait_s(self, request: PromptRequest) -> float:
         """Return the wait limit for teams within their fair share, in seconds."""
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
@@ -8,6 +8,7 @@
 from almondfield_fairshare.engines.answer_delay import AnswerDelay
 from almondfield_fairshare.engines.prefix_cache import PrefixBlock, PrefixCache
 from almondfield_fairshare.engines.requests import AttemptId, EngineServer
+from almondfield_fairshare.server_speed import Slowdown
 
 __all__ = ["Engine"]
 
@@ -46,10 +47,17 @@
 
     :param server: the server, as it announced itself.
     :param answer_delay: that time, over all engines of the pool.
+    :param initial_rate: prompt tokens per second until samples correct it.
+
+    The prefill rate is that of the engine's mean speed. The times below hold what a
+    momentary slowdown has cost until the last refresh; :attr:`ready_s` also holds what
+    it is expected to cost.
 
     Decisions look at many engines, so what they need is kept in attributes.
 
+    :ivar slowdown: momentary slowdown that the engine reported.
     :ivar prefill_rate: prompt tokens prefilled per second while other requests run.
+    :ivar samples: number of samples of the prefill rate.
     :ivar ready_s: when the prefill of a new prompt is expected to begin, in seconds of
         the loop's clock; an earlier time than now for an idle engine.
     :ivar slot_wait_s: added wait of a new prompt if it is beyond the engine's slots, in
@@ -59,37 +67,81 @@
         of the loop's clock.
     :ivar due_s: when the first answer is expected to have begun, in seconds of the
         loop's clock; infinite if no prompt waits.
+    :ivar is_slowed: whether it is slower or faster than usual now.
+    :ivar loss_ratio: added time of a new prompt for each second of its prefill, while
+        the slowdown lasts.
+    :ivar loss_left_s: what the slowdown adds to a new prompt's prefill at most, in
+        seconds; negative if the engine is faster than usual.
     :ivar cached_parts: keys of the cached prefixes.
     """
 
-    def __init__(self, server: EngineServer, answer_delay: AnswerDelay) -> None:
+    def __init__(
+        self,
+        server: EngineServer,
+        answer_delay: AnswerDelay,
+        initial_rate: float = INITIAL_RATE,
+    ) -> None:
         self.server = server
+        self.slowdown = Slowdown()
         self._answer_delay = answer_delay
         self._prefix_cache = PrefixCache(server.cache_tokens)
         self._waiting_by_attempt: OrderedDict[AttemptId, _WaitingPrompt] = OrderedDict()
         self._began_s_by_attempt: dict[AttemptId, float] = {}
         self._reported_s = now()  # the last time that a waiting prompt began or left
         self._prefilled_s = now()  # when the prefill of that prompt ended
-        self._sampled_tokens = INITIAL_RATE
+        self._sampled_tokens = initial_rate
         self._sampled_s = 1.0
         self._backoff_until_s = float("-inf")
-        self.prefill_rate = INITIAL_RATE
+        self.prefill_rate = initial_rate
+        self.samples = 0
+        self.is_slowed = False
+        self.loss_ratio = 0.0
+        self.loss_left_s = 0.0
+        self._refreshed_s = now()
         self.idle_from_s = now()
         self.due_s = math.inf
         self.cached_parts = self._prefix_cache.tokens_by_key.keys()
         self.refresh(now())
 
     def refresh(self, at_s: float) -> None:
-        """Update the predicted wait, which rises while the engine is overdue.
+        """Update the predicted wait, which rises while the engine is late or slow.
 
         :param at_s: the current time, in seconds of the loop's clock.
         """
-        self.ready_s = at_s + self.wait_s(at_s)
+        self._advance(at_s)
+        lost_share = self.slowdown.lost_share(at_s)
+        self.is_slowed = lost_share != 0
+        self.loss_ratio = lost_share / (1 - lost_share)
+        self.loss_left_s = self.slowdown.loss_after_s(at_s)
+        wait_s = self.wait_s(at_s)
+        added_s = _bounded(wait_s * self.loss_ratio, self.loss_left_s)
+        self.loss_left_s -= added_s
+        self.ready_s = at_s + wait_s + added_s
         slots = max(1, self.server.slots)
         self.used_slot_share = min(1.0, self.in_flight / slots)
         beyond = max(0, self.in_flight + 1 - self.server.slots)
         self.slot_wait_s = SLOT_PENALTY_S * beyond
 
+    def record_slowdown(self, slowdown: float, measured_s: float) -> None:
+        """Record how long work takes at the engine now.
+
+        :param slowdown: the time as a multiple of the usual one.
+        :param measured_s: when the engine reported it, in seconds of the loop's clock.
+        """
+        at_s = now()
+        self._advance(at_s)
+        if self.slowdown.record(slowdown, measured_s):
+            self.refresh(at_s)
+
+    def _advance(self, at_s: float) -> None:
+        """Add the time that the slowdown has cost since the last refresh."""
+        if self.is_slowed and self.idle_from_s > self._refreshed_s:
+            loss_s = self.slowdown.loss_after_s(self._refreshed_s)
+            loss_s -= self.slowdown.loss_after_s(at_s)
+            self.idle_from_s += loss_s
+            self.due_s += loss_s
+        self._refreshed_s = at_s
+
     @property
     def in_flight(self) -> int:
         """Return the number of requests that wait or run."""
@@ -103,7 +155,7 @@
         return self._prefix_cache.count_cached(blocks)
 
     def wait_s(self, at_s: float) -> float:
-        """Return the predicted wait of a new prompt before prefill, in seconds.
+        """Return the predicted wait of a new prompt at the mean speed, in seconds.
 
         :param at_s: the current time, in seconds of the loop's clock.
         """
@@ -157,6 +209,7 @@
         :param attempt: identifier of the attempt.
         :param uncached_tokens: tokens that the engine has to prefill.
         """
+        self._advance(now())
         wait_s = max(0.0, self.idle_from_s - now())
         prompt = _WaitingPrompt(uncached_tokens, now(), wait_s)
         self._waiting_by_attempt[attempt] = prompt
@@ -223,9 +276,14 @@
         return tuple(expired)
 
     def _prefill_duration_s(self, waiting: _WaitingPrompt) -> float:
-        """Return how long a prefill took if its answer is reported as begun now."""
-        sent_s = waiting.sent_s + self._answer_delay.seconds
-        return now() - max(self._reported_s, sent_s)
+        """Return how long a prefill took if its answer is reported as begun now.
+
+        What a slowdown has cost is not included.
+        """
+        delay_s = self._answer_delay.seconds
+        begun_s = max(self._reported_s, waiting.sent_s + delay_s)
+        loss_s = self.slowdown.loss_s(begun_s - delay_s, now() - delay_s)
+        return now() - begun_s - loss_s
 
     def _record_prefill(self, attempt: AttemptId, waiting: _WaitingPrompt) -> None:
         """Record the measured prefill of a prompt and the delay of its answer."""
@@ -235,8 +293,11 @@
         delay_s = self._answer_delay.seconds
         was_queued = waiting.sent_s + delay_s <= self._reported_s
         is_long = expected_s > MIN_PREFILL_DELAYS * delay_s
+        predicted_s = waiting.wait_s + expected_s
+        loss_s = self.slowdown.loss_s(waiting.sent_s, now() - delay_s)
+        loss_s -= (1 - self.slowdown.mean_speed) * predicted_s
         self._answer_delay.record(
-            now() - waiting.sent_s - waiting.wait_s - expected_s, waiting.wait_s > 0
+            now() - waiting.sent_s - predicted_s - loss_s, waiting.wait_s > 0
         )
         if was_queued or is_long:
             duration_s = self._prefill_duration_s(waiting)
@@ -245,11 +306,13 @@
 
     def _update_rate(self, tokens: int, duration_s: float) -> None:
         if tokens >= MIN_SAMPLE_TOKENS:
+            self.samples += 1
             self._sampled_tokens *= SAMPLE_DECAY
             self._sampled_s *= SAMPLE_DECAY
             self._sampled_tokens += tokens
             self._sampled_s += duration_s
-            self.prefill_rate = max(MIN_RATE, self._sampled_tokens / self._sampled_s)
+            usual_rate = self._sampled_tokens / self._sampled_s
+            self.prefill_rate = max(MIN_RATE, usual_rate * self.slowdown.mean_speed)
 
     def _dequeue(self, attempt: AttemptId, prefilled_s: float) -> None:
         """Remove a waiting prompt.
@@ -267,10 +330,21 @@
             self.idle_from_s = begun_s + item.uncached_tokens / self.prefill_rate
         self.due_s = math.inf
         if self._waiting_by_attempt:
-            self._set_due(next(iter(self._waiting_by_attempt.values())))
+            head = next(iter(self._waiting_by_attempt.values()))
+            self._set_due(head)
+            loss_s = now() - max(prefilled_s, head.sent_s)
+            loss_s *= self.slowdown.lost_share(now())
+            self.idle_from_s += loss_s
+            self.due_s += loss_s
+        self._refreshed_s = now()
 
     def _set_due(self, head: _WaitingPrompt) -> None:
         """Set when the answer to the first waiting prompt is expected to have begun."""
         self.due_s = max(self._prefilled_s, head.sent_s)
         self.due_s += head.uncached_tokens / self.prefill_rate
         self.due_s += self._answer_delay.seconds + TOLERANCE_S
+
+
+def _bounded(value: float, limit: float) -> float:
+    """Return a value, or a limit of the same sign that is nearer to zero."""
+    return value if abs(value) < abs(limit) else limit
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/estimates.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/estimates.py
@@ -31,11 +31,14 @@
     :ivar engines: the engines, at least one.
     :ivar waits_s: predicted waits before prefill, in seconds.
     :ivar uncached_tokens: prompt tokens that each engine has to prefill.
+    :ivar added_s_by_index: what the momentary slowdown of an engine adds to its prefill
+        time, in seconds, for the engines that are slower or faster than usual.
     """
 
     engines: list[Engine]
     waits_s: list[float]
     uncached_tokens: list[int]
+    added_s_by_index: dict[int, float]
 
 
 def estimate_engines(
@@ -67,7 +70,15 @@
             for index, engine in enumerate(engines):
                 if engine.server.name == request.hint:
                     uncached_tokens[index] = unshared_tokens
-    return Estimates(engines, waits_s, uncached_tokens)
+    slowed = [index for index, e in enumerate(engines) if e.is_slowed]
+    added_s_by_index = {}
+    for index in slowed:
+        engine = engines[index]
+        added_s = engine.loss_ratio * uncached_tokens[index] / engine.prefill_rate
+        left_s = engine.loss_left_s
+        is_within = -left_s < added_s < left_s or left_s < added_s < -left_s
+        added_s_by_index[index] = added_s if is_within else left_s
+    return Estimates(engines, waits_s, uncached_tokens, added_s_by_index)
 
 
 def are_mostly_idle(estimates: Estimates) -> bool:
@@ -99,9 +110,10 @@
     """Return the sum of wait and weighted prefill time at each engine, in seconds.
 
     :param estimates: costs at the engines.
-    :param prefill_weight: weight of the prefill time.
+    :param prefill_weight: weight of the prefill time at the mean speed of an engine;
+        what a momentary slowdown adds to it delays the answer only.
     """
-    return [
+    all_costs_s = [
         wait_s + prefill_weight * uncached / engine.prefill_rate
         for engine, wait_s, uncached in zip(
             estimates.engines,
@@ -110,6 +122,9 @@
             strict=True,
         )
     ]
+    for index, added_s in estimates.added_s_by_index.items():
+        all_costs_s[index] += added_s
+    return all_costs_s
 
 
 def has_capacity(
@@ -142,10 +157,15 @@
     """
     min_uncached = min(estimates.uncached_tokens)
     longest_s = CACHED_WAIT_FACTOR * max_wait_s
-    return [
+    limits_s = [
         longest_s
         - repeated_prefill_weight * (uncached - min_uncached) / engine.prefill_rate
         for engine, uncached in zip(
             estimates.engines, estimates.uncached_tokens, strict=True
         )
     ]
+    for index, added_s in estimates.added_s_by_index.items():
+        uncached = estimates.uncached_tokens[index]
+        repeated_share = (uncached - min_uncached) / max(1, uncached)
+        limits_s[index] -= repeated_prefill_weight * added_s * repeated_share
+    return limits_s
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from statistics import median
 
@@ -151,18 +151,27 @@
         self._busy = BusyShare()
         self._slots = BusyShare()
 
-    def record(self, open_engines: Sequence[Engine], count: int, at_s: float) -> None:
+    def record(
+        self, open_engines: Sequence[Engine], engines: Collection[Engine], at_s: float
+    ) -> None:
         """Record what is in use from now on; engines that aren't open count as used.
 
+        The time of an engine counts by its prefill rate: where rates differ, the quick
+        engines are used most and do most of the work.
+
         :param open_engines: engines that take requests.
-        :param count: number of all engines.
+        :param engines: all engines.
         :param at_s: the current time, in seconds of the loop's clock.
         """
-        closed = count - len(open_engines)
-        busy = sum([e.idle_from_s > at_s or e.due_s < at_s for e in open_engines])
+        total_rate = sum([e.prefill_rate for e in engines])
+        idle_rate = sum(
+            [e.prefill_rate for e in open_engines if e.idle_from_s <= at_s <= e.due_s]
+        )
+        busy = 1 - idle_rate / total_rate if engines else 0.0
         used = sum([engine.used_slot_share for engine in open_engines])
-        self._busy.record((busy + closed) / max(1, count))
-        self._slots.record((used + closed) / max(1, count))
+        closed = len(engines) - len(open_engines)
+        self._busy.record(busy)
+        self._slots.record((used + closed) / max(1, len(engines)))
 
     def busy(self) -> float:
         """Return the recent part of the time to prefill prompts that was used."""
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/standins.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/standins.py
@@ -15,19 +15,25 @@
 )
 
 OUTPUT_TOKEN_S = 0.01
+SLOW_STEP_S = 0.02  # in which prefill goes on at one speed
+SLOW_SHARE = 0.15
+SLOWDOWN = 2.5
+REDRAW_S = 0.6
 
 
 class StandInEngine:
     """Prefills prompts in order of arrival, with least-recently-used caching.
 
     A prompt takes one of its slots from its prefill to the end of its answer. The next
-    prompts are prefilled while its first event is on the way.
+    prompts are prefilled while its first event is on the way. While it is slowed down,
+    its prefill takes a multiple of the usual time.
     """
 
     def __init__(self, rate, capacity_tokens, slots=64):
         self.first_event_delay_s = 0.0
         self.slots = asyncio.Semaphore(slots)
         self.rate = rate
+        self.slowdown = None
         self.capacity_tokens = capacity_tokens
         self.cache = OrderedDict()
         self.lock = asyncio.Lock()
@@ -51,7 +57,17 @@
             while sum(self.cache.values()) > self.capacity_tokens:
                 self.cache.popitem(last=False)
             self.prefilled_tokens += uncached
-            await asyncio.sleep(uncached / self.rate)
+            await self._work(uncached / self.rate)
+
+    async def _work(self, seconds):
+        """Return once work that usually takes some seconds is done."""
+        if self.slowdown is None:
+            await asyncio.sleep(seconds)
+            return
+        while seconds > 1e-9:
+            step_s = min(SLOW_STEP_S, seconds * self.slowdown)
+            await asyncio.sleep(step_s)
+            seconds -= step_s / self.slowdown
 
 
 class Workload:
@@ -80,6 +96,7 @@
         self.began_s = now()
         self.admissions = []
         self.first_s_by_team = {}
+        self.reports_slowdown = True
 
     def prompt(self, shared, unshared_tokens, shared_tokens, output_tokens=None):
         """Return a prompt with one shared part and one unique part."""
@@ -131,13 +148,24 @@
         self.first_s.append(now() - requested_s)
         since_first_try_s = now() - requested_s + waited_s
         self.first_s_by_team.setdefault(team, []).append(since_first_try_s)
-        self.scheduler.begin_answer(attempt, self._name(engine))
+        name = self._name(engine)
+        if engine.slowdown is not None and self.reports_slowdown:
+            self.scheduler.pool.record_slowdown(name, 1, engine.slowdown, now())
+        self.scheduler.begin_answer(attempt, name)
         await asyncio.sleep(prompt.max_output_tokens * OUTPUT_TOKEN_S)
         self.scheduler.end(attempt)
 
     def _name(self, engine):
         return next(n for n, item in self.engine_by_name.items() if item is engine)
 
+    async def redraw_slow_engines(self):
+        """Slow some engines down, others each time, until cancelled."""
+        rng = random.Random(2)
+        while True:
+            for engine in self.engine_by_name.values():
+                engine.slowdown = SLOWDOWN if rng.random() < SLOW_SHARE else 1.0
+            await asyncio.sleep(REDRAW_S)
+
     async def generate(self, seconds, streams):
         """Submit requests of each (team, rate, make_prompt) for some seconds."""
         tasks = []
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/prefix_cache_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/prefix_cache_steps.py
@@ -113,5 +113,5 @@
 
 @then("it holds at most {count:d} of them")
 def step_impl(context, count):
-    held = context.scheduler._held_prefixes._prefixes_by_server
+    held = context.scheduler.pool._held_prefixes._prefixes_by_server
     assert len(held) <= count, len(held)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/core.py
@@ -20,6 +20,7 @@
 
 PREFERRED_SERVERS = 2  # servers that may cache one prompt prefix
 OTHER_DATA_CENTRE_SLOTS = 0.3  # busy slots added for another data centre
+NEARLY_EQUAL = 1.2  # ratio of expected times; one request more in six slots
 
 
 @dataclass(frozen=True)
@@ -140,7 +141,7 @@
         if hinted is not None or not available:
             return hinted
         if prompt is None or len(prompt.parts) < 2:
-            return min(available, key=self._relative_load)
+            return self._choose_by_load(available)
         return self._choose_by_prefix(available, prompt)
 
     def start(self, candidate: Candidate, prompt: Prompt | None) -> InFlightRequest:
@@ -152,12 +153,26 @@
         uncached_tokens = prompt.unshared_tokens if prompt else 0
         return InFlightRequest(self.record(candidate.name), uncached_tokens)
 
-    def _relative_load(self, candidate: Candidate) -> tuple[float, float]:
+    def _choose_by_load(self, candidates: list[Candidate]) -> Candidate:
+        """Return the server with the shortest expected time of a request.
+
+        Where servers report how long work takes, all routers know of the same quick
+        servers. Any server that takes little longer may be chosen then.
+        """
+        time_by_name = {c.name: self._relative_time(c) for c in candidates}
+        longest = min(time_by_name.values())
+        if any(self.record(c.name).slowdown != 1.0 for c in candidates):
+            longest *= NEARLY_EQUAL
+        nearly_equal = [c for c in candidates if time_by_name[c.name] <= longest]
+        return min(nearly_equal, key=lambda c: self._rng.random())
+
+    def _relative_time(self, candidate: Candidate) -> float:
+        """Return the expected time of a request, as a multiple of that when idle."""
         record = self.record(candidate.name)
         busy = record.running + record.waiting
         if not candidate.is_local:
             busy += OTHER_DATA_CENTRE_SLOTS
-        return busy / max(1, candidate.slots), self._rng.random()
+        return (1 + busy / max(1, candidate.slots)) * record.slowdown
 
     def _choose_by_prefix(
         self, candidates: list[Candidate], prompt: Prompt
@@ -174,7 +189,8 @@
             uncached = 0 if index < PREFERRED_SERVERS else shared_tokens
             replication = shared_tokens / 2 if 0 < index < PREFERRED_SERVERS else 0
             waiting = record.waiting * prompt.input_tokens
-            return waiting + uncached + replication
+            unread = waiting + uncached + prompt.unshared_tokens
+            return unread * record.slowdown + replication
 
         return ranked[min(range(len(ranked)), key=cost)]
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/server_record.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/server_record.py
@@ -1,6 +1,7 @@
 """Load and health of one backend server, as one router sees them."""
 
 from almondfield_core.clock import now
+from almondfield_fairshare.server_speed import Slowdown
 
 __all__ = ["ServerRecord"]
 
@@ -26,6 +27,8 @@
         self.failures = 0
         self.timeouts = 0
         self.avoided_until_s = float("-inf")
+        self._slowdown = Slowdown()
+        self._born_ms = 0
         self._running = 0
         self._waiting = 0
         self._reported_s = float("-inf")
@@ -40,6 +43,25 @@
         self._waiting = waiting
         self._reported_s = now()
 
+    def record_slowdown(self, born_ms: int, slowdown: float) -> bool:
+        """Record how long work takes now; return whether it takes longer or less long.
+
+        :param born_ms: start of the server, in milliseconds since 1970. A restarted
+            server begins without a slowdown.
+        :param slowdown: the time as a multiple of the usual one.
+        """
+        if born_ms != self._born_ms:
+            self._born_ms = born_ms
+            self._slowdown = Slowdown()
+        before = self._slowdown.latest
+        self._slowdown.record(slowdown, now())
+        return self._slowdown.latest != before
+
+    @property
+    def slowdown(self) -> float:
+        """Return how long work is expected to take, as a multiple of the usual time."""
+        return self._slowdown.factor(now())
+
     @property
     def running(self) -> int:
         """Return the number of requests that run at the server, as far as known."""
