--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -75,7 +75,9 @@
             self.peers, self.fleet.routers.hosts, self._members
         )
         count = self._quarantine.table.quarantined_count
-        self.serve_metrics(ControlMetrics(self.fleet, count))
+        self.serve_metrics(
+            ControlMetrics(self.fleet, count, self._engines.slowdown_by_server)
+        )
 
     def background_coroutines(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return the coroutines that run until shutdown, besides the peer messaging."""
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
@@ -20,6 +20,7 @@
 # Dense around the time that callers wait for a request to be read.
 DELAY_BUCKETS_S = [0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0]
 MILLISECONDS = 1000
+MAX_SLOWDOWN_LABELS = 500  # servers that come and go leave their labels behind
 
 
 class RouterMetrics:
@@ -27,14 +28,18 @@
 
     :param notice_count_by_kind: notices of backend servers since the start.
     :param quarantines: returns the number of quarantines of prompt parts.
+    :param slowdown_by_server: returns how long work takes at each server now, relative
+        to the usual time.
     """
 
     def __init__(
         self,
         notice_count_by_kind: Mapping[NoticeKind, int],
         quarantines: Callable[[], int] = lambda: 0,
+        slowdown_by_server: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
         self.registry = Registry()
+        self._slowdowns = _SlowdownGauge(self.registry, slowdown_by_server)
         self._quarantines = quarantines
         self._quarantined = _quarantine_gauge(self.registry)
         self._notice_count_by_kind = notice_count_by_kind
@@ -91,6 +96,7 @@
     def refresh(self) -> None:
         """Update the gauge of quarantines and the counters of notices and refusals."""
         self._quarantined.set({}, self._quarantines())
+        self._slowdowns.refresh()
         for kind, count in self._notice_count_by_kind.items():
             self._notices.set({"notice": kind.value}, count)
         # An addition to a counter takes longer than the refusal of a request.
@@ -104,12 +110,18 @@
 
     :param fleet: routers and backend servers.
     :param quarantines: returns the number of quarantines of prompt parts.
+    :param slowdown_by_server: returns how long work takes at each engine now, relative
+        to the usual time; nothing at a host that doesn't lead.
     """
 
     def __init__(
-        self, fleet: FleetControl, quarantines: Callable[[], int] = lambda: 0
+        self,
+        fleet: FleetControl,
+        quarantines: Callable[[], int] = lambda: 0,
+        slowdown_by_server: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
         self.registry = Registry()
+        self._slowdowns = _SlowdownGauge(self.registry, slowdown_by_server)
         self._quarantines = quarantines
         self._quarantined = _quarantine_gauge(self.registry)
         self._fleet = fleet
@@ -123,6 +135,7 @@
     def refresh(self) -> None:
         """Update the gauges."""
         self._quarantined.set({}, self._quarantines())
+        self._slowdowns.refresh()
         self._routers.set({}, len(self._fleet.routers.hosts()))
         count_by_phase: dict[str, int] = {}
         for server in self._fleet.servers():
@@ -132,6 +145,36 @@
             self._servers.set({"phase": phase}, count)
 
 
+class _SlowdownGauge:
+    """Gauge of the slowdown of each server that was ever slower or faster than usual.
+
+    :param registry: registry of the metrics page.
+    :param slowdown_by_server: returns the slowdown of each known server.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        slowdown_by_server: Callable[[], Mapping[str, float]],
+    ) -> None:
+        self._slowdown_by_server = slowdown_by_server
+        self._names: set[str] = set()
+        self._gauge = Gauge(
+            "almondfield_server_slowdown",
+            "Time that work takes at a server now, as a multiple of the usual time",
+            registry=registry,
+        )
+
+    def refresh(self) -> None:
+        """Update the gauge."""
+        slowdowns = self._slowdown_by_server()
+        for name, slowdown in slowdowns.items():
+            if slowdown != 1 and len(self._names) < MAX_SLOWDOWN_LABELS:
+                self._names.add(name)
+        for name in self._names:
+            self._gauge.set({"server": name}, slowdowns.get(name, 1.0))
+
+
 class LoopMetrics:
     """Histogram of the delays of the event loop.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -101,7 +101,9 @@
             self.view.set_control_hosts,
         )
         self._backends = HttpBackends(settings.daemon_settings())
-        placement = Placement(random.Random(f"{settings.address}/{self.incarnation}"))
+        self._placement = placement = Placement(
+            random.Random(f"{settings.address}/{self.incarnation}")
+        )
         engines = EngineClient(
             self.peers,
             lambda: leader.last_leader,
@@ -134,7 +136,9 @@
             settings.answers.max_discarded_bytes,
         )
         self._metrics = RouterMetrics(
-            notices.count_by_kind, self._quarantine.table.quarantined_count
+            notices.count_by_kind,
+            self._quarantine.table.quarantined_count,
+            placement.slowdown_by_server,
         )
         forwarder = Forwarder(
             attempts,
@@ -180,6 +184,7 @@
                 self._listener.connection_count,
                 self._listener.accepted_count,
                 lambda: self._endpoint.running,
+                self._placement.slowdown_by_server,
             ),
         )
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from enum import StrEnum
 
 import eliot
 
 from almondfield_core.containment import contain_errors
+from almondfield_fairshare.server_speed import largest_slowdowns
 
 __all__ = ["RefusalCause", "RequestCounts", "log_request_counts"]
 
@@ -92,6 +93,7 @@
     connections: Callable[[], int],
     accepted: Callable[[], int],
     running: Callable[[], int],
+    slowdown_by_server: Callable[[], Mapping[str, float]] = dict,
 ) -> None:
     """Log the counts once a second while there are requests, until cancelled.
 
@@ -99,6 +101,8 @@
     :param connections: returns the number of open connections of callers.
     :param accepted: returns the number of connections accepted since the start.
     :param running: returns the number of requests in work.
+    :param slowdown_by_server: returns how long work takes at each server now, relative
+        to the usual time.
     """
     before = accepted()
     while True:
@@ -112,5 +116,6 @@
                     connections=connections(),
                     accepted=before - accepted_before,
                     running=running(),
+                    slowdowns=largest_slowdowns(slowdown_by_server()),
                     **fields,
                 )
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -79,6 +79,14 @@
         self._peers.register_handler(EnginePrefixes, self._on_prefixes)
         self._fleet.server_change_callbacks.append(self._update_servers)
 
+    def slowdown_by_server(self) -> dict[str, float]:
+        """Return how long work takes at each engine now, relative to the usual time."""
+        slowdown_by_server = {}
+        if self._publisher.led_term is not None:
+            for scheduler in self._scheduler_by_pool.values():
+                slowdown_by_server |= scheduler.pool.slowdown_by_server()
+        return slowdown_by_server
+
     async def run(self) -> None:
         """Drop expired requests and those of lost routers, until cancelled."""
         routers: frozenset[str] = frozenset()
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/scheduling.feature
@@ -168,3 +168,44 @@
   Scenario: What a team asked for counts for its share though it waited too long
     When "c1" handles a request with a target of 0.8 s that has waited 0.41 s
     Then "c1" knows of a demand of 5100 tokens
+
+  # Guards against a scheduler that sends prompts to engines which are slow at the moment.
+  Scenario: What an engine reports of its speed reaches the scheduler
+    When "r1" requests an engine
+    And its engine reports a slowdown of 2.5
+    And 0.15 s pass
+    Then "c1" knows of a slowdown of its engine of 1.9 to 2.3
+    When 0.5 s pass
+    Then "c1" knows of a slowdown of its engine of 1.0 to 1.1
+
+  # Guards against a restarted engine that is avoided for what its earlier start reported.
+  Scenario: What an earlier start of an engine reported is ignored
+    When "r1" requests an engine
+    And "e1" and "e2" restart
+    And its engine reports a slowdown of 2.5
+    And 0.15 s pass
+    Then "c1" knows of a slowdown of its engine of 1.0 to 1.0
+
+  # Guards against a host of another build, or one that is broken, whose reports change
+  # what the scheduler predicts for longer than a slow moment, or end its handling.
+  Scenario Outline: A report that can't be true is ignored
+    When "r1" requests an engine
+    And "r1" reports a slowdown of <slowdown> that is <age> s old
+    And 0.05 s pass
+    Then "c1" knows of a slowdown of its engine of 1.0 to 1.0
+
+    Examples:
+      | slowdown | age  |
+      | nan      | 0    |
+      | -1       | 0    |
+      | 1e9      | 0    |
+      | 2.5      | nan  |
+      | 2.5      | -5   |
+      | 2.5      | 1000 |
+
+  # Guards against reports that grow with the number of engines and answers.
+  Scenario: The reports of engines on their speed are bounded
+    When "r1" requests an engine
+    And 300 engines report 10 times each how fast they are
+    And 0.2 s pass
+    Then "r1" told the scheduler of the speed of at most 100 engines at a time
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/tests/steps/scheduling_steps.py
@@ -10,7 +10,11 @@
 from almondfield_core.routing import Prompt, PromptPart
 from almondfield_daemon.fleet import FleetControl, FleetServer
 from almondfield_daemon.scheduling import EngineAssignment, EngineClient, EngineService
-from almondfield_daemon.scheduling.messages import EngineRefusal
+from almondfield_daemon.scheduling.messages import (
+    EngineProgress,
+    EngineRefusal,
+    EngineSlowdown,
+)
 from almondfield_daemon.scheduling.tests.fakes import POOL, FakePublisher
 from almondfield_daemon.server_limits import LimitService
 from almondfield_fairshare.engines import PromptRequest
@@ -432,3 +436,58 @@
     (load,) = run(context, collect())
     assert load.demand == tokens, load
     assert load.refused_overdue == 1, load
+
+
+@when("its engine reports a slowdown of {slowdown:g}")
+def step_impl(context, slowdown):
+    async def report():
+        context.assignment.report_slowdown(0, slowdown, is_new=True)
+
+    run(context, report())
+
+
+@then('"{host}" knows of a slowdown of its engine of {least:g} to {most:g}')
+def step_impl(context, host, least, most):
+    async def slowdowns():
+        return context.service_by_host[host].slowdown_by_server()
+
+    value = run(context, slowdowns())[context.assignment.server]
+    assert least <= value <= most, value
+
+
+@when('"r1" reports a slowdown of {slowdown} that is {age} s old')
+def step_impl(context, slowdown, age):
+    server = context.assignment.server
+    item = EngineSlowdown(POOL, server, 0, float(slowdown), float(age))
+
+    async def send():
+        progress = EngineProgress(slowdowns=(item,))
+        context.network.peers_by_host["r1"].send("c1", progress)
+
+    run(context, send())
+
+
+@when("{count:d} engines report {times:d} times each how fast they are")
+def step_impl(context, count, times):
+    context.told = []
+    service = context.service_by_host["c1"]
+    handle = service._record_slowdowns
+
+    def record(items, table):
+        context.told.append(len(items))
+        handle(items, table)
+
+    service._record_slowdowns = record
+
+    async def report():
+        reports = context.assignment._reports
+        for number in range(count * times):
+            name = f"engine-{number % count}"
+            reports.add_slowdown(POOL, name, 0, 1.0 + number, is_new=True)
+
+    run(context, report())
+
+
+@then('"r1" told the scheduler of the speed of at most {count:d} engines at a time')
+def step_impl(context, count):
+    assert 0 < max(context.told) <= count, context.told
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -360,9 +360,7 @@
         self._sampled_s = at_s
         self._shares.remove_expired(at_s)
         engines = self._engine_by_name.values()
-        changing = [e for e in engines if e.is_slowed or e.due_s < at_s]
-        for engine in changing:
-            engine.refresh(at_s)
+        self.pool.refresh(at_s)
         self._used_share.record(self._open_engines(), engines, at_s)
 
     def _base_max_wait_s(self, request: PromptRequest) -> float:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/engine.py
@@ -10,7 +10,7 @@
 from almondfield_fairshare.engines.requests import AttemptId, EngineServer
 from almondfield_fairshare.server_speed import Slowdown
 
-__all__ = ["Engine"]
+__all__ = ["INITIAL_RATE", "Engine", "bounded_loss_s"]
 
 INITIAL_RATE = 40_000.0  # tokens/s of a large engine, until samples correct it
 MIN_RATE = 1_000.0
@@ -72,6 +72,8 @@
         the slowdown lasts.
     :ivar loss_left_s: what the slowdown adds to a new prompt's prefill at most, in
         seconds; negative if the engine is faster than usual.
+    :ivar advanced_s: until when the times above hold what the slowdown has cost, in
+        seconds of the loop's clock.
     :ivar cached_parts: keys of the cached prefixes.
     """
 
@@ -97,7 +99,8 @@
         self.is_slowed = False
         self.loss_ratio = 0.0
         self.loss_left_s = 0.0
-        self._refreshed_s = now()
+        self._loss_after_s = 0.0
+        self.advanced_s = now()
         self.idle_from_s = now()
         self.due_s = math.inf
         self.cached_parts = self._prefix_cache.tokens_by_key.keys()
@@ -108,14 +111,13 @@
 
         :param at_s: the current time, in seconds of the loop's clock.
         """
-        self._advance(at_s)
-        lost_share = self.slowdown.lost_share(at_s)
-        self.is_slowed = lost_share != 0
-        self.loss_ratio = lost_share / (1 - lost_share)
-        self.loss_left_s = self.slowdown.loss_after_s(at_s)
+        added_s = 0.0
+        if self.is_slowed:
+            self._advance(at_s)
         wait_s = self.wait_s(at_s)
-        added_s = _bounded(wait_s * self.loss_ratio, self.loss_left_s)
-        self.loss_left_s -= added_s
+        if self.is_slowed:
+            added_s = bounded_loss_s(wait_s * self.loss_ratio, self._loss_after_s)
+            self.loss_left_s = self._loss_after_s - added_s
         self.ready_s = at_s + wait_s + added_s
         slots = max(1, self.server.slots)
         self.used_slot_share = min(1.0, self.in_flight / slots)
@@ -131,16 +133,26 @@
         at_s = now()
         self._advance(at_s)
         if self.slowdown.record(slowdown, measured_s):
+            self._look_ahead(at_s)
             self.refresh(at_s)
 
     def _advance(self, at_s: float) -> None:
-        """Add the time that the slowdown has cost since the last refresh."""
-        if self.is_slowed and self.idle_from_s > self._refreshed_s:
-            loss_s = self.slowdown.loss_after_s(self._refreshed_s)
-            loss_s -= self.slowdown.loss_after_s(at_s)
-            self.idle_from_s += loss_s
-            self.due_s += loss_s
-        self._refreshed_s = at_s
+        """Add the time that the slowdown has cost since the last call."""
+        if not self.is_slowed:
+            return
+        before_s, from_s = self._loss_after_s, self.advanced_s
+        self._look_ahead(at_s)
+        if self.idle_from_s > from_s:
+            self.idle_from_s += before_s - self._loss_after_s
+            self.due_s += before_s - self._loss_after_s
+
+    def _look_ahead(self, at_s: float) -> None:
+        """Update what the slowdown is expected to cost from now on."""
+        self.advanced_s = at_s
+        lost_share, self._loss_after_s = self.slowdown.outlook(at_s)
+        self.is_slowed = lost_share != 0
+        self.loss_ratio = lost_share / (1 - lost_share)
+        self.loss_left_s = self._loss_after_s
 
     @property
     def in_flight(self) -> int:
@@ -332,11 +344,12 @@
         if self._waiting_by_attempt:
             head = next(iter(self._waiting_by_attempt.values()))
             self._set_due(head)
-            loss_s = now() - max(prefilled_s, head.sent_s)
-            loss_s *= self.slowdown.lost_share(now())
-            self.idle_from_s += loss_s
-            self.due_s += loss_s
-        self._refreshed_s = now()
+            if self.is_slowed:
+                self.advanced_s = now()
+                lost_share, self._loss_after_s = self.slowdown.outlook(now())
+                loss_s = (now() - max(prefilled_s, head.sent_s)) * lost_share
+                self.idle_from_s += loss_s
+                self.due_s += loss_s
 
     def _set_due(self, head: _WaitingPrompt) -> None:
         """Set when the answer to the first waiting prompt is expected to have begun."""
@@ -345,6 +358,11 @@
         self.due_s += self._answer_delay.seconds + TOLERANCE_S
 
 
-def _bounded(value: float, limit: float) -> float:
-    """Return a value, or a limit of the same sign that is nearer to zero."""
-    return value if abs(value) < abs(limit) else limit
+def bounded_loss_s(loss_s: float, limit_s: float) -> float:
+    """Return a loss or gain of time, at most a limit of the same sign.
+
+    :param loss_s: the loss in seconds; negative for a gain.
+    :param limit_s: the limit in seconds.
+    """
+    is_within = -limit_s < loss_s < limit_s or limit_s < loss_s < -limit_s
+    return loss_s if is_within else limit_s
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/estimates.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/estimates.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from almondfield_core.clock import now
-from almondfield_fairshare.engines.engine import Engine
+from almondfield_fairshare.engines.engine import Engine, bounded_loss_s
 from almondfield_fairshare.engines.prefix_cache import PrefixBlock
 from almondfield_fairshare.engines.requests import PromptRequest
 
@@ -75,9 +75,7 @@
     for index in slowed:
         engine = engines[index]
         added_s = engine.loss_ratio * uncached_tokens[index] / engine.prefill_rate
-        left_s = engine.loss_left_s
-        is_within = -left_s < added_s < left_s or left_s < added_s < -left_s
-        added_s_by_index[index] = added_s if is_within else left_s
+        added_s_by_index[index] = bounded_loss_s(added_s, engine.loss_left_s)
     return Estimates(engines, waits_s, uncached_tokens, added_s_by_index)
 
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/load.py
@@ -3,11 +3,12 @@
 import math
 from collections import Counter
 from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from statistics import median
 
 from almondfield_core.clock import now
 from almondfield_fairshare.engines.engine import Engine
+from almondfield_fairshare.server_speed import largest_slowdowns
 
 __all__ = [
     "BusyShare",
@@ -40,6 +41,9 @@
     :ivar refused_overdue: requests that waited too long for a decision.
     :ivar longest_wait_s: longest predicted wait at an engine now, in seconds.
     :ivar prefill_rate: median of the engines' prompt tokens per second.
+    :ivar least_prefill_rate: that of the slowest engine.
+    :ivar most_prefill_rate: that of the quickest engine.
+    :ivar slowdowns: largest momentary slowdowns now, by engine.
     :ivar answer_delay_s: time from the end of prefill to the report of the first event,
         in seconds.
     """
@@ -57,6 +61,9 @@
     refused_overdue: int = 0
     longest_wait_s: float = 0.0
     prefill_rate: float = 0.0
+    least_prefill_rate: float = 0.0
+    most_prefill_rate: float = 0.0
+    slowdowns: dict[str, float] = field(default_factory=dict)
     answer_delay_s: float = 0.0
 
 
@@ -197,11 +204,16 @@
     :param counts: counts of decisions, by field.
     """
     at_s = now()
+    rates = [engine.prefill_rate for engine in engines] or [0.0]
+    slowdown_by_server = {e.server.name: e.slowdown.factor(at_s) for e in engines}
     return EngineLoad(
         engines=len(engines),
         busy_share=busy_share,
         longest_wait_s=max([engine.wait_s(at_s) for engine in engines], default=0.0),
-        prefill_rate=median([engine.prefill_rate for engine in engines] or [0.0]),
+        prefill_rate=median(rates),
+        least_prefill_rate=min(rates),
+        most_prefill_rate=max(rates),
+        slowdowns=largest_slowdowns(slowdown_by_server),
         answer_delay_s=answer_delay_s,
         **counts,
     )
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/pool.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/pool.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from statistics import median
 
+from almondfield_core.clock import now
 from almondfield_fairshare.engines.answer_delay import AnswerDelay
 from almondfield_fairshare.engines.engine import INITIAL_RATE, Engine
 from almondfield_fairshare.engines.held_prefixes import HeldPrefixes
@@ -13,6 +14,7 @@
 
 # Fewer samples say little beside the initial rate that they are averaged with.
 MIN_SAMPLES = 10
+SLOWED_INTERVAL_S = 0.03  # a twentieth of the time that a slowdown lasts
 
 
 class EnginePool:
@@ -75,6 +77,27 @@
         if engine is not None and engine.server.started_ms == started_ms:
             engine.record_slowdown(slowdown, measured_s)
 
+    def refresh(self, at_s: float) -> None:
+        """Update the engines whose predicted wait changes with time alone.
+
+        :param at_s: the current time, in seconds of the loop's clock.
+        """
+        before_s = at_s - SLOWED_INTERVAL_S
+        changing = [
+            engine
+            for engine in self.engine_by_name.values()
+            if engine.due_s < at_s
+            or (engine.is_slowed and engine.advanced_s <= before_s)
+        ]
+        for engine in changing:
+            engine.refresh(at_s)
+
+    def slowdown_by_server(self) -> dict[str, float]:
+        """Return how long work takes at each engine now, relative to the usual time."""
+        at_s = now()
+        engines = self.engine_by_name.items()
+        return {name: engine.slowdown.factor(at_s) for name, engine in engines}
+
     def _usual_rate(self) -> float:
         """Return the middle prefill rate of the engines that were measured."""
         engines = self.engine_by_name.values()
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/decision_work_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/tests/steps/decision_work_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from almondfield_core.clock import now
 from almondfield_core.routing import Prompt, PromptPart
 from almondfield_fairshare.engines import (
     AttemptId,
@@ -49,6 +50,15 @@
     context.scheduler = run(context, create())
 
 
+@given("{count:d} of them report that they are slow")
+def step_impl(context, count):
+    async def report():
+        for name in list(context.scheduler.pool.engine_by_name)[:count]:
+            context.scheduler.pool.record_slowdown(name, 1, 2.5, now())
+
+    run(context, report())
+
+
 @when("the calls of {count:d} decisions on prompts are counted, {gap_ms:g} ms apart")
 def step_impl(context, count, gap_ms):
     calls = Counter()
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/prefix_placement/core.py
@@ -97,6 +97,10 @@
         records = self._record_by_name.items()
         return frozenset([n for n, record in records if record.uncached_tokens > 0])
 
+    def slowdown_by_server(self) -> dict[str, float]:
+        """Return how long work takes at each server now, relative to the usual time."""
+        return {name: item.slowdown for name, item in self._record_by_name.items()}
+
     def retain(self, names: Iterable[str]) -> None:
         """Drop the records of idle servers that are not in use.
 
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/server_speed/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/server_speed/core.py
@@ -11,10 +11,13 @@
 """
 
 from collections import deque
+from collections.abc import Mapping
+from heapq import nlargest
 from typing import NamedTuple
 
-__all__ = ["MAX_SLOWDOWN", "MIN_SLOWDOWN", "Slowdown"]
+__all__ = ["MAX_SLOWDOWN", "MIN_SLOWDOWN", "Slowdown", "largest_slowdowns"]
 
+MAX_NAMED_SERVERS = 8  # in one log line
 MIN_SLOWDOWN = 0.1
 MAX_SLOWDOWN = 100.0
 LIFETIME_S = 0.6  # after which a machine's speed is unrelated to that of the report
@@ -80,25 +83,21 @@
         held = self._held_share(at_s)
         return self.usual + (self.latest - self.usual) * held
 
-    def lost_share(self, at_s: float) -> float:
-        """Return the expected part of the time that is lost as against the mean speed.
+    def outlook(self, at_s: float) -> tuple[float, float]:
+        """Return what is lost at a time and from then on, as against the mean speed.
 
-        It is 0 at about the usual speed.
+        Nothing is at about the usual speed.
 
         :param at_s: a time after the latest report, in seconds of the loop's clock.
+        :returns: the expected part of the time that is lost at that time, and the
+            expected loss from then on, in seconds.
         """
         deviation = self.latest / self.usual - 1
         if -MIN_DEVIATION < deviation < MIN_DEVIATION:
-            return 0.0
-        speed = self.usual / self.latest
-        return (1 - speed / self.mean_speed) * self._held_share(at_s)
-
-    def loss_after_s(self, at_s: float) -> float:
-        """Return the time that is lost from a time on, as against the mean speed.
-
-        :param at_s: a time after the latest report, in seconds of the loop's clock.
-        """
-        return self.lost_share(at_s) * self._held_share(at_s) * LIFETIME_S / 2
+            return 0.0, 0.0
+        held = self._held_share(at_s)
+        lost_share = (1 - self.usual / self.latest / self.mean_speed) * held
+        return lost_share, lost_share * held * LIFETIME_S / 2
 
     def loss_s(self, from_s: float, to_s: float) -> float:
         """Return the time that was lost as against the usual speed, in seconds.
@@ -122,4 +121,16 @@
     def _held_share(self, at_s: float) -> float:
         """Return how likely the latest report still holds."""
         age_s = at_s - self._measured_s
-        return max(0.0, 1 - age_s / LIFETIME_S) if age_s > 0 else 1.0
+        if age_s >= LIFETIME_S:
+            return 0.0
+        return 1 - age_s / LIFETIME_S if age_s > 0 else 1.0
+
+
+def largest_slowdowns(slowdown_by_server: Mapping[str, float]) -> dict[str, float]:
+    """Return the largest slowdowns above the usual one, rounded for a log line.
+
+    :param slowdown_by_server: slowdown of each server.
+    """
+    slow = [name for name, value in slowdown_by_server.items() if value > 1]
+    names = nlargest(MAX_NAMED_SERVERS, slow, key=slowdown_by_server.__getitem__)
+    return {name: round(slowdown_by_server[name], 2) for name in names}
