--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -121,6 +121,7 @@
         self.name = name
         self.failure = ""
         self.notices = ()
+        self.load = None
         self.received = []
         self.closed_s = None
         self._silent_until_s = None
@@ -144,7 +145,9 @@
         remaining_s = float(headers[b"remaining"])
         received_s = asyncio.get_running_loop().time()
         self.received.append(ReceivedCall(remaining_s, last_event_id, received_s))
-        metadata = AnswerMetadata(request_id, is_signed=True, notices=self.notices)
+        metadata = AnswerMetadata(
+            request_id, is_signed=True, load=self.load, notices=self.notices
+        )
         first = int(last_event_id or 0) + 1
         events = [event(number) for number in range(first, EVENTS + 1)]
         match self.failure:
@@ -295,7 +298,17 @@
 
 
 class FakeReports:
-    """Reports to no scheduler."""
+    """Reports to no scheduler.
+
+    :ivar slowdowns: what engines reported of their speed, and whether it was new.
+    """
+
+    def __init__(self):
+        self.slowdowns = []
+
+    def add_slowdown(self, pool, server, started_ms, slowdown, is_new):
+        """Record a report."""
+        self.slowdowns.append((slowdown, is_new))
 
     def begin_answer(self, item):
         """Do nothing."""
@@ -304,9 +317,10 @@
         """Do nothing."""
 
 
-def make_assignment(server):
+def make_assignment(server, reports=None):
     """Return an assignment to a server that waits for nothing."""
-    return EngineAssignment(FakeReports(), EngineInFlight(1, "p", server, 1), 0.0)
+    item = EngineInFlight(1, "p", server, 1)
+    return EngineAssignment(reports or FakeReports(), item, 0.0)
 
 
 class FakeEngines:
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/server_speed/tests/slowdown.feature
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/server_speed/tests/slowdown.feature
@@ -41,3 +41,8 @@
     And a server reports 1.0
     Then it lost at most 0.13 s in the last 0.4 s
     And it lost at least 0.11 s in the last 0.4 s
+
+  # Guards against log lines that grow with the number of servers.
+  Scenario: A log line names the servers that are slowed down most
+    Given servers "1" to "20" whose slowdown is their number
+    Then a log line names "20" to "13"
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/server_speed/tests/steps/slowdown_steps.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/server_speed/tests/steps/slowdown_steps.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from behave import then, when
+from behave import given, then, when
 
 from almondfield_core.clock import now
-from almondfield_fairshare.server_speed import Slowdown
+from almondfield_fairshare.server_speed import Slowdown, largest_slowdowns
 from almondfield_testing import run
 
 
@@ -19,14 +19,9 @@
     return context.slowdown.loss_s(now() - seconds, now())
 
 
-@when("a server reports {slowdown:g}")
+@when("a server reports {slowdown:S}")
 def step_impl(context, slowdown):
-    run(context, report(context, slowdown))
-
-
-@when("a server reports nan")
-def step_impl(context):
-    run(context, report(context, float("nan")))
+    run(context, report(context, float(slowdown)))
 
 
 @when("a server reports {slowdown:g} each {gap:g} s for {seconds:g} s")
@@ -63,3 +58,14 @@
 def step_impl(context, least, seconds):
     value = run(context, lost_s(context, seconds))
     assert value >= least, value
+
+
+@given('servers "{first:d}" to "{last:d}" whose slowdown is their number')
+def step_impl(context, first, last):
+    context.slowdowns = {str(n): float(n) for n in range(first, last + 1)}
+
+
+@then('a log line names "{first:d}" to "{last:d}"')
+def step_impl(context, first, last):
+    named = largest_slowdowns(context.slowdowns)
+    assert list(named) == [str(n) for n in range(first, last - 1, -1)], named
