--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -87,7 +87,12 @@
         )
         count = self._quarantine.table.quarantined_count
         self.serve_metrics(
-            ControlMetrics(self.fleet, count, self.evacuated_data_centres)
+            ControlMetrics(
+                self.fleet,
+                count,
+                self.evacuated_data_centres,
+                self._engines.slowdown_by_server,
+            )
         )
 
     def evacuated_data_centres(self) -> frozenset[str]:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -103,7 +103,9 @@
             self.view.set_control_hosts,
         )
         self._backends = HttpBackends(settings.daemon_settings())
-        placement = Placement(random.Random(f"{settings.address}/{self.incarnation}"))
+        self._placement = placement = Placement(
+            random.Random(f"{settings.address}/{self.incarnation}")
+        )
         engines = EngineClient(
             self.peers,
             lambda: leader.last_leader,
@@ -140,6 +142,7 @@
             notices.count_by_kind,
             self._quarantine.table.quarantined_count,
             self.evacuated_data_centres,
+            placement.slowdown_by_server,
         )
         forwarder = Forwarder(
             attempts,
@@ -189,6 +192,7 @@
                 self._listener.connection_count,
                 self._listener.accepted_count,
                 lambda: self._endpoint.running,
+                self._placement.slowdown_by_server,
             ),
         )
 
