Keep the rate of cold servers on all routers together

A server that has just started, or becomes cold again, crashes above a low rate of requests; routers and the scheduler sent it what a warm server takes.

The leader treats a cold server as a limit of the pool's warmupPerS that ends with its cold time, counts what it permits, and permits at most three quarters of the bound within the time in which permitted requests are sent. Up to a quarter of the bound is given to routers as parts of one request a second, for times without a leader. A new leader permits nothing until the permits of the last one have been used, and gives out no part until its parts have ended. The scheduler counts its admissions to warm engines of such pools as well.

Tests on the paused clock: 60 routers and 24 servers that start at once, with a leader that is lost and replaced, without a leader, and with 30 routers out of contact: no cold server gets over 12 requests in any second (bound 12.8).

--- a/packages/almondfield-core/src/almondfield_core/routing/checking.py
+++ b/packages/almondfield-core/src/almondfield_core/routing/checking.py
@@ -1,5 +1,6 @@
 """Checks a routing table and reports every problem with it."""
 
+import math
 import re
 from collections.abc import Iterator
 
@@ -39,6 +40,10 @@
             place = f"pools[{index}].name"
             yield Finding(place, f"{pool.name!r} is repeated", "a unique name")
         seen.add(pool.name)
+        for name in ("cold_start_s", "warmup_per_s"):
+            value = getattr(pool, name)
+            if not 0 <= value < math.inf:
+                yield Finding(f"pools[{index}].{name}", f"{value}", "0 or more")
 
 
 def _check_routes(table: RoutingTable) -> Iterator[Finding]:
--- a/packages/almondfield-core/src/almondfield_core/routing/core.py
+++ b/packages/almondfield-core/src/almondfield_core/routing/core.py
@@ -102,12 +102,17 @@
     :ivar max_connections: most connections that one server accepts from all callers.
     :ivar health_path: path of the health check.
     :ivar engine: limits of a model engine; None for a plain service.
+    :ivar cold_start_s: how long a server is cold after a start, in seconds.
+    :ivar warmup_per_s: requests a second that a cold server tolerates; 0 if its
+        servers don't become cold.
     """
 
     name: str
     max_connections: int
     health_path: str = "/healthz"
     engine: EngineLimits | None = None
+    cold_start_s: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -1,6 +1,7 @@
 """Settings of a daemon that discovers the other hosts from seed addresses."""
 
 import ipaddress
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import StrEnum
@@ -108,6 +109,13 @@
         "s",
         default=4.0,
     )
+    cold_overrun: float = item(
+        "Most requests to a cold server in a second, per request that it tolerates.",
+        default=1.5,
+    )
+    cold_slack: float = item(
+        "Further requests to a cold server in a second.", default=5.0
+    )
     answers: AnswerSettings = item(
         "Limits on the answers of backend servers.", default=AnswerSettings()
     )
@@ -192,6 +200,9 @@
     for name in ("grace_s", "revocation_s", "address_lifetime_s", "retry_window_s"):
         if getattr(settings, name) <= 0:
             yield Finding(name, f"is {getattr(settings, name)}", "a number above 0")
+    for name in ("cold_overrun", "cold_slack"):
+        if not 0 <= getattr(settings, name) < math.inf:
+            yield Finding(name, f"is {getattr(settings, name)}", "a number, 0 or more")
     yield from check_positive("answers", settings.answers)
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/control.py
@@ -18,7 +18,7 @@
 )
 from almondfield_daemon.fleet.registry import ServerRegistry
 from almondfield_daemon.fleet.routers import RouterDirectory
-from almondfield_daemon.server_limits import NamedLimit
+from almondfield_daemon.server_limits import ColdServers, NamedCold, NamedLimit
 
 __all__ = ["FleetControl"]
 
@@ -37,6 +37,8 @@
     :ivar routers: routers, from their hellos.
     :ivar server_change_callbacks: callbacks for changes of the servers.
     :ivar server_limits: returns the limits of servers that routers are told.
+    :ivar cold_servers: returns the cold times that a router is told, by its host and
+        the number of routers.
     """
 
     def __init__(
@@ -49,11 +51,19 @@
         self._peers = peers
         self._incarnation = incarnation
         self._control_hosts = control_hosts
-        self._registry = ServerRegistry()
+        self._registry = ServerRegistry(hears_all=True)
         self._pending_by_name: dict[str, FleetServer] = {}
         self.routers = RouterDirectory(rng)
         self.server_change_callbacks: list[Callable[[], None]] = []
         self.server_limits: Callable[[], tuple[NamedLimit, ...]] = tuple
+        self.cold_servers: Callable[[str, int], tuple[NamedCold, ...]] = (
+            lambda router, routers: ()
+        )
+
+    @property
+    def cold(self) -> ColdServers:
+        """Return which servers are cold."""
+        return self._registry.cold
 
     def servers(self) -> tuple[FleetServer, ...]:
         """Return all servers, including those that left recently."""
@@ -78,7 +88,9 @@
         pending = (*not_serving, *self._pending_by_name.values())
         self._pending_by_name.clear()
         if pending:
-            self._notify_control_hosts(ServerUpdate(pending[:MAX_SERVERS_PER_UPDATE]))
+            told = self._registry.with_cold_times(pending[:MAX_SERVERS_PER_UPDATE])
+            self._notify_control_hosts(ServerUpdate(told))
+        self._registry.cold.update()
 
     def announce(self, server: FleetServer) -> tuple[Finding, ...]:
         """Merge an announcement of a server; notify routers of a change at once.
@@ -95,7 +107,7 @@
             self._pending_by_name[server.name] = server
             return ()
         self._report_changes(changed, "announced")
-        self._notify_all(ServerUpdate(changed))
+        self._notify_all(ServerUpdate(self._registry.with_cold_times(changed)))
         return ()
 
     def mark_gone(self, name: str) -> bool:
@@ -131,14 +143,18 @@
         self.routers.record(sender, hello)
         held = (hello.board_start, hello.board_version)
         is_current = held == (self._incarnation, self._registry.version)
+        servers = None
+        if not is_current:
+            servers = self._registry.with_cold_times(self._registry.servers())
         return HelloReply(
             board_start=self._incarnation,
             board_version=self._registry.version,
-            servers=None if is_current else self._registry.servers(),
+            servers=servers,
             silent=self._registry.unresponsive(),
             routers=len(self.routers.hosts()),
             control_hosts=self._control_hosts(),
             limits=self.server_limits(),
+            cold=self.cold_servers(sender, len(self.routers.hosts())),
         )
 
     async def _on_update(self, sender: str, update: ServerUpdate) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/messages.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 
 from almondfield_core.wire import wire_message
-from almondfield_daemon.server_limits.messages import NamedLimit
+from almondfield_daemon.server_limits.messages import NamedCold, NamedLimit
 
 __all__ = [
     "FleetServer",
@@ -46,6 +46,9 @@
     :ivar sequence: sequence number of the announcement, increasing from each start.
     :ivar cold_left_s: seconds until the end of its slow warm-up.
     :ivar version: version of its software, without any order; empty if unknown.
+    :ivar has_cold_time: whether ``cold_left_s`` can be used; otherwise the last known
+        cold time stays in force.
+    :ivar cold_age_s: how long ago ``cold_left_s`` was said, in seconds.
     """
 
     name: str
@@ -58,6 +61,8 @@
     sequence: int = 0
     cold_left_s: float = 0.0
     version: str = ""
+    has_cold_time: bool = True
+    cold_age_s: float = 0.0
 
 
 @wire_message("router-hello")
@@ -95,6 +100,8 @@
     :ivar routers: number of routers that sent a hello recently.
     :ivar control_hosts: members of the control group.
     :ivar limits: limits that servers named, if the host leads the control group.
+    :ivar cold: cold times of servers, and the router's parts of their rates, if the
+        host leads the control group.
     """
 
     board_start: int
@@ -104,6 +111,7 @@
     routers: int = 1
     control_hosts: tuple[str, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
+    cold: tuple[NamedCold, ...] = ()
 
 
 @wire_message("server-news")
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/registry.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/registry.py
@@ -8,6 +8,8 @@
 from almondfield_core.clock import now
 from almondfield_daemon.fleet.checking import check_server
 from almondfield_daemon.fleet.messages import FleetServer, ServerPhase
+from almondfield_daemon.server_limits import ColdServers
+from almondfield_daemon.server_notices import ServerStart
 
 __all__ = ["PoolServers", "ServerRegistry"]
 
@@ -36,11 +38,15 @@
     left stays gone until it restarts. Of two servers that announce the same address,
     the one that started later keeps it.
 
+    :param hears_all: whether all announcements of servers come here, not only changes.
+
     :ivar version: increases with each change that routers must be notified of.
+    :ivar cold: which servers are cold.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, hears_all: bool = False) -> None:
         self.version = 0
+        self.cold = ColdServers(hears_all)
         self._server_by_name: dict[str, FleetServer] = {}
         self._last_seen_s_by_name: dict[str, float] = {}
         # Routers ask several times for each request; announcements are far fewer.
@@ -68,6 +74,29 @@
         """
         return self._server_by_name.get(name)
 
+    def with_cold_times(
+        self, servers: Iterable[FleetServer]
+    ) -> tuple[FleetServer, ...]:
+        """Return servers with their cold times as of now, to be sent to other hosts.
+
+        :param servers: the servers; those of pools without a warm-up rate are returned
+            as they were announced.
+        """
+        return tuple([self._with_cold_time(server) for server in servers])
+
+    def _with_cold_time(self, server: FleetServer) -> FleetServer:
+        item = self.cold.statement(server.name)
+        if item is None or item.born_ms != server.born_ms:
+            return server
+        if self.cold.warm_up_pool(server.name) is None:
+            return server
+        return replace(
+            server,
+            cold_left_s=item.left_s,
+            has_cold_time=True,
+            cold_age_s=item.age_s,
+        )
+
     def merge(
         self, servers: Iterable[FleetServer], source: str = ""
     ) -> tuple[FleetServer, ...]:
@@ -129,6 +158,10 @@
             if is_gone and now() - last_seen_s > GONE_RETENTION_S:
                 del self._server_by_name[name], self._last_seen_s_by_name[name]
                 self._servers_by_pool.clear()
+                self.cold.retain(
+                    ServerStart(other.name, other.born_ms)
+                    for other in self._server_by_name.values()
+                )
             elif not is_gone and now() - last_seen_s > UNRESPONSIVE_EXPIRY_S:
                 expired.append(replace(server, phase=ServerPhase.GONE))
         return self.merge(expired)
@@ -160,11 +193,20 @@
                 gone = replace(owner, phase=ServerPhase.GONE)
                 self._put(gone)
                 changed.append(gone)
+        became_cold = self._record_cold_time(server)
         self._put(server)
-        if concerns_routers:
+        if concerns_routers or became_cold:
             changed.append(server)
         return changed
 
+    def _record_cold_time(self, server: FleetServer) -> bool:
+        """Return whether an announcement makes its server cold."""
+        if server.phase is ServerPhase.GONE:
+            return False
+        seen_s = self._last_seen_s_by_name.get(server.name, now())
+        was_silent = now() - seen_s > HEARTBEAT_TIMEOUT_S
+        return self.cold.record_announcement(server, server.cold_age_s, was_silent)
+
     def _address_owner(self, server: FleetServer) -> FleetServer | None:
         """Return another server at the same address that is not gone, if any."""
         for other in self._server_by_name.values():
@@ -190,5 +232,11 @@
 
 def _concerns_routers(server: FleetServer, known: FleetServer) -> bool:
     """Return whether routers must be notified of a newer announcement at once."""
-    same = replace(known, sequence=server.sequence, cold_left_s=server.cold_left_s)
+    same = replace(
+        known,
+        sequence=server.sequence,
+        cold_left_s=server.cold_left_s,
+        has_cold_time=server.has_cold_time,
+        cold_age_s=server.cold_age_s,
+    )
     return same != server
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -22,7 +22,7 @@
     HEARTBEAT_TIMEOUT_S as SERVER_HEARTBEAT_TIMEOUT_S,
 )
 from almondfield_daemon.fleet.registry import ServerRegistry
-from almondfield_daemon.server_limits import NamedLimit
+from almondfield_daemon.server_limits import ColdServers, NamedCold, NamedLimit
 
 __all__ = ["FleetView"]
 
@@ -54,6 +54,8 @@
     :param on_control_return: called with a control host that replies again or has
         restarted.
     :param on_limits: called with the limits of servers that a control host reports.
+    :param on_cold: called with the cold times that a control host reports, and when it
+        was asked, in seconds of the loop's clock.
     """
 
     def __init__(
@@ -64,6 +66,9 @@
         on_change: Callable[[], None],
         on_control_return: Callable[[str], None] = lambda host: None,
         on_limits: Callable[[tuple[NamedLimit, ...]], None] = lambda limits: None,
+        on_cold: Callable[[tuple[NamedCold, ...], float], None] = lambda cold, at_s: (
+            None
+        ),
     ) -> None:
         self._peers = peers
         self._hello = hello
@@ -72,6 +77,7 @@
         self._on_change = on_change
         self._on_control_return = on_control_return
         self._on_limits = on_limits
+        self._on_cold = on_cold
         self._registry = ServerRegistry()
         self._last_reply_by_host: dict[str, _LastReply] = {}
         self._unresponsive_hosts: set[str] = set()
@@ -79,6 +85,11 @@
         self._unanswered_s_by_host: dict[str, set[float]] = {}
         self._last_router_count = 1
 
+    @property
+    def cold(self) -> ColdServers:
+        """Return which servers are cold."""
+        return self._registry.cold
+
     @property
     def state(self) -> RouterState:
         """Return the state that this router reports to control hosts."""
@@ -213,7 +224,7 @@
         if host in self._unresponsive_hosts or last is None:
             self._unresponsive_hosts.discard(host)
             eliot.log_message("control-host:reached", control_host=host)
-        without_servers = replace(reply, servers=None, limits=())
+        without_servers = replace(reply, servers=None, limits=(), cold=())
         self._last_reply_by_host[host] = _LastReply(without_servers, now())
         self._last_router_count = self.router_count()
         has_restarted = last is None or last.reply.board_start != reply.board_start
@@ -228,6 +239,7 @@
         if reply.servers is not None:
             self._merge(reply.servers, host)
         self._on_limits(reply.limits)
+        self._on_cold(reply.cold, sent_s)
 
     async def _on_update(self, sender: str, update: ServerUpdate) -> None:
         self._merge(update.servers, sender)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -9,13 +9,14 @@
 from almondfield_control.publishing import TablePublisher
 from almondfield_control.storage import FolderDisk
 from almondfield_core.clock import WallClock, now
+from almondfield_core.routing import ServerPool
 from almondfield_core.settings import FleetSettings
 from almondfield_daemon.fleet import FleetControl
 from almondfield_daemon.fleet_daemon.core import FleetHost
 from almondfield_daemon.fleet_daemon.metrics import ControlMetrics
 from almondfield_daemon.quarantine import QuarantineService
 from almondfield_daemon.scheduling import EngineService
-from almondfield_daemon.server_limits import LimitService
+from almondfield_daemon.server_limits import ColdBound, LimitService
 from almondfield_daemon.streams import OriginService
 
 __all__ = ["ControlHost"]
@@ -60,8 +61,15 @@
         self.publisher = TablePublisher(
             self._replica, self.peers, leader, self.fleet.routers.hosts
         )
-        self._limits = LimitService(self.peers, self.publisher)
+        self._limits = LimitService(
+            self.peers,
+            self.publisher,
+            self.fleet.cold,
+            ColdBound(settings.cold_overrun, settings.cold_slack),
+        )
         self.fleet.server_limits = self._limits.limits
+        self.fleet.cold_servers = self._limits.cold_servers
+        self.fleet.cold.pool_of = self._pool
         self._engines = EngineService(
             self.peers,
             self.fleet,
@@ -100,6 +108,11 @@
         await super()._close(until_s)
         self._disk.close()
 
+    def _pool(self, name: str) -> ServerPool | None:
+        table = self.publisher.table
+        pools = () if table is None else table.pools
+        return next((pool for pool in pools if pool.name == name), None)
+
     def _members(self) -> tuple[str, ...]:
         members = tuple(member.host for member in self._replica.log.members)
         return tuple(dict.fromkeys((*members, *self._replica.configured)))
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
@@ -119,11 +119,17 @@
         self._servers = Gauge(
             "almondfield_servers", "Backend servers by phase", registry=self.registry
         )
+        self._cold_servers = Gauge(
+            "almondfield_cold_servers",
+            "Backend servers that tolerate only a low rate of requests now",
+            registry=self.registry,
+        )
 
     def refresh(self) -> None:
         """Update the gauges."""
         self._quarantined.set({}, self._quarantines())
         self._routers.set({}, len(self._fleet.routers.hosts()))
+        self._cold_servers.set({}, len(self._fleet.cold.cold_names()))
         count_by_phase: dict[str, int] = {}
         for server in self._fleet.servers():
             phase = server.phase.value
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -30,7 +30,7 @@
 from almondfield_daemon.forwarding.stop_limits import StopPlan
 from almondfield_daemon.quarantine import QuarantineClient
 from almondfield_daemon.scheduling import EngineClient
-from almondfield_daemon.server_limits import ServerLimits
+from almondfield_daemon.server_limits import ColdBound, ServerLimits
 from almondfield_daemon.server_notices import ServerNotices
 from almondfield_daemon.streams import OriginClient
 from almondfield_fairshare.prefix_placement import Placement
@@ -83,10 +83,15 @@
             self._on_server_change,
             self._on_control_return,
             lambda limits: self._limits.learn(limits),
+            lambda cold, asked_s: self._limits.learn_cold(cold, asked_s),
         )
         leader = self.leader_client(self.view.control_hosts)
         self._limits = ServerLimits(
-            self.peers, lambda: leader.last_leader, self.view.router_count
+            self.peers,
+            lambda: leader.last_leader,
+            self.view.router_count,
+            self.view.cold,
+            ColdBound(settings.cold_overrun, settings.cold_slack),
         )
         self._origins = OriginClient(
             self.peers,
@@ -100,6 +105,9 @@
             LEASE_FRACTION * settings.revocation_s,
             self.view.set_control_hosts,
         )
+        self.view.cold.pool_of = lambda name: self.subscription.index.pool_by_name.get(
+            name
+        )
         self._backends = HttpBackends(settings.daemon_settings())
         placement = Placement(random.Random(f"{settings.address}/{self.incarnation}"))
         engines = EngineClient(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from almondfield_core.clock import now
 from almondfield_core.routing import Prompt
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.forwarding.counts import RefusalCause
@@ -72,18 +73,20 @@
             server = self._place(request, open_servers, tried)
             if server is None:
                 return self._unavailable(servers)
-            if await self._limits.take(server_start(server)):
+            start = server_start(server)
+            permit_s = now() if self._limits.is_limited(start) else None
+            if await self._limits.take(start):
                 break
             open_servers = self._within_limits(
                 s for s in open_servers if s is not server
             )
         prompt = _prompt(request)
         if prompt is None:
-            return self.select(request, server)
+            return self.select(request, server, permit_s=permit_s)
         assignment = self._engines.assign_unscheduled(
             request.pool, server.name, request.team, prompt
         )
-        return self.select(request, server, assignment)
+        return self.select(request, server, assignment, permit_s)
 
     def _within_limits(self, servers: Iterable[FleetServer]) -> tuple[FleetServer, ...]:
         """Return the servers whose limits may allow a request."""
@@ -118,6 +121,8 @@
             detail = "no backend server of the pool takes work now"
             return Unavailable(detail, RefusalCause.NO_SERVER)
         detail = f"the servers' limits allow no request for {wait_s:.3f} s"
+        starts = [server_start(server) for server in servers]
+        wait_s = self._limits.spread_s(starts, wait_s)
         return Unavailable(detail, RefusalCause.LIMIT, max(MIN_RETRY_AFTER_S, wait_s))
 
     def may_go_back(self, server: FleetServer) -> bool:
@@ -148,18 +153,23 @@
         request: ForwardRequest,
         server: FleetServer,
         assignment: EngineAssignment | None = None,
+        permit_s: float | None = None,
     ) -> SelectedServer:
         """Return a server as selected for one attempt, which counts as begun.
 
         :param request: the request.
         :param server: the server.
         :param assignment: the assignment to a model engine; None for other servers.
+        :param permit_s: when a permit for the request was asked for, in seconds of the
+            loop's clock; None if it has none but an admission of the scheduler.
         """
         prompt = _prompt(request)
         if prompt is not None:
             self._engines.record_server(
                 request.pool, prompt, server.name, server.born_ms
             )
+        if permit_s is None and assignment is not None:
+            permit_s = assignment.asked_s
         candidate = self._candidate(server, frozenset())
         return SelectedServer(
             server,
@@ -172,6 +182,7 @@
             self._quarantine,
             request.shared_parts,
             request.digests,
+            permit_s,
         )
 
     def is_prefill_limit_reached(self, servers: tuple[FleetServer, ...]) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -306,6 +306,7 @@
         if refused := self._stop_refusal():
             raise ServerClosedError(refused.detail)
         selected.check_notices()
+        selected.use_permit()
         if self.progress.has_wrong_version(selected.server):
             raise ServerClosedError(WRONG_VERSION)
         # A cancellation or timeout from now on leaves it unknown whether it ran.
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/selected_server.py
@@ -23,8 +23,10 @@
     Framing,
 )
 from almondfield_daemon.scheduling import EngineAssignment
-from almondfield_daemon.server_limits import ServerLimits
+from almondfield_daemon.server_limits import ServerLimits, is_cold_time
 from almondfield_daemon.server_notices import (
+    ColdTime,
+    InvalidColdTime,
     RequestLimit,
     ServerClosedError,
     ServerNotice,
@@ -60,6 +62,8 @@
     :param quarantine: learns from the attempt whether its request is sound.
     :param shared_parts: parts of its prompt that other prompts may share.
     :param digests: digests of the whole request.
+    :param permit_s: when a permit for the request was asked for, in seconds of the
+        loop's clock; None if it has none.
 
     :ivar began_s: when the first event of its answer arrived, in seconds of the loop's
         clock; None before.
@@ -77,7 +81,9 @@
         quarantine: RequestQuarantine | None = None,
         shared_parts: tuple[str, ...] = (),
         digests: tuple[str, ...] = (),
+        permit_s: float | None = None,
     ) -> None:
+        self._permit_s = permit_s
         self._quarantine = quarantine or NoQuarantine()
         self._shared_parts = shared_parts
         self._digests = digests
@@ -114,6 +120,14 @@
         """
         self._notices.check(self._start, self._trial)
 
+    def use_permit(self) -> None:
+        """Return if a server that is cold may be sent the request now.
+
+        :raises ServerClosedError: if the request has no permit, or one that is too old.
+        """
+        self._limits.check(self._start, self._permit_s)
+        self._permit_s = None
+
     def takes_work(self) -> bool:
         """Return whether the server may get this request again once it has ended."""
         if self._notices.accepts(self._start):
@@ -139,6 +153,14 @@
         ]
         per_s = min(limits_per_s, default=None)
         self._limits.record(self._start, per_s, self._selected_s)
+        cold_left_s: float | None = 0.0
+        for notice in notices:
+            match notice:
+                case ColdTime(seconds) if is_cold_time(seconds):
+                    cold_left_s = seconds
+                case ColdTime() | InvalidColdTime():
+                    cold_left_s = None
+        self._limits.record_cold(self._start, cold_left_s, self._selected_s)
 
     def record_answer(
         self, metadata: AnswerMetadata, was_refused: bool = False
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/fakes.py
@@ -375,6 +375,12 @@
     def record(self, server, per_s, selected_s):
         """Do nothing."""
 
+    def record_cold(self, server, left_s, selected_s):
+        """Do nothing."""
+
+    def check(self, server, permit_s):
+        """Do nothing."""
+
     def retain(self, servers):
         """Do nothing."""
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -71,6 +71,8 @@
     :param reports: reports to the scheduler.
     :param item: the attempt.
     :param wait_s: predicted wait before prefill, in seconds; None without a scheduler.
+    :param asked_s: when the scheduler was asked, in seconds of the loop's clock; None
+        without a scheduler.
     """
 
     def __init__(
@@ -78,9 +80,11 @@
         reports: AttemptReports,
         item: EngineInFlight,
         wait_s: float | None = None,
+        asked_s: float | None = None,
     ) -> None:
         self.uncached_tokens = item.unread_tokens
         self.wait_s = wait_s
+        self.asked_s = asked_s
         self._reports = reports
         self._item = item
         self._ended = False
@@ -286,7 +290,7 @@
                 self._pace.begin(pool, request.team, request.prompt)
                 item = EngineInFlight(number, pool, reply.server, reply.unread_tokens)
                 self._reports.start(item)
-                return EngineAssignment(self._reports, item, reply.wait_s)
+                return EngineAssignment(self._reports, item, reply.wait_s, sent_s)
             case Ok(EngineRefusal() as refusal):
                 self._reports.remove_undecided(number)
                 self._record_scheduler(host, refusal, sent_s)
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -12,6 +12,7 @@
 from almondfield_core.routing import RoutingTable
 from almondfield_daemon.fleet import FleetControl, FleetServer, ServerPhase
 from almondfield_daemon.scheduling.busy_control import BusyControl
+from almondfield_daemon.scheduling.cold_refusals import ColdRefusals
 from almondfield_daemon.scheduling.messages import (
     EnginePrefixes,
     EngineProgress,
@@ -67,6 +68,7 @@
         self._start = 0
         self._term: int | None = None
         self._scheduler_by_pool: dict[str, EngineScheduler] = {}
+        self._cold_by_pool: dict[str, ColdRefusals] = {}
         self._busy_control = BusyControl(self._used_share, self._is_over_share)
 
     def register_handlers(self) -> None:
@@ -117,6 +119,7 @@
         term = self._publisher.led_term
         if term is not None and term != self._term:
             self._scheduler_by_pool.clear()
+            self._cold_by_pool.clear()
             self._start = self._make_start()
         self._term = term
         return term is not None
@@ -133,7 +136,9 @@
         is_overdue = _is_overdue(message.request, waited_s)
         self._busy_control.record(sender, message, waited_s, not is_overdue)
         shares = self._busy_control.changed_shares(sender)
-        scheduler.closed_names = self._limits.closed_servers()
+        cold, is_repeat = self._cold_refusals(message.pool), message.request.is_repeat
+        engines = scheduler.engine_names()
+        scheduler.closed_names = cold.closed_names(engines, is_repeat)
         if is_overdue:
             decision = scheduler.refuse_overdue(message.request)
         else:
@@ -142,8 +147,10 @@
         match decision:
             case Admitted(server, uncached_tokens, wait_s):
                 self._limits.take(server)
+                cold.record_admitted(is_repeat)
                 return EngineReply(server, uncached_tokens, wait_s, self._start, shares)
             case Refused(retry_after_s, is_over_share, wait_s):
+                retry_after_s = cold.retry_after_s(engines, retry_after_s, is_repeat)
                 return EngineRefusal(
                     retry_after_s, is_over_share, wait_s, self._start, shares
                 )
@@ -161,6 +168,7 @@
             self._scheduler(item.pool, table).record_unscheduled(
                 attempt, item.team, item.prompt, item.server
             )
+            self._limits.take(item.server)
         for item in progress.begun:
             attempt = AttemptId(sender, item.number)
             self._scheduler(item.pool, table).begin_answer(attempt, item.server)
@@ -200,6 +208,12 @@
             scheduler.set_servers(self._engines(pool, table))
         return scheduler
 
+    def _cold_refusals(self, pool: str) -> ColdRefusals:
+        cold = self._cold_by_pool.get(pool)
+        if cold is None:
+            cold = self._cold_by_pool[pool] = ColdRefusals(self._limits)
+        return cold
+
     def _update_servers(self) -> None:
         table = self._publisher.table
         if table is None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_limits/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_limits/client.py
@@ -8,8 +8,13 @@
 
 from almondfield_core.clock import now
 from almondfield_core.ports import Peers
+from almondfield_daemon.server_limits.cold_bound import ColdBound
+from almondfield_daemon.server_limits.cold_client import ColdClient
+from almondfield_daemon.server_limits.cold_servers import ColdServers
 from almondfield_daemon.server_limits.messages import (
+    ColdReport,
     LimitReport,
+    NamedCold,
     NamedLimit,
     Permit,
     PermitRequest,
@@ -23,6 +28,7 @@
 REPORT_INTERVAL_S = 0.5  # of a limit that stays; reports may be lost
 PERMIT_TIMEOUT_S = 0.2  # many round trips between data centres
 MIN_WAIT_S = 0.05
+UNNAMED_AGE_S = 3600.0  # a router that knows of no limit must not end one
 
 
 @dataclass(frozen=True)
@@ -53,22 +59,42 @@
     :param peers: messages to the other hosts.
     :param leader: returns the host that leads the control group; empty if unknown.
     :param router_count: returns the number of routers.
+    :param cold: cold times of the servers.
+    :param bound: most requests that a cold server gets.
     """
 
     def __init__(
-        self, peers: Peers, leader: Callable[[], str], router_count: Callable[[], int]
+        self,
+        peers: Peers,
+        leader: Callable[[], str],
+        router_count: Callable[[], int],
+        cold: ColdServers | None = None,
+        bound: ColdBound | None = None,
     ) -> None:
         self._peers = peers
         self._leader = leader
         self._router_count = router_count
         self._known_by_name: dict[str, _KnownLimit] = {}
+        self._cold = ColdClient(
+            cold or ColdServers(), bound or ColdBound(), router_count
+        )
 
     def is_limited(self, server: ServerStart) -> bool:
         """Return whether a request to a server needs a permit.
 
         :param server: the server.
         """
-        return self._known(server) is not None
+        return self._known(server) is not None or self._cold.is_limited(server)
+
+    def check(self, server: ServerStart, permit_s: float | None) -> None:
+        """Return if a request to a server may be sent now.
+
+        :param server: the server.
+        :param permit_s: when its permit was asked for, in seconds of the loop's clock;
+            None if it has none.
+        :raises ServerClosedError: if the server is cold and the permit is too old.
+        """
+        self._cold.check(server, permit_s)
 
     def wait_s(self, server: ServerStart) -> float:
         """Return the time until a permit may be had, in seconds; 0 if now.
@@ -76,7 +102,18 @@
         :param server: the server.
         """
         known = self._known(server)
-        return 0.0 if known is None else max(0.0, known.denied_until_s - now())
+        wait_s = 0.0 if known is None else max(0.0, known.denied_until_s - now())
+        return max(wait_s, self._cold.wait_s(server))
+
+    def spread_s(self, servers: Iterable[ServerStart], wait_s: float) -> float:
+        """Return when to return for a caller that is refused, in seconds from now.
+
+        Callers return one by one if cold servers are why they are refused.
+
+        :param servers: the servers that could have taken the request.
+        :param wait_s: time until the first of them may take one, in seconds.
+        """
+        return self._cold.spread_s(servers, wait_s)
 
     def record(
         self, server: ServerStart, per_s: float | None, selected_s: float
@@ -127,14 +164,41 @@
                     start, limit.per_s, now(), reported_s=now()
                 )
 
+    def record_cold(
+        self, server: ServerStart, left_s: float | None, selected_s: float
+    ) -> None:
+        """Record what an answer says of the server's cold time.
+
+        :param server: the server.
+        :param left_s: how long it stays cold, in seconds; 0 if the answer doesn't say;
+            None if it says it in a way that can't be used.
+        :param selected_s: when the server was selected for the request, in seconds of
+            the loop's clock.
+        """
+        item = self._cold.record_answer(server, left_s, selected_s)
+        host = self._leader()
+        if item is not None and host:
+            self._peers.send(host, ColdReport((item,)))
+
+    def learn_cold(self, items: tuple[NamedCold, ...], asked_s: float) -> None:
+        """Record cold times and this router's parts, as the leader tells them.
+
+        :param items: the cold times that the leader knows.
+        :param asked_s: when it was asked, in seconds of the loop's clock.
+        """
+        self._cold.learn(items, asked_s)
+
     def report_all(self, host: str) -> None:
-        """Tell a new leader all limits.
+        """Tell a new leader all limits and the cold times that answers named.
 
         :param host: the leading host.
         """
         items = tuple(self._named(known) for known in self._known_by_name.values())
         if items:
             self._peers.send(host, LimitReport(items))
+        cold = self._cold.own_statements()
+        if cold:
+            self._peers.send(host, ColdReport(cold))
 
     async def take(self, server: ServerStart) -> bool:
         """Return whether a request may be sent to a limited server, and count it.
@@ -142,16 +206,25 @@
         :param server: the server.
         """
         known = self._known(server)
-        if known is None:
-            return True
-        if known.denied_until_s > now():
+        is_cold = self._cold.is_limited(server)
+        if known is None and not is_cold:
+            return self._cold.take_warm(server)
+        if self.wait_s(server) > 0:
             return False
         host = self._leader()
         if host:
-            request = PermitRequest(self._named(known))
+            asked_s = now()
+            limit = NamedLimit(*server, None, UNNAMED_AGE_S)
+            if known is not None:
+                limit = self._named(known)
+            request = PermitRequest(limit, is_cold, self._cold.own_statement(server))
             match await self._peers.request(host, request, PERMIT_TIMEOUT_S):
                 case Ok(Permit() as permit):
+                    if permit.cold is not None:
+                        self._cold.learn((permit.cold,), asked_s)
                     return self._apply(server, permit)
+        if is_cold and not self._cold.take_part(server):
+            return False
         return self._take_own_part(server)
 
     def retain(self, servers: Iterable[ServerStart]) -> None:
@@ -162,6 +235,7 @@
         starts = frozenset(servers)
         known = self._known_by_name.items()
         self._known_by_name = {n: item for n, item in known if item.start in starts}
+        self._cold.retain(starts)
 
     def _known(self, server: ServerStart) -> _KnownLimit | None:
         """Return the limit that a start of a server has named; None for none."""
@@ -170,12 +244,14 @@
 
     def _apply(self, server: ServerStart, permit: Permit) -> bool:
         known = self._known(server)
+        wait_s = 0.0 if permit.is_granted else max(MIN_WAIT_S, permit.wait_s)
+        if self._cold.is_limited(server):
+            self._cold.deny(server, wait_s)
         if known is None:
             return permit.is_granted
         if not permit.is_limited:
             del self._known_by_name[server.name]
-            return True
-        wait_s = 0.0 if permit.is_granted else max(MIN_WAIT_S, permit.wait_s)
+            return permit.is_granted
         self._known_by_name[server.name] = replace(
             known, denied_until_s=now() + wait_s, own_part=None
         )
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_limits/rate_limit.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_limits/rate_limit.py
@@ -15,10 +15,14 @@
 
     :param per_s: requests a second that the server takes.
     :param part: part of them that this bucket gives out.
+    :param burst_s: time whose requests it holds, in seconds; one request at least.
     """
 
-    def __init__(self, per_s: float, part: float = 1.0) -> None:
+    def __init__(
+        self, per_s: float, part: float = 1.0, burst_s: float = BURST_S
+    ) -> None:
         self._part = part
+        self._burst_s = burst_s
         self._per_s = part * max(MIN_RATE_PER_S, per_s)
         self._tokens = 0.0
         self._updated_s = now()
@@ -47,7 +51,7 @@
     def _refill(self) -> None:
         elapsed_s = now() - self._updated_s
         self._updated_s = now()
-        most = max(1.0, BURST_S * self._per_s)
+        most = max(1.0, self._burst_s * self._per_s)
         self._tokens = min(most, self._tokens + elapsed_s * self._per_s)
         if math.isclose(self._tokens, 1.0):
             self._tokens = 1.0  # sums of floats fall short of the last bit
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_notices/__init__.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/__init__.py
@@ -7,6 +7,8 @@
     ServerStart,
 )
 from almondfield_daemon.server_notices.notices import (
+    ColdTime,
+    InvalidColdTime,
     InvalidRequestLimit,
     InvalidRetryAfter,
     Leaving,
@@ -18,6 +20,8 @@
 
 __all__ = [
     "MAX_RETRY_AFTER_S",
+    "ColdTime",
+    "InvalidColdTime",
     "InvalidRequestLimit",
     "InvalidRetryAfter",
     "Leaving",
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_notices/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/core.py
@@ -20,6 +20,8 @@
 from almondfield_core.clock import now
 from almondfield_core.findings import AlmondfieldError
 from almondfield_daemon.server_notices.notices import (
+    ColdTime,
+    InvalidColdTime,
     InvalidRequestLimit,
     InvalidRetryAfter,
     Leaving,
@@ -179,6 +181,16 @@
                         "a number of requests a second",
                     )
 
+                case ColdTime(seconds):
+                    # All routers together keep its rate; see server_limits.
+                    if seconds > 0:
+                        self.count_by_kind[NoticeKind.COLD] += 1
+                case InvalidColdTime(text):
+                    self.count_by_kind[NoticeKind.INVALID_COLD] += 1
+                    allowed = "one number of milliseconds, 0 to 600000"
+                    event = "server:cold-ignored"
+                    self._log_ignored(event, server, text, request_id, allowed)
+
     def record_served(self, server: ServerStart) -> None:
         """End a closure whose time has passed, as the server answers a request.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_notices/notices.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_notices/notices.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 
 __all__ = [
+    "ColdTime",
+    "InvalidColdTime",
     "InvalidRequestLimit",
     "InvalidRetryAfter",
     "Leaving",
@@ -22,6 +24,8 @@
     INVALID_RETRY_AFTER = "invalid-retry-after"
     REQUEST_LIMIT = "request-limit"
     INVALID_REQUEST_LIMIT = "invalid-request-limit"
+    COLD = "cold"
+    INVALID_COLD = "invalid-cold"
 
 
 @dataclass(frozen=True)
@@ -69,6 +73,32 @@
     text: str
 
 
+@dataclass(frozen=True)
+class ColdTime:
+    """The server is cold: it crashes under more than a low rate of requests.
+
+    :ivar seconds: how long, from its answer; 0 if it isn't cold.
+    """
+
+    seconds: float
+
+
+@dataclass(frozen=True)
+class InvalidColdTime:
+    """The server named a cold time that can't be read, or more than one.
+
+    :ivar text: the value as received.
+    """
+
+    text: str
+
+
 ServerNotice = (
-    Leaving | RetryAfter | InvalidRetryAfter | RequestLimit | InvalidRequestLimit
+    Leaving
+    | RetryAfter
+    | InvalidRetryAfter
+    | RequestLimit
+    | InvalidRequestLimit
+    | ColdTime
+    | InvalidColdTime
 )
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -106,6 +106,10 @@
             lambda name: self._engine_by_name.get(name) is before.get(name)
         )
 
+    def engine_names(self) -> tuple[str, ...]:
+        """Return the names of all engines."""
+        return tuple(self._engine_by_name)
+
     @property
     def used_share(self) -> float:
         """Return the recent part of the engines' scarcer resource that was in use."""
