--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -69,6 +69,10 @@
         )
         self.fleet.server_limits = self._limits.limits
         self.fleet.cold_servers = self._limits.cold_servers
+        self._limits.notified_hosts = lambda: (
+            *self._members(),
+            *self.fleet.routers.hosts(),
+        )
         self.fleet.cold.pool_of = self._pool
         self._engines = EngineService(
             self.peers,
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -178,6 +178,7 @@
     def background_coroutines(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return the coroutines that run until shutdown, besides the peer messaging."""
         self._quarantine.register_handlers()
+        self._limits.register_handlers()
         return (
             self.view.run(),
             self.subscription.run(),
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/service.py
@@ -168,7 +168,7 @@
             self._scheduler(item.pool, table).record_unscheduled(
                 attempt, item.team, item.prompt, item.server
             )
-            self._limits.take(item.server)
+            self._limits.record_unscheduled(item.server)
         for item in progress.begun:
             attempt = AttemptId(sender, item.number)
             self._scheduler(item.pool, table).begin_answer(attempt, item.server)
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_limits/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_limits/client.py
@@ -188,6 +188,13 @@
         """
         self._cold.learn(items, asked_s)
 
+    def register_handlers(self) -> None:
+        """Register the handlers of messages."""
+        self._peers.register_handler(ColdReport, self._on_cold_report)
+
+    async def _on_cold_report(self, sender: str, report: ColdReport) -> None:
+        self._cold.learn(report.items, now())
+
     def report_all(self, host: str) -> None:
         """Tell a new leader all limits and the cold times that answers named.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_limits/cold_permits.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_limits/cold_permits.py
@@ -153,9 +153,11 @@
             del ends_s[other]
         parts = self._bound.parts(pool.warmup_per_s)
         if router not in ends_s:
+            if len(ends_s) >= parts:
+                return 0.0
             most = math.ceil(parts * len(self._part_end_s_by_name) / max(1, routers))
             held = sum([router in held for held in self._part_end_s_by_name.values()])
-            if len(ends_s) >= parts or held >= most:
+            if held >= most:
                 return 0.0
         ends_s[router] = at_s + PART_LIFETIME_S
         return PART_LIFETIME_S
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_limits/cold_servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_limits/cold_servers.py
@@ -169,7 +169,8 @@
         said_s = now() - _usable_age_s(age_s)
         left_s: float | None = server.cold_left_s
         if not server.has_cold_time or not is_cold_time(server.cold_left_s):
-            self._log_ignored(start, server.cold_left_s)
+            value = str(server.cold_left_s) if server.has_cold_time else "no time"
+            self._log_ignored(start, value)
             left_s = None
         pool = self.pool_of(server.pool)
         cold_start_s = 0.0 if pool is None else min(MAX_COLD_S, pool.cold_start_s)
@@ -225,7 +226,7 @@
             if known is None or known.start.born_ms != item.born_ms:
                 continue
             if item.left_s > 0 and not is_cold_time(item.left_s):
-                self._log_ignored(known.start, item.left_s)
+                self._log_ignored(known.start, str(item.left_s))
                 continue
             said_s = now() - _usable_age_s(item.age_s)
             if said_s < known.said_s:
@@ -330,7 +331,7 @@
                 is_assumed=state.assumed_s > float("-inf"),
             )
 
-    def _log_ignored(self, start: ServerStart, left_s: float) -> None:
+    def _log_ignored(self, start: ServerStart, value: str) -> None:
         """Log a cold time that is ignored, once for each start of a server."""
         if start in self._ignored:
             return
@@ -338,7 +339,7 @@
         eliot.log_message(
             "server:cold-ignored",
             server=start.name,
-            value=str(left_s),
+            value=value,
             allowed=f"0 to {MAX_COLD_S:.0f} seconds",
         )
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_limits/service.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_limits/service.py
@@ -1,6 +1,6 @@
 """Keeps the limits of servers for all routers, on the leading control host."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 import eliot
@@ -56,6 +56,9 @@
     :param publisher: says whether this host leads.
     :param cold: cold times of the servers.
     :param bound: most requests that a cold server gets.
+
+    :ivar notified_hosts: returns the hosts that are told when an answer to a router
+        shows that a server has become cold.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         self._publisher = publisher
         self._cold = cold or ColdServers()
         self._cold_permits = ColdPermits(self._cold, bound or ColdBound())
+        self.notified_hosts: Callable[[], tuple[str, ...]] = tuple
         self._term: int | None = None
         self._limit_by_server: dict[str, _KeptLimit] = {}
 
@@ -145,6 +149,14 @@
         if kept is not None and kept.per_s is not None:
             kept.rate.take()
 
+    def record_unscheduled(self, server: str) -> None:
+        """Count a request that a router sent without a permit, as its server was warm.
+
+        :param server: name of the server.
+        """
+        if self._cold.rate_per_s(server) is None:
+            self._cold_permits.record_sent(server)
+
     def _update_leadership(self) -> bool:
         """Return whether this host leads; a new leader is told the limits anew."""
         term = self._publisher.led_term
@@ -160,8 +172,17 @@
                 self._record(item, sender)
 
     async def _on_cold_report(self, sender: str, report: ColdReport) -> None:
-        if self._update_leadership():
-            self._cold.learn(report.items, from_leader=False)
+        before = frozenset(self._cold.cold_names())
+        self._cold.learn(report.items, from_leader=False)
+        if not self._update_leadership():
+            return
+        names = frozenset(self._cold.cold_names()) - before
+        items = tuple([item for item in report.items if item.server in names])
+        if items:
+            # Other routers may send to the servers without a permit until they know.
+            for host in self.notified_hosts():
+                if host not in (sender, self._peers.host):
+                    self._peers.send(host, ColdReport(items))
 
     async def _on_request(
         self, sender: str, request: PermitRequest
--- a/packages/almondfield-daemon/src/almondfield_daemon/server_limits/tests/steps/cold_servers_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_limits/tests/steps/cold_servers_steps.py
@@ -71,6 +71,15 @@
     context.events.append(cut)
 
 
+@when("after {seconds:g} s no router sends anything for {stall:g} s")
+def step_impl(context, seconds, stall):
+    async def delay():
+        await asyncio.sleep(seconds)
+        context.fleet.stalled_until_s = now() + stall
+
+    context.events.append(delay)
+
+
 @when("each server becomes cold every {seconds:g} s without a word")
 def step_impl(context, seconds):
     async def cool():
