--- a/packages/almondfield-control/src/almondfield_control/evacuations/service.py
+++ b/packages/almondfield-control/src/almondfield_control/evacuations/service.py
@@ -29,7 +29,7 @@
     :param peers: transport to the other hosts.
     :param wall_clock: calendar time, from which the time of a change is derived.
 
-    :ivar change_callbacks: called after the set of evacuated data centres changed.
+    :ivar end_callbacks: called with the data centres whose evacuation has ended.
     """
 
     def __init__(self, replica: Replica, peers: Peers, wall_clock: WallClock) -> None:
@@ -38,7 +38,7 @@
         self._wall_clock = wall_clock
         self._logged_index = 0
         self._logged: frozenset[str] = frozenset()
-        self.change_callbacks: list[Callable[[], None]] = []
+        self.end_callbacks: list[Callable[[frozenset[str]], None]] = []
         replica.on_apply.append(self._on_apply)
 
     def register_handlers(self) -> None:
@@ -127,6 +127,7 @@
         log_evacuations(
             before, evacuations.in_force, evacuations.index, record_by_data_centre
         )
-        for callback in self.change_callbacks:
-            with contain_errors("change of evacuations"):
-                callback()
+        if ended := before - evacuations.in_force:
+            for callback in self.end_callbacks:
+                with contain_errors("end of evacuations"):
+                    callback(ended)
--- a/packages/almondfield-control/src/almondfield_control/freshness/evacuations.py
+++ b/packages/almondfield-control/src/almondfield_control/freshness/evacuations.py
@@ -1,11 +1,12 @@
 """Evacuations of data centres as one host without a replica knows them."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import eliot
 
 from almondfield_control.state import EvacuationRecord
 from almondfield_core.clock import now
+from almondfield_core.containment import contain_errors
 
 __all__ = ["EvacuationView", "log_evacuations"]
 
@@ -17,12 +18,14 @@
     :ivar in_force: the evacuated data centres.
     :ivar ended_s_by_data_centre: when this host heard that evacuations ended, in
         seconds of the loop's clock.
+    :ivar end_callbacks: called with the data centres whose evacuation has ended.
     """
 
     def __init__(self) -> None:
         self.index = 0
         self.in_force: frozenset[str] = frozenset()
         self.ended_s_by_data_centre: dict[str, float] = {}
+        self.end_callbacks: list[Callable[[frozenset[str]], None]] = []
 
     def install(self, index: int, data_centres: Iterable[str]) -> None:
         """Replace the evacuated data centres unless this host knows a newer change.
@@ -41,6 +44,10 @@
         for data_centre in self.in_force:
             self.ended_s_by_data_centre.pop(data_centre, None)
         log_evacuations(before, self.in_force, index)
+        if ended := before - self.in_force:
+            for callback in self.end_callbacks:
+                with contain_errors("end of evacuations"):
+                    callback(ended)
 
 
 def log_evacuations(
--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -1,6 +1,7 @@
 """Settings of a daemon that discovers the other hosts from seed addresses."""
 
 import ipaddress
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import StrEnum
@@ -121,6 +122,13 @@
         "centres of known routers and backend servers are used.",
         default_factory=dict,
     )
+    cold_overrun: float = item(
+        "Most requests to a cold server in a second, per request that it tolerates.",
+        default=1.5,
+    )
+    cold_slack: float = item(
+        "Further requests to a cold server in a second.", default=5.0
+    )
     answers: AnswerSettings = item(
         "Limits on the answers of backend servers.", default=AnswerSettings()
     )
@@ -214,6 +222,9 @@
         if not 0 <= getattr(settings, name) <= MAX_CORES:
             value = getattr(settings, name)
             yield Finding(name, f"is {value}", f"0 to {MAX_CORES}")
+    for name in ("cold_overrun", "cold_slack"):
+        if not 0 <= getattr(settings, name) < math.inf:
+            yield Finding(name, f"is {getattr(settings, name)}", "a number, 0 or more")
     yield from check_positive("answers", settings.answers)
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/view.py
@@ -23,7 +23,7 @@
 )
 from almondfield_daemon.fleet.registry import ServerRegistry
 from almondfield_daemon.router_addresses import EarlyReports, RouterLoad
-from almondfield_daemon.server_limits import NamedLimit
+from almondfield_daemon.server_limits import ColdServers, NamedCold, NamedLimit
 
 __all__ = ["FleetView"]
 
@@ -56,6 +56,8 @@
     :param on_control_return: called with a control host that replies again or has
         restarted.
     :param on_limits: called with the limits of servers that a control host reports.
+    :param on_cold: called with the cold times that a control host reports, and when it
+        was asked, in seconds of the loop's clock.
     :param load: returns the size and load of this router.
     """
 
@@ -67,6 +69,9 @@
         on_change: Callable[[], None],
         on_control_return: Callable[[str], None] = lambda host: None,
         on_limits: Callable[[tuple[NamedLimit, ...]], None] = lambda limits: None,
+        on_cold: Callable[[tuple[NamedCold, ...], float], None] = lambda cold, at_s: (
+            None
+        ),
         load: Callable[[], RouterLoad] = RouterLoad,
     ) -> None:
         self._peers = peers
@@ -76,6 +81,7 @@
         self._on_change = on_change
         self._on_control_return = on_control_return
         self._on_limits = on_limits
+        self._on_cold = on_cold
         self._load = load
         self._early_reports = EarlyReports()
         self._registry = ServerRegistry()
@@ -85,6 +91,11 @@
         self._unanswered_s_by_host: dict[str, set[float]] = {}
         self._last_router_count = 1
 
+    @property
+    def cold(self) -> ColdServers:
+        """Return which servers are cold."""
+        return self._registry.cold
+
     @property
     def state(self) -> RouterState:
         """Return the state that this router reports to control hosts."""
@@ -235,7 +246,7 @@
         if host in self._unresponsive_hosts or last is None:
             self._unresponsive_hosts.discard(host)
             eliot.log_message("control-host:reached", control_host=host)
-        without_servers = replace(reply, servers=None, limits=())
+        without_servers = replace(reply, servers=None, limits=(), cold=())
         self._last_reply_by_host[host] = _LastReply(without_servers, now())
         self._last_router_count = self.router_count()
         has_restarted = last is None or last.reply.board_start != reply.board_start
@@ -250,6 +261,7 @@
         if reply.servers is not None:
             self._merge(reply.servers, host)
         self._on_limits(reply.limits)
+        self._on_cold(reply.cold, sent_s)
 
     async def _on_update(self, sender: str, update: ServerUpdate) -> None:
         self._merge(update.servers, sender)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
@@ -150,6 +150,11 @@
         self._servers = Gauge(
             "almondfield_servers", "Backend servers by phase", registry=self.registry
         )
+        self._cold_servers = Gauge(
+            "almondfield_cold_servers",
+            "Backend servers that tolerate only a low rate of requests now",
+            registry=self.registry,
+        )
 
     def refresh(self) -> None:
         """Update the gauges."""
@@ -160,6 +165,7 @@
         self._left_out.set({}, routers.left_out_count())
         self._left_out_total.set({}, routers.left_out_total())
         self._slowdowns.refresh()
+        self._cold_servers.set({}, len(self._fleet.cold.cold_names()))
         count_by_phase: dict[str, int] = {}
         for server in self._fleet.servers():
             phase = server.phase.value
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/assignment.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/assignment.py
@@ -14,6 +14,8 @@
     :param reports: reports to the scheduler.
     :param item: the attempt.
     :param wait_s: predicted wait before prefill, in seconds; None without a scheduler.
+    :param asked_s: when the scheduler was asked, in seconds of the loop's clock; None
+        without a scheduler.
     """
 
     def __init__(
@@ -21,9 +23,11 @@
         reports: AttemptReports,
         item: EngineInFlight,
         wait_s: float | None = None,
+        asked_s: float | None = None,
     ) -> None:
         self.uncached_tokens = item.unread_tokens
         self.wait_s = wait_s
+        self.asked_s = asked_s
         self._reports = reports
         self._item = item
         self._ended = False
--- a/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/scheduling/client.py
@@ -238,7 +238,7 @@
                 self._pace.begin(pool, request.team, request.prompt)
                 item = EngineInFlight(number, pool, reply.server, reply.unread_tokens)
                 self._reports.start(item)
-                return EngineAssignment(self._reports, item, reply.wait_s)
+                return EngineAssignment(self._reports, item, reply.wait_s, sent_s)
             case Ok(EngineRefusal() as refusal):
                 self._reports.remove_undecided(number)
                 self._record_scheduler(host, refusal, sent_s)
--- a/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
+++ b/packages/almondfield-fairshare/src/almondfield_fairshare/engines/core.py
@@ -101,6 +101,10 @@
         after = self._engine_by_name
         self._attempts.retain(lambda name: after.get(name) is before.get(name))
 
+    def engine_names(self) -> tuple[str, ...]:
+        """Return the names of all engines."""
+        return tuple(self._engine_by_name)
+
     @property
     def used_share(self) -> float:
         """Return the recent part of the engines' scarcer resource that was in use."""
