Search for closed cold servers at most each 10 ms

The search takes 0.39 ms with 45 cold engines (0.005 ms with none), and was made each 4 ms while the scheduler decides. Folder server_limits passes (44).

--- a/packages/almondfield-daemon/src/almondfield_daemon/server_limits/cold_permits.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/server_limits/cold_permits.py
@@ -28,8 +28,8 @@
 __all__ = ["ColdPermits"]
 
 MIN_WAIT_S = 0.001
-# The scheduler asks for each prompt; the permits of 45 servers last 4 ms each.
-CLOSED_INTERVAL_S = 0.004
+# The scheduler asks for each prompt; the search is slow with tens of cold servers.
+CLOSED_INTERVAL_S = 0.01
 
 
 class ColdPermits:
