--- a/packages/almondfield-core/src/almondfield_core/routing/__init__.py
+++ b/packages/almondfield-core/src/almondfield_core/routing/__init__.py
@@ -11,10 +11,12 @@
     ServerPool,
     TeamKeys,
 )
+from almondfield_core.routing.homes import DomainRegions, regions_of_request
 from almondfield_core.routing.index import RoutingIndex
 from almondfield_core.routing.prompt import Prompt, PromptPart
 
 __all__ = [
+    "DomainRegions",
     "EngineLimits",
     "PoolShare",
     "Prompt",
@@ -27,4 +29,5 @@
     "ServerPool",
     "TeamKeys",
     "check_routing_table",
+    "regions_of_request",
 ]
--- a/packages/almondfield-core/src/almondfield_core/routing/checking.py
+++ b/packages/almondfield-core/src/almondfield_core/routing/checking.py
@@ -5,6 +5,7 @@
 
 from almondfield_core.findings import Finding, format_value
 from almondfield_core.routing.core import RouteRule, RoutingTable
+from almondfield_core.routing.homes import check_homes
 
 __all__ = ["check_routing_table"]
 
@@ -12,16 +13,20 @@
 TEAM_NAME = re.compile(r"[\x20-\x7e\xa0-\xff]*")
 
 
-def check_routing_table(table: RoutingTable) -> tuple[Finding, ...]:
+def check_routing_table(
+    table: RoutingTable, regions: frozenset[str] = frozenset()
+) -> tuple[Finding, ...]:
     """Return a finding for each rule that the table breaks.
 
     :param table: the table, whose values have the right types.
+    :param regions: regions of all data centres; empty if they aren't known.
     """
     return (
         *_check_version(table),
         *_check_pools(table),
         *_check_routes(table),
         *_check_teams(table),
+        *check_homes(table, regions),
     )
 
 
--- a/packages/almondfield-core/src/almondfield_core/routing/core.py
+++ b/packages/almondfield-core/src/almondfield_core/routing/core.py
@@ -54,6 +54,7 @@
     :ivar is_public: whether requests need no team key.
     :ivar is_resumable: whether another server may continue a broken stream.
     :ivar has_prompt: whether requests describe the parts of their prompt.
+    :ivar allowed_regions: regions in which requests may be processed; None for all.
     """
 
     name: str
@@ -69,6 +70,7 @@
     is_public: bool = False
     is_resumable: bool = False
     has_prompt: bool = False
+    allowed_regions: tuple[str, ...] | None = None
 
     @property
     def may_run_again(self) -> bool:
@@ -117,11 +119,13 @@
     :ivar team: name of the team.
     :ivar key_hashes: SHA-256 of its keys, in hexadecimal.
     :ivar rank: priority of its requests; None for the rank of the route.
+    :ivar allowed_regions: regions in which its requests may be processed; None for all.
     """
 
     team: str
     key_hashes: tuple[str, ...]
     rank: int | None = None
+    allowed_regions: tuple[str, ...] | None = None
 
 
 @dataclass(frozen=True)
