Send requests only to servers in the regions that they allow

Routers chose servers regardless of the regions that a route and a team allow. Servers elsewhere are now left out in KnownServers, which all choices share: first attempts, repeats, hand-overs, the return to a silent server and streams that are taken up. The scheduler gets them as excluded engines. Without a common region, a request is refused with 403 by its head. Servers in data centres without a known region get no request that has a list.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -24,6 +24,7 @@
     RequestCounts,
     RequestReport,
     RetryWindow,
+    ServerHomes,
     ServerSelector,
     log_request_counts,
 )
@@ -129,6 +130,12 @@
             self._counts,
             self._quarantine,
             self.evacuated_data_centres,
+            ServerHomes(
+                {
+                    settings.data_centre: settings.region,
+                    **settings.region_by_data_centre,
+                }
+            ),
         )
         attempts = AttemptSender(
             self._backends,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/__init__.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/__init__.py
@@ -5,6 +5,7 @@
 from almondfield_daemon.forwarding.core import Forwarder
 from almondfield_daemon.forwarding.counts import RequestCounts, log_request_counts
 from almondfield_daemon.forwarding.endpoint import ForwardEndpoint
+from almondfield_daemon.forwarding.homes import ServerHomes
 from almondfield_daemon.forwarding.messages import (
     AnswerMetadata,
     CallMetadata,
@@ -26,6 +27,7 @@
     "RequestMetadata",
     "RequestReport",
     "RetryWindow",
+    "ServerHomes",
     "ServerLoad",
     "ServerSelector",
     "log_request_counts",
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -73,6 +73,7 @@
         prompt: Prompt,
         is_scheduled: bool,
         unread_s: float,
+        regions: frozenset[str] | None,
     ) -> Problem | None:
         """Return a refusal that is certain before the body is read; None for none.
 
@@ -86,6 +87,7 @@
         :param prompt: its prompt.
         :param is_scheduled: whether the scheduler decides on it.
         :param unread_s: least time that it was unread, in seconds.
+        :param regions: regions whose servers may get it; None for all.
         """
         servers = self._servers
         refused = servers.quarantine_refusal(team, prompt)
@@ -93,21 +95,33 @@
             refused = servers.held_refusal(pool, team, prompt)
             target_s = route.latency_target_s
             refused = refused or servers.late_refusal(team, target_s, unread_s)
-            refused = refused or servers.unscheduled_refusal(pool, team, target_s)
+            refused = refused or servers.unscheduled_refusal(
+                pool, team, target_s, regions
+            )
         return self._refuse_head(route, pool, team, refused)
 
     def evacuation_refusal(
-        self, route: RouteRule, pool: str, team: str
+        self, route: RouteRule, pool: str, team: str, regions: frozenset[str] | None
     ) -> Problem | None:
         """Return a refusal if the servers of a pool are all evacuated; None otherwise.
 
         :param route: route of a request that doesn't take a stream up.
         :param pool: pool of the request.
         :param team: team of the request.
+        :param regions: regions whose servers may get it; None for all.
         """
-        refused = self._servers.evacuation_refusal(pool, team)
+        refused = self._servers.evacuation_refusal(pool, team, regions)
         return self._refuse_head(route, pool, team, refused)
 
+    def record_forbidden(self, route: RouteRule, team: str, status: int) -> None:
+        """Count a request that its route and team allow in no region.
+
+        :param route: route of the request.
+        :param team: team of the request.
+        :param status: status sent to the caller.
+        """
+        self._observe_refusal(route.name, team, status)
+
     def _refuse_head(
         self, route: RouteRule, pool: str, team: str, refused: Unavailable | None
     ) -> Problem | None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/counts.py
@@ -29,6 +29,7 @@
     CLOSED = "closed"  # all servers have said that they take no work now
     LIMIT = "limit"  # the servers' limits on all routers together are used up
     EVACUATED = "evacuated"  # all servers are in evacuated data centres
+    HOMES = "homes"  # no server is in a region that route and team allow
     QUARANTINE = "quarantine"  # servers ended under the request or a part of it
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/intake.py
@@ -13,7 +13,7 @@
 
 from almondfield_control.publishing import TableSubscription
 from almondfield_core.clock import now
-from almondfield_core.routing import RouteRule
+from almondfield_core.routing import RouteRule, TeamKeys, regions_of_request
 from almondfield_core.tables import hash_key
 from almondfield_daemon.edge.bodies import MAX_DISCARDED_BYTES, check_headers
 from almondfield_daemon.forwarding.core import Forwarder
@@ -37,6 +37,7 @@
 
 REQUEST_KEY = "request"  # in the state of an ASGI scope
 STALE_RETRY_AFTER_S = 0.5
+FORBIDDEN_STATUS = 403
 MAX_DEADLINE_S = 3600.0
 # Callers give up a request that may run again if it isn't read for this time, or for
 # this share of their deadline.
@@ -53,6 +54,7 @@
     :ivar pool: pool that it is sent to.
     :ivar team: team of the caller; empty without one.
     :ivar unread: how long it was in the socket before; None where that is unknown.
+    :ivar allowed_regions: regions whose servers may get it; None for all.
     """
 
     metadata: RequestMetadata
@@ -60,6 +62,7 @@
     pool: str
     team: str
     unread: UnreadTime | None
+    allowed_regions: frozenset[str] | None
 
 
 class RequestIntake:
@@ -131,7 +134,7 @@
         if not metadata.takes_up_stream:
             # The pool of a stream that is taken up isn't known yet.
             evacuated = self._forwarder.evacuation_refusal(
-                route, accepted.pool, accepted.team
+                route, accepted.pool, accepted.team, accepted.allowed_regions
             )
             if evacuated is not None:
                 return evacuated
@@ -145,6 +148,7 @@
             metadata.prompt,
             is_scheduled,
             accepted.unread.least_s if accepted.unread else 0.0,
+            accepted.allowed_regions,
         )
 
     def _read(self, head: RequestHead) -> Result[_AcceptedHead, Problem]:
@@ -174,8 +178,26 @@
             return Err(problem)
         # A stream that is taken up goes on in the pool that it began in.
         pool = choose_pool(route, metadata.first_request_id or metadata.request_id)
-        team = self._team(metadata, route.is_public)
-        return team.map(lambda name: _AcceptedHead(metadata, route, pool, name, unread))
+        match self._team(metadata, route.is_public):
+            case Ok(team):
+                pass
+            case Err(problem):
+                return Err(problem)
+        regions = regions_of_request(route, team)
+        if regions is not None and not regions:
+            return Err(self._forbid(route, team))
+        name = team.team if team is not None else ""
+        return Ok(_AcceptedHead(metadata, route, pool, name, unread, regions))
+
+    def _forbid(self, route: RouteRule, team: TeamKeys | None) -> Problem:
+        """Return the refusal of a request that may be processed in no region."""
+        if not self._is_fresh():
+            # The lists may have been changed since the last table update.
+            return _not_ready("the routing table may be out of date")
+        name = team.team if team is not None else ""
+        self._forwarder.record_forbidden(route, name, FORBIDDEN_STATUS)
+        detail = f"route {route.name!r} and team {name!r} allow no region in common"
+        return permanent_problem(FORBIDDEN_STATUS, "homes", detail)
 
     def _make_request(
         self, head: RequestHead, accepted: _AcceptedHead
@@ -197,6 +219,7 @@
             until_s=arrived_s + min(route.timeout_s, deadline_s),
             unread=unread,
             max_body_bytes=self._subscription.index.table.limits.max_body_bytes,
+            allowed_regions=accepted.allowed_regions,
         )
 
     def _route(self, head: RequestHead) -> Result[RouteRule, Problem]:
@@ -224,19 +247,21 @@
                 return Problem(503, "late", detail, retry_after_s=retry_after_s)
         return self._stop_limits.refusal(route)
 
-    def _team(self, metadata: RequestMetadata, is_public: bool) -> Result[str, Problem]:
-        """Return the caller's team; empty if the request needs no team."""
+    def _team(
+        self, metadata: RequestMetadata, is_public: bool
+    ) -> Result[TeamKeys | None, Problem]:
+        """Return the caller's team; None if the request needs no team."""
         index = self._subscription.index
         if not index.needs_keys:
-            return Ok("")
+            return Ok(None)
         if not is_public and not self._is_fresh():
             # The key may have been revoked since the last table update.
             return Err(_not_ready("the routing table may be out of date"))
         team = index.team(hash_key(metadata.key)) if metadata.key else None
         if team is not None:
-            return Ok(team.team)
+            return Ok(team)
         if is_public:
-            return Ok("")
+            return Ok(None)
         detail = "the key belongs to no team" if metadata.key else "no team key"
         return Err(permanent_problem(401, "team-key", detail))
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/known_servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/known_servers.py
@@ -5,6 +5,7 @@
 
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.forwarding.counts import RefusalCause
+from almondfield_daemon.forwarding.homes import ServerHomes
 from almondfield_daemon.forwarding.selected_server import SelectedServer, server_start
 from almondfield_daemon.forwarding.unavailable import (
     EVACUATED_RETRY_AFTER_S,
@@ -25,6 +26,7 @@
     :param notices: what servers said about further work.
     :param quarantine: knows which servers refused connections.
     :param evacuated: returns the evacuated data centres, whose servers get no request.
+    :param homes: knows the regions of servers.
     """
 
     def __init__(
@@ -33,7 +35,9 @@
         notices: ServerNotices,
         quarantine: RequestQuarantine | None = None,
         evacuated: Callable[[], frozenset[str]] = frozenset,
+        homes: ServerHomes | None = None,
     ) -> None:
+        self._homes = homes or ServerHomes({})
         self._evacuated = evacuated
         self._view = view
         self._notices = notices
@@ -41,13 +45,19 @@
         # Servers whose address now belongs to another server.
         self._misdirected: set[ServerStart] = set()
 
-    def usable(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
+    def usable(
+        self,
+        pool: str,
+        version: str | None,
+        regions: frozenset[str] | None = None,
+    ) -> tuple[FleetServer, ...]:
         """Return the servers of a pool that may get a request now.
 
         :param pool: name of the pool.
         :param version: software version that the server must have; None for any.
+        :param regions: regions that the server may be in; None for all.
         """
-        servers = self.reachable(pool, version)
+        servers = self.reachable(pool, version, regions)
         # Most servers have no notices, and this is asked for each request.
         noticed = self._notices.noticed_names()
         if not noticed:
@@ -76,17 +86,31 @@
         names = {server.name for server in servers}
         return not_serving.union(names.difference([server.name for server in usable]))
 
-    def closed(self, pool: str, version: str | None) -> Unavailable | None:
-        """Return a refusal if all servers have said that they take no work now.
+    def closed(
+        self,
+        pool: str,
+        version: str | None,
+        regions: frozenset[str] | None = None,
+    ) -> Unavailable | None:
+        """Return a refusal if no server takes work now, for a reason that is known.
+
+        They have all said so, are evacuated, or are outside the allowed regions.
 
         :param pool: name of the pool.
         :param version: software version that the server must have; None for any.
+        :param regions: regions that the server may be in; None for all.
         """
-        if evacuated := self.evacuated(pool):
+        if evacuated := self.evacuated(pool, regions):
             return evacuated
-        if self.usable(pool, version) or not self.reachable(pool, version):
+        servers = self._view.servers(pool)
+        if servers and not self._homes.within(servers, regions):
+            detail = "no backend server of the pool is in an allowed region"
+            return Unavailable(detail, RefusalCause.HOMES)
+        if self.usable(pool, version, regions) or not self.reachable(
+            pool, version, regions
+        ):
             return None
-        wait_s = self.wait_s(pool, version)
+        wait_s = self.wait_s(pool, version, regions)
         if wait_s == math.inf:
             detail = "all backend servers of the pool leave"
             return Unavailable(detail, RefusalCause.CLOSED)
@@ -94,29 +118,38 @@
         retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
         return Unavailable(detail, RefusalCause.CLOSED, retry_after_s)
 
-    def evacuated(self, pool: str) -> Unavailable | None:
+    def evacuated(
+        self, pool: str, regions: frozenset[str] | None = None
+    ) -> Unavailable | None:
         """Return a refusal if all servers of a pool are in evacuated data centres.
 
         :param pool: name of the pool.
+        :param regions: regions that the servers may be in; None for all.
         """
         evacuated = self._evacuated()
         if not evacuated:
             return None
-        servers = self._view.servers(pool)
+        servers = self._homes.within(self._view.servers(pool), regions)
         if not servers or any([s.data_centre not in evacuated for s in servers]):
             return None
         detail = "the data centres of all backend servers of the pool are evacuated"
         return Unavailable(detail, RefusalCause.EVACUATED, EVACUATED_RETRY_AFTER_S)
 
-    def reachable(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
+    def reachable(
+        self,
+        pool: str,
+        version: str | None,
+        regions: frozenset[str] | None = None,
+    ) -> tuple[FleetServer, ...]:
         """Return the servers of a pool that run, whether or not they take work now.
 
         A server without recent announcements may have restarted with another version.
 
         :param pool: name of the pool.
         :param version: software version that the server must have; None for any.
+        :param regions: regions that the server may be in; None for all.
         """
-        servers = self.running(pool, version)
+        servers = self.running(pool, version, regions)
         if version is None:
             return servers
         if not self._view.is_current():
@@ -124,18 +157,25 @@
         unresponsive = self._view.unresponsive_servers()
         return tuple(server for server in servers if server.name not in unresponsive)
 
-    def running(self, pool: str, version: str | None) -> tuple[FleetServer, ...]:
+    def running(
+        self,
+        pool: str,
+        version: str | None,
+        regions: frozenset[str] | None = None,
+    ) -> tuple[FleetServer, ...]:
         """Return the servers of a pool that run as far as is known, silent or not.
 
-        Servers of evacuated data centres are left out, as they get no request.
+        Servers of evacuated data centres and of other regions are left out, as they get
+        no request.
 
         The version of a server that refused a connection is unknown until it is
         announced again.
 
         :param pool: name of the pool.
         :param version: software version that the server must have; None for any.
+        :param regions: regions that the server may be in; None for all.
         """
-        servers = self._view.servers(pool)
+        servers = self._homes.within(self._view.servers(pool), regions)
         if evacuated := self._evacuated():
             servers = tuple([s for s in servers if s.data_centre not in evacuated])
         if version is not None:
@@ -159,14 +199,20 @@
             ]
         )
 
-    def wait_s(self, pool: str, version: str | None) -> float:
+    def wait_s(
+        self,
+        pool: str,
+        version: str | None,
+        regions: frozenset[str] | None = None,
+    ) -> float:
         """Return the time until the first server of a pool takes work, in seconds.
 
         :param pool: name of the pool.
         :param version: software version that the server must have; None for any.
+        :param regions: regions that the server may be in; None for all.
         :returns: 0 if one takes work now; infinity if all leave or there is none.
         """
-        servers = self.reachable(pool, version)
+        servers = self.reachable(pool, version, regions)
         return self._notices.wait_s(server_start(server) for server in servers)
 
     def may_have_changed_version(self, pool: str, server: FleetServer) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
@@ -178,6 +178,21 @@
             self._evacuated,
         )
 
+    def avoided_servers(
+        self, servers: tuple[FleetServer, ...], may_be_all: bool = False
+    ) -> frozenset[str]:
+        """Return servers that must not be chosen; none if all failed, or all then.
+
+        :param servers: servers of a pool.
+        :param may_be_all: whether all may be returned.
+        """
+        failed = self._placement.avoided_names()
+        if not failed:
+            return failed
+        avoided = frozenset([s.name for s in servers if s.name in failed])
+        is_any_left = len(avoided) < len(servers)
+        return avoided if is_any_left or may_be_all else frozenset()
+
     def is_prefill_limit_reached(self, servers: tuple[FleetServer, ...]) -> bool:
         """Return whether this router has used its share of concurrent prefills.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/messages.py
@@ -134,6 +134,7 @@
     :ivar unread: how long it was in the socket before; None where that is unknown.
     :ivar max_body_bytes: largest body, by the table that was in force when its head was
         read.
+    :ivar allowed_regions: regions whose servers may get it; None for all.
     """
 
     method: str
@@ -152,6 +153,7 @@
     is_checked: bool = False
     unread: UnreadTime | None = None
     max_body_bytes: int = RequestLimits.max_body_bytes
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def takes_up_stream(self) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -6,6 +6,7 @@
 from almondfield_core.routing import Prompt
 from almondfield_daemon.fleet import FleetServer, FleetView
 from almondfield_daemon.forwarding.counts import RefusalCause, RequestCounts
+from almondfield_daemon.forwarding.homes import ServerHomes
 from almondfield_daemon.forwarding.known_servers import KnownServers
 from almondfield_daemon.forwarding.local_choice import LocalChoice
 from almondfield_daemon.forwarding.messages import ForwardRequest
@@ -54,6 +55,7 @@
     :param counts: counts refusals.
     :param quarantine: knows requests under which servers ended.
     :param evacuated: returns the evacuated data centres, whose servers get no request.
+    :param homes: knows the regions of servers.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         counts: RequestCounts | None = None,
         quarantine: RequestQuarantine | None = None,
         evacuated: Callable[[], frozenset[str]] = frozenset,
+        homes: ServerHomes | None = None,
     ) -> None:
         self._quarantine = quarantine or NoQuarantine()
         self._notices = notices
@@ -87,7 +90,7 @@
             self._quarantine,
             evacuated,
         )
-        self._known = KnownServers(view, notices, self._quarantine, evacuated)
+        self._known = KnownServers(view, notices, self._quarantine, evacuated, homes)
         self._intake_shares = IntakeShares()
 
     def quarantine_refusal(self, team: str, prompt: Prompt) -> Unavailable | None:
@@ -101,13 +104,16 @@
             self._counts.record_refusal(team, refused.cause)
         return refused
 
-    def evacuation_refusal(self, pool: str, team: str) -> Unavailable | None:
+    def evacuation_refusal(
+        self, pool: str, team: str, regions: frozenset[str] | None
+    ) -> Unavailable | None:
         """Return a refusal if all servers of a pool are evacuated; None otherwise.
 
         :param pool: name of the pool.
         :param team: name of the team.
+        :param regions: regions that the servers may be in; None for all.
         """
-        refused = self._known.evacuated(pool)
+        refused = self._known.evacuated(pool, regions)
         if refused is not None:
             self._counts.record_refusal(team, refused.cause)
         return refused
@@ -154,17 +160,22 @@
         return Unavailable(detail, RefusalCause.LATE, LATE_RETRY_AFTER_S)
 
     def unscheduled_refusal(
-        self, pool: str, team: str, latency_target_s: float
+        self,
+        pool: str,
+        team: str,
+        latency_target_s: float,
+        regions: frozenset[str] | None,
     ) -> Unavailable | None:
         """Return the refusal of a prompt that no scheduler decides on, or None.
 
         :param pool: name of a pool of engines.
         :param team: name of the team.
         :param latency_target_s: latency target of the route, in seconds; 0 for none.
+        :param regions: regions that the servers may be in; None for all.
         """
         if self._engines.may_ask(latency_target_s):
             return None
-        if self._may_go_on(pool, team, self._known.usable(pool, None)):
+        if self._may_go_on(pool, team, self._known.usable(pool, None, regions)):
             return None
         self._counts.record_refusal(team, RefusalCause.NO_SCHEDULER)
         return NO_SCHEDULER
@@ -199,9 +210,9 @@
         :param tried: names of servers that have had the request.
         :param version: software version that the server must have; None for any.
         """
-        servers = self._known.usable(request.pool, version)
+        servers = self._usable(request, version)
         excluded = tried | self._view.unresponsive_servers()
-        excluded |= self._avoided_servers(servers, may_be_all=True)
+        excluded |= self._local.avoided_servers(servers, may_be_all=True)
         return await self._choose(request, excluded, True, version)
 
     def may_be_left(self, pool: str, selected: SelectedServer) -> bool:
@@ -235,7 +246,7 @@
         if quarantined is not None:
             return quarantined
         known = self._known.running if is_just_left else self._known.reachable
-        for server in known(request.pool, version):
+        for server in known(request.pool, version, request.allowed_regions):
             is_open = self._notices.accepts(server_start(server))
             if server.name == name and is_open and self._local.may_go_back(server):
                 return self._local.select_again(request, server)
@@ -260,8 +271,8 @@
         quarantined = self._quarantined(request.parts)
         if quarantined is not None:
             return quarantined
-        servers = self._known.usable(request.pool, version)
-        closed = None if servers else self._known.closed(request.pool, version)
+        servers = self._usable(request, version)
+        closed = None if servers else self._closed(request, version)
         if closed is not None:
             return closed
         if version is not None and not servers:
@@ -275,7 +286,7 @@
             held = self._engines.held_refusal(request.pool, request.team, prompt)
             if held is not None:
                 return describe_refusal(held, RefusalCause.HELD_SHARE)
-        excluded = tried | self._avoided_servers(servers)
+        excluded = tried | self._local.avoided_servers(servers)
         excluded |= self._known.unusable_names(request.pool, servers)
         engine_request = PromptRequest(
             team=request.team,
@@ -292,7 +303,7 @@
             if isinstance(assignment, EngineAssignment):
                 assignment.end(was_sent=False)
             return quarantined
-        servers = self._known.usable(request.pool, version)
+        servers = self._usable(request, version)
         match assignment:
             case EngineRefusal() as refusal:
                 return describe_refusal(refusal)
@@ -307,7 +318,7 @@
                 if server is not None:
                     return self._local.select(request, server, assignment)
                 assignment.end(was_sent=False)
-                closed = None if servers else self._known.closed(request.pool, version)
+                closed = None if servers else self._closed(request, version)
                 if closed is not None:
                     return closed
         return await self._choose_locally(request, servers, tried)
@@ -334,6 +345,16 @@
             return True
         return not self._local.is_prefill_limit_reached(servers)
 
+    def _usable(
+        self, request: ForwardRequest, version: str | None
+    ) -> tuple[FleetServer, ...]:
+        return self._known.usable(request.pool, version, request.allowed_regions)
+
+    def _closed(
+        self, request: ForwardRequest, version: str | None
+    ) -> Unavailable | None:
+        return self._known.closed(request.pool, version, request.allowed_regions)
+
     def _quarantined(self, parts: tuple[str, ...]) -> Unavailable | None:
         """Return a refusal if servers ended under a request with these parts."""
         left_s = self._quarantine.left_s(parts)
@@ -342,17 +363,6 @@
         detail = "servers ended under the request or a part of its prompt"
         return Unavailable(detail, RefusalCause.QUARANTINE, left_s)
 
-    def _avoided_servers(
-        self, servers: tuple[FleetServer, ...], may_be_all: bool = False
-    ) -> frozenset[str]:
-        """Return servers that must not be chosen; none if all failed, or all then."""
-        failed = self._placement.avoided_names()
-        if not failed:
-            return failed
-        avoided = frozenset([s.name for s in servers if s.name in failed])
-        is_any_left = len(avoided) < len(servers)
-        return avoided if is_any_left or may_be_all else frozenset()
-
     def exclude_misdirected(self, selected: SelectedServer) -> None:
         """Stop using a server whose address now belongs to another one.
 
@@ -382,5 +392,5 @@
         :param request: the request.
         :param version: software version that the server must have; None for any.
         """
-        wait_s = self._known.wait_s(request.pool, version)
+        wait_s = self._known.wait_s(request.pool, version, request.allowed_regions)
         return RETRY_AFTER_S if wait_s == math.inf else max(RETRY_AFTER_S, wait_s)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/requests.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/requests.py
@@ -59,6 +59,7 @@
         team="",
         arrived_s=began_s,
         until_s=began_s + min(TIMEOUT_S, deadline_s),
+        allowed_regions=getattr(context, "allowed_regions", None),
     )
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/forwarding_steps.py
@@ -21,6 +21,7 @@
     AttemptSender,
     Forwarder,
     RetryWindow,
+    ServerHomes,
     ServerSelector,
 )
 from almondfield_daemon.forwarding.deadlines import TypicalDeadlines
@@ -92,6 +93,7 @@
             FakeLimits(),
             quarantine=RefusalRecord(context.refused),
             evacuated=lambda: context.evacuated,
+            homes=ServerHomes({"east": "north", "west": "south"}),
         )
         context.backends = FakeBackends(context.servers)
         attempts = AttemptSender(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/late_intake_steps.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/steps/late_intake_steps.py
@@ -40,6 +40,7 @@
         "r", 4.0, prompt=PROMPT, last_event_id="2", first_request_id="q"
     ),
     "another request": RequestMetadata("r", 4.0),
+    "a team's request": RequestMetadata("r", 4.0, key="k"),
 }
 MAX_HELD_BYTES = 1_000_000
 WINDOW_S = 6
@@ -59,6 +60,8 @@
 
     def problem_headers(self, problem):
         """Return the retry time."""
+        if problem.retry_after_s is None:
+            return ()
         return ((b"retry-after", b"%.1f" % problem.retry_after_s),)
 
 
@@ -66,6 +69,7 @@
     """The subscription to a table of one route."""
 
     version = 1
+    fresh_s = 3.0
 
     def __init__(self, target_s):
         prompts = replace(
@@ -76,7 +80,7 @@
 
     def fresh_left_s(self):
         """Return the time left of the lease."""
-        return 3.0
+        return self.fresh_s
 
 
 @given("a router of a route with a target of {target_s:g} s, where {others}")
