Name only routers in allowed regions, and read lists of regions

The configuration had no allowedRegions for routes and tenants, and the directory named routers of any region where a data centre had too few. It now leaves out those outside the caller's region and the regions that the routes of the domain allow.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
@@ -94,33 +94,47 @@
         return self._chooser.levels.left_out_total
 
     def addresses(
-        self, region: str, data_centre: str, caller: str = ""
+        self,
+        region: str,
+        data_centre: str,
+        caller: str = "",
+        allowed_regions: frozenset[str] | None = None,
     ) -> tuple[str, ...]:
         """Return router addresses for a caller, in random order.
 
         The routers are those of the caller's data centre. If it has too few, they are
         those of the region, or all if the region has none. Where their sizes differ or
-        some are overloaded, only a few of them are named.
+        some are overloaded, only a few of them are named. Routers that are neither in
+        the caller's region nor in an allowed one are never named.
 
         :param region: region of the caller.
         :param data_centre: data centre of the caller.
         :param caller: name of the caller; empty if nothing is known about it.
+        :param allowed_regions: other regions whose routers may be named; None for all.
         """
         self._expire()
         # If no router has sent a recent hello, this host is probably partitioned.
         usable = self._ready(HEARTBEAT_TIMEOUT_S) or self._ready(FALLBACK_S)
+        permitted = usable
+        if allowed_regions is not None:
+            regions = allowed_regions | {region}
+            permitted = {
+                host: item
+                for host, item in usable.items()
+                if item.hello.region in regions
+            }
         near = {
             host: item
-            for host, item in usable.items()
+            for host, item in permitted.items()
             if item.hello.data_centre == data_centre
         }
         if len(near) < MIN_IN_DATA_CENTRE:
             in_region = {
                 host: item
-                for host, item in usable.items()
+                for host, item in permitted.items()
                 if item.hello.region == region
             }
-            near = in_region or usable
+            near = in_region or permitted
         candidates = [
             Candidate(host, item.hello.caller_address, item.load)
             for host, item in near.items()
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/control.py
@@ -107,6 +107,10 @@
             *(record.data_centre for record in records),
         }
 
+    def regions(self) -> frozenset[str]:
+        """Return the regions of all data centres; empty if the settings name none."""
+        return frozenset(self.settings.region_by_data_centre.values())
+
     def is_learning_data_centres(self) -> bool:
         """Return whether routers and servers may still name further data centres."""
         is_listed = bool(self.settings.region_by_data_centre)
