Document homes, and log when the directory finds no allowed router

Operators could not see why the directory answers 503 for a domain whose routes are limited to regions. It logs that at most every 10 s.

--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -118,7 +118,8 @@
     )
     region_by_data_centre: dict[str, str] = item(
         "Region of each data centre of the deployment, by its name; if empty, the data "
-        "centres of known routers and backend servers are used.",
+        "centres of known routers and backend servers are used. Routes and teams that "
+        "are limited to regions need it.",
         default_factory=dict,
     )
     answers: AnswerSettings = item(
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
@@ -22,6 +22,7 @@
 # The shortest time in which a lost host must have been noticed, and 3 s: a router that
 # ended earlier must not be named.
 FALLBACK_S = 6.0
+NONE_ALLOWED_LOG_INTERVAL_S = 10.0  # callers ask again every 2 s
 EVALUATION_INTERVAL_S = 0.25  # a fraction of the hello interval
 MIN_IN_DATA_CENTRE = 2  # with one router, its failure leaves callers without any
 
@@ -52,6 +53,7 @@
         self._chooser = AddressChooser(rng)
         self._record_by_host: dict[str, _RouterRecord] = {}
         self._evaluated_s = float("-inf")
+        self._none_allowed_logged_s = float("-inf")
 
     def record(self, host: str, hello: RouterHello) -> None:
         """Record a hello of a router.
@@ -123,6 +125,8 @@
                 for host, item in usable.items()
                 if item.hello.region in regions
             }
+            if usable and not permitted:
+                self._log_none_allowed(allowed_regions)
         near = {
             host: item
             for host, item in permitted.items()
@@ -141,6 +145,11 @@
         ]
         return self._chooser.choose(candidates, len(usable), caller)
 
+    def _log_none_allowed(self, allowed_regions: frozenset[str]) -> None:
+        if now() - self._none_allowed_logged_s >= NONE_ALLOWED_LOG_INTERVAL_S:
+            self._none_allowed_logged_s = now()
+            eliot.log_message("router:none-allowed", allowed=sorted(allowed_regions))
+
     def _ready(self, within_s: float) -> dict[str, _RouterRecord]:
         """Return the ready routers whose last hello came within a time."""
         cutoff_s = now() - within_s
