--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet/routers.py
@@ -22,6 +22,7 @@
 # The shortest time in which a lost host must have been noticed, and 3 s: a router that
 # ended earlier must not be named.
 FALLBACK_S = 6.0
+NONE_ALLOWED_LOG_INTERVAL_S = 10.0  # callers ask again every 2 s
 EVALUATION_INTERVAL_S = 0.25  # a fraction of the hello interval
 MIN_IN_DATA_CENTRE = 2  # with one router, its failure leaves callers without any
 
@@ -52,6 +53,7 @@
         self._chooser = AddressChooser(rng)
         self._record_by_host: dict[str, _RouterRecord] = {}
         self._evaluated_s = float("-inf")
+        self._none_allowed_logged_s = float("-inf")
 
     def record(self, host: str, hello: RouterHello) -> None:
         """Record a hello of a router.
@@ -94,39 +96,60 @@
         return self._chooser.levels.left_out_total
 
     def addresses(
-        self, region: str, data_centre: str, caller: str = ""
+        self,
+        region: str,
+        data_centre: str,
+        caller: str = "",
+        allowed_regions: frozenset[str] | None = None,
     ) -> tuple[str, ...]:
         """Return router addresses for a caller, in random order.
 
         The routers are those of the caller's data centre. If it has too few, they are
         those of the region, or all if the region has none. Where their sizes differ or
-        some are overloaded, only a few of them are named.
+        some are overloaded, only a few of them are named. Routers that are neither in
+        the caller's region nor in an allowed one are never named.
 
         :param region: region of the caller.
         :param data_centre: data centre of the caller.
         :param caller: name of the caller; empty if nothing is known about it.
+        :param allowed_regions: other regions whose routers may be named; None for all.
         """
         self._expire()
         # If no router has sent a recent hello, this host is probably partitioned.
         usable = self._ready(HEARTBEAT_TIMEOUT_S) or self._ready(FALLBACK_S)
+        permitted = usable
+        if allowed_regions is not None:
+            regions = allowed_regions | {region}
+            permitted = {
+                host: item
+                for host, item in usable.items()
+                if item.hello.region in regions
+            }
+            if usable and not permitted:
+                self._log_none_allowed(allowed_regions)
         near = {
             host: item
-            for host, item in usable.items()
+            for host, item in permitted.items()
             if item.hello.data_centre == data_centre
         }
         if len(near) < MIN_IN_DATA_CENTRE:
             in_region = {
                 host: item
-                for host, item in usable.items()
+                for host, item in permitted.items()
                 if item.hello.region == region
             }
-            near = in_region or usable
+            near = in_region or permitted
         candidates = [
             Candidate(host, item.hello.caller_address, item.load)
             for host, item in near.items()
         ]
         return self._chooser.choose(candidates, len(usable), caller)
 
+    def _log_none_allowed(self, allowed_regions: frozenset[str]) -> None:
+        if now() - self._none_allowed_logged_s >= NONE_ALLOWED_LOG_INTERVAL_S:
+            self._none_allowed_logged_s = now()
+            eliot.log_message("router:none-allowed", allowed=sorted(allowed_regions))
+
     def _ready(self, within_s: float) -> dict[str, _RouterRecord]:
         """Return the ready routers whose last hello came within a time."""
         cutoff_s = now() - within_s
