--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/budget.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/budget.py
@@ -9,6 +9,8 @@
 __all__ = ["PendingRepeat", "Repeat", "RetryWindow"]
 
 SAFETY_FACTOR = 0.7  # the rest covers routers that are starting or not yet counted
+# A failure may need two repeats for a hand-over, and failures come several at a time.
+SPARE_SHARE = 0.5
 
 
 @dataclass(frozen=True, eq=False)
@@ -49,6 +51,11 @@
         self._drop_expired()
         self._request_times_s.append(now())
 
+    def request_count(self) -> int:
+        """Return the number of callers' requests in the window."""
+        self._drop_expired()
+        return len(self._request_times_s)
+
     def reserve(self, count: int) -> tuple[Repeat, ...]:
         """Return some more repeats, which are counted; none unless all are allowed.
 
@@ -61,6 +68,18 @@
         self._repeats.extend(repeats)
         return repeats
 
+    def reserve_spare(self) -> Repeat | None:
+        """Return a repeat, which is counted, if most of the others are left.
+
+        It is for repeats that only save time, so that failures can still be repeated.
+        """
+        self._drop_expired()
+        if len(self._repeats) + 1 > SPARE_SHARE * self._allowed():
+            return None
+        repeat = Repeat(now())
+        self._repeats.append(repeat)
+        return repeat
+
     def refund(self, repeat: Repeat) -> None:
         """Take back a repeat that was counted and not sent.
 
@@ -75,9 +94,12 @@
         :param count: number of repeats.
         """
         self._drop_expired()
+        return len(self._repeats) + count <= self._allowed()
+
+    def _allowed(self) -> float:
         allowed = self._share * len(self._request_times_s)
         allowed += self._slack / max(1, self._routers())
-        return len(self._repeats) + count <= SAFETY_FACTOR * allowed
+        return SAFETY_FACTOR * allowed
 
     def _drop_expired(self) -> None:
         oldest_s = now() - self._window_s
