Hedge slow idempotent requests

A second copy of a plain idempotent request goes to another server once the first one is slow. The first whole answer is used and the other copy is cancelled at once; if the first copy fails, the second one is its retry. New setting hedge_share, counters of hedges and one log line for each.

--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -111,6 +111,11 @@
         default=50.0,
     )
     retry_window_s: float = item("Length of the retry window.", "s", default=10.0)
+    hedge_share: float = item(
+        "Most second copies of slow requests to a pool in the retry window, per "
+        "request; 0 for none.",
+        default=0.02,
+    )
     share_window_s: float = item(
         "Length of the window in which teams' shares of the engines are measured.",
         "s",
@@ -210,6 +215,8 @@
     for name in ("grace_s", "revocation_s", "address_lifetime_s", "retry_window_s"):
         if getattr(settings, name) <= 0:
             yield Finding(name, f"is {getattr(settings, name)}", "a number above 0")
+    if not 0 <= settings.hedge_share <= 1:
+        yield Finding("hedge_share", f"is {settings.hedge_share}", "0 to 1")
     for name in ("cpu_share", "cpu_cores"):
         if not 0 <= getattr(settings, name) <= MAX_CORES:
             value = getattr(settings, name)
--- a/packages/almondfield-core/src/almondfield_core/settings/tests/fleet_settings.feature
+++ b/packages/almondfield-core/src/almondfield_core/settings/tests/fleet_settings.feature
@@ -29,6 +29,8 @@
       | cpu_share         | -0.5                 | cpu_share         |
       | cpu_cores         | inf                  | cpu_cores         |
       | cpu_cores         | "2"                  | cpu_cores         |
+      | hedge_share       | 1.5                  | hedge_share       |
+      | hedge_share       | -0.1                 | hedge_share       |
       | answers           | {max_head_bytes = 0} | answers.max_head_bytes |
       | answers           | {max_head_bytes = "a"} | answers.max_head_bytes |
       | region_by_data_centre | {"a" = 1}        | region_by_data_centre |
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
@@ -11,6 +11,7 @@
 
 from almondfield_daemon.fleet import FleetControl
 from almondfield_daemon.forwarding import RequestReport
+from almondfield_daemon.hedging import Hedging
 from almondfield_daemon.server_notices import NoticeKind
 
 __all__ = ["ControlMetrics", "LoopMetrics", "RouterMetrics", "build_metrics_app"]
@@ -28,6 +29,7 @@
     :param notice_count_by_kind: notices of backend servers since the start.
     :param quarantines: returns the number of quarantines of prompt parts.
     :param evacuated: returns the evacuated data centres.
+    :param hedging: second copies of slow requests; None without them.
     """
 
     def __init__(
@@ -35,8 +37,25 @@
         notice_count_by_kind: Mapping[NoticeKind, int],
         quarantines: Callable[[], int] = lambda: 0,
         evacuated: Callable[[], frozenset[str]] = frozenset,
+        hedging: Hedging | None = None,
     ) -> None:
         self.registry = Registry()
+        self._hedging = hedging
+        self._hedges = Counter(
+            "almondfield_hedges_total",
+            "Second copies of slow requests that have ended, by result",
+            registry=self.registry,
+        )
+        self._hedges_sent = Counter(
+            "almondfield_hedges_sent_total",
+            "Second copies of slow requests that were sent",
+            registry=self.registry,
+        )
+        self._hedge_refusals = Counter(
+            "almondfield_hedge_refusals_total",
+            "Slow requests without a second copy, by reason",
+            registry=self.registry,
+        )
         self._evacuated = evacuated
         self._evacuations = _evacuation_gauge(self.registry)
         self._quarantines = quarantines
@@ -98,6 +117,12 @@
         self._evacuations.set({}, len(self._evacuated()))
         for kind, count in self._notice_count_by_kind.items():
             self._notices.set({"notice": kind.value}, count)
+        if self._hedging is not None:
+            self._hedges_sent.set({}, self._hedging.sent)
+            for result, count in self._hedging.count_by_result.items():
+                self._hedges.set({"result": result.value}, count)
+            for reason, count in self._hedging.count_by_refusal.items():
+                self._hedge_refusals.set({"reason": reason.value}, count)
         # An addition to a counter takes longer than the refusal of a request.
         refusals, self._refusals = self._refusals, Counts()
         for (route, status), count in refusals.items():
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -28,6 +28,7 @@
     log_request_counts,
 )
 from almondfield_daemon.forwarding.stop_limits import StopPlan
+from almondfield_daemon.hedging import Hedging
 from almondfield_daemon.quarantine import QuarantineClient
 from almondfield_daemon.router_addresses import RouterLoad
 from almondfield_daemon.scheduling import EngineClient
@@ -136,10 +137,14 @@
             self.host_delay,
             settings.answers.max_discarded_bytes,
         )
+        hedging = Hedging(
+            settings.hedge_share, settings.retry_window_s, self.host_delay
+        )
         self._metrics = RouterMetrics(
             notices.count_by_kind,
             self._quarantine.table.quarantined_count,
             self.evacuated_data_centres,
+            hedging,
         )
         forwarder = Forwarder(
             attempts,
@@ -149,6 +154,7 @@
             settings.answers,
             self._observe,
             self._observe_refusal,
+            hedging,
         )
         max_buffered_bytes = int(BODY_MEMORY_FRACTION * settings.memory_bytes)
         self._endpoint = ForwardEndpoint(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/attempts.py
@@ -27,8 +27,7 @@
     Unsent,
     Withheld,
 )
-from almondfield_daemon.forwarding.ports import HeaderCodec
-from almondfield_daemon.forwarding.silence_watch import SilenceWatch
+from almondfield_daemon.forwarding.ports import HeaderCodec, HeadWait
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.router.calls import (
     SUCCESS_STATUSES,
@@ -73,7 +72,7 @@
         request: ForwardRequest,
         server: FleetServer,
         last_event_id: str,
-        watch: SilenceWatch,
+        watch: HeadWait,
         check: Callable[[], None],
         on_notices: Callable[[tuple[ServerNotice, ...], float], None],
         is_repeat: bool,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -25,6 +25,8 @@
 from almondfield_daemon.forwarding.stop_limits import StopLimits, draining
 from almondfield_daemon.forwarding.take_up import locate_stream
 from almondfield_daemon.forwarding.unavailable import Unavailable
+from almondfield_daemon.hedging import Hedging
+from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.router.problems import Outcome, Problem
 
 __all__ = ["Forwarder"]
@@ -41,6 +43,7 @@
     :param observe: called with the report of each request that ended.
     :param observe_refusal: called with route, team and status of each request that was
         refused by its head.
+    :param hedging: decides about second copies of slow requests; None for none.
 
     :ivar stop_limits: limits on requests while the router stops.
     """
@@ -54,7 +57,9 @@
         limits: AnswerSettings,
         observe: Callable[[RequestReport], None] = lambda report: None,
         observe_refusal: Callable[[str, str, int], None] = lambda *fields: None,
+        hedging: Hedging | None = None,
     ) -> None:
+        self._hedging = hedging or Hedging(0.0, 1.0, HostDelay())
         self._observe_refusal = observe_refusal
         self._observe = observe
         self._attempts = attempts
@@ -144,7 +149,7 @@
                             pass
                 if problem is None:
                     problem = await run.serve()
-            if run.sent and problem is None:
+            if run.attempts.sent and problem is None:
                 duration_s = now() - began_s
                 self.stop_limits.record_duration(request.route.name, duration_s)
         except TimeoutError:
@@ -174,6 +179,7 @@
             sink,
             self._pacing,
             self.stop_limits,
+            self._hedging,
         )
 
     def _window(self, pool: str) -> RetryWindow:
@@ -187,12 +193,12 @@
         if run.delivery.is_started:
             passed = "the router stopped" if is_stop else "the deadline passed"
             raise StreamBrokenError(f"{passed} while the answer was sent") from None
-        if is_stop and not run.may_have_run:
+        if is_stop and not run.attempts.may_have_run:
             return draining()
         if is_stop:
             return no_answer("the router stopped before the answer", True, False)
         detail = "no answer before the caller's deadline or the route's timeout"
-        outcome = Outcome.UNKNOWN if run.may_have_run else Outcome.NOT_RUN
+        outcome = Outcome.UNKNOWN if run.attempts.may_have_run else Outcome.NOT_RUN
         return Problem(504, "timeout", detail, outcome)
 
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/local_choice.py
@@ -8,6 +8,7 @@
 from almondfield_daemon.forwarding.messages import ForwardRequest
 from almondfield_daemon.forwarding.selected_server import SelectedServer, server_start
 from almondfield_daemon.forwarding.unavailable import Unavailable
+from almondfield_daemon.hedging import PoolLoad
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.quarantine import RequestQuarantine
 from almondfield_daemon.scheduling import EngineAssignment, EngineClient
@@ -178,6 +179,18 @@
             self._evacuated,
         )
 
+    def load(self, servers: Iterable[FleetServer]) -> PoolLoad:
+        """Return the load of some servers, as far as their reports show it.
+
+        :param servers: the servers.
+        """
+        busy = slots = 0
+        for server in servers:
+            record = self._placement.record(server.name)
+            busy += record.running + record.waiting
+            slots += server.slots
+        return PoolLoad(busy, slots)
+
     def is_prefill_limit_reached(self, servers: tuple[FleetServer, ...]) -> bool:
         """Return whether this router has used its share of concurrent prefills.
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/ports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/ports.py
@@ -13,7 +13,7 @@
 from almondfield_daemon.router.problems import Problem
 from almondfield_daemon.streams import StreamOrigin
 
-__all__ = ["HeaderCodec", "ResponseSink", "StreamOrigins"]
+__all__ = ["HeadWait", "HeaderCodec", "ResponseSink", "StreamOrigins"]
 
 
 class HeaderCodec(Protocol):
@@ -76,6 +76,16 @@
         """Mark the answer as complete."""
 
 
+class HeadWait(Protocol):
+    """Learns when the wait for the head of an answer begins and ends."""
+
+    def begin(self) -> None:
+        """Record that the request is sent now."""
+
+    def end(self) -> None:
+        """Record that the head has arrived, or that none will."""
+
+
 class StreamOrigins(Protocol):
     """Knows where streams began, over all routers."""
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/reports.py
@@ -105,22 +105,22 @@
     """
     prompt = request.metadata.prompt
     deadline_s = request.metadata.deadline_s
-    assignment = run.assignment
+    assignment = run.attempts.assignment
     wait_s = assignment.wait_s if assignment else None
-    first_attempt_s = run.first_attempt_s
+    first_attempt_s = run.attempts.first_attempt_s
     return RequestReport(
         request_id=request.metadata.request_id,
         route=request.route.name,
         team=request.team,
         table_version=request.table_version,
         pool=request.pool,
-        server=run.server_name,
-        server_version=run.server_version,
+        server=run.attempts.server_name,
+        server_version=run.attempts.server_version,
         stream_version=run.progress.version,
         last_event_id=request.metadata.last_event_id,
         first_request_id=request.metadata.first_request_id,
-        attempts=run.sent,
-        silent_attempts=run.silent_attempts,
+        attempts=run.attempts.sent,
+        silent_attempts=run.attempts.silent_attempts,
         first_attempt_ms=(
             None if first_attempt_s is None else round(first_attempt_s * 1000, 1)
         ),
@@ -137,7 +137,7 @@
         total_ms=round((now() - request.arrived_s) * 1000, 1),
         longest_gap_ms=round(run.delivery.longest_gap_s * 1000, 1),
         slowed_ms=round(run.progress.slowed_s * 1000, 1),
-        framing=run.framing,
+        framing=run.attempts.framing,
         unfinished_bytes=run.progress.unfinished_bytes,
     )
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/servers.py
@@ -16,6 +16,7 @@
     Unavailable,
     describe_refusal,
 )
+from almondfield_daemon.hedging import PoolLoad
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.quarantine import (
     NoQuarantine,
@@ -212,6 +213,13 @@
         """
         return self._known.may_be_left(pool, selected)
 
+    def load(self, pool: str) -> PoolLoad:
+        """Return the load of a pool, as far as its servers' reports show it.
+
+        :param pool: name of the pool.
+        """
+        return self._local.load(self._known.usable(pool, None))
+
     def choose_again(
         self,
         request: ForwardRequest,
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_watch.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/silence_watch.py
@@ -10,7 +10,7 @@
 from almondfield_daemon.router.calls import AnswerCutError
 from almondfield_daemon.router.stall import StallTimer
 
-__all__ = ["SilenceWatch"]
+__all__ = ["ARRIVED_S", "SilenceWatch"]
 
 SEARCH_INTERVAL_S = 0.3  # doubles after each search; many servers may be silent
 ARRIVED_S = 1e-6  # a sleep of 0 sets no timer
@@ -73,6 +73,11 @@
         if is_silent and is_cancelled:
             self._on_given_up(reason)
 
+    @property
+    def is_searching(self) -> bool:
+        """Return whether the server was silent for longer than the limit."""
+        return self._search is not None
+
     def set_limit(self, limit_s: float) -> None:
         """Change the limit for the waits that begin from now on.
 
