--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hedge.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hedge.py
@@ -1,7 +1,7 @@
 """The second copy of one slow request, and its race against the first."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from types import TracebackType
@@ -11,7 +11,7 @@
 from almondfield_core.clock import now
 from almondfield_core.containment import contain_errors
 from almondfield_daemon.edge.bodies import CallerDisconnectedError
-from almondfield_daemon.forwarding.answers import read_body
+from almondfield_daemon.forwarding.answers import ReadAnswer, read_body
 from almondfield_daemon.forwarding.attempt_log import log_attempt
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import Repeat, RetryWindow
@@ -36,9 +36,6 @@
 from almondfield_daemon.router.calls import (
     FIRST_ERROR_STATUS,
     AnswerCutError,
-    BackendAnswer,
-    Framing,
-    Header,
 )
 
 __all__ = ["RequestHedge"]
@@ -56,41 +53,6 @@
     end: Callable[[], None]
 
 
-class ReadAnswer:
-    """An answer whose body was read, if it is short, or else its beginning.
-
-    :param answer: the answer.
-    :param body: what was read.
-    :param rest: the other chunks.
-    """
-
-    def __init__(
-        self, answer: BackendAnswer, body: bytes, rest: AsyncIterator[bytes]
-    ) -> None:
-        self._answer = answer
-        self._body = body
-        self._rest = rest
-        self.status: int = answer.status
-        self.headers: tuple[Header, ...] = answer.headers
-        self.framing: Framing = answer.framing
-        self.is_first: bool = answer.is_first
-
-    @property
-    def received_bytes(self) -> int:
-        """Return the bytes received so far."""
-        return self._answer.received_bytes
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield what was read, and then the other chunks as they arrive."""
-        yield self._body
-        async for chunk in self._rest:
-            yield chunk
-
-    def close(self) -> None:
-        """Discard the answer and close its connection."""
-        self._answer.close()
-
-
 class RequestHedge:
     """Context manager around the wait for the first copy's answer.
 
@@ -148,6 +110,11 @@
         self.selected: SelectedServer | None = None
         self.may_have_run = False
 
+    @property
+    def is_begun(self) -> bool:
+        """Return whether a server was selected whose copy may serve the request."""
+        return self.selected is not None and not self._has_ended
+
     @property
     def is_running(self) -> bool:
         """Return whether a second copy was sent that may still serve the request."""
@@ -229,8 +196,12 @@
 
     async def take(self) -> Attempt:
         """Return the outcome of the second copy, which the caller of this ends."""
-        if self._copy is not None:
+        try:
             await self._copy
+        except asyncio.CancelledError:
+            # Another server takes over from a silent one, or the request ends.
+            self._end(HedgeResult.CANCELLED)
+            raise
         outcome = self._outcome or AnswerLost("the second copy ended with an error")
         is_answer = isinstance(outcome, Answered) and not _is_failure(outcome)
         self._end(HedgeResult.WON if is_answer else HedgeResult.FAILED)
@@ -262,6 +233,8 @@
             if refusal is not None:
                 self._hedging.record_refusal(refusal)
                 return
+            if self._has_ended:
+                return
             self._outcome = await self._send()
             if self._waiting is not None:
                 self._settle(self._outcome)
@@ -296,6 +269,9 @@
         if isinstance(selected, Unavailable):
             return HedgeRefusal.NO_SERVER
         self.selected = selected
+        if not self._may_begin():
+            # The first copy's server was silent for too long meanwhile.
+            self.close()
         return None
 
     async def _send(self) -> Attempt:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/request_attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/request_attempts.py
@@ -24,10 +24,7 @@
 from almondfield_daemon.forwarding.own_answers import no_answer, refusal
 from almondfield_daemon.forwarding.selected_server import SelectedServer
 from almondfield_daemon.forwarding.servers import ServerSelector
-from almondfield_daemon.forwarding.silence_limits import (
-    SilenceLimits,
-    silence_limits,
-)
+from almondfield_daemon.forwarding.silence_limits import SilenceLimits, silence_limits
 from almondfield_daemon.forwarding.silence_watch import SilenceWatch
 from almondfield_daemon.forwarding.stop_limits import StopLimits
 from almondfield_daemon.forwarding.stream_progress import StreamProgress
@@ -134,13 +131,6 @@
         self._hand_over.close()
         self._pending.drop()
 
-    def exclude(self, selected: SelectedServer) -> None:
-        """Send the request to a server no more.
-
-        :param selected: the server.
-        """
-        self._tried |= {selected.server.name}
-
     def _count_hedge(self) -> None:
         self.sent += 1
 
@@ -255,13 +245,16 @@
             watch,
             check,
             partial(selected.record_notices, self._request.metadata.request_id),
-            is_repeat=self._may_have_run,
+            is_repeat=self.may_have_run,
         )
 
     def _may_hedge(self, watch: SilenceWatch) -> bool:
         """Return whether a second copy may be sent beside the attempt that runs."""
-        if watch.is_searching or self._hand_over.can_go_back:
-            return False
+        is_handed_over = watch.is_searching or self._hand_over.can_go_back
+        return not is_handed_over and self._may_add_attempt()
+
+    def _may_add_attempt(self) -> bool:
+        """Return whether a further attempt may begin beside the one that runs."""
         return self.sent + 2 <= self._request.route.max_attempts
 
     def watch_events(self, selected: SelectedServer) -> SilenceWatch:
@@ -277,8 +270,10 @@
         tried = self._tried | {selected.server.name}
 
         async def choose() -> SelectedServer | Unavailable:
-            if self._hedge.is_running:
-                return Unavailable("a second copy runs", RefusalCause.NO_SERVER)
+            is_first = selected is not self._hedge.selected
+            is_used_up = bool(self._hedge.tried) and not self._may_add_attempt()
+            if is_first and (self._hedge.is_begun or is_used_up):
+                return Unavailable("a second copy was sent", RefusalCause.NO_SERVER)
             return await self._servers.choose_replacement(
                 self._request, tried | self._hedge.tried, self._progress.version
             )
@@ -322,9 +317,9 @@
                 self._unsent_attempts += 1
                 if self._unsent_attempts < MAX_UNSENT_ATTEMPTS:
                     return None
-                if isinstance(outcome, Unsent):
-                    return self._refusal(reason)
-                return self._refusal(reason, self._retry_after_s())
+                is_withheld = isinstance(outcome, Withheld)
+                after_s = self._retry_after_s() if is_withheld else RETRY_AFTER_S
+                return self._refusal(reason, after_s)
             case Misdirected():
                 detail = "another server has the address"
                 return None if self._may_send_again() else self._refusal(detail)
@@ -350,13 +345,16 @@
         """Return whether the request may be sent again after a lost answer."""
         self._may_have_run = True
         self._has_lost_server = True
-        self._tried |= {selected.server.name}
         self.silent_attempts += lost.timed_out
         record_failed(self._servers, selected, lost)
-        return self.may_go_on()
+        return self.may_go_on(selected)
 
-    def may_go_on(self) -> bool:
-        """Return whether a request that may have run gets another attempt now."""
+    def may_go_on(self, selected: SelectedServer) -> bool:
+        """Return whether a request that may have run gets another attempt now.
+
+        :param selected: the server that failed, which gets it no more.
+        """
+        self._tried |= {selected.server.name}
         return self._may_repeat() or self._hand_over.try_return()
 
     def _may_repeat(self) -> bool:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -126,9 +126,8 @@
             is_failure = answer.status >= FIRST_ERROR_STATUS
             if not is_failure:
                 self.attempts.settle()
-            if is_failure and self.attempts.may_go_on():
+            if is_failure and self.attempts.may_go_on(selected):
                 self._failed_answer = complete
-                self.attempts.exclude(selected)
                 continue
             await self.delivery.send_whole(*complete)
             return None
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/hedging.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/tests/hedging.feature
@@ -112,6 +112,25 @@
       | reports that it did not run it | 0.2   | loses its answer               | 502 unknown | failed |
       | reports that it did not run it | 0.2   | reports that it did not run it | 503 not-run | failed |
 
+  # Guards against more attempts than the route allows, and waits for two silent servers.
+  Scenario Outline: Both servers of a hedged request are silent
+    Given a "idempotent" route with <attempts> attempts and 4 servers
+    And slow requests are hedged within a share of 0.02
+    And the pool took 0.02 s for each of 200 requests lately
+    And server 1 takes <first> s and then <failure>
+    And server 2 takes <second> s and then <failure>
+    When a request is served
+    Then <servers> servers received it
+    And the caller gets 200
+    And no server has a request in flight
+
+    Examples:
+      | attempts | first | second | failure        | servers |
+      | 2        | 3.0   | 3.0    | answers        | 2       |
+      | 3        | 3.0   | 3.0    | answers        | 2       |
+      | 3        | 0.1   | 3.0    | fails with 500 | 3       |
+      | 2        | 3.0   | 0.1    | answers        | 2       |
+
   # Guards against a lost server that keeps getting hedges.
   Scenario: The server of a hedge is lost
     Given a "idempotent" route with 2 attempts and 4 servers
