--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,7 +1,9 @@
 """Runs every feature folder with behave and prints the totals as the last line.
 
 A feature folder is a folder named ``tests`` that holds ``*.feature`` files. A failing
-scenario that KNOWN-RED.txt names is printed but does not count as failed.
+scenario that KNOWN-RED.txt names is printed but does not count as failed. Folders run
+at the same time, but for those that hold a file ``run-alone``: they run one after the
+other when all others have ended, as their scenarios load the machine.
 """
 
 import json
@@ -16,6 +18,7 @@
 WORKERS = max(2, (os.cpu_count() or 2) // 2)
 KNOWN_RED_PREFIX = "test: "
 HASH_SEED = "0"
+ALONE_MARKER = "run-alone"
 
 
 def find_folders(paths):
@@ -46,6 +49,15 @@
     }
 
 
+def run_folders(folders):
+    """Yield the result of each folder; see :func:`run_folder`."""
+    alone = [folder for folder in folders if (folder / ALONE_MARKER).exists()]
+    with ThreadPoolExecutor(WORKERS) as pool:
+        together = [folder for folder in folders if folder not in alone]
+        yield from pool.map(run_folder, together)
+    yield from map(run_folder, alone)
+
+
 def run_folder(folder):
     """Return (folder, scenario results as (name, status), output) of a folder."""
     with tempfile.TemporaryDirectory() as scratch:
@@ -80,20 +92,19 @@
     known_red = read_known_red()
     passed = 0
     failed = []
-    with ThreadPoolExecutor(WORKERS) as pool:
-        for folder, results, output in pool.map(run_folder, find_folders(sys.argv[1:])):
-            not_passed = [name for name, status in results if status != "passed"]
-            unexpected = [name for name in not_passed if name not in known_red]
-            passed += len(results) - len(not_passed)
-            failed += [f"{folder.relative_to(ROOT)}: {name}" for name in unexpected]
-            print(
-                f"{folder.relative_to(ROOT)}: {len(results)} run, "
-                f"{len(not_passed)} not passed"
-            )
-            for name in not_passed:
-                print(f"  {'FAILED' if name in unexpected else 'known red'}: {name}")
-            if unexpected:
-                print(output)
+    for folder, results, output in run_folders(find_folders(sys.argv[1:])):
+        not_passed = [name for name, status in results if status != "passed"]
+        unexpected = [name for name in not_passed if name not in known_red]
+        passed += len(results) - len(not_passed)
+        failed += [f"{folder.relative_to(ROOT)}: {name}" for name in unexpected]
+        print(
+            f"{folder.relative_to(ROOT)}: {len(results)} run, "
+            f"{len(not_passed)} not passed"
+        )
+        for name in not_passed:
+            print(f"  {'FAILED' if name in unexpected else 'known red'}: {name}")
+        if unexpected:
+            print(output)
     # Again, as the end of the output may be all that is kept of it.
     for name in failed:
         print(f"FAILED: {name}")
