Bound what the connections of a process hold in memory

Nothing limited the header lines of a head, the framing of a body, what lay parsed behind a request, and the answers that lay unread. A listener now stops the parser at 512 header lines (setting max_header_lines) and at framing beyond 64 KiB and the body's own length, reads 64 KiB at a time, parses 16 heads of a connection before others go on, and holds the rest back unparsed while 100 requests wait or the caller doesn't read refusals.

A budget of an eighth of memory_mb counts heads, waiting requests, unread answers and, at the control address, bodies, as they lie in memory. Beyond it the oldest connection that waits for its caller and holds the mean or more is refused with 503 or closed. Above 0.7 of the descriptors the oldest connection without a request is closed for each new one.

--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -84,6 +84,10 @@
     max_descriptors: int = item(
         "Descriptors that the daemon may have open.", default=1024
     )
+    max_header_lines: int = item(
+        "Most header lines of a request. Ordinary clients send some tens.",
+        default=512,
+    )
     grace_s: float = item(
         "Time from the stop signal until the daemon is killed.", "s", default=8.0
     )
@@ -189,7 +193,8 @@
         text = getattr(settings, f"{name}_address")
         if text:
             yield from _check_endpoint(f"{name}_address", text)
-    for name in ("grace_s", "revocation_s", "address_lifetime_s", "retry_window_s"):
+    positive = ("grace_s", "revocation_s", "address_lifetime_s", "retry_window_s")
+    for name in (*positive, "max_header_lines"):
         if getattr(settings, name) <= 0:
             yield Finding(name, f"is {getattr(settings, name)}", "a number above 0")
     yield from check_positive("answers", settings.answers)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -24,7 +24,13 @@
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.loop_delay import LoopMonitor
 from almondfield_daemon.peers import PynngPeers
-from almondfield_daemon.serving import BACKLOG, Gate, HttpListener, bind
+from almondfield_daemon.serving import (
+    BACKLOG,
+    ConnectionBudget,
+    Gate,
+    HttpListener,
+    bind,
+)
 
 __all__ = ["FleetHost"]
 
@@ -34,6 +40,10 @@
 LEADER_ATTEMPT_S = 0.4  # covers many round trips, and the shortest election
 NO_SECRET = b""
 QUEUED_MEMORY_FRACTION = 1 / 16  # for messages sent, and as much for those received
+# Heads, requests that wait, and answers that wait for their callers.
+CONNECTION_MEMORY_FRACTION = 1 / 8
+# Of the descriptors, for the connections of callers, operators and backend servers.
+CONNECTION_DESCRIPTOR_FRACTION = 0.7
 
 
 class FleetHost:
@@ -58,6 +68,10 @@
             on_reply=self.host_delay.record_reply,
             max_queued_bytes=int(QUEUED_MEMORY_FRACTION * settings.memory_bytes),
         )
+        self.connection_budget = ConnectionBudget(
+            int(CONNECTION_MEMORY_FRACTION * settings.memory_bytes),
+            int(CONNECTION_DESCRIPTOR_FRACTION * settings.max_descriptors),
+        )
         self._settings_path = settings_path
         self._listeners: list[HttpListener] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -77,6 +91,7 @@
         address: str,
         gate: Gate | None = None,
         backlog: int = BACKLOG,
+        holds_bodies: bool = True,
     ) -> HttpListener:
         """Serve an ASGI app once the daemon starts, and return its listener.
 
@@ -84,10 +99,19 @@
         :param address: ``ip:port`` to listen on.
         :param gate: decides on requests by their heads; None to pass all of them on.
         :param backlog: largest number of connections that wait to be accepted.
+        :param holds_bodies: whether the app holds bodies of requests and doesn't count
+            them itself.
         """
         host, _, port = address.rpartition(":")
         listener = HttpListener(
-            app, bind(host, int(port)), MAX_HEAD_BYTES, gate, backlog
+            app,
+            bind(host, int(port)),
+            MAX_HEAD_BYTES,
+            gate,
+            backlog,
+            self.settings.max_header_lines,
+            self.connection_budget,
+            holds_bodies,
         )
         self._listeners.append(listener)
         return listener
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -154,6 +154,7 @@
             settings.caller_address,
             self._endpoint.intake,
             CALLER_BACKLOG,
+            holds_bodies=False,
         )
         max_connections = int(CALLER_DESCRIPTOR_FRACTION * settings.max_descriptors)
         self._endpoint.limit_connections(
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -12,8 +12,10 @@
 from almondfield_core.clock import now
 from almondfield_core.findings import AlmondfieldError
 from almondfield_daemon.loop_delay import AcceptTimes
+from almondfield_daemon.serving.budget import ConnectionBudget
 from almondfield_daemon.serving.gate import Gate
 from almondfield_daemon.serving.protocol import make_protocol
+from almondfield_daemon.serving.request_limits import RequestLimits
 
 __all__ = ["BACKLOG", "HttpListener", "ListenError", "bind"]
 
@@ -22,6 +24,8 @@
 ACCEPTS_PER_ITERATION = 16
 CONNECT_ITERATIONS = 3  # of the event loop, until an accepted connection can be read
 KEEP_ALIVE_S = 75
+MAX_HEADER_LINES = 512  # ordinary clients send some tens
+MAX_HELD_BYTES = 64 * 1024 * 1024  # where a process has no budget of its own
 HEAD_TIMEOUT_S = 30.0
 CLOSE_PAUSE_S = 0.1  # uvicorn sleeps as long before it counts the time of a stop
 
@@ -77,6 +81,11 @@
     :param max_header_bytes: largest header section of a request, in bytes.
     :param gate: decides on requests by their heads; None to pass all of them on.
     :param backlog: largest number of connections that wait to be accepted.
+    :param max_header_lines: most header lines of a request.
+    :param budget: limits what the connections of the process hold in memory; None for
+        a budget of the listener's own.
+    :param holds_bodies: whether the application holds bodies of requests and doesn't
+        count them itself.
     """
 
     def __init__(
@@ -86,13 +95,18 @@
         max_header_bytes: int,
         gate: Gate | None = None,
         backlog: int = BACKLOG,
+        max_header_lines: int = MAX_HEADER_LINES,
+        budget: ConnectionBudget | None = None,
+        holds_bodies: bool = False,
     ) -> None:
         self._backlog = backlog
         self._protocol = make_protocol(
-            max_header_bytes,
+            RequestLimits(max_header_bytes, max_header_lines),
             HEAD_TIMEOUT_S,
             AcceptTimes(ACCEPTS_PER_ITERATION, backlog),
+            budget or ConnectionBudget(MAX_HELD_BYTES),
             gate,
+            holds_bodies,
         )
         config = uvicorn.Config(
             app,
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/lingering.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/lingering.py
@@ -40,6 +40,7 @@
         self.write = transport.write
         self.abort = transport.abort
         self.get_extra_info = transport.get_extra_info
+        self.get_write_buffer_size = transport.get_write_buffer_size
         self._transport = transport
         self._is_unread = is_unread
         self._on_linger = on_linger
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -1,51 +1,29 @@
 """HTTP protocol of the listeners; enforces limits before an application runs."""
 
 import asyncio
-from collections.abc import Collection
 from typing import Any
 
 import httptools
-import msgspec
-from uvicorn.protocols.http.flow_control import FlowControl
-from uvicorn.protocols.http.httptools_impl import (
-    HttpToolsProtocol,
-    RequestResponseCycle,
-)
+from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
 from almondfield_daemon.loop_delay import ARRIVAL_KEY, AcceptTimes, ArrivalTracker
+from almondfield_daemon.serving.budget import ConnectionBudget, Limit
 from almondfield_daemon.serving.connection import CONNECTION_KEY, CallerConnection
+from almondfield_daemon.serving.counted import CountedProtocol
 from almondfield_daemon.serving.gate import Gate, HeadRefusal, RequestHead
 from almondfield_daemon.serving.lingering import STOP_LINGER_S, LingeringTransport
+from almondfield_daemon.serving.refusals import (
+    BAD_REQUEST,
+    HEADERS_TOO_LARGE,
+    encode_refusal,
+)
+from almondfield_daemon.serving.request_limits import RequestLimits
+from almondfield_daemon.serving.turns import READ_BYTES
 
 __all__ = ["make_protocol"]
 
-BAD_REQUEST = "400 Bad Request"
-HEADERS_TOO_LARGE = "431 Request Header Fields Too Large"
-MAX_WAITING_REQUESTS = 100  # of a connection; with more, nothing is read from it
-
-
-class _PipelineFlow(FlowControl):
-    """Flow control that reads no further requests while many wait.
-
-    :param transport: transport of the connection.
-    :param waiting: the requests that wait.
-    """
-
-    def __init__(
-        self,
-        transport: asyncio.Transport,
-        waiting: Collection[tuple[RequestResponseCycle, Any]],
-    ) -> None:
-        super().__init__(transport)
-        self._waiting = waiting
-
-    def resume_reading(self) -> None:
-        """Read on, unless many requests wait; each answer tries again."""
-        if len(self._waiting) <= MAX_WAITING_REQUESTS:
-            super().resume_reading()
 
-
-class _LimitedProtocol(HttpToolsProtocol):
+class _LimitedProtocol(CountedProtocol):
     """Refuses oversized or malformed heads with a typed answer.
 
     The parser does not limit the size of a head, so the bytes of an incomplete head
@@ -55,23 +33,17 @@
     """
 
     accepted = 0
-    max_head_bytes = 0
     head_timeout_s = 0.0
     gate: Gate | None = None
     accepts: AcceptTimes
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        # The base class's cycle is of the newest request, which may wait for this one.
-        self._running: RequestResponseCycle | None = None
         self._head_bytes = 0
         self._heads_begun = 0  # in the bytes that are parsed now
-        self._in_head = True
         self._head_timer: asyncio.TimerHandle | None = None
         self._refusal: HeadRefusal | None = None
         self._refused_bytes = 0
-        self._is_discarding = False
-        self._is_request_read = True
         self._is_stopping = False
         self._arrivals = ArrivalTracker(
             getattr(self.loop, "iterations", None), self.accepts
@@ -85,11 +57,11 @@
         self.transport = LingeringTransport(
             transport, self._has_unread_request, self._drop_request
         )
-        self.flow = _PipelineFlow(transport, self.pipeline)
         self.scheme = "http"
         self._connection = CallerConnection(transport)
         self._connection.has_waiting = self._has_waiting
         self._start_head_timer()
+        super().connection_made(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._stop_head_timer()
@@ -102,7 +74,7 @@
     @property
     def _is_idle(self) -> bool:
         """Return whether no request waits for its answer."""
-        return self.cycle is None or self.cycle.response_complete
+        return not self._is_running
 
     def shutdown(self) -> None:
         self.transport.shorten_linger()
@@ -117,46 +89,35 @@
         super().shutdown()
 
     def timeout_keep_alive_handler(self) -> None:
-        if self._connection.has_unread():
+        if self._unparsed or self._connection.has_unread():
             # The loop reads the request next.
             self._start_head_timer()
             return
         super().timeout_keep_alive_handler()
 
-    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
-        self._running = cycle
-        super()._start_asgi_task(cycle, app)
-
-    def _cycles(self) -> tuple[RequestResponseCycle, ...]:
-        """Return the requests of the connection: those that wait, newest first."""
-        waiting = tuple(cycle for cycle, _ in self.pipeline)
-        return waiting if self._running is None else (*waiting, self._running)
-
     def _has_waiting(self) -> bool:
         """Return whether a request has come behind the one that is served.
 
         While one waits, no further one is read.
         """
-        return bool(self.pipeline) or self._connection.has_unread()
+        if self.pipeline or self._unparsed:
+            return True
+        return self._connection.has_unread()
 
     def _has_begun_request(self) -> bool:
         """Return whether a part of a request has come whose head isn't read yet."""
         if self._is_request_read:
-            return self._connection.has_unread()
+            return bool(self._unparsed) or self._connection.has_unread()
         return self._in_head
 
     def _has_unread_request(self) -> bool:
-        if not self._is_request_read or self.pipeline:
+        if not self._is_request_read or self.pipeline or self._unparsed:
             return True
         return self._connection.has_unread()
 
     def _drop_request(self) -> None:
-        """Free the body that was read, and end an application that reads on."""
         self._stop_head_timer()
-        for cycle in self._cycles():
-            cycle.body.clear()
-            cycle.disconnected = not cycle.response_complete
-            cycle.message_event.set()
+        super()._drop_request()
 
     def _close_connection(self) -> None:
         for cycle in self._cycles():
@@ -169,8 +130,6 @@
         super().eof_received()
 
     def on_message_begin(self) -> None:
-        self._is_request_read = False
-        self._in_head = True
         self._head_bytes = 0
         self._heads_begun += 1
         self._start_head_timer()
@@ -181,13 +140,8 @@
             CONNECTION_KEY: self._connection,
         }
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        # Fields behind a body are no headers, and nothing limits their number.
-        if self._in_head:
-            super().on_header(name, value)
-
     def on_headers_complete(self) -> None:
-        self._in_head = False
+        self._end_head()
         if self._is_discarding:
             return
         self._refused_bytes = 0
@@ -203,6 +157,7 @@
     def on_body(self, body: bytes) -> None:
         if self._is_discarding:
             return
+        self._size.add_body(len(body))
         if self._refusal is None:
             super().on_body(body)
             return
@@ -255,24 +210,35 @@
     def data_received(self, data: bytes) -> None:
         if self.transport.is_lingering:
             self.transport.discard(data)
-            return
-        if self._is_discarding:
-            return
+        elif not self._is_discarding:
+            super().data_received(data)
+
+    @property
+    def _stops_parsing(self) -> bool:
+        return self._is_discarding or self.transport.is_closing()
+
+    def _parse_part(self, data: bytes) -> None:
         idle_timer = self.timeout_keep_alive_task
         is_behind_request = not self._is_request_read
+        is_in_body = is_behind_request and not self._in_head
+        body_bytes = self._size.body_bytes
         self._heads_begun = 0
-        super().data_received(data)
-        if self.transport.is_closing():
+        super()._parse_part(data)
+        if self._stops_parsing:
             return
         if not self._in_head:
+            if is_in_body and not self._heads_begun:
+                body_bytes = self._size.body_bytes - body_bytes
+                self._count_framing(len(data) - body_bytes)
             self._keep_idle_timer(idle_timer)
             return
         if self._heads_begun > 1 or (self._heads_begun and is_behind_request):
             # The parser doesn't tell which bytes belong to earlier requests.
             return
         self._head_bytes += len(data)
-        if self._head_bytes > self.max_head_bytes:
-            allowed = f"at most {self.max_head_bytes} bytes"
+        if self._head_bytes > self.limits.max_head_bytes:
+            allowed = f"at most {self.limits.max_head_bytes} bytes"
+            self.budget.record(Limit.HEADER_BYTES)
             self._refuse(HEADERS_TOO_LARGE, "headers-too-large", allowed)
 
     def _keep_idle_timer(self, timer: asyncio.TimerHandle | None) -> None:
@@ -288,25 +254,28 @@
         )
 
     def send_400_response(self, msg: str) -> None:
-        self._refuse(BAD_REQUEST, "malformed-request", msg)
+        exceeded, self._exceeded = self._exceeded, None
+        if exceeded is None:
+            self._refuse(BAD_REQUEST, "malformed-request", msg)
+            return
+        self.budget.record(exceeded.limit)
+        self._refuse(HEADERS_TOO_LARGE, exceeded.kind, exceeded.detail)
 
     def _refuse(self, status: str, kind: str, detail: str) -> None:
         if self.transport.is_closing():
             return
+        if self._refusal is not None:
+            self._send_refusal(closes_connection=True)
+            return
         unanswered = self._unanswered_requests()
         if unanswered:
             self._close_after_answers(unanswered)
             return
-        problem = {"error": kind, "detail": detail, "outcome": "not-run"}
-        body = msgspec.json.encode(problem)
-        head = (
-            f"HTTP/1.1 {status}\r\n"
-            "content-type: application/json\r\n"
-            "almondfield-outcome: not-run\r\n"
-            f"content-length: {len(body)}\r\n"
-            "connection: close\r\n\r\n"
-        )
-        self.transport.write(head.encode() + body)
+        if self._is_running and self.cycle.response_started:
+            # An answer is on its way before the end of the request.
+            self.transport.close_at_once()
+            return
+        self.transport.write(encode_refusal(status, kind, detail))
         self.transport.linger()
 
     def _start_head_timer(self, timeout_s: float | None = None) -> None:
@@ -326,7 +295,7 @@
         if self._refusal is not None:
             self._send_refusal(closes_connection=True)
             return
-        if self.flow.read_paused:
+        if self.flow.read_paused or self._connection.has_unread():
             # The rest may have come, and is read after some answers.
             self._start_head_timer()
             return
@@ -336,14 +305,6 @@
         else:
             self.transport.close_at_once()
 
-    def _unanswered_requests(self) -> tuple[RequestResponseCycle, ...]:
-        """Return the whole requests that wait for their answers, newest first."""
-        return tuple(
-            cycle
-            for cycle in self._cycles()
-            if not (cycle.response_complete or cycle.more_body)
-        )
-
     def _close_after_answers(
         self, unanswered: tuple[RequestResponseCycle, ...]
     ) -> None:
@@ -362,23 +323,31 @@
 
 
 def make_protocol(
-    max_head_bytes: int,
+    limits: RequestLimits,
     head_timeout_s: float,
     accepts: AcceptTimes,
+    budget: ConnectionBudget,
     gate: Gate | None = None,
+    holds_bodies: bool = False,
 ) -> type[_LimitedProtocol]:
     """Return the protocol class of one listener.
 
-    :param max_head_bytes: largest head of a request, in bytes.
+    :param limits: limits on the parts of a request.
     :param head_timeout_s: timeout for receiving a whole head, and the whole body of a
         request that is refused by its head, in seconds.
     :param accepts: times at which the listener's connections came.
+    :param budget: limits what all connections hold in memory.
     :param gate: decides on requests by their heads; None to pass all of them on.
+    :param holds_bodies: whether the application holds the body of a request that runs,
+        and doesn't count it itself.
     """
-    limits = {
-        "max_head_bytes": max_head_bytes,
+    members = {
+        "limits": limits,
         "head_timeout_s": head_timeout_s,
         "gate": gate,
         "accepts": accepts,
+        "budget": budget,
+        "holds_bodies": holds_bodies,
+        "read_buffer": memoryview(bytearray(READ_BYTES)),
     }
-    return type("LimitedProtocol", (_LimitedProtocol,), limits)
+    return type("LimitedProtocol", (_LimitedProtocol,), members)
