Bound the heads of servers' answers and the answers that wait for callers

Answers were held up to 1 MiB each, and further 512 KiB were read from each server, whatever all of them took; heads of 7,500 short lines took 0.6 MB each. Answers of a router are now held within a sixteenth of memory_mb, and others are passed on as they come; a connection to a server reads 32 KiB at a time, stops above 32 KiB, joins small parts of a body, and ends an answer with over 512 header lines (answers.max_header_lines).

--- a/packages/almondfield-core/src/almondfield_core/settings/core.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/core.py
@@ -159,6 +159,10 @@
         "bytes",
         default=64 * 1024,
     )
+    max_header_lines: int = item(
+        "Most header lines of an answer, with the interim responses before it.",
+        default=512,
+    )
 
 
 @dataclass(frozen=True)
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/connection.py
@@ -11,11 +11,19 @@
 from almondfield_daemon.loop_delay import latest_arrival_s
 from almondfield_daemon.router.calls import AnswerHead, Framing, Header
 
-__all__ = ["AnswerTooLongError", "BackendConnection", "ConnectionCutError"]
+__all__ = [
+    "AnswerTooLongError",
+    "BackendConnection",
+    "ConnectionCutError",
+    "new_read_buffer",
+]
 
 # RFC 9112, 9.5: a client that gets one while it sends a body ceases to send it.
 ERROR_STATUS = 400
-HIGH_WATER_BYTES = 256 * 1024
+# A router may have some hundred answers that their callers don't read.
+HIGH_WATER_BYTES = 32 * 1024
+READ_BYTES = 32 * 1024
+MAX_PARTS = 16  # of a body, before small ones are joined
 SMALL_BODY_BYTES = 16 * 1024
 BODILESS_STATUSES = (204, 304)
 # RFC 9110, 15: a status outside of these belongs to no class.
@@ -32,21 +40,27 @@
     """Raised when a part of an answer is longer than its limit."""
 
 
-class BackendConnection(asyncio.Protocol):
+class BackendConnection(asyncio.BufferedProtocol):
     """Carries one request and its answer at a time.
 
     Only the task that sent a request reads its answer. Bytes that belong to no
     request make the connection unusable.
 
     :param limits: limits on the answers.
+    :param read_buffer: what connections read into, one at a time; None for a buffer of
+        its own.
 
     :ivar received_bytes: bytes of the answer so far, with its head and framing.
     :ivar is_cut: whether the server closed or reset the connection, before anything
         else failed.
     """
 
-    def __init__(self, limits: AnswerSettings) -> None:
+    def __init__(
+        self, limits: AnswerSettings, read_buffer: memoryview | None = None
+    ) -> None:
         self._limits = limits
+        self._read_buffer = read_buffer or new_read_buffer()
+        self._header_lines = 0
         self.status = 0
         self.headers: list[Header] = []
         self.head_complete = False
@@ -155,8 +169,16 @@
         """Store the transport; called by the event loop."""
         self._transport = transport
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return what the next bytes are read into; called by the event loop."""
+        return self._read_buffer
+
+    def buffer_updated(self, count: int) -> None:
+        """Parse the bytes that were read; called by the event loop."""
+        self.data_received(bytes(self._read_buffer[:count]))
+
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; called by the event loop."""
+        """Parse received bytes."""
         if self._parser is None or self.complete or self._failure:
             self.fail("bytes that belong to no request")
             self._transport.abort()
@@ -171,6 +193,9 @@
             self._parse(data)
         if self._failure:
             self._transport.abort()
+        if len(self._parts) > MAX_PARTS:
+            # A byte string takes some 35 bytes besides its content.
+            self._parts = deque((b"".join(self._parts),))
         if self._buffered_bytes > HIGH_WATER_BYTES:
             self._transport.pause_reading()
         self._wake()
@@ -212,8 +237,14 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; called by the parser."""
-        if not self.head_complete:
-            self.headers.append((name, value))
+        if self.head_complete:
+            return
+        self._header_lines += 1
+        if self._header_lines > self._limits.max_header_lines:
+            self._fail_too_long("a head", self._limits.max_header_lines, "header lines")
+            # The parser stops.
+            raise AnswerTooLongError(self._failure)
+        self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Store the status unless it is interim; called by the parser."""
@@ -258,6 +289,7 @@
         self.headers = []
         self.head_complete = False
         self._head_bytes = 0
+        self._header_lines = 0
         self._framing_bytes = 0
         self.complete = False
         self.received_bytes = 0
@@ -313,10 +345,10 @@
         self.is_cut = self.is_cut or not self._failure
         self.fail(reason)
 
-    def _fail_too_long(self, part: str, limit_bytes: int) -> None:
+    def _fail_too_long(self, part: str, limit: int, unit: str = "bytes") -> None:
         if not self._failure:
             self._error_type = AnswerTooLongError
-        self.fail(f"{part} is longer than {limit_bytes} bytes")
+        self.fail(f"{part} is longer than {limit} {unit}")
 
     def _take_buffered(self) -> bytes:
         if len(self._parts) == 1:
@@ -345,6 +377,11 @@
             self._waiter.set_result(None)
 
 
+def new_read_buffer() -> memoryview:
+    """Return a buffer that the connections of one event loop may read into."""
+    return memoryview(bytearray(READ_BYTES))
+
+
 def _read_framing(headers: Iterable[Header]) -> Framing:
     """Return how an answer with these headers states where its body ends."""
     names = {name.lower() for name, _ in headers}
--- a/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/backend/core.py
@@ -15,6 +15,7 @@
     AnswerTooLongError,
     BackendConnection,
     ConnectionCutError,
+    new_read_buffer,
 )
 from almondfield_daemon.backend.headers import encode_head, end_to_end
 from almondfield_daemon.backend.pool import ConnectionPool, idle_lifetime_s
@@ -180,6 +181,7 @@
     def __init__(self, settings: DaemonSettings) -> None:
         self._settings = settings
         self._pool = ConnectionPool()
+        self._read_buffer = new_read_buffer()
 
     async def send(self, call: BackendCall) -> Result[HttpAnswer, CallFailure]:
         """Return the answer once its head is received.
@@ -247,7 +249,9 @@
         try:
             async with ArrivalTimeout(timeouts.connect_s):
                 _, connection = await loop.create_connection(
-                    lambda: BackendConnection(limits), host.strip("[]"), int(port)
+                    lambda: BackendConnection(limits, self._read_buffer),
+                    host.strip("[]"),
+                    int(port),
                 )
         except TimeoutError:
             reason = f"{address}: no connection within {timeouts.connect_s} s"
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/router.py
@@ -46,6 +46,7 @@
 DRAIN_FRACTION = 0.9
 CALLER_DESCRIPTOR_FRACTION = 0.5  # the rest is for servers, hosts and new connections
 BODY_MEMORY_FRACTION = 0.2  # the process uses a sixth, other buffers the rest
+ANSWER_MEMORY_FRACTION = 1 / 16  # for answers that are held until they are complete
 # Some iterations of a busy event loop accept as many. A caller whose connection would
 # wait longer connects to another router.
 CALLER_BACKLOG = 128
@@ -144,6 +145,7 @@
             settings.answers,
             self._observe,
             self._observe_refusal,
+            int(ANSWER_MEMORY_FRACTION * settings.memory_bytes),
         )
         max_buffered_bytes = int(BODY_MEMORY_FRACTION * settings.memory_bytes)
         self._endpoint = ForwardEndpoint(
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/answers.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/answers.py
@@ -1,10 +1,10 @@
 """Bodies and headers of answers on their way to callers."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from almondfield_daemon.router.calls import SUCCESS_STATUSES, BackendAnswer, Header
 
-__all__ = ["read_body", "stream_headers"]
+__all__ = ["AnswerMemory", "AnswerReservation", "read_body", "stream_headers"]
 
 CONTENT_LENGTH = b"content-length"
 MAX_HELD_BODY_BYTES = 1024 * 1024  # longer answers are streamed
@@ -22,16 +22,58 @@
     return tuple(item for item in answer.headers if item[0].lower() != CONTENT_LENGTH)
 
 
-async def read_body(chunks: AsyncIterator[bytes]) -> tuple[bytes, bool]:
-    """Return a body and whether it is complete; a large one is read only in part.
+class AnswerMemory:
+    """Limits the bytes of all answers that one router holds until they are complete.
+
+    :param limit_bytes: limit on the total, in bytes.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.left_bytes = limit_bytes
+
+
+class AnswerReservation:
+    """The bytes of answers that one request holds.
+
+    :param memory: the memory for all answers.
+    """
+
+    def __init__(self, memory: AnswerMemory) -> None:
+        self._memory = memory
+        self._held_bytes = 0
+
+    def reserve(self, count: int) -> bool:
+        """Return whether more bytes may be held, and count them if so.
+
+        :param count: number of bytes.
+        """
+        if count > self._memory.left_bytes:
+            return False
+        self._memory.left_bytes -= count
+        self._held_bytes += count
+        return True
+
+    def release(self) -> None:
+        """Release all bytes."""
+        self._memory.left_bytes += self._held_bytes
+        self._held_bytes = 0
+
+
+async def read_body(
+    chunks: AsyncIterator[bytes], reserve: Callable[[int], bool]
+) -> tuple[bytes, bool]:
+    """Return a body and whether it is complete.
+
+    A large one, and one that there is no memory for, is read only in part.
 
     :param chunks: the chunks of the body.
+    :param reserve: returns whether more bytes may be held, and counts them if so.
     """
     parts = []
     size = 0
     async for part in chunks:
         parts.append(part)
         size += len(part)
-        if size > MAX_HELD_BODY_BYTES:
+        if size > MAX_HELD_BODY_BYTES or not reserve(len(part)):
             return b"".join(parts), False
     return b"".join(parts), True
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/core.py
@@ -9,6 +9,7 @@
 from almondfield_core.routing import Prompt, RequestKind, RouteRule
 from almondfield_core.settings import AnswerSettings
 from almondfield_daemon.edge.bodies import CallerDisconnectedError
+from almondfield_daemon.forwarding.answers import AnswerMemory, AnswerReservation
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import RetryWindow
 from almondfield_daemon.forwarding.messages import ForwardRequest
@@ -28,6 +29,8 @@
 
 __all__ = ["Forwarder"]
 
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
 
 class Forwarder:
     """Forwards requests within the retry budgets of their pools.
@@ -40,6 +43,8 @@
     :param observe: called with the report of each request that ended.
     :param observe_refusal: called with route, team and status of each request that was
         refused by its head.
+    :param max_answer_bytes: limit on the answers that are held until they are complete;
+        others are passed on as they come.
 
     :ivar stop_limits: limits on requests while the router stops.
     """
@@ -53,7 +58,9 @@
         limits: AnswerSettings,
         observe: Callable[[RequestReport], None] = lambda report: None,
         observe_refusal: Callable[[str, str, int], None] = lambda *fields: None,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
+        self._memory = AnswerMemory(max_answer_bytes)
         self._observe_refusal = observe_refusal
         self._observe = observe
         self._attempts = attempts
@@ -112,7 +119,8 @@
         :raises StreamBrokenError: if a partly sent answer can't be completed.
         """
         self._window(request.pool).record_request()
-        run = self._make_run(request, sink)
+        held = AnswerReservation(self._memory)
+        run = self._make_run(request, sink, held)
         began_s = now()
         problem = None
         error = ""
@@ -121,7 +129,7 @@
                 if _takes_up_stream(request):
                     match await locate_stream(request, self._origins):
                         case Ok(located):
-                            run = self._make_run(located, sink)
+                            run = self._make_run(located, sink, held)
                         case Err(problem):
                             pass
                 if problem is None:
@@ -140,12 +148,15 @@
             error = str(cause) or "the caller disconnected"
             raise
         finally:
+            held.release()
             report = make_report(request, run, problem, error)
             log_report(report)
             self._observe(report)
         return problem
 
-    def _make_run(self, request: ForwardRequest, sink: ResponseSink) -> RequestRun:
+    def _make_run(
+        self, request: ForwardRequest, sink: ResponseSink, held: AnswerReservation
+    ) -> RequestRun:
         window = self._window(request.pool)
         return RequestRun(
             request,
@@ -156,6 +167,7 @@
             sink,
             self._pacing,
             self.stop_limits,
+            held,
         )
 
     def _window(self, pool: str) -> RetryWindow:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -6,7 +6,7 @@
 from almondfield_core.clock import now
 from almondfield_core.findings import AlmondfieldError
 from almondfield_core.routing import RequestKind
-from almondfield_daemon.forwarding.answers import read_body
+from almondfield_daemon.forwarding.answers import AnswerReservation, read_body
 from almondfield_daemon.forwarding.attempt_log import log_attempt
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import PendingRepeat, RetryWindow
@@ -65,6 +65,7 @@
     :param sink: receives the answer.
     :param pacing: the work that all streams may cause, and the limits on answers.
     :param stop_limits: limits on requests while the router stops.
+    :param held: memory of answers that are held until they are complete.
 
     :ivar delivery: the answer to the caller.
     :ivar progress: how far the caller of a stream has got.
@@ -89,8 +90,10 @@
         sink: ResponseSink,
         pacing: StreamPacing,
         stop_limits: StopLimits,
+        held: AnswerReservation,
     ) -> None:
         self._request = request
+        self._held = held
         self._request_id = request.metadata.request_id
         self._stop_limits = stop_limits
         self._attempts = attempts
@@ -138,7 +141,7 @@
                     pass
             try:
                 async with aclosing(answer.chunks()) as chunks:
-                    body, is_complete = await read_body(chunks)
+                    body, is_complete = await read_body(chunks, self._held.reserve)
                     if not is_complete:
                         self._hand_over.settle()
                         await self.delivery.send_large(
