Count what connections hold in a module of its own, with metrics and a page

It now closes a connection that works on a request only if all that wait hold less than the excess: before, one that held the mean of all was closed though others waited. The metrics page has the limits that callers met and what connections hold.

--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/budget.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/connection_budget/core.py
@@ -51,8 +51,9 @@
     """Limits what all connections hold, and closes some of them beyond the limit.
 
     Connections that wait for their callers are closed before any other, the oldest
-    first. Among them are only those that hold the mean or more, so that callers with
-    little in memory stay while others fill it.
+    first of those that hold their mean or more, so that callers with little in memory
+    stay while others fill it. If all that wait hold too little, the largest of all
+    connections is closed.
 
     :param max_bytes: limit on all connections together, in bytes.
     :param max_connections: number of connections above which one that has no request
@@ -115,6 +116,7 @@
                 self._waiting_since.pop(holder, None)
             case Phase.IDLE:
                 self._waiting_since.pop(holder, None)
+                self._idle_since.pop(holder, None)
                 self._idle_since[holder] = now()
         held = self._bytes_by_holder
         self.held_bytes += count - held.get(holder, 0)
@@ -156,9 +158,17 @@
 
     def _shed_one(self) -> None:
         held = self._bytes_by_holder
-        mean = self.held_bytes / len(held)
-        waiting = (item for item in self._waiting_since if held.get(item, 0) >= mean)
-        victim = next(waiting, None) or max(held, key=held.__getitem__)
+        waiting = [held.get(holder, 0) for holder in self._waiting_since]
+        waiting_bytes = sum(waiting)
+        if waiting_bytes >= self.held_bytes - self._max_bytes:
+            mean = waiting_bytes / len(waiting)
+            victim = next(
+                holder
+                for holder, count in zip(self._waiting_since, waiting, strict=True)
+                if count >= mean
+            )
+        else:
+            victim = max(held, key=held.__getitem__)
         self._forget(victim)
         self.record(Limit.MEMORY)
         victim.shed(Limit.MEMORY)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -13,7 +13,9 @@
 from almondfield_control.node.leader_client import LeaderClient
 from almondfield_core.clock import now
 from almondfield_core.settings import FleetSettings, load_fleet_settings
+from almondfield_daemon.connection_budget import ConnectionBudget
 from almondfield_daemon.fleet_daemon.metrics import (
+    ConnectionMetrics,
     ControlMetrics,
     LoopMetrics,
     RouterMetrics,
@@ -26,7 +28,6 @@
 from almondfield_daemon.peers import PynngPeers
 from almondfield_daemon.serving import (
     BACKLOG,
-    ConnectionBudget,
     Gate,
     HttpListener,
     bind,
@@ -124,7 +125,8 @@
         if self.settings.metrics_port:
             self._loop_metrics = LoopMetrics(metrics.registry)
             address = f"{self.settings.address}:{self.settings.metrics_port}"
-            self.serve(build_metrics_app(metrics), address)
+            connections = ConnectionMetrics(metrics.registry, self.connection_budget)
+            self.serve(build_metrics_app(metrics, connections), address)
 
     def _observe_loop_delay(self, delay_s: float) -> None:
         self.host_delay.record_loop_delay(delay_s)
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/metrics.py
@@ -9,11 +9,18 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from almondfield_daemon.connection_budget import ConnectionBudget
 from almondfield_daemon.fleet import FleetControl
 from almondfield_daemon.forwarding import RequestReport
 from almondfield_daemon.server_notices import NoticeKind
 
-__all__ = ["ControlMetrics", "LoopMetrics", "RouterMetrics", "build_metrics_app"]
+__all__ = [
+    "ConnectionMetrics",
+    "ControlMetrics",
+    "LoopMetrics",
+    "RouterMetrics",
+    "build_metrics_app",
+]
 
 # Dense around the usual targets of 0.1 to 1 s; up to the usual timeouts.
 LATENCY_BUCKETS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 4.0, 8.0, 16.0]
@@ -132,6 +139,33 @@
             self._servers.set({"phase": phase}, count)
 
 
+class ConnectionMetrics:
+    """Counters of the limits that callers have met, and what connections hold.
+
+    :param registry: registry of the metrics page.
+    :param budget: counts both.
+    """
+
+    def __init__(self, registry: Registry, budget: ConnectionBudget) -> None:
+        self._budget = budget
+        self._limits = Counter(
+            "almondfield_connection_limits_total",
+            "Connections refused or closed at a limit, by limit",
+            registry=registry,
+        )
+        self._held_bytes = Gauge(
+            "almondfield_connection_held_bytes",
+            "Memory of heads, waiting requests and unread answers",
+            registry=registry,
+        )
+
+    def refresh(self) -> None:
+        """Update the counters and the gauge."""
+        self._held_bytes.set({}, self._budget.held_bytes)
+        for limit, count in self._budget.count_by_limit.items():
+            self._limits.set({"limit": limit.value}, count)
+
+
 class LoopMetrics:
     """Histogram of the delays of the event loop.
 
@@ -162,14 +196,18 @@
     )
 
 
-def build_metrics_app(metrics: RouterMetrics | ControlMetrics) -> Starlette:
+def build_metrics_app(
+    metrics: RouterMetrics | ControlMetrics, connections: ConnectionMetrics
+) -> Starlette:
     """Return the ASGI app of the metrics page.
 
-    :param metrics: the metrics.
+    :param metrics: the metrics of the role.
+    :param connections: metrics of the same registry.
     """
 
     async def render_page(request: Request) -> Response:
         metrics.refresh()
+        connections.refresh()
         content, headers = render(metrics.registry, [request.headers.get("accept", "")])
         return Response(content, headers=dict(headers))
 
--- a/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/runtime/core.py
@@ -9,6 +9,7 @@
 from almondfield_core.clock import WallClock, now
 from almondfield_core.settings import DaemonSettings, HostSettings
 from almondfield_daemon.backend import HttpBackends
+from almondfield_daemon.connection_budget import ConnectionBudget
 from almondfield_daemon.edge import build_caller_app
 from almondfield_daemon.membership import Membership
 from almondfield_daemon.operator import OperatorNode, build_operator_app
@@ -23,6 +24,8 @@
 
 MILLISECONDS = 1000
 IDLE_POLL_INTERVAL_S = 0.1
+# Heads, waiting requests, unread answers, and bodies at the operators' port.
+MAX_CONNECTION_BYTES = 64 * 1024 * 1024
 
 
 class Daemon:
@@ -78,9 +81,21 @@
             is_draining=self._drain_requested.is_set,
         )
         operator_app = build_operator_app(node, secrets.operator_token)
+        budget = ConnectionBudget(MAX_CONNECTION_BYTES)
         return [
-            HttpListener(caller_app, self._caller_socket, limits.max_header_bytes),
-            HttpListener(operator_app, self._operator_socket, limits.max_header_bytes),
+            HttpListener(
+                caller_app,
+                self._caller_socket,
+                limits.max_header_bytes,
+                budget=budget,
+            ),
+            HttpListener(
+                operator_app,
+                self._operator_socket,
+                limits.max_header_bytes,
+                budget=budget,
+                holds_bodies=True,
+            ),
         ]
 
     def _spare_slots(self) -> float:
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/__init__.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/__init__.py
@@ -1,7 +1,6 @@
 """HTTP listeners of the daemon."""
 
 from almondfield_daemon.serving.bodies import RefusedBody, read_content
-from almondfield_daemon.serving.budget import ConnectionBudget, Limit
 from almondfield_daemon.serving.connection import CallerConnection, connection_of
 from almondfield_daemon.serving.core import (
     BACKLOG,
@@ -14,11 +13,9 @@
 __all__ = [
     "BACKLOG",
     "CallerConnection",
-    "ConnectionBudget",
     "Gate",
     "HeadRefusal",
     "HttpListener",
-    "Limit",
     "ListenError",
     "RefusedBody",
     "RequestHead",
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/core.py
@@ -11,8 +11,8 @@
 
 from almondfield_core.clock import now
 from almondfield_core.findings import AlmondfieldError
+from almondfield_daemon.connection_budget import ConnectionBudget
 from almondfield_daemon.loop_delay import AcceptTimes
-from almondfield_daemon.serving.budget import ConnectionBudget
 from almondfield_daemon.serving.gate import Gate
 from almondfield_daemon.serving.protocol import make_protocol
 from almondfield_daemon.serving.request_limits import RequestLimits
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/counted.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/counted.py
@@ -6,7 +6,7 @@
 
 from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
-from almondfield_daemon.serving.budget import ConnectionBudget, Limit, Phase
+from almondfield_daemon.connection_budget import ConnectionBudget, Limit, Phase
 from almondfield_daemon.serving.refusals import UNAVAILABLE, encode_refusal
 from almondfield_daemon.serving.request_limits import (
     REQUEST_BYTES,
@@ -187,7 +187,7 @@
             return Phase.WAITING
         if self._is_running:
             return Phase.WORKING
-        return Phase.WAITING if self._running is None else Phase.IDLE
+        return Phase.WAITING if self._in_head else Phase.IDLE
 
 
 def _held_by(cycle: RequestResponseCycle) -> int:
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/protocol.py
@@ -6,8 +6,8 @@
 import httptools
 from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
+from almondfield_daemon.connection_budget import ConnectionBudget, Limit
 from almondfield_daemon.loop_delay import ARRIVAL_KEY, AcceptTimes, ArrivalTracker
-from almondfield_daemon.serving.budget import ConnectionBudget, Limit
 from almondfield_daemon.serving.connection import CONNECTION_KEY, CallerConnection
 from almondfield_daemon.serving.counted import CountedProtocol
 from almondfield_daemon.serving.gate import Gate, HeadRefusal, RequestHead
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/request_limits.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/request_limits.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from almondfield_core.findings import AlmondfieldError
-from almondfield_daemon.serving.budget import Limit
+from almondfield_daemon.connection_budget import Limit
 
 __all__ = [
     "REQUEST_BYTES",
