--- a/packages/almondfield-daemon/src/almondfield_daemon/edge/bodies.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/edge/bodies.py
@@ -17,6 +17,7 @@
     "CallerDisconnectedError",
     "IncomingBody",
     "check_headers",
+    "discard_body",
     "read_body",
 ]
 
@@ -179,6 +180,26 @@
         return Err(permanent_problem(408, "body-timeout", detail))
 
 
+async def discard_body(receive: Any, limit_bytes: int) -> int:
+    """Return the length of a body that is discarded up to its end or the limit.
+
+    :param receive: ASGI receive callable.
+    :param limit_bytes: length after which no more is received, in bytes.
+    :raises CallerDisconnectedError: if the caller disconnects before.
+    :raises TimeoutError: if the body takes too long.
+    """
+    size = 0
+    async with asyncio.timeout(BODY_TIMEOUT_S):
+        while size <= limit_bytes:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise _disconnected()
+            size += len(message.get("body", b""))
+            if not message.get("more_body", False):
+                break
+    return size
+
+
 async def _receive_body(
     receive: Any, limit_bytes: int, reserve: Callable[[int], bool]
 ) -> Result[bytes, Problem]:
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/endpoint.py
@@ -16,6 +16,7 @@
     BodyReservation,
     CallerDisconnectedError,
     IncomingBody,
+    discard_body,
     read_body,
 )
 from almondfield_daemon.edge.watch import CallerWatch
@@ -213,20 +214,23 @@
     async def _refuse(
         self, incoming: IncomingBody, sink: "_AsgiSink", problem: Problem
     ) -> None:
-        """Send an error answer after reading the body.
+        """Send an error answer after discarding the body.
 
         Closing the connection with unread data would reset it and lose the answer.
         """
         limit = self._subscription.index.table.limits.max_body_bytes
+        size = 0
+        is_ended = False
         try:
             async with self._forwarder.stop_limits.limit():
-                body = await read_body(incoming, 0, limit, lambda count: True)
+                size = await discard_body(incoming, limit)
             is_ended = await self._discard_rest(incoming)
         except CallerDisconnectedError:
             return
         except TimeoutError:
-            body, is_ended = Err(draining()), False
-        self._counts.record_body(len(body.unwrap_or(b"")))
+            # The connection closes; the refusal is logged with its cause.
+            pass
+        self._counts.record_body(size)
         await self._send_problem(sink, problem, close=not is_ended)
 
     async def _send_problem(
