--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -93,6 +93,10 @@
     cpu_cores: float = item(
         "Processor cores that the daemon may use; 0 if not told.", default=0.0
     )
+    max_header_lines: int = item(
+        "Most header lines of a request. Ordinary clients send some tens.",
+        default=512,
+    )
     grace_s: float = item(
         "Time from the stop signal until the daemon is killed.", "s", default=8.0
     )
@@ -221,7 +225,8 @@
         text = getattr(settings, f"{name}_address")
         if text:
             yield from _check_endpoint(f"{name}_address", text)
-    for name in ("grace_s", "revocation_s", "address_lifetime_s", "retry_window_s"):
+    positive = ("grace_s", "revocation_s", "address_lifetime_s", "retry_window_s")
+    for name in (*positive, "max_header_lines"):
         if getattr(settings, name) <= 0:
             yield Finding(name, f"is {getattr(settings, name)}", "a number above 0")
     if not 0 <= settings.hedge_share <= 1:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -13,7 +13,9 @@
 from almondfield_control.node.leader_client import LeaderClient
 from almondfield_core.clock import now
 from almondfield_core.settings import FleetSettings, load_fleet_settings
+from almondfield_daemon.connection_budget import ConnectionBudget
 from almondfield_daemon.fleet_daemon.metrics import (
+    ConnectionMetrics,
     ControlMetrics,
     LoopMetrics,
     RouterMetrics,
@@ -24,7 +26,12 @@
 from almondfield_daemon.host_delay import HostDelay
 from almondfield_daemon.loop_delay import LoopMonitor
 from almondfield_daemon.peers import PynngPeers
-from almondfield_daemon.serving import BACKLOG, Gate, HttpListener, bind
+from almondfield_daemon.serving import (
+    BACKLOG,
+    Gate,
+    HttpListener,
+    bind,
+)
 
 __all__ = ["FleetHost"]
 
@@ -34,6 +41,10 @@
 LEADER_ATTEMPT_S = 0.4  # covers many round trips, and the shortest election
 NO_SECRET = b""
 QUEUED_MEMORY_FRACTION = 1 / 16  # for messages sent, and as much for those received
+# Heads, requests that wait, and answers that wait for their callers.
+CONNECTION_MEMORY_FRACTION = 1 / 8
+# Of the descriptors, for the connections of callers, operators and backend servers.
+CONNECTION_DESCRIPTOR_FRACTION = 0.7
 
 
 class FleetHost:
@@ -58,6 +69,10 @@
             on_reply=self.host_delay.record_reply,
             max_queued_bytes=int(QUEUED_MEMORY_FRACTION * settings.memory_bytes),
         )
+        self.connection_budget = ConnectionBudget(
+            int(CONNECTION_MEMORY_FRACTION * settings.memory_bytes),
+            int(CONNECTION_DESCRIPTOR_FRACTION * settings.max_descriptors),
+        )
         self._settings_path = settings_path
         self._listeners: list[HttpListener] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -77,6 +92,7 @@
         address: str,
         gate: Gate | None = None,
         backlog: int = BACKLOG,
+        holds_bodies: bool = True,
     ) -> HttpListener:
         """Serve an ASGI app once the daemon starts, and return its listener.
 
@@ -84,10 +100,19 @@
         :param address: ``ip:port`` to listen on.
         :param gate: decides on requests by their heads; None to pass all of them on.
         :param backlog: largest number of connections that wait to be accepted.
+        :param holds_bodies: whether the app holds bodies of requests and doesn't count
+            them itself.
         """
         host, _, port = address.rpartition(":")
         listener = HttpListener(
-            app, bind(host, int(port)), MAX_HEAD_BYTES, gate, backlog
+            app,
+            bind(host, int(port)),
+            MAX_HEAD_BYTES,
+            gate,
+            backlog,
+            self.settings.max_header_lines,
+            self.connection_budget,
+            holds_bodies,
         )
         self._listeners.append(listener)
         return listener
@@ -100,7 +125,8 @@
         if self.settings.metrics_port:
             self._loop_metrics = LoopMetrics(metrics.registry)
             address = f"{self.settings.address}:{self.settings.metrics_port}"
-            self.serve(build_metrics_app(metrics), address)
+            connections = ConnectionMetrics(metrics.registry, self.connection_budget)
+            self.serve(build_metrics_app(metrics, connections), address)
 
     def _observe_loop_delay(self, delay_s: float) -> None:
         self.host_delay.record_loop_delay(delay_s)
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hedge.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/hedge.py
@@ -68,6 +68,7 @@
     :param stop_limits: limits on requests while the router stops.
     :param check_caller: raises an error if the caller has left.
     :param on_sent: called when the second copy is sent.
+    :param reserve: returns whether more bytes of answers may be held, and counts them.
 
     :ivar selected: server of the second copy; None without one.
     :ivar may_have_run: whether a server may have run the second copy.
@@ -83,6 +84,7 @@
         stop_limits: StopLimits,
         check_caller: Callable[[], None],
         on_sent: Callable[[], None],
+        reserve: Callable[[int], bool],
     ) -> None:
         self._request = request
         self._attempts = attempts
@@ -92,6 +94,7 @@
         self._stop_limits = stop_limits
         self._check_caller = check_caller
         self._on_sent = on_sent
+        self._reserve = reserve
         self._applies = hedging.applies_to(request.route)
         self._timer: asyncio.TimerHandle | None = None
         self._copy: asyncio.Task[None] | None = None
@@ -296,7 +299,7 @@
                 return outcome
             answer = outcome.answer
             chunks = answer.chunks()
-            body, _ = await read_body(chunks)
+            body, _ = await read_body(chunks, self._reserve)
             return Answered(ReadAnswer(answer, body, chunks), outcome.metadata)
         except CallerDisconnectedError as error:
             return Withheld(str(error))
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/request_attempts.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/request_attempts.py
@@ -1,5 +1,6 @@
 """Finds a server that answers a request, within the limits on attempts."""
 
+from collections.abc import Callable
 from functools import partial
 
 from almondfield_core.clock import now
@@ -52,6 +53,7 @@
     :param hedging: decides whether it is hedged.
     :param delivery: the answer to the caller.
     :param progress: how far the caller of a stream has got.
+    :param reserve: returns whether more bytes of answers may be held, and counts them.
 
     :ivar sent: attempts of which a byte may have been sent.
     :ivar silent_attempts: attempts that this router ended because their servers sent
@@ -73,6 +75,7 @@
         hedging: Hedging,
         delivery: AnswerDelivery,
         progress: StreamProgress,
+        reserve: Callable[[int], bool],
     ) -> None:
         self._request = request
         self._stop_limits = stop_limits
@@ -91,6 +94,7 @@
             stop_limits,
             delivery.check_caller,
             self._count_hedge,
+            reserve,
         )
         self._limits = SilenceLimits()
         self._is_last = False
--- a/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/forwarding/run.py
@@ -5,7 +5,7 @@
 
 from almondfield_core.findings import AlmondfieldError
 from almondfield_core.routing import RequestKind
-from almondfield_daemon.forwarding.answers import read_body
+from almondfield_daemon.forwarding.answers import AnswerReservation, read_body
 from almondfield_daemon.forwarding.attempts import AttemptSender
 from almondfield_daemon.forwarding.budget import RetryWindow
 from almondfield_daemon.forwarding.delivery import AnswerDelivery
@@ -45,6 +45,7 @@
     :param pacing: the work that all streams may cause, and the limits on answers.
     :param stop_limits: limits on requests while the router stops.
     :param hedging: decides about second copies of slow requests.
+    :param held: memory of answers that are held until they are complete.
 
     :ivar delivery: the answer to the caller.
     :ivar progress: how far the caller of a stream has got.
@@ -62,8 +63,10 @@
         pacing: StreamPacing,
         stop_limits: StopLimits,
         hedging: Hedging,
+        held: AnswerReservation,
     ) -> None:
         self._request = request
+        self._held = held
         self.delivery = AnswerDelivery(sink, request.arrived_s)
         self.progress = StreamProgress(request, servers, origins, self.delivery, pacing)
         self.attempts = RequestAttempts(
@@ -75,6 +78,7 @@
             hedging,
             self.delivery,
             self.progress,
+            held.reserve,
         )
         # An answer with a failure, to be sent unless another attempt has a better one.
         self._failed_answer: tuple[int, tuple[Header, ...], bytes] | None = None
@@ -101,7 +105,7 @@
                     pass
             try:
                 async with aclosing(answer.chunks()) as chunks:
-                    body, is_complete = await read_body(chunks)
+                    body, is_complete = await read_body(chunks, self._held.reserve)
                     if not is_complete:
                         self.attempts.settle()
                         await self.delivery.send_large(
