--- a/packages/almondfield-daemon/src/almondfield_daemon/hedging/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/hedging/core.py
@@ -22,6 +22,7 @@
 # Usual variation around the quantile would use up the share that slow requests need.
 QUANTILE_FACTOR = 1.5
 MAX_QUANTILE = 0.95
+MIN_QUANTILE = 0.5  # a request that is faster than most isn't slow, whatever the share
 MAX_BUSY_SHARE = 0.8  # of the slots; reports of the load are up to a second old
 # Of the delay; a loop that is later than that may hold the answer already.
 MAX_LATE_SHARE = 0.5
@@ -118,7 +119,7 @@
         self._share = share
         self._window_s = window_s
         self._host_delay = host_delay
-        self._quantile = min(MAX_QUANTILE, 1 - share)
+        self._quantile = max(MIN_QUANTILE, min(MAX_QUANTILE, 1 - share))
         self._pool_by_name: dict[str, PoolHedges] = {}
         self.sent = 0
         self._count_by_result: Counter[HedgeResult] = Counter()
--- a/packages/almondfield-daemon/src/almondfield_daemon/hedging/tests/hedging.feature
+++ b/packages/almondfield-daemon/src/almondfield_daemon/hedging/tests/hedging.feature
@@ -12,6 +12,7 @@
       | share | count | least | most  | age | delay |
       | 0.02  | 100   | 0.01  | 0.1   | 0   | 0.1432 |
       | 0.2   | 100   | 0.01  | 0.1   | 0   | 0.1227 |
+      | 1     | 100   | 0.01  | 0.1   | 0   | 0.08182 |
       | 0.02  | 39    | 0.01  | 0.1   | 0   | none  |
       | 0.02  | 100   | 0.01  | 0.1   | 31  | none  |
       | 0.02  | 100   | 0.001 | 0.002 | 0   | 0.02  |
