Close no connection that has just come unless descriptors run out

Above 0.7 of the descriptors a new connection closed the oldest one even if that had come within the last second: with 16 descriptors and 12 callers, two scenarios of platform's pipelining.feature lost a caller's requests. Such connections are closed above 0.85 only.

Both scenarios pass, as do the 6 of limits/ that keep connections open and those of connection_budget.

--- a/packages/almondfield-daemon/src/almondfield_daemon/connection_budget/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/connection_budget/core.py
@@ -57,10 +57,16 @@
 
     :param max_bytes: limit on all connections together, in bytes.
     :param max_connections: number of connections above which one that has no request
-        to work on is closed for each new one; 0 for no limit.
+        to work on is closed for each new one, unless all of them have just come; 0 for
+        no limit.
+    :param most_connections: number of connections above which also one that has just
+        come is closed.
     """
 
-    def __init__(self, max_bytes: int, max_connections: int = 0) -> None:
+    def __init__(
+        self, max_bytes: int, max_connections: int = 0, most_connections: int = 0
+    ) -> None:
+        self._most_connections = most_connections
         self._max_bytes = max_bytes
         self._max_connections = max_connections
         self._bytes_by_holder: dict[Holder, int] = {}
@@ -87,6 +93,8 @@
         self._waiting_since[holder] = now()
         if self._max_connections and self._count > self._max_connections:
             victim = self._oldest()
+            if victim is None:
+                return
             self._forget(victim)
             self.record(Limit.CONNECTIONS)
             victim.shed(Limit.CONNECTIONS)
@@ -143,8 +151,8 @@
         )
         self._unlogged.clear()
 
-    def _oldest(self) -> Holder:
-        """Return the connection that is closed for a new one.
+    def _oldest(self) -> Holder | None:
+        """Return the connection that is closed for a new one; None for none.
 
         New connections get some time for a request before they are closed.
         """
@@ -154,6 +162,8 @@
                 if since_s <= latest_s:
                     return holder
                 break
+        if self._count <= self._most_connections:
+            return None
         return next(iter(self._waiting_since))
 
     def _shed_one(self) -> None:
--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -45,6 +45,8 @@
 CONNECTION_MEMORY_FRACTION = 1 / 8
 # Of the descriptors, for the connections of callers, operators and backend servers.
 CONNECTION_DESCRIPTOR_FRACTION = 0.7
+# The same, if all that have no request have just come.
+MOST_CONNECTION_DESCRIPTOR_FRACTION = 0.85
 
 
 class FleetHost:
@@ -72,6 +74,7 @@
         self.connection_budget = ConnectionBudget(
             int(CONNECTION_MEMORY_FRACTION * settings.memory_bytes),
             int(CONNECTION_DESCRIPTOR_FRACTION * settings.max_descriptors),
+            int(MOST_CONNECTION_DESCRIPTOR_FRACTION * settings.max_descriptors),
         )
         self._settings_path = settings_path
         self._listeners: list[HttpListener] = []
