Let every head of 16 KiB pass, and free the heads of closed connections

The default of 512 header lines refused requests inside the limits: a head of 16 KiB has up to 5,461 lines. Heads that no application has seen are cleared now when their connection is shed or ends, and those of answered requests with the answer.

--- a/packages/almondfield-core/src/almondfield_core/settings/fleet.py
+++ b/packages/almondfield-core/src/almondfield_core/settings/fleet.py
@@ -94,8 +94,8 @@
         "Processor cores that the daemon may use; 0 if not told.", default=0.0
     )
     max_header_lines: int = item(
-        "Most header lines of a request. Ordinary clients send some tens.",
-        default=512,
+        "Most header lines of a request. A head of 16 KiB has 5,461 lines at most.",
+        default=8192,
     )
     grace_s: float = item(
         "Time from the stop signal until the daemon is killed.", "s", default=8.0
--- a/packages/almondfield-daemon/src/almondfield_daemon/serving/counted.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/serving/counted.py
@@ -56,6 +56,7 @@
         self._is_counted = False
         self.budget.disconnect(self)
         super().connection_lost(exc)
+        self._drop_heads()
 
     def shed(self, limit: Limit) -> None:
         """Refuse a request that isn't whole, and close the connection at once."""
@@ -94,6 +95,9 @@
         self._check(self._size.add_chunk)
 
     def on_response_complete(self) -> None:
+        if self._running is not None:
+            # The connection refers to the request until its next one.
+            self._running.scope["headers"].clear()
         super().on_response_complete()
         self._count_held()
 
@@ -125,12 +129,24 @@
     def _drop_request(self) -> None:
         """Free what was read, and end an application that reads on."""
         self._drop_unparsed()
+        self._drop_heads()
         for cycle in self._cycles():
             cycle.body.clear()
             cycle.disconnected = not cycle.response_complete
             cycle.message_event.set()
         self._count_held()
 
+    def _drop_heads(self) -> None:
+        """Free the heads of requests that no application has seen.
+
+        The parser and the protocol refer to each other, so that they stay in memory
+        until the next collection of such cycles.
+        """
+        if self._in_head and not self._is_request_read:
+            self.headers.clear()
+        for cycle, _ in self.pipeline:
+            cycle.scope["headers"].clear()
+
     def _may_refuse(self) -> bool:
         """Return whether an answer now is that of the request that isn't whole."""
         if self._unanswered_requests():
