Close no connection for another one below 64 connections

The limits on connections are parts of max_descriptors. No deployment has so few descriptors; below 64 connections nothing is closed now.

--- a/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
+++ b/packages/almondfield-daemon/src/almondfield_daemon/fleet_daemon/core.py
@@ -47,6 +47,9 @@
 CONNECTION_DESCRIPTOR_FRACTION = 0.7
 # The same, if all that have no request have just come.
 MOST_CONNECTION_DESCRIPTOR_FRACTION = 0.85
+# With fewer connections none is closed for another one, whatever the settings say: a
+# router has as many from its callers, other hosts and checks in ordinary operation.
+MIN_CONNECTION_LIMIT = 64
 
 
 class FleetHost:
@@ -73,8 +76,8 @@
         )
         self.connection_budget = ConnectionBudget(
             int(CONNECTION_MEMORY_FRACTION * settings.memory_bytes),
-            int(CONNECTION_DESCRIPTOR_FRACTION * settings.max_descriptors),
-            int(MOST_CONNECTION_DESCRIPTOR_FRACTION * settings.max_descriptors),
+            _connection_limit(settings, CONNECTION_DESCRIPTOR_FRACTION),
+            _connection_limit(settings, MOST_CONNECTION_DESCRIPTOR_FRACTION),
         )
         self._settings_path = settings_path
         self._listeners: list[HttpListener] = []
@@ -226,3 +229,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         eliot.log_message("daemon:stopped")
+
+
+def _connection_limit(settings: FleetSettings, fraction: float) -> int:
+    """Return the number of connections that a fraction of the descriptors allows."""
+    return max(MIN_CONNECTION_LIMIT, int(fraction * settings.max_descriptors))
