review: look for free ports on a loopback address only

Claim: every address in a case is a loopback address. Evidence: free_ports bound sockets to the wildcard address; none of them listened. The table of listening sockets shows none of the cases' beyond loopback.

--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -362,14 +362,17 @@
     ).encode()
 
 
-def free_ports(count):
-    """Return ports that are free on every address."""
-    listeners = [socket.socket() for _ in range(count)]
-    for listener in listeners:
-        listener.bind(("0.0.0.0", 0))
-    ports = [listener.getsockname()[1] for listener in listeners]
-    for listener in listeners:
-        listener.close()
+def free_ports(count, address):
+    """Return ports that are free on a loopback address.
+
+    :param address: an address of the case's own network.
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind((address, 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
     return ports
 
 
@@ -385,7 +388,7 @@
         self.record = record
         self._folder = Path(tempfile.mkdtemp(prefix="case-"))
         network = f"127.{1 + os.getpid() % 250}.{random.randrange(1, 250)}"
-        ports = free_ports(7)
+        ports = free_ports(7, f"{network}.11")
         self.peer_port, control, directory, front, ready, server, metrics = ports
         self._metrics_port = metrics
         self.server_port = server
